--- /dev/null
+++ b/packages/standins/src/verbenahall_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for engines, services and the platform; never shipped."""
--- /dev/null
+++ b/packages/verbenactl/src/verbenactl/__init__.py
@@ -0,0 +1,3 @@
+"""Operators' command: lint, publish, diff, history, status, explain."""
+
+__version__ = '0.1.0'
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/errors.py
@@ -0,0 +1,134 @@
+"""The closed list of error kinds and the table from kind to answer.
+
+Every failure that a caller can see is one of ``ErrorKind``. Code that may
+fail returns ``returns.result.Result`` with a ``Problem`` on the failure side;
+only the HTTP shell turns it into an answer::
+
+    Failure(Problem(ErrorKind.OVERLOADED, 'queue of priority 1 is full'))
+"""
+
+import dataclasses
+import enum
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Final, final
+
+
+@final
+class Ran(enum.Enum):
+    """What is known about whether an endpoint started the request."""
+
+    NO = 'no'
+    YES = 'yes'
+    UNKNOWN = 'unknown'
+
+
+@final
+class ErrorKind(enum.Enum):
+    """Every kind of failure; the value is the word on the wire."""
+
+    BAD_REQUEST = 'bad_request'
+    UNAUTHORIZED = 'unauthorized'
+    FORBIDDEN = 'forbidden'
+    NOT_FOUND = 'not_found'
+    UNKNOWN_MODEL = 'unknown_model'
+    METHOD_NOT_ALLOWED = 'method_not_allowed'
+    REQUEST_TIMEOUT = 'request_timeout'
+    CONFLICT = 'conflict'
+    DUPLICATE = 'duplicate'
+    TOO_LARGE = 'too_large'
+    HEADERS_TOO_LARGE = 'headers_too_large'
+    OVERLOADED = 'overloaded'
+    QUOTA_EXCEEDED = 'quota_exceeded'
+    INTERNAL = 'internal'
+    ENDPOINT_FAILED = 'endpoint_failed'
+    ANSWER_TRUNCATED = 'answer_truncated'
+    NO_ENDPOINT = 'no_endpoint'
+    NOT_READY = 'not_ready'
+    LOG_UNAVAILABLE = 'log_unavailable'
+    DEADLINE_EXCEEDED = 'deadline_exceeded'
+    OUTCOME_UNKNOWN = 'outcome_unknown'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """How a kind is answered: HTTP status, default ``ran``, retry hint."""
+
+    status: int
+    ran: Ran
+    retry_after_s: float | None = None
+
+
+#: One row for each kind; a test checks that no kind is missing.
+ANSWERS: Final[Mapping[ErrorKind, Answer]] = MappingProxyType(
+    {
+        ErrorKind.BAD_REQUEST: Answer(400, Ran.NO),
+        ErrorKind.UNAUTHORIZED: Answer(401, Ran.NO),
+        ErrorKind.FORBIDDEN: Answer(403, Ran.NO),
+        ErrorKind.NOT_FOUND: Answer(404, Ran.NO),
+        ErrorKind.UNKNOWN_MODEL: Answer(404, Ran.NO),
+        ErrorKind.METHOD_NOT_ALLOWED: Answer(405, Ran.NO),
+        ErrorKind.REQUEST_TIMEOUT: Answer(408, Ran.NO),
+        ErrorKind.CONFLICT: Answer(409, Ran.NO),
+        ErrorKind.DUPLICATE: Answer(409, Ran.YES),
+        ErrorKind.TOO_LARGE: Answer(413, Ran.NO),
+        ErrorKind.HEADERS_TOO_LARGE: Answer(431, Ran.NO),
+        ErrorKind.OVERLOADED: Answer(429, Ran.NO, 1),
+        ErrorKind.QUOTA_EXCEEDED: Answer(429, Ran.NO, 1),
+        ErrorKind.INTERNAL: Answer(500, Ran.UNKNOWN),
+        ErrorKind.ENDPOINT_FAILED: Answer(502, Ran.UNKNOWN),
+        ErrorKind.ANSWER_TRUNCATED: Answer(502, Ran.YES),
+        ErrorKind.NO_ENDPOINT: Answer(503, Ran.NO, 2),
+        ErrorKind.NOT_READY: Answer(503, Ran.NO, 1),
+        ErrorKind.LOG_UNAVAILABLE: Answer(503, Ran.NO, 5),
+        ErrorKind.DEADLINE_EXCEEDED: Answer(504, Ran.UNKNOWN),
+        ErrorKind.OUTCOME_UNKNOWN: Answer(504, Ran.UNKNOWN),
+    },
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Problem:
+    """One failure: its kind, a sentence for people, and what is known.
+
+    ``ran`` and ``retry_after_s`` (seconds) override the kind's defaults
+    where the place that failed knows better.
+    """
+
+    kind: ErrorKind
+    message: str
+    ran: Ran | None = None
+    retry_after_s: float | None = None
+
+    @property
+    def answer(self) -> Answer:
+        """The kind's answer with this problem's own knowledge laid over."""
+        default = ANSWERS[self.kind]
+        return Answer(
+            status=default.status,
+            ran=self.ran or default.ran,
+            retry_after_s=(
+                default.retry_after_s
+                if self.retry_after_s is None
+                else self.retry_after_s
+            ),
+        )
+
+
+class VerbenahallError(Exception):
+    """Base of every exception that this project raises."""
+
+
+@final
+class ProblemError(VerbenahallError):
+    """Carries a ``Problem`` through code that can only raise."""
+
+    def __init__(self, problem: Problem) -> None:
+        """Keep the problem for the shell that answers."""
+        super().__init__(problem.message)
+        self.problem = problem
+
+
+@final
+class ConfigError(VerbenahallError):
+    """A settings file has faults; the message lists all of them."""
--- /dev/null
+++ b/packages/verbenahall/tests/test_errors.py
@@ -0,0 +1,20 @@
+"""The closed list of error kinds."""
+
+import pytest
+
+from verbenahall.errors import ANSWERS, ErrorKind, Problem, Ran
+
+
+@pytest.mark.parametrize('kind', ErrorKind)
+def test_every_kind_has_an_answer(kind):
+    """A kind without a row would raise while a caller waits."""
+    assert 400 <= ANSWERS[kind].status < 600
+
+
+def test_problem_overrides_the_default():
+    """The place that failed may know better than the table."""
+    problem = Problem(ErrorKind.ENDPOINT_FAILED, 'refused', Ran.NO, 3)
+
+    assert problem.answer.ran is Ran.NO
+    assert problem.answer.retry_after_s == 3
+    assert problem.answer.status == 502
