Authority, orders and rollout: thin path from settings to engines

Cause: nothing turned settings into engine orders. Change: the fold of leases with compare and set on the scope's last offset, a lease keeper that learns that it holds from its own record, the fold of recorded orders valid under the token in force at their offset, a sender whose body checks the lease in the step that hands it to the transport, a planner that merges all changes of an engine into one target and keeps floors, and the controller that ties them. Ruled out: trusting the answer of an append, since it can be lost after the effect; counting the lease from the answer, which outlives the others' wait. Left: failures on the way, model checking, process tests.

--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/authority/__init__.py
@@ -0,0 +1,47 @@
+"""Who may order engines: leases and fencing tokens folded from the log."""
+
+from verbenahall.authority._decisions import (
+    Candidacy,
+    choose_step,
+    find_deadline,
+    find_token,
+    note_sent,
+)
+from verbenahall.authority._messages import (
+    Claim,
+    Grant,
+    Idle,
+    LeaseTiming,
+    Release,
+    Renew,
+    encode_step,
+)
+from verbenahall.authority._shell import LeaseKeeper
+from verbenahall.authority._state import (
+    AuthorityState,
+    apply_record,
+    current_token,
+    export_state,
+    restore_state,
+)
+
+__all__ = (
+    'AuthorityState',
+    'Candidacy',
+    'Claim',
+    'Grant',
+    'Idle',
+    'LeaseKeeper',
+    'LeaseTiming',
+    'Release',
+    'Renew',
+    'apply_record',
+    'choose_step',
+    'current_token',
+    'encode_step',
+    'export_state',
+    'find_deadline',
+    'find_token',
+    'note_sent',
+    'restore_state',
+)
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/authority/_shell.py
@@ -0,0 +1,149 @@
+"""The lease keeper: appends claims and renewals for one scope."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any, Final, Protocol
+
+from returns.result import Result
+
+from verbenahall.authority._decisions import (
+    Candidacy,
+    choose_step,
+    find_deadline,
+    find_token,
+    note_sent,
+)
+from verbenahall.authority._messages import (
+    Claim,
+    Idle,
+    LeaseTiming,
+    Release,
+    Renew,
+    encode_step,
+)
+from verbenahall.authority._state import AuthorityState
+from verbenahall.clock import Clock, monotonic
+from verbenahall.errors import Problem
+from verbenahall.journal import write_decision
+from verbenahall.records import AUTHORITY_STREAM
+
+#: Longest sleep between two looks at the fold, in seconds.
+_TICK_S: Final = 0.05
+#: Share of the lease that one append may take.
+_PATIENCE: Final = 1 / 6
+
+
+class Appender(Protocol):
+    """The part of ``verbenahall.log.LogClient`` that the keeper uses."""
+
+    async def append(
+        self,
+        stream: str,
+        body: dict[str, Any],
+    ) -> Result[int, Problem]:
+        """Append one record; its offset, or why it is not known."""
+
+
+class LeaseKeeper:
+    """Keeps one scope's lease for this process as long as it runs.
+
+    ``caught_up`` tells whether the log's follower has read to the log's end;
+    before that a claim could only lose.
+    """
+
+    def __init__(
+        self,
+        state: AuthorityState,
+        client: Appender,
+        scope: str,
+        holder: str,
+        timing: LeaseTiming,
+        *,
+        caught_up: Callable[[], bool],
+        clock: Clock = monotonic,
+        randomness: random.Random | None = None,
+    ) -> None:
+        """Prepare; nothing is sent before ``run``."""
+        source = randomness or random.Random()
+        self.state = state
+        self.candidacy = Candidacy(scope, holder, source.random())
+        self.appends = 0
+        self._client = client
+        self._timing = timing
+        self._caught_up = caught_up
+        self._clock = clock
+        self._token: int | None = None
+
+    def held(self, scope: str, now: float) -> int | None:
+        """Return the fencing token while this process holds ``scope``."""
+        if scope != self.candidacy.scope:
+            return None
+        return find_token(self.state, self.candidacy, self._timing, now)
+
+    def remaining_s(self, now: float) -> float:
+        """Return how many seconds of the lease are left, at least 0."""
+        deadline = find_deadline(self.state, self.candidacy, self._timing)
+        return max(0, deadline - now)
+
+    async def run(self) -> None:
+        """Claim and renew until cancelled."""
+        while True:
+            self._tell_changes()
+            await self._take_step()
+
+    async def release(self) -> None:
+        """Give the scope back; call it once ``run`` has been cancelled.
+
+        The caller must have stopped sending orders: the successor relies on
+        a release when it shortens its wait.
+        """
+        grant = self.state.find_grant(self.candidacy.scope)
+        if grant.token and grant.holder == self.candidacy.holder:
+            await self._append(Release(grant.last))
+
+    async def _take_step(self) -> None:
+        now = self._clock()
+        step = choose_step(self.state, self.candidacy, self._timing, now)
+        match step:
+            case Idle(until):
+                await asyncio.sleep(min(_TICK_S, max(0, until - now)))
+            case Claim() if not self._caught_up():
+                await asyncio.sleep(_TICK_S)
+            case Claim() | Renew():
+                await self._append(step)
+
+    async def _append(self, step: Claim | Renew | Release) -> None:
+        note_sent(self.candidacy, step.after, self._clock())
+        self.appends += 1
+        body = encode_step(
+            step,
+            self.candidacy.scope,
+            self.candidacy.holder,
+            self._timing.lease_s,
+        )
+        # The answer is not looked at: what counts is the record read back,
+        # which tells the same whether or not the answer was lost. So the
+        # client's search for a lost answer may be cut short, too; waiting
+        # for it would let the lease run out.
+        try:
+            async with asyncio.timeout(self._timing.lease_s * _PATIENCE):
+                await self._client.append(AUTHORITY_STREAM, body)
+        except TimeoutError:
+            write_decision(
+                'lease_append_late',
+                scope=self.candidacy.scope,
+                after=step.after,
+            )
+
+    def _tell_changes(self) -> None:
+        token = self.held(self.candidacy.scope, self._clock())
+        if token == self._token:
+            return
+        self._token = token
+        write_decision(
+            'lease',
+            scope=self.candidacy.scope,
+            holder=self.candidacy.holder,
+            token=token,
+        )
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/orders/__init__.py
@@ -0,0 +1,57 @@
+"""Orders to engines: recorded in the log, sent under a lease, followed up."""
+
+from verbenahall.orders._decisions import (
+    Gate,
+    Progress,
+    find_progress,
+    is_changing,
+    open_gate,
+    outstanding,
+)
+from verbenahall.orders._dispatch import (
+    Dispatch,
+    is_cleared,
+    may_send,
+    note_outcome,
+    note_sending,
+    take_over,
+)
+from verbenahall.orders._messages import (
+    EngineReport,
+    Order,
+    OrderTiming,
+    PlannedOrder,
+    decode_report,
+    encode_batch,
+    encode_target,
+)
+from verbenahall.orders._outcomes import Outcome
+from verbenahall.orders._shell import OrderSender
+from verbenahall.orders._state import OrdersState, apply_record, observe_report
+
+__all__ = (
+    'Dispatch',
+    'EngineReport',
+    'Gate',
+    'Order',
+    'OrderSender',
+    'OrderTiming',
+    'OrdersState',
+    'Outcome',
+    'PlannedOrder',
+    'Progress',
+    'apply_record',
+    'decode_report',
+    'encode_batch',
+    'encode_target',
+    'find_progress',
+    'is_changing',
+    'is_cleared',
+    'may_send',
+    'note_outcome',
+    'note_sending',
+    'observe_report',
+    'open_gate',
+    'outstanding',
+    'take_over',
+)
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/orders/_state.py
@@ -0,0 +1,57 @@
+"""The fold of the orders stream, and what engines last said."""
+
+from verbenahall.authority import AuthorityState, current_token
+from verbenahall.orders._messages import EngineReport, Order, decode_batch
+from verbenahall.records import ORDERS_STREAM, Record
+
+
+class OrdersState:
+    """The latest valid order and the latest report of each engine.
+
+    ``authority`` is folded from the same records, each record before this
+    state sees it. ``reported_at`` holds monotonic seconds.
+    """
+
+    __slots__ = ('authority', 'orders', 'position', 'reported_at', 'reports')
+
+    def __init__(self, authority: AuthorityState) -> None:
+        """Start with no order known."""
+        self.authority = authority
+        self.orders: dict[str, Order] = {}
+        self.reports: dict[str, EngineReport] = {}
+        self.reported_at: dict[str, float] = {}
+        self.position = 0
+
+
+def apply_record(state: OrdersState, record: Record) -> tuple[Order, ...]:
+    """Fold one record; return the orders that it made valid.
+
+    A batch is valid only under the token in force at its own offset. So a
+    process that lost its scope and still appends changes nothing, without
+    any clock.
+    """
+    if record.offset <= state.position:
+        return ()
+    state.position = record.offset
+    if record.stream != ORDERS_STREAM:
+        return ()
+    orders = decode_batch(record.body, record.offset)
+    valid = tuple(order for order in orders if _is_valid(state, order))
+    for order in valid:
+        state.orders[order.engine] = order
+    return valid
+
+
+def _is_valid(state: OrdersState, order: Order) -> bool:
+    token = current_token(state.authority, order.scope)
+    return token != 0 and order.token == token
+
+
+def observe_report(
+    state: OrdersState,
+    report: EngineReport,
+    now: float,
+) -> None:
+    """Keep what an engine said of itself at ``now``."""
+    state.reports[report.name] = report
+    state.reported_at[report.name] = now
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/rollout/_plan.py
@@ -0,0 +1,224 @@
+"""Which engines start to change now, out of all that should."""
+
+import collections
+import dataclasses
+from collections.abc import Mapping, Sequence
+from types import MappingProxyType
+from typing import TYPE_CHECKING, Final
+
+from verbenahall.fleet import Role, Target
+from verbenahall.orders import PlannedOrder
+from verbenahall.rollout._messages import (
+    EngineView,
+    Reason,
+    Rollout,
+    RolloutLimits,
+    Waiting,
+)
+from verbenahall.rollout._targets import find_targets
+
+if TYPE_CHECKING:
+    from verbenahall.settings import EffectiveSettings
+
+_DEFAULT_LIMITS: Final = RolloutLimits()
+_NO_ROLES: Final[Mapping[str, Role]] = MappingProxyType({})
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Change:
+    """One engine that should change; ``weight_gb`` is what it must fetch."""
+
+    view: EngineView
+    target: Target
+    weight_gb: float
+
+
+class _Capacity:
+    """What the data centre can serve while the plan grows.
+
+    ``serving`` counts engines that serve a model now, ``coming`` those whose
+    change will bring it. ``loads`` and ``changes`` count engines on the way.
+    """
+
+    __slots__ = ('changes', 'coming', 'floors', 'loads', 'serving')
+
+    def __init__(self, floors: Mapping[str, int]) -> None:
+        self.floors = floors
+        self.serving: collections.Counter[str] = collections.Counter()
+        self.coming: collections.Counter[str] = collections.Counter()
+        self.loads = 0
+        self.changes = 0
+
+
+def plan(
+    settings: 'EffectiveSettings',
+    data_centre: str,
+    engines: Sequence[EngineView],
+    automatic: Mapping[str, Role] = _NO_ROLES,
+    limits: RolloutLimits = _DEFAULT_LIMITS,
+) -> Rollout:
+    """Decide which engines get a new target now.
+
+    All changes that settings ask of an engine go into one absolute target,
+    so a window of many changes costs each engine one order. No change starts
+    that would leave a model with fewer serving engines than its floor.
+    """
+    targets = find_targets(settings, data_centre, engines, automatic)
+    capacity = _count_capacity(settings, targets, engines)
+    changes = _list_changes(settings, targets, engines)
+    orders: list[PlannedOrder] = []
+    chosen = _choose(changes, capacity, limits)
+    while chosen is not None:
+        changes.remove(chosen)
+        _take(chosen, capacity)
+        orders.append(_order(chosen))
+        chosen = _choose(changes, capacity, limits)
+    obstacles = (_find_obstacle(left, capacity, limits) for left in changes)
+    return Rollout(tuple(orders), tuple(filter(None, obstacles)))
+
+
+def _choose(
+    changes: list[_Change],
+    capacity: _Capacity,
+    limits: RolloutLimits,
+) -> _Change | None:
+    changes.sort(key=lambda change: _rank(change, capacity))
+    return next(
+        (
+            change
+            for change in changes
+            if _find_obstacle(change, capacity, limits) is None
+        ),
+        None,
+    )
+
+
+def _count_capacity(
+    settings: 'EffectiveSettings',
+    targets: Mapping[str, Target],
+    engines: Sequence[EngineView],
+) -> _Capacity:
+    wanted = {
+        model for target in targets.values() for model, _ in target.models
+    }
+    capacity = _Capacity(
+        {name: settings.models[name].floor for name in wanted},
+    )
+    for view in engines:
+        if not view.reachable:
+            continue
+        if view.changing:
+            _count_changing(settings, view, capacity)
+        elif view.name not in settings.drains:
+            capacity.serving.update(name for name, _ in view.holding.models)
+    return capacity
+
+
+def _count_changing(
+    settings: 'EffectiveSettings',
+    view: EngineView,
+    capacity: _Capacity,
+) -> None:
+    target = view.pending or view.holding
+    capacity.changes += 1
+    capacity.loads += bool(_weigh(settings, view.holding, target))
+    capacity.coming.update(name for name, _ in target.models)
+
+
+def _list_changes(
+    settings: 'EffectiveSettings',
+    targets: Mapping[str, Target],
+    engines: Sequence[EngineView],
+) -> list[_Change]:
+    return [
+        _Change(
+            view,
+            targets[view.name],
+            _weigh(settings, view.holding, targets[view.name]),
+        )
+        for view in engines
+        if view.name in targets
+        and targets[view.name] != (view.pending or view.holding)
+    ]
+
+
+def _weigh(
+    settings: 'EffectiveSettings',
+    holding: Target,
+    target: Target,
+) -> float:
+    """Return how many gigabytes an engine must fetch for a target."""
+    missing = set(target.models) - set(holding.models)
+    return sum(
+        settings.models[name].weight_gb
+        for name, _ in missing
+        if name in settings.models
+    )
+
+
+def _rank(
+    change: _Change,
+    capacity: _Capacity,
+) -> tuple[int, float, str]:
+    """Order changes by what they unblock for each gigabyte.
+
+    First those that bring a model that nobody serves, then those that bring
+    a model below its floor, whose rise lets other engines go; among equals
+    the smallest first, which soonest gives an engine back.
+    """
+    held = {name for name, _ in change.view.holding.models}
+    brought = [name for name, _ in change.target.models if name not in held]
+    urgency = min((_rank_model(name, capacity) for name in brought), default=2)
+    return urgency, change.weight_gb, change.view.name
+
+
+def _rank_model(name: str, capacity: _Capacity) -> int:
+    on_hand = capacity.serving[name] + capacity.coming[name]
+    if on_hand == 0:
+        return 0
+    return 1 if on_hand < capacity.floors.get(name, 0) else 2
+
+
+def _find_obstacle(
+    change: _Change,
+    capacity: _Capacity,
+    limits: RolloutLimits,
+) -> Waiting | None:
+    view = change.view
+    if not view.reachable:
+        return Waiting(view.name, Reason.UNREACHABLE)
+    if view.running:
+        return Waiting(view.name, Reason.RUNNING)
+    if view.resting:
+        return Waiting(view.name, Reason.RESTING)
+    if view.pending is not None:
+        return None
+    if capacity.changes >= limits.changes:
+        return Waiting(view.name, Reason.CHANGES)
+    if change.weight_gb and capacity.loads >= limits.loads:
+        return Waiting(view.name, Reason.LOADS)
+    return _find_floor(change, capacity)
+
+
+def _find_floor(change: _Change, capacity: _Capacity) -> Waiting | None:
+    for name, _ in change.view.holding.models:
+        if capacity.serving[name] <= capacity.floors.get(name, 0):
+            return Waiting(change.view.name, Reason.FLOOR, name)
+    return None
+
+
+def _take(change: _Change, capacity: _Capacity) -> None:
+    if change.view.pending is not None:
+        return
+    capacity.changes += 1
+    capacity.loads += bool(change.weight_gb)
+    capacity.serving.subtract(name for name, _ in change.view.holding.models)
+    capacity.coming.update(name for name, _ in change.target.models)
+
+
+def _order(change: _Change) -> PlannedOrder:
+    return PlannedOrder(
+        change.view.name,
+        change.view.incarnation,
+        change.target,
+    )
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/rollout/_views.py
@@ -0,0 +1,70 @@
+"""Builds what the planner knows of each engine."""
+
+from collections.abc import Iterator, Sequence
+
+from verbenahall.fleet import Endpoint, Standing
+from verbenahall.orders import (
+    Dispatch,
+    EngineReport,
+    OrdersState,
+    Progress,
+    find_progress,
+    is_cleared,
+)
+from verbenahall.rollout._messages import EngineView
+
+#: An engine of the data centre and whether it may get new work.
+Member = tuple[Endpoint, Standing]
+
+
+def build_views(
+    members: Sequence[Member],
+    state: OrdersState,
+    dispatch: Dispatch,
+    now: float,
+) -> tuple[EngineView, ...]:
+    """Return a view of each engine that has told its state."""
+    return tuple(_list_views(members, state, dispatch, now))
+
+
+def _list_views(
+    members: Sequence[Member],
+    state: OrdersState,
+    dispatch: Dispatch,
+    now: float,
+) -> Iterator[EngineView]:
+    for endpoint, standing in members:
+        report = state.reports.get(endpoint.name)
+        if report is None:
+            continue
+        live = standing is Standing.LIVE and not report.leaving
+        cleared = is_cleared(dispatch, state, endpoint)
+        resting = now < dispatch.find_track(endpoint.name).retry_at
+        progress = _find_progress(state, report)
+        yield EngineView(
+            name=endpoint.name,
+            incarnation=report.incarnation,
+            holding=report.holding,
+            reachable=live,
+            pending=_find_pending(state, report, progress),
+            running=report.changing,
+            resting=resting or not cleared,
+        )
+
+
+def _find_progress(
+    state: OrdersState,
+    report: EngineReport,
+) -> Progress | None:
+    order = state.orders.get(report.name)
+    return find_progress(order, report) if order else None
+
+
+def _find_pending(
+    state: OrdersState,
+    report: EngineReport,
+    progress: Progress | None,
+):
+    if progress in {Progress.UNCONFIRMED, Progress.RUNNING}:
+        return state.orders[report.name].target
+    return None
--- /dev/null
+++ b/packages/verbenahall/tests/rollout/test_controller.py
@@ -0,0 +1,193 @@
+"""A published model gets onto engines through the whole controller."""
+
+import asyncio
+import types
+
+from aiohttp import web
+from returns.result import Success
+
+from verbenahall.authority import (
+    AuthorityState,
+    LeaseKeeper,
+    LeaseTiming,
+)
+from verbenahall.authority import apply_record as apply_authority
+from verbenahall.clock import monotonic
+from verbenahall.fleet import Endpoint, EndpointKind, Standing
+from verbenahall.orders import (
+    Dispatch,
+    OrderSender,
+    OrdersState,
+    OrderTiming,
+)
+from verbenahall.orders import apply_record as apply_orders
+from verbenahall.records import Record
+from verbenahall.rollout import Controller
+
+DATA_CENTRE = 'cardigan'
+LEASE = LeaseTiming(lease_s=0.6, margin_s=0.05)
+ORDER = OrderTiming(order_timeout_s=0.3, longest_pause_s=0.2)
+
+
+class MemoryLog:
+    """A log in memory that hands each record to the folds at once."""
+
+    def __init__(self):
+        self.records = []
+        self.authority = AuthorityState()
+        self.orders = OrdersState(self.authority)
+
+    async def append(self, stream, body):
+        """Append and fold one record."""
+        await asyncio.sleep(0)
+        record = Record(len(self.records) + 1, stream, '', body)
+        self.records.append(record)
+        apply_authority(self.authority, record, monotonic())
+        apply_orders(self.orders, record)
+        return Success(record.offset)
+
+
+class FakeEngine:
+    """An engine that takes every order at once."""
+
+    def __init__(self, name, **settings):
+        self.name = name
+        self.settings = settings
+        self.state = {'role': 'mixed', 'models': {}, 'adapters': []}
+        self.order = ''
+        self.fencing = 0
+        self.started = []
+
+    async def start(self):
+        """Listen on a free port and return the endpoint."""
+        app = web.Application()
+        app.router.add_get('/state', self._tell)
+        app.router.add_post('/orders', self._obey)
+        self.runner = web.AppRunner(app)
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, '127.0.0.1', 0)
+        await site.start()
+        port = self.runner.addresses[0][1]
+        return Endpoint(
+            self.name,
+            EndpointKind.ENGINE,
+            f'127.0.0.1:{port}',
+            DATA_CENTRE,
+            'i1',
+            **self.settings,
+        )
+
+    async def _tell(self, request):
+        return web.json_response(
+            {
+                'name': self.name,
+                'incarnation': 'i1',
+                'order': self.order,
+                'fencing': self.fencing,
+                'changing': False,
+                'running': 0,
+                'queued': 0,
+                **self.state,
+            },
+        )
+
+    async def _obey(self, request):
+        body = await request.json()
+        self.started.append(body)
+        self.order = body['order']
+        self.fencing = body['fencing']
+        self.state = body['target']
+        return web.json_response({}, status=202)
+
+
+class Surroundings:
+    """Settings with one model for two engines."""
+
+    def __init__(self, endpoints):
+        self.endpoints = endpoints
+        self.settings = types.SimpleNamespace(
+            models={
+                'drafter': types.SimpleNamespace(
+                    version='1',
+                    floor=0,
+                    weight_gb=1.0,
+                ),
+            },
+            adapters={},
+            drains={},
+            pools={
+                'main': types.SimpleNamespace(
+                    data_centre=DATA_CENTRE,
+                    engines=('e1', 'e2'),
+                    models=('drafter',),
+                    adapters=(),
+                    prefill=1,
+                    decode=0,
+                    automatic=False,
+                ),
+            },
+        )
+
+    def read_settings(self):
+        """Return the settings."""
+        return self.settings
+
+    def list_engines(self, now):
+        """Return both engines as live."""
+        return [(endpoint, Standing.LIVE) for endpoint in self.endpoints]
+
+    def read_roles(self):
+        """Return no roles."""
+        return {}
+
+
+async def wait_until(condition, bound_s=20):
+    """Wait for a condition with a generous bound."""
+    async with asyncio.timeout(bound_s):
+        while not condition():
+            await asyncio.sleep(0.02)
+
+
+async def roll_out():
+    """Run keeper and controller until both engines are done."""
+    engines = [FakeEngine('e1'), FakeEngine('e2', checks_fencing=False)]
+    starts = (engine.start() for engine in engines)
+    endpoints = await asyncio.gather(*starts)
+    log = MemoryLog()
+    keeper = LeaseKeeper(
+        log.authority,
+        log,
+        DATA_CENTRE,
+        'one/1',
+        LEASE,
+        caught_up=lambda: True,
+    )
+    sender = OrderSender(lambda now: keeper.held(DATA_CENTRE, now), ORDER)
+    controller = Controller(
+        Surroundings(endpoints),
+        log.orders,
+        keeper,
+        log,
+        sender,
+        Dispatch(ORDER),
+    )
+    tasks = [asyncio.create_task(part.run()) for part in (keeper, controller)]
+    await wait_until(lambda: all(engine.started for engine in engines))
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    await keeper.release()
+    stops = (engine.runner.cleanup() for engine in engines)
+    await asyncio.gather(*stops)
+    return engines, log
+
+
+def test_published_model_reaches_engines():
+    """An operator publishes a model for a pool; both engines get it."""
+    engines, log = asyncio.run(roll_out())
+    roles = [engine.state['role'] for engine in engines]
+
+    assert roles == ['prefill', 'mixed']
+    assert all(engine.state['models'] == {'drafter': '1'} for engine in engines)
+    assert all(len(engine.started) == 1 for engine in engines)
+    assert log.records[-1].body['kind'] == 'release'
