--- a/packages/verbenahall/src/verbenahall/orders/__init__.py
+++ b/packages/verbenahall/src/verbenahall/orders/__init__.py
@@ -10,6 +10,7 @@
 )
 from verbenahall.orders._dispatch import (
     Dispatch,
+    Track,
     is_cleared,
     may_send,
     note_outcome,
@@ -40,6 +41,7 @@
     'Outcome',
     'PlannedOrder',
     'Progress',
+    'Track',
     'apply_record',
     'decode_report',
     'encode_batch',
