Roles: change once the loss of staying has paid for the change

Cause: a reactive planner changes roles at the first second of a rush and back after it, and each change takes an engine away for seconds. Ruled out: a threshold on queues (they lag) and a forecast (wrong in a storm). Change: regret in engine-seconds against the best reachable roles, with a closed form for what roles can serve. Goodput on traces is not measured yet.

--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/roles/__init__.py
@@ -0,0 +1,28 @@
+"""Roles of engines: how many prefill, decode and mixed engines a mix wants."""
+
+from verbenahall.roles._demand import DemandState, note_arrival, read_demand
+from verbenahall.roles._messages import (
+    Counts,
+    Demand,
+    EngineNow,
+    Observation,
+    Plan,
+    Profile,
+)
+from verbenahall.roles._planner import PlannerState, decide
+from verbenahall.roles._served import served_share
+
+__all__ = (
+    'Counts',
+    'Demand',
+    'DemandState',
+    'EngineNow',
+    'Observation',
+    'Plan',
+    'PlannerState',
+    'Profile',
+    'decide',
+    'note_arrival',
+    'read_demand',
+    'served_share',
+)
