Stand-ins for log, instance list, engine, service and weight store

Cause: the path of a request and of an order needs the platform's other side as separate processes with faults that a test can switch.

Ruled out: one fault switch per stand-in; the faults sit in one middleware so that each means the same everywhere.

--- /dev/null
+++ b/packages/standins/src/verbenahall_standins/answers.py
@@ -0,0 +1,37 @@
+"""Answers that every stand-in gives in the same shape."""
+
+from http import HTTPStatus
+from typing import Any, Final
+
+from aiohttp import web
+
+from verbenahall import wire
+
+#: Only this header says that a request did not run.
+NOT_STARTED: Final = 'X-Not-Started'
+
+
+def answer_json(
+    body: Any,
+    status: int = 200,
+    headers: dict[str, str] | None = None,
+) -> web.Response:
+    """Build a JSON answer."""
+    return web.Response(
+        body=wire.encode(body),
+        status=status,
+        headers=headers,
+        content_type='application/json',
+    )
+
+
+def refuse_late(reason: str) -> web.Response:
+    """Build the failure of a request that may have started."""
+    return answer_json({'error': reason}, HTTPStatus.SERVICE_UNAVAILABLE)
+
+
+def refuse(
+    reason: str, status: int = HTTPStatus.SERVICE_UNAVAILABLE
+) -> web.Response:
+    """Build the refusal of a request that has not started."""
+    return answer_json({'error': reason}, status, {NOT_STARTED: '1'})
--- /dev/null
+++ b/packages/standins/src/verbenahall_standins/holdings.py
@@ -0,0 +1,210 @@
+"""What an engine stand-in holds, and the orders that change it."""
+
+import asyncio
+import dataclasses
+import itertools
+import secrets
+from collections.abc import Callable, Mapping
+from http import HTTPStatus
+from typing import Any, Final
+
+from aiohttp import ClientError, ClientSession, web
+
+from verbenahall import clock
+from verbenahall.fleet import Role
+from verbenahall_standins import answers, cost
+from verbenahall_standins.faults import Faults
+
+_INCARNATION_BYTES: Final = 4
+_READ_BYTES: Final = 65_536
+#: Seconds to load a model where no weight store is given; assumption.
+_MODEL_CHANGE_S: Final = 8.0
+
+_STARTED: Final = HTTPStatus.ACCEPTED
+_ALREADY: Final = HTTPStatus.OK
+_TAKEN: Final = frozenset((_STARTED, _ALREADY))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Holding:
+    """A role, models with their versions, adapters."""
+
+    role: Role
+    models: Mapping[str, str]
+    adapters: tuple[Mapping[str, str], ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Order:
+    """One order as it arrived; ``number`` is its offset and its index."""
+
+    text: str
+    number: tuple[int, ...]
+    fencing: int
+    target: Holding
+
+
+def read_number(text: str) -> tuple[int, ...]:
+    """Read an order's ``offset.index``."""
+    return tuple(map(int, text.split('.')))
+
+
+def read_order(body: Mapping[str, Any]) -> Order:
+    """Read an order's body."""
+    target = body['target']
+    return Order(
+        text=body['order'],
+        number=read_number(body['order']),
+        fencing=int(body['fencing']),
+        target=Holding(
+            Role(target['role']),
+            dict(target['models']),
+            tuple(target['adapters']),
+        ),
+    )
+
+
+class Holdings:
+    """What the engine holds now; one change at a time."""
+
+    __slots__ = (
+        '_faults',
+        '_speed',
+        '_task',
+        '_read_chunks',
+        '_weights',
+        'changing',
+        'checks_fencing',
+        'fencing',
+        'held',
+        'incarnation',
+        'on_change',
+        'order',
+        'record',
+    )
+
+    def __init__(
+        self,
+        held: Holding,
+        faults: Faults,
+        speed: float,
+        weights: str,
+        checks_fencing: bool,
+    ) -> None:
+        """Hold what the start options name; ``weights`` is an address."""
+        self.held = held
+        self.checks_fencing = checks_fencing
+        self.incarnation = _new_incarnation()
+        self.fencing = 0
+        self.order = ''
+        self.changing = False
+        self.record: list[dict[str, Any]] = []
+        self._faults = faults
+        self._speed = speed
+        self._weights = weights
+        self._task: asyncio.Task[None] | None = None
+        self._read_chunks = 0
+        self.on_change: Callable[[], None] = _do_nothing
+
+    def take_order(self, order: Order, is_idle: bool) -> web.Response:
+        """Start the change that an order asks for, or say why not."""
+        answer = self._judge(order, is_idle)
+        self._note('received', order, status=answer.status)
+        if answer.status in _TAKEN:
+            self.fencing = max(self.fencing, order.fencing)
+            self.order = order.text
+        if answer.status == _STARTED:
+            self.changing = True
+            self._task = asyncio.create_task(self._change(order))
+        return answer
+
+    def holds(self, model: str, adapter: str) -> bool:
+        """Whether a request for a model and adapter can run here."""
+        names = {row['name'] for row in self.held.adapters}
+        return model in self.held.models and (not adapter or adapter in names)
+
+    def _judge(self, order: Order, is_idle: bool) -> web.Response:
+        if self._is_stale(order):
+            seen = {'fencing': self.fencing, 'order': self.order}
+            return answers.answer_json(seen, HTTPStatus.CONFLICT)
+        if self.changing and order.text == self.order:
+            return answers.answer_json({'order': order.text}, _STARTED)
+        is_already = order.target == self.held
+        if self.changing or not (is_idle or is_already):
+            busy = {'changing': self.changing, 'order': self.order}
+            return answers.answer_json(busy, HTTPStatus.LOCKED)
+        status = _ALREADY if is_already else _STARTED
+        return answers.answer_json({'order': order.text}, status)
+
+    def _is_stale(self, order: Order) -> bool:
+        if not self.checks_fencing or self._faults.find('ignore_fencing'):
+            return False
+        if order.fencing < self.fencing:
+            return True
+        return bool(self.order) and order.number < read_number(self.order)
+
+    async def _change(self, order: Order) -> None:
+        fault = self._faults.use('crash_in_change')
+        try:
+            await self._load(order.target)
+        except (ClientError, TimeoutError):
+            self._note('failed', order)
+            self.changing = False
+            return
+        if fault is None:
+            self.held = order.target
+            self._note('in_force', order)
+        else:
+            self._note('crashed', order)
+            self._forget_all()
+        self.changing = False
+        self.on_change()
+
+    async def _load(self, target: Holding) -> None:
+        if target.role != self.held.role:
+            await asyncio.sleep(cost.ROLE_CHANGE_S / self._speed)
+        missing = target.models.items() - self.held.models.items()
+        await asyncio.gather(*itertools.starmap(self._fetch, missing))
+        added = [
+            row for row in target.adapters if row not in self.held.adapters
+        ]
+        await asyncio.sleep(len(added) * cost.ADAPTER_CHANGE_S / self._speed)
+
+    async def _fetch(self, model: str, version: str) -> None:
+        if not self._weights:
+            await asyncio.sleep(_MODEL_CHANGE_S / self._speed)
+            return
+        url = f'http://{self._weights}/weights/{model}/{version}'
+        async with (
+            ClientSession(raise_for_status=True) as session,
+            session.get(url) as answer,
+        ):
+            async for _ in answer.content.iter_chunked(_READ_BYTES):
+                self._read_chunks += 1
+
+    def _forget_all(self) -> None:
+        """Come back as another process would: nothing loaded, none seen."""
+        self.held = Holding(Role.MIXED, {}, ())
+        self.incarnation = _new_incarnation()
+        self.fencing = 0
+        self.order = ''
+
+    def _note(self, event: str, order: Order, **fields: Any) -> None:
+        self.record.append(
+            {
+                'event': event,
+                'order': order.text,
+                'fencing': order.fencing,
+                'target': dataclasses.asdict(order.target),
+                'at': clock.monotonic(),
+                **fields,
+            },
+        )
+
+
+def _do_nothing() -> None:
+    """Stand in for a hook that nobody set."""
+
+
+def _new_incarnation() -> str:
+    return secrets.token_hex(_INCARNATION_BYTES)
--- /dev/null
+++ b/packages/standins/src/verbenahall_standins/log.py
@@ -0,0 +1,210 @@
+"""The platform's log: ``python -m verbenahall_standins.log --port 0``.
+
+Offsets count from 1 and are one order over all streams. Records are kept up
+to a number and an age. Appends over the rate are answered 429.
+"""
+
+import argparse
+import asyncio
+import collections
+import itertools
+from http import HTTPStatus
+from typing import Any, Final
+
+from aiohttp import web
+
+from verbenahall import clock
+from verbenahall_standins import answers, faults, serving
+
+_KEPT_RECORDS: Final = 1_000_000
+_KEPT_S: Final = 86_400.0
+_APPENDS_PER_S: Final = 400.0
+_BURST_S: Final = 0.25
+_DEFAULT_LIMIT: Final = 1000
+_LONGEST_WAIT_S: Final = 60.0
+
+
+class Rate:
+    """A token bucket of ``per_s`` with a quarter second's burst."""
+
+    __slots__ = ('_full', '_left', '_per_s', '_seen')
+
+    def __init__(self, per_s: float, now: float) -> None:
+        """Start full."""
+        self._per_s = per_s
+        self._full = max(1, per_s * _BURST_S)
+        self._left = self._full
+        self._seen = now
+
+    def take(self, now: float) -> bool:
+        """Take one token if there is one."""
+        refill = (now - self._seen) * self._per_s
+        self._left = min(self._full, self._left + refill)
+        self._seen = now
+        if self._left < 1:
+            return False
+        self._left -= 1
+        return True
+
+
+class Log:
+    """Records in order, with the oldest ones expiring."""
+
+    __slots__ = ('_ages', '_kept_s', '_records', 'first', 'last')
+
+    def __init__(self, kept: int, kept_s: float) -> None:
+        """Keep at most ``kept`` records, for ``kept_s`` seconds."""
+        self._records: collections.deque[dict[str, Any]] = collections.deque(
+            maxlen=kept,
+        )
+        self._ages: collections.deque[float] = collections.deque(maxlen=kept)
+        self._kept_s = kept_s
+        self.first = 1
+        self.last = 0
+
+    def append(self, message: dict[str, Any], now: float) -> int:
+        """Append one record; second copies are new records here."""
+        self.expire(now)
+        self.last += 1
+        record = {
+            'offset': self.last,
+            'stream': message['stream'],
+            'id': message['id'],
+            'body': message['body'],
+        }
+        self._records.append(record)
+        self._ages.append(now)
+        self.first = self._records[0]['offset']
+        return self.last
+
+    def expire(self, now: float) -> None:
+        """Forget the records that are too old."""
+        while self._ages and now - self._ages[0] > self._kept_s:
+            self._ages.popleft()
+            self._records.popleft()
+            self.first += 1
+
+    def read(
+        self,
+        after: int,
+        limit: int,
+        streams: frozenset[str],
+    ) -> list[dict[str, Any]]:
+        """Return the records after an offset, of some streams or of all."""
+        skipped = max(0, after + 1 - self.first)
+        found = (
+            record
+            for record in itertools.islice(self._records, skipped, None)
+            if not streams or record['stream'] in streams
+        )
+        return list(itertools.islice(found, limit))
+
+
+class LogService:
+    """The log over HTTP."""
+
+    __slots__ = ('_appended', '_faults', '_log', '_rate')
+
+    def __init__(self, options: argparse.Namespace) -> None:
+        """Start with an empty log."""
+        self._log = Log(options.kept, options.kept_s)
+        self._rate = Rate(options.rate, clock.monotonic())
+        self._appended = asyncio.Event()
+        self._faults = faults.Faults()
+        self._faults.on_change = self._wake
+
+    def add_routes(self, app: web.Application) -> None:
+        """Serve the log's routes."""
+        app.router.add_post('/append', self._append)
+        app.router.add_get('/read', self._read)
+        app.router.add_get('/record', self._show_record)
+        faults.add_fault_routes(app, self._faults)
+
+    def _wake(self) -> None:
+        self._appended.set()
+        self._appended = asyncio.Event()
+
+    async def _append(self, request: web.Request) -> web.Response:
+        message = await request.json()
+        now = clock.monotonic()
+        if not self._rate.take(now):
+            return answers.answer_json(
+                {'error': 'over the rate'},
+                HTTPStatus.TOO_MANY_REQUESTS,
+            )
+        offset = self._log.append(message, now)
+        self._wake()
+        return answers.answer_json({'offset': offset})
+
+    async def _read(self, request: web.Request) -> web.StreamResponse:
+        query = request.query
+        after = int(query.get('after', '0'))
+        limit = int(query.get('limit', _DEFAULT_LIMIT))
+        wait_s = min(float(query.get('wait', '0')), _LONGEST_WAIT_S)
+        named = query.get('streams', '').split(',')
+        streams = frozenset(name for name in named if name)
+        page = await self._wait_page(after, limit, streams, wait_s)
+        answer = answers.answer_json(page)
+        if wait_s:
+            return await faults.cut_poll(self._faults, request, answer)
+        return answer
+
+    async def _wait_page(
+        self,
+        after: int,
+        limit: int,
+        streams: frozenset[str],
+        wait_s: float,
+    ) -> dict[str, Any]:
+        until = clock.monotonic() + wait_s
+        records = self._read_now(after, limit, streams)
+        while not records and clock.monotonic() < until:
+            await self._wait_change(until - clock.monotonic())
+            records = self._read_now(after, limit, streams)
+            if self._is_cut():
+                break
+        first = self._log.first
+        return {'records': records, 'first': first, 'last': self._log.last}
+
+    def _is_cut(self) -> bool:
+        return any(map(self._faults.find, ('down', 'partition', 'hang')))
+
+    async def _wait_change(self, wait_s: float) -> None:
+        try:
+            async with asyncio.timeout(wait_s):
+                await self._appended.wait()
+        except TimeoutError:
+            return
+
+    def _read_now(
+        self,
+        after: int,
+        limit: int,
+        streams: frozenset[str],
+    ) -> list[dict[str, Any]]:
+        self._log.expire(clock.monotonic())
+        return self._log.read(after, limit, streams)
+
+    async def _show_record(self, request: web.Request) -> web.Response:
+        records = self._log.read(0, self._log.last, frozenset())
+        return answers.answer_json({'started': records})
+
+
+def build(options: argparse.Namespace) -> web.Application:
+    """Build the application."""
+    app = serving.new_application()
+    LogService(options).add_routes(app)
+    return app
+
+
+def main() -> None:
+    """Run the command."""
+    parser = serving.new_parser('Log service stand-in')
+    parser.add_argument('--rate', type=float, default=_APPENDS_PER_S)
+    parser.add_argument('--kept', type=int, default=_KEPT_RECORDS)
+    parser.add_argument('--kept-s', type=float, default=_KEPT_S)
+    serving.serve(build, parser.parse_args())
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/standins/src/verbenahall_standins/registry.py
@@ -0,0 +1,119 @@
+"""The platform's instance list, which lags behind what is so.
+
+``python -m verbenahall_standins.registry --port 0 --lag 0.5``
+"""
+
+import argparse
+import bisect
+from typing import Any, Final
+
+from aiohttp import web
+
+from verbenahall import clock
+from verbenahall_standins import answers, faults, serving
+
+_LAG_S: Final = 0.5
+
+
+class InstanceList:
+    """Every version of the list with the time from which it holds."""
+
+    __slots__ = ('_times', '_versions')
+
+    def __init__(self) -> None:
+        """Start with an empty version 0."""
+        self._times: list[float] = [float('-inf')]
+        self._versions: list[dict[str, Any]] = [{}]
+
+    def change(self, name: str, entry: Any, now: float) -> None:
+        """Put an entry under its name, or remove it with ``None``."""
+        entries = dict(self._versions[-1])
+        entries.pop(name, None)
+        if entry is not None:
+            entries[name] = entry
+        self._times.append(now)
+        self._versions.append(entries)
+
+    def find(self, name: str) -> dict[str, Any]:
+        """Return the entry as it is, without lag."""
+        return self._versions[-1].get(name, {})
+
+    def show(self, at: float) -> dict[str, Any]:
+        """Return the list as it was at a time."""
+        version = bisect.bisect_right(self._times, at) - 1
+        entries = list(self._versions[version].values())
+        return {'version': version, 'entries': entries}
+
+
+class ListService:
+    """The list over HTTP."""
+
+    __slots__ = ('_faults', '_frozen_at', '_lag_s', '_list')
+
+    def __init__(self, options: argparse.Namespace) -> None:
+        """Start with an empty list."""
+        self._list = InstanceList()
+        self._lag_s = options.lag
+        self._faults = faults.Faults()
+        self._faults.on_change = self._freeze
+        self._frozen_at: float | None = None
+
+    def add_routes(self, app: web.Application) -> None:
+        """Serve the list's routes."""
+        app.router.add_get('/list', self._show)
+        app.router.add_get('/record', self._show_now)
+        app.router.add_post('/register', self._register)
+        app.router.add_post('/leave', self._mark_leaving)
+        app.router.add_post('/remove', self._remove)
+        faults.add_fault_routes(app, self._faults)
+
+    def _freeze(self) -> None:
+        if self._faults.find('freeze') is None:
+            self._frozen_at = None
+        elif self._frozen_at is None:
+            self._frozen_at = clock.monotonic() - self._lag_s
+
+    async def _show(self, request: web.Request) -> web.Response:
+        at = clock.monotonic() - self._lag_s
+        if self._frozen_at is not None:
+            at = self._frozen_at
+        return answers.answer_json(self._list.show(at))
+
+    async def _show_now(self, request: web.Request) -> web.Response:
+        return answers.answer_json(self._list.show(clock.monotonic()))
+
+    async def _register(self, request: web.Request) -> web.Response:
+        entry = await request.json()
+        defaults = {'service': '', 'checks_fencing': True, 'state': 'live'}
+        return self._change(entry['name'], {**defaults, **entry})
+
+    async def _mark_leaving(self, request: web.Request) -> web.Response:
+        name = (await request.json())['name']
+        found = self._list.find(name)
+        return self._change(name, {**found, 'state': 'leaving'})
+
+    async def _remove(self, request: web.Request) -> web.Response:
+        name = (await request.json())['name']
+        return self._change(name, None)
+
+    def _change(self, name: str, entry: Any) -> web.Response:
+        self._list.change(name, entry, clock.monotonic())
+        return answers.answer_json({})
+
+
+def build(options: argparse.Namespace) -> web.Application:
+    """Build the application."""
+    app = serving.new_application()
+    ListService(options).add_routes(app)
+    return app
+
+
+def main() -> None:
+    """Run the command."""
+    parser = serving.new_parser('Instance list stand-in')
+    parser.add_argument('--lag', type=float, default=_LAG_S)
+    serving.serve(build, parser.parse_args())
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/standins/src/verbenahall_standins/service.py
@@ -0,0 +1,69 @@
+"""A plain service: stored pages by GET, field application writes by POST.
+
+``python -m verbenahall_standins.service --port 0 --name pages-1``
+"""
+
+import argparse
+import asyncio
+from typing import Any
+
+from aiohttp import web
+
+from verbenahall_standins import answers, faults, serving
+
+
+class PlainService:
+    """Answers any method on any path and keeps a record of its runs."""
+
+    __slots__ = ('_delay_s', '_faults', '_name', '_started')
+
+    def __init__(self, options: argparse.Namespace) -> None:
+        """Start with an empty record."""
+        self._name = options.name
+        self._delay_s = options.delay
+        self._started: list[dict[str, Any]] = []
+        self._faults = faults.Faults()
+
+    def add_routes(self, app: web.Application) -> None:
+        """Serve every path."""
+        app.router.add_get('/record', self._show_record)
+        faults.add_fault_routes(app, self._faults)
+        app.router.add_route('*', '/{path:.*}', self._run)
+
+    async def _run(self, request: web.Request) -> web.Response:
+        body = await request.read()
+        attempt = request.headers.get('X-Attempt-Id', '')
+        run = {
+            'number': len(self._started),
+            'attempt': attempt,
+            'key': request.headers.get('Idempotency-Key', ''),
+            'method': request.method,
+            'path': request.path,
+        }
+        self._started.append(run)
+        await asyncio.sleep(self._delay_s)
+        answer = {'service': self._name, 'bytes': len(body), **run}
+        headers = {'X-Attempt-Id': attempt}
+        return answers.answer_json(answer, headers=headers)
+
+    async def _show_record(self, request: web.Request) -> web.Response:
+        return answers.answer_json({'started': self._started})
+
+
+def build(options: argparse.Namespace) -> web.Application:
+    """Build the application."""
+    app = serving.new_application()
+    PlainService(options).add_routes(app)
+    return app
+
+
+def main() -> None:
+    """Run the command."""
+    parser = serving.new_parser('Plain service stand-in')
+    parser.add_argument('--name', default='service-1')
+    parser.add_argument('--delay', type=float, default=0)
+    serving.serve(build, parser.parse_args())
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/standins/tests/test_cost.py
@@ -0,0 +1,58 @@
+"""The cost model and the batch that runs on it."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from verbenahall.fleet import Role
+from verbenahall_standins import cost
+from verbenahall_standins.batch import Batch, Job
+
+TOKENS = st.integers(0, 20_000)
+
+
+@given(TOKENS, TOKENS, st.integers(1, 64))
+def test_cost_grows_with_work(tokens, more, sequences):
+    assert cost.prefill_s(tokens + more) >= cost.prefill_s(tokens)
+    assert cost.step_s(sequences, tokens + more) >= cost.step_s(
+        sequences, tokens
+    )
+    assert cost.step_s(sequences + 1, tokens) > cost.step_s(sequences, tokens)
+
+
+@given(TOKENS, TOKENS)
+def test_chunking_prefill_costs_nothing_itself(first, second):
+    whole = cost.prefill_s(first + second)
+    chunks = cost.prefill_s(first) + cost.prefill_s(second, first)
+    assert abs(whole - chunks) < 1e-6 + 1e-9 * whole
+
+
+@given(
+    st.sampled_from(list(Role)),
+    st.lists(
+        st.tuples(st.integers(0, 3), st.integers(1, 5000), st.integers(1, 40)),
+        min_size=1,
+        max_size=80,
+    ),
+)
+def test_batch_finishes_each_job_whole(role, wanted):
+    batch = Batch(role)
+    for number, (priority, prompt, output) in enumerate(wanted):
+        batch.add(Job(str(number), priority, prompt, output))
+    finished = []
+    while not batch.is_idle:
+        finished.extend(batch.step().finished)
+    assert len(finished) == len(wanted)
+    assert all(job.produced == job.output for job in finished)
+
+
+def test_batch_takes_highest_priority_first():
+    """A flag that arrives behind a full queue starts before all that wait."""
+    batch = Batch(Role.MIXED)
+    for number in range(200):
+        batch.add(Job(f'low-{number}', 2, 100, 500))
+    batch.step()
+    batch.add(Job('flag', 0, 50, 1))
+    finished = []
+    while 'flag' not in finished:
+        finished.extend(job.identity for job in batch.step().finished)
+    assert len(finished) <= cost.BATCH_SEQUENCES + 1
