--- /dev/null
+++ b/packages/standins/src/verbenahall_standins/caller.py
@@ -0,0 +1,124 @@
+"""A caller that sends requests and checks that each answer is whole."""
+
+import asyncio
+import collections
+import dataclasses
+import itertools
+from collections.abc import Iterable, Iterator, Sequence
+from http import HTTPStatus
+from typing import Final
+
+import aiohttp
+import orjson
+
+from verbenahall import clock
+from verbenahall_standins.asks import Ask
+
+_DONE: Final = 'data: [DONE]'
+_EVENT: Final = 'data: '
+_TIMEOUT_S: Final = 30.0
+_SHOWN_CHARACTERS: Final = 200
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outcome:
+    """One answer: what was wrong with it, empty when it was right."""
+
+    kind: str
+    wrong: str
+    seconds: float
+
+
+class Caller:
+    """Sends requests to entry instances in turn, a few at a time."""
+
+    __slots__ = ('_bases', '_session', 'outcomes')
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        addresses: Sequence[str],
+    ) -> None:
+        """Take turns over the instances' addresses, as a balancer would."""
+        self._session = session
+        self._bases = itertools.cycle(addresses)
+        self.outcomes: list[Outcome] = []
+
+    async def send_all(self, asks: Iterable[Ask], at_once: int) -> None:
+        """Send all requests with ``at_once`` open at any time."""
+        waiting = iter(asks)
+        senders = (self._send_each(waiting) for _ in range(at_once))
+        await asyncio.gather(*senders)
+
+    def summarise(self) -> list[str]:
+        """Return a line for each kind: answered, failed, median seconds."""
+        by_kind: dict[str, list[Outcome]] = collections.defaultdict(list)
+        for outcome in self.outcomes:
+            by_kind[outcome.kind].append(outcome)
+        return [_describe(kind, found) for kind, found in by_kind.items()]
+
+    async def _send_each(self, waiting: Iterator[Ask]) -> None:
+        ask = next(waiting, None)
+        while ask is not None:
+            started = clock.monotonic()
+            wrong = await self._find_wrong(ask)
+            took_s = clock.monotonic() - started
+            self.outcomes.append(Outcome(ask.kind, wrong, took_s))
+            ask = next(waiting, None)
+
+    async def _find_wrong(self, ask: Ask) -> str:
+        try:
+            async with asyncio.timeout(_TIMEOUT_S):
+                return await self._send(ask)
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            return repr(error)
+
+    async def _send(self, ask: Ask) -> str:
+        url = f'http://{next(self._bases)}{ask.path}'
+        body = orjson.dumps(ask.body) if ask.body else None
+        headers = {**ask.headers, 'Content-Type': 'application/json'}
+        async with self._session.request(
+            ask.method,
+            url,
+            data=body,
+            headers=headers,
+        ) as answer:
+            received = await answer.text()
+            if answer.status != HTTPStatus.OK:
+                return f'{answer.status} {received}'
+            return check_answer(ask, received)
+
+
+def check_answer(ask: Ask, received: str) -> str:
+    """Say what is wrong with a body; empty when it is the whole answer."""
+    if ask.expected is None:
+        return ''
+    found = _read_stream(received) if ask.stream else _read_plain(received)
+    if found == ask.expected:
+        return ''
+    ending = received[-_SHOWN_CHARACTERS:]
+    return f'another answer than expected: {ending}'
+
+
+def _read_plain(received: str) -> str:
+    return orjson.loads(received)['choices'][0]['text']
+
+
+def _read_stream(received: str) -> str:
+    """Return the stream's text, or nothing without its closing event."""
+    *events, last = received.strip().split('\n\n')
+    if last != _DONE:
+        return ''
+    return ''.join(_read_event(event) for event in events)
+
+
+def _read_event(event: str) -> str:
+    return _read_plain(event.removeprefix(_EVENT))
+
+
+def _describe(kind: str, found: Sequence[Outcome]) -> str:
+    failed = sum(1 for outcome in found if outcome.wrong)
+    times = sorted(outcome.seconds for outcome in found)
+    median_ms = round(times[len(times) // 2] * 1000)
+    answered = len(found) - failed
+    return f'{kind}: {answered} answered, {failed} failed, p50 {median_ms} ms'
--- /dev/null
+++ b/packages/standins/src/verbenahall_standins/demo.py
@@ -0,0 +1,200 @@
+"""The demo: both deployments as processes, with traffic and a new setting.
+
+``python -m verbenahall_standins.demo`` ends with ``demo: N answered, M
+failed`` and exits 0 only when M is 0.
+"""
+
+import argparse
+import asyncio
+import itertools
+import secrets
+import sys
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+from pathlib import Path
+from typing import Final
+
+import aiohttp
+import uvloop
+
+from verbenahall import clock
+from verbenahall_standins import process
+from verbenahall_standins.asks import Writer
+from verbenahall_standins.caller import Caller, Outcome
+from verbenahall_standins.deployment import Deployment
+from verbenahall_standins.description import (
+    find_published,
+    read_description,
+    rewrite,
+)
+from verbenahall_standins.publishing import Publisher, PublishError
+
+_DEPLOYMENTS: Final = ('desk', 'atlas')
+_ASKS: Final = 160
+_AT_ONCE: Final = 12
+_READY_S: Final = 20.0
+_ORDERS_S: Final = 15.0
+_POLL_S: Final = 0.05
+_SHOWN_FAILURES: Final = 5
+_RUN_FOLDER: Final = Path('run')
+_EXAMPLES: Final = Path('examples')
+
+
+class DemoError(Exception):
+    """The demo cannot go on; the message says why."""
+
+
+class Demo:
+    """One deployment's run."""
+
+    __slots__ = ('_deployment', '_name', '_publisher', '_session')
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        session: aiohttp.ClientSession,
+    ) -> None:
+        """Run a deployment whose processes are started."""
+        name = deployment.described.name
+        token = f'{name}-fleet-token'
+        self._deployment = deployment
+        self._name = name
+        self._publisher = Publisher(deployment, session, token)
+        self._session = session
+
+    async def run(self, seed: int, count: int) -> list[Outcome]:
+        """Publish, send traffic, publish a change on the way, and report."""
+        await self._prepare()
+        instances = self._deployment.described.instances
+        caller = Caller(
+            self._session,
+            [self._deployment.address(name) for name in instances],
+        )
+        writer = Writer(seed, secrets.token_hex(4))
+        asks = writer.write(self._name, count)
+        sending = asyncio.create_task(caller.send_all(asks, _AT_ONCE))
+        await self._change_setting()
+        await sending
+        self._report(caller)
+        return caller.outcomes
+
+    async def _prepare(self) -> None:
+        await self._deployment.register(self._session)
+        await self._wait('instances ready', _READY_S, self._are_all_ready)
+        for team, file in find_published(self._deployment.described):
+            line = self._publisher.publish(file, team)
+            self._say(f'published {file.name}: {line}')
+        await self._wait('orders in force', _ORDERS_S, self._are_all_loaded)
+
+    async def _change_setting(self) -> None:
+        """Publish a change and tell when every instance has it in force."""
+        team, example = find_published(self._deployment.described)[-1]
+        changed = rewrite(example.read_text(), {'queue': 200})
+        file = _RUN_FOLDER / self._name / example.name
+        file.write_text(changed)
+        found = await self._publisher.publish_and_watch(file, team)
+        took_ms = round(found.seconds * 1000)
+        count = len(self._deployment.described.instances)
+        self._say(
+            f'setting at offset {found.offset} in force on all {count} '
+            + f'instances {took_ms} ms after its append',
+        )
+
+    async def _wait(
+        self,
+        what: str,
+        limit_s: float,
+        check: Callable[[], Awaitable[bool]],
+    ) -> None:
+        started = clock.monotonic()
+        while not await check():
+            if clock.monotonic() - started > limit_s:
+                raise DemoError(f'not within {limit_s} s: {what}')
+            await asyncio.sleep(_POLL_S)
+        took_s = round(clock.monotonic() - started, 2)
+        self._say(f'{what} after {took_s} s')
+
+    async def _are_all_ready(self) -> bool:
+        names = self._deployment.described.instances
+        return all(await asyncio.gather(*map(self._is_ready, names)))
+
+    async def _is_ready(self, name: str) -> bool:
+        address = self._deployment.address(name)
+        async with self._session.get(f'http://{address}/readyz') as answer:
+            return answer.status == HTTPStatus.OK
+
+    async def _are_all_loaded(self) -> bool:
+        names = self._deployment.described.engines
+        return all(await asyncio.gather(*map(self._is_loaded, names)))
+
+    async def _is_loaded(self, name: str) -> bool:
+        state = await self._publisher.get_json(name, '/state')
+        return bool(state['adapters']) and not state['changing']
+
+    def _report(self, caller: Caller) -> None:
+        for line in caller.summarise():
+            self._say(line)
+        failures = [row for row in caller.outcomes if row.wrong]
+        for failure in failures[:_SHOWN_FAILURES]:
+            self._say(f'{failure.kind} failed: {failure.wrong}')
+
+    def _say(self, line: str) -> None:
+        say(f'{self._name}: {line}')
+
+
+def say(line: str) -> None:
+    """Print one line at once."""
+    sys.stdout.write(f'{line}\n')
+    sys.stdout.flush()
+
+
+async def run_deployment(name: str, seed: int, count: int) -> list[Outcome]:
+    """Start a deployment's processes, run it, and stop them again."""
+    described = read_description(_EXAMPLES / name)
+    deployment = Deployment(described, _RUN_FOLDER / name)
+    try:
+        return await _start_and_run(deployment, seed, count)
+    finally:
+        deployment.stop()
+
+
+async def _start_and_run(
+    deployment: Deployment,
+    seed: int,
+    count: int,
+) -> list[Outcome]:
+    deployment.start_platform()
+    deployment.start_endpoints()
+    deployment.start_instances()
+    described = deployment.described
+    started = len(deployment.running)
+    say(f'{described.name}: {started} processes started')
+    async with aiohttp.ClientSession() as session:
+        return await Demo(deployment, session).run(seed, count)
+
+
+def run(name: str, seed: int, count: int) -> list[Outcome]:
+    """Run one deployment; a run that cannot go on is one failure."""
+    try:
+        return uvloop.run(run_deployment(name, seed, count))
+    except (DemoError, PublishError, process.NotReadyError) as error:
+        say(f'{name}: {error}')
+        return [Outcome('run', str(error), 0)]
+
+
+def main() -> None:
+    """Run the command."""
+    parser = argparse.ArgumentParser(description='Run both deployments')
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--requests', type=int, default=_ASKS)
+    options = parser.parse_args()
+    runs = [run(name, options.seed, options.requests) for name in _DEPLOYMENTS]
+    outcomes = list(itertools.chain.from_iterable(runs))
+    failed = len([outcome for outcome in outcomes if outcome.wrong])
+    answered = len(outcomes) - failed
+    say(f'demo: {answered} answered, {failed} failed')
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/standins/src/verbenahall_standins/deployment.py
@@ -0,0 +1,137 @@
+"""A deployment's processes, started from its folder under ``examples/``."""
+
+import asyncio
+import itertools
+import subprocess
+from collections.abc import Iterable, Mapping
+from pathlib import Path
+from typing import Any, Final
+
+import aiohttp
+
+from verbenahall_standins import process
+from verbenahall_standins.description import Description, rewrite
+
+_Child = subprocess.Popen[str]
+
+_PLATFORM: Final = ('log', 'registry', 'weights')
+_HOST: Final = '127.0.0.1:0'
+
+
+class Deployment:
+    """The running processes of one deployment, by name."""
+
+    __slots__ = ('_folder', 'described', 'running')
+
+    def __init__(self, described: Description, folder: Path) -> None:
+        """Write settings and logs of the instances under ``folder``."""
+        self.described = described
+        self.running: dict[str, process.Running] = {}
+        self._folder = folder
+        folder.mkdir(parents=True, exist_ok=True)
+
+    def address(self, name: str) -> str:
+        """Return where a process listens."""
+        return self.running[name].address
+
+    def start_platform(self) -> None:
+        """Start log, instance list and weight store."""
+        self._start_all({name: _launch(name) for name in _PLATFORM})
+
+    def start_endpoints(self) -> None:
+        """Start engines and service workers."""
+        launched = {
+            name: _launch('service', '--name', name)
+            for name in self.described.services
+        }
+        for engine in self.described.engines:
+            launched[engine] = self._launch_engine(engine)
+        self._start_all(launched)
+
+    def start_instances(self) -> None:
+        """Start all entry instances, each with its own settings file."""
+        instances = self.described.instances
+        self._start_all(
+            {name: self._launch_instance(name) for name in instances},
+        )
+
+    def stop(self) -> None:
+        """Stop the instances, then everything that they use."""
+        instances = self.described.instances
+        names = sorted(self.running, key=lambda name: name not in instances)
+        self._stop_all(name for name in names if name in instances)
+        self._stop_all(name for name in names if name not in instances)
+        self.running.clear()
+
+    async def register(self, session: aiohttp.ClientSession) -> None:
+        """Put every endpoint and instance on the instance list."""
+        registry = self.address('registry')
+        url = f'http://{registry}/register'
+        names = self.running.keys() - set(_PLATFORM)
+        await asyncio.gather(
+            *(_post(session, url, self._entry(name)) for name in names),
+        )
+
+    def _launch_engine(self, name: str) -> _Child:
+        options = {
+            '--name': name,
+            '--speed': str(self.described.speed),
+            '--weights': self.address('weights'),
+        }
+        models = [f'--model={model}' for model in self.described.models]
+        return _launch('engine', *itertools.chain(*options.items()), *models)
+
+    def _launch_instance(self, name: str) -> _Child:
+        example = (self.described.folder / 'instance.toml').read_text()
+        values = {
+            'name': name,
+            'data_centre': self.described.instances[name],
+            'listen': _HOST,
+            'log': self.address('log'),
+            'instance_list': self.address('registry'),
+        }
+        config = self._folder / f'{name}.toml'
+        config.write_text(rewrite(example, values))
+        script = process.find_script('verbenahall')
+        return process.launch_command(
+            (script, 'serve', '--config', str(config)),
+            self._folder / f'{name}.log',
+        )
+
+    def _start_all(self, launched: Mapping[str, _Child]) -> None:
+        """Wait for all; those that started are stopped with the rest."""
+        failed = []
+        for name, child in launched.items():
+            try:
+                self.running[name] = process.wait_ready(child)
+            except process.NotReadyError:
+                failed.append(name)
+        if failed:
+            raise process.NotReadyError(f'not started: {failed}')
+
+    def _stop_all(self, names: Iterable[str]) -> None:
+        process.stop_all(self.running[name] for name in names)
+
+    def _entry(self, name: str) -> dict[str, Any]:
+        described = self.described
+        entry = {
+            'name': name,
+            'address': self.address(name),
+            'incarnation': str(self.running[name].pid),
+        }
+        if name in described.services:
+            entry['service'] = described.service
+        return {**entry, **described.place(name)}
+
+
+def _launch(name: str, *arguments: str) -> _Child:
+    return process.launch(f'verbenahall_standins.{name}', *arguments)
+
+
+async def _post(
+    session: aiohttp.ClientSession,
+    url: str,
+    body: Mapping[str, Any],
+) -> None:
+    async with session.post(url, json=body) as answer:
+        answer.raise_for_status()
--- /dev/null
+++ b/packages/standins/src/verbenahall_standins/description.py
@@ -0,0 +1,88 @@
+"""What a deployment's folder under ``examples/`` says."""
+
+import dataclasses
+import itertools
+import re
+import tomllib
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any, Final
+
+from verbenahall import wire
+
+_Row = Mapping[str, Any]
+
+_FLEET: Final = 'fleet'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Description:
+    """A deployment: its processes' names, each with its data centre."""
+
+    name: str
+    folder: Path
+    instances: Mapping[str, str]
+    engines: Mapping[str, str]
+    services: Mapping[str, str]
+    service: str
+    models: tuple[str, ...]
+    speed: float
+
+    def place(self, name: str) -> dict[str, str]:
+        """Return the kind and the data centre of a process."""
+        kinds = {
+            'instance': self.instances,
+            'engine': self.engines,
+            'service': self.services,
+        }
+        holding = [kind for kind in kinds if name in kinds[kind]]
+        kind = holding[0]
+        return {'kind': kind, 'data_centre': kinds[kind][name]}
+
+
+def read_description(folder: Path) -> Description:
+    """Read a deployment's folder."""
+    table = tomllib.loads((folder / 'deployment.toml').read_text())
+    rows = table['data_centres']
+    count = table['instances_per_data_centre']
+    return Description(
+        name=folder.name,
+        folder=folder,
+        instances=_name_instances(rows, count),
+        engines=_read_names(rows, 'engines'),
+        services=_read_names(rows, 'services'),
+        service=table['service']['name'],
+        models=tuple(table['engine']['models']),
+        speed=table['speed'],
+    )
+
+
+def find_published(described: Description) -> list[tuple[str, Path]]:
+    """Return each team with its settings file, ``fleet`` first."""
+    files = (described.folder / 'settings').glob('*.toml')
+    ordered = sorted(files, key=lambda file: file.stem != _FLEET)
+    return [(file.stem, file) for file in ordered]
+
+
+def rewrite(text: str, values: Mapping[str, str | int]) -> str:
+    """Set the first line of each key in TOML text to a new value."""
+    for key, found in values.items():
+        line = re.compile(f'^{key} = .*$', re.MULTILINE)
+        shown = wire.encode(found).decode()
+        text = line.sub(f'{key} = {shown}', text, count=1)
+    return text
+
+
+def _name_instances(rows: list[_Row], count: int) -> dict[str, str]:
+    names = {}
+    for row, number in itertools.product(rows, range(1, count + 1)):
+        site = row['name']
+        names[f'{site}-{number}'] = site
+    return names
+
+
+def _read_names(rows: list[_Row], key: str) -> dict[str, str]:
+    names = {}
+    for row in rows:
+        names.update(dict.fromkeys(row[key], row['name']))
+    return names
--- a/packages/standins/src/verbenahall_standins/process.py
+++ b/packages/standins/src/verbenahall_standins/process.py
@@ -1,9 +1,12 @@
 """Child processes for tests and drivers; the product starts none."""
 
+import contextlib
 import dataclasses
 import signal
 import subprocess
 import sys
+from collections.abc import Iterable, Sequence
+from pathlib import Path
 from typing import Final, final
 
 _STOP_TIMEOUT_S: Final = 40.0
@@ -33,8 +36,7 @@
         A process that has not ended after ``timeout_s`` seconds is killed,
         so that a driver never leaves one behind.
         """
-        self.resume()
-        self.process.terminate()
+        self.ask_to_stop()
         try:
             return self.process.wait(timeout_s)
         except subprocess.TimeoutExpired:
@@ -43,6 +45,11 @@
         finally:
             self._close()
 
+    def ask_to_stop(self) -> None:
+        """Send SIGTERM, also to a paused process, and do not wait."""
+        self.process.terminate()
+        self.resume()
+
     def kill(self) -> None:
         """Send SIGKILL and wait until the process is gone."""
         self.process.kill()
@@ -70,12 +77,32 @@
 
         log = start('verbenahall_standins.log', '--port', '0')
     """
-    process = subprocess.Popen(
-        [sys.executable, '-m', module, *arguments],
-        stdout=subprocess.PIPE,
-        text=True,
-    )
-    return wait_ready(process)
+    return wait_ready(launch(module, *arguments))
+
+
+def launch(module: str, *arguments: str) -> 'subprocess.Popen[str]':
+    """Start ``python -m module arguments`` without waiting."""
+    return launch_command((sys.executable, '-m', module, *arguments))
+
+
+def launch_command(
+    command: Sequence[str],
+    errors: Path | None = None,
+) -> 'subprocess.Popen[str]':
+    """Start a command without waiting; ``errors`` takes its standard error."""
+    with contextlib.ExitStack() as stack:
+        file = errors and stack.enter_context(errors.open('w'))
+        return subprocess.Popen(
+            command,
+            stdout=subprocess.PIPE,
+            stderr=file,
+            text=True,
+        )
+
+
+def find_script(name: str) -> str:
+    """Return the path of a console script of this environment."""
+    return str(Path(sys.executable).with_name(name))
 
 
 def wait_ready(process: 'subprocess.Popen[str]') -> Running:
@@ -85,3 +112,12 @@
             return Running(line.removeprefix(_READY_WORD).strip(), process)
     code = process.wait()
     raise NotReadyError(f'{process.args} ended with {code}')
+
+
+def stop_all(started: Iterable[Running]) -> None:
+    """Stop processes together, killing those that take too long."""
+    ending = list(started)
+    for running in ending:
+        running.ask_to_stop()
+    for last in ending:
+        last.stop()
--- /dev/null
+++ b/packages/standins/src/verbenahall_standins/publishing.py
@@ -0,0 +1,101 @@
+"""Publishing settings as an operator would, and watching them take hold."""
+
+import asyncio
+import dataclasses
+import subprocess
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any, Final
+
+import aiohttp
+
+from verbenahall import clock
+from verbenahall_standins import process
+from verbenahall_standins.deployment import Deployment
+
+_POLL_S: Final = 0.02
+_OLDEST_S: Final = 10
+
+
+class PublishError(Exception):
+    """``verbenactl`` failed or its record did not reach the log."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InForce:
+    """A published change: its offset, and seconds from append to in force."""
+
+    offset: int
+    seconds: float
+
+
+class Publisher:
+    """Publishes to one deployment."""
+
+    __slots__ = ('_deployment', '_session', '_token')
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        session: aiohttp.ClientSession,
+        token: str,
+    ) -> None:
+        """Read the instances' status with an administration token."""
+        self._deployment = deployment
+        self._session = session
+        self._token = token
+
+    def publish(self, file: Path, team: str) -> str:
+        """Publish a file; return the last line that ``verbenactl`` prints."""
+        address = self._deployment.address('log')
+        script = process.find_script('verbenactl')
+        done = subprocess.run(
+            (script, 'publish', str(file), '--team', team)
+            + ('--author', 'demo', '--log', address),
+            capture_output=True,
+            text=True,
+        )
+        if done.returncode:
+            raise PublishError(f'{done.stdout}{done.stderr}')
+        return done.stdout.strip().rpartition('\n')[-1]
+
+    async def publish_and_watch(self, file: Path, team: str) -> InForce:
+        """Publish and wait until every instance reports it in force."""
+        before = await self.get_json('log', '/read?limit=1')
+        publishing = asyncio.create_task(
+            asyncio.to_thread(self.publish, file, team),
+        )
+        offset = await self._wait_record(before['last'])
+        appended = clock.monotonic()
+        async with asyncio.timeout(_OLDEST_S):
+            while await self._read_lowest_position() < offset:
+                await asyncio.sleep(_POLL_S)
+        took_s = clock.monotonic() - appended
+        await publishing
+        return InForce(offset, took_s)
+
+    async def get_json(self, name: str, path: str) -> Mapping[str, Any]:
+        """Read JSON from a process of the deployment."""
+        headers = {'Authorization': f'Bearer {self._token}'}
+        address = self._deployment.address(name)
+        async with self._session.get(
+            f'http://{address}{path}',
+            headers=headers,
+        ) as answer:
+            return await answer.json()
+
+    async def _wait_record(self, after: int) -> int:
+        path = f'/read?after={after}&wait={_OLDEST_S}&streams=settings'
+        page = await self.get_json('log', path)
+        if not page['records']:
+            raise PublishError('the change did not reach the log')
+        return page['records'][0]['offset']
+
+    async def _read_lowest_position(self) -> int:
+        statuses = await asyncio.gather(
+            *(
+                self.get_json(name, '/admin/v1/status')
+                for name in self._deployment.described.instances
+            ),
+        )
+        return min(status['settings_position'] for status in statuses)
