The callers' path, thin: load, routing, admission, attempts, front

Cause: nothing took a caller's request. Change: the slices load, routing, admission and requests decide without sockets; front reads requests, admits them by lane, places and runs attempts, checks streams as they pass; metrics holds every series. A call with an Idempotency-Key counts as billed and is sent once its key is won; one without may run again only while no byte of an answer has reached the caller, or where an engine resumes. The tests run a front and fake endpoints over loopback: 2,000 keyed writes with refusals, resets, errors and hangs against the endpoints' own record, streams that die, stop early, skip or repeat tokens, callers that go away or send slowly. Not yet: admission and routing have no tests of their own, limits on connections, measurements.

--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/admission/__init__.py
@@ -0,0 +1,32 @@
+"""Who runs, who waits and who is given up, in which order."""
+
+from verbenahall.admission._decisions import (
+    ask,
+    expire,
+    finish,
+    resize,
+    withdraw,
+)
+from verbenahall.admission._messages import (
+    FLAG_PRIORITY,
+    LOWEST_PRIORITY,
+    Effects,
+    Ticket,
+)
+from verbenahall.admission._shell import Gate
+from verbenahall.admission._state import AdmissionLimits, AdmissionState
+
+__all__ = (
+    'AdmissionLimits',
+    'AdmissionState',
+    'Effects',
+    'FLAG_PRIORITY',
+    'Gate',
+    'LOWEST_PRIORITY',
+    'Ticket',
+    'ask',
+    'expire',
+    'finish',
+    'resize',
+    'withdraw',
+)
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/front/_feedback.py
@@ -0,0 +1,32 @@
+"""Tells load and membership how an endpoint did."""
+
+from typing import Any, Final
+
+from returns.result import Failure, Result, Success
+
+from verbenahall.front._parts import Parts
+from verbenahall.load import note_failed
+from verbenahall.requests import Broken, NeverWritten, Outcome, Refused
+
+#: An engine refuses so when it does not hold the model.
+_CONFLICT: Final = 409
+
+
+def give_feedback(
+    parts: Parts,
+    name: str,
+    found: Result[Any, Outcome],
+) -> None:
+    """Feed one attempt's end at an endpoint to the states that judge it."""
+    match found:
+        case Failure(NeverWritten() | Broken()):
+            note_failed(parts.load, name, parts.clock())
+            parts.missed(name)
+        case Failure(Refused(status)):
+            # Until the next poll the state would draw further requests
+            # that the engine cannot take.
+            if status == _CONFLICT:
+                parts.states.forget(name)
+            parts.heard(name)
+        case Success(_):
+            parts.heard(name)
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/front/_fleet.py
@@ -0,0 +1,135 @@
+"""The endpoints that could take a request, as routing wants them."""
+
+import math
+from collections.abc import Sequence
+from typing import Final, final
+
+from returns.result import Failure, Result, Success
+
+from verbenahall.admission import AdmissionLimits
+from verbenahall.config import LimitsConfig
+from verbenahall.errors import ErrorKind, Problem
+from verbenahall.fleet import EndpointKind, Role
+from verbenahall.front._messages import Call, ModelCall
+from verbenahall.front._parts import Parts
+from verbenahall.routing import Candidate
+
+#: A list of candidates is used again for this long, in seconds.
+_FRESH_S: Final = 0.02
+_MOST_LISTS: Final = 1024
+#: One flag slot for this many others, and never fewer than the second.
+_SLOTS_PER_FLAG_SLOT: Final = 4
+_FEWEST_FLAG_SLOTS: Final = 2
+#: All queues of a lane together hold this many times one queue's bound.
+_TOTAL_QUEUES: Final = 2
+
+_Wanted = tuple[str, str, str]
+_Listed = tuple[float, Sequence[Candidate]]
+
+
+def name_wanted(call: Call) -> _Wanted:
+    """Name what an endpoint must hold: service, model, adapter."""
+    if isinstance(call, ModelCall):
+        return '', call.model, call.adapter
+    return call.service, '', ''
+
+
+@final
+class FleetView:
+    """Reads membership and engine states, with a short memory."""
+
+    def __init__(self, parts: Parts, limits: LimitsConfig) -> None:
+        """Start with an empty memory."""
+        self._parts = parts
+        self._limits = limits
+        self._lists: dict[_Wanted, _Listed] = {}
+
+    def candidates(self, wanted: _Wanted) -> Sequence[Candidate]:
+        """Return the live endpoints that hold what is wanted."""
+        now = self._parts.clock()
+        made_at, known = self._lists.get(wanted, (-math.inf, ()))
+        if now - made_at < _FRESH_S:
+            return known
+        if len(self._lists) >= _MOST_LISTS:
+            self._lists.clear()
+        service, model, adapter = wanted
+        found = (
+            self._list_services(service, now)
+            if service
+            else self._list_engines(model, adapter, now)
+        )
+        self._lists[wanted] = (now, found)
+        return found
+
+    def check(self, wanted: _Wanted) -> Result[None, Problem]:
+        """Say at once when nobody can take the request."""
+        service, model, adapter = wanted
+        settings = self._parts.settings()
+        if self.candidates(wanted):
+            return Success(None)
+        if service:
+            return self._miss_service(service, settings.services)
+        known = model in settings.models
+        if not known and not self._parts.states.knows_model(model):
+            return _fail(ErrorKind.UNKNOWN_MODEL, f'no model {model!r}')
+        if adapter and adapter not in settings.adapters:
+            return _fail(ErrorKind.UNKNOWN_MODEL, f'no adapter {adapter!r}')
+        return _fail(ErrorKind.NO_ENDPOINT, f'no engine holds {model!r} now')
+
+    def limits_of(self, lane: str) -> AdmissionLimits:
+        """Return the bounds of a lane (``model:name`` or ``service:name``)."""
+        kind, _, name = lane.partition(':')
+        wanted = (name, '', '') if kind == 'service' else ('', name, '')
+        count = max(1, len(self.candidates(wanted)))
+        slots = count * self._limits.in_flight_per_engine
+        return AdmissionLimits(
+            slots=slots,
+            flag_slots=max(_FEWEST_FLAG_SLOTS, slots // _SLOTS_PER_FLAG_SLOT),
+            queue_per_priority=self._limits.queue_per_priority,
+            queue_per_workspace=self._limits.queue_per_workspace,
+            queue_total=_TOTAL_QUEUES * self._limits.queue_per_priority,
+        )
+
+    def can_resume(self, name: str) -> bool:
+        """Whether an engine says that it can begin a stream later on."""
+        found = self._parts.states.by_name.get(name)
+        return found is not None and found.resumes
+
+    def version_of(self, name: str, model: str) -> str:
+        """Return the version of a model that an engine holds."""
+        found = self._parts.states.by_name.get(name)
+        return found.models.get(model, '') if found else ''
+
+    def _list_services(self, service: str, now: float) -> list[Candidate]:
+        live = self._parts.live(EndpointKind.SERVICE, now, service)
+        return [Candidate(endpoint, Role.MIXED) for endpoint in live]
+
+    def _list_engines(
+        self,
+        model: str,
+        adapter: str,
+        now: float,
+    ) -> list[Candidate]:
+        found = []
+        for endpoint in self._parts.live(EndpointKind.ENGINE, now, ''):
+            state = self._parts.states.by_name.get(endpoint.name)
+            # Another process under the same name holds other models; its
+            # predecessor's state must not draw requests to it.
+            if state is None or state.incarnation != endpoint.incarnation:
+                continue
+            if state.holds(model, adapter):
+                found.append(Candidate(endpoint, state.role))
+        return found
+
+    def _miss_service(
+        self,
+        service: str,
+        known: object,
+    ) -> Result[None, Problem]:
+        if service in known:
+            return _fail(ErrorKind.NO_ENDPOINT, f'{service!r} is not live')
+        return _fail(ErrorKind.NOT_FOUND, f'no service {service!r}')
+
+
+def _fail(kind: ErrorKind, message: str) -> Result[None, Problem]:
+    return Failure(Problem(kind, message))
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/front/_flow.py
@@ -0,0 +1,131 @@
+"""The way of a request from admission to its answer."""
+
+from typing import final
+
+from aiohttp import web
+from returns.result import Failure, Result, Success
+
+from verbenahall import metrics
+from verbenahall.admission import Gate
+from verbenahall.errors import Problem
+from verbenahall.front._answers import REQUEST_ID, answer_problem
+from verbenahall.front._attempts import Attempts
+from verbenahall.front._fleet import FleetView
+from verbenahall.front._messages import Answered, Call, Head, ModelCall
+from verbenahall.front._parts import Parts
+from verbenahall.front._progress import Progress
+from verbenahall.front._relay import Relay
+from verbenahall.front._senders import (
+    PlainSender,
+    ServiceSender,
+    StreamSender,
+)
+from verbenahall.journal import write_decision
+
+
+@final
+class Flow:
+    """Admits a request, runs its attempts and answers the caller."""
+
+    def __init__(
+        self,
+        parts: Parts,
+        fleet: FleetView,
+        gate: Gate,
+        attempts: Attempts,
+    ) -> None:
+        """Keep the rooms that a request passes through."""
+        self._parts = parts
+        self._fleet = fleet
+        self._gate = gate
+        self._attempts = attempts
+
+    async def take(
+        self,
+        lane: str,
+        call: Call,
+        request: web.Request,
+    ) -> web.StreamResponse:
+        """Answer a request of a lane (``model:name``, ``service:name``)."""
+        progress = Progress(call)
+        ticket = call.head.ticket
+        checked = self._fleet.check(progress.wanted)
+        if isinstance(checked, Success):
+            checked = await self._gate.enter(lane, ticket)
+        if isinstance(checked, Failure):
+            return self._answer_failure(call.head, checked.failure())
+        waited = self._parts.clock() - call.head.received
+        metrics.QUEUE_SECONDS.observe(waited)
+        try:
+            return await self._serve(progress, call, request)
+        finally:
+            self._gate.leave(lane, ticket)
+
+    async def _serve(
+        self,
+        progress: Progress,
+        call: Call,
+        request: web.Request,
+    ) -> web.StreamResponse:
+        match call:
+            case ModelCall(stream=True):
+                return await self._relay(progress, call, request)
+            case ModelCall():
+                sender = PlainSender(self._parts.adapters.engines, call)
+            case _:
+                sender = ServiceSender(self._parts.adapters.services, call)
+        found = await self._attempts.run(progress, sender)
+        return self._answer(call.head, found)
+
+    async def _relay(
+        self,
+        progress: Progress,
+        call: ModelCall,
+        request: web.Request,
+    ) -> web.StreamResponse:
+        """Run a streamed request; the caller learns how it ended."""
+        head = call.head
+        relay = Relay(request, head.request, head.received, self._parts.clock)
+        engines = self._parts.adapters.engines
+        sender = StreamSender(engines, progress, call, relay, self._fleet)
+        found = await self._attempts.run(progress, sender)
+        if isinstance(found, Success):
+            metrics.REQUESTS.add(str(head.ticket.priority), 'ok')
+            return found.unwrap()
+        answer = self._answer_failure(head, found.failure())
+        if relay.response is None:
+            return answer
+        return await relay.fail(found.failure())
+
+    def _answer(
+        self,
+        head: Head,
+        found: Result[Answered, Problem],
+    ) -> web.StreamResponse:
+        if isinstance(found, Failure):
+            return self._answer_failure(head, found.failure())
+        answered = found.unwrap()
+        metrics.REQUESTS.add(str(head.ticket.priority), 'ok')
+        metrics.FIRST_TOKEN_SECONDS.observe(
+            self._parts.clock() - head.received,
+        )
+        return web.Response(
+            status=answered.status,
+            body=answered.body,
+            headers={
+                'Content-Type': answered.content_type,
+                REQUEST_ID: head.request,
+            },
+        )
+
+    def _answer_failure(self, head: Head, problem: Problem) -> web.Response:
+        kind = problem.kind.value
+        metrics.REQUESTS.add(str(head.ticket.priority), kind)
+        write_decision(
+            'give_up',
+            request=head.request,
+            kind=kind,
+            ran=problem.answer.ran.value,
+            message=problem.message,
+        )
+        return answer_problem(problem, head.request)
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/front/_parts.py
@@ -0,0 +1,67 @@
+"""What the front needs from other slices."""
+
+import dataclasses
+import random
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any, Protocol
+
+from returns.result import Result
+
+from verbenahall.clock import Clock, monotonic
+from verbenahall.errors import Problem
+from verbenahall.fleet import Endpoint, EndpointKind, Standing
+from verbenahall.front._engines import EngineAdapter
+from verbenahall.front._services import ServiceAdapter
+from verbenahall.load import EngineStates, LoadState
+
+
+class Claim(Protocol):
+    """Wins a workspace's key for one call, or says why it cannot."""
+
+    async def __call__(self, workspace: str, key: str) -> Result[int, Problem]:
+        """Return the offset of the claim that won."""
+
+
+class Settings(Protocol):
+    """The effective settings, as far as callers' requests need them."""
+
+    models: Mapping[str, Any]
+    adapters: Mapping[str, Any]
+    workspaces: Mapping[str, Any]
+    services: Mapping[str, Any]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Adapters:
+    """The endpoints' protocols; another protocol replaces one of them."""
+
+    engines: EngineAdapter
+    services: ServiceAdapter
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Parts:
+    """The states and clients that the front is composed with.
+
+    ``live(kind, now, service)`` and ``standing(name, now)`` read the
+    membership; ``heard``, ``missed`` and ``leaving`` (each with a name) feed
+    it. ``settings()`` is the effective settings and ``position()`` their
+    offset. ``claim(workspace, key)`` is the claims' promise that a keyed
+    call has won. ``unready()`` returns why the instance takes no requests,
+    or None. ``source`` is seeded apart on each instance.
+    """
+
+    live: Callable[[EndpointKind, float, str], Sequence[Endpoint]]
+    standing: Callable[[str, float], Standing]
+    heard: Callable[[str], None]
+    missed: Callable[[str], None]
+    leaving: Callable[[str], None]
+    settings: Callable[[], Settings]
+    position: Callable[[], int]
+    claim: Claim
+    unready: Callable[[], Problem | None]
+    load: LoadState
+    states: EngineStates
+    adapters: Adapters
+    source: random.Random
+    clock: Clock = monotonic
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/front/_placing.py
@@ -0,0 +1,114 @@
+"""Places an attempt: route, claim, name."""
+
+import dataclasses
+from typing import Final, final
+
+from returns.result import Failure, Result, Success
+
+from verbenahall.errors import Problem
+from verbenahall.front._fleet import FleetView
+from verbenahall.front._parts import Parts
+from verbenahall.front._progress import (
+    Placed,
+    Progress,
+    ask_routing,
+    recall_doubt,
+)
+from verbenahall.journal import write_decision
+from verbenahall.requests import AttemptNames
+from verbenahall.routing import Candidate, Choice, RoutingState, choose
+
+#: Shown as the age of a report that was never heard, in seconds.
+_NEVER_HEARD_S: Final = 1e9
+
+
+@final
+class Placer:
+    """Finds the endpoint of each attempt."""
+
+    def __init__(
+        self,
+        parts: Parts,
+        fleet: FleetView,
+        routing: RoutingState,
+        names: AttemptNames,
+    ) -> None:
+        """Keep what the choice reads."""
+        self._parts = parts
+        self._fleet = fleet
+        self._routing = routing
+        self._names = names
+
+    async def place(self, progress: Progress) -> Result[Placed, Problem]:
+        """Choose an endpoint and name the attempt, or say why not."""
+        chosen = self._choose(progress)
+        if isinstance(chosen, Failure):
+            return chosen.alt(lambda found: recall_doubt(found, progress))
+        claimed = await self._claim(progress)
+        if isinstance(claimed, Failure):
+            return claimed
+        progress.attempts += 1
+        remaining = progress.call.head.deadline - self._parts.clock()
+        return Success(
+            Placed(
+                chosen.unwrap().endpoint,
+                self._names.next_name(),
+                remaining,
+            ),
+        )
+
+    def list_candidates(self, progress: Progress) -> list[Candidate]:
+        """Return the endpoints that may take the next attempt."""
+        candidates = self._fleet.candidates(progress.wanted)
+        if not progress.delivered:
+            return list(candidates)
+        # The rest of an answer may only come from the same model version,
+        # or the caller would read two halves of different answers.
+        return [
+            candidate
+            for candidate in candidates
+            if self._may_go_on(progress, candidate.endpoint.name)
+        ]
+
+    def _choose(self, progress: Progress) -> Result[Choice, Problem]:
+        candidates = self.list_candidates(progress)
+        now = self._parts.clock()
+        load = self._parts.load
+        question = ask_routing(progress)
+        chosen = choose(self._routing, question, candidates, load, now)
+        if progress.excluded and isinstance(chosen, Failure):
+            # All have failed once; the one that did so may have recovered.
+            question = dataclasses.replace(question, excluded=frozenset())
+            chosen = choose(self._routing, question, candidates, load, now)
+        if isinstance(chosen, Success):
+            self._write_route(progress, chosen.unwrap())
+        return chosen
+
+    def _may_go_on(self, progress: Progress, name: str) -> bool:
+        _, model, _ = progress.wanted
+        return (
+            self._fleet.can_resume(name)
+            and self._fleet.version_of(name, model) == progress.version
+        )
+
+    def _write_route(self, progress: Progress, choice: Choice) -> None:
+        write_decision(
+            'route',
+            request=progress.call.head.request,
+            attempt=progress.attempts + 1,
+            chosen=choice.endpoint.name,
+            over=choice.over,
+            load=round(choice.belief.load, 2),
+            age_s=min(round(choice.belief.age_s, 3), _NEVER_HEARD_S),
+            reason=choice.reason,
+            settings_offset=self._parts.position(),
+        )
+
+    async def _claim(self, progress: Progress) -> Result[int, Problem]:
+        """Win the key before the first byte of a keyed call is written."""
+        if progress.claimed:
+            return Success(0)
+        head = progress.call.head
+        claimed = await self._parts.claim(head.ticket.workspace, head.key)
+        progress.claimed = isinstance(claimed, Success)
+        return claimed
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/load/_decisions.py
@@ -0,0 +1,98 @@
+"""What to believe of an endpoint's load from old reports and own work.
+
+An instance knows its own open work exactly. What others have open there is
+the last report less the own share at that moment; trust in it halves every
+``_TRUST_HALF_LIFE_S`` and the mean over all endpoints takes its place, so a
+very old report neither attracts nor repels.
+"""
+
+from typing import Final
+
+from verbenahall.load._messages import Belief, Report
+from verbenahall.load._state import EndpointLoad, LoadState
+
+_TRUST_HALF_LIFE_S: Final = 1.0
+#: Weight of one new report in the mean over all endpoints.
+_MEAN_WEIGHT: Final = 0.05
+#: Below this free share an engine soon evicts running requests.
+_KV_TIGHT_SHARE: Final = 0.1
+_KV_TIGHT_LOAD: Final = 8.0
+#: Believed load for one recent failure. An endpoint that fails at once has
+#: an empty queue and would draw all traffic; this keeps it away.
+_FAILURE_LOAD: Final = 16.0
+_FAILURE_HALF_LIFE_S: Final = 1.0
+_MOST_FAILURES: Final = 8.0
+
+
+def observe_report(
+    state: LoadState,
+    name: str,
+    report: Report,
+    now: float,
+) -> None:
+    """Take an endpoint's report, polled or carried on an answer."""
+    entry = state.of(name)
+    entry.report = report
+    entry.reported_at = now
+    entry.own_at_report = len(entry.own)
+    others = _count_others(entry)
+    state.mean_others += _MEAN_WEIGHT * (others - state.mean_others)
+
+
+def note_sent(
+    state: LoadState,
+    name: str,
+    attempt: str,
+    work: float,
+    now: float,
+) -> None:
+    """Count an attempt as open; ``work`` is in typical requests."""
+    entry = state.of(name)
+    entry.own[attempt] = work
+    entry.own_work += work
+
+
+def note_finished(
+    state: LoadState,
+    name: str,
+    attempt: str,
+    now: float,
+) -> None:
+    """Count an attempt as over, however it ended; twice is harmless."""
+    entry = state.of(name)
+    work = entry.own.pop(attempt, None)
+    if work is not None:
+        # Set to zero with the last one, so that rounding cannot add up.
+        entry.own_work = entry.own_work - work if entry.own else 0
+
+
+def note_failed(state: LoadState, name: str, now: float) -> None:
+    """Remember that an attempt failed, which makes the endpoint look full."""
+    entry = state.of(name)
+    failures = _recent_failures(entry, now) + 1
+    entry.failures = min(failures, _MOST_FAILURES)
+    entry.failed_at = now
+
+
+def believe(state: LoadState, name: str, now: float) -> Belief:
+    """Return the believed load and the age of the report behind it."""
+    entry = state.of(name)
+    age = now - entry.reported_at
+    trust = 0.5 ** (age / _TRUST_HALF_LIFE_S)
+    others = trust * _count_others(entry) + (1 - trust) * state.mean_others
+    load = entry.own_work + others
+    if entry.failures:
+        load += _FAILURE_LOAD * _recent_failures(entry, now)
+    if entry.report.kv_free_share < _KV_TIGHT_SHARE:
+        load += trust * _KV_TIGHT_LOAD
+    return Belief(load, age)
+
+
+def _count_others(entry: EndpointLoad) -> int:
+    reported = entry.report.running + entry.report.queued
+    return max(0, reported - entry.own_at_report)
+
+
+def _recent_failures(entry: EndpointLoad, now: float) -> float:
+    age = now - entry.failed_at
+    return entry.failures * 0.5 ** (age / _FAILURE_HALF_LIFE_S)
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/metrics.py
@@ -0,0 +1,160 @@
+"""Metrics of an instance: every series by name, and the route that shows them.
+
+Collectors of the metrics library look a series up by its encoded labels at
+each call, which is too dear once per request. Hot paths count in a ``Tally``
+or a ``Timer``; the route copies them into the collectors when it is read::
+
+    RETRIES.add('refused')
+    QUEUE_SECONDS.observe(0.004)
+"""
+
+import collections
+from typing import Final, final
+
+from aiohttp import web
+from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+REGISTRY: Final = Registry()
+
+_SECONDS: Final = (0.001, 0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 10, 60)
+
+
+@final
+class Tally:
+    """A counter whose series are told apart by the values of its labels."""
+
+    __slots__ = ('_counter', '_labels', '_totals')
+
+    def __init__(self, name: str, doc: str, *labels: str) -> None:
+        """Register the counter with its label names."""
+        self._counter = Counter(name, doc, registry=REGISTRY)
+        self._labels = labels
+        self._totals: collections.Counter[tuple[str, ...]]
+        self._totals = collections.Counter()
+        _hot.append(self)
+
+    def add(self, *label_values: str) -> None:
+        """Count one more for these label values."""
+        self._totals[label_values] += 1
+
+    def total(self, *label_values: str) -> int:
+        """Return what was counted for these label values."""
+        return self._totals[label_values]
+
+    def flush(self) -> None:
+        """Copy the totals into the collector."""
+        for label_values, total in self._totals.items():
+            labels = dict(zip(self._labels, label_values, strict=True))
+            self._counter.set(labels, total)
+
+
+@final
+class Timer:
+    """A histogram of seconds without labels."""
+
+    __slots__ = ('_histogram', '_waiting')
+
+    def __init__(self, name: str, doc: str) -> None:
+        """Register the histogram."""
+        self._histogram = Histogram(
+            name,
+            doc,
+            registry=REGISTRY,
+            buckets=(*_SECONDS, float('inf')),
+        )
+        self._waiting: collections.deque[float]
+        self._waiting = collections.deque(maxlen=_KEPT_OBSERVATIONS)
+        _hot.append(self)
+
+    def observe(self, seconds: float) -> None:
+        """Note one duration; cheap, since the buckets are filled later."""
+        self._waiting.append(seconds)
+        if len(self._waiting) == _KEPT_OBSERVATIONS:
+            self.flush()
+
+    def flush(self) -> None:
+        """Fill the buckets with what was noted since the last time."""
+        while self._waiting:
+            self._histogram.observe({}, float(self._waiting.popleft()))
+
+
+_KEPT_OBSERVATIONS: Final = 512
+_hot: Final[list[Tally | Timer]] = []
+
+REQUESTS: Final = Tally(
+    'verbenahall_requests_total',
+    'Requests answered, by priority and outcome (ok or the error kind).',
+    'priority',
+    'outcome',
+)
+RETRIES: Final = Tally(
+    'verbenahall_retries_total',
+    'Attempts after the first, by what ended the one before.',
+    'reason',
+)
+SHED: Final = Tally(
+    'verbenahall_shed_total',
+    'Requests given up before they ran, by priority.',
+    'priority',
+)
+DROPPED_ANSWERS: Final = Tally(
+    'verbenahall_dropped_answers_total',
+    'Answers dropped since they belong to another attempt, by shape.',
+    'shape',
+)
+QUEUE_SECONDS: Final = Timer(
+    'verbenahall_queue_seconds',
+    'Time from a request being read to its admission.',
+)
+FIRST_TOKEN_SECONDS: Final = Timer(
+    'verbenahall_first_token_seconds',
+    'Time from a request being read to its first token or its answer.',
+)
+TOKEN_GAP_SECONDS: Final = Timer(
+    'verbenahall_token_gap_seconds',
+    'Time between two reads of a stream that brought tokens.',
+)
+IN_FLIGHT: Final = Gauge(
+    'verbenahall_in_flight',
+    'Requests admitted and not yet answered.',
+    registry=REGISTRY,
+)
+QUEUED: Final = Gauge(
+    'verbenahall_queued',
+    'Requests waiting for admission.',
+    registry=REGISTRY,
+)
+ROLE_CHANGES: Final = Counter(
+    'verbenahall_role_changes_total',
+    'Orders sent that change the role of an engine.',
+    registry=REGISTRY,
+)
+SETTINGS_POSITION: Final = Gauge(
+    'verbenahall_settings_position',
+    'Offset of the last settings record applied.',
+    registry=REGISTRY,
+)
+SETTINGS_LAG_SECONDS: Final = Gauge(
+    'verbenahall_settings_lag_seconds',
+    'Seconds since the log was last heard.',
+    registry=REGISTRY,
+)
+LEASE_HELD: Final = Gauge(
+    'verbenahall_lease_held',
+    'Whether this instance holds the lease of a scope (1) or not (0).',
+    registry=REGISTRY,
+)
+
+
+async def _show_metrics(request: web.Request) -> web.Response:
+    for series in _hot:
+        series.flush()
+    accepted = request.headers.getall('Accept', [])
+    body, headers = render(REGISTRY, accepted)
+    return web.Response(body=body, headers=headers)
+
+
+def add_routes(app: web.Application) -> None:
+    """Serve the registry at ``/metrics``."""
+    app.router.add_get('/metrics', _show_metrics)
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/requests/__init__.py
@@ -0,0 +1,36 @@
+"""Attempts of one request: identities, retries, budgets and streams."""
+
+from verbenahall.requests._budget import RetryBudget
+from verbenahall.requests._decisions import conclude, decide_next
+from verbenahall.requests._messages import (
+    AttemptNames,
+    Facts,
+    GiveUp,
+    Retry,
+)
+from verbenahall.requests._outcomes import (
+    Broken,
+    NeverWritten,
+    Outcome,
+    Refused,
+    TimedOut,
+)
+from verbenahall.requests._stream import StreamState, StreamStep, feed
+
+__all__ = (
+    'AttemptNames',
+    'Broken',
+    'Facts',
+    'GiveUp',
+    'NeverWritten',
+    'Outcome',
+    'Refused',
+    'Retry',
+    'RetryBudget',
+    'StreamState',
+    'StreamStep',
+    'TimedOut',
+    'conclude',
+    'decide_next',
+    'feed',
+)
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/requests/_outcomes.py
@@ -0,0 +1,33 @@
+"""How an attempt may fail."""
+
+import dataclasses
+from typing import Union
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NeverWritten:
+    """No byte of the request left this instance."""
+
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """The endpoint said that it has not started the request."""
+
+    status: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Broken:
+    """Bytes were written, and no whole answer came back."""
+
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TimedOut:
+    """The caller's deadline passed after bytes were written."""
+
+
+Outcome = Union[NeverWritten, Refused, Broken, TimedOut]
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/routing/_candidates.py
@@ -0,0 +1,64 @@
+"""Candidates, and the subsets that keep instances from herding."""
+
+import dataclasses
+import random
+from collections.abc import Iterable, Sequence
+from typing import Final, final
+
+import xxhash
+
+from verbenahall.fleet import Endpoint, Role
+
+#: Endpoints that one instance chooses among; further ones are spill-over.
+SUBSET_SIZE: Final = 24
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """An endpoint that could take the request, and its role."""
+
+    endpoint: Endpoint
+    role: Role = Role.MIXED
+
+
+@final
+class RoutingState:
+    """An instance's own name, data centre and random source."""
+
+    __slots__ = ('instance', 'data_centre', 'random')
+
+    def __init__(
+        self,
+        instance: str,
+        data_centre: str,
+        source: random.Random,
+    ) -> None:
+        """Keep who chooses; ``source`` is seeded apart on each instance."""
+        self.instance = instance
+        self.data_centre = data_centre
+        self.random = source
+
+
+def rank_by_rendezvous(key: str, names: Iterable[str]) -> list[str]:
+    """Order names by their rendezvous weight for a key, highest first.
+
+    All instances get the same order; taking a name away moves no other.
+    """
+    return sorted(names, key=lambda name: (_weigh(key, name), name))
+
+
+def take_subset(
+    instance: str,
+    candidates: Sequence[Candidate],
+    size: int = SUBSET_SIZE,
+) -> Sequence[Candidate]:
+    """Return the candidates that this instance looks at."""
+    if len(candidates) <= size:
+        return candidates
+    by_name = {found.endpoint.name: found for found in candidates}
+    ranked = rank_by_rendezvous(instance, by_name)
+    return tuple(by_name[name] for name in ranked[:size])
+
+
+def _weigh(key: str, name: str) -> int:
+    return xxhash.xxh64_intdigest(f'{key}\0{name}')
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/routing/_decisions.py
@@ -0,0 +1,166 @@
+"""The choice: two random candidates, role and prefix as hints.
+
+Two candidates taken at random and the lesser believed load of them spread
+work nearly as well as a scan, and far better than a scan when the beliefs
+are old: instances that all see the same old report do not all run to the
+endpoint that looked empty. Role and cached prefix are hints, priced in load,
+so both give way when the endpoint that they favour is busy.
+"""
+
+import dataclasses
+from collections.abc import Sequence
+from types import MappingProxyType
+from typing import Final
+
+from returns.result import Failure, Result, Success
+
+from verbenahall.errors import ErrorKind, Problem
+from verbenahall.fleet import Role
+from verbenahall.load import Belief, LoadState, believe
+from verbenahall.routing._candidates import (
+    Candidate,
+    RoutingState,
+    rank_by_rendezvous,
+    take_subset,
+)
+from verbenahall.routing._messages import Choice, Question
+
+_SAMPLE: Final = 2
+#: A prompt this many times its output is prefill work, and the inverse.
+_PREFILL_RATIO: Final = 8.0
+_DECODE_RATIO: Final = 2.0
+#: How many typical requests of load a cached prefix is worth.
+_PREFIX_WORTH: Final = 2.0
+#: Load that is added for an engine of a less fitting role.
+_ROLE_LOAD: Final = MappingProxyType(
+    {
+        (Role.PREFILL, Role.MIXED): 1.0,
+        (Role.PREFILL, Role.DECODE): 6.0,
+        (Role.DECODE, Role.MIXED): 1.0,
+        (Role.DECODE, Role.PREFILL): 6.0,
+        (Role.MIXED, Role.PREFILL): 3.0,
+        (Role.MIXED, Role.DECODE): 3.0,
+    },
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Offer:
+    candidate: Candidate
+    belief: Belief
+    cost: float
+    reason: str
+
+
+def choose(
+    state: RoutingState,
+    question: Question,
+    candidates: Sequence[Candidate],
+    load: LoadState,
+    now: float,
+) -> Result[Choice, Problem]:
+    """Choose the endpoint of one attempt, or say that none is left.
+
+    ``candidates`` are live and hold what the request needs. Those of the own
+    data centre go first; others are taken only when none of them is left.
+    """
+    pool = _narrow(state, question, candidates)
+    if not pool:
+        return Failure(
+            Problem(
+                ErrorKind.NO_ENDPOINT,
+                'no live endpoint can take this request now',
+            ),
+        )
+    wanted = want_role(question)
+    offers = [
+        _price(candidate, wanted, load, now, 'load')
+        for candidate in _sample(state, pool, wanted)
+    ]
+    favourite = _find_favourite(question, pool)
+    if favourite:
+        offer = _price(favourite, wanted, load, now, 'prefix')
+        offers.append(
+            dataclasses.replace(offer, cost=offer.cost - _PREFIX_WORTH),
+        )
+    return Success(_conclude(offers))
+
+
+def want_role(question: Question) -> Role:
+    """Return the role whose work dominates the request."""
+    if not question.prompt_tokens and not question.output_tokens:
+        return Role.MIXED
+    if question.prompt_tokens >= _PREFILL_RATIO * question.output_tokens:
+        return Role.PREFILL
+    if question.output_tokens >= _DECODE_RATIO * question.prompt_tokens:
+        return Role.DECODE
+    return Role.MIXED
+
+
+def _narrow(
+    state: RoutingState,
+    question: Question,
+    candidates: Sequence[Candidate],
+) -> Sequence[Candidate]:
+    """Drop what already failed; keep to the own data centre if possible."""
+    left = [
+        candidate
+        for candidate in candidates
+        if candidate.endpoint.name not in question.excluded
+    ]
+    near = [
+        candidate
+        for candidate in left
+        if candidate.endpoint.data_centre == state.data_centre
+    ]
+    return take_subset(state.instance, near or left)
+
+
+def _sample(
+    state: RoutingState,
+    pool: Sequence[Candidate],
+    wanted: Role,
+) -> list[Candidate]:
+    """Take a few at random of the wanted role, and a few of the others."""
+    fitting = [found for found in pool if found.role is wanted]
+    others = [found for found in pool if found.role is not wanted]
+    return [
+        *state.random.sample(fitting, min(_SAMPLE, len(fitting))),
+        *state.random.sample(others, min(_SAMPLE, len(others))),
+    ]
+
+
+def _find_favourite(
+    question: Question,
+    pool: Sequence[Candidate],
+) -> Candidate | None:
+    """Return the engine on which all instances gather this prefix."""
+    if not question.prefix:
+        return None
+    by_name = {found.endpoint.name: found for found in pool}
+    ranked = rank_by_rendezvous(question.prefix, by_name)
+    return by_name[ranked[0]]
+
+
+def _price(
+    candidate: Candidate,
+    wanted: Role,
+    load: LoadState,
+    now: float,
+    reason: str,
+) -> _Offer:
+    belief = believe(load, candidate.endpoint.name, now)
+    extra = _ROLE_LOAD.get((wanted, candidate.role), 0)
+    return _Offer(candidate, belief, belief.load + extra, reason)
+
+
+def _conclude(offers: Sequence[_Offer]) -> Choice:
+    best = min(offers, key=lambda offer: offer.cost)
+    chosen = best.candidate.endpoint
+    over = {offer.candidate.endpoint.name for offer in offers}
+    return Choice(
+        endpoint=chosen,
+        belief=best.belief,
+        over=tuple(sorted(over - {chosen.name})),
+        reason=best.reason,
+    )
--- /dev/null
+++ b/packages/verbenahall/tests/front/conftest.py
@@ -0,0 +1,301 @@
+"""A fleet of small fake endpoints and a front before them, on loopback."""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import random
+from types import SimpleNamespace
+
+import pytest
+from aiohttp import ClientSession, TCPConnector, web
+from returns.result import Success
+
+from verbenahall import clock, front
+from verbenahall.config import (
+    AdminConfig,
+    InstanceConfig,
+    LimitsConfig,
+    PlatformConfig,
+    TimingConfig,
+)
+from verbenahall.fleet import Endpoint, EndpointKind, Role, Standing
+from verbenahall.front._endpoints import Sessions
+from verbenahall.load import (
+    EngineState,
+    EngineStates,
+    LoadState,
+    Report,
+    observe_report,
+)
+
+LIMITS = LimitsConfig(
+    body_bytes=65_536,
+    header_bytes=8192,
+    json_depth=16,
+    connections=512,
+    body_timeout_s=0.5,
+    queue_per_priority=256,
+    queue_per_workspace=128,
+    in_flight_per_engine=16,
+    default_deadline_s=20,
+)
+
+
+def _run_well(number):
+    return ''
+
+
+class FakeEndpoint:
+    """An engine, or a service, whose next faults are given by a function.
+
+    ``fault(number)`` names the fault of the request counted so; ``started``
+    is the endpoint's own record of the attempts that it began.
+    """
+
+    def __init__(self, name, fault=None):
+        self.name = name
+        self.fault = fault or _run_well
+        self.started = []
+        self.keys = []
+        self.cancelled = []
+        self.seen = 0
+        self.tokens = 5
+        self.work_s = 0
+        self.running = 0
+        self.standing = Standing.LIVE
+
+    async def answer(self, request):
+        fault = self.fault(self.seen)
+        self.seen += 1
+        body = await request.read()
+        if fault == 'refuse':
+            return web.Response(status=503, headers={'X-Not-Started': '1'})
+        if fault == 'reset_before':
+            request.transport.abort()
+            return web.Response()
+        attempt = request.headers['X-Attempt-Id']
+        self.started.append(attempt)
+        self.keys.append(request.headers.get('Idempotency-Key', ''))
+        if fault == 'hang':
+            await asyncio.sleep(3600)
+        self.running += 1
+        try:
+            return await self.respond(request, body, attempt, fault)
+        finally:
+            self.running -= 1
+
+    async def respond(self, request, body, attempt, fault):
+        await asyncio.sleep(self.work_s)
+        if fault == 'reset_after':
+            request.transport.abort()
+            return web.Response()
+        if fault == 'error':
+            return web.Response(status=500)
+        headers = {'X-Load': f'{self.running},0,0.9'}
+        if not request.path.startswith('/v1'):
+            told = {'path': request.raw_path, 'by': self.name}
+            return web.json_response(told, headers=headers)
+        table = json.loads(body)
+        if table.get('stream'):
+            return await self.stream(request, table, attempt, fault)
+        if fault == 'stray':
+            attempt = 'another'
+        told = {'attempt': attempt, 'echo': table['prompt'], 'by': self.name}
+        return web.json_response(told, headers=headers)
+
+    async def stream(self, request, table, attempt, fault):
+        response = web.StreamResponse()
+        await response.prepare(request)
+        for index in range(table.get('resume_from', 0), self.tokens):
+            if fault == 'die' and index == 3:
+                await response.write(b'data: {"attempt":"%b' % attempt.encode())
+                request.transport.abort()
+                return response
+            if fault == 'gap' and index == 3:
+                continue
+            event = {'attempt': attempt, 'index': index}
+            event['choices'] = [{'text': f'{table["prompt"]}{index} '}]
+            copies = 2 if fault == 'duplicate' else 1
+            for _ in range(copies):
+                line = json.dumps(event, separators=(',', ':'))
+                await response.write(f'data: {line}\n\n'.encode())
+            if fault == 'stall' and index == 2:
+                await asyncio.sleep(3600)
+        if fault != 'truncate':
+            await response.write(b'data: [DONE]\n\n')
+        return response
+
+    async def cancel(self, request):
+        self.cancelled.append((await request.json())['attempt'])
+        return web.Response()
+
+
+@dataclasses.dataclass
+class Stage:
+    """A front under test: its address, its parts and the fakes behind it."""
+
+    url: str
+    parts: front.Parts
+    fakes: list
+    client: ClientSession
+    claims: list
+
+    async def post(self, path='/v1/completions', headers=None, **body):
+        body = {'model': 'm', 'prompt': 'p', 'max_tokens': 8, **body}
+        async with self.client.post(
+            self.url + path,
+            json=body,
+            headers=headers or {},
+        ) as answer:
+            return answer.status, answer.headers, await answer.read()
+
+
+async def serve(app, stack, **options):
+    options.setdefault('shutdown_timeout', 0.1)
+    runner = web.AppRunner(app, **options)
+    await runner.setup()
+    stack.push_async_callback(runner.cleanup)
+    site = web.TCPSite(runner, '127.0.0.1', 0)
+    await site.start()
+    port = runner.addresses[0][1]
+    return f'127.0.0.1:{port}'
+
+
+async def serve_fake(fake, stack):
+    app = web.Application()
+    app.router.add_post('/cancel', fake.cancel)
+    app.router.add_route('*', '/{tail:.*}', fake.answer)
+    return await serve(app, stack, handler_cancellation=True)
+
+
+def build_parts(endpoints, fakes, kind, sessions, claims, resumes):
+    states = EngineStates()
+    loads = LoadState()
+    by_name = {fake.name: fake for fake in fakes}
+    for name in by_name:
+        states.put(
+            EngineState(
+                name=name,
+                incarnation='1',
+                role=Role.MIXED,
+                models={'m': '1'},
+                adapters=frozenset(),
+                changing=False,
+                leaving=False,
+                resumes=resumes,
+                report=Report(0, 0),
+            ),
+        )
+
+    def take_report(name, report):
+        observe_report(loads, name, report, clock.monotonic())
+
+    async def claim(workspace, key):
+        claims.append((workspace, key))
+        return Success(len(claims))
+
+    settings = SimpleNamespace(
+        models={'m': None},
+        adapters={},
+        workspaces={},
+        services={},
+    )
+    return front.Parts(
+        live=lambda wanted, now, service: [
+            found
+            for found in endpoints
+            if wanted is kind and by_name[found.name].standing is Standing.LIVE
+        ],
+        standing=lambda found, now: by_name[found].standing,
+        heard=lambda name: None,
+        missed=lambda name: None,
+        leaving=lambda name: None,
+        settings=lambda: settings,
+        position=lambda: 7,
+        claim=claim,
+        unready=lambda: None,
+        load=loads,
+        states=states,
+        adapters=front.Adapters(
+            front.EngineAdapter(sessions, take_report),
+            front.ServiceAdapter(sessions, take_report),
+        ),
+        source=random.Random(1),
+    )
+
+
+@contextlib.asynccontextmanager
+async def build_stage(
+    fakes,
+    kind=EndpointKind.ENGINE,
+    resumes=True,
+    **limits,
+):
+    """Start fakes and a front; stop all at the end."""
+    async with contextlib.AsyncExitStack() as stack:
+        service = 'pages' if kind is EndpointKind.SERVICE else ''
+        endpoints = [
+            Endpoint(
+                name=fake.name,
+                kind=kind,
+                address=await serve_fake(fake, stack),
+                data_centre='here',
+                incarnation='1',
+                service=service,
+            )
+            for fake in fakes
+        ]
+        kept = await stack.enter_async_context(front.make_session())
+        fresh = await stack.enter_async_context(front.make_session(fresh=True))
+        claims = []
+        sessions = Sessions(kept, fresh)
+        parts = build_parts(endpoints, fakes, kind, sessions, claims, resumes)
+        bounds = dataclasses.replace(LIMITS, **limits)
+        config = InstanceConfig(
+            name='i1',
+            data_centre='here',
+            deployment='test',
+            listen='127.0.0.1:0',
+            platform=PlatformConfig('127.0.0.1:1', '127.0.0.1:1'),
+            admin=AdminConfig(),
+            limits=bounds,
+            timing=TimingConfig(*range(1, 10)),
+        )
+        app = front.make_application(bounds)
+        made = front.Front(config, parts)
+        made.add_routes(app)
+        address = await serve(app, stack, **front.runner_options(bounds))
+        background = asyncio.create_task(made.run())
+        client = await stack.enter_async_context(
+            ClientSession(connector=TCPConnector(limit=0)),
+        )
+        try:
+            yield Stage(f'http://{address}', parts, fakes, client, claims)
+        finally:
+            background.cancel()
+
+
+@pytest.fixture
+def stage():
+    """Return the builder of stages."""
+    return build_stage
+
+
+@pytest.fixture
+def fake():
+    """Return the class of fake endpoints."""
+    return FakeEndpoint
+
+
+async def wait_for(condition, bound_s=20):
+    """Wait until a condition holds; fail when it never does."""
+    async with asyncio.timeout(bound_s):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+@pytest.fixture
+def until():
+    """Return the function that waits for a condition."""
+    return wait_for
