--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/log/_client.py
@@ -0,0 +1,274 @@
+"""Appends to and reads from the log service over HTTP."""
+
+import asyncio
+import dataclasses
+import random
+import uuid
+from collections.abc import Sequence
+from typing import Any, Final
+
+import aiohttp
+from returns.result import Failure, Result, Success
+
+from verbenahall import clock, wire
+from verbenahall.errors import ErrorKind, Problem, Ran
+from verbenahall.log._messages import (
+    MAX_RECORD_BYTES,
+    Append,
+    Appended,
+    Lost,
+    Outcome,
+    Page,
+    Refused,
+    read_page,
+)
+
+_GIVE_UP_S: Final = 5.0
+_ATTEMPT_S: Final = 2.0
+_CONNECT_S: Final = 1.0
+#: How much longer than asked a waiting read may take.
+_READ_SLACK_S: Final = 2.0
+_BACKOFF_S: Final = 0.05
+_LEAST_SHARE: Final = 0.5
+_FIND_LIMIT: Final = 500
+_OK: Final = 200
+_BUSY: Final = 429
+_DOWN: Final = 503
+_TOO_LARGE: Final = 413
+
+#: Raised before a byte of the request is written.
+_NOT_SENT: Final = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+)
+
+
+class LogClient:
+    """One holder's access to the log.
+
+    ``holder`` goes into each append's identity, so that the log shows who
+    wrote it. An append takes at most ``give_up_s`` seconds and a few more
+    for the last read.
+    """
+
+    __slots__ = ('holder', '_address', '_give_up_s', '_head', '_session')
+
+    def __init__(
+        self,
+        address: str,
+        session: aiohttp.ClientSession,
+        holder: str,
+        give_up_s: float = _GIVE_UP_S,
+    ) -> None:
+        """Use ``session`` for the log at ``address`` (``IP:port``)."""
+        self.holder = holder
+        self._address = address
+        self._session = session
+        self._give_up_s = give_up_s
+        self._head = -1
+
+    async def append(
+        self,
+        stream: str,
+        body: dict[str, Any],
+    ) -> Result[int, Problem]:
+        """Append one record and return its offset.
+
+        The failure is ``LOG_UNAVAILABLE``; its ``ran`` is ``NO`` when the
+        record surely does not exist and ``UNKNOWN`` when it may exist, now
+        or later.
+        """
+        suffix = uuid.uuid4().hex
+        identity = f'{self.holder}-{suffix}'
+        payload = wire.encode(
+            {'stream': stream, 'id': identity, 'body': body},
+        )
+        if len(payload) > MAX_RECORD_BYTES:
+            return Failure(_describe_too_large(payload))
+        if self._head < 0:
+            # Without an offset older than the append, looking for it after
+            # a lost answer would read the log from its start.
+            page = await self.read(0, 1, 0, (stream,))
+            if isinstance(page, Failure):
+                return Failure(_unavailable('cannot read its head', Ran.NO))
+        give_up_at = clock.monotonic() + self._give_up_s
+        return await self._append_once(
+            Append(stream, identity, payload, self._head, give_up_at),
+        )
+
+    async def read(
+        self,
+        after: int,
+        limit: int,
+        wait_s: float = 0,
+        streams: Sequence[str] = (),
+    ) -> Result[Page, Problem]:
+        """Return records after an offset, waiting for the first one.
+
+        At most ``limit`` records of ``streams`` (all when empty); an empty
+        page after ``wait_s`` seconds without any.
+        """
+        query = {'after': after, 'limit': limit, 'wait': wait_s}
+        if streams:
+            query['streams'] = ','.join(streams)
+        try:
+            page = await self._get_page(query, wait_s + _READ_SLACK_S)
+        except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+            return Failure(_unavailable(_describe(error), Ran.NO))
+        except (KeyError, TypeError, ValueError) as error:
+            return Failure(_unavailable(f'bad page: {error!r}', Ran.NO))
+        self._head = max(self._head, page.last)
+        return Success(page)
+
+    async def _append_once(self, append: Append) -> Result[int, Problem]:
+        """Append, waiting while the log is only busy."""
+        pause_s = _BACKOFF_S
+        outcome = await self._post(append)
+        while _is_busy(outcome) and not _is_late(append):
+            await _pause(pause_s)
+            pause_s *= 2
+            outcome = await self._post(append)
+        match outcome:
+            case Appended(offset):
+                return Success(offset)
+            case Refused(problem):
+                return Failure(problem)
+            case Lost(problem):
+                return await self._settle(append, problem)
+
+    async def _settle(
+        self,
+        append: Append,
+        problem: Problem,
+    ) -> Result[int, Problem]:
+        """Find out what became of an append whose answer was lost.
+
+        The answer may be lost after the effect: a record then stands of
+        which its author knows nothing, and a second try would be a second
+        record. A request that timed out may also lie in the log's socket
+        still. So only a read decides: each further try has the same
+        identity, comes after a read without it, and of two copies the first
+        counts, as it does for the folds.
+        """
+        pause_s = _BACKOFF_S
+        while True:
+            found = await self._find(append)
+            match found:
+                case Success(offset) if offset:
+                    return found
+                case Success(_):
+                    await self._post(append)
+            if _is_late(append):
+                return Failure(dataclasses.replace(problem, ran=Ran.UNKNOWN))
+            await _pause(pause_s)
+            pause_s *= 2
+
+    async def _find(self, append: Append) -> Result[int, Problem]:
+        """Return the offset of the append's first copy, 0 for none yet."""
+        after = append.before
+        while True:
+            read = await self.read(after, _FIND_LIMIT, 0, (append.stream,))
+            if isinstance(read, Failure):
+                return read
+            page = read.unwrap()
+            offset = _find_identity(page, append.identity)
+            if offset or len(page.records) < _FIND_LIMIT:
+                return Success(offset)
+            after = page.records[-1].offset
+
+    async def _post(self, append: Append) -> Outcome:
+        try:
+            return await self._post_once(append)
+        except _NOT_SENT as not_sent:
+            return Refused(_unavailable(_describe(not_sent), Ran.NO))
+        except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+            return Lost(_unavailable(_describe(error), Ran.UNKNOWN))
+        except (KeyError, TypeError, ValueError) as bad_answer:
+            complaint = f'bad answer: {bad_answer!r}'
+            return Lost(_unavailable(complaint, Ran.UNKNOWN))
+
+    async def _post_once(self, append: Append) -> Outcome:
+        async with self._session.post(
+            f'http://{self._address}/append',
+            data=append.payload,
+            headers={'Content-Type': 'application/json'},
+            timeout=aiohttp.ClientTimeout(
+                total=_ATTEMPT_S,
+                sock_connect=_CONNECT_S,
+            ),
+        ) as answer:
+            body = await answer.read()
+            status = answer.status
+        if status == _OK:
+            offset = int(_decode(body)['offset'])
+            self._head = max(self._head, offset)
+            return Appended(offset)
+        return _classify(status)
+
+    async def _get_page(
+        self,
+        query: dict[str, Any],
+        timeout_s: float,
+    ) -> Page:
+        async with self._session.get(
+            f'http://{self._address}/read',
+            params=query,
+            timeout=aiohttp.ClientTimeout(
+                total=timeout_s,
+                sock_connect=_CONNECT_S,
+            ),
+            raise_for_status=True,
+        ) as answer:
+            body = await answer.read()
+        return read_page(_decode(body))
+
+
+def _is_busy(outcome: Outcome) -> bool:
+    return isinstance(outcome, Refused) and outcome.again
+
+
+def _is_late(append: Append) -> bool:
+    return clock.monotonic() >= append.give_up_at
+
+
+async def _pause(longest_s: float) -> None:
+    await asyncio.sleep(longest_s * random.uniform(_LEAST_SHARE, 1))
+
+
+def _find_identity(page: Page, identity: str) -> int:
+    offsets = (
+        record.offset for record in page.records if record.identity == identity
+    )
+    return next(offsets, 0)
+
+
+def _classify(status: int) -> Outcome:
+    if status == _TOO_LARGE:
+        return Refused(Problem(ErrorKind.TOO_LARGE, 'the log refused its size'))
+    problem = _unavailable(f'answered {status}', Ran.UNKNOWN)
+    if status in {_BUSY, _DOWN}:
+        refusal = dataclasses.replace(problem, ran=Ran.NO)
+        return Refused(refusal, again=status == _BUSY)
+    return Lost(problem)
+
+
+def _decode(body: bytes) -> dict[str, Any]:
+    table = wire.decode_table(body)
+    if isinstance(table, Failure):
+        raise ValueError(table.failure().message)
+    return table.unwrap()
+
+
+def _describe(error: Exception) -> str:
+    return str(error) or type(error).__name__
+
+
+def _describe_too_large(payload: bytes) -> Problem:
+    return Problem(
+        ErrorKind.TOO_LARGE,
+        f'record of {len(payload)} bytes; the most is {MAX_RECORD_BYTES}',
+    )
+
+
+def _unavailable(complaint: str, ran: Ran) -> Problem:
+    return Problem(ErrorKind.LOG_UNAVAILABLE, f'log: {complaint}', ran)
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/settings/__init__.py
@@ -0,0 +1,68 @@
+"""Published settings: the verdict on each change and what is in force.
+
+Every instance folds the same records into the same verdicts::
+
+    state = SettingsState()
+    verdict = apply_record(state, record)  # None: not a new settings record
+    effective(state).models['drafter'].version
+"""
+
+from verbenahall.settings._messages import (
+    AdapterSettings,
+    Change,
+    DrainSettings,
+    EffectiveSettings,
+    ModelSettings,
+    PlannerSettings,
+    PoolSettings,
+    Publication,
+    Refusal,
+    RefusalKind,
+    ServiceSettings,
+    Verdict,
+    WorkspaceSettings,
+)
+from verbenahall.settings._publications import (
+    SECTIONS,
+    check_value,
+    encode_publication,
+    split_path,
+)
+from verbenahall.settings._sections import PUBLISHED_SCHEMA
+from verbenahall.settings._snapshots import SettingsFold
+from verbenahall.settings._state import (
+    SettingsState,
+    effective,
+    find_offset,
+    find_value,
+    list_paths,
+)
+from verbenahall.settings._verdicts import apply_record
+
+__all__ = (
+    'PUBLISHED_SCHEMA',
+    'SECTIONS',
+    'AdapterSettings',
+    'Change',
+    'DrainSettings',
+    'EffectiveSettings',
+    'ModelSettings',
+    'PlannerSettings',
+    'PoolSettings',
+    'Publication',
+    'Refusal',
+    'RefusalKind',
+    'ServiceSettings',
+    'SettingsFold',
+    'SettingsState',
+    'Verdict',
+    'WorkspaceSettings',
+    'apply_record',
+    'check_value',
+    'effective',
+    'encode_publication',
+    'find_offset',
+    'find_value',
+    'list_paths',
+    'split_path',
+)
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/settings/_checks.py
@@ -0,0 +1,285 @@
+"""Rules over several entries, checked for what a record touched.
+
+Each rule holds for the whole tree after every accepted record, so only the
+entries beside the touched ones can break it. Names are gone through in
+order, so that every instance gives the same reason.
+"""
+
+from collections.abc import Callable, Iterable, Iterator, Sequence
+from typing import Final
+
+from verbenahall.settings._messages import (
+    AdapterSettings,
+    DrainSettings,
+    ModelSettings,
+    PoolSettings,
+    Refusal,
+    RefusalKind,
+)
+from verbenahall.settings._state import (
+    Key,
+    SettingsState,
+    Shift,
+    find_removal,
+)
+
+_MODELS: Final = 'models'
+_ADAPTERS: Final = 'adapters'
+_POOLS: Final = 'pools'
+_DRAINS: Final = 'drains'
+
+
+class _Touched:
+    """Names of which a rule might now be broken."""
+
+    __slots__ = ('adapters', 'drains', 'floors', 'models', 'pools')
+
+    def __init__(self) -> None:
+        """Start with nothing touched."""
+        self.models: set[str] = set()
+        self.adapters: set[str] = set()
+        self.pools: set[str] = set()
+        self.drains: set[str] = set()
+        # (data_centre, model)
+        self.floors: set[tuple[str, str]] = set()
+
+
+def find_conflict(
+    state: SettingsState,
+    shifts: Sequence[Shift],
+) -> Refusal | None:
+    """Return the first rule that the shifted settings break, if any."""
+    touched = _Touched()
+    for shift in shifts:
+        for settings in (shift.before, shift.after):
+            _touch(state, settings, touched)
+    found = (refusal for check in _CHECKS for refusal in check(state, touched))
+    return next(found, None)
+
+
+def _touch(state: SettingsState, settings: object, touched: _Touched) -> None:
+    match settings:
+        case ModelSettings(name=name):
+            touched.models.add(name)
+            pools = _pools_of(state, state.model_users.get(name, ()))
+            touched.floors.update((pool.data_centre, name) for pool in pools)
+        case AdapterSettings(name=name):
+            touched.adapters.add(name)
+            users = state.adapter_users.get(name, ())
+            touched.pools.update(user for _, user in users)
+        case PoolSettings(name=name):
+            touched.pools.add(name)
+            touched.floors.update(_floors_of(settings))
+        case DrainSettings(endpoint=endpoint):
+            touched.drains.add(endpoint)
+            for pool_name in state.engine_pools.get(endpoint, ()):
+                drained = state.effective.pools[pool_name]
+                touched.floors.update(_floors_of(drained))
+
+
+def _floors_of(pool: PoolSettings) -> Iterator[tuple[str, str]]:
+    return ((pool.data_centre, model) for model in pool.models)
+
+
+def _pools_of(
+    state: SettingsState,
+    users: Iterable[Key],
+) -> list[PoolSettings]:
+    return [
+        state.effective.pools[name]
+        for section, name in sorted(users)
+        if section == _POOLS
+    ]
+
+
+def _check_models(
+    state: SettingsState,
+    touched: _Touched,
+) -> Iterator[Refusal]:
+    for name in sorted(touched.models):
+        if name not in state.effective.models:
+            users = state.model_users.get(name, ())
+            yield from _refuse_users(state, f'model {name}', users)
+
+
+def _check_adapters(
+    state: SettingsState,
+    touched: _Touched,
+) -> Iterator[Refusal]:
+    for name in sorted(touched.adapters):
+        adapter = state.effective.adapters.get(name)
+        if adapter is None:
+            users = state.adapter_users.get(name, ())
+            yield from _refuse_users(state, f'adapter {name}', users)
+        elif adapter.model not in state.effective.models:
+            yield _refuse_missing(state, _MODELS, adapter.model)
+
+
+def _check_pools(
+    state: SettingsState,
+    touched: _Touched,
+) -> Iterator[Refusal]:
+    for name in sorted(touched.pools):
+        pool = state.effective.pools.get(name)
+        if pool is not None:
+            yield from _check_holdings(state, pool)
+            yield from _check_engines(state, pool)
+
+
+def _check_holdings(
+    state: SettingsState,
+    pool: PoolSettings,
+) -> Iterator[Refusal]:
+    for model in pool.models:
+        if model not in state.effective.models:
+            yield _refuse_missing(state, _MODELS, model)
+    for name in pool.adapters:
+        adapter = state.effective.adapters.get(name)
+        if adapter is None:
+            yield _refuse_missing(state, _ADAPTERS, name)
+        elif adapter.model not in pool.models:
+            yield Refusal(
+                RefusalKind.MISSING_REFERENCE,
+                f'pool {pool.name} has adapter {name} without its model '
+                + adapter.model,
+                state.entries[(_ADAPTERS, name)].offset,
+            )
+
+
+def _check_engines(
+    state: SettingsState,
+    pool: PoolSettings,
+) -> Iterator[Refusal]:
+    roles = pool.prefill + pool.decode
+    if roles > len(pool.engines):
+        yield Refusal(
+            RefusalKind.TOO_MANY_ROLES,
+            f'pool {pool.name} has {len(pool.engines)} engines '
+            + f'for {roles} prefill and decode roles',
+        )
+    for engine in pool.engines:
+        for other in state.engine_pools[engine]:
+            if other != pool.name:
+                yield _refuse_claimed(state, engine, pool.name, other)
+        drain = state.effective.drains.get(engine)
+        if drain and drain.team != pool.team:
+            yield _refuse_foreign(state, drain, pool)
+
+
+def _check_drains(
+    state: SettingsState,
+    touched: _Touched,
+) -> Iterator[Refusal]:
+    for endpoint in sorted(touched.drains):
+        drain = state.effective.drains.get(endpoint)
+        for name in state.engine_pools.get(endpoint, ()):
+            pool = state.effective.pools[name]
+            if drain and drain.team != pool.team:
+                yield _refuse_foreign(state, drain, pool)
+
+
+def _check_floors(
+    state: SettingsState,
+    touched: _Touched,
+) -> Iterator[Refusal]:
+    """Count the engines, but drained ones, that may hold each model.
+
+    A data centre in which no pool names the model keeps none of it, so
+    there is no floor to keep either.
+    """
+    for data_centre, name in sorted(touched.floors):
+        model = state.effective.models.get(name)
+        pools = [
+            pool
+            for pool in _pools_of(state, state.model_users.get(name, ()))
+            if pool.data_centre == data_centre
+        ]
+        free = sum(_count_free(state, pool) for pool in pools)
+        if model and pools and free < model.floor:
+            yield Refusal(
+                RefusalKind.BELOW_FLOOR,
+                f'model {name} would have {free} engines in {data_centre}; '
+                + f'its floor is {model.floor}',
+                _latest(state, name, pools),
+            )
+
+
+def _count_free(state: SettingsState, pool: PoolSettings) -> int:
+    drains = state.effective.drains
+    return sum(engine not in drains for engine in pool.engines)
+
+
+def _latest(
+    state: SettingsState,
+    model: str,
+    pools: Iterable[PoolSettings],
+) -> int:
+    """Return the last earlier change to the same capacity."""
+    keys = {(_MODELS, model)}
+    for pool in pools:
+        keys.add((_POOLS, pool.name))
+        keys.update((_DRAINS, engine) for engine in pool.engines)
+    offsets = (
+        state.entries[key].offset for key in keys if key in state.entries
+    )
+    older = (offset for offset in offsets if offset < state.position)
+    return max(older, default=0)
+
+
+def _refuse_users(
+    state: SettingsState,
+    what: str,
+    users: Iterable[Key],
+) -> Iterator[Refusal]:
+    for key in sorted(users):
+        entry = state.entries[key]
+        yield Refusal(
+            RefusalKind.IN_USE,
+            f'{what} is used by {entry.path}',
+            entry.offset,
+        )
+
+
+def _refuse_missing(state: SettingsState, section: str, name: str) -> Refusal:
+    return Refusal(
+        RefusalKind.MISSING_REFERENCE,
+        f'{section} {name} does not exist',
+        find_removal(state, section, name),
+    )
+
+
+def _refuse_claimed(
+    state: SettingsState,
+    engine: str,
+    pool: str,
+    other: str,
+) -> Refusal:
+    return Refusal(
+        RefusalKind.ENGINE_CLAIMED,
+        f'engine {engine} is claimed by the pools {pool} and {other}',
+        state.entries[(_POOLS, other)].offset,
+    )
+
+
+def _refuse_foreign(
+    state: SettingsState,
+    drain: DrainSettings,
+    pool: PoolSettings,
+) -> Refusal:
+    keys = ((_DRAINS, drain.endpoint), (_POOLS, pool.name))
+    return Refusal(
+        RefusalKind.FOREIGN_ENGINE,
+        f'engine {drain.endpoint} is in the pool {pool.name} of team '
+        + f'{pool.team} and drained by team {drain.team}',
+        min(state.entries[key].offset for key in keys),
+    )
+
+
+_Check = Callable[[SettingsState, _Touched], Iterator[Refusal]]
+_CHECKS: Final[tuple[_Check, ...]] = (
+    _check_models,
+    _check_adapters,
+    _check_pools,
+    _check_drains,
+    _check_floors,
+)
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/settings/_state.py
@@ -0,0 +1,235 @@
+"""What the fold keeps: entries, the settings in force, and indexes.
+
+Every index answers one question of the checks without a walk over the tree,
+so that a change costs the same among 100 entries as among 16,000.
+"""
+
+import collections
+import dataclasses
+from typing import Any, Final
+
+from verbenahall.settings._messages import (
+    AdapterSettings,
+    EffectiveSettings,
+    PoolSettings,
+    Verdict,
+)
+from verbenahall.settings._publications import split_path
+from verbenahall.settings._sections import DEFAULTS, PLANNER, SECTIONS
+
+#: Second copies of an append come within seconds of the first; and one that
+#: came later would find its base stale.
+KEPT_IDENTITIES: Final = 1024
+KEPT_VERDICTS: Final = 256
+KEPT_PATHS: Final = 4096
+KEPT_REMOVALS: Final = 4096
+
+#: ``(section, name)``; a planner's and defaults' name holds the team.
+Key = tuple[str, str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry:
+    """One accepted value as its author gave it."""
+
+    path: str
+    team: str
+    name: str
+    value: dict[str, Any]
+    offset: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shift:
+    """One entry's settings in force before and after a change."""
+
+    before: Any
+    after: Any
+
+
+class SettingsState:
+    """The fold of the settings stream up to ``position``."""
+
+    __slots__ = (
+        'adapter_users',
+        'effective',
+        'engine_pools',
+        'entries',
+        'history',
+        'identities',
+        'model_users',
+        'position',
+        'removals',
+        'team_entries',
+    )
+
+    def __init__(self) -> None:
+        """Start before the first record."""
+        self.position = 0
+        self.entries: dict[Key, Entry] = {}
+        self.effective = EffectiveSettings()
+        self.history: collections.deque[Verdict] = collections.deque(
+            maxlen=KEPT_VERDICTS,
+        )
+        self.identities: dict[str, None] = {}
+        # Offset of the removal of each path that is gone, oldest first.
+        self.removals: dict[str, int] = {}
+        # Keys of adapters and pools that name a model; pools that name an
+        # adapter; pools that name an engine; keys by team and section.
+        self.model_users: dict[str, set[Key]] = {}
+        self.adapter_users: dict[str, set[Key]] = {}
+        self.engine_pools: dict[str, tuple[str, ...]] = {}
+        self.team_entries: dict[Key, set[Key]] = {}
+
+
+def effective(state: SettingsState) -> EffectiveSettings:
+    """Return the settings in force: one object, changed in place."""
+    return state.effective
+
+
+def key_of(path: str) -> Key:
+    """Return where a path's entry is kept; names are the whole fleet's."""
+    team, section, name = path.split('/')
+    if section in {DEFAULTS, PLANNER}:
+        return section, f'{team}/{name}'
+    return section, name
+
+
+def find_entry(state: SettingsState, path: str) -> Entry | None:
+    """Return the entry that stands at a path."""
+    if split_path(path) is None:
+        return None
+    entry = state.entries.get(key_of(path))
+    return entry if entry and entry.path == path else None
+
+
+def find_value(state: SettingsState, path: str) -> dict[str, Any] | None:
+    """Return a path's own value, without what it inherits."""
+    entry = find_entry(state, path)
+    return entry.value if entry else None
+
+
+def find_offset(state: SettingsState, path: str) -> int:
+    """Return the base that the next change to a path must name."""
+    entry = find_entry(state, path)
+    return entry.offset if entry else state.removals.get(path, 0)
+
+
+def find_removal(state: SettingsState, section: str, name: str) -> int:
+    """Return the offset at which any team last removed a name, or 0."""
+    ending = f'/{section}/{name}'
+    offsets = (
+        offset
+        for path, offset in state.removals.items()
+        if path.endswith(ending)
+    )
+    return max(offsets, default=0)
+
+
+def list_paths(state: SettingsState, team: str) -> list[str]:
+    """Return the paths of a team's entries, sorted."""
+    return sorted(
+        state.entries[key].path
+        for section in (*SECTIONS, DEFAULTS)
+        for key in state.team_entries.get((team, section), ())
+    )
+
+
+def keep_verdict(state: SettingsState, verdict: Verdict) -> None:
+    """Add to the history, which is bounded in verdicts and in paths."""
+    state.history.append(verdict)
+    kept_paths = sum(len(kept.paths) for kept in state.history)
+    while kept_paths > KEPT_PATHS and len(state.history) > 1:
+        kept_paths -= len(state.history.popleft().paths)
+
+
+def put_entry(
+    state: SettingsState,
+    key: Key,
+    entry: Entry | None,
+) -> list[Shift]:
+    """Set or remove one entry; return what this shifted in force.
+
+    Putting back the entry that stood before undoes it.
+    """
+    section, _ = key
+    old = state.entries.pop(key, None) if entry is None else None
+    old = old or state.entries.get(key)
+    if old is not None:
+        _forget(state.team_entries, (old.team, section), key)
+    if entry is not None:
+        state.entries[key] = entry
+        state.team_entries.setdefault((entry.team, section), set()).add(key)
+    if section != DEFAULTS:
+        return [_refresh(state, key)]
+    team, _, inheriting = key[1].partition('/')
+    heirs = sorted(state.team_entries.get((team, inheriting), ()))
+    return [_refresh(state, heir) for heir in heirs]
+
+
+def _refresh(state: SettingsState, key: Key) -> Shift:
+    """Work out again what is in force of one entry."""
+    section, name = key
+    table = getattr(state.effective, section)
+    if section == PLANNER:
+        name = name.partition('/')[0]
+    before = table.get(name)
+    _unlink(state, key, before)
+    entry = state.entries.get(key)
+    if entry is None:
+        table.pop(name, None)
+        return Shift(before, None)
+    table[name] = _build(state, section, entry)
+    _link(state, key, table[name])
+    return Shift(before, table[name])
+
+
+def _build(state: SettingsState, section: str, entry: Entry) -> Any:
+    defaults = state.entries.get((DEFAULTS, f'{entry.team}/{section}'))
+    filled = SECTIONS[section].fill(defaults.value if defaults else {})
+    merged = {**filled, **entry.value}
+    return SECTIONS[section].build(entry.name, merged, entry.team)
+
+
+def _link(state: SettingsState, key: Key, settings: Any) -> None:
+    match settings:
+        case AdapterSettings(model=model):
+            state.model_users.setdefault(model, set()).add(key)
+        case PoolSettings(name=name):
+            for model in settings.models:
+                state.model_users.setdefault(model, set()).add(key)
+            for adapter in settings.adapters:
+                state.adapter_users.setdefault(adapter, set()).add(key)
+            for engine in settings.engines:
+                pools = state.engine_pools.get(engine, ())
+                state.engine_pools[engine] = tuple(sorted({*pools, name}))
+
+
+def _unlink(state: SettingsState, key: Key, settings: Any) -> None:
+    match settings:
+        case AdapterSettings(model=model):
+            _forget(state.model_users, model, key)
+        case PoolSettings():
+            for model in settings.models:
+                _forget(state.model_users, model, key)
+            for adapter in settings.adapters:
+                _forget(state.adapter_users, adapter, key)
+            for engine in settings.engines:
+                _release(state, engine, settings.name)
+
+
+def _release(state: SettingsState, engine: str, pool: str) -> None:
+    rest = tuple(
+        name for name in state.engine_pools.get(engine, ()) if name != pool
+    )
+    if rest:
+        state.engine_pools[engine] = rest
+    else:
+        state.engine_pools.pop(engine, None)
+
+
+def _forget(index: dict[Any, set[Key]], name: Any, key: Key) -> None:
+    users = index.get(name, set())
+    users.discard(key)
+    if not users:
+        index.pop(name, None)
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/settings/_verdicts.py
@@ -0,0 +1,185 @@
+"""The verdict on each record: a pure function of the log up to it."""
+
+from typing import Any, Final
+
+from returns.result import Failure
+
+from verbenahall.records import SETTINGS_STREAM, Record
+from verbenahall.settings._checks import find_conflict
+from verbenahall.settings._messages import (
+    Change,
+    Publication,
+    Refusal,
+    RefusalKind,
+    Verdict,
+)
+from verbenahall.settings._publications import (
+    check_value,
+    decode_publication,
+    split_path,
+)
+from verbenahall.settings._state import (
+    KEPT_IDENTITIES,
+    KEPT_REMOVALS,
+    Entry,
+    Key,
+    SettingsState,
+    Shift,
+    find_entry,
+    find_offset,
+    keep_verdict,
+    key_of,
+    put_entry,
+)
+
+_ANONYMOUS: Final = '?'
+
+
+def apply_record(state: SettingsState, record: Record) -> Verdict | None:
+    """Judge one record and put its changes in force if they are accepted.
+
+    ``None`` for other streams, for offsets already applied and for the
+    second copy of an append whose answer was lost.
+    """
+    if record.stream != SETTINGS_STREAM or record.offset <= state.position:
+        return None
+    state.position = record.offset
+    if record.identity in state.identities:
+        return None
+    state.identities[record.identity] = None
+    _trim(state.identities, KEPT_IDENTITIES)
+    verdict = _judge(state, record)
+    keep_verdict(state, verdict)
+    return verdict
+
+
+def _judge(state: SettingsState, record: Record) -> Verdict:
+    decoded = decode_publication(record.body)
+    if isinstance(decoded, Failure):
+        return Verdict(
+            record.offset,
+            record.identity,
+            team=_ANONYMOUS,
+            author=_ANONYMOUS,
+            paths=(),
+            refusal=decoded.failure(),
+        )
+    publication = decoded.unwrap()
+    return Verdict(
+        record.offset,
+        record.identity,
+        publication.team,
+        publication.author,
+        tuple(change.path for change in publication.changes),
+        _publish(state, publication, record.offset),
+    )
+
+
+def _publish(
+    state: SettingsState,
+    publication: Publication,
+    offset: int,
+) -> Refusal | None:
+    for change in publication.changes:
+        refusal = _check_change(state, publication.team, change)
+        if refusal:
+            return refusal
+    return _put_changes(state, publication, offset)
+
+
+def _put_changes(
+    state: SettingsState,
+    publication: Publication,
+    offset: int,
+) -> Refusal | None:
+    """Put all changes in force, or none if the whole would be at odds."""
+    undo: list[tuple[Key, Entry | None]] = []
+    shifts: list[Shift] = []
+    for change in publication.changes:
+        key = key_of(change.path)
+        undo.append((key, state.entries.get(key)))
+        entry = _build_entry(publication.team, change, offset)
+        shifts.extend(put_entry(state, key, entry))
+    refusal = find_conflict(state, shifts)
+    if refusal:
+        for key, old in reversed(undo):
+            put_entry(state, key, old)
+        return refusal
+    _note_removals(state, publication, offset)
+    return None
+
+
+def _build_entry(team: str, change: Change, offset: int) -> Entry | None:
+    if change.value is None:
+        return None
+    name = change.path.rpartition('/')[2]
+    return Entry(change.path, team, name, change.value, offset)
+
+
+def _check_change(
+    state: SettingsState,
+    team: str,
+    change: Change,
+) -> Refusal | None:
+    parts = split_path(change.path)
+    if parts is None:
+        return Refusal(RefusalKind.MALFORMED, f'{change.path!r} is no path')
+    owner, section, name = parts
+    if owner != team:
+        return Refusal(
+            RefusalKind.OUTSIDE_SUBTREE,
+            f'{change.path} belongs to team {owner}, not to {team}',
+        )
+    standing = state.entries.get(key_of(change.path))
+    if standing and standing.team != team:
+        return Refusal(
+            RefusalKind.NAME_TAKEN,
+            f'{section} {name} is {standing.path}',
+            standing.offset,
+        )
+    return _check_base(state, change) or _check_new(section, name, change)
+
+
+def _check_base(state: SettingsState, change: Change) -> Refusal | None:
+    current = find_offset(state, change.path)
+    if change.base != current:
+        return Refusal(
+            RefusalKind.STALE_BASE,
+            f'{change.path} was changed at offset {current}, '
+            + f'after the base {change.base}',
+            current,
+        )
+    if change.value is None and find_entry(state, change.path) is None:
+        return Refusal(
+            RefusalKind.MISSING_REFERENCE,
+            f'{change.path} does not exist',
+            current,
+        )
+    return None
+
+
+def _check_new(section: str, name: str, change: Change) -> Refusal | None:
+    if change.value is None:
+        return None
+    complaint = check_value(section, name, change.value)
+    if not complaint:
+        return None
+    return Refusal(RefusalKind.INVALID_VALUE, f'{change.path}: {complaint}')
+
+
+def _note_removals(
+    state: SettingsState,
+    publication: Publication,
+    offset: int,
+) -> None:
+    for change in publication.changes:
+        state.removals.pop(change.path, None)
+        if change.value is None:
+            state.removals[change.path] = offset
+    _trim(state.removals, KEPT_REMOVALS)
+
+
+def _trim(table: dict[str, Any], most: int) -> None:
+    """Drop the oldest; which ones is a function of the records alone."""
+    while len(table) > most:
+        table.pop(next(iter(table)))
--- /dev/null
+++ b/packages/verbenahall/tests/settings/test_verdicts.py
@@ -0,0 +1,232 @@
+"""Verdicts on publications: one case for each reason, and races."""
+
+import pytest
+
+from verbenahall.records import Record
+from verbenahall.settings import (
+    RefusalKind,
+    SettingsState,
+    apply_record,
+    effective,
+)
+
+DESK_MODEL = 'desk/models/drafter'
+DESK_POOL = 'desk/pools/main'
+
+
+def publish(state, changes, team='desk', identity=None):
+    """Apply one record made of ``(path, base, value)`` triples."""
+    offset = state.position + 1
+    rows = [
+        {'path': path, 'base': base, 'value': value}
+        for path, base, value in changes
+    ]
+    body = {'team': team, 'author': 'ann', 'changes': rows}
+    record = Record(offset, 'settings', identity or f'i{offset}', body)
+    return apply_record(state, record)
+
+
+def pool(engines, models=('drafter',), **more):
+    """Return a pool's value."""
+    return {
+        'data_centre': 'lampeter',
+        'engines': list(engines),
+        'models': list(models),
+        **more,
+    }
+
+
+@pytest.fixture
+def state():
+    """A model with a floor of one, its adapter and a pool of two engines."""
+    fresh = SettingsState()
+    assert publish(
+        fresh,
+        [
+            (DESK_MODEL, 0, {'version': '1', 'floor': 1}),
+            ('desk/adapters/welsh', 0, {'model': 'drafter', 'version': '1'}),
+            (DESK_POOL, 0, pool(['e1', 'e2'], adapters=['welsh'])),
+        ],
+    ).accepted
+    return fresh
+
+
+@pytest.mark.parametrize(
+    ('changes', 'team', 'kind', 'winner'),
+    [
+        ([('nowhere', 0, {})], 'desk', RefusalKind.MALFORMED, 0),
+        ([], 'desk', RefusalKind.MALFORMED, 0),
+        ([(DESK_MODEL, True, None)], 'desk', RefusalKind.MALFORMED, 0),
+        (
+            [(DESK_MODEL, 1, {'version': '2'})],
+            'atlas',
+            RefusalKind.OUTSIDE_SUBTREE,
+            0,
+        ),
+        (
+            [(DESK_MODEL, 0, {'version': '2'})],
+            'desk',
+            RefusalKind.STALE_BASE,
+            1,
+        ),
+        (
+            [(DESK_MODEL, 1, {'verison': '2'})],
+            'desk',
+            RefusalKind.INVALID_VALUE,
+            0,
+        ),
+        (
+            [('atlas/models/drafter', 0, {'version': '2'})],
+            'atlas',
+            RefusalKind.NAME_TAKEN,
+            1,
+        ),
+        (
+            [('atlas/adapters/logs', 0, {'model': 'x', 'version': '1'})],
+            'atlas',
+            RefusalKind.MISSING_REFERENCE,
+            0,
+        ),
+        ([(DESK_MODEL, 1, None)], 'desk', RefusalKind.IN_USE, 1),
+        (
+            [('desk/adapters/welsh', 1, None)],
+            'desk',
+            RefusalKind.IN_USE,
+            1,
+        ),
+        (
+            [('atlas/pools/trips', 0, pool(['e2']))],
+            'atlas',
+            RefusalKind.ENGINE_CLAIMED,
+            1,
+        ),
+        (
+            [(DESK_POOL, 1, pool(['e1', 'e2'], prefill=2, decode=1))],
+            'desk',
+            RefusalKind.TOO_MANY_ROLES,
+            0,
+        ),
+        (
+            [('atlas/drains/e1', 0, {})],
+            'atlas',
+            RefusalKind.FOREIGN_ENGINE,
+            1,
+        ),
+        (
+            [(DESK_MODEL, 1, {'version': '1', 'floor': 3})],
+            'desk',
+            RefusalKind.BELOW_FLOOR,
+            1,
+        ),
+        (
+            [('desk/drains/e1', 0, {}), ('desk/drains/e2', 0, {})],
+            'desk',
+            RefusalKind.BELOW_FLOOR,
+            1,
+        ),
+        (
+            [('desk/defaults/pools', 0, {'prefill': 3})],
+            'desk',
+            RefusalKind.TOO_MANY_ROLES,
+            0,
+        ),
+        (
+            [('desk/planner/other', 0, {})],
+            'desk',
+            RefusalKind.INVALID_VALUE,
+            0,
+        ),
+        (
+            [('desk/services/proofs', 0, {'repeatable': ['get']})],
+            'desk',
+            RefusalKind.INVALID_VALUE,
+            0,
+        ),
+    ],
+)
+def test_refusal_names_the_reason_and_the_winner(
+    state,
+    changes,
+    team,
+    kind,
+    winner,
+):
+    """An operator publishes something that cannot stand.
+
+    They see which rule it breaks and which change it lost to, and nothing
+    of the record is in force.
+    """
+    verdict = publish(
+        state,
+        [*changes, (f'{team}/workspaces/new', 0, {})] if changes else [],
+        team,
+    )
+
+    assert verdict.refusal.kind is kind
+    assert verdict.refusal.winner == winner
+    assert 'new' not in effective(state).workspaces
+
+
+def test_drains_race_for_the_last_engine(state):
+    """Two operators each drain one of the two engines of a model.
+
+    Each looked while both served; the second is told that the floor would
+    break and which drain came first.
+    """
+    first = publish(state, [('desk/drains/e1', 0, {})])
+    second = publish(state, [('desk/drains/e2', 0, {})])
+
+    assert first.accepted
+    assert second.refusal.kind is RefusalKind.BELOW_FLOOR
+    assert second.refusal.winner == first.offset
+
+
+def test_second_copy_is_not_judged(state):
+    """An append's answer is lost and the record stands in the log twice.
+
+    Judged again, the copy would be refused as stale, and the operator told
+    that their own accepted change was refused.
+    """
+    change = [('desk/workspaces/club', 0, {'share': 2})]
+
+    assert publish(state, change, identity='same').accepted
+    assert publish(state, change, identity='same') is None
+    assert effective(state).workspaces['club'].share == 2
+
+
+def test_children_inherit_until_they_say_otherwise(state):
+    """A team's defaults reach the entries that leave the member out."""
+    publish(state, [('desk/workspaces/a', 0, {'share': 5})])
+    publish(state, [('desk/workspaces/b', 0, {})])
+    publish(state, [('desk/defaults/workspaces', 0, {'share': 3})])
+    publish(state, [('atlas/workspaces/c', 0, {})], team='atlas')
+    shares = {
+        name: workspace.share
+        for name, workspace in effective(state).workspaces.items()
+    }
+
+    assert shares == {'a': 5, 'b': 3, 'c': 1}
+
+
+def test_engine_moves_between_pools_in_one_record(state):
+    """Only the whole record's end state has to hold."""
+    verdict = publish(
+        state,
+        [
+            ('desk/pools/other', 0, pool(['e2'])),
+            (DESK_POOL, 1, pool(['e1'])),
+        ],
+    )
+
+    assert verdict.accepted
+
+
+def test_base_after_removal_is_the_removal(state):
+    """An operator who saw the entry before its removal cannot revive it."""
+    publish(state, [('desk/workspaces/a', 0, {})])
+    removal = publish(state, [('desk/workspaces/a', 2, None)])
+    stale = publish(state, [('desk/workspaces/a', 2, {})])
+    fresh = publish(state, [('desk/workspaces/a', removal.offset, {})])
+
+    assert stale.refusal.winner == removal.offset
+    assert fresh.accepted
