--- /dev/null
+++ b/packages/verbenactl/src/verbenactl/_changes.py
@@ -0,0 +1,77 @@
+"""Which changes a file asks for, against what stands."""
+
+from collections.abc import Iterator, Sequence
+from typing import Final
+
+from verbenactl._sources import Values
+from verbenahall import wire
+from verbenahall.settings import (
+    Change,
+    SettingsState,
+    find_offset,
+    find_value,
+    list_paths,
+)
+
+#: Leaves room in a record for team, author and identity.
+_MOST_BYTES: Final = 60_000
+#: What others refer to comes first, so that a file of several records holds
+#: together after each of them.
+_ORDER: Final = ('defaults', 'models', 'adapters', 'pools')
+
+
+def list_changes(
+    state: SettingsState,
+    team: str,
+    values: Values,
+    *,
+    prune: bool = False,
+) -> tuple[Change, ...]:
+    """Return what has to change for the file's values to stand.
+
+    With ``prune``, the team's entries that the file leaves out are removed.
+    """
+    wanted = {f'{team}/{key}': value for key, value in values.items()}
+    changes = [
+        Change(path, find_offset(state, path), wanted[path])
+        for path in sorted(wanted, key=_rank)
+        if find_value(state, path) != wanted[path]
+    ]
+    if prune:
+        changes.extend(
+            Change(path, find_offset(state, path), None)
+            for path in reversed(list_paths(state, team))
+            if path not in wanted
+        )
+    return tuple(changes)
+
+
+def split_changes(changes: Sequence[Change]) -> Iterator[tuple[Change, ...]]:
+    """Split changes into as few records as their size allows."""
+    batch: list[Change] = []
+    length = 0
+    for change in changes:
+        size = len(wire.encode(change)) + 1
+        if batch and length + size > _MOST_BYTES:
+            yield tuple(batch)
+            batch = []
+            length = 0
+        batch.append(change)
+        length += size
+    if batch:
+        yield tuple(batch)
+
+
+def describe(change: Change) -> str:
+    """Return one change as a line."""
+    if change.value is None:
+        return f'- {change.path}'
+    sign = '~' if change.base else '+'
+    rendered = wire.encode(change.value).decode()
+    return f'{sign} {change.path} {rendered}'
+
+
+def _rank(path: str) -> tuple[int, str]:
+    section = path.split('/')[1]
+    known = section in _ORDER
+    return _ORDER.index(section) if known else len(_ORDER), path
--- /dev/null
+++ b/packages/verbenactl/src/verbenactl/_inspect.py
@@ -0,0 +1,116 @@
+"""The commands that read instances: status, history and explain."""
+
+from typing import Any, ClassVar
+
+from cleo.exceptions import CleoUserError
+from cleo.helpers import argument, option
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
+from returns.result import Success
+
+from verbenactl import _base, _exits
+from verbenactl._instances import Answers
+from verbenahall import wire
+
+
+class InspectingCommand(_base.AsyncCommand):
+    """Asks the instances given for one view."""
+
+    view = ''
+    options: ClassVar[list[Option]] = [_base.INSTANCES]
+
+    async def run_async(self) -> int:
+        """Ask and write the answers; unanswered is unreachable."""
+        self.need('instance')
+        query = self.build_query()
+        async with self.open_instances() as instances:
+            answers = await instances.ask_all(self.view, query)
+        return self.tell(answers)
+
+    def build_query(self) -> dict[str, str]:
+        """Return what the view is asked for."""
+        return {}
+
+    def tell(self, answers: Answers) -> int:
+        """Write each instance's answer as lines of JSON."""
+        code = _exits.DONE
+        for answer in answers.values():
+            match answer:
+                case Success(view):
+                    self.tell_view(view)
+                case failure:
+                    self.tell_problem(failure.failure())
+                    code = _exits.UNREACHABLE
+        return code
+
+    def tell_view(self, view: dict[str, Any]) -> None:
+        """Write one instance's answer."""
+        self.line(wire.encode(view).decode())
+
+
+class StatusCommand(InspectingCommand):
+    """Shows the state of each instance."""
+
+    name = 'status'
+    description = 'Show which settings offset each instance has applied.'
+    view = 'status'
+
+    def tell_view(self, view: dict[str, Any]) -> None:
+        """Write one line for an instance."""
+        readiness = (
+            'ready' if view['ready'] else f'not ready ({view["reason"]})'
+        )
+        self.line(
+            f'{view["name"]} {view["data_centre"]} {readiness}'
+            + f' settings {view["settings_position"]}'
+            + f' log {view["log_position"]} of {view["log_head"]}'
+            + f' heard {view["settings_age_s"]} s ago',
+        )
+
+
+class HistoryCommand(InspectingCommand):
+    """Shows who changed a path."""
+
+    name = 'history'
+    description = 'Show who changed a path, at which offset, and refusals.'
+    view = 'history'
+    arguments: ClassVar[list[Argument]] = [
+        argument('path', 'A path, or the beginning of paths.'),
+    ]
+
+    def build_query(self) -> dict[str, str]:
+        """Ask for the path."""
+        return {'path': self.argument('path')}
+
+    def tell_view(self, view: dict[str, Any]) -> None:
+        """Write a line for each verdict, oldest first."""
+        for verdict in view['verdicts']:
+            refusal = verdict['refusal']
+            fate = f'refused: {refusal["message"]}' if refusal else 'accepted'
+            author = f'{verdict["team"]}/{verdict["author"]}'
+            self.line(f'{verdict["offset"]} {author} {fate}')
+
+
+class ExplainCommand(InspectingCommand):
+    """Shows the decisions on a request or an engine."""
+
+    name = 'explain'
+    description = 'Show why a request went where it did, or an engine changed.'
+    view = 'explain'
+    options: ClassVar[list[Option]] = [
+        *InspectingCommand.options,
+        option('request', None, "A request's identity.", flag=False),
+        option('engine', None, "An engine's name.", flag=False),
+    ]
+
+    def build_query(self) -> dict[str, str]:
+        """Ask for the request or the engine."""
+        for name in ('request', 'engine'):
+            if self.option(name):
+                return {name: self.option(name)}
+        raise CleoUserError('give --request or --engine')
+
+    def tell_view(self, view: dict[str, Any]) -> None:
+        """Write each decision as a line of JSON."""
+        for decision in view['decisions']:
+            self.line(wire.encode(decision).decode())
--- /dev/null
+++ b/packages/verbenactl/src/verbenactl/_publish.py
@@ -0,0 +1,227 @@
+"""The commands that write settings: publish, drain and undrain.
+
+Each appends to the log; the instances judge and apply what stands there.
+"""
+
+import collections
+import getpass
+from collections.abc import Sequence
+from pathlib import Path
+from typing import ClassVar, Final
+
+import aiohttp
+from cleo.exceptions import CleoUserError
+from cleo.helpers import argument, option
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
+from returns.result import Failure
+
+from verbenactl import _base, _exits
+from verbenactl._changes import describe, list_changes, split_changes
+from verbenactl._publishing import Publisher, require
+from verbenactl._sources import is_team, read_values
+from verbenahall.log import LogClient
+from verbenahall.settings import Change, Verdict, find_offset, find_value
+
+_FILE: Final = argument('file', 'TOML file of published settings.')
+_ENDPOINT: Final = argument('endpoint', "The endpoint's name.")
+_PRUNE: Final = option('prune', None, 'Remove what the file leaves out.')
+_WAIT: Final = option(
+    'wait',
+    None,
+    'Seconds to wait until it is in force on the instances given.',
+    flag=False,
+    default='10',
+)
+
+
+class PublishingCommand(_base.AsyncCommand):
+    """Appends the changes that ``list_changes`` returns."""
+
+    options: ClassVar[list[Option]] = [
+        _base.LOG,
+        _base.TEAM,
+        _base.AUTHOR,
+        _base.INSTANCES,
+        _WAIT,
+    ]
+
+    async def run_async(self) -> int:
+        """Publish and wait until it is in force."""
+        team = self.need('team')
+        if not is_team(team):
+            raise CleoUserError(f'{team!r} is no name of a team')
+        author = self.option('author') or getpass.getuser()
+        async with aiohttp.ClientSession() as session:
+            client = LogClient(self.need('log'), session, f'ctl-{author}')
+            publisher = Publisher(client, team, author)
+            require(await publisher.catch_up())
+            return await self.publish(publisher)
+
+    async def publish(self, publisher: Publisher) -> int:
+        """Publish what has to change; return the exit code."""
+        changes = self.list_changes(publisher)
+        if not changes:
+            self.line('nothing to change')
+            return _exits.DONE
+        offset = await self._publish_batches(publisher, changes)
+        if offset == 0:
+            return _exits.REFUSED
+        if self.option('instance'):
+            return await self._wait_in_force(offset)
+        return _exits.DONE
+
+    def list_changes(self, publisher: Publisher) -> Sequence[Change]:
+        """Return the changes to publish."""
+        raise NotImplementedError
+
+    def tell_verdict(self, verdict: Verdict) -> None:
+        """Write one verdict as lines."""
+        refusal = verdict.refusal
+        if refusal is None:
+            count = len(verdict.paths)
+            self.line(f'accepted at offset {verdict.offset}: {count} changes')
+            return
+        self.line_error(
+            f'refused at offset {verdict.offset}: {refusal.message}',
+        )
+        if refusal.winner:
+            self.line_error(f'the winning change is at {refusal.winner}')
+
+    async def _publish_batches(
+        self,
+        publisher: Publisher,
+        changes: Sequence[Change],
+    ) -> int:
+        """Return the last record's offset, 0 once one was refused."""
+        batches = collections.deque(split_changes(changes))
+        if len(batches) > 1:
+            self.line(f'published as {len(batches)} records, one by one')
+        offset = 0
+        while batches:
+            verdict = require(await publisher.publish(batches.popleft()))
+            self.tell_verdict(verdict)
+            if not verdict.accepted:
+                return 0
+            offset = verdict.offset
+        return offset
+
+    async def _wait_in_force(self, offset: int) -> int:
+        async with self.open_instances() as instances:
+            wait_s = float(self.option('wait'))
+            in_force = await instances.wait_in_force(offset, wait_s)
+        reached = len(in_force.reached)
+        self.line(
+            f'in force on {reached} instances after {in_force.waited_s:.3f} s',
+        )
+        for address in in_force.missing:
+            self.line_error(f'not in force on {address}')
+        return _exits.REFUSED if in_force.missing else _exits.DONE
+
+
+class PublishCommand(PublishingCommand):
+    """Publishes a file."""
+
+    name = 'publish'
+    description = 'Publish the settings of a file.'
+    arguments: ClassVar[list[Argument]] = [_FILE]
+    options: ClassVar[list[Option]] = [*PublishingCommand.options, _PRUNE]
+
+    def handle(self) -> int:
+        """Tell the file's faults before anything is read from the log."""
+        values = read_values(Path(self.argument('file')))
+        if isinstance(values, Failure):
+            for fault in values.failure():
+                self.line_error(str(fault))
+            return _exits.REFUSED
+        return super().handle()
+
+    def list_changes(self, publisher: Publisher) -> Sequence[Change]:
+        """Return what differs between the file and what stands."""
+        values = read_values(Path(self.argument('file'))).unwrap()
+        return list_changes(
+            publisher.state,
+            publisher.team,
+            values,
+            prune=self.option('prune'),
+        )
+
+
+class DiffCommand(PublishCommand):
+    """Shows what ``publish`` would change."""
+
+    name = 'diff'
+    description = 'Show what publishing a file would change.'
+
+    async def publish(self, publisher: Publisher) -> int:
+        """Write the changes and the verdict expected now."""
+        changes = self.list_changes(publisher)
+        for change in changes:
+            self.line(describe(change))
+        if not changes:
+            return _exits.DONE
+        expected = publisher.expect(changes)
+        if expected.refusal is None:
+            return _exits.DONE
+        reason = expected.refusal
+        self.line_error(f'would be refused: {reason.message}')
+        return _exits.REFUSED
+
+
+class LintCommand(_base.AsyncCommand):
+    """Checks a file by itself."""
+
+    name = 'lint'
+    description = 'Check a file of published settings; tells all faults.'
+    arguments: ClassVar[list[Argument]] = [_FILE]
+
+    def handle(self) -> int:
+        """Write every fault."""
+        values = read_values(Path(self.argument('file')))
+        if isinstance(values, Failure):
+            for fault in values.failure():
+                self.line_error(str(fault))
+            return _exits.REFUSED
+        count = len(values.unwrap())
+        self.line(f'{count} entries, no faults')
+        return _exits.DONE
+
+
+class DrainCommand(PublishingCommand):
+    """Publishes a drain."""
+
+    name = 'drain'
+    description = 'Give an endpoint no new work.'
+    arguments: ClassVar[list[Argument]] = [_ENDPOINT]
+    options: ClassVar[list[Option]] = [
+        *PublishingCommand.options,
+        option('reason', None, 'Why.', flag=False, default=''),
+    ]
+
+    def list_changes(self, publisher: Publisher) -> Sequence[Change]:
+        """Return the drain, unless it stands already."""
+        path = _drain_path(self, publisher)
+        value = {'reason': self.option('reason')}
+        if find_value(publisher.state, path) == value:
+            return ()
+        return (Change(path, find_offset(publisher.state, path), value),)
+
+
+class UndrainCommand(PublishingCommand):
+    """Removes a drain."""
+
+    name = 'undrain'
+    description = 'Give a drained endpoint work again.'
+    arguments: ClassVar[list[Argument]] = [_ENDPOINT]
+
+    def list_changes(self, publisher: Publisher) -> Sequence[Change]:
+        """Return the removal, unless no drain stands."""
+        path = _drain_path(self, publisher)
+        if find_value(publisher.state, path) is None:
+            return ()
+        return (Change(path, find_offset(publisher.state, path), None),)
+
+
+def _drain_path(command: PublishingCommand, publisher: Publisher) -> str:
+    endpoint = command.argument('endpoint')
+    return f'{publisher.team}/drains/{endpoint}'
--- /dev/null
+++ b/packages/verbenactl/src/verbenactl/_publishing.py
@@ -0,0 +1,104 @@
+"""Talks to the log: folds it, appends publications, reads verdicts."""
+
+from collections.abc import Sequence
+from typing import Any, Final, TypeVar
+
+from returns.result import Failure, Result, Success
+
+from verbenahall.errors import ErrorKind, Problem, ProblemError
+from verbenahall.log import LogClient
+from verbenahall.records import SETTINGS_STREAM, Record
+from verbenahall.settings import (
+    Change,
+    Publication,
+    SettingsState,
+    Verdict,
+    apply_record,
+    encode_publication,
+)
+
+_LIMIT: Final = 500
+
+_Value = TypeVar('_Value')
+
+
+class Publisher:
+    """One author's access to the settings in the log.
+
+    ``state`` is the fold of all that ``catch_up`` has read.
+    """
+
+    __slots__ = ('state', 'team', '_author', '_client')
+
+    def __init__(self, client: LogClient, team: str, author: str) -> None:
+        """Publish as ``author`` of ``team``."""
+        self.state = SettingsState()
+        self._client = client
+        self.team = team
+        self._author = author
+
+    async def catch_up(self) -> Result[None, Problem]:
+        """Fold the log up to its end."""
+        while True:
+            read = await self._client.read(
+                self.state.position,
+                _LIMIT,
+                0,
+                (SETTINGS_STREAM,),
+            )
+            if isinstance(read, Failure):
+                return read
+            records = read.unwrap().records
+            for record in records:
+                apply_record(self.state, record)
+            if len(records) < _LIMIT:
+                return Success(None)
+
+    async def publish(
+        self,
+        changes: Sequence[Change],
+    ) -> Result[Verdict, Problem]:
+        """Append one record and return the verdict on it."""
+        appended = await self._client.append(
+            SETTINGS_STREAM,
+            self._encode(changes),
+        )
+        if isinstance(appended, Failure):
+            return appended
+        offset = appended.unwrap()
+        caught_up = await self.catch_up()
+        if isinstance(caught_up, Failure):
+            return caught_up
+        return self._find_verdict(offset)
+
+    def expect(self, changes: Sequence[Change]) -> Verdict:
+        """Return the verdict if the changes came next.
+
+        The fold then holds them, so it must not be used afterwards.
+        """
+        offset = self.state.position + 1
+        record = Record(offset, SETTINGS_STREAM, '', self._encode(changes))
+        apply_record(self.state, record)
+        return require(self._find_verdict(offset))
+
+    def _encode(self, changes: Sequence[Change]) -> dict[str, Any]:
+        publication = Publication(self.team, self._author, tuple(changes))
+        return encode_publication(publication)
+
+    def _find_verdict(self, offset: int) -> Result[Verdict, Problem]:
+        for verdict in self.state.history:
+            if verdict.offset == offset:
+                return Success(verdict)
+        return Failure(
+            Problem(
+                ErrorKind.LOG_UNAVAILABLE,
+                f'appended at offset {offset}, but not found there',
+            ),
+        )
+
+
+def require(outcome: Result[_Value, Problem]) -> _Value:
+    """Return the value, or raise the problem for the command to tell."""
+    if isinstance(outcome, Failure):
+        raise ProblemError(outcome.failure())
+    return outcome.unwrap()
--- /dev/null
+++ b/packages/verbenactl/src/verbenactl/_sources.py
@@ -0,0 +1,58 @@
+"""Published settings in files: faults with their lines, and values."""
+
+import re
+import tomllib
+from collections.abc import Iterator, Mapping
+from pathlib import Path
+from typing import Any, Final
+
+from returns.result import Failure, Result, Success
+
+from verbenahall.schema import Fault, Source, read_text
+from verbenahall.settings import PUBLISHED_SCHEMA, check_value, split_path
+
+#: Stands for the team where only the rest of a path is looked at.
+_ANY_TEAM: Final = 'team'
+
+#: ``section/name`` to the value as the file gives it, nothing filled in.
+Values = Mapping[str, dict[str, Any]]
+
+
+def read_values(file: Path) -> Result[Values, tuple[Fault, ...]]:
+    """Read a file of published settings, or return every fault in it."""
+    try:
+        text = file.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        complaint = f'cannot be read: {error}'
+        return Failure((Fault(str(file), 1, '', complaint),))
+    checked = read_text(text, str(file), PUBLISHED_SCHEMA)
+    if isinstance(checked, Failure):
+        return checked
+    values = _flatten(tomllib.loads(text))
+    faults = tuple(_find_faults(values, Source(str(file), text)))
+    return Failure(faults) if faults else Success(values)
+
+
+def _flatten(found: dict[str, Any]) -> Values:
+    return {
+        f'{section}/{name}': value
+        for section, names in found.items()
+        for name, value in names.items()
+    }
+
+
+def _find_faults(values: Values, source: Source) -> Iterator[Fault]:
+    for key, value in values.items():
+        section, _, name = key.partition('/')
+        place = f'{section}.{name}'
+        if split_path(f'{_ANY_TEAM}/{key}') is None:
+            yield source.fault(place, f'{name!r} is no name')
+            continue
+        complaint = check_value(section, name, value)
+        if complaint:
+            yield source.fault(place, complaint)
+
+
+def is_team(name: str) -> bool:
+    """Whether a text can be a team's name."""
+    return re.fullmatch('[a-z0-9][a-z0-9_.-]{0,62}', name) is not None
--- a/packages/verbenactl/src/verbenactl/console.py
+++ b/packages/verbenactl/src/verbenactl/console.py
@@ -3,10 +3,49 @@
 import sys
 
 from cleo.application import Application
+from cleo.exceptions import CleoError
 
-from verbenactl import __version__
+from verbenactl import __version__, _exits
+from verbenactl._inspect import (
+    ExplainCommand,
+    HistoryCommand,
+    StatusCommand,
+)
+from verbenactl._publish import (
+    DiffCommand,
+    DrainCommand,
+    LintCommand,
+    PublishCommand,
+    UndrainCommand,
+)
+
+
+def build_application() -> Application:
+    """Return the application with all of its commands."""
+    application = Application('verbenactl', __version__)
+    application.auto_exits(auto_exits=False)
+    application.catch_exceptions(catch_exceptions=False)
+    commands = (
+        LintCommand(),
+        DiffCommand(),
+        PublishCommand(),
+        DrainCommand(),
+        UndrainCommand(),
+        StatusCommand(),
+        HistoryCommand(),
+        ExplainCommand(),
+    )
+    for command in commands:
+        application.add(command)
+    return application
 
 
 def main() -> None:
     """Run the command line and exit with its code."""
-    sys.exit(Application('verbenactl', __version__).run())
+    application = build_application()
+    try:
+        code = application.run()
+    except CleoError as error:
+        sys.stderr.write(f'{error}\n')
+        code = _exits.UNREACHABLE
+    sys.exit(code)
--- a/packages/verbenahall/src/verbenahall/settings/__init__.py
+++ b/packages/verbenahall/src/verbenahall/settings/__init__.py
@@ -29,7 +29,7 @@
     split_path,
 )
 from verbenahall.settings._sections import PUBLISHED_SCHEMA
-from verbenahall.settings._snapshots import SettingsFold
+from verbenahall.settings._snapshots import SettingsFold, dump_verdict
 from verbenahall.settings._state import (
     SettingsState,
     effective,
@@ -59,6 +59,7 @@
     'WorkspaceSettings',
     'apply_record',
     'check_value',
+    'dump_verdict',
     'effective',
     'encode_publication',
     'find_offset',
