Membership, claims and the graceful stop: decisions with thin shells

Cause: routing needs to know who may get work, keyed calls need one winner among all instances, and a stop must cut nothing.

Change: membership folds the lagging list, an endpoint's own word and own experience through one ordered table of signs; a list that shrinks by more than a third of a group, loses a data centre or trickles away is doubted and own experience decides. Claims batch keys into one append and settle them by the fold of the log; a claim that never ran is given back by its offset. The stop is a table of five phases.

Ruled out: freeing a claim by its key alone. A release whose append was thought lost may land after the key was won anew and would free a running claim.

--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/claims/_decisions.py
@@ -0,0 +1,198 @@
+"""The fold of claims: the first record that carries a key wins it."""
+
+import hashlib
+from collections.abc import Iterator
+from typing import Any, Final
+
+from verbenahall.claims._messages import Batch, Lost, Verdict, Won
+from verbenahall.claims._state import ClaimsState
+from verbenahall.records import CLAIMS_STREAM, Record
+
+_DIGEST_BYTES: Final = 16
+
+
+def name_key(workspace: str, key: str) -> str:
+    """Name a caller's key in the log: its workspace and a digest.
+
+    The digest has a fixed length, so no two pairs share a name, and a long
+    or secret key never reaches the log.
+    """
+    digest = hashlib.blake2b(
+        key.encode('utf-8', 'surrogatepass'),
+        digest_size=_DIGEST_BYTES,
+    )
+    return f'{workspace}:{digest.hexdigest()}'
+
+
+def find_owner(state: ClaimsState, key: str) -> int | None:
+    """Return the offset of the record that won a key, if one is known."""
+    offset = state.young.get(key)
+    return state.old.get(key) if offset is None else offset
+
+
+def ask(state: ClaimsState, key: str) -> Verdict | None:
+    """Ask for a key; ``None`` means that the log must decide.
+
+    A claim that this process won and never used is used now. One whose
+    release may already stand in the log can't be: another process may have
+    won the key since.
+    """
+    unused = state.unused.pop(key, None)
+    if unused is not None:
+        return Won(key, unused)
+    owner = find_owner(state, key)
+    if owner is not None and state.freeing.get(key) != owner:
+        return Lost(key, owner)
+    state.wanted[key] = None
+    state.waiting.add(key)
+    return None
+
+
+def give_up(state: ClaimsState, key: str) -> None:
+    """Stop waiting for a verdict; a claim that wins later is freed."""
+    state.wanted.pop(key, None)
+    state.waiting.discard(key)
+
+
+def free(state: ClaimsState, key: str, offset: int) -> None:
+    """Give back a won claim whose request never ran and never will."""
+    if find_owner(state, key) == offset:
+        state.unused[key] = offset
+
+
+def take_batch(state: ClaimsState, limit: int) -> Batch | None:
+    """Take what the next record carries, or ``None`` if nothing waits."""
+    state.freeing.update(state.unused)
+    state.unused.clear()
+    freed = tuple(state.freeing.items())[:limit]
+    keys = tuple(state.wanted)[:limit]
+    for key in keys:
+        state.wanted.pop(key)
+    return Batch(keys, freed) if keys or freed else None
+
+
+def encode_batch(state: ClaimsState, batch: Batch) -> dict[str, Any]:
+    """Encode a batch as the body of a record."""
+    body: dict[str, Any] = {'holder': state.holder, 'keys': list(batch.keys)}
+    if batch.freed:
+        body['freed'] = [list(pair) for pair in batch.freed]
+    return body
+
+
+def apply_record(state: ClaimsState, record: Record) -> tuple[Verdict, ...]:
+    """Fold one record; return verdicts on keys that are waited for.
+
+    Records of other streams and second copies of an offset change nothing.
+    """
+    if record.stream != CLAIMS_STREAM or record.offset <= state.position:
+        return ()
+    state.position = record.offset
+    for key, offset in _read_freed(record.body):
+        _apply_freed(state, key, offset)
+    own = record.body.get('holder') == state.holder
+    verdicts = []
+    for wanted in _read_keys(record.body):
+        verdict = _apply_key(state, wanted, record.offset, own=own)
+        if verdict is not None:
+            verdicts.append(verdict)
+    return tuple(verdicts)
+
+
+def _read_keys(body: dict[str, Any]) -> Iterator[str]:
+    keys = body.get('keys')
+    if isinstance(keys, list):
+        yield from (key for key in keys if isinstance(key, str))
+
+
+def _read_freed(body: dict[str, Any]) -> Iterator[tuple[str, int]]:
+    pairs = body.get('freed')
+    if not isinstance(pairs, list):
+        return
+    for pair in pairs:
+        if _is_freed(pair):
+            yield pair[0], pair[1]
+
+
+def _is_freed(pair: Any) -> bool:
+    if not isinstance(pair, list) or len(pair) != 2:
+        return False
+    return isinstance(pair[0], str) and isinstance(pair[1], int)
+
+
+def _apply_freed(state: ClaimsState, key: str, offset: int) -> None:
+    """Forget a claim that was never used.
+
+    The offset names the very claim. A release whose append was thought lost
+    may land after the key was won anew: by name alone it would free a claim
+    that runs, and the request would run twice.
+    """
+    for generation in (state.young, state.old):
+        if generation.get(key) == offset:
+            generation.pop(key)
+    if state.freeing.get(key) == offset:
+        state.freeing.pop(key)
+
+
+def _apply_key(
+    state: ClaimsState,
+    key: str,
+    offset: int,
+    *,
+    own: bool,
+) -> Verdict | None:
+    owner = find_owner(state, key)
+    if owner is None:
+        _keep(state, key, offset)
+        return _apply_first(state, key, offset, own=own)
+    if key not in state.waiting or state.freeing.get(key) == owner:
+        return None
+    give_up(state, key)
+    return Lost(key, owner)
+
+
+def _apply_first(
+    state: ClaimsState,
+    key: str,
+    offset: int,
+    *,
+    own: bool,
+) -> Verdict | None:
+    if key in state.waiting:
+        give_up(state, key)
+        return Won(key, offset) if own else Lost(key, offset)
+    if own:
+        # The append was given up as lost and landed after all. Nobody runs
+        # under it; left alone it would refuse the caller's next try for
+        # good.
+        state.unused[key] = offset
+    return None
+
+
+def _keep(state: ClaimsState, key: str, offset: int) -> None:
+    if len(state.young) >= state.generation:
+        state.old = state.young
+        state.young = {}
+    state.young[key] = offset
+
+
+def dump(state: ClaimsState) -> dict[str, Any]:
+    """Return the fold as JSON, the same for each instance at a position."""
+    return {
+        'position': state.position,
+        'young': dict(state.young),
+        'old': dict(state.old),
+    }
+
+
+def load(state: ClaimsState, dumped: dict[str, Any]) -> tuple[str, ...]:
+    """Replace the fold; return the awaited keys, whose verdict is unknown.
+
+    Their records may lie in the part of the log that is skipped.
+    """
+    state.position = int(dumped['position'])
+    state.young = dict(dumped['young'])
+    state.old = dict(dumped['old'])
+    abandoned = tuple(state.waiting)
+    for key in abandoned:
+        give_up(state, key)
+    return abandoned
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/membership/__init__.py
@@ -0,0 +1,48 @@
+"""Which endpoints and instances are live, leaving or silent."""
+
+from verbenahall.membership._codec import decode_entries
+from verbenahall.membership._decisions import (
+    all_endpoints,
+    due_probes,
+    find,
+    live,
+    observe_answer,
+    observe_failure,
+    observe_leaving,
+    observe_word,
+    standing_of,
+)
+from verbenahall.membership._listing import apply_list
+from verbenahall.membership._messages import (
+    DEFAULT_RULES,
+    ListEntry,
+    Listing,
+    MembershipRules,
+    Sign,
+    StandingChange,
+)
+from verbenahall.membership._shell import ListPoller, Prober
+from verbenahall.membership._state import MembershipState
+
+__all__ = (
+    'DEFAULT_RULES',
+    'ListEntry',
+    'ListPoller',
+    'Listing',
+    'MembershipRules',
+    'MembershipState',
+    'Prober',
+    'Sign',
+    'StandingChange',
+    'all_endpoints',
+    'apply_list',
+    'decode_entries',
+    'due_probes',
+    'find',
+    'live',
+    'observe_answer',
+    'observe_failure',
+    'observe_leaving',
+    'observe_word',
+    'standing_of',
+)
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/membership/_listing.py
@@ -0,0 +1,166 @@
+"""The platform's list folded in: it lags, shrinks, freezes and restarts."""
+
+import collections
+import dataclasses
+from collections.abc import Iterable, Mapping
+from typing import Final
+
+from verbenahall.fleet import Endpoint
+from verbenahall.membership._messages import ListEntry, Listing
+from verbenahall.membership._standing import review
+from verbenahall.membership._state import Group, Member, MembershipState
+
+#: A list may take away one member of a group, or this share of it, within
+#: the removal window. More is taken for a fault of the list.
+_REMOVABLE_SHARE: Final = 3
+_KEPT_INCARNATIONS: Final = 4
+_LISTED: Final = frozenset((Listing.SHOWN, Listing.DOUBTED))
+
+
+def apply_list(
+    state: MembershipState,
+    entries: Iterable[ListEntry],
+    now: float,
+) -> None:
+    """Fold one answer of the platform's list."""
+    shown = {entry.endpoint.name: entry for entry in entries}
+    state.listed_at = now
+    doubted = _find_doubted(state, shown, now)
+    for name, member in tuple(state.members.items()):
+        if name not in shown:
+            _unlist(state, member, now, doubted=name in doubted)
+    for entry in shown.values():
+        _list_entry(state, entry)
+    for member in tuple(state.members.values()):
+        review(state, member, now)
+
+
+def replace_member(state: MembershipState, endpoint: Endpoint) -> Member:
+    """Put a new incarnation in place, without the old one's evidence.
+
+    An endpoint that was replaced under its name has answered for none of
+    the failures of its predecessor: keeping them would leave a healthy
+    process idle until somebody probes it.
+    """
+    old = state.members.get(endpoint.name)
+    former: tuple[str, ...] = ()
+    if old is not None:
+        former = _find_former(old, endpoint)
+        _disown(state, old.endpoint)
+    member = Member(endpoint, former)
+    state.members[endpoint.name] = member
+    state.owners[endpoint.address] = endpoint.name
+    state.live_cache.clear()
+    return member
+
+
+def _find_former(old: Member, endpoint: Endpoint) -> tuple[str, ...]:
+    former = (*old.former, old.endpoint.incarnation)
+    others = tuple(one for one in former if one != endpoint.incarnation)
+    return others[-_KEPT_INCARNATIONS:]
+
+
+def forget(state: MembershipState, member: Member) -> None:
+    """Drop a member and its claim to its address."""
+    state.members.pop(member.endpoint.name)
+    _disown(state, member.endpoint)
+
+
+def _disown(state: MembershipState, endpoint: Endpoint) -> None:
+    if state.owners.get(endpoint.address) == endpoint.name:
+        state.owners.pop(endpoint.address)
+
+
+def _list_entry(state: MembershipState, entry: ListEntry) -> None:
+    endpoint = entry.endpoint
+    member = state.members.get(endpoint.name)
+    if member is not None and not endpoint.incarnation:
+        endpoint = dataclasses.replace(
+            endpoint,
+            incarnation=member.endpoint.incarnation,
+        )
+    if member is not None and endpoint.incarnation in member.former:
+        # The list lags behind the endpoint's own word. Taking the entry
+        # would bring back the old process's address and drop the new one's
+        # evidence, and each poll would do so again.
+        return
+    if member is None or member.endpoint != endpoint:
+        member = replace_member(state, endpoint)
+    state.owners.setdefault(endpoint.address, endpoint.name)
+    member.listing = Listing.LEAVING if entry.leaving else Listing.SHOWN
+    member.unlisted_at = None
+
+
+def _unlist(
+    state: MembershipState,
+    member: Member,
+    now: float,
+    *,
+    doubted: bool,
+) -> None:
+    if member.unlisted_at is None:
+        member.unlisted_at = now
+    if member.listing is Listing.GONE:
+        return
+    if doubted:
+        member.listing = Listing.DOUBTED
+        return
+    if member.listing is not Listing.LEAVING:
+        _count_removal(state, member, now)
+    member.listing = Listing.GONE
+
+
+def _count_removal(
+    state: MembershipState,
+    member: Member,
+    now: float,
+) -> None:
+    group = _group_of(member)
+    state.removals.setdefault(group, collections.deque()).append(now)
+
+
+def _group_of(member: Member) -> Group:
+    return member.endpoint.kind, member.endpoint.data_centre
+
+
+def _find_doubted(
+    state: MembershipState,
+    shown: Mapping[str, ListEntry],
+    now: float,
+) -> set[str]:
+    """Name the missing members that the list can't be believed about.
+
+    A list that was restarted, cut off or half filled shows too few entries.
+    Believing it would take every endpoint of a data centre out of work at
+    once, and callers would be told that there is none.
+    """
+    seen = {entry.endpoint.data_centre for entry in shown.values()}
+    doubted: set[str] = set()
+    for group, names in _group_listed(state).items():
+        missing = names - set(shown)
+        recent = _recent_removals(state, group, now)
+        allowed = max(1, (len(names) + recent) // _REMOVABLE_SHARE)
+        if group[1] not in seen or len(missing) + recent > allowed:
+            doubted |= missing
+    return doubted
+
+
+def _group_listed(state: MembershipState) -> dict[Group, set[str]]:
+    groups: dict[Group, set[str]] = collections.defaultdict(set)
+    for name, member in state.members.items():
+        if member.listing in _LISTED:
+            groups[_group_of(member)].add(name)
+    return groups
+
+
+def _recent_removals(
+    state: MembershipState,
+    group: Group,
+    now: float,
+) -> int:
+    removals = state.removals.get(group)
+    if removals is None:
+        return 0
+    while removals and now - removals[0] > state.rules.removal_window_s:
+        removals.popleft()
+    return len(removals)
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/membership/_state.py
@@ -0,0 +1,117 @@
+"""What an instance knows of endpoints and other instances."""
+
+import collections
+from collections.abc import Callable
+from typing import final
+
+from verbenahall import journal
+from verbenahall.fleet import Endpoint, EndpointKind, Standing
+from verbenahall.membership._messages import (
+    DEFAULT_RULES,
+    Listing,
+    MembershipRules,
+    Sign,
+    StandingChange,
+    Word,
+)
+
+#: Endpoints of one kind in one data centre.
+Group = tuple[EndpointKind, str]
+
+
+@final
+class Member:
+    """One name at one incarnation, with all evidence about it.
+
+    ``suspicions`` maps a peer's name to when it last said that this member
+    fails. ``former`` holds incarnations that this one replaced, so that a
+    lagging list can't bring them back.
+    """
+
+    __slots__ = (
+        'endpoint',
+        'listing',
+        'unlisted_at',
+        'word',
+        'failures',
+        'first_failure_at',
+        'last_failure_at',
+        'successes',
+        'recovered_at',
+        'flaps',
+        'probe_at',
+        'probe_delay',
+        'suspicions',
+        'former',
+        'standing',
+        'sign',
+    )
+
+    def __init__(self, endpoint: Endpoint, former: tuple[str, ...]) -> None:
+        """Start without evidence."""
+        self.endpoint = endpoint
+        self.listing = Listing.SHOWN
+        self.unlisted_at: float | None = None
+        self.word: Word | None = None
+        self.failures = 0
+        self.first_failure_at = float('-inf')
+        self.last_failure_at = float('-inf')
+        self.successes = 0
+        self.recovered_at: float | None = None
+        self.flaps = 0
+        self.probe_at = float('-inf')
+        self.probe_delay = float(0)
+        self.suspicions: dict[str, float] = {}
+        self.former = former
+        self.standing: Standing | None = None
+        self.sign = Sign.ANSWERS
+
+
+def _write_change(change: StandingChange) -> None:
+    journal.write_decision(
+        'standing',
+        endpoint=change.endpoint.name,
+        incarnation=change.endpoint.incarnation,
+        before=change.before.value if change.before else 'unknown',
+        after=change.after.value,
+        reason=change.sign.value,
+        failures=change.failures,
+    )
+
+
+@final
+class MembershipState:
+    """All members by name, and who owns each address.
+
+    ``notify`` gets each change of standing; by default it writes a decision
+    line. ``live_cache`` is emptied at each change, so that a request pays
+    one look-up.
+    """
+
+    __slots__ = (
+        'rules',
+        'members',
+        'owners',
+        'removals',
+        'live_cache',
+        'settle_at',
+        'listed_at',
+        'notify',
+    )
+
+    def __init__(
+        self,
+        rules: MembershipRules = DEFAULT_RULES,
+        notify: Callable[[StandingChange], None] = _write_change,
+    ) -> None:
+        """Start knowing nothing."""
+        self.rules = rules
+        self.members: dict[str, Member] = {}
+        self.owners: dict[str, str] = {}
+        self.removals: dict[Group, collections.deque[float]] = {}
+        self.live_cache: dict[
+            tuple[EndpointKind, str], tuple[Endpoint, ...]
+        ] = {}
+        self.settle_at = float('-inf')
+        self.listed_at: float | None = None
+        self.notify = notify
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/shutdown/__init__.py
@@ -0,0 +1,28 @@
+"""Phases of a graceful stop."""
+
+from verbenahall.shutdown._decisions import decide
+from verbenahall.shutdown._messages import (
+    DEFAULT_TIMING,
+    Effect,
+    HandedOver,
+    Phase,
+    StopAsked,
+    StopTiming,
+    Tick,
+)
+from verbenahall.shutdown._shell import GracefulStop, StopHooks
+from verbenahall.shutdown._state import ShutdownState
+
+__all__ = (
+    'DEFAULT_TIMING',
+    'Effect',
+    'GracefulStop',
+    'HandedOver',
+    'Phase',
+    'ShutdownState',
+    'StopAsked',
+    'StopHooks',
+    'StopTiming',
+    'Tick',
+    'decide',
+)
--- /dev/null
+++ b/packages/verbenahall/tests/claims/test_claims.py
@@ -0,0 +1,188 @@
+"""At most one winner for each key, whatever the log does."""
+
+import asyncio
+import itertools
+
+import pytest
+from returns.result import Failure, Success
+
+from verbenahall.claims import Claims, ClaimsTiming
+from verbenahall.errors import ErrorKind, Problem, Ran
+from verbenahall.records import Record
+
+UNAVAILABLE = Failure(Problem(ErrorKind.LOG_UNAVAILABLE, 'down', Ran.UNKNOWN))
+TIMING = ClaimsTiming(
+    appends_per_s=1000,
+    append_timeout_s=5,
+    verdict_timeout_s=5,
+    refuse_s=0.05,
+)
+
+
+class FakeLog:
+    """A log in memory, read at once by every claims fold."""
+
+    def __init__(self):
+        self.records = []
+        self.readers = []
+        self.mode = 'up'
+
+    async def append(self, stream, body):
+        await asyncio.sleep(0.001)
+        if self.mode == 'down':
+            return UNAVAILABLE
+        if self.mode == 'hung':
+            await asyncio.sleep(60)
+        held = self.mode == 'late'
+        record = Record(len(self.records) + 1, stream, 'x', body)
+        self.records.append(record)
+        if not held:
+            self.publish()
+        return (
+            UNAVAILABLE
+            if self.mode in {'lost', 'late'}
+            else Success(record.offset)
+        )
+
+    def publish(self):
+        for record in self.records:
+            for reader in self.readers:
+                reader.apply_record(record)
+
+
+def run_with(check, instances=2, timing=TIMING):
+    async def main():
+        log = FakeLog()
+        log.readers = [Claims(log, 'i', timing) for _ in range(instances)]
+        runs = [asyncio.create_task(one.run()) for one in log.readers]
+        try:
+            await check(log, *log.readers)
+        finally:
+            for task in runs:
+                task.cancel()
+
+    asyncio.run(main())
+
+
+def kinds(verdicts):
+    return sorted(
+        'won' if isinstance(one, Success) else one.failure().kind.value
+        for one in verdicts
+    )
+
+
+def test_one_winner_among_instances():
+    """A caller repeats its key at two instances at once, twice at each.
+
+    Two winners would bill the summary twice.
+    """
+
+    async def check(log, first, second):
+        verdicts = await asyncio.gather(
+            *(one.claim('desk', 'k') for one in (first, second, first, second)),
+        )
+        assert kinds(verdicts) == ['duplicate', 'duplicate', 'duplicate', 'won']
+        later = await second.claim('desk', 'k')
+        assert later.failure().answer.ran is Ran.UNKNOWN
+        assert isinstance(await first.claim('atlas', 'k'), Success)
+
+    run_with(check)
+
+
+def test_many_keys_share_appends():
+    """A burst of keyed calls must not use up the log's rate."""
+
+    async def check(log, first):
+        verdicts = await asyncio.gather(
+            *(first.claim('desk', str(number)) for number in range(300)),
+        )
+        assert kinds(verdicts) == list(itertools.repeat('won', 300))
+        assert len(log.records) <= 3
+
+    run_with(check, instances=1)
+
+
+@pytest.mark.parametrize('mode', ['down', 'hung'])
+def test_log_down_refuses(mode):
+    """The log is down or hangs when a keyed call arrives.
+
+    It can't be known whether the key has run, so it must not run; later
+    calls are refused at once and not after the log's timeout.
+    """
+
+    async def check(log, first):
+        log.mode = mode
+        verdict = await first.claim('desk', 'k')
+        assert verdict.failure().kind is ErrorKind.LOG_UNAVAILABLE
+        assert verdict.failure().answer.ran is Ran.NO
+        appends = first.batcher.appends
+        await first.claim('desk', 'other')
+        assert first.batcher.appends == appends
+
+    run_with(
+        check,
+        instances=1,
+        timing=ClaimsTiming(append_timeout_s=0.05, refuse_s=30),
+    )
+
+
+@pytest.mark.parametrize('mode', ['lost', 'late'])
+def test_lost_answer_of_the_log(mode):
+    """The log keeps a claim but its answer is lost, or it lands later.
+
+    The first caller was told "not run"; its next try, at another instance,
+    must run, and only once.
+    """
+
+    async def check(log, first, second):
+        log.mode = mode
+        verdict = await first.claim('desk', 'k')
+        landed = isinstance(verdict, Success)
+        log.mode = 'up'
+        log.publish()
+        if not landed:
+            assert verdict.failure().answer.ran is Ran.NO
+            while not log.readers[1].state.position > 1:
+                await asyncio.sleep(0.01)
+        verdicts = await asyncio.gather(
+            second.claim('desk', 'k'),
+            first.claim('desk', 'k'),
+        )
+        assert kinds(verdicts).count('won') == int(not landed)
+
+    run_with(check)
+
+
+def test_released_claim_runs_elsewhere():
+    """An engine refuses a claimed call before it starts.
+
+    The caller is told "not run" and tries the same key elsewhere.
+    """
+
+    async def check(log, first, second):
+        offset = (await first.claim('desk', 'k')).unwrap()
+        first.release('desk', 'k', offset)
+        while len(log.records) < 2:
+            await asyncio.sleep(0.01)
+        log.publish()
+        assert isinstance(await second.claim('desk', 'k'), Success)
+        # A second copy of the release must not free the new claim.
+        copy = log.records[1]
+        log.records.append(Record(9, copy.stream, copy.identity, copy.body))
+        log.publish()
+        assert isinstance(await first.claim('desk', 'k'), Failure)
+
+    run_with(check)
+
+
+def test_snapshot_carries_claims():
+    """All instances are replaced after the log's retention has passed."""
+
+    async def check(log, first, second):
+        await first.claim('desk', 'k')
+        fresh = Claims(log, 'i', TIMING)
+        fresh.load(first.dump())
+        verdict = await fresh.claim('desk', 'k')
+        assert verdict.failure().kind is ErrorKind.DUPLICATE
+
+    run_with(check)
--- /dev/null
+++ b/packages/verbenahall/tests/membership/test_standings.py
@@ -0,0 +1,215 @@
+"""Standings from a lagging list, an endpoint's own word and experience."""
+
+import random
+
+import pytest
+
+from verbenahall.fleet import Endpoint, EndpointKind, Standing
+from verbenahall.membership import (
+    ListEntry,
+    MembershipState,
+    apply_list,
+    due_probes,
+    live,
+    observe_answer,
+    observe_failure,
+    observe_leaving,
+    observe_word,
+    standing_of,
+)
+
+
+def make_entry(name, *, leaving=False, **fields):
+    endpoint = {
+        'kind': EndpointKind.ENGINE,
+        'address': f'127.0.0.1:{name}',
+        'data_centre': 'ain',
+        'incarnation': 'a',
+        **fields,
+    }
+    return ListEntry(Endpoint(name, **endpoint), leaving)
+
+
+def make_state(*entries):
+    changes = []
+    state = MembershipState(notify=changes.append)
+    apply_list(state, entries, 0)
+    return state, changes
+
+
+def names(state, now):
+    return [one.name for one in live(state, EndpointKind.ENGINE, now)]
+
+
+ENTRIES = tuple(make_entry(f'engine-{number}') for number in range(6))
+
+
+def test_list_says_leaving():
+    """The platform withdraws an engine and shows it as leaving.
+
+    A request sent there after that would be refused or cut.
+    """
+    state, changes = make_state(*ENTRIES)
+    apply_list(state, (*ENTRIES[:5], make_entry('engine-5', leaving=True)), 1)
+
+    assert 'engine-5' not in names(state, 1)
+    assert changes[-1].after is Standing.LEAVING
+
+
+def test_own_word_outlives_a_lagging_list():
+    """An engine says that it is leaving while the list still shows it live.
+
+    Following the list again at the next poll would send it new work.
+    """
+    state, _ = make_state(*ENTRIES)
+    observe_leaving(state, 'engine-0', 1)
+    apply_list(state, ENTRIES, 2)
+
+    assert 'engine-0' not in names(state, 2)
+
+    observe_word(state, 'engine-0', 'a', leaving=False, now=3)
+    assert 'engine-0' in names(state, 3)
+
+
+@pytest.mark.parametrize('kept', [0, 1, 3])
+def test_shrunken_list_empties_nothing(kept):
+    """The list restarts or is cut off and shows few entries or none.
+
+    Callers would be told that there is no engine though all of them answer.
+    """
+    state, _ = make_state(*ENTRIES)
+    apply_list(state, ENTRIES[:kept], 1)
+
+    assert len(names(state, 1)) == 6
+
+    # Own experience decides: one failure is enough for a doubted engine.
+    observe_failure(state, 'engine-5', 2)
+    assert names(state, 2) == [f'engine-{number}' for number in range(5)]
+
+
+def test_trickle_of_removals_stops():
+    """A broken list loses one engine at each poll.
+
+    Each step looks like an ordinary removal; together they empty the fleet.
+    """
+    state, _ = make_state(*ENTRIES)
+    for kept in range(5, -1, -1):
+        apply_list(state, ENTRIES[:kept], 6 - kept)
+
+    assert len(names(state, 7)) == 4
+
+
+def test_one_removal_is_believed():
+    """An engine vanishes from the list without being shown as leaving."""
+    state, _ = make_state(*ENTRIES)
+    apply_list(state, ENTRIES[1:], 1)
+
+    assert len(names(state, 1)) == 5
+    assert standing_of(state, 'engine-0', 1) is Standing.LEAVING
+    assert standing_of(state, 'engine-0', 90) is Standing.SILENT
+
+
+@pytest.mark.parametrize(
+    ('failures', 'standing'),
+    [
+        ((1, 1.1), Standing.LIVE),
+        ((1, 1.1, 1.2), Standing.SILENT),
+        ((1, 3), Standing.SILENT),
+    ],
+)
+def test_failures_in_a_row(failures, standing):
+    """An engine hangs or is killed; its callers' requests keep failing."""
+    state, _ = make_state(*ENTRIES)
+    for now in failures:
+        observe_failure(state, 'engine-0', now)
+
+    assert standing_of(state, 'engine-0', 3) is standing
+
+
+def test_new_incarnation_starts_clean():
+    """A crashed engine is replaced under its name and address.
+
+    With its predecessor's failures it would stand idle though it is well.
+    """
+    state, _ = make_state(*ENTRIES)
+    for _ in range(3):
+        observe_failure(state, 'engine-0', 1)
+    apply_list(
+        state, (make_entry('engine-0', incarnation='b'), *ENTRIES[1:]), 2
+    )
+
+    assert 'engine-0' in names(state, 2)
+
+    # The list falls back behind: the old incarnation must not return.
+    observe_leaving(state, 'engine-0', 3)
+    apply_list(state, ENTRIES, 4)
+    assert 'engine-0' not in names(state, 4)
+
+
+def test_own_word_of_a_new_incarnation():
+    """A replacement answers before the list shows it."""
+    state, _ = make_state(*ENTRIES)
+    observe_leaving(state, 'engine-0', 1)
+    observe_word(state, 'engine-0', 'b', leaving=False, now=2)
+    apply_list(state, ENTRIES, 3)
+
+    assert 'engine-0' in names(state, 3)
+
+
+def test_reused_address():
+    """The platform gives a gone engine's address to another.
+
+    Work for the old name would reach the wrong process.
+    """
+    state, _ = make_state(*ENTRIES)
+    address = ENTRIES[0].endpoint.address
+    apply_list(state, (*ENTRIES, make_entry('engine-9', address=address)), 1)
+
+    assert names(state, 1) == [
+        *(f'engine-{number}' for number in range(1, 6)),
+        'engine-9',
+    ]
+
+
+def fail(state, name, now):
+    for _ in range(3):
+        observe_failure(state, name, now)
+
+
+def test_flapping_is_damped():
+    """An engine answers a probe, gets work, fails again, over and over.
+
+    Each round costs callers three attempts.
+    """
+    state, _ = make_state(*ENTRIES)
+    needed = []
+    for now in range(1, 9):
+        fail(state, 'engine-0', now)
+        answers = 0
+        while standing_of(state, 'engine-0', now) is Standing.SILENT:
+            observe_answer(state, 'engine-0', now + 0.5)
+            answers += 1
+        needed.append(answers)
+
+    assert needed == [1, 2, 3, 4, 5, 5, 5, 5]
+
+
+def test_probes_are_few_and_spread():
+    """A data centre heals after every engine in it went silent.
+
+    Instances that all probe every engine at once would add to the load.
+    """
+    entries = [
+        make_entry(f'e{number}', address=f'1:{number}') for number in range(40)
+    ]
+    state, _ = make_state(*entries)
+    for entry in entries:
+        fail(state, entry.endpoint.name, 1)
+    rng = random.Random(7)
+    counts = [
+        len(due_probes(state, 1.5 + tick / 10, rng)) for tick in range(100)
+    ]
+
+    assert max(counts) <= 4
+    assert due_probes(MembershipState(), 1, rng) == ()
+    assert sum(counts) < 40 * 6
