--- a/packages/standins/src/verbenahall_standins/deployment.py
+++ b/packages/standins/src/verbenahall_standins/deployment.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import subprocess
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from pathlib import Path
 from typing import Any, Final
 
@@ -58,18 +58,17 @@
     def stop(self) -> None:
         """Stop the instances, then everything that they use."""
         instances = self.described.instances
-        names = sorted(self.running, key=lambda name: name not in instances)
-        self._stop_all(name for name in names if name in instances)
-        self._stop_all(name for name in names if name not in instances)
+        first = [self.running[name] for name in self.running.keys() & instances]
+        rest = [self.running[name] for name in self.running.keys() - instances]
+        process.stop_all(first)
+        process.stop_all(rest)
         self.running.clear()
 
     async def register(self, session: aiohttp.ClientSession) -> None:
         """Put every endpoint and instance on the instance list."""
-        registry = self.address('registry')
-        url = f'http://{registry}/register'
         names = self.running.keys() - set(_PLATFORM)
         await asyncio.gather(
-            *(_post(session, url, self._entry(name)) for name in names),
+            *(self._register(session, name) for name in names),
         )
 
     def _launch_engine(self, name: str) -> _Child:
@@ -109,15 +108,26 @@
         if failed:
             raise process.NotReadyError(f'not started: {failed}')
 
-    def _stop_all(self, names: Iterable[str]) -> None:
-        process.stop_all(self.running[name] for name in names)
+    async def _register(
+        self,
+        session: aiohttp.ClientSession,
+        name: str,
+    ) -> None:
+        incarnation = str(self.running[name].pid)
+        if name in self.described.engines:
+            # The list names the same life of the process as the engine
+            # itself does.
+            incarnation = await _fetch_incarnation(session, self.address(name))
+        registry = self.address('registry')
+        entry = self._entry(name, incarnation)
+        await _post(session, f'http://{registry}/register', entry)
 
-    def _entry(self, name: str) -> dict[str, Any]:
+    def _entry(self, name: str, incarnation: str) -> dict[str, Any]:
         described = self.described
         entry = {
             'name': name,
             'address': self.address(name),
-            'incarnation': str(self.running[name].pid),
+            'incarnation': incarnation,
         }
         if name in described.services:
             entry['service'] = described.service
@@ -128,6 +138,14 @@
     return process.launch(f'verbenahall_standins.{name}', *arguments)
 
 
+async def _fetch_incarnation(
+    session: aiohttp.ClientSession,
+    address: str,
+) -> str:
+    async with session.get(f'http://{address}/state') as answer:
+        return (await answer.json())['incarnation']
+
+
 async def _post(
     session: aiohttp.ClientSession,
     url: str,
