Admission: measure the drain rate across starts, with its tests

Cause: with few slots a lane's last running request ends just before the next starts, and the count began anew each time, so Retry-After stayed at its default. Seen by test_hint_follows_the_drain_rate: 1.0 s where 1.5 s was due, and by test_hopeless_request_is_refused_on_arrival, which let a hopeless request wait. Change: only a lane left without work stops the count.

--- a/packages/verbenahall/src/verbenahall/admission/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/admission/_decisions.py
@@ -40,7 +40,11 @@
         return Effects()
     state.flags_running -= ticket.priority == FLAG_PRIORITY
     _count_drained(state, now)
-    return Effects(admitted=tuple(_start_next(state, now)))
+    admitted = tuple(_start_next(state, now))
+    if not state.running:
+        # An idle lane drains nothing; counting on would make it look slow.
+        state.counted_from = None
+    return Effects(admitted=admitted)
 
 
 def withdraw(state: AdmissionState, ticket: Ticket) -> bool:
@@ -83,8 +87,7 @@
 
 
 def _start(state: AdmissionState, ticket: Ticket, now: float) -> None:
-    if not state.running:
-        # An idle lane drains nothing; counting on would make it look slow.
+    if state.counted_from is None:
         state.counted_from = now
         state.counted = 0
     state.running[ticket.request] = ticket
@@ -143,7 +146,8 @@
 
 def _count_drained(state: AdmissionState, now: float) -> None:
     state.counted += 1
-    stretch = now - state.counted_from
+    counted_from = now if state.counted_from is None else state.counted_from
+    stretch = now - counted_from
     if stretch < _COUNT_S:
         return
     rate = state.counted / stretch
--- a/packages/verbenahall/src/verbenahall/admission/_state.py
+++ b/packages/verbenahall/src/verbenahall/admission/_state.py
@@ -102,7 +102,8 @@
     """One lane: what runs by priority, what waits, and how fast it drains.
 
     ``shares`` gives workspaces other weights than 1. ``drain_rate`` is in
-    requests a second, None until it was measured.
+    requests a second, None until it was measured. ``counted_from`` is when
+    the present stretch of its measuring began, None while the lane is idle.
     """
 
     __slots__ = (
@@ -124,7 +125,7 @@
         self.flags_running = 0
         self.shares: dict[str, float] = {}
         self.drain_rate: float | None = None
-        self.counted_from: float = 0
+        self.counted_from: float | None = None
         self.counted = 0
 
     @property
