Balance under old load reports: own work first, others' in small part

Every instance answered the same old report in full, and the load swung between engines. Change: others' work counts by the own share of all work, at most a tenth; an instance looks at as many candidates as it has requests open, two to twelve; a little noise parts equals.

Also: hashing a prefix failed for every long prompt, as the library wants bytes; seen by test_prefix_gathers_on_one_engine_until_it_is_busy (TypeError).

--- a/packages/verbenahall/src/verbenahall/front/_parse.py
+++ b/packages/verbenahall/src/verbenahall/front/_parse.py
@@ -177,7 +177,8 @@
     if len(text) < _PREFIX_TEXT:
         return ''
     start = text[:_PREFIX_TEXT]
-    return xxhash.xxh64_hexdigest(f'{model}\0{adapter}\0{start}')
+    named = f'{model}\0{adapter}\0{start}'
+    return xxhash.xxh64_hexdigest(named.encode())
 
 
 def _read_deadline(deadline_ms: str, default_s: float) -> float | None:
--- a/packages/verbenahall/src/verbenahall/load/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/load/_decisions.py
@@ -4,6 +4,11 @@
 the last report less the own share at that moment; trust in it halves every
 ``_TRUST_HALF_LIFE_S`` and the mean over all endpoints takes its place, so a
 very old report neither attracts nor repels.
+
+A report is late by a time that nobody knows, and all instances act on it. If
+each of them answered it in full, the fleet would answer it many times over,
+and the load would swing from endpoint to endpoint. So a choice weighs others'
+work by the own share of all work, and never by more than ``_MOST_GAIN``.
 """
 
 from typing import Final
@@ -17,6 +22,7 @@
 #: Below this free share an engine soon evicts running requests.
 _KV_TIGHT_SHARE: Final = 0.1
 _KV_TIGHT_LOAD: Final = 8.0
+_MOST_GAIN: Final = 0.1
 #: Believed load for one recent failure. An endpoint that fails at once has
 #: an empty queue and would draw all traffic; this keeps it away.
 _FAILURE_LOAD: Final = 16.0
@@ -50,6 +56,7 @@
     entry = state.of(name)
     entry.own[attempt] = work
     entry.own_work += work
+    state.open += 1
 
 
 def note_finished(
@@ -62,6 +69,7 @@
     entry = state.of(name)
     work = entry.own.pop(attempt, None)
     if work is not None:
+        state.open -= 1
         # Set to zero with the last one, so that rounding cannot add up.
         entry.own_work = entry.own_work - work if entry.own else 0
 
@@ -80,12 +88,18 @@
     age = now - entry.reported_at
     trust = 0.5 ** (age / _TRUST_HALF_LIFE_S)
     others = trust * _count_others(entry) + (1 - trust) * state.mean_others
-    load = entry.own_work + others
+    cost = entry.own_work + _find_gain(state) * others
     if entry.failures:
-        load += _FAILURE_LOAD * _recent_failures(entry, now)
+        cost += _FAILURE_LOAD * _recent_failures(entry, now)
     if entry.report.kv_free_share < _KV_TIGHT_SHARE:
-        load += trust * _KV_TIGHT_LOAD
-    return Belief(load, age)
+        cost += trust * _KV_TIGHT_LOAD
+    return Belief(entry.own_work + others, age, cost)
+
+
+def _find_gain(state: LoadState) -> float:
+    """Return the own share of all work, within its bound."""
+    others = state.mean_others * len(state.endpoints)
+    return min(_MOST_GAIN, state.open / (state.open + others + 1))
 
 
 def _count_others(entry: EndpointLoad) -> int:
--- a/packages/verbenahall/src/verbenahall/load/_messages.py
+++ b/packages/verbenahall/src/verbenahall/load/_messages.py
@@ -24,11 +24,13 @@
 class Belief:
     """Believed load in typical requests, and the report's age in seconds.
 
-    The age is infinite where no report was ever heard.
+    The age is infinite where no report was ever heard. ``cost`` is what a
+    choice compares: it takes own work in full and others' only in part.
     """
 
     load: float
     age_s: float
+    cost: float
 
 
 def parse_report(text: str) -> Report | None:
--- a/packages/verbenahall/src/verbenahall/load/_state.py
+++ b/packages/verbenahall/src/verbenahall/load/_state.py
@@ -39,14 +39,18 @@
 
 @final
 class LoadState:
-    """All endpoints by name, and the mean of what others have open there."""
+    """All endpoints by name, and the mean of what others have open there.
 
-    __slots__ = ('endpoints', 'mean_others')
+    ``open`` counts this instance's open attempts at all of them.
+    """
+
+    __slots__ = ('endpoints', 'mean_others', 'open')
 
     def __init__(self) -> None:
         """Start with nothing seen."""
         self.endpoints: dict[str, EndpointLoad] = {}
         self.mean_others: float = 0
+        self.open = 0
 
     def of(self, name: str) -> EndpointLoad:
         """Return the endpoint's entry, made on first use."""
--- a/packages/verbenahall/src/verbenahall/routing/_candidates.py
+++ b/packages/verbenahall/src/verbenahall/routing/_candidates.py
@@ -61,4 +61,4 @@
 
 
 def _weigh(key: str, name: str) -> int:
-    return xxhash.xxh64_intdigest(f'{key}\0{name}')
+    return xxhash.xxh64_intdigest(f'{key}\0{name}'.encode())
--- a/packages/verbenahall/src/verbenahall/routing/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/routing/_decisions.py
@@ -1,10 +1,10 @@
-"""The choice: two random candidates, role and prefix as hints.
+"""The choice: a few random candidates, role and prefix as hints.
 
-Two candidates taken at random and the lesser believed load of them spread
-work nearly as well as a scan, and far better than a scan when the beliefs
-are old: instances that all see the same old report do not all run to the
-endpoint that looked empty. Role and cached prefix are hints, priced in load,
-so both give way when the endpoint that they favour is busy.
+An instance looks at no more candidates than it has requests open, and at two
+at least: beyond that its own work cannot tell them apart, old reports would,
+and all instances would run to the endpoint that once looked empty. A little
+noise parts instances that see the same. Role and cached prefix are hints,
+priced in load, so both give way when the endpoint that they favour is busy.
 """
 
 import dataclasses
@@ -25,7 +25,10 @@
 )
 from verbenahall.routing._messages import Choice, Question
 
-_SAMPLE: Final = 2
+_FEWEST_LOOKED_AT: Final = 2
+_MOST_LOOKED_AT: Final = 12
+#: Differences below this are settled by chance.
+_NOISE: Final = 0.3
 #: A prompt this many times its output is prefill work, and the inverse.
 _PREFILL_RATIO: Final = 8.0
 _DECODE_RATIO: Final = 2.0
@@ -74,14 +77,15 @@
         )
     wanted = want_role(question)
     offers = [
-        _price(candidate, wanted, load, now, 'load')
-        for candidate in _sample(state, pool, wanted)
+        _price(state, candidate, wanted, load, now)
+        for candidate in _sample(state, pool, wanted, load.open)
     ]
     favourite = _find_favourite(question, pool)
     if favourite:
-        offer = _price(favourite, wanted, load, now, 'prefix')
+        offer = _price(state, favourite, wanted, load, now)
+        cost = offer.cost - _PREFIX_WORTH
         offers.append(
-            dataclasses.replace(offer, cost=offer.cost - _PREFIX_WORTH),
+            dataclasses.replace(offer, cost=cost, reason='prefix'),
         )
     return Success(_conclude(offers))
 
@@ -120,13 +124,15 @@
     state: RoutingState,
     pool: Sequence[Candidate],
     wanted: Role,
+    open_requests: int,
 ) -> list[Candidate]:
     """Take a few at random of the wanted role, and a few of the others."""
+    size = min(_MOST_LOOKED_AT, max(_FEWEST_LOOKED_AT, open_requests))
     fitting = [found for found in pool if found.role is wanted]
     others = [found for found in pool if found.role is not wanted]
     return [
-        *state.random.sample(fitting, min(_SAMPLE, len(fitting))),
-        *state.random.sample(others, min(_SAMPLE, len(others))),
+        *state.random.sample(fitting, min(size, len(fitting))),
+        *state.random.sample(others, min(size, len(others))),
     ]
 
 
@@ -143,15 +149,16 @@
 
 
 def _price(
+    state: RoutingState,
     candidate: Candidate,
     wanted: Role,
     load: LoadState,
     now: float,
-    reason: str,
 ) -> _Offer:
     belief = believe(load, candidate.endpoint.name, now)
     extra = _ROLE_LOAD.get((wanted, candidate.role), 0)
-    return _Offer(candidate, belief, belief.load + extra, reason)
+    noise = _NOISE * state.random.random()
+    return _Offer(candidate, belief, belief.cost + extra + noise, 'load')
 
 
 def _conclude(offers: Sequence[_Offer]) -> Choice:
--- a/packages/verbenahall/tests/front/test_callers.py
+++ b/packages/verbenahall/tests/front/test_callers.py
@@ -6,16 +6,17 @@
 import pytest
 
 
-def test_plain_answer_and_its_identity(stage, fake):
+@pytest.mark.parametrize('prompt', ('hello', 'long archive ' * 300))
+def test_plain_answer_and_its_identity(stage, fake, prompt):
     """A plain request is answered by the engine's own body."""
 
     async def run():
         async with stage([fake('a')]) as on:
-            return await on.post(prompt='hello')
+            return await on.post(prompt=prompt)
 
     status, headers, body = asyncio.run(run())
     assert status == 200
-    assert json.loads(body)['echo'] == 'hello'
+    assert json.loads(body)['echo'] == prompt
     assert headers['X-Request-Id']
 
 
