--- a/packages/verbenahall/src/verbenahall/front/__init__.py
+++ b/packages/verbenahall/src/verbenahall/front/__init__.py
@@ -9,6 +9,7 @@
     runner_options,
 )
 from verbenahall.front._services import ServiceAdapter
+from verbenahall.front._endpoints import Sessions
 from verbenahall.front._shell import Front
 
 __all__ = (
@@ -17,6 +18,7 @@
     'Front',
     'Parts',
     'ServiceAdapter',
+    'Sessions',
     'answer_problem',
     'guard',
     'make_application',
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/instance/_serve.py
@@ -0,0 +1,116 @@
+"""Runs one instance as a process: its loops, its listener, its stop."""
+
+import asyncio
+import functools
+import sys
+from typing import Final, final
+
+import aiomisc
+import uvloop
+from absl import logging
+from aiohttp import web
+
+from verbenahall.config import InstanceConfig
+from verbenahall.front import runner_options
+from verbenahall.instance._supervisor import Supervisor
+from verbenahall.instance._wiring import CONTROLLER, KEEPER, Instance
+from verbenahall.shutdown import GracefulStop, StopTiming
+
+#: Waiting connections that the kernel keeps while the loop is busy.
+_BACKLOG: Final = 1024
+_SPARE_S: Final = 10.0
+
+
+@final
+class InstanceService(aiomisc.Service):
+    """The instance as a service of aiomisc's entrypoint."""
+
+    def __init__(self, config: InstanceConfig) -> None:
+        """Prepare; parts are built on the loop that runs them."""
+        super().__init__()
+        self._config = config
+        self._supervisor = Supervisor()
+        self._ended = asyncio.Event()
+
+    async def start(self) -> None:
+        """Listen, then run until the graceful stop has gone through."""
+        instance = Instance(self._config)
+        stop = GracefulStop(StopTiming(grace_s=self._config.timing.grace_s))
+        runner = await self._open(instance, stop)
+        self.start_event.set()
+        await stop.run()
+        await self._close(instance, runner)
+
+    async def wait(self) -> None:
+        """Wait until the process may exit."""
+        await self._ended.wait()
+
+    async def _open(
+        self,
+        instance: Instance,
+        stop: GracefulStop,
+    ) -> web.AppRunner:
+        stop.add_to(instance.app)
+        for name, loop in instance.loops().items():
+            self._supervisor.start(name, loop)
+        options = runner_options(self._config.limits)
+        runner = web.AppRunner(instance.app, **options)
+        site = await _listen(runner, self._config)
+        stop.hooks.announce.append(instance.announce_stop)
+        stop.hooks.close.append(site.stop)
+        stop.hooks.hand_over.append(
+            functools.partial(_hand_over, instance, self._supervisor),
+        )
+        return runner
+
+    async def _close(self, instance: Instance, runner: web.AppRunner) -> None:
+        await self._supervisor.stop()
+        await runner.cleanup()
+        await instance.close()
+        self._ended.set()
+
+
+async def _listen(
+    runner: web.AppRunner,
+    config: InstanceConfig,
+) -> web.TCPSite:
+    host, _, port = config.listen.rpartition(':')
+    await runner.setup()
+    site = web.TCPSite(runner, host, int(port), backlog=_BACKLOG)
+    await site.start()
+    _tell_address(runner, config)
+    return site
+
+
+def _tell_address(runner: web.AppRunner, config: InstanceConfig) -> None:
+    """Print where the instance listens, which port 0 leaves open."""
+    host, port = runner.addresses[0]
+    logging.info('instance %s listens on %s:%d', config.name, host, port)
+    sys.stdout.write(f'listening {host}:{port}\n')
+    sys.stdout.flush()
+
+
+async def _hand_over(instance: Instance, supervisor: Supervisor) -> None:
+    """Release the lease, after the last order that it covers.
+
+    A release tells the successor that no order of this holder is on its way,
+    so the controller must have ended before.
+    """
+    await supervisor.stop(CONTROLLER)
+    await supervisor.stop(KEEPER)
+    await instance.keeper.release()
+
+
+def serve(config: InstanceConfig) -> None:
+    """Run an instance until it is stopped; returns when the last is done."""
+    service = InstanceService(config)
+    entrypoint = aiomisc.entrypoint(
+        service,
+        log_config=False,
+        catch_signals=(),
+        loop_factory=uvloop.new_event_loop,
+        pool_size=1,
+        shutdown_timeout=config.timing.grace_s + _SPARE_S,
+    )
+    with entrypoint as loop:
+        loop.run_until_complete(service.wait())
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/instance/_surroundings.py
@@ -0,0 +1,56 @@
+"""What the controller of a data centre reads anew at each step."""
+
+from collections.abc import Mapping, Sequence
+from typing import final
+
+from verbenahall.fleet import Endpoint, EndpointKind, Role, Standing
+from verbenahall.instance._folds import Folds
+from verbenahall.membership import (
+    MembershipState,
+    all_endpoints,
+    standing_of,
+)
+from verbenahall.settings import EffectiveSettings, effective
+
+
+@final
+class Surroundings:
+    """Settings in force, the data centre's engines, and wished roles."""
+
+    __slots__ = ('_data_centre', '_folds', '_members', 'roles')
+
+    def __init__(
+        self,
+        data_centre: str,
+        folds: Folds,
+        members: MembershipState,
+    ) -> None:
+        """Read from these states; ``roles`` is the role planner's wish."""
+        self._data_centre = data_centre
+        self._folds = folds
+        self._members = members
+        self.roles: Mapping[str, Role] = {}
+
+    def read_settings(self) -> EffectiveSettings:
+        """Return the settings in force."""
+        return effective(self._folds.settings)
+
+    def list_engines(self, now: float) -> Sequence[tuple[Endpoint, Standing]]:
+        """Return the data centre's engines with their standing."""
+        return [
+            (engine, standing_of(self._members, engine.name, now))
+            for engine in self.own_engines()
+        ]
+
+    def own_engines(self) -> list[Endpoint]:
+        """Return the data centre's engines, whatever their standing."""
+        return [
+            endpoint
+            for endpoint in all_endpoints(self._members)
+            if endpoint.kind is EndpointKind.ENGINE
+            and endpoint.data_centre == self._data_centre
+        ]
+
+    def read_roles(self) -> Mapping[str, Role]:
+        """Return the role planner's wish for engines of automatic pools."""
+        return self.roles
--- a/packages/verbenahall/src/verbenahall/journal.py
+++ b/packages/verbenahall/src/verbenahall/journal.py
@@ -12,11 +12,14 @@
 import logging as std_logging
 from typing import Any, Final
 
-from absl import logging
+from absl import flags, logging
 
 from verbenahall import clock, wire
 
 _KEPT_DECISIONS: Final = 4096
+_TIME_DIGITS: Final = 3
+#: The format of decision lines; the formatter knows them by it.
+_DECISION: Final = '%s'
 
 #: The latest decisions of this process, for ``/admin/v1/explain``.
 recent: collections.deque[dict[str, Any]] = collections.deque(
@@ -26,10 +29,10 @@
 
 def write_decision(event: str, **fields: Any) -> None:
     """Write one decision line and keep it for ``explain``."""
-    line = {'event': event, 'at': round(clock.wall(), 3), **fields}
+    line = {'event': event, 'at': round(clock.wall(), _TIME_DIGITS), **fields}
     recent.append(line)
     if logging.get_verbosity() >= logging.INFO:
-        logging.info('%s', wire.encode(line).decode())
+        logging.info(_DECISION, wire.encode(line).decode())
 
 
 def find_decisions(field: str, wanted: str) -> list[dict[str, Any]]:
@@ -37,8 +40,34 @@
     return [line for line in recent if line.get(field) == wanted]
 
 
-def start_logging(*, quiet: bool = False) -> None:
-    """Send absl's log to standard error, without its own flags."""
+def start_logging(*, decisions: bool = True) -> None:
+    """Write the log to standard error, one JSON object a line.
+
+    Without ``decisions`` only warnings and errors are written; the latest
+    decisions are kept for ``explain`` all the same.
+    """
+    # absl expects its own command-line flags, which cleo's take the place of.
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
-    logging.set_verbosity(logging.WARNING if quiet else logging.INFO)
+    logging.get_absl_handler().setFormatter(_JsonFormatter())
+    logging.set_verbosity(logging.INFO if decisions else logging.WARNING)
     std_logging.getLogger('aiohttp.access').disabled = True
+
+
+class _JsonFormatter(std_logging.Formatter):
+    """Renders decision lines as they are and wraps every other line."""
+
+    def format(self, record: std_logging.LogRecord) -> str:
+        """Return one line of JSON."""
+        if record.msg is _DECISION:
+            return record.getMessage()
+        line = {
+            'event': 'log',
+            'at': round(record.created, _TIME_DIGITS),
+            'level': record.levelname.lower(),
+            'module': record.module,
+            'message': record.getMessage(),
+        }
+        if record.exc_info:
+            line['trace'] = self.formatException(record.exc_info)
+        return wire.encode(line).decode()
--- a/packages/verbenahall/src/verbenahall/log/_follower.py
+++ b/packages/verbenahall/src/verbenahall/log/_follower.py
@@ -83,7 +83,10 @@
     async def run(self) -> None:
         """Follow until cancelled, through outages of any length."""
         while True:
-            if not await self.poll():
+            # The first answer comes at once, so that an instance that starts
+            # on a quiet log knows the log's end and is soon ready.
+            wait_s = 0 if self.head < 0 else _WAIT_S
+            if not await self.poll(wait_s):
                 await self._pause()
 
     async def poll(self, wait_s: float = _WAIT_S) -> bool:
