Heartbeats between instances, and the differential test of membership

Cause: an endpoint's word that it leaves reached one instance only, and each instance paid three failed attempts to learn what its peers knew.

Change: each instance posts a digest to two peers of its data centre, chosen by rendezvous hashing for eight seconds, and gets theirs back. Words travel with their age, so the later of two wins and an old one dies out; peers' suspicion counts only beside a failure of one's own. Heartbeats from others than listed instances are refused.

Ruled out: passing on words without age. A word that was taken back went round among the peers (test_leaving_word_spreads_and_dies_out fails with the later-word rule off, and with the age bound off).

Seen to fail with one guard off at a time: doubting a shrunken list (5 tests), counting removals, own words, former incarnations, address owners, flap damping, the bound on probes, the sender check. One guard off went unseen: starting the probe delay anew after an answer.

--- a/packages/verbenahall/src/verbenahall/membership/__init__.py
+++ b/packages/verbenahall/src/verbenahall/membership/__init__.py
@@ -18,9 +18,12 @@
     ListEntry,
     Listing,
     MembershipRules,
+    OwnReport,
+    PeerView,
     Sign,
     StandingChange,
 )
+from verbenahall.membership._peer_shell import PeerExchange
 from verbenahall.membership._shell import ListPoller, Prober
 from verbenahall.membership._state import MembershipState
 
@@ -31,6 +34,9 @@
     'Listing',
     'MembershipRules',
     'MembershipState',
+    'OwnReport',
+    'PeerExchange',
+    'PeerView',
     'Prober',
     'Sign',
     'StandingChange',
--- a/packages/verbenahall/src/verbenahall/membership/_codec.py
+++ b/packages/verbenahall/src/verbenahall/membership/_codec.py
@@ -1,13 +1,20 @@
-"""The list service's JSON as messages."""
+"""The list service's and the peers' JSON as messages."""
 
 from collections.abc import Iterable
 from typing import Any, Final
 
 from returns.result import Failure, Result, Success
 
+from verbenahall import wire
 from verbenahall.errors import ErrorKind, Problem
 from verbenahall.fleet import Endpoint, EndpointKind
-from verbenahall.membership._messages import ListEntry
+from verbenahall.membership._messages import (
+    Digest,
+    ListEntry,
+    OwnReport,
+    PassedWord,
+    Suspicion,
+)
 
 
 _UNREADABLE: Final = (KeyError, TypeError, ValueError, AttributeError)
@@ -39,3 +46,54 @@
         checks_fencing=bool(row.get('checks_fencing', True)),
     )
     return ListEntry(endpoint, leaving=row.get('state') == 'leaving')
+
+
+def encode_digest(digest: Digest) -> bytes:
+    """Encode a heartbeat; empty lists are left out."""
+    message: dict[str, Any] = {
+        'sender': digest.sender,
+        'incarnation': digest.incarnation,
+        'ready': digest.report.ready,
+        'position': digest.report.position,
+    }
+    if digest.leaving:
+        message['leaving'] = True
+    if digest.words:
+        message['words'] = [
+            (word.name, word.incarnation, word.age_s) for word in digest.words
+        ]
+    if digest.suspicions:
+        message['suspicions'] = [
+            (one.name, one.incarnation, one.failures)
+            for one in digest.suspicions
+        ]
+    return wire.encode(message)
+
+
+def decode_digest(body: bytes) -> Result[Digest, Problem]:
+    """Decode a heartbeat."""
+    return wire.decode_table(body).bind(_read_digest)
+
+
+def _read_digest(table: dict[str, Any]) -> Result[Digest, Problem]:
+    try:
+        return Success(_build_digest(table))
+    except _UNREADABLE as error:
+        return Failure(Problem(ErrorKind.BAD_REQUEST, f'digest: {error!r}'))
+
+
+def _build_digest(table: dict[str, Any]) -> Digest:
+    return Digest(
+        sender=str(table['sender']),
+        incarnation=str(table['incarnation']),
+        report=OwnReport(bool(table['ready']), int(table['position'])),
+        leaving=bool(table.get('leaving')),
+        words=tuple(
+            PassedWord(str(name), str(incarnation), max(float(age_s), 0))
+            for name, incarnation, age_s in table.get('words', ())
+        ),
+        suspicions=tuple(
+            Suspicion(str(name), str(incarnation), int(failures))
+            for name, incarnation, failures in table.get('suspicions', ())
+        ),
+    )
--- a/packages/verbenahall/src/verbenahall/membership/_listing.py
+++ b/packages/verbenahall/src/verbenahall/membership/_listing.py
@@ -63,6 +63,7 @@
 def forget(state: MembershipState, member: Member) -> None:
     """Drop a member and its claim to its address."""
     state.members.pop(member.endpoint.name)
+    state.peers.pop(member.endpoint.name, None)
     _disown(state, member.endpoint)
 
 
--- a/packages/verbenahall/src/verbenahall/membership/_messages.py
+++ b/packages/verbenahall/src/verbenahall/membership/_messages.py
@@ -91,3 +91,53 @@
 
 
 DEFAULT_RULES: Final = MembershipRules()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PassedWord:
+    """An endpoint's word that it leaves, passed on with its age."""
+
+    name: str
+    incarnation: str
+    age_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Suspicion:
+    """A peer's failures in a row with an endpoint."""
+
+    name: str
+    incarnation: str
+    failures: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnReport:
+    """What an instance says of itself: readiness and settings offset."""
+
+    ready: bool
+    position: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Digest:
+    """One heartbeat between instances of a data centre.
+
+    Ages stand in for times, since no two clocks agree.
+    """
+
+    sender: str
+    incarnation: str
+    report: OwnReport
+    leaving: bool
+    words: tuple[PassedWord, ...] = ()
+    suspicions: tuple[Suspicion, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerView:
+    """What a peer last said of itself, and when that was heard."""
+
+    incarnation: str
+    report: OwnReport
+    heard_at: float
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/membership/_peer_shell.py
@@ -0,0 +1,152 @@
+"""Shell of the heartbeats between instances."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Final, final
+
+from aiohttp import ClientError, ClientSession, ClientTimeout, web
+from returns.result import Failure, Result, Success
+
+from verbenahall import clock
+from verbenahall.errors import ErrorKind, Problem
+from verbenahall.fleet import Endpoint
+from verbenahall.membership._codec import decode_digest, encode_digest
+from verbenahall.membership._decisions import find, observe_failure
+from verbenahall.membership._messages import Digest, OwnReport
+from verbenahall.membership._peers import (
+    apply_digest,
+    build_digest,
+    choose_peers,
+    list_peers,
+)
+from verbenahall.membership._state import MembershipState
+
+_PATH: Final = '/peer/v1/heartbeat'
+_TIMEOUT: Final = ClientTimeout(total=1)
+#: Peers of one heartbeat; with the answers, news takes a few rounds to reach
+#: a data centre's instances while each one's traffic stays the same.
+_FAN_OUT: Final = 2
+_FAN_OUT_LEAVING: Final = 8
+_EPOCH_S: Final = 8
+_JITTER: Final = (0.8, 1.2)
+_DIGEST_BYTES: Final = 16_384
+_SKIPPED_HEADERS: Final = ('User-Agent', 'Accept', 'Accept-Encoding')
+
+
+@final
+class PeerExchange:
+    """Sends and answers heartbeats within a data centre.
+
+    ``own`` is this instance as the list names it, ``report`` tells its
+    readiness and settings offset.
+    """
+
+    def __init__(
+        self,
+        session: ClientSession,
+        state: MembershipState,
+        own: Endpoint,
+        report: Callable[[], OwnReport],
+        period_s: float,
+        now: clock.Clock = clock.monotonic,
+    ) -> None:
+        """Exchange over ``session`` each ``period_s``."""
+        self._session = session
+        self._state = state
+        self._own = own
+        self._report = report
+        self._period_s = period_s
+        self._now = now
+        self._leaving = False
+        self._rng = random.Random(f'{own.name}/{own.incarnation}')
+
+    def add_routes(self, app: web.Application) -> None:
+        """Answer heartbeats on the instance's own port."""
+        app.router.add_post(_PATH, self._answer)
+
+    async def run(self) -> None:
+        """Send heartbeats until cancelled."""
+        while True:
+            epoch = int(self._now() / _EPOCH_S)
+            await self._send_to(self._choose(epoch, _FAN_OUT))
+            jitter = self._rng.uniform(*_JITTER)
+            await asyncio.sleep(self._period_s * jitter)
+
+    async def announce_leaving(self) -> None:
+        """Tell peers at once that this instance leaves; a hook of the stop."""
+        self._leaving = True
+        await self._send_to(self._choose(0, _FAN_OUT_LEAVING))
+
+    def _choose(self, epoch: int, count: int) -> list[str]:
+        names = list_peers(
+            self._state,
+            self._own.name,
+            self._own.data_centre,
+            self._now(),
+        )
+        return choose_peers(self._own.name, names, epoch, count)
+
+    async def _send_to(self, names: list[str]) -> None:
+        body = encode_digest(self._build())
+        await asyncio.gather(*(self._send(name, body) for name in names))
+
+    async def _send(self, name: str, body: bytes) -> None:
+        peer = find(self._state, name)
+        if peer is None:
+            return
+        match await self._post(peer, body):
+            case Success(digest) if digest.sender == name:
+                apply_digest(self._state, digest, self._now())
+            case _:
+                observe_failure(self._state, name, self._now())
+
+    async def _post(
+        self,
+        peer: Endpoint,
+        body: bytes,
+    ) -> Result[Digest, Problem]:
+        try:
+            async with self._session.post(
+                f'http://{peer.address}{_PATH}',
+                data=body,
+                timeout=_TIMEOUT,
+                skip_auto_headers=_SKIPPED_HEADERS,
+            ) as answer:
+                answer.raise_for_status()
+                return decode_digest(await answer.read())
+        except (ClientError, OSError, TimeoutError) as error:
+            return Failure(Problem(ErrorKind.ENDPOINT_FAILED, repr(error)))
+
+    def _build(self) -> Digest:
+        return build_digest(
+            self._state,
+            (self._own.name, self._own.incarnation),
+            self._report(),
+            self._now(),
+            leaving=self._leaving,
+        )
+
+    async def _answer(self, request: web.Request) -> web.Response:
+        length = request.content_length
+        if length is None or length > _DIGEST_BYTES:
+            raise web.HTTPRequestEntityTooLarge(_DIGEST_BYTES, length or 0)
+        match decode_digest(await request.read()):
+            case Success(digest) if self._is_peer(digest.sender, request):
+                apply_digest(self._state, digest, self._now())
+                return web.Response(body=encode_digest(self._build()))
+            case Success():
+                raise web.HTTPForbidden()
+            case _:
+                raise web.HTTPBadRequest()
+
+    def _is_peer(self, sender: str, request: web.Request) -> bool:
+        """Check that a heartbeat comes from an instance of the list.
+
+        Anyone who reaches the port could else tell that every engine
+        leaves, and callers would find none.
+        """
+        peer = find(self._state, sender)
+        if peer is None:
+            return False
+        return peer.address.rpartition(':')[0] == request.remote
--- a/packages/verbenahall/src/verbenahall/membership/_state.py
+++ b/packages/verbenahall/src/verbenahall/membership/_state.py
@@ -10,6 +10,7 @@
     DEFAULT_RULES,
     Listing,
     MembershipRules,
+    PeerView,
     Sign,
     StandingChange,
     Word,
@@ -81,7 +82,7 @@
 
 @final
 class MembershipState:
-    """All members by name, and who owns each address.
+    """All members by name, who owns each address, what peers last said.
 
     ``notify`` gets each change of standing; by default it writes a decision
     line. ``live_cache`` is emptied at each change, so that a request pays
@@ -93,6 +94,7 @@
         'members',
         'owners',
         'removals',
+        'peers',
         'live_cache',
         'settle_at',
         'listed_at',
@@ -112,6 +114,7 @@
         self.live_cache: dict[
             tuple[EndpointKind, str], tuple[Endpoint, ...]
         ] = {}
+        self.peers: dict[str, PeerView] = {}
         self.settle_at = float('-inf')
         self.listed_at: float | None = None
         self.notify = notify
--- /dev/null
+++ b/packages/verbenahall/tests/membership/test_differential.py
@@ -0,0 +1,192 @@
+"""Membership against a naive fold of everything that was ever observed."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from verbenahall.fleet import Endpoint, EndpointKind, Standing
+from verbenahall.membership import (
+    ListEntry,
+    MembershipState,
+    apply_list,
+    live,
+    observe_answer,
+    observe_failure,
+    observe_leaving,
+    observe_word,
+    standing_of,
+)
+
+NAMES = ('a', 'b', 'c', 'd')
+INCARNATIONS = ('1', '2')
+
+name = st.sampled_from(NAMES)
+listed = st.tuples(name, st.sampled_from(INCARNATIONS), st.booleans())
+event = st.one_of(
+    st.tuples(st.just('list'), st.lists(listed, unique_by=lambda row: row[0])),
+    st.tuples(st.sampled_from(('answer', 'failure', 'leaving')), name),
+    # Mostly failures and answers of one name, so that it flaps.
+    st.tuples(st.sampled_from(('failure', 'failure', 'answer')), st.just('a')),
+    st.tuples(st.sampled_from(('failure', 'failure', 'answer')), st.just('a')),
+    st.tuples(
+        st.sampled_from(('stays', 'leaves')),
+        name,
+        st.sampled_from(INCARNATIONS),
+    ),
+)
+history = st.lists(
+    st.tuples(st.floats(0.1, 3).map(lambda gap: round(gap, 2)), event),
+    max_size=40,
+)
+
+
+def make_entry(row):
+    own_name, incarnation, leaving = row
+    address = f'127.0.0.1:{ord(own_name)}'
+    return ListEntry(
+        Endpoint(own_name, EndpointKind.ENGINE, address, 'ain', incarnation),
+        leaving,
+    )
+
+
+def apply(state, what, now):
+    match what:
+        case ('list', rows):
+            apply_list(state, map(make_entry, rows), now)
+        case ('answer', one):
+            observe_answer(state, one, now)
+        case ('failure', one):
+            observe_failure(state, one, now)
+        case ('leaving', one):
+            observe_leaving(state, one, now)
+        case (said, one, incarnation):
+            observe_word(
+                state, one, incarnation, leaving=said == 'leaves', now=now
+            )
+
+
+def find_incarnation(events, one):
+    """Replay which process bears a name: a replaced one never returns."""
+    born = [
+        (index, heard)
+        for index, (_, what) in enumerate(events)
+        for heard in find_heard(what, one)
+    ]
+    lives = {}
+    for index, heard in born:
+        lives.setdefault(heard, index)
+    return max(lives.items(), key=lambda life: life[1], default=(None, 0))
+
+
+def find_heard(what, one):
+    match what:
+        case ('list', rows):
+            return [row[1] for row in rows if row[0] == one]
+        case ('stays' | 'leaves', said_of, incarnation) if said_of == one:
+            return [incarnation]
+    return []
+
+
+def find_marks(events, one, incarnation):
+    """Return every leaving mark of the list and every word, oldest first."""
+    shown, said = [False], [False]
+    for _, what in events:
+        match what:
+            case ('list', rows):
+                shown += [
+                    row[2] for row in rows if row[:2] == (one, incarnation)
+                ]
+            case ('leaving', told) if told == one:
+                said.append(True)
+            case (word, *about) if about == [one, incarnation]:
+                said.append(word == 'leaves')
+    return shown[-1], said[-1]
+
+
+class Reach:
+    """Answers and failures of one process, with one more answer each flap."""
+
+    def __init__(self):
+        self.failures = []
+        self.answers = 0
+        self.flaps = 0
+        self.recovered_at = -100
+        self.silent = False
+
+    def fail(self, at):
+        self.failures.append(at)
+        self.answers = 0
+        span = at - self.failures[0]
+        if not self.silent and (len(self.failures) >= 3 or span >= 2):
+            recent = at - self.recovered_at < 30
+            self.flaps = min(self.flaps + 1, 4) if recent else 0
+            self.silent = True
+
+    def answer(self, at):
+        self.answers += bool(self.failures)
+        if self.silent and self.answers <= self.flaps:
+            return
+        if self.silent:
+            self.recovered_at = at
+        self.failures = []
+        self.silent = False
+
+
+def judge(events, one):
+    """Work out one name's standing from the whole history."""
+    incarnation, since = find_incarnation(events, one)
+    if incarnation is None:
+        return Standing.SILENT
+    if any(find_marks(events[since:], one, incarnation)):
+        return Standing.LEAVING
+    reach = Reach()
+    for at, what in events[since:]:
+        if what == ('failure', one):
+            reach.fail(at)
+        elif what == ('answer', one):
+            reach.answer(at)
+    return Standing.SILENT if reach.silent else Standing.LIVE
+
+
+def fill(rows):
+    """Keep every name on the list, so that nothing is ever removed."""
+    shown = {row[0] for row in rows}
+    return [*rows, *((one, '1', False) for one in NAMES if one not in shown)]
+
+
+@given(history)
+def test_same_standing_as_the_naive_fold(steps):
+    """Observations come in any order; every instance must judge alike."""
+    state = MembershipState(notify=lambda change: None)
+    events = []
+    now = 0
+    for gap, what in steps:
+        now += gap
+        if what[0] == 'list':
+            what = ('list', fill(what[1]))
+        if what[0] != 'list' and not state.members:
+            continue
+        apply(state, what, now)
+        events.append((now, what))
+        standings = {one: judge(events, one) for one in NAMES}
+        assert {one: standing_of(state, one, now) for one in NAMES} == standings
+        assert [one.name for one in live(state, EndpointKind.ENGINE, now)] == [
+            one for one in NAMES if standings[one] is Standing.LIVE
+        ]
+
+
+@given(history)
+def test_lists_alone_never_empty_the_fleet(steps):
+    """The list shows any subsets, in any order; every engine answers.
+
+    Without leaving marks at most a third may go in a minute.
+    """
+    state = MembershipState(notify=lambda change: None)
+    apply_list(state, map(make_entry, fill([])), 0)
+    now = 0
+    for gap, what in steps:
+        if what[0] != 'list':
+            continue
+        now = min(now + gap, 50)
+        rows = [(row[0], '1', False) for row in what[1]]
+        apply_list(state, map(make_entry, rows), now)
+        assert len(live(state, EndpointKind.ENGINE, now)) >= 3
--- /dev/null
+++ b/packages/verbenahall/tests/membership/test_peers.py
@@ -0,0 +1,186 @@
+"""Heartbeats between instances: what is said, believed and refused."""
+
+import asyncio
+from collections import Counter
+
+import pytest
+from aiohttp import ClientSession, web
+
+from verbenahall.fleet import Endpoint, EndpointKind, Standing
+from verbenahall.membership import (
+    ListEntry,
+    MembershipState,
+    OwnReport,
+    PeerExchange,
+    apply_list,
+    observe_failure,
+    observe_leaving,
+    observe_word,
+    standing_of,
+)
+from verbenahall.membership._peers import (
+    apply_digest,
+    build_digest,
+    choose_peers,
+)
+
+NAMES = tuple(f'i{number}' for number in range(6))
+ENGINE = Endpoint('e', EndpointKind.ENGINE, '127.0.0.1:1', 'ain', 'a')
+
+
+def make_instance(name, address='127.0.0.1:2'):
+    return Endpoint(name, EndpointKind.INSTANCE, address, 'ain', 'a')
+
+
+def make_state():
+    instances = [make_instance(name, f'127.0.0.1:{name}') for name in NAMES]
+    state = MembershipState()
+    apply_list(state, map(ListEntry, (ENGINE, *instances)), 0)
+    return state
+
+
+def tell(source, name, target, now):
+    digest = build_digest(
+        source,
+        (name, 'a'),
+        OwnReport(ready=True, position=7),
+        now,
+        leaving=False,
+    )
+    apply_digest(target, digest, now)
+
+
+def test_leaving_word_spreads_and_dies_out():
+    """An engine tells one instance that it leaves, then that it stays.
+
+    Peers must hear both; an old word that goes round among them for ever
+    would keep a healthy engine idle.
+    """
+    first, second, third = make_state(), make_state(), make_state()
+    observe_leaving(first, 'e', 1)
+    tell(first, 'i0', second, 1.5)
+    tell(second, 'i1', third, 2)
+    assert standing_of(third, 'e', 2) is Standing.LEAVING
+
+    observe_word(third, 'e', 'a', leaving=False, now=3)
+    tell(second, 'i1', third, 4)
+    assert standing_of(third, 'e', 4) is Standing.LIVE
+
+    newcomer = make_state()
+    tell(first, 'i0', newcomer, 30)
+    assert standing_of(newcomer, 'e', 30) is Standing.LIVE
+
+
+def test_peers_alone_silence_nobody():
+    """Peers are cut off from an engine that this instance still reaches.
+
+    Believing them would take a working engine away here as well; with a
+    failure of our own they spare callers two more.
+    """
+    state = make_state()
+    for name in NAMES[1:4]:
+        peer = make_state()
+        observe_failure(peer, 'e', 1)
+        tell(peer, name, state, 1)
+    assert standing_of(state, 'e', 1) is Standing.LIVE
+
+    observe_failure(state, 'e', 1.5)
+    assert standing_of(state, 'e', 1.5) is Standing.SILENT
+
+
+def test_peers_are_chosen_evenly():
+    """Heartbeats must not pile up on one instance, nor miss one for long."""
+    names = [f'i{number}' for number in range(50)]
+    chosen = Counter()
+    for epoch in range(20):
+        for own in names:
+            chosen.update(choose_peers(own, names, epoch, 2))
+
+    assert set(chosen) == set(names)
+    assert max(chosen.values()) < 80
+    assert not choose_peers('i0', ['i0'], 0, 2)
+
+
+async def start_instance(name, session):
+    """Serve one exchange; return its runner, state, exchange, endpoint."""
+    app = web.Application()
+    runner = web.AppRunner(app)
+    state = MembershipState()
+    exchange = PeerExchange(
+        session,
+        state,
+        make_instance(name),
+        lambda: OwnReport(ready=True, position=3),
+        0.05,
+    )
+    exchange.add_routes(app)
+    await runner.setup()
+    site = web.TCPSite(runner, '127.0.0.1', 0)
+    await site.start()
+    host, port = runner.addresses[0]
+    return runner, state, exchange, make_instance(name, f'{host}:{port}')
+
+
+async def wait_until_leaving(states, name):
+    async with asyncio.timeout(30):
+        while {standing_of(one, name, 0) for one in states} != {
+            Standing.LEAVING
+        }:
+            await asyncio.sleep(0.02)
+
+
+def test_heartbeats_over_http():
+    """An engine tells one of six instances that it leaves; one stops.
+
+    All the others must know of both within seconds, though the platform's
+    list shows neither.
+    """
+
+    async def main():
+        async with ClientSession() as session:
+            started = [start_instance(name, session) for name in NAMES]
+            instances = await asyncio.gather(*started)
+            runners, states, exchanges, endpoints = zip(*instances, strict=True)
+            now = asyncio.get_running_loop().time()
+            for state in states:
+                apply_list(state, map(ListEntry, (ENGINE, *endpoints)), now)
+            runs = [asyncio.create_task(one.run()) for one in exchanges]
+            observe_leaving(states[0], 'e', now)
+            await wait_until_leaving(states, 'e')
+            runs[5].cancel()
+            await exchanges[5].announce_leaving()
+            await wait_until_leaving(states[:5], 'i5')
+            views = [view for one in states for view in one.peers.values()]
+            assert {view.report.position for view in views} == {3}
+            for task in runs:
+                task.cancel()
+            await asyncio.gather(*(runner.cleanup() for runner in runners))
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ('body', 'status'),
+    [
+        (
+            b'{"sender": "x", "incarnation": "a", "ready": 1, "position": 1}',
+            403,
+        ),
+        (b'{"sender": "i0"}', 400),
+        (b'[', 400),
+        (b'{"sender": "i0", "incarnation": "a", "words": [1]}', 400),
+        (b' ' * 20_000, 413),
+    ],
+)
+def test_strangers_are_refused(body, status):
+    """Somebody who reaches the port says that every engine is leaving."""
+
+    async def main():
+        async with ClientSession() as session:
+            runner, *_, endpoint = await start_instance('i0', session)
+            url = f'http://{endpoint.address}/peer/v1/heartbeat'
+            async with session.post(url, data=body) as answer:
+                assert answer.status == status
+            await runner.cleanup()
+
+    asyncio.run(main())
