Roles and heartbeats join the instance

Cause: the planner of roles and the peers' heartbeats were not composed. Change: every instance counts its callers' prompt and output tokens per model, whether or not they are shed; the lease holder of the data centre plans its automatic pools each second and the rollout takes its wish; heartbeats answer on the instance's port and tell peers at once when a stop begins. Unknown models are not counted, since their names come from callers and would fill the memory. Ruled out: every instance planning its own view, which sends engines to and fro (test).

--- a/packages/verbenahall/src/verbenahall/front/_flow.py
+++ b/packages/verbenahall/src/verbenahall/front/_flow.py
@@ -51,6 +51,7 @@
         ticket = call.head.ticket
         checked = self._fleet.check(progress.wanted)
         if isinstance(checked, Success):
+            self._tell_arrival(call)
             checked = await self._gate.enter(lane, ticket)
         if isinstance(checked, Failure):
             return self._answer_failure(call.head, checked.failure())
@@ -61,6 +62,19 @@
         finally:
             self._gate.leave(lane, ticket)
 
+    def _tell_arrival(self, call: Call) -> None:
+        """Count the request as demand, whether or not it is shed.
+
+        Models that nobody serves are not counted: their names come from
+        callers and would fill the memory.
+        """
+        if isinstance(call, ModelCall):
+            self._parts.arrived(
+                call.model,
+                call.prompt_tokens,
+                call.output_tokens,
+            )
+
     async def _serve(
         self,
         progress: Progress,
--- a/packages/verbenahall/src/verbenahall/front/_parts.py
+++ b/packages/verbenahall/src/verbenahall/front/_parts.py
@@ -39,6 +39,14 @@
     services: ServiceAdapter
 
 
+def ignore_arrival(
+    model: str,
+    prompt_tokens: int,
+    output_tokens: int,
+) -> None:
+    """Count no demand; for instances without automatic pools."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Parts:
     """The states and clients that the front is composed with.
@@ -47,8 +55,9 @@
     membership; ``heard``, ``missed`` and ``leaving`` (each with a name) feed
     it. ``settings()`` is the effective settings and ``position()`` their
     offset. ``claim(workspace, key)`` is the claims' promise that a keyed
-    call has won. ``unready()`` returns why the instance takes no requests,
-    or None. ``source`` is seeded apart on each instance.
+    call has won. ``arrived(model, prompt_tokens, output_tokens)`` is told of
+    each request for a known model. ``unready()`` returns why the instance
+    takes no requests, or None. ``source`` is seeded apart on each instance.
     """
 
     live: Callable[[EndpointKind, float, str], Sequence[Endpoint]]
@@ -65,3 +74,4 @@
     adapters: Adapters
     source: random.Random
     clock: Clock = monotonic
+    arrived: Callable[[str, int, int], None] = ignore_arrival
--- a/packages/verbenahall/src/verbenahall/instance/_surroundings.py
+++ b/packages/verbenahall/src/verbenahall/instance/_surroundings.py
@@ -1,8 +1,9 @@
 """What the controller of a data centre reads anew at each step."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import final
 
+from verbenahall import clock
 from verbenahall.fleet import Endpoint, EndpointKind, Role, Standing
 from verbenahall.instance._folds import Folds
 from verbenahall.membership import (
@@ -25,11 +26,11 @@
         folds: Folds,
         members: MembershipState,
     ) -> None:
-        """Read from these states; ``roles`` is the role planner's wish."""
+        """Read from these states; ``roles`` reads the role planner's wish."""
         self._data_centre = data_centre
         self._folds = folds
         self._members = members
-        self.roles: Mapping[str, Role] = {}
+        self.roles: Callable[[], Mapping[str, Role]] = dict
 
     def read_settings(self) -> EffectiveSettings:
         """Return the settings in force."""
@@ -51,6 +52,10 @@
             and endpoint.data_centre == self._data_centre
         ]
 
+    def standing(self, name: str) -> Standing:
+        """Return an endpoint's standing at this moment."""
+        return standing_of(self._members, name, clock.monotonic())
+
     def read_roles(self) -> Mapping[str, Role]:
         """Return the role planner's wish for engines of automatic pools."""
-        return self.roles
+        return self.roles()
--- a/packages/verbenahall/src/verbenahall/instance/_wiring.py
+++ b/packages/verbenahall/src/verbenahall/instance/_wiring.py
@@ -29,6 +29,7 @@
 )
 from verbenahall.instance._experience import Experience
 from verbenahall.instance._folds import Folds
+from verbenahall.instance._pools import Pools
 from verbenahall.instance._supervisor import Loop
 from verbenahall.instance._surroundings import Surroundings
 from verbenahall.load import (
@@ -39,8 +40,16 @@
     observe_report,
 )
 from verbenahall.log import LogClient, LogFollower
-from verbenahall.membership import ListPoller, MembershipState, Prober
+from verbenahall.fleet import Endpoint, EndpointKind
+from verbenahall.membership import (
+    ListPoller,
+    MembershipState,
+    OwnReport,
+    PeerExchange,
+    Prober,
+)
 from verbenahall.orders import Dispatch, OrderSender, OrderTiming
+from verbenahall.roles import RolePlanner
 from verbenahall.rollout import Controller
 
 #: Names of the loops that a graceful stop ends before the others.
@@ -97,6 +106,8 @@
             'log': self.follower.run,
             'list': self.poller.run,
             'probe': self.prober.run,
+            'peers': self.peers.run,
+            'roles': self.planner.run,
             'states': self.state_poller.run,
             'claims': self.claims.run,
             'front': self.front.run,
@@ -107,6 +118,7 @@
     async def announce_stop(self) -> None:
         """Take no new requests from now on."""
         self.stopping = True
+        await self.peers.announce_leaving()
 
     async def close(self) -> None:
         """Close the client sessions."""
@@ -129,6 +141,23 @@
             random.Random(self.holder),
         )
 
+        self.peers = PeerExchange(
+            self.sessions.kept,
+            self.members,
+            Endpoint(
+                self.config.name,
+                EndpointKind.INSTANCE,
+                self.config.listen,
+                self.config.data_centre,
+                self.incarnation,
+            ),
+            lambda: OwnReport(
+                ready=self.read_readiness().ready,
+                position=self.folds.settings.position,
+            ),
+            timing.heartbeat_s,
+        )
+
     def _build_controller(self) -> None:
         timing = self.config.timing
         scope = self.config.data_centre
@@ -171,6 +200,16 @@
             missed=experience.missed,
             leaving=experience.leaving,
         )
+        self.planner = RolePlanner(
+            Pools(
+                self.config.data_centre,
+                self.surroundings,
+                self.members,
+                self.states,
+                self.keeper,
+            ),
+        )
+        self.surroundings.roles = lambda: self.planner.roles
         self.front = Front(
             self.config,
             Parts(
@@ -182,6 +221,7 @@
                 settings=self.surroundings.read_settings,
                 position=lambda: self.folds.settings.position,
                 claim=self.claims.claim,
+                arrived=self.planner.note_arrival,
                 unready=self._find_unready,
                 load=self.load,
                 states=self.states,
@@ -208,6 +248,7 @@
             self.follower,
             self.read_readiness,
         ).add_routes(app)
+        self.peers.add_routes(app)
         metrics.add_routes(app)
         return app
 
--- a/packages/verbenahall/src/verbenahall/roles/__init__.py
+++ b/packages/verbenahall/src/verbenahall/roles/__init__.py
@@ -10,9 +10,11 @@
     Profile,
 )
 from verbenahall.roles._planner import PlannerState, decide
+from verbenahall.roles._shell import DEFAULT_PROFILE, RolePlanner
 from verbenahall.roles._served import served_share
 
 __all__ = (
+    'DEFAULT_PROFILE',
     'Counts',
     'Demand',
     'DemandState',
@@ -21,6 +23,7 @@
     'Plan',
     'PlannerState',
     'Profile',
+    'RolePlanner',
     'decide',
     'note_arrival',
     'read_demand',
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/roles/_shell.py
@@ -0,0 +1,142 @@
+"""The loop that plans the roles of automatic pools while the lease is held."""
+
+import asyncio
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Final, Protocol, final
+
+from verbenahall import journal
+from verbenahall.clock import Clock, monotonic
+from verbenahall.fleet import Role
+from verbenahall.roles._demand import DemandState, note_arrival, read_demand
+from verbenahall.roles._messages import Demand, EngineNow, Observation, Profile
+from verbenahall.roles._planner import PlannerState, decide
+
+_PERIOD_S: Final = 1.0
+#: Engines of about 13 billion parameters, by the slopes of the stand-in's
+#: cost model; docs/design/roles.md says how to measure one's own.
+DEFAULT_PROFILE: Final = Profile(
+    prefill_tokens_s=8700,
+    decode_tokens_s=2000,
+    mixed_efficiency=0.8,
+    change_s=6,
+)
+_NO_ROLES: Final[Mapping[str, Role]] = MappingProxyType({})
+
+
+class AutomaticPool(Protocol):
+    """A pool whose roles are planned."""
+
+    name: str
+    models: tuple[str, ...]
+    engines: tuple[EngineNow, ...]
+    goodput_weight: float
+    change_weight: float
+    floor: int
+
+
+class RolesSurroundings(Protocol):
+    """What the planner reads anew at each step."""
+
+    def is_leading(self, now: float) -> bool:
+        """Whether this process holds the data centre's lease."""
+
+    def list_pools(self) -> list[AutomaticPool]:
+        """Return the automatic pools with their live engines."""
+
+    def find_share(self, now: float) -> float:
+        """Return this instance's share of the data centre's callers."""
+
+
+@final
+class RolePlanner:
+    """Plans roles; ``roles`` is the wish that the rollout turns into orders.
+
+    Every instance counts its own arrivals, so that a new lease holder knows
+    the mix at once. Only the holder plans: two planners with different views
+    would send engines to and fro.
+    """
+
+    def __init__(
+        self,
+        surroundings: RolesSurroundings,
+        profile: Profile = DEFAULT_PROFILE,
+        clock: Clock = monotonic,
+    ) -> None:
+        """Start with no arrival seen and no wish."""
+        self.roles: Mapping[str, Role] = _NO_ROLES
+        self._surroundings = surroundings
+        self._profile = profile
+        self._clock = clock
+        self._demands: dict[str, DemandState] = {}
+        self._planners: dict[str, PlannerState] = {}
+
+    def note_arrival(
+        self,
+        model: str,
+        prompt_tokens: int,
+        output_tokens: int,
+    ) -> None:
+        """Count one request that a caller sent, by its expected tokens."""
+        now = self._clock()
+        demand = self._demands.setdefault(model, DemandState(now))
+        note_arrival(demand, prompt_tokens, output_tokens, now)
+
+    async def run(self) -> None:
+        """Plan once a period until cancelled."""
+        while True:
+            await asyncio.sleep(_PERIOD_S)
+            self.plan()
+
+    def plan(self) -> None:
+        """Plan all pools once, or drop the wish without the lease."""
+        now = self._clock()
+        if not self._surroundings.is_leading(now):
+            self._planners.clear()
+            self.roles = _NO_ROLES
+            return
+        roles: dict[str, Role] = {}
+        for pool in self._surroundings.list_pools():
+            roles.update(self._plan_pool(pool, now))
+        self.roles = roles
+
+    def _plan_pool(self, pool: AutomaticPool, now: float) -> Mapping[str, Role]:
+        seen = Observation(
+            pool=pool.name,
+            demand=self._add_demands(pool.models, now),
+            engines=pool.engines,
+            goodput_weight=pool.goodput_weight,
+            change_weight=pool.change_weight,
+            floor=pool.floor,
+        )
+        if not seen.engines:
+            return _NO_ROLES
+        state = self._planners.setdefault(pool.name, PlannerState(now))
+        plan = decide(state, seen, self._profile, now)
+        if plan.changes:
+            journal.write_decision(
+                'roles',
+                pool=pool.name,
+                changes=plan.changes,
+                reason=plan.reason,
+                regret=round(plan.regret, 2),
+                cost=round(plan.cost, 2),
+                demand_age_s=round(seen.demand.age_s, 2),
+            )
+        return plan.roles
+
+    def _add_demands(self, models: tuple[str, ...], now: float) -> Demand:
+        share = self._surroundings.find_share(now)
+        demands = [
+            read_demand(self._demands[model], now, share)
+            for model in models
+            if model in self._demands
+        ]
+        return Demand(
+            sum(demand.prefill_tokens_s for demand in demands),
+            sum(demand.decode_tokens_s for demand in demands),
+            min(
+                (demand.age_s for demand in demands),
+                default=float('inf'),
+            ),
+        )
--- a/packages/verbenahall/tests/roles/test_planner.py
+++ b/packages/verbenahall/tests/roles/test_planner.py
@@ -1,5 +1,8 @@
 """The planner of roles against a naive one that tries everything."""
 
+import itertools
+from types import SimpleNamespace
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -12,6 +15,7 @@
     Observation,
     PlannerState,
     Profile,
+    RolePlanner,
     decide,
     served_share,
 )
@@ -133,3 +137,59 @@
     assert not any(
         decide(state, seen, PROFILE, tick).changes for tick in range(200)
     )
+
+
+class FakePools:
+    """One automatic pool of four engines; ``leading`` is switched by tests."""
+
+    def __init__(self):
+        self.leading = True
+        self.engines = tuple(
+            EngineNow(f'engine-{index}', role)
+            for index, role in enumerate(itertools.repeat(Role.PREFILL, 4))
+        )
+
+    def is_leading(self, now):
+        return self.leading
+
+    def find_share(self, now):
+        return 1
+
+    def list_pools(self):
+        return [
+            SimpleNamespace(
+                name='pool',
+                models=('drafter',),
+                engines=self.engines,
+                goodput_weight=1,
+                change_weight=1,
+                floor=1,
+            ),
+        ]
+
+
+def run_planner(pools, seconds):
+    """Send decode-heavy arrivals for some seconds; return the wishes."""
+    now = itertools.count()
+    planner = RolePlanner(pools, PROFILE, clock=lambda: next(now) / 10)
+    wishes = []
+    for _ in range(seconds):
+        planner.note_arrival('drafter', 10, 300)
+        planner.plan()
+        wishes.append(dict(planner.roles))
+    return wishes
+
+
+def test_only_the_lease_holder_plans():
+    """Two instances of a data centre see different halves of the callers.
+
+    If both planned, engines would be sent to and fro between their views.
+    """
+    pools = FakePools()
+    assert any(
+        Role.DECODE in wish.values() or Role.MIXED in wish.values()
+        for wish in run_planner(pools, 200)
+    )
+
+    pools.leading = False
+    assert not any(run_planner(pools, 200))
