--- a/packages/verbenahall/src/verbenahall/front/_parse.py
+++ b/packages/verbenahall/src/verbenahall/front/_parse.py
@@ -178,7 +178,7 @@
         return ''
     start = text[:_PREFIX_TEXT]
     named = f'{model}\0{adapter}\0{start}'
-    return xxhash.xxh64_hexdigest(named.encode())
+    return xxhash.xxh64_hexdigest(named.encode('utf-8', 'surrogatepass'))
 
 
 def _read_deadline(deadline_ms: str, default_s: float) -> float | None:
