--- a/packages/standins/src/verbenahall_standins/registry.py
+++ b/packages/standins/src/verbenahall_standins/registry.py
@@ -5,9 +5,10 @@
 
 import argparse
 import bisect
+from http import HTTPStatus
 from typing import Any, Final
 
-from aiohttp import web
+from aiohttp import hdrs, web
 
 from verbenahall import clock
 from verbenahall_standins import answers, faults, serving
@@ -77,7 +78,14 @@
         at = clock.monotonic() - self._lag_s
         if self._frozen_at is not None:
             at = self._frozen_at
-        return answers.answer_json(self._list.show(at))
+        shown = self._list.show(at)
+        version = shown['version']
+        tag = f'"{version}"'
+        if request.headers.get(hdrs.IF_NONE_MATCH) == tag:
+            return web.Response(status=HTTPStatus.NOT_MODIFIED)
+        response = answers.answer_json(shown)
+        response.headers[hdrs.ETAG] = tag
+        return response
 
     async def _show_now(self, request: web.Request) -> web.Response:
         return answers.answer_json(self._list.show(clock.monotonic()))
--- a/packages/verbenahall/src/verbenahall/routing/_candidates.py
+++ b/packages/verbenahall/src/verbenahall/routing/_candidates.py
@@ -1,6 +1,8 @@
 """Candidates, and the subsets that keep instances from herding."""
 
 import dataclasses
+import functools
+import heapq
 import random
 from collections.abc import Iterable, Sequence
 from typing import Final, final
@@ -11,6 +13,7 @@
 
 #: Endpoints that one instance chooses among; further ones are spill-over.
 SUBSET_SIZE: Final = 24
+_RANKS_KEPT: Final = 8192
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,9 +60,21 @@
     """Return the candidates that this instance looks at."""
     if len(candidates) <= size:
         return candidates
-    by_name = {found.endpoint.name: found for found in candidates}
-    ranked = rank_by_rendezvous(instance, by_name)
-    return tuple(by_name[name] for name in ranked[:size])
+    return heapq.nsmallest(
+        size,
+        candidates,
+        key=lambda found: _rank_of(instance, found.endpoint.name),
+    )
+
+
+@functools.lru_cache(maxsize=_RANKS_KEPT)
+def _rank_of(instance: str, name: str) -> tuple[int, str]:
+    """Return where an endpoint stands for this instance.
+
+    Kept, since hashing a data centre's endpoints anew for each request is
+    what a choice at the planned size would mostly spend its time on.
+    """
+    return weigh_by_rendezvous(instance, name), name
 
 
 def weigh_by_rendezvous(key: str, name: str) -> int:
