Probes that never count as a run; one bad list can't end the poll

Cause: a probe of a plain service was a GET on one of its paths, which the service records as a run; a probe of an engine took the word of whatever process answers at the address; a word that was taken back stayed for ever unless the incarnation changed; and a list with a version that is no number ended the poll loop.

Change: services and instances are asked OPTIONS *, engines their /state with the name compared; those that said they leave are probed too; version and entries are decoded together before anything is taken over.

Seen first: test_bad_lists_change_nothing failed with ValueError from the poll on the version 'x', and passes now. 38 tests of the slice pass in 2.0 s.

--- a/packages/verbenahall/src/verbenahall/membership/__init__.py
+++ b/packages/verbenahall/src/verbenahall/membership/__init__.py
@@ -1,6 +1,5 @@
 """Which endpoints and instances are live, leaving or silent."""
 
-from verbenahall.membership._codec import decode_entries
 from verbenahall.membership._decisions import (
     all_endpoints,
     due_probes,
@@ -24,7 +23,8 @@
     StandingChange,
 )
 from verbenahall.membership._peer_shell import PeerExchange
-from verbenahall.membership._shell import ListPoller, Prober
+from verbenahall.membership._poller import ListPoller
+from verbenahall.membership._prober import Prober
 from verbenahall.membership._state import MembershipState
 
 __all__ = (
@@ -42,7 +42,6 @@
     'StandingChange',
     'all_endpoints',
     'apply_list',
-    'decode_entries',
     'due_probes',
     'find',
     'live',
--- a/packages/verbenahall/src/verbenahall/membership/_codec.py
+++ b/packages/verbenahall/src/verbenahall/membership/_codec.py
@@ -1,6 +1,5 @@
 """The list service's and the peers' JSON as messages."""
 
-from collections.abc import Iterable
 from typing import Any, Final
 
 from returns.result import Failure, Result, Success
@@ -10,6 +9,7 @@
 from verbenahall.fleet import Endpoint, EndpointKind
 from verbenahall.membership._messages import (
     Digest,
+    ListAnswer,
     ListEntry,
     OwnReport,
     PassedWord,
@@ -20,19 +20,22 @@
 _UNREADABLE: Final = (KeyError, TypeError, ValueError, AttributeError)
 
 
-def decode_entries(
-    rows: Iterable[Any],
-) -> Result[tuple[ListEntry, ...], Problem]:
-    """Decode the list's entries; one bad entry refuses the whole list.
+def decode_list(table: dict[str, Any]) -> Result[ListAnswer, Problem]:
+    """Decode the list; one bad entry refuses the whole of it.
 
     Leaving out what can't be read would look like its removal.
     """
     try:
-        return Success(tuple(_decode_entry(row) for row in rows))
+        return Success(_build_list(table))
     except _UNREADABLE as error:
-        return Failure(
-            Problem(ErrorKind.BAD_REQUEST, f'list entry: {error!r}'),
-        )
+        return Failure(Problem(ErrorKind.BAD_REQUEST, f'list: {error!r}'))
+
+
+def _build_list(table: dict[str, Any]) -> ListAnswer:
+    return ListAnswer(
+        int(table['version']),
+        tuple(_decode_entry(row) for row in table['entries']),
+    )
 
 
 def _decode_entry(row: dict[str, Any]) -> ListEntry:
--- a/packages/verbenahall/src/verbenahall/membership/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/membership/_decisions.py
@@ -6,7 +6,7 @@
 
 from verbenahall.fleet import Endpoint, EndpointKind, Standing
 from verbenahall.membership._listing import forget, replace_member
-from verbenahall.membership._messages import Listing, Word
+from verbenahall.membership._messages import Listing, Sign, Word
 from verbenahall.membership._standing import review
 from verbenahall.membership._state import Member, MembershipState
 
@@ -161,7 +161,9 @@
     now: float,
     rng: random.Random,
 ) -> tuple[Endpoint, ...]:
-    """Take the endpoints to probe now: silent ones and doubted ones.
+    """Take the endpoints to probe now.
+
+    These are silent ones, doubted ones, and those that said they leave.
 
     Each is put off by a growing delay with jitter and few go at once, so
     that instances that saw the same fault don't ask all at the same moment
@@ -183,9 +185,9 @@
 def _wants_probe(member: Member, now: float) -> bool:
     if member.probe_at > now:
         return False
-    return (
-        member.standing is Standing.SILENT or member.listing is Listing.DOUBTED
-    )
+    if member.standing is Standing.SILENT or member.sign is Sign.TOLD_LEAVING:
+        return True
+    return member.listing is Listing.DOUBTED
 
 
 def _put_off(
--- a/packages/verbenahall/src/verbenahall/membership/_messages.py
+++ b/packages/verbenahall/src/verbenahall/membership/_messages.py
@@ -43,6 +43,14 @@
     leaving: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListAnswer:
+    """The platform's whole list; ``version`` grows with each change."""
+
+    version: int
+    entries: tuple[ListEntry, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Word:
     """What an endpoint said of itself, and when that was said.
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/membership/_poller.py
@@ -0,0 +1,96 @@
+"""Shell of the platform's list: polls it into a membership state."""
+
+import asyncio
+from typing import Final, final
+
+import aiohttp
+from absl import logging
+from returns.result import Failure, Result, Success
+
+from verbenahall import clock, wire
+from verbenahall.errors import ErrorKind, Problem
+from verbenahall.membership._codec import decode_list
+from verbenahall.membership._listing import apply_list
+from verbenahall.membership._messages import ListAnswer
+from verbenahall.membership._state import MembershipState
+
+_POLL_TIMEOUT: Final = aiohttp.ClientTimeout(total=2)
+#: A list that goes on showing a lower version has been restarted.
+_LOWER_VERSION_POLLS: Final = 5
+
+
+@final
+class ListPoller:
+    """Reads the platform's list into a membership state.
+
+    A poll that fails changes nothing: the last known list stays and own
+    experience decides, so an outage of the list takes no endpoint away.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        session: aiohttp.ClientSession,
+        state: MembershipState,
+        period_s: float,
+        now: clock.Clock = clock.monotonic,
+    ) -> None:
+        """Poll ``address`` (``IP:port``) each ``period_s``."""
+        self._url = f'http://{address}/list'
+        self._session = session
+        self._state = state
+        self._period_s = period_s
+        self._now = now
+        self._version = 0
+        self._lower_polls = 0
+        self.failed_polls = 0
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        while True:
+            await self.poll()
+            await asyncio.sleep(self._period_s)
+
+    async def poll(self) -> None:
+        """Poll once."""
+        found = (await self._fetch()).bind(wire.decode_table)
+        match found.bind(decode_list):
+            case Success(answer):
+                self._take(answer)
+            case Failure(problem):
+                self._note_failure(problem)
+
+    async def _fetch(self) -> Result[bytes, Problem]:
+        try:
+            async with self._session.get(
+                self._url,
+                timeout=_POLL_TIMEOUT,
+            ) as answer:
+                answer.raise_for_status()
+                return Success(await answer.read())
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            return Failure(Problem(ErrorKind.ENDPOINT_FAILED, repr(error)))
+
+    def _take(self, answer: ListAnswer) -> None:
+        self.failed_polls = 0
+        if not self._is_stale(answer.version):
+            apply_list(self._state, answer.entries, self._now())
+
+    def _is_stale(self, version: int) -> bool:
+        """Tell an older copy of the list from a list that began anew.
+
+        Behind one address may stand copies that lag differently. Following
+        the older one would bring back endpoints that have left, at every
+        other poll.
+        """
+        if version < self._version and self._lower_polls < _LOWER_VERSION_POLLS:
+            self._lower_polls += 1
+            return True
+        self._version = version
+        self._lower_polls = 0
+        return False
+
+    def _note_failure(self, problem: Problem) -> None:
+        self.failed_polls += 1
+        if self.failed_polls == 1:
+            logging.warning('instance list unreadable: %s', problem.message)
--- /dev/null
+++ b/packages/verbenahall/tests/membership/test_shells.py
@@ -0,0 +1,151 @@
+"""The list's poller and the prober against small servers."""
+
+import asyncio
+import random
+from types import MappingProxyType
+
+import pytest
+from aiohttp import ClientSession, web
+
+from verbenahall import wire
+from verbenahall.fleet import Endpoint, EndpointKind, Standing
+from verbenahall.membership import (
+    ListEntry,
+    ListPoller,
+    MembershipState,
+    Prober,
+    all_endpoints,
+    apply_list,
+    observe_failure,
+    observe_leaving,
+    standing_of,
+)
+
+ROW = MappingProxyType(
+    {
+        'name': 'e',
+        'kind': 'engine',
+        'address': '127.0.0.1:1',
+        'data_centre': 'ain',
+        'incarnation': 'a',
+        'state': 'live',
+    }
+)
+STATE = MappingProxyType(
+    {'name': 'e', 'incarnation': 'a', 'leaving': False},
+)
+
+
+def run_against(handler, check):
+    async def main():
+        async def handle(request):
+            return await handler(request)
+
+        server = web.Server(handle)
+        runner = web.ServerRunner(server)
+        await runner.setup()
+        await web.TCPSite(runner, '127.0.0.1', 0).start()
+        host, port = runner.addresses[0]
+        async with ClientSession() as session:
+            await check(f'{host}:{port}', session)
+        await runner.cleanup()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    'bad',
+    [
+        web.Response(status=503),
+        web.Response(body=b'{"version": 9, "entries": ['),
+        web.Response(body=wire.encode({'version': 9, 'entries': [{}]})),
+        web.Response(body=wire.encode({'version': 9, 'entries': 7})),
+        web.Response(body=wire.encode({'version': 'x', 'entries': []})),
+        web.Response(body=wire.encode({'version': 0, 'entries': []})),
+    ],
+)
+def test_bad_lists_change_nothing(bad):
+    """The list is down, garbled, or an older copy of it answers.
+
+    What was known must stay: no endpoint has left because of it.
+    """
+    good = wire.encode({'version': 3, 'entries': [dict(ROW)]})
+    answers = iter((web.Response(body=good), bad))
+
+    async def handler(request):
+        return next(answers)
+
+    async def check(address, session):
+        state = MembershipState()
+        poller = ListPoller(address, session, state, 1)
+        await poller.poll()
+        await poller.poll()
+        assert [one.name for one in all_endpoints(state)] == ['e']
+        assert standing_of(state, 'e', 0) is Standing.LIVE
+
+    run_against(handler, check)
+
+
+@pytest.mark.parametrize(
+    ('kind', 'answer', 'after'),
+    [
+        (EndpointKind.ENGINE, STATE, Standing.LIVE),
+        (EndpointKind.ENGINE, {**STATE, 'name': 'other'}, Standing.SILENT),
+        (EndpointKind.ENGINE, {**STATE, 'leaving': True}, Standing.LEAVING),
+        (EndpointKind.ENGINE, {**STATE, 'incarnation': 'b'}, Standing.LIVE),
+        (EndpointKind.SERVICE, {}, Standing.LIVE),
+    ],
+)
+def test_probe_of_a_silent_endpoint(kind, answer, after):
+    """An endpoint was silent; something answers at its address again.
+
+    A probe must not be a run of the service, nor take the word of another
+    process that was given the address.
+    """
+    asked = []
+
+    async def handler(request):
+        asked.append((request.method, request.path))
+        return web.Response(body=wire.encode(dict(answer)))
+
+    async def check(address, session):
+        state = MembershipState()
+        endpoint = Endpoint('e', kind, address, 'ain', 'a')
+        apply_list(state, [ListEntry(endpoint)], 0)
+        for _ in range(3):
+            observe_failure(state, 'e', 1)
+        await Prober(session, state, random.Random(1)).probe(endpoint)
+        assert standing_of(state, 'e', 2) is after
+
+    run_against(handler, check)
+    wanted = (
+        ('GET', '/state') if kind is EndpointKind.ENGINE else ('OPTIONS', '*')
+    )
+    assert asked == [wanted]
+
+
+def test_word_is_taken_back():
+    """An engine said that it leaves; then its operator changed the mind.
+
+    Nothing asks it any more, so only a probe can hear that it stays.
+    """
+
+    async def handler(request):
+        return web.Response(body=wire.encode(dict(STATE)))
+
+    async def check(address, session):
+        state = MembershipState()
+        entry = ListEntry(
+            Endpoint('e', EndpointKind.ENGINE, address, 'ain', 'a'),
+        )
+        apply_list(state, [entry], 0)
+        observe_leaving(state, 'e', 0)
+        running = asyncio.create_task(
+            Prober(session, state, random.Random(1)).run(),
+        )
+        async with asyncio.timeout(20):
+            while standing_of(state, 'e', 1) is not Standing.LIVE:
+                await asyncio.sleep(0.02)
+        running.cancel()
+
+    run_against(handler, check)
