--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/membership/__init__.py
@@ -0,0 +1,53 @@
+"""Which endpoints and instances are live, leaving or silent."""
+
+from verbenahall.membership._decisions import (
+    all_endpoints,
+    due_probes,
+    find,
+    live,
+    observe_answer,
+    observe_failure,
+    observe_leaving,
+    observe_word,
+    standing_of,
+)
+from verbenahall.membership._listing import apply_list
+from verbenahall.membership._messages import (
+    DEFAULT_RULES,
+    ListEntry,
+    Listing,
+    MembershipRules,
+    OwnReport,
+    PeerView,
+    Sign,
+    StandingChange,
+)
+from verbenahall.membership._peer_shell import PeerExchange
+from verbenahall.membership._poller import ListPoller
+from verbenahall.membership._prober import Prober
+from verbenahall.membership._state import MembershipState
+
+__all__ = (
+    'DEFAULT_RULES',
+    'ListEntry',
+    'ListPoller',
+    'Listing',
+    'MembershipRules',
+    'MembershipState',
+    'OwnReport',
+    'PeerExchange',
+    'PeerView',
+    'Prober',
+    'Sign',
+    'StandingChange',
+    'all_endpoints',
+    'apply_list',
+    'due_probes',
+    'find',
+    'live',
+    'observe_answer',
+    'observe_failure',
+    'observe_leaving',
+    'observe_word',
+    'standing_of',
+)
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/roles/__init__.py
@@ -0,0 +1,31 @@
+"""Roles of engines: how many prefill, decode and mixed engines a mix wants."""
+
+from verbenahall.roles._demand import DemandState, note_arrival, read_demand
+from verbenahall.roles._messages import (
+    Counts,
+    Demand,
+    EngineNow,
+    Observation,
+    Plan,
+    Profile,
+)
+from verbenahall.roles._planner import PlannerState, decide
+from verbenahall.roles._shell import DEFAULT_PROFILE, RolePlanner
+from verbenahall.roles._served import served_share
+
+__all__ = (
+    'DEFAULT_PROFILE',
+    'Counts',
+    'Demand',
+    'DemandState',
+    'EngineNow',
+    'Observation',
+    'Plan',
+    'PlannerState',
+    'Profile',
+    'RolePlanner',
+    'decide',
+    'note_arrival',
+    'read_demand',
+    'served_share',
+)
