--- a/packages/standins/src/verbenahall_standins/deployment.py
+++ b/packages/standins/src/verbenahall_standins/deployment.py
@@ -117,7 +117,7 @@
         if name in self.described.engines:
             # The list names the same life of the process as the engine
             # itself does.
-            incarnation = await _fetch_incarnation(session, self.address(name))
+            incarnation = await fetch_incarnation(session, self.address(name))
         registry = self.address('registry')
         entry = self._entry(name, incarnation)
         await _post(session, f'http://{registry}/register', entry)
@@ -138,10 +138,11 @@
     return process.launch(f'verbenahall_standins.{name}', *arguments)
 
 
-async def _fetch_incarnation(
+async def fetch_incarnation(
     session: aiohttp.ClientSession,
     address: str,
 ) -> str:
+    """Return the incarnation that an engine itself names."""
     async with session.get(f'http://{address}/state') as answer:
         return (await answer.json())['incarnation']
 
--- a/packages/standins/src/verbenahall_standins/publishing.py
+++ b/packages/standins/src/verbenahall_standins/publishing.py
@@ -29,6 +29,23 @@
     seconds: float
 
 
+def publish(file: Path, team: str, log: str) -> str:
+    """Publish to the log at an address, as an operator would.
+
+    Returns the last line that ``verbenactl`` prints.
+    """
+    script = process.find_script('verbenactl')
+    done = subprocess.run(
+        (script, 'publish', str(file), '--team', team)
+        + ('--author', 'demo', '--log', log),
+        capture_output=True,
+        text=True,
+    )
+    if done.returncode:
+        raise PublishError(f'{done.stdout}{done.stderr}')
+    return done.stdout.strip().rpartition('\n')[-1]
+
+
 class Publisher:
     """Publishes to one deployment."""
 
@@ -47,17 +64,7 @@
 
     def publish(self, file: Path, team: str) -> str:
         """Publish a file; return the last line that ``verbenactl`` prints."""
-        address = self._deployment.address('log')
-        script = process.find_script('verbenactl')
-        done = subprocess.run(
-            (script, 'publish', str(file), '--team', team)
-            + ('--author', 'demo', '--log', address),
-            capture_output=True,
-            text=True,
-        )
-        if done.returncode:
-            raise PublishError(f'{done.stdout}{done.stderr}')
-        return done.stdout.strip().rpartition('\n')[-1]
+        return publish(file, team, self._deployment.address('log'))
 
     async def publish_and_watch(self, file: Path, team: str) -> InForce:
         """Publish and wait until every instance reports it in force."""
