Drains and workspaces' own bounds hold on the callers' path

Cause: a drained engine that the list still shows as live went on getting work, and a workspace's published queue was not read. With the filter taken out test_drained_engine_gets_no_new_work fails; with it, it passes. Shares are read again only when the settings have moved.

--- a/packages/verbenahall/src/verbenahall/admission/__init__.py
+++ b/packages/verbenahall/src/verbenahall/admission/__init__.py
@@ -14,7 +14,11 @@
     Ticket,
 )
 from verbenahall.admission._shell import Gate
-from verbenahall.admission._state import AdmissionLimits, AdmissionState
+from verbenahall.admission._state import (
+    AdmissionLimits,
+    AdmissionState,
+    WorkspaceBounds,
+)
 
 __all__ = (
     'AdmissionLimits',
@@ -24,6 +28,7 @@
     'Gate',
     'LOWEST_PRIORITY',
     'Ticket',
+    'WorkspaceBounds',
     'ask',
     'expire',
     'finish',
--- a/packages/verbenahall/src/verbenahall/admission/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/admission/_decisions.py
@@ -97,7 +97,7 @@
 def _start_next(state: AdmissionState, now: float) -> Iterator[Ticket]:
     for priority, queue in enumerate(state.queues):
         while queue.size and _has_slot(state, priority):
-            ticket = queue.pop(state.shares)
+            ticket = queue.pop(state.workspaces)
             _start(state, ticket, now)
             yield ticket
 
@@ -106,8 +106,9 @@
     queue = state.queues[ticket.priority]
     if queue.size >= state.limits.queue_per_priority:
         return _refuse(state, ticket, ErrorKind.OVERLOADED)
-    if _count_workspace(state, ticket) >= state.limits.queue_per_workspace:
-        return _displace(state, ticket, ticket.workspace)
+    workspace = ticket.workspace
+    if _count_workspace(state, ticket) >= state.bound_of(workspace):
+        return _displace(state, ticket, workspace)
     if state.waiting >= state.limits.queue_total:
         return _displace(state, ticket, '')
     queue.push(ticket)
--- a/packages/verbenahall/src/verbenahall/admission/_shell.py
+++ b/packages/verbenahall/src/verbenahall/admission/_shell.py
@@ -9,7 +9,11 @@
 from verbenahall import metrics
 from verbenahall.admission import _decisions
 from verbenahall.admission._messages import Effects, Ticket
-from verbenahall.admission._state import AdmissionLimits, AdmissionState
+from verbenahall.admission._state import (
+    AdmissionLimits,
+    AdmissionState,
+    Workspaces,
+)
 from verbenahall.clock import Clock, monotonic
 from verbenahall.errors import Problem
 
@@ -35,6 +39,7 @@
         self._limits_of = limits_of
         self._clock = clock
         self._lanes: dict[str, AdmissionState] = {}
+        self._workspaces: Workspaces = {}
         self._waits: dict[str, asyncio.Future[_Verdict]] = {}
 
     async def enter(self, lane: str, ticket: Ticket) -> _Verdict:
@@ -62,11 +67,16 @@
         state = self._find_lane(lane)
         self._apply(_decisions.finish(state, ticket.request, self._clock()))
 
-    def refresh(self, shares: dict[str, float]) -> None:
-        """Take the lanes' present limits and the workspaces' shares."""
+    def apply_workspaces(self, workspaces: Workspaces) -> None:
+        """Take the workspaces' shares and bounds for all lanes."""
+        self._workspaces = workspaces
+        for state in self._lanes.values():
+            state.workspaces = workspaces
+
+    def refresh(self) -> None:
+        """Take the lanes' present limits."""
         now = self._clock()
         for lane, state in self._lanes.items():
-            state.shares = shares
             limits = self._limits_of(lane)
             self._apply(_decisions.resize(state, limits, now))
 
@@ -81,7 +91,8 @@
     def _find_lane(self, lane: str) -> AdmissionState:
         state = self._lanes.get(lane)
         if state is None:
-            state = AdmissionState(self._limits_of(lane))
+            limits = self._limits_of(lane)
+            state = AdmissionState(limits, self._workspaces)
             self._lanes[lane] = state
         return state
 
--- a/packages/verbenahall/src/verbenahall/admission/_state.py
+++ b/packages/verbenahall/src/verbenahall/admission/_state.py
@@ -3,10 +3,14 @@
 import collections
 import dataclasses
 import itertools
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Final, final
 
 from verbenahall.admission._messages import LOWEST_PRIORITY, Ticket
 
+#: A share of nothing would stop the workspace's queue for ever.
+_LEAST_SHARE: Final = 0.001
 _PRIORITIES: Final = LOWEST_PRIORITY + 1
 
 
@@ -21,6 +25,22 @@
     queue_total: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkspaceBounds:
+    """A workspace's weight, and how many of its requests may wait.
+
+    A ``queue`` of zero stands for the lane's own bound.
+    """
+
+    share: float = 1
+    queue: int = 0
+
+
+Workspaces = Mapping[str, WorkspaceBounds]
+_NO_BOUNDS: Final[Workspaces] = MappingProxyType({})
+_USUAL: Final = WorkspaceBounds()
+
+
 @final
 class FairQueue:
     """The waiting tickets of one priority, first in first out by workspace.
@@ -49,11 +69,12 @@
         row.append(ticket)
         self.size += 1
 
-    def pop(self, shares: dict[str, float]) -> Ticket:
+    def pop(self, workspaces: Workspaces) -> Ticket:
         """Take the next ticket of the workspace that is furthest behind."""
         workspace = min(self.waiting, key=self.passes.__getitem__)
         self.virtual_time = self.passes[workspace]
-        self.passes[workspace] += 1 / shares.get(workspace, 1)
+        share = workspaces.get(workspace, _USUAL).share
+        self.passes[workspace] += 1 / max(share, _LEAST_SHARE)
         ticket = self.waiting[workspace].popleft()
         self._settle(workspace)
         return ticket
@@ -101,7 +122,7 @@
 class AdmissionState:
     """One lane: what runs by priority, what waits, and how fast it drains.
 
-    ``shares`` gives workspaces other weights than 1. ``drain_rate`` is in
+    ``workspaces`` gives some of them other bounds. ``drain_rate`` is in
     requests a second, None until it was measured. ``counted_from`` is when
     the present stretch of its measuring began, None while the lane is idle.
     """
@@ -111,23 +132,32 @@
         'queues',
         'running',
         'flags_running',
-        'shares',
+        'workspaces',
         'drain_rate',
         'counted_from',
         'counted',
     )
 
-    def __init__(self, limits: AdmissionLimits) -> None:
+    def __init__(
+        self,
+        limits: AdmissionLimits,
+        workspaces: Workspaces = _NO_BOUNDS,
+    ) -> None:
         """Start with nothing running."""
         self.limits = limits
         self.queues = tuple(FairQueue() for _ in range(_PRIORITIES))
         self.running: dict[str, Ticket] = {}
         self.flags_running = 0
-        self.shares: dict[str, float] = {}
+        self.workspaces = workspaces
         self.drain_rate: float | None = None
         self.counted_from: float | None = None
         self.counted = 0
 
+    def bound_of(self, workspace: str) -> int:
+        """Return how many requests of a workspace may wait here."""
+        own = self.workspaces.get(workspace, _USUAL).queue
+        return own or self.limits.queue_per_workspace
+
     @property
     def waiting(self) -> int:
         """How many tickets wait in all queues."""
--- a/packages/verbenahall/src/verbenahall/front/_fleet.py
+++ b/packages/verbenahall/src/verbenahall/front/_fleet.py
@@ -9,7 +9,7 @@
 from verbenahall.admission import AdmissionLimits
 from verbenahall.config import LimitsConfig
 from verbenahall.errors import ErrorKind, Problem
-from verbenahall.fleet import EndpointKind, Role
+from verbenahall.fleet import Endpoint, EndpointKind, Role
 from verbenahall.front._messages import Call, ModelCall
 from verbenahall.front._parts import Parts
 from verbenahall.routing import Candidate
@@ -63,10 +63,10 @@
 
     def check(self, wanted: _Wanted) -> Result[None, Problem]:
         """Say at once when nobody can take the request."""
-        service, model, adapter = wanted
-        settings = self._parts.settings()
         if self.candidates(wanted):
             return Success(None)
+        service, model, adapter = wanted
+        settings = self._parts.settings()
         if service:
             return self._miss_service(service, settings.services)
         known = model in settings.models
@@ -100,8 +100,19 @@
         found = self._parts.states.by_name.get(name)
         return found.models.get(model, '') if found else ''
 
+    def _list_live(
+        self,
+        kind: EndpointKind,
+        now: float,
+        service: str,
+    ) -> list[Endpoint]:
+        """Return the live endpoints that no operator drains."""
+        drains = self._parts.settings().drains
+        live = self._parts.live(kind, now, service)
+        return [found for found in live if found.name not in drains]
+
     def _list_services(self, service: str, now: float) -> list[Candidate]:
-        live = self._parts.live(EndpointKind.SERVICE, now, service)
+        live = self._list_live(EndpointKind.SERVICE, now, service)
         return [Candidate(endpoint, Role.MIXED) for endpoint in live]
 
     def _list_engines(
@@ -111,7 +122,7 @@
         now: float,
     ) -> list[Candidate]:
         found = []
-        for endpoint in self._parts.live(EndpointKind.ENGINE, now, ''):
+        for endpoint in self._list_live(EndpointKind.ENGINE, now, ''):
             state = self._parts.states.by_name.get(endpoint.name)
             # Another process under the same name holds other models; its
             # predecessor's state must not draw requests to it.
--- a/packages/verbenahall/src/verbenahall/front/_parts.py
+++ b/packages/verbenahall/src/verbenahall/front/_parts.py
@@ -28,6 +28,7 @@
     models: Mapping[str, Any]
     adapters: Mapping[str, Any]
     workspaces: Mapping[str, Any]
+    drains: Mapping[str, Any]
     services: Mapping[str, Any]
 
 
--- a/packages/verbenahall/src/verbenahall/front/_shell.py
+++ b/packages/verbenahall/src/verbenahall/front/_shell.py
@@ -8,7 +8,7 @@
 from returns.result import Failure
 
 from verbenahall import wire
-from verbenahall.admission import Gate
+from verbenahall.admission import Gate, WorkspaceBounds
 from verbenahall.config import InstanceConfig
 from verbenahall.front._answers import answer_problem
 from verbenahall.front._attempts import Attempts
@@ -74,13 +74,23 @@
             group.create_task(self._refresh())
 
     async def _refresh(self) -> None:
+        position = -1
         while True:
-            workspaces = self._parts.settings().workspaces
-            shares = {name: row.share for name, row in workspaces.items()}
-            self._gate.refresh(shares)
+            # Thousands of workspaces are read only after a change of them.
+            if position != self._parts.position():
+                position = self._parts.position()
+                self._gate.apply_workspaces(self._read_workspaces())
+            self._gate.refresh()
             self._attempts.abandon_silent()
             await asyncio.sleep(_REFRESH_S)
 
+    def _read_workspaces(self) -> dict[str, WorkspaceBounds]:
+        workspaces = self._parts.settings().workspaces
+        return {
+            name: WorkspaceBounds(row.share, row.queue)
+            for name, row in workspaces.items()
+        }
+
     async def _take_model_call(
         self,
         request: web.Request,
--- a/packages/verbenahall/tests/admission/test_decisions.py
+++ b/packages/verbenahall/tests/admission/test_decisions.py
@@ -10,6 +10,7 @@
     AdmissionLimits,
     AdmissionState,
     Ticket,
+    WorkspaceBounds,
     ask,
     expire,
     finish,
@@ -100,7 +101,7 @@
     """
     limits = AdmissionLimits(1, 0, 1000, 1000, 4000)
     state = AdmissionState(limits)
-    state.shares = {'loud': 1, 'calm': 2}
+    state.workspaces = {'calm': WorkspaceBounds(share=2)}
     for number in range(200):
         ask(state, make_ticket(number, workspace='loud'), 0)
     for number in range(200, 220):
--- a/packages/verbenahall/tests/front/conftest.py
+++ b/packages/verbenahall/tests/front/conftest.py
@@ -199,6 +199,7 @@
         models={'m': None},
         adapters={},
         workspaces={},
+        drains={},
         services={},
     )
     return front.Parts(
--- a/packages/verbenahall/tests/front/test_attempts.py
+++ b/packages/verbenahall/tests/front/test_attempts.py
@@ -95,6 +95,23 @@
         assert json.loads(body)['by'] == 'good'
 
 
+def test_drained_engine_gets_no_new_work(stage, fake):
+    """An operator drains an engine that the list still shows as live. It
+    must get nothing new within seconds, or it could never be taken away.
+    """
+
+    async def run():
+        drained = fake('a')
+        async with stage([drained, fake('b')]) as on:
+            on.parts.settings().drains['a'] = 'replaced'
+            await asyncio.sleep(0.1)
+            for _ in range(20):
+                assert (await on.post())[0] == 200
+        assert not drained.seen
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize('fault', ('error', 'reset_after', 'hang'))
 def test_billed_request_runs_once_and_says_unknown(stage, fake, fault):
     """An engine begins a billed summary and fails. Whether it ran is not
