Callers' connections are bounded and malformed HTTP is answered in kind

Cause: below the routes the HTTP library answers by itself: heads that are too long and bytes that are no HTTP got a plain text without kind or ran, a connection that never ends its head was kept, and nothing bounded how many there are. Change: a runner of our own makes each connection: beyond the bound a whole 429 is written and closed, the first request must arrive within the body's time, library errors go through the one table.

--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/front/_connections.py
@@ -0,0 +1,144 @@
+"""Callers' connections: how many, how slow, and what malformed HTTP is told."""
+
+import asyncio
+import functools
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Any, Final, final
+
+from aiohttp import web
+from aiohttp.http_exceptions import LineTooLong
+
+from verbenahall import wire
+from verbenahall.config import LimitsConfig
+from verbenahall.errors import ErrorKind, Problem
+from verbenahall.front._answers import answer_problem, describe_problem
+
+_KEEPALIVE_S: Final = 75.0
+#: How long the rest of a refused body is read, so that its sender can read
+#: the answer before the connection is reset.
+_LINGER_S: Final = 1.0
+_SERVER_ERROR: Final = 500
+
+_Options = Mapping[str, Any]
+
+
+@final
+class Connection(web.RequestHandler):
+    """One caller's connection; it must bring a request within its time.
+
+    A caller that opens connections and sends half a head on each would use
+    up all that the instance may hold, with no request to be seen anywhere.
+    """
+
+    __slots__ = ('_first_request_s',)
+
+    def __init__(
+        self,
+        manager: web.Server,
+        first_request_s: float,
+        options: _Options,
+    ) -> None:
+        """Serve under a manager; ``options`` are the library's own."""
+        loop = asyncio.get_running_loop()
+        super().__init__(manager, loop=loop, **options)
+        self._first_request_s = first_request_s
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start the time within which the first request must arrive."""
+        super().connection_made(transport)
+        loop = asyncio.get_running_loop()
+        loop.call_later(self._first_request_s, self._check_begun)
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answer what the library could not read, from the closed list."""
+        if request.writer.output_size:
+            # Part of an answer is out; anything more would be read as its
+            # body. Closing is all that tells the caller.
+            raise ConnectionError('an answer has begun already')
+        response = answer_problem(_describe(status, exc))
+        response.force_close()
+        return response
+
+    def _check_begun(self) -> None:
+        if not self._request_count:
+            self.force_close()
+
+
+@final
+class Refusal(asyncio.Protocol):
+    """Answers a connection beyond the bound, and closes it."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Send the whole answer at once."""
+        transport.write(_FULL)
+        transport.close()
+
+
+class Runner(web.AppRunner):
+    """Runs an application within the limits on callers' connections.
+
+    Handlers are cancelled when their caller goes away, which is how the
+    engine's work for nobody gets cancelled.
+    """
+
+    def __init__(
+        self,
+        app: web.Application,
+        limits: LimitsConfig,
+        **options: Any,
+    ) -> None:
+        """Keep the limits; ``options`` go to the library's runner."""
+        super().__init__(app, handler_cancellation=True, **options)
+        self._limits = limits
+        self._options: _Options = MappingProxyType(
+            {
+                'access_log': None,
+                'keepalive_timeout': _KEEPALIVE_S,
+                'lingering_time': _LINGER_S,
+                'max_line_size': limits.header_bytes,
+                'max_field_size': limits.header_bytes,
+            },
+        )
+
+    @property
+    def server(self) -> Any:
+        """What makes a protocol for each new connection."""
+        manager = super().server
+        return manager and functools.partial(self._connect, manager)
+
+    def _connect(self, manager: web.Server) -> asyncio.Protocol:
+        if len(manager.connections) >= self._limits.connections:
+            return Refusal()
+        return Connection(manager, self._limits.body_timeout_s, self._options)
+
+
+def _describe(status: int, error: BaseException | None) -> Problem:
+    if isinstance(error, LineTooLong):
+        message = 'a line of the head is too long'
+        return Problem(ErrorKind.HEADERS_TOO_LARGE, message)
+    if status < _SERVER_ERROR:
+        return Problem(ErrorKind.BAD_REQUEST, 'the request is not HTTP')
+    return Problem(ErrorKind.INTERNAL, 'the instance failed')
+
+
+def _render_full() -> bytes:
+    problem = Problem(ErrorKind.OVERLOADED, 'too many connections')
+    body = wire.encode(describe_problem(problem))
+    head = (
+        'HTTP/1.1 429 Too Many Requests\r\n'
+        'Content-Type: application/json\r\n'
+        f'Content-Length: {len(body)}\r\n'
+        'Retry-After: 1\r\n'
+        'Connection: close\r\n\r\n'
+    )
+    return head.encode() + body
+
+
+_FULL: Final = _render_full()
--- a/packages/verbenahall/src/verbenahall/front/_server.py
+++ b/packages/verbenahall/src/verbenahall/front/_server.py
@@ -1,6 +1,6 @@
-"""How the HTTP server and the client sessions are made."""
+"""How the application and the client sessions are made."""
 
-from typing import Any, Final
+from typing import Final
 
 from aiohttp import (
     ClientSession,
@@ -13,11 +13,7 @@
 from verbenahall.config import LimitsConfig
 from verbenahall.front._answers import guard
 
-_KEEPALIVE_S: Final = 75.0
 _IDLE_CONNECTION_S: Final = 15.0
-#: How long the rest of a refused body is read, so that its sender can read
-#: the answer before the connection is reset.
-_LINGER_S: Final = 1.0
 
 
 def make_application(limits: LimitsConfig) -> web.Application:
@@ -28,22 +24,6 @@
     )
 
 
-def runner_options(limits: LimitsConfig) -> dict[str, Any]:
-    """Return the keyword arguments for ``web.AppRunner``.
-
-    Handlers are cancelled when their caller goes away, which is how the
-    engine's work for nobody gets cancelled.
-    """
-    return {
-        'handler_cancellation': True,
-        'access_log': None,
-        'keepalive_timeout': _KEEPALIVE_S,
-        'lingering_time': _LINGER_S,
-        'max_line_size': limits.header_bytes,
-        'max_field_size': limits.header_bytes,
-    }
-
-
 def make_session(*, fresh: bool = False) -> ClientSession:
     """Make a client session towards endpoints.
 
--- a/packages/verbenahall/src/verbenahall/front/_shell.py
+++ b/packages/verbenahall/src/verbenahall/front/_shell.py
@@ -32,12 +32,13 @@
     ``config`` is the instance's own settings file, ``parts`` the states and
     clients of other slices (see ``Parts``). ``run`` must run beside the
     server: it refreshes limits and ends attempts at silent endpoints. The
-    application is best made by ``make_application`` and run with
-    ``runner_options``, which hold the limits that lie below the routes::
+    application is best made by ``make_application`` and run by ``Runner``,
+    which hold the limits that lie below the routes::
 
         app = make_application(config.limits)
         front = Front(config, parts)
         front.add_routes(app)
+        runner = Runner(app, config.limits)
     """
 
     def __init__(self, config: InstanceConfig, parts: Parts) -> None:
--- a/packages/verbenahall/src/verbenahall/instance/_serve.py
+++ b/packages/verbenahall/src/verbenahall/instance/_serve.py
@@ -11,7 +11,7 @@
 from aiohttp import web
 
 from verbenahall.config import InstanceConfig
-from verbenahall.front import runner_options
+from verbenahall.front import Runner
 from verbenahall.instance._supervisor import Supervisor
 from verbenahall.instance._wiring import CONTROLLER, KEEPER, Instance
 from verbenahall.shutdown import GracefulStop, StopTiming
@@ -53,8 +53,7 @@
         stop.add_to(instance.app)
         for name, loop in instance.loops().items():
             self._supervisor.start(name, loop)
-        options = runner_options(self._config.limits)
-        runner = web.AppRunner(instance.app, **options)
+        runner = Runner(instance.app, self._config.limits)
         site = await _listen(runner, self._config)
         stop.hooks.announce.append(instance.announce_stop)
         stop.hooks.close.append(site.stop)
--- a/packages/verbenahall/tests/front/conftest.py
+++ b/packages/verbenahall/tests/front/conftest.py
@@ -141,6 +141,16 @@
     client: ClientSession
     claims: list
 
+    async def send_raw(self, sent):
+        """Send bytes as they are; return all that comes back."""
+        host, _, port = self.url.removeprefix('http://').partition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(sent)
+        try:
+            return await asyncio.wait_for(reader.read(), 20)
+        finally:
+            writer.close()
+
     async def post(self, path='/v1/completions', headers=None, **body):
         body = {'model': 'm', 'prompt': 'p', 'max_tokens': 8, **body}
         async with self.client.post(
@@ -151,9 +161,7 @@
             return answer.status, answer.headers, await answer.read()
 
 
-async def serve(app, stack, **options):
-    options.setdefault('shutdown_timeout', 0.1)
-    runner = web.AppRunner(app, **options)
+async def serve(runner, stack):
     await runner.setup()
     stack.push_async_callback(runner.cleanup)
     site = web.TCPSite(runner, '127.0.0.1', 0)
@@ -166,7 +174,12 @@
     app = web.Application()
     app.router.add_post('/cancel', fake.cancel)
     app.router.add_route('*', '/{tail:.*}', fake.answer)
-    return await serve(app, stack, handler_cancellation=True)
+    runner = web.AppRunner(
+        app,
+        handler_cancellation=True,
+        shutdown_timeout=0.1,
+    )
+    return await serve(runner, stack)
 
 
 def build_parts(endpoints, fakes, kind, sessions, claims, resumes):
@@ -266,7 +279,8 @@
         app = front.make_application(bounds)
         made = front.Front(config, parts)
         made.add_routes(app)
-        address = await serve(app, stack, **front.runner_options(bounds))
+        runner = front.Runner(app, bounds, shutdown_timeout=0.1)
+        address = await serve(runner, stack)
         background = asyncio.create_task(made.run())
         client = await stack.enter_async_context(
             ClientSession(connector=TCPConnector(limit=0)),
--- a/packages/verbenahall/tests/front/test_callers.py
+++ b/packages/verbenahall/tests/front/test_callers.py
@@ -98,23 +98,71 @@
     assert (found, error['kind'], error['ran']) == (status, kind, 'no')
 
 
-def test_slow_sender_is_let_go(stage, fake):
-    """A caller sends half a body and stops. It would hold a connection for
-    ever; it is told that the request timed out, and the connection ends.
+POST = b'POST /v1/completions HTTP/1.1\r\nHost: x\r\n%b'
+RAW = (
+    (b'Content-Length: 100\r\n\r\n{"model"', 408, 'request_timeout'),
+    (b'X-Long: %b\r\n\r\n' % (b'x' * 9000), 431, 'headers_too_large'),
+    (b'no such thing\r\n\r\n', 400, 'bad_request'),
+    (b'Content-Length: 1\r\nContent-Length: 9\r\n\r\n', 400, 'bad_request'),
+    (b'Transfer-Encoding: chunked\r\n\r\nzz\r\n', 400, 'bad_request'),
+)
+
+
+@pytest.mark.parametrize(('sent', 'status', 'kind'), RAW)
+def test_malformed_http_is_answered_and_closed(stage, fake, sent, status, kind):
+    """A caller sends half a body and stops, or a head that is too long or no
+    HTTP at all. It would hold a connection for ever or make the next request
+    out of the rest; it is told what is wrong, and the connection ends.
     """
 
     async def run():
-        async with stage([fake('a')]) as on:
-            host, _, port = on.url.removeprefix('http://').partition(':')
-            reader, writer = await asyncio.open_connection(host, int(port))
-            writer.write(
-                b'POST /v1/completions HTTP/1.1\r\nHost: x\r\n'
-                b'Content-Length: 100\r\n\r\n{"model"',
-            )
-            answer = await asyncio.wait_for(reader.read(), 20)
-            writer.close()
-            return answer
+        engine = fake('a')
+        async with stage([engine]) as on:
+            answer = await on.send_raw(POST % sent)
+        assert not engine.seen
+        return answer
 
     answer = asyncio.run(run())
-    assert answer.startswith(b'HTTP/1.1 408')
-    assert b'request_timeout' in answer
+    assert int(answer.split()[1]) == status
+    assert b'"ran":"no"' in answer
+    assert kind.encode() in answer
+
+
+def test_head_that_never_ends_is_let_go(stage, fake):
+    """A caller opens a connection and sends a head line by line for ever.
+    Hundreds of them would use up all connections; they are closed unseen.
+    """
+
+    async def run():
+        async with stage([fake('a')], body_timeout_s=0.2) as on:
+            return await on.send_raw(POST % b'X-More: ')
+
+    assert asyncio.run(run()) == b''
+
+
+def test_connections_are_bounded(stage, fake):
+    """Callers open more connections than the instance may hold. Those beyond
+    are told so at once, and there is room again when others have gone.
+    """
+
+    async def run():
+        async with stage([fake('a')], connections=2) as on:
+            for _ in range(2):
+                assert (await on.post())[0] == 200
+            host, _, port = on.url.removeprefix('http://').partition(':')
+            held = [
+                await asyncio.open_connection(host, int(port)) for _ in range(2)
+            ]
+            refused = await on.send_raw(b'')
+            for _, writer in held:
+                writer.close()
+            while (await on.send_raw(HEALTH)).startswith(b'HTTP/1.1 429'):
+                await asyncio.sleep(0.01)
+            return refused
+
+    refused = asyncio.run(run())
+    assert refused.startswith(b'HTTP/1.1 429')
+    assert b'overloaded' in refused
+
+
+HEALTH = b'GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n'
