--- a/packages/verbenahall/src/verbenahall/admission/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/admission/_decisions.py
@@ -12,10 +12,8 @@
 from verbenahall.admission._state import AdmissionLimits, AdmissionState
 from verbenahall.errors import ErrorKind, Problem, Ran
 
-#: The drain rate is measured over stretches of this length, in seconds.
-_COUNT_S: Final = 0.5
-#: Weight of the newest stretch in the drain rate.
-_RATE_WEIGHT: Final = 0.4
+#: However many higher ones arrive, a queue is thought to keep this share.
+_LEAST_LEFT: Final = 0.01
 _SHORTEST_RETRY_S: Final = 0.1
 _LONGEST_RETRY_S: Final = 60.0
 #: Hint before anything has drained, in seconds.
@@ -24,13 +22,19 @@
 
 def ask(state: AdmissionState, ticket: Ticket, now: float) -> Effects:
     """Let a request run, wait, or be given up, itself or a lower one."""
+    arrivals = state.arrivals[ticket.priority]
+    arrivals.resume(now)
+    arrivals.count(now)
     if _has_slot(state, ticket.priority) and not _waits_before(state, ticket):
-        _start(state, ticket, now)
+        _start(state, ticket)
         return Effects(admitted=(ticket,))
-    late = _foresee_deadline(state, ticket, now)
-    if late:
-        return Effects(given_up=((ticket, late),))
-    return _enqueue(state, ticket)
+    if _is_hopeless(state, ticket, now):
+        return _refuse(state, ticket, ErrorKind.OVERLOADED, now)
+    effects = _enqueue(state, ticket, now)
+    if state.waiting:
+        # Only a lane with a queue drains as fast as it can.
+        state.drained.resume(now)
+    return effects
 
 
 def finish(state: AdmissionState, request: str, now: float) -> Effects:
@@ -39,12 +43,8 @@
     if ticket is None:
         return Effects()
     state.flags_running -= ticket.priority == FLAG_PRIORITY
-    _count_drained(state, now)
-    admitted = tuple(_start_next(state, now))
-    if not state.running:
-        # An idle lane drains nothing; counting on would make it look slow.
-        state.counted_from = None
-    return Effects(admitted=admitted)
+    state.drained.count(now)
+    return Effects(admitted=tuple(_start_next(state)))
 
 
 def withdraw(state: AdmissionState, ticket: Ticket) -> bool:
@@ -53,22 +53,26 @@
 
 
 def expire(state: AdmissionState, now: float) -> Effects:
-    """Give up waiting requests whose deadline has passed."""
+    """Give up who has waited too long, or has no chance any more.
+
+    A queue that higher priorities have cut off is emptied at once: its
+    callers would otherwise wait for their deadlines and come back all
+    together.
+    """
     given_up = []
-    for queue in state.queues:
-        for ticket in queue.pop_late(now):
-            given_up.append((ticket, _describe_late(state, ticket)))
+    for priority, queue in enumerate(state.queues):
+        for late in queue.pop_late(now):
+            given_up.append((late, _describe_late(state, late, now)))
+        for cut_off in _pop_cut_off(state, priority, now):
+            problem = _describe_full(state, cut_off, ErrorKind.OVERLOADED, now)
+            given_up.append((cut_off, problem))
     return Effects(given_up=tuple(given_up))
 
 
-def resize(
-    state: AdmissionState,
-    limits: AdmissionLimits,
-    now: float,
-) -> Effects:
+def resize(state: AdmissionState, limits: AdmissionLimits) -> Effects:
     """Take other limits, as when engines come or go."""
     state.limits = limits
-    return Effects(admitted=tuple(_start_next(state, now)))
+    return Effects(admitted=tuple(_start_next(state)))
 
 
 def _has_slot(state: AdmissionState, priority: int) -> bool:
@@ -86,31 +90,30 @@
     return any(queue.size for queue in ahead)
 
 
-def _start(state: AdmissionState, ticket: Ticket, now: float) -> None:
-    if state.counted_from is None:
-        state.counted_from = now
-        state.counted = 0
+def _start(state: AdmissionState, ticket: Ticket) -> None:
     state.running[ticket.request] = ticket
     state.flags_running += ticket.priority == FLAG_PRIORITY
 
 
-def _start_next(state: AdmissionState, now: float) -> Iterator[Ticket]:
+def _start_next(state: AdmissionState) -> Iterator[Ticket]:
     for priority, queue in enumerate(state.queues):
         while queue.size and _has_slot(state, priority):
             ticket = queue.pop(state.workspaces)
-            _start(state, ticket, now)
+            _start(state, ticket)
             yield ticket
+    if not state.waiting:
+        state.drained.pause()
 
 
-def _enqueue(state: AdmissionState, ticket: Ticket) -> Effects:
+def _enqueue(state: AdmissionState, ticket: Ticket, now: float) -> Effects:
     queue = state.queues[ticket.priority]
     if queue.size >= state.limits.queue_per_priority:
-        return _refuse(state, ticket, ErrorKind.OVERLOADED)
+        return _refuse(state, ticket, ErrorKind.OVERLOADED, now)
     workspace = ticket.workspace
     if _count_workspace(state, ticket) >= state.bound_of(workspace):
-        return _displace(state, ticket, workspace)
+        return _displace(state, ticket, workspace, now)
     if state.waiting >= state.limits.queue_total:
-        return _displace(state, ticket, '')
+        return _displace(state, ticket, '', now)
     queue.push(ticket)
     return Effects()
 
@@ -119,24 +122,26 @@
     state: AdmissionState,
     ticket: Ticket,
     workspace: str,
+    now: float,
 ) -> Effects:
     """Give up the newest of the lowest priority in the ticket's favour."""
     for queue in reversed(state.queues[ticket.priority + 1 :]):
         if queue.size and (not workspace or workspace in queue.waiting):
             shed = queue.pop_newest(workspace)
             state.queues[ticket.priority].push(ticket)
-            problem = _describe_full(state, shed, ErrorKind.OVERLOADED)
+            problem = _describe_full(state, shed, ErrorKind.OVERLOADED, now)
             return Effects(given_up=((shed, problem),))
     kind = ErrorKind.QUOTA_EXCEEDED if workspace else ErrorKind.OVERLOADED
-    return _refuse(state, ticket, kind)
+    return _refuse(state, ticket, kind, now)
 
 
 def _refuse(
     state: AdmissionState,
     ticket: Ticket,
     kind: ErrorKind,
+    now: float,
 ) -> Effects:
-    problem = _describe_full(state, ticket, kind)
+    problem = _describe_full(state, ticket, kind, now)
     return Effects(given_up=((ticket, problem),))
 
 
@@ -145,66 +150,85 @@
     return sum(counts)
 
 
-def _count_drained(state: AdmissionState, now: float) -> None:
-    state.counted += 1
-    counted_from = now if state.counted_from is None else state.counted_from
-    stretch = now - counted_from
-    if stretch < _COUNT_S:
-        return
-    rate = state.counted / stretch
-    if state.drain_rate is not None:
-        rate = state.drain_rate + _RATE_WEIGHT * (rate - state.drain_rate)
-    state.drain_rate = rate
-    state.counted_from = now
-    state.counted = 0
-
-
-def _estimate_wait(state: AdmissionState, priority: int) -> float | None:
-    """Return the wait in seconds behind all that goes before, if known."""
-    if not state.drain_rate:
+def _estimate_wait(
+    state: AdmissionState,
+    priority: int,
+    now: float,
+) -> float | None:
+    """Return the wait in seconds of one who comes last, if known.
+
+    Higher priorities go first also when they come later, so only what the
+    lane drains beyond their arrivals is left for the others.
+    """
+    drained = state.drained.read(now)
+    if drained is None:
         return None
     queues = state.queues[: priority + 1]
     ahead = sum(queue.size for queue in queues)
-    return (ahead + 1) / state.drain_rate
+    return (ahead + 1) / _find_left(state, priority, drained, now)
 
 
-def _foresee_deadline(
+def _find_left(
     state: AdmissionState,
-    ticket: Ticket,
+    priority: int,
+    drained: float,
     now: float,
-) -> Problem | None:
-    wait = _estimate_wait(state, ticket.priority)
+) -> float:
+    higher = state.arrivals[:priority]
+    rates = [meter.read(now) for meter in higher]
+    arrived = sum(rate for rate in rates if rate)
+    return max(drained - arrived, drained * _LEAST_LEFT)
+
+
+def _is_hopeless(state: AdmissionState, ticket: Ticket, now: float) -> bool:
+    """Whether a request would wait beyond its deadline; flags always wait."""
+    wait = _estimate_wait(state, ticket.priority, now)
     if wait is None or ticket.priority == FLAG_PRIORITY:
-        return None
-    if now + wait <= ticket.deadline:
-        return None
-    return _describe_full(state, ticket, ErrorKind.OVERLOADED)
+        return False
+    return now + wait > ticket.deadline
+
+
+def _pop_cut_off(
+    state: AdmissionState,
+    priority: int,
+    now: float,
+) -> list[Ticket]:
+    drained = state.drained.read(now)
+    if drained is None or priority == FLAG_PRIORITY:
+        return []
+    left = _find_left(state, priority, drained, now)
+    return state.queues[priority].pop_hopeless(now, 1 / left)
 
 
 def _describe_full(
     state: AdmissionState,
     ticket: Ticket,
     kind: ErrorKind,
+    now: float,
 ) -> Problem:
     return Problem(
         kind,
         f'no room for priority {ticket.priority} now',
         Ran.NO,
-        _hint_retry(state, ticket),
+        _hint_retry(state, ticket, now),
     )
 
 
-def _describe_late(state: AdmissionState, ticket: Ticket) -> Problem:
+def _describe_late(
+    state: AdmissionState,
+    ticket: Ticket,
+    now: float,
+) -> Problem:
     return Problem(
         ErrorKind.DEADLINE_EXCEEDED,
         'the deadline passed while the request waited',
         Ran.NO,
-        _hint_retry(state, ticket),
+        _hint_retry(state, ticket, now),
     )
 
 
-def _hint_retry(state: AdmissionState, ticket: Ticket) -> float:
-    wait = _estimate_wait(state, ticket.priority)
+def _hint_retry(state: AdmissionState, ticket: Ticket, now: float) -> float:
+    wait = _estimate_wait(state, ticket.priority, now)
     if wait is None:
         return _UNKNOWN_RETRY_S
     return min(_LONGEST_RETRY_S, max(_SHORTEST_RETRY_S, wait))
--- a/packages/verbenahall/src/verbenahall/admission/_shell.py
+++ b/packages/verbenahall/src/verbenahall/admission/_shell.py
@@ -75,10 +75,9 @@
 
     def refresh(self) -> None:
         """Take the lanes' present limits."""
-        now = self._clock()
         for lane, state in self._lanes.items():
             limits = self._limits_of(lane)
-            self._apply(_decisions.resize(state, limits, now))
+            self._apply(_decisions.resize(state, limits))
 
     async def run(self) -> None:
         """Give up requests whose deadline passes while they wait."""
--- a/packages/verbenahall/src/verbenahall/admission/_state.py
+++ b/packages/verbenahall/src/verbenahall/admission/_state.py
@@ -8,6 +8,7 @@
 from typing import Final, final
 
 from verbenahall.admission._messages import LOWEST_PRIORITY, Ticket
+from verbenahall.admission._rates import RateMeter
 
 #: A share of nothing would stop the workspace's queue for ever.
 _LEAST_SHARE: Final = 0.001
@@ -107,6 +108,25 @@
             self.remove(ticket)
         return late
 
+    def pop_hopeless(self, now: float, seconds_each: float) -> list[Ticket]:
+        """Take out the tickets whose turn comes after their deadline.
+
+        ``seconds_each`` is the time in which one ticket is served. Workspaces
+        are taken to go in turn, whatever their shares.
+        """
+        seconds_a_round = seconds_each * len(self.waiting)
+        hopeless: list[Ticket] = []
+        for row in self.waiting.values():
+            turn = now + seconds_each
+            for ticket in row:
+                if turn > ticket.deadline:
+                    hopeless.append(ticket)
+                else:
+                    turn += seconds_a_round
+        for ticket in hopeless:
+            self.remove(ticket)
+        return hopeless
+
     def count(self, workspace: str) -> int:
         """Return how many tickets of a workspace wait."""
         return len(self.waiting.get(workspace, ()))
@@ -122,9 +142,9 @@
 class AdmissionState:
     """One lane: what runs by priority, what waits, and how fast it drains.
 
-    ``workspaces`` gives some of them other bounds. ``drain_rate`` is in
-    requests a second, None until it was measured. ``counted_from`` is when
-    the present stretch of its measuring began, None while the lane is idle.
+    ``workspaces`` gives some of them other bounds. ``drained`` measures how
+    many requests a second end while others wait, ``arrivals`` how many come,
+    by priority.
     """
 
     __slots__ = (
@@ -133,9 +153,8 @@
         'running',
         'flags_running',
         'workspaces',
-        'drain_rate',
-        'counted_from',
-        'counted',
+        'drained',
+        'arrivals',
     )
 
     def __init__(
@@ -149,9 +168,8 @@
         self.running: dict[str, Ticket] = {}
         self.flags_running = 0
         self.workspaces = workspaces
-        self.drain_rate: float | None = None
-        self.counted_from: float | None = None
-        self.counted = 0
+        self.drained = RateMeter()
+        self.arrivals = tuple(RateMeter() for _ in range(_PRIORITIES))
 
     def bound_of(self, workspace: str) -> int:
         """Return how many requests of a workspace may wait here."""
--- a/packages/verbenahall/src/verbenahall/front/__init__.py
+++ b/packages/verbenahall/src/verbenahall/front/__init__.py
@@ -1,6 +1,6 @@
 """The callers' HTTP interface."""
 
-from verbenahall.front._answers import answer_problem, guard
+from verbenahall.front._answers import answer_problem
 from verbenahall.front._connections import Runner
 from verbenahall.front._endpoints import Sessions
 from verbenahall.front._engines import EngineAdapter
@@ -18,7 +18,6 @@
     'ServiceAdapter',
     'Sessions',
     'answer_problem',
-    'guard',
     'make_application',
     'make_session',
 )
--- a/packages/verbenahall/src/verbenahall/front/_answers.py
+++ b/packages/verbenahall/src/verbenahall/front/_answers.py
@@ -12,6 +12,8 @@
 from verbenahall.errors import ErrorKind, Problem, ProblemError
 
 _JSON: Final = 'application/json'
+#: Answers a request, or raises.
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 REQUEST_ID: Final = 'X-Request-Id'
 
 #: Errors that the HTTP library raises by itself, by status.
@@ -60,10 +62,9 @@
     return response
 
 
-@web.middleware
 async def guard(
+    handler: Handler,
     request: web.Request,
-    handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
 ) -> web.StreamResponse:
     """Answer whatever a handler raises from the closed list of kinds."""
     try:
--- a/packages/verbenahall/src/verbenahall/front/_connections.py
+++ b/packages/verbenahall/src/verbenahall/front/_connections.py
@@ -12,13 +12,19 @@
 from verbenahall import wire
 from verbenahall.config import LimitsConfig
 from verbenahall.errors import ErrorKind, Problem
-from verbenahall.front._answers import answer_problem, describe_problem
+from verbenahall.front._answers import (
+    Handler,
+    answer_problem,
+    describe_problem,
+    guard,
+)
 
 _KEEPALIVE_S: Final = 75.0
 #: How long the rest of a refused body is read, so that its sender can read
 #: the answer before the connection is reset.
 _LINGER_S: Final = 1.0
 _SERVER_ERROR: Final = 500
+_CONTINUE: Final = '100-continue'
 
 _Options = Mapping[str, Any]
 
@@ -96,6 +102,7 @@
     ) -> None:
         """Keep the limits; ``options`` go to the library's runner."""
         super().__init__(app, handler_cancellation=True, **options)
+        self._manager: web.Server | None = None
         self._limits = limits
         self._options: _Options = MappingProxyType(
             {
@@ -110,15 +117,45 @@
     @property
     def server(self) -> Any:
         """What makes a protocol for each new connection."""
-        manager = super().server
-        return manager and functools.partial(self._connect, manager)
+        return self._manager and self._connect
+
+    async def _make_server(self) -> web.Server:
+        """Make the library's server with the guard around its application.
+
+        Outside of it, since the library also raises before any route or
+        middleware runs.
+        """
+        manager = await super()._make_server()
+        manager.request_handler = functools.partial(
+            guard,
+            functools.partial(_check_expectation, manager.request_handler),
+        )
+        self._manager = manager
+        return manager
 
-    def _connect(self, manager: web.Server) -> asyncio.Protocol:
+    def _connect(self) -> asyncio.Protocol:
+        manager = self._manager
         if len(manager.connections) >= self._limits.connections:
             return Refusal()
         return Connection(manager, self._limits.body_timeout_s, self._options)
 
 
+async def _check_expectation(
+    handler: Handler,
+    request: web.Request,
+) -> web.StreamResponse:
+    """Refuse what is expected beyond the standard, before the library.
+
+    Its own refusal repeats the caller's bytes, and fails where they are not
+    text.
+    """
+    expected = request.headers.get('Expect', _CONTINUE)
+    if expected.lower() != _CONTINUE:
+        message = 'only 100-continue may be expected'
+        return answer_problem(Problem(ErrorKind.BAD_REQUEST, message))
+    return await handler(request)
+
+
 def _describe(status: int, error: BaseException | None) -> Problem:
     if isinstance(error, LineTooLong):
         message = 'a line of the head is too long'
--- a/packages/verbenahall/src/verbenahall/front/_fleet.py
+++ b/packages/verbenahall/src/verbenahall/front/_fleet.py
@@ -17,8 +17,10 @@
 #: A list of candidates is used again for this long, in seconds.
 _FRESH_S: Final = 0.02
 _MOST_LISTS: Final = 1024
-#: One flag slot for this many others, and never fewer than the second.
-_SLOTS_PER_FLAG_SLOT: Final = 4
+#: Flags have one slot of their own for this many others, and two at least.
+#: The slots are many, since flags come in bursts and are short; engines serve
+#: them first, so that they hardly keep others waiting.
+_SLOTS_PER_FLAG_SLOT: Final = 2
 _FEWEST_FLAG_SLOTS: Final = 2
 #: All queues of a lane together hold this many times one queue's bound.
 _TOTAL_QUEUES: Final = 2
--- a/packages/verbenahall/src/verbenahall/front/_server.py
+++ b/packages/verbenahall/src/verbenahall/front/_server.py
@@ -11,17 +11,13 @@
 )
 
 from verbenahall.config import LimitsConfig
-from verbenahall.front._answers import guard
 
 _IDLE_CONNECTION_S: Final = 15.0
 
 
 def make_application(limits: LimitsConfig) -> web.Application:
     """Make the application that all routes of an instance are added to."""
-    return web.Application(
-        client_max_size=limits.body_bytes,
-        middlewares=(guard,),
-    )
+    return web.Application(client_max_size=limits.body_bytes)
 
 
 def make_session(*, fresh: bool = False) -> ClientSession:
--- a/packages/verbenahall/tests/admission/test_decisions.py
+++ b/packages/verbenahall/tests/admission/test_decisions.py
@@ -208,3 +208,21 @@
     assert problem.kind is ErrorKind.DEADLINE_EXCEEDED
     assert problem.answer.ran is Ran.NO
     assert not finish(state, 'r0', 6).admitted
+
+
+def test_queue_that_higher_ones_cut_off_is_given_up():
+    """Higher requests begin to come as fast as the lane drains, so those of
+    the lowest priority have no chance any more. They hear so soon, long
+    before their deadlines, and the first of them may still hope.
+    """
+    state = fill(AdmissionLimits(1, 0, 100, 100, 100), 3, 3, 3, 3, 3, 3)
+    given_up = []
+    for number in range(40):
+        now = 0.25 * (number + 1)
+        ask(state, make_ticket(100 + number, 1, deadline=now + 60), now)
+        finish(state, next(iter(state.running)), now)
+        given_up += expire(state, now).given_up
+    assert {ticket.priority for ticket, _ in given_up} <= {3}
+    assert not given_up
+    late = make_ticket(999, 3, deadline=30)
+    assert find_only(ask(state, late, 10))[0] == late
--- a/packages/verbenahall/tests/front/conftest.py
+++ b/packages/verbenahall/tests/front/conftest.py
@@ -314,3 +314,18 @@
 def until():
     """Return the function that waits for a condition."""
     return wait_for
+
+
+async def open_module_stage():
+    """Start a stage that outlives one test; return it and its closing."""
+    stack = contextlib.AsyncExitStack()
+    opened = await stack.enter_async_context(
+        build_stage([FakeEndpoint('a')], default_deadline_s=2),
+    )
+    return opened, stack.aclose
+
+
+@pytest.fixture(scope='module')
+def module_stage():
+    """Return what opens a stage for a whole module."""
+    return open_module_stage
