--- a/packages/verbenahall/src/verbenahall/log/_follower.py
+++ b/packages/verbenahall/src/verbenahall/log/_follower.py
@@ -14,6 +14,7 @@
 from verbenahall.records import (
     AUTHORITY_STREAM,
     CLAIMS_STREAM,
+    MARKS_STREAM,
     ORDERS_STREAM,
     SETTINGS_STREAM,
     Record,
@@ -26,6 +27,7 @@
     AUTHORITY_STREAM,
     ORDERS_STREAM,
     CLAIMS_STREAM,
+    MARKS_STREAM,
 )
 _LIMIT: Final = 500
 _WAIT_S: Final = 5.0
@@ -43,12 +45,14 @@
 
     ``position`` is the offset up to which every followed record was applied,
     ``head`` the highest offset that the log was seen to have given (-1 before
-    the first answer), ``last_contact`` the monotonic time of the last answer.
+    the first answer), ``first`` the lowest that it keeps, ``last_contact`` the
+    monotonic time of the last answer.
     A gap (records between ``position`` and the oldest kept are gone) stops
     the applying until ``recover`` has moved the position past it.
     """
 
     __slots__ = (
+        'first',
         'gap',
         'head',
         'last_contact',
@@ -72,6 +76,7 @@
         """Start after ``position``; nothing is read before ``run``."""
         self.position = position
         self.head = -1
+        self.first = 1
         self.last_contact = float('-inf')
         self.gap = False
         self.recover = recover
@@ -117,6 +122,7 @@
 
     async def _take(self, page: Page) -> bool:
         self.head = max(self.head, page.last)
+        self.first = page.first
         self.last_contact = clock.monotonic()
         # Records that expired before they were read are gone for good.
         # Reading on would leave this instance with other settings than the
--- a/packages/verbenahall/src/verbenahall/records.py
+++ b/packages/verbenahall/src/verbenahall/records.py
@@ -8,6 +8,9 @@
 AUTHORITY_STREAM: Final = 'authority'
 ORDERS_STREAM: Final = 'orders'
 SNAPSHOTS_STREAM: Final = 'snapshots'
+#: One short record after each whole snapshot, so that readers need not read
+#: the snapshots themselves to know that there is one.
+MARKS_STREAM: Final = 'marks'
 CLAIMS_STREAM: Final = 'claims'
 
 
--- a/packages/verbenahall/src/verbenahall/settings/_snapshots.py
+++ b/packages/verbenahall/src/verbenahall/settings/_snapshots.py
@@ -17,8 +17,7 @@
 class SettingsFold:
     """Settings as one foldable part of the snapshots.
 
-    ``state`` is the same object throughout, so that others may hold it;
-    ``load`` refills it and refuses (``ValueError``) to go back.
+    ``state`` is the same object throughout, so that others may hold it.
     """
 
     __slots__ = ('state',)
@@ -73,15 +72,10 @@
 
 
 def load_state(state: SettingsState, section: dict[str, Any]) -> None:
-    """Refill a state; it must not be beyond the dumped one."""
-    position = int(section['position'])
-    if position < state.position:
-        raise ValueError(
-            f'snapshot at {position} is older than {state.position}',
-        )
+    """Refill a state; whoever loads a snapshot sees that it is no older."""
     # Everything is read before anything is taken over, so that a section
     # of another shape leaves the state as it was.
-    fresh = _read_section(section, position)
+    fresh = _read_section(section)
     for slot in SettingsState.__slots__:
         if slot != 'effective':
             setattr(state, slot, getattr(fresh, slot))
@@ -89,9 +83,9 @@
         setattr(state.effective, table, getattr(fresh.effective, table))
 
 
-def _read_section(section: dict[str, Any], position: int) -> SettingsState:
+def _read_section(section: dict[str, Any]) -> SettingsState:
     fresh = SettingsState()
-    fresh.position = position
+    fresh.position = int(section['position'])
     fresh.identities = dict.fromkeys(section['identities'])
     fresh.removals = {path: int(at) for path, at in section['removals']}
     fresh.history.extend(_read_verdict(row) for row in section['history'])
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/snapshots/_marks.py
@@ -0,0 +1,39 @@
+"""Marks on the wire."""
+
+import dataclasses
+from typing import Any, Final
+
+from verbenahall.records import MARKS_STREAM, Record
+from verbenahall.snapshots._messages import Mark
+
+_MOST_PARTS: Final = 4096
+_MEMBERS: Final = ('upto', 'parts', 'start')
+
+
+def encode_mark(mark: Mark) -> dict[str, Any]:
+    """Return a mark's body; its offset is the record's own."""
+    body = dataclasses.asdict(mark)
+    body.pop('offset')
+    return body
+
+
+def decode_mark(record: Record) -> Mark | None:
+    """Read a mark, or ``None`` from what is none."""
+    body = record.body
+    numbers = [body.get(member) for member in _MEMBERS]
+    sha256 = body.get('sha256')
+    if record.stream != MARKS_STREAM or not isinstance(sha256, str):
+        return None
+    if not all(isinstance(number, int) for number in numbers):
+        return None
+    mark = Mark(record.offset, sha256=sha256, **_pick(body))
+    return mark if _is_sound(mark) else None
+
+
+def _pick(body: dict[str, Any]) -> dict[str, int]:
+    return {member: body[member] for member in _MEMBERS}
+
+
+def _is_sound(mark: Mark) -> bool:
+    ordered = mark.upto < mark.start and mark.start < mark.offset
+    return mark.upto >= 0 and ordered and 0 < mark.parts <= _MOST_PARTS
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/snapshots/_packing.py
@@ -0,0 +1,125 @@
+"""Snapshots as bytes: encoded, compressed, checksummed and cut in parts."""
+
+import asyncio
+import base64
+import hashlib
+import zlib
+from collections.abc import Iterator, Mapping, Sequence
+from typing import Any, Final
+
+from returns.result import Failure, Result, Success
+
+from verbenahall import wire
+from verbenahall.errors import ErrorKind, Problem
+from verbenahall.snapshots._messages import Packed, Part, Snapshot
+
+#: Bytes of a part before base64; with it a record stays below its limit.
+PART_BYTES: Final = 45_000
+#: A state larger than this is refused before it fills the memory.
+MOST_STATE_BYTES: Final = 134_217_728
+_FAST: Final = 1
+_PIECE_BYTES: Final = 262_144
+
+
+async def pack(snapshot: Snapshot) -> Packed:
+    """Pack a snapshot, letting other work go on between pieces."""
+    text = wire.encode({'upto': snapshot.upto, 'sections': snapshot.sections})
+    packer = zlib.compressobj(_FAST)
+    pieces: list[bytes] = []
+    start = 0
+    while start < len(text):
+        pieces.append(packer.compress(text[start : start + _PIECE_BYTES]))
+        start += _PIECE_BYTES
+        await asyncio.sleep(0)
+    pieces.append(packer.flush())
+    state = b''.join(pieces)
+    digest = hashlib.sha256(state).hexdigest()
+    return Packed(snapshot.upto, digest, state)
+
+
+def unpack(packed: Packed) -> Result[Snapshot, Problem]:
+    """Return the snapshot, or say what is wrong with the bytes."""
+    digest = hashlib.sha256(packed.state).hexdigest()
+    if digest != packed.sha256:
+        return _refuse('its checksum does not match')
+    unpacker = zlib.decompressobj()
+    try:
+        text = unpacker.decompress(packed.state, MOST_STATE_BYTES)
+    except zlib.error as error:
+        return _refuse(str(error))
+    if not unpacker.eof:
+        return _refuse('it is cut off or too large')
+    return wire.decode_table(text).bind(_read_snapshot)
+
+
+def encode_parts(packed: Packed) -> Iterator[dict[str, Any]]:
+    """Yield the bodies of the records that hold a packed snapshot."""
+    starts = range(0, len(packed.state), PART_BYTES)
+    for number, start in enumerate(starts):
+        chunk = packed.state[start : start + PART_BYTES]
+        yield {
+            'upto': packed.upto,
+            'part': number,
+            'parts': len(starts),
+            'sha256': packed.sha256,
+            'state': base64.b64encode(chunk).decode(),
+        }
+
+
+def decode_part(body: Mapping[str, Any]) -> Part | None:
+    """Read one part's body, which anyone may have written."""
+    try:
+        return Part(
+            str(body['sha256']),
+            int(body['part']),
+            base64.b64decode(body['state'], validate=True),
+        )
+    except (KeyError, TypeError, ValueError):
+        return None
+
+
+def join_parts(upto: int, sha256: str, parts: Sequence[Part | None]) -> Packed:
+    """Join the parts of one checksum; missing ones fail it later."""
+    chunks = {
+        part.number: part.state
+        for part in parts
+        if part is not None and part.sha256 == sha256
+    }
+    state = b''.join(chunks[number] for number in sorted(chunks))
+    return Packed(upto, sha256, state)
+
+
+def encode_packed(packed: Packed) -> bytes:
+    """Return a packed snapshot as one JSON body for a peer."""
+    return wire.encode(
+        {
+            'upto': packed.upto,
+            'sha256': packed.sha256,
+            'state': base64.b64encode(packed.state).decode(),
+        },
+    )
+
+
+def decode_packed(body: bytes) -> Result[Packed, Problem]:
+    """Read a peer's body."""
+    return wire.decode_table(body).bind(_read_packed)
+
+
+def _read_packed(table: dict[str, Any]) -> Result[Packed, Problem]:
+    part = decode_part({**table, 'part': 0})
+    upto = table.get('upto')
+    if part is None or not isinstance(upto, int):
+        return _refuse('a member is missing')
+    return Success(Packed(upto, part.sha256, part.state))
+
+
+def _read_snapshot(table: dict[str, Any]) -> Result[Snapshot, Problem]:
+    upto = table.get('upto')
+    sections = table.get('sections')
+    if isinstance(upto, int) and isinstance(sections, dict):
+        return Success(Snapshot(upto, sections))
+    return _refuse('it has no sections')
+
+
+def _refuse(complaint: str) -> Result[Any, Problem]:
+    return Failure(Problem(ErrorKind.CONFLICT, f'snapshot: {complaint}'))
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/snapshots/_peers.py
@@ -0,0 +1,56 @@
+"""Snapshots from peers, for when the log does not answer."""
+
+import asyncio
+from collections.abc import Sequence
+from typing import Final
+
+import aiohttp
+from returns.result import Failure, Result, Success
+
+from verbenahall.errors import ErrorKind, Problem
+from verbenahall.snapshots._messages import Snapshot
+from verbenahall.snapshots._packing import decode_packed, unpack
+
+SNAPSHOT_PATH: Final = '/peer/v1/snapshot'
+_TIMEOUT_S: Final = 5.0
+#: Peers asked at once: the newest of a few is enough.
+_MOST_ASKED: Final = 3
+_OK: Final = 200
+
+
+async def fetch_newest(
+    session: aiohttp.ClientSession,
+    addresses: Sequence[str],
+) -> Snapshot | None:
+    """Return the newest good snapshot of a few peers, if any."""
+    answers = await asyncio.gather(
+        *(_fetch(session, address) for address in addresses[:_MOST_ASKED]),
+    )
+    snapshots = [
+        answer.unwrap() for answer in answers if isinstance(answer, Success)
+    ]
+    return max(snapshots, key=lambda found: found.upto, default=None)
+
+
+async def _fetch(
+    session: aiohttp.ClientSession,
+    address: str,
+) -> Result[Snapshot, Problem]:
+    try:
+        async with session.get(
+            f'http://{address}{SNAPSHOT_PATH}',
+            timeout=aiohttp.ClientTimeout(total=_TIMEOUT_S),
+        ) as answer:
+            body = await answer.read()
+            status = answer.status
+    except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+        return _refuse(address, str(error))
+    if status != _OK:
+        return _refuse(address, f'answered {status}')
+    return decode_packed(body).bind(unpack)
+
+
+def _refuse(address: str, complaint: str) -> Result[Snapshot, Problem]:
+    return Failure(
+        Problem(ErrorKind.NOT_READY, f'peer {address}: {complaint}'),
+    )
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/snapshots/_shell.py
@@ -0,0 +1,165 @@
+"""Starts the folds, follows the log and serves snapshots to peers."""
+
+import asyncio
+import random
+from collections.abc import Callable, Sequence
+from typing import Final
+
+from absl import logging
+from aiohttp import ClientSession, web
+from returns.result import Failure, Result, Success
+
+from verbenahall.errors import ErrorKind, Problem, ProblemError
+from verbenahall.log import LogClient, LogFollower
+from verbenahall.records import Record
+from verbenahall.snapshots._folds import FoldSet
+from verbenahall.snapshots._messages import Foldable, Snapshot
+from verbenahall.snapshots._packing import encode_packed
+from verbenahall.snapshots._peers import SNAPSHOT_PATH, fetch_newest
+from verbenahall.snapshots._schedule import Schedule
+from verbenahall.snapshots._store import SnapshotStore
+from verbenahall.snapshots._writer import SnapshotWriter
+
+_RETRY_S: Final = 0.5
+_JSON: Final = 'application/json'
+
+#: Returns the addresses of peers, nearest first, at this moment.
+Peers = Callable[[], Sequence[str]]
+
+
+class SnapshotKeeper:
+    """Holds the folds at one position and keeps that position safe.
+
+    ``ready`` turns true once, when the folds stand where the log stood at
+    the start (or where a peer stood, if the log does not answer); until then
+    ``reason`` says what is missing. ``follower`` tells the position.
+    """
+
+    __slots__ = (
+        'follower',
+        'ready',
+        'reason',
+        'writer',
+        '_client',
+        '_folds',
+        '_peers',
+        '_session',
+        '_store',
+    )
+
+    def __init__(
+        self,
+        client: LogClient,
+        folds: Sequence[Foldable],
+        session: ClientSession,
+        peers: Peers,
+        schedule: Schedule | None = None,
+    ) -> None:
+        """Keep ``folds``; ``session`` is for peers."""
+        self.ready = False
+        self.reason = 'the log was not read yet'
+        self.follower = LogFollower(
+            client,
+            [self._note_mark, *(fold.apply_record for fold in folds)],
+            recover=self.recover,
+        )
+        self._client = client
+        self._folds = FoldSet(folds)
+        self._session = session
+        self._peers = peers
+        self._store = SnapshotStore(client)
+        self.writer = SnapshotWriter(
+            self._store,
+            self._folds,
+            self.follower,
+            schedule or Schedule(),
+        )
+
+    async def run(self) -> None:
+        """Start, then follow the log and write snapshots until cancelled."""
+        await self.start()
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.follower.run())
+            tasks.create_task(self.writer.run())
+
+    async def start(self) -> None:
+        """Return once the folds stand at a known position."""
+        while not (
+            await self._start_from_log() or await self._take_from_peer()
+        ):
+            logging.warning('not ready: %s', self.reason)
+            await asyncio.sleep(_RETRY_S * random.uniform(1, 2))
+        self.ready = True
+        self.reason = ''
+        logging.info('folds stand at offset %d', self.follower.position)
+
+    async def recover(self) -> None:
+        """Load what the records that are gone had changed."""
+        if await self._take_from_log() or await self._take_from_peer():
+            logging.info('gap closed at offset %d', self.follower.position)
+
+    def add_routes(self, app: web.Application) -> None:
+        """Serve this instance's snapshot to its peers."""
+        app.router.add_get(SNAPSHOT_PATH, self._answer_peer)
+
+    async def _start_from_log(self) -> bool:
+        if not await self._take_from_log():
+            return False
+        wanted = self.follower.head
+        while self.follower.position < wanted:
+            position = self.follower.position
+            self.reason = f'at offset {position} of {wanted} of the log'
+            if not await self.follower.poll(0):
+                return False
+        return True
+
+    async def _take_from_log(self) -> bool:
+        """Load the newest snapshot if it is ahead and joins the log.
+
+        Return whether the log can be followed from the position.
+        """
+        read = await self._client.read(0, 1)
+        if isinstance(read, Failure):
+            self.reason = read.failure().message
+            return False
+        page = read.unwrap()
+        self.follower.head = max(self.follower.head, page.last)
+        lowest = max(page.first - 1, self.follower.position)
+        taken = await self._store.take_newest(lowest, self._take)
+        if isinstance(taken, Failure):
+            self.reason = taken.failure().message
+            return False
+        self.reason = f'no good snapshot of offset {lowest} or later'
+        return self.follower.position >= page.first - 1
+
+    async def _take_from_peer(self) -> bool:
+        """Take over a peer's folds, which may be behind the log."""
+        snapshot = await fetch_newest(self._session, self._peers())
+        if snapshot is None:
+            self.reason = f'{self.reason}; no peer has a snapshot'
+            return False
+        taken = self._take(snapshot)
+        if isinstance(taken, Failure):
+            self.reason = taken.failure().message
+        return isinstance(taken, Success)
+
+    def _take(self, snapshot: Snapshot) -> Result[None, Problem]:
+        # The folds never go back: an instance that answered by a setting
+        # once must not answer by an older one afterwards.
+        position = self.follower.position
+        if snapshot.upto < position:
+            complaint = f'snapshot at {snapshot.upto} is before {position}'
+            return Failure(Problem(ErrorKind.CONFLICT, complaint))
+        loaded = self._folds.load(snapshot)
+        if isinstance(loaded, Success):
+            self.follower.advance(snapshot.upto)
+        return loaded
+
+    def _note_mark(self, record: Record) -> None:
+        self.writer.note_mark(record)
+
+    async def _answer_peer(self, request: web.Request) -> web.Response:
+        if not self.ready:
+            raise ProblemError(Problem(ErrorKind.NOT_READY, self.reason))
+        packed = await self.writer.pack()
+        return web.Response(body=encode_packed(packed), content_type=_JSON)
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/snapshots/_store.py
@@ -0,0 +1,155 @@
+"""Snapshots in the log: written part by part, found through their marks."""
+
+from collections.abc import Callable, Iterable, Sequence
+from typing import Final
+
+from absl import logging
+from returns.result import Failure, Result, Success
+
+from verbenahall.errors import ErrorKind, Problem
+from verbenahall.log import LogClient
+from verbenahall.records import MARKS_STREAM, SNAPSHOTS_STREAM, Record
+from verbenahall.snapshots._marks import decode_mark, encode_mark
+from verbenahall.snapshots._messages import Mark, Packed, Part, Snapshot
+from verbenahall.snapshots._packing import (
+    decode_part,
+    encode_parts,
+    join_parts,
+    unpack,
+)
+
+_MARKS_LIMIT: Final = 500
+#: Parts are as large as records may be; a page of them stays below 1 MB.
+_PARTS_LIMIT: Final = 16
+
+#: Takes a snapshot over, or says why it can't be.
+Take = Callable[[Snapshot], Result[None, Problem]]
+
+
+class SnapshotStore:
+    """Reads and writes snapshots through one log client."""
+
+    __slots__ = ('_client',)
+
+    def __init__(self, client: LogClient) -> None:
+        """Use the client's log."""
+        self._client = client
+
+    async def find_marks(self) -> Result[Sequence[Mark], Problem]:
+        """Return every kept mark, newest state first."""
+        marks: list[Mark] = []
+        after = 0
+        while True:
+            read = await self._client.read(
+                after,
+                _MARKS_LIMIT,
+                0,
+                (MARKS_STREAM,),
+            )
+            if isinstance(read, Failure):
+                return read
+            records = read.unwrap().records
+            marks.extend(_decode_marks(records))
+            if len(records) < _MARKS_LIMIT:
+                return Success(sorted(marks, key=_by_age, reverse=True))
+            after = records[-1].offset
+
+    async def load(self, mark: Mark) -> Result[Snapshot, Problem]:
+        """Read a mark's snapshot; its bytes are checked."""
+        parts: list[Part | None] = []
+        after = mark.start - 1
+        while after < mark.offset:
+            read = await self._client.read(
+                after,
+                _PARTS_LIMIT,
+                0,
+                (SNAPSHOTS_STREAM,),
+            )
+            if isinstance(read, Failure):
+                return read
+            records = read.unwrap().records
+            parts.extend(decode_part(record.body) for record in records)
+            if len(records) < _PARTS_LIMIT:
+                break
+            after = records[-1].offset
+        return unpack(join_parts(mark.upto, mark.sha256, parts)).bind(
+            lambda snapshot: _match_mark(snapshot, mark),
+        )
+
+    async def take_newest(
+        self,
+        lowest: int,
+        take: Take,
+    ) -> Result[int, Problem]:
+        """Hand the newest good snapshot to ``take``; return its offset.
+
+        Only those at or after ``lowest`` count; 0 when none is good. A
+        snapshot that is damaged, half expired, not what its mark says or
+        refused by ``take`` is passed over for the next older one.
+        """
+        found = await self.find_marks()
+        if isinstance(found, Failure):
+            return found
+        marks = [mark for mark in found.unwrap() if mark.upto >= lowest]
+        while marks:
+            mark = marks.pop(0)
+            loaded = await self.load(mark)
+            taken = loaded.bind(take)
+            if isinstance(taken, Success):
+                return Success(mark.upto)
+            problem = taken.failure()
+            if problem.kind is ErrorKind.LOG_UNAVAILABLE:
+                return taken
+            logging.warning('%s; an older one is tried', problem.message)
+        return Success(0)
+
+    async def write(self, packed: Packed) -> Result[Mark, Problem]:
+        """Append the parts and then the mark.
+
+        A writer that dies in between leaves parts without a mark, which
+        nobody looks at.
+        """
+        bodies = list(encode_parts(packed))
+        start = 0
+        parts = len(bodies)
+        while bodies:
+            appended = await self._client.append(
+                SNAPSHOTS_STREAM,
+                bodies.pop(0),
+            )
+            if isinstance(appended, Failure):
+                return appended
+            start = start or appended.unwrap()
+        mark = Mark(0, packed.upto, parts, packed.sha256, start)
+        marked = await self._client.append(MARKS_STREAM, encode_mark(mark))
+        return marked.map(
+            lambda offset: Mark(
+                offset,
+                packed.upto,
+                parts,
+                packed.sha256,
+                start,
+            ),
+        )
+
+
+def _decode_marks(records: Iterable[Record]) -> list[Mark]:
+    marks = (decode_mark(record) for record in records)
+    return [mark for mark in marks if mark is not None]
+
+
+def _by_age(mark: Mark) -> tuple[int, int]:
+    return mark.upto, mark.offset
+
+
+def _match_mark(snapshot: Snapshot, mark: Mark) -> Result[Snapshot, Problem]:
+    # A mark that names a later offset than its snapshot holds would make a
+    # reader skip the records in between.
+    if snapshot.upto == mark.upto:
+        return Success(snapshot)
+    return Failure(
+        Problem(
+            ErrorKind.CONFLICT,
+            f'snapshot: it is of offset {snapshot.upto}',
+        ),
+    )
