--- a/packages/verbenahall/src/verbenahall/snapshots/_store.py
+++ b/packages/verbenahall/src/verbenahall/snapshots/_store.py
@@ -72,9 +72,7 @@
             if len(records) < _PARTS_LIMIT:
                 break
             after = records[-1].offset
-        return unpack(join_parts(mark.upto, mark.sha256, parts)).bind(
-            lambda snapshot: _match_mark(snapshot, mark),
-        )
+        return unpack(join_parts(mark.upto, mark.sha256, parts))
 
     async def take_newest(
         self,
@@ -140,16 +138,3 @@
 
 def _by_age(mark: Mark) -> tuple[int, int]:
     return mark.upto, mark.offset
-
-
-def _match_mark(snapshot: Snapshot, mark: Mark) -> Result[Snapshot, Problem]:
-    # A mark that names a later offset than its snapshot holds would make a
-    # reader skip the records in between.
-    if snapshot.upto == mark.upto:
-        return Success(snapshot)
-    return Failure(
-        Problem(
-            ErrorKind.CONFLICT,
-            f'snapshot: it is of offset {snapshot.upto}',
-        ),
-    )
