--- a/packages/verbenactl/src/verbenactl/_publish.py
+++ b/packages/verbenactl/src/verbenactl/_publish.py
@@ -55,7 +55,7 @@
         async with aiohttp.ClientSession() as session:
             client = LogClient(self.need('log'), session, f'ctl-{author}')
             publisher = Publisher(client, team, author)
-            require(await publisher.catch_up())
+            require(await publisher.start())
             return await self.publish(publisher)
 
     async def publish(self, publisher: Publisher) -> int:
--- a/packages/verbenactl/src/verbenactl/_publishing.py
+++ b/packages/verbenactl/src/verbenactl/_publishing.py
@@ -11,48 +11,68 @@
 from verbenahall.settings import (
     Change,
     Publication,
+    SettingsFold,
     SettingsState,
     Verdict,
     apply_record,
     encode_publication,
 )
+from verbenahall.snapshots import FoldSet, Snapshot, SnapshotStore
 
 _LIMIT: Final = 500
 
+_GAP: Final = Problem(
+    ErrorKind.LOG_UNAVAILABLE,
+    'records expired that no good snapshot holds',
+)
+
 _Value = TypeVar('_Value')
 
 
 class Publisher:
     """One author's access to the settings in the log.
 
-    ``state`` is the fold of all that ``catch_up`` has read.
+    ``state`` is the fold of all that ``start`` and ``catch_up`` have read.
     """
 
-    __slots__ = ('state', 'team', '_author', '_client')
+    __slots__ = ('state', 'team', '_author', '_client', '_position')
 
     def __init__(self, client: LogClient, team: str, author: str) -> None:
         """Publish as ``author`` of ``team``."""
         self.state = SettingsState()
+        self._position = 0
         self._client = client
         self.team = team
         self._author = author
 
+    async def start(self) -> Result[None, Problem]:
+        """Load the newest snapshot, then fold the log up to its end."""
+        store = SnapshotStore(self._client)
+        loaded = await store.take_newest(0, self._take)
+        if isinstance(loaded, Failure):
+            return loaded
+        return await self.catch_up()
+
     async def catch_up(self) -> Result[None, Problem]:
-        """Fold the log up to its end."""
+        """Fold the log from where it was left up to its end."""
         while True:
             read = await self._client.read(
-                self.state.position,
+                self._position,
                 _LIMIT,
                 0,
                 (SETTINGS_STREAM,),
             )
             if isinstance(read, Failure):
                 return read
-            records = read.unwrap().records
-            for record in records:
+            page = read.unwrap()
+            if page.first > self._position + 1:
+                return Failure(_GAP)
+            for record in page.records:
                 apply_record(self.state, record)
-            if len(records) < _LIMIT:
+            if len(page.records) < _LIMIT:
+                self._position = max(self._position, page.last)
                 return Success(None)
+            self._position = page.records[-1].offset
 
     async def publish(
         self,
@@ -81,6 +101,11 @@
         apply_record(self.state, record)
         return require(self._find_verdict(offset))
 
+    def _take(self, snapshot: Snapshot) -> Result[None, Problem]:
+        fold = SettingsFold(self.state)
+        self._position = snapshot.upto
+        return FoldSet([fold]).load(snapshot)
+
     def _encode(self, changes: Sequence[Change]) -> dict[str, Any]:
         publication = Publication(self.team, self._author, tuple(changes))
         return encode_publication(publication)
--- a/packages/verbenahall/src/verbenahall/orders/__init__.py
+++ b/packages/verbenahall/src/verbenahall/orders/__init__.py
@@ -16,6 +16,7 @@
     note_sending,
     take_over,
 )
+from verbenahall.orders._export import export_state, restore_state
 from verbenahall.orders._messages import (
     EngineReport,
     Order,
@@ -44,6 +45,7 @@
     'decode_report',
     'encode_batch',
     'encode_target',
+    'export_state',
     'find_progress',
     'is_changing',
     'is_cleared',
@@ -53,5 +55,6 @@
     'observe_report',
     'open_gate',
     'outstanding',
+    'restore_state',
     'take_over',
 )
--- a/packages/verbenahall/src/verbenahall/snapshots/__init__.py
+++ b/packages/verbenahall/src/verbenahall/snapshots/__init__.py
@@ -9,6 +9,7 @@
     await keeper.run()  # follows the log from the newest good snapshot
 """
 
+from verbenahall.snapshots._folds import FoldSet
 from verbenahall.snapshots._messages import Foldable, Snapshot
 from verbenahall.snapshots._peers import SNAPSHOT_PATH
 from verbenahall.snapshots._schedule import Schedule
@@ -17,6 +18,7 @@
 
 __all__ = (
     'SNAPSHOT_PATH',
+    'FoldSet',
     'Foldable',
     'Schedule',
     'Snapshot',
