--- a/packages/standins/src/verbenahall_standins/explorer/_moves.py
+++ b/packages/standins/src/verbenahall_standins/explorer/_moves.py
@@ -147,7 +147,7 @@
         asked = leading
     else:
         yield f'{index} asks {name}', put(world, index, asked)
-    for order in orders.outstanding(asked.orders):
+    for order in orders.outstanding(asked.orders, SCOPE):
         moved = copy_instance(asked)
         orders.observe_report(moved.orders, tell_state(engine), world.now)
         if order.engine == name and orders.may_send(
--- a/packages/standins/src/verbenahall_standins/explorer/_world.py
+++ b/packages/standins/src/verbenahall_standins/explorer/_world.py
@@ -166,6 +166,8 @@
     twin.candidacy.sent = dict(instance.candidacy.sent)
     twin.candidacy.tried_at = instance.candidacy.tried_at
     twin.orders.orders = dict(instance.orders.orders)
+    unsettled = instance.orders.unsettled
+    twin.orders.unsettled = {SCOPE: dict(unsettled.get(SCOPE, {}))}
     twin.orders.reports = dict(instance.orders.reports)
     twin.orders.reported_at = dict(instance.orders.reported_at)
     twin.orders.position = instance.orders.position
--- a/packages/verbenahall/src/verbenahall/orders/__init__.py
+++ b/packages/verbenahall/src/verbenahall/orders/__init__.py
@@ -2,8 +2,6 @@
 
 from verbenahall.orders._decisions import (
     Gate,
-    Progress,
-    find_progress,
     is_changing,
     open_gate,
     outstanding,
@@ -13,9 +11,13 @@
     Track,
     is_cleared,
     may_send,
+    take_over,
+)
+from verbenahall.orders._failures import (
+    list_withdrawals,
+    note_failure,
     note_outcome,
     note_sending,
-    take_over,
 )
 from verbenahall.orders._messages import (
     EngineReport,
@@ -27,6 +29,7 @@
     encode_target,
 )
 from verbenahall.orders._outcomes import Outcome
+from verbenahall.orders._progress import Progress, find_progress
 from verbenahall.orders._shell import OrderSender
 from verbenahall.orders._state import OrdersState, apply_record, observe_report
 
@@ -49,7 +52,9 @@
     'find_progress',
     'is_changing',
     'is_cleared',
+    'list_withdrawals',
     'may_send',
+    'note_failure',
     'note_outcome',
     'note_sending',
     'observe_report',
--- a/packages/verbenahall/src/verbenahall/orders/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/orders/_decisions.py
@@ -1,66 +1,35 @@
-"""How far each order has got, and when a new holder may send its first."""
+"""Which orders are outstanding, and when a new holder may send its first."""
 
 import dataclasses
-import enum
-from typing import Final, final
 
 from verbenahall.authority import Grant
-from verbenahall.orders._messages import EngineReport, Order, OrderTiming
+from verbenahall.orders._messages import Order, OrderTiming
+from verbenahall.orders._progress import UNSETTLED, find_progress
 from verbenahall.orders._state import OrdersState
 
 
-@final
-class Progress(enum.Enum):
-    """How far an order has got, by what the engine last said."""
-
-    #: The engine has not told that it took the order.
-    UNCONFIRMED = 'unconfirmed'
-    RUNNING = 'running'
-    DONE = 'done'
-    #: The engine took the order, stopped changing, and holds another target.
-    FAILED = 'failed'
-    #: Another process answers under the engine's name; plan again.
-    VOID = 'void'
-
-
-_UNSETTLED: Final = frozenset((Progress.UNCONFIRMED, Progress.RUNNING))
-
-
-def find_progress(order: Order, report: EngineReport | None) -> Progress:
-    """Tell how far ``order`` has got."""
-    if report is None:
-        return Progress.UNCONFIRMED
-    if report.incarnation != order.incarnation:
-        return Progress.VOID
-    if report.order != order.number:
-        return Progress.UNCONFIRMED
-    if report.changing:
-        return Progress.RUNNING
-    return Progress.DONE if report.holding == order.target else Progress.FAILED
-
-
-def outstanding(state: OrdersState) -> tuple[Order, ...]:
-    """Return the valid orders that are neither done, failed nor void."""
-    return tuple(
-        order
-        for order in state.orders.values()
-        if find_progress(order, state.reports.get(order.engine)) in _UNSETTLED
-    )
+def outstanding(state: OrdersState, scope: str) -> tuple[Order, ...]:
+    """Return a scope's valid orders that are neither done, failed nor void."""
+    return tuple(state.unsettled.get(scope, {}).values())
 
 
 def is_changing(state: OrdersState, engine: str) -> bool:
     """Tell whether an engine is to get no new work because of a change.
 
     True from the moment this process reads the order's record, so that the
-    engine runs empty and the change can begin with nothing in flight.
+    engine runs empty and the change can begin with nothing in flight. An
+    engine that holds the target already may work on: its order only moves
+    its number. An engine that this process does not follow counts as free.
     """
     report = state.reports.get(engine)
-    if report is not None and report.changing:
+    if report is None:
+        return False
+    if report.changing:
         return True
     order = state.orders.get(engine)
-    if order is None:
+    if order is None or find_progress(order, report) not in UNSETTLED:
         return False
-    return find_progress(order, report) in _UNSETTLED
+    return report.holding != order.target
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/verbenahall/src/verbenahall/orders/_dispatch.py
+++ b/packages/verbenahall/src/verbenahall/orders/_dispatch.py
@@ -4,9 +4,9 @@
 
 from verbenahall.authority import Grant
 from verbenahall.fleet import Endpoint
-from verbenahall.orders._decisions import Progress, find_progress, open_gate
+from verbenahall.orders._decisions import open_gate
 from verbenahall.orders._messages import Order, OrderTiming
-from verbenahall.orders._outcomes import Outcome
+from verbenahall.orders._progress import Progress, find_progress
 from verbenahall.orders._state import OrdersState
 
 #: How long an engine must have gone on answering before its state, read
@@ -15,12 +15,6 @@
 #: An order goes out only soon after its engine told its incarnation, so that
 #: another process under the same address does not get it.
 _FRESH_S: Final = 1.0
-_FIRST_PAUSE_S: Final = 0.25
-_LONGEST_PAUSE_S: Final = 20.0
-#: Outcomes after which the pause does not grow.
-_ORDINARY: Final = frozenset(
-    (Outcome.STARTED, Outcome.ALREADY, Outcome.BUSY, Outcome.NOT_SENT),
-)
 
 
 class Track:
@@ -28,15 +22,19 @@
 
     ``read_back`` is when the engine's state was first read after the gate
     opened. ``doubt`` is the number of an order that was written without an
-    answer, at ``doubt_at``.
+    answer, at ``doubt_at``. ``refusals`` counts tries in a row that brought
+    nothing, and ``failed`` is the number of the last order that the engine
+    took and did not fulfil.
     """
 
     __slots__ = (
         'cleared',
         'doubt',
         'doubt_at',
+        'failed',
         'failures',
         'read_back',
+        'refusals',
         'retry_at',
         'sending',
     )
@@ -48,6 +46,8 @@
         self.read_back: float | None = None
         self.retry_at = -float('inf')
         self.failures = 0
+        self.refusals = 0
+        self.failed = ''
         self.doubt = ''
         self.doubt_at = -float('inf')
 
@@ -169,28 +169,3 @@
     if track.doubt in {'', order.number}:
         return True
     return reported_at >= track.doubt_at + timing.order_timeout_s + _SETTLE_S
-
-
-def note_sending(dispatch: Dispatch, order: Order) -> None:
-    """Keep that a send is under way."""
-    dispatch.find_track(order.engine).sending = True
-
-
-def note_outcome(
-    dispatch: Dispatch,
-    order: Order,
-    outcome: Outcome,
-    now: float,
-) -> None:
-    """Keep what became of a send and when to look again."""
-    track = dispatch.find_track(order.engine)
-    track.sending = False
-    if outcome is Outcome.UNKNOWN:
-        track.doubt = order.number
-        track.doubt_at = now
-    if outcome in _ORDINARY:
-        track.failures = 0
-    else:
-        track.failures += 1
-    pause = _FIRST_PAUSE_S * 2**track.failures
-    track.retry_at = now + min(_LONGEST_PAUSE_S, pause)
--- a/packages/verbenahall/src/verbenahall/orders/_state.py
+++ b/packages/verbenahall/src/verbenahall/orders/_state.py
@@ -2,6 +2,7 @@
 
 from verbenahall.authority import AuthorityState, current_token
 from verbenahall.orders._messages import EngineReport, Order, decode_batch
+from verbenahall.orders._progress import UNSETTLED, find_progress
 from verbenahall.records import ORDERS_STREAM, Record
 
 
@@ -9,10 +10,19 @@
     """The latest valid order and the latest report of each engine.
 
     ``authority`` is folded from the same records, each record before this
-    state sees it. ``reported_at`` holds monotonic seconds.
+    state sees it. ``reported_at`` holds monotonic seconds. ``unsettled`` has
+    each scope's orders that are still to be seen to, so that a step costs as
+    much as there is to do and not as there are engines.
     """
 
-    __slots__ = ('authority', 'orders', 'position', 'reported_at', 'reports')
+    __slots__ = (
+        'authority',
+        'orders',
+        'position',
+        'reported_at',
+        'reports',
+        'unsettled',
+    )
 
     def __init__(self, authority: AuthorityState) -> None:
         """Start with no order known."""
@@ -20,6 +30,7 @@
         self.orders: dict[str, Order] = {}
         self.reports: dict[str, EngineReport] = {}
         self.reported_at: dict[str, float] = {}
+        self.unsettled: dict[str, dict[str, Order]] = {}
         self.position = 0
 
 
@@ -38,7 +49,10 @@
     orders = decode_batch(record.body, record.offset)
     valid = tuple(order for order in orders if _is_valid(state, order))
     for order in valid:
+        former = state.orders.get(order.engine, order)
+        state.unsettled.get(former.scope, {}).pop(order.engine, None)
         state.orders[order.engine] = order
+        _sort_order(state, order)
     return valid
 
 
@@ -55,3 +69,15 @@
     """Keep what an engine said of itself at ``now``."""
     state.reports[report.name] = report
     state.reported_at[report.name] = now
+    order = state.orders.get(report.name)
+    if order is not None:
+        _sort_order(state, order)
+
+
+def _sort_order(state: OrdersState, order: Order) -> None:
+    unsettled = state.unsettled.setdefault(order.scope, {})
+    progress = find_progress(order, state.reports.get(order.engine))
+    if progress in UNSETTLED:
+        unsettled[order.engine] = order
+    else:
+        unsettled.pop(order.engine, None)
--- a/packages/verbenahall/src/verbenahall/rollout/_plan.py
+++ b/packages/verbenahall/src/verbenahall/rollout/_plan.py
@@ -4,7 +4,7 @@
 import dataclasses
 from collections.abc import Mapping, Sequence
 from types import MappingProxyType
-from typing import TYPE_CHECKING, Final
+from typing import Final
 
 from verbenahall.fleet import Role, Target
 from verbenahall.orders import PlannedOrder
@@ -16,9 +16,7 @@
     Waiting,
 )
 from verbenahall.rollout._targets import find_targets
-
-if TYPE_CHECKING:
-    from verbenahall.settings import EffectiveSettings
+from verbenahall.settings import EffectiveSettings
 
 _DEFAULT_LIMITS: Final = RolloutLimits()
 _NO_ROLES: Final[Mapping[str, Role]] = MappingProxyType({})
@@ -51,7 +49,7 @@
 
 
 def plan(
-    settings: 'EffectiveSettings',
+    settings: EffectiveSettings,
     data_centre: str,
     engines: Sequence[EngineView],
     automatic: Mapping[str, Role] = _NO_ROLES,
@@ -94,7 +92,7 @@
 
 
 def _count_capacity(
-    settings: 'EffectiveSettings',
+    settings: EffectiveSettings,
     targets: Mapping[str, Target],
     engines: Sequence[EngineView],
 ) -> _Capacity:
@@ -115,7 +113,7 @@
 
 
 def _count_changing(
-    settings: 'EffectiveSettings',
+    settings: EffectiveSettings,
     view: EngineView,
     capacity: _Capacity,
 ) -> None:
@@ -126,7 +124,7 @@
 
 
 def _list_changes(
-    settings: 'EffectiveSettings',
+    settings: EffectiveSettings,
     targets: Mapping[str, Target],
     engines: Sequence[EngineView],
 ) -> list[_Change]:
@@ -143,7 +141,7 @@
 
 
 def _weigh(
-    settings: 'EffectiveSettings',
+    settings: EffectiveSettings,
     holding: Target,
     target: Target,
 ) -> float:
--- a/packages/verbenahall/src/verbenahall/rollout/_shell.py
+++ b/packages/verbenahall/src/verbenahall/rollout/_shell.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Mapping, Sequence
-from typing import TYPE_CHECKING, Any, Final, Protocol
+from typing import Any, Final, Protocol
 
 from returns.result import Result, Success
 
@@ -10,26 +10,24 @@
 from verbenahall.clock import Clock, monotonic
 from verbenahall.errors import Problem
 from verbenahall.fleet import Role
-from verbenahall.journal import write_decision
 from verbenahall.orders import (
     Dispatch,
     OrderSender,
     OrdersState,
     PlannedOrder,
     encode_batch,
-    encode_target,
+    list_withdrawals,
     outstanding,
     take_over,
 )
 from verbenahall.records import ORDERS_STREAM
 from verbenahall.rollout._engines import EngineTalk
-from verbenahall.rollout._messages import Rollout, RolloutLimits, Waiting
+from verbenahall.rollout._messages import RolloutLimits, Waiting
 from verbenahall.rollout._plan import plan
+from verbenahall.rollout._lines import tell_placed, tell_waiting
 from verbenahall.rollout._tasks import Tasks
 from verbenahall.rollout._views import Member, build_views
-
-if TYPE_CHECKING:
-    from verbenahall.settings import EffectiveSettings
+from verbenahall.settings import EffectiveSettings
 
 _TICK_S: Final = 0.1
 #: How long to wait for a record whose append had no clear answer.
@@ -52,7 +50,7 @@
 class Surroundings(Protocol):
     """What the controller reads anew at each step."""
 
-    def read_settings(self) -> 'EffectiveSettings':
+    def read_settings(self) -> EffectiveSettings:
         """Return the settings in force."""
 
     def list_engines(self, now: float) -> Sequence[Member]:
@@ -72,7 +70,7 @@
     def __init__(
         self,
         surroundings: Surroundings,
-        orders: OrdersState,
+        order_state: OrdersState,
         keeper: LeaseKeeper,
         client: Appender,
         sender: OrderSender,
@@ -82,7 +80,7 @@
     ) -> None:
         """Prepare; nothing is asked or sent before ``run``."""
         self._surroundings = surroundings
-        self._orders = orders
+        self._orders = order_state
         self._keeper = keeper
         self._client = client
         self._sender = sender
@@ -91,7 +89,13 @@
         self._clock = clock
         self._scope = keeper.candidacy.scope
         self._tasks = Tasks()
-        self._talk = EngineTalk(orders, dispatch, sender, self._tasks, clock)
+        self._talk = EngineTalk(
+            order_state,
+            dispatch,
+            sender,
+            self._tasks,
+            clock,
+        )
         self._wait_offset = 0
         self._wait_until = -float('inf')
         self._waiting: frozenset[Waiting] = frozenset()
@@ -110,7 +114,7 @@
         now = self._clock()
         members = self._surroundings.list_engines(now)
         token = self._keeper.held(self._scope, now)
-        due = outstanding(self._orders)
+        due = outstanding(self._orders, self._scope)
         busy = {order.engine for order in due}
         leading = token is not None
         self._talk.ask_states(members, now, busy, leading=leading)
@@ -139,6 +143,12 @@
         token: int,
         now: float,
     ) -> None:
+        withdrawals = list_withdrawals(
+            self._dispatch,
+            self._orders,
+            self._scope,
+            now,
+        )
         views = build_views(members, self._orders, self._dispatch, now)
         rollout = plan(
             self._surroundings.read_settings(),
@@ -147,9 +157,12 @@
             self._surroundings.read_roles(),
             self._limits,
         )
-        self._tell_waiting(rollout)
-        if rollout.orders:
-            self._tasks.start(_RECORD, self._record(rollout.orders, token))
+        waiting = frozenset(rollout.waiting)
+        tell_waiting(waiting - self._waiting)
+        self._waiting = waiting
+        planned = (*withdrawals, *rollout.orders)
+        if planned:
+            self._tasks.start(_RECORD, self._record(planned, token))
 
     async def _record(
         self,
@@ -160,29 +173,7 @@
         appended = await self._client.append(ORDERS_STREAM, body)
         if isinstance(appended, Success):
             self._wait_offset = appended.unwrap()
-            _tell_placed(planned, self._wait_offset)
+            tell_placed(planned, self._wait_offset)
         else:
             # The record may stand or not; the follower will show it.
             self._wait_until = self._clock() + _RECORD_WAIT_S
-
-    def _tell_waiting(self, rollout: Rollout) -> None:
-        waiting = frozenset(rollout.waiting)
-        fresh = waiting - self._waiting
-        for entry in sorted(fresh, key=lambda waits: waits.engine):
-            write_decision(
-                'place_later',
-                engine=entry.engine,
-                reason=entry.reason.value,
-                model=entry.model,
-            )
-        self._waiting = waiting
-
-
-def _tell_placed(planned: Sequence[PlannedOrder], offset: int) -> None:
-    for index, order in enumerate(planned):
-        write_decision(
-            'place',
-            engine=order.engine,
-            order=f'{offset}.{index}',
-            target=encode_target(order.target),
-        )
--- a/packages/verbenahall/src/verbenahall/rollout/_targets.py
+++ b/packages/verbenahall/src/verbenahall/rollout/_targets.py
@@ -2,19 +2,17 @@
 
 from collections.abc import Iterator, Mapping, Sequence
 from types import MappingProxyType
-from typing import TYPE_CHECKING, Final
+from typing import Final
 
 from verbenahall.fleet import Adapter, Role, Target
 from verbenahall.rollout._messages import EngineView
-
-if TYPE_CHECKING:
-    from verbenahall.settings import EffectiveSettings, PoolSettings
+from verbenahall.settings import EffectiveSettings, PoolSettings
 
 _NO_ROLES: Final[Mapping[str, Role]] = MappingProxyType({})
 
 
 def find_targets(
-    settings: 'EffectiveSettings',
+    settings: EffectiveSettings,
     data_centre: str,
     engines: Sequence[EngineView],
     automatic: Mapping[str, Role] = _NO_ROLES,
@@ -43,9 +41,9 @@
 
 
 def _list_pools(
-    settings: 'EffectiveSettings',
+    settings: EffectiveSettings,
     data_centre: str,
-) -> Iterator['PoolSettings']:
+) -> Iterator[PoolSettings]:
     for _, pool in sorted(settings.pools.items()):
         if pool.data_centre == data_centre:
             yield pool
@@ -53,7 +51,7 @@
 
 def _is_free(
     name: str,
-    settings: 'EffectiveSettings',
+    settings: EffectiveSettings,
     views: Mapping[str, EngineView],
     targets: Mapping[str, Target],
 ) -> bool:
@@ -63,7 +61,7 @@
 
 
 def _assign_roles(
-    pool: 'PoolSettings',
+    pool: PoolSettings,
     members: Sequence[EngineView],
     automatic: Mapping[str, Role],
 ) -> dict[str, Role]:
@@ -106,8 +104,8 @@
 
 
 def _build_target(
-    settings: 'EffectiveSettings',
-    pool: 'PoolSettings',
+    settings: EffectiveSettings,
+    pool: PoolSettings,
     role: Role,
 ) -> Target:
     known = filter(settings.models.get, pool.models)
@@ -117,8 +115,8 @@
 
 
 def _list_adapters(
-    settings: 'EffectiveSettings',
-    pool: 'PoolSettings',
+    settings: EffectiveSettings,
+    pool: PoolSettings,
     models: Mapping[str, str],
 ) -> Iterator[Adapter]:
     for name in sorted(set(pool.adapters)):
--- a/packages/verbenahall/src/verbenahall/rollout/_views.py
+++ b/packages/verbenahall/src/verbenahall/rollout/_views.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator, Sequence
 
-from verbenahall.fleet import Endpoint, Standing
+from verbenahall.fleet import Endpoint, Standing, Target
 from verbenahall.orders import (
     Dispatch,
     EngineReport,
@@ -10,6 +10,7 @@
     Progress,
     find_progress,
     is_cleared,
+    note_failure,
 )
 from verbenahall.rollout._messages import EngineView
 
@@ -37,6 +38,7 @@
         report = state.reports.get(endpoint.name)
         if report is None:
             continue
+        note_failure(dispatch, state, endpoint.name, now)
         live = standing is Standing.LIVE and not report.leaving
         cleared = is_cleared(dispatch, state, endpoint)
         resting = now < dispatch.find_track(endpoint.name).retry_at
@@ -64,7 +66,7 @@
     state: OrdersState,
     report: EngineReport,
     progress: Progress | None,
-):
+) -> Target | None:
     if progress in {Progress.UNCONFIRMED, Progress.RUNNING}:
         return state.orders[report.name].target
     return None
