--- a/packages/verbenahall/src/verbenahall/orders/__init__.py
+++ b/packages/verbenahall/src/verbenahall/orders/__init__.py
@@ -2,19 +2,22 @@
 
 from verbenahall.orders._decisions import (
     Gate,
-    Progress,
-    find_progress,
     is_changing,
     open_gate,
     outstanding,
 )
 from verbenahall.orders._dispatch import (
     Dispatch,
+    Track,
     is_cleared,
     may_send,
+    take_over,
+)
+from verbenahall.orders._failures import (
+    list_withdrawals,
+    note_failure,
     note_outcome,
     note_sending,
-    take_over,
 )
 from verbenahall.orders._export import export_state, restore_state
 from verbenahall.orders._messages import (
@@ -27,6 +30,7 @@
     encode_target,
 )
 from verbenahall.orders._outcomes import Outcome
+from verbenahall.orders._progress import Progress, find_progress
 from verbenahall.orders._shell import OrderSender
 from verbenahall.orders._state import OrdersState, apply_record, observe_report
 
@@ -41,6 +45,7 @@
     'Outcome',
     'PlannedOrder',
     'Progress',
+    'Track',
     'apply_record',
     'decode_report',
     'encode_batch',
@@ -49,7 +54,9 @@
     'find_progress',
     'is_changing',
     'is_cleared',
+    'list_withdrawals',
     'may_send',
+    'note_failure',
     'note_outcome',
     'note_sending',
     'observe_report',
