A list that names lives in its own way is still heard

Cause: an instance's heartbeat told an incarnation that the list can't know. The member was replaced, and the list's entries, leaving mark included, were then taken for lag for ever. Seen in the log of a running instance: a-2 with incarnation 28778 by the list, then by its heartbeat.

Change: a heartbeat's word is kept without replacing the member; a list that shows a former life 30 s on is taken to mean this one.

--- a/packages/verbenahall/src/verbenahall/membership/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/membership/_decisions.py
@@ -69,7 +69,7 @@
             member.endpoint,
             incarnation=incarnation,
         )
-        member = replace_member(state, endpoint)
+        member = replace_member(state, endpoint, now)
     hear_word(state, member, Word(leaving=leaving, said_at=now), now)
 
 
--- a/packages/verbenahall/src/verbenahall/membership/_listing.py
+++ b/packages/verbenahall/src/verbenahall/membership/_listing.py
@@ -30,12 +30,16 @@
         if name not in shown:
             _unlist(state, member, now, doubted=name in doubted)
     for entry in shown.values():
-        _list_entry(state, entry)
+        _list_entry(state, entry, now)
     for member in tuple(state.members.values()):
         review(state, member, now)
 
 
-def replace_member(state: MembershipState, endpoint: Endpoint) -> Member:
+def replace_member(
+    state: MembershipState,
+    endpoint: Endpoint,
+    now: float,
+) -> Member:
     """Put a new incarnation in place, without the old one's evidence.
 
     An endpoint that was replaced under its name has answered for none of
@@ -47,7 +51,7 @@
     if old is not None:
         former = _find_former(old, endpoint)
         _disown(state, old.endpoint)
-    member = Member(endpoint, former)
+    member = Member(endpoint, former, now)
     state.members[endpoint.name] = member
     state.owners[endpoint.address] = endpoint.name
     state.live_cache.clear()
@@ -72,26 +76,52 @@
         state.owners.pop(endpoint.address)
 
 
-def _list_entry(state: MembershipState, entry: ListEntry) -> None:
-    endpoint = entry.endpoint
-    member = state.members.get(endpoint.name)
-    if member is not None and not endpoint.incarnation:
-        endpoint = dataclasses.replace(
-            endpoint,
-            incarnation=member.endpoint.incarnation,
-        )
-    if member is not None and endpoint.incarnation in member.former:
-        # The list lags behind the endpoint's own word. Taking the entry
-        # would bring back the old process's address and drop the new one's
-        # evidence, and each poll would do so again.
+def _list_entry(
+    state: MembershipState,
+    entry: ListEntry,
+    now: float,
+) -> None:
+    member = state.members.get(entry.endpoint.name)
+    if member is not None and _lags(state, member, entry, now):
+        # Taking the entry would bring back the old process's address and
+        # drop the new one's evidence, and each poll would do so again.
         return
+    endpoint = _name_life(entry.endpoint, member)
     if member is None or member.endpoint != endpoint:
-        member = replace_member(state, endpoint)
+        member = replace_member(state, endpoint, now)
     state.owners.setdefault(endpoint.address, endpoint.name)
     member.listing = Listing.LEAVING if entry.leaving else Listing.SHOWN
     member.unlisted_at = None
 
 
+def _lags(
+    state: MembershipState,
+    member: Member,
+    entry: ListEntry,
+    now: float,
+) -> bool:
+    """Whether the list still shows a life that the endpoint has left behind.
+
+    It may do so for a while only. A list that names lives in its own way
+    always shows another one; what it says is then said of this one.
+    """
+    if entry.endpoint.incarnation not in member.former:
+        return False
+    return now - member.born_at < state.rules.list_lag_s
+
+
+def _name_life(endpoint: Endpoint, member: Member | None) -> Endpoint:
+    """Give an entry the known life where the list names none or its own."""
+    if member is None:
+        return endpoint
+    if endpoint.incarnation and endpoint.incarnation not in member.former:
+        return endpoint
+    return dataclasses.replace(
+        endpoint,
+        incarnation=member.endpoint.incarnation,
+    )
+
+
 def _unlist(
     state: MembershipState,
     member: Member,
--- a/packages/verbenahall/src/verbenahall/membership/_messages.py
+++ b/packages/verbenahall/src/verbenahall/membership/_messages.py
@@ -96,6 +96,7 @@
     probes_at_once: int = 4
     removal_window_s: float = 60.0
     forget_after_s: float = 60.0
+    list_lag_s: float = 30.0
 
 
 DEFAULT_RULES: Final = MembershipRules()
--- a/packages/verbenahall/src/verbenahall/membership/_peers.py
+++ b/packages/verbenahall/src/verbenahall/membership/_peers.py
@@ -11,7 +11,6 @@
     hear_word,
     live,
     observe_answer,
-    observe_word,
 )
 from verbenahall.membership._messages import (
     Digest,
@@ -122,14 +121,13 @@
 
 
 def apply_digest(state: MembershipState, digest: Digest, now: float) -> None:
-    """Fold a peer's heartbeat; other incarnations' evidence is dropped."""
-    observe_word(
-        state,
-        digest.sender,
-        digest.incarnation,
-        leaving=digest.leaving,
-        now=now,
-    )
+    """Fold a peer's heartbeat; evidence on other lives is dropped."""
+    sender = state.members.get(digest.sender)
+    if sender is None:
+        return
+    # The list names an instance's life in its own way, so the life that the
+    # digest tells does not replace the member.
+    hear_word(state, sender, Word(digest.leaving, now), now)
     observe_answer(state, digest.sender, now)
     state.peers[digest.sender] = PeerView(
         digest.incarnation,
--- a/packages/verbenahall/src/verbenahall/membership/_state.py
+++ b/packages/verbenahall/src/verbenahall/membership/_state.py
@@ -22,7 +22,7 @@
 
 @final
 class Member:
-    """One name at one incarnation, with all evidence about it.
+    """One name at one incarnation, with all evidence since ``born_at``.
 
     ``suspicions`` maps a peer's name to when it last said that this member
     fails. ``former`` holds incarnations that this one replaced, so that a
@@ -44,11 +44,17 @@
         'probe_delay',
         'suspicions',
         'former',
+        'born_at',
         'standing',
         'sign',
     )
 
-    def __init__(self, endpoint: Endpoint, former: tuple[str, ...]) -> None:
+    def __init__(
+        self,
+        endpoint: Endpoint,
+        former: tuple[str, ...],
+        born_at: float,
+    ) -> None:
         """Start without evidence."""
         self.endpoint = endpoint
         self.listing = Listing.SHOWN
@@ -64,6 +70,7 @@
         self.probe_delay = float(0)
         self.suspicions: dict[str, float] = {}
         self.former = former
+        self.born_at = born_at
         self.standing: Standing | None = None
         self.sign = Sign.ANSWERS
 
--- a/packages/verbenahall/tests/membership/test_standings.py
+++ b/packages/verbenahall/tests/membership/test_standings.py
@@ -156,6 +156,19 @@
     assert 'engine-0' in names(state, 3)
 
 
+def test_list_that_names_lives_in_its_own_way():
+    """The list and the engine never agree on the engine's incarnation.
+
+    Taken for lag for ever, the list's leaving mark would go unheard.
+    """
+    state, _ = make_state(*ENTRIES)
+    observe_word(state, 'engine-0', 'own', leaving=False, now=1)
+    marked = (make_entry('engine-0', leaving=True), *ENTRIES[1:])
+    apply_list(state, marked, 32)
+
+    assert standing_of(state, 'engine-0', 32) is Standing.LEAVING
+
+
 def test_reused_address():
     """The platform gives a gone engine's address to another.
 
