--- a/packages/verbenahall/src/verbenahall/front/_fleet.py
+++ b/packages/verbenahall/src/verbenahall/front/_fleet.py
@@ -9,7 +9,7 @@
 from verbenahall.admission import AdmissionLimits
 from verbenahall.config import LimitsConfig
 from verbenahall.errors import ErrorKind, Problem
-from verbenahall.fleet import EndpointKind, Role
+from verbenahall.fleet import Endpoint, EndpointKind, Role
 from verbenahall.front._messages import Call, ModelCall
 from verbenahall.front._parts import Parts
 from verbenahall.routing import Candidate
@@ -17,8 +17,10 @@
 #: A list of candidates is used again for this long, in seconds.
 _FRESH_S: Final = 0.02
 _MOST_LISTS: Final = 1024
-#: One flag slot for this many others, and never fewer than the second.
-_SLOTS_PER_FLAG_SLOT: Final = 4
+#: Flags have one slot of their own for this many others, and two at least.
+#: The slots are many, since flags come in bursts and are short; engines serve
+#: them first, so that they hardly keep others waiting.
+_SLOTS_PER_FLAG_SLOT: Final = 2
 _FEWEST_FLAG_SLOTS: Final = 2
 #: All queues of a lane together hold this many times one queue's bound.
 _TOTAL_QUEUES: Final = 2
@@ -63,10 +65,10 @@
 
     def check(self, wanted: _Wanted) -> Result[None, Problem]:
         """Say at once when nobody can take the request."""
-        service, model, adapter = wanted
-        settings = self._parts.settings()
         if self.candidates(wanted):
             return Success(None)
+        service, model, adapter = wanted
+        settings = self._parts.settings()
         if service:
             return self._miss_service(service, settings.services)
         known = model in settings.models
@@ -100,8 +102,19 @@
         found = self._parts.states.by_name.get(name)
         return found.models.get(model, '') if found else ''
 
+    def _list_live(
+        self,
+        kind: EndpointKind,
+        now: float,
+        service: str,
+    ) -> list[Endpoint]:
+        """Return the live endpoints that no operator drains."""
+        drains = self._parts.settings().drains
+        live = self._parts.live(kind, now, service)
+        return [found for found in live if found.name not in drains]
+
     def _list_services(self, service: str, now: float) -> list[Candidate]:
-        live = self._parts.live(EndpointKind.SERVICE, now, service)
+        live = self._list_live(EndpointKind.SERVICE, now, service)
         return [Candidate(endpoint, Role.MIXED) for endpoint in live]
 
     def _list_engines(
@@ -111,7 +124,7 @@
         now: float,
     ) -> list[Candidate]:
         found = []
-        for endpoint in self._parts.live(EndpointKind.ENGINE, now, ''):
+        for endpoint in self._list_live(EndpointKind.ENGINE, now, ''):
             state = self._parts.states.by_name.get(endpoint.name)
             # Another process under the same name holds other models; its
             # predecessor's state must not draw requests to it.
--- a/packages/verbenahall/src/verbenahall/orders/__init__.py
+++ b/packages/verbenahall/src/verbenahall/orders/__init__.py
@@ -19,6 +19,7 @@
     note_outcome,
     note_sending,
 )
+from verbenahall.orders._export import export_state, restore_state
 from verbenahall.orders._messages import (
     EngineReport,
     Order,
@@ -49,6 +50,7 @@
     'decode_report',
     'encode_batch',
     'encode_target',
+    'export_state',
     'find_progress',
     'is_changing',
     'is_cleared',
@@ -60,5 +62,6 @@
     'observe_report',
     'open_gate',
     'outstanding',
+    'restore_state',
     'take_over',
 )
--- a/packages/verbenahall/src/verbenahall/orders/_state.py
+++ b/packages/verbenahall/src/verbenahall/orders/_state.py
@@ -52,7 +52,7 @@
         former = state.orders.get(order.engine, order)
         state.unsettled.get(former.scope, {}).pop(order.engine, None)
         state.orders[order.engine] = order
-        _sort_order(state, order)
+        sort_order(state, order)
     return valid
 
 
@@ -71,10 +71,11 @@
     state.reported_at[report.name] = now
     order = state.orders.get(report.name)
     if order is not None:
-        _sort_order(state, order)
+        sort_order(state, order)
 
 
-def _sort_order(state: OrdersState, order: Order) -> None:
+def sort_order(state: OrdersState, order: Order) -> None:
+    """Keep an order among the unsettled ones of its scope, or drop it."""
     unsettled = state.unsettled.setdefault(order.scope, {})
     progress = find_progress(order, state.reports.get(order.engine))
     if progress in UNSETTLED:
