--- a/packages/verbenahall/src/verbenahall/orders/_lease_body.py
+++ b/packages/verbenahall/src/verbenahall/orders/_lease_body.py
@@ -17,9 +17,10 @@
 
     aiohttp connects first, keeps the headers in memory and joins them with
     the first chunk of the body. So nothing of the order has left the process
-    when ``check`` runs, and everything has been handed to the transport when
-    ``write_with_length`` returns: between the two the loop runs nothing
-    else. ``written`` tells whether the engine may have got the order.
+    when ``check`` runs, and the transport hands everything to the kernel
+    before the loop runs anything else. A pause can still fall between the
+    check and that call; for an engine that ignores tokens the next holder
+    waits it out. ``written`` tells whether the engine may have got the order.
     """
 
     def __init__(self, body: bytes, check: Callable[[], bool]) -> None:
@@ -38,12 +39,6 @@
         content_length: int | None,
     ) -> None:
         """Write the body, or raise ``LeaseLostError``."""
-        # uvloop gathers writes until the loop's turn ends, and a pause in
-        # that gap would send a checked order long after its lease. With a
-        # high-water mark of zero it calls the kernel at once.
-        transport = getattr(writer, 'transport', None)
-        if transport is not None:
-            transport.set_write_buffer_limits(high=0)
         if not self._check():
             raise LeaseLostError('the lease ended before the order was sent')
         self.written = True
