--- a/packages/verbenahall/src/verbenahall/instance/_folds.py
+++ b/packages/verbenahall/src/verbenahall/instance/_folds.py
@@ -2,15 +2,16 @@
 
 from typing import final
 
-from verbenahall import clock, metrics
 from verbenahall.authority import AuthorityState
-from verbenahall.authority import apply_record as apply_authority
 from verbenahall.claims import Claims
+from verbenahall.instance._foldables import (
+    AuthorityFold,
+    ClaimsFold,
+    OrdersFold,
+)
 from verbenahall.orders import OrdersState
-from verbenahall.orders import apply_record as apply_orders
-from verbenahall.records import Record
-from verbenahall.settings import SettingsState
-from verbenahall.settings import apply_record as apply_settings
+from verbenahall.settings import SettingsFold, SettingsState
+from verbenahall.snapshots import Foldable
 
 
 @final
@@ -26,14 +27,15 @@
         self.orders = OrdersState(self.authority)
         self.claims = claims
 
-    def apply_record(self, record: Record) -> None:
-        """Apply one record to all folds, authority before orders.
+    def list_foldables(self) -> tuple[Foldable, ...]:
+        """Return the folds as sections of snapshots, authority before orders.
 
         Whether an order counts depends on the lease at its own offset, so
         the authority must have seen the same prefix of the log.
         """
-        apply_settings(self.settings, record)
-        apply_authority(self.authority, record, clock.monotonic())
-        apply_orders(self.orders, record)
-        self.claims.apply_record(record)
-        metrics.SETTINGS_POSITION.set({}, self.settings.position)
+        return (
+            SettingsFold(self.settings),
+            AuthorityFold(self.authority),
+            OrdersFold(self.orders),
+            ClaimsFold(self.claims),
+        )
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/instance/_gauges.py
@@ -0,0 +1,45 @@
+"""Keeps the gauges that no event sets up to date."""
+
+import asyncio
+from typing import Final, final
+
+from verbenahall import clock, metrics
+from verbenahall.authority import LeaseKeeper
+from verbenahall.instance._folds import Folds
+from verbenahall.log import LogFollower
+
+_PERIOD_S: Final = 1.0
+
+
+@final
+class Gauges:
+    """Reads settings, the log's age and the lease once a period."""
+
+    __slots__ = ('_folds', '_follower', '_keeper', '_scope')
+
+    def __init__(
+        self,
+        folds: Folds,
+        follower: LogFollower,
+        keeper: LeaseKeeper,
+        scope: str,
+    ) -> None:
+        """Read from these parts; ``scope`` is the lease's."""
+        self._folds = folds
+        self._follower = follower
+        self._keeper = keeper
+        self._scope = scope
+
+    async def run(self) -> None:
+        """Set the gauges until cancelled."""
+        while True:
+            self.set_all()
+            await asyncio.sleep(_PERIOD_S)
+
+    def set_all(self) -> None:
+        """Set every gauge once."""
+        now = clock.monotonic()
+        token = self._keeper.held(self._scope, now)
+        metrics.SETTINGS_POSITION.set({}, self._folds.settings.position)
+        metrics.SETTINGS_LAG_SECONDS.set({}, now - self._follower.last_contact)
+        metrics.LEASE_HELD.set({'scope': self._scope}, int(token is not None))
--- a/packages/verbenahall/src/verbenahall/instance/_serve.py
+++ b/packages/verbenahall/src/verbenahall/instance/_serve.py
@@ -13,7 +13,8 @@
 from verbenahall.config import InstanceConfig
 from verbenahall.front import Runner
 from verbenahall.instance._supervisor import Supervisor
-from verbenahall.instance._wiring import CONTROLLER, KEEPER, Instance
+from verbenahall.instance._control import CONTROLLER, KEEPER
+from verbenahall.instance._wiring import Instance
 from verbenahall.shutdown import GracefulStop, StopTiming
 
 #: Waiting connections that the kernel keeps while the loop is busy.
@@ -65,7 +66,7 @@
     async def _close(self, instance: Instance, runner: web.AppRunner) -> None:
         await self._supervisor.stop()
         await runner.cleanup()
-        await instance.close()
+        await instance.core.close()
         self._ended.set()
 
 
@@ -97,7 +98,7 @@
     """
     await supervisor.stop(CONTROLLER)
     await supervisor.stop(KEEPER)
-    await instance.keeper.release()
+    await instance.control.keeper.release()
 
 
 def serve(config: InstanceConfig) -> None:
--- a/packages/verbenahall/src/verbenahall/instance/_supervisor.py
+++ b/packages/verbenahall/src/verbenahall/instance/_supervisor.py
@@ -1,7 +1,7 @@
 """Keeps an instance's background loops running."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Final, final
 
 from absl import logging
@@ -11,6 +11,8 @@
 
 #: Runs until cancelled.
 Loop = Callable[[], Awaitable[None]]
+#: Loops by name.
+Loops = Mapping[str, Loop]
 
 
 @final
--- a/packages/verbenahall/src/verbenahall/orders/_shell.py
+++ b/packages/verbenahall/src/verbenahall/orders/_shell.py
@@ -37,8 +37,14 @@
         held: Callable[[float], int | None],
         timing: OrderTiming,
         clock: Clock = monotonic,
+        heard: Callable[[dict[str, Any]], object] = bool,
     ) -> None:
-        """Prepare; the session is opened by the first call."""
+        """Prepare; the session is opened by the first call.
+
+        ``heard`` is given each state that an engine tells, for others who
+        want to know it as soon.
+        """
+        self._heard = heard
         self._held = held
         self._timing = timing
         self._clock = clock
@@ -72,6 +78,7 @@
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError):
             return Nothing
         decoded = wire.decode_table(body)
+        decoded.map(self._heard)
         return decoded.map(decode_report).value_or(Nothing)
 
     async def close(self) -> None:
--- a/packages/verbenahall/src/verbenahall/orders/_state.py
+++ b/packages/verbenahall/src/verbenahall/orders/_state.py
@@ -12,7 +12,8 @@
     ``authority`` is folded from the same records, each record before this
     state sees it. ``reported_at`` holds monotonic seconds. ``unsettled`` has
     each scope's orders that are still to be seen to, so that a step costs as
-    much as there is to do and not as there are engines.
+    much as there is to do and not as there are engines; ``settled_at`` is
+    when an engine's report took its order out of them.
     """
 
     __slots__ = (
@@ -21,6 +22,7 @@
         'position',
         'reported_at',
         'reports',
+        'settled_at',
         'unsettled',
     )
 
@@ -30,6 +32,7 @@
         self.orders: dict[str, Order] = {}
         self.reports: dict[str, EngineReport] = {}
         self.reported_at: dict[str, float] = {}
+        self.settled_at: dict[str, float] = {}
         self.unsettled: dict[str, dict[str, Order]] = {}
         self.position = 0
 
@@ -70,8 +73,12 @@
     state.reports[report.name] = report
     state.reported_at[report.name] = now
     order = state.orders.get(report.name)
-    if order is not None:
-        _sort_order(state, order)
+    if order is None:
+        return
+    was_unsettled = report.name in state.unsettled.get(order.scope, {})
+    _sort_order(state, order)
+    if was_unsettled and report.name not in state.unsettled[order.scope]:
+        state.settled_at[report.name] = now
 
 
 def _sort_order(state: OrdersState, order: Order) -> None:
--- a/packages/verbenahall/src/verbenahall/rollout/_messages.py
+++ b/packages/verbenahall/src/verbenahall/rollout/_messages.py
@@ -15,7 +15,9 @@
     ``reachable`` says that it may get new work as far as membership knows.
     ``pending`` is the target of an order that is not done yet and
     ``running`` says that its change has begun. ``resting`` keeps an engine
-    that failed or refused a change out of the plan for a while.
+    that failed or refused a change out of the plan for a while. ``fresh``
+    says that its change ended so short a time ago that other instances may
+    not know it yet.
     """
 
     name: str
@@ -25,6 +27,7 @@
     pending: Target | None = None
     running: bool = False
     resting: bool = False
+    fresh: bool = False
 
     @property
     def changing(self) -> bool:
--- a/packages/verbenahall/src/verbenahall/rollout/_plan.py
+++ b/packages/verbenahall/src/verbenahall/rollout/_plan.py
@@ -102,16 +102,33 @@
     capacity = _Capacity(
         {name: settings.models[name].floor for name in wanted},
     )
-    for view in engines:
-        if not view.reachable:
-            continue
+    for view in filter(_is_reachable, engines):
         if view.changing:
             _count_changing(settings, view, capacity)
-        elif view.name not in settings.drains:
-            capacity.serving.update(name for name, _ in view.holding.models)
+        else:
+            _count_standing(settings, view, capacity)
     return capacity
 
 
+def _is_reachable(view: EngineView) -> bool:
+    return view.reachable
+
+
+def _count_standing(
+    settings: EffectiveSettings,
+    view: EngineView,
+    capacity: _Capacity,
+) -> None:
+    held = [name for name, _ in view.holding.models]
+    if view.fresh:
+        # Instances hear of the end of a change one after the other. If the
+        # next engine went at once, those that hear late would know of no
+        # engine, and turn callers away.
+        capacity.coming.update(held)
+    elif view.name not in settings.drains:
+        capacity.serving.update(held)
+
+
 def _count_changing(
     settings: EffectiveSettings,
     view: EngineView,
--- a/packages/verbenahall/src/verbenahall/rollout/_views.py
+++ b/packages/verbenahall/src/verbenahall/rollout/_views.py
@@ -1,6 +1,7 @@
 """Builds what the planner knows of each engine."""
 
 from collections.abc import Iterator, Sequence
+from typing import Final
 
 from verbenahall.fleet import Endpoint, Standing, Target
 from verbenahall.orders import (
@@ -14,6 +15,10 @@
 )
 from verbenahall.rollout._messages import EngineView
 
+#: After this long every instance has heard of the end of a change, since
+#: each of them asks an engine under an order several times a second.
+_KNOWN_S: Final = 1.0
+
 #: An engine of the data centre and whether it may get new work.
 Member = tuple[Endpoint, Standing]
 
@@ -43,6 +48,7 @@
         cleared = is_cleared(dispatch, state, endpoint)
         resting = now < dispatch.find_track(endpoint.name).retry_at
         progress = _find_progress(state, report)
+        settled_at = state.settled_at.get(endpoint.name, -float('inf'))
         yield EngineView(
             name=endpoint.name,
             incarnation=report.incarnation,
@@ -51,6 +57,7 @@
             pending=_find_pending(state, report, progress),
             running=report.changing,
             resting=resting or not cleared,
+            fresh=now - settled_at < _KNOWN_S,
         )
 
 
