--- a/packages/standins/src/verbenahall_standins/batch.py
+++ b/packages/standins/src/verbenahall_standins/batch.py
@@ -10,6 +10,7 @@
 import dataclasses
 import heapq
 import itertools
+from collections.abc import Iterator
 
 from verbenahall.fleet import Role
 from verbenahall_standins import cost
@@ -63,15 +64,34 @@
 class Batch:
     """Jobs that wait and jobs that run on one engine."""
 
-    __slots__ = ('_cancelled', '_numbers', '_waiting', 'role', 'running')
+    __slots__ = (
+        '_cancelled',
+        '_claimed',
+        '_context',
+        '_decoding',
+        '_numbers',
+        '_prefilling',
+        '_waiting',
+        'role',
+    )
 
     def __init__(self, role: Role) -> None:
         """Start idle."""
         self.role = role
-        self.running: dict[str, Job] = {}
+        self._prefilling: dict[str, Job] = {}
+        self._decoding: dict[str, Job] = {}
         self._waiting: list[tuple[int, int, Job]] = []
         self._cancelled: set[str] = set()
         self._numbers = itertools.count()
+        #: KV tokens that running jobs need in the end, and those that the
+        #: decoding ones hold now; kept as sums since each step asks for them.
+        self._claimed = 0
+        self._context = 0
+
+    @property
+    def running(self) -> int:
+        """How many jobs run."""
+        return len(self._prefilling) + len(self._decoding)
 
     @property
     def queued(self) -> int:
@@ -86,7 +106,7 @@
     @property
     def kv_free_share(self) -> float:
         """The share of the KV memory that no running job has claimed."""
-        return max(0, 1 - self._claimed() / cost.KV_TOKENS)
+        return max(0, 1 - self._claimed / cost.KV_TOKENS)
 
     def add(self, job: Job) -> None:
         """Let a job wait behind those of its priority."""
@@ -95,7 +115,12 @@
 
     def cancel(self, identity: str) -> bool:
         """Drop a job; return whether there was one."""
-        if self.running.pop(identity, None):
+        job = self._prefilling.pop(identity, None)
+        if job is None and identity in self._decoding:
+            job = self._decoding.pop(identity)
+            self._context -= job.context
+        if job is not None:
+            self._claimed -= job.size
             return True
         waits = identity in {entry[-1].identity for entry in self._waiting}
         if waits:
@@ -105,18 +130,20 @@
     def step(self) -> Step:
         """Admit what fits, then prefill within the role's budget and decode."""
         self._admit()
-        decoding = [job for job in self.running.values() if job.is_decoding]
-        duration_s = cost.step_s(
-            len(decoding),
-            sum(job.context for job in decoding),
-        )
+        decoding = tuple(self._decoding.values())
+        duration_s = cost.step_s(len(decoding), self._context)
         duration_s += self._prefill()
-        for decoded in decoding:
-            decoded.produced += 1
-        finished = tuple(job for job in self.running.values() if job.is_done)
-        for done in finished:
-            self.running.pop(done.identity)
-        return Step(duration_s, tuple(decoding), finished)
+        finished = tuple(self._decode(decoding))
+        return Step(duration_s, decoding, finished)
+
+    def _decode(self, decoding: tuple[Job, ...]) -> Iterator[Job]:
+        self._context += len(decoding)
+        for job in decoding:
+            job.produced += 1
+            if job.produced >= job.output:
+                self._context -= job.context
+                self._claimed -= job.size
+                yield self._decoding.pop(job.identity)
 
     def _admit(self) -> None:
         while self._waiting and self._fits(self._waiting[0][-1]):
@@ -124,29 +151,29 @@
             if first.identity in self._cancelled:
                 self._cancelled.remove(first.identity)
             else:
-                self.running[first.identity] = first
+                self._prefilling[first.identity] = first
+                self._claimed += first.size
 
     def _fits(self, job: Job) -> bool:
         if not self.running or job.identity in self._cancelled:
             return True
-        if len(self.running) >= cost.BATCH_SEQUENCES:
+        if self.running >= cost.BATCH_SEQUENCES:
             return False
-        return self._claimed() + job.size <= cost.KV_TOKENS
-
-    def _claimed(self) -> int:
-        return sum(job.size for job in self.running.values())
+        return self._claimed + job.size <= cost.KV_TOKENS
 
     def _prefill(self) -> float:
+        """Prefill within the budget, in order of priority."""
         budget = cost.PREFILL_BUDGET[self.role]
         spent_s: float = 0
-        prefilling = (
-            job for job in self.running.values() if not job.is_decoding
-        )
-        for job in sorted(prefilling, key=_priority_of):
+        for job in sorted(self._prefilling.values(), key=_priority_of):
             chunk = min(budget, job.prompt - job.prefilled)
             spent_s += cost.prefill_s(chunk, job.prefilled)
             job.prefilled += chunk
             budget -= chunk
+            if job.is_decoding:
+                self._context += job.context
+                self._decoding[job.identity] = job
+                self._prefilling.pop(job.identity)
             if not budget:
                 break
         return spent_s
--- a/packages/standins/src/verbenahall_standins/completions.py
+++ b/packages/standins/src/verbenahall_standins/completions.py
@@ -163,6 +163,8 @@
             return answers.refuse('not loaded', HTTPStatus.CONFLICT)
         if self.worker.load.queued >= self._max_queue:
             return answers.refuse('overloaded')
+        if call.resume_from >= call.output:
+            return answers.refuse('nothing left', HTTPStatus.BAD_REQUEST)
         if call.resume_from and not self.resumes:
             return answers.refuse('does not resume', HTTPStatus.BAD_REQUEST)
         return None
--- a/packages/standins/src/verbenahall_standins/worker.py
+++ b/packages/standins/src/verbenahall_standins/worker.py
@@ -71,7 +71,7 @@
     @property
     def load(self) -> Load:
         """The load of this moment."""
-        running = len(self.batch.running) + self.direct
+        running = self.batch.running + self.direct
         free = round(self.batch.kv_free_share, 3)
         return Load(running, self.batch.queued, free)
 
--- a/packages/standins/tests/test_cost.py
+++ b/packages/standins/tests/test_cost.py
@@ -1,11 +1,13 @@
 """The cost model and the batch that runs on it."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from verbenahall.fleet import Role
-from verbenahall_standins import cost
+from verbenahall_standins import bound, comparison, cost, traces
 from verbenahall_standins.batch import Batch, Job
+from verbenahall_standins.simulation import Simulation
 
 TOKENS = st.integers(0, 20_000)
 
@@ -56,3 +58,35 @@
     while 'flag' not in finished:
         finished.extend(job.identity for job in batch.step().finished)
     assert len(finished) <= cost.BATCH_SEQUENCES + 1
+
+
+@given(st.integers(0, 30))
+def test_bound_counts_all_when_there_is_room(seed):
+    workload = traces.WORKLOADS['atlas']
+    trace = [
+        arrival
+        for arrival in traces.write_trace(workload, seed)
+        if arrival.number % 20 == 0
+    ]
+    assert bound.count_bound(workload, trace) == len(trace)
+
+
+def test_bound_gives_up_the_dearest():
+    """Two long requests are due at once on a server with time for one."""
+    workload = traces.WORKLOADS['atlas']
+    seconds = traces.work_s(100_000, 10) / workload.engine_count
+    trace = [
+        traces.Arrival(number, 0, 'shift', 3, 100_000, 10, seconds * 1.1)
+        for number in range(2)
+    ]
+    assert bound.count_bound(workload, trace) == 1
+
+
+@pytest.mark.parametrize('build', comparison.POLICIES.values())
+def test_simulation_answers_each_request_once(build):
+    workload = traces.WORKLOADS['atlas']
+    trace = traces.write_trace(workload, 3)[:300]
+    simulation = Simulation(workload, build(workload, 3))
+    simulation.run(trace)
+    numbers = [outcome.arrival.number for outcome in simulation.outcomes]
+    assert numbers == [arrival.number for arrival in trace]
