--- a/packages/verbenahall/src/verbenahall/front/_endpoints.py
+++ b/packages/verbenahall/src/verbenahall/front/_endpoints.py
@@ -58,12 +58,15 @@
     remaining_s: float,
 ) -> dict[str, str]:
     """Return the headers that every attempt carries."""
-    return {
+    headers = {
         'Content-Type': content_type,
         'X-Attempt-Id': attempt,
         'X-Priority': str(head.ticket.priority),
         'X-Deadline-Ms': str(max(1, int(remaining_s * _MS_PER_S))),
     }
+    if head.key:
+        headers['Idempotency-Key'] = head.key
+    return headers
 
 
 def take_report(
--- a/packages/verbenahall/src/verbenahall/front/_engines.py
+++ b/packages/verbenahall/src/verbenahall/front/_engines.py
@@ -137,10 +137,11 @@
         body = call.body
         if resume_from:
             body = wire.encode({**call.table, 'resume_from': resume_from})
+        headers = build_headers(call.head, attempt, _JSON, remaining_s)
         answer = await session.post(
             build_url(endpoint.address, call.path),
             data=body,
-            headers=build_headers(call.head, attempt, _JSON, remaining_s),
+            headers=headers,
             allow_redirects=False,
         )
         take_report(endpoint, answer.headers, self._reports)
--- a/packages/verbenahall/src/verbenahall/front/_placing.py
+++ b/packages/verbenahall/src/verbenahall/front/_placing.py
@@ -48,14 +48,11 @@
         if isinstance(claimed, Failure):
             return claimed
         progress.attempts += 1
+        choice = chosen.unwrap()
+        attempt = self._names.next_name()
+        self._write_route(progress, choice, attempt)
         remaining = progress.call.head.deadline - self._parts.clock()
-        return Success(
-            Placed(
-                chosen.unwrap().endpoint,
-                self._names.next_name(),
-                remaining,
-            ),
-        )
+        return Success(Placed(choice.endpoint, attempt, remaining))
 
     def list_candidates(self, progress: Progress) -> list[Candidate]:
         """Return the endpoints that may take the next attempt."""
@@ -80,8 +77,6 @@
             # All have failed once; the one that did so may have recovered.
             question = dataclasses.replace(question, excluded=frozenset())
             chosen = choose(self._routing, question, candidates, load, now)
-        if isinstance(chosen, Success):
-            self._write_route(progress, chosen.unwrap())
         return chosen
 
     def _may_go_on(self, progress: Progress, name: str) -> bool:
@@ -91,11 +86,17 @@
             and self._fleet.version_of(name, model) == progress.version
         )
 
-    def _write_route(self, progress: Progress, choice: Choice) -> None:
+    def _write_route(
+        self,
+        progress: Progress,
+        choice: Choice,
+        attempt: str,
+    ) -> None:
         write_decision(
             'route',
             request=progress.call.head.request,
-            attempt=progress.attempts + 1,
+            attempt=attempt,
+            number=progress.attempts,
             chosen=choice.endpoint.name,
             over=choice.over,
             load=round(choice.belief.load, 2),
--- a/packages/verbenahall/src/verbenahall/front/_services.py
+++ b/packages/verbenahall/src/verbenahall/front/_services.py
@@ -45,8 +45,6 @@
             remaining_s,
         )
         headers['Accept'] = call.accept
-        if call.head.key:
-            headers['Idempotency-Key'] = call.head.key
         request = session.request(
             call.method,
             build_url(endpoint.address, call.target),
--- a/packages/verbenahall/tests/front/conftest.py
+++ b/packages/verbenahall/tests/front/conftest.py
@@ -64,6 +64,7 @@
         self.work_s = 0
         self.running = 0
         self.standing = Standing.LIVE
+        self.address = ''
 
     async def answer(self, request):
         fault = self.fault(self.seen)
@@ -253,7 +254,7 @@
             Endpoint(
                 name=fake.name,
                 kind=kind,
-                address=await serve_fake(fake, stack),
+                address=fake.address or await serve_fake(fake, stack),
                 data_centre='here',
                 incarnation='1',
                 service=service,
