Requests spill over to other data centres' engines

Cause: routing takes engines of other data centres when the own ones are gone, but their state was never asked for, so none was a candidate. Ruled out: asking all of them, which would spend the own engines' share of the polls and grow with the fleet.

--- a/packages/verbenahall/src/verbenahall/instance/_wiring.py
+++ b/packages/verbenahall/src/verbenahall/instance/_wiring.py
@@ -198,7 +198,7 @@
         experience = self.experience
         self.state_poller = StatePoller(
             self.sessions.kept,
-            self.surroundings.own_engines,
+            self.surroundings.watched_engines,
             self.states,
             self.load,
             self.config.timing.load_poll_s,
@@ -206,6 +206,7 @@
             missed=experience.missed,
             leaving=experience.leaving,
             urgent=functools.partial(is_changing, self.folds.orders),
+            far=self.surroundings.is_far,
         )
         self.planner = RolePlanner(
             Pools(
--- a/packages/verbenahall/src/verbenahall/load/_shell.py
+++ b/packages/verbenahall/src/verbenahall/load/_shell.py
@@ -1,4 +1,4 @@
-"""Polls the engines of the own data centre for their state."""
+"""Polls engines for their state."""
 
 import asyncio
 import heapq
@@ -26,10 +26,12 @@
 #: An answer takes about half a kilobyte; at two periods a second this is a
 #: third of the 6 kB/s that an instance may spend on control.
 _ASKED_AT_ONCE: Final = 2
+#: An engine that is only spilled over to is asked so much later, in seconds.
+_FAR_DELAY_S: Final = 8.0
 
 
 def _never(name: str) -> bool:
-    """Hold no engine for urgent."""
+    """Hold no engine for urgent, or for far."""
     return False
 
 
@@ -38,8 +40,9 @@
     """Asks engines of ``endpoints()`` for ``/state``, a few each period.
 
     Those that ``urgent(name)`` holds for go first, then those not asked for
-    the longest time; so the bytes that an instance spends do not grow with
-    the fleet, and load is mostly known from reports on answers.
+    the longest time, ``far(name)`` ones later; so the bytes that an instance
+    spends do not grow with the fleet, and load is mostly known from reports
+    on answers.
     ``heard(name)`` and ``missed(name)`` feed the membership with the poll's
     outcome, ``leaving(name)`` with the engine's own word that it leaves.
     """
@@ -55,6 +58,7 @@
         missed: Callable[[str], None],
         leaving: Callable[[str], None],
         urgent: Callable[[str], bool] = _never,
+        far: Callable[[str], bool] = _never,
         clock: Clock = monotonic,
     ) -> None:
         """Keep what the polls read and feed."""
@@ -67,6 +71,7 @@
         self._missed = missed
         self._leaving = leaving
         self._urgent = urgent
+        self._far = far
         self._asked_at: dict[str, float] = {}
         self._clock = clock
 
@@ -91,12 +96,13 @@
         return heapq.nsmallest(
             _ASKED_AT_ONCE,
             known.values(),
-            key=lambda endpoint: (
-                not self._urgent(endpoint.name),
-                self._asked_at[endpoint.name],
-            ),
+            key=lambda endpoint: self._rank(endpoint.name),
         )
 
+    def _rank(self, name: str) -> tuple[bool, float]:
+        delay = _FAR_DELAY_S if self._far(name) else 0
+        return not self._urgent(name), self._asked_at[name] + delay
+
     async def _ask(self, endpoint: Endpoint) -> None:
         try:
             body = await self._fetch(endpoint)
--- a/packages/verbenahall/tests/front/conftest.py
+++ b/packages/verbenahall/tests/front/conftest.py
@@ -65,6 +65,7 @@
         self.running = 0
         self.standing = Standing.LIVE
         self.address = ''
+        self.data_centre = 'here'
 
     async def answer(self, request):
         fault = self.fault(self.seen)
@@ -255,7 +256,7 @@
                 name=fake.name,
                 kind=kind,
                 address=fake.address or await serve_fake(fake, stack),
-                data_centre='here',
+                data_centre=getattr(fake, 'data_centre', 'here'),
                 incarnation='1',
                 service=service,
             )
--- a/packages/verbenahall/tests/front/test_attempts.py
+++ b/packages/verbenahall/tests/front/test_attempts.py
@@ -112,6 +112,26 @@
     asyncio.run(run())
 
 
+def test_requests_spill_over_when_the_own_engines_are_gone(stage, fake):
+    """All engines of a data centre are lost while another one has some. Its
+    callers are answered from there, and from their own again afterwards.
+    """
+
+    async def run():
+        near, far = fake('near'), fake('far')
+        far.data_centre = 'there'
+        async with stage([near, far]) as on:
+            seen = []
+            for standing in (Standing.LIVE, Standing.SILENT, Standing.LIVE):
+                near.standing = standing
+                await asyncio.sleep(0.1)
+                _, _, body = await on.post()
+                seen.append(json.loads(body)['by'])
+        return seen
+
+    assert asyncio.run(run()) == ['near', 'far', 'near']
+
+
 @pytest.mark.parametrize('fault', ('error', 'reset_after', 'hang'))
 def test_billed_request_runs_once_and_says_unknown(stage, fake, fault):
     """An engine begins a billed summary and fails. Whether it ran is not
