--- a/packages/verbenahall/src/verbenahall/instance/_wiring.py
+++ b/packages/verbenahall/src/verbenahall/instance/_wiring.py
@@ -53,7 +53,7 @@
         experience = self.core.experience
         return StatePoller(
             self.core.sessions.kept,
-            self.control.surroundings.own_engines,
+            self.control.surroundings.watched_engines,
             self.control.states,
             self._load,
             self.core.config.timing.load_poll_s,
@@ -61,6 +61,7 @@
             missed=experience.missed,
             leaving=experience.leaving,
             urgent=functools.partial(is_changing, self.core.folds.orders),
+            far=self.control.surroundings.is_far,
         )
 
     def _list_parts(self) -> Parts:
