--- a/packages/verbenahall/src/verbenahall/snapshots/__init__.py
+++ b/packages/verbenahall/src/verbenahall/snapshots/__init__.py
@@ -11,6 +11,7 @@
 
 from verbenahall.snapshots._folds import FoldSet
 from verbenahall.snapshots._messages import Foldable, Snapshot
+from verbenahall.snapshots._packing import pack
 from verbenahall.snapshots._peers import SNAPSHOT_PATH
 from verbenahall.snapshots._schedule import Schedule
 from verbenahall.snapshots._shell import SnapshotKeeper
@@ -24,4 +25,5 @@
     'Snapshot',
     'SnapshotKeeper',
     'SnapshotStore',
+    'pack',
 )
--- /dev/null
+++ b/packages/verbenahall/tests/snapshots/test_processes.py
@@ -0,0 +1,255 @@
+"""Keepers against a log process: outages, lost answers, time in force."""
+
+import asyncio
+import contextlib
+import statistics
+import sys
+import time
+
+import pytest
+from aiohttp import ClientSession
+from returns.result import Success
+
+from verbenahall.log import LogClient
+from verbenahall.settings import SettingsFold, SettingsState, effective
+from verbenahall.snapshots import Schedule, SnapshotKeeper, SnapshotStore
+from verbenahall_standins import process
+
+pytestmark = pytest.mark.process
+
+INSTANCES = 9
+QUICK = Schedule(refresh_s=0.5, spread_s=0.2)
+
+
+class Fleet:
+    """Instances' keepers on one log process, each with its own client."""
+
+    def __init__(self, address, session):
+        self.address = address
+        self.session = session
+        self.states = []
+        self.keepers = []
+        self.tasks = []
+        self.author = LogClient(address, session, 'author')
+        self.bases = {}
+
+    def start(self, schedule=None):
+        """Start one more instance; return its keeper."""
+        state = SettingsState()
+        client = LogClient(self.address, self.session, f'e{len(self.states)}')
+        keeper = SnapshotKeeper(
+            client,
+            [SettingsFold(state)],
+            self.session,
+            tuple,
+            schedule,
+        )
+        self.states.append(state)
+        self.keepers.append(keeper)
+        self.tasks.append(asyncio.create_task(keeper.run()))
+        return keeper
+
+    async def stop_all(self):
+        """End every instance, as a replacement of all does."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.states.clear()
+        self.keepers.clear()
+        self.tasks.clear()
+
+    async def publish(self, name, queue):
+        """Publish a workspace's queue; return the append's outcome."""
+        path = f'desk/workspaces/{name}'
+        change = {
+            'path': path,
+            'base': self.bases.get(path, 0),
+            'value': {'queue': queue},
+        }
+        body = {'team': 'desk', 'author': 'ann', 'changes': [change]}
+        outcome = await self.author.append('settings', body)
+        if isinstance(outcome, Success):
+            self.bases[path] = outcome.unwrap()
+        return outcome
+
+    async def switch(self, **fault):
+        """Switch a fault of the log."""
+        url = f'http://{self.address}/faults'
+        async with self.session.post(url, json=fault) as answer:
+            assert answer.status == 200
+
+    async def wait_applied(self, offset):
+        """Wait until every instance has applied an offset."""
+        await wait_for(
+            lambda: all(state.position >= offset for state in self.states),
+        )
+
+    async def wait_ready(self):
+        """Wait until every instance is ready."""
+        await wait_for(lambda: all(keeper.ready for keeper in self.keepers))
+
+    async def wait_snapshot(self, offset):
+        """Wait until a snapshot in the log holds an offset."""
+        store = SnapshotStore(self.author)
+        async with asyncio.timeout(30):
+            while not await _has_snapshot(store, offset):
+                await asyncio.sleep(0.05)
+
+    def start_all(self):
+        """Start as many instances as a user has today."""
+        for _ in range(INSTANCES):
+            self.start()
+
+    def queues(self):
+        """Return each instance's queue of each workspace."""
+        return [
+            {
+                name: workspace.queue
+                for name, workspace in effective(state).workspaces.items()
+            }
+            for state in self.states
+        ]
+
+
+async def _has_snapshot(store, offset):
+    marks = (await store.find_marks()).unwrap()
+    return any(mark.upto >= offset for mark in marks)
+
+
+@contextlib.asynccontextmanager
+async def run_fleet(*options):
+    """Yield a fleet on a log process of its own."""
+    log = process.start('verbenahall_standins.log', '--port', '0', *options)
+    try:
+        async with ClientSession() as session:
+            fleet = Fleet(log.address, session)
+            yield fleet
+            await fleet.stop_all()
+    finally:
+        log.stop()
+
+
+async def wait_for(condition, bound_s=30):
+    """Wait until a condition holds."""
+    async with asyncio.timeout(bound_s):
+        while not condition():
+            await asyncio.sleep(0.002)
+
+
+async def measure_in_force(fleet, count):
+    """Return the seconds from accepted to in force on all, sorted."""
+    seconds = []
+    for queue in range(1, count + 1):
+        offset = (await fleet.publish('club', queue)).unwrap()
+        started = time.monotonic()
+        await fleet.wait_applied(offset)
+        seconds.append(time.monotonic() - started)
+    return sorted(seconds)
+
+
+def test_setting_is_in_force_everywhere_within_a_second():
+    """In peace, an accepted setting reaches nine instances.
+
+    A poll that waits, not one that repeats, is what makes it prompt; the
+    figures are printed for the record.
+    """
+    seconds = asyncio.run(_measure_in_peace())
+    p50, p99 = statistics.median(seconds), seconds[int(0.99 * len(seconds))]
+    sys.stdout.write(f'in force on nine: p50 {p50:.4f} s, p99 {p99:.4f} s\n')
+
+    assert p99 < 1
+
+
+async def _measure_in_peace():
+    async with run_fleet() as fleet:
+        fleet.start_all()
+        await fleet.wait_ready()
+        return await measure_in_force(fleet, 200)
+
+
+def test_outage_ends_without_anything_lost():
+    """The log is down for seconds while instances run and one is new.
+
+    The new one is not ready and says why; afterwards all take up what was
+    published, and nobody went back.
+    """
+    asyncio.run(_outlast())
+
+
+async def _outlast():
+    async with run_fleet() as fleet:
+        fleet.start_all()
+        await fleet.wait_ready()
+        before = (await fleet.publish('club', 1)).unwrap()
+        await fleet.wait_applied(before)
+        await fleet.switch(name='down')
+        refused = await fleet.publish('club', 2)
+        new = fleet.start()
+        await wait_for(lambda: 'no peer' in new.reason)
+        await asyncio.sleep(3)
+
+        assert not isinstance(refused, Success)
+        assert not new.ready
+        assert all(queues == {'club': 1} for queues in fleet.queues()[:-1])
+
+        await fleet.switch(name='clear')
+        ended = time.monotonic()
+        offset = (await fleet.publish('club', 3)).unwrap()
+        await fleet.wait_applied(offset)
+        passed = time.monotonic() - ended
+        sys.stdout.write(f'in force after the outage: {passed:.3f} s\n')
+        assert all(queues == {'club': 3} for queues in fleet.queues())
+
+
+def test_every_instance_replaced_after_retention():
+    """The log keeps 40 records; all instances are replaced again and again.
+
+    Without snapshots, the settings published first would be gone.
+    """
+    asyncio.run(_replace_all())
+
+
+async def _replace_all():
+    async with run_fleet('--kept', '40') as fleet:
+        for generation in range(3):
+            fleet.start(QUICK)
+            fleet.start(QUICK)
+            await fleet.wait_ready()
+            await fleet.publish(f'once-{generation}', 1)
+            for queue in range(1, 61):
+                offset = (await fleet.publish('club', queue)).unwrap()
+                await asyncio.sleep(0.02)
+            await fleet.wait_applied(offset)
+            await fleet.wait_snapshot(offset)
+            await fleet.stop_all()
+        fleet.start()
+        await fleet.wait_ready()
+
+        assert fleet.queues() == [
+            {'once-0': 1, 'club': 60, 'once-1': 1, 'once-2': 1},
+        ]
+
+
+def test_lost_answers_leave_one_record_in_force():
+    """The log loses the answer to each of thirty appends, after the effect.
+
+    Told as failures they would be published again by the operator, and told
+    at another offset their next change would be refused as stale.
+    """
+    asyncio.run(_lose_answers())
+
+
+async def _lose_answers():
+    async with run_fleet() as fleet:
+        fleet.start()
+        await fleet.wait_ready()
+        for queue in range(1, 31):
+            await fleet.switch(name='lose_answer', path='/append', count=1)
+            await fleet.publish('club', queue)
+        last = (await fleet.publish('end', 1)).unwrap()
+        await fleet.wait_applied(last)
+        history = list(fleet.states[0].history)
+
+        assert len(history) == 31
+        assert all(verdict.accepted for verdict in history)
+        assert fleet.queues() == [{'club': 30, 'end': 1}]
