--- a/packages/verbenahall/tests/admission/test_decisions.py
+++ b/packages/verbenahall/tests/admission/test_decisions.py
@@ -10,6 +10,7 @@
     AdmissionLimits,
     AdmissionState,
     Ticket,
+    WorkspaceBounds,
     ask,
     expire,
     finish,
@@ -100,7 +101,7 @@
     """
     limits = AdmissionLimits(1, 0, 1000, 1000, 4000)
     state = AdmissionState(limits)
-    state.shares = {'loud': 1, 'calm': 2}
+    state.workspaces = {'calm': WorkspaceBounds(share=2)}
     for number in range(200):
         ask(state, make_ticket(number, workspace='loud'), 0)
     for number in range(200, 220):
@@ -207,3 +208,21 @@
     assert problem.kind is ErrorKind.DEADLINE_EXCEEDED
     assert problem.answer.ran is Ran.NO
     assert not finish(state, 'r0', 6).admitted
+
+
+def test_queue_that_higher_ones_cut_off_is_given_up():
+    """Higher requests begin to come as fast as the lane drains, so those of
+    the lowest priority have no chance any more. They hear so soon, long
+    before their deadlines, and the first of them may still hope.
+    """
+    state = fill(AdmissionLimits(1, 0, 100, 100, 100), 3, 3, 3, 3, 3, 3)
+    given_up = []
+    for number in range(40):
+        now = 0.25 * (number + 1)
+        ask(state, make_ticket(100 + number, 1, deadline=now + 60), now)
+        finish(state, next(iter(state.running)), now)
+        given_up += expire(state, now).given_up
+    assert {ticket.priority for ticket, _ in given_up} <= {3}
+    assert not given_up
+    late = make_ticket(999, 3, deadline=30)
+    assert find_only(ask(state, late, 10))[0] == late
