A late second copy of an orders record changes nothing

Cause: an append whose answer is lost is tried again under its identity, and the first try may still land, after newer orders; the fold of orders took it and put an engine's older target back, under a token that still held.

Change: OrdersFold keeps identities, bounded, as part of its section.

Before: the new test found the old target in force.

--- a/packages/verbenahall/src/verbenahall/instance/_foldables.py
+++ b/packages/verbenahall/src/verbenahall/instance/_foldables.py
@@ -4,11 +4,13 @@
 
 from verbenahall import authority, clock, orders
 from verbenahall.claims import Claims
-from verbenahall.records import Record
+from verbenahall.records import ORDERS_STREAM, Record
 
 _POSITION: Final = 'position'
 _GRANTS: Final = 'grants'
 _ORDERS: Final = 'orders'
+_SEEN: Final = 'seen'
+_KEPT_IDENTITIES: Final = 4096
 
 
 @final
@@ -46,29 +48,45 @@
 
 @final
 class OrdersFold:
-    """The latest valid order of each engine."""
+    """The latest valid order of each engine.
 
-    __slots__ = ('_state',)
+    An append whose answer was lost may be tried again while the first try
+    still lies in a socket of the log, and land a second time after newer
+    orders. It would then put an engine's older target back, under a token
+    that still holds; so a second copy is dropped by its identity. As many
+    identities are kept as batches are recorded in hours.
+    """
+
+    __slots__ = ('_seen', '_state')
 
     name: Final = 'orders'
 
     def __init__(self, state: orders.OrdersState) -> None:
         """Fold into ``state``."""
         self._state = state
+        self._seen: dict[str, None] = {}
 
     def apply_record(self, record: Record) -> None:
-        """Apply one record."""
+        """Apply one record unless it is a second copy."""
+        if record.stream == ORDERS_STREAM:
+            if record.identity in self._seen:
+                return
+            self._seen[record.identity] = None
+            if len(self._seen) > _KEPT_IDENTITIES:
+                self._seen.pop(next(iter(self._seen)))
         orders.apply_record(self._state, record)
 
     def dump(self) -> dict[str, Any]:
-        """Return the orders."""
+        """Return the orders and the identities seen."""
         return {
             _POSITION: self._state.position,
+            _SEEN: list(self._seen),
             _ORDERS: orders.export_state(self._state),
         }
 
     def load(self, section: dict[str, Any]) -> None:
         """Take orders over."""
+        self._seen = dict.fromkeys(section[_SEEN])
         orders.restore_state(
             self._state,
             section[_ORDERS],
--- a/packages/verbenahall/tests/instance/test_foldables.py
+++ b/packages/verbenahall/tests/instance/test_foldables.py
@@ -105,3 +105,36 @@
 
     for expected, found in zip(whole, second, strict=True):
         assert found.dump() == expected.dump()
+
+
+def test_late_second_copy_of_orders_changes_nothing():
+    """The log was paused with an append in its socket; a retry went through.
+
+    Woken, the log appends the first try too, after a newer order. The engine
+    would be sent back to the model that it was just taken off.
+    """
+    folds = make_folds()
+    claim = ('claim', 'authority', {'after': 0, 'lease_s': 5, 'kind': 'claim'})
+    for offset, (identity, stream, body) in enumerate(
+        (
+            claim,
+            ('old', 'orders', build_batch('1')),
+            ('new', 'orders', build_batch('2')),
+            ('old', 'orders', build_batch('1')),
+        ),
+        start=1,
+    ):
+        whole = {'scope': 'lampeter', 'holder': 'entry-1', **body}
+        for each in folds:
+            each.apply_record(Record(offset, stream, identity, whole))
+
+    assert folds[1].dump()['orders']['e1']['target']['models'] == {
+        'drafter': '2'
+    }
+
+
+def build_batch(version):
+    """Return a batch that gives engine e1 a version of the model."""
+    target = {'role': 'mixed', 'models': {'drafter': version}, 'adapters': []}
+    order = {'engine': 'e1', 'incarnation': 'i', 'target': target}
+    return {'token': 1, 'orders': [order]}
