--- a/packages/verbenahall/tests/admin/test_admin.py
+++ b/packages/verbenahall/tests/admin/test_admin.py
@@ -9,8 +9,8 @@
 
 from verbenahall import journal
 from verbenahall.admin import AdminApi, Readiness
-from verbenahall.config import AdminConfig, CredentialConfig
-from verbenahall.front import guard
+from verbenahall.config import AdminConfig, CredentialConfig, LimitsConfig
+from verbenahall.front import Runner
 from verbenahall.log import LogFollower
 from verbenahall.records import Record
 from verbenahall.settings import SettingsState, apply_record
@@ -46,10 +46,23 @@
     return state
 
 
+LIMITS = LimitsConfig(
+    body_bytes=1024,
+    header_bytes=4096,
+    json_depth=8,
+    connections=16,
+    body_timeout_s=5,
+    queue_per_priority=8,
+    queue_per_workspace=8,
+    in_flight_per_engine=8,
+    default_deadline_s=5,
+)
+
+
 @contextlib.asynccontextmanager
 async def serving():
     """Yield the address of an API over the folded settings."""
-    app = web.Application(middlewares=(guard,))
+    app = web.Application()
     AdminApi(
         ('entry-1', 'lampeter', 'f00'),
         AdminConfig(CREDENTIALS),
@@ -57,7 +70,7 @@
         LogFollower(None, ()),
         lambda: Readiness(ready=False, reason='no settings yet'),
     ).add_routes(app)
-    runner = web.AppRunner(app)
+    runner = Runner(app, LIMITS)
     await runner.setup()
     await web.TCPSite(runner, '127.0.0.1', 0).start()
     host, port = runner.addresses[0]
