--- a/packages/verbenahall/src/verbenahall/orders/_state.py
+++ b/packages/verbenahall/src/verbenahall/orders/_state.py
@@ -55,7 +55,7 @@
         former = state.orders.get(order.engine, order)
         state.unsettled.get(former.scope, {}).pop(order.engine, None)
         state.orders[order.engine] = order
-        _sort_order(state, order)
+        sort_order(state, order)
     return valid
 
 
@@ -76,12 +76,13 @@
     if order is None:
         return
     was_unsettled = report.name in state.unsettled.get(order.scope, {})
-    _sort_order(state, order)
+    sort_order(state, order)
     if was_unsettled and report.name not in state.unsettled[order.scope]:
         state.settled_at[report.name] = now
 
 
-def _sort_order(state: OrdersState, order: Order) -> None:
+def sort_order(state: OrdersState, order: Order) -> None:
+    """Keep an order among the unsettled ones of its scope, or drop it."""
     unsettled = state.unsettled.setdefault(order.scope, {})
     progress = find_progress(order, state.reports.get(order.engine))
     if progress in UNSETTLED:
--- a/packages/verbenahall/tests/orders/test_orders.py
+++ b/packages/verbenahall/tests/orders/test_orders.py
@@ -16,6 +16,7 @@
     PlannedOrder,
     apply_record,
     encode_batch,
+    export_state,
     is_changing,
     list_withdrawals,
     may_send,
@@ -24,6 +25,7 @@
     note_sending,
     observe_report,
     outstanding,
+    restore_state,
     take_over,
 )
 from verbenahall.records import AUTHORITY_STREAM, ORDERS_STREAM, Record
@@ -232,3 +234,12 @@
     assert pauses[:3] == [0.5, 1, 2]
     assert pauses[-1] == 20
     assert not outstanding(state, SCOPE)
+
+
+def test_restored_order_is_still_seen_to():
+    """An instance starts from a snapshot while an engine's change waits."""
+    before = fold(claim(1, 'a', 0), order(2, 1))
+    after = OrdersState(before.authority)
+    restore_state(after, export_state(before), 2)
+
+    assert outstanding(after, SCOPE) == outstanding(before, SCOPE)
