Stops, replacements and keyed calls through real processes

Cause: the promises were shown in one process only.

Found: a replaced instance said that it was ready before it knew the fleet and answered 503 "no engine holds" to callers (test_rolling_replacement failed with such answers). It is now ready only after the list and each live engine of its data centre were heard once.

Found and not mended: a claim that is given up just as the log heals may land and hold the key until it is given back; another instance then answers "duplicate, unknown" though nothing ran. That is true and never runs twice, but a caller that stops there has no run.

--- a/packages/verbenahall/src/verbenahall/instance/_experience.py
+++ b/packages/verbenahall/src/verbenahall/instance/_experience.py
@@ -5,6 +5,8 @@
 
 from verbenahall import clock
 from verbenahall.fleet import Endpoint, EndpointKind, Standing
+from verbenahall.instance._surroundings import Surroundings
+from verbenahall.load import EngineStates
 from verbenahall.membership import (
     MembershipState,
     live,
@@ -20,10 +22,11 @@
 class Experience:
     """Reads the membership for the callers' path and feeds it back."""
 
-    __slots__ = ('_members', '_orders')
+    __slots__ = ('_known', '_members', '_orders')
 
     def __init__(self, members: MembershipState, orders: OrdersState) -> None:
         """Join these two states."""
+        self._known = False
         self._members = members
         self._orders = orders
 
@@ -47,6 +50,27 @@
             if not is_changing(self._orders, endpoint.name)
         ]
 
+    def knows_fleet(
+        self,
+        surroundings: Surroundings,
+        states: EngineStates,
+    ) -> bool:
+        """Whether the list and every live engine in it have been heard.
+
+        A replaced instance that takes requests before that answers that no
+        engine holds the model, while its predecessor answered them all. Once
+        known, the fleet stays known: a new engine makes nobody unready.
+        """
+        if self._known or self._members.listed_at is None:
+            return self._known
+        standings = surroundings.list_engines(clock.monotonic())
+        self._known = all(
+            engine.name in states.by_name
+            for engine, standing in standings
+            if standing is Standing.LIVE
+        )
+        return self._known
+
     def standing(self, name: str, now: float) -> Standing:
         """Return an endpoint's standing."""
         return standing_of(self._members, name, now)
--- a/packages/verbenahall/src/verbenahall/instance/_wiring.py
+++ b/packages/verbenahall/src/verbenahall/instance/_wiring.py
@@ -92,6 +92,8 @@
             return Readiness(ready=False, reason='the log was not heard yet')
         if self.follower.position < 0:
             return Readiness(ready=False, reason='settings are not known yet')
+        if not self.experience.knows_fleet(self.surroundings, self.states):
+            return Readiness(ready=False, reason='the fleet is not known yet')
         return Readiness(ready=True)
 
     def is_caught_up(self) -> bool:
--- /dev/null
+++ b/packages/verbenahall/tests/failures/conftest.py
@@ -0,0 +1,216 @@
+"""A small fleet of real processes: platform, endpoints and instances."""
+
+import asyncio
+import contextlib
+import dataclasses
+import uuid
+from pathlib import Path
+
+import pytest
+from aiohttp import ClientError, ClientSession, TCPConnector
+
+from verbenahall import wire
+from verbenahall.records import SETTINGS_STREAM
+from verbenahall_standins import process
+
+MODEL = 'drafter'
+CONFIG = """
+[instance]
+name = "{name}"
+data_centre = "ain"
+deployment = "atlas"
+listen = "127.0.0.1:0"
+[platform]
+log = "{log}"
+instance_list = "{registry}"
+[limits]
+in_flight_per_engine = 256
+[timing]
+list_poll_s = 0.2
+load_poll_s = 0.2
+heartbeat_s = 0.2
+grace_s = 20.0
+"""
+SETTINGS = (
+    ('fleet/models/drafter', {'version': '1', 'floor': 1, 'weight_gb': 1}),
+    (
+        'fleet/pools/ain',
+        {
+            'data_centre': 'ain',
+            'engines': ['engine-1', 'engine-2'],
+            'models': [MODEL],
+            'adapters': [],
+            'prefill': 0,
+            'decode': 0,
+            'automatic': False,
+        },
+    ),
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """What a caller got: the status, 0 for a broken connection, and body."""
+
+    status: int
+    body: str
+    headers: dict
+
+    @property
+    def error(self):
+        return wire.decode(self.body.encode()).value_or({}).get('error', {})
+
+
+class Fleet:
+    """Running processes by name, and a caller's session."""
+
+    def __init__(self, folder, session):
+        self.folder = folder
+        self.session = session
+        self.running = {}
+
+    def start(self, name, module, *options):
+        running = process.start(f'verbenahall_standins.{module}', *options)
+        self.running[name] = running
+
+    async def start_all(self, instances, speed):
+        for platform in ('log', 'registry', 'weights'):
+            self.start(platform, platform)
+        for engine in ('engine-1', 'engine-2'):
+            options = ['--name', engine, '--model', f'{MODEL}=1']
+            self.start(engine, 'engine', *options, '--speed', str(speed))
+        self.start('pages-1', 'service', '--name', 'pages-1')
+        await asyncio.gather(
+            self.register('engine-1', 'engine'),
+            self.register('engine-2', 'engine'),
+            self.register('pages-1', 'service'),
+            self.publish(),
+        )
+        await asyncio.gather(*(self.start_instance(one) for one in instances))
+        await asyncio.gather(*map(self.wait_until_ready, instances))
+
+    async def start_instance(self, name, log=''):
+        config = self.folder / f'{name}.toml'
+        log = log or self.running['log'].address
+        registry = self.running['registry'].address
+        config.write_text(CONFIG.format(name=name, log=log, registry=registry))
+        command = (process.find_script('verbenahall'), 'serve', '--config')
+        child = process.launch_command(
+            (*command, str(config)),
+            self.folder / f'{name}.log',
+        )
+        self.running[name] = await asyncio.to_thread(process.wait_ready, child)
+        await self.register(name, 'instance')
+
+    async def register(self, name, kind):
+        incarnation = uuid.uuid4().hex
+        if kind == 'engine':
+            state = await self.call('GET', name, '/state')
+            incarnation = wire.decode(state.body.encode()).unwrap()[
+                'incarnation'
+            ]
+        entry = {
+            'name': name,
+            'kind': kind,
+            'address': self.running[name].address,
+            'data_centre': 'ain',
+            'incarnation': incarnation,
+            'service': 'pages' if kind == 'service' else '',
+        }
+        await self.call('POST', 'registry', '/register', json=entry)
+
+    async def publish(self):
+        changes = [
+            {'path': path, 'base': 0, 'value': found}
+            for path, found in SETTINGS
+        ]
+        body = {'team': 'fleet', 'author': 'test', 'changes': changes}
+        record = {'stream': SETTINGS_STREAM, 'id': 'first', 'body': body}
+        await self.call('POST', 'log', '/append', json=record)
+
+    async def call(self, method, name, path, **options):
+        address = self.running[name].address
+        url = f'http://{address}{path}'
+        try:
+            async with self.session.request(method, url, **options) as answer:
+                body = await answer.text()
+                return Answer(answer.status, body, answer.headers)
+        except (ClientError, OSError) as error:
+            return Answer(0, repr(error), {})
+
+    async def complete(self, name, tokens=2, *, stream=False, text='breaker'):
+        body = {
+            'model': MODEL,
+            'prompt': text,
+            'max_tokens': tokens,
+            'stream': stream,
+        }
+        return await self.call('POST', name, '/v1/completions', json=body)
+
+    async def bill(self, name, key):
+        return await self.call(
+            'POST',
+            name,
+            '/services/pages/bill',
+            headers={'Idempotency-Key': key},
+            data=b'summary',
+        )
+
+    async def read_started(self, name):
+        """Return what an endpoint's own record says that it started."""
+        record = await self.call('GET', name, '/record')
+        return wire.decode(record.body.encode()).unwrap()['started']
+
+    async def count_streams(self):
+        records = await asyncio.gather(
+            self.read_started('engine-1'),
+            self.read_started('engine-2'),
+        )
+        return len(records[0]) + len(records[1])
+
+    async def count_runs(self):
+        """Return the service's runs by key."""
+        keys = [run['key'] for run in await self.read_started('pages-1')]
+        return {key: keys.count(key) for key in keys}
+
+    async def switch(self, process_name, **fault):
+        await self.call('POST', process_name, '/faults', json=fault)
+
+    async def wait_until_ready(self, name):
+        async with asyncio.timeout(30):
+            while (await self.call('GET', name, '/readyz')).status != 200:
+                await asyncio.sleep(0.05)
+
+
+def run_fleet(folder, scenario, instances=('i-1', 'i-2'), speed=20):
+    """Run a scenario against a started fleet, then end every process."""
+
+    async def start_and_play(fleet):
+        await fleet.start_all(instances, speed)
+        await asyncio.wait_for(scenario(fleet), 90)
+
+    async def main():
+        async with ClientSession(connector=TCPConnector(limit=0)) as session:
+            fleet = Fleet(Path(folder), session)
+            try:
+                await start_and_play(fleet)
+            finally:
+                await asyncio.to_thread(end_all, fleet.running.values())
+
+    asyncio.run(main())
+
+
+def end_all(started):
+    for running in started:
+        with contextlib.suppress(ProcessLookupError):
+            running.kill()
+
+
+@pytest.fixture
+def run(tmp_path):
+    """Give a function that runs a scenario against a fleet of processes."""
+
+    def run_scenario(scenario, **options):
+        run_fleet(tmp_path, scenario, **options)
+
+    return run_scenario
