--- a/packages/verbenahall/src/verbenahall/front/_server.py
+++ b/packages/verbenahall/src/verbenahall/front/_server.py
@@ -1,6 +1,6 @@
-"""How the HTTP server and the client sessions are made."""
+"""How the application and the client sessions are made."""
 
-from typing import Any, Final
+from typing import Final
 
 from aiohttp import (
     ClientSession,
@@ -11,37 +11,13 @@
 )
 
 from verbenahall.config import LimitsConfig
-from verbenahall.front._answers import guard
 
-_KEEPALIVE_S: Final = 75.0
 _IDLE_CONNECTION_S: Final = 15.0
-#: How long the rest of a refused body is read, so that its sender can read
-#: the answer before the connection is reset.
-_LINGER_S: Final = 1.0
 
 
 def make_application(limits: LimitsConfig) -> web.Application:
     """Make the application that all routes of an instance are added to."""
-    return web.Application(
-        client_max_size=limits.body_bytes,
-        middlewares=(guard,),
-    )
-
-
-def runner_options(limits: LimitsConfig) -> dict[str, Any]:
-    """Return the keyword arguments for ``web.AppRunner``.
-
-    Handlers are cancelled when their caller goes away, which is how the
-    engine's work for nobody gets cancelled.
-    """
-    return {
-        'handler_cancellation': True,
-        'access_log': None,
-        'keepalive_timeout': _KEEPALIVE_S,
-        'lingering_time': _LINGER_S,
-        'max_line_size': limits.header_bytes,
-        'max_field_size': limits.header_bytes,
-    }
+    return web.Application(client_max_size=limits.body_bytes)
 
 
 def make_session(*, fresh: bool = False) -> ClientSession:
