A call that was told "not run" may be tried again anywhere

Cause: a claimed call that its service refused before the start was answered "ran: no", and its key stayed claimed: every further try, at any instance, heard "duplicate" for good.

Change: the front gives the claim back, by the offset at which it was won, when the final answer says that the call did not run.

Before: test_refused_call_may_be_tried_again timed out after 30 s of "duplicate" at the other instance. After: the second try runs, one run in the service's own record. 46 tests of the front and this one pass.

--- a/packages/verbenahall/src/verbenahall/front/_attempts.py
+++ b/packages/verbenahall/src/verbenahall/front/_attempts.py
@@ -6,7 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from verbenahall import metrics
-from verbenahall.errors import Problem
+from verbenahall.errors import Problem, Ran
 from verbenahall.fleet import Endpoint, Standing
 from verbenahall.front._feedback import give_feedback
 from verbenahall.front._messages import Call
@@ -53,6 +53,29 @@
         sender: Sender[Sent],
     ) -> Result[Sent, Problem]:
         """Try until an attempt succeeds or no further one is allowed."""
+        found = await self._run(progress, sender)
+        if isinstance(found, Failure):
+            self._release(progress, found.failure())
+        return found
+
+    def abandon_silent(self) -> None:
+        """End the attempts whose endpoints have fallen silent.
+
+        A stopped or cut-off endpoint keeps its connection open and says
+        nothing; the caller would wait until the deadline. Ended early, the
+        attempt can be followed by another one.
+        """
+        now = self._parts.clock()
+        loop = asyncio.get_running_loop()
+        for endpoint, limit in tuple(self._open.values()):
+            if self._parts.standing(endpoint.name, now) is Standing.SILENT:
+                limit.reschedule(loop.time())
+
+    async def _run(
+        self,
+        progress: Progress,
+        sender: Sender[Sent],
+    ) -> Result[Sent, Problem]:
         self._budget.earn()
         while True:
             placed = await self._placer.place(progress)
@@ -68,18 +91,16 @@
             metrics.RETRIES.add(step.reason)
             await asyncio.sleep(step.delay_s)
 
-    def abandon_silent(self) -> None:
-        """End the attempts whose endpoints have fallen silent.
+    def _release(self, progress: Progress, problem: Problem) -> None:
+        """Give back the claim of a call that never ran.
 
-        A stopped or cut-off endpoint keeps its connection open and says
-        nothing; the caller would wait until the deadline. Ended early, the
-        attempt can be followed by another one.
+        Told "not run", the caller tries the same key again. Were the claim
+        kept, every instance would take that for a duplicate, for good.
         """
-        now = self._parts.clock()
-        loop = asyncio.get_running_loop()
-        for endpoint, limit in tuple(self._open.values()):
-            if self._parts.standing(endpoint.name, now) is Standing.SILENT:
-                limit.reschedule(loop.time())
+        if progress.claim is None or problem.answer.ran is not Ran.NO:
+            return
+        head = progress.call.head
+        self._parts.release(head.ticket.workspace, head.key, progress.claim)
 
     async def _try(
         self,
--- a/packages/verbenahall/src/verbenahall/front/_parts.py
+++ b/packages/verbenahall/src/verbenahall/front/_parts.py
@@ -48,6 +48,10 @@
     """Count no demand; for instances without automatic pools."""
 
 
+def keep_claim(workspace: str, key: str, offset: int) -> None:
+    """Give back no claim; for instances without claims."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Parts:
     """The states and clients that the front is composed with.
@@ -56,9 +60,11 @@
     membership; ``heard``, ``missed`` and ``leaving`` (each with a name) feed
     it. ``settings()`` is the effective settings and ``position()`` their
     offset. ``claim(workspace, key)`` is the claims' promise that a keyed
-    call has won. ``arrived(model, prompt_tokens, output_tokens)`` is told of
-    each request for a known model. ``unready()`` returns why the instance
-    takes no requests, or None. ``source`` is seeded apart on each instance.
+    call has won; ``release(workspace, key, offset)`` gives back one that was
+    won at an offset for a call that never ran.
+    ``arrived(model, prompt_tokens, output_tokens)`` is told of each request
+    for a known model. ``unready()`` returns why the instance takes no
+    requests, or None. ``source`` is seeded apart on each instance.
     """
 
     live: Callable[[EndpointKind, float, str], Sequence[Endpoint]]
@@ -76,3 +82,4 @@
     source: random.Random
     clock: Clock = monotonic
     arrived: Callable[[str, int, int], None] = ignore_arrival
+    release: Callable[[str, str, int], None] = keep_claim
--- a/packages/verbenahall/src/verbenahall/front/_placing.py
+++ b/packages/verbenahall/src/verbenahall/front/_placing.py
@@ -111,4 +111,5 @@
         head = progress.call.head
         claimed = await self._parts.claim(head.ticket.workspace, head.key)
         progress.claimed = isinstance(claimed, Success)
+        progress.claim = claimed.value_or(None)
         return claimed
--- a/packages/verbenahall/src/verbenahall/front/_progress.py
+++ b/packages/verbenahall/src/verbenahall/front/_progress.py
@@ -45,8 +45,9 @@
 class Progress:
     """What one request has been through so far.
 
-    ``delivered`` counts the tokens that reached the caller, and ``version``
-    is the model's version that they came from.
+    ``claim`` is the offset at which the call's key was won. ``delivered``
+    counts the tokens that reached the caller, and ``version`` is the model's
+    version that they came from.
     """
 
     __slots__ = (
@@ -55,6 +56,7 @@
         'attempts',
         'excluded',
         'claimed',
+        'claim',
         'unknown',
         'delivered',
         'version',
@@ -67,6 +69,7 @@
         self.attempts = 0
         self.excluded: frozenset[str] = frozenset()
         self.claimed = call.repeatable or not call.head.key
+        self.claim: int | None = None
         self.unknown = False
         self.delivered = 0
         self.version = ''
--- a/packages/verbenahall/tests/failures/test_keyed_calls.py
+++ b/packages/verbenahall/tests/failures/test_keyed_calls.py
@@ -128,3 +128,22 @@
         await check_log_fault(fleet, 'c', name='down')
 
     run(scenario)
+
+
+def test_refused_call_may_be_tried_again(run):
+    """The service refuses a keyed call before it starts, until given up.
+
+    The caller is told "not run" and tries again by another instance.
+    """
+
+    async def scenario(fleet):
+        await fleet.switch('pages-1', name='refuse')
+        first = await fleet.bill('i-1', 'k')
+        assert first.error['ran'] == 'no'
+        await fleet.switch('pages-1', name='clear')
+        told = (NOT_RUN, DUPLICATE)
+        second = await bill_again(fleet, 'i-2', 'k', while_told=told)
+        assert second == RAN
+        assert await fleet.count_runs() == {'k': 1}
+
+    run(scenario)
