--- a/packages/verbenahall/src/verbenahall/instance/_control.py
+++ b/packages/verbenahall/src/verbenahall/instance/_control.py
@@ -4,6 +4,7 @@
 
 from returns.result import Success
 
+from verbenahall.admin import Readiness
 from verbenahall.authority import LeaseKeeper, LeaseTiming
 from verbenahall.fleet import Endpoint, EndpointKind
 from verbenahall.instance._core import Core
@@ -72,6 +73,14 @@
             CONTROLLER: self._controller.run,
         }
 
+    def read_readiness(self) -> Readiness:
+        """Say whether the instance takes requests, and if not, why not."""
+        readiness = self._core.read_readiness()
+        knows_fleet = self._core.experience.knows_fleet
+        if readiness.ready and not knows_fleet(self.surroundings, self.states):
+            return Readiness(ready=False, reason='the fleet is not known yet')
+        return readiness
+
     def _build_keeper(self) -> LeaseKeeper:
         timing = self._core.config.timing
         return LeaseKeeper(
@@ -132,7 +141,7 @@
 
     def _report_to_peers(self) -> OwnReport:
         return OwnReport(
-            ready=self._core.read_readiness().ready,
+            ready=self.read_readiness().ready,
             position=self._core.folds.settings.position,
         )
 
