Roles take mixed engines before those of the other role

Cause: a pool that lacked a prefill engine could take one from the decode engines by name and then make another engine decode, so that two engines were away where one would do. Found by a property: a pool that has enough engines of a role gives it to no other.

--- a/packages/verbenahall/src/verbenahall/rollout/_targets.py
+++ b/packages/verbenahall/src/verbenahall/rollout/_targets.py
@@ -86,14 +86,18 @@
     role: Role,
     count: int,
 ) -> list[str]:
-    """Choose engines for a role, first those that have it already.
+    """Choose engines for a role: first those that have it, then mixed ones.
 
     Any other order would swap roles between engines whenever the list of
     members changes, and each swap takes two engines away for seconds.
     """
     free = [view for view in members if roles[view.name] is Role.MIXED]
     free.sort(
-        key=lambda view: (_current_role(view) is not role, view.name),
+        key=lambda view: (
+            _current_role(view) is not role,
+            _current_role(view) is not Role.MIXED,
+            view.name,
+        ),
     )
     chosen = free[:count]
     return [view.name for view in chosen]
