Roles: a change is dearer and a mixed engine better than was assumed

Change: a mixed engine's share is given apart for prefill (0.8) and decode (1.0), as the cost model has them; a change counts the time to run empty and the way back.

--- a/packages/standins/src/verbenahall_standins/policies.py
+++ b/packages/standins/src/verbenahall_standins/policies.py
@@ -29,8 +29,9 @@
 from verbenahall_standins.traces import Arrival, Workload
 
 _FULL_BATCH: Final = 32
+#: A busy engine runs empty within about half of its longest answer.
+_RUN_EMPTY_S: Final = 8.0
 _TYPICAL_CONTEXT: Final = 1000
-_MIXED_EFFICIENCY: Final = 0.8
 #: Prompt and output tokens that make one typical request.
 _TYPICAL_PROMPT: Final = 512
 _TYPICAL_OUTPUT: Final = 128
@@ -257,16 +258,24 @@
 
 def build_profile() -> roles.Profile:
     """Return what one engine can do, by the cost model."""
-    budget = cost.PREFILL_BUDGET[Role.PREFILL]
-    step_s = cost.prefill_s(budget) + cost.STEP_S
+    prefill_rate = _prefill_rate(Role.PREFILL)
     return roles.Profile(
-        prefill_tokens_s=budget / step_s,
+        prefill_tokens_s=prefill_rate,
         decode_tokens_s=_decode_rate(),
-        mixed_efficiency=_MIXED_EFFICIENCY,
-        change_s=cost.ROLE_CHANGE_S,
+        mixed_prefill=_prefill_rate(Role.MIXED) / prefill_rate,
+        # A mixed engine that has nothing to prefill decodes as fast as one
+        # in the decode role, by the same model.
+        mixed_decode=1,
+        change_s=cost.ROLE_CHANGE_S + _RUN_EMPTY_S,
     )
 
 
+def _prefill_rate(role: Role) -> float:
+    """Return tokens a second of one engine that only prefills."""
+    budget = cost.PREFILL_BUDGET[role]
+    return budget / (cost.prefill_s(budget) + cost.STEP_S)
+
+
 def _decode_rate() -> float:
     """Return tokens a second of one engine that only decodes."""
     context = _FULL_BATCH * _TYPICAL_CONTEXT
--- a/packages/verbenahall/src/verbenahall/roles/_messages.py
+++ b/packages/verbenahall/src/verbenahall/roles/_messages.py
@@ -10,14 +10,16 @@
 class Profile:
     """What one engine can do, in tokens a second at a full batch.
 
-    ``mixed_efficiency`` is the share of that which a mixed engine keeps,
-    because prefill steps hold up its decode batches. ``change_s`` is how long
-    a role change takes the engine away.
+    ``mixed_prefill`` and ``mixed_decode`` are the shares of these rates at
+    which a mixed engine does the one or the other. ``change_s`` is how long a
+    role change takes the engine away, with the time that it needs to run
+    empty before.
     """
 
     prefill_tokens_s: float
     decode_tokens_s: float
-    mixed_efficiency: float = 0.85
+    mixed_prefill: float = 0.8
+    mixed_decode: float = 1.0
     change_s: float = 4.0
 
 
--- a/packages/verbenahall/src/verbenahall/roles/_planner.py
+++ b/packages/verbenahall/src/verbenahall/roles/_planner.py
@@ -146,9 +146,13 @@
     seen: Observation,
     profile: Profile,
 ) -> float:
-    """Return the engine-seconds that the change takes, as weighted."""
+    """Return the engine-seconds that the change takes, as weighted.
+
+    A swing ends, and then the engines change back, so each change is paid
+    for twice.
+    """
     weight = seen.change_weight / seen.goodput_weight
-    return present.changes_to(best) * profile.change_s * weight
+    return 2 * present.changes_to(best) * profile.change_s * weight
 
 
 def _stay(
--- a/packages/verbenahall/src/verbenahall/roles/_served.py
+++ b/packages/verbenahall/src/verbenahall/roles/_served.py
@@ -9,19 +9,27 @@
 def served_share(counts: Counts, demand: Demand, profile: Profile) -> float:
     """Return the largest multiple of the demand that the roles can serve.
 
-    With demand of ``p`` and ``d`` engines for prefill and decode, mixed
-    engines worth ``m`` cover what the dedicated ones lack, so a multiple
-    ``f`` is served when ``max(0, f*p - prefill) + max(0, f*d - decode) <= m``.
-    That sum is the largest of its parts, which gives three bounds on ``f``;
-    the least of them is the answer. Above 1 there is headroom.
+    A mixed engine prefills and decodes at a share of the dedicated rates
+    (``mixed_prefill``, ``mixed_decode``). With demand of ``p`` and ``d``
+    engines, a multiple ``f`` is served when what the dedicated engines lack,
+    in mixed engines' time, is at most ``mixed``: ``max(0, (f*p - prefill) /
+    mixed_prefill) + max(0, (f*d - decode) / mixed_decode) <= mixed``. That
+    sum is the largest of its parts, which gives three bounds on ``f``; the
+    least of them is the answer. Above 1 there is headroom.
     """
     prefill = demand.prefill_tokens_s / profile.prefill_tokens_s
     decode = demand.decode_tokens_s / profile.decode_tokens_s
-    mixed = counts.mixed * profile.mixed_efficiency
+    prefill_time = prefill / profile.mixed_prefill
+    decode_time = decode / profile.mixed_decode
+    spare_prefill = counts.prefill / profile.mixed_prefill
+    spare_decode = counts.decode / profile.mixed_decode
     return min(
-        _divide(mixed + counts.prefill, prefill),
-        _divide(mixed + counts.decode, decode),
-        _divide(mixed + counts.prefill + counts.decode, prefill + decode),
+        _divide(counts.mixed + spare_prefill, prefill_time),
+        _divide(counts.mixed + spare_decode, decode_time),
+        _divide(
+            counts.mixed + spare_prefill + spare_decode,
+            prefill_time + decode_time,
+        ),
     )
 
 
--- a/packages/verbenahall/src/verbenahall/roles/_shell.py
+++ b/packages/verbenahall/src/verbenahall/roles/_shell.py
@@ -18,8 +18,9 @@
 DEFAULT_PROFILE: Final = Profile(
     prefill_tokens_s=8700,
     decode_tokens_s=2000,
-    mixed_efficiency=0.8,
-    change_s=6,
+    mixed_prefill=0.8,
+    mixed_decode=1,
+    change_s=14,
 )
 _NO_ROLES: Final[Mapping[str, Role]] = MappingProxyType({})
 
--- a/packages/verbenahall/tests/roles/test_planner.py
+++ b/packages/verbenahall/tests/roles/test_planner.py
@@ -20,7 +20,12 @@
     served_share,
 )
 
-PROFILE = Profile(prefill_tokens_s=1000, decode_tokens_s=100)
+PROFILE = Profile(
+    prefill_tokens_s=1000,
+    decode_tokens_s=100,
+    mixed_prefill=0.7,
+    mixed_decode=0.9,
+)
 counts = st.builds(
     Counts,
     st.integers(0, 6),
@@ -42,11 +47,12 @@
     """Try many splits of the mixed engines and keep the best multiple."""
     prefill = demand.prefill_tokens_s / PROFILE.prefill_tokens_s
     decode = demand.decode_tokens_s / PROFILE.decode_tokens_s
-    mixed = present.mixed * PROFILE.mixed_efficiency
+    prefilling = present.mixed * PROFILE.mixed_prefill
+    decoding = present.mixed * PROFILE.mixed_decode
     return max(
         min(
-            (present.prefill + mixed * step / 2000) / prefill,
-            (present.decode + mixed * (2000 - step) / 2000) / decode,
+            (present.prefill + prefilling * step / 2000) / prefill,
+            (present.decode + decoding * (2000 - step) / 2000) / decode,
         )
         for step in range(2001)
     )
