--- a/packages/verbenahall/src/verbenahall/orders/_export.py
+++ b/packages/verbenahall/src/verbenahall/orders/_export.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from verbenahall.orders._messages import Order, decode_target, encode_target
-from verbenahall.orders._state import OrdersState
+from verbenahall.orders._state import OrdersState, sort_order
 
 
 def export_state(state: OrdersState) -> dict[str, Any]:
@@ -27,6 +27,9 @@
     state.orders = {
         engine: _restore_order(row) for engine, row in exported.items()
     }
+    state.unsettled = {}
+    for order in state.orders.values():
+        sort_order(state, order)
     state.position = position
 
 
--- a/packages/verbenahall/tests/front/conftest.py
+++ b/packages/verbenahall/tests/front/conftest.py
@@ -64,6 +64,8 @@
         self.work_s = 0
         self.running = 0
         self.standing = Standing.LIVE
+        self.address = ''
+        self.data_centre = 'here'
 
     async def answer(self, request):
         fault = self.fault(self.seen)
@@ -253,8 +255,8 @@
             Endpoint(
                 name=fake.name,
                 kind=kind,
-                address=await serve_fake(fake, stack),
-                data_centre='here',
+                address=fake.address or await serve_fake(fake, stack),
+                data_centre=getattr(fake, 'data_centre', 'here'),
                 incarnation='1',
                 service=service,
             )
