--- a/packages/verbenahall/src/verbenahall/instance/_wiring.py
+++ b/packages/verbenahall/src/verbenahall/instance/_wiring.py
@@ -76,6 +76,7 @@
             settings=self.control.surroundings.read_settings,
             position=lambda: core.folds.settings.position,
             claim=core.claims.claim,
+            release=core.claims.release,
             arrived=self.control.planner.note_arrival,
             unready=self._find_unready,
             load=self._load,
@@ -95,7 +96,7 @@
             core.config.admin,
             core.folds.settings,
             core.snapshots.follower,
-            core.read_readiness,
+            self.control.read_readiness,
         )
         self._front.add_routes(app)
         admin.add_routes(app)
@@ -105,7 +106,7 @@
         return app
 
     def _find_unready(self) -> Problem | None:
-        readiness = self.core.read_readiness()
+        readiness = self.control.read_readiness()
         if readiness.ready:
             return None
         return Problem(ErrorKind.NOT_READY, readiness.reason)
--- a/packages/verbenahall/src/verbenahall/load/_shell.py
+++ b/packages/verbenahall/src/verbenahall/load/_shell.py
@@ -26,6 +26,9 @@
 #: An answer takes about half a kilobyte; at two periods a second this is a
 #: third of the 6 kB/s that an instance may spend on control.
 _ASKED_AT_ONCE: Final = 2
+#: Engines that were never asked are many at the start, when the instance is
+#: not ready before it knows them.
+_ASKED_AT_START: Final = 16
 #: An engine that is only spilled over to is asked so much later, in seconds.
 _FAR_DELAY_S: Final = 8.0
 
@@ -93,8 +96,10 @@
         self._asked_at = {
             name: self._asked_at.get(name, -math.inf) for name in known
         }
+        never_asked = list(self._asked_at.values()).count(-math.inf)
+        count = max(_ASKED_AT_ONCE, min(never_asked, _ASKED_AT_START))
         return heapq.nsmallest(
-            _ASKED_AT_ONCE,
+            count,
             known.values(),
             key=lambda endpoint: self._rank(endpoint.name),
         )
