Claims given back, flags tried on, errors told apart from death

Causes: a key stayed used after its call was refused everywhere and the caller told that nothing ran; an engine's own 500 was reported to the membership as silence, so one bad request could take every engine away (test_request_that_fails_everywhere_kills_no_engine fails without the new case); an instance that had just started answered a model it did not know yet as not existing; a flag refused by full engines gave up after four tries and within the retry budget; a claim could outlast the deadline. Changes: release at a final answer with ran no, Broken tells whether the endpoint answered, unready before unknown, twelve tries for refused flags outside the budget, the deadline around the claim.

--- a/packages/verbenahall/src/verbenahall/front/_attempts.py
+++ b/packages/verbenahall/src/verbenahall/front/_attempts.py
@@ -6,7 +6,8 @@
 from returns.result import Failure, Result, Success
 
 from verbenahall import metrics
-from verbenahall.errors import Problem
+from verbenahall.admission import FLAG_PRIORITY
+from verbenahall.errors import Problem, Ran
 from verbenahall.fleet import Endpoint, Standing
 from verbenahall.front._feedback import give_feedback
 from verbenahall.front._messages import Call
@@ -54,6 +55,29 @@
     ) -> Result[Sent, Problem]:
         """Try until an attempt succeeds or no further one is allowed."""
         self._budget.earn()
+        found = await self._run(progress, sender)
+        if isinstance(found, Failure):
+            self._give_back(progress, found.failure())
+        return found
+
+    def abandon_silent(self) -> None:
+        """End the attempts whose endpoints have fallen silent.
+
+        A stopped or cut-off endpoint keeps its connection open and says
+        nothing; the caller would wait until the deadline. Ended early, the
+        attempt can be followed by another one.
+        """
+        now = self._parts.clock()
+        loop = asyncio.get_running_loop()
+        for endpoint, limit in tuple(self._open.values()):
+            if self._parts.standing(endpoint.name, now) is Standing.SILENT:
+                limit.reschedule(loop.time())
+
+    async def _run(
+        self,
+        progress: Progress,
+        sender: Sender[Sent],
+    ) -> Result[Sent, Problem]:
         while True:
             placed = await self._placer.place(progress)
             if isinstance(placed, Failure):
@@ -68,18 +92,16 @@
             metrics.RETRIES.add(step.reason)
             await asyncio.sleep(step.delay_s)
 
-    def abandon_silent(self) -> None:
-        """End the attempts whose endpoints have fallen silent.
+    def _give_back(self, progress: Progress, problem: Problem) -> None:
+        """Free the key of a call that the caller is told never ran.
 
-        A stopped or cut-off endpoint keeps its connection open and says
-        nothing; the caller would wait until the deadline. Ended early, the
-        attempt can be followed by another one.
+        It would otherwise be used up, and the caller's own repetition of a
+        call that did nothing would be refused as a second one.
         """
-        now = self._parts.clock()
-        loop = asyncio.get_running_loop()
-        for endpoint, limit in tuple(self._open.values()):
-            if self._parts.standing(endpoint.name, now) is Standing.SILENT:
-                limit.reschedule(loop.time())
+        if progress.claim is None or problem.answer.ran is not Ran.NO:
+            return
+        head = progress.call.head
+        self._parts.release(head.ticket.workspace, head.key, progress.claim)
 
     async def _try(
         self,
@@ -152,6 +174,7 @@
             delivered=progress.delivered > 0,
             resumable=bool(self._placer.list_candidates(progress)),
             unknown=progress.unknown,
+            urgent=progress.call.head.ticket.priority == FLAG_PRIORITY,
         )
         step = decide_next(
             outcome,
--- a/packages/verbenahall/src/verbenahall/front/_endpoints.py
+++ b/packages/verbenahall/src/verbenahall/front/_endpoints.py
@@ -85,7 +85,7 @@
     if NOT_STARTED in answer.headers:
         return Refused(answer.status)
     if answer.status >= _SERVER_ERROR:
-        return Broken(f'status {answer.status}')
+        return Broken(f'status {answer.status}', answered=True)
     return None
 
 
--- a/packages/verbenahall/src/verbenahall/front/_feedback.py
+++ b/packages/verbenahall/src/verbenahall/front/_feedback.py
@@ -19,6 +19,11 @@
 ) -> None:
     """Feed one attempt's end at an endpoint to the states that judge it."""
     match found:
+        case Failure(Broken(answered=True)):
+            # One request that every engine fails at would otherwise make
+            # all of them count as dead, for everybody.
+            note_failed(parts.load, name, parts.clock())
+            parts.heard(name)
         case Failure(NeverWritten() | Broken()):
             note_failed(parts.load, name, parts.clock())
             parts.missed(name)
--- a/packages/verbenahall/src/verbenahall/front/_fleet.py
+++ b/packages/verbenahall/src/verbenahall/front/_fleet.py
@@ -67,6 +67,10 @@
         """Say at once when nobody can take the request."""
         if self.candidates(wanted):
             return Success(None)
+        unready = self._parts.unready()
+        if unready:
+            # What is not known yet would be answered as not existing.
+            return Failure(unready)
         service, model, adapter = wanted
         settings = self._parts.settings()
         if service:
--- a/packages/verbenahall/src/verbenahall/front/_parts.py
+++ b/packages/verbenahall/src/verbenahall/front/_parts.py
@@ -40,6 +40,10 @@
     services: ServiceAdapter
 
 
+def ignore_release(workspace: str, key: str, offset: int) -> None:
+    """Keep the claim; the key then stays used."""
+
+
 def ignore_arrival(
     model: str,
     prompt_tokens: int,
@@ -56,8 +60,9 @@
     membership; ``heard``, ``missed`` and ``leaving`` (each with a name) feed
     it. ``settings()`` is the effective settings and ``position()`` their
     offset. ``claim(workspace, key)`` is the claims' promise that a keyed
-    call has won. ``arrived(model, prompt_tokens, output_tokens)`` is told of
-    each request for a known model. ``unready()`` returns why the instance
+    call has won; ``release(workspace, key, offset)`` gives it back when it
+    surely never ran. ``arrived(model, prompt_tokens, output_tokens)`` hears
+    of each request for a known model. ``unready()`` returns why the instance
     takes no requests, or None. ``source`` is seeded apart on each instance.
     """
 
@@ -76,3 +81,4 @@
     source: random.Random
     clock: Clock = monotonic
     arrived: Callable[[str, int, int], None] = ignore_arrival
+    release: Callable[[str, str, int], None] = ignore_release
--- a/packages/verbenahall/src/verbenahall/front/_placing.py
+++ b/packages/verbenahall/src/verbenahall/front/_placing.py
@@ -1,11 +1,12 @@
 """Places an attempt: route, claim, name."""
 
+import asyncio
 import dataclasses
 from typing import Final, final
 
 from returns.result import Failure, Result, Success
 
-from verbenahall.errors import Problem
+from verbenahall.errors import ErrorKind, Problem, Ran
 from verbenahall.front._fleet import FleetView
 from verbenahall.front._parts import Parts
 from verbenahall.front._progress import (
@@ -47,11 +48,13 @@
         claimed = await self._claim(progress)
         if isinstance(claimed, Failure):
             return claimed
+        remaining = progress.call.head.deadline - self._parts.clock()
+        if remaining <= 0:
+            return Failure(recall_doubt(_describe_late(), progress))
         progress.attempts += 1
         choice = chosen.unwrap()
         attempt = self._names.next_name()
         self._write_route(progress, choice, attempt)
-        remaining = progress.call.head.deadline - self._parts.clock()
         return Success(Placed(choice.endpoint, attempt, remaining))
 
     def list_candidates(self, progress: Progress) -> list[Candidate]:
@@ -107,9 +110,22 @@
 
     async def _claim(self, progress: Progress) -> Result[int, Problem]:
         """Win the key before the first byte of a keyed call is written."""
-        if progress.claimed:
+        if progress.claim is not None or not progress.needs_claim:
             return Success(0)
         head = progress.call.head
-        claimed = await self._parts.claim(head.ticket.workspace, head.key)
-        progress.claimed = isinstance(claimed, Success)
+        remaining = head.deadline - self._parts.clock()
+        try:
+            async with asyncio.timeout(remaining):
+                claimed = await self._parts.claim(
+                    head.ticket.workspace,
+                    head.key,
+                )
+        except TimeoutError:
+            return Failure(_describe_late())
+        progress.claim = claimed.value_or(None)
         return claimed
+
+
+def _describe_late() -> Problem:
+    message = 'the deadline passed before the request was sent'
+    return Problem(ErrorKind.DEADLINE_EXCEEDED, message, Ran.NO)
--- a/packages/verbenahall/src/verbenahall/front/_progress.py
+++ b/packages/verbenahall/src/verbenahall/front/_progress.py
@@ -46,7 +46,8 @@
     """What one request has been through so far.
 
     ``delivered`` counts the tokens that reached the caller, and ``version``
-    is the model's version that they came from.
+    is the model's version that they came from. ``claim`` is the offset at
+    which its key was won, None before.
     """
 
     __slots__ = (
@@ -54,7 +55,8 @@
         'wanted',
         'attempts',
         'excluded',
-        'claimed',
+        'needs_claim',
+        'claim',
         'unknown',
         'delivered',
         'version',
@@ -66,7 +68,8 @@
         self.wanted = name_wanted(call)
         self.attempts = 0
         self.excluded: frozenset[str] = frozenset()
-        self.claimed = call.repeatable or not call.head.key
+        self.needs_claim = bool(call.head.key) and not call.repeatable
+        self.claim: int | None = None
         self.unknown = False
         self.delivered = 0
         self.version = ''
--- a/packages/verbenahall/src/verbenahall/instance/_wiring.py
+++ b/packages/verbenahall/src/verbenahall/instance/_wiring.py
@@ -229,6 +229,7 @@
                 settings=self.surroundings.read_settings,
                 position=lambda: self.folds.settings.position,
                 claim=self.claims.claim,
+                release=self.claims.release,
                 arrived=self.planner.note_arrival,
                 unready=self._find_unready,
                 load=self.load,
--- a/packages/verbenahall/src/verbenahall/requests/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/requests/_decisions.py
@@ -20,6 +20,7 @@
 )
 
 _MOST_ATTEMPTS: Final = 4
+_MOST_URGENT_ATTEMPTS: Final = 12
 _FIRST_DELAY_S: Final = 0.02
 _LONGEST_DELAY_S: Final = 1.0
 
@@ -35,9 +36,11 @@
     if not _may_repeat(outcome, facts):
         return GiveUp(conclude(outcome, facts))
     delay = _back_off(facts.attempts, source)
-    if now + delay >= facts.deadline or facts.attempts >= _MOST_ATTEMPTS:
-        return GiveUp(conclude(outcome, facts))
-    if not budget.spend():
+    if now + delay >= facts.deadline or not _may_afford(
+        outcome,
+        facts,
+        budget,
+    ):
         return GiveUp(conclude(outcome, facts))
     return Retry(delay, name_outcome(outcome))
 
@@ -91,6 +94,17 @@
             return False
 
 
+def _may_afford(outcome: Outcome, facts: Facts, budget: RetryBudget) -> bool:
+    """Whether a further attempt is within the bounds.
+
+    A flag that is refused costs the fleet nothing and must not wait behind
+    other requests' retries, so it is tried longer and outside the budget.
+    """
+    if facts.urgent and isinstance(outcome, Refused):
+        return facts.attempts < _MOST_URGENT_ATTEMPTS
+    return facts.attempts < _MOST_ATTEMPTS and budget.spend()
+
+
 def _back_off(attempts: int, source: random.Random) -> float:
     """Return a delay between zero and the doubled bound of this attempt.
 
--- a/packages/verbenahall/src/verbenahall/requests/_messages.py
+++ b/packages/verbenahall/src/verbenahall/requests/_messages.py
@@ -35,7 +35,7 @@
     ``repeatable`` means that running it twice harms nobody. ``delivered``
     means that a byte of its answer has reached the caller, ``resumable``
     that an endpoint is left which goes on from there. ``unknown`` means that
-    an earlier attempt may have run.
+    an earlier attempt may have run, ``urgent`` that it is a flag.
     """
 
     repeatable: bool
@@ -44,6 +44,7 @@
     delivered: bool = False
     resumable: bool = False
     unknown: bool = False
+    urgent: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/verbenahall/src/verbenahall/requests/_outcomes.py
+++ b/packages/verbenahall/src/verbenahall/requests/_outcomes.py
@@ -20,9 +20,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Broken:
-    """Bytes were written, and no whole answer came back."""
+    """Bytes were written, and no whole answer came back.
+
+    ``answered`` means that the endpoint lives all the same: it said itself
+    that it failed.
+    """
 
     detail: str
+    answered: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/verbenahall/tests/front/conftest.py
+++ b/packages/verbenahall/tests/front/conftest.py
@@ -19,6 +19,7 @@
     PlatformConfig,
     TimingConfig,
 )
+from verbenahall.errors import Problem
 from verbenahall.fleet import Endpoint, EndpointKind, Role, Standing
 from verbenahall.front._endpoints import Sessions
 from verbenahall.load import (
@@ -133,6 +134,16 @@
         return web.Response()
 
 
+@dataclasses.dataclass
+class Told:
+    """What the front has told other slices, and why it is not ready."""
+
+    claims: list = dataclasses.field(default_factory=list)
+    released: list = dataclasses.field(default_factory=list)
+    missed: list = dataclasses.field(default_factory=list)
+    unready: Problem | None = None
+
+
 @dataclasses.dataclass
 class Stage:
     """A front under test: its address, its parts and the fakes behind it."""
@@ -141,7 +152,7 @@
     parts: front.Parts
     fakes: list
     client: ClientSession
-    claims: list
+    told: Told
 
     async def send_raw(self, sent):
         """Send bytes as they are; return all that comes back."""
@@ -184,7 +195,7 @@
     return await serve(runner, stack)
 
 
-def build_parts(endpoints, fakes, kind, sessions, claims, resumes):
+def build_parts(endpoints, fakes, kind, sessions, told, resumes):
     states = EngineStates()
     loads = LoadState()
     by_name = {fake.name: fake for fake in fakes}
@@ -207,8 +218,8 @@
         observe_report(loads, name, report, clock.monotonic())
 
     async def claim(workspace, key):
-        claims.append((workspace, key))
-        return Success(len(claims))
+        told.claims.append((workspace, key))
+        return Success(len(told.claims))
 
     settings = SimpleNamespace(
         models={'m': None},
@@ -225,12 +236,13 @@
         ],
         standing=lambda found, now: by_name[found].standing,
         heard=lambda name: None,
-        missed=lambda name: None,
+        missed=told.missed.append,
         leaving=lambda name: None,
         settings=lambda: settings,
         position=lambda: 7,
         claim=claim,
-        unready=lambda: None,
+        release=lambda *released: told.released.append(released),
+        unready=lambda: told.unready,
         load=loads,
         states=states,
         adapters=front.Adapters(
@@ -264,9 +276,9 @@
         ]
         kept = await stack.enter_async_context(front.make_session())
         fresh = await stack.enter_async_context(front.make_session(fresh=True))
-        claims = []
+        told = Told()
         sessions = Sessions(kept, fresh)
-        parts = build_parts(endpoints, fakes, kind, sessions, claims, resumes)
+        parts = build_parts(endpoints, fakes, kind, sessions, told, resumes)
         bounds = dataclasses.replace(LIMITS, **limits)
         config = InstanceConfig(
             name='i1',
@@ -288,7 +300,7 @@
             ClientSession(connector=TCPConnector(limit=0)),
         )
         try:
-            yield Stage(f'http://{address}', parts, fakes, client, claims)
+            yield Stage(f'http://{address}', parts, fakes, client, told)
         finally:
             background.cancel()
 
--- a/packages/verbenahall/tests/front/test_attempts.py
+++ b/packages/verbenahall/tests/front/test_attempts.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from verbenahall.errors import ErrorKind, Problem
 from verbenahall.fleet import EndpointKind, Standing
 
 FAULTS = (
@@ -95,6 +96,54 @@
         assert json.loads(body)['by'] == 'good'
 
 
+@pytest.mark.parametrize(
+    ('fault', 'released'),
+    (('refuse', [('default', 'k', 1)]), ('error', [])),
+)
+def test_key_is_free_again_only_if_nothing_ran(stage, fake, fault, released):
+    """A billed call is refused everywhere and its caller told that nothing
+    ran, so it may come again under its key. One that may have run keeps it.
+    """
+
+    async def run():
+        async with stage([fake('a', lambda number: fault)]) as on:
+            status, _, body = await on.post(headers={'Idempotency-Key': 'k'})
+            assert status in {429, 504}, body
+            return on.told.released
+
+    assert asyncio.run(run()) == released
+
+
+def test_request_that_fails_everywhere_kills_no_engine(stage, fake):
+    """One request makes every engine that takes it answer an error. Counted
+    as death of the engines, it would take the whole fleet away.
+    """
+
+    async def run():
+        fakes = [fake(name, lambda number: 'error') for name in 'ab']
+        async with stage(fakes) as on:
+            assert (await on.post())[0] == 502
+            return on.told.missed
+
+    assert not asyncio.run(run())
+
+
+def test_instance_that_knows_nothing_yet_says_so(stage, fake):
+    """An instance has just started and the balancer is early. What it does
+    not know yet must not be answered as a model that does not exist.
+    """
+
+    async def run():
+        async with stage([fake('a')]) as on:
+            on.told.unready = Problem(ErrorKind.NOT_READY, 'starting')
+            return await on.post(model='other')
+
+    status, headers, body = asyncio.run(run())
+    assert status == 503
+    assert headers['Retry-After']
+    assert json.loads(body)['error']['kind'] == 'not_ready'
+
+
 def test_drained_engine_gets_no_new_work(stage, fake):
     """An operator drains an engine that the list still shows as live. It
     must get nothing new within seconds, or it could never be taken away.
@@ -144,7 +193,7 @@
             headers = {'Idempotency-Key': 'k', 'X-Deadline-Ms': '500'}
             status, _, body = await on.post(headers=headers)
             starts = [start for found in fakes for start in found.started]
-            return status, json.loads(body)['error'], starts, on.claims
+            return status, json.loads(body)['error'], starts, on.told.claims
 
     status, error, starts, claims = asyncio.run(run())
     assert status == 504
--- a/packages/verbenahall/tests/requests/test_decisions.py
+++ b/packages/verbenahall/tests/requests/test_decisions.py
@@ -109,6 +109,17 @@
     assert isinstance(decide(Refused(503), now=100), GiveUp)
 
 
+def test_refused_flag_is_tried_on():
+    """Engines refuse while they are full, and the budget is used up. A flag
+    is tried on, for it costs the fleet nothing; other requests are not.
+    """
+    empty = RetryBudget(most=0)
+    assert isinstance(decide(Refused(503), empty, attempts=9), GiveUp)
+    flag = {'attempts': 9, 'urgent': True}
+    assert isinstance(decide(Refused(503), empty, **flag), Retry)
+    assert isinstance(decide(Broken('x'), empty, **flag), GiveUp)
+
+
 def test_budget_bounds_retries_to_a_share_of_traffic():
     """Every attempt fails. Beyond the saved ones, retries are a fifth of the
     requests, however many each of them would like.
