Admission: the drain rate is that of a busy lane of the present size

Cause: when waiting requests were withdrawn or given up, the stretch that was being measured ran on through the idle time; and a lane that got more engines was judged by its old rate until measured anew. Both refused requests that had room. Seen by test_rate_is_that_of_a_busy_lane: hints of 2.49 s where 1.5 s was due after a minute of idling, 1.5 s where 0.375 s was due with four times the engines. Change: ends count only while others wait, and the rate scales with the slots.

--- a/packages/verbenahall/src/verbenahall/admission/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/admission/_decisions.py
@@ -43,7 +43,8 @@
     if ticket is None:
         return Effects()
     state.flags_running -= ticket.priority == FLAG_PRIORITY
-    state.drained.count(now)
+    if state.waiting:
+        state.drained.count(now)
     return Effects(admitted=tuple(_start_next(state)))
 
 
@@ -71,6 +72,7 @@
 
 def resize(state: AdmissionState, limits: AdmissionLimits) -> Effects:
     """Take other limits, as when engines come or go."""
+    state.drained.scale(limits.slots / state.limits.slots)
     state.limits = limits
     return Effects(admitted=tuple(_start_next(state)))
 
--- a/packages/verbenahall/src/verbenahall/admission/_rates.py
+++ b/packages/verbenahall/src/verbenahall/admission/_rates.py
@@ -42,6 +42,11 @@
             self._since = now
             self._count = 0
 
+    def scale(self, factor: float) -> None:
+        """Expect the rate to change by a factor."""
+        if self._rate is not None:
+            self._rate *= factor
+
     def read(self, now: float) -> float | None:
         """Return the rate, or less when events have since stayed away."""
         if self._rate is None or self._since is None:
--- a/packages/verbenahall/tests/admission/test_decisions.py
+++ b/packages/verbenahall/tests/admission/test_decisions.py
@@ -14,6 +14,7 @@
     ask,
     expire,
     finish,
+    resize,
     withdraw,
 )
 from verbenahall.errors import ErrorKind, Ran
@@ -181,6 +182,40 @@
     assert problem.retry_after_s == pytest.approx(6 / 4, rel=0.05)
 
 
+def measure_hint(resized, pause_s):
+    """Drain at 4 a second, leave the lane idle, refuse one; return its hint."""
+    state = fill(AdmissionLimits(2, 0, 5, 100, 100), 2, 2, 2, 2, 2, 2, 2)
+    for number in range(40):
+        now = 0.25 * (number + 1)
+        finish(state, next(iter(state.running)), now)
+        ask(state, make_ticket(100 + number), now)
+    if pause_s:
+        waiting = [state.queues[2].pop({}) for _ in range(5)]
+        assert waiting
+        assert not state.waiting
+        finish(state, next(iter(state.running)), now + pause_s)
+    if resized:
+        resize(state, AdmissionLimits(resized, 0, 5, 100, 100))
+    for number in range(20):
+        effects = ask(state, make_ticket(200 + number), now + pause_s)
+        if effects.given_up:
+            return find_only(effects)[1].retry_after_s
+    return None
+
+
+@pytest.mark.parametrize(
+    ('resized', 'pause_s', 'hint_s'),
+    ((0, 0, 6 / 4), (0, 60, 6 / 4), (8, 0, 6 / 16)),
+)
+def test_rate_is_that_of_a_busy_lane(resized, pause_s, hint_s):
+    """A lane has drained four a second and then lay idle for a minute, or
+    got four times the engines. A rush must not be refused on account of what
+    was drained while nobody came, or of engines that were few before.
+    """
+    hint = measure_hint(resized, pause_s)
+    assert hint == pytest.approx(hint_s, rel=0.1)
+
+
 def test_hopeless_request_is_refused_on_arrival():
     """The queue needs 1.5 s and a caller waits for 1 s only. It must hear
     that at once and not when its time is over; a patient one may wait.
