--- a/packages/verbenahall/src/verbenahall/instance/_wiring.py
+++ b/packages/verbenahall/src/verbenahall/instance/_wiring.py
@@ -96,7 +96,7 @@
             core.config.admin,
             core.folds.settings,
             core.snapshots.follower,
-            core.read_readiness,
+            self.control.read_readiness,
         )
         self._front.add_routes(app)
         admin.add_routes(app)
@@ -106,7 +106,7 @@
         return app
 
     def _find_unready(self) -> Problem | None:
-        readiness = self.core.read_readiness()
+        readiness = self.control.read_readiness()
         if readiness.ready:
             return None
         return Problem(ErrorKind.NOT_READY, readiness.reason)
