Callers that stop reading are let go

Cause: a caller that never reads its stream held an engine's slot until its deadline. Change: the refresh loop closes a connection on which one write has waited longer than the body's time; the engine's work is cancelled.

--- a/packages/verbenahall/src/verbenahall/front/_flow.py
+++ b/packages/verbenahall/src/verbenahall/front/_flow.py
@@ -39,6 +39,7 @@
         self._fleet = fleet
         self._gate = gate
         self._attempts = attempts
+        self._relays: set[Relay] = set()
 
     async def take(
         self,
@@ -62,6 +63,12 @@
         finally:
             self._gate.leave(lane, ticket)
 
+    def drop_stalled(self, longest_s: float) -> None:
+        """Let go of callers that have not read for so long."""
+        now = self._parts.clock()
+        for relay in tuple(self._relays):
+            relay.drop_if_stalled(now, longest_s)
+
     def _tell_arrival(self, call: Call) -> None:
         """Count the request as demand, whether or not it is shed.
 
@@ -102,7 +109,11 @@
         relay = Relay(request, head.request, head.received, self._parts.clock)
         engines = self._parts.adapters.engines
         sender = StreamSender(engines, progress, call, relay, self._fleet)
-        found = await self._attempts.run(progress, sender)
+        self._relays.add(relay)
+        try:
+            found = await self._attempts.run(progress, sender)
+        finally:
+            self._relays.discard(relay)
         if isinstance(found, Success):
             metrics.REQUESTS.add(str(head.ticket.priority), 'ok')
             return found.unwrap()
--- a/packages/verbenahall/src/verbenahall/front/_relay.py
+++ b/packages/verbenahall/src/verbenahall/front/_relay.py
@@ -27,7 +27,14 @@
 class Relay:
     """The caller's side of a stream; it begins with the first token."""
 
-    __slots__ = ('_web', '_request', '_received', '_clock', 'response')
+    __slots__ = (
+        '_web',
+        '_request',
+        '_received',
+        '_clock',
+        '_writing_since',
+        'response',
+    )
 
     def __init__(
         self,
@@ -41,6 +48,7 @@
         self._request = request
         self._received = received
         self._clock = clock
+        self._writing_since: float | None = None
         self.response: web.StreamResponse | None = None
 
     async def pump(
@@ -61,7 +69,9 @@
             if step.passed:
                 last = self._time(last)
                 response = self.response or await self._begin()
+                self._writing_since = last
                 await response.write(step.passed)
+                self._writing_since = None
             if state.gap:
                 return Failure(Broken('a token is missing'))
         return Success(await self._finish())
@@ -74,6 +84,19 @@
         await response.write_eof()
         return response
 
+    def drop_if_stalled(self, now: float, longest_s: float) -> None:
+        """Close the connection of a caller that has stopped reading.
+
+        Its stream would hold an engine's slot until the deadline, and a few
+        such callers all slots.
+        """
+        since = self._writing_since
+        if since is None or now - since <= longest_s:
+            return
+        transport = self._web.transport
+        if transport is not None:
+            transport.abort()
+
     async def _begin(self) -> web.StreamResponse:
         self.response = web.StreamResponse(
             headers={**_HEADERS, REQUEST_ID: self._request},
--- a/packages/verbenahall/src/verbenahall/front/_shell.py
+++ b/packages/verbenahall/src/verbenahall/front/_shell.py
@@ -83,6 +83,7 @@
                 self._gate.apply_workspaces(self._read_workspaces())
             self._gate.refresh()
             self._attempts.abandon_silent()
+            self._flow.drop_stalled(self._limits.body_timeout_s)
             await asyncio.sleep(_REFRESH_S)
 
     def _read_workspaces(self) -> dict[str, WorkspaceBounds]:
--- a/packages/verbenahall/tests/front/test_streams.py
+++ b/packages/verbenahall/tests/front/test_streams.py
@@ -88,3 +88,27 @@
             assert not on.parts.load.of('a').own
 
     asyncio.run(run())
+
+
+def test_caller_that_stops_reading_is_let_go(stage, fake, until):
+    """A caller asks for a long stream and never reads it. It would hold the
+    engine's slot until its deadline, and a few such callers would hold all.
+    """
+
+    async def run():
+        engine = fake('a')
+        engine.tokens = 20_000
+        async with stage([engine], body_timeout_s=0.3) as on:
+            host, _, port = on.url.removeprefix('http://').partition(':')
+            _, writer = await asyncio.open_connection(host, int(port), limit=1)
+            body = json.dumps(
+                {'model': 'm', 'prompt': 'x' * 2000, 'stream': True},
+            )
+            head = 'POST /v1/completions HTTP/1.1\r\nHost: x\r\n'
+            size = f'Content-Length: {len(body)}\r\n\r\n'
+            writer.write(f'{head}{size}{body}'.encode())
+            await until(lambda: engine.cancelled)
+            await until(lambda: not on.parts.load.of('a').own)
+            writer.close()
+
+    asyncio.run(run())
