Forget the load of endpoints that are gone; drop what nobody uses

Cause, from reading it as a newcomer: load kept every endpoint ever met, which also thinned the weight of reports as names piled up; the engine states' version and the front's leaving hook had no reader.

--- a/packages/verbenahall/src/verbenahall/front/_fleet.py
+++ b/packages/verbenahall/src/verbenahall/front/_fleet.py
@@ -1,5 +1,6 @@
 """The endpoints that could take a request, as routing wants them."""
 
+import itertools
 import math
 from collections.abc import Sequence
 from typing import Final, final
@@ -71,6 +72,13 @@
         self._lists[wanted] = (now + fresh_s, subset)
         return subset
 
+    def list_names(self) -> set[str]:
+        """Return the names of all live endpoints that take requests."""
+        now = self._parts.clock()
+        kinds = (EndpointKind.ENGINE, EndpointKind.SERVICE)
+        lists = [self._parts.live(kind, now, '') for kind in kinds]
+        return {found.name for found in itertools.chain.from_iterable(lists)}
+
     def check(self, wanted: _Wanted) -> Result[None, Problem]:
         """Say at once when nobody can take the request."""
         if self.candidates(wanted):
--- a/packages/verbenahall/src/verbenahall/front/_parts.py
+++ b/packages/verbenahall/src/verbenahall/front/_parts.py
@@ -57,8 +57,8 @@
     """The states and clients that the front is composed with.
 
     ``live(kind, now, service)`` and ``standing(name, now)`` read the
-    membership; ``heard``, ``missed`` and ``leaving`` (each with a name) feed
-    it. ``settings()`` is the effective settings and ``position()`` their
+    membership; ``heard`` and ``missed`` (each with a name) feed it.
+    ``settings()`` is the effective settings and ``position()`` their
     offset. ``claim(workspace, key)`` is the claims' promise that a keyed
     call has won; ``release(workspace, key, offset)`` gives it back when it
     surely never ran. ``arrived(model, prompt_tokens, output_tokens)`` hears
@@ -70,7 +70,6 @@
     standing: Callable[[str, float], Standing]
     heard: Callable[[str], None]
     missed: Callable[[str], None]
-    leaving: Callable[[str], None]
     settings: Callable[[], Settings]
     position: Callable[[], int]
     claim: Claim
--- a/packages/verbenahall/src/verbenahall/front/_shell.py
+++ b/packages/verbenahall/src/verbenahall/front/_shell.py
@@ -22,6 +22,7 @@
 from verbenahall.routing import RoutingState
 
 _REFRESH_S: Final = 0.1
+_TIDY_S: Final = 10.0
 _INCARNATION_BYTES: Final = 6
 
 
@@ -48,6 +49,7 @@
         attempts = AttemptNames(f'{config.name}.{incarnation}')
         requests = AttemptNames(f'r-{incarnation}')
         fleet = FleetView(parts, config)
+        self._fleet = fleet
         self._limits = config.limits
         self._parts = parts
         self._reader = Reader(config.limits, requests, parts.clock)
@@ -73,6 +75,7 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self._gate.run())
             group.create_task(self._refresh())
+            group.create_task(self._tidy())
 
     async def _refresh(self) -> None:
         position = -1
@@ -86,6 +89,11 @@
             self._flow.drop_stalled(self._limits.body_timeout_s)
             await asyncio.sleep(_REFRESH_S)
 
+    async def _tidy(self) -> None:
+        while True:
+            await asyncio.sleep(_TIDY_S)
+            self._parts.load.keep(self._fleet.list_names())
+
     def _read_workspaces(self) -> dict[str, WorkspaceBounds]:
         workspaces = self._parts.settings().workspaces
         return {
--- a/packages/verbenahall/src/verbenahall/instance/_wiring.py
+++ b/packages/verbenahall/src/verbenahall/instance/_wiring.py
@@ -72,7 +72,6 @@
             standing=experience.standing,
             heard=experience.heard,
             missed=experience.missed,
-            leaving=experience.leaving,
             settings=self.control.surroundings.read_settings,
             position=lambda: core.folds.settings.position,
             claim=core.claims.claim,
--- a/packages/verbenahall/src/verbenahall/load/_engines.py
+++ b/packages/verbenahall/src/verbenahall/load/_engines.py
@@ -27,7 +27,7 @@
     changing: bool
     leaving: bool
     resumes: bool
-    report: Report = dataclasses.field(compare=False)
+    report: Report
 
     def holds(self, model: str, adapter: str) -> bool:
         """Whether it can take a request for the model and adapter now."""
@@ -41,25 +41,21 @@
 
 @final
 class EngineStates:
-    """All engines' states by name; ``version`` moves with each change."""
+    """All engines' states by name."""
 
-    __slots__ = ('by_name', 'version')
+    __slots__ = ('by_name',)
 
     def __init__(self) -> None:
         """Start with nothing heard."""
         self.by_name: dict[str, EngineState] = {}
-        self.version = 0
 
     def put(self, found: EngineState) -> None:
         """Keep an engine's newest state."""
-        if self.by_name.get(found.name) != found:
-            self.by_name[found.name] = found
-            self.version += 1
+        self.by_name[found.name] = found
 
     def forget(self, name: str) -> None:
         """Drop a state that the engine itself has contradicted."""
-        if self.by_name.pop(name, None):
-            self.version += 1
+        self.by_name.pop(name, None)
 
     def knows_model(self, model: str) -> bool:
         """Whether any engine holds the model."""
--- a/packages/verbenahall/src/verbenahall/load/_state.py
+++ b/packages/verbenahall/src/verbenahall/load/_state.py
@@ -1,6 +1,7 @@
 """What one instance has seen of each endpoint's load."""
 
 import math
+from collections.abc import Container
 from typing import final
 
 from verbenahall.load._messages import Report
@@ -60,9 +61,14 @@
             self.endpoints[name] = entry
         return entry
 
-    def forget(self, names: set[str]) -> None:
-        """Drop endpoints that are gone, unless work is open there."""
-        for name in names:
-            entry = self.endpoints.get(name)
-            if entry is not None and not entry.own:
-                self.endpoints.pop(name)
+    def keep(self, names: Container[str]) -> None:
+        """Forget all other endpoints, unless work is open there.
+
+        Hundreds are replaced in a day; those that are gone would count
+        among the endpoints for ever.
+        """
+        self.endpoints = {
+            name: entry
+            for name, entry in self.endpoints.items()
+            if name in names or entry.own
+        }
--- a/packages/verbenahall/src/verbenahall/metrics.py
+++ b/packages/verbenahall/src/verbenahall/metrics.py
@@ -17,6 +17,8 @@
 
 REGISTRY: Final = Registry()
 
+#: Observations that wait for the next reading at most.
+_KEPT_OBSERVATIONS: Final = 512
 _SECONDS: Final = (0.001, 0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 10, 60)
 
 
@@ -79,7 +81,6 @@
             self._histogram.observe({}, float(self._waiting.popleft()))
 
 
-_KEPT_OBSERVATIONS: Final = 512
 _hot: Final[list[Tally | Timer]] = []
 
 REQUESTS: Final = Tally(
--- a/packages/verbenahall/tests/front/conftest.py
+++ b/packages/verbenahall/tests/front/conftest.py
@@ -237,7 +237,6 @@
         standing=lambda found, now: by_name[found].standing,
         heard=lambda name: None,
         missed=told.missed.append,
-        leaving=lambda name: None,
         settings=lambda: settings,
         position=lambda: 7,
         claim=claim,
--- a/packages/verbenahall/tests/routing/test_decisions.py
+++ b/packages/verbenahall/tests/routing/test_decisions.py
@@ -147,6 +147,21 @@
     assert 'e3' not in pick(candidates, load, 60)
 
 
+def test_endpoints_that_are_gone_are_forgotten():
+    """Engines are replaced all day. Those that are gone must not stay in
+    memory for ever, but one where work is open still counts it.
+    """
+    load = LoadState()
+    for number in range(100):
+        observe_report(load, f'e{number}', Report(1, 0), 0)
+    note_sent(load, 'e99', 'a', 1, 0)
+    load.keep({'e0', 'e1'})
+    assert set(load.endpoints) == {'e0', 'e1', 'e99'}
+    note_finished(load, 'e99', 'a', 1)
+    load.keep({'e0', 'e1'})
+    assert set(load.endpoints) == {'e0', 'e1'}
+
+
 def test_old_report_neither_draws_nor_repels():
     """An engine's last report is a minute old. What it said is nearly
     forgotten: the engine counts as loaded like the mean of the others.
