Settings: history keeps its own count, optional members worked out once

Cause: a profile of 2,000 changes showed nearly half of the time in counting the paths of the kept verdicts again for each change; and a change of a team's defaults worked out the schema's for each entry that inherits.

--- a/packages/verbenahall/src/verbenahall/settings/_sections.py
+++ b/packages/verbenahall/src/verbenahall/settings/_sections.py
@@ -1,6 +1,7 @@
 """The schema of each section, and how a merged value becomes settings."""
 
 import dataclasses
+import functools
 from collections.abc import Callable, Mapping
 from types import MappingProxyType
 from typing import Any, Final
@@ -39,7 +40,7 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True)
 class Section:
     """One kind of entry.
 
@@ -50,14 +51,14 @@
     members: Mapping[str, Member]
     build: Callable[[str, Mapping[str, Any], str], Any]
 
-    def fill(self, defaults: Mapping[str, Any]) -> dict[str, Any]:
-        """Return the optional members: the schema's, then the team's."""
-        filled = {
+    @functools.cached_property
+    def optional(self) -> Mapping[str, Any]:
+        """The members that may be left out, with the schema's defaults."""
+        return {
             name: member.default
             for name, member in self.members.items()
             if not member.required
         }
-        return {**filled, **defaults}
 
 
 def _build_pool(
--- a/packages/verbenahall/src/verbenahall/settings/_snapshots.py
+++ b/packages/verbenahall/src/verbenahall/settings/_snapshots.py
@@ -88,7 +88,8 @@
     fresh.position = int(section['position'])
     fresh.identities = dict.fromkeys(section['identities'])
     fresh.removals = {path: int(at) for path, at in section['removals']}
-    fresh.history.extend(_read_verdict(row) for row in section['history'])
+    for row in section['history']:
+        fresh.history.append(_read_verdict(row))
     for path, offset, entry_value in section['entries']:
         team, _, name = path.split('/')
         entry = Entry(path, team, name, entry_value, int(offset))
--- a/packages/verbenahall/src/verbenahall/settings/_state.py
+++ b/packages/verbenahall/src/verbenahall/settings/_state.py
@@ -4,15 +4,14 @@
 so that a change costs the same among 100 entries as among 16,000.
 """
 
-import collections
 import dataclasses
 from typing import Any, Final
 
+from verbenahall.settings._history import History
 from verbenahall.settings._messages import (
     AdapterSettings,
     EffectiveSettings,
     PoolSettings,
-    Verdict,
 )
 from verbenahall.settings._publications import split_path
 from verbenahall.settings._sections import DEFAULTS, PLANNER, SECTIONS
@@ -20,8 +19,6 @@
 #: Second copies of an append come within seconds of the first; and one that
 #: came later would find its base stale.
 KEPT_IDENTITIES: Final = 1024
-KEPT_VERDICTS: Final = 256
-KEPT_PATHS: Final = 4096
 KEPT_REMOVALS: Final = 4096
 
 #: ``(section, name)``; a planner's and defaults' name holds the team.
@@ -68,9 +65,7 @@
         self.position = 0
         self.entries: dict[Key, Entry] = {}
         self.effective = EffectiveSettings()
-        self.history: collections.deque[Verdict] = collections.deque(
-            maxlen=KEPT_VERDICTS,
-        )
+        self.history = History()
         self.identities: dict[str, None] = {}
         # Offset of the removal of each path that is gone, oldest first.
         self.removals: dict[str, int] = {}
@@ -135,14 +130,6 @@
     )
 
 
-def keep_verdict(state: SettingsState, verdict: Verdict) -> None:
-    """Add to the history, which is bounded in verdicts and in paths."""
-    state.history.append(verdict)
-    kept_paths = sum(len(kept.paths) for kept in state.history)
-    while kept_paths > KEPT_PATHS and len(state.history) > 1:
-        kept_paths -= len(state.history.popleft().paths)
-
-
 def put_entry(
     state: SettingsState,
     key: Key,
@@ -186,9 +173,10 @@
 
 def _build(state: SettingsState, section: str, entry: Entry) -> Any:
     defaults = state.entries.get((DEFAULTS, f'{entry.team}/{section}'))
-    filled = SECTIONS[section].fill(defaults.value if defaults else {})
-    merged = {**filled, **entry.value}
-    return SECTIONS[section].build(entry.name, merged, entry.team)
+    inherited = defaults.value if defaults else {}
+    kind = SECTIONS[section]
+    merged = {**kind.optional, **inherited, **entry.value}
+    return kind.build(entry.name, merged, entry.team)
 
 
 def _link(state: SettingsState, key: Key, settings: Any) -> None:
--- a/packages/verbenahall/src/verbenahall/settings/_verdicts.py
+++ b/packages/verbenahall/src/verbenahall/settings/_verdicts.py
@@ -27,7 +27,6 @@
     Shift,
     find_entry,
     find_offset,
-    keep_verdict,
     key_of,
     put_entry,
 )
@@ -49,7 +48,7 @@
     state.identities[record.identity] = None
     _trim(state.identities, KEPT_IDENTITIES)
     verdict = _judge(state, record)
-    keep_verdict(state, verdict)
+    state.history.append(verdict)
     return verdict
 
 
