--- a/packages/verbenahall/src/verbenahall/log/_client.py
+++ b/packages/verbenahall/src/verbenahall/log/_client.py
@@ -11,7 +11,14 @@
 from returns.result import Failure, Result, Success
 
 from verbenahall import clock, wire
-from verbenahall.errors import ErrorKind, Problem, Ran
+from verbenahall.errors import Problem, Ran
+from verbenahall.log._answers import (
+    classify,
+    decode_answer,
+    describe_error,
+    describe_too_large,
+    unavailable,
+)
 from verbenahall.log._messages import (
     MAX_RECORD_BYTES,
     Append,
@@ -32,9 +39,6 @@
 _LEAST_SHARE: Final = 0.5
 _FIND_LIMIT: Final = 500
 _OK: Final = 200
-_BUSY: Final = 429
-_DOWN: Final = 503
-_TOO_LARGE: Final = 413
 
 #: Raised before a byte of the request is written.
 _NOT_SENT: Final = (
@@ -84,13 +88,13 @@
             {'stream': stream, 'id': identity, 'body': body},
         )
         if len(payload) > MAX_RECORD_BYTES:
-            return Failure(_describe_too_large(payload))
+            return Failure(describe_too_large(payload))
         if self._head < 0:
             # Without an offset older than the append, looking for it after
             # a lost answer would read the log from its start.
             page = await self.read(0, 1, 0, (stream,))
             if isinstance(page, Failure):
-                return Failure(_unavailable('cannot read its head', Ran.NO))
+                return Failure(unavailable('cannot read its head', Ran.NO))
         give_up_at = clock.monotonic() + self._give_up_s
         return await self._append_once(
             Append(stream, identity, payload, self._head, give_up_at),
@@ -114,9 +118,9 @@
         try:
             page = await self._get_page(query, wait_s + _READ_SLACK_S)
         except (aiohttp.ClientError, asyncio.TimeoutError) as error:
-            return Failure(_unavailable(_describe(error), Ran.NO))
+            return Failure(unavailable(describe_error(error), Ran.NO))
         except (KeyError, TypeError, ValueError) as error:
-            return Failure(_unavailable(f'bad page: {error!r}', Ran.NO))
+            return Failure(unavailable(f'bad page: {error!r}', Ran.NO))
         self._head = max(self._head, page.last)
         return Success(page)
 
@@ -180,12 +184,12 @@
         try:
             return await self._post_once(append)
         except _NOT_SENT as not_sent:
-            return Refused(_unavailable(_describe(not_sent), Ran.NO))
+            return Refused(unavailable(describe_error(not_sent), Ran.NO))
         except (aiohttp.ClientError, asyncio.TimeoutError) as error:
-            return Lost(_unavailable(_describe(error), Ran.UNKNOWN))
+            return Lost(unavailable(describe_error(error), Ran.UNKNOWN))
         except (KeyError, TypeError, ValueError) as bad_answer:
             complaint = f'bad answer: {bad_answer!r}'
-            return Lost(_unavailable(complaint, Ran.UNKNOWN))
+            return Lost(unavailable(complaint, Ran.UNKNOWN))
 
     async def _post_once(self, append: Append) -> Outcome:
         async with self._session.post(
@@ -200,10 +204,10 @@
             body = await answer.read()
             status = answer.status
         if status == _OK:
-            offset = int(_decode(body)['offset'])
+            offset = int(decode_answer(body)['offset'])
             self._head = max(self._head, offset)
             return Appended(offset)
-        return _classify(status)
+        return classify(status)
 
     async def _get_page(
         self,
@@ -220,7 +224,7 @@
             raise_for_status=True,
         ) as answer:
             body = await answer.read()
-        return read_page(_decode(body))
+        return read_page(decode_answer(body))
 
 
 def _is_busy(outcome: Outcome) -> bool:
@@ -240,35 +244,3 @@
         record.offset for record in page.records if record.identity == identity
     )
     return next(offsets, 0)
-
-
-def _classify(status: int) -> Outcome:
-    if status == _TOO_LARGE:
-        return Refused(Problem(ErrorKind.TOO_LARGE, 'the log refused its size'))
-    problem = _unavailable(f'answered {status}', Ran.UNKNOWN)
-    if status in {_BUSY, _DOWN}:
-        refusal = dataclasses.replace(problem, ran=Ran.NO)
-        return Refused(refusal, again=status == _BUSY)
-    return Lost(problem)
-
-
-def _decode(body: bytes) -> dict[str, Any]:
-    table = wire.decode_table(body)
-    if isinstance(table, Failure):
-        raise ValueError(table.failure().message)
-    return table.unwrap()
-
-
-def _describe(error: Exception) -> str:
-    return str(error) or type(error).__name__
-
-
-def _describe_too_large(payload: bytes) -> Problem:
-    return Problem(
-        ErrorKind.TOO_LARGE,
-        f'record of {len(payload)} bytes; the most is {MAX_RECORD_BYTES}',
-    )
-
-
-def _unavailable(complaint: str, ran: Ran) -> Problem:
-    return Problem(ErrorKind.LOG_UNAVAILABLE, f'log: {complaint}', ran)
--- a/packages/verbenahall/src/verbenahall/settings/_checks.py
+++ b/packages/verbenahall/src/verbenahall/settings/_checks.py
@@ -16,17 +16,15 @@
     Refusal,
     RefusalKind,
 )
-from verbenahall.settings._state import (
-    Key,
-    SettingsState,
-    Shift,
-    find_removal,
+from verbenahall.settings._refusals import (
+    find_latest,
+    refuse_claimed,
+    refuse_foreign,
+    refuse_missing,
+    refuse_users,
 )
-
-_MODELS: Final = 'models'
-_ADAPTERS: Final = 'adapters'
-_POOLS: Final = 'pools'
-_DRAINS: Final = 'drains'
+from verbenahall.settings._sections import ADAPTERS, MODELS, POOLS
+from verbenahall.settings._state import Key, SettingsState, Shift
 
 
 class _Touched:
@@ -88,7 +86,7 @@
     return [
         state.effective.pools[name]
         for section, name in sorted(users)
-        if section == _POOLS
+        if section == POOLS
     ]
 
 
@@ -99,7 +97,7 @@
     for name in sorted(touched.models):
         if name not in state.effective.models:
             users = state.model_users.get(name, ())
-            yield from _refuse_users(state, f'model {name}', users)
+            yield from refuse_users(state, f'model {name}', users)
 
 
 def _check_adapters(
@@ -110,9 +108,9 @@
         adapter = state.effective.adapters.get(name)
         if adapter is None:
             users = state.adapter_users.get(name, ())
-            yield from _refuse_users(state, f'adapter {name}', users)
+            yield from refuse_users(state, f'adapter {name}', users)
         elif adapter.model not in state.effective.models:
-            yield _refuse_missing(state, _MODELS, adapter.model)
+            yield refuse_missing(state, MODELS, adapter.model)
 
 
 def _check_pools(
@@ -132,17 +130,17 @@
 ) -> Iterator[Refusal]:
     for model in pool.models:
         if model not in state.effective.models:
-            yield _refuse_missing(state, _MODELS, model)
+            yield refuse_missing(state, MODELS, model)
     for name in pool.adapters:
         adapter = state.effective.adapters.get(name)
         if adapter is None:
-            yield _refuse_missing(state, _ADAPTERS, name)
+            yield refuse_missing(state, ADAPTERS, name)
         elif adapter.model not in pool.models:
             yield Refusal(
                 RefusalKind.MISSING_REFERENCE,
                 f'pool {pool.name} has adapter {name} without its model '
                 + adapter.model,
-                state.entries[(_ADAPTERS, name)].offset,
+                state.entries[(ADAPTERS, name)].offset,
             )
 
 
@@ -160,10 +158,10 @@
     for engine in pool.engines:
         for other in state.engine_pools[engine]:
             if other != pool.name:
-                yield _refuse_claimed(state, engine, pool.name, other)
+                yield refuse_claimed(state, engine, pool.name, other)
         drain = state.effective.drains.get(engine)
         if drain and drain.team != pool.team:
-            yield _refuse_foreign(state, drain, pool)
+            yield refuse_foreign(state, drain, pool)
 
 
 def _check_drains(
@@ -175,7 +173,7 @@
         for name in state.engine_pools.get(endpoint, ()):
             pool = state.effective.pools[name]
             if drain and drain.team != pool.team:
-                yield _refuse_foreign(state, drain, pool)
+                yield refuse_foreign(state, drain, pool)
 
 
 def _check_floors(
@@ -200,7 +198,7 @@
                 RefusalKind.BELOW_FLOOR,
                 f'model {name} would have {free} engines in {data_centre}; '
                 + f'its floor is {model.floor}',
-                _latest(state, name, pools),
+                find_latest(state, name, pools),
             )
 
 
@@ -209,72 +207,6 @@
     return sum(engine not in drains for engine in pool.engines)
 
 
-def _latest(
-    state: SettingsState,
-    model: str,
-    pools: Iterable[PoolSettings],
-) -> int:
-    """Return the last earlier change to the same capacity."""
-    keys = {(_MODELS, model)}
-    for pool in pools:
-        keys.add((_POOLS, pool.name))
-        keys.update((_DRAINS, engine) for engine in pool.engines)
-    offsets = (
-        state.entries[key].offset for key in keys if key in state.entries
-    )
-    older = (offset for offset in offsets if offset < state.position)
-    return max(older, default=0)
-
-
-def _refuse_users(
-    state: SettingsState,
-    what: str,
-    users: Iterable[Key],
-) -> Iterator[Refusal]:
-    for key in sorted(users):
-        entry = state.entries[key]
-        yield Refusal(
-            RefusalKind.IN_USE,
-            f'{what} is used by {entry.path}',
-            entry.offset,
-        )
-
-
-def _refuse_missing(state: SettingsState, section: str, name: str) -> Refusal:
-    return Refusal(
-        RefusalKind.MISSING_REFERENCE,
-        f'{section} {name} does not exist',
-        find_removal(state, section, name),
-    )
-
-
-def _refuse_claimed(
-    state: SettingsState,
-    engine: str,
-    pool: str,
-    other: str,
-) -> Refusal:
-    return Refusal(
-        RefusalKind.ENGINE_CLAIMED,
-        f'engine {engine} is claimed by the pools {pool} and {other}',
-        state.entries[(_POOLS, other)].offset,
-    )
-
-
-def _refuse_foreign(
-    state: SettingsState,
-    drain: DrainSettings,
-    pool: PoolSettings,
-) -> Refusal:
-    keys = ((_DRAINS, drain.endpoint), (_POOLS, pool.name))
-    return Refusal(
-        RefusalKind.FOREIGN_ENGINE,
-        f'engine {drain.endpoint} is in the pool {pool.name} of team '
-        + f'{pool.team} and drained by team {drain.team}',
-        min(state.entries[key].offset for key in keys),
-    )
-
-
 _Check = Callable[[SettingsState, _Touched], Iterator[Refusal]]
 _CHECKS: Final[tuple[_Check, ...]] = (
     _check_models,
--- a/packages/verbenahall/src/verbenahall/settings/_sections.py
+++ b/packages/verbenahall/src/verbenahall/settings/_sections.py
@@ -17,8 +17,12 @@
     WorkspaceSettings,
 )
 
+ADAPTERS: Final = 'adapters'
 DEFAULTS: Final = 'defaults'
+DRAINS: Final = 'drains'
+MODELS: Final = 'models'
 PLANNER: Final = 'planner'
+POOLS: Final = 'pools'
 #: The planner's only name: a team has one.
 PLANNER_NAME: Final = 'main'
 
@@ -75,11 +79,11 @@
 
 SECTIONS: Final[Mapping[str, Section]] = MappingProxyType(
     {
-        'models': Section(
+        MODELS: Section(
             {'version': _VERSION, 'floor': _COUNT, 'weight_gb': _WEIGHT},
             lambda name, merged, team: ModelSettings(name, team=team, **merged),
         ),
-        'adapters': Section(
+        ADAPTERS: Section(
             {'model': _NAME, 'version': _VERSION},
             lambda name, merged, team: AdapterSettings(
                 name,
@@ -87,7 +91,7 @@
                 **merged,
             ),
         ),
-        'pools': Section(
+        POOLS: Section(
             {
                 'data_centre': _NAME,
                 'engines': Field(list),
@@ -110,7 +114,7 @@
                 **merged,
             ),
         ),
-        'drains': Section(
+        DRAINS: Section(
             {'reason': Field(str, default='')},
             lambda name, merged, team: DrainSettings(
                 name,
