--- a/packages/verbenahall/tests/snapshots/test_processes.py
+++ b/packages/verbenahall/tests/snapshots/test_processes.py
@@ -58,15 +58,15 @@
         self.keepers.clear()
         self.tasks.clear()
 
-    async def publish(self, name, queue):
+    async def publish(self, name, queue, team='desk'):
         """Publish a workspace's queue; return the append's outcome."""
-        path = f'desk/workspaces/{name}'
+        path = f'{team}/workspaces/{name}'
         change = {
             'path': path,
             'base': self.bases.get(path, 0),
             'value': {'queue': queue},
         }
-        body = {'team': 'desk', 'author': 'ann', 'changes': [change]}
+        body = {'team': team, 'author': 'ann', 'changes': [change]}
         outcome = await self.author.append('settings', body)
         if isinstance(outcome, Success):
             self.bases[path] = outcome.unwrap()
@@ -253,3 +253,33 @@
         assert len(history) == 31
         assert all(verdict.accepted for verdict in history)
         assert fleet.queues() == [{'club': 30, 'end': 1}]
+
+
+def test_racing_teams_get_the_same_verdict_everywhere():
+    """Four teams publish the same names at once, over the log's rate.
+
+    Instances that judged by arrival, or by what they happened to know, would
+    each see another winner.
+    """
+    verdicts = asyncio.run(_race())
+
+    assert len(set(verdicts)) == 1
+    assert len(verdicts[0]) == 160
+    assert sum(refusal is None for _, refusal in verdicts[0]) == 40
+
+
+async def _race():
+    async with run_fleet('--rate', '200') as fleet:
+        fleet.start_all()
+        outcomes = await asyncio.gather(
+            *(
+                fleet.publish(f'name-{number}', 1, team)
+                for number in range(40)
+                for team in ('desk', 'atlas', 'print', 'grid')
+            ),
+        )
+        await fleet.wait_applied(max(one.unwrap() for one in outcomes))
+        return [
+            tuple((one.offset, one.refusal) for one in state.history)
+            for state in fleet.states
+        ]
--- /dev/null
+++ b/packages/verbenahall/tests/snapshots/test_schedule.py
@@ -0,0 +1,72 @@
+"""When a snapshot is due, by the log's offsets and by time."""
+
+import random
+
+import pytest
+
+from verbenahall.snapshots import Schedule
+from verbenahall.snapshots._messages import Mark
+from verbenahall.snapshots._schedule import (
+    ScheduleState,
+    is_due,
+    observe_log,
+    observe_mark,
+)
+
+SCHEDULE = Schedule(refresh_s=300, spread_s=20, longest_tail=1000)
+
+
+@pytest.mark.parametrize(
+    ('first', 'head', 'upto', 'now', 'earliest', 'latest'),
+    [
+        # Nothing was ever appended.
+        (1, 0, 0, 1000, None, None),
+        # A fresh snapshot on a log that expires nothing.
+        (1, 500, 400, 10, None, None),
+        # The snapshot itself grows old on a log at rest.
+        (1, 500, 500, 270, None, None),
+        (1, 500, 500, 300, 300, 320),
+        # Many records to read after it.
+        (1, 2000, 900, 10, 10, 30),
+        # The log's start has come half and then nearly all of the way.
+        (201, 600, 450, 10, None, None),
+        (201, 600, 350, 10, 10, 30),
+        (201, 600, 250, 10, 10, 10.5),
+        (201, 600, 100, 10, 10, 10.5),
+    ],
+)
+def test_moment_of_the_next_snapshot(
+    first,
+    head,
+    upto,
+    now,
+    earliest,
+    latest,
+):
+    """Records expire, or the log rests and the snapshot itself grows old.
+
+    Too late a snapshot leaves new instances without a start.
+    """
+    state = ScheduleState(0)
+    observe_mark(state, Mark(upto + 2, upto, 1, '', upto + 1), 0)
+    observe_log(state, first, head)
+    source = random.Random(now)
+    due = [
+        now + step / 10
+        for step in range(250)
+        if is_due(state, SCHEDULE, now + step / 10, source)
+    ]
+
+    assert bool(due) == (earliest is not None)
+    if due:
+        assert earliest <= due[0] <= latest + 0.1
+
+
+def test_mark_of_another_puts_the_own_snapshot_off():
+    """Two instances see that one is due; the first to write ends the wait."""
+    state = ScheduleState(0)
+    observe_log(state, 1, 500)
+    is_due(state, SCHEDULE, 301, random.Random(1))
+    observe_mark(state, Mark(503, 500, 1, '', 501), 305)
+
+    assert not is_due(state, SCHEDULE, 600, random.Random(1))
