Decisions name their workspace; explain an engine by orders, standing, roles

Cause: routing lines had no workspace, so any team's credential that knew a request's identity could read decisions on other teams' requests; explain of an engine showed requests and not why it has its role.

Change: route and give_up lines carry the workspace, which decides who may read them; explain of an engine joins its orders, its standing and its pools' roles.

--- a/packages/verbenahall/src/verbenahall/admin/_shell.py
+++ b/packages/verbenahall/src/verbenahall/admin/_shell.py
@@ -3,19 +3,17 @@
 The front that serves the routes turns them into answers, as for callers.
 """
 
-import itertools
 import math
-import operator
-from collections.abc import Sequence
 from typing import Any, Final
 
 from aiohttp import web
 from returns.result import Failure, Result
 
-from verbenahall import clock, journal, wire
+from verbenahall import clock, wire
 from verbenahall.admin._credentials import Reader, find_reader
 from verbenahall.admin._messages import ReadinessSource, Status
 from verbenahall.admin._views import (
+    find_lines,
     view_decisions,
     view_history,
     view_settings,
@@ -26,13 +24,7 @@
 from verbenahall.settings import SettingsState
 
 _JSON: Final = 'application/json'
-#: Query key of ``explain`` and the journal's fields that it is looked for in.
-_EXPLAINED: Final = (
-    ('request', ('request',)),
-    ('engine', ('engine', 'chosen')),
-)
-
-_Lines = list[dict[str, Any]]
+_EXPLAINED: Final = ('request', 'engine')
 
 
 class AdminApi:
@@ -113,31 +105,19 @@
 
     async def _explain(self, request: web.Request) -> web.Response:
         reader = self._authenticate(request)
-        for key, fields in _EXPLAINED:
-            wanted = request.query.get(key)
-            if wanted is not None:
-                return self._show_decisions(reader, fields, wanted)
-        raise ProblemError(
-            Problem(ErrorKind.BAD_REQUEST, 'give request=... or engine=...'),
-        )
-
-    def _show_decisions(
-        self,
-        reader: Reader,
-        fields: tuple[str, ...],
-        wanted: str,
-    ) -> web.Response:
-        lines = _find_lines(fields, wanted)
+        wanted = [
+            (field, request.query[field])
+            for field in _EXPLAINED
+            if field in request.query
+        ]
+        if not wanted:
+            complaint = 'give request=... or engine=...'
+            raise ProblemError(Problem(ErrorKind.BAD_REQUEST, complaint))
+        lines = find_lines(self._settings, *wanted[0])
         seen = view_decisions(self._settings, reader, lines)
         return _answer({'decisions': seen})
 
 
-def _find_lines(fields: Sequence[str], wanted: str) -> _Lines:
-    found = (journal.find_decisions(field, wanted) for field in fields)
-    lines = itertools.chain.from_iterable(found)
-    return sorted(lines, key=operator.itemgetter('at'))
-
-
 def _require(outcome: Result[Reader, Problem]) -> Reader:
     if isinstance(outcome, Failure):
         raise ProblemError(outcome.failure())
--- a/packages/verbenahall/src/verbenahall/admin/_views.py
+++ b/packages/verbenahall/src/verbenahall/admin/_views.py
@@ -1,9 +1,12 @@
 """What a reader may see of settings, history and decisions."""
 
 import dataclasses
+import itertools
+import operator
 from collections.abc import Iterable, Mapping
 from typing import Any, Final
 
+from verbenahall import journal
 from verbenahall.admin._credentials import Reader
 from verbenahall.settings import (
     SettingsState,
@@ -22,6 +25,9 @@
     'services',
 )
 _PLANNER: Final = 'planner'
+_ENGINE: Final = 'engine'
+
+_Lines = list[dict[str, Any]]
 
 
 def view_settings(state: SettingsState, reader: Reader) -> dict[str, Any]:
@@ -73,14 +79,30 @@
     return {**verdict, 'paths': readable}
 
 
+def find_lines(state: SettingsState, field: str, name: str) -> _Lines:
+    """Return the kept decisions on a request or an engine, oldest first.
+
+    Of an engine, these are its orders, its standing and its pools' roles.
+    """
+    wanted = [(field, name)]
+    if field == _ENGINE:
+        pools = state.engine_pools.get(name, ())
+        wanted += [('endpoint', name), *(('pool', pool) for pool in pools)]
+    found = (journal.find_decisions(*pair) for pair in wanted)
+    lines = itertools.chain.from_iterable(found)
+    return sorted(lines, key=operator.itemgetter('at'))
+
+
 def owner_of(state: SettingsState, line: Mapping[str, Any]) -> str:
     """Return the team that a decision concerns, or empty text."""
     settings = effective(state)
     workspace = settings.workspaces.get(str(line.get('workspace')))
     if workspace is not None:
         return workspace.team
-    pools = state.engine_pools.get(str(line.get('engine')), ())
-    return settings.pools[pools[0]].team if pools else ''
+    pools = state.engine_pools.get(str(line.get(_ENGINE)), ())
+    names = (*pools, str(line.get('pool')))
+    teams = (settings.pools[one].team for one in names if one in settings.pools)
+    return next(teams, '')
 
 
 def view_decisions(
--- a/packages/verbenahall/src/verbenahall/front/_flow.py
+++ b/packages/verbenahall/src/verbenahall/front/_flow.py
@@ -138,6 +138,7 @@
         write_decision(
             'give_up',
             request=head.request,
+            workspace=head.ticket.workspace,
             kind=kind,
             ran=problem.answer.ran.value,
             message=problem.message,
--- a/packages/verbenahall/src/verbenahall/front/_placing.py
+++ b/packages/verbenahall/src/verbenahall/front/_placing.py
@@ -95,6 +95,7 @@
         write_decision(
             'route',
             request=progress.call.head.request,
+            workspace=progress.call.head.ticket.workspace,
             attempt=attempt,
             number=progress.attempts,
             chosen=choice.endpoint.name,
--- a/packages/verbenahall/tests/failures/conftest.py
+++ b/packages/verbenahall/tests/failures/conftest.py
@@ -68,6 +68,7 @@
         self.folder = folder
         self.session = session
         self.running = {}
+        self.config = CONFIG
 
     def start(self, name, module, *options):
         running = process.start(f'verbenahall_standins.{module}', *options)
@@ -93,7 +94,9 @@
         config = self.folder / f'{name}.toml'
         log = log or self.running['log'].address
         registry = self.running['registry'].address
-        config.write_text(CONFIG.format(name=name, log=log, registry=registry))
+        config.write_text(
+            self.config.format(name=name, log=log, registry=registry),
+        )
         command = (process.find_script('verbenahall'), 'serve', '--config')
         child = process.launch_command(
             (*command, str(config)),
--- /dev/null
+++ b/packages/verbenahall/tests/failures/test_operators.py
@@ -0,0 +1,69 @@
+"""What an operator sees of real instances through verbenactl."""
+
+import asyncio
+import hashlib
+import os
+import subprocess
+
+import pytest
+
+from verbenahall_standins import process
+
+pytestmark = pytest.mark.process
+
+TOKEN = 'fleet-token'
+CREDENTIAL = """
+[[admin.credentials]]
+team = "fleet"
+token_sha256 = "{sha256}"
+"""
+
+
+def call(*arguments):
+    """Run verbenactl; return its exit code and what it wrote."""
+    done = subprocess.run(
+        [process.find_script('verbenactl'), *arguments],
+        capture_output=True,
+        text=True,
+        env={**os.environ, 'VERBENACTL_TOKEN': TOKEN},
+        timeout=60,
+    )
+    return done.returncode, done.stdout + done.stderr
+
+
+def play(steps):
+    """Give each command in turn; check its exit code and its output."""
+    for given, code, part in steps:
+        found, output = call(*given)
+        assert (found, part in output) == (code, True), (given, output)
+
+
+def test_operator_follows_a_change_and_a_request(run):
+    """An operator drains an engine and asks what became of it.
+
+    They wait until it is in force, see who did it, and read why a request
+    went where it went; an instance that is gone is told as unreachable.
+    """
+
+    async def scenario(fleet):
+        sha256 = hashlib.sha256(TOKEN.encode()).hexdigest()
+        fleet.config += CREDENTIAL.format(sha256=sha256)
+        await fleet.start_instance('i-3')
+        await fleet.wait_until_ready('i-3')
+        at = ('-i', fleet.running['i-3'].address)
+        log = ('--log', fleet.running['log'].address)
+        team = ('--team', 'fleet', '--author', 'ann')
+        answer = await fleet.complete('i-3')
+        request = answer.headers['X-Request-Id']
+        steps = [
+            (('drain', 'engine-2', *log, *team, *at), 0, 'in force on 1'),
+            (('status', *at), 0, 'i-3 ain ready settings'),
+            (('history', 'fleet/drains', *at), 0, 'fleet/ann accepted'),
+            (('history', 'atlas', *at), 2, 'forbidden'),
+            (('explain', '--request', request, *at), 0, '"workspace":'),
+            (('explain', '--engine', 'engine-1', *at), 0, '"event":"standing'),
+            (('status', '-i', '127.0.0.1:1'), 2, 'endpoint_failed'),
+        ]
+        await asyncio.to_thread(play, steps)
+
+    run(scenario)
