--- a/packages/verbenahall/src/verbenahall/settings/_sections.py
+++ b/packages/verbenahall/src/verbenahall/settings/_sections.py
@@ -1,6 +1,7 @@
 """The schema of each section, and how a merged value becomes settings."""
 
 import dataclasses
+import functools
 from collections.abc import Callable, Mapping
 from types import MappingProxyType
 from typing import Any, Final
@@ -16,8 +17,12 @@
     WorkspaceSettings,
 )
 
+ADAPTERS: Final = 'adapters'
 DEFAULTS: Final = 'defaults'
+DRAINS: Final = 'drains'
+MODELS: Final = 'models'
 PLANNER: Final = 'planner'
+POOLS: Final = 'pools'
 #: The planner's only name: a team has one.
 PLANNER_NAME: Final = 'main'
 
@@ -39,7 +44,7 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True)
 class Section:
     """One kind of entry.
 
@@ -50,14 +55,14 @@
     members: Mapping[str, Member]
     build: Callable[[str, Mapping[str, Any], str], Any]
 
-    def fill(self, defaults: Mapping[str, Any]) -> dict[str, Any]:
-        """Return the optional members: the schema's, then the team's."""
-        filled = {
+    @functools.cached_property
+    def optional(self) -> Mapping[str, Any]:
+        """The members that may be left out, with the schema's defaults."""
+        return {
             name: member.default
             for name, member in self.members.items()
             if not member.required
         }
-        return {**filled, **defaults}
 
 
 def _build_pool(
@@ -74,11 +79,11 @@
 
 SECTIONS: Final[Mapping[str, Section]] = MappingProxyType(
     {
-        'models': Section(
+        MODELS: Section(
             {'version': _VERSION, 'floor': _COUNT, 'weight_gb': _WEIGHT},
             lambda name, merged, team: ModelSettings(name, team=team, **merged),
         ),
-        'adapters': Section(
+        ADAPTERS: Section(
             {'model': _NAME, 'version': _VERSION},
             lambda name, merged, team: AdapterSettings(
                 name,
@@ -86,7 +91,7 @@
                 **merged,
             ),
         ),
-        'pools': Section(
+        POOLS: Section(
             {
                 'data_centre': _NAME,
                 'engines': Field(list),
@@ -109,7 +114,7 @@
                 **merged,
             ),
         ),
-        'drains': Section(
+        DRAINS: Section(
             {'reason': Field(str, default='')},
             lambda name, merged, team: DrainSettings(
                 name,
