--- a/packages/verbenahall/src/verbenahall/instance/_core.py
+++ b/packages/verbenahall/src/verbenahall/instance/_core.py
@@ -6,7 +6,6 @@
 
 import random
 import secrets
-from collections.abc import Callable
 from typing import Final, final
 
 from verbenahall import clock
@@ -53,8 +52,6 @@
             self._list_peers,
         )
         self.stopping = False
-        #: Set by the part that hears the engines.
-        self.knows_fleet: Callable[[], bool] = bool
 
     def read_readiness(self) -> Readiness:
         """Say whether the instance takes requests, and if not, why not."""
@@ -62,8 +59,6 @@
             return Readiness(ready=False, reason='stopping')
         if not self.snapshots.ready:
             return Readiness(ready=False, reason=self.snapshots.reason)
-        if not self.knows_fleet():
-            return Readiness(ready=False, reason='the fleet is not known yet')
         return Readiness(ready=True)
 
     def is_caught_up(self) -> bool:
--- a/packages/verbenahall/src/verbenahall/instance/_experience.py
+++ b/packages/verbenahall/src/verbenahall/instance/_experience.py
@@ -1,7 +1,7 @@
 """Joins what requests meet at endpoints to the membership."""
 
 from collections.abc import Sequence
-from typing import final
+from typing import Final, final
 
 from verbenahall import clock
 from verbenahall.fleet import Endpoint, EndpointKind, Standing
@@ -18,6 +18,10 @@
 from verbenahall.orders import OrdersState, is_changing
 
 
+#: Waiting for all of a large data centre would take minutes.
+_ENOUGH_ENGINES: Final = 16
+
+
 @final
 class Experience:
     """Reads the membership for the callers' path and feeds it back."""
@@ -55,7 +59,7 @@
         surroundings: Surroundings,
         states: EngineStates,
     ) -> bool:
-        """Whether the list and every live engine in it have been heard.
+        """Whether the list and enough live engines in it have been heard.
 
         A replaced instance that takes requests before that answers that no
         engine holds the model, while its predecessor answered them all. Once
@@ -63,12 +67,13 @@
         """
         if self._known or self._members.listed_at is None:
             return self._known
-        standings = surroundings.list_engines(clock.monotonic())
-        self._known = all(
-            engine.name in states.by_name
-            for engine, standing in standings
+        names = [
+            engine.name
+            for engine, standing in surroundings.list_engines(clock.monotonic())
             if standing is Standing.LIVE
-        )
+        ]
+        heard = sum(name in states.by_name for name in names)
+        self._known = heard >= min(len(names), _ENOUGH_ENGINES)
         return self._known
 
     def standing(self, name: str, now: float) -> Standing:
