Role changes are counted

Cause: verbenahall_role_changes_total stood at zero for ever. Change: an order that an engine started and that changes its role counts. The controller's test looks at it; it failed before the count was there (no value), and passes.

--- a/packages/verbenahall/src/verbenahall/rollout/_engines.py
+++ b/packages/verbenahall/src/verbenahall/rollout/_engines.py
@@ -5,7 +5,6 @@
 
 from verbenahall.clock import Clock
 from verbenahall.fleet import Endpoint
-from verbenahall.journal import write_decision
 from verbenahall.orders import (
     Dispatch,
     Order,
@@ -16,6 +15,7 @@
     observe_report,
     send_noted,
 )
+from verbenahall.rollout._lines import tell_sent
 from verbenahall.rollout._tasks import Tasks
 from verbenahall.rollout._views import Member
 
@@ -92,6 +92,7 @@
             observe_report(self._orders, report, asked_at)
 
     async def _send(self, order: Order, endpoint: Endpoint) -> None:
+        report = self._orders.reports[order.engine]
         outcome = await send_noted(
             self._sender,
             self._dispatch,
@@ -99,9 +100,4 @@
             endpoint,
             self._clock,
         )
-        write_decision(
-            'order',
-            engine=order.engine,
-            order=order.number,
-            outcome=outcome.value,
-        )
+        tell_sent(order, outcome, report.holding.role)
--- a/packages/verbenahall/tests/rollout/test_controller.py
+++ b/packages/verbenahall/tests/rollout/test_controller.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 from returns.result import Success
 
+from verbenahall import metrics
 from verbenahall.authority import (
     AuthorityState,
     LeaseKeeper,
@@ -184,10 +185,13 @@
 
 def test_published_model_reaches_engines():
     """An operator publishes a model for a pool; both engines get it."""
+    metrics.ROLE_CHANGES.add({}, 0)
+    changed = metrics.ROLE_CHANGES.get({})
     engines, log = asyncio.run(roll_out())
     roles = [engine.state['role'] for engine in engines]
 
     assert roles == ['prefill', 'mixed']
+    assert metrics.ROLE_CHANGES.get({}) == changed + 1
     assert all(engine.state['models'] == {'drafter': '1'} for engine in engines)
     assert all(len(engine.started) == 1 for engine in engines)
     assert log.records[-1].body['kind'] == 'release'
