The lease holder's reading and planning stay bounded

Cause: at rest the holder read every engine's state each 2 s and planned ten times a second, so both grew with the data centre: 240 B/s for each engine, and 6.0 ms for a plan of 1,000 engines, which is 6% of a core. Ruled out: a longer period alone, which only moves the size. Change: engines without an order are asked one at a time, two a second, a new life of one first; after a plan nothing is planned for fifty times as long as it took. The capacity tool measures plans, standings and claims too.

--- a/packages/standins/src/verbenahall_standins/capacity/_folds.py
+++ b/packages/standins/src/verbenahall_standins/capacity/_folds.py
@@ -12,21 +12,44 @@
 from verbenahall import wire
 from verbenahall.authority import AuthorityState
 from verbenahall.authority import apply_record as apply_authority
-from verbenahall.fleet import Endpoint, EndpointKind, Role
+from verbenahall.claims import Claims
+from verbenahall.fleet import (
+    Endpoint,
+    EndpointKind,
+    Role,
+    Standing,
+    Target,
+)
 from verbenahall.load import LoadState, Report, observe_report
 from verbenahall.membership import (
     ListEntry,
     MembershipState,
     StandingChange,
+    all_endpoints,
     apply_list,
+    standing_of,
+)
+from verbenahall.records import (
+    AUTHORITY_STREAM,
+    CLAIMS_STREAM,
+    SETTINGS_STREAM,
+    Record,
 )
-from verbenahall.records import AUTHORITY_STREAM, SETTINGS_STREAM, Record
+from verbenahall.rollout import EngineView, plan
 from verbenahall.routing import Candidate, Question, RoutingState, choose
-from verbenahall.settings import SettingsFold, SettingsState
+from verbenahall.settings import (
+    EffectiveSettings,
+    ModelSettings,
+    PoolSettings,
+    SettingsFold,
+    SettingsState,
+)
 from verbenahall_standins.capacity._report import Point, Series
 
 _WORKSPACES: Final = (100, 1000, 4000, 16_000)
 _ENDPOINTS: Final = (10, 100, 1000, 3000)
+_KEY_LETTERS: Final = 32
+_CLAIMS: Final = (100, 1000, 10_000)
 _SCOPES: Final = (15, 150, 1500)
 _REPEATS: Final = 200
 _MICRO: Final = 1e6
@@ -35,6 +58,8 @@
 _PROMPT_TOKENS: Final = 900
 _OUTPUT_TOKENS: Final = 100
 
+_HELD: Final = Target(Role.MIXED, (('draft', '1'),))
+
 #: A size and what was measured at it.
 _Row = tuple[int, tuple[float, ...]]
 
@@ -45,6 +70,9 @@
     yield from _measure_membership()
     yield from _measure_routing()
     yield _measure_authority()
+    yield _measure_plan()
+    yield _measure_claims()
+    yield _measure_standings()
 
 
 def _measure_settings() -> Iterator[Series]:
@@ -152,6 +180,73 @@
     return Series('authority record (us)', 'scopes', points)
 
 
+def _measure_plan() -> Series:
+    points = []
+    for size in _ENDPOINTS:
+        settings = _publish_pool(size)
+        views = [
+            EngineView(f'engine-{number}', str(number), _HELD)
+            for number in range(size)
+        ]
+        spent = _time_us(functools.partial(plan, settings, 'aber', views))
+        points.append(Point(size, spent))
+    return Series('rollout plan (us)', 'engines', points)
+
+
+def _measure_standings() -> Series:
+    points = []
+    for size in _ENDPOINTS:
+        state = MembershipState(notify=_ignore)
+        entries = [ListEntry(_engine(number)) for number in range(size)]
+        apply_list(state, entries, 0)
+        spent = _time_us(functools.partial(_read_standings, state))
+        points.append(Point(size, spent))
+    return Series('standings of a step (us)', 'endpoints', points)
+
+
+def _read_standings(state: MembershipState) -> list[Standing]:
+    return [
+        standing_of(state, endpoint.name, 1)
+        for endpoint in all_endpoints(state)
+    ]
+
+
+def _publish_pool(size: int) -> EffectiveSettings:
+    settings = EffectiveSettings()
+    settings.models['draft'] = ModelSettings('draft', '1', 1, 1, 'desk')
+    settings.pools['all'] = PoolSettings(
+        name='all',
+        data_centre='aber',
+        engines=tuple(f'engine-{number}' for number in range(size)),
+        models=('draft',),
+        adapters=(),
+        prefill=0,
+        decode=0,
+        automatic=False,
+        team='desk',
+    )
+    return settings
+
+
+def _measure_claims() -> Series:
+    points = []
+    for size in _CLAIMS:
+        fold = Claims(None, 'entry')
+        used = _trace(functools.partial(_apply_claims, fold, size))
+        points.append(Point(size, used))
+    return Series('claims memory (B)', 'claims', points)
+
+
+def _apply_claims(fold: Claims, size: int) -> None:
+    for number in range(1, size + 1):
+        fold.apply_record(_claim_key(number))
+
+
+def _claim_key(number: int) -> Record:
+    body = {'holder': 'entry-2', 'keys': [str(number).zfill(_KEY_LETTERS)]}
+    return Record(number, CLAIMS_STREAM, f'id-{number}', body)
+
+
 def _apply_next(state: AuthorityState, offsets: Iterator[int]) -> None:
     offset = next(offsets)
     apply_authority(state, _claim(offset, f'new-{offset}', 0), 0)
--- a/packages/standins/src/verbenahall_standins/capacity/_rest.py
+++ b/packages/standins/src/verbenahall_standins/capacity/_rest.py
@@ -15,7 +15,7 @@
 from verbenahall_standins.capacity._relay import Relay
 from verbenahall_standins.capacity._report import Point, Series
 
-_INSTANCES: Final = (3, 9, 30)
+_INSTANCES: Final = (3, 9, 30, 100)
 _ENGINES: Final = (4, 12, 24)
 _FEW_INSTANCES: Final = 3
 _FEW_ENGINES: Final = 4
--- a/packages/verbenahall/src/verbenahall/rollout/_engines.py
+++ b/packages/verbenahall/src/verbenahall/rollout/_engines.py
@@ -1,5 +1,7 @@
 """Talks to the engines of one data centre: asks states, sends orders."""
 
+import heapq
+import math
 from collections.abc import Sequence
 from typing import Final
 
@@ -22,6 +24,11 @@
 #: How often an engine is asked for its state, with and without an order.
 _BUSY_PERIOD_S: Final = 0.2
 _IDLE_PERIOD_S: Final = 2.0
+#: An answer is about half a kilobyte: two a second are 1 kB/s.
+_IDLE_SPACING_S: Final = 0.5
+#: A new holder must hear every engine; not all of them in one moment.
+_AT_ONCE: Final = 8
+_MOST_KEPT: Final = 4096
 
 
 class EngineTalk:
@@ -41,7 +48,8 @@
         self._sender = sender
         self._tasks = tasks
         self._clock = clock
-        self._asked_at: dict[str, float] = {}
+        self._asked_at: dict[tuple[str, str], float] = {}
+        self._idle_at = -math.inf
 
     def ask_states(
         self,
@@ -51,14 +59,24 @@
         *,
         leading: bool,
     ) -> None:
-        """Ask the engines that are due; without the lease only ``busy``."""
-        for endpoint, _ in members:
-            if not leading and endpoint.name not in busy:
-                continue
-            asked_at = self._asked_at.get(endpoint.name, -float('inf'))
-            if now - asked_at >= self._find_period(endpoint, busy):
-                self._asked_at[endpoint.name] = now
-                self._tasks.start(f'ask {endpoint.name}', self._ask(endpoint))
+        """Ask the engines that are due; without the lease only ``busy``.
+
+        Engines without an order are asked one at a time, so that what the
+        holder reads does not grow with the data centre.
+        """
+        wanted = [
+            endpoint
+            for endpoint, _ in members
+            if leading or endpoint.name in busy
+        ]
+        hurried = [one for one in wanted if self._is_hurried(one, busy)]
+        for endpoint in self._choose(hurried, _AT_ONCE, now - _BUSY_PERIOD_S):
+            self._start_asking(endpoint, now)
+        if now >= self._idle_at:
+            self._idle_at = now + _IDLE_SPACING_S
+            rested = [one for one in wanted if one not in hurried]
+            for idle in self._choose(rested, 1, now - _IDLE_PERIOD_S):
+                self._start_asking(idle, now)
 
     def send_due(
         self,
@@ -77,11 +95,33 @@
                 work = self._send(order, endpoint)
                 self._tasks.start(f'send {order.engine}', work)
 
-    def _find_period(self, endpoint: Endpoint, busy: set[str]) -> float:
+    def _is_hurried(self, endpoint: Endpoint, busy: set[str]) -> bool:
         cleared = self._dispatch.find_track(endpoint.name).cleared
-        if endpoint.name in busy or not cleared:
-            return _BUSY_PERIOD_S
-        return _IDLE_PERIOD_S
+        return endpoint.name in busy or not cleared
+
+    def _choose(
+        self,
+        endpoints: Sequence[Endpoint],
+        count: int,
+        before: float,
+    ) -> list[Endpoint]:
+        """Return those not asked since ``before``, the longest ago first."""
+        return heapq.nsmallest(
+            count,
+            (one for one in endpoints if self._read_asked(one) <= before),
+            key=self._read_asked,
+        )
+
+    def _read_asked(self, endpoint: Endpoint) -> float:
+        return self._asked_at.get(_identify(endpoint), -math.inf)
+
+    def _start_asking(self, endpoint: Endpoint, now: float) -> None:
+        if len(self._asked_at) >= _MOST_KEPT:
+            # Lives that have ended leave their entries behind; all are soon
+            # asked anew.
+            self._asked_at.clear()
+        self._asked_at[_identify(endpoint)] = now
+        self._tasks.start(f'ask {endpoint.name}', self._ask(endpoint))
 
     async def _ask(self, endpoint: Endpoint) -> None:
         asked_at = self._clock()
@@ -100,3 +140,8 @@
             order=order.number,
             outcome=outcome.value,
         )
+
+
+def _identify(endpoint: Endpoint) -> tuple[str, str]:
+    """Name one life of an engine; a new one has not been asked yet."""
+    return endpoint.name, endpoint.incarnation
--- a/packages/verbenahall/src/verbenahall/rollout/_shell.py
+++ b/packages/verbenahall/src/verbenahall/rollout/_shell.py
@@ -30,6 +30,9 @@
 from verbenahall.settings import EffectiveSettings
 
 _TICK_S: Final = 0.1
+#: How many times as long as a plan takes nothing is planned after it. A plan's
+#: cost grows with the data centre, the time spent on plans must not.
+_REST: Final = 50
 #: How long to wait for a record whose append had no clear answer.
 _RECORD_WAIT_S: Final = 2.0
 _RECORD: Final = 'record'
@@ -125,6 +128,8 @@
         take_over(self._dispatch, grant, now)
         if self._is_settled(now):
             self._plan(members, token, now)
+            spent_s = self._clock() - now
+            self._wait_until = max(self._wait_until, now + _REST * spent_s)
         # An order that is just being superseded is not sent: a new holder
         # would otherwise take the engine away for its predecessor's target
         # first and for its own right after.
