No cancel for attempts that never began or ended by themselves

Cause: every failed attempt was followed by a cancel, so an engine that refuses since it is full got two requests for each. Seen by test_key_is_free_again_only_if_nothing_ran: four refusals brought four cancels, one error one. Change: only an attempt that may still run is cancelled.

--- a/packages/verbenahall/src/verbenahall/front/_attempts.py
+++ b/packages/verbenahall/src/verbenahall/front/_attempts.py
@@ -9,7 +9,7 @@
 from verbenahall.admission import FLAG_PRIORITY
 from verbenahall.errors import Problem, Ran
 from verbenahall.fleet import Endpoint, Standing
-from verbenahall.front._feedback import give_feedback
+from verbenahall.front._feedback import give_feedback, may_still_run
 from verbenahall.front._messages import Call
 from verbenahall.front._parts import Parts
 from verbenahall.front._placing import Placer
@@ -116,7 +116,7 @@
         finally:
             # Also when the caller has gone and this task is cancelled: an
             # engine that is not told would go on working for nobody.
-            if isinstance(found, Failure):
+            if may_still_run(found):
                 sender.cancel(placed)
         give_feedback(self._parts, placed.endpoint.name, found)
         return found
--- a/packages/verbenahall/src/verbenahall/front/_feedback.py
+++ b/packages/verbenahall/src/verbenahall/front/_feedback.py
@@ -1,4 +1,4 @@
-"""Tells load and membership how an endpoint did."""
+"""What an attempt's end says about its endpoint."""
 
 from typing import Any, Final
 
@@ -12,6 +12,17 @@
 _CONFLICT: Final = 409
 
 
+def may_still_run(found: Result[Any, Outcome]) -> bool:
+    """Whether an endpoint may be at work on an attempt that is over."""
+    match found:
+        case Success(_) | Failure(NeverWritten() | Refused()):
+            return False
+        case Failure(Broken(answered=True)):
+            return False
+        case _:
+            return True
+
+
 def give_feedback(
     parts: Parts,
     name: str,
--- a/packages/verbenahall/tests/front/test_attempts.py
+++ b/packages/verbenahall/tests/front/test_attempts.py
@@ -106,9 +106,13 @@
     """
 
     async def run():
-        async with stage([fake('a', lambda number: fault)]) as on:
+        engine = fake('a', lambda number: fault)
+        async with stage([engine]) as on:
             status, _, body = await on.post(headers={'Idempotency-Key': 'k'})
             assert status in {429, 504}, body
+            # What never began, or ended by itself, needs no second request.
+            await asyncio.sleep(0.1)
+            assert not engine.cancelled
             return on.told.released
 
     assert asyncio.run(run()) == released
