--- a/packages/standins/src/verbenahall_standins/policies.py
+++ b/packages/standins/src/verbenahall_standins/policies.py
@@ -29,8 +29,6 @@
 from verbenahall_standins.traces import Arrival, Workload
 
 _FULL_BATCH: Final = 32
-#: A busy engine runs empty within about half of its longest answer.
-_RUN_EMPTY_S: Final = 8.0
 _TYPICAL_CONTEXT: Final = 1000
 #: Prompt and output tokens that make one typical request.
 _TYPICAL_PROMPT: Final = 512
@@ -177,7 +175,6 @@
         self._loads = [LoadState() for _ in self._sites]
         self._demands = {site: roles.DemandState(0) for site in sites}
         self._planners = {site: roles.PlannerState(0) for site in sites}
-        self.profile = build_profile()
 
     def choose(
         self,
@@ -247,7 +244,12 @@
             goodput_weight=self._workload.goodput_weight,
             change_weight=self._workload.change_weight,
         )
-        plan = roles.decide(self._planners[site], seen, self.profile, now)
+        plan = roles.decide(
+            self._planners[site],
+            seen,
+            roles.DEFAULT_PROFILE,
+            now,
+        )
         return plan.roles
 
 
@@ -256,26 +258,6 @@
     return roles.EngineNow(engine.name, role, engine.batch.running)
 
 
-def build_profile() -> roles.Profile:
-    """Return what one engine can do, by the cost model."""
-    prefill_rate = _prefill_rate(Role.PREFILL)
-    return roles.Profile(
-        prefill_tokens_s=prefill_rate,
-        decode_tokens_s=_decode_rate(),
-        mixed_prefill=_prefill_rate(Role.MIXED) / prefill_rate,
-        # A mixed engine that has nothing to prefill decodes as fast as one
-        # in the decode role, by the same model.
-        mixed_decode=1,
-        change_s=cost.ROLE_CHANGE_S + _RUN_EMPTY_S,
-    )
-
-
-def _prefill_rate(role: Role) -> float:
-    """Return tokens a second of one engine that only prefills."""
-    budget = cost.PREFILL_BUDGET[role]
-    return budget / (cost.prefill_s(budget) + cost.STEP_S)
-
-
 def _decode_rate() -> float:
     """Return tokens a second of one engine that only decodes."""
     context = _FULL_BATCH * _TYPICAL_CONTEXT
