--- a/packages/verbenahall/tests/settings/test_verdicts.py
+++ b/packages/verbenahall/tests/settings/test_verdicts.py
@@ -1,6 +1,8 @@
 """Verdicts on publications: one case for each reason, and races."""
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from verbenahall.records import Record
 from verbenahall.settings import (
@@ -230,3 +232,55 @@
 
     assert stale.refusal.winner == removal.offset
     assert fresh.accepted
+
+
+json_bodies = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats(allow_nan=False, allow_infinity=False)
+    | st.sampled_from(('desk', DESK_MODEL, DESK_POOL, 'desk/drains/e1', '')),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(
+            st.sampled_from(
+                (
+                    'team',
+                    'author',
+                    'changes',
+                    'path',
+                    'base',
+                    'value',
+                    'engines',
+                ),
+            ),
+            inner,
+            max_size=6,
+        )
+    ),
+    max_leaves=12,
+)
+rows = st.fixed_dictionaries(
+    {
+        'path': st.sampled_from((DESK_MODEL, DESK_POOL, 'desk/services/s')),
+        'base': st.just(0),
+        'value': st.dictionaries(
+            st.sampled_from(
+                ('version', 'floor', 'engines', 'repeatable', 'data_centre'),
+            ),
+            json_bodies,
+        ),
+    },
+)
+
+
+@given(st.lists(rows | json_bodies, max_size=3) | json_bodies)
+def test_any_body_gets_a_verdict(changes):
+    """A faulty tool appends something, and every instance reads it.
+
+    A fold that raised would stop there, or skip the record on some.
+    """
+    body = {'team': 'desk', 'author': 'ann', 'changes': changes}
+    verdict = apply_record(SettingsState(), Record(1, 'settings', 'i', body))
+
+    assert verdict is not None
