--- a/packages/verbenactl/src/verbenactl/_base.py
+++ b/packages/verbenactl/src/verbenactl/_base.py
@@ -55,9 +55,10 @@
         return given
 
     def tell_problem(self, problem: Problem) -> None:
-        """Write a problem to standard error."""
+        """Write a problem to standard error, and whether it had an effect."""
         kind = problem.kind.value
-        self.line_error(f'{kind}: {problem.message}')
+        ran = problem.answer.ran.value
+        self.line_error(f'{kind} (ran {ran}): {problem.message}')
 
     @contextlib.asynccontextmanager
     async def open_instances(self) -> AsyncIterator[Instances]:
--- a/packages/verbenactl/src/verbenactl/_inspect.py
+++ b/packages/verbenactl/src/verbenactl/_inspect.py
@@ -83,12 +83,18 @@
         return {'path': self.argument('path')}
 
     def tell_view(self, view: dict[str, Any]) -> None:
-        """Write a line for each verdict, oldest first."""
+        """Write a line for each verdict, oldest first, and what stands.
+
+        Only the latest verdicts are kept; the value may be older than them.
+        """
         for verdict in view['verdicts']:
             refusal = verdict['refusal']
             fate = f'refused: {refusal["message"]}' if refusal else 'accepted'
             author = f'{verdict["team"]}/{verdict["author"]}'
             self.line(f'{verdict["offset"]} {author} {fate}')
+        if view['value'] is not None:
+            standing = wire.encode(view['value']).decode()
+            self.line(f'in force since offset {view["offset"]}: {standing}')
 
 
 class ExplainCommand(InspectingCommand):
--- a/packages/verbenahall/tests/failures/test_operators.py
+++ b/packages/verbenahall/tests/failures/test_operators.py
@@ -59,6 +59,7 @@
             (('drain', 'engine-2', *log, *team, *at), 0, 'in force on 1'),
             (('status', *at), 0, 'i-3 ain ready settings'),
             (('history', 'fleet/drains', *at), 0, 'fleet/ann accepted'),
+            (('history', 'fleet/drains/engine-2', *at), 0, 'in force since'),
             (('history', 'atlas', *at), 2, 'forbidden'),
             (('explain', '--request', request, *at), 0, '"workspace":'),
             (('explain', '--engine', 'engine-1', *at), 0, '"event":"standing'),
