--- a/packages/verbenahall/src/verbenahall/snapshots/_schedule.py
+++ b/packages/verbenahall/src/verbenahall/snapshots/_schedule.py
@@ -62,6 +62,15 @@
     state.planned_at = math.inf
 
 
+def put_off(state: ScheduleState) -> None:
+    """Draw the moment again, after a write that failed.
+
+    While the log is away a snapshot becomes due for every instance. With the
+    moments long past, all would write at once when the log comes back.
+    """
+    state.planned_at = math.inf
+
+
 def is_due(
     state: ScheduleState,
     schedule: Schedule,
--- a/packages/verbenahall/src/verbenahall/snapshots/_writer.py
+++ b/packages/verbenahall/src/verbenahall/snapshots/_writer.py
@@ -21,6 +21,7 @@
     is_due,
     observe_log,
     observe_mark,
+    put_off,
 )
 from verbenahall.snapshots._store import SnapshotStore
 
@@ -72,6 +73,7 @@
                 observe_mark(self._state, mark, clock.monotonic())
                 logging.info('snapshot of offset %d written', mark.upto)
             case Failure(problem):
+                put_off(self._state)
                 logging.warning('snapshot not written: %s', problem.message)
         return written
 
@@ -91,9 +93,10 @@
             observe_mark(self._state, mark, clock.monotonic())
 
     def _is_due(self) -> bool:
-        if self._folds.foreign:
+        if self._folds.foreign or self._follower.gap:
             # A later release's fold is in the snapshots; one written
-            # without it would lose that fold's state for good.
+            # without it would lose that fold's state for good. And one from
+            # before a gap helps nobody, but would put off those that do.
             return False
         observe_log(self._state, self._follower.first, self._follower.head)
         now = clock.monotonic()
--- a/packages/verbenahall/tests/snapshots/test_schedule.py
+++ b/packages/verbenahall/tests/snapshots/test_schedule.py
@@ -11,6 +11,7 @@
     is_due,
     observe_log,
     observe_mark,
+    put_off,
 )
 
 SCHEDULE = Schedule(refresh_s=300, spread_s=20, longest_tail=1000)
@@ -74,6 +75,28 @@
     assert 605 <= due[0] <= 626
 
 
+def test_failed_writes_are_spread_again():
+    """The log is away for long, and a snapshot becomes due for everyone.
+
+    When it comes back, all instances would write at the same moment.
+    """
+    moments = [draw_after_failure(random.Random(seed)) for seed in range(100)]
+
+    assert min(moments) >= 1000
+    assert max(moments) <= 1020
+    assert sum(moment < 1002 for moment in moments) < 30
+
+
+def draw_after_failure(source):
+    """Return the first due moment after a write that failed at 1,000 s."""
+    state = ScheduleState(0)
+    observe_log(state, 1, 500)
+    is_due(state, SCHEDULE, 301, source)
+    put_off(state)
+    steps = (1000 + step / 10 for step in range(250))
+    return next(step for step in steps if ask(state, step, source))
+
+
 def ask(state, moment, source):
     """Ask whether a snapshot is due at a moment."""
     return is_due(state, SCHEDULE, moment, source)
