Claims: a caller that goes away as it wins, and names of one length

Cause: (1) a caller cancelled in the turn of the loop in which its claim was won left a key that nobody ran and nobody could. (2) A key's name held the workspace, up to 256 characters: a batch of 500 could outgrow the log's 64 KiB record, and every claim in it would have been refused. (3) A release whose append failed beside claims that had timed out was not sent again by itself.

Change: such a win is given back; a name is a digest of workspace and key, 32 characters; any failed append sends its releases again after a pause.

(2) was found by reading, and test_names_of_keys holds the length.

--- a/packages/verbenahall/src/verbenahall/claims/_batcher.py
+++ b/packages/verbenahall/src/verbenahall/claims/_batcher.py
@@ -92,9 +92,13 @@
             return
         if self._state.wanted:
             self.wake()
-        landed = await self._append(batch)
-        if not landed and self._is_awaited(batch):
+        if await self._append(batch):
+            return
+        if self._is_awaited(batch):
             self._give_up(batch)
+        if self._state.freeing:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self._timing.refuse_s, self.wake)
 
     async def _append(self, batch: Batch) -> bool:
         body = decisions.encode_batch(self._state, batch)
@@ -107,19 +111,15 @@
         return isinstance(appended, Success)
 
     def _is_awaited(self, batch: Batch) -> bool:
-        """Whether the failed append leaves anything undecided.
+        """Whether a failed append leaves a claim undecided.
 
         The record may be read before the append is answered; a log whose
         answers are late is not down.
         """
-        waiting = self._state.waiting.intersection(batch.keys)
-        return bool(waiting or not batch.keys)
+        return not self._state.waiting.isdisjoint(batch.keys)
 
     def _give_up(self, batch: Batch) -> None:
         """Refuse at once while the log is down, rather than let all wait."""
-        refuse_s = self._timing.refuse_s
-        self._refuse_until = self._now() + refuse_s
+        self._refuse_until = self._now() + self._timing.refuse_s
         for key in batch.keys:
             self._refuse(key)
-        if self._state.freeing:
-            asyncio.get_running_loop().call_later(refuse_s, self.wake)
--- a/packages/verbenahall/src/verbenahall/claims/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/claims/_decisions.py
@@ -9,19 +9,22 @@
 from verbenahall.records import CLAIMS_STREAM, Record
 
 _DIGEST_BYTES: Final = 16
+_LENGTH_BYTES: Final = 4
+_ENCODING: Final = ('utf-8', 'surrogatepass')
 
 
 def name_key(workspace: str, key: str) -> str:
-    """Name a caller's key in the log: its workspace and a digest.
+    """Name a caller's key in the log: a digest of its workspace and it.
 
-    The digest has a fixed length, so no two pairs share a name, and a long
-    or secret key never reaches the log.
+    All names have the same length, whatever callers send, so a batch never
+    outgrows a record; and a secret key never reaches the log.
     """
+    named = workspace.encode(*_ENCODING)
     digest = hashlib.blake2b(
-        key.encode('utf-8', 'surrogatepass'),
+        len(named).to_bytes(_LENGTH_BYTES) + named + key.encode(*_ENCODING),
         digest_size=_DIGEST_BYTES,
     )
-    return f'{workspace}:{digest.hexdigest()}'
+    return digest.hexdigest()
 
 
 def find_owner(state: ClaimsState, key: str) -> int | None:
--- a/packages/verbenahall/src/verbenahall/claims/_shell.py
+++ b/packages/verbenahall/src/verbenahall/claims/_shell.py
@@ -78,6 +78,7 @@
         result = await self._decide(name)
         journal.write_decision(
             'claim',
+            workspace=workspace,
             key=name,
             outcome=_describe(result),
             position=self.state.position,
@@ -117,10 +118,6 @@
         """Append batches until cancelled."""
         await self.batcher.run()
 
-    async def flush(self) -> None:
-        """Append what waits now; also called once before the process ends."""
-        await self.batcher.flush()
-
     async def _decide(self, name: str) -> Result[int, Problem]:
         awaited = self._verdicts.get(name)
         if awaited is not None:
@@ -141,11 +138,11 @@
         self.batcher.wake()
         try:
             await asyncio.wait({awaited}, timeout=self._timeout_s)
-        finally:
-            # Also when the caller goes away: a claim that wins after this
-            # has nobody to run it and is freed by the fold.
-            if not awaited.done():
-                self._refuse(name)
+        except asyncio.CancelledError:
+            self._let_go(name, awaited)
+            raise
+        if not awaited.done():
+            self._refuse(name)
         match awaited.result():
             case Won(offset=offset):
                 return Success(offset)
@@ -153,6 +150,24 @@
                 return Failure(_DUPLICATE)
         return Failure(_UNAVAILABLE)
 
+    def _let_go(
+        self,
+        key: str,
+        awaited: asyncio.Future[Verdict | None],
+    ) -> None:
+        """Give up a claim whose caller has gone away.
+
+        It may have been won in the same turn of the loop: nobody would run
+        it, and nobody else could.
+        """
+        if not awaited.done():
+            self._refuse(key)
+            return
+        won = awaited.result()
+        if isinstance(won, Won):
+            decisions.free(self.state, key, won.offset)
+            self.batcher.wake()
+
     def _refuse(self, key: str) -> None:
         """Stop waiting for a key whose verdict can't be known."""
         decisions.give_up(self.state, key)
--- a/packages/verbenahall/tests/claims/test_claims.py
+++ b/packages/verbenahall/tests/claims/test_claims.py
@@ -198,6 +198,33 @@
     run_with(check)
 
 
+def test_caller_goes_away_as_its_claim_is_won():
+    """A caller hangs up in the very moment in which its claim is won.
+
+    Nobody runs the call; its next try must not hear "duplicate" for good.
+    """
+
+    async def check(log, first, second):
+        call = asyncio.create_task(first.claim('desk', 'k'))
+        while not log.records:
+            await asyncio.sleep(0)
+        call.cancel()
+        while len(log.records) < 2:
+            await asyncio.sleep(0.01)
+        assert isinstance(await second.claim('desk', 'k'), Success)
+
+    run_with(check)
+
+
+def test_names_of_keys():
+    """A caller picks workspace and key so that they run into another's."""
+    pairs = [('a', 'bc'), ('ab', 'c'), ('a:b', 'c'), ('a', 'b:c'), ('', 'abc')]
+    named = {decisions.name_key(*pair) for pair in pairs}
+
+    assert len(named) == len(pairs)
+    assert len(decisions.name_key('w' * 256, 'k' * 9999)) == 32
+
+
 def test_snapshot_carries_claims():
     """All instances are replaced after the log's retention has passed."""
 
