--- a/packages/verbenahall/tests/claims/test_schedules.py
+++ b/packages/verbenahall/tests/claims/test_schedules.py
@@ -157,7 +157,7 @@
 
 
 Schedules.TestCase.settings = settings(
-    max_examples=300,
+    max_examples=max(300, settings.default.max_examples),
     stateful_step_count=40,
     deadline=None,
 )
