Heartbeats without the headers that nobody reads

Change: they are left out of the heartbeat and of its answer, on that route only. The two measuring commands follow the log's new start.

--- a/packages/standins/src/verbenahall_standins/claim_cost.py
+++ b/packages/standins/src/verbenahall_standins/claim_cost.py
@@ -146,7 +146,7 @@
     parser.add_argument('--seconds', type=float, default=6)
     parser.add_argument('--share', type=float, default=_SHARE)
     options = parser.parse_args()
-    journal.start_logging(quiet=True)
+    journal.start_logging(decisions=False)
     log = process.start('verbenahall_standins.log', '--port', '0')
     try:
         for rate in options.rates:
--- a/packages/standins/src/verbenahall_standins/control_bytes.py
+++ b/packages/standins/src/verbenahall_standins/control_bytes.py
@@ -168,7 +168,7 @@
     parser.add_argument('--period', type=float, default=0.5)
     parser.add_argument('--seconds', type=float, default=8)
     options = parser.parse_args()
-    journal.start_logging(quiet=True)
+    journal.start_logging(decisions=False)
     for count in options.instances:
         asyncio.run(measure(count, options.period, options.seconds))
 
--- a/packages/verbenahall/src/verbenahall/membership/_peer_shell.py
+++ b/packages/verbenahall/src/verbenahall/membership/_peer_shell.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Final, final
 
-from aiohttp import ClientError, ClientSession, ClientTimeout, web
+from aiohttp import ClientError, ClientSession, ClientTimeout, hdrs, web
 from returns.result import Failure, Result, Success
 
 from verbenahall import clock
@@ -31,7 +31,14 @@
 _EPOCH_S: Final = 8
 _JITTER: Final = (0.8, 1.2)
 _DIGEST_BYTES: Final = 16_384
-_SKIPPED_HEADERS: Final = ('User-Agent', 'Accept', 'Accept-Encoding')
+#: Headers that peers don't read: half of a heartbeat's bytes.
+_UNSENT: Final = (
+    hdrs.USER_AGENT,
+    hdrs.ACCEPT,
+    hdrs.ACCEPT_ENCODING,
+    hdrs.CONTENT_TYPE,
+)
+_UNANSWERED: Final = (hdrs.CONTENT_TYPE, hdrs.DATE, hdrs.SERVER)
 
 
 @final
@@ -64,6 +71,7 @@
     def add_routes(self, app: web.Application) -> None:
         """Answer heartbeats on the instance's own port."""
         app.router.add_post(_PATH, self._answer)
+        app.on_response_prepare.append(_trim)
 
     async def run(self) -> None:
         """Send heartbeats until cancelled."""
@@ -111,7 +119,7 @@
                 f'http://{peer.address}{_PATH}',
                 data=body,
                 timeout=_TIMEOUT,
-                skip_auto_headers=_SKIPPED_HEADERS,
+                skip_auto_headers=_UNSENT,
             ) as answer:
                 answer.raise_for_status()
                 return decode_digest(await answer.read())
@@ -150,3 +158,10 @@
         if peer is None:
             return False
         return peer.address.rpartition(':')[0] == request.remote
+
+
+async def _trim(request: web.Request, response: web.StreamResponse) -> None:
+    """Leave out what peers don't read."""
+    if request.path == _PATH:
+        for name in _UNANSWERED:
+            response.headers.pop(name, None)
