Demo: stopped on the way, it leaves no process behind

Cause: SIGTERM ended the driver at once; its processes ran on. Seen by hand: after stops at 1, 2.5 and 6 s some 35 processes were left.

Ruled out: raising an exception from the signal's handler; it can fall between the start of a process and its being noted, and the test with 12 processes still found one left.

Change: SIGTERM cancels the driver's task, which takes effect only between two steps, so the clean-up knows all that was started.

Conclusion: mended for SIGTERM; a killed driver (SIGKILL) still leaves its processes, which no driver can prevent.

--- a/packages/standins/src/verbenahall_standins/demo.py
+++ b/packages/standins/src/verbenahall_standins/demo.py
@@ -8,6 +8,7 @@
 import asyncio
 import itertools
 import secrets
+import signal
 import sys
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
@@ -36,6 +37,8 @@
 _ORDERS_S: Final = 15.0
 _POLL_S: Final = 0.05
 _SHOWN_FAILURES: Final = 5
+#: Exit code after SIGTERM.
+_STOPPED: Final = 143
 _RUN_FOLDER: Final = Path('run')
 _EXAMPLES: Final = Path('examples')
 
@@ -149,7 +152,16 @@
 
 
 async def run_deployment(name: str, seed: int, count: int) -> list[Outcome]:
-    """Start a deployment's processes, run it, and stop them again."""
+    """Start a deployment's processes, run it, and stop them again.
+
+    SIGTERM alone would end this process at once and leave the others running.
+    As a cancelled task it is seen only between two steps, so it also cannot
+    fall between the start of a process and its being known here.
+    """
+    task = asyncio.current_task()
+    if task is not None:
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
     described = read_description(_EXAMPLES / name)
     deployment = Deployment(described, _RUN_FOLDER / name)
     try:
@@ -180,6 +192,8 @@
     except (DemoError, PublishError, process.NotReadyError) as error:
         say(f'{name}: {error}')
         return [Outcome('run', str(error), 0)]
+    except asyncio.CancelledError:
+        sys.exit(_STOPPED)
 
 
 def main() -> None:
--- /dev/null
+++ b/packages/standins/tests/test_demo.py
@@ -0,0 +1,59 @@
+"""The demo leaves nothing behind, also when it is stopped on the way."""
+
+import contextlib
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parents[3]
+LONGEST_WAIT_S = 60
+
+
+def list_children(pid):
+    found = Path(f'/proc/{pid}/task/{pid}/children').read_text()
+    return {int(child) for child in found.split()}
+
+
+def is_running(pid):
+    with contextlib.suppress(ProcessLookupError):
+        os.kill(pid, 0)
+        state = Path(f'/proc/{pid}/stat').read_text().rpartition(')')[-1]
+        return state.split()[0] != 'Z'
+    return False
+
+
+def wait_for_children(pid, count):
+    until = time.monotonic() + LONGEST_WAIT_S
+    children = set()
+    while len(children) < count and time.monotonic() < until:
+        children |= list_children(pid)
+        time.sleep(0.01)
+    assert len(children) >= count
+    return children
+
+
+@pytest.mark.process
+@pytest.mark.parametrize('count', [2, 24])
+def test_stopped_demo_leaves_no_process(count):
+    """The demo is stopped while its processes start.
+
+    What it had started would run on for ever, and the next run would find
+    the machine busier each time.
+    """
+    demo = subprocess.Popen(
+        (sys.executable, '-m', 'verbenahall_standins.demo'),
+        cwd=ROOT,
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
+    try:
+        children = wait_for_children(demo.pid, count)
+    finally:
+        demo.send_signal(signal.SIGTERM)
+        demo.wait(LONGEST_WAIT_S)
+    assert not set(filter(is_running, children))
