--- a/packages/verbenahall/src/verbenahall/front/_attempts.py
+++ b/packages/verbenahall/src/verbenahall/front/_attempts.py
@@ -6,6 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from verbenahall import metrics
+from verbenahall.admission import FLAG_PRIORITY
 from verbenahall.errors import Problem, Ran
 from verbenahall.fleet import Endpoint, Standing
 from verbenahall.front._feedback import give_feedback
@@ -53,9 +54,10 @@
         sender: Sender[Sent],
     ) -> Result[Sent, Problem]:
         """Try until an attempt succeeds or no further one is allowed."""
+        self._budget.earn()
         found = await self._run(progress, sender)
         if isinstance(found, Failure):
-            self._release(progress, found.failure())
+            self._give_back(progress, found.failure())
         return found
 
     def abandon_silent(self) -> None:
@@ -76,7 +78,6 @@
         progress: Progress,
         sender: Sender[Sent],
     ) -> Result[Sent, Problem]:
-        self._budget.earn()
         while True:
             placed = await self._placer.place(progress)
             if isinstance(placed, Failure):
@@ -91,11 +92,11 @@
             metrics.RETRIES.add(step.reason)
             await asyncio.sleep(step.delay_s)
 
-    def _release(self, progress: Progress, problem: Problem) -> None:
-        """Give back the claim of a call that never ran.
+    def _give_back(self, progress: Progress, problem: Problem) -> None:
+        """Free the key of a call that the caller is told never ran.
 
-        Told "not run", the caller tries the same key again. Were the claim
-        kept, every instance would take that for a duplicate, for good.
+        It would otherwise be used up, and the caller's own repetition of a
+        call that did nothing would be refused as a second one.
         """
         if progress.claim is None or problem.answer.ran is not Ran.NO:
             return
@@ -173,6 +174,7 @@
             delivered=progress.delivered > 0,
             resumable=bool(self._placer.list_candidates(progress)),
             unknown=progress.unknown,
+            urgent=progress.call.head.ticket.priority == FLAG_PRIORITY,
         )
         step = decide_next(
             outcome,
--- a/packages/verbenahall/src/verbenahall/front/_parts.py
+++ b/packages/verbenahall/src/verbenahall/front/_parts.py
@@ -40,6 +40,10 @@
     services: ServiceAdapter
 
 
+def ignore_release(workspace: str, key: str, offset: int) -> None:
+    """Keep the claim; the key then stays used."""
+
+
 def ignore_arrival(
     model: str,
     prompt_tokens: int,
@@ -48,30 +52,24 @@
     """Count no demand; for instances without automatic pools."""
 
 
-def keep_claim(workspace: str, key: str, offset: int) -> None:
-    """Give back no claim; for instances without claims."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Parts:
     """The states and clients that the front is composed with.
 
     ``live(kind, now, service)`` and ``standing(name, now)`` read the
-    membership; ``heard``, ``missed`` and ``leaving`` (each with a name) feed
-    it. ``settings()`` is the effective settings and ``position()`` their
+    membership; ``heard`` and ``missed`` (each with a name) feed it.
+    ``settings()`` is the effective settings and ``position()`` their
     offset. ``claim(workspace, key)`` is the claims' promise that a keyed
-    call has won; ``release(workspace, key, offset)`` gives back one that was
-    won at an offset for a call that never ran.
-    ``arrived(model, prompt_tokens, output_tokens)`` is told of each request
-    for a known model. ``unready()`` returns why the instance takes no
-    requests, or None. ``source`` is seeded apart on each instance.
+    call has won; ``release(workspace, key, offset)`` gives it back when it
+    surely never ran. ``arrived(model, prompt_tokens, output_tokens)`` hears
+    of each request for a known model. ``unready()`` returns why the instance
+    takes no requests, or None. ``source`` is seeded apart on each instance.
     """
 
     live: Callable[[EndpointKind, float, str], Sequence[Endpoint]]
     standing: Callable[[str, float], Standing]
     heard: Callable[[str], None]
     missed: Callable[[str], None]
-    leaving: Callable[[str], None]
     settings: Callable[[], Settings]
     position: Callable[[], int]
     claim: Claim
@@ -82,4 +80,4 @@
     source: random.Random
     clock: Clock = monotonic
     arrived: Callable[[str, int, int], None] = ignore_arrival
-    release: Callable[[str, str, int], None] = keep_claim
+    release: Callable[[str, str, int], None] = ignore_release
--- a/packages/verbenahall/src/verbenahall/front/_progress.py
+++ b/packages/verbenahall/src/verbenahall/front/_progress.py
@@ -45,9 +45,9 @@
 class Progress:
     """What one request has been through so far.
 
-    ``claim`` is the offset at which the call's key was won. ``delivered``
-    counts the tokens that reached the caller, and ``version`` is the model's
-    version that they came from.
+    ``delivered`` counts the tokens that reached the caller, and ``version``
+    is the model's version that they came from. ``claim`` is the offset at
+    which its key was won, None before.
     """
 
     __slots__ = (
@@ -55,7 +55,7 @@
         'wanted',
         'attempts',
         'excluded',
-        'claimed',
+        'needs_claim',
         'claim',
         'unknown',
         'delivered',
@@ -68,7 +68,7 @@
         self.wanted = name_wanted(call)
         self.attempts = 0
         self.excluded: frozenset[str] = frozenset()
-        self.claimed = call.repeatable or not call.head.key
+        self.needs_claim = bool(call.head.key) and not call.repeatable
         self.claim: int | None = None
         self.unknown = False
         self.delivered = 0
