--- a/packages/verbenahall/src/verbenahall/rollout/_shell.py
+++ b/packages/verbenahall/src/verbenahall/rollout/_shell.py
@@ -30,9 +30,9 @@
 from verbenahall.settings import EffectiveSettings
 
 _TICK_S: Final = 0.1
-#: How often to plan while no order is outstanding: a plan for 800 engines
-#: takes 5 ms, too much for every tick.
-_REST_PERIOD_S: Final = 0.5
+#: How many times as long as a plan takes nothing is planned after it. A plan's
+#: cost grows with the data centre, the time spent on plans must not.
+_REST: Final = 50
 #: How long to wait for a record whose append had no clear answer.
 _RECORD_WAIT_S: Final = 2.0
 _RECORD: Final = 'record'
@@ -102,7 +102,6 @@
         self._recording: frozenset[str] = frozenset()
         self._wait_offset = 0
         self._wait_until = -float('inf')
-        self._plan_at = -float('inf')
         self._waiting: frozenset[Waiting] = frozenset()
 
     async def run(self) -> None:
@@ -127,8 +126,10 @@
             return
         grant = self._orders.authority.find_grant(self._scope)
         take_over(self._dispatch, grant, now)
-        if self._is_settled(now) and (due or now >= self._plan_at):
+        if self._is_settled(now):
             self._plan(members, token, now)
+            spent_s = self._clock() - now
+            self._wait_until = max(self._wait_until, now + _REST * spent_s)
         # An order that is just being superseded is not sent: a new holder
         # would otherwise take the engine away for its predecessor's target
         # first and for its own right after.
@@ -171,7 +172,6 @@
         self._waiting = waiting
         planned = (*withdrawals, *rollout.orders)
         self._recording = frozenset(order.engine for order in planned)
-        self._plan_at = now + _REST_PERIOD_S
         if planned:
             self._tasks.start(_RECORD, self._record(planned, token))
 
