A predecessor's order is sent only in a step that has planned

Cause: test_paused_for_longer_than_the_settings_name failed 3 times on a busy machine (once each in a run of 39 and of 70 tests, once in 6 runs of its own). Of these one was seen to wait for version 2 alone: since planning rests by what a plan took, a step without a plan could send the earlier holder's order before the new holder's own. Then, in 2 of 6 runs, versions 2, 2 were seen: by reading, the engine stand-in begins a second change for a second copy of the order that it is carrying out; not traced. Change: an order under an earlier token goes out only in a step that has planned; the stand-in begins no second change. Ruled out: laxer assertions.

--- a/packages/standins/src/verbenahall_standins/holdings.py
+++ b/packages/standins/src/verbenahall_standins/holdings.py
@@ -113,7 +113,8 @@
         if answer.status in _TAKEN:
             self.fencing = max(self.fencing, order.fencing)
             self.order = order.text
-        if answer.status == _STARTED:
+        # A second copy of the running order must not start a second change.
+        if answer.status == _STARTED and not self.changing:
             self.changing = True
             self._task = asyncio.create_task(self._change(order))
         return answer
--- a/packages/verbenahall/src/verbenahall/rollout/_shell.py
+++ b/packages/verbenahall/src/verbenahall/rollout/_shell.py
@@ -120,20 +120,26 @@
         token = self._keeper.held(self._scope, now)
         due = outstanding(self._orders, self._scope)
         busy = {order.engine for order in due}
-        leading = token is not None
-        self._talk.ask_states(members, now, busy, leading=leading)
+        self._talk.ask_states(members, now, busy, leading=token is not None)
         if token is None:
             return
         grant = self._orders.authority.find_grant(self._scope)
         take_over(self._dispatch, grant, now)
-        if self._is_settled(now):
+        is_planned = self._is_settled(now)
+        if is_planned:
             self._plan(members, token, now)
             spent_s = self._clock() - now
             self._wait_until = max(self._wait_until, now + _REST * spent_s)
-        # An order that is just being superseded is not sent: a new holder
-        # would otherwise take the engine away for its predecessor's target
-        # first and for its own right after.
-        kept = [order for order in due if order.engine not in self._recording]
+        # An order that is just being superseded is not sent, nor one of an
+        # earlier holder in a step without a plan: a new holder would take
+        # the engine away for its predecessor's target first and for its own
+        # right after.
+        kept = [
+            order
+            for order in due
+            if order.engine not in self._recording
+            and (is_planned or order.token == token)
+        ]
         self._talk.send_due(members, kept, now)
 
     def _is_settled(self, now: float) -> bool:
