--- a/packages/verbenahall/src/verbenahall/config/__init__.py
+++ b/packages/verbenahall/src/verbenahall/config/__init__.py
@@ -1,6 +1,7 @@
 """The instance's own settings file."""
 
 from verbenahall.config._instance import (
+    INSTANCE_SCHEMA,
     AdminConfig,
     CredentialConfig,
     InstanceConfig,
@@ -11,6 +12,7 @@
 )
 
 __all__ = (
+    'INSTANCE_SCHEMA',
     'AdminConfig',
     'CredentialConfig',
     'InstanceConfig',
--- a/packages/verbenahall/src/verbenahall/instance/_core.py
+++ b/packages/verbenahall/src/verbenahall/instance/_core.py
@@ -17,7 +17,12 @@
 from verbenahall.instance._experience import Experience
 from verbenahall.instance._folds import Folds
 from verbenahall.log import LogClient
-from verbenahall.membership import MembershipState, live
+from verbenahall.membership import (
+    MembershipRules,
+    MembershipState,
+    all_endpoints,
+    live,
+)
 from verbenahall.snapshots import SnapshotKeeper
 
 _INCARNATION_BYTES: Final = 4
@@ -43,13 +48,16 @@
         )
         self.claims = Claims(self.client, self.holder)
         self.folds = Folds(self.claims)
-        self.members = MembershipState()
+        self.members = MembershipState(
+            MembershipRules(silent_after_s=config.timing.silent_after_s),
+        )
         self.experience = Experience(self.members, self.folds.orders)
         self.snapshots = SnapshotKeeper(
             self.client,
             self.folds.list_foldables(),
             self.sessions.kept,
             self._list_peers,
+            is_peer=self._is_peer,
         )
         self.stopping = False
 
@@ -81,5 +89,13 @@
         others.sort(key=self._is_far)
         return [peer.address for peer in others]
 
+    def _is_peer(self, host: str) -> bool:
+        """Whether a host is that of an instance on the platform's list."""
+        return any(
+            endpoint.kind is EndpointKind.INSTANCE
+            and endpoint.address.rpartition(':')[0] == host
+            for endpoint in all_endpoints(self.members)
+        )
+
     def _is_far(self, peer: Endpoint) -> bool:
         return peer.data_centre != self.config.data_centre
--- a/packages/verbenahall/src/verbenahall/instance/_serve.py
+++ b/packages/verbenahall/src/verbenahall/instance/_serve.py
@@ -85,7 +85,13 @@
 def _tell_address(runner: web.AppRunner, config: InstanceConfig) -> None:
     """Print where the instance listens, which port 0 leaves open."""
     host, port = runner.addresses[0]
-    logging.info('instance %s listens on %s:%d', config.name, host, port)
+    logging.info(
+        'instance %s of deployment %s listens on %s:%d',
+        config.name,
+        config.deployment,
+        host,
+        port,
+    )
     sys.stdout.write(f'listening {host}:{port}\n')
     sys.stdout.flush()
 
--- a/packages/verbenahall/src/verbenahall/snapshots/_shell.py
+++ b/packages/verbenahall/src/verbenahall/snapshots/_shell.py
@@ -25,6 +25,12 @@
 
 #: Returns the addresses of peers, nearest first, at this moment.
 Peers = Callable[[], Sequence[str]]
+#: Tells whether a host (an IP number) is that of a peer.
+IsPeer = Callable[[str], bool]
+
+
+def _admit_all(host: str) -> bool:
+    return True
 
 
 class SnapshotKeeper:
@@ -42,6 +48,7 @@
         'writer',
         '_client',
         '_folds',
+        '_is_peer',
         '_peers',
         '_session',
         '_store',
@@ -54,8 +61,13 @@
         session: ClientSession,
         peers: Peers,
         schedule: Schedule | None = None,
+        is_peer: IsPeer = _admit_all,
     ) -> None:
-        """Keep ``folds``; ``session`` is for peers."""
+        """Keep ``folds``; ``session`` is for peers.
+
+        ``is_peer`` says whether a host may have this instance's snapshot.
+        """
+        self._is_peer = is_peer
         self.ready = False
         self.reason = 'the log was not read yet'
         self.follower = LogFollower(
@@ -159,6 +171,11 @@
         self.writer.note_mark(record)
 
     async def _answer_peer(self, request: web.Request) -> web.Response:
+        # A snapshot holds every team's settings. Given to whoever reaches
+        # the port, it would go around the credentials of the administration.
+        if not self._is_peer(request.remote or ''):
+            complaint = 'snapshots are for instances on the list'
+            raise ProblemError(Problem(ErrorKind.FORBIDDEN, complaint))
         if not self.ready:
             raise ProblemError(Problem(ErrorKind.NOT_READY, self.reason))
         packed = await self.writer.pack()
--- /dev/null
+++ b/packages/verbenahall/tests/snapshots/test_strangers.py
@@ -0,0 +1,62 @@
+"""Who is given an instance's snapshot."""
+
+import asyncio
+
+import pytest
+from aiohttp import ClientSession, web
+from returns.result import Success
+
+from verbenahall.errors import ProblemError
+from verbenahall.log import Page
+from verbenahall.settings import SettingsFold, SettingsState
+from verbenahall.snapshots import SNAPSHOT_PATH, SnapshotKeeper
+
+
+class EmptyLog:
+    """A log in which nothing was ever appended."""
+
+    async def read(self, *asked):
+        return Success(Page((), 1, 0))
+
+
+@web.middleware
+async def tell_status(request, handler):
+    try:
+        return await handler(request)
+    except ProblemError as error:
+        return web.Response(status=error.problem.answer.status)
+
+
+async def ask(is_peer):
+    keeper = SnapshotKeeper(
+        EmptyLog(),
+        [SettingsFold(SettingsState())],
+        None,
+        list,
+        is_peer=is_peer,
+    )
+    await keeper.start()
+    app = web.Application(middlewares=(tell_status,))
+    keeper.add_routes(app)
+    runner = web.AppRunner(app)
+    await runner.setup()
+    await web.TCPSite(runner, '127.0.0.1', 0).start()
+    host, port = runner.addresses[0]
+    async with ClientSession() as session:
+        url = f'http://{host}:{port}{SNAPSHOT_PATH}'
+        async with session.get(url) as answer:
+            status = answer.status
+    await runner.cleanup()
+    return status
+
+
+@pytest.mark.parametrize(
+    ('host', 'status'),
+    [('127.0.0.1', 200), ('127.0.0.2', 403)],
+)
+def test_only_hosts_of_listed_instances_get_snapshots(host, status):
+    """A process that is no instance asks for a snapshot.
+
+    It would read the settings of every team, past all credentials.
+    """
+    assert asyncio.run(ask(lambda remote: remote == host)) == status
--- /dev/null
+++ b/packages/verbenahall/tests/test_pages.py
@@ -0,0 +1,40 @@
+"""The operators' tables name what the code has."""
+
+from pathlib import Path
+
+import pytest
+
+from verbenahall.config import INSTANCE_SCHEMA
+from verbenahall.errors import ANSWERS, ErrorKind
+from verbenahall.schema import Rows, Table
+
+PAGES = Path(__file__).parents[3] / 'docs' / 'operations'
+
+
+def list_keys(member, prefix=''):
+    """Yield each key of a schema, dotted."""
+    match member:
+        case Table():
+            for name, inner in member.members.items():
+                yield from list_keys(
+                    inner, f'{prefix}.{name}' if prefix else name
+                )
+        case Rows():
+            yield from list_keys(member.member, f'{prefix}[]')
+        case _:
+            yield prefix
+
+
+@pytest.mark.parametrize('kind', ErrorKind)
+def test_error_table_is_the_code_s(kind):
+    """An operator looks up an error that a caller was told."""
+    answer = ANSWERS[kind]
+    start = f'| `{kind.value}` | {answer.status} | {answer.ran.value} |'
+
+    assert start in (PAGES / 'errors.md').read_text()
+
+
+@pytest.mark.parametrize('key', list_keys(INSTANCE_SCHEMA))
+def test_settings_page_names_every_key(key):
+    """A key that the page leaves out is found by nobody."""
+    assert f'`{key}`' in (PAGES / 'instance-settings.md').read_text()
