--- /dev/null
+++ b/packages/standins/src/verbenahall_standins/actions.py
@@ -0,0 +1,186 @@
+"""What each fault does to the request that it meets."""
+
+import asyncio
+import dataclasses
+import socket
+import struct
+from collections.abc import Awaitable, Callable, Mapping
+from types import MappingProxyType
+from typing import Any, Final
+
+from aiohttp import web
+
+from verbenahall_standins import answers
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+#: SO_LINGER on, zero seconds: close sends RST instead of FIN.
+_RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
+#: Lets the written part leave before RST drops what is unsent.
+_FLUSH_S: Final = 0.01
+
+
+_UNLIMITED: Final = 1 << 60
+
+
+@dataclasses.dataclass(slots=True)
+class Fault:
+    """One fault; fields that its ``name`` does not use are ignored."""
+
+    name: str
+    path: str = ''
+    holders: tuple[str, ...] = ()
+    count: int = _UNLIMITED
+    delay_s: float = 0
+    after_bytes: int = 0
+    after_chunks: int = 0
+    started: bool = True
+
+
+def reset_connection(request: web.Request) -> None:
+    """Close the request's connection with RST, dropping unsent bytes."""
+    transport = request.transport
+    if transport is None:
+        return
+    endpoint = transport.get_extra_info('socket')
+    endpoint.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    transport.abort()
+
+
+async def _answer_down(
+    fault: Fault,
+    request: web.Request,
+    handler: Handler,
+) -> web.StreamResponse:
+    return answers.refuse_late('down')
+
+
+async def _answer_refusal(
+    fault: Fault,
+    request: web.Request,
+    handler: Handler,
+) -> web.StreamResponse:
+    return answers.refuse('refused by a fault')
+
+
+async def _act_slowly(
+    fault: Fault,
+    request: web.Request,
+    handler: Handler,
+) -> web.StreamResponse:
+    await asyncio.sleep(fault.delay_s)
+    return await handler(request)
+
+
+async def _answer_late(
+    fault: Fault,
+    request: web.Request,
+    handler: Handler,
+) -> web.StreamResponse:
+    answer = await handler(request)
+    await asyncio.sleep(fault.delay_s)
+    return answer
+
+
+async def _hang(
+    fault: Fault,
+    request: web.Request,
+    handler: Handler,
+) -> web.StreamResponse:
+    if fault.started:
+        await handler(request)
+    await asyncio.Event().wait()
+    return answers.answer_json({})
+
+
+async def _drop(
+    fault: Fault,
+    request: web.Request,
+    handler: Handler,
+) -> web.StreamResponse:
+    reset_connection(request)
+    return answers.answer_json({})
+
+
+async def _lose_answer(
+    fault: Fault,
+    request: web.Request,
+    handler: Handler,
+) -> web.StreamResponse:
+    request['reset_after_bytes'] = 0
+    answer = await handler(request)
+    reset_connection(request)
+    return answer
+
+
+async def _reset(
+    fault: Fault,
+    request: web.Request,
+    handler: Handler,
+) -> web.StreamResponse:
+    """Reset after ``after_bytes`` of the answer; 0 is before its first."""
+    if not fault.started:
+        reset_connection(request)
+        return answers.answer_json({})
+    request['reset_after_bytes'] = fault.after_bytes
+    answer = await handler(request)
+    if isinstance(answer, web.Response) and fault.after_bytes:
+        await _write_part(answer, request, fault.after_bytes)
+    reset_connection(request)
+    return answer
+
+
+async def _write_part(
+    answer: web.Response,
+    request: web.Request,
+    size: int,
+) -> None:
+    body = bytes(answer.body or b'')
+    part = web.StreamResponse(status=answer.status, headers=answer.headers)
+    part.content_length = len(body)
+    await part.prepare(request)
+    await part.write(body[:size])
+    await asyncio.sleep(_FLUSH_S)
+
+
+async def _truncate(
+    fault: Fault,
+    request: web.Request,
+    handler: Handler,
+) -> web.StreamResponse:
+    """End a stream in good order after ``after_chunks``, without its end."""
+    request['truncate_after_chunks'] = fault.after_chunks
+    return await handler(request)
+
+
+async def _duplicate(
+    fault: Fault,
+    request: web.Request,
+    handler: Handler,
+) -> web.StreamResponse:
+    """Write each chunk of a stream, or the whole plain answer, twice."""
+    request['duplicate'] = True
+    answer = await handler(request)
+    if isinstance(answer, web.Response) and request.transport:
+        await answer.prepare(request)
+        body = bytes(answer.body or b'')
+        await answer.write_eof()
+        head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n'
+        request.transport.write(head.encode() + body)
+    return answer
+
+
+ACTIONS: Final[Mapping[str, Any]] = MappingProxyType(
+    {
+        'down': _answer_down,
+        'refuse': _answer_refusal,
+        'slow': _act_slowly,
+        'late': _answer_late,
+        'hang': _hang,
+        'partition': _drop,
+        'lose_answer': _lose_answer,
+        'reset': _reset,
+        'truncate': _truncate,
+        'duplicate': _duplicate,
+    },
+)
--- /dev/null
+++ b/packages/standins/src/verbenahall_standins/calls.py
@@ -0,0 +1,86 @@
+"""Completion requests as an engine stand-in reads and answers them."""
+
+import dataclasses
+from typing import Final
+
+import orjson
+from aiohttp import web
+
+from verbenahall import wire
+from verbenahall_standins import answers, cost, text
+
+_DEFAULT_OUTPUT: Final = 16
+_LOWEST_PRIORITY: Final = 9
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """One completion request as the engine has read it."""
+
+    attempt: str
+    priority: int
+    prompt: str
+    model: str
+    adapter: str
+    output: int
+    stream: bool
+    resume_from: int
+    kv_from: str
+    prefill_only: bool
+    is_chat: bool
+    key: str
+
+    @property
+    def seed(self) -> int:
+        """The seed of the answer's text."""
+        return text.seed_answer(self.model, self.adapter, self.prompt)
+
+
+async def read_call(request: web.Request) -> Call:
+    """Read a completion request."""
+    body = orjson.loads(await request.read())
+    headers = request.headers
+    return Call(
+        attempt=headers.get('X-Attempt-Id', ''),
+        priority=int(headers.get('X-Priority', _LOWEST_PRIORITY)),
+        prompt=text.find_prompt(body),
+        model=body.get('model', ''),
+        adapter=body.get('adapter') or '',
+        output=int(body.get('max_tokens') or _DEFAULT_OUTPUT),
+        stream=bool(body.get('stream')),
+        resume_from=int(body.get('resume_from', 0)),
+        kv_from=body.get('kv_from', ''),
+        prefill_only=bool(body.get('prefill_only')),
+        is_chat=request.path.endswith('/chat/completions'),
+        key=headers.get('Idempotency-Key', ''),
+    )
+
+
+def build_whole(call: Call, headers: dict[str, str]) -> web.Response:
+    """Build the plain answer to a completion request."""
+    indexes = range(call.resume_from, call.output)
+    written = ''.join(text.write_chunk(call.seed, index) for index in indexes)
+    choice = {'index': 0, 'text': written, 'finish_reason': 'length'}
+    if call.is_chat:
+        choice['message'] = {'role': 'assistant', 'content': written}
+    usage = {
+        'prompt_tokens': cost.count_tokens(call.prompt),
+        'completion_tokens': len(indexes),
+    }
+    body = {
+        'attempt': call.attempt,
+        'model': call.model,
+        'choices': [choice],
+        'usage': usage,
+    }
+    return answers.answer_json(body, headers=headers)
+
+
+def write_event(call: Call, index: int) -> bytes:
+    """Write one chunk of a stream as a server-sent event."""
+    word = text.write_chunk(call.seed, index)
+    choice = {'text': word}
+    if call.is_chat:
+        choice['delta'] = {'content': word}
+    event = {'attempt': call.attempt, 'index': index, 'choices': [choice]}
+    return b'data: %b\n\n' % wire.encode(event)
--- /dev/null
+++ b/packages/standins/src/verbenahall_standins/chunks.py
@@ -0,0 +1,79 @@
+"""Writes an engine stand-in's streams."""
+
+from typing import Final
+
+from aiohttp import web
+
+from verbenahall_standins.actions import reset_connection
+from verbenahall_standins.calls import Call, write_event
+
+_DONE: Final = b'data: [DONE]\n\n'
+_NEVER: Final = 1 << 60
+
+
+class ChunkWriter:
+    """Writes one stream's events, with the faults that cut or double it."""
+
+    __slots__ = (
+        '_answer',
+        '_call',
+        '_copies',
+        '_is_cut',
+        '_limit',
+        '_request',
+        '_reset_after',
+        '_sent',
+        '_sent_bytes',
+    )
+
+    def __init__(self, request: web.Request, call: Call) -> None:
+        """Write to the request's connection."""
+        self._request = request
+        self._call = call
+        self._answer = web.StreamResponse()
+        self._copies = 2 if request.get('duplicate') else 1
+        self._limit = request.get('truncate_after_chunks', _NEVER)
+        self._reset_after = request.get('reset_after_bytes', _NEVER)
+        self._is_cut = False
+        self._sent = 0
+        self._sent_bytes = 0
+
+    async def start(self, headers: dict[str, str]) -> None:
+        """Send the head of the answer."""
+        self._answer.headers.update(headers)
+        self._answer.content_type = 'text/event-stream'
+        if self._reset_after:
+            await self._answer.prepare(self._request)
+
+    async def write_until(self, produced: int) -> bool:
+        """Write the chunks up to ``produced``; false once a fault cut it."""
+        first = self._call.resume_from
+        while self._sent < produced:
+            if self._sent >= self._limit:
+                return False
+            event = write_event(self._call, first + self._sent)
+            if not await self._write(event):
+                return False
+            self._sent += 1
+        return True
+
+    async def finish(self, whole: bool) -> web.StreamResponse:
+        """End the answer, with its closing event only if it is whole."""
+        if self._is_cut:
+            return self._answer
+        if whole and self._sent < self._limit:
+            await self._write(_DONE)
+        await self._answer.write_eof()
+        return self._answer
+
+    async def _write(self, event: bytes) -> bool:
+        self._sent_bytes += len(event)
+        if self._sent_bytes > self._reset_after:
+            kept = len(event) - self._sent_bytes + self._reset_after
+            if kept > 0:
+                await self._answer.write(event[:kept])
+            reset_connection(self._request)
+            self._is_cut = True
+            return False
+        await self._answer.write(event * self._copies)
+        return True
--- a/packages/standins/src/verbenahall_standins/comparison.py
+++ b/packages/standins/src/verbenahall_standins/comparison.py
@@ -10,6 +10,7 @@
 from verbenahall_standins import bound, policies
 from verbenahall_standins.lines import Line
 from verbenahall_standins.load import percentile_ms
+from verbenahall_standins.ours import Ours
 from verbenahall_standins.simulation import Outcome, Policy, Simulation
 from verbenahall_standins.traces import WORKLOADS, Workload, write_trace
 
@@ -26,7 +27,7 @@
         _NAIVE: lambda workload, seed: policies.Naive(),
         'least load': lambda workload, seed: policies.LeastLoad(),
         'reactive': lambda workload, seed: policies.Reactive(),
-        'ours': policies.Ours,
+        'ours': Ours,
     },
 )
 
--- a/packages/standins/src/verbenahall_standins/simulation.py
+++ b/packages/standins/src/verbenahall_standins/simulation.py
@@ -20,6 +20,8 @@
 INSTANCES_PER_SITE: Final = 3
 
 
+#: Jobs running and queued, by engine.
+Loads = Mapping[str, tuple[int, int]]
 #: When, a tie-breaking number, what is called, and what it is given.
 _Event = tuple[float, int, Any, Any]
 
@@ -83,7 +85,7 @@
     def finish(self, instance: int, outcome: Outcome, now: float) -> None:
         """Note that a request is over."""
 
-    def report(self, loads: Mapping[str, Any], now: float) -> None:
+    def report(self, loads: Loads, now: float) -> None:
         """Take reports, which are ``REPORT_S`` old, by engine."""
 
     def plan(
