--- a/packages/verbenahall/src/verbenahall/rollout/_engines.py
+++ b/packages/verbenahall/src/verbenahall/rollout/_engines.py
@@ -7,17 +7,17 @@
 
 from verbenahall.clock import Clock
 from verbenahall.fleet import Endpoint
-from verbenahall.journal import write_decision
 from verbenahall.orders import (
     Dispatch,
     Order,
     OrderSender,
     OrdersState,
     may_send,
-    note_outcome,
     note_sending,
     observe_report,
+    send_noted,
 )
+from verbenahall.rollout._lines import tell_sent
 from verbenahall.rollout._tasks import Tasks
 from verbenahall.rollout._views import Member
 
@@ -132,14 +132,15 @@
             observe_report(self._orders, report, asked_at)
 
     async def _send(self, order: Order, endpoint: Endpoint) -> None:
-        outcome = await self._sender.send(order, endpoint)
-        note_outcome(self._dispatch, order, outcome, self._clock())
-        write_decision(
-            'order',
-            engine=order.engine,
-            order=order.number,
-            outcome=outcome.value,
+        report = self._orders.reports[order.engine]
+        outcome = await send_noted(
+            self._sender,
+            self._dispatch,
+            order,
+            endpoint,
+            self._clock,
         )
+        tell_sent(order, outcome, report.holding.role)
 
 
 def _identify(endpoint: Endpoint) -> tuple[str, str]:
