The data centre's engines are picked out when members change only

Ruled out: an index kept by hand in membership, which every rule would have to keep right. Change: membership counts a revision when a member comes, goes or is replaced; the lists are sorted anew only then. The capacity tool's folds and fleet parts are modules of their own.

--- a/packages/standins/src/verbenahall_standins/capacity/__main__.py
+++ b/packages/standins/src/verbenahall_standins/capacity/__main__.py
@@ -4,12 +4,17 @@
 from types import MappingProxyType
 from typing import Final
 
+from verbenahall_standins.capacity._fleet import measure_fleet
 from verbenahall_standins.capacity._folds import measure_folds
 from verbenahall_standins.capacity._report import tell
 from verbenahall_standins.capacity._rest import measure_rest
 
 _MEASUREMENTS: Final = MappingProxyType(
-    {'folds': measure_folds, 'rest': measure_rest},
+    {
+        'fleet': measure_fleet,
+        'folds': measure_folds,
+        'rest': measure_rest,
+    },
 )
 
 
--- /dev/null
+++ b/packages/standins/src/verbenahall_standins/capacity/_fleet.py
@@ -0,0 +1,159 @@
+"""What an instance keeps and decides about a fleet, at growing sizes."""
+
+import functools
+import random
+from collections.abc import Iterator
+from typing import Final
+
+from verbenahall import wire
+from verbenahall.fleet import (
+    Endpoint,
+    EndpointKind,
+    Role,
+    Standing,
+    Target,
+)
+from verbenahall.load import LoadState, Report, observe_report
+from verbenahall.membership import (
+    ListEntry,
+    MembershipState,
+    StandingChange,
+    all_endpoints,
+    apply_list,
+    standing_of,
+)
+from verbenahall.rollout import EngineView, plan
+from verbenahall.routing import Candidate, Question, RoutingState, choose
+from verbenahall.settings import (
+    EffectiveSettings,
+    ModelSettings,
+    PoolSettings,
+)
+from verbenahall_standins.capacity._report import Point, Series
+from verbenahall_standins.capacity._timing import (
+    Row,
+    take_column,
+    time_us,
+    trace,
+)
+
+_ENDPOINTS: Final = (10, 100, 1000, 3000)
+_FIRST_PORT: Final = 8000
+_PROMPT_TOKENS: Final = 900
+_OUTPUT_TOKENS: Final = 100
+_HELD: Final = Target(Role.MIXED, (('draft', '1'),))
+
+
+def measure_fleet() -> Iterator[Series]:
+    """Yield the series of membership, routing, rollout and standings."""
+    yield from _measure_membership()
+    yield from _measure_routing()
+    yield _measure_plan()
+    yield _measure_standings()
+
+
+def _measure_membership() -> Iterator[Series]:
+    rows = [_measure_list(size) for size in _ENDPOINTS]
+    for name, column in (
+        ('membership memory (B)', 0),
+        ('membership list fold (us)', 1),
+        ('membership list message (B)', 2),
+    ):
+        yield take_column(name, 'endpoints', rows, column)
+
+
+def _measure_list(size: int) -> Row:
+    state = MembershipState(notify=_ignore)
+    entries = [ListEntry(_engine(number)) for number in range(size)]
+    used = trace(functools.partial(apply_list, state, entries, 0))
+    spent = time_us(functools.partial(apply_list, state, entries, 1))
+    return size, (used, spent, len(wire.encode(entries)))
+
+
+def _measure_routing() -> Iterator[Series]:
+    rows = [_measure_choice(size) for size in _ENDPOINTS]
+    yield take_column('load memory (B)', 'endpoints', rows, 0)
+    yield take_column('routing choice (us)', 'endpoints', rows, 1)
+
+
+def _measure_choice(size: int) -> Row:
+    load = LoadState()
+    candidates = [
+        Candidate(_engine(number), Role.MIXED) for number in range(size)
+    ]
+    used = trace(functools.partial(_report, load, candidates))
+    state = RoutingState('entry', 'aber', random.Random(1))
+    question = Question('r', _PROMPT_TOKENS, _OUTPUT_TOKENS)
+    spent = time_us(
+        functools.partial(choose, state, question, candidates, load, 1),
+    )
+    return size, (used, spent)
+
+
+def _measure_plan() -> Series:
+    points = []
+    for size in _ENDPOINTS:
+        settings = _publish_pool(size)
+        views = [
+            EngineView(f'engine-{number}', str(number), _HELD)
+            for number in range(size)
+        ]
+        spent = time_us(functools.partial(plan, settings, 'aber', views))
+        points.append(Point(size, spent))
+    return Series('rollout plan (us)', 'engines', points)
+
+
+def _measure_standings() -> Series:
+    points = []
+    for size in _ENDPOINTS:
+        state = MembershipState(notify=_ignore)
+        entries = [ListEntry(_engine(number)) for number in range(size)]
+        apply_list(state, entries, 0)
+        spent = time_us(functools.partial(_read_standings, state))
+        points.append(Point(size, spent))
+    return Series('standings of a step (us)', 'endpoints', points)
+
+
+def _read_standings(state: MembershipState) -> list[Standing]:
+    return [
+        standing_of(state, endpoint.name, 1)
+        for endpoint in all_endpoints(state)
+    ]
+
+
+def _publish_pool(size: int) -> EffectiveSettings:
+    settings = EffectiveSettings()
+    settings.models['draft'] = ModelSettings('draft', '1', 1, 1, 'desk')
+    settings.pools['all'] = PoolSettings(
+        name='all',
+        data_centre='aber',
+        engines=tuple(f'engine-{number}' for number in range(size)),
+        models=('draft',),
+        adapters=(),
+        prefill=0,
+        decode=0,
+        automatic=False,
+        team='desk',
+    )
+    return settings
+
+
+def _engine(number: int) -> Endpoint:
+    port = _FIRST_PORT + number
+    return Endpoint(
+        name=f'engine-{number}',
+        kind=EndpointKind.ENGINE,
+        address=f'127.0.0.1:{port}',
+        data_centre='aber',
+        incarnation=str(number),
+    )
+
+
+def _report(load: LoadState, candidates: list[Candidate]) -> None:
+    for candidate in candidates:
+        report = Report(running=3, queued=0, kv_free_share=1)
+        observe_report(load, candidate.endpoint.name, report, 0)
+
+
+def _ignore(change: StandingChange) -> None:
+    """Write no decision line; the fold alone is measured."""
--- a/packages/verbenahall/src/verbenahall/instance/_surroundings.py
+++ b/packages/verbenahall/src/verbenahall/instance/_surroundings.py
@@ -23,7 +23,15 @@
 class Surroundings:
     """Settings in force, the data centre's engines, and wished roles."""
 
-    __slots__ = ('_data_centre', '_folds', '_members', 'roles')
+    __slots__ = (
+        '_data_centre',
+        '_far',
+        '_folds',
+        '_members',
+        '_own',
+        '_revision',
+        'roles',
+    )
 
     def __init__(
         self,
@@ -35,6 +43,9 @@
         self._data_centre = data_centre
         self._folds = folds
         self._members = members
+        self._revision = -1
+        self._own: list[Endpoint] = []
+        self._far: list[Endpoint] = []
         self.roles: Callable[[], Mapping[str, Role]] = dict
 
     def read_settings(self) -> EffectiveSettings:
@@ -48,39 +59,24 @@
             for engine in self.own_engines()
         ]
 
-    def own_engines(self) -> list[Endpoint]:
+    def own_engines(self) -> Sequence[Endpoint]:
         """Return the data centre's engines, whatever their standing."""
-        return [
-            endpoint
-            for endpoint in all_endpoints(self._members)
-            if endpoint.kind is EndpointKind.ENGINE
-            and endpoint.data_centre == self._data_centre
-        ]
+        self._sort_engines()
+        return self._own
 
-    def watched_engines(self) -> list[Endpoint]:
+    def watched_engines(self) -> Sequence[Endpoint]:
         """Return the own engines, and a few of other data centres.
 
         Requests spill over to these when the own ones are all gone. Which
         ones differs by data centre, so that not all spill to the same.
         """
-        far = {
-            endpoint.name: endpoint
-            for endpoint in all_endpoints(self._members)
-            if endpoint.kind is EndpointKind.ENGINE
-            and endpoint.data_centre != self._data_centre
-        }
-        ranked = rank_by_rendezvous(self._data_centre, far)
-        return [
-            *self.own_engines(),
-            *(far[name] for name in ranked[:_SPILL_ENGINES]),
-        ]
+        self._sort_engines()
+        return [*self._own, *self._far]
 
     def is_far(self, name: str) -> bool:
         """Whether an endpoint stands in another data centre."""
         endpoint = find(self._members, name)
-        return endpoint is not None and (
-            endpoint.data_centre != self._data_centre
-        )
+        return endpoint is not None and self._is_elsewhere(endpoint)
 
     def standing(self, name: str) -> Standing:
         """Return an endpoint's standing at this moment."""
@@ -89,3 +85,25 @@
     def read_roles(self) -> Mapping[str, Role]:
         """Return the role planner's wish for engines of automatic pools."""
         return self.roles()
+
+    def _sort_engines(self) -> None:
+        """Pick out the engines anew when members have come or gone.
+
+        Several loops ask for them many times a second, and a list of all
+        endpoints is long.
+        """
+        if self._revision == self._members.revision:
+            return
+        self._revision = self._members.revision
+        engines = [
+            endpoint
+            for endpoint in all_endpoints(self._members)
+            if endpoint.kind is EndpointKind.ENGINE
+        ]
+        self._own = [one for one in engines if not self._is_elsewhere(one)]
+        far = {one.name: one for one in engines if self._is_elsewhere(one)}
+        ranked = rank_by_rendezvous(self._data_centre, far)
+        self._far = [far[name] for name in ranked[:_SPILL_ENGINES]]
+
+    def _is_elsewhere(self, endpoint: Endpoint) -> bool:
+        return endpoint.data_centre != self._data_centre
--- a/packages/verbenahall/src/verbenahall/membership/_listing.py
+++ b/packages/verbenahall/src/verbenahall/membership/_listing.py
@@ -53,6 +53,7 @@
         _disown(state, old.endpoint)
     member = Member(endpoint, former, now)
     state.members[endpoint.name] = member
+    state.revision += 1
     state.owners[endpoint.address] = endpoint.name
     state.live_cache.clear()
     return member
@@ -67,6 +68,7 @@
 def forget(state: MembershipState, member: Member) -> None:
     """Drop a member and its claim to its address."""
     state.members.pop(member.endpoint.name)
+    state.revision += 1
     state.peers.pop(member.endpoint.name, None)
     _disown(state, member.endpoint)
 
--- a/packages/verbenahall/src/verbenahall/membership/_state.py
+++ b/packages/verbenahall/src/verbenahall/membership/_state.py
@@ -92,8 +92,9 @@
     """All members by name, who owns each address, what peers last said.
 
     ``notify`` gets each change of standing; by default it writes a decision
-    line. ``live_cache`` is emptied at each change, so that a request pays
-    one look-up.
+    line. ``revision`` grows whenever a member comes, goes or is replaced, for
+    those who keep a list of them. ``live_cache`` is emptied at each change, so
+    that a request pays one look-up.
     """
 
     __slots__ = (
@@ -103,6 +104,7 @@
         'removals',
         'peers',
         'live_cache',
+        'revision',
         'settle_at',
         'listed_at',
         'notify',
@@ -118,6 +120,7 @@
         self.members: dict[str, Member] = {}
         self.owners: dict[str, str] = {}
         self.removals: dict[Group, collections.deque[float]] = {}
+        self.revision = 0
         self.live_cache: dict[
             tuple[EndpointKind, str], tuple[Endpoint, ...]
         ] = {}
