An engine is known by its own word; a quiet log counts as heard

Cause: following the README's first request by hand, each call met 503 no_endpoint. The list named no life of the engine, requests go to a known life only, and the state polls passed on nothing but leaving. The same held for a replaced engine while the list lags. Beside it, the instance claimed no lease for 5 s on a quiet log, since only a long poll's answer counted as contact. Ruled out: routing and the engine's models, by its state. Change: each state poll tells membership the engine's life and whether it leaves; reading the log at the start counts as contact.

--- a/packages/verbenahall/src/verbenahall/instance/_experience.py
+++ b/packages/verbenahall/src/verbenahall/instance/_experience.py
@@ -6,13 +6,14 @@
 from verbenahall import clock
 from verbenahall.fleet import Endpoint, EndpointKind, Standing
 from verbenahall.instance._surroundings import Surroundings
-from verbenahall.load import EngineStates
+from verbenahall.load import EngineState, EngineStates
 from verbenahall.membership import (
     MembershipState,
     live,
     observe_answer,
     observe_failure,
     observe_leaving,
+    observe_word,
     standing_of,
 )
 from verbenahall.orders import OrdersState, is_changing
@@ -91,3 +92,18 @@
     def leaving(self, name: str) -> None:
         """Note the endpoint's own word that it leaves."""
         observe_leaving(self._members, name, clock.monotonic())
+
+    def told(self, found: EngineState) -> None:
+        """Note an engine's own word on its life and on whether it leaves.
+
+        The list lags behind a replacement, or names no life at all; requests
+        go only to the life that membership knows, so without the engine's
+        word nobody would use it.
+        """
+        observe_word(
+            self._members,
+            found.name,
+            found.incarnation,
+            leaving=found.leaving,
+            now=clock.monotonic(),
+        )
--- a/packages/verbenahall/src/verbenahall/instance/_wiring.py
+++ b/packages/verbenahall/src/verbenahall/instance/_wiring.py
@@ -59,7 +59,7 @@
             self.core.config.timing.load_poll_s,
             heard=experience.heard,
             missed=experience.missed,
-            leaving=experience.leaving,
+            told=experience.told,
             urgent=functools.partial(is_changing, self.core.folds.orders),
             far=self.control.surroundings.is_far,
         )
--- a/packages/verbenahall/src/verbenahall/load/_shell.py
+++ b/packages/verbenahall/src/verbenahall/load/_shell.py
@@ -47,7 +47,8 @@
     spends do not grow with the fleet, and load is mostly known from reports
     on answers.
     ``heard(name)`` and ``missed(name)`` feed the membership with the poll's
-    outcome, ``leaving(name)`` with the engine's own word that it leaves.
+    outcome, ``told(state)`` with the engine's own word on its life and on
+    whether it leaves.
     """
 
     def __init__(
@@ -59,7 +60,7 @@
         period_s: float,
         heard: Callable[[str], None],
         missed: Callable[[str], None],
-        leaving: Callable[[str], None],
+        told: Callable[[EngineState], None],
         urgent: Callable[[str], bool] = _never,
         far: Callable[[str], bool] = _never,
         clock: Clock = monotonic,
@@ -72,7 +73,7 @@
         self._period_s = period_s
         self._heard = heard
         self._missed = missed
-        self._leaving = leaving
+        self._told = told
         self._urgent = urgent
         self._far = far
         self._asked_at: dict[str, float] = {}
@@ -133,8 +134,7 @@
         if found.name != endpoint.name:
             self._missed(endpoint.name)
             return
+        self._told(found)
         self._heard(endpoint.name)
         self._states.put(found)
         observe_report(self._load, found.name, found.report, self._clock())
-        if found.leaving:
-            self._leaving(found.name)
--- a/packages/verbenahall/src/verbenahall/snapshots/_shell.py
+++ b/packages/verbenahall/src/verbenahall/snapshots/_shell.py
@@ -9,6 +9,7 @@
 from aiohttp import ClientSession, web
 from returns.result import Failure, Result, Success
 
+from verbenahall import clock
 from verbenahall.errors import ErrorKind, Problem, ProblemError
 from verbenahall.log import LogClient, LogFollower
 from verbenahall.records import Record
@@ -135,6 +136,9 @@
             self.reason = read.failure().message
             return False
         page = read.unwrap()
+        # The log has answered. An instance on a quiet log would otherwise
+        # count it as unheard for a whole long poll, and claim no lease.
+        self.follower.last_contact = clock.monotonic()
         self.follower.head = max(self.follower.head, page.last)
         lowest = max(page.first - 1, self.follower.position)
         taken = await self._store.take_newest(lowest, self._take)
--- a/packages/verbenahall/tests/load/test_poller.py
+++ b/packages/verbenahall/tests/load/test_poller.py
@@ -33,7 +33,7 @@
                 PERIOD_S,
                 heard=asked.update,
                 missed=lambda name: asked.update([name]),
-                leaving=asked.update,
+                told=asked.update,
                 urgent=lambda name: name == 'near-1',
                 far=lambda name: name.startswith('far'),
                 clock=lambda: next(times) * PERIOD_S,
