A silent endpoint that was marked leaving and unmarked is no flapping one

The turn from silent to leaving was taken for a recovery, so the turn back counted as flapping, and the endpoint had to answer once more before it got work. Ruled out: the naive fold, which follows reach and marks apart as the rule says. Change: a member's reach is kept apart from its standing, in two small tables of signs. The example stays in the test and fails before; a test of a silent endpoint that a returning list must not bring back fails without its guard, which no test held before.

--- a/packages/verbenahall/src/verbenahall/membership/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/membership/_decisions.py
@@ -19,7 +19,7 @@
     member = state.members.get(name)
     if member is None or not member.failures:
         return
-    if member.standing is Standing.SILENT:
+    if member.silent:
         member.successes += 1
         member.probe_delay = state.rules.probe_first_s
         if member.successes <= member.flaps:
--- a/packages/verbenahall/src/verbenahall/membership/_standing.py
+++ b/packages/verbenahall/src/verbenahall/membership/_standing.py
@@ -54,25 +54,24 @@
     return len(fresh) >= state.rules.suspecting_peers
 
 
-def _answers(state: MembershipState, member: Member, now: float) -> bool:
-    return True
-
-
 _Check = Callable[[MembershipState, Member, float], bool]
-_Row = tuple[_Check, Standing]
+_Table = Mapping[Sign, _Check]
 
 #: The first sign that holds decides. Leaving goes before silent: a member
 #: that is both must not be probed back into work.
-_TABLE: Final[Mapping[Sign, _Row]] = MappingProxyType(
+_LEAVING: Final[_Table] = MappingProxyType(
     {
-        Sign.ADDRESS_TAKEN: (_address_taken, Standing.LEAVING),
-        Sign.LIST_LEAVING: (_list_leaving, Standing.LEAVING),
-        Sign.LIST_GONE: (_list_gone, Standing.LEAVING),
-        Sign.TOLD_LEAVING: (_told_leaving, Standing.LEAVING),
-        Sign.FAILING: (_failing, Standing.SILENT),
-        Sign.DOUBTED_FAILING: (_doubted_failing, Standing.SILENT),
-        Sign.PEERS_SUSPECT: (_peers_suspect, Standing.SILENT),
-        Sign.ANSWERS: (_answers, Standing.LIVE),
+        Sign.ADDRESS_TAKEN: _address_taken,
+        Sign.LIST_LEAVING: _list_leaving,
+        Sign.LIST_GONE: _list_gone,
+        Sign.TOLD_LEAVING: _told_leaving,
+    },
+)
+_OUT_OF_REACH: Final[_Table] = MappingProxyType(
+    {
+        Sign.FAILING: _failing,
+        Sign.DOUBTED_FAILING: _doubted_failing,
+        Sign.PEERS_SUSPECT: _peers_suspect,
     },
 )
 
@@ -80,53 +79,85 @@
 def review(state: MembershipState, member: Member, now: float) -> None:
     """Work out the member's standing anew and tell a change.
 
-    A silent member keeps its standing until it has answered often enough
-    (``observe_answer`` then clears its failures), though a sign such as its
-    peers' suspicion may have grown old meanwhile.
+    Reach is kept apart from leaving. A silent member that the list marked as
+    leaving and unmarked again has not recovered in between; taken for a
+    recovery, its next silence would count as flapping, and a healthy endpoint
+    would have to answer more often before it gets work.
     """
-    sign, after = _find_sign(state, member, now)
+    unreached = _find_sign(_OUT_OF_REACH, state, member, now)
+    _note_reach(state, member, now, unreached)
+    leaving = _find_sign(_LEAVING, state, member, now)
     before = member.standing
-    if before is Standing.SILENT and after is Standing.LIVE and member.failures:
-        return
-    member.sign = sign
-    if after is before:
-        return
-    _note_turn(state, member, now, after)
-    member.standing = after
-    state.live_cache.clear()
-    state.notify(
-        StandingChange(member.endpoint, before, after, sign, member.failures),
-    )
+    if leaving:
+        member.sign = leaving
+        member.standing = Standing.LEAVING
+    elif member.silent:
+        member.sign = unreached or Sign.FAILING
+        member.standing = Standing.SILENT
+    else:
+        member.sign = Sign.ANSWERS
+        member.standing = Standing.LIVE
+    if member.standing is not before:
+        _tell(state, member, before)
 
 
 def _find_sign(
+    table: _Table,
     state: MembershipState,
     member: Member,
     now: float,
-) -> tuple[Sign, Standing]:
-    for sign, (holds, standing) in _TABLE.items():
+) -> Sign | None:
+    for sign, holds in table.items():
         if holds(state, member, now):
-            return sign, standing
-    raise AssertionError('the last sign always holds')
+            return sign
+    return None
 
 
-def _note_turn(
+def _note_reach(
     state: MembershipState,
     member: Member,
     now: float,
-    after: Standing,
+    unreached: Sign | None,
 ) -> None:
+    """Keep whether the member is silent.
+
+    A silent member stays so until it has answered often enough
+    (``observe_answer`` then clears its failures), though a sign such as its
+    peers' suspicion may have grown old meanwhile.
+    """
+    if unreached and not member.silent:
+        _fall_silent(state, member, now)
+    elif member.silent and not unreached and not member.failures:
+        member.silent = False
+        member.recovered_at = now
+
+
+def _fall_silent(state: MembershipState, member: Member, now: float) -> None:
     """Keep the marks that damp flapping and space the probes."""
     rules = state.rules
-    if after is Standing.SILENT:
-        recovered_at = member.recovered_at
-        flapped = (
-            recovered_at is not None
-            and now - recovered_at < rules.flap_window_s
-        )
-        member.flaps = min(member.flaps + 1, rules.flap_limit) if flapped else 0
-        member.successes = 0
-        member.probe_delay = rules.probe_first_s
-        member.probe_at = now + member.probe_delay
-    elif member.standing is Standing.SILENT:
-        member.recovered_at = now
+    recovered_at = member.recovered_at
+    flapped = (
+        recovered_at is not None and now - recovered_at < rules.flap_window_s
+    )
+    member.silent = True
+    member.flaps = min(member.flaps + 1, rules.flap_limit) if flapped else 0
+    member.successes = 0
+    member.probe_delay = rules.probe_first_s
+    member.probe_at = now + member.probe_delay
+
+
+def _tell(
+    state: MembershipState,
+    member: Member,
+    before: Standing | None,
+) -> None:
+    state.live_cache.clear()
+    state.notify(
+        StandingChange(
+            member.endpoint,
+            before,
+            member.standing,
+            member.sign,
+            member.failures,
+        ),
+    )
--- a/packages/verbenahall/src/verbenahall/membership/_state.py
+++ b/packages/verbenahall/src/verbenahall/membership/_state.py
@@ -25,7 +25,8 @@
     """One name at one incarnation, with all evidence since ``born_at``.
 
     ``suspicions`` maps a peer's name to when it last said that this member
-    fails. ``former`` holds incarnations that this one replaced, so that a
+    fails. ``silent`` is whether it is out of reach, also while it leaves.
+    ``former`` holds incarnations that this one replaced, so that a
     lagging list can't bring them back.
     """
 
@@ -45,6 +46,7 @@
         'suspicions',
         'former',
         'born_at',
+        'silent',
         'standing',
         'sign',
     )
@@ -71,6 +73,7 @@
         self.suspicions: dict[str, float] = {}
         self.former = former
         self.born_at = born_at
+        self.silent = False
         self.standing: Standing | None = None
         self.sign = Sign.ANSWERS
 
--- a/packages/verbenahall/tests/membership/test_differential.py
+++ b/packages/verbenahall/tests/membership/test_differential.py
@@ -1,6 +1,6 @@
 """Membership against a naive fold of everything that was ever observed."""
 
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from verbenahall.fleet import Endpoint, EndpointKind, Standing
@@ -161,6 +161,17 @@
 
 
 @given(history)
+@example(
+    # A silent endpoint is marked as leaving, unmarked, and answers once.
+    [
+        (1, ('list', [])),
+        (1, ('failure', 'a')),
+        (2, ('failure', 'a')),
+        (1, ('list', [('a', '1', True)])),
+        (1, ('list', [])),
+        (1, ('answer', 'a')),
+    ],
+)
 def test_same_standing_as_the_naive_fold(steps):
     """Observations come in any order; every instance must judge alike."""
     state = MembershipState(notify=lambda change: None)
@@ -197,3 +208,23 @@
         rows = [(row[0], '1', False) for row in what[1]]
         apply_list(state, map(make_entry, rows), now)
         assert len(live(state, EndpointKind.ENGINE, now)) >= 3
+
+
+def test_silent_endpoint_stays_silent_until_it_answers():
+    """The list drops all endpoints, one of them fails, the list is back.
+
+    The list's return says nothing about the one that failed. Given work
+    before it has answered, it would fail callers once more.
+    """
+    state = MembershipState(notify=lambda change: None)
+    everyone = [make_entry(row) for row in fill([])]
+    apply_list(state, everyone, 0)
+    apply_list(state, [], 1)
+    observe_failure(state, 'a', 2)
+    assert standing_of(state, 'a', 2) is Standing.SILENT
+
+    apply_list(state, everyone, 3)
+    assert standing_of(state, 'a', 3) is Standing.SILENT
+
+    observe_answer(state, 'a', 4)
+    assert standing_of(state, 'a', 4) is Standing.LIVE
