One in-memory log for the tests of the folds

Cause: reading the whole change, three tests had a log of their own in memory and the administration's test repeated limits that the schema already defaults. Ruled out: sharing through a conftest, since fakes are built inside coroutines and not by fixtures. Change: MemoryLog stands with the other stand-ins and is used by all three; the limits are read from the schema. No assertion is changed.

--- /dev/null
+++ b/packages/standins/src/verbenahall_standins/memory.py
@@ -0,0 +1,77 @@
+"""The log client's calls on records in memory, for tests of the folds."""
+
+import asyncio
+import dataclasses
+from collections.abc import Sequence
+from typing import Any, Final
+
+from returns.result import Failure, Result, Success
+
+from verbenahall import wire
+from verbenahall.errors import ErrorKind, Problem
+from verbenahall.log import Page
+from verbenahall.records import Record
+
+#: How long a read waits at most, in seconds; a test has no time to lose.
+_LONGEST_WAIT_S: Final = 0.01
+_DOWN: Final = Problem(ErrorKind.LOG_UNAVAILABLE, 'down')
+
+
+class MemoryLog:
+    """Stands in for ``verbenahall.log.LogClient``.
+
+    ``first`` is the lowest offset kept; ``fail_after`` counts the appends
+    that still succeed (all, if infinite); ``down`` refuses everything.
+    """
+
+    def __init__(self) -> None:
+        """Start empty and up."""
+        self.records: list[Record] = []
+        self.first = 1
+        self.down = False
+        self.fail_after = float('inf')
+
+    async def append(
+        self,
+        stream: str,
+        body: dict[str, Any],
+    ) -> Result[int, Problem]:
+        """Append one record, as through JSON."""
+        await asyncio.sleep(0)
+        if self.down or self.fail_after == 0:
+            return Failure(_DOWN)
+        self.fail_after -= 1
+        offset = len(self.records) + 1
+        copied = wire.decode_table(wire.encode(body)).unwrap()
+        self.records.append(Record(offset, stream, f'i{offset}', copied))
+        return Success(offset)
+
+    async def read(
+        self,
+        after: int,
+        limit: int,
+        wait_s: float = 0,
+        streams: Sequence[str] = (),
+    ) -> Result[Page, Problem]:
+        """Return what is kept."""
+        await asyncio.sleep(min(_LONGEST_WAIT_S, wait_s))
+        if self.down:
+            return Failure(_DOWN)
+        found = [
+            record
+            for record in self.records[max(after, self.first - 1) :]
+            if not streams or record.stream in streams
+        ]
+        return Success(
+            Page(tuple(found[:limit]), self.first, len(self.records)),
+        )
+
+    def expire(self, count: int | None = None) -> None:
+        """Forget the oldest records, all when no count is given."""
+        self.first += len(self.records) if count is None else count
+
+    def replace(self, offset: int, **changes: Any) -> None:
+        """Change one record's body in place."""
+        record = self.records[offset - 1]
+        body = {**record.body, **changes}
+        self.records[offset - 1] = dataclasses.replace(record, body=body)
--- a/packages/verbenahall/tests/admin/test_admin.py
+++ b/packages/verbenahall/tests/admin/test_admin.py
@@ -9,10 +9,16 @@
 
 from verbenahall import journal
 from verbenahall.admin import AdminApi, Readiness
-from verbenahall.config import AdminConfig, CredentialConfig, LimitsConfig
+from verbenahall.config import (
+    INSTANCE_SCHEMA,
+    AdminConfig,
+    CredentialConfig,
+    LimitsConfig,
+)
 from verbenahall.front import Runner
 from verbenahall.log import LogFollower
 from verbenahall.records import Record
+from verbenahall.schema import Source, check_table
 from verbenahall.settings import SettingsState, apply_record
 
 DESK, ATLAS, PLATFORM = 'desk-token', 'atlas-token', 'platform-token'
@@ -46,16 +52,13 @@
     return state
 
 
+#: The limits of a settings file that gives none.
 LIMITS = LimitsConfig(
-    body_bytes=1024,
-    header_bytes=4096,
-    json_depth=8,
-    connections=16,
-    body_timeout_s=5,
-    queue_per_priority=8,
-    queue_per_workspace=8,
-    in_flight_per_engine=8,
-    default_deadline_s=5,
+    **check_table(
+        {},
+        INSTANCE_SCHEMA.members['limits'],
+        Source('defaults'),
+    ).unwrap(),
 )
 
 
--- a/packages/verbenahall/tests/instance/test_engine_word.py
+++ b/packages/verbenahall/tests/instance/test_engine_word.py
@@ -5,14 +5,12 @@
 
 import pytest
 from aiohttp import ClientSession, web
-from returns.result import Success
 
 from verbenahall import wire
 from verbenahall.authority import AuthorityState
 from verbenahall.fleet import Endpoint, EndpointKind, Standing
 from verbenahall.instance._experience import Experience
 from verbenahall.load import EngineStates, LoadState, StatePoller
-from verbenahall.log import Page
 from verbenahall.membership import (
     ListEntry,
     MembershipState,
@@ -22,6 +20,7 @@
 )
 from verbenahall.orders import OrdersState
 from verbenahall.snapshots import SnapshotKeeper
+from verbenahall_standins.memory import MemoryLog
 
 STATE = MappingProxyType(
     {
@@ -90,20 +89,13 @@
     assert standing_of(members, 'e', 1) is Standing.LEAVING
 
 
-class QuietLog:
-    """A log without records."""
-
-    async def read(self, *asked):
-        return Success(Page((), 1, 0))
-
-
 def test_quiet_log_counts_as_heard_from_the_start():
     """An instance starts on a log to which nobody appends.
 
     Unheard for a whole long poll, the instance claims no lease, and engines
     wait for their orders.
     """
-    keeper = SnapshotKeeper(QuietLog(), [], None, list)
+    keeper = SnapshotKeeper(MemoryLog(), [], None, list)
 
     asyncio.run(keeper.start())
 
--- a/packages/verbenahall/tests/snapshots/test_snapshots.py
+++ b/packages/verbenahall/tests/snapshots/test_snapshots.py
@@ -2,70 +2,17 @@
 
 import asyncio
 import base64
-import dataclasses
-import json
 import random
 import zlib
 
 import pytest
 from aiohttp import ClientSession, web
-from returns.result import Failure, Success
+from returns.result import Failure
 
-from verbenahall.errors import ErrorKind, Problem
-from verbenahall.log import Page
-from verbenahall.records import Record
 from verbenahall.settings import SettingsFold, SettingsState, effective
 from verbenahall.settings._state import Entry
 from verbenahall.snapshots import Schedule, SnapshotKeeper
-
-
-class MemoryLog:
-    """The log client's calls on records in memory.
-
-    ``first`` is the lowest offset kept; ``fail_after`` counts the appends
-    that still succeed; ``down`` refuses everything.
-    """
-
-    def __init__(self):
-        self.records = []
-        self.first = 1
-        self.down = False
-        self.fail_after = 10**9
-
-    async def append(self, stream, body):
-        """Append one record, as through JSON."""
-        await asyncio.sleep(0)
-        if self.down or self.fail_after == 0:
-            return Failure(Problem(ErrorKind.LOG_UNAVAILABLE, 'down'))
-        self.fail_after -= 1
-        offset = len(self.records) + 1
-        copied = json.loads(json.dumps(body))
-        self.records.append(Record(offset, stream, f'i{offset}', copied))
-        return Success(offset)
-
-    async def read(self, after, limit, wait_s=0, streams=()):
-        """Return what is kept."""
-        await asyncio.sleep(min(0.01, wait_s))
-        if self.down:
-            return Failure(Problem(ErrorKind.LOG_UNAVAILABLE, 'down'))
-        found = [
-            record
-            for record in self.records[max(after, self.first - 1) :]
-            if not streams or record.stream in streams
-        ]
-        return Success(
-            Page(tuple(found[:limit]), self.first, len(self.records)),
-        )
-
-    def expire(self, count=None):
-        """Forget the oldest records, all when no count is given."""
-        self.first += len(self.records) if count is None else count
-
-    def replace(self, offset, **changes):
-        """Change one record's body in place."""
-        record = self.records[offset - 1]
-        body = {**record.body, **changes}
-        self.records[offset - 1] = dataclasses.replace(record, body=body)
+from verbenahall_standins.memory import MemoryLog
 
 
 class OtherFold:
--- a/packages/verbenahall/tests/snapshots/test_strangers.py
+++ b/packages/verbenahall/tests/snapshots/test_strangers.py
@@ -4,19 +4,11 @@
 
 import pytest
 from aiohttp import ClientSession, web
-from returns.result import Success
 
 from verbenahall.errors import ProblemError
-from verbenahall.log import Page
 from verbenahall.settings import SettingsFold, SettingsState
 from verbenahall.snapshots import SNAPSHOT_PATH, SnapshotKeeper
-
-
-class EmptyLog:
-    """A log in which nothing was ever appended."""
-
-    async def read(self, *asked):
-        return Success(Page((), 1, 0))
+from verbenahall_standins.memory import MemoryLog
 
 
 @web.middleware
@@ -29,7 +21,7 @@
 
 async def ask(is_peer):
     keeper = SnapshotKeeper(
-        EmptyLog(),
+        MemoryLog(),
         [SettingsFold(SettingsState())],
         None,
         list,
