--- a/packages/verbenahall/src/verbenahall/gateway/_followers.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_followers.py
@@ -29,7 +29,12 @@
 
 #: How long one poll waits for a change, in seconds. A poll is paid for; a
 #: silent connection is noticed by its own probes, not by the poll's end.
-_POLL_S: Final = 25.0
+_POLL_S: Final = 12.0
+#: How long a poll waits that follows a change, or a topic without records.
+#: The store does not wake a poll that arrives while a record is on its way
+#: in: of two records 9 ms apart an instance saw the second one only when its
+#: poll of 25 s had ended.
+_SOON_S: Final = 0.4
 #: Pause before the store is tried again, in seconds: the first one, and the
 #: longest. A change must be in force within two seconds of the store's word.
 _FIRST_PAUSE_S: Final = 0.1
@@ -43,7 +48,7 @@
 class Follower:
     """Follows one keyed topic for as long as the process runs."""
 
-    __slots__ = ('_core', '_topic', '_take', '_take_all', '_away')
+    __slots__ = ('_core', '_topic', '_take', '_take_all', '_away', '_soon')
 
     def __init__(
         self,
@@ -58,6 +63,7 @@
         self._take = take
         self._take_all = take_all
         self._away = False
+        self._soon = True
 
     async def run(self) -> None:
         """Read the topic whole, then follow it, until cancelled."""
@@ -81,6 +87,7 @@
     async def _read_all(self) -> tuple[int | None, bool]:
         match await self._core.store.read_newest(self._topic):
             case Success(newest):
+                self._soon = True
                 self._take_all(newest.items)
                 return newest.end, True
             case Failure(away):
@@ -88,8 +95,10 @@
         return None, False
 
     async def _poll(self, offset: int) -> tuple[int | None, bool]:
-        match await self._core.store.read(self._topic, offset, _POLL_S):
+        wait_s = _SOON_S if self._soon else _POLL_S
+        match await self._core.store.read(self._topic, offset, wait_s):
             case Success(batch):
+                self._soon = bool(batch.records) or not offset
                 for record in batch.records:
                     self._take_record(record)
                 return offset + len(batch.records), True
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/gateway/_lease.py
@@ -0,0 +1,182 @@
+"""The lease on the engines' roles, kept as one key in the store.
+
+The lease's newest record is kept for ever, so a successor always finds it.
+Every append is conditional on the offset at which the topic ended when the
+record was read: of two claims the store lets in only one, and the offset of
+the claim is the fencing token, which no other holder can ever have.
+"""
+
+import dataclasses
+from typing import Final, final
+
+from returns.result import Failure, Success
+
+from verbenahall import journal, wire
+from verbenahall.authority import (
+    AuthorityState,
+    Candidacy,
+    Claim,
+    Grant,
+    LeaseTiming,
+    Renew,
+    choose_step,
+    find_token,
+    note_sent,
+)
+from verbenahall.clock import Clock
+from verbenahall.platform import (
+    LEASES_TOPIC,
+    Appended,
+    KeyedRecord,
+    StoreClient,
+    encode_keyed,
+)
+
+SCOPE: Final = 'roles'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Record:
+    """What the lease's newest record says; ``token`` 0 is its own offset."""
+
+    holder: str
+    token: int
+    lease_s: float
+
+
+@final
+class RoleLease:
+    """Claims the lease when it is needed; nobody renews it in idle times.
+
+    ``now`` must be a clock that counts while the machine is suspended: a
+    holder that wakes would otherwise believe in a lease that a successor
+    has long taken over.
+    """
+
+    __slots__ = ('_store', '_state', '_candidacy', '_timing', '_now', '_end')
+
+    def __init__(
+        self,
+        store: StoreClient,
+        holder: str,
+        timing: LeaseTiming,
+        delay_share: float,
+        now: Clock,
+    ) -> None:
+        """Stand for the lease as ``holder``, a name used by no other run."""
+        self._store = store
+        self._state = AuthorityState()
+        self._candidacy = Candidacy(SCOPE, holder, delay_share)
+        self._timing = timing
+        self._now = now
+        self._end = 0
+
+    @property
+    def holder(self) -> str:
+        """This run's own name as a holder."""
+        return self._candidacy.holder
+
+    def token(self) -> int | None:
+        """Return the fencing token while the lease is held."""
+        return find_token(
+            self._state,
+            self._candidacy,
+            self._timing,
+            self._now(),
+        )
+
+    def held_by_other(self) -> bool:
+        """Whether another holder's lease may still be in force."""
+        grant = self._state.find_grant(SCOPE)
+        return bool(grant.token) and grant.holder != self._candidacy.holder
+
+    def forget(self) -> None:
+        """Give up a token that an engine has refused; it is not used again."""
+        self._state.grants.pop(SCOPE, None)
+        self._state.heard.pop(SCOPE, None)
+
+    async def acquire(self) -> int | None:
+        """Take one step towards the lease; return the token once held."""
+        if self.token() is not None:
+            return self.token()
+        await self._refresh()
+        step = choose_step(
+            self._state,
+            self._candidacy,
+            self._timing,
+            self._now(),
+        )
+        match step:
+            case Claim():
+                await self._append(step, token=0)
+            case Renew():
+                grant = self._state.find_grant(SCOPE)
+                await self._append(step, token=grant.token)
+            case _:
+                pass
+        return self.token()
+
+    async def _refresh(self) -> None:
+        match await self._store.read_newest(LEASES_TOPIC):
+            case Success(newest):
+                self._end = newest.end
+                content = newest.items.get(SCOPE)
+                if content is not None:
+                    self._hear(content, newest.offsets[SCOPE])
+            case Failure():
+                return
+
+    def _hear(self, content: bytes, offset: int) -> None:
+        record = _decode(content)
+        if record is None:
+            journal.write_decision('lease_unreadable', offset=offset)
+            return
+        last = offset + 1
+        known = self._state.find_grant(SCOPE)
+        if known.last == last:
+            return
+        self._grant(record, last)
+
+    def _grant(self, record: _Record, last: int) -> None:
+        token = record.token or last
+        self._state.grants[SCOPE] = Grant(
+            holder=record.holder,
+            token=token,
+            last=last,
+            after=last,
+            lease_s=record.lease_s,
+            clean=False,
+        )
+        self._state.heard[SCOPE] = self._now()
+        journal.write_decision('lease', holder=record.holder, token=token)
+
+    async def _append(self, step: Claim | Renew, token: int) -> None:
+        sent_at = self._now()
+        record = _Record(self.holder, token, self._timing.lease_s)
+        body = encode_keyed(
+            KeyedRecord(SCOPE, wire.encode(dataclasses.asdict(record))),
+        )
+        outcome = await self._store.append(LEASES_TOPIC, [body], self._end)
+        # A record that got in without our hearing of it is found by the next
+        # read; its lease is counted from now, which is before it was taken.
+        note_sent(self._candidacy, self._end + 1, sent_at)
+        match outcome:
+            case Appended(offset):
+                self._end = offset + 1
+                self._grant(record, offset + 1)
+            case _:
+                journal.write_decision(
+                    'lease_not_taken',
+                    outcome=repr(outcome),
+                    step=type(step).__name__,
+                )
+
+
+def _decode(content: bytes) -> _Record | None:
+    match wire.decode_table(content):
+        case Success(
+            {'holder': str(holder), 'token': int(token), 'lease_s': lease_s},
+        ) if isinstance(lease_s, int | float):
+            return _Record(holder, token, lease_s)
+        case _:
+            return None
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/gateway/_orders.py
@@ -0,0 +1,208 @@
+"""Brings the engines to their planned roles, one holder at a time."""
+
+import asyncio
+import time
+import uuid
+from collections.abc import Sequence
+from typing import Final, final
+
+import aiohttp
+from returns.maybe import Some
+
+from verbenahall import journal, metrics
+from verbenahall.authority import LeaseTiming
+from verbenahall.gateway._core import Core
+from verbenahall.gateway._lease import RoleLease
+from verbenahall.peers import PeerBook
+from verbenahall.placement import RoleChange, plan_roles
+from verbenahall.platform import (
+    EXPECT_ENDPOINT,
+    ORDER,
+    REPORT,
+    EngineReport,
+    RoleOrder,
+    decode_report,
+    encode_order,
+)
+from verbenahall.roster import Entry
+from verbenahall.routing import rank_by_rendezvous
+
+#: How often the roles are looked at, in seconds.
+_LOOK_S: Final = 0.5
+#: The list of endpoints must have been still for this long, in seconds:
+#: engines that start together are listed one by one.
+_STILL_S: Final = 2.0
+#: Each instance leaves the need for orders to those that stand before it for
+#: this long, in seconds, so that usually one of them makes the calls.
+_TURN_S: Final = 4.0
+#: How long an order may take until it shows in the list, in seconds, beyond
+#: the time of the change itself.
+_SHOWN_S: Final = 4.0
+_CALL_S: Final = 1.0
+_LEASE_S: Final = 6.0
+_ACCEPTED: Final = 202
+_HOLDS: Final = 200
+_FENCED: Final = 412
+
+
+def read_boot_clock() -> float:
+    """Return seconds that also count while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+@final
+class RoleKeeper:
+    """Looks at the roles of each engine service and orders changes."""
+
+    __slots__ = ('_core', '_book', '_lease', '_pending', '_needed_at', '_seen')
+
+    def __init__(self, core: Core, book: PeerBook) -> None:
+        """Order in turn with the peers of the book."""
+        self._core = core
+        self._book = book
+        bounds = core.settings.bounds
+        self._lease = RoleLease(
+            core.store,
+            f'{core.settings.name}-{uuid.uuid4().hex[:8]}',
+            # The margin keeps two holders' orders further apart than a
+            # lease, so that they are never seen to take turns.
+            LeaseTiming(_LEASE_S, margin_s=bounds.lease_s + 0.5),
+            core.random.random(),
+            read_boot_clock,
+        )
+        #: When the order to an engine was sent, by its name and start.
+        self._pending: dict[tuple[str, int], float] = {}
+        self._needed_at: float | None = None
+        self._seen: tuple[frozenset[str], float] = (frozenset(), 0.0)
+
+    async def run(self) -> None:
+        """Look and order until cancelled."""
+        while True:
+            await asyncio.sleep(_LOOK_S)
+            catalog = self._core.catalog.catalog
+            if catalog is None:
+                continue
+            changes = [
+                change
+                for service in catalog.services.values()
+                if service.engine
+                for change in self._plan(service.name)
+            ]
+            if not changes:
+                self._needed_at = None
+            elif self._is_turn():
+                await self._order_all(changes)
+
+    def _plan(self, service: str) -> Sequence[RoleChange]:
+        core = self._core
+        now = core.now()
+        engines = list(core.roster.live(service, now))
+        names = frozenset(engine.name for engine in engines)
+        if names != self._seen[0]:
+            self._seen = (names, now)
+        if now - self._seen[1] < _STILL_S:
+            return ()
+        settled = [
+            engine for engine in engines if not self._is_pending(engine, now)
+        ]
+        if len(settled) < len(engines):
+            return ()
+        busy = {
+            engine.name: core.placement.ledger.totals(engine.name, now).streams
+            for engine in engines
+        }
+        return plan_roles(engines, busy)
+
+    def _is_pending(self, engine: Entry, now: float) -> bool:
+        sent_at = self._pending.get((engine.name, engine.born))
+        return sent_at is not None and now - sent_at < _SHOWN_S
+
+    def _is_turn(self) -> bool:
+        """Whether those that stand before this instance had their chance."""
+        now = self._core.now()
+        if self._needed_at is None:
+            self._needed_at = now
+        heard = [
+            name
+            for name, peer in self._book.peers.items()
+            if now - peer.heard_at < _TURN_S
+        ]
+        ranked = rank_by_rendezvous('roles', [*heard, self._book.name])
+        rank = ranked.index(self._book.name)
+        return now - self._needed_at >= rank * _TURN_S
+
+    async def _order_all(self, changes: Sequence[RoleChange]) -> None:
+        token = await self._lease.acquire()
+        if token is None:
+            return
+        for change in changes:
+            if self._lease.token() != token:
+                return
+            await self._order(change, token)
+
+    async def _order(self, change: RoleChange, token: int) -> None:
+        engine = change.engine
+        report = await self._read_report(engine)
+        if report is None or report.changing or report.role is change.role:
+            return
+        if self._lease.token() != token:
+            return
+        order = RoleOrder(change.role, self._lease.holder, token, report.orders)
+        self._pending[engine.name, engine.born] = self._core.now()
+        status = await self._send(engine, order)
+        journal.write_decision(
+            'role_order',
+            endpoint=engine.name,
+            role=change.role.value,
+            token=token,
+            orders=report.orders,
+            status=status,
+        )
+        if status == _FENCED:
+            self._lease.forget()
+        if status in {_ACCEPTED, _HOLDS}:
+            metrics.ROLE_CHANGES.inc({'role': change.role.value})
+
+    async def _read_report(self, engine: Entry) -> EngineReport | None:
+        url = f'http://{engine.address}{REPORT}'
+        try:
+            async with asyncio.timeout(_CALL_S):
+                async with self._core.session.get(url) as response:
+                    body = await response.read()
+        except _FAILURES as error:
+            journal.write_decision(
+                'report_failed',
+                endpoint=engine.name,
+                reason=repr(error),
+            )
+            return None
+        match decode_report(body):
+            case Some(report):
+                return report
+            case _:
+                return None
+
+    async def _send(self, engine: Entry, order: RoleOrder) -> int | None:
+        """Send an order; None when its fate is not known."""
+        try:
+            async with asyncio.timeout(_CALL_S):
+                async with self._core.session.post(
+                    f'http://{engine.address}{ORDER}',
+                    data=encode_order(order),
+                    headers={
+                        'Content-Type': 'application/json',
+                        EXPECT_ENDPOINT: engine.name,
+                    },
+                ) as response:
+                    await response.read()
+                    return response.status
+        except _FAILURES as error:
+            journal.write_decision(
+                'order_unanswered',
+                endpoint=engine.name,
+                reason=repr(error),
+            )
+            return None
+
+
+_FAILURES: Final = (aiohttp.ClientError, OSError, TimeoutError)
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/gateway/_peers.py
@@ -0,0 +1,68 @@
+"""Finds the other instances through the store, and starts the exchange."""
+
+import asyncio
+from typing import Final, final
+
+from returns.result import Success
+
+from verbenahall import journal
+from verbenahall.gateway._core import Core
+from verbenahall.peers import PeerBook, PeerExchange, greet
+from verbenahall.platform import (
+    INSTANCES_TOPIC,
+    Appended,
+    KeyedRecord,
+    encode_keyed,
+)
+
+#: Pause before the store is tried again, in seconds: peers only better what
+#: an instance knows, so there is no haste.
+_PAUSE_S: Final = 3.0
+
+
+@final
+class PeerFinder:
+    """Writes this instance's address and reads the others', once a start.
+
+    Whoever starts later greets those that are there, so the topic need not
+    be followed: two calls a start in place of a poll for ever.
+    """
+
+    __slots__ = ('_core', 'book', 'exchange')
+
+    def __init__(self, core: Core) -> None:
+        """Prepare the exchange over the core's open work."""
+        self._core = core
+        self.book = PeerBook(core.settings.name)
+        self.exchange = PeerExchange(self.book, core.placement.ledger)
+
+    async def run(self) -> None:
+        """Join, then tell and hear until cancelled."""
+        settings = self._core.settings
+        await self.exchange.open(settings.ip, settings.peer_port)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.exchange.run())
+            group.create_task(self._join())
+
+    async def _join(self) -> None:
+        while not await self._register():
+            await asyncio.sleep(_PAUSE_S)
+        while not await self._read_others():
+            await asyncio.sleep(_PAUSE_S)
+
+    async def _register(self) -> bool:
+        settings = self._core.settings
+        address = f'{settings.ip}:{settings.peer_port}'
+        record = encode_keyed(KeyedRecord(settings.name, address.encode()))
+        outcome = await self._core.store.append(INSTANCES_TOPIC, [record])
+        return isinstance(outcome, Appended)
+
+    async def _read_others(self) -> bool:
+        match await self._core.store.read_newest(INSTANCES_TOPIC):
+            case Success(newest):
+                for name, address in newest.items.items():
+                    greet(self.book, name, address.decode())
+                journal.write_decision('peers', known=len(self.book.peers))
+                return True
+            case _:
+                return False
--- a/packages/verbenahall/src/verbenahall/gateway/_sender.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_sender.py
@@ -93,6 +93,7 @@
                     return await self.read_whole(
                         call,
                         endpoint,
+                        order,
                         response,
                         until,
                     )
@@ -109,6 +110,7 @@
         self,
         call: Call,
         endpoint: Entry,
+        order: SendOrder,
         response: aiohttp.ClientResponse,
         until: float,
     ) -> Result[Answered, Outcome]:
@@ -118,7 +120,8 @@
         except _FAILURES as error:
             return Failure(self.name_failure(call, endpoint, error))
         facts = read_answer(response.status, response.headers)
-        if response.status in _SUCCESS and not facts.signed:
+        signs = not order.read_only
+        if response.status in _SUCCESS and signs and not facts.signed:
             # An answer without a signature is no endpoint's answer.
             self.note(endpoint, good=False)
             return Failure(Broken('the answer bears no signature'))
--- a/packages/verbenahall/src/verbenahall/gateway/_serve.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_serve.py
@@ -14,6 +14,8 @@
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._followers import Following
 from verbenahall.gateway._ingress import Ingress
+from verbenahall.gateway._orders import RoleKeeper
+from verbenahall.gateway._peers import PeerFinder
 from verbenahall.platform import READY, ProcessSettings
 from verbenahall.shutdown import GracefulStop, StopTiming
 
@@ -56,6 +58,10 @@
             asyncio.create_task(follower.run(), name=name)
             for name, follower in followers.items()
         ]
+        finder = PeerFinder(core)
+        keeper = RoleKeeper(core, finder.book)
+        tasks.append(asyncio.create_task(finder.run(), name='peers'))
+        tasks.append(asyncio.create_task(keeper.run(), name='roles'))
         tasks.append(asyncio.create_task(_flush_lines(), name='lines'))
         journal.write_decision('started', instance=self._settings.name)
         self.start_event.set()
--- a/packages/verbenahall/src/verbenahall/gateway/_streams.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_streams.py
@@ -16,7 +16,7 @@
 from verbenahall.gateway._events import EventState, feed, restart
 from verbenahall.gateway._messages import Answered, Call, StreamEnded
 from verbenahall.gateway._sender import Sender
-from verbenahall.placement import Plan, Totals, place
+from verbenahall.placement import Plan, Totals, Wish, place
 from verbenahall.platform import (
     SendOrder,
     decode_read_prompt,
@@ -72,6 +72,8 @@
         '_tried',
         '_sends',
         '_runs',
+        '_first_at',
+        '_events',
     )
 
     def __init__(
@@ -91,6 +93,8 @@
         self._tried: set[str] = set()
         self._sends = 0
         self._runs = 0
+        self._first_at = 0.0
+        self._events = 0
 
     async def run(self) -> web.StreamResponse:
         """Send until the stream has ended or is given up."""
@@ -133,7 +137,7 @@
         ]
         return place(
             core.placement,
-            self._call.ask.work,
+            Wish(self._call.ask.work, self._call.route.gap_s),
             usable or live,
             self._call.service.engine,
             now,
@@ -198,7 +202,12 @@
         match decode_read_prompt(body):
             case Some(prompt):
                 if not waited:
-                    core.placement.learn_read(plan.missing, core.now() - now)
+                    journal.write_decision('timed_read', engine=reader.name, missing=plan.missing, prompt=call.ask.work.prompt_tokens, seconds=round(core.now()-now,4), expected=round(core.placement.read_speed.expect(plan.missing, call.ask.work.prompt_tokens-plan.missing),4), rank=plan.reason)
+                    core.placement.learn_read(
+                        plan.missing,
+                        call.ask.work.prompt_tokens - plan.missing,
+                        core.now() - now,
+                    )
                 self._note_kept(reader)
                 return Success(_Handle(reader, prompt.handle))
             case _:
@@ -225,6 +234,8 @@
             ),
             last_event=self._state.last,
         )
+        sent_at = core.now()
+        seen = core.placement.ledger.totals(engine.name, sent_at)
         flight = core.placement.ledger.open(
             engine.name,
             Totals(0 if handle else plan.missing, work.context_tokens, 1),
@@ -239,7 +250,13 @@
                 match opened:
                     case Success(response):
                         self._runs += 1
-                        return await self._take(engine, response)
+                        headed_at = core.now()
+                        result = await self._take(engine, order, response)
+                        journal.write_decision('generated', request=call.ask.identity, engine=engine.name,
+                          mixed=handle is None, missing=plan.missing, prompt=work.prompt_tokens, hint=work.output_tokens, head_s=round(headed_at-sent_at,4),
+                          first_s=round(self._first_at - sent_at,4), events=self._events, took_s=round(core.now()-sent_at,4),
+                          reading=seen.reading, context=seen.context, streams=seen.streams)
+                        return result
                     case Failure(Refused() | NeverWritten() as outcome):
                         pass
                     case Failure(outcome):
@@ -252,6 +269,7 @@
     async def _take(
         self,
         engine: Entry,
+        order: SendOrder,
         response: aiohttp.ClientResponse,
     ) -> _Generated:
         """Pass a stream on, or return an answer that is no stream."""
@@ -260,11 +278,12 @@
             return await self._sender.read_whole(
                 call,
                 engine,
+                order,
                 response,
                 call.deadline,
             )
         try:
-            await self._pump(response)
+            await self._pump(engine, response)
         except _CALLER_GONE:
             raise
         except _FAILURES as error:
@@ -273,7 +292,11 @@
         self._note_kept(engine)
         return Success(StreamEnded())
 
-    async def _pump(self, response: aiohttp.ClientResponse) -> None:
+    async def _pump(
+        self,
+        engine: Entry,
+        response: aiohttp.ClientResponse,
+    ) -> None:
         last_at = self._core.now()
         while True:
             wait_s = self._silent_at() - self._core.now()
@@ -283,7 +306,7 @@
                 break
             step = feed(self._state, piece)
             if step.events:
-                last_at = self._time(last_at)
+                last_at = self._time(engine, last_at, step.events)
                 await self._write(response, step.passed)
         if self._state.tail:
             raise aiohttp.ClientPayloadError('the stream ends in an event')
@@ -380,12 +403,17 @@
                 reason=repr(error),
             )
 
-    def _time(self, last_at: float) -> float:
+    def _time(self, engine: Entry, last_at: float, events: int) -> float:
         now = self._core.now()
+        self._events += events
         if self._response is None:
+            self._first_at = now
             metrics.FIRST_TOKEN_SECONDS.observe(now - self._call.received)
-        else:
-            metrics.TOKEN_GAP_SECONDS.observe(now - last_at)
+            return now
+        metrics.TOKEN_GAP_SECONDS.observe(now - last_at)
+        tokens = events * self._call.service.engine.event_tokens
+        step = self._core.placement.step_of(engine.name)
+        step.note((now - last_at) / tokens, now)
         return now
 
     def _journal_plan(self, plan: Plan) -> None:
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/peers/__init__.py
@@ -0,0 +1,16 @@
+"""What instances tell each other about the work that they have open."""
+
+from verbenahall.peers._messages import Word, decode_word, encode_word
+from verbenahall.peers._shell import PeerExchange
+from verbenahall.peers._state import PeerBook, choose_due, greet, hear
+
+__all__ = (
+    'PeerBook',
+    'PeerExchange',
+    'Word',
+    'choose_due',
+    'decode_word',
+    'encode_word',
+    'greet',
+    'hear',
+)
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/peers/_messages.py
@@ -0,0 +1,62 @@
+"""The datagram in which an instance tells its open work."""
+
+import dataclasses
+from collections.abc import Mapping
+from typing import Any
+
+from returns.maybe import Maybe, Nothing, Some
+from returns.result import Success
+
+from verbenahall import wire
+from verbenahall.placement import Totals
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Word:
+    """Open work by engine, as the instance ``author`` sends it.
+
+    ``number`` grows with each word of one start of the author, so that a
+    datagram that was overtaken does not undo a newer one.
+    """
+
+    author: str
+    number: int
+    loads: Mapping[str, Totals]
+
+
+def encode_word(word: Word) -> bytes:
+    """Encode a word; short names, since it is sent many times a second."""
+    return wire.encode(
+        {
+            'from': word.author,
+            'n': word.number,
+            'load': {
+                engine: (totals.reading, totals.context, totals.streams)
+                for engine, totals in word.loads.items()
+            },
+        },
+    )
+
+
+def decode_word(datagram: bytes) -> Maybe[Word]:
+    """Decode a datagram; Nothing when it is not a word."""
+    match wire.decode_table(datagram):
+        case Success({'from': str(author), 'n': int(number), 'load': dict(l)}):
+            return _decode_loads(author, number, l)
+        case _:
+            return Nothing
+
+
+def _decode_loads(
+    author: str,
+    number: int,
+    loads: dict[str, Any],
+) -> Maybe[Word]:
+    try:
+        totals = {
+            engine: Totals(*(int(count) for count in counts))
+            for engine, counts in loads.items()
+        }
+    except (TypeError, ValueError):
+        return Nothing
+    return Some(Word(author, number, totals))
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/peers/_shell.py
@@ -0,0 +1,72 @@
+"""Sends and receives the datagrams between instances."""
+
+import asyncio
+import itertools
+from typing import Any, Final, final
+
+from returns.maybe import Some
+
+from verbenahall import clock
+from verbenahall.peers._messages import Word, decode_word, encode_word
+from verbenahall.peers._state import PeerBook, choose_due, greet, hear
+from verbenahall.placement import Ledger
+
+#: How often the exchange looks for peers that are due, in seconds.
+_TICK_S: Final = 0.1
+
+
+@final
+class PeerExchange(asyncio.DatagramProtocol):
+    """Tells peers this instance's open work and hears theirs."""
+
+    def __init__(self, book: PeerBook, ledger: Ledger) -> None:
+        """Speak for the ledger's own part; hear into the other one."""
+        self._book = book
+        self._ledger = ledger
+        self._numbers = itertools.count()
+        self._transport: Any = None
+
+    async def open(self, ip: str, port: int) -> None:
+        """Bind the socket."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: self,
+            local_addr=(ip, port),
+        )
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Hear one word."""
+        match decode_word(data):
+            case Some(word) if word.author != self._book.name:
+                now = clock.monotonic()
+                greet(self._book, word.author, f'{addr[0]}:{addr[1]}')
+                if hear(self._book, word.author, word.number, now):
+                    self._ledger.hear(word.author, word.loads, now)
+
+    def error_received(self, exc: Exception) -> None:
+        """Go on: a peer whose machine is gone is told again later."""
+
+    async def run(self) -> None:
+        """Tell the peers until cancelled."""
+        while True:
+            self._tell(clock.monotonic())
+            await asyncio.sleep(_TICK_S)
+
+    def _tell(self, now: float) -> None:
+        due = tuple(choose_due(self._book, now))
+        if not due:
+            return
+        word = Word(self._book.name, next(self._numbers), self._ledger.own())
+        datagram = encode_word(word)
+        for address in due:
+            host, _, port = address.rpartition(':')
+            self._transport.sendto(datagram, (host, int(port)))
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
--- a/packages/verbenahall/src/verbenahall/placement/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/placement/_decisions.py
@@ -1,11 +1,14 @@
 """Chooses the engines of a model request.
 
-Where a prompt is read decides most: requests that share a part gather on the
-part's home among the engines that read, and spill over to its next homes
-only when the wait at the first one costs more than reading the part again.
+Each way to serve it has a price in seconds: the wait until the first event,
+and the engine time that reading takes from everybody else. Requests that
+share a part gather on the part's homes, one among the engines that read and
+one among those that generate, and spill over only when the wait at a home
+costs more than reading the part again elsewhere.
 """
 
-from collections.abc import Iterable, Sequence
+import dataclasses
+from collections.abc import Iterator, Sequence
 from typing import Final
 
 from returns.result import Failure, Result, Success
@@ -13,7 +16,6 @@
 from verbenahall.catalog import EngineTraits
 from verbenahall.errors import ErrorKind, Problem
 from verbenahall.fleet import Role
-from verbenahall.placement._ledger import Totals
 from verbenahall.placement._messages import Plan, Work
 from verbenahall.placement._state import PlacementState
 from verbenahall.roster import Entry
@@ -21,21 +23,46 @@
 
 #: Homes of a part that are looked at.
 _HOMES: Final = 3
-#: An engine that generates reads at about half the speed of one that only
-#: reads, by the platform's description.
+#: An engine that generates reads at half the speed of one that only reads,
+#: and in pieces between the tokens of others.
 _MIXED_SLOWNESS: Final = 2.0
-#: Seconds of wait that a caller bears are worth this many engine-seconds.
-_WAIT_WEIGHT: Final = 1.0
-#: Seconds that a second look at the fleet's work is worth: reading a token
-#: again takes an engine's time from everybody else.
-_WORK_WEIGHT: Final = 1.0
+#: Price of a second of an engine's time for reading, in seconds of wait.
+_WORK_PRICE: Final = 1.0
 #: A move between data centres takes twice as long as inside one.
 _REMOTE_FACTOR: Final = 2.0
+#: Price of an engine's memory being full, in seconds: a request that finds
+#: no room waits for another one's end, or pushes it out to be read again.
+_FULL_PRICE: Final = 2.0
+#: Share of memory or places from which crowding is priced.
+_CROWDED: Final = 0.7
+#: Share of the longest step that streams bear on time.
+_STEP_SHARE: Final = 0.6
+#: Price of a step time at the longest that streams bear, in seconds.
+_STEP_PRICE: Final = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wish:
+    """A request to place: its work and what its caller bears.
+
+    ``gap_s`` is the longest pause between two events that is on time.
+    """
+
+    work: Work
+    gap_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Option:
+    """One way to serve a request and its price."""
+
+    plan: Plan
+    price: float
 
 
 def place(
     state: PlacementState,
-    work: Work,
+    wish: Wish,
     engines: Sequence[Entry],
     traits: EngineTraits,
     now: float,
@@ -47,102 +74,139 @@
             Problem(ErrorKind.NO_ENDPOINT, 'no engine generates now'),
         )
     readers = [one for one in engines if one.role is Role.PREFILL]
-    if readers:
-        return Success(
-            _plan_split(state, work, readers, generators, traits, now),
+    desk = _Desk(state, wish, traits, now)
+    options = [*desk.offer_split(readers, generators)]
+    if not readers:
+        options.extend(desk.offer_mixed(generators))
+    best = min(options, key=lambda option: option.price)
+    return Success(best.plan)
+
+
+class _Desk:
+    """Prices the ways to serve one request."""
+
+    __slots__ = ('_state', '_wish', '_work', '_traits', '_now')
+
+    def __init__(
+        self,
+        state: PlacementState,
+        wish: Wish,
+        traits: EngineTraits,
+        now: float,
+    ) -> None:
+        self._state = state
+        self._wish = wish
+        self._work = wish.work
+        self._traits = traits
+        self._now = now
+
+    def offer_mixed(self, generators: Sequence[Entry]) -> Iterator[_Option]:
+        """Price the engines that generate as readers of their own."""
+        homes = _find_homes(self._work, generators)
+        for rank, engine in enumerate(homes):
+            missing = self._count_missing(engine, rank)
+            read_s = self._read_s(missing) * _MIXED_SLOWNESS
+            wait_s = self._backlog_s(engine) * _MIXED_SLOWNESS
+            first_s = self._start_s + wait_s + read_s
+            price = first_s + read_s * _WORK_PRICE + self._crowding(engine)
+            plan = Plan(None, engine, missing, first_s, f'mixed {rank}')
+            yield _Option(plan, price)
+
+    def offer_split(
+        self,
+        readers: Sequence[Entry],
+        generators: Sequence[Entry],
+    ) -> Iterator[_Option]:
+        """Price reading on one engine and generating on another."""
+        for rank, reader in enumerate(_find_homes(self._work, readers)):
+            missing = self._count_missing(reader, rank)
+            read_s = self._read_s(missing)
+            generator, follow_s = self._choose_generator(reader, generators)
+            wait_s = self._start_s + self._backlog_s(reader)
+            first_s = wait_s + read_s + follow_s
+            price = (
+                first_s + read_s * _WORK_PRICE + self._crowding(generator)
+            )
+            plan = Plan(reader, generator, missing, first_s, f'home {rank}')
+            yield _Option(plan, price)
+
+    def _choose_generator(
+        self,
+        reader: Entry,
+        generators: Sequence[Entry],
+    ) -> tuple[Entry, float]:
+        """Return the engine that goes on, and its time to the first event."""
+        offers = [
+            (
+                self._move_s(reader, engine) + self._join_s(engine),
+                self._crowding(engine),
+                self._fill(engine),
+                engine,
+            )
+            for engine in generators
+        ]
+        best = min(offers, key=lambda row: row[0] + row[1] + 0.1 * row[2])
+        return best[3], best[0]
+
+    def _count_missing(self, engine: Entry, rank: int) -> int:
+        """Return the tokens that an engine would have to read.
+
+        The first home is taken to keep what all instances send it.
+        """
+        if rank == 0:
+            kept = sum(part.tokens for part in self._work.shared)
+        else:
+            cache = self._state.cache_of(engine, self._traits.kv_tokens)
+            kept = cache.count_kept(self._work.shared)
+        return max(1, self._work.prompt_tokens - kept)
+
+    @property
+    def _start_s(self) -> float:
+        return self._state.read_speed.start_s
+
+    def _read_s(self, missing: int) -> float:
+        kept = self._work.prompt_tokens - missing
+        return self._state.read_speed.expect(missing, kept)
+
+    def _backlog_s(self, engine: Entry) -> float:
+        totals = self._state.ledger.totals(engine.name, self._now)
+        return totals.reading * self._state.read_speed.token_s
+
+    def _move_s(self, source: Entry, target: Entry) -> float:
+        moved = self._work.prompt_tokens * self._traits.kv_token_bytes
+        far = source.data_centre != target.data_centre
+        factor = _REMOTE_FACTOR if far else 1
+        return factor * moved / self._traits.link_bytes_s
+
+    def _join_s(self, engine: Entry) -> float:
+        """Return how long a read prompt waits to join an engine's batch.
+
+        Prompts that the engine reads itself go first, in pieces.
+        """
+        step = self._state.step_of(engine.name).read(self._now)
+        return step + self._backlog_s(engine) * _MIXED_SLOWNESS
+
+    def _fill(self, engine: Entry) -> float:
+        """Return how full an engine would be, by memory and by places."""
+        totals = self._state.ledger.totals(engine.name, self._now)
+        memory = totals.context + self._work.context_tokens
+        places = totals.streams + 1
+        return max(
+            memory / self._traits.kv_tokens,
+            places / self._traits.slots,
         )
-    return Success(_plan_mixed(state, work, generators, traits, now))
 
-
-def _plan_split(
-    state: PlacementState,
-    work: Work,
-    readers: Sequence[Entry],
-    generators: Sequence[Entry],
-    traits: EngineTraits,
-    now: float,
-) -> Plan:
-    options = []
-    for rank, reader in enumerate(_find_homes(work, readers)):
-        missing = _count_missing(state, work, reader, traits, rank)
-        totals = state.ledger.totals(reader.name, now)
-        wait = totals.reading / state.read_rate
-        read = missing / state.read_rate
-        cost = _WAIT_WEIGHT * (wait + read) + _WORK_WEIGHT * read
-        options.append((cost, rank, reader, missing, wait + read))
-    _, rank, reader, missing, wait = min(options, key=lambda row: row[:2])
-    generator = choose_generator(state, work, generators, reader, traits, now)
-    return Plan(reader, generator, missing, wait, f'home {rank}')
-
-
-def _plan_mixed(
-    state: PlacementState,
-    work: Work,
-    generators: Sequence[Entry],
-    traits: EngineTraits,
-    now: float,
-) -> Plan:
-    rate = state.read_rate / _MIXED_SLOWNESS
-    options = []
-    for rank, engine in enumerate(_find_homes(work, generators)):
-        missing = _count_missing(state, work, engine, traits, rank)
-        totals = state.ledger.totals(engine.name, now)
-        wait = totals.reading / rate
-        read = missing / rate
-        crowd = _fill(totals, work, traits)
-        cost = wait + 2 * read + crowd
-        options.append((cost, rank, engine, missing, wait + read))
-    _, rank, engine, missing, wait = min(options, key=lambda row: row[:2])
-    return Plan(None, engine, missing, wait, f'mixed home {rank}')
-
-
-def choose_generator(
-    state: PlacementState,
-    work: Work,
-    generators: Iterable[Entry],
-    reader: Entry,
-    traits: EngineTraits,
-    now: float,
-) -> Entry:
-    """Choose the least filled engine, near the one that read."""
-    moved = work.prompt_tokens * traits.kv_token_bytes / traits.link_bytes_s
-
-    def weigh(engine: Entry) -> tuple[float, float]:
-        totals = state.ledger.totals(engine.name, now)
-        far = engine.data_centre != reader.data_centre
-        move = moved * (_REMOTE_FACTOR if far else 1)
-        return _fill(totals, work, traits) + move, state.random.random()
-
-    return min(generators, key=weigh)
+    def _crowding(self, engine: Entry) -> float:
+        """Return the price of joining an engine's batch, in seconds."""
+        fill = max(0.0, self._fill(engine) - _CROWDED) / (1 - _CROWDED)
+        step = self._state.step_of(engine.name).read(self._now)
+        longest = self._wish.gap_s / self._traits.event_tokens
+        strain = step / longest if longest else 0.0
+        over = max(0.0, strain - _STEP_SHARE) / (1 - _STEP_SHARE)
+        return _FULL_PRICE * fill * fill + _STEP_PRICE * over
 
 
 def _find_homes(work: Work, engines: Sequence[Entry]) -> list[Entry]:
     by_name = {engine.name: engine for engine in engines}
     ranked = rank_by_rendezvous(work.home_key, by_name)
     return [by_name[name] for name in ranked[:_HOMES]]
-
-
-def _count_missing(
-    state: PlacementState,
-    work: Work,
-    engine: Entry,
-    traits: EngineTraits,
-    rank: int,
-) -> int:
-    """Return the tokens that an engine would have to read.
-
-    The first home is taken to keep what all instances send it.
-    """
-    if rank == 0:
-        kept = sum(part.tokens for part in work.shared)
-    else:
-        cache = state.cache_of(engine, traits.kv_tokens)
-        kept = cache.count_kept(work.shared)
-    return max(1, work.prompt_tokens - kept)
-
-
-def _fill(totals: Totals, work: Work, traits: EngineTraits) -> float:
-    """Return how full an engine would be, by memory and by places."""
-    memory = (totals.context + work.context_tokens) / traits.kv_tokens
-    places = (totals.streams + 1) / traits.slots
-    return max(memory, places)
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/placement/_roles.py
@@ -0,0 +1,61 @@
+"""Which engines should read and which should generate.
+
+An engine that generates serves a whole batch of streams with each step; one
+that reads serves one prompt after the other, and its memory keeps the parts
+that prompts share. So most engines read, and as many generate as the streams
+need.
+"""
+
+import dataclasses
+from collections.abc import Mapping, Sequence
+from typing import Final
+
+from verbenahall.fleet import Role
+from verbenahall.roster import Entry
+
+#: Share of the engines that generate as long as nothing is known of the
+#: traffic, rounded up.
+_GENERATING_SHARE: Final = 1 / 3
+#: Engines that are changed before traffic is known, at most: a change takes
+#: an engine away for seconds, and an order has a price.
+_MOST_CHANGES: Final = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoleChange:
+    """One engine and the role that it should have."""
+
+    engine: Entry
+    role: Role
+
+
+def plan_roles(
+    engines: Sequence[Entry],
+    busy: Mapping[str, int],
+) -> tuple[RoleChange, ...]:
+    """Return the changes that bring a service to its planned roles.
+
+    ``busy`` is how many streams or reads are open at an engine; the least
+    busy ones are changed, since a change waits for what runs.
+    """
+    generators = [one for one in engines if one.role is Role.DECODE]
+    readers = [one for one in engines if one.role is Role.PREFILL]
+    total = len(generators) + len(readers)
+    wanted = -(-total // round(1 / _GENERATING_SHARE))
+    spare = len(generators) - wanted
+    if spare > 0 and wanted:
+        return _choose(generators, Role.PREFILL, spare, busy)
+    if spare < 0:
+        return _choose(readers, Role.DECODE, -spare, busy)
+    return ()
+
+
+def _choose(
+    engines: Sequence[Entry],
+    role: Role,
+    count: int,
+    busy: Mapping[str, int],
+) -> tuple[RoleChange, ...]:
+    ranked = sorted(engines, key=lambda one: (busy.get(one.name, 0), one.name))
+    count = min(count, _MOST_CHANGES)
+    return tuple(RoleChange(engine, role) for engine in ranked[:count])
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/placement/_speeds.py
@@ -0,0 +1,109 @@
+"""How fast engines read and generate, learned from timed sends.
+
+Reading has a start that every prompt waits for, takes time for each token
+and, since each token attends to all before it, for each pair of tokens. The
+three are learned by recursive least squares that forget.
+"""
+
+from collections.abc import Sequence
+from typing import Final, final
+
+#: First guesses, until reads were timed: seconds before the first token, for
+#: a thousand tokens, and for a million pairs of tokens. The first is that of
+#: no waiting at all, so that an early error rather spreads work.
+_GUESS: Final = (0.05, 0.012, 0.0005)
+#: How far the guesses may be off, in the same units.
+_DOUBT: Final = (0.1, 0.02, 0.001)
+#: What is seldom exceeded by one read's noise, in seconds.
+_NOISE_S: Final = 0.02
+_THOUSAND: Final = 1000.0
+_MILLION: Final = 1_000_000.0
+#: Weight of what was learned before against one new read.
+_KEEP: Final = 0.995
+#: A read that took longer than expected has mostly waited for others that
+#: this instance does not know of, so it counts for less.
+_LATE_WEIGHT: Final = 0.15
+#: First guess of one step of generation, and weight of one timed gap.
+_STEP_S: Final = 0.006
+_STEP_LEARNING: Final = 0.2
+#: A step time that is older than this has faded half way to the guess.
+_STEP_HALF_LIFE_S: Final = 2.0
+
+
+@final
+class ReadSpeed:
+    """Learned cost of reading a prompt on an engine that only reads."""
+
+    __slots__ = ('_slopes', '_spread')
+
+    def __init__(self) -> None:
+        """Start from the guesses."""
+        self._slopes = list(_GUESS)
+        self._spread = [
+            [doubt * doubt if row == column else 0.0 for column in range(3)]
+            for row, doubt in enumerate(_DOUBT)
+        ]
+
+    @property
+    def start_s(self) -> float:
+        """What passes before the first token of any read."""
+        return max(0.0, self._slopes[0])
+
+    @property
+    def token_s(self) -> float:
+        """Engine time that one token takes."""
+        return max(_GUESS[1] / 10, self._slopes[1]) / _THOUSAND
+
+    def expect(self, missing: int, kept: int) -> float:
+        """Return the engine time for ``missing`` tokens after ``kept``.
+
+        The start is not part of it: other reads go on meanwhile.
+        """
+        pairs = count_pairs(missing, kept)
+        return missing * self.token_s + pairs * max(0.0, self._slopes[2])
+
+    def learn(self, missing: int, kept: int, seconds: float) -> None:
+        """Learn from a read that is thought to have waited for no other."""
+        row = (1.0, missing / _THOUSAND, count_pairs(missing, kept))
+        error = seconds - _dot(row, self._slopes)
+        weight = _LATE_WEIGHT if error > 0 else 1.0
+        spread = [_dot(line, row) for line in self._spread]
+        scale = _NOISE_S * _NOISE_S / weight + _dot(row, spread)
+        for index, gain in enumerate(spread):
+            self._slopes[index] += gain / scale * error
+            line = self._spread[index]
+            for column, other in enumerate(spread):
+                line[column] = (line[column] - gain * other / scale) / _KEEP
+
+
+@final
+class StepTime:
+    """The time between two tokens of a stream at one engine, as seen."""
+
+    __slots__ = ('_seconds', '_noted_at')
+
+    def __init__(self) -> None:
+        """Start from the guess."""
+        self._seconds = _STEP_S
+        self._noted_at = -float('inf')
+
+    def note(self, seconds: float, now: float) -> None:
+        """Learn from one gap divided by the tokens in it."""
+        current = self.read(now)
+        self._seconds = current + _STEP_LEARNING * (seconds - current)
+        self._noted_at = now
+
+    def read(self, now: float) -> float:
+        """Return the expected time of a step."""
+        age = now - self._noted_at
+        fade = 0.5 ** (age / _STEP_HALF_LIFE_S)
+        return _STEP_S + (self._seconds - _STEP_S) * fade
+
+
+def _dot(left: Sequence[float], right: Sequence[float]) -> float:
+    return sum(one * other for one, other in zip(left, right, strict=True))
+
+
+def count_pairs(missing: int, kept: int) -> float:
+    """Return the millions of token pairs that a read looks at."""
+    return missing * (kept + missing / 2) / _MILLION
--- a/packages/verbenahall/src/verbenahall/placement/_state.py
+++ b/packages/verbenahall/src/verbenahall/placement/_state.py
@@ -5,30 +5,34 @@
 
 from verbenahall.placement._caches import PartCache
 from verbenahall.placement._ledger import Ledger
+from verbenahall.placement._speeds import ReadSpeed, StepTime
 from verbenahall.roster import Entry
 
-#: First guess of how fast a prompt is read, in tokens a second, until reads
-#: were timed. Too low a guess only spreads the first requests.
-_FIRST_READ_RATE: Final = 60_000.0
-#: Weight of one timed read.
-_LEARNING: Final = 0.05
 #: Reads shorter than this tell more about the network, in tokens.
-_LEAST_TIMED: Final = 1000
+_LEAST_TIMED: Final = 400
 
 
 @final
 class PlacementState:
-    """Open work, kept parts, and the speed at which prompts are read."""
+    """Open work, kept parts, and how fast engines read and generate."""
 
-    __slots__ = ('ledger', 'data_centre', 'random', 'read_rate', '_caches')
+    __slots__ = (
+        'ledger',
+        'data_centre',
+        'random',
+        'read_speed',
+        '_caches',
+        '_steps',
+    )
 
     def __init__(self, data_centre: str, source: random.Random) -> None:
         """Start without knowledge, in a data centre."""
         self.ledger = Ledger()
         self.data_centre = data_centre
         self.random = source
-        self.read_rate = _FIRST_READ_RATE
+        self.read_speed = ReadSpeed()
         self._caches: dict[tuple[str, int], PartCache] = {}
+        self._steps: dict[str, StepTime] = {}
 
     def cache_of(self, engine: Entry, kv_tokens: int) -> PartCache:
         """Return what an engine is thought to keep since its start."""
@@ -39,12 +43,17 @@
             self._caches[key] = cache
         return cache
 
+    def step_of(self, engine: str) -> StepTime:
+        """Return the step time seen at an engine."""
+        return self._steps.setdefault(engine, StepTime())
+
     def forget(self, name: str) -> None:
         """Forget an engine that is gone."""
+        self._steps.pop(name, None)
         for key in [known for known in self._caches if known[0] == name]:
             self._caches.pop(key)
 
-    def learn_read(self, tokens: int, seconds: float) -> None:
-        """Learn from a read of so many tokens that waited for no other."""
-        if tokens >= _LEAST_TIMED and seconds > 0:
-            self.read_rate += _LEARNING * (tokens / seconds - self.read_rate)
+    def learn_read(self, missing: int, kept: int, seconds: float) -> None:
+        """Learn from a read that waited for no other."""
+        if missing >= _LEAST_TIMED and seconds > 0:
+            self.read_speed.learn(missing, kept, seconds)
--- a/packages/verbenahall/src/verbenahall/platform/__init__.py
+++ b/packages/verbenahall/src/verbenahall/platform/__init__.py
@@ -25,6 +25,8 @@
 from verbenahall.platform._manifest import decode_manifest
 from verbenahall.platform._names import (
     ENDPOINTS_TOPIC,
+    EXPECT_ENDPOINT,
+    INSTANCES_TOPIC,
     LEASES_TOPIC,
     MANIFEST_KEY,
     OPERATOR_TOPIC,
@@ -32,7 +34,6 @@
     READY,
     REPORT,
     REQUEST_ID,
-    EXPECT_ENDPOINT,
 )
 from verbenahall.platform._records import (
     Batch,
@@ -69,6 +70,7 @@
     'ENDPOINTS_TOPIC',
     'EXPECT_ENDPOINT',
     'EngineReport',
+    'INSTANCES_TOPIC',
     'KeyedRecord',
     'LEASES_TOPIC',
     'MANIFEST_KEY',
--- a/packages/verbenahall/src/verbenahall/platform/_headers.py
+++ b/packages/verbenahall/src/verbenahall/platform/_headers.py
@@ -160,10 +160,14 @@
 
 def _read_work(headers: Mapping[str, str]) -> Work:
     prompt, _, output = headers.get(names.TOKEN_COUNT, '').partition(',')
+    hint = read_event_number(headers.get(names.LENGTH_HINT, '').strip())
+    most = read_event_number(output.strip()) or 0
     return Work(
         parts=tuple(_read_parts(headers.get(names.PROMPT_PREFIX, ''))),
         prompt_tokens=read_event_number(prompt.strip()) or 0,
-        output_tokens=read_event_number(output.strip()) or 0,
+        # The count is the most that may come; the hint is right at the
+        # median.
+        output_tokens=most if hint is None else min(hint, most),
     )
 
 
--- a/packages/verbenahall/src/verbenahall/platform/_names.py
+++ b/packages/verbenahall/src/verbenahall/platform/_names.py
@@ -63,7 +63,9 @@
 MANIFEST_KEY: Final = 'config'
 #: Topic of what endpoints say of themselves, a key for each endpoint.
 ENDPOINTS_TOPIC: Final = 'keyed.servers'
+#: Topic of this system's instances, a key for each one's name.
+INSTANCES_TOPIC: Final = 'keyed.instances'
 #: Topic of this system's leases.
-LEASES_TOPIC: Final = 'leases'
+LEASES_TOPIC: Final = 'keyed.leases'
 
 SETTINGS_VARIABLE: Final = 'VERBENAHALL_CONFIG'
--- a/packages/verbenahall/src/verbenahall/platform/_store.py
+++ b/packages/verbenahall/src/verbenahall/platform/_store.py
@@ -44,9 +44,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Newest:
-    """The newest record of each key, and the offset to follow from."""
+    """The newest record of each key, and the offset to follow from.
+
+    ``offsets`` tells where each of them lies.
+    """
 
     items: dict[str, bytes]
+    offsets: dict[str, int]
     end: int
 
 
@@ -94,6 +98,7 @@
         page, so that what changed between two pages is read again.
         """
         kept: dict[str, bytes] = {}
+        offsets: dict[str, int] = {}
         end: int | None = None
         after = ''
         while True:
@@ -101,9 +106,10 @@
             match answer:
                 case Success(page):
                     kept.update(_decode_items(page))
+                    offsets.update(_decode_offsets(page))
                     end = page['end'] if end is None else end
                     if not page.get('hasMore'):
-                        return Success(Newest(kept, end))
+                        return Success(Newest(kept, offsets, end))
                     after = page['items'][-1]['key']
                 case Failure():
                     return answer
@@ -200,6 +206,10 @@
     }
 
 
+def _decode_offsets(page: dict[str, Any]) -> dict[str, int]:
+    return {item['key']: item['offset'] for item in page['items']}
+
+
 def _decode_read(body: bytes) -> Result[Batch, Away | Deleted]:
     try:
         return Success(decode_batch(body))
--- a/packages/verbenahall/src/verbenahall/requests/__init__.py
+++ b/packages/verbenahall/src/verbenahall/requests/__init__.py
@@ -1,7 +1,11 @@
 """Attempts of one request: identities, retries, budgets and streams."""
 
 from verbenahall.requests._budget import RetryBudget
-from verbenahall.requests._decisions import conclude, decide_next
+from verbenahall.requests._decisions import (
+    conclude,
+    decide_next,
+    name_outcome,
+)
 from verbenahall.requests._messages import (
     AttemptNames,
     Facts,
@@ -33,4 +37,5 @@
     'conclude',
     'decide_next',
     'feed',
+    'name_outcome',
 )
