--- a/packages/verbenahall/src/verbenahall/gateway/_answers.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_answers.py
@@ -5,14 +5,15 @@
 
 from aiohttp import web
 
-from verbenahall import metrics, wire
+from verbenahall import metrics
 from verbenahall.errors import ErrorKind, Problem, Ran
 from verbenahall.front import answer_problem
 from verbenahall.gateway._messages import Answered
 from verbenahall.platform import REQUEST_ID
 
 _SERVER_ERROR: Final = 500
-_RETRY_DIGITS: Final = 2
+#: Digits of Retry-After behind the point: hundredths of a second.
+_DIGITS: Final = 2
 
 
 def answer_with(problem: Problem, request: str) -> web.Response:
@@ -29,7 +30,7 @@
     if retry_after is not None and told.answer.ran is Ran.NO:
         # Fractions are allowed here, and callers that wait a whole second
         # more than they must have less time left.
-        response.headers['Retry-After'] = f'{retry_after:.{_RETRY_DIGITS}f}'
+        response.headers['Retry-After'] = str(round(retry_after, _DIGITS))
     else:
         response.headers.popall('Retry-After', None)
     metrics.REQUESTS.add('', told.kind.value)
@@ -53,6 +54,3 @@
     if answer.ran is Ran.UNKNOWN and answer.status < _SERVER_ERROR:
         return dataclasses.replace(problem, kind=ErrorKind.OUTCOME_UNKNOWN)
     return problem
-
-
-__all__ = ('answer_with', 'pass_on', 'wire')
--- a/packages/verbenahall/src/verbenahall/gateway/_ingress.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_ingress.py
@@ -1,5 +1,6 @@
 """Takes callers' requests: route, limits, deadline, then one of the flows."""
 
+import asyncio
 from typing import Final, final
 
 from aiohttp import web
@@ -49,35 +50,43 @@
         request: web.Request,
         call: Call,
     ) -> web.StreamResponse:
-        journal.write_decision(
-            'accepted',
-            request=call.ask.identity,
-            route=call.route.name,
-            service=call.service.name,
-            left_s=round(call.left_s(call.received), 3),
-            prompt=call.ask.work.prompt_tokens,
-            output=call.ask.work.output_tokens,
-        )
+        _tell_accepted(call)
         self._core.budget_of(call.service.name).earn()
         outcome = 'caller_gone'
         try:
-            if call.route.kind is Kind.STREAM and call.service.engine:
-                flow = StreamFlow(self._core, self._sender, call, request)
-            else:
-                flow = PlainFlow(self._core, self._sender, call)
-            response = await flow.run()
-            outcome = str(response.status)
-        finally:
-            took_s = self._core.now() - call.received
-            journal.write_decision(
-                'answered',
-                request=call.ask.identity,
-                outcome=outcome,
-                took_s=round(took_s, 3),
-            )
-            metrics.REQUESTS.add(str(call.route.priority), outcome)
+            response = await self._start_flow(request, call)
+        except ConnectionError:
+            self._tell_answered(call, outcome)
+            raise
+        except asyncio.CancelledError:
+            self._tell_answered(call, outcome)
+            raise
+        self._tell_answered(call, str(response.status))
         return response
 
+    async def _start_flow(
+        self,
+        request: web.Request,
+        call: Call,
+    ) -> web.StreamResponse:
+        if call.route.kind is Kind.STREAM and call.service.engine:
+            return await StreamFlow(
+                self._core,
+                self._sender,
+                call,
+                request,
+            ).run()
+        return await PlainFlow(self._core, self._sender, call).run()
+
+    def _tell_answered(self, call: Call, outcome: str) -> None:
+        journal.write_decision(
+            'answered',
+            request=call.ask.identity,
+            outcome=outcome,
+            took_s=round(self._core.now() - call.received, 3),
+        )
+        metrics.REQUESTS.add(str(call.route.priority), outcome)
+
     async def _accept(
         self,
         request: web.Request,
@@ -94,7 +103,7 @@
                 ),
             )
         path, _, _ = request.raw_path.partition('?')
-        host = request.headers.get('Host', '').partition(':')[0].lower()
+        host = _read_host(request)
         match find_route(catalog, host, path):
             case Some(route):
                 return await self._read(request, ask, received, catalog, route)
@@ -153,6 +162,24 @@
         )
 
 
+def _tell_accepted(call: Call) -> None:
+    journal.write_decision(
+        'accepted',
+        request=call.ask.identity,
+        route=call.route.name,
+        service=call.service.name,
+        left_s=round(call.left_s(call.received), 3),
+        prompt=call.ask.work.prompt_tokens,
+        output=call.ask.work.output_tokens,
+    )
+
+
+def _read_host(request: web.Request) -> str:
+    """Return the host that the caller named, without its port."""
+    host, _, _ = request.headers.get('Host', '').partition(':')
+    return host.lower()
+
+
 async def _read_body(request: web.Request, most: int) -> bytes | None:
     """Read a whole body, or None when it is larger than allowed."""
     pieces = bytearray()
--- a/packages/verbenahall/src/verbenahall/gateway/_orders.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_orders.py
@@ -40,6 +40,8 @@
 _SHOWN_S: Final = 4.0
 _CALL_S: Final = 1.0
 _LEASE_S: Final = 6.0
+#: Digits that tell this run of the process from the ones before.
+_RUN_DIGITS: Final = 8
 _ACCEPTED: Final = 202
 _HOLDS: Final = 200
 _FENCED: Final = 412
@@ -63,7 +65,7 @@
         bounds = core.settings.bounds
         self._lease = RoleLease(
             core.store,
-            f'{core.settings.name}-{uuid.uuid4().hex[:8]}',
+            '-'.join((core.settings.name, uuid.uuid4().hex[:_RUN_DIGITS])),
             # The margin keeps two holders' orders further apart than a
             # lease, so that they are never seen to take turns.
             LeaseTiming(_LEASE_S, margin_s=bounds.lease_s + 0.5),
@@ -73,7 +75,7 @@
         #: When the order to an engine was sent, by its name and start.
         self._pending: dict[tuple[str, int], float] = {}
         self._needed_at: float | None = None
-        self._seen: tuple[frozenset[str], float] = (frozenset(), 0.0)
+        self._seen: tuple[frozenset[str], float] = (frozenset(), 0)
 
     async def run(self) -> None:
         """Look and order until cancelled."""
--- a/packages/verbenahall/src/verbenahall/gateway/_peers.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_peers.py
@@ -40,9 +40,11 @@
         """Join, then tell and hear until cancelled."""
         settings = self._core.settings
         await self.exchange.open(settings.ip, settings.peer_port)
-        async with asyncio.TaskGroup() as group:
-            group.create_task(self.exchange.run())
-            group.create_task(self._join())
+        try:
+            await asyncio.gather(self.exchange.run(), self._join())
+        finally:
+            # A loop that starts again binds the port anew.
+            self.exchange.close()
 
     async def _join(self) -> None:
         while not await self._register():
--- a/packages/verbenahall/src/verbenahall/gateway/_plain.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_plain.py
@@ -4,7 +4,7 @@
 from typing import Final, final
 
 from aiohttp import web
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
 from verbenahall import journal, metrics
 from verbenahall.errors import ErrorKind, Problem, Ran
@@ -16,6 +16,7 @@
 from verbenahall.requests import (
     Facts,
     NeverWritten,
+    Outcome,
     Refused,
     Retry,
     conclude,
@@ -25,6 +26,10 @@
 from verbenahall.roster import Entry
 
 _SERVER_ERROR: Final = 500
+_NONE_LEFT: Final = ErrorKind.NO_ENDPOINT
+#: A further attempt needs this share of the objective at least: less time
+#: would hardly bring an answer.
+_LEAST_LEFT: Final = 0.25
 #: Load that an endpoint of another data centre is thought to have more, in
 #: places: a call there takes some milliseconds longer.
 _REMOTE_LOAD: Final = 0.5
@@ -39,49 +44,74 @@
 class PlainFlow:
     """One call to a plain service, from its choice of endpoint to its end."""
 
-    __slots__ = ('_core', '_sender', '_call', '_tried', '_sends', '_runs')
+    __slots__ = (
+        '_core',
+        '_sender',
+        '_call',
+        '_budget',
+        '_fallback',
+        '_tried',
+        '_sends',
+        '_runs',
+    )
 
     def __init__(self, core: Core, sender: Sender, call: Call) -> None:
         """Prepare; nothing is sent before ``run``."""
         self._core = core
         self._sender = sender
         self._call = call
+        self._budget = core.budget_of(call.service.name)
+        self._fallback: Answered | None = None
         self._tried: set[str] = set()
         self._sends = 0
         self._runs = 0
 
     async def run(self) -> web.StreamResponse:
         """Send until an answer is final; return it."""
-        fallback: Answered | None = None
-        budget = self._core.budget_of(self._call.service.name)
-        while True:
+        final_answer: web.StreamResponse | None = None
+        while final_answer is None:
             endpoint = self._choose()
             if endpoint is None:
-                return self._refuse(fallback)
-            result = await self._send(endpoint)
-            match result:
-                case Success(answered) if not self._may_improve(answered):
+                return self._refuse()
+            final_answer = self._judge(endpoint, await self._send(endpoint))
+        return final_answer
+
+    def _judge(
+        self,
+        endpoint: Entry,
+        result: Result[Answered, Outcome],
+    ) -> web.StreamResponse | None:
+        """Return the final answer; None for another attempt."""
+        match result:
+            case Success(answered):
+                if not self._may_improve(answered):
                     return pass_on(answered)
-                case Success(answered):
-                    fallback = answered
-                    if not budget.spend():
-                        return pass_on(answered)
-                case Failure(outcome):
-                    facts = self._describe()
-                    step = decide_next(
-                        outcome,
-                        facts,
-                        budget,
-                        self._core.random,
-                        self._core.now(),
-                    )
-                    self._tell(endpoint, name_outcome(outcome), step)
-                    if not isinstance(step, Retry):
-                        if fallback is not None:
-                            return pass_on(fallback)
-                        problem = conclude(outcome, facts)
-                        return answer_with(problem, self._call.ask.identity)
-            metrics.RETRIES.add('plain')
+                self._fallback = answered
+            case Failure(outcome):
+                problem = self._go_on(endpoint, outcome)
+                if problem is not None:
+                    return self._give_up(problem)
+        metrics.RETRIES.add('plain')
+        return None
+
+    def _go_on(self, endpoint: Entry, outcome: Outcome) -> Problem | None:
+        """Decide what follows a failure; None for another attempt."""
+        facts = self._describe()
+        step = decide_next(
+            outcome,
+            facts,
+            self._budget,
+            self._core.random,
+            self._core.now(),
+        )
+        self._tell(endpoint, name_outcome(outcome), step)
+        return None if isinstance(step, Retry) else conclude(outcome, facts)
+
+    def _give_up(self, problem: Problem) -> web.StreamResponse:
+        """Answer with an endpoint's own failure rather than with ours."""
+        if self._fallback is not None:
+            return pass_on(self._fallback)
+        return answer_with(problem, self._call.ask.identity)
 
     def _choose(self) -> Entry | None:
         now = self._core.now()
@@ -89,7 +119,7 @@
         fresh = [one for one in live if one.name not in self._tried]
         return choose_plain(self._core, fresh, now)
 
-    async def _send(self, endpoint: Entry):
+    async def _send(self, endpoint: Entry) -> Result[Answered, Outcome]:
         call = self._call
         self._tried.add(endpoint.name)
         self._sends += 1
@@ -113,7 +143,10 @@
             return False
         if self._runs >= call.route.max_attempts:
             return False
-        return call.left_s(self._core.now()) > call.route.objective_s / 4
+        left_s = call.left_s(self._core.now())
+        if left_s < call.route.objective_s * _LEAST_LEFT:
+            return False
+        return self._budget.spend()
 
     def _describe(self) -> Facts:
         call = self._call
@@ -126,16 +159,16 @@
             most_runs=call.route.max_attempts,
         )
 
-    def _refuse(self, fallback: Answered | None) -> web.StreamResponse:
-        if fallback is not None:
-            return pass_on(fallback)
+    def _refuse(self) -> web.StreamResponse:
+        ran = Ran.UNKNOWN if self._runs else Ran.NO
+        kind = ErrorKind.OUTCOME_UNKNOWN if self._runs else _NONE_LEFT
         problem = Problem(
-            ErrorKind.OUTCOME_UNKNOWN if self._runs else ErrorKind.NO_ENDPOINT,
+            kind,
             'no endpoint of the service is left to try',
-            Ran.UNKNOWN if self._runs else Ran.NO,
+            ran,
             retry_after_s=self._call.route.objective_s,
         )
-        return answer_with(problem, self._call.ask.identity)
+        return self._give_up(problem)
 
     def _tell(self, endpoint: Entry, outcome: str, step: object) -> None:
         journal.write_decision(
@@ -158,11 +191,17 @@
         one for one in endpoints if not core.standings.paused(one.name, now)
     ]
 
-    def weigh(endpoint: Entry) -> tuple[float, float]:
-        standing = core.standings.of(endpoint.name)
-        far = endpoint.data_centre != core.settings.data_centre
-        failing = core.standings.failing(endpoint.name, now)
-        load = standing.open + failing * _FAILING_LOAD
-        return load + (_REMOTE_LOAD if far else 0), core.random.random()
+    return min(
+        usable or endpoints,
+        key=lambda one: (_weigh(core, one, now), core.random.random()),
+        default=None,
+    )
+
 
-    return min(usable or endpoints, key=weigh, default=None)
+def _weigh(core: Core, endpoint: Entry, now: float) -> float:
+    standing = core.standings.of(endpoint.name)
+    failing = core.standings.failing(endpoint.name, now)
+    load = standing.open + failing * _FAILING_LOAD
+    if endpoint.data_centre != core.settings.data_centre:
+        load += _REMOTE_LOAD
+    return load
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/gateway/_relay.py
@@ -0,0 +1,132 @@
+"""The caller's side of a stream, across the engines that generate it."""
+
+import asyncio
+from typing import Final, final
+
+from aiohttp import ClientPayloadError, ClientResponse, web
+
+from verbenahall import metrics
+from verbenahall.clock import Clock
+from verbenahall.gateway._events import EventState, feed
+from verbenahall.gateway._messages import Call
+from verbenahall.platform import strip_hop_headers
+
+#: A stream that may be resumed and is silent for this many of the pauses
+#: that its callers bear on time is taken up by another engine, and at least
+#: for this long, in seconds: callers leave a stream after two seconds.
+_SILENT_GAPS: Final = 5.0
+_SILENT_S: Final = 1.2
+
+
+@final
+class Pace:
+    """When a stream's events came: to learn from, and to tell in the log."""
+
+    __slots__ = ('first_at', 'last_at', 'events')
+
+    def __init__(self) -> None:
+        """Start before the first event."""
+        self.first_at: float | None = None
+        self.last_at: float | None = None
+        self.events = 0
+
+    def note(self, events: int, now: float) -> float | None:
+        """Note new events; return the pause before them, if it is known."""
+        before = self.last_at
+        self.last_at = now
+        self.events += events
+        if self.first_at is None:
+            self.first_at = now
+        return None if before is None else now - before
+
+
+@final
+class EventRelay:
+    """Passes whole events on as they come; the headers are the first run's.
+
+    A stream that ends early must not look complete, so it is broken off by
+    closing the caller's connection inside of a chunk.
+    """
+
+    __slots__ = ('state', '_request', '_call', '_clock', '_response')
+
+    def __init__(self, request: web.Request, call: Call, now: Clock) -> None:
+        """Keep the request; nothing is sent yet."""
+        self.state = EventState(call.ask.last_event)
+        self._request = request
+        self._call = call
+        self._clock = now
+        self._response: web.StreamResponse | None = None
+
+    @property
+    def begun(self) -> bool:
+        """Whether the caller has a part of the answer."""
+        return self._response is not None
+
+    async def pump(
+        self,
+        response: ClientResponse,
+        *,
+        resumable: bool,
+    ) -> Pace:
+        """Pass a run on to its end; raise when it breaks or falls silent."""
+        pace = Pace()
+        while True:
+            async with asyncio.timeout(self._find_patience(resumable)):
+                piece = await response.content.readany()
+            if not piece:
+                break
+            step = feed(self.state, piece)
+            if step.events:
+                self._time(pace, step.events)
+                await self._write(response, step.passed)
+        if self.state.tail:
+            raise ClientPayloadError('the stream ends in an event')
+        return pace
+
+    async def finish(self) -> web.StreamResponse | None:
+        """End the answer; None when there is none to end."""
+        if self._response is not None:
+            await self._response.write_eof()
+        return self._response
+
+    def break_off(self) -> web.StreamResponse | None:
+        """Close the caller's connection; None when nothing was sent yet."""
+        transport = self._request.transport
+        if self._response is not None and transport is not None:
+            transport.abort()
+        return self._response
+
+    def silent_until(self, *, resumable: bool) -> float:
+        """Return until when an engine may be silent."""
+        call = self._call
+        if not resumable:
+            return call.deadline
+        silent_s = max(_SILENT_S, call.route.gap_s * _SILENT_GAPS)
+        return min(call.deadline, self._clock() + silent_s)
+
+    def _find_patience(self, resumable: bool) -> float:
+        return self.silent_until(resumable=resumable) - self._clock()
+
+    def _time(self, pace: Pace, events: int) -> None:
+        now = self._clock()
+        pause = pace.note(events, now)
+        if pause is None and self._response is None:
+            metrics.FIRST_TOKEN_SECONDS.observe(now - self._call.received)
+        elif pause is not None:
+            metrics.TOKEN_GAP_SECONDS.observe(pause)
+
+    async def _write(
+        self,
+        response: ClientResponse,
+        passed: bytes,
+    ) -> None:
+        if self._response is None:
+            self._response = web.StreamResponse(
+                status=response.status,
+                reason=response.reason,
+                headers=strip_hop_headers(response.raw_headers),
+            )
+            self._response.enable_chunked_encoding()
+            await self._response.prepare(self._request)
+        await self._response.write(passed)
--- a/packages/verbenahall/src/verbenahall/gateway/_sender.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_sender.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
-from typing import Final, final
+from collections.abc import AsyncIterator, Awaitable
+from http import HTTPStatus
+from typing import Final, TypeVar, final
 
 import aiohttp
 import yarl
@@ -26,7 +27,9 @@
 )
 from verbenahall.roster import Entry
 
-_SUCCESS: Final = range(200, 300)
+Answer = TypeVar('Answer')
+
+SUCCESS: Final = range(HTTPStatus.OK, HTTPStatus.MULTIPLE_CHOICES)
 #: Longest time for the rest of a refusal, in seconds.
 _REFUSAL_S: Final = 0.2
 #: How an attempt may end with a response that is not read yet.
@@ -67,13 +70,11 @@
         standing.open += 1
         response = None
         try:
-            async with asyncio.timeout(until - self._core.now()):
-                response = await request
-            yield await self._judge(response)
-        except _FAILURES as error:
-            if response is not None:
-                raise
+            response = await self._wait_until(until, request)
+        except FAILURES as error:
             yield Failure(self.name_failure(call, endpoint, error))
+        else:
+            yield await self._judge(response)
         finally:
             standing.open -= 1
             if response is not None:
@@ -115,17 +116,18 @@
         until: float,
     ) -> Result[Answered, Outcome]:
         try:
-            async with asyncio.timeout(until - self._core.now()):
-                body = await response.read()
-        except _FAILURES as error:
+            body = await self._wait_until(until, response.read())
+        except FAILURES as error:
             return Failure(self.name_failure(call, endpoint, error))
         facts = read_answer(response.status, response.headers)
         signs = not order.read_only
-        if response.status in _SUCCESS and signs and not facts.signed:
+        if response.status in SUCCESS and signs and not facts.signed:
             # An answer without a signature is no endpoint's answer.
             self.note(endpoint, good=False)
             return Failure(Broken('the answer bears no signature'))
-        self.note(endpoint, good=response.status < 500)
+        self.note(
+            endpoint, good=response.status < HTTPStatus.INTERNAL_SERVER_ERROR
+        )
         return Success(
             Answered(
                 response.status,
@@ -136,16 +138,6 @@
             ),
         )
 
-    async def _judge(self, response: aiohttp.ClientResponse) -> Opened:
-        if not read_answer(response.status, response.headers).not_run:
-            return Success(response)
-        # Read to its end, the refusal leaves its connection to the next
-        # send; a new one would cost a handshake.
-        with contextlib.suppress(*_FAILURES):
-            async with asyncio.timeout(_REFUSAL_S):
-                await response.read()
-        return Failure(Refused(response.status))
-
     def name_failure(
         self,
         call: Call,
@@ -162,8 +154,25 @@
             return TimedOut()
         return Broken(repr(error))
 
+    async def _wait_until(
+        self,
+        until: float,
+        work: Awaitable[Answer],
+    ) -> Answer:
+        async with asyncio.timeout(until - self._core.now()):
+            return await work
+
+    async def _judge(self, response: aiohttp.ClientResponse) -> Opened:
+        if not read_answer(response.status, response.headers).not_run:
+            return Success(response)
+        # Read to its end, the refusal leaves its connection to the next
+        # send; a new one would cost a handshake.
+        with contextlib.suppress(*FAILURES):
+            await asyncio.wait_for(response.read(), _REFUSAL_S)
+        return Failure(Refused(response.status))
+
 
-_FAILURES: Final = (aiohttp.ClientError, OSError, TimeoutError)
+FAILURES: Final = (aiohttp.ClientError, OSError, TimeoutError)
 _NO_CONNECTION: Final = (
     aiohttp.ClientConnectorError,
     aiohttp.ConnectionTimeoutError,
--- a/packages/verbenahall/src/verbenahall/gateway/_serve.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_serve.py
@@ -1,7 +1,9 @@
 """Runs the entry instance on the platform: listeners, followers, stop."""
 
 import asyncio
+import functools
 import signal
+from http import HTTPStatus
 from typing import Final, final
 
 import aiomisc
@@ -18,13 +20,14 @@
 from verbenahall.gateway._peers import PeerFinder
 from verbenahall.platform import READY, ProcessSettings
 from verbenahall.shutdown import GracefulStop, StopTiming
+from verbenahall.supervisor import Supervisor
 
 #: Waiting connections that the kernel keeps while the loop is busy.
 _BACKLOG: Final = 1024
 #: Bytes of one line or header that the HTTP library takes; the manifest's
 #: own bound is lower and may change while connections are open.
 _LINE_BYTES: Final = 65_536
-_BODY_BYTES: Final = 64 * 1024 * 1024
+_BODY_BYTES: Final = 67_108_864
 _CONNECTIONS: Final = 3000
 #: Connections that bring no request are closed after this time, in seconds.
 _FIRST_REQUEST_S: Final = 60.0
@@ -52,34 +55,27 @@
         core = Core(self._settings)
         stop = GracefulStop(_time_stop(self._settings))
         readiness = await _serve_readiness(core, stop)
-        runner = await _serve_callers(core, stop)
-        followers = Following(core).followers()
-        tasks = [
-            asyncio.create_task(follower.run(), name=name)
-            for name, follower in followers.items()
-        ]
-        finder = PeerFinder(core)
-        keeper = RoleKeeper(core, finder.book)
-        tasks.append(asyncio.create_task(finder.run(), name='peers'))
-        tasks.append(asyncio.create_task(keeper.run(), name='roles'))
-        tasks.append(asyncio.create_task(_flush_lines(), name='lines'))
+        callers = await _serve_callers(core, stop)
+        supervisor = _start_loops(core)
         journal.write_decision('started', instance=self._settings.name)
         self.start_event.set()
-        _ignore_hangup()
+        _note_hangup()
         await stop.run()
-        journal.write_decision('stopped', instance=self._settings.name)
-        for task in tasks:
-            task.cancel()
-        await runner.cleanup()
+        await supervisor.stop()
+        await callers.cleanup()
         await readiness.cleanup()
-        await core.close()
-        journal.flush()
-        self._ended.set()
+        await self._end(core)
 
     async def wait(self) -> None:
         """Wait until the process may exit."""
         await self._ended.wait()
 
+    async def _end(self, core: Core) -> None:
+        await core.close()
+        journal.write_decision('stopped', instance=self._settings.name)
+        journal.flush()
+        self._ended.set()
+
 
 def serve(settings: ProcessSettings) -> None:
     """Run the instance until it is stopped."""
@@ -96,6 +92,18 @@
         loop.run_until_complete(service.wait())
 
 
+def _start_loops(core: Core) -> Supervisor:
+    """Start what runs beside the requests."""
+    supervisor = Supervisor()
+    for name, follower in Following(core).followers().items():
+        supervisor.start(name, follower.run)
+    finder = PeerFinder(core)
+    supervisor.start('peers', finder.run)
+    supervisor.start('roles', RoleKeeper(core, finder.book).run)
+    supervisor.start('lines', _flush_lines)
+    return supervisor
+
+
 def _time_stop(settings: ProcessSettings) -> StopTiming:
     return StopTiming(
         grace_s=settings.bounds.grace_s - _EXIT_S,
@@ -127,17 +135,23 @@
 
 
 async def _serve_readiness(core: Core, stop: GracefulStop) -> web.AppRunner:
-    async def tell_ready(request: web.Request) -> web.Response:
-        ready = core.ready and not stop.stopping
-        return web.Response(status=200 if ready else 503)
-
     app = web.Application()
-    app.router.add_get(READY, tell_ready)
+    app.router.add_get(READY, functools.partial(_tell_ready, core, stop))
     runner = web.AppRunner(app, access_log=None)
     await _listen(runner, core.settings.readiness)
     return runner
 
 
+async def _tell_ready(
+    core: Core,
+    stop: GracefulStop,
+    request: web.Request,
+) -> web.Response:
+    ready = core.ready and not stop.stopping
+    status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
+    return web.Response(status=status)
+
+
 async def _listen(runner: web.AppRunner, address: str) -> web.TCPSite:
     host, _, port = address.rpartition(':')
     await runner.setup()
@@ -152,7 +166,7 @@
         await asyncio.sleep(_FLUSH_S)
 
 
-def _ignore_hangup() -> None:
+def _note_hangup() -> None:
     """Go on at SIGHUP, whose default would end the process."""
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(
--- a/packages/verbenahall/src/verbenahall/gateway/_standing.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_standing.py
@@ -24,8 +24,8 @@
 
     def __init__(self) -> None:
         """Start with nothing against the endpoint."""
-        self.failing = 0.0
-        self.noted_at = 0.0
+        self.failing: float = 0
+        self.noted_at: float = 0
         self.pauses = 0
         self.paused_until = -float('inf')
         self.open = 0
@@ -53,7 +53,7 @@
         """Note how a send ended."""
         standing = self.of(endpoint)
         failing = self.failing(endpoint, now)
-        target = 0.0 if good else 1.0
+        target = 0 if good else 1
         standing.failing = failing + _LEARNING * (target - failing)
         standing.noted_at = now
         if good:
--- a/packages/verbenahall/src/verbenahall/instance/_control.py
+++ b/packages/verbenahall/src/verbenahall/instance/_control.py
@@ -10,7 +10,7 @@
 from verbenahall.instance._core import Core
 from verbenahall.instance._gauges import Gauges
 from verbenahall.instance._pools import Pools
-from verbenahall.instance._supervisor import Loops
+from verbenahall.supervisor import Loops
 from verbenahall.instance._surroundings import Surroundings
 from verbenahall.load import EngineStates, read_engine_state
 from verbenahall.membership import (
--- a/packages/verbenahall/src/verbenahall/instance/_serve.py
+++ b/packages/verbenahall/src/verbenahall/instance/_serve.py
@@ -12,7 +12,7 @@
 
 from verbenahall.config import InstanceConfig
 from verbenahall.front import Runner
-from verbenahall.instance._supervisor import Supervisor
+from verbenahall.supervisor import Supervisor
 from verbenahall.instance._control import CONTROLLER, KEEPER
 from verbenahall.instance._wiring import Instance
 from verbenahall.shutdown import GracefulStop, StopTiming
--- a/packages/verbenahall/src/verbenahall/instance/_wiring.py
+++ b/packages/verbenahall/src/verbenahall/instance/_wiring.py
@@ -19,7 +19,7 @@
 )
 from verbenahall.instance._control import Control
 from verbenahall.instance._core import Core
-from verbenahall.instance._supervisor import Loops
+from verbenahall.supervisor import Loops
 from verbenahall.load import LoadState, Report, StatePoller, observe_report
 from verbenahall.orders import is_changing
 
--- a/packages/verbenahall/src/verbenahall/lines.py
+++ b/packages/verbenahall/src/verbenahall/lines.py
@@ -10,9 +10,9 @@
 
 #: Bytes that wait for the reader at most; about a second of lines at the
 #: busiest rate seen.
-_MOST_BYTES: Final = 512 * 1024
+_MOST_BYTES: Final = 524_288
 #: Bytes that are written as soon as they are there.
-_FLUSH_BYTES: Final = 16 * 1024
+_FLUSH_BYTES: Final = 16_384
 
 
 @final
--- a/packages/verbenahall/src/verbenahall/peers/_messages.py
+++ b/packages/verbenahall/src/verbenahall/peers/_messages.py
@@ -41,8 +41,10 @@
 def decode_word(datagram: bytes) -> Maybe[Word]:
     """Decode a datagram; Nothing when it is not a word."""
     match wire.decode_table(datagram):
-        case Success({'from': str(author), 'n': int(number), 'load': dict(l)}):
-            return _decode_loads(author, number, l)
+        case Success(
+            {'from': str(author), 'n': int(number), 'load': dict(loads)},
+        ):
+            return _decode_loads(author, number, loads)
         case _:
             return Nothing
 
--- a/packages/verbenahall/src/verbenahall/peers/_shell.py
+++ b/packages/verbenahall/src/verbenahall/peers/_shell.py
@@ -26,14 +26,6 @@
         self._numbers = itertools.count()
         self._transport: Any = None
 
-    async def open(self, ip: str, port: int) -> None:
-        """Bind the socket."""
-        loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(
-            lambda: self,
-            local_addr=(ip, port),
-        )
-
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
         self._transport = transport
@@ -41,32 +33,48 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Hear one word."""
         match decode_word(data):
-            case Some(word) if word.author != self._book.name:
-                now = clock.monotonic()
-                greet(self._book, word.author, f'{addr[0]}:{addr[1]}')
-                if hear(self._book, word.author, word.number, now):
-                    self._ledger.hear(word.author, word.loads, now)
+            case Some(word):
+                self._hear(word, addr)
+            case _:
+                # Not a word of this version; the peer is heard no worse.
+                return
 
     def error_received(self, exc: Exception) -> None:
         """Go on: a peer whose machine is gone is told again later."""
 
+    async def open(self, ip: str, port: int) -> None:
+        """Bind the socket."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: self,
+            local_addr=(ip, port),
+        )
+
     async def run(self) -> None:
         """Tell the peers until cancelled."""
         while True:
             self._tell(clock.monotonic())
             await asyncio.sleep(_TICK_S)
 
+    def close(self) -> None:
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def _hear(self, word: Word, source: tuple[str, int]) -> None:
+        now = clock.monotonic()
+        host, port = source
+        greet(self._book, word.author, f'{host}:{port}')
+        if hear(self._book, word.author, word.number, now):
+            self._ledger.hear(word.author, word.loads, now)
+
     def _tell(self, now: float) -> None:
         due = tuple(choose_due(self._book, now))
         if not due:
             return
-        word = Word(self._book.name, next(self._numbers), self._ledger.own())
+        loads = self._ledger.own()
+        word = Word(self._book.name, next(self._numbers), loads)
         datagram = encode_word(word)
         for address in due:
             host, _, port = address.rpartition(':')
             self._transport.sendto(datagram, (host, int(port)))
-
-    def close(self) -> None:
-        """Close the socket."""
-        if self._transport is not None:
-            self._transport.close()
--- a/packages/verbenahall/src/verbenahall/peers/_state.py
+++ b/packages/verbenahall/src/verbenahall/peers/_state.py
@@ -12,6 +12,7 @@
 #: processor on datagrams. At 8 instances a word goes out every 0.1 s.
 _LEAST_EVERY_S: Final = 0.1
 _EVERY_PER_PEER_S: Final = 0.008
+_PEERS_AT_ONCE: Final = 10
 #: A peer that hears nothing doubts the last word after 1.5 s.
 _MOST_EVERY_S: Final = 0.6
 #: Peers that are remembered.
@@ -70,10 +71,16 @@
 
 def choose_due(book: PeerBook, now: float) -> Iterator[str]:
     """Yield the addresses of the peers that are told now."""
-    every = _LEAST_EVERY_S + _EVERY_PER_PEER_S * max(0, len(book.peers) - 10)
-    every = min(every, _MOST_EVERY_S)
+    every = _find_pace(len(book.peers))
     for peer in book.peers.values():
         heard = now - peer.heard_at < _HEARD_S
-        if now - peer.told_at >= (every if heard else _SILENT_EVERY_S):
+        pause = every if heard else _SILENT_EVERY_S
+        if now - peer.told_at >= pause:
             peer.told_at = now
             yield peer.address
+
+
+def _find_pace(peers: int) -> float:
+    beyond = max(0, peers - _PEERS_AT_ONCE)
+    every = _LEAST_EVERY_S + _EVERY_PER_PEER_S * beyond
+    return min(every, _MOST_EVERY_S)
--- a/packages/verbenahall/src/verbenahall/placement/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/placement/_decisions.py
@@ -33,6 +33,9 @@
 #: Price of an engine's memory being full, in seconds: a request that finds
 #: no room waits for another one's end, or pushes it out to be read again.
 _FULL_PRICE: Final = 2.0
+#: Price of an engine's fill as such, in seconds: it spreads streams over
+#: engines that are all far from full.
+_FILL_PRICE: Final = 0.1
 #: Share of memory or places from which crowding is priced.
 _CROWDED: Final = 0.7
 #: Share of the longest step that streams bear on time.
@@ -75,13 +78,29 @@
         )
     readers = [one for one in engines if one.role is Role.PREFILL]
     desk = _Desk(state, wish, traits, now)
-    options = [*desk.offer_split(readers, generators)]
-    if not readers:
-        options.extend(desk.offer_mixed(generators))
+    if readers:
+        options = desk.offer_split(readers, generators)
+    else:
+        options = desk.offer_mixed(generators)
     best = min(options, key=lambda option: option.price)
     return Success(best.plan)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Joining:
+    """An engine that could go on with a prompt that was read elsewhere."""
+
+    engine: Entry
+    first_s: float
+    crowding: float
+    fill: float
+
+    @property
+    def price(self) -> float:
+        """The price in seconds; evenly good engines are filled evenly."""
+        return self.first_s + self.crowding + _FILL_PRICE * self.fill
+
+
 class _Desk:
     """Prices the ways to serve one request."""
 
@@ -121,32 +140,35 @@
         for rank, reader in enumerate(_find_homes(self._work, readers)):
             missing = self._count_missing(reader, rank)
             read_s = self._read_s(missing)
-            generator, follow_s = self._choose_generator(reader, generators)
+            joined = self._choose_generator(reader, generators)
             wait_s = self._start_s + self._backlog_s(reader)
-            first_s = wait_s + read_s + follow_s
-            price = (
-                first_s + read_s * _WORK_PRICE + self._crowding(generator)
+            first_s = wait_s + read_s + joined.first_s
+            price = first_s + read_s * _WORK_PRICE + joined.crowding
+            plan = Plan(
+                reader,
+                joined.engine,
+                missing,
+                first_s,
+                f'home {rank}',
             )
-            plan = Plan(reader, generator, missing, first_s, f'home {rank}')
             yield _Option(plan, price)
 
     def _choose_generator(
         self,
         reader: Entry,
         generators: Sequence[Entry],
-    ) -> tuple[Entry, float]:
-        """Return the engine that goes on, and its time to the first event."""
-        offers = [
-            (
-                self._move_s(reader, engine) + self._join_s(engine),
-                self._crowding(engine),
-                self._fill(engine),
-                engine,
-            )
-            for engine in generators
-        ]
-        best = min(offers, key=lambda row: row[0] + row[1] + 0.1 * row[2])
-        return best[3], best[0]
+    ) -> _Joining:
+        """Return the engine that goes on at the lowest price."""
+        offers = [self._offer_join(reader, engine) for engine in generators]
+        return min(offers, key=lambda offer: offer.price)
+
+    def _offer_join(self, reader: Entry, engine: Entry) -> _Joining:
+        return _Joining(
+            engine,
+            first_s=self._move_s(reader, engine) + self._join_s(engine),
+            crowding=self._crowding(engine),
+            fill=self._fill(engine),
+        )
 
     def _count_missing(self, engine: Entry, rank: int) -> int:
         """Return the tokens that an engine would have to read.
@@ -198,12 +220,19 @@
 
     def _crowding(self, engine: Entry) -> float:
         """Return the price of joining an engine's batch, in seconds."""
-        fill = max(0.0, self._fill(engine) - _CROWDED) / (1 - _CROWDED)
+        fill = _exceed(self._fill(engine), _CROWDED)
         step = self._state.step_of(engine.name).read(self._now)
         longest = self._wish.gap_s / self._traits.event_tokens
-        strain = step / longest if longest else 0.0
-        over = max(0.0, strain - _STEP_SHARE) / (1 - _STEP_SHARE)
-        return _FULL_PRICE * fill * fill + _STEP_PRICE * over
+        strain = step / longest if longest else 0
+        return _FULL_PRICE * fill * fill + _STEP_PRICE * _exceed(
+            strain,
+            _STEP_SHARE,
+        )
+
+
+def _exceed(share: float, bound: float) -> float:
+    """Return by how much of the rest a share lies above its bound."""
+    return max(0, share - bound) / (1 - bound)
 
 
 def _find_homes(work: Work, engines: Sequence[Entry]) -> list[Entry]:
--- a/packages/verbenahall/src/verbenahall/placement/_roles.py
+++ b/packages/verbenahall/src/verbenahall/placement/_roles.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import math
 from collections.abc import Mapping, Sequence
 from typing import Final
 
@@ -41,7 +42,7 @@
     generators = [one for one in engines if one.role is Role.DECODE]
     readers = [one for one in engines if one.role is Role.PREFILL]
     total = len(generators) + len(readers)
-    wanted = -(-total // round(1 / _GENERATING_SHARE))
+    wanted = math.ceil(total * _GENERATING_SHARE)
     spare = len(generators) - wanted
     if spare > 0 and wanted:
         return _choose(generators, Role.PREFILL, spare, busy)
@@ -56,6 +57,9 @@
     count: int,
     busy: Mapping[str, int],
 ) -> tuple[RoleChange, ...]:
-    ranked = sorted(engines, key=lambda one: (busy.get(one.name, 0), one.name))
-    count = min(count, _MOST_CHANGES)
-    return tuple(RoleChange(engine, role) for engine in ranked[:count])
+    ranked = sorted(
+        engines,
+        key=lambda one: (busy.get(one.name, 0), one.name),
+    )
+    chosen = ranked[: min(count, _MOST_CHANGES)]
+    return tuple(RoleChange(engine, role) for engine in chosen)
--- a/packages/verbenahall/src/verbenahall/placement/_speeds.py
+++ b/packages/verbenahall/src/verbenahall/placement/_speeds.py
@@ -5,6 +5,7 @@
 three are learned by recursive least squares that forget.
 """
 
+import operator
 from collections.abc import Sequence
 from typing import Final, final
 
@@ -12,6 +13,9 @@
 #: a thousand tokens, and for a million pairs of tokens. The first is that of
 #: no waiting at all, so that an early error rather spreads work.
 _GUESS: Final = (0.05, 0.012, 0.0005)
+#: A thousand tokens take this long at least, in seconds: a slope near zero
+#: would send everything to one engine.
+_LEAST_SLOPE: Final = 0.001
 #: How far the guesses may be off, in the same units.
 _DOUBT: Final = (0.1, 0.02, 0.001)
 #: What is seldom exceeded by one read's noise, in seconds.
@@ -40,40 +44,45 @@
         """Start from the guesses."""
         self._slopes = list(_GUESS)
         self._spread = [
-            [doubt * doubt if row == column else 0.0 for column in range(3)]
+            [doubt * doubt * (row == column) for column in range(len(_DOUBT))]
             for row, doubt in enumerate(_DOUBT)
         ]
 
     @property
     def start_s(self) -> float:
         """What passes before the first token of any read."""
-        return max(0.0, self._slopes[0])
+        return max(0, self._slopes[0])
 
     @property
     def token_s(self) -> float:
         """Engine time that one token takes."""
-        return max(_GUESS[1] / 10, self._slopes[1]) / _THOUSAND
+        return max(_LEAST_SLOPE, self._slopes[1]) / _THOUSAND
 
     def expect(self, missing: int, kept: int) -> float:
         """Return the engine time for ``missing`` tokens after ``kept``.
 
         The start is not part of it: other reads go on meanwhile.
         """
-        pairs = count_pairs(missing, kept)
-        return missing * self.token_s + pairs * max(0.0, self._slopes[2])
+        for_pairs = count_pairs(missing, kept) * max(0, self._slopes[2])
+        return missing * self.token_s + for_pairs
 
     def learn(self, missing: int, kept: int, seconds: float) -> None:
         """Learn from a read that is thought to have waited for no other."""
-        row = (1.0, missing / _THOUSAND, count_pairs(missing, kept))
+        row = (1, missing / _THOUSAND, count_pairs(missing, kept))
         error = seconds - _dot(row, self._slopes)
-        weight = _LATE_WEIGHT if error > 0 else 1.0
-        spread = [_dot(line, row) for line in self._spread]
-        scale = _NOISE_S * _NOISE_S / weight + _dot(row, spread)
-        for index, gain in enumerate(spread):
+        weight = _LATE_WEIGHT if error > 0 else 1
+        gains = [_dot(line, row) for line in self._spread]
+        scale = _NOISE_S * _NOISE_S / weight + _dot(row, gains)
+        for index, gain in enumerate(gains):
             self._slopes[index] += gain / scale * error
-            line = self._spread[index]
-            for column, other in enumerate(spread):
-                line[column] = (line[column] - gain * other / scale) / _KEEP
+            self._spread[index] = [
+                _shrink(spread, gain * other / scale)
+                for spread, other in zip(
+                    self._spread[index],
+                    gains,
+                    strict=True,
+                )
+            ]
 
 
 @final
@@ -101,7 +110,11 @@
 
 
 def _dot(left: Sequence[float], right: Sequence[float]) -> float:
-    return sum(one * other for one, other in zip(left, right, strict=True))
+    return sum(map(operator.mul, left, right))
+
+
+def _shrink(spread: float, learned: float) -> float:
+    return (spread - learned) / _KEEP
 
 
 def count_pairs(missing: int, kept: int) -> float:
--- a/packages/verbenahall/src/verbenahall/placement/_state.py
+++ b/packages/verbenahall/src/verbenahall/placement/_state.py
@@ -3,8 +3,10 @@
 import random
 from typing import Final, final
 
+from verbenahall.catalog import Service
 from verbenahall.placement._caches import PartCache
 from verbenahall.placement._ledger import Ledger
+from verbenahall.placement._messages import Work
 from verbenahall.placement._speeds import ReadSpeed, StepTime
 from verbenahall.roster import Entry
 
@@ -43,6 +45,12 @@
             self._caches[key] = cache
         return cache
 
+    def note_kept(self, engine: Entry, work: Work, service: Service) -> None:
+        """Note that an engine has read a prompt and keeps its parts."""
+        if service.engine is not None:
+            cache = self.cache_of(engine, service.engine.kv_tokens)
+            cache.note(work.parts)
+
     def step_of(self, engine: str) -> StepTime:
         """Return the step time seen at an engine."""
         return self._steps.setdefault(engine, StepTime())
@@ -50,8 +58,10 @@
     def forget(self, name: str) -> None:
         """Forget an engine that is gone."""
         self._steps.pop(name, None)
-        for key in [known for known in self._caches if known[0] == name]:
-            self._caches.pop(key)
+        born = tuple(self._caches)
+        for key in born:
+            if key[0] == name:
+                self._caches.pop(key)
 
     def learn_read(self, missing: int, kept: int, seconds: float) -> None:
         """Learn from a read that waited for no other."""
--- a/packages/verbenahall/src/verbenahall/platform/_connections.py
+++ b/packages/verbenahall/src/verbenahall/platform/_connections.py
@@ -68,8 +68,7 @@
             if named in {None, self.expected}:
                 break
             metrics.DROPPED_ANSWERS.add('other_request')
-            async for _ in payload.iter_any():
-                continue
+            await payload.read()
         self._note_keep_alive(message.headers.get('Keep-Alive', ''))
         payload.on_eof(self._note_idle)
         return message, payload
--- a/packages/verbenahall/src/verbenahall/platform/_entries.py
+++ b/packages/verbenahall/src/verbenahall/platform/_entries.py
@@ -13,6 +13,8 @@
 
 #: The wire's states: whether the endpoint is leaving.
 _LEAVING: Final = MappingProxyType({'ready': False, 'draining': True})
+_OCTETS: Final = 4
+_LAST_PORT: Final = 65_535
 #: What the wire calls a stage is the engine's role.
 _ROLES: Final = MappingProxyType(
     {'prefill': Role.PREFILL, 'decode': Role.DECODE},
@@ -62,6 +64,6 @@
 def _check_address(address: str) -> str:
     host, _, port = address.rpartition(':')
     octets = [int(octet) for octet in host.split('.')]
-    if len(octets) != 4 or not 0 < int(port) <= 65535:
+    if len(octets) != _OCTETS or not 0 < int(port) <= _LAST_PORT:
         raise ValueError(f'not an address: {address}')
     return address
--- a/packages/verbenahall/src/verbenahall/platform/_headers.py
+++ b/packages/verbenahall/src/verbenahall/platform/_headers.py
@@ -30,6 +30,8 @@
 )
 _READ_ONLY: Final = 'prefill'
 
+_NOTHING: Final[frozenset[str]] = frozenset()
+
 RawHeaders = Iterable[tuple[bytes, bytes]]
 
 
@@ -116,7 +118,7 @@
 
 def strip_hop_headers(
     raw: RawHeaders,
-    left_out: frozenset[str] = frozenset(),
+    left_out: frozenset[str] = _NOTHING,
 ) -> CIMultiDict[str]:
     """Return the headers that travel from end to end.
 
@@ -130,9 +132,7 @@
         for name, found in raw
     ]
     dropped = _HOP_HEADERS | left_out | _find_named(pairs)
-    return CIMultiDict(
-        pair for pair in pairs if pair[0].lower() not in dropped
-    )
+    return CIMultiDict(pair for pair in pairs if pair[0].lower() not in dropped)
 
 
 def read_answer(status: int, headers: Mapping[str, str]) -> AnswerFacts:
--- a/packages/verbenahall/src/verbenahall/platform/_manifest.py
+++ b/packages/verbenahall/src/verbenahall/platform/_manifest.py
@@ -1,5 +1,6 @@
 """Decodes the operator's manifest into a catalog."""
 
+from collections.abc import Mapping
 from types import MappingProxyType
 from typing import Any, Final
 
@@ -42,19 +43,24 @@
 
 
 def _build(table: dict[str, Any]) -> Catalog:
-    routes: dict[str, dict[str, Route]] = {}
-    for row in table['routes']:
-        route = _build_route(row)
-        routes.setdefault(route.host, {})[route.prefix] = route
     services = [_build_service(row) for row in table['services']]
     return Catalog(
         version=fields.whole(table, 'version'),
-        routes=MappingProxyType(routes),
+        routes=_build_routes(table['routes']),
         services={service.name: service for service in services},
         limits=_build_limits(table['limits']),
     )
 
 
+def _build_routes(
+    rows: list[dict[str, Any]],
+) -> Mapping[str, Mapping[str, Route]]:
+    by_host: dict[str, dict[str, Route]] = {}
+    for route in map(_build_route, rows):
+        by_host.setdefault(route.host, {})[route.prefix] = route
+    return MappingProxyType(by_host)
+
+
 def _build_route(row: dict[str, Any]) -> Route:
     return Route(
         name=fields.text(row, 'name'),
--- a/packages/verbenahall/src/verbenahall/platform/_records.py
+++ b/packages/verbenahall/src/verbenahall/platform/_records.py
@@ -29,7 +29,8 @@
 
 def encode_records(records: Iterable[bytes]) -> bytes:
     """Frame the records of one append."""
-    return b''.join(_LENGTH.pack(len(record)) + record for record in records)
+    framed = (_LENGTH.pack(len(record)) + record for record in records)
+    return b''.join(framed)
 
 
 def decode_batch(body: bytes) -> Batch:
@@ -58,7 +59,7 @@
     while start < len(body):
         if start + _LENGTH.size > len(body):
             raise ValueError('a record is cut inside its length')
-        (length,) = _LENGTH.unpack_from(body, start)
+        length = _LENGTH.unpack_from(body, start)[0]
         start += _LENGTH.size
         if start + length > len(body):
             raise ValueError('a record is shorter than its length')
--- a/packages/verbenahall/src/verbenahall/platform/_settings.py
+++ b/packages/verbenahall/src/verbenahall/platform/_settings.py
@@ -112,11 +112,11 @@
     return Bounds(
         leaving_s=fields.seconds(bounds, 'drainMs'),
         grace_s=fields.number(bounds, 'graceS'),
-        lease_s=fields.seconds(bounds, 'leaseMs', 3000),
-        retry_share=fields.number(bounds, 'retryRatio', 0.2),
-        retry_window_s=fields.number(bounds, 'retryWindowS', 10),
+        lease_s=fields.seconds(bounds, 'leaseMs'),
+        retry_share=fields.number(bounds, 'retryRatio'),
+        retry_window_s=fields.number(bounds, 'retryWindowS'),
         retry_slack=fields.number(bounds, 'retrySlack', 0),
         # How long after its last use a part that is read again is a loss.
-        read_again_s=fields.number(bounds, 'retryAfterS', 7),
+        read_again_s=fields.number(bounds, 'retryAfterS'),
         checks_fencing=bounds.get('requireFence') is True,
     )
--- a/packages/verbenahall/src/verbenahall/platform/_store.py
+++ b/packages/verbenahall/src/verbenahall/platform/_store.py
@@ -8,6 +8,7 @@
 import base64
 import dataclasses
 from collections.abc import Sequence
+from http import HTTPStatus
 from typing import Any, Final, final
 
 import aiohttp
@@ -17,10 +18,15 @@
 from verbenahall.platform import _names as names
 from verbenahall.platform._records import Batch, decode_batch, encode_records
 
-_OK: Final = 200
-_CONFLICT: Final = 409
-_GONE: Final = 410
-_MOVED: Final = 412
+#: Answers by which surely nothing was appended.
+_NOT_DONE: Final = frozenset(
+    (
+        HTTPStatus.CONFLICT,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        HTTPStatus.INSUFFICIENT_STORAGE,
+    ),
+)
 #: Longest time for an answer beyond what a call asks to wait, in seconds:
 #: ten times the 0.06 s of the slowest store that the platform describes as
 #: slow would still be waited for at 60 times the usual 4 ms.
@@ -97,22 +103,16 @@
         Pages are no snapshot: the offset to follow from is that of the first
         page, so that what changed between two pages is read again.
         """
-        kept: dict[str, bytes] = {}
-        offsets: dict[str, int] = {}
-        end: int | None = None
+        pages: list[dict[str, Any]] = []
         after = ''
-        while True:
-            answer = await self._get_page(topic, after)
-            match answer:
+        while not pages or pages[-1].get('hasMore'):
+            match await self._get_page(topic, after):
                 case Success(page):
-                    kept.update(_decode_items(page))
-                    offsets.update(_decode_offsets(page))
-                    end = page['end'] if end is None else end
-                    if not page.get('hasMore'):
-                        return Success(Newest(kept, offsets, end))
-                    after = page['items'][-1]['key']
-                case Failure():
-                    return answer
+                    pages.append(page)
+                    after = _find_last_key(page)
+                case Failure(away):
+                    return Failure(away)
+        return Success(_join_pages(pages))
 
     async def read(
         self,
@@ -130,9 +130,9 @@
         }
         answer = await self._call('GET', names.READ, params, b'', wait_s)
         match answer:
-            case Success((200, body)):
+            case Success((HTTPStatus.OK, body)):
                 return _decode_read(body)
-            case Success((410, _)):
+            case Success((HTTPStatus.GONE, _)):
                 return Failure(Deleted())
             case Success((status, _)):
                 return Failure(Away(f'status {status}'))
@@ -168,7 +168,7 @@
             params['after'] = after
         answer = await self._call('GET', names.NEWEST, params, b'', 0)
         match answer:
-            case Success((200, body)):
+            case Success((HTTPStatus.OK, body)):
                 page = wire.decode_table(body)
                 return page.alt(lambda problem: Away(problem.message))
             case Success((status, _)):
@@ -192,12 +192,25 @@
                     params=params,
                     data=body or None,
                 ) as response:
-                    answered = await response.read()
+                    answered = response.status, await response.read()
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             metrics.STORE_CALLS.add(path, 'no_answer')
             return Failure(Away(repr(error)))
-        metrics.STORE_CALLS.add(path, str(response.status))
-        return Success((response.status, answered))
+        metrics.STORE_CALLS.add(path, str(answered[0]))
+        return Success(answered)
+
+
+def _find_last_key(page: dict[str, Any]) -> str:
+    rows = page['items']
+    return rows[-1]['key'] if rows else ''
+
+
+def _join_pages(pages: Sequence[dict[str, Any]]) -> Newest:
+    newest = Newest({}, {}, pages[0]['end'])
+    for page in pages:
+        newest.items.update(_decode_items(page))
+        newest.offsets.update(_decode_offsets(page))
+    return newest
 
 
 def _decode_items(page: dict[str, Any]) -> dict[str, bytes]:
@@ -220,11 +233,11 @@
 def _read_append(status: int, body: bytes) -> AppendOutcome:
     table = wire.decode_table(body).value_or({})
     match status:
-        case 200:
+        case HTTPStatus.OK:
             return Appended(int(table.get('offset', 0)))
-        case 412:
+        case HTTPStatus.PRECONDITION_FAILED:
             return Refused(int(table.get('end', 0)))
-        case 409 | 429 | 503 | 507:
+        case _ if status in _NOT_DONE:
             return Refused()
         case _:
             return Unknown(f'status {status}')
--- a/packages/verbenahall/src/verbenahall/roster/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/roster/_decisions.py
@@ -8,6 +8,8 @@
 
 #: Drops within this time belong to one event, in seconds.
 _MASS_WINDOW_S: Final = 1.0
+#: So many endpoints may well vanish together by themselves.
+_FEW: Final = 2
 #: The store's return and the first records after it are this far apart at
 #: most, in seconds.
 _RETURN_S: Final = 3.0
@@ -57,9 +59,9 @@
     listed = {entry.name: entry for entry in entries}
     for entry in listed.values():
         put(roster, entry)
-    for name in [known for known in roster.seats if known not in listed]:
-        if now >= roster.seats[name].until or roster.known:
-            drop(roster, name, now)
+    missing = roster.seats.keys() - listed.keys()
+    for name in missing:
+        drop(roster, name, now)
     roster.known = True
 
 
@@ -84,7 +86,7 @@
     total = sum(
         seat.entry.service == entry.service for seat in roster.seats.values()
     )
-    return total > 2 and len(names) > total * roster.rules.mass_share
+    return total > _FEW and len(names) > total * roster.rules.mass_share
 
 
 def _spare(roster: Roster, service: str, now: float) -> None:
