--- /dev/null
+++ b/packages/standins/src/verbenahall_standins/platform/__init__.py
@@ -0,0 +1,18 @@
+"""Stand-ins for the users' platform: store, engines and plain services."""
+
+from verbenahall_standins.platform._engine import EngineFaults, EngineStandIn
+from verbenahall_standins.platform._plain import PlainStandIn
+from verbenahall_standins.platform._raw import RawEndpoint
+from verbenahall_standins.platform._site import Site, write_settings
+from verbenahall_standins.platform._store import StoreFaults, StoreStandIn
+
+__all__ = (
+    'EngineFaults',
+    'EngineStandIn',
+    'PlainStandIn',
+    'RawEndpoint',
+    'Site',
+    'StoreFaults',
+    'StoreStandIn',
+    'write_settings',
+)
--- /dev/null
+++ b/packages/standins/src/verbenahall_standins/platform/_plain.py
@@ -0,0 +1,64 @@
+"""A plain service of the platform."""
+
+import asyncio
+from typing import Final, final
+
+from aiohttp import web
+
+from verbenahall_standins.platform._serving import listen
+
+_PREFIX: Final = 'X-Verbenahall-'
+
+
+@final
+class PlainStandIn:
+    """One plain endpoint; ``runs`` are the headers of what it ran.
+
+    ``status`` is what it answers; ``refuses`` says that it has not run a
+    request, ``mute`` accepts one and says nothing.
+    """
+
+    def __init__(self, name: str) -> None:
+        """Prepare an endpoint that answers well."""
+        self.name = name
+        self.role = ''
+        self.status = 200
+        self.refuses = False
+        self.mute = False
+        self.signs = True
+        self.address = ''
+        self.runs: list[dict[str, str]] = []
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        app = web.Application()
+        app.router.add_route('*', '/{path:.*}', self._serve)
+        served = await listen(app)
+        self._runner = served.runner
+        self.address = served.address
+
+    async def stop(self) -> None:
+        """Close the listener and every connection."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _serve(self, request: web.Request) -> web.Response:
+        body = await request.read()
+        if self.refuses:
+            headers = {f'{_PREFIX}Not-Run': '1'}
+            return web.Response(status=503, headers=headers)
+        headers = dict(request.headers)
+        self.runs.append(
+            {**headers, 'body': body.decode(), 'target': request.raw_path},
+        )
+        if self.mute:
+            await asyncio.sleep(3600)
+        answer = {f'{_PREFIX}Request-Id': headers[f'{_PREFIX}Request-Id']}
+        if self.signs:
+            answer[f'{_PREFIX}Server-Stamp'] = f'stand-in-{self.name}'
+        return web.Response(
+            status=self.status,
+            body=f'page from {self.name}'.encode(),
+            headers=answer,
+        )
--- /dev/null
+++ b/packages/standins/src/verbenahall_standins/platform/_raw.py
@@ -0,0 +1,83 @@
+"""An endpoint that answers with bytes of a test's own making."""
+
+import asyncio
+import socket
+import struct
+from collections.abc import Sequence
+from typing import Final, final
+
+#: Lingering for no time: the close is a reset.
+_NO_LINGER: Final = struct.pack('ii', 1, 0)
+
+
+@final
+class RawEndpoint:
+    """Answers each request with the next of the given pieces of bytes.
+
+    ``None`` in place of bytes resets the connection, an empty piece closes
+    it. A tuple is sent piece by piece.
+    """
+
+    def __init__(self, *answers: Sequence[bytes | None]) -> None:
+        """Prepare the answers; the last one is repeated."""
+        self._answers = list(answers)
+        self.requests: list[bytes] = []
+        self.connections = 0
+        self.address = ''
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(
+            self._serve,
+            '127.0.0.1',
+            0,
+        )
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f'{host}:{port}'
+
+    async def stop(self) -> None:
+        """Close the listener."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self.connections += 1
+        goes_on = True
+        while goes_on:
+            try:
+                goes_on = await self._answer(reader, writer)
+            except (ConnectionError, asyncio.IncompleteReadError):
+                goes_on = False
+        writer.close()
+
+    async def _answer(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        self.requests.append(await reader.readuntil(b'\r\n\r\n'))
+        answer = self._answers[0]
+        if len(self._answers) > 1:
+            self._answers.pop(0)
+        for piece in answer:
+            if piece is None:
+                _reset(writer)
+                return False
+            if not piece:
+                writer.close()
+                return False
+            writer.write(piece)
+            await writer.drain()
+            await asyncio.sleep(0.02)
+        return True
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    raw = writer.get_extra_info('socket')
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+    writer.transport.abort()
--- /dev/null
+++ b/packages/standins/src/verbenahall_standins/platform/_serving.py
@@ -0,0 +1,28 @@
+"""Starts an application on a free loopback port."""
+
+import dataclasses
+
+from aiohttp import web
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Served:
+    """A running application and its address, ``127.0.0.1:port``."""
+
+    runner: web.AppRunner
+    address: str
+
+
+async def listen(app: web.Application) -> Served:
+    """Serve an application; closing connections cancels its handlers."""
+    runner = web.AppRunner(
+        app,
+        access_log=None,
+        handler_cancellation=True,
+        shutdown_timeout=0.1,
+    )
+    await runner.setup()
+    site = web.TCPSite(runner, '127.0.0.1', 0)
+    await site.start()
+    host, port = runner.addresses[0]
+    return Served(runner, f'{host}:{port}')
--- /dev/null
+++ b/packages/standins/src/verbenahall_standins/platform/_site.py
@@ -0,0 +1,174 @@
+"""A small deployment: a store, engines and plain endpoints, one manifest."""
+
+import itertools
+import json
+import socket
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any, Final, final
+
+from verbenahall_standins.platform._engine import EngineStandIn
+from verbenahall_standins.platform._plain import PlainStandIn
+from verbenahall_standins.platform._store import StoreStandIn
+
+HOST: Final = 'desk.example'
+_TOPIC: Final = 'keyed.servers'
+
+
+@final
+class Site:
+    """Stand-ins that are listed in the store, and the operator's manifest."""
+
+    def __init__(
+        self,
+        engines: Sequence[EngineStandIn] = (),
+        plain: Sequence[PlainStandIn] = (),
+    ) -> None:
+        """Prepare; nothing listens before ``start``."""
+        self.store = StoreStandIn()
+        self.engines = list(engines)
+        self.plain = list(plain)
+        self._changes = itertools.count(1)
+        self._versions = itertools.count(1)
+
+    async def start(self) -> None:
+        """Start all, list them, and publish the manifest."""
+        await self.store.start()
+        for endpoint in (*self.engines, *self.plain):
+            await endpoint.start()
+            self.list_endpoint(endpoint)
+        self.publish()
+
+    async def stop(self) -> None:
+        """Stop all."""
+        for endpoint in (*self.engines, *self.plain, self.store):
+            await endpoint.stop()
+
+    def list_endpoint(self, endpoint: Any, **changes: Any) -> None:
+        """Write an endpoint's entry."""
+        entry = {
+            'service': 'drafter' if endpoint.role else 'pages',
+            'address': endpoint.address,
+            'zone': 'lampeter',
+            'version': 'v1',
+            'slots': 8,
+            'state': 'ready',
+            'coldLeftMs': 0,
+            'born': 1000,
+            'seq': next(self._changes),
+        }
+        if endpoint.role:
+            entry['stage'] = endpoint.role
+        record = json.dumps({**entry, **changes}).encode()
+        self.store.put(_TOPIC, endpoint.name, record)
+
+    def unlist(self, name: str) -> None:
+        """Remove an endpoint's entry."""
+        self.store.put(_TOPIC, name, b'')
+
+    def publish(self, **changes: Any) -> None:
+        """Publish the next version of the manifest."""
+        manifest = {**make_manifest(next(self._versions)), **changes}
+        record = json.dumps(manifest).encode()
+        self.store.put('keyed.op', 'config', record)
+
+
+def make_manifest(version: int) -> dict[str, Any]:
+    """Return a manifest with a route of each kind."""
+    return {
+        'version': version,
+        'routes': [
+            _route('/summary/', 'stream', 'drafter', resumable=True),
+            _route('/blurb/', 'stream', 'drafter', maxAttempts=1),
+            _route('/proof/', 'non_idempotent', 'pages', maxAttempts=1),
+            _route('/archive/', 'idempotent', 'pages'),
+        ],
+        'services': [
+            {
+                'name': 'drafter',
+                'healthPath': '/health',
+                'maxConns': 300,
+                'engine': {
+                    'slots': 8,
+                    'kvCapacity': 400_000,
+                    'kvTokenBytes': 131_072,
+                    'linkMbps': 1_600_000,
+                    'stride': 10,
+                    'handleTtlS': 5,
+                    'stageSwitchS': 3,
+                },
+            },
+            {'name': 'pages', 'healthPath': '/health', 'maxConns': 100},
+        ],
+        'limits': {
+            'maxHeaderBytes': 16_384,
+            'maxBodyBytes': 4_194_304,
+            'headerTimeoutMs': 3000,
+            'idleTimeoutMs': 15_000,
+        },
+    }
+
+
+def _route(
+    prefix: str,
+    kind: str,
+    service: str,
+    **changes: Any,
+) -> dict[str, Any]:
+    row = {
+        'name': prefix.strip('/'),
+        'host': HOST,
+        'pathPrefix': prefix,
+        'kind': kind,
+        'timeoutMs': 3000,
+        'sloMs': 500,
+        'priority': 1,
+        'service': service,
+        'maxAttempts': 2,
+        'resumable': False,
+        'gapAimMs': 250,
+    }
+    return {**row, **changes}
+
+
+def write_settings(folder: Path, store: str, name: str = 'front-1') -> Path:
+    """Write a process's settings on loopback; return the file."""
+    path = folder / f'{name}.toml'
+    callers, ready, control, peers = (_find_port() for _ in range(4))
+    path.write_text(
+        f"""
+nodeName = "{name}"
+ip = "127.0.0.1"
+zone = "lampeter"
+portRange = [{peers}, {peers}]
+seeds = []
+[zones]
+lampeter = "ceredigion"
+[listen]
+front = "127.0.0.1:{callers}"
+ready = "127.0.0.1:{ready}"
+control = "127.0.0.1:{control}"
+[limits]
+cpuShare = 0.5
+cores = 2
+memoryMb = 300
+[bounds]
+drainMs = 2000
+graceS = 8
+leaseMs = 3000
+retryRatio = 0.2
+retryWindowS = 10
+retrySlack = 56
+retryAfterS = 7.2
+requireFence = true
+[platform]
+address = "{store}"
+""",
+    )
+    return path
+
+
+def _find_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return probe.getsockname()[1]
--- /dev/null
+++ b/packages/standins/src/verbenahall_standins/platform/_store.py
@@ -0,0 +1,186 @@
+"""The platform's store in memory: topics, long polls, conditional appends."""
+
+import asyncio
+import base64
+import contextlib
+import dataclasses
+import struct
+from typing import Final, final
+
+from aiohttp import web
+
+from verbenahall_standins.platform._serving import listen
+
+_LENGTH: Final = struct.Struct('>I')
+_BOUNDS: Final = struct.Struct('>QQ')
+_MS: Final = 1000
+_PAGE: Final = 500
+
+
+@dataclasses.dataclass(slots=True)
+class StoreFaults:
+    """Faults that a test switches on.
+
+    ``down`` is a status that every call gets, ``silent`` leaves calls
+    without an answer, ``lose_appends`` carries appends out and answers
+    nothing, ``deaf`` lets a poll miss records that come while it waits.
+    """
+
+    down: int = 0
+    silent: bool = False
+    lose_appends: bool = False
+    deaf: bool = False
+
+
+@final
+class _Topic:
+    """One partition: its records, and how many of the oldest are gone."""
+
+    __slots__ = ('records', 'first', 'grown')
+
+    def __init__(self) -> None:
+        self.records: list[bytes] = []
+        self.first = 0
+        self.grown = asyncio.Event()
+
+    @property
+    def end(self) -> int:
+        return self.first + len(self.records)
+
+    def append(self, records: list[bytes]) -> int:
+        offset = self.end
+        self.records.extend(records)
+        self.grown.set()
+        self.grown = asyncio.Event()
+        return offset
+
+
+@final
+class StoreStandIn:
+    """The store on loopback; ``calls`` counts what was asked, by path."""
+
+    def __init__(self) -> None:
+        """Start without topics."""
+        self.faults = StoreFaults()
+        self.address = ''
+        self.calls: dict[str, int] = {}
+        self._topics: dict[str, _Topic] = {}
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        app = web.Application(middlewares=[self._misbehave])
+        app.router.add_post('/-/log-append', self._append)
+        app.router.add_get('/-/log-read', self._read)
+        app.router.add_get('/-/log-newest', self._newest)
+        served = await listen(app)
+        self._runner = served.runner
+        self.address = served.address
+
+    async def stop(self) -> None:
+        """Close the listener."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def put(self, topic: str, key: str, content: bytes) -> int:
+        """Write a keyed record as the operator or an endpoint does."""
+        encoded = key.encode()
+        record = bytes([len(encoded)]) + encoded + content
+        return self._topic(topic).append([record])
+
+    def forget(self, topic: str) -> None:
+        """Delete all records but the newest of each key."""
+        found = self._topic(topic)
+        kept = found.records[-1:]
+        found.first = found.end - len(kept)
+        found.records = kept
+
+    def newest(self, topic: str) -> dict[str, bytes]:
+        """Return the newest content of each key."""
+        items: dict[str, bytes] = {}
+        for record in self._topic(topic).records:
+            key, content = _split(record)
+            items.pop(key, None)
+            if content:
+                items[key] = content
+        return items
+
+    @web.middleware
+    async def _misbehave(
+        self,
+        request: web.Request,
+        handler: object,
+    ) -> web.StreamResponse:
+        self.calls[request.path] = self.calls.get(request.path, 0) + 1
+        if self.faults.silent:
+            await asyncio.sleep(3600)
+        if self.faults.down:
+            return web.Response(status=self.faults.down)
+        response = await handler(request)
+        if self.faults.lose_appends and request.path == '/-/log-append':
+            await asyncio.sleep(3600)
+        return response
+
+    async def _append(self, request: web.Request) -> web.Response:
+        topic = self._topic(request.query['topic'])
+        at = request.query.get('at')
+        if at is not None and int(at) != topic.end:
+            return web.json_response({'end': topic.end}, status=412)
+        records = _unframe(await request.read())
+        offset = topic.append(records)
+        return web.json_response({'offset': offset, 'end': topic.end})
+
+    async def _read(self, request: web.Request) -> web.Response:
+        topic = self._topic(request.query['topic'])
+        start = int(request.query['from'])
+        wait_s = int(request.query.get('waitMs', '0')) / _MS
+        if start < topic.first:
+            return web.json_response({'first': topic.first}, status=410)
+        if start >= topic.end and wait_s:
+            grown = asyncio.Event() if self.faults.deaf else topic.grown
+            # A poll may end without a record.
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(grown.wait(), wait_s)
+        records = topic.records[max(0, start - topic.first) :]
+        framed = b''.join(_LENGTH.pack(len(one)) + one for one in records)
+        return web.Response(body=_BOUNDS.pack(topic.end, topic.first) + framed)
+
+    async def _newest(self, request: web.Request) -> web.Response:
+        topic = self._topic(request.query['topic'])
+        offsets: dict[str, int] = {}
+        for index, record in enumerate(topic.records):
+            offsets[_split(record)[0]] = topic.first + index
+        kept = sorted(self.newest(request.query['topic']).items())
+        after = request.query.get('after', '')
+        later = [item for item in kept if item[0] > after]
+        return web.json_response(
+            {
+                'items': [
+                    {
+                        'key': key,
+                        'value': base64.b64encode(content).decode(),
+                        'offset': offsets[key],
+                    }
+                    for key, content in later[:_PAGE]
+                ],
+                'hasMore': len(later) > _PAGE,
+                'end': topic.end,
+            },
+        )
+
+    def _topic(self, name: str) -> _Topic:
+        return self._topics.setdefault(name, _Topic())
+
+
+def _split(record: bytes) -> tuple[str, bytes]:
+    start = 1 + record[0]
+    return record[1:start].decode(), record[start:]
+
+
+def _unframe(body: bytes) -> list[bytes]:
+    records = []
+    while body:
+        length = _LENGTH.unpack_from(body)[0]
+        records.append(body[_LENGTH.size : _LENGTH.size + length])
+        body = body[_LENGTH.size + length :]
+    return records
--- a/packages/verbenahall/src/verbenahall/gateway/__init__.py
+++ b/packages/verbenahall/src/verbenahall/gateway/__init__.py
@@ -1,5 +1,5 @@
 """The request path on the users' platform, and the process that runs it."""
 
-from verbenahall.gateway._serve import serve
+from verbenahall.gateway._serve import Gateway, serve
 
-__all__ = ('serve',)
+__all__ = ('Gateway', 'serve')
--- a/packages/verbenahall/src/verbenahall/gateway/_relay.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_relay.py
@@ -129,4 +129,20 @@
             )
             self._response.enable_chunked_encoding()
             await self._response.prepare(self._request)
-        await self._response.write(passed)
+        await self._hand_over(self._response, passed)
+
+    async def _hand_over(
+        self,
+        response: web.StreamResponse,
+        passed: bytes,
+    ) -> None:
+        """Write to the caller, but not beyond the request's deadline.
+
+        A caller that has stopped reading would otherwise hold an engine's
+        place for as long as it keeps its connection.
+        """
+        left_s = self._call.left_s(self._clock())
+        try:
+            await asyncio.wait_for(response.write(passed), left_s)
+        except TimeoutError as error:
+            raise ConnectionResetError('the caller reads no more') from error
--- a/packages/verbenahall/src/verbenahall/gateway/_serve.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_serve.py
@@ -40,9 +40,51 @@
 _EXIT_S: Final = 0.8
 
 
+@final
+class Gateway:
+    """One entry instance on a running loop.
+
+    An example, for settings that were read::
+
+        gateway = Gateway(settings)
+        await gateway.open()
+        await gateway.stop.run()
+        await gateway.close()
+    """
+
+    def __init__(self, settings: ProcessSettings) -> None:
+        """Build the parts; nothing listens before ``open``."""
+        self.core = Core(settings)
+        self.stop = GracefulStop(_time_stop(settings))
+        self.finder = PeerFinder(self.core)
+        self._supervisor = Supervisor()
+        self._runners: list[web.AppRunner] = []
+
+    async def open(self) -> None:
+        """Listen and start the loops."""
+        self._runners.append(await _serve_readiness(self.core, self.stop))
+        self._runners.append(await _serve_callers(self.core, self.stop))
+        for name, follower in Following(self.core).followers().items():
+            self._supervisor.start(name, follower.run)
+        keeper = RoleKeeper(self.core, self.finder.book)
+        self._supervisor.start('peers', self.finder.run)
+        self._supervisor.start('roles', keeper.run)
+        self._supervisor.start('lines', _flush_lines)
+        journal.write_decision('started', instance=self.core.settings.name)
+
+    async def close(self) -> None:
+        """Stop the loops and close every connection."""
+        await self._supervisor.stop()
+        closing = [runner.cleanup() for runner in self._runners]
+        await asyncio.gather(*closing)
+        await self.core.close()
+        journal.write_decision('stopped', instance=self.core.settings.name)
+        journal.flush()
+
+
 @final
 class GatewayService(aiomisc.Service):
-    """The entry instance as a service of aiomisc's entrypoint."""
+    """The gateway as a service of aiomisc's entrypoint."""
 
     def __init__(self, settings: ProcessSettings) -> None:
         """Prepare; parts are built on the loop that runs them."""
@@ -51,31 +93,19 @@
         self._ended = asyncio.Event()
 
     async def start(self) -> None:
-        """Listen, then run until the graceful stop has gone through."""
-        core = Core(self._settings)
-        stop = GracefulStop(_time_stop(self._settings))
-        readiness = await _serve_readiness(core, stop)
-        callers = await _serve_callers(core, stop)
-        supervisor = _start_loops(core)
-        journal.write_decision('started', instance=self._settings.name)
+        """Serve until the graceful stop has gone through."""
+        gateway = Gateway(self._settings)
+        await gateway.open()
         self.start_event.set()
         _note_hangup()
-        await stop.run()
-        await supervisor.stop()
-        await callers.cleanup()
-        await readiness.cleanup()
-        await self._end(core)
+        await gateway.stop.run()
+        await gateway.close()
+        self._ended.set()
 
     async def wait(self) -> None:
         """Wait until the process may exit."""
         await self._ended.wait()
 
-    async def _end(self, core: Core) -> None:
-        await core.close()
-        journal.write_decision('stopped', instance=self._settings.name)
-        journal.flush()
-        self._ended.set()
-
 
 def serve(settings: ProcessSettings) -> None:
     """Run the instance until it is stopped."""
@@ -92,18 +122,6 @@
         loop.run_until_complete(service.wait())
 
 
-def _start_loops(core: Core) -> Supervisor:
-    """Start what runs beside the requests."""
-    supervisor = Supervisor()
-    for name, follower in Following(core).followers().items():
-        supervisor.start(name, follower.run)
-    finder = PeerFinder(core)
-    supervisor.start('peers', finder.run)
-    supervisor.start('roles', RoleKeeper(core, finder.book).run)
-    supervisor.start('lines', _flush_lines)
-    return supervisor
-
-
 def _time_stop(settings: ProcessSettings) -> StopTiming:
     return StopTiming(
         grace_s=settings.bounds.grace_s - _EXIT_S,
--- a/packages/verbenahall/src/verbenahall/gateway/_streams.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_streams.py
@@ -22,8 +22,10 @@
 from verbenahall.placement import Plan, Wish, place
 from verbenahall.requests import (
     Facts,
+    NeverWritten,
     Outcome,
     Retry,
+    TimedOut,
     conclude,
     decide_next,
     name_outcome,
@@ -107,7 +109,7 @@
             case Failure(outcome):
                 self._tried.add(plan.reader.name)
                 self._sends = max(1, self._sends)
-                return Failure(outcome)
+                return Failure(_name_unread(outcome))
             case Success(handle):
                 pass
         result: Generated | None = None
@@ -225,3 +227,14 @@
             last_event=self._relay.state.last,
             next='repeat' if isinstance(step, Retry) else 'give_up',
         )
+
+
+def _name_unread(outcome: Outcome) -> Outcome:
+    """Name how a read failed as an outcome of the request itself.
+
+    A read runs nothing, so the request may go on elsewhere whatever became
+    of it, also where it may run only once.
+    """
+    if isinstance(outcome, TimedOut):
+        return outcome
+    return NeverWritten(f'the prompt was not read: {outcome}')
--- a/packages/verbenahall/src/verbenahall/peers/_state.py
+++ b/packages/verbenahall/src/verbenahall/peers/_state.py
@@ -9,8 +9,9 @@
 _SILENT_EVERY_S: Final = 2.0
 #: Shortest time between two words to one peer, in seconds, and what each
 #: peer adds to it: with many peers an instance would otherwise spend its
-#: processor on datagrams. At 8 instances a word goes out every 0.1 s.
-_LEAST_EVERY_S: Final = 0.1
+#: processor on datagrams. A little under the tick of 0.1 s, whose rounding
+#: would otherwise leave out every second one.
+_LEAST_EVERY_S: Final = 0.09
 _EVERY_PER_PEER_S: Final = 0.008
 _PEERS_AT_ONCE: Final = 10
 #: A peer that hears nothing doubts the last word after 1.5 s.
--- /dev/null
+++ b/packages/verbenahall/tests/gateway/conftest.py
@@ -0,0 +1,123 @@
+"""A gateway in front of a small deployment of stand-ins."""
+
+import asyncio
+import contextlib
+import json
+import time
+
+import aiohttp
+import pytest
+from verbenahall_standins.platform import (
+    EngineStandIn,
+    PlainStandIn,
+    Site,
+    write_settings,
+)
+
+from verbenahall import journal
+from verbenahall.gateway import Gateway
+from verbenahall.platform import read_settings
+
+HOST = 'desk.example'
+PREFIX = 'X-Verbenahall-'
+
+
+class Desk:
+    """A running gateway, its deployment, and a caller's session."""
+
+    def __init__(self, site, gateway, session):
+        self.site = site
+        self.gateway = gateway
+        self.session = session
+        self.base = f'http://{gateway.core.settings.callers}'
+
+    async def ask(self, path, identity='r-1', *, method='POST', **options):
+        """Ask once; return status, headers and the whole body."""
+        headers = {
+            'Host': HOST,
+            f'{PREFIX}Request-Id': identity,
+            f'{PREFIX}Deadline-Ms': '3000',
+            f'{PREFIX}Model': 'm',
+            f'{PREFIX}Token-Count': '1000,50',
+            f'{PREFIX}Prompt-Prefix': 'aa:800,bb:200',
+            **options.pop('headers', {}),
+        }
+        async with self.session.request(
+            method,
+            self.base + path,
+            headers=headers,
+            **options,
+        ) as response:
+            return response.status, response.headers, await response.read()
+
+    async def until(self, condition, within_s=3):
+        """Wait until a condition holds."""
+        started = time.monotonic()
+        while not condition():
+            assert time.monotonic() - started < within_s, 'did not happen'
+            await asyncio.sleep(0.01)
+
+    def decisions(self, event):
+        """Return the decision lines of an event so far."""
+        return [line for line in journal.recent if line['event'] == event]
+
+
+@contextlib.asynccontextmanager
+async def open_desk(folder, engines=(), plain=(), name='front-1', site=None):
+    """Run a gateway in front of stand-ins."""
+    journal.recent.clear()
+    own = site is None
+    site = site or Site(engines, plain)
+    if own:
+        await site.start()
+    path = write_settings(folder, site.store.address, name)
+    gateway = Gateway(read_settings(path).unwrap())
+    await gateway.open()
+    async with aiohttp.ClientSession(
+        skip_auto_headers=('User-Agent', 'Accept', 'Accept-Encoding'),
+        auto_decompress=False,
+    ) as session:
+        desk = Desk(site, gateway, session)
+        await desk.until(lambda: gateway.core.ready)
+        try:
+            yield desk
+        finally:
+            await gateway.close()
+            if own:
+                await site.stop()
+
+
+def make_engines(readers=2, generators=1):
+    """Return engines in the roles that the planner would give them."""
+    names = ('reader', 'generator')
+    return [
+        *(EngineStandIn(f'{names[0]}-{n}', 'prefill') for n in range(readers)),
+        *(
+            EngineStandIn(f'{names[1]}-{n}', 'decode')
+            for n in range(generators)
+        ),
+    ]
+
+
+def make_plain(count=2):
+    """Return plain endpoints."""
+    return [PlainStandIn(f'page-{number}') for number in range(count)]
+
+
+@pytest.fixture
+def numbers():
+    """Return the numbers of a stream's events."""
+
+    def read(body):
+        return [
+            int(line[4:])
+            for line in body.decode().splitlines()
+            if line.startswith('id: ')
+        ]
+
+    return read
+
+
+def dump(table):
+    """Encode a table as the platform does."""
+    return json.dumps(table).encode()
--- /dev/null
+++ b/packages/verbenahall/tests/gateway/test_path.py
@@ -0,0 +1,198 @@
+"""The whole path: routes, headers, answers, streams, and who leaves."""
+
+import asyncio
+
+import pytest
+
+from .conftest import HOST, PREFIX, make_engines, make_plain, open_desk
+
+FORGED = {
+    f'{PREFIX}Expect-Instance': 'somebody',
+    f'{PREFIX}Stage': 'prefill',
+    f'{PREFIX}Kv-From': '10.0.0.1:80/stolen',
+    f'{PREFIX}Kv-Hold': 'h',
+    f'{PREFIX}Kv-Backup': '10.0.0.1:80',
+    f'{PREFIX}Pin-Ms': '9000',
+    f'{PREFIX}Request-Priority': '0',
+}
+
+
+def run(coroutine):
+    return asyncio.run(coroutine)
+
+
+def test_plain_answer_is_passed_on_unchanged(tmp_path):
+    async def check():
+        async with open_desk(tmp_path, plain=make_plain(1)) as desk:
+            target = '/archive/a%2Fb?page=2&x=%20'
+            status, headers, body = await desk.ask(target, method='GET')
+            assert (status, body) == (200, b'page from page-0')
+            assert headers[f'{PREFIX}Server-Stamp'] == 'stand-in-page-0'
+            ran = desk.site.plain[0].runs[0]
+            assert ran['target'] == target
+            assert ran[f'{PREFIX}Request-Id'] == 'r-1'
+            assert ran[f'{PREFIX}Expect-Instance'] == 'page-0'
+            assert 0 < int(ran[f'{PREFIX}Deadline-Ms']) <= 3000
+
+    run(check())
+
+
+def test_body_and_headers_reach_the_endpoint(tmp_path):
+    async def check():
+        async with open_desk(tmp_path, plain=make_plain(1)) as desk:
+            await desk.ask(
+                '/proof/1',
+                data=b'a body',
+                headers={'X-Own': 'kept', 'Connection': 'keep-alive, X-Hop'},
+            )
+            ran = desk.site.plain[0].runs[0]
+            assert ran['body'] == 'a body'
+            assert ran['X-Own'] == 'kept'
+
+    run(check())
+
+
+def test_headers_of_the_system_are_not_the_callers_to_set(tmp_path):
+    # A caller sends headers by which the system names endpoints and moves
+    # KV cache. Passed on, it would go on from another caller's prompt.
+    async def check():
+        async with open_desk(tmp_path, make_engines()) as desk:
+            status, _, _ = await desk.ask('/blurb/1', headers=FORGED)
+            assert status == 200
+            generated = desk.site.engines[2].runs[0]
+            assert generated[f'{PREFIX}Expect-Instance'] == 'generator-0'
+            assert 'stolen' not in generated[f'{PREFIX}Kv-From']
+            for name in ('Kv-Hold', 'Kv-Backup', 'Pin-Ms', 'Stage'):
+                assert PREFIX + name not in generated
+            assert generated[f'{PREFIX}Request-Priority'] == '1'
+
+    run(check())
+
+
+def test_unknown_path_is_not_found(tmp_path):
+    async def check():
+        async with open_desk(tmp_path, plain=make_plain(1)) as desk:
+            status, _, _ = await desk.ask('/nothing/1')
+            assert status == 404
+
+    run(check())
+
+
+def test_stream_is_read_on_one_engine_and_generated_on_another(
+    tmp_path,
+    numbers,
+):
+    async def check():
+        async with open_desk(tmp_path, make_engines()) as desk:
+            status, headers, body = await desk.ask('/summary/1')
+            assert status == 200
+            assert numbers(body) == [1, 2, 3, 4, 5]
+            assert headers[f'{PREFIX}Server-Stamp'] == 'stand-in-generator-0'
+            reads = [len(one.reads) for one in desk.site.engines]
+            assert sum(reads) == 1
+            assert len(desk.site.engines[2].runs) == 1
+
+    run(check())
+
+
+def test_requests_with_a_shared_part_gather_on_one_reader(tmp_path):
+    # Requests about one archive share most of their prompt. Spread evenly,
+    # every reading engine would read the archive again.
+    async def check():
+        async with open_desk(tmp_path, make_engines(readers=4)) as desk:
+            for number in range(6):
+                await desk.ask(
+                    '/summary/1',
+                    f'r-{number}',
+                    headers={f'{PREFIX}Prompt-Prefix': f'aa:800,b{number}:9'},
+                )
+            readers = desk.site.engines[:4]
+            assert sorted(len(one.reads) for one in readers) == [0, 0, 0, 6]
+
+    run(check())
+
+
+def test_leaving_caller_ends_the_run(tmp_path):
+    # A caller closes its connection in the middle of a stream. An engine that
+    # goes on generates for nobody, and others wait for its place.
+    async def check():
+        engines = make_engines()
+        engines[2].faults.stall_after = 2
+        async with open_desk(tmp_path, engines) as desk:
+            with pytest.raises(TimeoutError):
+                await asyncio.wait_for(desk.ask('/blurb/1'), 0.3)
+            await desk.until(lambda: engines[2].cut == ['r-1'], 0.5)
+
+    run(check())
+
+
+def test_leaving_caller_frees_its_handle(tmp_path):
+    # The caller leaves after its prompt was read and before an engine took
+    # it over. Kept, the KV cache would hold memory for seconds.
+    async def check():
+        engines = make_engines()
+        engines[2].faults.mute = True
+        async with open_desk(tmp_path, engines) as desk:
+            with pytest.raises(TimeoutError):
+                await asyncio.wait_for(desk.ask('/blurb/1'), 0.3)
+            readers = engines[:2]
+            await desk.until(lambda: any(one.freed for one in readers), 0.5)
+
+    run(check())
+
+
+def test_no_manifest_is_not_ready(tmp_path):
+    # An instance starts before the first manifest. A 404 would tell callers
+    # that their path does not exist; they are told to come back.
+    async def check():
+        async with open_desk(tmp_path, plain=make_plain(1)) as desk:
+            desk.gateway.core.catalog.catalog = None
+            status, headers, _ = await desk.ask('/archive/1')
+            assert status == 503
+            assert 0 < float(headers['Retry-After']) <= 1
+
+    run(check())
+
+
+def test_body_beyond_the_manifests_limit_is_refused(tmp_path):
+    async def check():
+        async with open_desk(tmp_path, plain=make_plain(1)) as desk:
+            limits = {
+                'maxHeaderBytes': 16_384,
+                'maxBodyBytes': 100,
+                'headerTimeoutMs': 3000,
+                'idleTimeoutMs': 15_000,
+            }
+            desk.site.publish(limits=limits)
+            core = desk.gateway.core
+            await desk.until(lambda: core.catalog.catalog.version == 2)
+            status, _, _ = await desk.ask('/proof/1', data=b'x' * 200)
+            assert status == 413
+            assert not desk.site.plain[0].runs
+
+    run(check())
+
+
+def test_host_is_compared_without_case_and_port(tmp_path):
+    async def check():
+        async with open_desk(tmp_path, plain=make_plain(1)) as desk:
+            given = {'Host': f'{HOST.upper()}:80'}
+            status, _, _ = await desk.ask(
+                '/archive/1',
+                method='GET',
+                headers=given,
+            )
+            assert status == 200
+
+    run(check())
+
+
+def test_every_decision_on_a_request_is_logged_with_its_id(tmp_path):
+    async def check():
+        async with open_desk(tmp_path, make_engines()) as desk:
+            await desk.ask('/summary/1', 'r-77')
+            for event in ('accepted', 'placed', 'generated', 'answered'):
+                lines = desk.decisions(event)
+                assert [line['request'] for line in lines] == ['r-77']
+
+    run(check())
--- /dev/null
+++ b/packages/verbenahall/tests/gateway/test_store.py
@@ -0,0 +1,171 @@
+"""The store is away, forgets, repeats itself, or says what cannot be read."""
+
+import asyncio
+
+import pytest
+from verbenahall_standins.platform import EngineStandIn
+
+from verbenahall.gateway import _followers as followers
+
+from .conftest import dump, make_engines, make_plain, open_desk
+
+
+def run(coroutine):
+    return asyncio.run(coroutine)
+
+
+def test_new_manifest_is_in_force_at_once(tmp_path):
+    async def check():
+        async with open_desk(tmp_path, plain=make_plain(1)) as desk:
+            state = desk.gateway.core.catalog
+            desk.site.publish(routes=[])
+            await desk.until(lambda: state.catalog.version == 2, 0.5)
+            assert (await desk.ask('/archive/1'))[0] == 404
+
+    run(check())
+
+
+def test_unreadable_manifest_leaves_the_last_one_in_force(tmp_path):
+    # A manifest arrives that cannot be read. Taken in part, it would answer
+    # 404 to callers whose route it has dropped.
+    async def check():
+        async with open_desk(tmp_path, plain=make_plain(1)) as desk:
+            desk.site.publish(routes=[{'name': 'half'}])
+            await desk.until(lambda: desk.decisions('manifest_unreadable'))
+            assert (await desk.ask('/archive/1', method='GET'))[0] == 200
+
+    run(check())
+
+
+@pytest.mark.parametrize(
+    'content',
+    [
+        b'\xff\xfe\x00',
+        b'[]',
+        b'{}',
+        b'{"service":"pages"}',
+        dump({'service': 'pages', 'address': 5, 'zone': 'z', 'state': 'ready'}),
+        dump(
+            {
+                'service': 'pages',
+                'address': '10.0.0.1:80',
+                'zone': 'z',
+                'state': 'asleep',
+            },
+        ),
+        dump(
+            {
+                'service': 'pages',
+                'address': 'nowhere',
+                'zone': 'z',
+                'state': 'ready',
+            },
+        ),
+    ],
+)
+def test_unreadable_entry_is_no_endpoint_and_the_others_hold(
+    tmp_path,
+    content,
+):
+    # Another writer puts an entry that cannot be read. Requests must neither
+    # go there nor fail for it.
+    async def check():
+        async with open_desk(tmp_path, plain=make_plain(1)) as desk:
+            desk.site.store.put('keyed.servers', 'odd', content)
+            await desk.until(lambda: desk.decisions('endpoint_unreadable'))
+            assert 'odd' not in desk.gateway.core.roster.seats
+            assert (await desk.ask('/archive/1', method='GET'))[0] == 200
+
+    run(check())
+
+
+def test_requests_are_served_while_the_store_is_away(tmp_path):
+    # The store is down for minutes. What was known of it serves on.
+    async def check():
+        async with open_desk(tmp_path, plain=make_plain(1)) as desk:
+            desk.site.store.faults.down = 503
+            desk.site.publish()
+            await desk.until(lambda: desk.decisions('store_lost'))
+            assert (await desk.ask('/archive/1', method='GET'))[0] == 200
+            desk.site.store.faults.down = 0
+            state = desk.gateway.core.catalog
+            await desk.until(lambda: state.catalog.version == 2, 1.9)
+
+    run(check())
+
+
+def test_lost_history_is_read_anew(tmp_path):
+    # The store drops the records that this instance has yet to read. Polling
+    # on for them it would never learn of another change.
+    async def check():
+        async with open_desk(tmp_path, plain=make_plain(1)) as desk:
+            store = desk.site.store
+            store.faults.down = 503
+            await desk.until(lambda: desk.decisions('store_lost'))
+            for _ in range(3):
+                desk.site.publish()
+            store.forget('keyed.op')
+            store.faults.down = 0
+            state = desk.gateway.core.catalog
+            await desk.until(lambda: state.catalog.version == 4, 1.9)
+
+    run(check())
+
+
+def test_poll_that_is_not_woken_misses_a_change_only_briefly(
+    tmp_path,
+    monkeypatch,
+):
+    # A poll arrives while a record is on its way in and is not woken by it.
+    # Of two engines that changed roles together, one was sent work for the
+    # old role until the poll had ended by itself.
+    async def check():
+        engines = make_engines()
+        async with open_desk(tmp_path, engines) as desk:
+            store = desk.site.store
+            roster = desk.gateway.core.roster
+            desk.site.list_endpoint(engines[0], slots=5)
+            await desk.until(
+                lambda: roster.seats['reader-0'].entry.slots == 5,
+            )
+            store.faults.deaf = True
+            await asyncio.sleep(0.05)
+            desk.site.list_endpoint(engines[1], slots=6)
+            await desk.until(
+                lambda: roster.seats['reader-1'].entry.slots == 6,
+                1,
+            )
+
+    run(check())
+
+
+def test_idle_instance_makes_few_calls(tmp_path, monkeypatch):
+    monkeypatch.setattr(followers, '_POLL_S', 0.5)
+
+    async def check():
+        async with open_desk(tmp_path, plain=make_plain(1)) as desk:
+            await asyncio.sleep(1)
+            before = sum(desk.site.store.calls.values())
+            await asyncio.sleep(1)
+            assert sum(desk.site.store.calls.values()) - before <= 5
+
+    run(check())
+
+
+def test_engines_get_the_planned_roles_under_one_lease(tmp_path):
+    # Three instances see that too many engines generate. Ordered by all, an
+    # engine would hold conflicting orders; each order needs the one lease.
+    async def check():
+        engines = [EngineStandIn(f'e{n}', 'decode') for n in range(3)]
+        async with open_desk(tmp_path, engines) as one:
+            async with open_desk(tmp_path, name='front-2', site=one.site):
+                await one.until(
+                    lambda: sum(len(e.orders) for e in engines) == 2,
+                    8,
+                )
+                given = [order for e in engines for order in e.orders]
+                assert len({order['holder'] for order in given}) == 1
+                assert len({order['fence'] for order in given}) == 1
+                assert {order['stage'] for order in given} == {'prefill'}
+
+    run(check())
--- /dev/null
+++ b/packages/verbenahall/tests/placement/test_placement.py
@@ -0,0 +1,283 @@
+"""Where prompts are read and generated, and what is learned of engines."""
+
+import random
+
+from returns.result import Failure, Success
+
+from verbenahall.catalog import EngineTraits
+from verbenahall.errors import ErrorKind
+from verbenahall.fleet import Role
+from verbenahall.placement import (
+    Part,
+    PlacementState,
+    Totals,
+    Wish,
+    Work,
+    place,
+    plan_roles,
+)
+from verbenahall.placement._caches import PartCache
+from verbenahall.placement._speeds import ReadSpeed, StepTime
+from verbenahall.roster import Entry
+
+TRAITS = EngineTraits(
+    slots=48,
+    kv_tokens=444_000,
+    kv_token_bytes=131_072,
+    link_bytes_s=200e9,
+    event_tokens=10,
+    handle_ttl_s=5,
+    role_change_s=3,
+)
+
+
+def make_engine(name, role=Role.PREFILL, data_centre='lampeter', **changes):
+    return Entry(
+        name=name,
+        service='drafter',
+        address='10.0.0.1:80',
+        data_centre=data_centre,
+        leaving=False,
+        slots=48,
+        role=role,
+        **changes,
+    )
+
+
+def make_engines(readers=6, generators=3):
+    return [
+        *(make_engine(f'r{n}') for n in range(readers)),
+        *(make_engine(f'g{n}', Role.DECODE) for n in range(generators)),
+    ]
+
+
+def make_state(seed=1):
+    return PlacementState('lampeter', random.Random(seed))
+
+
+def make_work(shared='archive-1', own='own', shared_tokens=13_300):
+    parts = (Part(shared, shared_tokens), Part(own, 3_720))
+    return Work(parts, shared_tokens + 3_720, 120)
+
+
+def choose(state, work, engines, now=0):
+    return place(state, Wish(work, 0.25), engines, TRAITS, now).unwrap()
+
+
+def test_requests_with_a_shared_part_go_to_one_home():
+    state = make_state()
+    engines = make_engines()
+    homes = {
+        choose(state, make_work(own=f'o{n}'), engines).reader.name
+        for n in range(20)
+    }
+    assert len(homes) == 1
+
+
+def test_instances_agree_on_homes():
+    engines = make_engines()
+    for number in range(20):
+        work = make_work(shared=f'archive-{number}')
+        readers = {
+            choose(make_state(seed), work, engines).reader.name
+            for seed in range(5)
+        }
+        assert len(readers) == 1
+
+
+def test_homes_are_spread_over_the_readers():
+    state = make_state()
+    engines = make_engines()
+    works = [make_work(shared=f'a{n}') for n in range(300)]
+    chosen = [choose(state, work, engines).reader.name for work in works]
+    assert all(30 <= chosen.count(f'r{n}') <= 75 for n in range(6))
+
+
+def test_a_reader_that_goes_moves_only_its_own_parts():
+    # An engine leaves. If the others' parts moved too, the whole fleet would
+    # read every archive again in the same second.
+    state = make_state()
+    engines = make_engines()
+    works = [make_work(shared=f'a{n}') for n in range(100)]
+    before = [choose(state, work, engines).reader.name for work in works]
+    rest = [one for one in engines if one.name != 'r0']
+    after = [choose(state, work, rest).reader.name for work in works]
+    moved = [b for b, a in zip(before, after, strict=True) if b != a]
+    assert set(moved) == {'r0'}
+
+
+def test_busy_home_gives_way_only_when_reading_again_costs_less():
+    state = make_state()
+    engines = make_engines()
+    work = make_work()
+    home = choose(state, work, engines).reader
+    flight = state.ledger.open(home.name, Totals(reading=4_000))
+    assert choose(state, work, engines).reader == home
+    state.ledger.close(flight)
+    state.ledger.open(home.name, Totals(reading=80_000))
+    assert choose(state, work, engines).reader != home
+
+
+def test_small_part_spills_over_early():
+    # Captions share little. Kept at a busy home they wait behind archives
+    # that they have nothing to do with.
+    state = make_state()
+    engines = make_engines()
+    work = make_work(shared_tokens=100)
+    home = choose(state, work, engines).reader
+    state.ledger.open(home.name, Totals(reading=12_000))
+    assert choose(state, work, engines).reader != home
+
+
+def test_generator_with_room_is_chosen():
+    state = make_state()
+    engines = make_engines()
+    state.ledger.open('g0', Totals(context=430_000, streams=20))
+    state.ledger.open('g1', Totals(context=430_000, streams=20))
+    for number in range(10):
+        plan = choose(state, make_work(own=f'o{number}'), engines)
+        assert plan.generator.name == 'g2'
+
+
+def test_streams_are_spread_over_the_generators():
+    state = make_state()
+    engines = make_engines()
+    chosen = []
+    for number in range(30):
+        plan = choose(state, make_work(shared=f'a{number}'), engines)
+        chosen.append(plan.generator.name)
+        state.ledger.open(plan.generator.name, Totals(0, 17_000, 1))
+    assert all(chosen.count(f'g{n}') >= 8 for n in range(3))
+
+
+def test_slow_generator_is_avoided():
+    # An engine has turned slow and still answers its health check. Streams
+    # there pause for longer than their callers bear.
+    state = make_state()
+    engines = make_engines()
+    for _ in range(20):
+        state.step_of('g0').note(0.05, now=0)
+    for number in range(10):
+        plan = choose(state, make_work(own=f'o{number}'), engines, now=0.1)
+        assert plan.generator.name != 'g0'
+
+
+def test_generator_near_the_reader_is_preferred():
+    state = make_state()
+    engines = [
+        make_engine('r0'),
+        make_engine('far', Role.DECODE, 'cardigan'),
+        make_engine('near', Role.DECODE),
+    ]
+    assert choose(state, make_work(), engines).generator.name == 'near'
+
+
+def test_without_readers_generators_read_themselves():
+    state = make_state()
+    engines = make_engines(readers=0)
+    plan = choose(state, make_work(), engines)
+    assert plan.reader is None
+    assert plan.generator.role is Role.DECODE
+
+
+def test_without_generators_nothing_is_placed():
+    outcome = place(
+        make_state(),
+        Wish(make_work(), 0.25),
+        make_engines(generators=0),
+        TRAITS,
+        0,
+    )
+    assert isinstance(outcome, Failure)
+    assert outcome.failure().kind is ErrorKind.NO_ENDPOINT
+
+
+def test_request_without_parts_is_placed():
+    state = make_state()
+    outcome = place(state, Wish(Work(), 0.25), make_engines(), TRAITS, 0)
+    assert isinstance(outcome, Success)
+
+
+def test_cache_keeps_the_last_used_parts():
+    cache = PartCache(1000)
+    cache.note([Part('a', 300), Part('b', 300)])
+    cache.note([Part('a', 300), Part('c', 300)])
+    assert cache.count_kept([Part('a', 300), Part('c', 300)]) == 600
+    assert cache.count_kept([Part('a', 300), Part('b', 300)]) == 300
+    assert cache.count_kept([Part('b', 300)]) == 0
+
+
+def test_part_counts_only_behind_all_parts_before_it():
+    cache = PartCache(10_000)
+    cache.note([Part('a', 300), Part('b', 300)])
+    assert cache.count_kept([Part('x', 10), Part('b', 300)]) == 0
+
+
+def time_read(missing, kept):
+    """Return what a read takes on an engine like the users' ones."""
+    pairs = missing * (kept + missing / 2) / 1e6
+    return 0.08 + missing / 93_000 + pairs * 0.000_442
+
+
+def test_read_speed_is_learned():
+    speed = ReadSpeed()
+    source = random.Random(3)
+    for _ in range(300):
+        missing = source.randint(400, 20_000)
+        kept = source.choice((0, 6_300, 13_300))
+        noise = source.expovariate(100)
+        speed.learn(missing, kept, time_read(missing, kept) + noise)
+    for missing, kept in ((1_110, 350), (3_720, 13_300), (17_000, 0)):
+        expected = speed.start_s + speed.expect(missing, kept)
+        assert 0.8 < expected / time_read(missing, kept) < 1.35
+
+
+def test_reads_that_waited_unseen_move_the_speed_little():
+    # Reads of instances that this one does not hear make some of its own
+    # wait. Believed, engines would look slow and work be refused for nothing.
+    speed = ReadSpeed()
+    source = random.Random(4)
+    for number in range(300):
+        missing = source.randint(400, 20_000)
+        waited = 0.5 if number % 4 == 0 else 0
+        speed.learn(missing, 0, time_read(missing, 0) + waited)
+    expected = speed.start_s + speed.expect(5_000, 0)
+    assert expected / time_read(5_000, 0) < 1.8
+
+
+def test_step_time_fades_without_news():
+    step = StepTime()
+    for _ in range(30):
+        step.note(0.05, now=10)
+    assert step.read(10) > 0.04
+    assert step.read(30) < 0.008
+
+
+def test_most_engines_read():
+    engines = make_engines(readers=4, generators=5)
+    changes = plan_roles(engines, {})
+    assert [change.role for change in changes] == [Role.PREFILL] * 2
+
+
+def test_planned_roles_need_no_change():
+    assert plan_roles(make_engines(readers=6, generators=3), {}) == ()
+    assert plan_roles(make_engines(readers=4, generators=2), {}) == ()
+    assert plan_roles([], {}) == ()
+
+
+def test_least_busy_engines_change():
+    # A change waits for what runs and takes the engine away meanwhile.
+    engines = make_engines(readers=2, generators=4)
+    busy = {'g0': 9, 'g1': 0, 'g2': 7, 'g3': 1}
+    changes = plan_roles(engines, busy)
+    assert [change.engine.name for change in changes] == ['g1', 'g3']
+
+
+def test_someone_always_generates():
+    for readers, generators in ((1, 0), (3, 0), (0, 1), (1, 1)):
+        engines = make_engines(readers, generators)
+        changes = plan_roles(engines, {})
+        left = generators + sum(
+            1 if change.role is Role.DECODE else -1 for change in changes
+        )
+        assert left >= 1
--- /dev/null
+++ b/packages/verbenahall/tests/platform/test_wire.py
@@ -0,0 +1,243 @@
+"""The adapter decodes the wire once, and is the only one that knows it."""
+
+import json
+import pathlib
+import re
+
+import pytest
+from returns.maybe import Nothing
+
+import verbenahall
+from verbenahall.catalog import Kind
+from verbenahall.fleet import Role
+from verbenahall.platform import (
+    SendOrder,
+    build_send_headers,
+    decode_entry,
+    decode_keyed,
+    decode_manifest,
+    decode_read_prompt,
+    decode_report,
+    read_answer,
+    read_ask,
+    read_settings,
+    strip_hop_headers,
+)
+from verbenahall.platform._records import (
+    KeyedRecord,
+    decode_batch,
+    encode_keyed,
+)
+
+ENTRY = {
+    'service': 'huvo11a',
+    'address': '10.128.0.9:8080',
+    'zone': 'aberystwyth',
+    'version': 'v1',
+    'slots': 48,
+    'state': 'ready',
+    'coldLeftMs': 0,
+    'stage': 'decode',
+    'models': [{'name': 'm', 'version': 1, 'adapters': []}],
+    'seq': 4,
+    'born': 1_767_694_165_643,
+}
+
+
+def dump(table):
+    return json.dumps(table).encode()
+
+
+def test_entry():
+    entry = decode_entry('i-1', dump(ENTRY)).unwrap()
+    assert entry.role is Role.DECODE
+    assert entry.data_centre == 'aberystwyth'
+    assert (entry.born, entry.change) == (1_767_694_165_643, 4)
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'state': 'asleep'},
+        {'stage': 'dreaming'},
+        {'address': 7},
+        {'address': '10.0.0:80'},
+        {'address': '10.0.0.1:0'},
+        {'seq': 'four'},
+        {'seq': -1},
+        {'seq': True},
+        {'born': 1.5},
+        {'service': None},
+        {'slots': float('1e400')},
+    ],
+)
+def test_entries_of_another_writer_are_no_endpoints(changes):
+    assert decode_entry('i-1', dump({**ENTRY, **changes})) is Nothing
+
+
+def test_draining_is_leaving():
+    entry = decode_entry('i-1', dump({**ENTRY, 'state': 'draining'}))
+    assert entry.unwrap().leaving
+
+
+def test_manifest():
+    manifest = {
+        'version': 7,
+        'routes': [
+            {
+                'name': 'r',
+                'host': 'Ficu95.example',
+                'pathPrefix': '/pufi791/',
+                'kind': 'stream',
+                'timeoutMs': 3000,
+                'sloMs': 500,
+                'priority': 1,
+                'split': [
+                    {'service': 'a', 'weight': 90},
+                    {'service': 'b', 'weight': 0},
+                ],
+                'maxAttempts': 1,
+                'resumable': False,
+                'gapAimMs': 250,
+            },
+        ],
+        'services': [{'name': 'a', 'maxConns': 300}],
+        'limits': {
+            'maxHeaderBytes': 16_384,
+            'maxBodyBytes': 4_194_304,
+            'headerTimeoutMs': 3000,
+            'idleTimeoutMs': 15_000,
+        },
+    }
+    catalog = decode_manifest(dump(manifest)).unwrap()
+    route = catalog.routes['ficu95.example']['/pufi791/']
+    assert route.kind is Kind.STREAM
+    assert (route.timeout_s, route.objective_s, route.gap_s) == (3, 0.5, 0.25)
+    assert [share.service for share in route.shares] == ['a']
+
+
+def test_unknown_kind_runs_at_most_once():
+    row = {'name': 'r', 'host': 'h', 'pathPrefix': '/a/', 'kind': 'new'}
+    limits = {
+        'maxHeaderBytes': 1,
+        'maxBodyBytes': 1,
+        'headerTimeoutMs': 1,
+        'idleTimeoutMs': 1,
+    }
+    manifest = {
+        'version': 1,
+        'routes': [{**row, 'timeoutMs': 1, 'sloMs': 1, 'service': 's'}],
+        'services': [],
+        'limits': limits,
+    }
+    catalog = decode_manifest(dump(manifest)).unwrap()
+    assert not catalog.routes['h']['/a/'].repeatable
+
+
+def test_ask():
+    ask = read_ask(
+        {
+            'X-Verbenahall-Request-Id': '9c41',
+            'X-Verbenahall-Deadline-Ms': '5000',
+            'X-Verbenahall-Token-Count': '1460,80',
+            'X-Verbenahall-Prompt-Prefix': '5c1e:800, 91bd:410,e440:250',
+            'X-Verbenahall-Length-Hint': '30',
+            'Last-Event-Id': '12',
+        },
+    )
+    assert ask.wait_s == 5
+    assert ask.last_event == 12
+    assert [part.tokens for part in ask.work.parts] == [800, 410, 250]
+    assert ask.work.home_key == '91bd'
+    assert (ask.work.prompt_tokens, ask.work.output_tokens) == (1460, 30)
+
+
+def test_headers_that_cannot_be_read_count_as_absent():
+    ask = read_ask(
+        {
+            'X-Verbenahall-Deadline-Ms': 'soon',
+            'X-Verbenahall-Token-Count': ',',
+            'X-Verbenahall-Prompt-Prefix': 'a:b,:3,,c',
+            'Last-Event-Id': '-1',
+        },
+    )
+    assert ask.wait_s is None
+    assert ask.last_event is None
+    assert not ask.work.parts
+
+
+def test_headers_named_by_connection_stay_behind():
+    headers = strip_hop_headers(
+        [(b'Connection', b'close, X-Own'), (b'X-Own', b'1'), (b'X-B', b'2')],
+    )
+    assert list(headers.items()) == [('X-B', '2')]
+
+
+def test_send_headers():
+    raw = [
+        (b'X-Verbenahall-Kv-From', b'stolen'),
+        (b'x-verbenahall-request-id', b'9c41'),
+        (b'X-Verbenahall-Deadline-Ms', b'99999'),
+    ]
+    order = SendOrder('i-1', 1.25, priority=2, kv_source='10.0.0.1:80/h')
+    headers = build_send_headers(raw, order)
+    assert headers['X-Verbenahall-Kv-From'] == '10.0.0.1:80/h'
+    assert headers['X-Verbenahall-Deadline-Ms'] == '1250'
+    assert headers['X-Verbenahall-Request-Id'] == '9c41'
+    assert 'X-Verbenahall-Stage' not in headers
+
+
+def test_answers_that_have_not_run():
+    assert read_answer(503, {'X-Verbenahall-Not-Run': '1'}).not_run
+    assert read_answer(421, {}).not_run
+    assert not read_answer(503, {}).not_run
+
+
+def test_report_and_read_prompt():
+    report = decode_report(
+        b'{"stage":"decode","busy":false,"seq":2,"waiting":1,"running":12}',
+    ).unwrap()
+    assert (report.orders, report.running) == (2, 12)
+    assert decode_report(b'{"stage":"other","seq":2}') is Nothing
+    assert decode_read_prompt(b'{"kvHandle":5}') is Nothing
+
+
+def test_records():
+    record = encode_keyed(KeyedRecord('i-1', b'content'))
+    assert decode_keyed(record) == KeyedRecord('i-1', b'content')
+    with pytest.raises(ValueError, match='shorter'):
+        decode_keyed(b'\x09abc')
+
+
+@pytest.mark.parametrize('cut', [3, 15, 17, 22])
+def test_batch_that_is_cut_is_not_read(cut):
+    whole = bytes(16) + b'\x00\x00\x00\x03abc'
+    assert decode_batch(whole).records == (b'abc',)
+    with pytest.raises(ValueError, match='short|cut'):
+        decode_batch(whole[:cut])
+
+
+def test_settings_faults_name_the_file_and_the_key(tmp_path):
+    path = tmp_path / 'settings.toml'
+    path.write_text('nodeName = "front-1"\n')
+    (fault,) = read_settings(path).failure()
+    assert str(path) in str(fault)
+    assert fault.key
+    path.write_text('nodeName = ')
+    assert read_settings(path).failure()
+
+
+def test_nothing_outside_knows_the_wire():
+    root = pathlib.Path(verbenahall.__file__).parent
+    wire = re.compile(
+        r'X-Verbenahall|/-/|keyed\.|kvHandle|pathPrefix|maxAttempts|sloMs'
+        r'|coldLeftMs|"zone"|\'zone\'|stageSwitch|VERBENAHALL_CONFIG',
+        re.IGNORECASE,
+    )
+    outside = [
+        path
+        for path in root.rglob('*.py')
+        if 'platform' not in path.relative_to(root).parts
+    ]
+    found = [path.name for path in outside if wire.search(path.read_text())]
+    assert not found
