Cut off instances send callers elsewhere; read speeds are shared and steadier

Cause: during a zone cut of 6 s the instances of the cut zone refused 239 of about 270 requests though the other side could serve them; instances that had just started learned read speeds between a tenth and four times of the others' and refused callers for waits that were none; engines were taken for lost when they only refused a handle whose reader had crashed.

Change: an instance that can reach no generating engine, while most peers are silent, is not ready and closes its connections; what was learned about reading goes with the words between instances, few reads move it little, and the fastest read bounds the start; role planning looks at reachability alone; a beliefs line every five seconds.

--- a/packages/verbenahall/src/verbenahall/gateway/_orders.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_orders.py
@@ -135,7 +135,7 @@
         now = core.now()
         listed = list(core.roster.live(service, now))
         engines = [
-            one for one in listed if not core.standings.paused(one.name, now)
+            one for one in listed if core.standings.reachable(one.name, now)
         ]
         if self._is_growing(service, engines, now):
             return ()
--- a/packages/verbenahall/src/verbenahall/gateway/_peers.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_peers.py
@@ -36,7 +36,7 @@
         self.book = PeerBook(core.settings.name)
         self.exchange = PeerExchange(
             self.book,
-            core.placement.ledger,
+            core.placement,
             self._hear_changing,
         )
 
--- a/packages/verbenahall/src/verbenahall/gateway/_sender.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_sender.py
@@ -75,7 +75,7 @@
         except FAILURES as error:
             yield Failure(self.name_failure(call, endpoint, error))
         else:
-            yield await self._judge(endpoint, response)
+            yield await self._judge(endpoint, order, response)
         finally:
             standing.open -= 1
             if response is not None:
@@ -169,11 +169,16 @@
     async def _judge(
         self,
         endpoint: Entry,
+        order: SendOrder,
         response: aiohttp.ClientResponse,
     ) -> Opened:
         if not read_answer(response.status, response.headers).not_run:
             return Success(response)
-        self._core.standings.note_refusal(endpoint.name, self._core.now())
+        if not order.kv_source:
+            # With a handle the refusal may be for the engine that holds it,
+            # which has crashed, rather than for the one that was asked.
+            now = self._core.now()
+            self._core.standings.note_refusal(endpoint.name, now)
         # Read to its end, the refusal leaves its connection to the next
         # send; a new one would cost a handshake.
         with contextlib.suppress(*FAILURES):
--- a/packages/verbenahall/src/verbenahall/gateway/_serve.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_serve.py
@@ -13,12 +13,14 @@
 from verbenahall import journal
 from verbenahall.config import LimitsConfig
 from verbenahall.front import Runner
+from verbenahall.gateway._beliefs import Beliefs
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._followers import Following
 from verbenahall.gateway._ingress import Ingress
 from verbenahall.gateway._orders import RoleKeeper
 from verbenahall.gateway._peers import PeerFinder
 from verbenahall.gateway._probes import Probes
+from verbenahall.gateway._readiness import Readiness
 from verbenahall.platform import READY, ProcessSettings
 from verbenahall.shutdown import GracefulStop, StopTiming
 from verbenahall.supervisor import Supervisor
@@ -63,16 +65,12 @@
 
     async def open(self) -> None:
         """Listen and start the loops."""
-        self._runners.append(await _serve_readiness(self.core, self.stop))
-        self._runners.append(await _serve_callers(self.core, self.stop))
-        for name, follower in Following(self.core).followers().items():
-            self._supervisor.start(name, follower.run)
-        keeper = RoleKeeper(self.core, self.finder.book)
-        self.finder.exchange.changing = keeper.changing
-        self._supervisor.start('peers', self.finder.run)
-        self._supervisor.start('roles', keeper.run)
-        self._supervisor.start('probes', Probes(self.core).run)
-        self._supervisor.start('lines', _flush_lines)
+        readiness = Readiness(self.core, self.finder.book)
+        self._runners = [
+            await _serve_readiness(self.core, readiness, self.stop),
+            await _serve_callers(self.core, readiness, self.stop),
+        ]
+        self._start_loops(readiness)
         journal.write_decision('started', instance=self.core.settings.name)
 
     async def close(self) -> None:
@@ -84,6 +82,24 @@
         journal.write_decision('stopped', instance=self.core.settings.name)
         journal.flush()
 
+    def _start_loops(self, readiness: Readiness) -> None:
+        keeper = RoleKeeper(self.core, self.finder.book)
+        self.finder.exchange.changing = keeper.changing
+        loops = {
+            **{
+                name: follower.run
+                for name, follower in Following(self.core).followers().items()
+            },
+            'peers': self.finder.run,
+            'roles': keeper.run,
+            'readiness': readiness.run,
+            'probes': Probes(self.core).run,
+            'beliefs': Beliefs(self.core).run,
+            'lines': _flush_lines,
+        }
+        for name, loop in loops.items():
+            self._supervisor.start(name, loop)
+
 
 @final
 class GatewayService(aiomisc.Service):
@@ -134,9 +150,14 @@
     )
 
 
-async def _serve_callers(core: Core, stop: GracefulStop) -> web.AppRunner:
+async def _serve_callers(
+    core: Core,
+    readiness: Readiness,
+    stop: GracefulStop,
+) -> web.AppRunner:
     app = web.Application(client_max_size=_BODY_BYTES)
     stop.add_to(app)
+    app.on_response_prepare.append(readiness.close_connection)
     app.router.add_route('*', '/{path:.*}', Ingress(core).handle)
     limits = LimitsConfig(
         body_bytes=_BODY_BYTES,
@@ -155,20 +176,24 @@
     return runner
 
 
-async def _serve_readiness(core: Core, stop: GracefulStop) -> web.AppRunner:
+async def _serve_readiness(
+    core: Core,
+    readiness: Readiness,
+    stop: GracefulStop,
+) -> web.AppRunner:
     app = web.Application()
-    app.router.add_get(READY, functools.partial(_tell_ready, core, stop))
+    app.router.add_get(READY, functools.partial(_tell_ready, readiness, stop))
     runner = web.AppRunner(app, access_log=None)
     await _listen(runner, core.settings.readiness)
     return runner
 
 
 async def _tell_ready(
-    core: Core,
+    readiness: Readiness,
     stop: GracefulStop,
     request: web.Request,
 ) -> web.Response:
-    ready = core.ready and not stop.stopping
+    ready = readiness.ready and not stop.stopping
     status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
     return web.Response(status=status)
 
--- a/packages/verbenahall/src/verbenahall/gateway/_standing.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_standing.py
@@ -97,6 +97,10 @@
         fade = 0.5 ** ((now - standing.noted_at) / _HALF_LIFE_S)
         return standing.failing * fade
 
+    def reachable(self, endpoint: str, now: float) -> bool:
+        """Whether an endpoint takes connections, as far as is known."""
+        return now >= self.of(endpoint).paused_until
+
     def paused(self, endpoint: str, now: float) -> bool:
         """Whether an endpoint is avoided for the moment."""
         standing = self.of(endpoint)
--- a/packages/verbenahall/src/verbenahall/gateway/_streams.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_streams.py
@@ -182,7 +182,13 @@
                 return True
             case Refused():
                 self._refusals += 1
-                return self._refusals < _DOUBTED
+                doubted = self._refusals >= _DOUBTED
+                if doubted and self._handle is not None:
+                    # Two engines could not fetch it: the one that holds it
+                    # moves KV cache too slowly, or not at all.
+                    reader = self._handle.engine.name
+                    self._core.standings.note_refusal(reader, self._core.now())
+                return not doubted
             case _:
                 return False
 
--- a/packages/verbenahall/src/verbenahall/peers/__init__.py
+++ b/packages/verbenahall/src/verbenahall/peers/__init__.py
@@ -2,13 +2,20 @@
 
 from verbenahall.peers._messages import Word, decode_word, encode_word
 from verbenahall.peers._shell import PeerExchange
-from verbenahall.peers._state import PeerBook, choose_due, greet, hear
+from verbenahall.peers._state import (
+    PeerBook,
+    choose_due,
+    count_heard,
+    greet,
+    hear,
+)
 
 __all__ = (
     'PeerBook',
     'PeerExchange',
     'Word',
     'choose_due',
+    'count_heard',
     'decode_word',
     'encode_word',
     'greet',
--- a/packages/verbenahall/src/verbenahall/peers/_messages.py
+++ b/packages/verbenahall/src/verbenahall/peers/_messages.py
@@ -17,13 +17,15 @@
 
     ``number`` grows with each word of one start of the author, so that a
     datagram that was overtaken does not undo a newer one. ``changing`` names
-    engines that the author has ordered to change and that take no work.
+    engines that the author has ordered to change and that take no work, and
+    ``speed`` is what it has learned about reading.
     """
 
     author: str
     number: int
     loads: Mapping[str, Totals]
     changing: tuple[str, ...] = ()
+    speed: tuple[float, ...] = ()
 
 
 def encode_word(word: Word) -> bytes:
@@ -37,6 +39,7 @@
                 for engine, totals in word.loads.items()
             },
             'changing': word.changing,
+            'speed': word.speed,
         },
     )
 
@@ -50,10 +53,17 @@
                 'n': int(number),
                 'load': dict(loads),
                 'changing': list(changing),
+                'speed': list(speed),
             },
         ):
             return _decode_loads(loads).map(
-                lambda totals: Word(author, number, totals, tuple(changing)),
+                lambda totals: Word(
+                    author,
+                    number,
+                    totals,
+                    tuple(changing),
+                    tuple(map(float, speed)),
+                ),
             )
         case _:
             return Nothing
--- a/packages/verbenahall/src/verbenahall/peers/_shell.py
+++ b/packages/verbenahall/src/verbenahall/peers/_shell.py
@@ -10,7 +10,7 @@
 from verbenahall import clock
 from verbenahall.peers._messages import Word, decode_word, encode_word
 from verbenahall.peers._state import PeerBook, choose_due, greet, hear
-from verbenahall.placement import Ledger
+from verbenahall.placement import PlacementState
 
 #: How often the exchange looks for peers that are due, in seconds.
 _TICK_S: Final = 0.1
@@ -23,17 +23,18 @@
     def __init__(
         self,
         book: PeerBook,
-        ledger: Ledger,
+        placement: PlacementState,
         hear_changing: Callable[[str], None],
     ) -> None:
-        """Speak for the ledger's own part; hear into the other one.
+        """Speak for this instance's own open work; hear the others'.
 
         Engines that a peer says are changing go to ``hear_changing``;
         ``changing`` tells those that this instance has ordered itself.
         """
         self.changing: Callable[[], Sequence[str]] = tuple
         self._book = book
-        self._ledger = ledger
+        self._ledger = placement.ledger
+        self._speed = placement.read_speed
         self._hear_changing = hear_changing
         self._numbers = itertools.count()
         self._transport: Any = None
@@ -79,6 +80,7 @@
         greet(self._book, word.author, f'{host}:{port}')
         if hear(self._book, word.author, word.number, now):
             self._ledger.hear(word.author, word.loads, now)
+            self._speed.adopt(word.speed or (0,))
             for engine in word.changing:
                 self._hear_changing(engine)
 
@@ -88,7 +90,13 @@
             return
         loads = self._ledger.own()
         changing = tuple(self.changing())
-        word = Word(self._book.name, next(self._numbers), loads, changing)
+        word = Word(
+            self._book.name,
+            next(self._numbers),
+            loads,
+            changing,
+            self._speed.export(),
+        )
         datagram = encode_word(word)
         for address in due:
             host, _, port = address.rpartition(':')
--- a/packages/verbenahall/src/verbenahall/peers/_state.py
+++ b/packages/verbenahall/src/verbenahall/peers/_state.py
@@ -70,6 +70,14 @@
     return True
 
 
+def count_heard(book: PeerBook, now: float, within_s: float) -> int:
+    """Return how many peers were heard lately."""
+    heard = [
+        peer for peer in book.peers.values() if peer.heard_at > now - within_s
+    ]
+    return len(heard)
+
+
 def choose_due(book: PeerBook, now: float) -> Iterator[str]:
     """Yield the addresses of the peers that are told now."""
     every = _find_pace(len(book.peers))
--- a/packages/verbenahall/src/verbenahall/placement/_speeds.py
+++ b/packages/verbenahall/src/verbenahall/placement/_speeds.py
@@ -17,11 +17,19 @@
 #: would send everything to one engine.
 _LEAST_SLOPE: Final = 0.001
 #: How far the guesses may be off, in the same units.
-_DOUBT: Final = (0.1, 0.02, 0.001)
-#: What is seldom exceeded by one read's noise, in seconds.
-_NOISE_S: Final = 0.02
+_DOUBT: Final = (0.02, 0.004, 0.0003)
+#: One read's noise in seconds. Much of it is waits for reads that are not
+#: known here; a few reads must not move the slopes far: with 0.02 s, slopes of
+#: instances that had just started lay between a tenth and four times of what
+#: the others had learned, and they refused callers for waits that were none.
+_NOISE_S: Final = 0.05
 _THOUSAND: Final = 1000.0
 _MILLION: Final = 1_000_000.0
+#: Samples that another instance must have more to be believed at once.
+_ADOPTED: Final = 8
+#: How much slower the fastest read is thought to be after each further one,
+#: as a factor, so that engines that have turned slow are noticed.
+_SLACKEN: Final = 1.002
 #: Weight of what was learned before against one new read.
 _KEEP: Final = 0.995
 #: A read that took longer than expected has mostly waited for others that
@@ -38,10 +46,12 @@
 class ReadSpeed:
     """Learned cost of reading a prompt on an engine that only reads."""
 
-    __slots__ = ('_slopes', '_spread')
+    __slots__ = ('samples', '_slopes', '_spread', '_fastest_s')
 
     def __init__(self) -> None:
         """Start from the guesses."""
+        self.samples = 0
+        self._fastest_s = float('inf')
         self._slopes = list(_GUESS)
         self._spread = [
             [doubt * doubt * (row == column) for column in range(len(_DOUBT))]
@@ -51,7 +61,7 @@
     @property
     def start_s(self) -> float:
         """What passes before the first token of any read."""
-        return max(0, self._slopes[0])
+        return max(0, min(self._slopes[0], self._fastest_s))
 
     @property
     def token_s(self) -> float:
@@ -66,8 +76,29 @@
         for_pairs = count_pairs(missing, kept) * max(0, self._slopes[2])
         return missing * self.token_s + for_pairs
 
+    def export(self) -> tuple[float, ...]:
+        """Return the samples and the slopes, to tell other instances."""
+        return (self.samples, self.start_s, *self._slopes[1:])
+
+    def adopt(self, exported: Sequence[float]) -> None:
+        """Take over what an instance with many more samples has learned."""
+        samples, *slopes = exported
+        known = len(slopes) == len(self._slopes)
+        if not known or samples < _ADOPTED + 2 * self.samples:
+            return
+        # Half of its samples: two instances never adopt from each other in
+        # turn.
+        self.samples = int(samples / 2)
+        self._slopes = list(slopes)
+        self._fastest_s = slopes[0]
+        for index, line in enumerate(self._spread):
+            line[index] = (_DOUBT[index] / _ADOPTED) ** 2
+
     def learn(self, missing: int, kept: int, seconds: float) -> None:
         """Learn from a read that is thought to have waited for no other."""
+        self.samples += 1
+        # No read is faster than its start; waits cannot hide that.
+        self._fastest_s = min(self._fastest_s * _SLACKEN, seconds)
         row = (1, missing / _THOUSAND, count_pairs(missing, kept))
         error = seconds - _dot(row, self._slopes)
         weight = _LATE_WEIGHT if error > 0 else 1
--- a/packages/verbenahall/tests/gateway/conftest.py
+++ b/packages/verbenahall/tests/gateway/conftest.py
@@ -50,6 +50,12 @@
         ) as response:
             return response.status, response.headers, await response.read()
 
+    async def is_ready(self):
+        """Ask as the balancer does."""
+        url = f'http://{self.gateway.core.settings.readiness}/-/ready'
+        async with self.session.get(url) as response:
+            return response.status == 200
+
     async def until(self, condition, within_s=3):
         """Wait until a condition holds."""
         started = time.monotonic()
--- a/packages/verbenahall/tests/gateway/test_store.py
+++ b/packages/verbenahall/tests/gateway/test_store.py
@@ -6,6 +6,7 @@
 from verbenahall_standins.platform import EngineStandIn
 
 from verbenahall.gateway import _followers as followers
+from verbenahall.peers import greet, hear
 
 from .conftest import dump, make_engines, make_plain, open_desk
 
@@ -169,3 +170,50 @@
                 assert {order['stage'] for order in given} == {'prefill'}
 
     run(check())
+
+
+def test_instance_cut_off_without_engines_sends_its_callers_elsewhere(
+    tmp_path,
+):
+    # A data centre is cut off and its side has no engine that generates.
+    # Ready, its instances refuse their callers for as long as the cut lasts,
+    # though the instances on the other side could serve them.
+    async def check():
+        async with open_desk(tmp_path, make_engines()) as desk:
+            gateway = desk.gateway
+            now = gateway.core.now
+            for number in range(3):
+                greet(gateway.finder.book, f'front-{number + 2}', '10.0.0.9:9')
+            await asyncio.sleep(0.2)
+            assert await desk.is_ready()
+            gateway.core.standings.note_unreachable('generator-0', now())
+            await desk.site.engines[2].stop()
+            await asyncio.sleep(0.7)
+            assert not await desk.is_ready()
+            _, headers, _ = await desk.ask('/blurb/1')
+            assert headers['Connection'] == 'close'
+
+    run(check())
+
+
+def test_instance_stays_ready_when_engines_fail_for_everybody(tmp_path):
+    # All engines have crashed. The other instances could do no better, and
+    # with none of them ready the balancer would have nowhere to go.
+    async def check():
+        async with open_desk(tmp_path, make_engines()) as desk:
+            gateway = desk.gateway
+            book = gateway.finder.book
+            greet(book, 'front-2', '10.0.0.9:9')
+            greet(book, 'front-3', '10.0.0.8:9')
+            gateway.core.standings.note_unreachable(
+                'generator-0',
+                gateway.core.now(),
+            )
+            await desk.site.engines[2].stop()
+            for number in range(8):
+                hear(book, 'front-2', number, gateway.core.now())
+                hear(book, 'front-3', number, gateway.core.now())
+                await asyncio.sleep(0.1)
+            assert await desk.is_ready()
+
+    run(check())
--- a/packages/verbenahall/tests/peers/test_peers.py
+++ b/packages/verbenahall/tests/peers/test_peers.py
@@ -29,7 +29,9 @@
 
 
 def test_bad_counts_are_no_word():
-    datagram = b'{"from":"a","n":1,"load":{"e":[1,2,3,4]},"changing":[]}'
+    datagram = (
+        b'{"from":"a","n":1,"load":{"e":[1,2,3,4]},"changing":[],"speed":[]}'
+    )
     assert decode_word(datagram) is Nothing
 
 
--- a/packages/verbenahall/tests/placement/test_placement.py
+++ b/packages/verbenahall/tests/placement/test_placement.py
@@ -304,3 +304,27 @@
     engines = make_engines(readers=6, generators=2)
     changes = plan_roles(engines, {})
     assert [change.role for change in changes] == [Role.DECODE]
+
+
+def test_few_reads_move_the_speed_little():
+    # An instance starts in the middle of a burst, and its first reads wait
+    # behind others' that it has not heard of. Believed, it refuses callers
+    # for waits that are none.
+    speed = ReadSpeed()
+    for _ in range(3):
+        speed.learn(1_000, 0, 0.8)
+    assert speed.start_s + speed.expect(20_000, 0) < 0.6
+
+
+def test_what_others_have_learned_is_taken_over():
+    learned = ReadSpeed()
+    source = random.Random(5)
+    for _ in range(200):
+        missing = source.randint(400, 20_000)
+        learned.learn(missing, 0, time_read(missing, 0))
+    fresh = ReadSpeed()
+    fresh.adopt(learned.export())
+    assert abs(fresh.expect(9_000, 0) / learned.expect(9_000, 0) - 1) < 0.01
+    before = learned.export()
+    learned.adopt(fresh.export())
+    assert learned.export() == before
