The generator is chosen anew once the prompt was read

The generator was chosen before the read only.

Ruled out: late news.

Change: after each read the generator is chosen again from what is known then. The test fails without the change (the leaving engine ran the request).

--- a/packages/verbenahall/src/verbenahall/gateway/_streams.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_streams.py
@@ -144,6 +144,7 @@
                     return Failure(_name_unread(outcome))
                 case Success(handle):
                     self._handle = handle
+            plan = self._renew(plan)
         result = await self._generate(plan)
         if isinstance(result, Failure) and not self._may_keep(result.failure()):
             self._drop_handle()
@@ -192,6 +193,14 @@
             case _:
                 return False
 
+    def _renew(self, plan: Plan) -> Plan:
+        """Choose the generator anew once the prompt was read.
+
+        A read may take seconds. An engine that has said meanwhile that it
+        leaves may get no more work, and the least busy one may have changed.
+        """
+        return self._place().value_or(plan)
+
     async def _read(
         self,
         plan: Plan,
--- a/packages/verbenahall/tests/gateway/test_failures.py
+++ b/packages/verbenahall/tests/gateway/test_failures.py
@@ -421,3 +421,22 @@
             await desk.until(lambda: not standings.paused('page-0', now()), 1)
 
     run(check())
+
+
+def test_generator_that_leaves_during_the_read_gets_no_work(tmp_path):
+    # A prompt takes two seconds to be read. Meanwhile the engine that was to
+    # generate says that it leaves; sent there all the same, the stream is cut
+    # when the engine exits.
+    async def check():
+        engines = make_engines(readers=1, generators=2)
+        engines[0].faults.slow_read_s = 0.3
+        async with open_desk(tmp_path, engines) as desk:
+            asking = asyncio.create_task(desk.ask('/blurb/1'))
+            await desk.until(lambda: desk.decisions('placed'))
+            chosen = desk.decisions('placed')[0]['generator']
+            leaving = next(one for one in engines if one.name == chosen)
+            desk.site.list_endpoint(leaving, state='draining')
+            assert (await asking)[0] == 200
+            assert not leaving.runs
+
+    run(check())
