--- a/packages/standins/src/verbenahall_standins/platform/_site.py
+++ b/packages/standins/src/verbenahall_standins/platform/_site.py
@@ -134,13 +134,14 @@
 def write_settings(folder: Path, store: str, name: str = 'front-1') -> Path:
     """Write a process's settings on loopback; return the file."""
     path = folder / f'{name}.toml'
-    callers, ready, control, peers = (_find_port() for _ in range(4))
+    callers, ready, control, peers, metrics = (_find_port() for _ in range(5))
     path.write_text(
         f"""
 nodeName = "{name}"
 ip = "127.0.0.1"
 zone = "lampeter"
 portRange = [{peers}, {peers}]
+metricsPort = {metrics}
 seeds = []
 [zones]
 lampeter = "ceredigion"
--- /dev/null
+++ b/packages/verbenactl/src/verbenactl/_explaining.py
@@ -0,0 +1,87 @@
+"""Tells a request's way from instances' log lines, and why it ended so."""
+
+import dataclasses
+from collections.abc import Iterable, Iterator, Mapping
+from types import MappingProxyType
+from typing import Any, Final
+
+from verbenahall import wire
+
+#: Fields that are told by the line itself.
+_HIDDEN: Final = frozenset(('event', 'at', 'request'))
+#: What the last word on a request means, by its kind.
+_CAUSES: Final[Mapping[str, str]] = MappingProxyType(
+    {
+        'overloaded': 'refused: it could not be served in time, nothing ran',
+        'no_endpoint': 'refused: no endpoint could take it, nothing ran',
+        'not_ready': 'refused: the instance knew no manifest yet',
+        'not_found': 'refused: the manifest in force has no such route',
+        'too_large': 'refused: the body is larger than the manifest allows',
+        'deadline_exceeded': 'given up: its time was over before the answer',
+        'endpoint_failed': 'failed: an endpoint broke off, and no attempt was'
+        ' left',
+        'outcome_unknown': 'failed: an endpoint broke off, and it may run only'
+        ' once',
+        'answer_truncated': 'cut: its stream broke and could not be resumed',
+    },
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LogLine:
+    """One decision, and where it was written."""
+
+    source: str
+    decision: Mapping[str, Any]
+
+    @property
+    def at(self) -> float:
+        """When it was written, in the instance's time of day."""
+        return float(self.decision.get('at', 0))
+
+
+def parse_lines(source: str, lines: Iterable[str]) -> Iterator[LogLine]:
+    """Yield the decisions among lines; a prefix names their instance."""
+    for line in lines:
+        prefix, brace, rest = line.partition('{')
+        decision = wire.decode_table((brace + rest).encode()).value_or({})
+        if 'event' in decision:
+            yield LogLine(' '.join(prefix.split()) or source, decision)
+
+
+def explain(lines: Iterable[LogLine], request: str) -> list[str]:
+    """Return the way of a request, one line a decision, and its cause."""
+    own = [line for line in lines if line.decision.get('request') == request]
+    if not own:
+        return [f'no line names request {request}']
+    own.sort(key=lambda line: line.at)
+    begun = own[0].at
+    told = [_describe(line, line.at - begun) for line in own]
+    told.append(f'cause: {find_cause(own)}')
+    return told
+
+
+def find_cause(lines: Iterable[LogLine]) -> str:
+    """Return why a request ended as it did, in one sentence."""
+    events = {line.decision['event']: line.decision for line in lines}
+    last = events.get('given_up') or events.get('refused')
+    failed = events.get('attempt_failed')
+    if last is not None:
+        cause = _CAUSES.get(last.get('kind', ''), 'given up')
+        return f'{cause} ({last.get("reason", "")})'
+    answered = events.get('answered')
+    if answered is None:
+        return 'no final line: the instance ended, or its lines were lost'
+    if answered['outcome'] == 'caller_gone':
+        return 'the caller left before its answer was complete'
+    after = f', after {failed["outcome"]}' if failed else ''
+    return f'answered {answered["outcome"]}{after}'
+
+
+def _describe(line: LogLine, after_s: float) -> str:
+    fields = ' '.join(
+        f'{name}={found}'
+        for name, found in line.decision.items()
+        if name not in _HIDDEN
+    )
+    return f'+{after_s:.3f} {line.source} {line.decision["event"]} {fields}'
--- a/packages/verbenactl/src/verbenactl/_inspect.py
+++ b/packages/verbenactl/src/verbenactl/_inspect.py
@@ -1,5 +1,9 @@
 """The commands that read instances: status, history and explain."""
 
+import itertools
+import sys
+from collections.abc import Iterator
+from pathlib import Path
 from typing import Any, ClassVar
 
 from cleo.exceptions import CleoUserError
@@ -9,6 +13,7 @@
 from returns.result import Success
 
 from verbenactl import _base, _exits
+from verbenactl._explaining import LogLine, explain, parse_lines
 from verbenactl._instances import Answers
 from verbenahall import wire
 
@@ -101,22 +106,54 @@
     """Shows the decisions on a request or an engine."""
 
     name = 'explain'
-    description = 'Show why a request went where it did, or an engine changed.'
+    description = (
+        'Show why a request went where it did, or an engine changed; by its'
+        ' identity from logs, or by asking instances.'
+    )
     view = 'explain'
+    arguments: ClassVar[list[Argument]] = [
+        argument('id', "A request's identity, looked up in logs.", True),
+    ]
     options: ClassVar[list[Option]] = [
         *InspectingCommand.options,
         option('request', None, "A request's identity.", flag=False),
         option('engine', None, "An engine's name.", flag=False),
+        option(
+            'log',
+            None,
+            'A log file; - or none for standard input.',
+            flag=False,
+            multiple=True,
+        ),
     ]
 
+    async def run_async(self) -> int:
+        """Read logs for an identity, or ask the instances given."""
+        if not self.argument('id'):
+            return await super().run_async()
+        lines = itertools.chain.from_iterable(
+            _read_log(path) for path in self.option('log') or ['-']
+        )
+        for told in explain(lines, self.argument('id')):
+            self.io.write_line(told.replace('<', r'\<'))
+        return _exits.DONE
+
     def build_query(self) -> dict[str, str]:
         """Ask for the request or the engine."""
         for name in ('request', 'engine'):
             if self.option(name):
                 return {name: self.option(name)}
-        raise CleoUserError('give --request or --engine')
+        raise CleoUserError('give an identity, --request or --engine')
 
     def tell_view(self, view: dict[str, Any]) -> None:
         """Write each decision as a line of JSON."""
         for decision in view['decisions']:
             self.line(wire.encode(decision).decode())
+
+
+def _read_log(path: str) -> Iterator[LogLine]:
+    if path == '-':
+        yield from parse_lines('stdin', sys.stdin)
+        return
+    with Path(path).open(errors='replace') as log:
+        yield from parse_lines(Path(path).name, log)
--- /dev/null
+++ b/packages/verbenactl/tests/test_explaining.py
@@ -0,0 +1,79 @@
+"""A request's way and its cause, from the lines of several instances."""
+
+import json
+import subprocess
+import sys
+
+from verbenactl._explaining import explain, parse_lines
+
+LINES = (
+    {'event': 'accepted', 'at': 10.0, 'request': 'r-1', 'route': 'blurb'},
+    {'event': 'placed', 'at': 10.1, 'request': 'r-1', 'generator': 'e-2'},
+    {
+        'event': 'attempt_failed',
+        'at': 10.5,
+        'request': 'r-1',
+        'outcome': 'broken',
+    },
+    {
+        'event': 'given_up',
+        'at': 10.5,
+        'request': 'r-1',
+        'kind': 'outcome_unknown',
+        'reason': 'reset',
+    },
+    {'event': 'answered', 'at': 10.5, 'request': 'r-1', 'outcome': '504'},
+    {'event': 'answered', 'at': 9.0, 'request': 'r-2', 'outcome': '200'},
+)
+
+
+def encode(rows):
+    return [json.dumps(row) for row in rows]
+
+
+def test_way_is_told_in_order_with_its_cause():
+    lines = parse_lines('a.log', reversed(encode(LINES)))
+    told = explain(lines, 'r-1')
+    assert told[0].startswith('+0.000 a.log accepted route=blurb')
+    assert len(told) == 6
+    assert told[-1].startswith('cause: failed: an endpoint broke off')
+
+
+def test_lines_of_several_instances_are_joined():
+    lines = [
+        *parse_lines('a.log', encode(LINES[:2])),
+        *parse_lines('b.log', encode(LINES[2:])),
+    ]
+    told = explain(lines, 'r-1')
+    assert ' a.log accepted' in told[0]
+    assert ' b.log answered' in told[-2]
+
+
+def test_prefix_of_a_line_names_its_instance():
+    text = f'   3.5 front-1 {json.dumps(LINES[0])}'
+    told = explain(parse_lines('x', [text]), 'r-1')
+    assert '3.5 front-1 accepted' in told[0]
+
+
+def test_other_lines_are_passed_over():
+    assert explain(parse_lines('x', ['{', 'noise', '[]', '{}']), 'r-1') == [
+        'no line names request r-1',
+    ]
+
+
+def test_instance_that_ended_is_told():
+    told = explain(parse_lines('x', encode(LINES[:2])), 'r-1')
+    assert 'no final line' in told[-1]
+
+
+def test_command_reads_files(tmp_path):
+    log = tmp_path / 'front-1.log'
+    log.write_text('\n'.join(encode(LINES)))
+    command = 'from verbenactl.console import main; main()'
+    ended = subprocess.run(
+        [sys.executable, '-c', command, 'explain', 'r-1', '--log', str(log)],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert 'cause: failed' in ended.stdout
--- a/packages/verbenahall/src/verbenahall/gateway/_answers.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_answers.py
@@ -33,7 +33,7 @@
         response.headers['Retry-After'] = str(round(retry_after, _DIGITS))
     else:
         response.headers.popall('Retry-After', None)
-    metrics.REQUESTS.add('', told.kind.value)
+    metrics.GIVEN_UP.add(told.kind.value, told.answer.ran.value)
     return response
 
 
--- a/packages/verbenahall/src/verbenahall/gateway/_reads.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_reads.py
@@ -7,7 +7,7 @@
 from returns.maybe import Some
 from returns.result import Failure, Result, Success
 
-from verbenahall import journal
+from verbenahall import journal, metrics
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._messages import Answered, Call
 from verbenahall.gateway._sender import FAILURES, Sender
@@ -121,6 +121,9 @@
         kept = call.ask.work.prompt_tokens - plan.missing
         if not waited:
             self._core.placement.learn_read(plan.missing, kept, seconds)
+        metrics.READ_SECONDS.observe(seconds)
+        metrics.READ_TOKENS.add('missing', count=plan.missing)
+        metrics.READ_TOKENS.add('kept', count=kept)
         self._core.placement.note_kept(reader, call.ask.work, call.service)
 
 
--- a/packages/verbenahall/src/verbenahall/gateway/_serve.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_serve.py
@@ -10,7 +10,7 @@
 import uvloop
 from aiohttp import web
 
-from verbenahall import journal
+from verbenahall import journal, metrics
 from verbenahall.config import LimitsConfig
 from verbenahall.front import Runner
 from verbenahall.gateway._beliefs import Beliefs
@@ -69,6 +69,7 @@
         self._runners = [
             await _serve_readiness(self.core, readiness, self.stop),
             await _serve_callers(self.core, readiness, self.stop),
+            await _serve_metrics(self.core.settings),
         ]
         self._start_loops(readiness)
         journal.write_decision('started', instance=self.core.settings.name)
@@ -188,6 +189,15 @@
     return runner
 
 
+async def _serve_metrics(settings: ProcessSettings) -> web.AppRunner:
+    app = web.Application()
+    metrics.add_routes(app)
+    runner = web.AppRunner(app, access_log=None)
+    host, _, _ = settings.callers.rpartition(':')
+    await _listen(runner, f'{host}:{settings.metrics_port}')
+    return runner
+
+
 async def _tell_ready(
     readiness: Readiness,
     stop: GracefulStop,
--- a/packages/verbenahall/src/verbenahall/gateway/_streams.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_streams.py
@@ -83,6 +83,7 @@
             return await self._run()
         finally:
             self._drop_handle()
+            metrics.ATTEMPTS.add(str(self._sends))
 
     async def _run(self) -> web.StreamResponse:
         final_answer: web.StreamResponse | None = None
--- a/packages/verbenahall/src/verbenahall/metrics.py
+++ b/packages/verbenahall/src/verbenahall/metrics.py
@@ -36,9 +36,9 @@
         self._totals = collections.Counter()
         _hot.append(self)
 
-    def add(self, *label_values: str) -> None:
-        """Count one more for these label values."""
-        self._totals[label_values] += 1
+    def add(self, *label_values: str, count: int = 1) -> None:
+        """Count one more, or several, for these label values."""
+        self._totals[label_values] += count
 
     def total(self, *label_values: str) -> int:
         """Return what was counted for these label values."""
@@ -116,6 +116,26 @@
     'verbenahall_token_gap_seconds',
     'Time between two reads of a stream that brought tokens.',
 )
+GIVEN_UP: Final = Tally(
+    'verbenahall_given_up_total',
+    'Requests that got no answer of an endpoint, by kind and what ran.',
+    'kind',
+    'ran',
+)
+READ_TOKENS: Final = Tally(
+    'verbenahall_read_tokens_total',
+    'Prompt tokens of reads, by what was expected: missing or kept.',
+    'expected',
+)
+READ_SECONDS: Final = Timer(
+    'verbenahall_read_seconds',
+    'Time from the send of a read to its handle.',
+)
+ATTEMPTS: Final = Tally(
+    'verbenahall_sends_total',
+    'Sends of requests, by what the request had of them when it ended.',
+    'sends',
+)
 STORE_CALLS: Final = Tally(
     'verbenahall_store_calls_total',
     'Calls to the platform store, by call and status or no_answer.',
--- a/packages/verbenahall/src/verbenahall/platform/_settings.py
+++ b/packages/verbenahall/src/verbenahall/platform/_settings.py
@@ -17,6 +17,9 @@
 from verbenahall.platform import _names as names
 from verbenahall.schema import Fault
 
+#: Where metrics are served unless the settings name a port; the deploy file
+#: names the same one.
+_METRICS_PORT: Final = 9464
 _DEFAULT_PATH: Final = '/etc/verbenahall/settings.toml'
 
 
@@ -50,6 +53,7 @@
     callers: str
     readiness: str
     peer_port: int
+    metrics_port: int
     store: str
     memory_mb: float
     cores: float
@@ -99,6 +103,7 @@
         callers=fields.text(listen, 'front'),
         readiness=fields.text(listen, 'ready'),
         peer_port=int(table['portRange'][0]),
+        metrics_port=int(table.get('metricsPort', _METRICS_PORT)),
         store=fields.text(table['platform'], 'address'),
         memory_mb=fields.number(limits, 'memoryMb'),
         # The share is of a core, and the core is that many times as fast.
