--- a/packages/standins/src/verbenahall_standins/platform/_site.py
+++ b/packages/standins/src/verbenahall_standins/platform/_site.py
@@ -134,7 +134,8 @@
 def write_settings(folder: Path, store: str, name: str = 'front-1') -> Path:
     """Write a process's settings on loopback; return the file."""
     path = folder / f'{name}.toml'
-    callers, ready, control, peers, metrics = (_find_port() for _ in range(5))
+    callers, ready, control = (_find_port() for _ in range(3))
+    peers, metrics = _find_port(), _find_port()
     path.write_text(
         f"""
 nodeName = "{name}"
