Further sends are bounded in every window, not by a bucket

Change: an instance counts requests and further sends in the last window and takes its part of the slack by the instances that are known.

--- a/packages/verbenahall/src/verbenahall/gateway/_beliefs.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_beliefs.py
@@ -37,6 +37,7 @@
             'beliefs',
             version=catalog.version if catalog else None,
             endpoints=len(core.roster.seats),
+            instances=core.instances,
             unreachable=core.standings.unreachable(now),
             peers=core.placement.ledger.peers(now),
             read_start_s=round(speed.start_s, _DIGITS),
--- a/packages/verbenahall/src/verbenahall/gateway/_core.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_core.py
@@ -12,14 +12,15 @@
 from verbenahall.gateway._standing import Standings
 from verbenahall.placement import PlacementState
 from verbenahall.platform import ProcessSettings, StoreClient, make_session
-from verbenahall.requests import RetryBudget
+from verbenahall.requests import WindowBudget
 from verbenahall.roster import Roster
 
 #: Share of the operators' bound on further sends that is used: what counts
 #: is when sends arrive, which slides against when they are decided.
 _BUDGET_SHARE: Final = 0.8
-#: Instances that are thought to share the budget before peers were heard.
-_FIRST_INSTANCES: Final = 12
+#: Instances that are thought to share the budget at least: some may not be
+#: known yet.
+_FEWEST_INSTANCES: Final = 10
 
 
 @final
@@ -37,7 +38,9 @@
         self.session: aiohttp.ClientSession = make_session()
         self.store = StoreClient(self.session, settings.store)
         self.now = clock.monotonic
-        self._budgets: dict[str, RetryBudget] = {}
+        #: Instances that are known, this one with them.
+        self.instances = 1
+        self._budgets: dict[str, WindowBudget] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -45,21 +48,26 @@
         """Whether requests can be routed."""
         return self.catalog.catalog is not None and self.roster.known
 
-    def budget_of(self, service: str) -> RetryBudget:
+    def budget_of(self, service: str) -> WindowBudget:
         """Return the budget of further sends to a service.
 
         The operators bound what all instances send together, so each one
         takes its part of the fixed slack and does not count on others being
         idle.
         """
+        bounds = self.settings.bounds
+        instances = max(self.instances, _FEWEST_INSTANCES)
+        slack = bounds.retry_slack * _BUDGET_SHARE / instances
         budget = self._budgets.get(service)
         if budget is None:
-            bounds = self.settings.bounds
-            budget = RetryBudget(
-                share=bounds.retry_share * _BUDGET_SHARE,
-                most=bounds.retry_slack * _BUDGET_SHARE / _FIRST_INSTANCES,
+            budget = WindowBudget(
+                bounds.retry_share * _BUDGET_SHARE,
+                slack,
+                bounds.retry_window_s,
+                self.now,
             )
             self._budgets[service] = budget
+        budget.slack = slack
         return budget
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
--- a/packages/verbenahall/src/verbenahall/gateway/_orders.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_orders.py
@@ -106,6 +106,7 @@
         """Look and order until cancelled."""
         while True:
             await asyncio.sleep(_LOOK_S)
+            self._core.instances = len(self._book.peers) + 1
             catalog = self._core.catalog.catalog
             if catalog is None:
                 continue
--- a/packages/verbenahall/src/verbenahall/gateway/_peers.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_peers.py
@@ -79,6 +79,7 @@
             case Success(newest):
                 for name, card in newest.items.items():
                     self._greet(name, card)
+                self._core.instances = len(self.book.peers) + 1
                 journal.write_decision('peers', known=len(self.book.peers))
                 return True
             case _:
--- a/packages/verbenahall/src/verbenahall/peers/_shell.py
+++ b/packages/verbenahall/src/verbenahall/peers/_shell.py
@@ -9,7 +9,13 @@
 
 from verbenahall import clock
 from verbenahall.peers._messages import Word, decode_word, encode_word
-from verbenahall.peers._state import PeerBook, choose_due, greet, hear
+from verbenahall.peers._state import (
+    PeerBook,
+    choose_due,
+    find_scale,
+    greet,
+    hear,
+)
 from verbenahall.placement import PlacementState
 
 #: How often the exchange looks for peers that are due, in seconds.
@@ -86,6 +92,7 @@
 
     def _tell(self, now: float) -> None:
         self._ledger.forget_silent(now)
+        self._ledger.scale = find_scale(self._book)
         due = tuple(choose_due(self._book, now))
         if not due:
             return
--- a/packages/verbenahall/src/verbenahall/peers/_state.py
+++ b/packages/verbenahall/src/verbenahall/peers/_state.py
@@ -13,8 +13,9 @@
 #: Words that an instance sends in a second at most. A word costs sender and
 #: receiver some 0.1 ms of processor time each, so this is about 1% of a core.
 _WORDS_A_SECOND: Final = 60
-#: From so many peers on only those of the own data centre are told: their
-#: instances use engines of their own.
+#: From so many peers on only those of the own data centre are told. They are
+#: a fair sample of all, and telling 61 peers took more processor time than
+#: the requests.
 _MANY_PEERS: Final = 20
 #: A peer that hears nothing doubts the last word after 1.5 s.
 _MOST_EVERY_S: Final = 0.6
@@ -93,8 +94,14 @@
 
 
 def tell_whom(book: PeerBook) -> list[_Peer]:
-    """Return the peers whose work and ours meet at the same engines."""
+    """Return the peers that are told: all, or a sample when they are many."""
     peers = list(book.peers.values())
     if len(peers) <= _MANY_PEERS:
         return peers
     return [peer for peer in peers if peer.data_centre == book.data_centre]
+
+
+def find_scale(book: PeerBook) -> float:
+    """Return how many instances there are for each one that is told."""
+    told = len(tell_whom(book)) + 1
+    return (len(book.peers) + 1) / told
--- a/packages/verbenahall/src/verbenahall/placement/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/placement/_decisions.py
@@ -21,13 +21,6 @@
 from verbenahall.roster import Entry
 from verbenahall.routing import rank_by_rendezvous
 
-#: Readers and generators of a data centre from which it is a fleet of its
-#: own: fewer are outlived by no crash, and keep too few parts.
-_NEAR_READERS: Final = 4
-_NEAR_GENERATORS: Final = 4
-#: A first event that is expected later than this, in seconds, is worth the
-#: way to another data centre.
-_FAR_WAIT_S: Final = 0.5
 #: Homes of a part that are looked at.
 _HOMES: Final = 3
 #: An engine that generates reads at half the speed of one that only reads,
@@ -78,39 +71,6 @@
     now: float,
 ) -> Result[Plan, Problem]:
     """Choose where the prompt is read and where the answer is generated."""
-    near = take_near(state, engines)
-    if near is not engines:
-        plan = _place_among(state, wish, near, traits, now)
-        if plan.map(lambda found: found.wait_s < _FAR_WAIT_S).value_or(False):
-            return plan
-    return _place_among(state, wish, engines, traits, now)
-
-
-def take_near(
-    state: PlacementState,
-    engines: Sequence[Entry],
-) -> Sequence[Entry]:
-    """Return the engines of the own data centre, if they are a fleet.
-
-    Where each data centre has engines enough to keep all shared parts, going
-    to another one only costs: moves take twice as long, bytes between data
-    centres are dear, and each instance has to hear of all others' work.
-    """
-    near = [one for one in engines if one.data_centre == state.data_centre]
-    roles = [one.role for one in near]
-    readers = roles.count(Role.PREFILL)
-    if readers < _NEAR_READERS or len(near) - readers < _NEAR_GENERATORS:
-        return engines
-    return near
-
-
-def _place_among(
-    state: PlacementState,
-    wish: Wish,
-    engines: Sequence[Entry],
-    traits: EngineTraits,
-    now: float,
-) -> Result[Plan, Problem]:
     generators = [one for one in engines if one.role is not Role.PREFILL]
     if not generators:
         return Failure(
@@ -150,8 +110,7 @@
     now: float,
 ) -> Result[Plan, Problem]:
     """Choose who goes on with a prompt that ``reader`` has read."""
-    near = take_near(state, engines)
-    generators = [one for one in near if one.role is not Role.PREFILL]
+    generators = [one for one in engines if one.role is not Role.PREFILL]
     if not generators:
         return Failure(
             Problem(ErrorKind.NO_ENDPOINT, 'no engine generates now'),
--- a/packages/verbenahall/src/verbenahall/placement/_ledger.py
+++ b/packages/verbenahall/src/verbenahall/placement/_ledger.py
@@ -32,6 +32,14 @@
             self.streams + other.streams,
         )
 
+    def times(self, factor: float) -> 'Totals':
+        """Return the totals of so many times as many instances."""
+        return Totals(
+            int(self.reading * factor),
+            int(self.context * factor),
+            int(self.streams * factor),
+        )
+
     def minus(self, other: 'Totals') -> 'Totals':
         """Return the difference."""
         return Totals(
@@ -70,10 +78,16 @@
     time than all other work together.
     """
 
-    __slots__ = ('_flights', '_own', '_words', '_peers', '_numbers')
+    __slots__ = ('scale', '_flights', '_own', '_words', '_peers', '_numbers')
 
     def __init__(self) -> None:
-        """Start with nothing open."""
+        """Start with nothing open.
+
+        ``scale`` is how many instances there are for each one that speaks to
+        this one: in a large fleet only a part of them does, and the others
+        are taken to send alike.
+        """
+        self.scale: float = 1
         self._flights: dict[int, Flight] = {}
         self._own: dict[str, Totals] = {}
         self._words: dict[str, _Word] = {}
@@ -112,7 +126,8 @@
         """Return the open work of all instances at an engine."""
         own = self._own.get(engine, NOTHING)
         peers = self._peers.get(engine)
-        return own if peers is None else own.plus(peers)
+        heard = own if peers is None else own.plus(peers)
+        return heard if self.scale == 1 else heard.times(self.scale)
 
     def forget_silent(self, now: float) -> None:
         """Forget the words of peers that have not spoken for a while."""
--- a/packages/verbenahall/src/verbenahall/placement/_roles.py
+++ b/packages/verbenahall/src/verbenahall/placement/_roles.py
@@ -17,8 +17,8 @@
 #: Share of the engines that generate as long as nothing is known of the
 #: traffic, rounded up.
 _GENERATING_SHARE: Final = 1 / 3
-#: Engines that are changed before traffic is known, at most: a change takes
-#: an engine away for seconds, and an order has a price.
+#: Engines that are changed at once, at most: a change takes an engine away for
+#: seconds, and an order has a price.
 _MOST_CHANGES: Final = 4
 
 
--- a/packages/verbenahall/src/verbenahall/requests/__init__.py
+++ b/packages/verbenahall/src/verbenahall/requests/__init__.py
@@ -1,6 +1,6 @@
 """Attempts of one request: identities, retries, budgets and streams."""
 
-from verbenahall.requests._budget import RetryBudget
+from verbenahall.requests._budget import RetryBudget, WindowBudget
 from verbenahall.requests._decisions import (
     conclude,
     decide_next,
@@ -36,6 +36,7 @@
     'StreamStep',
     'TimedOut',
     'Unprepared',
+    'WindowBudget',
     'conclude',
     'decide_next',
     'feed',
--- a/packages/verbenahall/src/verbenahall/requests/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/requests/_decisions.py
@@ -9,7 +9,7 @@
 from typing import Final
 
 from verbenahall.errors import ErrorKind, Problem, Ran
-from verbenahall.requests._budget import RetryBudget
+from verbenahall.requests._budget import RetryBudget, WindowBudget
 from verbenahall.requests._messages import Facts, GiveUp, Retry
 from verbenahall.requests._outcomes import (
     Broken,
@@ -29,7 +29,7 @@
 def decide_next(
     outcome: Outcome,
     facts: Facts,
-    budget: RetryBudget,
+    budget: RetryBudget | WindowBudget,
     source: random.Random,
     now: float,
 ) -> Retry | GiveUp:
@@ -100,7 +100,11 @@
             return False
 
 
-def _may_afford(outcome: Outcome, facts: Facts, budget: RetryBudget) -> bool:
+def _may_afford(
+    outcome: Outcome,
+    facts: Facts,
+    budget: RetryBudget | WindowBudget,
+) -> bool:
     """Whether a further attempt is within the bounds.
 
     A flag that is refused costs the fleet nothing and must not wait behind
