A stream without an endpoint's signature is not passed on

Cause: read in the code: whole answers were checked for the signature, streams were not, so events of whatever answers at an engine's address would have reached a caller. The test failed before the change.

--- a/packages/standins/src/verbenahall_standins/platform/_engine.py
+++ b/packages/standins/src/verbenahall_standins/platform/_engine.py
@@ -24,7 +24,8 @@
     ``full`` refuses everything, ``mute`` accepts and says nothing,
     ``break_after`` resets a stream after so many events, ``half_event``
     leaves a part of the next one behind, ``stall_after`` falls silent.
-    ``slow_read_s`` lengthens reads, ``no_orders`` leaves orders unanswered.
+    ``slow_read_s`` lengthens reads, ``no_orders`` leaves orders unanswered,
+    ``unsigned`` streams bear no signature.
     """
 
     full: bool = False
@@ -34,6 +35,7 @@
     stall_after: int | None = None
     slow_read_s: float = 0
     no_orders: bool = False
+    unsigned: bool = False
 
 
 @final
@@ -118,6 +120,8 @@
                 f'{_PREFIX}Server-Stamp': f'{_STAMP}-{self.name}',
             },
         )
+        if self.faults.unsigned:
+            response.headers.pop(f'{_PREFIX}Server-Stamp')
         await response.prepare(request)
         first = int(headers.get('Last-Event-Id', '0')) + 1
         try:
--- a/packages/verbenahall/src/verbenahall/gateway/_generation.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_generation.py
@@ -1,6 +1,6 @@
 """The send that has an engine generate, and its stream."""
 
-from typing import final
+from typing import Final, final
 
 import aiohttp
 from returns.result import Failure, Result, Success
@@ -12,13 +12,13 @@
 from verbenahall.gateway._relay import EventRelay, Pace
 from verbenahall.gateway._sender import FAILURES, SUCCESS, Opened, Sender
 from verbenahall.placement import Plan, Totals
-from verbenahall.platform import SendOrder
-from verbenahall.requests import NeverWritten, Outcome, Refused
+from verbenahall.platform import SendOrder, read_answer
+from verbenahall.requests import Broken, NeverWritten, Outcome, Refused
 
 Generated = Result[StreamEnded | Answered, Outcome]
 
 #: The caller's own connection broke while the stream was passed on.
-_CALLER_GONE = ConnectionResetError
+_CALLER_GONE: Final = ConnectionResetError
 
 
 def may_have_run(result: Generated) -> bool:
@@ -116,6 +116,10 @@
                 response,
                 call.deadline,
             )
+        if not read_answer(response.status, response.headers).signed:
+            # Events without a signature are no engine's answer.
+            self._sender.note(engine, good=False)
+            return Failure(Broken('the stream bears no signature'))
         sent_at = self._core.now()
         try:
             pace = await self._relay.pump(response, resumable=resumable)
--- a/packages/verbenahall/tests/gateway/test_failures.py
+++ b/packages/verbenahall/tests/gateway/test_failures.py
@@ -440,3 +440,17 @@
             assert not leaving.runs
 
     run(check())
+
+
+def test_stream_without_signature_is_not_passed_on(tmp_path):
+    # Something else answers at an engine's address. Its events would reach a
+    # caller as if the engine had made them.
+    async def check():
+        engines = make_engines()
+        engines[2].faults.unsigned = True
+        async with open_desk(tmp_path, engines) as desk:
+            status, _, body = await desk.ask('/blurb/1')
+            assert status in {502, 504}
+            assert b'token' not in body
+
+    run(check())
