--- a/packages/standins/src/verbenahall_standins/platform/_site.py
+++ b/packages/standins/src/verbenahall_standins/platform/_site.py
@@ -1,7 +1,9 @@
 """A small deployment: a store, engines and plain endpoints, one manifest."""
 
+import contextlib
 import itertools
 import json
+import random
 import socket
 from collections.abc import Sequence
 from pathlib import Path
@@ -13,6 +15,9 @@
 
 HOST: Final = 'desk.example'
 _TOPIC: Final = 'keyed.servers'
+#: The kernel gives ports from 32768 on to whoever asks for any.
+_FIRST_PORT: Final = 20_000
+_LAST_PORT: Final = 32_000
 
 
 @final
@@ -171,6 +176,16 @@
 
 
 def _find_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
+    """Return a port below those that the kernel gives to others.
+
+    One of the kernel's own range, closed again, may be given to another test
+    process before the gateway binds it.
+    """
+    while True:
+        port = random.SystemRandom().randrange(_FIRST_PORT, _LAST_PORT)
+        with socket.socket() as probe:
+            if not probe.connect_ex(('127.0.0.1', port)):
+                continue
+        with socket.socket() as holder, contextlib.suppress(OSError):
+            holder.bind(('127.0.0.1', port))
+            return port
