A refused token is not taken up again from its own record

Cause: found on reading. After an engine's refusal the lease forgot its grant, and the next step read it back from the store: the own record was still the newest, so the refused token was in force again and used for the next order. The test for it looked only at the moment after the refusal.

Ruled out: keeping a list of refused tokens; choose_step would still renew the own record and carry the token on.

Change: after a refusal the instance stands under a new holder's name, so the old record is another's and its lease is waited out.

--- a/packages/verbenahall/src/verbenahall/gateway/_lease.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_lease.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import uuid
 from typing import Final, final
 
 from returns.result import Failure, Success
@@ -34,6 +35,8 @@
 )
 
 SCOPE: Final = 'roles'
+#: Digits that tell this run of the process from the ones before.
+_RUN_DIGITS: Final = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,27 +57,36 @@
     has long taken over.
     """
 
-    __slots__ = ('_store', '_state', '_candidacy', '_timing', '_now', '_end')
+    __slots__ = (
+        '_store',
+        '_instance',
+        '_state',
+        '_candidacy',
+        '_timing',
+        '_now',
+        '_end',
+    )
 
     def __init__(
         self,
         store: StoreClient,
-        holder: str,
+        instance: str,
         timing: LeaseTiming,
         delay_share: float,
         now: Clock,
     ) -> None:
-        """Stand for the lease as ``holder``, a name used by no other run."""
+        """Stand for the lease in the name of an instance."""
         self._store = store
+        self._instance = instance
         self._state = AuthorityState()
-        self._candidacy = Candidacy(SCOPE, holder, delay_share)
+        self._candidacy = Candidacy(SCOPE, _make_name(instance), delay_share)
         self._timing = timing
         self._now = now
         self._end = 0
 
     @property
     def holder(self) -> str:
-        """This run's own name as a holder."""
+        """The name as a holder, used by no other run and no other stand."""
         return self._candidacy.holder
 
     def token(self) -> int | None:
@@ -87,9 +99,16 @@
         )
 
     def forget(self) -> None:
-        """Give up a token that an engine has refused; it is not used again."""
-        self._state.grants.pop(SCOPE, None)
-        self._state.heard.pop(SCOPE, None)
+        """Give up a token that an engine has refused; it is not used again.
+
+        Under a new name the own record is another's, whose lease is waited
+        out; under the old one the next read would hand the token back.
+        """
+        self._candidacy = Candidacy(
+            SCOPE,
+            _make_name(self._instance),
+            self._candidacy.delay_share,
+        )
 
     async def acquire(self) -> int | None:
         """Take one step towards the lease; return the token once held."""
@@ -184,6 +203,12 @@
                 )
 
 
+def _make_name(instance: str) -> str:
+    """Return a holder's name that was never used before."""
+    run = uuid.uuid4().hex[:_RUN_DIGITS]
+    return f'{instance}-{run}'
+
+
 def _decode(content: bytes) -> _Record | None:
     match wire.decode_table(content):
         case Success(
--- a/packages/verbenahall/src/verbenahall/gateway/_orders.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_orders.py
@@ -3,7 +3,6 @@
 import asyncio
 import dataclasses
 import time
-import uuid
 from collections.abc import Sequence
 from typing import Final, final
 
@@ -46,8 +45,6 @@
 _SHOWN_S: Final = 4.0
 _CALL_S: Final = 1.0
 _LEASE_S: Final = 6.0
-#: Digits that tell this run of the process from the ones before.
-_RUN_DIGITS: Final = 8
 _ACCEPTED: Final = 202
 _HOLDS: Final = 200
 _FENCED: Final = 412
@@ -87,7 +84,7 @@
         bounds = core.settings.bounds
         self._lease = RoleLease(
             core.store,
-            '-'.join((core.settings.name, uuid.uuid4().hex[:_RUN_DIGITS])),
+            core.settings.name,
             # The margin keeps two holders' orders further apart than a
             # lease, so that they are never seen to take turns.
             LeaseTiming(_LEASE_S, margin_s=bounds.lease_s + 0.5),
--- a/packages/verbenahall/tests/gateway/test_lease.py
+++ b/packages/verbenahall/tests/gateway/test_lease.py
@@ -129,3 +129,20 @@
         assert tokens.count(None) == 1
 
     asyncio.run(stand(check))
+
+
+def test_refused_token_is_not_taken_up_again_from_its_own_record():
+    # An engine has seen a higher token and refuses ours. The record of our
+    # claim is still the newest in the store; read again, it would hand the
+    # refused token back, and every order under it would be refused, too.
+    async def check(store, make, clock):
+        first = make('a')
+        token = await first.acquire()
+        first.forget()
+        assert await first.acquire() is None
+        clock.seconds += 11
+        later = await first.acquire()
+        assert later is not None
+        assert later > token
+
+    asyncio.run(stand(check))
