Both flows share the attempts at a call; a plain call's end is logged

Cause: found on reading. The flow of plain calls and that of streams each counted sends and runs, described them, asked for a retry and told a failure; whether a failed send may have run was judged twice, and the two had drifted: a plain call that was given up left no line with its cause, and its retries were counted under "plain" in place of what ended the attempt. Placement had a second entry that repeated the first one's checks. A first read was counted as no send, a failed one as one, by arithmetic on a counter.

Change: Attempts counts attempts, runs and tried endpoints, decides and tells; may_have_run stands beside the outcomes; a wish names the engine that has read the prompt. An attempt is one pass through the flow, so a request that reads anew may have four of them (it had three); the budget of sends is unchanged.

--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/gateway/_attempts.py
@@ -0,0 +1,149 @@
+"""The attempts at one call: what they brought, and what may follow."""
+
+from typing import Any, Final, final
+
+from aiohttp import web
+from returns.result import Failure, Result
+
+from verbenahall import journal, metrics
+from verbenahall.errors import Problem
+from verbenahall.gateway._answers import answer_with
+from verbenahall.gateway._core import Core
+from verbenahall.gateway._messages import Call
+from verbenahall.requests import (
+    Facts,
+    Outcome,
+    Retry,
+    conclude,
+    decide_next,
+    may_have_run,
+    name_outcome,
+)
+
+_DIGITS: Final = 3
+
+
+@final
+class Attempts:
+    """Counts the attempts at a call, and decides on further ones.
+
+    ``begun`` counts all of them, ``runs`` those that may have run, and
+    ``tried`` names the endpoints that failed one. The pause before a retry is
+    not kept: the next attempt goes to another endpoint, and callers of the
+    platform leave within two seconds.
+    """
+
+    __slots__ = ('begun', 'runs', 'tried', '_core', '_call', '_budget')
+
+    def __init__(self, core: Core, call: Call) -> None:
+        """Start before the first one."""
+        self.begun = 0
+        self.runs = 0
+        self.tried: set[str] = set()
+        self._core = core
+        self._call = call
+        self._budget = core.budget_of(call.service.name)
+
+    @property
+    def may_run_again(self) -> bool:
+        """Whether the route allows one more run after the next one."""
+        return self.runs + 1 < self._call.route.max_attempts
+
+    def note(self, endpoint: str, result: Result[Any, Outcome]) -> None:
+        """Note how a send of the request itself ended."""
+        if isinstance(result, Failure):
+            self.tried.add(endpoint)
+            self.runs += may_have_run(result.failure())
+        else:
+            self.runs += 1
+
+    def go_on(
+        self,
+        outcome: Outcome,
+        *,
+        delivered: bool = False,
+        resends: int = 1,
+        **told: Any,
+    ) -> Problem | None:
+        """Decide what follows a failure; None for another attempt.
+
+        ``told`` is for the log: which endpoints failed, and how far it came.
+        """
+        facts = self._describe(delivered, resends)
+        step = decide_next(
+            outcome,
+            facts,
+            self._budget,
+            self._core.random,
+            self._core.now(),
+        )
+        again = isinstance(step, Retry)
+        self._tell_failure(name_outcome(outcome), str(outcome), again, told)
+        return None if again else conclude(outcome, facts)
+
+    def improve(self, endpoint: str, status: int) -> bool:
+        """Take a further attempt for a failure that an endpoint answered."""
+        again = self._budget.spend()
+        detail = f'status {status}'
+        told = {'endpoint': endpoint}
+        self._tell_failure('failed_answer', detail, again, told)
+        return again
+
+    def give_up(
+        self,
+        problem: Problem,
+        *,
+        answered: bool = False,
+    ) -> web.Response:
+        """Tell why nothing more is tried; return the answer for it.
+
+        ``answered`` tells that the caller has a part of an answer already.
+        """
+        call = self._call
+        journal.write_decision(
+            'given_up',
+            request=call.ask.identity,
+            route=call.route.name,
+            kind=problem.kind.value,
+            ran=problem.answer.ran.value,
+            reason=problem.message,
+            attempts=self.begun,
+            runs=self.runs,
+            begun=answered,
+            took_s=round(self._core.now() - call.received, _DIGITS),
+        )
+        return answer_with(problem, call.ask.identity)
+
+    def _describe(self, delivered: bool, resends: int) -> Facts:
+        call = self._call
+        return Facts(
+            repeatable=call.route.repeatable,
+            deadline=call.deadline,
+            attempts=self.begun,
+            delivered=delivered,
+            resumable=call.route.resumable,
+            unknown=self.runs > 0,
+            runs=self.runs,
+            most_runs=call.route.max_attempts,
+            resends=resends,
+        )
+
+    def _tell_failure(
+        self,
+        outcome: str,
+        detail: str,
+        again: bool,
+        told: dict[str, Any],
+    ) -> None:
+        journal.write_decision(
+            'attempt_failed',
+            request=self._call.ask.identity,
+            outcome=outcome,
+            detail=detail,
+            attempts=self.begun,
+            runs=self.runs,
+            next='repeat' if again else 'give_up',
+            **told,
+        )
+        if again:
+            metrics.RETRIES.add(outcome)
--- a/packages/verbenahall/src/verbenahall/gateway/_generation.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_generation.py
@@ -13,7 +13,7 @@
 from verbenahall.gateway._sender import FAILURES, SUCCESS, Opened, Sender
 from verbenahall.placement import Plan, Totals
 from verbenahall.platform import SendOrder, read_answer
-from verbenahall.requests import Broken, NeverWritten, Outcome, Refused
+from verbenahall.requests import Broken, Outcome
 
 Generated = Result[StreamEnded | Answered, Outcome]
 
@@ -21,15 +21,6 @@
 _CALLER_GONE: Final = ConnectionResetError
 
 
-def may_have_run(result: Generated) -> bool:
-    """Whether an engine may have run the request, by how a send ended."""
-    match result:
-        case Failure(Refused() | NeverWritten()):
-            return False
-        case _:
-            return True
-
-
 @final
 class Generation:
     """Has one engine generate, and passes its stream on."""
--- a/packages/verbenahall/src/verbenahall/gateway/_streams.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_streams.py
@@ -7,34 +7,24 @@
 
 from verbenahall import journal, metrics
 from verbenahall.errors import ErrorKind, Problem, Ran
-from verbenahall.gateway._answers import answer_with, pass_on
+from verbenahall.gateway._answers import pass_on
+from verbenahall.gateway._attempts import Attempts
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._events import restart
-from verbenahall.gateway._generation import (
-    Generated,
-    Generation,
-    may_have_run,
-)
+from verbenahall.gateway._generation import Generated, Generation
 from verbenahall.gateway._messages import Answered, Call
 from verbenahall.gateway._reads import Handle, PromptReads
 from verbenahall.gateway._relay import EventRelay
 from verbenahall.gateway._sender import Sender
-from verbenahall.placement import Plan, Wish, place, place_generator
+from verbenahall.placement import Plan, Wish, place
 from verbenahall.requests import (
-    Facts,
     NeverWritten,
     Outcome,
     Refused,
-    Retry,
     TimedOut,
     Unprepared,
-    conclude,
-    decide_next,
-    name_outcome,
 )
 
-from verbenahall.roster import Entry
-
 #: Callers are never told to come back sooner than this, in seconds.
 _LEAST_RETRY_S: Final = 0.2
 #: After so many refusals the handle may be what is refused.
@@ -51,11 +41,9 @@
         '_relay',
         '_reads',
         '_generation',
+        '_attempts',
         '_handle',
         '_refusals',
-        '_tried',
-        '_sends',
-        '_runs',
     )
 
     def __init__(
@@ -71,11 +59,9 @@
         self._relay = EventRelay(request, call, core.now)
         self._reads = PromptReads(core, sender)
         self._generation = Generation(core, sender, call, self._relay)
+        self._attempts = Attempts(core, call)
         self._handle: Handle | None = None
         self._refusals = 0
-        self._tried: set[str] = set()
-        self._sends = 0
-        self._runs = 0
 
     async def run(self) -> web.StreamResponse:
         """Send until the stream has ended or is given up."""
@@ -83,7 +69,7 @@
             return await self._run()
         finally:
             self._drop_handle()
-            metrics.ATTEMPTS.add(str(self._sends))
+            metrics.ATTEMPTS.add(str(self._attempts.begun))
 
     async def _run(self) -> web.StreamResponse:
         final_answer: web.StreamResponse | None = None
@@ -115,38 +101,45 @@
 
     def _place(self) -> Result[Plan, Problem]:
         core = self._core
+        call = self._call
         now = core.now()
-        live = list(core.roster.live(self._call.service.name, now))
+        live = list(core.roster.live(call.service.name, now))
         usable = [
             one
             for one in live
-            if one.name not in self._tried
+            if one.name not in self._attempts.tried
             and not core.standings.paused(one.name, now)
         ]
-        wish = Wish(self._call.ask.work, self._call.route.gap_s)
-        traits = self._call.service.engine
-        engines = usable or live
-        if self._handle is None:
-            return place(core.placement, wish, engines, traits, now)
-        return place_generator(
+        read_by = self._handle.engine if self._handle else None
+        return place(
             core.placement,
-            wish,
-            self._handle.engine,
-            engines,
-            traits,
+            Wish(call.ask.work, call.route.gap_s, read_by),
+            usable or live,
+            call.service.engine,
             now,
         )
 
     async def _follow(self, plan: Plan) -> Generated:
         """Carry a plan out; a handle that nobody took is kept."""
+        self._attempts.begun += 1
         if plan.reader is not None and self._handle is None:
-            match await self._read(plan, plan.reader):
+            match await self._reads.read(self._call, plan, plan.reader):
                 case Failure(outcome):
+                    self._attempts.tried.add(plan.reader.name)
                     return Failure(_name_unread(outcome))
                 case Success(handle):
                     self._handle = handle
             plan = self._renew(plan)
-        result = await self._generate(plan)
+        return await self._generate(plan)
+
+    async def _generate(self, plan: Plan) -> Generated:
+        route = self._call.route
+        result = await self._generation.run(
+            plan,
+            self._handle,
+            resumable=route.resumable and self._attempts.may_run_again,
+        )
+        self._attempts.note(plan.generator.name, result)
         if isinstance(result, Failure) and not self._may_keep(result.failure()):
             self._drop_handle()
         return result
@@ -157,7 +150,7 @@
         Its prompt would be read for nobody, and those behind it wait longer.
         A request that may have run is never told that it has not.
         """
-        if self._runs or self._relay.begun:
+        if self._attempts.runs or self._relay.begun:
             return False
         call = self._call
         waited_s = self._core.now() - call.received
@@ -202,60 +195,31 @@
         """
         return self._place().value_or(plan)
 
-    async def _read(
-        self,
-        plan: Plan,
-        reader: Entry,
-    ) -> Result[Handle, Outcome]:
-        # The first read of a request is not a further send.
-        self._sends += self._sends > 0
-        result = await self._reads.read(self._call, plan, reader)
-        if isinstance(result, Failure):
-            self._tried.add(reader.name)
-            self._sends = max(1, self._sends)
-        return result
-
-    async def _generate(self, plan: Plan) -> Generated:
-        self._sends += 1
-        result = await self._generation.run(
-            plan,
-            self._handle,
-            resumable=self._may_resume(),
-        )
-        self._runs += may_have_run(result)
-        if isinstance(result, Failure):
-            self._tried.add(plan.generator.name)
-        return result
-
     def _drop_handle(self) -> None:
         """Free the handle, if there is one that nobody has taken."""
         if self._handle is not None:
             self._reads.free(self._handle)
             self._handle = None
 
-    def _may_resume(self) -> bool:
-        """Whether another engine could go on if the next one falls silent."""
-        route = self._call.route
-        return route.resumable and self._runs + 1 < route.max_attempts
-
     def _go_on(
         self,
         plan: Plan,
         outcome: Outcome,
     ) -> web.StreamResponse | None:
         """Decide what follows a failure; None for another attempt."""
-        facts = self._describe(unread=isinstance(outcome, Unprepared))
-        step = decide_next(
+        # Without a handle the prompt is read and generated anew; a failed
+        # read alone is one send.
+        unread = isinstance(outcome, Unprepared)
+        problem = self._attempts.go_on(
             outcome,
-            facts,
-            self._core.budget_of(self._call.service.name),
-            self._core.random,
-            self._core.now(),
+            delivered=self._relay.begun,
+            resends=1 if self._handle or unread else 2,
+            reader=plan.reader.name if plan.reader else None,
+            generator=plan.generator.name,
+            last_event=self._relay.state.last,
         )
-        self._tell_failure(plan, outcome, step)
-        if not isinstance(step, Retry):
-            return self._give_up(conclude(outcome, facts))
-        metrics.RETRIES.add(step.reason)
+        if problem is not None:
+            return self._give_up(problem)
         restart(self._relay.state)
         return None
 
@@ -271,37 +235,8 @@
 
     def _give_up(self, problem: Problem) -> web.StreamResponse:
         """Answer at once, or break a stream so that it does not look whole."""
-        journal.write_decision(
-            'given_up',
-            request=self._call.ask.identity,
-            route=self._call.route.name,
-            kind=problem.kind.value,
-            ran=problem.answer.ran.value,
-            reason=problem.message,
-            sends=self._sends,
-            runs=self._runs,
-            begun=self._relay.begun,
-            took_s=round(self._core.now() - self._call.received, 3),
-        )
-        broken = self._relay.break_off()
-        if broken is not None:
-            return broken
-        return answer_with(problem, self._call.ask.identity)
-
-    def _describe(self, *, unread: bool) -> Facts:
-        call = self._call
-        return Facts(
-            repeatable=call.route.repeatable,
-            deadline=call.deadline,
-            attempts=self._sends,
-            delivered=self._relay.begun,
-            resumable=call.route.resumable,
-            unknown=self._runs > 0,
-            runs=self._runs,
-            most_runs=call.route.max_attempts,
-            # Without a handle the prompt is read and generated anew.
-            resends=1 if self._handle or unread else 2,
-        )
+        answer = self._attempts.give_up(problem, answered=self._relay.begun)
+        return self._relay.break_off() or answer
 
     def _tell_plan(self, plan: Plan) -> None:
         journal.write_decision(
@@ -312,26 +247,7 @@
             missing=plan.missing,
             wait_s=round(plan.wait_s, 3),
             reason=plan.reason,
-            sends=self._sends,
-        )
-
-    def _tell_failure(
-        self,
-        plan: Plan,
-        outcome: Outcome,
-        step: object,
-    ) -> None:
-        journal.write_decision(
-            'attempt_failed',
-            request=self._call.ask.identity,
-            reader=plan.reader.name if plan.reader else None,
-            generator=plan.generator.name,
-            outcome=name_outcome(outcome),
-            detail=str(outcome),
-            sends=self._sends,
-            runs=self._runs,
-            last_event=self._relay.state.last,
-            next='repeat' if isinstance(step, Retry) else 'give_up',
+            attempt=self._attempts.begun + 1,
         )
 
 
--- a/packages/verbenahall/src/verbenahall/placement/__init__.py
+++ b/packages/verbenahall/src/verbenahall/placement/__init__.py
@@ -1,6 +1,6 @@
 """Where a prompt is read and where its answer is generated, and why."""
 
-from verbenahall.placement._decisions import Wish, place, place_generator
+from verbenahall.placement._decisions import Wish, place
 from verbenahall.placement._ledger import Flight, Ledger, Totals
 from verbenahall.placement._messages import Part, Plan, Work
 from verbenahall.placement._roles import RoleChange, plan_roles
@@ -17,6 +17,5 @@
     'Wish',
     'Work',
     'place',
-    'place_generator',
     'plan_roles',
 )
--- a/packages/verbenahall/src/verbenahall/placement/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/placement/_decisions.py
@@ -2,9 +2,9 @@
 
 Each way to serve it has a price in seconds: the wait until the first event,
 and the engine time that reading takes from everybody else. Requests that
-share a part gather on the part's homes, one among the engines that read and
-one among those that generate, and spill over only when the wait at a home
-costs more than reading the part again elsewhere.
+share a part gather on the part's homes among the engines that read, and spill
+over only when the wait at a home costs more than reading the part again
+elsewhere; who generates is chosen by how full and how near the engine is.
 """
 
 import dataclasses
@@ -49,10 +49,12 @@
     """A request to place: its work and what its caller bears.
 
     ``gap_s`` is the longest pause between two events that is on time.
+    ``read_by`` is the engine that has read the prompt already, if there is.
     """
 
     work: Work
     gap_s: float
+    read_by: Entry | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,6 +80,8 @@
         )
     readers = [one for one in engines if one.role is Role.PREFILL]
     desk = _Desk(state, wish, traits, now)
+    if wish.read_by is not None:
+        return Success(desk.plan_rest(wish.read_by, generators))
     if readers:
         options = desk.offer_split(readers, generators)
     else:
@@ -101,25 +105,6 @@
         return self.first_s + self.crowding + _FILL_PRICE * self.fill
 
 
-def place_generator(
-    state: PlacementState,
-    wish: Wish,
-    reader: Entry,
-    engines: Sequence[Entry],
-    traits: EngineTraits,
-    now: float,
-) -> Result[Plan, Problem]:
-    """Choose who goes on with a prompt that ``reader`` has read."""
-    generators = [one for one in engines if one.role is not Role.PREFILL]
-    if not generators:
-        return Failure(
-            Problem(ErrorKind.NO_ENDPOINT, 'no engine generates now'),
-        )
-    desk = _Desk(state, wish, traits, now)
-    joined = desk.choose_generator(reader, generators)
-    return Success(Plan(reader, joined.engine, 0, joined.first_s, 'handle'))
-
-
 class _Desk:
     """Prices the ways to serve one request."""
 
@@ -160,7 +145,7 @@
         for rank, reader in enumerate(_find_homes(self._work, readers)):
             missing = self._count_missing(reader, rank)
             read_s = self._read_s(missing)
-            joined = self.choose_generator(reader, generators)
+            joined = self._choose_generator(reader, generators)
             wait_s = self._start_s + self._backlog_s(reader)
             first_s = wait_s + read_s + joined.first_s
             price = first_s + read_s * _WORK_PRICE + joined.crowding
@@ -173,7 +158,12 @@
             )
             yield _Option(plan, price)
 
-    def choose_generator(
+    def plan_rest(self, reader: Entry, generators: Sequence[Entry]) -> Plan:
+        """Choose who goes on with a prompt that ``reader`` has read."""
+        joined = self._choose_generator(reader, generators)
+        return Plan(reader, joined.engine, 0, joined.first_s, 'handle')
+
+    def _choose_generator(
         self,
         reader: Entry,
         generators: Sequence[Entry],
--- a/packages/verbenahall/src/verbenahall/requests/__init__.py
+++ b/packages/verbenahall/src/verbenahall/requests/__init__.py
@@ -4,6 +4,7 @@
 from verbenahall.requests._decisions import (
     conclude,
     decide_next,
+    may_have_run,
     name_outcome,
 )
 from verbenahall.requests._messages import (
@@ -40,5 +41,6 @@
     'conclude',
     'decide_next',
     'feed',
+    'may_have_run',
     'name_outcome',
 )
--- a/packages/verbenahall/src/verbenahall/requests/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/requests/_decisions.py
@@ -73,6 +73,11 @@
             return Problem(ErrorKind.OUTCOME_UNKNOWN, message)
 
 
+def may_have_run(outcome: Outcome) -> bool:
+    """Whether a request may have run whose attempt failed so."""
+    return not isinstance(outcome, NeverWritten | Unprepared | Refused)
+
+
 def name_outcome(outcome: Outcome) -> str:
     """Return the outcome's word in logs and metrics."""
     match outcome:
--- a/packages/verbenahall/tests/gateway/test_path.py
+++ b/packages/verbenahall/tests/gateway/test_path.py
@@ -196,3 +196,19 @@
                 assert [line['request'] for line in lines] == ['r-77']
 
     run(check())
+
+
+def test_given_up_call_to_a_plain_service_is_logged_with_its_cause(tmp_path):
+    # A page endpoint falls silent, and a clerk complains. Without a line on
+    # why the call was given up, its id leads to a bare 504.
+    async def check():
+        plain = make_plain(1)
+        plain[0].mute = True
+        async with open_desk(tmp_path, plain=plain) as desk:
+            given = {f'{PREFIX}Deadline-Ms': '300'}
+            status, _, _ = await desk.ask('/proof/1', headers=given)
+            line = desk.decisions('given_up')[0]
+            assert (status, line['request']) == (504, 'r-1')
+            assert line['kind'] == 'deadline_exceeded'
+
+    run(check())
