Engine calls, listening and call failures have one place each

Cause: found on reading. The time after which an order counts as lost was a constant that only fits a change of three seconds, and its comment said it came on top of the change.

--- a/packages/verbenahall/src/verbenahall/gateway/_answers.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_answers.py
@@ -1,6 +1,7 @@
 """The answers that callers of the platform get for problems."""
 
 import dataclasses
+from http import HTTPStatus
 from typing import Final
 
 from aiohttp import web
@@ -11,7 +12,6 @@
 from verbenahall.gateway._messages import Answered
 from verbenahall.platform import REQUEST_ID
 
-_SERVER_ERROR: Final = 500
 #: Digits of Retry-After behind the point: hundredths of a second.
 _DIGITS: Final = 2
 
@@ -49,8 +49,14 @@
 
 def _settle(problem: Problem) -> Problem:
     answer = problem.answer
-    if answer.ran is Ran.NO and answer.status >= _SERVER_ERROR:
+    if (
+        answer.ran is Ran.NO
+        and answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+    ):
         return dataclasses.replace(problem, kind=ErrorKind.NO_ENDPOINT)
-    if answer.ran is Ran.UNKNOWN and answer.status < _SERVER_ERROR:
+    if (
+        answer.ran is Ran.UNKNOWN
+        and answer.status < HTTPStatus.INTERNAL_SERVER_ERROR
+    ):
         return dataclasses.replace(problem, kind=ErrorKind.OUTCOME_UNKNOWN)
     return problem
--- a/packages/verbenahall/src/verbenahall/gateway/_core.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_core.py
@@ -9,6 +9,7 @@
 
 from verbenahall import clock
 from verbenahall.catalog import CatalogState
+from verbenahall.gateway._engine_calls import EngineCalls
 from verbenahall.gateway._standing import Standings
 from verbenahall.peers import PeerBook
 from verbenahall.placement import PlacementState
@@ -42,6 +43,7 @@
         self.placement = PlacementState()
         self.book = PeerBook(settings.name, settings.data_centre)
         self.session: aiohttp.ClientSession = make_session()
+        self.engines = EngineCalls(self.session)
         self.store = StoreClient(self.session, settings.store)
         self.now = clock.monotonic
         self._budgets: dict[str, WindowBudget] = {}
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/gateway/_engine_calls.py
@@ -0,0 +1,98 @@
+"""Calls to engines that no caller asked for: reports, orders, handles."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Mapping
+from types import MappingProxyType
+from typing import Final, final
+
+import aiohttp
+from returns.maybe import Maybe, Nothing
+
+from verbenahall import journal
+from verbenahall.platform import (
+    CALL_FAILURES,
+    EXPECT_ENDPOINT,
+    ORDER,
+    REPORT,
+    EngineReport,
+    RoleOrder,
+    decode_report,
+    encode_order,
+    handle_path,
+)
+from verbenahall.roster import Entry
+
+#: Longest time for one call, in seconds: engines answer these within
+#: milliseconds, and one that does not is looked at again later.
+_CALL_S: Final = 1.0
+_NO_HEADERS: Final[Mapping[str, str]] = MappingProxyType({})
+
+
+@final
+class EngineCalls:
+    """Makes the calls; each failure is told and ends as an empty answer."""
+
+    __slots__ = ('_session',)
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        """Call through the process's session."""
+        self._session = session
+
+    async def read_report(self, engine: Entry) -> Maybe[EngineReport]:
+        """Ask an engine for its report."""
+        answer = self._call('GET', engine, REPORT)
+        try:
+            async with answer as response:
+                return decode_report(await response.read())
+        except CALL_FAILURES as error:
+            _tell('report_failed', engine, error)
+        return Nothing
+
+    async def order(self, engine: Entry, order: RoleOrder) -> int | None:
+        """Send an order; its status, or None when its fate is not known."""
+        headers = {
+            'Content-Type': 'application/json',
+            EXPECT_ENDPOINT: engine.name,
+        }
+        body = encode_order(order)
+        answer = self._call('POST', engine, ORDER, body, headers)
+        try:
+            async with answer as response:
+                await response.read()
+                return response.status
+        except CALL_FAILURES as error:
+            _tell('order_unanswered', engine, error)
+        return None
+
+    async def free(self, engine: Entry, handle: str) -> None:
+        """Free KV cache that nobody will take."""
+        answer = self._call('DELETE', engine, handle_path(handle))
+        try:
+            async with answer as response:
+                await response.read()
+        except CALL_FAILURES as error:
+            _tell('handle_not_freed', engine, error)
+
+    @contextlib.asynccontextmanager
+    async def _call(
+        self,
+        method: str,
+        engine: Entry,
+        path: str,
+        body: bytes | None = None,
+        headers: Mapping[str, str] = _NO_HEADERS,
+    ) -> AsyncIterator[aiohttp.ClientResponse]:
+        url = f'http://{engine.address}{path}'
+        async with asyncio.timeout(_CALL_S):
+            async with self._session.request(
+                method,
+                url,
+                data=body,
+                headers=headers,
+            ) as response:
+                yield response
+
+
+def _tell(event: str, engine: Entry, error: BaseException) -> None:
+    journal.write_decision(event, endpoint=engine.name, reason=repr(error))
--- a/packages/verbenahall/src/verbenahall/gateway/_generation.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_generation.py
@@ -10,9 +10,9 @@
 from verbenahall.gateway._messages import Answered, Call, StreamEnded
 from verbenahall.gateway._reads import Handle
 from verbenahall.gateway._relay import EventRelay, Pace
-from verbenahall.gateway._sender import FAILURES, SUCCESS, Opened, Sender
+from verbenahall.gateway._sender import SUCCESS, Opened, Sender
 from verbenahall.placement import Plan, Totals
-from verbenahall.platform import SendOrder, read_answer
+from verbenahall.platform import CALL_FAILURES, SendOrder, read_answer
 from verbenahall.requests import Broken, Outcome
 
 Generated = Result[StreamEnded | Answered, Outcome]
@@ -116,7 +116,7 @@
             pace = await self._relay.pump(response, resumable=resumable)
         except _CALLER_GONE:
             raise
-        except FAILURES as error:
+        except CALL_FAILURES as error:
             return Failure(self._sender.name_failure(call, engine, error))
         self._learn(plan, pace, sent_at)
         return Success(StreamEnded())
--- a/packages/verbenahall/src/verbenahall/gateway/_messages.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_messages.py
@@ -39,7 +39,6 @@
     reason: str
     headers: Mapping[str, Any]
     body: bytes
-    signed: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/verbenahall/src/verbenahall/gateway/_orders.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_orders.py
@@ -4,11 +4,9 @@
 import dataclasses
 import time
 from collections.abc import Sequence
+from http import HTTPStatus
 from typing import Final, final
 
-import aiohttp
-from returns.maybe import Some
-
 from verbenahall import journal, metrics
 from verbenahall.authority import LeaseTiming
 from verbenahall.fleet import Role
@@ -16,15 +14,7 @@
 from verbenahall.gateway._lease import RoleLease
 from verbenahall.peers import find_heard
 from verbenahall.placement import RoleChange, plan_roles
-from verbenahall.platform import (
-    EXPECT_ENDPOINT,
-    ORDER,
-    REPORT,
-    EngineReport,
-    RoleOrder,
-    decode_report,
-    encode_order,
-)
+from verbenahall.platform import RoleOrder
 from verbenahall.roster import Entry
 from verbenahall.routing import rank_by_rendezvous
 
@@ -42,12 +32,14 @@
 _TURN_S: Final = 4.0
 #: How long an order may take until it shows in the list, in seconds, beyond
 #: the time of the change itself.
-_SHOWN_S: Final = 4.0
-_CALL_S: Final = 1.0
+_SHOWN_S: Final = 1.0
+#: Time for the orders of one look, in seconds. Report and order take some
+#: milliseconds each; the lease is looked at before each order, so that slow
+#: ones end the look.
 _LEASE_S: Final = 6.0
-_ACCEPTED: Final = 202
-_HOLDS: Final = 200
-_FENCED: Final = 412
+#: How much longer than the operators' bound two holders' orders are kept
+#: apart, in seconds, for what they were under way.
+_APART_S: Final = 0.5
 
 
 def read_boot_clock() -> float:
@@ -70,6 +62,7 @@
     __slots__ = (
         '_core',
         '_lease',
+        '_apart_s',
         '_pending',
         '_needed_at',
         '_seen',
@@ -79,13 +72,13 @@
     def __init__(self, core: Core) -> None:
         """Order in turn with the peers that are heard."""
         self._core = core
-        bounds = core.settings.bounds
+        self._apart_s = core.settings.bounds.lease_s + _APART_S
         self._lease = RoleLease(
             core.store,
             core.settings.name,
             # The margin keeps two holders' orders further apart than a
             # lease, so that they are never seen to take turns.
-            LeaseTiming(_LEASE_S, margin_s=bounds.lease_s + 0.5),
+            LeaseTiming(_LEASE_S, margin_s=self._apart_s),
             core.random.random(),
             read_boot_clock,
         )
@@ -121,8 +114,8 @@
         now = self._core.now()
         return [
             name
-            for (name, born), order in self._pending.items()
-            if self._is_open(name, born, order, now)
+            for name, born in self._pending
+            if self._is_open(name, born, now)
         ]
 
     def _plan(self, service: str) -> Sequence[RoleChange]:
@@ -134,7 +127,7 @@
         ]
         if self._is_growing(service, engines, now):
             return ()
-        if any(self._is_pending(engine, now) for engine in listed):
+        if any(self._is_open(one.name, one.born, now) for one in listed):
             return ()
         busy = {
             engine.name: core.placement.ledger.totals(engine.name).streams
@@ -172,34 +165,32 @@
         self._seen[service] = (names, joined_at)
         return now - joined_at < _STILL_S
 
-    def _is_open(self, name: str, born: int, order: _Sent, now: float) -> bool:
+    def _is_open(self, name: str, born: int, now: float) -> bool:
+        """Whether an order to this start of an engine is under way."""
+        sent = self._pending.get((name, born))
         seat = self._core.roster.seats.get(name)
-        if seat is None or seat.entry.born != born:
+        if sent is None or seat is None or seat.entry.born != born:
             return False
-        done = seat.entry.role is order.role
-        return not done and now - order.sent_at < _SHOWN_S
+        return seat.entry.role is not sent.role and now < self._find_end(sent)
+
+    def _find_end(self, sent: _Sent) -> float:
+        """Return when an order that is not seen carried out is given up."""
+        catalog = self._core.catalog.catalog
+        services = catalog.services.values() if catalog else ()
+        changes = [one.engine.role_change_s for one in services if one.engine]
+        return sent.sent_at + max(changes, default=0) + _SHOWN_S
 
     async def _release_when_idle(self) -> None:
         """Give the lease back when no order of it can be under way."""
-        quiet_s = self._core.settings.bounds.lease_s + 0.5
         last_at = max(
             (order.sent_at for order in self._pending.values()),
             default=None,
         )
-        if last_at is None or self._core.now() - last_at < quiet_s:
+        if last_at is None or self._core.now() - last_at < self._apart_s:
             return
         self._pending.clear()
         await self._lease.release()
 
-    def _is_pending(self, engine: Entry, now: float) -> bool:
-        sent = self._pending.get((engine.name, engine.born))
-        return sent is not None and self._is_open(
-            engine.name,
-            engine.born,
-            sent,
-            now,
-        )
-
     def _is_turn(self) -> bool:
         """Whether those that stand before this instance had their chance."""
         now = self._core.now()
@@ -222,17 +213,15 @@
 
     async def _order(self, change: RoleChange, token: int) -> None:
         engine = change.engine
-        report = await self._read_report(engine)
+        report = (await self._core.engines.read_report(engine)).value_or(None)
         if report is None or report.changing or report.role is change.role:
             return
         if self._lease.token() != token:
             return
         order = RoleOrder(change.role, self._lease.holder, token, report.orders)
-        self._pending[engine.name, engine.born] = _Sent(
-            change.role,
-            self._core.now(),
-        )
-        status = await self._send(engine, order)
+        now = self._core.now()
+        self._pending[engine.name, engine.born] = _Sent(change.role, now)
+        status = await self._core.engines.order(engine, order)
         journal.write_decision(
             'role_order',
             endpoint=engine.name,
@@ -241,51 +230,7 @@
             orders=report.orders,
             status=status,
         )
-        if status == _FENCED:
+        if status == HTTPStatus.PRECONDITION_FAILED:
             self._lease.forget()
-        if status in {_ACCEPTED, _HOLDS}:
+        if status in {HTTPStatus.ACCEPTED, HTTPStatus.OK}:
             metrics.ROLE_CHANGES.inc({'role': change.role.value})
-
-    async def _read_report(self, engine: Entry) -> EngineReport | None:
-        url = f'http://{engine.address}{REPORT}'
-        try:
-            async with asyncio.timeout(_CALL_S):
-                async with self._core.session.get(url) as response:
-                    body = await response.read()
-        except _FAILURES as error:
-            journal.write_decision(
-                'report_failed',
-                endpoint=engine.name,
-                reason=repr(error),
-            )
-            return None
-        match decode_report(body):
-            case Some(report):
-                return report
-            case _:
-                return None
-
-    async def _send(self, engine: Entry, order: RoleOrder) -> int | None:
-        """Send an order; None when its fate is not known."""
-        try:
-            async with asyncio.timeout(_CALL_S):
-                async with self._core.session.post(
-                    f'http://{engine.address}{ORDER}',
-                    data=encode_order(order),
-                    headers={
-                        'Content-Type': 'application/json',
-                        EXPECT_ENDPOINT: engine.name,
-                    },
-                ) as response:
-                    await response.read()
-                    return response.status
-        except _FAILURES as error:
-            journal.write_decision(
-                'order_unanswered',
-                endpoint=engine.name,
-                reason=repr(error),
-            )
-            return None
-
-
-_FAILURES: Final = (aiohttp.ClientError, OSError, TimeoutError)
--- a/packages/verbenahall/src/verbenahall/gateway/_reads.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_reads.py
@@ -1,30 +1,26 @@
 """Prompts that are read on one engine for another one to go on from."""
 
-import asyncio
 import dataclasses
+from http import HTTPStatus
 from typing import Final, final
 
 from returns.maybe import Some
 from returns.result import Failure, Result, Success
 
-from verbenahall import journal, metrics
+from verbenahall import metrics
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._messages import Answered, Call
-from verbenahall.gateway._sender import FAILURES, Sender
+from verbenahall.gateway._sender import Sender
 from verbenahall.placement import Plan, Totals
 from verbenahall.platform import (
     ReadPrompt,
     SendOrder,
     decode_read_prompt,
-    handle_path,
     name_handle,
 )
 from verbenahall.requests import Broken, Outcome
 from verbenahall.roster import Entry
 
-_OK: Final = 200
-#: Longest time that freeing a handle may take, in seconds.
-_FREE_S: Final = 1.0
 #: A read is given up, and tried at another engine, after this many times the
 #: expected wait and this time more, in seconds. Reads run nothing, so they
 #: may be repeated for every kind of request.
@@ -94,21 +90,8 @@
         Untaken, it would keep the engine's memory from others for seconds,
         which shows as refusals for want of memory.
         """
-        self._core.spawn(self._delete(handle))
-
-    async def _delete(self, handle: Handle) -> None:
-        address = handle.engine.address
-        url = f'http://{address}{handle_path(handle.name)}'
-        try:
-            async with asyncio.timeout(_FREE_S):
-                async with self._core.session.delete(url) as response:
-                    await response.read()
-        except FAILURES as error:
-            journal.write_decision(
-                'handle_not_freed',
-                endpoint=handle.engine.name,
-                reason=repr(error),
-            )
+        calls = self._core.engines
+        self._core.spawn(calls.free(handle.engine, handle.name))
 
     def _learn(
         self,
@@ -135,7 +118,7 @@
             pass
         case _:
             return result
-    if status != _OK:
+    if status != HTTPStatus.OK:
         return Failure(Broken(f'status {status} to a read'))
     match decode_read_prompt(body):
         case Some(prompt):
--- a/packages/verbenahall/src/verbenahall/gateway/_sender.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_sender.py
@@ -14,6 +14,8 @@
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._messages import Answered, Call
 from verbenahall.platform import (
+    CALL_FAILURES,
+    CONNECT_FAILURES,
     SendOrder,
     build_send_headers,
     read_answer,
@@ -33,6 +35,8 @@
 SUCCESS: Final = range(HTTPStatus.OK, HTTPStatus.MULTIPLE_CHOICES)
 #: Longest time for the rest of a refusal, in seconds.
 _REFUSAL_S: Final = 0.2
+#: How the kernel names a peer that acknowledges nothing.
+_SILENCE: Final = frozenset((errno.ETIMEDOUT, errno.EHOSTUNREACH))
 #: How an attempt may end with a response that is not read yet.
 Opened = Result[aiohttp.ClientResponse, Outcome]
 
@@ -72,7 +76,7 @@
         response = None
         try:
             response = await self._wait_until(until, request)
-        except FAILURES as error:
+        except CALL_FAILURES as error:
             yield Failure(self.name_failure(call, endpoint, error))
         else:
             yield await self._judge(endpoint, order, response)
@@ -116,9 +120,10 @@
         response: aiohttp.ClientResponse,
         until: float,
     ) -> Result[Answered, Outcome]:
+        """Read the rest of an answer whose head is there."""
         try:
             body = await self._wait_until(until, response.read())
-        except FAILURES as error:
+        except CALL_FAILURES as error:
             return Failure(self.name_failure(call, endpoint, error))
         facts = read_answer(response.status, response.headers)
         signs = not order.read_only
@@ -126,16 +131,14 @@
             # An answer without a signature is no endpoint's answer.
             self.note(endpoint, good=False)
             return Failure(Broken('the answer bears no signature'))
-        self.note(
-            endpoint, good=response.status < HTTPStatus.INTERNAL_SERVER_ERROR
-        )
+        good = response.status < HTTPStatus.INTERNAL_SERVER_ERROR
+        self.note(endpoint, good=good)
         return Success(
             Answered(
                 response.status,
                 response.reason or '',
                 strip_hop_headers(response.raw_headers),
                 body,
-                facts.signed,
             ),
         )
 
@@ -147,7 +150,7 @@
     ) -> Outcome:
         """Name how a send failed, and note it against the endpoint."""
         now = self._core.now()
-        if isinstance(error, _NO_CONNECTION):
+        if isinstance(error, CONNECT_FAILURES):
             self._core.standings.note_unreachable(endpoint.name, now)
             return NeverWritten(repr(error))
         if isinstance(error, OSError) and error.errno in _SILENCE:
@@ -181,15 +184,6 @@
             self._core.standings.note_refusal(endpoint.name, now)
         # Read to its end, the refusal leaves its connection to the next
         # send; a new one would cost a handshake.
-        with contextlib.suppress(*FAILURES):
+        with contextlib.suppress(*CALL_FAILURES):
             await asyncio.wait_for(response.read(), _REFUSAL_S)
         return Failure(Refused(response.status))
-
-
-#: How the kernel names a peer that acknowledges nothing.
-_SILENCE: Final = frozenset((errno.ETIMEDOUT, errno.EHOSTUNREACH))
-FAILURES: Final = (aiohttp.ClientError, OSError, TimeoutError)
-_NO_CONNECTION: Final = (
-    aiohttp.ClientConnectorError,
-    aiohttp.ConnectionTimeoutError,
-)
--- a/packages/verbenahall/src/verbenahall/gateway/_serve.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_serve.py
@@ -7,7 +7,6 @@
 from typing import Final, final
 
 import aiomisc
-import uvloop
 from aiohttp import web
 
 from verbenahall import journal, metrics
@@ -22,11 +21,10 @@
 from verbenahall.gateway._probes import Probes
 from verbenahall.gateway._readiness import Readiness
 from verbenahall.platform import READY, ProcessSettings
+from verbenahall.process import listen, run_service
 from verbenahall.shutdown import GracefulStop, StopTiming
 from verbenahall.supervisor import Supervisor
 
-#: Waiting connections that the kernel keeps while the loop is busy.
-_BACKLOG: Final = 1024
 #: Bytes of one line or header that the HTTP library takes; the manifest's
 #: own bound is lower and may change while connections are open.
 _LINE_BYTES: Final = 65_536
@@ -129,17 +127,7 @@
 
 def serve(settings: ProcessSettings) -> None:
     """Run the instance until it is stopped."""
-    service = GatewayService(settings)
-    entrypoint = aiomisc.entrypoint(
-        service,
-        log_config=False,
-        catch_signals=(),
-        loop_factory=uvloop.new_event_loop,
-        pool_size=1,
-        shutdown_timeout=settings.bounds.grace_s,
-    )
-    with entrypoint as loop:
-        loop.run_until_complete(service.wait())
+    run_service(GatewayService(settings), settings.bounds.grace_s)
 
 
 def _time_stop(settings: ProcessSettings) -> StopTiming:
@@ -172,7 +160,7 @@
         default_deadline_s=0,
     )
     runner = Runner(app, limits)
-    site = await _listen(runner, core.settings.callers)
+    site = await listen(runner, core.settings.callers)
     stop.hooks.close.append(site.stop)
     return runner
 
@@ -185,7 +173,7 @@
     app = web.Application()
     app.router.add_get(READY, functools.partial(_tell_ready, readiness, stop))
     runner = web.AppRunner(app, access_log=None)
-    await _listen(runner, core.settings.readiness)
+    await listen(runner, core.settings.readiness)
     return runner
 
 
@@ -193,8 +181,7 @@
     app = web.Application()
     metrics.add_routes(app)
     runner = web.AppRunner(app, access_log=None)
-    host, _, _ = settings.callers.rpartition(':')
-    await _listen(runner, f'{host}:{settings.metrics_port}')
+    await listen(runner, f'{settings.ip}:{settings.metrics_port}')
     return runner
 
 
@@ -208,14 +195,6 @@
     return web.Response(status=status)
 
 
-async def _listen(runner: web.AppRunner, address: str) -> web.TCPSite:
-    host, _, port = address.rpartition(':')
-    await runner.setup()
-    site = web.TCPSite(runner, host, int(port), backlog=_BACKLOG)
-    await site.start()
-    return site
-
-
 async def _flush_lines() -> None:
     while True:
         journal.flush()
--- a/packages/verbenahall/src/verbenahall/instance/_serve.py
+++ b/packages/verbenahall/src/verbenahall/instance/_serve.py
@@ -6,7 +6,6 @@
 from typing import Final, final
 
 import aiomisc
-import uvloop
 from absl import logging
 from aiohttp import web
 
@@ -15,10 +14,9 @@
 from verbenahall.supervisor import Supervisor
 from verbenahall.instance._control import CONTROLLER, KEEPER
 from verbenahall.instance._wiring import Instance
+from verbenahall.process import listen, run_service
 from verbenahall.shutdown import GracefulStop, StopTiming
 
-#: Waiting connections that the kernel keeps while the loop is busy.
-_BACKLOG: Final = 1024
 _SPARE_S: Final = 10.0
 
 
@@ -74,10 +72,7 @@
     runner: web.AppRunner,
     config: InstanceConfig,
 ) -> web.TCPSite:
-    host, _, port = config.listen.rpartition(':')
-    await runner.setup()
-    site = web.TCPSite(runner, host, int(port), backlog=_BACKLOG)
-    await site.start()
+    site = await listen(runner, config.listen)
     _tell_address(runner, config)
     return site
 
@@ -110,13 +105,4 @@
 def serve(config: InstanceConfig) -> None:
     """Run an instance until it is stopped; returns when the last is done."""
     service = InstanceService(config)
-    entrypoint = aiomisc.entrypoint(
-        service,
-        log_config=False,
-        catch_signals=(),
-        loop_factory=uvloop.new_event_loop,
-        pool_size=1,
-        shutdown_timeout=config.timing.grace_s + _SPARE_S,
-    )
-    with entrypoint as loop:
-        loop.run_until_complete(service.wait())
+    run_service(service, config.timing.grace_s + _SPARE_S)
--- a/packages/verbenahall/src/verbenahall/platform/__init__.py
+++ b/packages/verbenahall/src/verbenahall/platform/__init__.py
@@ -10,7 +10,11 @@
     handle_path,
     name_handle,
 )
-from verbenahall.platform._connections import make_session
+from verbenahall.platform._connections import (
+    CALL_FAILURES,
+    CONNECT_FAILURES,
+    make_session,
+)
 from verbenahall.platform._entries import decode_entry
 from verbenahall.platform._headers import (
     AnswerFacts,
@@ -66,6 +70,8 @@
     'Away',
     'Batch',
     'Bounds',
+    'CALL_FAILURES',
+    'CONNECT_FAILURES',
     'Deleted',
     'ENDPOINTS_TOPIC',
     'EXPECT_ENDPOINT',
--- a/packages/verbenahall/src/verbenahall/platform/_connections.py
+++ b/packages/verbenahall/src/verbenahall/platform/_connections.py
@@ -35,6 +35,13 @@
 #: request that crosses the endpoint's close may or may not have run.
 _IDLE_S: Final = 4.0
 _IDLE_MARGIN_S: Final = 0.5
+#: Every way in which a call may end without a whole answer.
+CALL_FAILURES: Final = (aiohttp.ClientError, OSError, TimeoutError)
+#: Of these, the ones by which nothing has left this instance.
+CONNECT_FAILURES: Final = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+)
 _KEEP_ALIVE: Final = re.compile(r'timeout\s*=\s*(\d+)', re.ASCII)
 
 
--- a/packages/verbenahall/src/verbenahall/platform/_store.py
+++ b/packages/verbenahall/src/verbenahall/platform/_store.py
@@ -16,6 +16,7 @@
 
 from verbenahall import metrics, wire
 from verbenahall.platform import _names as names
+from verbenahall.platform._connections import CALL_FAILURES
 from verbenahall.platform._records import Batch, decode_batch, encode_records
 
 #: Answers by which surely nothing was appended.
@@ -192,7 +193,7 @@
                     data=body or None,
                 ) as response:
                     answered = response.status, await response.read()
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        except CALL_FAILURES as error:
             metrics.STORE_CALLS.add(path, 'no_answer')
             return Failure(Away(repr(error)))
         metrics.STORE_CALLS.add(path, str(answered[0]))
