The time to the first event is counted from the send

"first_s" and "took_s" of a generated stream were counted from the answer's head, which an engine sends with its first event, so first_s read 0.0 for every stream and the wait for an engine was nowhere to be seen.

Change: the send's moment is taken before the send, the pace of a stream comes back with its end, and what is learned is learned where both are known.

--- a/packages/standins/src/verbenahall_standins/platform/_engine.py
+++ b/packages/standins/src/verbenahall_standins/platform/_engine.py
@@ -25,7 +25,8 @@
     ``break_after`` resets a stream after so many events, ``half_event``
     leaves a part of the next one behind, ``stall_after`` falls silent.
     ``slow_read_s`` lengthens reads, ``no_orders`` leaves orders unanswered,
-    ``unsigned`` streams bear no signature.
+    ``unsigned`` streams bear no signature, ``slow_head_s`` delays the head of
+    a stream.
     """
 
     full: bool = False
@@ -36,6 +37,7 @@
     slow_read_s: float = 0
     no_orders: bool = False
     unsigned: bool = False
+    slow_head_s: float = 0
 
 
 @final
@@ -122,6 +124,7 @@
         )
         if self.faults.unsigned:
             response.headers.pop(f'{_PREFIX}Server-Stamp')
+        await asyncio.sleep(self.faults.slow_head_s)
         await response.prepare(request)
         first = int(headers.get('Last-Event-Id', '0')) + 1
         try:
--- a/packages/verbenahall/src/verbenahall/gateway/_generation.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_generation.py
@@ -7,9 +7,9 @@
 
 from verbenahall import journal
 from verbenahall.gateway._core import Core
-from verbenahall.gateway._messages import Answered, Call, StreamEnded
+from verbenahall.gateway._messages import Answered, Call, Pace, StreamEnded
 from verbenahall.gateway._reads import Handle
-from verbenahall.gateway._relay import EventRelay, Pace
+from verbenahall.gateway._relay import EventRelay
 from verbenahall.gateway._sender import SUCCESS, Opened, Sender
 from verbenahall.placement import Plan, Totals
 from verbenahall.platform import CALL_FAILURES, SendOrder, read_answer
@@ -58,13 +58,18 @@
                 streams=1,
             ),
         )
+        sent_at = self._core.now()
         until = self._relay.silent_until(resumable=resumable)
         sending = self._sender.open(self._call, plan.generator, order, until)
         try:
             async with sending as opened:
-                return await self._judge(plan, order, opened, resumable)
+                result = await self._judge(plan, order, opened, resumable)
         finally:
             ledger.close(flight)
+        ended = result.value_or(None)
+        if isinstance(ended, StreamEnded):
+            self._learn(plan, ended.pace, sent_at)
+        return result
 
     def _order(self, plan: Plan, handle: Handle | None) -> SendOrder:
         call = self._call
@@ -111,15 +116,13 @@
             # Events without a signature are no engine's answer.
             self._sender.note(engine, good=False)
             return Failure(Broken('the stream bears no signature'))
-        sent_at = self._core.now()
         try:
             pace = await self._relay.pump(response, resumable=resumable)
         except _CALLER_GONE:
             raise
         except CALL_FAILURES as error:
             return Failure(self._sender.name_failure(call, engine, error))
-        self._learn(plan, pace, sent_at)
-        return Success(StreamEnded())
+        return Success(StreamEnded(pace))
 
     def _learn(self, plan: Plan, pace: Pace, sent_at: float) -> None:
         call = self._call
--- a/packages/verbenahall/src/verbenahall/gateway/_messages.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_messages.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 from collections.abc import Mapping
-from typing import Any
+from typing import Any, final
 
 from verbenahall.catalog import Route, Service
 from verbenahall.platform import Ask
@@ -41,6 +41,30 @@
     body: bytes
 
 
+@final
+class Pace:
+    """When a stream's events came: to learn from, and to tell in the log."""
+
+    __slots__ = ('first_at', 'last_at', 'events')
+
+    def __init__(self) -> None:
+        """Start before the first event."""
+        self.first_at: float | None = None
+        self.last_at: float | None = None
+        self.events = 0
+
+    def note(self, events: int, now: float) -> float | None:
+        """Note new events; return the pause before them, if it is known."""
+        before = self.last_at
+        self.last_at = now
+        self.events += events
+        if self.first_at is None:
+            self.first_at = now
+        return None if before is None else now - before
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StreamEnded:
-    """A stream that was passed on to its proper end."""
+    """A stream that was passed on to its proper end, and its pace."""
+
+    pace: Pace
--- a/packages/verbenahall/src/verbenahall/gateway/_relay.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_relay.py
@@ -8,7 +8,7 @@
 from verbenahall import metrics
 from verbenahall.clock import Clock
 from verbenahall.gateway._events import EventState, feed
-from verbenahall.gateway._messages import Call
+from verbenahall.gateway._messages import Call, Pace
 from verbenahall.platform import strip_hop_headers
 
 #: A stream that may be resumed and is silent for this many of the pauses
@@ -18,28 +18,6 @@
 _SILENT_S: Final = 1.2
 
 
-@final
-class Pace:
-    """When a stream's events came: to learn from, and to tell in the log."""
-
-    __slots__ = ('first_at', 'last_at', 'events')
-
-    def __init__(self) -> None:
-        """Start before the first event."""
-        self.first_at: float | None = None
-        self.last_at: float | None = None
-        self.events = 0
-
-    def note(self, events: int, now: float) -> float | None:
-        """Note new events; return the pause before them, if it is known."""
-        before = self.last_at
-        self.last_at = now
-        self.events += events
-        if self.first_at is None:
-            self.first_at = now
-        return None if before is None else now - before
-
-
 @final
 class EventRelay:
     """Passes whole events on as they come; the headers are the first run's.
--- a/packages/verbenahall/tests/gateway/test_path.py
+++ b/packages/verbenahall/tests/gateway/test_path.py
@@ -208,3 +208,18 @@
             assert line['kind'] == 'deadline_exceeded'
 
     run(check())
+
+
+def test_time_to_the_first_event_is_counted_from_the_send(tmp_path):
+    # A stream begins late, and an engineer looks whether the engine was the
+    # cause. Counted from the answer's head, every engine looks instant.
+    async def check():
+        engines = make_engines()
+        engines[2].faults.slow_head_s = 0.2
+        async with open_desk(tmp_path, engines) as desk:
+            await desk.ask('/summary/1')
+            line = desk.decisions('generated')[0]
+            assert line['first_s'] >= 0.2
+            assert line['took_s'] >= line['first_s']
+
+    run(check())
