A peer's odd datagram is no word; a known peer may always move

Cause: read in peers/. A field of another type in `speed` or `changing` raised in the socket's callback, after the counts had been taken; and at the bound of remembered peers the new address of a known one was not taken, so it was told at the old one for good. Ruled out: a check in the callback; half a word would still be believed. Change: a word is checked whole before anything of it is used, else a line `word_unreadable`; the bound holds for new peers only.

--- a/packages/verbenahall/src/verbenahall/peers/_messages.py
+++ b/packages/verbenahall/src/verbenahall/peers/_messages.py
@@ -59,27 +59,31 @@
                 'dc': str(data_centre),
             },
         ):
-            return _decode_loads(loads).map(
-                lambda totals: Word(
-                    author,
-                    number,
-                    totals,
-                    data_centre,
-                    tuple(changing),
-                    tuple(map(float, speed)),
-                ),
-            )
+            word = Word(author, number, loads, data_centre)
+            return _type_members(word, changing, speed)
         case _:
             return Nothing
 
 
-def _decode_loads(loads: dict[str, Any]) -> Maybe[dict[str, Totals]]:
+def _type_members(
+    word: Word,
+    changing: list[Any],
+    speed: list[Any],
+) -> Maybe[Word]:
+    """Check what the containers hold; a word is believed whole or not."""
+    if not all(isinstance(engine, str) for engine in changing):
+        return Nothing
     try:
         return Some(
-            {
-                engine: Totals(*(int(count) for count in counts))
-                for engine, counts in loads.items()
-            },
+            dataclasses.replace(
+                word,
+                loads={
+                    engine: Totals(*(int(count) for count in counts))
+                    for engine, counts in word.loads.items()
+                },
+                changing=tuple(changing),
+                speed=tuple(map(float, speed)),
+            ),
         )
     except (TypeError, ValueError):
         return Nothing
--- a/packages/verbenahall/src/verbenahall/peers/_shell.py
+++ b/packages/verbenahall/src/verbenahall/peers/_shell.py
@@ -7,7 +7,7 @@
 
 from returns.maybe import Some
 
-from verbenahall import clock
+from verbenahall import clock, journal
 from verbenahall.peers._messages import Word, decode_word, encode_word
 from verbenahall.peers._state import (
     PeerBook,
@@ -55,8 +55,7 @@
             case Some(word):
                 self._hear(word, addr)
             case _:
-                # Not a word of this version; the peer is heard no worse.
-                return
+                journal.write_decision('word_unreadable', peer=addr[0])
 
     def error_received(self, exc: Exception) -> None:
         """Go on: a peer whose machine is gone is told again later."""
--- a/packages/verbenahall/src/verbenahall/peers/_state.py
+++ b/packages/verbenahall/src/verbenahall/peers/_state.py
@@ -57,9 +57,11 @@
     data_centre: str = '',
 ) -> None:
     """Take a peer's address, from the store or from its datagram."""
-    if name == book.name or len(book.peers) >= _MOST_PEERS:
+    if name == book.name:
         return
     peer = book.peers.get(name)
+    if peer is None and len(book.peers) >= _MOST_PEERS:
+        return
     # A replaced machine has the name at another address and counts anew.
     if peer is None or peer.address != address:
         book.peers[name] = _Peer(address, data_centre)
--- a/packages/verbenahall/tests/peers/test_peers.py
+++ b/packages/verbenahall/tests/peers/test_peers.py
@@ -12,6 +12,7 @@
     greet,
     hear,
 )
+from verbenahall.peers import _state as state
 from verbenahall.placement import Ledger, Totals
 
 
@@ -28,13 +29,41 @@
     assert decode_word(datagram) is Nothing
 
 
-def test_bad_counts_are_no_word():
-    datagram = (
-        b'{"from":"a","n":1,"load":{"e":[1,2,3,4]},"changing":[],"speed":[]}'
-    )
+@pytest.mark.parametrize(
+    'field',
+    [
+        b'"load":{"e":[1,2,3,4]}',
+        b'"load":{"e":["x",2,3]}',
+        b'"speed":["fast"]',
+        b'"speed":[null]',
+        b'"changing":[["engine-1"]]',
+        b'"changing":[5]',
+    ],
+)
+def test_word_with_an_odd_field_is_no_word(field):
+    # An instance of another version sends a field of another form. Raised in
+    # the receiving socket's callback, the error would end up in no line of
+    # ours, with half of the word believed.
+    given = field.split(b':')[0]
+    others = (b'"load":{}', b'"changing":[]', b'"speed":[]')
+    kept = [one for one in others if not one.startswith(given)]
+    start = [b'"from":"a"', b'"n":1', b'"dc":"z"']
+    datagram = b'{%b}' % b','.join([*start, *kept, field])
     assert decode_word(datagram) is Nothing
 
 
+def test_known_peer_moves_when_no_more_are_remembered(monkeypatch):
+    # As many peers as are remembered are known, and the machine of one is
+    # replaced. Told at its old address, it would never hear this instance
+    # again.
+    monkeypatch.setattr(state, '_MOST_PEERS', 1)
+    book = PeerBook('front-1')
+    greet(book, 'front-2', '10.0.0.2:7380')
+    greet(book, 'front-3', '10.0.0.3:7380')
+    greet(book, 'front-2', '10.0.0.9:7380')
+    assert list(choose_due(book, 0)) == ['10.0.0.9:7380']
+
+
 def test_overtaken_word_is_dropped():
     # Two datagrams swap places on the way. Believing the older one, an
     # instance thinks an engine idle that has just been given a long prompt.
