The store's client reads no more into an answer than it says

Cause: read in platform/_store.py. Ruled out: catching it in the followers; each caller would need the same. Change: pages are typed when they come in; what cannot be read counts as no answer, a missing offset as an unknown outcome, 412 as not appended.

--- a/packages/standins/src/verbenahall_standins/platform/_store.py
+++ b/packages/standins/src/verbenahall_standins/platform/_store.py
@@ -89,7 +89,7 @@
         return self._topic(topic).append([record])
 
     def forget(self, topic: str) -> None:
-        """Delete all records but the newest of each key."""
+        """Delete all records but the last one."""
         found = self._topic(topic)
         kept = found.records[-1:]
         found.first = found.end - len(kept)
--- a/packages/verbenahall/src/verbenahall/platform/_names.py
+++ b/packages/verbenahall/src/verbenahall/platform/_names.py
@@ -10,7 +10,6 @@
 PROMPT_PREFIX: Final = 'X-Verbenahall-Prompt-Prefix'
 #: Prompt tokens and the most output tokens, comma-separated.
 TOKEN_COUNT: Final = 'X-Verbenahall-Token-Count'
-MODEL: Final = 'X-Verbenahall-Model'
 LENGTH_HINT: Final = 'X-Verbenahall-Length-Hint'
 LAST_EVENT_ID: Final = 'Last-Event-Id'
 #: The endpoint's signature under its answer.
--- a/packages/verbenahall/src/verbenahall/platform/_store.py
+++ b/packages/verbenahall/src/verbenahall/platform/_store.py
@@ -15,6 +15,7 @@
 from returns.result import Failure, Result, Success
 
 from verbenahall import metrics, wire
+from verbenahall.platform import _fields as fields
 from verbenahall.platform import _names as names
 from verbenahall.platform._connections import CALL_FAILURES
 from verbenahall.platform._records import Batch, decode_batch, encode_records
@@ -23,6 +24,7 @@
 _NOT_DONE: Final = frozenset(
     (
         HTTPStatus.CONFLICT,
+        HTTPStatus.PRECONDITION_FAILED,
         HTTPStatus.TOO_MANY_REQUESTS,
         HTTPStatus.SERVICE_UNAVAILABLE,
         HTTPStatus.INSUFFICIENT_STORAGE,
@@ -60,6 +62,14 @@
     end: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Page:
+    """A part of the newest records; the next one follows the key ``after``."""
+
+    newest: Newest
+    after: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Appended:
     """The records are in, the first one at ``offset``."""
@@ -69,9 +79,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refused:
-    """Nothing was appended; ``end`` is known when the topic had moved on."""
-
-    end: int | None = None
+    """Surely nothing was appended."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -103,13 +111,13 @@
         Pages are no snapshot: the offset to follow from is that of the first
         page, so that what changed between two pages is read again.
         """
-        pages: list[dict[str, Any]] = []
+        pages: list[_Page] = []
         after = ''
-        while not pages or pages[-1].get('hasMore'):
+        while not pages or after:
             match await self._get_page(topic, after):
                 case Success(page):
                     pages.append(page)
-                    after = _find_last_key(page)
+                    after = page.after
                 case Failure(away):
                     return Failure(away)
         return Success(_join_pages(pages))
@@ -162,15 +170,14 @@
         self,
         topic: str,
         after: str,
-    ) -> Result[dict[str, Any], Away]:
+    ) -> Result[_Page, Away]:
         params = {'topic': topic, 'part': '0'}
         if after:
             params['after'] = after
         answer = await self._call('GET', names.NEWEST, params, b'', 0)
         match answer:
             case Success((HTTPStatus.OK, body)):
-                page = wire.decode_table(body)
-                return page.alt(lambda problem: Away(problem.message))
+                return _decode_page(body)
             case Success((status, _)):
                 return Failure(Away(f'status {status}'))
             case _:
@@ -200,27 +207,47 @@
         return Success(answered)
 
 
-def _find_last_key(page: dict[str, Any]) -> str:
-    rows = page['items']
-    return rows[-1]['key'] if rows else ''
-
-
-def _join_pages(pages: Sequence[dict[str, Any]]) -> Newest:
-    newest = Newest({}, {}, pages[0]['end'])
+def _join_pages(pages: Sequence[_Page]) -> Newest:
+    newest = Newest({}, {}, pages[0].newest.end)
     for page in pages:
-        newest.items.update(_decode_items(page))
-        newest.offsets.update(_decode_offsets(page))
+        newest.items.update(page.newest.items)
+        newest.offsets.update(page.newest.offsets)
     return newest
 
 
-def _decode_items(page: dict[str, Any]) -> dict[str, bytes]:
-    return {
-        item['key']: base64.b64decode(item['value']) for item in page['items']
-    }
+def _decode_page(body: bytes) -> Result[_Page, Away]:
+    match wire.decode_table(body):
+        case Success(table):
+            return _build_page(table)
+        case Failure(problem):
+            return Failure(Away(problem.message))
+    return Failure(Away('no answer'))
 
 
-def _decode_offsets(page: dict[str, Any]) -> dict[str, int]:
-    return {item['key']: item['offset'] for item in page['items']}
+def _build_page(table: dict[str, Any]) -> Result[_Page, Away]:
+    try:
+        return Success(_read_page(table))
+    except (LookupError, TypeError, ValueError) as error:
+        return Failure(Away(f'page not readable: {error!r}'))
+
+
+def _read_page(table: dict[str, Any]) -> _Page:
+    rows = [
+        (
+            fields.text(row, 'key'),
+            base64.b64decode(fields.text(row, 'value')),
+            fields.whole(row, 'offset'),
+        )
+        for row in table['items']
+    ]
+    newest = Newest(
+        items={key: content for key, content, _ in rows},
+        offsets={key: offset for key, _, offset in rows},
+        end=fields.whole(table, 'end'),
+    )
+    # Raises IndexError where more follows and no key is there to go on from.
+    after = rows[-1][0] if table.get('hasMore') else ''
+    return _Page(newest, after)
 
 
 def _decode_read(body: bytes) -> Result[Batch, Away | Deleted]:
@@ -231,12 +258,12 @@
 
 
 def _read_append(status: int, body: bytes) -> AppendOutcome:
-    table = wire.decode_table(body).value_or({})
-    match status:
-        case HTTPStatus.OK:
-            return Appended(int(table.get('offset', 0)))
-        case HTTPStatus.PRECONDITION_FAILED:
-            return Refused(int(table.get('end', 0)))
+    match status, wire.decode_table(body):
+        case HTTPStatus.OK, Success({'offset': int(offset)}):
+            return Appended(offset)
+        case HTTPStatus.OK, _:
+            # Not zero: the offset is a fencing token.
+            return Unknown('the answer names no offset')
         case _ if status in _NOT_DONE:
             return Refused()
         case _:
