Faults of the platform's settings name file, line and key, all at once

Cause: read in platform/_settings.py. Settings were picked apart by hand, so only the first fault was told, always at line 1, and a wrong type sometimes without its key. Ruled out: a second checker; the product's own settings have one. Change: `schema` learns open tables and lists of whole numbers, and the platform's settings are read by it.

--- a/packages/verbenahall/src/verbenahall/platform/_settings.py
+++ b/packages/verbenahall/src/verbenahall/platform/_settings.py
@@ -4,21 +4,56 @@
 """
 
 import dataclasses
-import tomllib
+import sys
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Any, Final
 
-from returns.result import Failure, Result, Success
+from returns.result import Result
 
 from verbenahall.platform import _fields as fields
 from verbenahall.platform import _names as names
-from verbenahall.schema import Fault
+from verbenahall.schema import Fault, Field, Table, read_table
 
 #: Where metrics are served unless the settings name a port; the deploy file
 #: names the same one.
 _METRICS_PORT: Final = 9464
 _DEFAULT_PATH: Final = '/etc/verbenahall/settings.toml'
+_LAST_PORT: Final = 65_535
+_TEXT: Final = Field(str, pattern='.+')
+#: Zero or more, and finite: an endless bound would never end a wait.
+_AMOUNT: Final = Field(float, minimum=0, maximum=sys.float_info.max)
+#: The keys that this system reads. All tables are open, since the platform
+#: may add keys.
+_SCHEMA: Final = Table(
+    {
+        'nodeName': _TEXT,
+        'ip': _TEXT,
+        'zone': _TEXT,
+        # The first and the last of the ports that are free for this system.
+        'portRange': Field(list, entry=int, minimum=2, maximum=2),
+        'metricsPort': Field(
+            int,
+            default=_METRICS_PORT,
+            minimum=1,
+            maximum=_LAST_PORT,
+        ),
+        'listen': Table({'front': _TEXT, 'ready': _TEXT}, open=True),
+        'platform': Table({'address': _TEXT}, open=True),
+        'bounds': Table(
+            {
+                'drainMs': _AMOUNT,
+                'graceS': _AMOUNT,
+                'leaseMs': _AMOUNT,
+                'retryRatio': _AMOUNT,
+                'retryWindowS': _AMOUNT,
+                'retrySlack': dataclasses.replace(_AMOUNT, default=0),
+            },
+            open=True,
+        ),
+    },
+    open=True,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,38 +94,21 @@
 
 
 def read_settings(path: Path) -> Result[ProcessSettings, tuple[Fault, ...]]:
-    """Read a process's settings, or tell the fault that was met."""
-    try:
-        table = tomllib.loads(path.read_text())
-    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
-        return _fail(path, '', str(error))
-    try:
-        return Success(_build(table))
-    except KeyError as error:
-        return _fail(path, str(error.args[0]), 'the key is missing')
-    except (TypeError, ValueError) as error:
-        return _fail(path, '', str(error))
-
-
-def _fail(
-    path: Path,
-    key: str,
-    message: str,
-) -> Result[ProcessSettings, tuple[Fault, ...]]:
-    return Failure((Fault(str(path), 1, key, message),))
+    """Read a process's settings, or tell every fault with its line."""
+    return read_table(path, _SCHEMA).map(_build)
 
 
 def _build(table: dict[str, Any]) -> ProcessSettings:
     listen = table['listen']
     return ProcessSettings(
-        name=fields.text(table, 'nodeName'),
-        ip=fields.text(table, 'ip'),
-        data_centre=fields.text(table, 'zone'),
-        callers=fields.text(listen, 'front'),
-        readiness=fields.text(listen, 'ready'),
-        peer_port=int(table['portRange'][0]),
-        metrics_port=int(table.get('metricsPort', _METRICS_PORT)),
-        store=fields.text(table['platform'], 'address'),
+        name=table['nodeName'],
+        ip=table['ip'],
+        data_centre=table['zone'],
+        callers=listen['front'],
+        readiness=listen['ready'],
+        peer_port=table['portRange'][0],
+        metrics_port=table['metricsPort'],
+        store=table['platform']['address'],
         bounds=_build_bounds(table['bounds']),
     )
 
@@ -98,9 +116,9 @@
 def _build_bounds(bounds: dict[str, Any]) -> Bounds:
     return Bounds(
         leaving_s=fields.seconds(bounds, 'drainMs'),
-        grace_s=fields.number(bounds, 'graceS'),
+        grace_s=bounds['graceS'],
         lease_s=fields.seconds(bounds, 'leaseMs'),
-        retry_share=fields.number(bounds, 'retryRatio'),
-        retry_window_s=fields.number(bounds, 'retryWindowS'),
-        retry_slack=fields.number(bounds, 'retrySlack', 0),
+        retry_share=bounds['retryRatio'],
+        retry_window_s=bounds['retryWindowS'],
+        retry_slack=bounds['retrySlack'],
     )
--- a/packages/verbenahall/src/verbenahall/schema.py
+++ b/packages/verbenahall/src/verbenahall/schema.py
@@ -31,14 +31,20 @@
         int: 'a whole number',
         float: 'a number',
         bool: 'true or false',
-        list: 'a list of texts',
     },
 )
+_LIST_NAMES: Final[Mapping[type, str]] = MappingProxyType(
+    {str: 'a list of texts', int: 'a list of whole numbers'},
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Field:
-    """One key: its type, whether it may be left out, and its bounds."""
+    """One key: its type, whether it may be left out, and its bounds.
+
+    Of a list ``entry`` is the type of what it holds, and the bounds are those
+    of its length.
+    """
 
     kind: type
     default: Any = _REQUIRED
@@ -46,6 +52,7 @@
     maximum: float | None = None
     choices: tuple[str, ...] = ()
     pattern: str = ''
+    entry: type = str
 
     @property
     def required(self) -> bool:
@@ -55,10 +62,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Table:
-    """A table of named members."""
+    """A table of named members; an ``open`` one may have others, too."""
 
     members: Mapping[str, 'Member']
     required: bool = False
+    open: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -170,8 +178,8 @@
     prefix: str,
     faults: list[Fault],
 ) -> dict[str, Any]:
-    unknowns = sorted(set(found) - set(schema.members))
-    for unknown in unknowns:
+    unknowns = set(found) - set(schema.members)
+    for unknown in () if schema.open else sorted(unknowns):
         complaint = _describe_unknown(unknown, schema)
         faults.append(source.fault(prefix + unknown, complaint))
     checked = {}
@@ -271,26 +279,37 @@
 
 
 def _find_complaint(found: Any, field: Field) -> str:
-    if not _has_kind(found, field.kind):
-        kind_name = _TYPE_NAMES[field.kind]
+    if not _has_kind(found, field):
+        is_list = field.kind is list
+        kind_name = (
+            _LIST_NAMES[field.entry] if is_list else _TYPE_NAMES[field.kind]
+        )
         return f'expected {kind_name}'
     if field.choices and found not in field.choices:
         choices = ', '.join(field.choices)
         return f'expected one of {choices}'
     if field.pattern and not re.fullmatch(field.pattern, found):
         return f'expected text matching {field.pattern}'
-    if field.minimum is not None and found < field.minimum:
+    return _find_excess(len(found) if field.kind is list else found, field)
+
+
+def _find_excess(size: Any, field: Field) -> str:
+    if field.minimum is not None and not size >= field.minimum:
         return f'expected at least {field.minimum}'
-    if field.maximum is not None and found > field.maximum:
+    if field.maximum is not None and not size <= field.maximum:
         return f'expected at most {field.maximum}'
     return ''
 
 
-def _has_kind(found: Any, kind: type) -> bool:
-    if kind is list:
+def _has_kind(found: Any, field: Field) -> bool:
+    if field.kind is list:
         return isinstance(found, list) and all(
-            isinstance(entry, str) for entry in found
+            _is_of(entry, field.entry) for entry in found
         )
+    return _is_of(found, field.kind)
+
+
+def _is_of(found: Any, kind: type) -> bool:
     if isinstance(found, bool):
         return kind is bool
     if kind is float:
--- a/packages/verbenahall/tests/platform/test_wire.py
+++ b/packages/verbenahall/tests/platform/test_wire.py
@@ -217,14 +217,71 @@
         decode_batch(whole[:cut])
 
 
-def test_settings_faults_name_the_file_and_the_key(tmp_path):
-    path = tmp_path / 'settings.toml'
-    path.write_text('nodeName = "front-1"\n')
+SETTINGS = """\
+nodeName = "front-1"
+ip = "10.0.0.1"
+zone = "lampeter"
+portRange = [7380, 7395]
+heartbeatMs = 1200
+[listen]
+front = "10.0.0.1:80"
+ready = "10.0.0.1:81"
+[platform]
+address = "10.0.0.9:90"
+[bounds]
+drainMs = 2000
+graceS = 12
+leaseMs = 5000
+retryRatio = 0.2
+retryWindowS = 10
+"""
+
+
+def write_settings(folder, change='', to=''):
+    path = folder / 'settings.toml'
+    path.write_text(SETTINGS.replace(change, to))
+    return path
+
+
+def test_settings(tmp_path):
+    settings = read_settings(write_settings(tmp_path)).unwrap()
+    assert (settings.peer_port, settings.metrics_port) == (7380, 9464)
+    assert (settings.bounds.leaving_s, settings.bounds.retry_slack) == (2, 0)
+
+
+@pytest.mark.parametrize(
+    ('change', 'to', 'line', 'key'),
+    [
+        ('nodeName = "front-1"', '', 1, 'nodeName'),
+        ('"front-1"', '""', 1, 'nodeName'),
+        ('[7380, 7395]', '[]', 4, 'portRange'),
+        ('[7380, 7395]', '["7380"]', 4, 'portRange'),
+        ('[7380, 7395]', '7380', 4, 'portRange'),
+        ('"10.0.0.1:80"', '80', 7, 'listen.front'),
+        ('[platform]', '[platforms]', 1, 'platform.address'),
+        ('2000', '-1', 12, 'bounds.drainMs'),
+        ('2000', 'inf', 12, 'bounds.drainMs'),
+        ('leaseMs = 5000', '', 11, 'bounds.leaseMs'),
+        ('graceS = 12', 'graceS =', 13, ''),
+    ],
+)
+def test_settings_faults_name_the_file_line_and_key(
+    tmp_path,
+    change,
+    to,
+    line,
+    key,
+):
+    # An operator's settings reach the instance with a slip in them. Without
+    # the place the operator searches a file that another program has written.
+    path = write_settings(tmp_path, change, to)
     fault = read_settings(path).failure()[0]
-    assert str(path) in str(fault)
-    assert fault.key
-    path.write_text('nodeName = ')
-    assert read_settings(path).failure()
+    assert (fault.file, fault.line, fault.key) == (str(path), line, key)
+
+
+def test_missing_settings_file_is_named(tmp_path):
+    fault = read_settings(tmp_path / 'none.toml').failure()[0]
+    assert 'none.toml' in str(fault)
 
 
 def test_nothing_outside_knows_the_wire():
