A listed endpoint outlives an entry that cannot be read

Cause: read in roster/. An entry that could not be read kept the endpoint's last one when it came as a change, but took the endpoint out when the list was read whole after a lost history. Ruled out: dropping it in both cases; the machine answers, and its callers would be refused. Change: `replace` is told which names are listed without a readable entry. Figures: the endpoint's callers were refused 2 s after the list was read; the test fails before and passes after.

--- a/packages/verbenahall/src/verbenahall/gateway/_followers.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_followers.py
@@ -249,21 +249,25 @@
                     taken=taken,
                 )
             case _:
-                journal.write_decision(
-                    'endpoint_unreadable',
-                    endpoint=record.key,
-                )
+                _tell_unreadable(record.key)
 
     def _take_entries(self, records: Mapping[str, bytes]) -> None:
-        decoded = [
-            decode_entry(key, content).value_or(None)
-            for key, content in records.items()
-        ]
-        entries = [entry for entry in decoded if entry is not None]
-        replace(self._core.roster, entries, self._core.now())
+        entries, unreadable = [], []
+        for key, content in records.items():
+            match decode_entry(key, content):
+                case Some(entry):
+                    entries.append(entry)
+                case _:
+                    unreadable.append(key)
+                    _tell_unreadable(key)
+        replace(self._core.roster, entries, unreadable, self._core.now())
         self._core.forget_unlisted()
         journal.write_decision(
             'endpoints',
             readable=len(entries),
             listed=len(records),
         )
+
+
+def _tell_unreadable(endpoint: str) -> None:
+    journal.write_decision('endpoint_unreadable', endpoint=endpoint)
--- a/packages/verbenahall/src/verbenahall/roster/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/roster/_decisions.py
@@ -54,13 +54,21 @@
     return True
 
 
-def replace(roster: Roster, entries: Iterable[Entry], now: float) -> None:
-    """Take the whole list, as after a start or a lost history."""
-    listed = {entry.name: entry for entry in entries}
-    for entry in listed.values():
+def replace(
+    roster: Roster,
+    entries: Iterable[Entry],
+    unreadable: Iterable[str],
+    now: float,
+) -> None:
+    """Take the whole list, as after a start or a lost history.
+
+    Endpoints listed with an entry that is ``unreadable`` keep their last one.
+    """
+    listed = set(unreadable)
+    for entry in entries:
         put(roster, entry)
-    missing = roster.seats.keys() - listed.keys()
-    for name in missing:
+        listed.add(entry.name)
+    for name in roster.seats.keys() - listed:
         drop(roster, name, now)
     roster.known = True
 
--- a/packages/verbenahall/tests/gateway/test_store.py
+++ b/packages/verbenahall/tests/gateway/test_store.py
@@ -76,6 +76,27 @@
     run(check())
 
 
+def test_listed_endpoint_outlives_an_entry_that_cannot_be_read(tmp_path):
+    # An endpoint's entry is overwritten with one that cannot be read, and the
+    # store's history is cut, so the list is read whole. The endpoint is still
+    # listed and answers; taken out, its callers would be refused.
+    async def check():
+        async with open_desk(tmp_path, plain=make_plain(1)) as desk:
+            store = desk.site.store
+            store.faults.down = 503
+            await desk.until(lambda: desk.decisions('store_lost'))
+            for _ in range(2):
+                store.put('keyed.servers', 'page-0', b'[]')
+            store.forget('keyed.servers')
+            store.faults.down = 0
+            await desk.until(lambda: desk.decisions('endpoint_unreadable'))
+            # Longer than a lapsed endpoint is kept.
+            await asyncio.sleep(2)
+            assert (await desk.ask('/archive/1', method='GET'))[0] == 200
+
+    run(check())
+
+
 def test_requests_are_served_while_the_store_is_away(tmp_path):
     # The store is down for minutes. What was known of it serves on.
     async def check():
--- a/packages/verbenahall/tests/roster/test_roster.py
+++ b/packages/verbenahall/tests/roster/test_roster.py
@@ -23,7 +23,7 @@
 
 def make_roster(count=9):
     roster = Roster()
-    replace(roster, [make_entry(f'e{n}') for n in range(count)], now=0)
+    replace(roster, [make_entry(f'e{n}') for n in range(count)], (), now=0)
     return roster
 
 
@@ -122,7 +122,7 @@
 
 def test_whole_list_takes_out_what_it_does_not_name():
     roster = make_roster(3)
-    replace(roster, [make_entry('e0', change=1)], now=50)
+    replace(roster, [make_entry('e0', change=1)], (), now=50)
     put(roster, make_entry('e0', change=2))
     assert 'e0' in live_names(roster, 52)
     assert live_names(roster, 53) == {'e0'}
