Two of the instances that hear each other follow the store for the rest

Ruled out: longer polls (a silent store swallows them, and an old manifest stayed in force for 4 s); one poll for both topics (the store has none). Change: an instance follows a topic unless it hears, from two that stand before it, that they are in touch with it. What these read goes on to their peers as numbered news; whoever misses some reads the store itself, and nobody is relied on who was silent for 1.2 s, refused by the store, or 1.8 s without its answer. The stand-in store keeps each key's newest record, and answers 410 to a poll whose records were deleted while it waited.

--- a/packages/standins/src/verbenahall_standins/platform/_store.py
+++ b/packages/standins/src/verbenahall_standins/platform/_store.py
@@ -34,13 +34,18 @@
 
 @final
 class _Topic:
-    """One partition: its records, and how many of the oldest are gone."""
+    """One partition: its records, and how many of the oldest are gone.
 
-    __slots__ = ('records', 'first', 'grown')
+    ``newest`` has the offset and the content of each key's newest record,
+    which outlives the deletion of old records.
+    """
+
+    __slots__ = ('records', 'first', 'grown', 'newest')
 
     def __init__(self) -> None:
         self.records: list[bytes] = []
         self.first = 0
+        self.newest: dict[str, tuple[int, bytes]] = {}
         self.grown = asyncio.Event()
 
     @property
@@ -49,11 +54,19 @@
 
     def append(self, records: list[bytes]) -> int:
         offset = self.end
+        for number, record in enumerate(records):
+            self._keep(offset + number, record)
         self.records.extend(records)
         self.grown.set()
         self.grown = asyncio.Event()
         return offset
 
+    def _keep(self, offset: int, record: bytes) -> None:
+        key, content = _split(record)
+        self.newest.pop(key, None)
+        if content:
+            self.newest[key] = (offset, content)
+
 
 @final
 class StoreStandIn:
@@ -97,13 +110,8 @@
 
     def newest(self, topic: str) -> dict[str, bytes]:
         """Return the newest content of each key."""
-        items: dict[str, bytes] = {}
-        for record in self._topic(topic).records:
-            key, content = _split(record)
-            items.pop(key, None)
-            if content:
-                items[key] = content
-        return items
+        kept = self._topic(topic).newest
+        return {key: content for key, (_, content) in kept.items()}
 
     @web.middleware
     async def _misbehave(
@@ -134,23 +142,21 @@
         topic = self._topic(request.query['topic'])
         start = int(request.query['from'])
         wait_s = int(request.query.get('waitMs', '0')) / _MS
-        if start < topic.first:
-            return web.json_response({'first': topic.first}, status=410)
         if start >= topic.end and wait_s:
             grown = asyncio.Event() if self.faults.deaf else topic.grown
             # A poll may end without a record.
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(grown.wait(), wait_s)
-        records = topic.records[max(0, start - topic.first) :]
+        # Looked at after the wait, in which records may have been deleted.
+        if start < topic.first:
+            return web.json_response({'first': topic.first}, status=410)
+        records = topic.records[start - topic.first :]
         framed = b''.join(_LENGTH.pack(len(one)) + one for one in records)
         return web.Response(body=_BOUNDS.pack(topic.end, topic.first) + framed)
 
     async def _newest(self, request: web.Request) -> web.Response:
         topic = self._topic(request.query['topic'])
-        offsets: dict[str, int] = {}
-        for index, record in enumerate(topic.records):
-            offsets[_split(record)[0]] = topic.first + index
-        kept = sorted(self.newest(request.query['topic']).items())
+        kept = sorted(topic.newest.items())
         after = request.query.get('after', '')
         later = [item for item in kept if item[0] > after]
         return web.json_response(
@@ -159,9 +165,9 @@
                     {
                         'key': key,
                         'value': base64.b64encode(content).decode(),
-                        'offset': offsets[key],
+                        'offset': offset,
                     }
-                    for key, content in later[:_PAGE]
+                    for key, (offset, content) in later[:_PAGE]
                 ],
                 'hasMore': len(later) > _PAGE,
                 'end': topic.end,
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/gateway/_following.py
@@ -0,0 +1,132 @@
+"""What the store's records change in the process's state."""
+
+from collections.abc import Callable, Mapping
+from typing import Final, final
+
+from returns.maybe import Some
+from returns.result import Failure, Success
+
+from verbenahall import journal
+from verbenahall.catalog import adopt
+from verbenahall.gateway._core import Core
+from verbenahall.gateway._followers import Follower, Subject
+from verbenahall.peers import News
+from verbenahall.platform import (
+    ENDPOINTS_TOPIC,
+    MANIFEST_KEY,
+    OPERATOR_TOPIC,
+    KeyedRecord,
+    decode_entry,
+    decode_manifest,
+)
+from verbenahall.roster import drop, put, replace
+
+#: After a manifest the next one is read this much later, in seconds; it must
+#: be in force within two.
+_MANIFEST_REST_S: Final = 0.2
+#: After changes among the endpoints the next ones are read later by this
+#: share of the time within which a leaving one may still get work. Engines
+#: are listed and replaced one by one: with 70 of them and 62 instances, each
+#: change read at once made 14,600 calls in a minute.
+_REST_SHARE: Final = 0.25
+
+
+@final
+class Following:
+    """What the store's records change in the process's state."""
+
+    __slots__ = ('_core',)
+
+    def __init__(self, core: Core) -> None:
+        """Change the core's catalog and roster."""
+        self._core = core
+
+    def followers(self, spread: Callable[[News], None]) -> list[Follower]:
+        """Return what is followed; news for the peers go to ``spread``."""
+        rest_s = self._core.settings.bounds.leaving_s * _REST_SHARE
+        subjects = (
+            Subject(
+                OPERATOR_TOPIC,
+                self._take_manifest,
+                self._take_manifests,
+                _MANIFEST_REST_S,
+            ),
+            Subject(
+                ENDPOINTS_TOPIC,
+                self._take_entry,
+                self._take_entries,
+                rest_s,
+            ),
+        )
+        return [Follower(self._core, subject, spread) for subject in subjects]
+
+    def _take_manifest(self, record: KeyedRecord) -> None:
+        if record.key != MANIFEST_KEY or not record.content:
+            return
+        match decode_manifest(record.content):
+            case Success(catalog):
+                adopted = adopt(self._core.catalog, catalog)
+                journal.write_decision(
+                    'manifest',
+                    version=catalog.version,
+                    routes=sum(map(len, catalog.routes.values())),
+                    in_force=adopted,
+                )
+            case Failure(problem):
+                journal.write_decision(
+                    'manifest_unreadable',
+                    reason=problem.message,
+                )
+
+    def _take_manifests(self, records: Mapping[str, bytes]) -> None:
+        for key, content in records.items():
+            self._take_manifest(KeyedRecord(key, content))
+
+    def _take_entry(self, record: KeyedRecord) -> None:
+        roster = self._core.roster
+        now = self._core.now()
+        if not record.content:
+            gone = drop(roster, record.key, now)
+            self._core.forget_unlisted()
+            journal.write_decision(
+                'endpoint_gone' if gone else 'endpoint_lapsed',
+                endpoint=record.key,
+            )
+            return
+        match decode_entry(record.key, record.content):
+            case Some(entry):
+                taken = put(roster, entry)
+                journal.write_decision(
+                    'endpoint',
+                    endpoint=entry.name,
+                    service=entry.service,
+                    address=entry.address,
+                    role=entry.role.value if entry.role else None,
+                    leaving=entry.leaving,
+                    born=entry.born,
+                    change=entry.change,
+                    taken=taken,
+                )
+            case _:
+                _tell_unreadable(record.key)
+
+    def _take_entries(self, records: Mapping[str, bytes]) -> None:
+        entries, unreadable = [], []
+        for key, content in records.items():
+            match decode_entry(key, content):
+                case Some(entry):
+                    entries.append(entry)
+                case _:
+                    unreadable.append(key)
+                    _tell_unreadable(key)
+        replace(self._core.roster, entries, unreadable, self._core.now())
+        self._core.forget_unlisted()
+        journal.write_decision(
+            'endpoints',
+            readable=len(entries),
+            listed=len(records),
+        )
+
+
+def _tell_unreadable(endpoint: str) -> None:
+    journal.write_decision('endpoint_unreadable', endpoint=endpoint)
--- a/packages/verbenahall/src/verbenahall/gateway/_serve.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_serve.py
@@ -3,6 +3,8 @@
 import asyncio
 import functools
 import signal
+from collections import ChainMap
+from collections.abc import Mapping, Sequence
 from http import HTTPStatus
 from typing import Final, final
 
@@ -14,12 +16,14 @@
 from verbenahall.front import Runner
 from verbenahall.gateway._beliefs import Beliefs
 from verbenahall.gateway._core import Core
-from verbenahall.gateway._followers import Following
+from verbenahall.gateway._followers import Follower
+from verbenahall.gateway._following import Following
 from verbenahall.gateway._ingress import Ingress
 from verbenahall.gateway._orders import RoleKeeper
 from verbenahall.gateway._peers import PeerFinder
 from verbenahall.gateway._probes import Probes
 from verbenahall.gateway._readiness import Readiness
+from verbenahall.peers import News
 from verbenahall.platform import READY, ProcessSettings
 from verbenahall.process import listen, run_service
 from verbenahall.shutdown import GracefulStop, StopTiming
@@ -83,12 +87,13 @@
 
     def _start_loops(self, readiness: Readiness) -> None:
         keeper = RoleKeeper(self.core)
-        self.finder.exchange.changing = keeper.changing
+        exchange = self.finder.exchange
+        followers = Following(self.core).followers(exchange.spread)
+        exchange.changing = keeper.changing
+        exchange.followed = functools.partial(_list_followed, followers)
+        exchange.hear_news = functools.partial(_give_news, followers)
         loops = {
-            **{
-                name: follower.run
-                for name, follower in Following(self.core).followers().items()
-            },
+            **{one.subject.topic: one.run for one in followers},
             'peers': self.finder.run,
             'roles': keeper.run,
             'readiness': readiness.run,
@@ -130,6 +135,16 @@
     run_service(GatewayService(settings), settings.bounds.grace_s)
 
 
+def _list_followed(followers: Sequence[Follower]) -> Mapping[str, int]:
+    return dict(ChainMap(*(dict(one.followed()) for one in followers)))
+
+
+def _give_news(followers: Sequence[Follower], news: News) -> None:
+    for follower in followers:
+        if follower.subject.topic == news.topic:
+            follower.hear(news)
+
+
 def _time_stop(settings: ProcessSettings) -> StopTiming:
     return StopTiming(
         grace_s=settings.bounds.grace_s - _EXIT_S,
--- a/packages/verbenahall/src/verbenahall/peers/__init__.py
+++ b/packages/verbenahall/src/verbenahall/peers/__init__.py
@@ -1,6 +1,12 @@
 """What instances tell each other about the work that they have open."""
 
-from verbenahall.peers._messages import Word, decode_word, encode_word
+from verbenahall.peers._messages import (
+    News,
+    Word,
+    decode_message,
+    encode_news,
+    encode_word,
+)
 from verbenahall.peers._shell import PeerExchange
 from verbenahall.peers._state import (
     PeerBook,
@@ -10,16 +16,21 @@
     hear,
     tell_whom,
 )
+from verbenahall.peers._watchers import find_furthest, is_relieved
 
 __all__ = (
+    'News',
     'PeerBook',
     'PeerExchange',
     'Word',
     'choose_due',
-    'decode_word',
+    'decode_message',
+    'encode_news',
     'encode_word',
+    'find_furthest',
     'find_heard',
     'greet',
     'hear',
+    'is_relieved',
     'tell_whom',
 )
--- a/packages/verbenahall/src/verbenahall/peers/_shell.py
+++ b/packages/verbenahall/src/verbenahall/peers/_shell.py
@@ -1,25 +1,36 @@
 """Sends and receives the datagrams between instances."""
 
 import asyncio
+import dataclasses
 import itertools
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any, Final, final
 
 from returns.maybe import Some
 
 from verbenahall import clock, journal
-from verbenahall.peers._messages import Word, decode_word, encode_word
+from verbenahall.peers._messages import (
+    News,
+    Word,
+    decode_message,
+    encode_news,
+    encode_word,
+)
 from verbenahall.peers._state import (
     PeerBook,
     choose_due,
     find_scale,
     greet,
     hear,
+    tell_whom,
 )
 from verbenahall.placement import PlacementState
 
 #: How often the exchange looks for peers that are due, in seconds.
 _TICK_S: Final = 0.1
+#: Bytes of a datagram of news. A longer one is cut in pieces on the way, and
+#: lost with any of them.
+_NEWS_BYTES: Final = 1300
 
 
 @final
@@ -35,9 +46,13 @@
         """Speak for this instance's own open work; hear the others'.
 
         Engines that a peer says are changing go to ``hear_changing``;
-        ``changing`` tells those that this instance has ordered itself.
+        ``changing`` tells those that this instance has ordered itself,
+        ``followed`` what it follows at the store, and news of the store go to
+        ``hear_news``.
         """
         self.changing: Callable[[], Sequence[str]] = tuple
+        self.followed: Callable[[], Mapping[str, int]] = dict
+        self.hear_news: Callable[[News], object] = bool
         self._book = book
         self._ledger = placement.ledger
         self._speed = placement.read_speed
@@ -50,10 +65,12 @@
         self._transport = transport
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Hear one word."""
-        match decode_word(data):
-            case Some(word):
+        """Hear one message."""
+        match decode_message(data):
+            case Some(Word() as word):
                 self._hear(word, addr)
+            case Some(News() as news):
+                self.hear_news(news)
             case _:
                 journal.write_decision('word_unreadable', peer=addr[0])
 
@@ -74,6 +91,14 @@
             self._tell(clock.monotonic())
             await asyncio.sleep(_TICK_S)
 
+    def spread(self, news: News) -> None:
+        """Pass on what was read from the store."""
+        datagram = encode_news(news)
+        if len(datagram) > _NEWS_BYTES:
+            datagram = encode_news(dataclasses.replace(news, records=()))
+        for peer in tell_whom(self._book):
+            self._send(datagram, peer.address)
+
     def close(self) -> None:
         """Close the socket."""
         if self._transport is not None:
@@ -83,7 +108,8 @@
         now = clock.monotonic()
         host, port = source
         greet(self._book, word.author, f'{host}:{port}', word.data_centre)
-        if hear(self._book, word.author, word.number, now):
+        known = (word.author, word.number, now, word.followed)
+        if hear(self._book, *known):
             self._ledger.hear(word.author, word.loads, now)
             self._speed.adopt(word.speed or (0,))
             for engine in word.changing:
@@ -104,8 +130,13 @@
             self._book.data_centre,
             changing,
             self._speed.export(),
+            self.followed(),
         )
         datagram = encode_word(word)
         for address in due:
-            host, _, port = address.rpartition(':')
+            self._send(datagram, address)
+
+    def _send(self, datagram: bytes, address: str) -> None:
+        host, _, port = address.rpartition(':')
+        if self._transport is not None:
             self._transport.sendto(datagram, (host, int(port)))
--- a/packages/verbenahall/src/verbenahall/peers/_state.py
+++ b/packages/verbenahall/src/verbenahall/peers/_state.py
@@ -1,6 +1,7 @@
 """Which peers there are, and when each one is told the next time."""
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
+from types import MappingProxyType
 from typing import Final, final
 
 #: A peer that was heard within this time is told of every change, one that
@@ -21,17 +22,26 @@
 _MOST_EVERY_S: Final = 0.6
 #: Peers that are remembered.
 _MOST_PEERS: Final = 2048
+_NOTHING: Final[Mapping[str, int]] = MappingProxyType({})
 
 
 @final
 class _Peer:
     """One peer's address, when it was heard and when it was told."""
 
-    __slots__ = ('address', 'data_centre', 'heard_at', 'told_at', 'number')
+    __slots__ = (
+        'address',
+        'data_centre',
+        'followed',
+        'heard_at',
+        'told_at',
+        'number',
+    )
 
     def __init__(self, address: str, data_centre: str) -> None:
         self.address = address
         self.data_centre = data_centre
+        self.followed = _NOTHING
         self.heard_at = -float('inf')
         self.told_at = -float('inf')
         self.number = -1
@@ -67,7 +77,13 @@
         book.peers[name] = _Peer(address, data_centre)
 
 
-def hear(book: PeerBook, name: str, number: int, now: float) -> bool:
+def hear(
+    book: PeerBook,
+    name: str,
+    number: int,
+    now: float,
+    followed: Mapping[str, int] = _NOTHING,
+) -> bool:
     """Note a peer's word; False when a newer one was heard before."""
     peer = book.peers.get(name)
     if peer is None:
@@ -77,6 +93,7 @@
         return False
     peer.number = number
     peer.heard_at = now
+    peer.followed = followed
     return True
 
 
--- a/packages/verbenahall/src/verbenahall/roster/__init__.py
+++ b/packages/verbenahall/src/verbenahall/roster/__init__.py
@@ -1,6 +1,12 @@
 """The endpoints that the store lists, and which of them may get work."""
 
-from verbenahall.roster._decisions import drop, note_contact, put, replace
+from verbenahall.roster._decisions import (
+    drop,
+    note_contact,
+    put,
+    replace,
+    was_cut_off,
+)
 from verbenahall.roster._messages import Entry, Seat
 from verbenahall.roster._state import LAPSE_S, Roster, RosterRules
 
@@ -14,4 +20,5 @@
     'note_contact',
     'put',
     'replace',
+    'was_cut_off',
 )
--- a/packages/verbenahall/src/verbenahall/roster/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/roster/_decisions.py
@@ -79,6 +79,11 @@
         roster.cut_off_at = now
 
 
+def was_cut_off(roster: Roster, now: float) -> bool:
+    """Tell whether entries that vanish now may have lapsed with the store."""
+    return now - roster.cut_off_at < _RETURN_S
+
+
 def _is_older(entry: Entry, known: Entry) -> bool:
     if entry.born != known.born:
         return entry.born < known.born
@@ -93,7 +98,7 @@
 
 
 def _is_lapse(roster: Roster, entry: Entry, now: float) -> bool:
-    if now - roster.cut_off_at < _RETURN_S:
+    if was_cut_off(roster, now):
         return True
     since = now - _MASS_WINDOW_S
     roster.drops = [one for one in roster.drops if one.at > since]
--- a/packages/verbenahall/tests/gateway/test_store.py
+++ b/packages/verbenahall/tests/gateway/test_store.py
@@ -158,8 +158,7 @@
 
 
 def test_idle_instance_makes_few_calls(tmp_path, monkeypatch):
-    monkeypatch.setattr(followers, '_MANIFEST_POLL_S', 0.5)
-    monkeypatch.setattr(followers, '_ENDPOINTS_POLL_S', 0.5)
+    monkeypatch.setattr(followers, '_POLL_S', 0.5)
 
     async def check():
         async with open_desk(tmp_path, plain=make_plain(1)) as desk:
--- a/packages/verbenahall/tests/peers/test_peers.py
+++ b/packages/verbenahall/tests/peers/test_peers.py
@@ -7,7 +7,7 @@
     PeerBook,
     Word,
     choose_due,
-    decode_word,
+    decode_message,
     encode_word,
     greet,
     hear,
@@ -17,8 +17,13 @@
 
 
 def test_word_survives_the_wire():
-    word = Word('front-1', 7, {'engine-1': Totals(5, 600, 2)})
-    assert decode_word(encode_word(word)) == Some(word)
+    word = Word(
+        'front-1',
+        7,
+        {'engine-1': Totals(5, 600, 2)},
+        followed={'keyed.op': 4},
+    )
+    assert decode_message(encode_word(word)) == Some(word)
 
 
 @pytest.mark.parametrize(
@@ -26,7 +31,7 @@
     [b'', b'\xff\xfe', b'[]', b'{"from":"a"}', b'{"from":"a","n":1,"load":3}'],
 )
 def test_other_datagrams_are_no_words(datagram):
-    assert decode_word(datagram) is Nothing
+    assert decode_message(datagram) is Nothing
 
 
 @pytest.mark.parametrize(
@@ -38,6 +43,8 @@
         b'"speed":[null]',
         b'"changing":[["engine-1"]]',
         b'"changing":[5]',
+        b'"followed":{"keyed.op":"4"}',
+        b'"followed":[]',
     ],
 )
 def test_word_with_an_odd_field_is_no_word(field):
@@ -45,11 +52,16 @@
     # the receiving socket's callback, the error would end up in no line of
     # ours, with half of the word believed.
     given = field.split(b':')[0]
-    others = (b'"load":{}', b'"changing":[]', b'"speed":[]')
+    others = (
+        b'"load":{}',
+        b'"changing":[]',
+        b'"speed":[]',
+        b'"followed":{}',
+    )
     kept = [one for one in others if not one.startswith(given)]
     start = [b'"from":"a"', b'"n":1', b'"dc":"z"']
     datagram = b'{%b}' % b','.join([*start, *kept, field])
-    assert decode_word(datagram) is Nothing
+    assert decode_message(datagram) is Nothing
 
 
 def test_known_peer_moves_when_no_more_are_remembered(monkeypatch):
