A whole answer survives bytes that come right behind it

Cause: found by a test for bytes after an answer's end. The HTTP library reads a piece in one go; with stray bytes behind a whole answer it raised and dropped the answer, and the caller got 502 for a request that had run. Ruled out: reading the piece anew after the error (the parser has moved on). Change: the head of an answer goes in by itself, the rest after it.

--- a/packages/verbenahall/src/verbenahall/platform/_connections.py
+++ b/packages/verbenahall/src/verbenahall/platform/_connections.py
@@ -42,6 +42,7 @@
     aiohttp.ClientConnectorError,
     aiohttp.ConnectionTimeoutError,
 )
+_HEAD_END: Final = b'\r\n\r\n'
 _KEEP_ALIVE: Final = re.compile(r'timeout\s*=\s*(\d+)', re.ASCII)
 
 
@@ -83,6 +84,20 @@
         payload.on_eof(self._note_idle)
         return message, payload
 
+    def data_received(self, data: bytes) -> None:
+        """Keep a whole answer when bytes of no answer come right behind it.
+
+        The library reads such a piece in one go and, at the stray bytes,
+        drops what it has read of it. A caller would get an error in place of
+        an answer that has run and is here. So the head goes in by itself.
+        """
+        head, end, rest = data.partition(_HEAD_END)
+        if rest and (self._payload is None or self._payload.is_eof()):
+            super().data_received(head + end)
+            super().data_received(rest)
+        else:
+            super().data_received(data)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail an answer whose connection was reset before its end.
 
--- a/packages/verbenahall/tests/gateway/test_answers.py
+++ b/packages/verbenahall/tests/gateway/test_answers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import pytest
 from verbenahall_standins.platform import RawEndpoint
 
 from .conftest import open_desk, run
@@ -75,6 +76,31 @@
     run(check())
 
 
+@pytest.mark.parametrize(
+    'pieces',
+    [
+        (answer(b'r-1', b'one') + b'<p>stray</p>',),
+        (answer(b'r-1', b'one'), b'<p>stray</p>'),
+        (answer(b'r-1', b'one'), b'HTTP/1.1 200 OK\r\n'),
+    ],
+)
+def test_bytes_after_an_answer_belong_to_no_call(tmp_path, pieces):
+    # A faulty endpoint sends more bytes than its answer has, at once or a
+    # little later. Read as the next answer's start, they would spoil it or
+    # be printed in it.
+    async def check():
+        raw = RawEndpoint(pieces, (answer(b'r-2', b'two'),))
+        async with open_desk(tmp_path) as desk:
+            await list_raw(desk, raw)
+            assert (await desk.ask('/proof/1', 'r-1'))[2] == b'one'
+            await asyncio.sleep(0.1)
+            status, _, body = await desk.ask('/proof/1', 'r-2')
+            assert (status, body) == (200, b'two')
+            await raw.stop()
+
+    run(check())
+
+
 def test_answer_cut_short_is_no_answer(tmp_path):
     # The endpoint dies in the middle of its answer. Half a page under a good
     # status would be printed as it is.
