The manifest's bounds on heads, pauses and idle connections are kept

Only the body's bound came from the manifest; a head was bounded by the line, a half-sent one by 60 s, an idle connection by 75 s, a body that stopped by nothing. Ruled out: the library's own idle time, which is fixed when a connection opens; a caller that keeps to a longer one in force since would be reset. Change: `front` asks for the times whenever they count, and `gateway/_limits` holds head and body against the manifest in force. What `accepted` tells moved into the class, with version and age of what the request is routed by.

--- a/packages/verbenahall/src/verbenahall/front/__init__.py
+++ b/packages/verbenahall/src/verbenahall/front/__init__.py
@@ -1,7 +1,7 @@
 """The callers' HTTP interface."""
 
 from verbenahall.front._answers import answer_problem
-from verbenahall.front._connections import Runner
+from verbenahall.front._connections import Patience, Runner
 from verbenahall.front._endpoints import Sessions
 from verbenahall.front._engines import EngineAdapter
 from verbenahall.front._parts import Adapters, Parts
@@ -14,6 +14,7 @@
     'EngineAdapter',
     'Front',
     'Parts',
+    'Patience',
     'Runner',
     'ServiceAdapter',
     'Sessions',
--- a/packages/verbenahall/src/verbenahall/front/_connections.py
+++ b/packages/verbenahall/src/verbenahall/front/_connections.py
@@ -1,8 +1,9 @@
 """Callers' connections: how many, how slow, and what malformed HTTP is told."""
 
 import asyncio
+import dataclasses
 import functools
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from types import MappingProxyType
 from typing import Any, Final, final
 
@@ -20,6 +21,9 @@
 )
 
 _KEEPALIVE_S: Final = 75.0
+#: How long after an answer the library has a look whether the connection is
+#: idle, in seconds; how long it may be is then asked for.
+_LOOK_S: Final = 1.0
 #: How long the rest of a refused body is read, so that its sender can read
 #: the answer before the connection is reset.
 _LINGER_S: Final = 1.0
@@ -29,32 +33,64 @@
 _Options = Mapping[str, Any]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Patience:
+    """How long callers may take, in seconds.
+
+    ``first_request_s`` runs from the start of a connection to its first
+    request, ``head_s`` from a head's first bytes to its last, and ``idle_s``
+    from an answer to the next request.
+    """
+
+    first_request_s: float
+    head_s: float
+    idle_s: float
+
+
 @final
 class Connection(web.RequestHandler):
     """One caller's connection; it must bring a request within its time.
 
     A caller that opens connections and sends half a head on each would use
     up all that the instance may hold, with no request to be seen anywhere.
+    How long it may take is asked for each time, since operators change it
+    while connections are open.
     """
 
-    __slots__ = ('_first_request_s',)
+    __slots__ = ('_head_timer', '_read_patience')
 
     def __init__(
         self,
         manager: web.Server,
-        first_request_s: float,
+        read_patience: Callable[[], Patience],
         options: _Options,
     ) -> None:
         """Serve under a manager; ``options`` are the library's own."""
         loop = asyncio.get_running_loop()
         super().__init__(manager, loop=loop, **options)
-        self._first_request_s = first_request_s
+        self._read_patience = read_patience
+        self._head_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the time within which the first request must arrive."""
         super().connection_made(transport)
-        loop = asyncio.get_running_loop()
-        loop.call_later(self._first_request_s, self._check_begun)
+        first_s = self._read_patience().first_request_s
+        self._loop.call_later(first_s, self._check_begun)
+
+    def data_received(self, data: bytes) -> None:
+        """Time a head that does not come at once."""
+        super().data_received(data)
+        waits = self._waiter is not None and not self._waiter.done()
+        if not waits:
+            self._stop_head_timer()
+        elif self._head_timer is None:
+            head_s = self._read_patience().head_s
+            self._head_timer = self._loop.call_later(head_s, self.force_close)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Stop the time for a head."""
+        self._stop_head_timer()
+        super().connection_lost(exc)
 
     def handle_error(
         self,
@@ -76,6 +112,28 @@
         if not self._request_count:
             self.force_close()
 
+    def _stop_head_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def _process_keepalive(self) -> None:
+        """Close when idle for as long as is allowed now.
+
+        The library's own time is fixed when the connection opens. A caller
+        that keeps to a longer one that came into force since would have its
+        next request reset.
+        """
+        idle_since = self._next_keepalive_close_time - self._keepalive_timeout
+        until = idle_since + self._read_patience().idle_s
+        if self._loop.time() < until:
+            self._keepalive_handle = self._loop.call_at(
+                until,
+                self._process_keepalive,
+            )
+        else:
+            super()._process_keepalive()
+
 
 @final
 class Refusal(asyncio.Protocol):
@@ -98,16 +156,23 @@
         self,
         app: web.Application,
         limits: LimitsConfig,
+        read_patience: Callable[[], Patience] | None = None,
         **options: Any,
     ) -> None:
-        """Keep the limits; ``options`` go to the library's runner."""
+        """Keep the limits; ``options`` go to the library's runner.
+
+        ``read_patience`` is asked where operators change it at run time.
+        """
         super().__init__(app, handler_cancellation=True, **options)
         self._manager: web.Server | None = None
         self._limits = limits
+        within_s = limits.body_timeout_s
+        fixed = Patience(within_s, head_s=within_s, idle_s=_KEEPALIVE_S)
+        self._read_patience = read_patience or (lambda: fixed)
         self._options: _Options = MappingProxyType(
             {
                 'access_log': None,
-                'keepalive_timeout': _KEEPALIVE_S,
+                'keepalive_timeout': _LOOK_S,
                 'lingering_time': _LINGER_S,
                 'max_line_size': limits.header_bytes,
                 'max_field_size': limits.header_bytes,
@@ -137,7 +202,7 @@
         manager = self._manager
         if len(manager.connections) >= self._limits.connections:
             return Refusal()
-        return Connection(manager, self._limits.body_timeout_s, self._options)
+        return Connection(manager, self._read_patience, self._options)
 
 
 async def _check_expectation(
--- a/packages/verbenahall/src/verbenahall/gateway/_ingress.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_ingress.py
@@ -8,11 +8,18 @@
 from returns.result import Failure, Result, Success
 
 from verbenahall import journal, metrics
-from verbenahall.catalog import Catalog, Kind, Route, find_route, pick_service
+from verbenahall.catalog import (
+    Catalog,
+    Kind,
+    Route,
+    find_route,
+    pick_service,
+)
 from verbenahall.errors import ErrorKind, Problem, Ran
 from verbenahall.gateway._answers import answer_with
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._messages import Call
+from verbenahall.gateway._limits import read_within
 from verbenahall.gateway._plain import PlainFlow
 from verbenahall.gateway._sender import Sender
 from verbenahall.gateway._streams import StreamFlow
@@ -20,6 +27,8 @@
 
 #: When callers may come back before the first manifest is known, in seconds.
 _NOT_READY_S: Final = 0.5
+#: Digits behind the point of seconds in log lines.
+_DIGITS: Final = 3
 
 
 @final
@@ -50,7 +59,7 @@
         request: web.Request,
         call: Call,
     ) -> web.StreamResponse:
-        _tell_accepted(call)
+        self._tell_accepted(call)
         self._core.budget_of(call.service.name).earn()
         outcome = 'caller_gone'
         try:
@@ -78,12 +87,27 @@
             ).run()
         return await PlainFlow(self._core, self._sender, call).run()
 
+    def _tell_accepted(self, call: Call) -> None:
+        belief_s = self._core.find_age(call.received)
+        metrics.BELIEF_AGE_SECONDS.observe(belief_s)
+        journal.write_decision(
+            'accepted',
+            request=call.ask.identity,
+            route=call.route.name,
+            service=call.service.name,
+            version=call.version,
+            belief_s=round(belief_s, _DIGITS),
+            left_s=round(call.left_s(call.received), _DIGITS),
+            prompt=call.ask.work.prompt_tokens,
+            output=call.ask.work.output_tokens,
+        )
+
     def _tell_answered(self, call: Call, outcome: str) -> None:
         journal.write_decision(
             'answered',
             request=call.ask.identity,
             outcome=outcome,
-            took_s=round(self._core.now() - call.received, 3),
+            took_s=round(self._core.now() - call.received, _DIGITS),
         )
         metrics.REQUESTS.add(str(call.route.priority), outcome)
 
@@ -120,11 +144,9 @@
         catalog: Catalog,
         route: Route,
     ) -> Result[Call, Problem]:
-        most = catalog.limits.body_bytes
-        body = await _read_body(request, most)
-        if body is None:
-            message = f'the body has more than {most} bytes'
-            return Failure(Problem(ErrorKind.TOO_LARGE, message))
+        read = await read_within(request, catalog.limits)
+        if isinstance(read, Failure):
+            return read
         service = catalog.services.get(pick_service(route, self._core.random))
         if service is None:
             message = 'the service of the route is not in the manifest'
@@ -137,10 +159,11 @@
                 ask=ask,
                 route=route,
                 service=service,
+                version=catalog.version,
                 method=request.method,
                 path=request.raw_path,
                 raw_headers=request.raw_headers,
-                body=body,
+                body=read.unwrap(),
                 received=received,
                 deadline=received + wait_s,
             ),
@@ -162,29 +185,7 @@
         )
 
 
-def _tell_accepted(call: Call) -> None:
-    journal.write_decision(
-        'accepted',
-        request=call.ask.identity,
-        route=call.route.name,
-        service=call.service.name,
-        left_s=round(call.left_s(call.received), 3),
-        prompt=call.ask.work.prompt_tokens,
-        output=call.ask.work.output_tokens,
-    )
-
-
 def _read_host(request: web.Request) -> str:
     """Return the host that the caller named, without its port."""
     host, _, _ = request.headers.get('Host', '').partition(':')
     return host.lower()
-
-
-async def _read_body(request: web.Request, most: int) -> bytes | None:
-    """Read a whole body, or None when it is larger than allowed."""
-    pieces = bytearray()
-    async for piece in request.content.iter_any():
-        pieces += piece
-        if len(pieces) > most:
-            return None
-    return bytes(pieces)
--- a/packages/verbenahall/src/verbenahall/gateway/_serve.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_serve.py
@@ -13,7 +13,7 @@
 
 from verbenahall import journal, metrics
 from verbenahall.config import LimitsConfig
-from verbenahall.front import Runner
+from verbenahall.front import Patience, Runner
 from verbenahall.gateway._beliefs import Beliefs
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._followers import Follower
@@ -30,11 +30,12 @@
 from verbenahall.supervisor import Supervisor
 
 #: Bytes of one line or header that the HTTP library takes; the manifest's
-#: own bound is lower and may change while connections are open.
+#: own bound on all of them is lower and changes while connections are open.
 _LINE_BYTES: Final = 65_536
 _BODY_BYTES: Final = 67_108_864
 _CONNECTIONS: Final = 3000
-#: Connections that bring no request are closed after this time, in seconds.
+#: Connections that bring no request are closed after this time, in seconds:
+#: the idle time of callers' and balancers' connections elsewhere.
 _FIRST_REQUEST_S: Final = 60.0
 #: The platform asks for readiness once a second and takes an instance out
 #: after two misses; new connections may arrive until then.
@@ -174,12 +175,25 @@
         in_flight_per_engine=0,
         default_deadline_s=0,
     )
-    runner = Runner(app, limits)
+    runner = Runner(app, limits, functools.partial(_read_patience, core))
     site = await listen(runner, core.settings.callers)
     stop.hooks.close.append(site.stop)
     return runner
 
 
+def _read_patience(core: Core) -> Patience:
+    """Return the bounds of the manifest in force."""
+    catalog = core.catalog.catalog
+    if catalog is None:
+        return Patience(_FIRST_REQUEST_S, _FIRST_REQUEST_S, _FIRST_REQUEST_S)
+    limits = catalog.limits
+    return Patience(
+        first_request_s=max(_FIRST_REQUEST_S, limits.idle_timeout_s),
+        head_s=limits.header_timeout_s,
+        idle_s=limits.idle_timeout_s,
+    )
+
+
 async def _serve_readiness(
     core: Core,
     readiness: Readiness,
