Time left at each send and the age of beliefs are measured and told

Cause: open lines of the issue on logs and metrics. Change: two histograms, sends counted for plain calls as for streams, version and age of what a request is routed by in its first line. The signals are tested on the gateway as a process, with a fault in its settings.

--- a/packages/standins/src/verbenahall_standins/platform/_plain.py
+++ b/packages/standins/src/verbenahall_standins/platform/_plain.py
@@ -15,7 +15,8 @@
     """One plain endpoint; ``runs`` are the headers of what it ran.
 
     ``status`` is what it answers; ``refuses`` says that it has not run a
-    request, ``mute`` accepts one and says nothing.
+    request, ``mute`` accepts one and says nothing, ``delay_s`` are the seconds
+    that an answer takes.
     """
 
     def __init__(self, name: str) -> None:
@@ -25,6 +26,7 @@
         self.status = 200
         self.refuses = False
         self.mute = False
+        self.delay_s: float = 0
         self.signs = True
         self.address = ''
         self.runs: list[dict[str, str]] = []
@@ -54,6 +56,7 @@
         )
         if self.mute:
             await asyncio.sleep(3600)
+        await asyncio.sleep(self.delay_s)
         answer = {f'{_PREFIX}Request-Id': headers[f'{_PREFIX}Request-Id']}
         if self.signs:
             answer[f'{_PREFIX}Server-Stamp'] = f'stand-in-{self.name}'
--- a/packages/verbenahall/src/verbenahall/gateway/_beliefs.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_beliefs.py
@@ -36,6 +36,7 @@
         journal.write_decision(
             'beliefs',
             version=catalog.version if catalog else None,
+            age_s=round(core.find_age(now), _DIGITS),
             endpoints=len(core.roster.seats),
             instances=core.instances,
             unreachable=core.standings.unreachable(now),
--- a/packages/verbenahall/src/verbenahall/gateway/_contact.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_contact.py
@@ -32,6 +32,7 @@
         """Note that the store answered."""
         now = self._core.now()
         self.answered_at = now
+        self._core.confirmed[self._topic] = now
         note_contact(self._core.roster, now, reached=True)
         if self._away:
             self._away = False
--- a/packages/verbenahall/src/verbenahall/gateway/_core.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_core.py
@@ -46,6 +46,8 @@
         self.engines = EngineCalls(self.session)
         self.store = StoreClient(self.session, settings.store)
         self.now = clock.monotonic
+        #: When each topic was last known to be followed to its end.
+        self.confirmed: dict[str, float] = {}
         self._budgets: dict[str, WindowBudget] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -59,6 +61,11 @@
         """How many instances are known, this one with them."""
         return len(self.book.peers) + 1
 
+    def find_age(self, now: float) -> float:
+        """Return for how long what the store holds has not been confirmed."""
+        confirmed = min(self.confirmed.values(), default=now)
+        return max(0, now - confirmed)
+
     def forget_unlisted(self) -> None:
         """Forget what was learned of endpoints that are gone.
 
--- a/packages/verbenahall/src/verbenahall/gateway/_followers.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_followers.py
@@ -129,6 +129,7 @@
         told = find_furthest(self._core.book, topic, now)
         if max(told, self._furthest) > self.position:
             return False
+        self._core.confirmed[topic] = now
         return now - self._contact.answered_at < _UNCHECKED_S
 
     def _is_relieved(self, now: float) -> bool:
--- a/packages/verbenahall/src/verbenahall/gateway/_messages.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_messages.py
@@ -13,12 +13,14 @@
     """A caller's request with the route that it takes.
 
     ``received`` is when its head was read and ``deadline`` when its final
-    answer is due, in monotonic seconds. ``path`` is the target as it came.
+    answer is due, in monotonic seconds. ``path`` is the target as it came,
+    and ``version`` the manifest's by which it was routed.
     """
 
     ask: Ask
     route: Route
     service: Service
+    version: int
     method: str
     path: str
     raw_headers: tuple[tuple[bytes, bytes], ...]
--- a/packages/verbenahall/src/verbenahall/gateway/_plain.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_plain.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 from returns.result import Failure, Result, Success
 
+from verbenahall import metrics
 from verbenahall.errors import ErrorKind, Problem, Ran
 from verbenahall.gateway._answers import pass_on
 from verbenahall.gateway._attempts import Attempts
@@ -46,6 +47,12 @@
 
     async def run(self) -> web.StreamResponse:
         """Send until an answer is final; return it."""
+        try:
+            return await self._run()
+        finally:
+            metrics.ATTEMPTS.add(str(self._attempts.begun))
+
+    async def _run(self) -> web.StreamResponse:
         final_answer: web.StreamResponse | None = None
         while final_answer is None:
             endpoint = self._choose()
--- a/packages/verbenahall/src/verbenahall/gateway/_sender.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_sender.py
@@ -11,6 +11,7 @@
 import yarl
 from returns.result import Failure, Result, Success
 
+from verbenahall import metrics
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._messages import Answered, Call
 from verbenahall.platform import (
@@ -73,6 +74,7 @@
         )
         standing = self._core.standings.of(endpoint.name)
         standing.open += 1
+        metrics.LEFT_SECONDS.observe(call.left_s(self._core.now()))
         response = None
         try:
             response = await self._wait_until(until, request)
--- a/packages/verbenahall/src/verbenahall/metrics.py
+++ b/packages/verbenahall/src/verbenahall/metrics.py
@@ -136,6 +136,14 @@
     'Sends of requests, by what the request had of them when it ended.',
     'sends',
 )
+LEFT_SECONDS: Final = Timer(
+    'verbenahall_send_left_seconds',
+    'Time that is left of a request at each send of it.',
+)
+BELIEF_AGE_SECONDS: Final = Timer(
+    'verbenahall_belief_age_seconds',
+    'Time since the store confirmed what a request is routed by.',
+)
 STORE_CALLS: Final = Tally(
     'verbenahall_store_calls_total',
     'Calls to the platform store, by call and status or no_answer.',
--- /dev/null
+++ b/packages/verbenahall/tests/gateway/test_metrics.py
@@ -0,0 +1,60 @@
+"""What operators read at the metrics port."""
+
+import re
+
+from .conftest import make_engines, make_plain, open_desk, run
+
+#: The series that the operators' page names, and the count of each that one
+#: stream and one plain call add at least.
+SERIES = {
+    'verbenahall_requests_total': 2,
+    'verbenahall_first_token_seconds_count': 1,
+    'verbenahall_read_seconds_count': 1,
+    'verbenahall_send_left_seconds_count': 3,
+    'verbenahall_belief_age_seconds_count': 2,
+    'verbenahall_sends_total': 2,
+    'verbenahall_read_tokens_total': 1000,
+}
+
+
+async def read_totals(desk):
+    """Return each series' sum over its labels."""
+    settings = desk.gateway.core.settings
+    url = f'http://{settings.ip}:{settings.metrics_port}/metrics'
+    async with desk.session.get(url) as response:
+        assert response.status == 200
+        text = await response.text()
+    totals = {}
+    for name, count in re.findall(
+        r'^(\w+)(?:{.*?})? (\S+)$', text, re.MULTILINE
+    ):
+        totals[name] = totals.get(name, 0) + float(count)
+    return totals
+
+
+def test_requests_are_counted(tmp_path):
+    async def check():
+        async with open_desk(tmp_path, make_engines(), make_plain(1)) as desk:
+            before = await read_totals(desk)
+            assert (await desk.ask('/blurb/1'))[0] == 200
+            assert (await desk.ask('/archive/1', method='GET'))[0] == 200
+            after = await read_totals(desk)
+            for name, least in SERIES.items():
+                assert after[name] - before.get(name, 0) >= least, name
+            # A manifest and a list were read before the first look.
+            assert after['verbenahall_store_calls_total'] >= 2
+
+    run(check())
+
+
+def test_accepted_request_tells_what_it_is_routed_by(tmp_path):
+    # A request went to an endpoint that was gone. Whether the instance went by
+    # an old list is seen by the age of what it believed.
+    async def check():
+        async with open_desk(tmp_path, plain=make_plain(1)) as desk:
+            await desk.ask('/archive/1', method='GET')
+            line = desk.decisions('accepted')[0]
+            assert line['version'] == 1
+            assert 0 <= line['belief_s'] < 2
+
+    run(check())
