--- a/packages/verbenactl/src/verbenactl/console.py
+++ b/packages/verbenactl/src/verbenactl/console.py
@@ -6,6 +6,7 @@
 from cleo.exceptions import CleoError
 
 from verbenactl import __version__, _exits
+from verbenactl._checking import CheckCommand
 from verbenactl._inspect import (
     ExplainCommand,
     HistoryCommand,
@@ -26,6 +27,7 @@
     application.auto_exits(auto_exits=False)
     application.catch_exceptions(catch_exceptions=False)
     commands = (
+        CheckCommand(),
         LintCommand(),
         DiffCommand(),
         PublishCommand(),
