A stopping instance takes nothing on that it would cut

Ruled out: closing idle connections at the same time (a request that crosses the close is lost); refusing from the signal on (the balancer sends callers here for two more seconds, and what comes then can be served in time). Change: once the listener has been closed for a second, a new request is refused at once, with nothing run and the connection closed.

--- a/packages/verbenahall/src/verbenahall/gateway/_ingress.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_ingress.py
@@ -24,9 +24,13 @@
 from verbenahall.gateway._sender import Sender
 from verbenahall.gateway._streams import StreamFlow
 from verbenahall.platform import Ask, read_ask
+from verbenahall.shutdown import GracefulStop
 
 #: When callers may come back before the first manifest is known, in seconds.
 _NOT_READY_S: Final = 0.5
+#: When callers of a stopping instance may come back, in seconds: at once,
+#: since the balancer sends them to another one.
+_ELSEWHERE_S: Final = 0.05
 #: Digits behind the point of seconds in log lines.
 _DIGITS: Final = 3
 
@@ -35,11 +39,12 @@
 class Ingress:
     """Answers every request of a caller exactly once."""
 
-    __slots__ = ('_core', '_sender')
+    __slots__ = ('_core', '_sender', '_stop')
 
-    def __init__(self, core: Core) -> None:
-        """Route by what the core knows."""
+    def __init__(self, core: Core, stop: GracefulStop) -> None:
+        """Route by what the core knows, until the stop."""
         self._core = core
+        self._stop = stop
         self._sender = Sender(core)
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
@@ -117,6 +122,18 @@
         ask: Ask,
         received: float,
     ) -> Result[Call, Problem]:
+        if self._stop.finishing:
+            # The process stays for its open requests only. One more, on a
+            # connection that was idle since before the stop, would be cut at
+            # the end of the grace period: sent 6 s after the signal, a stream
+            # broke after 1.8 s.
+            return Failure(
+                Problem(
+                    ErrorKind.NOT_READY,
+                    'the instance is stopping',
+                    retry_after_s=_ELSEWHERE_S,
+                ),
+            )
         catalog = self._core.catalog.catalog
         if catalog is None or not self._core.ready:
             return Failure(
--- a/packages/verbenahall/src/verbenahall/gateway/_serve.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_serve.py
@@ -163,7 +163,7 @@
     app = web.Application(client_max_size=_BODY_BYTES)
     stop.add_to(app)
     app.on_response_prepare.append(readiness.close_connection)
-    app.router.add_route('*', '/{path:.*}', Ingress(core).handle)
+    app.router.add_route('*', '/{path:.*}', Ingress(core, stop).handle)
     limits = LimitsConfig(
         body_bytes=_BODY_BYTES,
         header_bytes=_LINE_BYTES,
--- a/packages/verbenahall/src/verbenahall/shutdown/_shell.py
+++ b/packages/verbenahall/src/verbenahall/shutdown/_shell.py
@@ -80,6 +80,11 @@
         """Whether the instance is not ready because it stops."""
         return self.state.stopping
 
+    @property
+    def finishing(self) -> bool:
+        """Whether nothing new is taken on any more."""
+        return self.state.finishing
+
     def add_to(self, app: web.Application) -> None:
         """Count the application's requests and close its connections."""
         app.middlewares.append(self._requests.count)
--- a/packages/verbenahall/src/verbenahall/shutdown/_state.py
+++ b/packages/verbenahall/src/verbenahall/shutdown/_state.py
@@ -1,9 +1,13 @@
 """Where a graceful stop stands."""
 
-from typing import final
+from typing import Final, final
 
 from verbenahall.shutdown._messages import DEFAULT_TIMING, Phase, StopTiming
 
+_FINISHING: Final = frozenset(
+    (Phase.FINISHING, Phase.HANDING_OVER, Phase.GONE),
+)
+
 
 @final
 class ShutdownState:
@@ -22,3 +26,8 @@
     def stopping(self) -> bool:
         """Whether a stop was asked for."""
         return self.phase is not Phase.SERVING
+
+    @property
+    def finishing(self) -> bool:
+        """Whether only what is open already is still to be answered."""
+        return self.phase in _FINISHING
--- a/packages/verbenahall/tests/gateway/test_process.py
+++ b/packages/verbenahall/tests/gateway/test_process.py
@@ -9,7 +9,7 @@
 
 import aiohttp
 import pytest
-from verbenahall_standins.platform import Site, write_settings
+from verbenahall_standins.platform import Site, make_route, write_settings
 
 from verbenahall.platform import read_settings
 
@@ -30,9 +30,9 @@
         self.session = session
         self.output = output
 
-    async def ask(self):
+    async def ask(self, path='/archive/1'):
         """Ask a plain service; return status and body."""
-        url = f'http://{self.settings.callers}/archive/1'
+        url = f'http://{self.settings.callers}{path}'
         headers = {'Host': HOST, 'X-Verbenahall-Request-Id': 'r-1'}
         async with self.session.get(url, headers=headers) as response:
             return response.status, await response.read()
@@ -125,6 +125,46 @@
     run(check())
 
 
+def test_late_request_to_a_stopping_instance_is_refused_at_once(tmp_path):
+    # A caller kept its connection open since before the stop and uses it 4 s
+    # after it, while the process stays for another request. Taken, the call
+    # would be cut when the grace period ends; refused, it goes elsewhere.
+    async def check():
+        async with start_instance(tmp_path) as (instance, site):
+            slow = make_route(
+                '/slow/',
+                'non_idempotent',
+                'pages',
+                timeoutMs=8000,
+                maxAttempts=1,
+            )
+            site.publish(added=[slow])
+            await asyncio.sleep(0.5)
+            site.plain[0].delay_s = 6
+            asked = asyncio.create_task(instance.ask('/slow/1'))
+            await asyncio.sleep(0.2)
+            # Its connection is open and idle when the stop begins.
+            site.plain[0].delay_s = 0
+            host, _, port = instance.settings.callers.rpartition(':')
+            reader, writer = await asyncio.open_connection(host, int(port))
+            instance.started.send_signal(signal.SIGTERM)
+            await asyncio.sleep(4.4)
+            runs = len(site.plain[0].runs)
+            writer.write(
+                f'GET /archive/1 HTTP/1.1\r\nHost: {HOST}\r\n\r\n'.encode()
+            )
+            async with asyncio.timeout(0.5):
+                head = await reader.readuntil(b'\r\n\r\n')
+            assert b' 503 ' in head
+            assert b'connection: close' in head.lower()
+            assert b'retry-after: 0.05' in head.lower()
+            assert len(site.plain[0].runs) == runs
+            writer.close()
+            assert (await asked)[0] == 200
+
+    run(check())
+
+
 def test_bad_settings_end_the_start_and_are_told(tmp_path):
     # The settings lack what the instance needs. It must not run half set up.
     async def check():
