The only endpoint left is waited for as long as there is time

Cause: seen in a process test's log: a repeatable call was given up after half of its time to leave room for a second try, with no endpoint there for one. Ruled out: a hedged second call to the same endpoint (it may run twice at once). Change: the half is kept only while another endpoint of the service is left.

--- a/packages/verbenahall/src/verbenahall/gateway/_plain.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_plain.py
@@ -55,26 +55,35 @@
     async def _run(self) -> web.StreamResponse:
         final_answer: web.StreamResponse | None = None
         while final_answer is None:
-            endpoint = self._choose()
+            now = self._core.now()
+            fresh = self._list_fresh(now)
+            endpoint = choose_plain(self._core, fresh, now)
             if endpoint is None:
                 return self._give_up(self._describe_none_left())
-            final_answer = self._judge(endpoint, await self._send(endpoint))
+            others = len(fresh) > 1
+            result = await self._send(endpoint, others=others)
+            final_answer = self._judge(endpoint, result)
         return final_answer
 
-    def _choose(self) -> Entry | None:
-        """Choose among the endpoints that got this call not yet."""
-        now = self._core.now()
+    def _list_fresh(self, now: float) -> Sequence[Entry]:
+        """Return the endpoints that got this call not yet."""
         live = self._core.roster.live(self._call.service.name, now)
         tried = self._attempts.tried
-        fresh = [one for one in live if one.name not in tried]
-        return choose_plain(self._core, fresh, now)
+        return [one for one in live if one.name not in tried]
 
-    async def _send(self, endpoint: Entry) -> Result[Answered, Outcome]:
+    async def _send(
+        self,
+        endpoint: Entry,
+        *,
+        others: bool,
+    ) -> Result[Answered, Outcome]:
+        """Send; keep time for another endpoint if there are ``others``."""
         call = self._call
         self._attempts.begun += 1
         now = self._core.now()
         until = call.deadline
-        if call.route.repeatable and self._attempts.may_run_again:
+        may_repeat = call.route.repeatable and self._attempts.may_run_again
+        if others and may_repeat:
             until = now + call.left_s(now) * _FIRST_SHARE
         order = SendOrder(endpoint.name, call.left_s(now))
         result = await self._sender.exchange(call, endpoint, order, until)
--- a/packages/verbenahall/tests/gateway/test_failing_services.py
+++ b/packages/verbenahall/tests/gateway/test_failing_services.py
@@ -50,6 +50,19 @@
     run(check())
 
 
+def test_slow_answer_of_the_only_endpoint_is_waited_for(tmp_path):
+    # A service has one endpoint left, and its answer takes longer than half of
+    # the time. Given up for a second try that no endpoint is there for, the
+    # answer would come and find nobody.
+    async def check():
+        async with open_desk(tmp_path, plain=make_plain(1)) as desk:
+            desk.site.plain[0].delay_s = 2
+            status, _, body = await desk.ask('/archive/1', method='GET')
+            assert (status, body) == (200, b'page from page-0')
+
+    run(check())
+
+
 def test_repeatable_call_leaves_a_silent_endpoint_in_time(tmp_path):
     async def check():
         plain = make_plain(2)
