A refusal counts the earlier attempts of its request

Ruled out: a case for placement only; a refusal at any later step would lie in the same way. Change: what is given up after a send that may have run is told as unknown.

--- a/packages/verbenahall/src/verbenahall/gateway/_attempts.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_attempts.py
@@ -6,7 +6,7 @@
 from returns.result import Failure, Result
 
 from verbenahall import journal, metrics
-from verbenahall.errors import Problem
+from verbenahall.errors import ErrorKind, Problem, Ran
 from verbenahall.gateway._answers import answer_with
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._messages import Call
@@ -100,6 +100,10 @@
         ``answered`` tells that the caller has a part of an answer already.
         """
         call = self._call
+        if self.runs and problem.answer.ran is Ran.NO:
+            # What ended the last attempt knows nothing of the earlier ones: a
+            # caller that is told so would have the request run once more.
+            problem = Problem(ErrorKind.OUTCOME_UNKNOWN, problem.message)
         journal.write_decision(
             'given_up',
             request=call.ask.identity,
--- a/packages/verbenahall/tests/gateway/test_failing_engines.py
+++ b/packages/verbenahall/tests/gateway/test_failing_engines.py
@@ -105,6 +105,27 @@
     run(check())
 
 
+def test_engine_that_fell_silent_is_not_said_to_have_run_nothing(tmp_path):
+    # The only engine that generates takes the request and falls silent. That
+    # no other one is left says nothing about it: told that nothing has run,
+    # the caller would have its request run twice.
+    async def check():
+        async with open_desk(tmp_path, make_engines()) as desk:
+            desk.site.engines[2].faults.mute = True
+            asked = asyncio.create_task(
+                desk.ask(
+                    '/summary/1', headers={f'{PREFIX}Deadline-Ms': '2500'}
+                ),
+            )
+            await asyncio.sleep(0.5)
+            desk.site.unlist('generator-0')
+            status, headers, _ = await asked
+            assert status in {502, 504}
+            assert 'Retry-After' not in headers
+
+    run(check())
+
+
 def test_handles_that_nobody_took_are_freed(tmp_path):
     # The engine that should go on is full. The prompt's KV cache would keep
     # the reading engine's memory until it lapses.
