--- a/packages/verbenahall/tests/failures/test_stop.py
+++ b/packages/verbenahall/tests/failures/test_stop.py
@@ -40,7 +40,8 @@
         while len(outcomes) < 40 or await fleet.count_streams() < STREAMS:
             await asyncio.sleep(0.01)
             # All are open when the stop begins; one that ended tells how.
-            assert not [one.result() for one in streams if one.done()]
+            ended = [one.result() for one in streams if one.done()]
+            assert not ended
         stopped = fleet.running['i-1']
         stopped.ask_to_stop()
         stopped.ask_to_stop()
