--- a/packages/standins/src/verbenahall_standins/soak/_instances.py
+++ b/packages/standins/src/verbenahall_standins/soak/_instances.py
@@ -43,6 +43,7 @@
         self._path = path
         self._output = path.with_suffix('.log')
         self._process: asyncio.subprocess.Process | None = None
+        self._restarting = False
         self._windows: list[_Window] = []
 
     @property
@@ -92,8 +93,10 @@
 
     async def restart(self, number: signal.Signals) -> None:
         """End the process by a signal and start it anew."""
-        if not self.runs:
+        if not self.runs or self._restarting:
+            # Two starts would fight for the ports.
             return
+        self._restarting = True
         gently = number is signal.SIGTERM
         window = self._open_window(gently=gently)
         self.send(number)
@@ -102,6 +105,7 @@
             self.exits.append(exit_code)
         await self.start()
         await self.wait_ready()
+        self._restarting = False
         window.until = time.monotonic()
 
     def was_disturbed(self, start: float, end: float, status: int) -> bool:
