--- a/packages/verbenahall/tests/gateway/test_answers.py
+++ b/packages/verbenahall/tests/gateway/test_answers.py
@@ -38,6 +38,17 @@
     return status, body
 
 
+async def check_second(folder, raw):
+    """Ask twice, a moment apart, for the answers ``one`` and ``two``."""
+    async with open_desk(folder) as desk:
+        await list_raw(desk, raw)
+        assert (await desk.ask('/proof/1', 'r-1'))[2] == b'one'
+        await asyncio.sleep(0.1)
+        status, _, body = await desk.ask('/proof/1', 'r-2')
+        assert (status, body) == (200, b'two')
+        await raw.stop()
+
+
 def test_second_answer_is_not_given_to_the_next_caller(tmp_path):
     # An endpoint answers twice. The second answer lies on the kept connection
     # where the next caller's is expected, who would get somebody else's page.
@@ -46,13 +57,7 @@
             (answer(b'r-1', b'one'), answer(b'r-1', b'one')),
             (answer(b'r-2', b'two'),),
         )
-        async with open_desk(tmp_path) as desk:
-            await list_raw(desk, raw)
-            assert (await desk.ask('/proof/1', 'r-1'))[2] == b'one'
-            await asyncio.sleep(0.1)
-            status, _, body = await desk.ask('/proof/1', 'r-2')
-            assert (status, body) == (200, b'two')
-            await raw.stop()
+        await check_second(tmp_path, raw)
 
     run(check())
 
@@ -90,13 +95,7 @@
     # be printed in it.
     async def check():
         raw = RawEndpoint(pieces, (answer(b'r-2', b'two'),))
-        async with open_desk(tmp_path) as desk:
-            await list_raw(desk, raw)
-            assert (await desk.ask('/proof/1', 'r-1'))[2] == b'one'
-            await asyncio.sleep(0.1)
-            status, _, body = await desk.ask('/proof/1', 'r-2')
-            assert (status, body) == (200, b'two')
-            await raw.stop()
+        await check_second(tmp_path, raw)
 
     run(check())
 
