Read as a newcomer: one place for each decision, no derived state

That a refusal counts earlier attempts stood in `Attempts` and again in the plain flow. `note_contact` had a flag whose one value did nothing. A follower told its place as a mapping of one entry, merged by a chain of mappings. Two except blocks were the same, and the digits of seconds in log lines stood in four modules. Ruled out: `Facts.unknown` as derived from `runs` (the product's own front keeps no count, only that one may have run). Tests follow the names; no check is loosened.

--- a/packages/verbenahall/src/verbenahall/gateway/_attempts.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_attempts.py
@@ -1,6 +1,6 @@
 """The attempts at one call: what they brought, and what may follow."""
 
-from typing import Any, Final, final
+from typing import Any, final
 
 from aiohttp import web
 from returns.result import Failure, Result
@@ -20,8 +20,6 @@
     name_outcome,
 )
 
-_DIGITS: Final = 3
-
 
 @final
 class Attempts:
@@ -114,7 +112,7 @@
             attempts=self.begun,
             runs=self.runs,
             begun=answered,
-            took_s=round(self._core.now() - call.received, _DIGITS),
+            took_s=journal.round_seconds(self._core.now() - call.received),
         )
         return answer_with(problem, call.ask.identity)
 
--- a/packages/verbenahall/src/verbenahall/gateway/_contact.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_contact.py
@@ -4,7 +4,7 @@
 
 from verbenahall import journal
 from verbenahall.gateway._core import Core
-from verbenahall.roster import note_contact
+from verbenahall.roster import note_cut_off
 
 #: How long after an answer the store counts as in touch, in seconds: the rest
 #: after changes, a poll, and what its answer may take.
@@ -33,7 +33,6 @@
         now = self._core.now()
         self.answered_at = now
         self._core.confirmed[self._topic] = now
-        note_contact(self._core.roster, now, reached=True)
         if self._away:
             self._away = False
             journal.write_decision('store_regained', topic=self._topic)
@@ -41,7 +40,7 @@
     def note_silence(self, reason: str) -> None:
         """Note that it did not, and tell the first time of several."""
         self.answered_at = -float('inf')
-        note_contact(self._core.roster, self._core.now(), reached=False)
+        note_cut_off(self._core.roster, self._core.now())
         if not self._away:
             self._away = True
             journal.write_decision(
--- a/packages/verbenahall/src/verbenahall/gateway/_followers.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_followers.py
@@ -18,7 +18,7 @@
 from verbenahall.gateway._core import Core
 from verbenahall.peers import News, find_furthest, is_relieved
 from verbenahall.platform import Deleted, KeyedRecord, decode_keyed
-from verbenahall.roster import note_contact, was_cut_off
+from verbenahall.roster import note_cut_off, was_cut_off
 
 #: How long one poll waits for a change, in seconds. A poll that reaches a
 #: silent store is never answered, and the platform expects a change in force
@@ -107,20 +107,18 @@
             await asyncio.sleep(pause * jitter)
             pause = min(pause * 2, _LONGEST_PAUSE_S)
 
-    def followed(self) -> Mapping[str, int]:
-        """Return how far the store is followed; nothing when it is not."""
+    def is_watching(self) -> bool:
+        """Tell whether the topic is followed at the store itself."""
         now = self._core.now()
         if self.position is None or self._is_relieved(now):
-            return {}
-        if not self._contact.is_fresh(now):
-            return {}
-        return {self.subject.topic: self.position}
+            return False
+        return self._contact.is_fresh(now)
 
     def hear(self, news: News) -> None:
         """Take a peer's news, or note that there is more than is known."""
         self._furthest = max(self._furthest, news.end)
         if news.cut:
-            note_contact(self._core.roster, self._core.now(), reached=False)
+            note_cut_off(self._core.roster, self._core.now())
         if self.position is not None and news.start <= self.position:
             self._advance(news.records, news.start)
         if self.position is not None and news.end > self.position:
--- a/packages/verbenahall/src/verbenahall/gateway/_generation.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_generation.py
@@ -140,6 +140,6 @@
             request=call.ask.identity,
             engine=plan.generator.name,
             events=pace.events,
-            first_s=round((pace.first_at or now) - sent_at, 3),
-            took_s=round(now - sent_at, 3),
+            first_s=journal.round_seconds((pace.first_at or now) - sent_at),
+            took_s=journal.round_seconds(now - sent_at),
         )
--- a/packages/verbenahall/src/verbenahall/gateway/_ingress.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_ingress.py
@@ -18,8 +18,8 @@
 from verbenahall.errors import ErrorKind, Problem, Ran
 from verbenahall.gateway._answers import answer_with
 from verbenahall.gateway._core import Core
-from verbenahall.gateway._messages import Call
 from verbenahall.gateway._limits import read_within
+from verbenahall.gateway._messages import Call
 from verbenahall.gateway._plain import PlainFlow
 from verbenahall.gateway._sender import Sender
 from verbenahall.gateway._streams import StreamFlow
@@ -31,8 +31,6 @@
 #: When callers of a stopping instance may come back, in seconds: at once,
 #: since the balancer sends them to another one.
 _ELSEWHERE_S: Final = 0.05
-#: Digits behind the point of seconds in log lines.
-_DIGITS: Final = 3
 
 
 @final
@@ -66,14 +64,10 @@
     ) -> web.StreamResponse:
         self._tell_accepted(call)
         self._core.budget_of(call.service.name).earn()
-        outcome = 'caller_gone'
         try:
             response = await self._start_flow(request, call)
-        except ConnectionError:
-            self._tell_answered(call, outcome)
-            raise
-        except asyncio.CancelledError:
-            self._tell_answered(call, outcome)
+        except (ConnectionError, asyncio.CancelledError):
+            self._tell_answered(call, 'caller_gone')
             raise
         self._tell_answered(call, str(response.status))
         return response
@@ -101,8 +95,8 @@
             route=call.route.name,
             service=call.service.name,
             version=call.version,
-            belief_s=round(belief_s, _DIGITS),
-            left_s=round(call.left_s(call.received), _DIGITS),
+            belief_s=journal.round_seconds(belief_s),
+            left_s=journal.round_seconds(call.left_s(call.received)),
             prompt=call.ask.work.prompt_tokens,
             output=call.ask.work.output_tokens,
         )
@@ -112,7 +106,7 @@
             'answered',
             request=call.ask.identity,
             outcome=outcome,
-            took_s=round(self._core.now() - call.received, _DIGITS),
+            took_s=journal.round_seconds(self._core.now() - call.received),
         )
         metrics.REQUESTS.add(str(call.route.priority), outcome)
 
--- a/packages/verbenahall/src/verbenahall/gateway/_plain.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_plain.py
@@ -128,12 +128,9 @@
         return self._attempts.give_up(problem)
 
     def _describe_none_left(self) -> Problem:
-        message = 'no endpoint of the service is left to try'
-        if self._attempts.runs:
-            return Problem(ErrorKind.OUTCOME_UNKNOWN, message)
         return Problem(
             ErrorKind.NO_ENDPOINT,
-            message,
+            'no endpoint of the service is left to try',
             Ran.NO,
             retry_after_s=self._call.route.objective_s,
         )
--- a/packages/verbenahall/src/verbenahall/gateway/_serve.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_serve.py
@@ -3,7 +3,6 @@
 import asyncio
 import functools
 import signal
-from collections import ChainMap
 from collections.abc import Mapping, Sequence
 from http import HTTPStatus
 from typing import Final, final
@@ -137,7 +136,11 @@
 
 
 def _list_followed(followers: Sequence[Follower]) -> Mapping[str, int]:
-    return dict(ChainMap(*(dict(one.followed()) for one in followers)))
+    return {
+        one.subject.topic: one.position
+        for one in followers
+        if one.is_watching()
+    }
 
 
 def _give_news(followers: Sequence[Follower], news: News) -> None:
--- a/packages/verbenahall/src/verbenahall/gateway/_streams.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_streams.py
@@ -245,7 +245,7 @@
             reader=plan.reader.name if plan.reader else None,
             generator=plan.generator.name,
             missing=plan.missing,
-            wait_s=round(plan.wait_s, 3),
+            wait_s=journal.round_seconds(plan.wait_s),
             reason=plan.reason,
             attempt=self._attempts.begun + 1,
         )
--- a/packages/verbenahall/src/verbenahall/journal.py
+++ b/packages/verbenahall/src/verbenahall/journal.py
@@ -72,6 +72,11 @@
     logger.handle(record)
 
 
+def round_seconds(seconds: float) -> float:
+    """Return seconds as lines tell them, in thousandths."""
+    return round(seconds, _TIME_DIGITS)
+
+
 def find_decisions(field: str, wanted: str) -> list[dict[str, Any]]:
     """Return kept decisions whose ``field`` equals ``wanted``, oldest first."""
     return [line for line in recent if line.get(field) == wanted]
--- a/packages/verbenahall/src/verbenahall/roster/__init__.py
+++ b/packages/verbenahall/src/verbenahall/roster/__init__.py
@@ -2,7 +2,7 @@
 
 from verbenahall.roster._decisions import (
     drop,
-    note_contact,
+    note_cut_off,
     put,
     replace,
     was_cut_off,
@@ -17,7 +17,7 @@
     'RosterRules',
     'Seat',
     'drop',
-    'note_contact',
+    'note_cut_off',
     'put',
     'replace',
     'was_cut_off',
--- a/packages/verbenahall/src/verbenahall/roster/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/roster/_decisions.py
@@ -73,10 +73,9 @@
     roster.known = True
 
 
-def note_contact(roster: Roster, now: float, *, reached: bool) -> None:
-    """Note that the store answered, or that it did not."""
-    if not reached:
-        roster.cut_off_at = now
+def note_cut_off(roster: Roster, now: float) -> None:
+    """Note that the store did not answer."""
+    roster.cut_off_at = now
 
 
 def was_cut_off(roster: Roster, now: float) -> bool:
--- a/packages/verbenahall/tests/roster/test_roster.py
+++ b/packages/verbenahall/tests/roster/test_roster.py
@@ -4,7 +4,7 @@
     Entry,
     Roster,
     drop,
-    note_contact,
+    note_cut_off,
     put,
     replace,
 )
@@ -84,7 +84,7 @@
     # return all are removed and come back within two seconds; believed, the
     # removals would leave a service without endpoints and refuse everybody.
     roster = make_roster()
-    note_contact(roster, 10, reached=False)
+    note_cut_off(roster, 10)
     for number in range(9):
         assert not drop(roster, f'e{number}', now=10.5)
     assert len(live_names(roster, 11)) == 9
@@ -94,7 +94,7 @@
     # One of the lapsed endpoints has crashed meanwhile. Work sent to it
     # would wait for a connection that nobody takes.
     roster = make_roster()
-    note_contact(roster, 10, reached=False)
+    note_cut_off(roster, 10)
     drop(roster, 'e1', now=10.5)
     drop(roster, 'e2', now=10.5)
     put(roster, make_entry('e2', change=1))
@@ -107,7 +107,7 @@
     # is no lapse and it must get nothing more.
     roster = make_roster()
     put(roster, make_entry('e1', leaving=True, change=2))
-    note_contact(roster, 10, reached=False)
+    note_cut_off(roster, 10)
     assert drop(roster, 'e1', now=10.5)
 
 
@@ -131,7 +131,7 @@
 def test_lapsed_endpoint_that_stays_away_is_forgotten():
     # Endpoints that never come back would be looked at in every choice.
     roster = make_roster()
-    note_contact(roster, 10, reached=False)
+    note_cut_off(roster, 10)
     drop(roster, 'e1', now=10.5)
     drop(roster, 'e2', now=13)
     assert 'e1' not in roster.seats
