Prompts wait for their turn in the instance, those on time first

Cause: an engine reads side by side all prompts that it has admitted. Change: a queue for each model service, ordered by priority, by what can still be on time, and by who comes back; one read open at an engine for each instance, more while its backlog is short. Late ones wait for what is left. A read that ends well writes a line.

--- a/packages/verbenahall/src/verbenahall/admission/__init__.py
+++ b/packages/verbenahall/src/verbenahall/admission/__init__.py
@@ -13,6 +13,7 @@
     Effects,
     Ticket,
 )
+from verbenahall.admission._rates import RateMeter
 from verbenahall.admission._shell import Gate
 from verbenahall.admission._state import (
     AdmissionLimits,
--- a/packages/verbenahall/src/verbenahall/gateway/_core.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_core.py
@@ -26,6 +26,9 @@
 #: Instances that are thought to share the budget at least: some may not be
 #: known yet.
 _FEWEST_INSTANCES: Final = 10
+#: Share of the longest time of a route's callers by which one must have less
+#: to be taken for one that comes back: less is spent on the way.
+_LEAST_WAITED: Final = 0.05
 
 
 @final
@@ -48,6 +51,8 @@
         self.now = clock.monotonic
         #: When each topic was last known to be followed to its end.
         self.confirmed: dict[str, float] = {}
+        #: The longest time that callers of a route have said to wait.
+        self.patience: dict[str, float] = {}
         self._budgets: dict[str, WindowBudget] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -98,6 +103,17 @@
         budget.slack = slack
         return budget
 
+    def find_waited(self, route: str, wait_s: float) -> float:
+        """Return for how long a caller has waited in earlier attempts.
+
+        Callers of a route wait for the same time, and one that comes back has
+        less of it left.
+        """
+        longest = max(self.patience.get(route, 0), wait_s)
+        self.patience[route] = longest
+        waited_s = longest - wait_s
+        return waited_s if waited_s > longest * _LEAST_WAITED else 0
+
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
         """Run work that no caller waits for."""
         task = asyncio.create_task(work)
--- a/packages/verbenahall/src/verbenahall/gateway/_ingress.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_ingress.py
@@ -23,6 +23,7 @@
 from verbenahall.gateway._plain import PlainFlow
 from verbenahall.gateway._sender import Sender
 from verbenahall.gateway._streams import StreamFlow
+from verbenahall.gateway._turns import ReadTurns
 from verbenahall.platform import Ask, read_ask
 from verbenahall.shutdown import GracefulStop
 
@@ -37,13 +38,14 @@
 class Ingress:
     """Answers every request of a caller exactly once."""
 
-    __slots__ = ('_core', '_sender', '_stop')
+    __slots__ = ('_core', '_sender', '_stop', '_turns')
 
     def __init__(self, core: Core, stop: GracefulStop) -> None:
         """Route by what the core knows, until the stop."""
         self._core = core
         self._stop = stop
         self._sender = Sender(core)
+        self._turns = ReadTurns(core)
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Answer one request."""
@@ -78,12 +80,8 @@
         call: Call,
     ) -> web.StreamResponse:
         if call.route.kind is Kind.STREAM and call.service.engine:
-            return await StreamFlow(
-                self._core,
-                self._sender,
-                call,
-                request,
-            ).run()
+            flow = StreamFlow(self._core, self._sender, call, request)
+            return await flow.run(self._turns)
         return await PlainFlow(self._core, self._sender, call).run()
 
     def _tell_accepted(self, call: Call) -> None:
@@ -97,6 +95,7 @@
             version=call.version,
             belief_s=journal.round_seconds(belief_s),
             left_s=journal.round_seconds(call.left_s(call.received)),
+            waited_s=journal.round_seconds(call.waited_s),
             prompt=call.ask.work.prompt_tokens,
             output=call.ask.work.output_tokens,
         )
@@ -163,7 +162,9 @@
             message = 'the service of the route is not in the manifest'
             return Failure(Problem(ErrorKind.NO_ENDPOINT, message, Ran.NO))
         wait_s = route.timeout_s
+        waited_s: float = 0
         if ask.wait_s is not None:
+            waited_s = self._core.find_waited(route.name, ask.wait_s)
             wait_s = min(wait_s, ask.wait_s)
         return Success(
             Call(
@@ -177,6 +178,7 @@
                 body=read.unwrap(),
                 received=received,
                 deadline=received + wait_s,
+                waited_s=waited_s,
             ),
         )
 
--- a/packages/verbenahall/src/verbenahall/gateway/_messages.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_messages.py
@@ -14,7 +14,8 @@
 
     ``received`` is when its head was read and ``deadline`` when its final
     answer is due, in monotonic seconds. ``path`` is the target as it came,
-    and ``version`` the manifest's by which it was routed.
+    and ``version`` the manifest's by which it was routed. ``waited_s`` is for
+    how long the caller has waited in attempts before this one.
     """
 
     ask: Ask
@@ -27,6 +28,17 @@
     body: bytes
     received: float
     deadline: float
+    waited_s: float = 0
+
+    @property
+    def due(self) -> float:
+        """When a first event is late, in monotonic seconds."""
+        return self.received - self.waited_s + self.route.objective_s
+
+    @property
+    def leaves(self) -> float:
+        """When the caller leaves without a first event."""
+        return min(self.deadline, self.received + self.route.patience_s)
 
     def left_s(self, now: float) -> float:
         """Return how many seconds are left for an answer."""
--- a/packages/verbenahall/src/verbenahall/gateway/_reads.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_reads.py
@@ -7,7 +7,7 @@
 from returns.maybe import Some
 from returns.result import Failure, Result, Success
 
-from verbenahall import metrics
+from verbenahall import journal, metrics
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._messages import Answered, Call
 from verbenahall.gateway._sender import Sender
@@ -104,6 +104,15 @@
         kept = call.ask.work.prompt_tokens - plan.missing
         if not waited:
             self._core.placement.learn_read(plan.missing, kept, seconds)
+        journal.write_decision(
+            'read',
+            request=call.ask.identity,
+            engine=reader.name,
+            missing=plan.missing,
+            kept=kept,
+            ahead=waited,
+            took_s=journal.round_seconds(seconds),
+        )
         metrics.READ_SECONDS.observe(seconds)
         metrics.READ_TOKENS.add('missing', count=plan.missing)
         metrics.READ_TOKENS.add('kept', count=kept)
--- a/packages/verbenahall/src/verbenahall/gateway/_streams.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_streams.py
@@ -6,7 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from verbenahall import journal, metrics
-from verbenahall.errors import ErrorKind, Problem, Ran
+from verbenahall.errors import ErrorKind, Problem
 from verbenahall.gateway._answers import pass_on
 from verbenahall.gateway._attempts import Attempts
 from verbenahall.gateway._core import Core
@@ -16,7 +16,8 @@
 from verbenahall.gateway._reads import Handle, PromptReads
 from verbenahall.gateway._relay import EventRelay
 from verbenahall.gateway._sender import Sender
-from verbenahall.placement import Plan, Wish, place
+from verbenahall.gateway._turns import ReadTurns
+from verbenahall.placement import Flight, Plan, Wish, place
 from verbenahall.requests import (
     NeverWritten,
     Outcome,
@@ -25,8 +26,6 @@
     Unprepared,
 )
 
-#: Callers are never told to come back sooner than this, in seconds.
-_LEAST_RETRY_S: Final = 0.2
 #: After so many refusals the handle may be what is refused.
 _DOUBTED: Final = 2
 
@@ -43,6 +42,7 @@
         '_generation',
         '_attempts',
         '_handle',
+        '_turn',
         '_refusals',
     )
 
@@ -61,30 +61,52 @@
         self._generation = Generation(core, sender, call, self._relay)
         self._attempts = Attempts(core, call)
         self._handle: Handle | None = None
+        self._turn: Flight | None = None
         self._refusals = 0
 
-    async def run(self) -> web.StreamResponse:
+    async def run(self, turns: ReadTurns) -> web.StreamResponse:
         """Send until the stream has ended or is given up."""
         try:
-            return await self._run()
+            return await self._run(turns)
         finally:
             self._drop_handle()
             metrics.ATTEMPTS.add(str(self._attempts.begun))
 
-    async def _run(self) -> web.StreamResponse:
+    async def _run(self, turns: ReadTurns) -> web.StreamResponse:
         final_answer: web.StreamResponse | None = None
         while final_answer is None:
-            match self._place():
-                case Success(plan) if self._is_hopeless(plan):
-                    return self._give_up(self._describe_hopeless(plan))
+            match await self._await_turn(turns):
                 case Success(plan):
                     self._tell_plan(plan)
-                    result = await self._follow(plan)
+                    result = await self._follow(plan, turns)
                     final_answer = await self._judge(plan, result)
                 case Failure(problem):
                     return self._give_up(problem)
         return final_answer
 
+    async def _await_turn(self, turns: ReadTurns) -> Result[Plan, Problem]:
+        """Wait for the prompt's turn to be read, unless it was read.
+
+        A request that may have run, or that has a part of its answer, goes on
+        at once: it is not to be told that it has not run, and its caller
+        already waits for the next event.
+        """
+        if self._handle or self._attempts.runs or self._relay.begun:
+            return self._place()
+        route = self._call.route
+        wish = Wish(
+            self._call.ask.work,
+            route.gap_s,
+            objective_s=route.objective_s,
+        )
+        tried = frozenset(self._attempts.tried)
+        match await turns.take(self._call, wish, tried):
+            case Success(admitted):
+                self._turn = admitted.flight
+                return Success(admitted.plan)
+            case refused:
+                return refused
+
     async def _judge(
         self,
         plan: Plan,
@@ -119,11 +141,14 @@
             now,
         )
 
-    async def _follow(self, plan: Plan) -> Generated:
+    async def _follow(self, plan: Plan, turns: ReadTurns) -> Generated:
         """Carry a plan out; a handle that nobody took is kept."""
         self._attempts.begun += 1
+        self._close_turn()
         if plan.reader is not None and self._handle is None:
-            match await self._reads.read(self._call, plan, plan.reader):
+            read = await self._reads.read(self._call, plan, plan.reader)
+            turns.look(self._call.service)
+            match read:
                 case Failure(outcome):
                     self._attempts.tried.add(plan.reader.name)
                     return Failure(_name_unread(outcome))
@@ -144,26 +169,11 @@
             self._drop_handle()
         return result
 
-    def _is_hopeless(self, plan: Plan) -> bool:
-        """Whether the caller will have left before the first event.
-
-        Its prompt would be read for nobody, and those behind it wait longer.
-        A request that may have run is never told that it has not.
-        """
-        if self._attempts.runs or self._relay.begun:
-            return False
-        call = self._call
-        waited_s = self._core.now() - call.received
-        return waited_s + plan.wait_s > call.route.patience_s
-
-    def _describe_hopeless(self, plan: Plan) -> Problem:
-        excess_s = plan.wait_s - self._call.route.objective_s
-        return Problem(
-            ErrorKind.OVERLOADED,
-            f'the first event would take {plan.wait_s:.1f} s',
-            Ran.NO,
-            retry_after_s=max(_LEAST_RETRY_S, excess_s),
-        )
+    def _close_turn(self) -> None:
+        """Take the turn's work out of the ledger: the send counts from now."""
+        if self._turn is not None:
+            self._core.placement.ledger.close(self._turn)
+            self._turn = None
 
     def _may_keep(self, outcome: Outcome) -> bool:
         """Whether the KV cache still lies where it was.
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/gateway/_turns.py
@@ -0,0 +1,161 @@
+"""Waits for a request's turn to be read; one queue for each model service."""
+
+import asyncio
+from typing import Final, final
+
+from returns.result import Failure, Result, Success
+
+from verbenahall import journal, metrics
+from verbenahall.catalog import Service
+from verbenahall.errors import Problem
+from verbenahall.gateway._core import Core
+from verbenahall.gateway._messages import Call
+from verbenahall.placement import (
+    Admitted,
+    Fleet,
+    Turn,
+    TurnEffects,
+    TurnQueue,
+    Wish,
+    join,
+    take_turns,
+)
+
+#: How often waiting requests are looked at beside the ends of own reads, in
+#: seconds: peers' reads end, and what waited too long is told so.
+_LOOK_S: Final = 0.02
+
+Verdict = Result[Admitted, Problem]
+
+
+@final
+class ReadTurns:
+    """Gives requests their turn to have their prompt read."""
+
+    __slots__ = ('_core', '_queues', '_waits', '_looking')
+
+    def __init__(self, core: Core) -> None:
+        """Start without queues."""
+        self._core = core
+        self._queues: dict[str, TurnQueue] = {}
+        self._waits: dict[Turn, asyncio.Future[Verdict]] = {}
+        self._looking: set[str] = set()
+
+    async def take(
+        self,
+        call: Call,
+        wish: Wish,
+        tried: frozenset[str],
+    ) -> Verdict:
+        """Wait for the turn; whoever gets it must close its flight."""
+        now = self._core.now()
+        turn = Turn(
+            call.ask.identity,
+            wish,
+            call.route.priority,
+            since=now,
+            due_at=call.due,
+            leaves_at=call.leaves,
+            returning=call.waited_s > 0,
+            tried=tried,
+        )
+        wait = asyncio.get_running_loop().create_future()
+        self._waits[turn] = wait
+        queue = self._queues.setdefault(call.service.name, TurnQueue())
+        self._apply(
+            join(
+                queue,
+                turn,
+                self._describe_fleet(call.service, now),
+                now,
+                self._core.random,
+            ),
+        )
+        self.look(call.service)
+        try:
+            return await self._wait(call, queue, turn, wait)
+        finally:
+            queue.remove(turn)
+            self._waits.pop(turn)
+
+    def look(self, service: Service) -> None:
+        """Give turns to those that engines have room for."""
+        queue = self._queues.get(service.name)
+        if queue is None or not queue.waiting:
+            return
+        now = self._core.now()
+        self._apply(
+            take_turns(
+                queue,
+                self._describe_fleet(service, now),
+                now,
+                self._core.random,
+            ),
+        )
+        if queue.waiting and service.name not in self._looking:
+            self._looking.add(service.name)
+            loop = asyncio.get_running_loop()
+            loop.call_later(_LOOK_S, self._look_again, service)
+
+    def _look_again(self, service: Service) -> None:
+        self._looking.discard(service.name)
+        self.look(service)
+
+    async def _wait(
+        self,
+        call: Call,
+        queue: TurnQueue,
+        turn: Turn,
+        wait: asyncio.Future[Verdict],
+    ) -> Verdict:
+        if not wait.done():
+            self._tell_waiting(call, queue, turn)
+        try:
+            verdict = await wait
+        except asyncio.CancelledError:
+            # The caller went away. A turn that it got in the same moment
+            # would count as a read that never ends.
+            if wait.done() and not wait.cancelled():
+                self._give_back(wait.result())
+            raise
+        metrics.QUEUE_SECONDS.observe(self._core.now() - call.received)
+        return verdict
+
+    def _give_back(self, verdict: Verdict) -> None:
+        if isinstance(verdict, Success):
+            self._core.placement.ledger.close(verdict.unwrap().flight)
+
+    def _describe_fleet(self, service: Service, now: float) -> Fleet:
+        core = self._core
+        live = list(core.roster.live(service.name, now))
+        usable = [
+            one for one in live if not core.standings.paused(one.name, now)
+        ]
+        return Fleet(core.placement, usable or live, service.engine)
+
+    def _apply(self, effects: TurnEffects) -> None:
+        for admitted in effects.admitted:
+            self._settle(admitted.turn, Success(admitted))
+        for turn, problem in effects.refused:
+            metrics.SHED.add(str(turn.priority))
+            self._settle(turn, Failure(problem))
+
+    def _settle(self, turn: Turn, verdict: Verdict) -> None:
+        wait = self._waits.get(turn)
+        if wait is not None and not wait.done():
+            wait.set_result(verdict)
+        else:
+            # The caller has left between two looks.
+            self._give_back(verdict)
+
+    def _tell_waiting(self, call: Call, queue: TurnQueue, turn: Turn) -> None:
+        now = self._core.now()
+        journal.write_decision(
+            'queued',
+            request=call.ask.identity,
+            waiting=len(queue.waiting),
+            late=turn.is_late(now),
+            returning=turn.returning,
+            lead_s=journal.round_seconds(turn.lead_s),
+            due_s=journal.round_seconds(turn.due_at - now),
+        )
--- a/packages/verbenahall/src/verbenahall/placement/__init__.py
+++ b/packages/verbenahall/src/verbenahall/placement/__init__.py
@@ -5,8 +5,19 @@
 from verbenahall.placement._messages import Part, Plan, Work
 from verbenahall.placement._roles import RoleChange, plan_roles
 from verbenahall.placement._state import PlacementState
+from verbenahall.placement._turns import (
+    Admitted,
+    Fleet,
+    Turn,
+    TurnEffects,
+    TurnQueue,
+    join,
+    take_turns,
+)
 
 __all__ = (
+    'Admitted',
+    'Fleet',
     'Flight',
     'Ledger',
     'Part',
@@ -14,8 +25,13 @@
     'Plan',
     'RoleChange',
     'Totals',
+    'Turn',
+    'TurnEffects',
+    'TurnQueue',
     'Wish',
     'Work',
+    'join',
     'place',
     'plan_roles',
+    'take_turns',
 )
--- a/packages/verbenahall/src/verbenahall/placement/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/placement/_decisions.py
@@ -48,13 +48,15 @@
 class Wish:
     """A request to place: its work and what its caller bears.
 
-    ``gap_s`` is the longest pause between two events that is on time.
-    ``read_by`` is the engine that has read the prompt already, if there is.
+    ``gap_s`` is the longest pause between two events that is on time and
+    ``objective_s`` the longest wait for the first one. ``read_by`` is the
+    engine that has read the prompt already, if there is one.
     """
 
     work: Work
     gap_s: float
     read_by: Entry | None = None
+    objective_s: float = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,6 +92,12 @@
     return Success(best.plan)
 
 
+def find_home(work: Work, readers: Sequence[Entry]) -> str:
+    """Return the engine that is thought to keep a prompt's shared parts."""
+    names = [one.name for one in readers]
+    return rank_by_rendezvous(work.home_key, names)[0]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Joining:
     """An engine that could go on with a prompt that was read elsewhere."""
@@ -133,7 +141,14 @@
             wait_s = self._backlog_s(engine) * _MIXED_SLOWNESS
             first_s = self._start_s + wait_s + read_s
             price = first_s + read_s * _WORK_PRICE + self._crowding(engine)
-            plan = Plan(None, engine, missing, first_s, f'mixed {rank}')
+            plan = Plan(
+                None,
+                engine,
+                missing,
+                first_s,
+                f'mixed {rank}',
+                wait_s,
+            )
             yield _Option(plan, price)
 
     def offer_split(
@@ -146,8 +161,8 @@
             missing = self._count_missing(reader, rank)
             read_s = self._read_s(missing)
             joined = self._choose_generator(reader, generators)
-            wait_s = self._start_s + self._backlog_s(reader)
-            first_s = wait_s + read_s + joined.first_s
+            wait_s = self._backlog_s(reader)
+            first_s = self._start_s + wait_s + read_s + joined.first_s
             price = first_s + read_s * _WORK_PRICE + joined.crowding
             plan = Plan(
                 reader,
@@ -155,6 +170,7 @@
                 missing,
                 first_s,
                 f'home {rank}',
+                wait_s,
             )
             yield _Option(plan, price)
 
--- a/packages/verbenahall/src/verbenahall/placement/_ledger.py
+++ b/packages/verbenahall/src/verbenahall/placement/_ledger.py
@@ -117,6 +117,10 @@
         """Return this instance's open work, to tell the peers."""
         return self._own
 
+    def own_of(self, engine: str) -> Totals:
+        """Return this instance's open work at an engine."""
+        return self._own.get(engine, NOTHING)
+
     @property
     def speakers(self) -> int:
         """How many peers' words are counted on."""
--- a/packages/verbenahall/src/verbenahall/placement/_messages.py
+++ b/packages/verbenahall/src/verbenahall/placement/_messages.py
@@ -48,7 +48,8 @@
 
     ``reader`` is None when the generating engine reads the prompt itself.
     ``missing`` is how many tokens are thought to be read anew, ``wait_s``
-    the expected time to the first event.
+    the expected time to the first event, of which ``ahead_s`` is for reads
+    that the engine has admitted before.
     """
 
     reader: Entry | None
@@ -56,3 +57,4 @@
     missing: int
     wait_s: float
     reason: str
+    ahead_s: float = 0
