verbenactl losses tells where requests were lost, from logs

Cause: which requests are lost, when and why could only be read from the platform's own tables; an operator has logs and metrics. Change: tables by route, by window and by cause, with what was read in each window beside them; accepted lines bear the objective, generated lines the time from the request to its first event.

--- a/packages/verbenactl/src/verbenactl/_inspect.py
+++ b/packages/verbenactl/src/verbenactl/_inspect.py
@@ -1,4 +1,4 @@
-"""The commands that read instances: status, history and explain."""
+"""The commands that read instances and logs: status, explain, losses."""
 
 import itertools
 import sys
@@ -15,6 +15,7 @@
 from verbenactl import _base, _exits
 from verbenactl._explaining import LogLine, explain, parse_lines
 from verbenactl._instances import Answers
+from verbenactl._losses import find_losses, format_table
 from verbenahall import wire
 
 
@@ -151,6 +152,41 @@
             self.line(wire.encode(decision).decode())
 
 
+class LossesCommand(_base.AsyncCommand):
+    """Shows where requests were lost, from instances' logs."""
+
+    name = 'losses'
+    description = 'Show what became of requests, by route, window and cause.'
+    arguments: ClassVar[list[Argument]] = [
+        argument(
+            'log',
+            'Log files of instances; none for standard input.',
+            optional=True,
+            multiple=True,
+        ),
+    ]
+    options: ClassVar[list[Option]] = [
+        option('window', None, 'Seconds of a window.', flag=False, default='2'),
+    ]
+
+    async def run_async(self) -> int:
+        """Read the logs and write the tables."""
+        try:
+            window_s = float(self.option('window'))
+        except ValueError:
+            window_s = 0
+        if window_s <= 0:
+            raise CleoUserError('--window takes seconds above 0')
+        lines = itertools.chain.from_iterable(
+            _read_log(path) for path in self.argument('log') or ['-']
+        )
+        for table in find_losses(lines, window_s):
+            for row in format_table(table):
+                self.io.write_line(row.replace('<', r'\<'))
+            self.io.write_line('')
+        return _exits.DONE
+
+
 def _read_log(path: str) -> Iterator[LogLine]:
     if path == '-':
         yield from parse_lines('stdin', sys.stdin)
--- a/packages/verbenactl/src/verbenactl/console.py
+++ b/packages/verbenactl/src/verbenactl/console.py
@@ -10,6 +10,7 @@
 from verbenactl._inspect import (
     ExplainCommand,
     HistoryCommand,
+    LossesCommand,
     StatusCommand,
 )
 from verbenactl._publish import (
@@ -36,6 +37,7 @@
         StatusCommand(),
         HistoryCommand(),
         ExplainCommand(),
+        LossesCommand(),
     )
     for command in commands:
         application.add(command)
--- /dev/null
+++ b/packages/verbenactl/tests/test_losses.py
@@ -0,0 +1,124 @@
+"""What became of requests, told from the lines of several instances."""
+
+import json
+import subprocess
+import sys
+
+from verbenactl._explaining import parse_lines
+from verbenactl._losses import find_losses, format_table
+
+
+COMMAND = 'from verbenactl.console import main; main()'
+
+
+def tell(request, at, *rows, route='check', waited_s=0):
+    accepted = {
+        'event': 'accepted',
+        'route': route,
+        'objective_s': 0.15,
+        'waited_s': waited_s,
+    }
+    return [
+        json.dumps({'at': at, 'request': request, **row})
+        for row in (accepted, *rows)
+    ]
+
+
+def generated(since_s):
+    return {'event': 'generated', 'since_s': since_s}
+
+
+def answered(outcome, took_s=0.5):
+    return {'event': 'answered', 'outcome': outcome, 'took_s': took_s}
+
+
+def given_up(kind, reason):
+    return {'event': 'given_up', 'kind': kind, 'reason': reason}
+
+
+LINES = (
+    *tell('r-1', 10.0, generated(0.1), answered('200')),
+    *tell('r-2', 10.5, generated(0.4), answered('200')),
+    *tell('r-3', 11.0, generated(0.1), answered('200'), waited_s=0.6),
+    *tell('r-4', 12.5, given_up('overloaded', '7 wait'), answered('429')),
+    *tell('r-5', 12.6, given_up('overloaded', '9 wait'), answered('429')),
+    *tell('r-6', 12.7, answered('caller_gone'), route='other'),
+    *tell('r-7', 12.8, route='other'),
+    json.dumps({'event': 'read', 'at': 12.9, 'missing': 2900}),
+    'no line of ours',
+)
+
+
+def find(window_s=2.0):
+    tables = find_losses(parse_lines('a.log', LINES), window_s)
+    return {
+        table.name: [
+            dict(zip(table.columns, row, strict=True)) for row in table.rows
+        ]
+        for table in tables
+    }
+
+
+def test_a_stream_is_on_time_by_its_first_event():
+    # A long stream ends late and was on time all the same.
+    row = find()['route'][0]
+    assert (row['asked'], row['on_time'], row['late']) == ('5', '1', '2')
+
+
+def test_time_of_earlier_attempts_counts():
+    # A caller that was refused once and is then served at once has waited
+    # for longer than its objective.
+    lines = tell('r', 1.0, generated(0.1), answered('200'), waited_s=0.6)
+    tables = find_losses(parse_lines('a', lines), 2)
+    assert tables[0].rows[0][3] == '1'
+
+
+def test_windows_tell_what_was_read_in_them():
+    first, second = find()['window']
+    assert (first['from_s'], first['asked'], first['reads']) == ('0', '3', '0')
+    assert (second['asked'], second['read_k']) == ('4', '2')
+
+
+def test_causes_join_what_differs_in_figures_only():
+    causes = find()['cause']
+    assert causes[0] == {
+        'cause': 'overloaded: wait',
+        'route': 'check',
+        'count': '2',
+    }
+
+
+def test_requests_without_an_end_are_told():
+    other = find()['route'][1]
+    assert (other['left'], other['unknown']) == ('1', '1')
+
+
+def test_no_lines_make_empty_tables():
+    tables = find_losses([], 2)
+    assert all(not table.rows for table in tables)
+    assert list(format_table(tables[0]))[0].startswith('route')
+
+
+def run_command(*words, given=''):
+    return subprocess.run(
+        [sys.executable, '-c', COMMAND, 'losses', *words],
+        input=given,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+
+
+def test_command_reads_files_and_standard_input(tmp_path):
+    log = tmp_path / 'a.log'
+    log.write_text('\n'.join(LINES))
+    from_file = run_command(str(log))
+    assert from_file.returncode == 0
+    assert 'overloaded: wait' in from_file.stdout
+    assert run_command(given='\n'.join(LINES)).stdout == from_file.stdout
+
+
+def test_window_without_length_is_a_fault():
+    result = run_command('--window', '0')
+    assert result.returncode != 0
+    assert '--window takes seconds above 0' in result.stderr
--- a/packages/verbenahall/src/verbenahall/gateway/_generation.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_generation.py
@@ -176,5 +176,8 @@
             first_s=journal.round_seconds(
                 (pace.first_at or now) - self._sent_at
             ),
+            since_s=journal.round_seconds(
+                (pace.first_at or now) - call.received,
+            ),
             took_s=journal.round_seconds(now - self._sent_at),
         )
--- a/packages/verbenahall/src/verbenahall/gateway/_ingress.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_ingress.py
@@ -96,6 +96,7 @@
             belief_s=journal.round_seconds(belief_s),
             left_s=journal.round_seconds(call.left_s(call.received)),
             waited_s=journal.round_seconds(call.waited_s),
+            objective_s=call.route.objective_s,
             prompt=call.ask.work.prompt_tokens,
             output=call.ask.work.output_tokens,
         )
