--- a/packages/verbenahall/tests/placement/test_placement.py
+++ b/packages/verbenahall/tests/placement/test_placement.py
@@ -326,3 +326,75 @@
     before = learned.export()
     learned.adopt(fresh.export())
     assert learned.export() == before
+
+
+def make_small(tokens=200):
+    parts = (Part('greeting', tokens // 2), Part('own', tokens // 2))
+    return Work(parts, tokens, 90)
+
+
+def test_short_prompt_is_read_where_it_is_generated():
+    # A prompt of some two hundred tokens takes a generator a moment to read.
+    # Sent over a reader, its caller waits for two engines in place of one,
+    # and for the long prompts that the reader has open.
+    state = make_state()
+    plan = choose(state, make_small(), make_engines())
+    assert plan.reader is None
+
+
+def test_long_prompt_is_not_read_between_the_tokens_of_streams():
+    # A generator that reads a long prompt holds up each of its streams, whose
+    # callers see a pause.
+    state = make_state()
+    engines = make_engines()
+    for number in range(3):
+        state.ledger.open(f'g{number}', Totals(streams=8, context=8_000))
+    assert choose(state, make_work(), engines).reader is not None
+
+
+def test_generator_helps_when_readers_are_behind():
+    state = make_state()
+    engines = make_engines()
+    for number in range(6):
+        state.ledger.open(f'r{number}', Totals(reading=200_000))
+    assert choose(state, make_work(), engines).reader is None
+
+
+def test_prompt_stays_at_its_home_while_others_wait():
+    # Read again elsewhere, a prompt takes twice the time of an engine. With a
+    # queue behind it, all who wait pay for that.
+    state = make_state()
+    engines = make_engines(generators=1)
+    work = make_work()
+    home = choose(state, work, engines).reader
+    state.ledger.open('g0', Totals(streams=8, context=8_000))
+    state.ledger.open(home.name, Totals(reading=50_000))
+    spilled = place(state, Wish(work, 0.25), engines, TRAITS, 0).unwrap()
+    waited = Wish(work, 0.25, waiting=10)
+    stayed = place(state, waited, engines, TRAITS, 0).unwrap()
+    assert spilled.reader != home
+    assert stayed.reader == home
+
+
+def test_read_of_a_generator_ends_with_its_first_event():
+    # Counted until the stream's end, a read looked to the other instances
+    # like a prompt that they would have to wait for.
+    state = make_state()
+    totals = Totals(reading=3_000, context=9_000, streams=1)
+    flight = state.ledger.open('g0', totals)
+    flight = state.ledger.note_read(flight)
+    assert state.ledger.totals('g0') == Totals(context=9_000, streams=1)
+    state.ledger.close(flight)
+    assert state.ledger.totals('g0') == Totals()
+
+
+def test_peers_that_read_are_counted_as_long_as_they_are_heard():
+    state = make_state()
+    state.ledger.hear('p1', {'r0': Totals(reading=100)}, 0)
+    state.ledger.hear('p2', {'g0': Totals(streams=1)}, 0)
+    assert state.ledger.readers == 1
+    state.ledger.hear('p1', {}, 0.1)
+    assert state.ledger.readers == 0
+    state.ledger.hear('p1', {'r0': Totals(reading=100)}, 0.2)
+    state.ledger.forget_silent(10)
+    assert state.ledger.readers == 0
--- /dev/null
+++ b/packages/verbenahall/tests/placement/test_turns.py
@@ -0,0 +1,217 @@
+"""Whose prompt is read next, and what callers are told that must wait."""
+
+import random
+
+import pytest
+
+from verbenahall.catalog import EngineTraits
+from verbenahall.fleet import Role
+from verbenahall.placement import (
+    Fleet,
+    Part,
+    PlacementState,
+    Totals,
+    Turn,
+    TurnQueue,
+    Wish,
+    Work,
+    join,
+    take_turns,
+)
+from verbenahall.roster import Entry
+
+TRAITS = EngineTraits(
+    slots=48,
+    kv_tokens=1_200_000,
+    kv_token_bytes=18_432,
+    link_bytes_s=275e9,
+    event_tokens=50,
+    role_change_s=3,
+)
+SOURCE = random.Random(7)
+
+
+def make_engine(name, role):
+    return Entry(
+        name=name,
+        service='reader',
+        address='10.0.0.1:80',
+        data_centre='a',
+        leaving=False,
+        slots=48,
+        role=role,
+    )
+
+
+def make_fleet(queue, readers=1, generators=1):
+    engines = [
+        *(make_engine(f'r{n}', Role.PREFILL) for n in range(readers)),
+        *(make_engine(f'g{n}', Role.DECODE) for n in range(generators)),
+    ]
+    return Fleet(PlacementState(), engines, TRAITS, len(queue.waiting))
+
+
+def make_turn(name='t', *, priority=0, since=0, due=0.5, **changes):
+    work = Work((Part('form', 6_000), Part(name, 3_000)), 9_000, 2)
+    return Turn(
+        request=name,
+        wish=Wish(work, 0.2, objective_s=0.5),
+        priority=priority,
+        since=since,
+        due_at=since + due,
+        leaves_at=since + 2,
+        **changes,
+    )
+
+
+def fill(fleet, queue, *turns, now=0):
+    """Let requests wait behind a read that the instance has open."""
+    for engine in fleet.engines:
+        fleet.state.ledger.open(engine.name, Totals(reading=200_000))
+    for turn in turns:
+        join(queue, turn, fleet, now, SOURCE)
+
+
+def list_order(queue, now=0):
+    ranked = sorted(queue.waiting, key=lambda turn: turn.rank(now))
+    return [turn.request for turn in ranked]
+
+
+def test_first_request_has_its_turn_at_once():
+    queue = TurnQueue()
+    fleet = make_fleet(queue)
+    join(queue, make_turn(), fleet, 0, SOURCE)
+    effects = take_turns(queue, fleet, 0, SOURCE)
+    assert [one.turn.request for one in effects.admitted] == ['t']
+    reader = effects.admitted[0].plan.reader.name
+    assert fleet.state.ledger.own_of(reader).reading == 3_000
+
+
+def test_no_turn_while_the_engines_are_busy():
+    queue = TurnQueue()
+    fleet = make_fleet(queue)
+    fill(fleet, queue, make_turn())
+    assert not take_turns(queue, fleet, 0, SOURCE).admitted
+    assert len(queue.waiting) == 1
+
+
+def test_urgent_go_first_then_those_on_time_then_those_who_return():
+    # A caller that was refused and came back is late already. Behind every
+    # newcomer that is late as well, it would be refused once more.
+    queue = TurnQueue()
+    fleet = make_fleet(queue)
+    fill(
+        fleet,
+        queue,
+        make_turn('late', due=0.01),
+        make_turn('returned', due=0.01, returning=True),
+        make_turn('ordinary', priority=1),
+        make_turn('on-time'),
+        make_turn('sooner', due=0.4),
+    )
+    assert list_order(queue) == [
+        'sooner',
+        'on-time',
+        'returned',
+        'late',
+        'ordinary',
+    ]
+
+
+def test_hopeless_request_is_refused_at_once():
+    # Its caller leaves before the first event can come; held back, it would
+    # hear of it only at its deadline.
+    queue = TurnQueue()
+    fleet = make_fleet(queue)
+    turn = make_turn()
+    turn.leaves_at = 0.01
+    effects = join(queue, turn, fleet, 0, SOURCE)
+    refused, problem = effects.refused[0]
+    assert refused is turn
+    assert problem.answer.ran.value == 'no'
+    assert not queue.waiting
+
+
+def test_waiting_request_is_refused_once_it_is_hopeless():
+    queue = TurnQueue()
+    fleet = make_fleet(queue)
+    fill(fleet, queue, make_turn())
+    assert not take_turns(queue, fleet, 1.0, SOURCE).refused
+    effects = take_turns(queue, fleet, 1.99, SOURCE)
+    assert [turn.request for turn, _ in effects.refused] == ['t']
+
+
+def test_request_is_late_once_first_events_take_longer():
+    # Engines are slower than they were learned to be. Requests that are given
+    # their turn at the last moment by the old figure would all be late.
+    queue = TurnQueue()
+    turn = make_turn(due=0.3)
+    fleet = make_fleet(queue)
+    join(queue, turn, fleet, 0, SOURCE)
+    assert not turn.is_late(queue.find_start(0))
+    for _ in range(40):
+        queue.note_first(turn, turn.lead_s + 0.3)
+    assert turn.is_late(queue.find_start(0))
+    for _ in range(80):
+        queue.note_first(turn, turn.lead_s)
+    assert not turn.is_late(queue.find_start(0))
+
+
+def test_engines_that_failed_a_request_do_not_get_it_again():
+    queue = TurnQueue()
+    fleet = make_fleet(queue, readers=2)
+    turn = make_turn(tried=frozenset(('r0',)))
+    join(queue, turn, fleet, 0, SOURCE)
+    admitted = take_turns(queue, fleet, 0, SOURCE).admitted[0]
+    assert admitted.plan.reader.name == 'r1'
+
+
+def test_without_engines_callers_hear_so():
+    queue = TurnQueue()
+    fleet = Fleet(PlacementState(), [], TRAITS)
+    _, problem = join(queue, make_turn(), fleet, 0, SOURCE).refused[0]
+    assert problem.kind.value == 'no_endpoint'
+
+
+@pytest.mark.parametrize('waiting', [0, 5, 40])
+def test_retry_after_follows_the_queue_and_leaves_time(waiting):
+    # A caller that is told to come back when its time is over has lost its
+    # request; one that is told to come back at once finds the same queue.
+    queue = TurnQueue()
+    fleet = make_fleet(queue)
+    for number in range(waiting):
+        queue.waiting.append(make_turn(f'w{number}'))
+    turn = make_turn()
+    turn.leaves_at = 0.02
+    _, problem = join(queue, turn, fleet, 0, SOURCE).refused[0]
+    assert 0.1 <= problem.retry_after_s <= 0.25
+
+
+def test_open_reads_of_peers_shrink_the_share():
+    # Alone, an instance may have a second read open at an engine, so that
+    # the engine never waits for it. With five others that do the same, the
+    # reads of all would stand in each other's way.
+    alone = TurnQueue()
+    crowd = TurnQueue()
+    counts = []
+    for queue, peers in ((alone, 0), (crowd, 5)):
+        fleet = make_fleet(queue, generators=0)
+        fleet = Fleet(
+            fleet.state,
+            [*fleet.engines, make_engine('g0', Role.DECODE)],
+            TRAITS,
+        )
+        for peer in range(peers):
+            word = {'other': Totals(reading=3_000)}
+            fleet.state.ledger.hear(f'p{peer}', word, 0)
+        for number in range(4):
+            work = Work((Part('form', 6_000), Part(f'{number}', 1_500)), 7_500)
+            turn = make_turn(f't{number}')
+            turn.wish = Wish(work, 0.2, objective_s=0.5)
+            join(queue, turn, fleet, 0, SOURCE)
+        effects = take_turns(queue, fleet, 0, SOURCE)
+        counts.append(
+            sum(one.plan.reader is not None for one in effects.admitted),
+        )
+    assert counts[1] == 1
+    assert counts[0] > 1
