--- a/packages/verbenahall/src/verbenahall/placement/_turns.py
+++ b/packages/verbenahall/src/verbenahall/placement/_turns.py
@@ -256,18 +256,14 @@
 ) -> Iterator[Turn]:
     """Yield those whose callers will have left before their turn.
 
-    ``now`` is when an engine would begin with one that goes now. What was
-    learned to come on top is counted twice here: a first event that comes just
-    after its caller has left was read for nobody, and the caller has waited
-    to its end for nothing.
+    ``now`` is when an engine would begin with one that goes now.
     """
-    spare_s = queue.excess.read()
     rate = queue.late.read(now)
     late = 0
     for turn in ranked:
         late += turn.is_late(now)
         wait_s = late / rate if rate and turn.is_late(now) else 0
-        if turn.is_hopeless(now + spare_s + wait_s):
+        if turn.is_hopeless(now + wait_s):
             late -= 1
             yield turn
 
