Waiting callers hear at once that no engine generates any more; turns in three modules

Cause: those that waited when the last generator went were held until their callers would have left, up to 2 s; newcomers were refused at once. Change: the queue is emptied then. The decisions on turns stand in three modules: the queue, the room at engines, the turns. Test: fails without it (the queue keeps both).

--- a/packages/verbenahall/src/verbenahall/placement/__init__.py
+++ b/packages/verbenahall/src/verbenahall/placement/__init__.py
@@ -3,17 +3,16 @@
 from verbenahall.placement._decisions import Wish, place
 from verbenahall.placement._ledger import Flight, Ledger, Totals
 from verbenahall.placement._messages import Part, Plan, Work
-from verbenahall.placement._roles import RoleChange, plan_roles
-from verbenahall.placement._state import PlacementState
-from verbenahall.placement._turns import (
+from verbenahall.placement._queue import (
     Admitted,
-    Fleet,
     Turn,
     TurnEffects,
     TurnQueue,
-    join,
-    take_turns,
 )
+from verbenahall.placement._roles import RoleChange, plan_roles
+from verbenahall.placement._rooms import Fleet
+from verbenahall.placement._state import PlacementState
+from verbenahall.placement._turns import join, take_turns
 
 __all__ = (
     'Admitted',
--- a/packages/verbenahall/tests/placement/test_turns.py
+++ b/packages/verbenahall/tests/placement/test_turns.py
@@ -215,3 +215,18 @@
         )
     assert counts[1] == 1
     assert counts[0] > 1
+
+
+def test_those_that_wait_hear_at_once_that_the_last_generator_is_gone():
+    # The only engine that generates crashes while requests wait. Nothing can
+    # serve them here; held until they are hopeless, callers would lose two
+    # seconds that they need to be served elsewhere.
+    queue = TurnQueue()
+    fleet = make_fleet(queue)
+    fill(fleet, queue, make_turn('a'), make_turn('b'))
+    left = Fleet(fleet.state, fleet.engines[:1], TRAITS)
+    effects = take_turns(queue, left, 0.1, SOURCE)
+    assert [turn.request for turn, _ in effects.refused] == ['a', 'b']
+    kinds = {problem.kind.value for _, problem in effects.refused}
+    assert kinds == {'no_endpoint'}
+    assert not queue.waiting
