What was learned of slow first events fades, and idle engines are tried

After engines had been slow for a while every later request was hopeless by it, and refused ones show nothing of engines that are well again; an instance would have refused all callers for ever. Change: the bound halves in two seconds without first events; a request with nobody before it is tried; turns are given before waits are ended. Test: a request after 200 first events of 5 s gets its turn; it was refused before.

--- a/packages/standins/src/verbenahall_standins/replay.py
+++ b/packages/standins/src/verbenahall_standins/replay.py
@@ -255,7 +255,7 @@
         """Note that a prompt was read."""
         turn, flight, sent_at = admitted
         took = now + HANDOVER_S - sent_at
-        self.queue.note_first(turn, took)
+        self.queue.note_first(turn, took, now)
         self.state.ledger.close(flight)
         outcome = self.replay.outcome
         waited = now + HANDOVER_S - self.arrived[turn]
--- a/packages/verbenahall/src/verbenahall/gateway/_turns.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_turns.py
@@ -80,8 +80,9 @@
 
     def note_first(self, call: Call, turn: Turn, sent_at: float) -> None:
         """Learn from the first event of a request that has had its turn."""
-        took_s = self._core.now() - sent_at
-        self._queues[call.service.name].note_first(turn, took_s)
+        now = self._core.now()
+        queue = self._queues[call.service.name]
+        queue.note_first(turn, now - sent_at, now)
 
     def look(self, service: Service) -> None:
         """Give turns to those that engines have room for."""
--- a/packages/verbenahall/src/verbenahall/placement/_queue.py
+++ b/packages/verbenahall/src/verbenahall/placement/_queue.py
@@ -12,6 +12,9 @@
 
 #: Weight of one first event in what is expected of the next ones.
 _LEARNING: Final = 0.1
+#: What was learned of first events halves in this time without any, in
+#: seconds: the patience of callers, so that none is refused twice by it.
+_HALF_LIFE_S: Final = 2.0
 _NONE_TRIED: Final[frozenset[str]] = frozenset()
 
 _Rank = tuple[int, bool, bool, float]
@@ -76,24 +79,30 @@
     """A time that most of the last ones did not exceed, in seconds.
 
     As TCP does for its timeouts: a smoothed mean, and a mean deviation on top.
+    It fades while nothing is noted. An engine that was slow for a while would
+    else leave a bound by which every request is refused as hopeless, and no
+    request would ever show that the engine is well again.
     """
 
-    __slots__ = ('_mean_s', '_deviation_s')
+    __slots__ = ('_mean_s', '_deviation_s', '_noted_at')
 
     def __init__(self) -> None:
         """Start from nothing."""
         self._mean_s: float = 0
         self._deviation_s: float = 0
+        self._noted_at: float = 0
 
-    def note(self, seconds: float) -> None:
+    def note(self, seconds: float, now: float) -> None:
         """Learn from one."""
         error_s = seconds - self._mean_s
         self._mean_s += _LEARNING * error_s
         self._deviation_s += _LEARNING * (abs(error_s) - self._deviation_s)
+        self._noted_at = now
 
-    def read(self) -> float:
+    def read(self, now: float) -> float:
         """Return the bound."""
-        return self._mean_s + self._deviation_s
+        fade = 0.5 ** (max(0, now - self._noted_at) / _HALF_LIFE_S)
+        return (self._mean_s + self._deviation_s) * fade
 
 
 @final
@@ -120,11 +129,11 @@
         Without what the last ones have met there, requests had their turn
         when they were just on time, and all of them ended just late.
         """
-        return now + self.excess.read()
+        return now + self.excess.read(now)
 
-    def note_first(self, turn: Turn, took_s: float) -> None:
+    def note_first(self, turn: Turn, took_s: float, now: float) -> None:
         """Learn from the first event of a request that has had its turn."""
-        self.excess.note(max(0, took_s - turn.lead_s))
+        self.excess.note(max(0, took_s - turn.lead_s), now)
 
     def remove(self, turn: Turn) -> bool:
         """Take a request out; False when it waits no more."""
--- a/packages/verbenahall/src/verbenahall/placement/_turns.py
+++ b/packages/verbenahall/src/verbenahall/placement/_turns.py
@@ -51,7 +51,8 @@
             turn.home = find_home(turn.wish.work, fleet.readers)
         case Failure(problem):
             return TurnEffects(refused=((turn, problem),))
-    start = queue.find_start(now)
+    # With nobody before it a request is tried, whatever the last ones met.
+    start = queue.find_start(now) if queue.waiting else now
     if turn.is_hopeless(start + _wait_s(queue, turn, start)):
         return TurnEffects(refused=((turn, _refuse(queue, turn, now, source)),))
     queue.waiting.append(turn)
@@ -69,11 +70,13 @@
         return _refuse_all(queue, fleet, now)
     start = queue.find_start(now)
     ranked = sorted(queue.waiting, key=lambda turn: turn.rank(start))
-    hopeless = tuple(_find_hopeless(queue, ranked, start))
+    admitted = tuple(_admit(ranked, fleet, now))
+    for given in admitted:
+        queue.remove(given.turn)
+    staying = [turn for turn in ranked if turn in queue.waiting]
+    hopeless = tuple(_find_hopeless(queue, staying, start))
     refused = [(one, _refuse(queue, one, now, source)) for one in hopeless]
-    staying = [one for one in ranked if one not in hopeless]
-    admitted = tuple(_admit(staying, fleet, now))
-    for turn in (*hopeless, *(one.turn for one in admitted)):
+    for turn in hopeless:
         queue.remove(turn)
     queue.meter(now, admitted)
     return TurnEffects(admitted, refused)
@@ -119,7 +122,8 @@
 ) -> Iterator[Admitted]:
     """Give turns in order to those whose home has room, then to others."""
     rooms = Rooms(fleet)
-    for turn in rooms.choose(ranked):
+    staying = [turn for turn in ranked if not turn.is_hopeless(now)]
+    for turn in rooms.choose(staying):
         plan = fleet.place(turn, now).value_or(None)
         if plan is not None and rooms.has_room(turn, plan, now):
             yield Admitted(turn, plan, rooms.take(plan))
--- a/packages/verbenahall/tests/placement/test_bursts.py
+++ b/packages/verbenahall/tests/placement/test_bursts.py
@@ -1,5 +1,7 @@
 """Bursts of prompts beyond what engines read, replayed without sockets."""
 
+import functools
+
 from verbenahall_standins.replay import Load, Replay
 
 OBJECTIVE_S = 0.15
@@ -8,12 +10,20 @@
 TWICE = Load(rate=600, seconds=3)
 
 
+@functools.cache
+def play_twice():
+    """Play twice what the engines read, once for all that look at it."""
+    replay = Replay()
+    replay.play([TWICE])
+    return replay
+
+
 def test_prompts_in_turn_are_on_time_more_often_than_all_at_once():
     # Callers ask for twice what the engines read. Sent at once, all prompts
     # share the engines and end together, long after their objective: callers
     # see nothing but late answers, though half of them could be in time.
     at_once = Replay().play([TWICE], queued=False)
-    in_turn = Replay().play([TWICE])
+    in_turn = play_twice().outcome
     assert at_once.on_time(OBJECTIVE_S) < 0.3 * TWICE.rate * TWICE.seconds
     assert in_turn.on_time(OBJECTIVE_S) > 0.33 * TWICE.rate * TWICE.seconds
 
@@ -46,7 +56,7 @@
 def test_refused_callers_hear_when_to_come_back_and_have_time_left():
     # Callers that are refused at their deadline, or told to come back after
     # it, have lost their request without a word.
-    outcome = Replay().play([TWICE])
+    outcome = play_twice().outcome
     assert outcome.refused
     for problem, left_s in outcome.refused:
         told_s = problem.retry_after_s
@@ -56,7 +66,7 @@
 
 def test_refused_callers_come_back_spread_out():
     # Callers that are all told the same time come back as one more burst.
-    outcome = Replay().play([TWICE])
+    outcome = play_twice().outcome
     told = {round(one.retry_after_s, 3) for one, _ in outcome.refused}
     assert len(told) > len(outcome.refused) / 5
 
@@ -64,7 +74,7 @@
 def test_most_of_those_refused_hear_it_at_once():
     # A caller that waits for most of its time and is refused then has no time
     # left to try again.
-    outcome = Replay().play([TWICE])
+    outcome = play_twice().outcome
     held = sorted(outcome.held)
     assert held[len(held) // 2] < 0.5
 
@@ -83,9 +93,7 @@
     # Under a burst each home of a shared part is busy. Prompts that move to
     # engines without the part are read whole, twice the work or more, just
     # when there is no time for it, and all wait for longer.
-    outcome = Replay()
-    outcome.play([TWICE])
-    engines = outcome.engines.values()
+    engines = play_twice().engines.values()
     read = sum(engine.read for engine in engines)
     whole = sum(engine.whole for engine in engines)
     assert read < 0.5 * whole
--- a/packages/verbenahall/tests/placement/test_turns.py
+++ b/packages/verbenahall/tests/placement/test_turns.py
@@ -150,10 +150,10 @@
     join(queue, turn, fleet, 0, SOURCE)
     assert not turn.is_late(queue.find_start(0))
     for _ in range(40):
-        queue.note_first(turn, turn.lead_s + 0.3)
+        queue.note_first(turn, turn.lead_s + 0.3, 0)
     assert turn.is_late(queue.find_start(0))
     for _ in range(80):
-        queue.note_first(turn, turn.lead_s)
+        queue.note_first(turn, turn.lead_s, 0)
     assert not turn.is_late(queue.find_start(0))
 
 
@@ -266,6 +266,28 @@
     turn = make_turn()
     fill(fleet, queue, turn)
     for _ in range(60):
-        queue.note_first(turn, turn.lead_s + 0.5)
+        queue.note_first(turn, turn.lead_s + 0.5, 1.2)
     assert not take_turns(queue, fleet, 1.2, SOURCE).refused
     assert take_turns(queue, fleet, 1.6, SOURCE).refused
+
+
+def test_engines_that_were_slow_are_tried_again():
+    # Engines were so slow for a while that first events came after callers
+    # had left. By what was learned then every later request is hopeless, and
+    # refused ones show nothing of engines that are well again: an instance
+    # would refuse all callers for ever in front of idle engines.
+    queue = TurnQueue()
+    fleet = make_fleet(queue)
+    for _ in range(200):
+        queue.note_first(make_turn(), 5, 0)
+    turn = make_turn(since=0.1)
+    assert not join(queue, turn, fleet, 0.1, SOURCE).refused
+    admitted = take_turns(queue, fleet, 0.1, SOURCE).admitted
+    assert [one.turn for one in admitted] == [turn]
+
+
+def test_what_was_learned_of_slow_engines_fades():
+    queue = TurnQueue()
+    queue.note_first(make_turn(), 5, 0)
+    learned_s = queue.excess.read(0)
+    assert queue.excess.read(10) < learned_s / 20
