Callers with a little less patience than others are not taken for returning ones

A caller with 5% less time than the longest of its route was taken for one that had been refused before; callers differ by some 15%, so 3,322 of 4,792 counted as late on arrival and stood behind the others. Change: a quarter less is needed; callers that come back have waited for up to a third.

--- a/packages/verbenahall/src/verbenahall/gateway/_core.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_core.py
@@ -27,8 +27,10 @@
 #: known yet.
 _FEWEST_INSTANCES: Final = 10
 #: Share of the longest time of a route's callers by which one must have less
-#: to be taken for one that comes back: less is spent on the way.
-_LEAST_WAITED: Final = 0.05
+#: to be taken for one that comes back. Callers that come for the first time
+#: differ by some 15%: with a bound of 5%, 3,300 of 4,800 were thought to be late
+#: on arrival. Those that come back are told to wait for up to a third.
+_LEAST_WAITED: Final = 0.25
 
 
 @final
@@ -106,8 +108,8 @@
     def find_waited(self, route: str, wait_s: float) -> float:
         """Return for how long a caller has waited in earlier attempts.
 
-        Callers of a route wait for the same time, and one that comes back has
-        less of it left.
+        Callers of a route wait for about the same time, and one that comes
+        back has much less of it left.
         """
         longest = max(self.patience.get(route, 0), wait_s)
         self.patience[route] = longest
