A stopping instance refuses late requests from the moment its listener closes

A stream of 3.3 s was cut 7.2 s after the signal. Ruled out: the queue before reads (the request had its turn at once). Change: that second refuses, too. Test: the late request at 3.4 s fails before, at 4.4 s it did not.

--- a/packages/verbenahall/src/verbenahall/shutdown/_state.py
+++ b/packages/verbenahall/src/verbenahall/shutdown/_state.py
@@ -5,7 +5,7 @@
 from verbenahall.shutdown._messages import DEFAULT_TIMING, Phase, StopTiming
 
 _FINISHING: Final = frozenset(
-    (Phase.FINISHING, Phase.HANDING_OVER, Phase.GONE),
+    (Phase.REFUSING, Phase.FINISHING, Phase.HANDING_OVER, Phase.GONE),
 )
 
 
@@ -29,5 +29,9 @@
 
     @property
     def finishing(self) -> bool:
-        """Whether only what is open already is still to be answered."""
+        """Whether only what is open already is still to be answered.
+
+        This begins when the listener closes: a stream that is taken from an
+        idle connection a second later was cut by the end of the grace period.
+        """
         return self.phase in _FINISHING
--- a/packages/verbenahall/tests/gateway/test_process.py
+++ b/packages/verbenahall/tests/gateway/test_process.py
@@ -125,10 +125,15 @@
     run(check())
 
 
-def test_late_request_to_a_stopping_instance_is_refused_at_once(tmp_path):
-    # A caller kept its connection open since before the stop and uses it 4 s
-    # after it, while the process stays for another request. Taken, the call
-    # would be cut when the grace period ends; refused, it goes elsewhere.
+@pytest.mark.parametrize('after_s', [3.4, 4.4])
+def test_late_request_to_a_stopping_instance_is_refused_at_once(
+    tmp_path,
+    after_s,
+):
+    # A caller kept its connection open since before the stop and uses it after
+    # the listener has closed, 3 s and more after the signal, while the process
+    # stays for another request. Taken, the call would be cut when the grace
+    # period ends; refused, it goes elsewhere.
     async def check():
         async with start_instance(tmp_path) as (instance, site):
             slow = make_route(
@@ -148,7 +153,7 @@
             host, _, port = instance.settings.callers.rpartition(':')
             reader, writer = await asyncio.open_connection(host, int(port))
             instance.started.send_signal(signal.SIGTERM)
-            await asyncio.sleep(4.4)
+            await asyncio.sleep(after_s)
             runs = len(site.plain[0].runs)
             writer.write(
                 f'GET /archive/1 HTTP/1.1\r\nHost: {HOST}\r\n\r\n'.encode()
