Read as a newcomer: one place for usable engines, homes and test engines

Which engines may be used was decided in the queue's shell and in the stream's flow; the home of a part was ranked twice; tests of turns and the replay described the same engines; a class for step times also kept handovers; a reservation in the ledger was called a turn. Ruled out: any change of what callers see, but for one case: when every engine that is not avoided has failed a request, one of them is tried again rather than one that is avoided. Change: Core.list_usable, find_home by the same ranking, RecentTime, the replay's engines in the tests.

--- a/packages/standins/src/verbenahall_standins/replay.py
+++ b/packages/standins/src/verbenahall_standins/replay.py
@@ -284,7 +284,8 @@
         return Fleet(self.state, entries, TRAITS, len(self.queue.waiting))
 
 
-def _make_entry(name, role):
+def make_entry(name, role):
+    """Return an engine's entry."""
     return Entry(
         name=name,
         service='reader',
@@ -299,4 +300,4 @@
 def _make_engine(name, role):
     """Return an engine; those that generate read at half the speed."""
     speed = 1 if role is Role.PREFILL else 0.5
-    return Engine(_make_entry(name, role), speed)
+    return Engine(make_entry(name, role), speed)
--- a/packages/verbenahall/src/verbenahall/gateway/_core.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_core.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Sequence
 from typing import Any, Final, final
 
 import aiohttp
@@ -15,7 +15,7 @@
 from verbenahall.placement import PlacementState
 from verbenahall.platform import ProcessSettings, StoreClient, make_session
 from verbenahall.requests import WindowBudget
-from verbenahall.roster import LAPSE_S, Roster, RosterRules
+from verbenahall.roster import LAPSE_S, Entry, Roster, RosterRules
 
 #: Share of the operators' bound on further sends that is used: what counts
 #: is when sends arrive, which slides against when they are decided.
@@ -73,6 +73,17 @@
         confirmed = min(self.confirmed.values(), default=now)
         return max(0, now - confirmed)
 
+    def list_usable(self, service: str, now: float) -> Sequence[Entry]:
+        """Return the endpoints of a service that are not avoided.
+
+        When all are, they are returned all the same: one may be back.
+        """
+        live = list(self.roster.live(service, now))
+        usable = [
+            one for one in live if not self.standings.paused(one.name, now)
+        ]
+        return usable or live
+
     def forget_unlisted(self) -> None:
         """Forget what was learned of endpoints that are gone.
 
--- a/packages/verbenahall/src/verbenahall/gateway/_streams.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_streams.py
@@ -43,7 +43,7 @@
         '_generation',
         '_attempts',
         '_handle',
-        '_turn',
+        '_reserved',
         '_refusals',
     )
 
@@ -62,7 +62,7 @@
         self._generation = Generation(core, sender, call, self._relay)
         self._attempts = Attempts(core, call)
         self._handle: Handle | None = None
-        self._turn: Flight | None = None
+        self._reserved: Flight | None = None
         self._refusals = 0
 
     async def run(self, turns: ReadTurns) -> web.StreamResponse:
@@ -103,7 +103,7 @@
         tried = frozenset(self._attempts.tried)
         match await turns.take(self._call, wish, tried):
             case Success(admitted):
-                self._turn = admitted.flight
+                self._reserved = admitted.flight
                 self._generation.note_first = functools.partial(
                     turns.note_first,
                     self._call,
@@ -132,18 +132,14 @@
         core = self._core
         call = self._call
         now = core.now()
-        live = list(core.roster.live(call.service.name, now))
-        usable = [
-            one
-            for one in live
-            if one.name not in self._attempts.tried
-            and not core.standings.paused(one.name, now)
-        ]
+        usable = core.list_usable(call.service.name, now)
+        tried = self._attempts.tried
+        fresh = [one for one in usable if one.name not in tried]
         read_by = self._handle.engine if self._handle else None
         return place(
             core.placement,
             Wish(call.ask.work, call.route.gap_s, read_by),
-            usable or live,
+            fresh or usable,
             call.service.engine,
             now,
         )
@@ -151,7 +147,7 @@
     async def _follow(self, plan: Plan, turns: ReadTurns) -> Generated:
         """Carry a plan out; a handle that nobody took is kept."""
         self._attempts.begun += 1
-        self._close_turn()
+        self._release()
         if plan.reader is not None and self._handle is None:
             read = await self._reads.read(self._call, plan, plan.reader)
             turns.look(self._call.service)
@@ -176,11 +172,11 @@
             self._drop_handle()
         return result
 
-    def _close_turn(self) -> None:
+    def _release(self) -> None:
         """Take the turn's work out of the ledger: the send counts from now."""
-        if self._turn is not None:
-            self._core.placement.ledger.close(self._turn)
-            self._turn = None
+        if self._reserved is not None:
+            self._core.placement.ledger.close(self._reserved)
+            self._reserved = None
 
     def _may_keep(self, outcome: Outcome) -> bool:
         """Whether the KV cache still lies where it was.
--- a/packages/verbenahall/src/verbenahall/gateway/_turns.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_turns.py
@@ -133,12 +133,9 @@
 
     def _describe_fleet(self, service: Service, now: float) -> Fleet:
         core = self._core
-        live = list(core.roster.live(service.name, now))
-        usable = [
-            one for one in live if not core.standings.paused(one.name, now)
-        ]
+        usable = core.list_usable(service.name, now)
         waiting = len(self._queues[service.name].waiting)
-        return Fleet(core.placement, usable or live, service.engine, waiting)
+        return Fleet(core.placement, usable, service.engine, waiting)
 
     def _apply(self, effects: TurnEffects) -> None:
         for admitted in effects.admitted:
--- a/packages/verbenahall/src/verbenahall/placement/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/placement/_decisions.py
@@ -103,8 +103,7 @@
 
 def find_home(work: Work, readers: Sequence[Entry]) -> str:
     """Return the engine that is thought to keep a prompt's shared parts."""
-    names = [one.name for one in readers]
-    return rank_by_rendezvous(work.home_key, names)[0]
+    return _find_homes(work, readers)[0].name
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/verbenahall/src/verbenahall/placement/_queue.py
+++ b/packages/verbenahall/src/verbenahall/placement/_queue.py
@@ -135,12 +135,10 @@
         """Learn from the first event of a request that has had its turn."""
         self.excess.note(max(0, took_s - turn.lead_s), now)
 
-    def remove(self, turn: Turn) -> bool:
-        """Take a request out; False when it waits no more."""
-        if turn not in self.waiting:
-            return False
-        self.waiting.remove(turn)
-        return True
+    def remove(self, turn: Turn) -> None:
+        """Take a request out, if it still waits."""
+        if turn in self.waiting:
+            self.waiting.remove(turn)
 
     def meter(self, now: float, given: Sequence[Admitted]) -> None:
         """Count the turns given; an empty queue drains as slow as it fills."""
--- a/packages/verbenahall/src/verbenahall/placement/_speeds.py
+++ b/packages/verbenahall/src/verbenahall/placement/_speeds.py
@@ -117,7 +117,7 @@
 
 
 @final
-class StepTime:
+class RecentTime:
     """A short time, as that of a step of generation, by what was last seen."""
 
     __slots__ = ('_guess_s', '_seconds', '_noted_at')
--- a/packages/verbenahall/src/verbenahall/placement/_state.py
+++ b/packages/verbenahall/src/verbenahall/placement/_state.py
@@ -7,7 +7,7 @@
 from verbenahall.placement._caches import PartCache
 from verbenahall.placement._ledger import Ledger
 from verbenahall.placement._messages import Work
-from verbenahall.placement._speeds import ReadSpeed, StepTime
+from verbenahall.placement._speeds import ReadSpeed, RecentTime
 from verbenahall.roster import Entry
 
 #: Reads shorter than this tell more about the network, in tokens.
@@ -34,9 +34,9 @@
         self.ledger = Ledger()
         self.read_speed = ReadSpeed()
         #: From the send of a prompt that was read to its first event.
-        self.handover = StepTime(_HANDOVER_S)
+        self.handover = RecentTime(_HANDOVER_S)
         self._caches: dict[tuple[str, int], PartCache] = {}
-        self._steps: dict[str, StepTime] = {}
+        self._steps: dict[str, RecentTime] = {}
 
     def cache_of(self, engine: Entry, kv_tokens: int) -> PartCache:
         """Return what an engine is thought to keep since its start."""
@@ -53,9 +53,9 @@
             cache = self.cache_of(engine, service.engine.kv_tokens)
             cache.note(work.parts)
 
-    def step_of(self, engine: str) -> StepTime:
+    def step_of(self, engine: str) -> RecentTime:
         """Return the step time seen at an engine."""
-        return self._steps.setdefault(engine, StepTime())
+        return self._steps.setdefault(engine, RecentTime())
 
     def keep_only(self, names: Collection[str]) -> None:
         """Forget the engines that are no longer listed."""
--- a/packages/verbenahall/tests/placement/test_placement.py
+++ b/packages/verbenahall/tests/placement/test_placement.py
@@ -17,7 +17,7 @@
     plan_roles,
 )
 from verbenahall.placement._caches import PartCache
-from verbenahall.placement._speeds import ReadSpeed, StepTime
+from verbenahall.placement._speeds import ReadSpeed, RecentTime
 from verbenahall.roster import Entry
 
 TRAITS = EngineTraits(
@@ -246,7 +246,7 @@
 
 
 def test_step_time_fades_without_news():
-    step = StepTime()
+    step = RecentTime()
     for _ in range(30):
         step.note(0.05, now=10)
     assert step.read(10) > 0.04
--- a/packages/verbenahall/tests/placement/test_turns.py
+++ b/packages/verbenahall/tests/placement/test_turns.py
@@ -3,8 +3,8 @@
 import random
 
 import pytest
+from verbenahall_standins.replay import TRAITS, make_entry
 
-from verbenahall.catalog import EngineTraits
 from verbenahall.fleet import Role
 from verbenahall.placement import (
     Fleet,
@@ -18,35 +18,14 @@
     join,
     take_turns,
 )
-from verbenahall.roster import Entry
-
-TRAITS = EngineTraits(
-    slots=48,
-    kv_tokens=1_200_000,
-    kv_token_bytes=18_432,
-    link_bytes_s=275e9,
-    event_tokens=50,
-    role_change_s=3,
-)
-SOURCE = random.Random(7)
-
 
-def make_engine(name, role):
-    return Entry(
-        name=name,
-        service='reader',
-        address='10.0.0.1:80',
-        data_centre='a',
-        leaving=False,
-        slots=48,
-        role=role,
-    )
+SOURCE = random.Random(7)
 
 
 def make_fleet(queue, readers=1, generators=1):
     engines = [
-        *(make_engine(f'r{n}', Role.PREFILL) for n in range(readers)),
-        *(make_engine(f'g{n}', Role.DECODE) for n in range(generators)),
+        *(make_entry(f'r{n}', Role.PREFILL) for n in range(readers)),
+        *(make_entry(f'g{n}', Role.DECODE) for n in range(generators)),
     ]
     return Fleet(PlacementState(), engines, TRAITS, len(queue.waiting))
 
@@ -198,7 +177,7 @@
         fleet = make_fleet(queue, generators=0)
         fleet = Fleet(
             fleet.state,
-            [*fleet.engines, make_engine('g0', Role.DECODE)],
+            [*fleet.engines, make_entry('g0', Role.DECODE)],
             TRAITS,
         )
         for peer in range(peers):
