A wish holds what its caller bears; who waits is the fleet's affair

Cause: read as a newcomer: the number of waiting requests and the objective stood in the wish. The first is the queue's, not the request's, and was copied into a new wish at each placing; the second only the turn uses. Ruled out: a change of any decision.

--- a/packages/standins/src/verbenahall_standins/replay.py
+++ b/packages/standins/src/verbenahall_standins/replay.py
@@ -222,13 +222,14 @@
 
     def take(self, work, load, queued, now):
         """Take a caller's request, with or without waiting for a turn."""
-        wish = Wish(work, 0.2, objective_s=load.objective_s)
+        wish = Wish(work, 0.2)
         turn = Turn(
             request=f'r{next(self.replay.numbers)}',
             wish=wish,
             priority=load.priority,
             since=now,
             due_at=now + load.objective_s,
+            objective_s=load.objective_s,
             leaves_at=now + load.patience_s,
         )
         self.arrived[turn] = now
--- a/packages/verbenahall/src/verbenahall/gateway/_streams.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_streams.py
@@ -94,12 +94,7 @@
         """
         if self._handle or self._attempts.runs or self._relay.begun:
             return self._place()
-        route = self._call.route
-        wish = Wish(
-            self._call.ask.work,
-            route.gap_s,
-            objective_s=route.objective_s,
-        )
+        wish = Wish(self._call.ask.work, self._call.route.gap_s)
         tried = frozenset(self._attempts.tried)
         match await turns.take(self._call, wish, tried):
             case Success(admitted):
--- a/packages/verbenahall/src/verbenahall/gateway/_turns.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_turns.py
@@ -55,6 +55,7 @@
             call.route.priority,
             since=now,
             due_at=call.due,
+            objective_s=call.route.objective_s,
             leaves_at=call.leaves,
             returning=call.waited_s > 0,
             tried=tried,
--- a/packages/verbenahall/src/verbenahall/placement/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/placement/_decisions.py
@@ -55,17 +55,13 @@
 class Wish:
     """A request to place: its work and what its caller bears.
 
-    ``gap_s`` is the longest pause between two events that is on time and
-    ``objective_s`` the longest wait for the first one. ``read_by`` is the
-    engine that has read the prompt already, if there is one, and ``waiting``
-    are the requests that wait for their turn behind this one.
+    ``gap_s`` is the longest pause between two events that is on time.
+    ``read_by`` is the engine that has read the prompt already, if there is.
     """
 
     work: Work
     gap_s: float
     read_by: Entry | None = None
-    objective_s: float = 0
-    waiting: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,15 +78,20 @@
     engines: Sequence[Entry],
     traits: EngineTraits,
     now: float,
+    waiting: int = 0,
 ) -> Result[Plan, Problem]:
-    """Choose where the prompt is read and where the answer is generated."""
+    """Choose where the prompt is read and where the answer is generated.
+
+    ``waiting`` requests wait for engines that read; they pay for each second
+    of an engine's time.
+    """
     generators = [one for one in engines if one.role is not Role.PREFILL]
     if not generators:
         return Failure(
             Problem(ErrorKind.NO_ENDPOINT, 'no engine generates now'),
         )
     readers = [one for one in engines if one.role is Role.PREFILL]
-    desk = _Desk(state, wish, traits, now)
+    desk = _Desk(state, wish, traits, now, waiting)
     if wish.read_by is not None:
         return Success(desk.plan_rest(wish.read_by, generators))
     options = itertools.chain(
@@ -124,7 +125,15 @@
 class _Desk:
     """Prices the ways to serve one request."""
 
-    __slots__ = ('_state', '_wish', '_work', '_traits', '_now', '_joinings')
+    __slots__ = (
+        '_state',
+        '_wish',
+        '_work',
+        '_traits',
+        '_now',
+        '_waiting',
+        '_joinings',
+    )
 
     def __init__(
         self,
@@ -132,12 +141,14 @@
         wish: Wish,
         traits: EngineTraits,
         now: float,
+        waiting: int,
     ) -> None:
         self._state = state
         self._wish = wish
         self._work = wish.work
         self._traits = traits
         self._now = now
+        self._waiting = waiting
         self._joinings: list[_Joining] = []
 
     def offer_mixed(self, generators: Sequence[Entry]) -> Iterator[_Option]:
@@ -245,7 +256,7 @@
         shared parts just when there was least time for it: at twice what the
         engines read, 684 of 3,600 were in time, and 1,300 with this price.
         """
-        return min(_WORK_PRICE + self._wish.waiting, _MOST_WORK_PRICE)
+        return min(_WORK_PRICE + self._waiting, _MOST_WORK_PRICE)
 
     @property
     def _start_s(self) -> float:
--- a/packages/verbenahall/src/verbenahall/placement/_queue.py
+++ b/packages/verbenahall/src/verbenahall/placement/_queue.py
@@ -25,8 +25,9 @@
 class Turn:
     """A request that waits to be read; times are monotonic seconds.
 
-    It waits ``since`` then; ``due_at`` is when its first event would be late
-    and ``leaves_at`` when its caller leaves. ``returning`` callers were turned
+    It waits ``since`` then; ``due_at`` is when its first event would be late,
+    ``objective_s`` after its caller's first attempt, and ``leaves_at`` when
+    its caller leaves. ``returning`` callers were turned
     away before, and the engines named in ``tried`` have failed this request.
     ``lead_s`` is the expected time to its first event on idle engines, and
     ``home`` the engine that is thought to keep its shared parts.
@@ -37,6 +38,7 @@
     priority: int
     since: float
     due_at: float
+    objective_s: float
     leaves_at: float
     returning: bool = False
     tried: frozenset[str] = _NONE_TRIED
--- a/packages/verbenahall/src/verbenahall/placement/_rooms.py
+++ b/packages/verbenahall/src/verbenahall/placement/_rooms.py
@@ -54,8 +54,14 @@
         """Choose engines for a request, other than those that failed it."""
         usable = [one for one in self.engines if one.name not in turn.tried]
         engines = usable or self.engines
-        wish = dataclasses.replace(turn.wish, waiting=self.waiting)
-        return place(self.state, wish, engines, self.traits, now)
+        return place(
+            self.state,
+            turn.wish,
+            engines,
+            self.traits,
+            now,
+            self.waiting,
+        )
 
 
 @final
@@ -89,7 +95,7 @@
         name = _reader(plan)
         if not self._is_open(name):
             return False
-        most_s = turn.wish.objective_s * _SHARED_DEPTH
+        most_s = turn.objective_s * _SHARED_DEPTH
         if turn.is_late(now):
             most_s *= _LATE_DEPTH
         return plan.ahead_s < max(most_s, self._depth_s)
--- /dev/null
+++ b/packages/verbenahall/tests/placement/test_ledger.py
@@ -0,0 +1,27 @@
+"""Open work at engines, by own sends and peers' words."""
+
+from verbenahall.placement import Ledger, Totals
+
+
+def test_read_of_a_generator_ends_with_its_first_event():
+    # Counted until the stream's end, a read looked to the other instances
+    # like a prompt that they would have to wait for.
+    ledger = Ledger()
+    totals = Totals(reading=3_000, context=9_000, streams=1)
+    flight = ledger.open('g0', totals)
+    flight = ledger.note_read(flight)
+    assert ledger.totals('g0') == Totals(context=9_000, streams=1)
+    ledger.close(flight)
+    assert ledger.totals('g0') == Totals()
+
+
+def test_peers_that_read_are_counted_as_long_as_they_are_heard():
+    ledger = Ledger()
+    ledger.hear('p1', {'r0': Totals(reading=100)}, 0)
+    ledger.hear('p2', {'g0': Totals(streams=1)}, 0)
+    assert ledger.readers == 1
+    ledger.hear('p1', {}, 0.1)
+    assert ledger.readers == 0
+    ledger.hear('p1', {'r0': Totals(reading=100)}, 0.2)
+    ledger.forget_silent(10)
+    assert ledger.readers == 0
--- a/packages/verbenahall/tests/placement/test_placement.py
+++ b/packages/verbenahall/tests/placement/test_placement.py
@@ -370,31 +370,7 @@
     state.ledger.open('g0', Totals(streams=8, context=8_000))
     state.ledger.open(home.name, Totals(reading=50_000))
     spilled = place(state, Wish(work, 0.25), engines, TRAITS, 0).unwrap()
-    waited = Wish(work, 0.25, waiting=10)
-    stayed = place(state, waited, engines, TRAITS, 0).unwrap()
+    wish = Wish(work, 0.25)
+    stayed = place(state, wish, engines, TRAITS, 0, waiting=10).unwrap()
     assert spilled.reader != home
     assert stayed.reader == home
-
-
-def test_read_of_a_generator_ends_with_its_first_event():
-    # Counted until the stream's end, a read looked to the other instances
-    # like a prompt that they would have to wait for.
-    state = make_state()
-    totals = Totals(reading=3_000, context=9_000, streams=1)
-    flight = state.ledger.open('g0', totals)
-    flight = state.ledger.note_read(flight)
-    assert state.ledger.totals('g0') == Totals(context=9_000, streams=1)
-    state.ledger.close(flight)
-    assert state.ledger.totals('g0') == Totals()
-
-
-def test_peers_that_read_are_counted_as_long_as_they_are_heard():
-    state = make_state()
-    state.ledger.hear('p1', {'r0': Totals(reading=100)}, 0)
-    state.ledger.hear('p2', {'g0': Totals(streams=1)}, 0)
-    assert state.ledger.readers == 1
-    state.ledger.hear('p1', {}, 0.1)
-    assert state.ledger.readers == 0
-    state.ledger.hear('p1', {'r0': Totals(reading=100)}, 0.2)
-    state.ledger.forget_silent(10)
-    assert state.ledger.readers == 0
--- a/packages/verbenahall/tests/placement/test_turns.py
+++ b/packages/verbenahall/tests/placement/test_turns.py
@@ -34,10 +34,11 @@
     work = Work((Part('form', 6_000), Part(name, 3_000)), 9_000, 2)
     return Turn(
         request=name,
-        wish=Wish(work, 0.2, objective_s=0.5),
+        wish=Wish(work, 0.2),
         priority=priority,
         since=since,
         due_at=since + due,
+        objective_s=0.5,
         leaves_at=since + 2,
         **changes,
     )
@@ -186,7 +187,7 @@
         for number in range(4):
             work = Work((Part('form', 6_000), Part(f'{number}', 1_500)), 7_500)
             turn = make_turn(f't{number}')
-            turn.wish = Wish(work, 0.2, objective_s=0.5)
+            turn.wish = Wish(work, 0.2)
             join(queue, turn, fleet, 0, SOURCE)
         effects = take_turns(queue, fleet, 0, SOURCE)
         counts.append(
