An instance takes requests once the list shows what the settings name

Cause of the failing process tests on a fresh machine: the platform's list shows a registration half a second later, an instance starts in less, and "every live engine listed has been heard" held for a list of none. The instance said that it was ready and answered 503 "no engine holds 'drafter' now" and 404 "no service 'pages'" until its next polls (its own log: ready at .806, 31 refusals at .833 to .838, the engines' standing first at +0.2 s).

The six failures are this one: test_first_instance_killed_or_paused got 200 at the second instance since the first had answered 404 and run nothing (its log: give_up not_found at .823; the service ran the call once), so no second run; 503 "stopping" of the rolling replacement is what an instance says in place of "no engine" when its stop has begun and it knows none.

Ruled out: load (all six fail on an idle machine of eight cores), clocks that begin at boot (no time starts at zero).

Readiness now waits for the engines of the own data centre's pools and the services that the settings name, for three seconds from the first list at most; where the settings name nothing, for these three seconds. Engines that all missed their first poll are waited for likewise. The process tests register the plain service before the engines, as their settings name none.

--- a/packages/verbenahall/src/verbenahall/instance/_control.py
+++ b/packages/verbenahall/src/verbenahall/instance/_control.py
@@ -9,6 +9,7 @@
 from verbenahall.fleet import Endpoint, EndpointKind
 from verbenahall.instance._core import Core
 from verbenahall.instance._gauges import Gauges
+from verbenahall.instance._knowledge import FleetKnowledge
 from verbenahall.instance._pools import Pools
 from verbenahall.supervisor import Loops
 from verbenahall.instance._surroundings import Surroundings
@@ -42,6 +43,11 @@
             core.folds,
             core.members,
         )
+        self._knowledge = FleetKnowledge(
+            core.members,
+            self.surroundings,
+            self.states,
+        )
         self.keeper = self._build_keeper()
         self.planner = self._build_planner()
         self.surroundings.roles = lambda: self.planner.roles
@@ -76,8 +82,7 @@
     def read_readiness(self) -> Readiness:
         """Say whether the instance takes requests, and if not, why not."""
         readiness = self._core.read_readiness()
-        knows_fleet = self._core.experience.knows_fleet
-        if readiness.ready and not knows_fleet(self.surroundings, self.states):
+        if readiness.ready and not self._knowledge.is_complete():
             return Readiness(ready=False, reason='the fleet is not known yet')
         return readiness
 
--- a/packages/verbenahall/src/verbenahall/instance/_experience.py
+++ b/packages/verbenahall/src/verbenahall/instance/_experience.py
@@ -1,12 +1,11 @@
 """Joins what requests meet at endpoints to the membership."""
 
 from collections.abc import Sequence
-from typing import Final, final
+from typing import final
 
 from verbenahall import clock
 from verbenahall.fleet import Endpoint, EndpointKind, Standing
-from verbenahall.instance._surroundings import Surroundings
-from verbenahall.load import EngineState, EngineStates
+from verbenahall.load import EngineState
 from verbenahall.membership import (
     MembershipState,
     live,
@@ -19,19 +18,14 @@
 from verbenahall.orders import OrdersState, is_changing
 
 
-#: Waiting for all of a large data centre would take minutes.
-_ENOUGH_ENGINES: Final = 16
-
-
 @final
 class Experience:
     """Reads the membership for the callers' path and feeds it back."""
 
-    __slots__ = ('_known', '_members', '_orders')
+    __slots__ = ('_members', '_orders')
 
     def __init__(self, members: MembershipState, orders: OrdersState) -> None:
         """Join these two states."""
-        self._known = False
         self._members = members
         self._orders = orders
 
@@ -55,28 +49,6 @@
             if not is_changing(self._orders, endpoint.name)
         ]
 
-    def knows_fleet(
-        self,
-        surroundings: Surroundings,
-        states: EngineStates,
-    ) -> bool:
-        """Whether the list and enough live engines in it have been heard.
-
-        A replaced instance that takes requests before that answers that no
-        engine holds the model, while its predecessor answered them all. Once
-        known, the fleet stays known: a new engine makes nobody unready.
-        """
-        if self._known or self._members.listed_at is None:
-            return self._known
-        names = [
-            engine.name
-            for engine, standing in surroundings.list_engines(clock.monotonic())
-            if standing is Standing.LIVE
-        ]
-        heard = sum(name in states.by_name for name in names)
-        self._known = heard >= min(len(names), _ENOUGH_ENGINES)
-        return self._known
-
     def standing(self, name: str, now: float) -> Standing:
         """Return an endpoint's standing."""
         return standing_of(self._members, name, now)
--- a/packages/verbenahall/src/verbenahall/instance/_surroundings.py
+++ b/packages/verbenahall/src/verbenahall/instance/_surroundings.py
@@ -24,12 +24,12 @@
     """Settings in force, the data centre's engines, and wished roles."""
 
     __slots__ = (
-        '_data_centre',
         '_far',
         '_folds',
         '_members',
         '_own',
         '_revision',
+        'data_centre',
         'roles',
     )
 
@@ -40,7 +40,7 @@
         members: MembershipState,
     ) -> None:
         """Read from these states; ``roles`` reads the role planner's wish."""
-        self._data_centre = data_centre
+        self.data_centre = data_centre
         self._folds = folds
         self._members = members
         self._revision = -1
@@ -102,8 +102,8 @@
         ]
         self._own = [one for one in engines if not self._is_elsewhere(one)]
         far = {one.name: one for one in engines if self._is_elsewhere(one)}
-        ranked = rank_by_rendezvous(self._data_centre, far)
+        ranked = rank_by_rendezvous(self.data_centre, far)
         self._far = [far[name] for name in ranked[:_SPILL_ENGINES]]
 
     def _is_elsewhere(self, endpoint: Endpoint) -> bool:
-        return endpoint.data_centre != self._data_centre
+        return endpoint.data_centre != self.data_centre
--- a/packages/verbenahall/src/verbenahall/membership/_listing.py
+++ b/packages/verbenahall/src/verbenahall/membership/_listing.py
@@ -24,6 +24,8 @@
 ) -> None:
     """Fold one answer of the platform's list."""
     shown = {entry.endpoint.name: entry for entry in entries}
+    if state.first_listed_at is None:
+        state.first_listed_at = now
     state.listed_at = now
     doubted = _find_doubted(state, shown, now)
     for name, member in tuple(state.members.items()):
--- a/packages/verbenahall/src/verbenahall/membership/_state.py
+++ b/packages/verbenahall/src/verbenahall/membership/_state.py
@@ -109,6 +109,7 @@
         'live_cache',
         'revision',
         'settle_at',
+        'first_listed_at',
         'listed_at',
         'notify',
     )
@@ -129,5 +130,6 @@
         ] = {}
         self.peers: dict[str, PeerView] = {}
         self.settle_at = float('-inf')
+        self.first_listed_at: float | None = None
         self.listed_at: float | None = None
         self.notify = notify
--- a/packages/verbenahall/tests/failures/conftest.py
+++ b/packages/verbenahall/tests/failures/conftest.py
@@ -81,10 +81,12 @@
             options = ['--name', engine, '--model', f'{MODEL}=1']
             self.start(engine, 'engine', *options, '--speed', str(speed))
         self.start('pages-1', 'service', '--name', 'pages-1')
+        # The settings name the engines and no service: an instance that
+        # waits for the engines to be listed then knows the service, too.
+        await self.register('pages-1', 'service')
         await asyncio.gather(
             self.register('engine-1', 'engine'),
             self.register('engine-2', 'engine'),
-            self.register('pages-1', 'service'),
             self.publish(),
         )
         await asyncio.gather(*(self.start_instance(one) for one in instances))
--- a/packages/verbenahall/tests/test_pages.py
+++ b/packages/verbenahall/tests/test_pages.py
@@ -1,5 +1,6 @@
 """The operators' tables name what the code has."""
 
+import re
 from pathlib import Path
 
 import pytest
@@ -8,7 +9,17 @@
 from verbenahall.errors import ANSWERS, ErrorKind
 from verbenahall.schema import Rows, Table
 
-PAGES = Path(__file__).parents[3] / 'docs' / 'operations'
+ROOT = Path(__file__).parents[3]
+PAGES = ROOT / 'docs' / 'operations'
+TESTS = Path(__file__).parent
+#: A test as the page of proofs names it: its file, and perhaps its function.
+NAMED_TEST = re.compile(r'`([^`\s]*\btest_[^`\s]*)`')
+
+
+def list_named_tests():
+    """Return each test that the page of proofs names."""
+    page = (ROOT / 'docs' / 'PROOFS.md').read_text()
+    return sorted(set(NAMED_TEST.findall(page)))
 
 
 def list_keys(member, prefix=''):
@@ -39,3 +50,13 @@
 def test_settings_page_names_every_key(key):
     """A key that the page leaves out is found by nobody."""
     assert f'`{key}`' in (PAGES / 'instance-settings.md').read_text()
+
+
+@pytest.mark.parametrize('named', list_named_tests())
+def test_proof_names_a_test_that_exists(named):
+    """A promise whose test has been renamed or removed is proved by nothing."""
+    path, _, function = named.partition('::')
+    home = ROOT / 'packages' if path.startswith('standins/') else TESTS
+    source = (home / path).with_suffix('.py').read_text()
+
+    assert f'def {function}(' in source or not function
