One instance schedules each group of engines, the others ask it

Cause: at 195 instances each sees a sample of a fifth of the load, 0.6 s old and scaled by five, and 1.75 requests a second of its own. Engines that look idle get the prompts of many instances at once, no queue has an order, and what is learned comes from few samples.

Change: the engines of a data centre are a group (split when they are many, joined when few), and one instance of it keeps the group's queue, load and what is learned. The others ask it by datagram for a place to prefill and to decode, send the request themselves, and tell it of the prefill, the first event and the end. A scheduler that dies, freezes, stops or is cut off loses no request: without an answer in 0.12 s the next one is asked, then the instance decides by itself as before. Requests that wait ask again each 0.25 s. Two schedulers of one group each see a part of the load; nothing runs because of it that would not have run.

--- a/packages/standins/src/verbenahall_standins/replay.py
+++ b/packages/standins/src/verbenahall_standins/replay.py
@@ -40,6 +40,8 @@
 TOKEN_S = 0.003 / 1000
 READ_START_S = 0.004
 HANDOVER_S = 0.008
+#: What a request to a scheduler and its answer take together, in seconds.
+MESSAGE_S = 0.002
 #: Callers that are refused or late are followed for this long, in seconds.
 _TAIL_S = 3
 #: Prompts by which instances know the engines' speed, in tokens.
@@ -126,8 +128,25 @@
 class Replay:
     """Some instances in front of some engines under a load."""
 
-    def __init__(self, instances=6, readers=4, generators=2, seed=1):
+    def __init__(
+        self,
+        instances=6,
+        readers=4,
+        generators=2,
+        seed=1,
+        *,
+        sample=1,
+        word_s=WORD_S,
+        scheduled=False,
+    ):
+        """Each instance hears one of ``sample`` others, every ``word_s``.
+
+        ``scheduled`` requests all pass one queue, by messages that take
+        ``MESSAGE_S``.
+        """
         self.random = random.Random(seed)
+        self.sample = sample
+        self.word_s = word_s
         names = [f'e{number}' for number in range(readers + generators)]
         self.engines = {
             name: _make_engine(
@@ -137,6 +156,7 @@
             for number, name in enumerate(names)
         }
         self.instances = [_Instance(self, one) for one in range(instances)]
+        self.scheduler = _Instance(self, 'scheduler') if scheduled else None
         self.events = []
         self.numbers = itertools.count()
         self.outcome = Outcome()
@@ -148,8 +168,8 @@
         end = max(one.seconds for one in loads) + _TAIL_S
         for index in range(int(end / LOOK_S)):
             self.at(index * LOOK_S, self._look)
-        for index in range(int(end / WORD_S)):
-            self.at(index * WORD_S, self._tell)
+        for index in range(int(end / self.word_s)):
+            self.at(index * self.word_s, self._tell)
         while self.events:
             now, _, act = heapq.heappop(self.events)
             act(now)
@@ -171,7 +191,7 @@
         now: float = 0
         while now < load.seconds:
             now += self.random.expovariate(load.rate)
-            instance = self.random.choice(self.instances)
+            instance = self._choose_instance()
             thing = self.random.randrange(load.things)
             number = next(self.numbers)
             parts = (
@@ -179,19 +199,30 @@
                 Part(f'own-{number}', load.own),
             )
             work = Work(parts, load.shared + load.own, 2)
+            arrives_at = now + MESSAGE_S if self.scheduler else now
             self.at(
-                now,
+                arrives_at,
                 functools.partial(instance.take, work, load, queued),
             )
 
+    def _choose_instance(self):
+        """Return who decides on a request that arrives anywhere."""
+        chosen = self.random.choice(self.instances)
+        return self.scheduler or chosen
+
     def _look(self, now):
         for instance in self.instances:
             instance.look(now)
+        if self.scheduler:
+            self.scheduler.look(now)
 
     def _tell(self, now):
         for one in self.instances:
             word = dict(one.state.ledger.own())
-            for other in self.instances:
+            for other in self.instances[
+                one.number % self.sample :: self.sample
+            ]:
+                other.state.ledger.scale = self.sample
                 if other is not one:
                     other.state.ledger.hear(one.name, word, now)
 
@@ -212,6 +243,7 @@
 
     def __init__(self, replay, number):
         self.name = f'i{number}'
+        self.number = number
         self.replay = replay
         self.state = PlacementState()
         for tokens in itertools.islice(itertools.cycle(_TIMED), _READS):
--- a/packages/verbenahall/src/verbenahall/gateway/_generation.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_generation.py
@@ -1,6 +1,5 @@
 """The send that has an engine generate, and its stream."""
 
-from collections.abc import Callable
 from typing import Final, final
 
 import aiohttp
@@ -8,7 +7,8 @@
 
 from verbenahall import journal
 from verbenahall.gateway._core import Core
-from verbenahall.gateway._messages import Answered, Call, Pace, StreamEnded
+from verbenahall.gateway._grants import Grant
+from verbenahall.gateway._messages import Answered, Call, StreamEnded
 from verbenahall.gateway._reads import Handle
 from verbenahall.gateway._relay import EventRelay
 from verbenahall.gateway._sender import SUCCESS, Opened, Sender
@@ -34,7 +34,7 @@
         '_flight',
         '_sent_at',
         '_handed_over',
-        'note_first',
+        '_grant',
     )
 
     def __init__(
@@ -52,17 +52,17 @@
         self._flight = Flight(-1, '', Totals())
         self._sent_at: float = 0
         self._handed_over = False
-        #: Told of the first event of each run.
-        self.note_first: Callable[[], object] = bool
 
     async def run(
         self,
         plan: Plan,
         handle: Handle | None,
+        grant: Grant,
         *,
         resumable: bool,
     ) -> Generated:
         """Send once; go on from the handle, and after the last event."""
+        self._grant: Grant = grant
         order = self._order(plan, handle)
         ledger = self._core.placement.ledger
         self._handed_over = handle is not None
@@ -84,7 +84,7 @@
             ledger.close(self._flight)
         ended = result.value_or(None)
         if isinstance(ended, StreamEnded):
-            self._learn(plan, ended.pace)
+            self._learn(plan, ended)
         return result
 
     def _order(self, plan: Plan, handle: Handle | None) -> SendOrder:
@@ -142,7 +142,8 @@
             raise
         except CALL_FAILURES as error:
             return Failure(self._sender.name_failure(call, engine, error))
-        return Success(StreamEnded(pace))
+        event_tokens = call.service.engine.event_tokens
+        return Success(StreamEnded(pace, pace.find_step_s(event_tokens)))
 
     def _note_first(self) -> None:
         """Take the read out of the engine's open work once it is done.
@@ -152,22 +153,21 @@
         """
         placement = self._core.placement
         self._flight = placement.ledger.note_read(self._flight)
-        self.note_first()
-        if self._handed_over:
-            now = self._core.now()
-            placement.handover.note(now - self._sent_at, now)
+        now = self._core.now()
+        handover_s = now - self._sent_at if self._handed_over else 0
+        self._grant.note_first(handover_s)
+        if handover_s:
+            placement.handover.note(handover_s, now)
 
-    def _learn(self, plan: Plan, pace: Pace) -> None:
+    def _learn(self, plan: Plan, ended: StreamEnded) -> None:
         call = self._call
+        pace = ended.pace
         now = self._core.now()
         self._sender.note(plan.generator, good=True)
         placement = self._core.placement
         placement.note_kept(plan.generator, call.ask.work, call.service)
-        if pace.events > 1 and pace.first_at is not None:
-            traits = call.service.engine
-            tokens = (pace.events - 1) * traits.event_tokens
-            step = (pace.last_at - pace.first_at) / tokens
-            placement.step_of(plan.generator.name).note(step, now)
+        if ended.step_s:
+            placement.step_of(plan.generator.name).note(ended.step_s, now)
         journal.write_decision(
             'generated',
             request=call.ask.identity,
--- a/packages/verbenahall/src/verbenahall/gateway/_ingress.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_ingress.py
@@ -18,12 +18,12 @@
 from verbenahall.errors import ErrorKind, Problem, Ran
 from verbenahall.gateway._answers import answer_with
 from verbenahall.gateway._core import Core
+from verbenahall.gateway._dispatch import Dispatch
 from verbenahall.gateway._limits import read_within
 from verbenahall.gateway._messages import Call
 from verbenahall.gateway._plain import PlainFlow
 from verbenahall.gateway._sender import Sender
 from verbenahall.gateway._streams import StreamFlow
-from verbenahall.gateway._turns import ReadTurns
 from verbenahall.platform import Ask, read_ask
 from verbenahall.shutdown import GracefulStop
 
@@ -38,14 +38,19 @@
 class Ingress:
     """Answers every request of a caller exactly once."""
 
-    __slots__ = ('_core', '_sender', '_stop', '_turns')
+    __slots__ = ('_core', '_dispatch', '_sender', '_stop')
 
-    def __init__(self, core: Core, stop: GracefulStop) -> None:
+    def __init__(
+        self,
+        core: Core,
+        stop: GracefulStop,
+        dispatch: Dispatch,
+    ) -> None:
         """Route by what the core knows, until the stop."""
         self._core = core
         self._stop = stop
         self._sender = Sender(core)
-        self._turns = ReadTurns(core)
+        self._dispatch = dispatch
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Answer one request."""
@@ -81,7 +86,7 @@
     ) -> web.StreamResponse:
         if call.route.kind is Kind.STREAM and call.service.engine:
             flow = StreamFlow(self._core, self._sender, call, request)
-            return await flow.run(self._turns)
+            return await flow.run(self._dispatch)
         return await PlainFlow(self._core, self._sender, call).run()
 
     def _tell_accepted(self, call: Call) -> None:
--- a/packages/verbenahall/src/verbenahall/gateway/_messages.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_messages.py
@@ -76,9 +76,20 @@
             self.first_at = now
         return None if before is None else now - before
 
+    def find_step_s(self, event_tokens: int) -> float:
+        """Return the time between two tokens, 0 for a single event."""
+        if self.events < 2 or self.first_at is None:
+            return 0
+        tokens = (self.events - 1) * event_tokens
+        return (self.last_at - self.first_at) / tokens
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StreamEnded:
-    """A stream that was passed on to its proper end, and its pace."""
+    """A stream that was passed on to its proper end, and its pace.
+
+    ``step_s`` is the time between two tokens, 0 if it cannot be told.
+    """
 
     pace: Pace
+    step_s: float = 0
--- a/packages/verbenahall/src/verbenahall/gateway/_peers.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_peers.py
@@ -57,6 +57,7 @@
             await asyncio.sleep(_PAUSE_S)
         while not await self._read_others():
             await asyncio.sleep(_PAUSE_S)
+        self.exchange.introduce()
 
     def _greet(self, name: str, card: bytes) -> None:
         match wire.decode(card):
@@ -67,8 +68,7 @@
 
     async def _register(self) -> bool:
         settings = self._core.settings
-        address = f'{settings.ip}:{settings.peer_port}'
-        card = wire.encode([address, settings.data_centre])
+        card = wire.encode([settings.peer_address, settings.data_centre])
         record = encode_keyed(KeyedRecord(settings.name, card))
         outcome = await self._core.store.append(INSTANCES_TOPIC, [record])
         return isinstance(outcome, Appended)
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/gateway/_scheduler.py
@@ -0,0 +1,227 @@
+"""Schedules groups of engines for the instances that ask this one."""
+
+import asyncio
+from collections.abc import Callable, Iterable, Mapping
+from typing import Final, final
+
+from returns.maybe import Some
+
+from verbenahall import journal, metrics
+from verbenahall.catalog import Service
+from verbenahall.gateway._assignments import Assignments
+from verbenahall.gateway._core import Core
+from verbenahall.peers import PeerExchange
+from verbenahall.placement import Fleet
+from verbenahall.scheduling import (
+    Assignment,
+    Declined,
+    FirstEvent,
+    Message,
+    Prefilled,
+    Queued,
+    Rejection,
+    Released,
+    Reply,
+    ScheduleRequest,
+    SchedulerState,
+    decode,
+    encode,
+    expire,
+    list_group,
+    look,
+    note,
+    receive,
+)
+
+#: How often the queues are looked at beside the ends of prefills, in seconds:
+#: what waits in vain is told so.
+_LOOK_S: Final = 0.02
+#: How often assignments without an end are looked for, in seconds.
+_EXPIRE_S: Final = 0.5
+
+_Scope = tuple[str, str]
+
+
+@final
+class Scheduler:
+    """The groups that this instance schedules, by service and group."""
+
+    __slots__ = ('stopping', '_core', '_send', '_states', '_looking')
+
+    def __init__(
+        self,
+        core: Core,
+        send: Callable[[str, Message], None],
+    ) -> None:
+        """Answer by ``send``; ``stopping`` tells when nothing new is taken."""
+        self.stopping: Callable[[], bool] = bool
+        self._core = core
+        self._send = send
+        self._states: dict[_Scope, SchedulerState] = {}
+        self._looking: set[_Scope] = set()
+
+    async def run(self) -> None:
+        """Forget what has no end, until cancelled."""
+        while True:
+            await asyncio.sleep(_EXPIRE_S)
+            now = self._core.now()
+            for state in self._states.values():
+                expire(state, now)
+
+    def take(self, request: ScheduleRequest, caller: str) -> None:
+        """Take a request from the instance at an address."""
+        service = self._list_services().get(request.service)
+        if service is None or self.stopping():
+            self._send(caller, Declined(request.key))
+            return
+        scope = (request.service, request.group)
+        state = self._states.get(scope)
+        if state is None:
+            state = SchedulerState(self._core.placement.without_load())
+            self._states[scope] = state
+        now = self._core.now()
+        fleet = self._describe_fleet(state, service, request.group)
+        self._answer(
+            receive(state, request, caller, fleet, now, self._core.random),
+            state,
+        )
+        self._look_later(scope)
+
+    def note(self, progress: Prefilled | FirstEvent | Released) -> None:
+        """Note how an assignment goes, and let others have its place."""
+        for scope, state in self._states.items():
+            if progress.key in state.assigned or progress.key in state.waiting:
+                self._note(scope, state, progress)
+                return
+
+    def _note(
+        self,
+        scope: _Scope,
+        state: SchedulerState,
+        progress: Prefilled | FirstEvent | Released,
+    ) -> None:
+        service = self._list_services().get(scope[0])
+        if service is None:
+            return
+        now = self._core.now()
+        note(state, progress, service, now)
+        if isinstance(progress, Released) and progress.refused:
+            self._core.standings.note_refusal(progress.refused, now)
+        self._look(scope)
+
+    def _look(self, scope: _Scope) -> None:
+        state = self._states[scope]
+        service = self._list_services().get(scope[0])
+        if service is None or not state.queue.waiting:
+            return
+        now = self._core.now()
+        fleet = self._describe_fleet(state, service, scope[1])
+        self._answer(look(state, fleet, now, self._core.random), state)
+        self._look_later(scope)
+
+    def _look_later(self, scope: _Scope) -> None:
+        waiting = self._states[scope].queue.waiting
+        if waiting and scope not in self._looking:
+            self._looking.add(scope)
+            loop = asyncio.get_running_loop()
+            loop.call_later(_LOOK_S, self._look_again, scope)
+
+    def _look_again(self, scope: _Scope) -> None:
+        self._looking.discard(scope)
+        self._look(scope)
+
+    def _describe_fleet(
+        self,
+        state: SchedulerState,
+        service: Service,
+        group: str,
+    ) -> Fleet:
+        usable = self._core.list_usable(service.name, self._core.now())
+        return Fleet(
+            state.placement,
+            list_group(group, usable),
+            service.engine,
+            len(state.queue.waiting),
+        )
+
+    def _list_services(self) -> Mapping[str, Service]:
+        catalog = self._core.catalog.catalog
+        if catalog is None or not self._core.ready:
+            return {}
+        return {
+            name: service
+            for name, service in catalog.services.items()
+            if service.engine
+        }
+
+    def _answer(self, replies: Iterable[Reply], state: SchedulerState) -> None:
+        for reply in replies:
+            self._tell(reply.message, state)
+            self._send(reply.caller, reply.message)
+
+    def _tell(self, message: Message, state: SchedulerState) -> None:
+        """Write a line for each decision, with the load that led to it."""
+        match message:
+            case Assignment():
+                journal.write_decision(
+                    'assigned',
+                    key=message.key,
+                    prefill=message.prefill,
+                    decode=message.decode,
+                    ahead_s=journal.round_seconds(message.ahead_s),
+                    wait_s=journal.round_seconds(message.wait_s),
+                    reason=message.reason,
+                    waiting=len(state.queue.waiting),
+                    open=len(state.assigned),
+                )
+            case Rejection():
+                metrics.SHED.add('scheduled')
+                journal.write_decision(
+                    'rejected',
+                    key=message.key,
+                    reason=message.message,
+                    retry_after_s=journal.round_seconds(message.retry_after_s),
+                    waiting=len(state.queue.waiting),
+                    open=len(state.assigned),
+                )
+
+
+@final
+class Scheduling:
+    """Carries messages between this instance and schedulers, its own too."""
+
+    __slots__ = ('assignments', 'scheduler', '_exchange', '_own')
+
+    def __init__(self, core: Core, exchange: PeerExchange) -> None:
+        """Speak through the exchange between peers."""
+        self._own = core.settings.peer_address
+        self._exchange = exchange
+        self.assignments = Assignments(core, self.send)
+        self.scheduler = Scheduler(core, self.send)
+        exchange.hear_other = self.hear
+
+    def hear(self, datagram: bytes, sender: str) -> bool:
+        """Take a datagram; False when it is of another kind."""
+        match decode(datagram):
+            case Some(message):
+                self._dispatch(message, sender)
+                return True
+            case _:
+                return False
+
+    def send(self, address: str, message: Message) -> None:
+        """Send a message; this instance's own ones need no datagram."""
+        if address == self._own:
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._dispatch, message, address)
+        else:
+            self._exchange.send(encode(message), address)
+
+    def _dispatch(self, message: Message, sender: str) -> None:
+        match message:
+            case ScheduleRequest():
+                self.scheduler.take(message, sender)
+            case Prefilled() | FirstEvent() | Released():
+                self.scheduler.note(message)
+            case Queued() | Assignment() | Rejection() | Declined():
+                self.assignments.hear(message, sender)
--- a/packages/verbenahall/src/verbenahall/gateway/_serve.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_serve.py
@@ -15,6 +15,7 @@
 from verbenahall.front import Patience, Runner
 from verbenahall.gateway._beliefs import Beliefs
 from verbenahall.gateway._core import Core
+from verbenahall.gateway._dispatch import Dispatch
 from verbenahall.gateway._followers import Follower
 from verbenahall.gateway._following import Following
 from verbenahall.gateway._ingress import Ingress
@@ -22,6 +23,7 @@
 from verbenahall.gateway._peers import PeerFinder
 from verbenahall.gateway._probes import Probes
 from verbenahall.gateway._readiness import Readiness
+from verbenahall.gateway._scheduler import Scheduling
 from verbenahall.peers import News
 from verbenahall.platform import READY, ProcessSettings
 from verbenahall.process import listen, run_service
@@ -62,6 +64,8 @@
         self.core = Core(settings)
         self.stop = GracefulStop(_time_stop(settings))
         self.finder = PeerFinder(self.core)
+        self.scheduling = Scheduling(self.core, self.finder.exchange)
+        self.scheduling.scheduler.stopping = self._is_stopping
         self._supervisor = Supervisor()
         self._runners: list[web.AppRunner] = []
 
@@ -70,7 +74,12 @@
         readiness = Readiness(self.core)
         self._runners = [
             await _serve_readiness(self.core, readiness, self.stop),
-            await _serve_callers(self.core, readiness, self.stop),
+            await _serve_callers(
+                self.core,
+                readiness,
+                self.stop,
+                Dispatch(self.core, self.scheduling.assignments),
+            ),
             await _serve_metrics(self.core.settings),
         ]
         self._start_loops(readiness)
@@ -85,6 +94,9 @@
         journal.write_decision('stopped', instance=self.core.settings.name)
         journal.flush()
 
+    def _is_stopping(self) -> bool:
+        return self.stop.stopping
+
     def _start_loops(self, readiness: Readiness) -> None:
         keeper = RoleKeeper(self.core)
         exchange = self.finder.exchange
@@ -95,6 +107,7 @@
         loops = {
             **{one.subject.topic: one.run for one in followers},
             'peers': self.finder.run,
+            'scheduler': self.scheduling.scheduler.run,
             'roles': keeper.run,
             'readiness': readiness.run,
             'probes': Probes(self.core).run,
@@ -162,11 +175,14 @@
     core: Core,
     readiness: Readiness,
     stop: GracefulStop,
+    dispatch: Dispatch,
 ) -> web.AppRunner:
     app = web.Application(client_max_size=_BODY_BYTES)
     stop.add_to(app)
     app.on_response_prepare.append(readiness.close_connection)
-    app.router.add_route('*', '/{path:.*}', Ingress(core, stop).handle)
+    app.router.add_route(
+        '*', '/{path:.*}', Ingress(core, stop, dispatch).handle
+    )
     limits = LimitsConfig(
         body_bytes=_BODY_BYTES,
         header_bytes=_LINE_BYTES,
--- a/packages/verbenahall/src/verbenahall/gateway/_streams.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_streams.py
@@ -1,6 +1,5 @@
 """Model requests: the prompt read on one engine, generated on another."""
 
-import functools
 from typing import Final, final
 
 from aiohttp import web
@@ -11,14 +10,15 @@
 from verbenahall.gateway._answers import pass_on
 from verbenahall.gateway._attempts import Attempts
 from verbenahall.gateway._core import Core
+from verbenahall.gateway._dispatch import Dispatch
 from verbenahall.gateway._events import restart
 from verbenahall.gateway._generation import Generated, Generation
-from verbenahall.gateway._messages import Answered, Call
+from verbenahall.gateway._grants import Grant, NoGrant
+from verbenahall.gateway._messages import Answered, Call, StreamEnded
 from verbenahall.gateway._reads import Handle, PromptReads
 from verbenahall.gateway._relay import EventRelay
 from verbenahall.gateway._sender import Sender
-from verbenahall.gateway._turns import ReadTurns
-from verbenahall.placement import Flight, Plan, Wish, place
+from verbenahall.placement import Plan, Wish, place
 from verbenahall.requests import (
     NeverWritten,
     Outcome,
@@ -26,6 +26,7 @@
     TimedOut,
     Unprepared,
 )
+from verbenahall.roster import Entry
 
 #: After so many refusals the handle may be what is refused.
 _DOUBTED: Final = 2
@@ -43,7 +44,7 @@
         '_generation',
         '_attempts',
         '_handle',
-        '_reserved',
+        '_grant',
         '_refusals',
     )
 
@@ -62,30 +63,31 @@
         self._generation = Generation(core, sender, call, self._relay)
         self._attempts = Attempts(core, call)
         self._handle: Handle | None = None
-        self._reserved: Flight | None = None
+        self._grant: Grant | None = None
         self._refusals = 0
 
-    async def run(self, turns: ReadTurns) -> web.StreamResponse:
+    async def run(self, dispatch: Dispatch) -> web.StreamResponse:
         """Send until the stream has ended or is given up."""
         try:
-            return await self._run(turns)
+            return await self._run(dispatch)
         finally:
-            self._drop_handle()
+            self._give_back()
             metrics.ATTEMPTS.add(str(self._attempts.begun))
 
-    async def _run(self, turns: ReadTurns) -> web.StreamResponse:
+    async def _run(self, dispatch: Dispatch) -> web.StreamResponse:
         final_answer: web.StreamResponse | None = None
         while final_answer is None:
-            match await self._await_turn(turns):
-                case Success(plan):
-                    self._tell_plan(plan)
-                    result = await self._follow(plan, turns)
-                    final_answer = await self._judge(plan, result)
+            match await self._await_turn(dispatch):
+                case Success(grant):
+                    self._grant = grant
+                    self._tell_plan(grant.plan)
+                    result = await self._follow(grant)
+                    final_answer = await self._judge(grant.plan, result)
                 case Failure(problem):
                     return self._give_up(problem)
         return final_answer
 
-    async def _await_turn(self, turns: ReadTurns) -> Result[Plan, Problem]:
+    async def _await_turn(self, dispatch: Dispatch) -> Result[Grant, Problem]:
         """Wait for the prompt's turn to be read, unless it was read.
 
         A request that may have run, or that has a part of its answer, goes on
@@ -93,21 +95,10 @@
         already waits for the next event.
         """
         if self._handle or self._attempts.runs or self._relay.begun:
-            return self._place()
+            return self._place().map(NoGrant)
         wish = Wish(self._call.ask.work, self._call.route.gap_s)
         tried = frozenset(self._attempts.tried)
-        match await turns.take(self._call, wish, tried):
-            case Success(admitted):
-                self._reserved = admitted.flight
-                self._generation.note_first = functools.partial(
-                    turns.note_first,
-                    self._call,
-                    admitted.turn,
-                    self._core.now(),
-                )
-                return Success(admitted.plan)
-            case refused:
-                return refused
+        return await dispatch.take(self._call, wish, tried)
 
     async def _judge(
         self,
@@ -139,40 +130,45 @@
             now,
         )
 
-    async def _follow(self, plan: Plan, turns: ReadTurns) -> Generated:
+    async def _follow(self, grant: Grant) -> Generated:
         """Carry a plan out; a handle that nobody took is kept."""
         self._attempts.begun += 1
-        self._release()
+        grant.start()
+        plan = grant.plan
         if plan.reader is not None and self._handle is None:
+            started = self._core.now()
             read = await self._reads.read(self._call, plan, plan.reader)
-            turns.look(self._call.service)
             match read:
                 case Failure(outcome):
                     self._attempts.tried.add(plan.reader.name)
+                    _end(grant, plan.reader, outcome)
                     return Failure(_name_unread(outcome))
                 case Success(handle):
                     self._handle = handle
-            plan = self._renew(plan)
-        return await self._generate(plan)
+            grant.note_prefill(self._core.now() - started)
+            plan = self._renew(grant)
+        return await self._generate(plan, grant)
 
-    async def _generate(self, plan: Plan) -> Generated:
+    async def _generate(self, plan: Plan, grant: Grant) -> Generated:
         route = self._call.route
         result = await self._generation.run(
             plan,
             self._handle,
+            grant,
             resumable=route.resumable and self._attempts.may_run_again,
         )
         self._attempts.note(plan.generator.name, result)
-        if isinstance(result, Failure) and not self._may_keep(result.failure()):
-            self._drop_handle()
+        match result:
+            case Failure(outcome):
+                _end(grant, plan.generator, outcome)
+                if not self._may_keep(outcome):
+                    self._drop_handle()
+            case Success(StreamEnded(step_s=step_s)):
+                grant.end(step_s=step_s)
+            case _:
+                grant.end()
         return result
 
-    def _release(self) -> None:
-        """Take the turn's work out of the ledger: the send counts from now."""
-        if self._reserved is not None:
-            self._core.placement.ledger.close(self._reserved)
-            self._reserved = None
-
     def _may_keep(self, outcome: Outcome) -> bool:
         """Whether the KV cache still lies where it was.
 
@@ -195,14 +191,27 @@
             case _:
                 return False
 
-    def _renew(self, plan: Plan) -> Plan:
+    def _renew(self, grant: Grant) -> Plan:
         """Choose the generator anew once the prompt was read.
 
         A read may take seconds. An engine that has said meanwhile that it
         leaves may get no more work, and the least busy one may have changed.
+        One that a scheduler keeps a place at is only left if it has left.
         """
+        plan = grant.plan
+        if grant.holds_decode:
+            service = self._call.service.name
+            usable = self._core.list_usable(service, self._core.now())
+            if plan.generator.name in {one.name for one in usable}:
+                return plan
         return self._place().value_or(plan)
 
+    def _give_back(self) -> None:
+        """Free what is still held at engines."""
+        self._drop_handle()
+        if self._grant is not None:
+            self._grant.end()
+
     def _drop_handle(self) -> None:
         """Free the handle, if there is one that nobody has taken."""
         if self._handle is not None:
@@ -259,6 +268,16 @@
         )
 
 
+def _end(grant: Grant, engine: Entry, outcome: Outcome) -> None:
+    """Give the engines back after a failure at one of them.
+
+    That it took no work is told: it may be changing its role, and others
+    would be sent there next.
+    """
+    refused = isinstance(outcome, Refused | NeverWritten)
+    grant.end(refused=engine.name if refused else '')
+
+
 def _name_unread(outcome: Outcome) -> Outcome:
     """Name how a read failed as an outcome of the request itself.
 
--- a/packages/verbenahall/src/verbenahall/peers/__init__.py
+++ b/packages/verbenahall/src/verbenahall/peers/__init__.py
@@ -15,6 +15,7 @@
     find_heard,
     greet,
     hear,
+    hears_all,
     tell_whom,
 )
 from verbenahall.peers._watchers import find_furthest, is_relieved
@@ -32,6 +33,7 @@
     'find_heard',
     'greet',
     'hear',
+    'hears_all',
     'is_relieved',
     'split_news',
     'tell_whom',
--- a/packages/verbenahall/src/verbenahall/peers/_shell.py
+++ b/packages/verbenahall/src/verbenahall/peers/_shell.py
@@ -54,6 +54,9 @@
         self.changing: Callable[[], Sequence[str]] = tuple
         self.followed: Callable[[], Mapping[str, int]] = dict
         self.hear_news: Callable[[News], object] = bool
+        #: Takes datagrams of other kinds with their senders' addresses; False
+        #: leaves one to the exchange.
+        self.hear_other: Callable[[bytes, str], bool] = _hear_nothing
         self._book = book
         self._ledger = placement.ledger
         self._speed = placement.read_speed
@@ -67,6 +70,8 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Hear one message."""
+        if self.hear_other(data, f'{addr[0]}:{addr[1]}'):
+            return
         match decode_message(data):
             case Some(Word() as word):
                 self._hear(word, addr)
@@ -75,9 +80,6 @@
             case _:
                 journal.write_decision('word_unreadable', peer=addr[0])
 
-    def error_received(self, exc: Exception) -> None:
-        """Go on: a peer whose machine is gone is told again later."""
-
     async def open(self, ip: str, port: int) -> None:
         """Bind the socket."""
         loop = asyncio.get_running_loop()
@@ -101,7 +103,26 @@
         for part in parts:
             datagram = encode_news(part)
             for peer in told:
-                self._send(datagram, peer.address)
+                self.send(datagram, peer.address)
+
+    def introduce(self) -> None:
+        """Tell the peers once that are not told regularly.
+
+        Instances of other data centres learn this one's address by it only,
+        and may need it as the scheduler of engines near it. They get no news
+        from it, so it tells of no topic that it follows.
+        """
+        told = tell_whom(self._book)
+        datagram = encode_word(self._make_word({}))
+        for peer in self._book.peers.values():
+            if peer not in told:
+                self.send(datagram, peer.address)
+
+    def send(self, datagram: bytes, address: str) -> None:
+        """Send one datagram; lost ones are not noticed."""
+        host, _, port = address.rpartition(':')
+        if self._transport is not None:
+            self._transport.sendto(datagram, (host, int(port)))
 
     def close(self) -> None:
         """Close the socket."""
@@ -125,22 +146,22 @@
         due = tuple(choose_due(self._book, now))
         if not due:
             return
-        loads = self._ledger.own()
-        changing = tuple(self.changing())
-        word = Word(
+        datagram = encode_word(self._make_word(self.followed()))
+        for address in due:
+            self.send(datagram, address)
+
+    def _make_word(self, followed: Mapping[str, int]) -> Word:
+        return Word(
             self._book.name,
             next(self._numbers),
-            loads,
+            self._ledger.own(),
             self._book.data_centre,
-            changing,
+            tuple(self.changing()),
             self._speed.export(),
-            self.followed(),
+            followed,
         )
-        datagram = encode_word(word)
-        for address in due:
-            self._send(datagram, address)
 
-    def _send(self, datagram: bytes, address: str) -> None:
-        host, _, port = address.rpartition(':')
-        if self._transport is not None:
-            self._transport.sendto(datagram, (host, int(port)))
+
+def _hear_nothing(datagram: bytes, address: str) -> bool:
+    """Take no datagram of another kind."""
+    return False
--- a/packages/verbenahall/src/verbenahall/peers/_state.py
+++ b/packages/verbenahall/src/verbenahall/peers/_state.py
@@ -110,10 +110,15 @@
             yield peer.address
 
 
+def hears_all(book: PeerBook) -> bool:
+    """Whether all peers are told and heard, and not just a sample of them."""
+    return len(book.peers) <= _MANY_PEERS
+
+
 def tell_whom(book: PeerBook) -> list[_Peer]:
     """Return the peers that are told: all, or a sample when they are many."""
     peers = list(book.peers.values())
-    if len(peers) <= _MANY_PEERS:
+    if hears_all(book):
         return peers
     return [peer for peer in peers if peer.data_centre == book.data_centre]
 
--- a/packages/verbenahall/src/verbenahall/placement/_state.py
+++ b/packages/verbenahall/src/verbenahall/placement/_state.py
@@ -38,6 +38,19 @@
         self._caches: dict[tuple[str, int], PartCache] = {}
         self._steps: dict[str, RecentTime] = {}
 
+    def without_load(self) -> 'PlacementState':
+        """Return a state that shares what was learned, with nothing open.
+
+        A scheduler counts the load of its group by itself. Added to what
+        peers tell of the same sends, each of them would count twice.
+        """
+        other = PlacementState()
+        other.read_speed = self.read_speed
+        other.handover = self.handover
+        other._caches = self._caches
+        other._steps = self._steps
+        return other
+
     def cache_of(self, engine: Entry, kv_tokens: int) -> PartCache:
         """Return what an engine is thought to keep since its start."""
         key = (engine.name, engine.born)
--- a/packages/verbenahall/src/verbenahall/platform/_settings.py
+++ b/packages/verbenahall/src/verbenahall/platform/_settings.py
@@ -87,6 +87,11 @@
     store: str
     bounds: Bounds
 
+    @property
+    def peer_address(self) -> str:
+        """Where this instance hears its peers."""
+        return f'{self.ip}:{self.peer_port}'
+
 
 def find_settings_path(environment: Mapping[str, str]) -> Path:
     """Return where the platform has put the settings file."""
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/scheduling/_decisions.py
@@ -0,0 +1,231 @@
+"""What a scheduler does with requests, and what it learns of them.
+
+All instances' requests to a group pass one queue, so its load is exact but
+for the datagrams under way, and their order is that of urgency and due time.
+"""
+
+import random
+from collections.abc import Iterator, Sequence
+from typing import Final
+
+from verbenahall.catalog import Service
+from verbenahall.errors import Problem
+from verbenahall.placement import (
+    Admitted,
+    Fleet,
+    Totals,
+    Turn,
+    TurnEffects,
+    Wish,
+    join,
+    take_turns,
+)
+from verbenahall.scheduling._messages import (
+    Assignment,
+    FirstEvent,
+    Prefilled,
+    Queued,
+    Rejection,
+    Released,
+    ScheduleRequest,
+)
+from verbenahall.scheduling._state import (
+    Assigned,
+    Reply,
+    SchedulerState,
+    Waiting,
+)
+
+#: An instance that died tells of no end. What it had open is forgotten this
+#: long after the deadline, in seconds.
+_GRACE_S: Final = 0.5
+
+Replies = Sequence[Reply]
+Progress = Prefilled | FirstEvent | Released
+
+
+def receive(
+    state: SchedulerState,
+    request: ScheduleRequest,
+    caller: str,
+    fleet: Fleet,
+    now: float,
+    source: random.Random,
+) -> Replies:
+    """Take a request, or answer a copy of it as before.
+
+    An instance that waits asks again now and then, to learn that its
+    scheduler still runs and to hear an answer that got lost.
+    """
+    assigned = state.assigned.get(request.key)
+    if assigned is not None:
+        return (Reply(caller, assigned.answer),)
+    if request.key in state.waiting:
+        return (Reply(caller, Queued(request.key)),)
+    waiting = _make_waiting(request, caller, now)
+    state.waiting[request.key] = waiting
+    effects = join(state.queue, waiting.turn, fleet, now, source)
+    replies = list(_apply(state, effects))
+    replies.extend(look(state, fleet, now, source))
+    if request.key in state.waiting:
+        replies.append(Reply(caller, Queued(request.key)))
+    return replies
+
+
+def look(
+    state: SchedulerState,
+    fleet: Fleet,
+    now: float,
+    source: random.Random,
+) -> Replies:
+    """Assign engines that have room, and reject what waits in vain."""
+    if not state.queue.waiting:
+        return ()
+    effects = take_turns(state.queue, fleet, now, source)
+    return tuple(_apply(state, effects))
+
+
+def note(
+    state: SchedulerState,
+    progress: Progress,
+    service: Service,
+    now: float,
+) -> None:
+    """Learn how an assignment goes; one that is not known changes nothing."""
+    waiting = state.waiting.pop(progress.key, None)
+    if waiting is not None:
+        # The caller left, or the instance has decided by itself meanwhile.
+        state.queue.remove(waiting.turn)
+    assigned = state.assigned.get(progress.key)
+    if assigned is None:
+        return
+    state.placement.ledger.close(assigned.prefill)
+    match progress:
+        case Prefilled(seconds=seconds):
+            _learn_prefill(state, assigned, seconds, service)
+        case FirstEvent():
+            _learn_first_event(state, assigned, progress, service, now)
+        case Released(step_s=step_s):
+            _release(state, assigned)
+            if step_s:
+                step = state.placement.step_of(assigned.plan.generator.name)
+                step.note(step_s, now)
+
+
+def expire(state: SchedulerState, now: float) -> None:
+    """Forget the assignments whose instances have never told of an end."""
+    overdue = [
+        assigned
+        for assigned in state.assigned.values()
+        if now > assigned.waiting.deadline + _GRACE_S
+    ]
+    for assigned in overdue:
+        _release(state, assigned)
+
+
+def _make_waiting(
+    request: ScheduleRequest,
+    caller: str,
+    now: float,
+) -> Waiting:
+    turn = Turn(
+        request.key,
+        Wish(request.work, request.gap_s),
+        request.priority,
+        since=now,
+        due_at=now + request.due_s,
+        objective_s=request.objective_s,
+        leaves_at=now + request.leaves_s,
+        returning=request.returning,
+        tried=frozenset(request.tried),
+    )
+    return Waiting(turn, caller, now + request.deadline_s)
+
+
+def _apply(
+    state: SchedulerState,
+    effects: TurnEffects,
+) -> Iterator[Reply]:
+    for admitted in effects.admitted:
+        waiting = state.waiting.pop(admitted.turn.request)
+        yield _assign(state, waiting, admitted)
+    for turn, problem in effects.refused:
+        waiting = state.waiting.pop(turn.request)
+        yield Reply(waiting.caller, _reject(turn, problem))
+
+
+def _assign(
+    state: SchedulerState,
+    waiting: Waiting,
+    admitted: Admitted,
+) -> Reply:
+    """Hold what the request will occupy, from now until it is released."""
+    plan = admitted.plan
+    key = admitted.turn.request
+    decode = state.placement.ledger.open(
+        plan.generator.name,
+        Totals(
+            context=admitted.turn.wish.work.context_tokens,
+            streams=1,
+        ),
+    )
+    answer = Assignment(
+        key=key,
+        prefill=plan.reader.name if plan.reader else '',
+        decode=plan.generator.name,
+        missing=plan.missing,
+        wait_s=plan.wait_s,
+        ahead_s=plan.ahead_s,
+        reason=plan.reason,
+    )
+    state.assigned[key] = Assigned(
+        waiting,
+        plan,
+        answer,
+        admitted.flight,
+        decode,
+    )
+    return Reply(waiting.caller, answer)
+
+
+def _reject(turn: Turn, problem: Problem) -> Rejection:
+    return Rejection(
+        turn.request,
+        problem.kind.value,
+        problem.message,
+        problem.answer.retry_after_s or 0,
+    )
+
+
+def _learn_prefill(
+    state: SchedulerState,
+    assigned: Assigned,
+    seconds: float,
+    service: Service,
+) -> None:
+    plan = assigned.plan
+    work = assigned.waiting.turn.wish.work
+    if not plan.ahead_s:
+        kept = work.prompt_tokens - plan.missing
+        state.placement.learn_read(plan.missing, kept, seconds)
+    state.placement.note_kept(plan.reader or plan.generator, work, service)
+
+
+def _learn_first_event(
+    state: SchedulerState,
+    assigned: Assigned,
+    event: FirstEvent,
+    service: Service,
+    now: float,
+) -> None:
+    turn = assigned.waiting.turn
+    state.queue.note_first(turn, event.seconds, now)
+    if event.handover_s:
+        state.placement.handover.note(event.handover_s, now)
+    state.placement.note_kept(assigned.plan.generator, turn.wish.work, service)
+
+
+def _release(state: SchedulerState, assigned: Assigned) -> None:
+    state.placement.ledger.close(assigned.prefill)
+    state.placement.ledger.close(assigned.decode)
+    state.assigned.pop(assigned.answer.key)
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/scheduling/_state.py
@@ -0,0 +1,55 @@
+"""What a scheduler keeps of one service in one group."""
+
+import dataclasses
+from typing import final
+
+from verbenahall.placement import (
+    Flight,
+    PlacementState,
+    Plan,
+    Turn,
+    TurnQueue,
+)
+from verbenahall.scheduling._messages import Assignment, Message
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """A message to the instance that ``caller`` names."""
+
+    caller: str
+    message: Message
+
+
+@dataclasses.dataclass(slots=True)
+class Waiting:
+    """A request in the queue, and who asked for it."""
+
+    turn: Turn
+    caller: str
+    deadline: float
+
+
+@dataclasses.dataclass(slots=True)
+class Assigned:
+    """An assignment and what it holds at the engines until released."""
+
+    waiting: Waiting
+    plan: Plan
+    answer: Assignment
+    prefill: Flight
+    decode: Flight
+
+
+@final
+class SchedulerState:
+    """The queue, the open assignments, and the load that they make."""
+
+    __slots__ = ('assigned', 'placement', 'queue', 'waiting')
+
+    def __init__(self, placement: PlacementState) -> None:
+        """Start with nothing open; ``placement`` holds no load of others."""
+        self.placement = placement
+        self.queue = TurnQueue()
+        self.waiting: dict[str, Waiting] = {}
+        self.assigned: dict[str, Assigned] = {}
--- /dev/null
+++ b/packages/verbenahall/tests/gateway/test_scheduling.py
@@ -0,0 +1,232 @@
+"""Instances of a large fleet ask a scheduler, and do without it."""
+
+import asyncio
+import contextlib
+import functools
+
+import pytest
+
+from verbenahall.peers import _state as peers_state
+from verbenahall.peers import find_heard
+
+from .conftest import make_engines, open_desk, run
+from .test_waiting import ask_long
+
+NAMES = ('front-1', 'front-2', 'front-3')
+PATH = '/summary/1'
+
+
+@pytest.fixture(autouse=True)
+def _large_fleet(monkeypatch):
+    """Three instances are many."""
+    monkeypatch.setattr(peers_state, '_MANY_PEERS', 0)
+
+
+@contextlib.asynccontextmanager
+async def open_desks(folder, engines=None):
+    """Run instances on one site; return them, the scheduler last."""
+    async with contextlib.AsyncExitStack() as stack:
+        first = await stack.enter_async_context(
+            open_desk(folder, engines or make_engines()),
+        )
+        others = [
+            await stack.enter_async_context(
+                open_desk(folder, name=name, site=first.site),
+            )
+            for name in NAMES[1:]
+        ]
+        desks = [first, *others]
+        for desk in desks:
+            await desk.until(functools.partial(hears_both, desk))
+        await first.ask(PATH, 'r-0')
+        name = first.decisions('scheduled')[-1]['scheduler']
+        desks.sort(key=lambda one: one.gateway.core.settings.name == name)
+        yield desks
+
+
+def hears_both(desk):
+    """Whether an instance hears its two peers."""
+    core = desk.gateway.core
+    return len(find_heard(core.book, core.now(), 1)) == 2
+
+
+def find_state(desk):
+    """Return what a scheduler keeps of the only group."""
+    states = desk.gateway.scheduling.scheduler._states
+    return next(iter(states.values()))
+
+
+def is_idle(desk):
+    """Whether a scheduler counts nothing as open any more."""
+    state = find_state(desk)
+    load = state.placement.ledger.own()
+    return not (state.assigned or state.waiting or load)
+
+
+def list_schedulers(desk):
+    """Return who was asked, in order."""
+    return [line['scheduler'] for line in desk.decisions('scheduled')]
+
+
+def test_all_instances_ask_one_scheduler(tmp_path):
+    """Requests come through three instances at once."""
+
+    async def check():
+        async with open_desks(tmp_path) as desks:
+            answers = await asyncio.gather(
+                *(
+                    desk.ask(PATH, f'r-{index}-{number}')
+                    for index, desk in enumerate(desks)
+                    for number in range(5)
+                ),
+            )
+            assert {status for status, _, _ in answers} == {200}
+            assert len(set(list_schedulers(desks[0]))) == 1
+            assert len(desks[0].decisions('assigned')) == 16
+            await desks[0].until(lambda: is_idle(desks[-1]))
+
+    run(check())
+
+
+def kill_scheduling(desk):
+    """Make an instance deaf and mute, as a dead or frozen one is."""
+    exchange = desk.gateway.finder.exchange
+    exchange.hear_other = lambda datagram, address: True
+    exchange.send = lambda datagram, address: None
+
+
+def test_dead_scheduler_delays_few_and_loses_none(tmp_path):
+    """The scheduler dies while others ask it.
+
+    Nothing was handed over to it, so each request is sent by the instance
+    that took it, by the next scheduler's word or by its own choice.
+    """
+
+    async def check():
+        async with open_desks(tmp_path) as desks:
+            kill_scheduling(desks[-1])
+            first = desks[0]
+            status, _, _ = await first.ask(PATH, 'r-1')
+            assert status == 200
+            scheduled = first.decisions('scheduled')
+            assert scheduled[-2]['outcome'] == 'silent'
+            assert scheduled[-1]['outcome'] == 'Assignment'
+            # The next request does not wait for the dead one again.
+            await first.ask(PATH, 'r-2')
+            assert list_schedulers(first)[-1] == list_schedulers(first)[-2]
+            runs = [one for engine in first.site.engines for one in engine.runs]
+            assert len(runs) == 3
+
+    run(check())
+
+
+def test_without_any_scheduler_an_instance_decides_itself(tmp_path):
+    """All other instances are cut off."""
+
+    async def check():
+        async with open_desks(tmp_path) as desks:
+            first, *others = desks
+            for desk in others:
+                kill_scheduling(desk)
+            first.gateway.scheduling.scheduler.stopping = lambda: True
+            status, _, _ = await first.ask(PATH, 'r-1')
+            assert status == 200
+            assert first.decisions('placed')[-1]['request'] == 'r-1'
+
+    run(check())
+
+
+def test_scheduler_that_dies_with_a_queue_leaves_nobody_waiting(tmp_path):
+    """A request waits in the queue of a scheduler that is killed.
+
+    Nobody tells its instance so; it asks again, hears nothing, and goes on.
+    """
+
+    async def check():
+        engines = make_engines(readers=1)
+        engines[0].faults.slow_read_s = 0.5
+        async with open_desks(tmp_path, engines) as desks:
+            first = desks[0]
+            busy = asyncio.create_task(ask_long(first, 'r-1'))
+            await first.until(
+                lambda: first.decisions('placed')[-1]['request'] == 'r-1',
+            )
+            state = find_state(desks[-1])
+            waits = asyncio.create_task(ask_long(first, 'r-2'))
+            await first.until(lambda: state.queue.waiting)
+            kill_scheduling(desks[-1])
+            answers = await asyncio.gather(busy, waits)
+            assert {status for status, _, _ in answers} == {200}
+            assert 'silent' in {
+                line['outcome']
+                for line in first.decisions('scheduled')
+                if line['request'] == 'r-2'
+            }
+
+    run(check())
+
+
+def test_stopping_scheduler_declines(tmp_path):
+    """The scheduler is stopped by the platform; the next one is asked."""
+
+    async def check():
+        async with open_desks(tmp_path) as desks:
+            first = desks[0]
+            desks[-1].gateway.scheduling.scheduler.stopping = lambda: True
+            status, _, _ = await first.ask(PATH, 'r-1')
+            assert status == 200
+            outcomes = [
+                line['outcome'] for line in first.decisions('scheduled')
+            ]
+            assert outcomes[-2:] == ['Declined', 'Assignment']
+
+    run(check())
+
+
+def test_caller_that_leaves_the_queue_frees_its_place(tmp_path):
+    """A caller gives up while its request waits at the scheduler."""
+
+    async def check():
+        engines = make_engines(readers=1)
+        engines[0].faults.slow_read_s = 0.4
+        async with open_desks(tmp_path, engines) as desks:
+            first = desks[0]
+            busy = asyncio.create_task(ask_long(first, 'r-1'))
+            await first.until(
+                lambda: first.decisions('placed')[-1]['request'] == 'r-1',
+            )
+            state = find_state(desks[-1])
+            waits = asyncio.create_task(ask_long(first, 'r-2'))
+            await first.until(lambda: state.queue.waiting)
+            waits.cancel()
+            await first.until(lambda: not state.queue.waiting)
+            await busy
+            await first.until(lambda: is_idle(desks[-1]))
+            read = [one['X-Verbenahall-Request-Id'] for one in engines[0].reads]
+            assert 'r-2' not in read
+
+    run(check())
+
+
+def test_engine_that_refuses_is_left_out_for_the_others(tmp_path):
+    """An engine changes its role, and one instance has noticed.
+
+    The scheduler hears it from that instance; unheard, it would send the
+    prompts of all others there as well.
+    """
+
+    async def check():
+        async with open_desks(tmp_path) as desks:
+            first = desks[0]
+            await first.ask(PATH, 'r-1')
+            reader = first.decisions('placed')[-1]['reader']
+            core = desks[-1].gateway.core
+            for engine in first.site.engines:
+                if engine.name == reader:
+                    engine.faults.full = True
+            status, _, _ = await first.ask(PATH, 'r-2')
+            assert status == 200
+            await first.until(lambda: core.standings.knows(reader))
+            assert core.standings.paused(reader, core.now())
+
+    run(check())
--- /dev/null
+++ b/packages/verbenahall/tests/scheduling/test_messages.py
@@ -0,0 +1,91 @@
+"""Datagrams between instances and schedulers."""
+
+import dataclasses
+
+import pytest
+from returns.maybe import Nothing, Some
+
+from verbenahall import scheduling
+from verbenahall.peers import decode_message
+from verbenahall.placement import Part, Work
+
+REQUEST = scheduling.ScheduleRequest(
+    key='r-1/front-1/0',
+    service='reader',
+    group='ain/0',
+    work=Work((Part('aa', 800), Part('bb', 200)), 1000, 50),
+    gap_s=0.25,
+    priority=1,
+    due_s=0.5,
+    objective_s=0.6,
+    leaves_s=2.5,
+    deadline_s=3.0,
+    returning=True,
+    tried=('engine-1',),
+)
+MESSAGES = (
+    REQUEST,
+    scheduling.Queued('k'),
+    scheduling.Assignment('k', 'p', 'd', 200, 0.3, 0.1, 'home 0'),
+    scheduling.Rejection('k', 'overloaded', 'full', 0.7),
+    scheduling.Declined('k'),
+    scheduling.Prefilled('k', 0.2),
+    scheduling.FirstEvent('k', 0.3, 0.01),
+    scheduling.Released('k', 0.004, 'p'),
+)
+
+
+@pytest.mark.parametrize(
+    'message', MESSAGES, ids=lambda one: type(one).__name__
+)
+def test_message_survives_the_wire(message):
+    assert scheduling.decode(scheduling.encode(message)) == Some(message)
+
+
+@pytest.mark.parametrize(
+    'message', MESSAGES, ids=lambda one: type(one).__name__
+)
+def test_message_is_no_word_of_a_peer(message):
+    """Both kinds of datagrams arrive at one socket."""
+    assert decode_message(scheduling.encode(message)) is Nothing
+
+
+@pytest.mark.parametrize(
+    'datagram',
+    [
+        b'',
+        b'\xff',
+        b'[]',
+        b'{"type":5}',
+        b'{"type":"unheard"}',
+        b'{"type":"queued"}',
+        b'{"type":"prefilled","key":"k","seconds":"long"}',
+        b'{"type":"assignment","key":"k","prefill":"p"}',
+    ],
+)
+def test_other_datagrams_are_no_messages(datagram):
+    """An instance of another version, or a stranger, sends something else.
+
+    Raised in the socket's callback, the error would end up in no line of the
+    log.
+    """
+    assert scheduling.decode(datagram) is Nothing
+
+
+@pytest.mark.parametrize('field', ['parts', 'priority', 'due_s', 'tried'])
+def test_request_with_an_odd_field_is_no_message(field):
+    """One field has another form than this version's."""
+    whole = scheduling.encode(REQUEST).decode()
+    start = whole.index(f'"{field}":') + len(field) + 3
+    odd = f'{whole[:start]}null,"ignored":{whole[start:]}'
+
+    assert scheduling.decode(odd.encode()) is Nothing
+
+
+def test_request_fits_a_datagram():
+    """A longer one is cut in pieces on the way, and lost with any of them."""
+    parts = tuple(Part(f'{number:08x}', 9999) for number in range(20))
+    work = Work(parts, 200_000, 500)
+    long = dataclasses.replace(REQUEST, work=work, tried=('e' * 20,) * 3)
+
+    assert len(scheduling.encode(long)) <= 1400
