Roles of a large fleet are settled before its callers come

Change: up to a sixth of the engines at once, and the engines of the data centre that has most of the role go first, so that each group of engines has both roles. A test counts the rounds (fails before: more than three), one looks at the data centres.

Schedulers are asked from eleven instances on: words to all reach each peer every 0.18 s up to there.

--- a/packages/verbenahall/src/verbenahall/gateway/_assignments.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_assignments.py
@@ -14,7 +14,6 @@
 from verbenahall.errors import ErrorKind, Problem, Ran
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._messages import Call
-from verbenahall.peers import hears_all
 from verbenahall.placement import Flight, Plan, Totals, Wish
 from verbenahall.scheduling import (
     Assignment,
@@ -27,6 +26,7 @@
     Released,
     ScheduleRequest,
     SchedulerHealth,
+    needs_scheduler,
     rank_groups,
     rank_schedulers,
 )
@@ -81,7 +81,7 @@
         fleet it knows the whole load, and in a large one a scheduler may be
         out of reach.
         """
-        if hears_all(self._core.book):
+        if not needs_scheduler(self._core.book):
             return Nothing
         now = self._core.now()
         usable = self._core.list_usable(call.service.name, now)
--- a/packages/verbenahall/src/verbenahall/peers/__init__.py
+++ b/packages/verbenahall/src/verbenahall/peers/__init__.py
@@ -15,7 +15,6 @@
     find_heard,
     greet,
     hear,
-    hears_all,
     tell_whom,
 )
 from verbenahall.peers._watchers import find_furthest, is_relieved
@@ -33,7 +32,6 @@
     'find_heard',
     'greet',
     'hear',
-    'hears_all',
     'is_relieved',
     'split_news',
     'tell_whom',
--- a/packages/verbenahall/src/verbenahall/peers/_state.py
+++ b/packages/verbenahall/src/verbenahall/peers/_state.py
@@ -110,15 +110,10 @@
             yield peer.address
 
 
-def hears_all(book: PeerBook) -> bool:
-    """Whether all peers are told and heard, and not just a sample of them."""
-    return len(book.peers) <= _MANY_PEERS
-
-
 def tell_whom(book: PeerBook) -> list[_Peer]:
     """Return the peers that are told: all, or a sample when they are many."""
     peers = list(book.peers.values())
-    if hears_all(book):
+    if len(peers) <= _MANY_PEERS:
         return peers
     return [peer for peer in peers if peer.data_centre == book.data_centre]
 
--- a/packages/verbenahall/src/verbenahall/placement/_roles.py
+++ b/packages/verbenahall/src/verbenahall/placement/_roles.py
@@ -6,6 +6,7 @@
 need.
 """
 
+import collections
 import dataclasses
 import math
 from collections.abc import Mapping, Sequence
@@ -17,9 +18,11 @@
 #: Share of the engines that generate as long as nothing is known of the
 #: traffic, rounded up.
 _GENERATING_SHARE: Final = 1 / 3
-#: Engines that are changed at once, at most: a change takes an engine away for
-#: seconds, and an order has a price.
+#: Engines that are changed at once, at most, as a number and as a share of
+#: all: a change takes an engine away for seconds. With the number alone, the
+#: roles of a large fleet would be settled only long after its start.
 _MOST_CHANGES: Final = 4
+_MOST_CHANGED_SHARE: Final = 1 / 6
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,11 +53,12 @@
         lack = 0 if generators else 1
         return _choose(readers, Role.DECODE, lack, busy)
     total = len(generators) + len(readers)
+    most = max(_MOST_CHANGES, int(total * _MOST_CHANGED_SHARE))
     wanted = math.ceil(total * _GENERATING_SHARE)
     spare = len(generators) - wanted
     if spare > 0:
-        return _choose(generators, Role.PREFILL, spare, busy)
-    return _choose(readers, Role.DECODE, -spare, busy)
+        return _choose(generators, Role.PREFILL, min(spare, most), busy)
+    return _choose(readers, Role.DECODE, min(-spare, most), busy)
 
 
 def _choose(
@@ -63,9 +67,20 @@
     count: int,
     busy: Mapping[str, int],
 ) -> tuple[RoleChange, ...]:
+    """Change the least busy engines, first where a role has most of them.
+
+    A data centre whose engines all have one role sends all prompts, or all
+    KV cache, to the others.
+    """
     ranked = sorted(
         engines,
         key=lambda one: (busy.get(one.name, 0), one.name),
     )
-    chosen = ranked[: min(count, _MOST_CHANGES)]
+    chosen: list[Entry] = []
+    while ranked and len(chosen) < count:
+        left = collections.Counter(one.data_centre for one in ranked)
+        most = max(left.values())
+        engine = next(one for one in ranked if left[one.data_centre] == most)
+        ranked.remove(engine)
+        chosen.append(engine)
     return tuple(RoleChange(engine, role) for engine in chosen)
--- a/packages/verbenahall/src/verbenahall/scheduling/__init__.py
+++ b/packages/verbenahall/src/verbenahall/scheduling/__init__.py
@@ -17,6 +17,7 @@
 )
 from verbenahall.scheduling._groups import (
     list_group,
+    needs_scheduler,
     rank_groups,
     rank_schedulers,
 )
@@ -54,6 +55,7 @@
     'expire',
     'list_group',
     'look',
+    'needs_scheduler',
     'note',
     'rank_groups',
     'rank_schedulers',
--- a/packages/verbenahall/src/verbenahall/scheduling/_groups.py
+++ b/packages/verbenahall/src/verbenahall/scheduling/_groups.py
@@ -18,6 +18,9 @@
 from verbenahall.roster import Entry
 from verbenahall.routing import rank_by_rendezvous
 
+#: Up to so many peers, each is told of a send within a fifth of a second, and
+#: an own choice is as good as a scheduler's without the way to it.
+_FEW_PEERS: Final = 10
 #: Engines that one instance schedules at most, about. With more of them,
 #: choosing among them would take a noticeable part of its processor time.
 _MOST_ENGINES: Final = 32
@@ -34,6 +37,11 @@
 _HEARD_S: Final = 1.3
 
 
+def needs_scheduler(book: PeerBook) -> bool:
+    """Whether the fleet is too large for each instance to decide by itself."""
+    return len(book.peers) > _FEW_PEERS
+
+
 def rank_groups(work: Work, engines: Sequence[Entry]) -> Sequence[str]:
     """Return the groups for a prompt, the one that keeps its prefix first.
 
--- a/packages/verbenahall/tests/gateway/test_scheduling.py
+++ b/packages/verbenahall/tests/gateway/test_scheduling.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from verbenahall.peers import _state as peers_state
 from verbenahall.peers import find_heard
+from verbenahall.scheduling import _groups as groups
 
 from .conftest import make_engines, open_desk, run
 from .test_waiting import ask_long
@@ -19,7 +19,7 @@
 @pytest.fixture(autouse=True)
 def _large_fleet(monkeypatch):
     """Three instances are many."""
-    monkeypatch.setattr(peers_state, '_MANY_PEERS', 0)
+    monkeypatch.setattr(groups, '_FEW_PEERS', 0)
 
 
 @contextlib.asynccontextmanager
--- a/packages/verbenahall/tests/placement/test_placement.py
+++ b/packages/verbenahall/tests/placement/test_placement.py
@@ -1,5 +1,6 @@
 """Where prompts are read and generated, and what is learned of engines."""
 
+import dataclasses
 import random
 
 from returns.result import Failure, Success
@@ -260,6 +261,43 @@
     assert roles == [Role.PREFILL, Role.PREFILL]
 
 
+def spread(engines, data_centres):
+    """Place engines in data centres by turns."""
+    return [
+        dataclasses.replace(engine, data_centre=data_centres[number])
+        for number, engine in enumerate(engines)
+    ]
+
+
+def test_roles_change_where_a_role_has_most_engines():
+    """Five of six decode engines stand in one data centre.
+
+    Were those of the other one changed, it would have none, and every answer
+    to its callers would come from afar.
+    """
+    engines = spread(make_engines(readers=1, generators=6), 'aaaabaa')
+    changes = plan_roles(engines, {})
+    assert [change.engine.data_centre for change in changes] == ['a', 'a', 'a']
+
+
+def test_large_fleet_has_its_roles_soon():
+    """Eighty engines start, most of them with the wrong role.
+
+    Changed four at a time, each change taking seconds, they would be away by
+    turns while the first callers wait.
+    """
+    engines = make_engines(readers=20, generators=60)
+    rounds = 0
+    while changes := plan_roles(engines, {}):
+        changed = {change.engine.name: change.role for change in changes}
+        engines = [
+            dataclasses.replace(one, role=changed.get(one.name, one.role))
+            for one in engines
+        ]
+        rounds += 1
+    assert rounds <= 3
+
+
 def test_planned_roles_need_no_change():
     assert not plan_roles(make_engines(readers=6, generators=3), {})
     assert not plan_roles(make_engines(readers=4, generators=2), {})
