--- a/packages/verbenahall/src/verbenahall/gateway/_followers.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_followers.py
@@ -41,7 +41,11 @@
 _LOOK_S: Final = 0.25
 #: The longest time without a call of its own, in seconds. News are numbered,
 #: so this guards against faults that nobody foresaw only.
-_UNCHECKED_S: Final = 20.0
+_UNCHECKED_S: Final = 60.0
+#: How long news of records may be later than the word that there are such, in
+#: seconds. Both come by datagram, the word first; without this patience every
+#: instance of a large fleet reads from the store what is on its way to it.
+_NEWS_LATE_S: Final = 0.4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,6 +63,27 @@
     rest_s: float
 
 
+@final
+class _Patience:
+    """Waits a moment for news of records that peers are known to have."""
+
+    __slots__ = ('_since',)
+
+    def __init__(self) -> None:
+        """Start with nothing missing."""
+        self._since: float | None = None
+
+    def lasts(self, now: float) -> bool:
+        """Whether what is missing may still be on its way here."""
+        if self._since is None:
+            self._since = now
+        return now - self._since < _NEWS_LATE_S
+
+    def end(self) -> None:
+        """Note that nothing is missing, or that some of it has come."""
+        self._since = None
+
+
 @final
 class Follower:
     """Follows one keyed topic for as long as the process runs.
@@ -72,6 +97,7 @@
         '_contact',
         '_core',
         '_furthest',
+        '_patience',
         '_soon',
         '_spread',
         '_wake',
@@ -89,6 +115,7 @@
         self._core = core
         self._contact = StoreContact(core, subject.topic)
         self._spread = spread
+        self._patience = _Patience()
         self._furthest = 0
         self._soon = True
         self._wake = asyncio.Event()
@@ -132,7 +159,8 @@
         topic = self.subject.topic
         told = find_furthest(self._core.book, topic, now)
         if max(told, self._furthest) > self.position:
-            return False
+            return self._patience.lasts(now)
+        self._patience.end()
         self._core.confirmed[topic] = now
         return now - self._contact.answered_at < _UNCHECKED_S
 
@@ -199,6 +227,8 @@
             return ()
         fresh = records[self.position - offset :]
         self.position += len(fresh)
+        if fresh:
+            self._patience.end()
         for record in fresh:
             self._take_record(record)
         return fresh
--- a/packages/verbenahall/src/verbenahall/gateway/_orders.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_orders.py
@@ -11,12 +11,11 @@
 from verbenahall.authority import LeaseTiming
 from verbenahall.fleet import Role
 from verbenahall.gateway._core import Core
-from verbenahall.gateway._lease import RoleLease
-from verbenahall.peers import find_heard
+from verbenahall.gateway._lease import SCOPE, RoleLease
+from verbenahall.peers import find_rank
 from verbenahall.placement import RoleChange, plan_roles
 from verbenahall.platform import RoleOrder
 from verbenahall.roster import Entry
-from verbenahall.routing import rank_by_rendezvous
 
 #: How often the roles are looked at, in seconds.
 _LOOK_S: Final = 0.3
@@ -28,8 +27,9 @@
 #: A crashed one is back after some seconds, and a change takes three.
 _LOST_S: Final = 8.0
 #: Each instance leaves the need for orders to those that stand before it for
-#: this long, in seconds, so that usually one of them makes the calls.
-_TURN_S: Final = 4.0
+#: this long without a change, in seconds, so that usually one of them makes
+#: the calls. A change takes some three seconds to show.
+_TURN_S: Final = 5.0
 #: How long an order may take until it shows in the list, in seconds, beyond
 #: the time of the change itself.
 _SHOWN_S: Final = 1.0
@@ -55,6 +55,25 @@
     sent_at: float
 
 
+@final
+class _Progress:
+    """Notices that engines have changed their roles."""
+
+    __slots__ = ('_roles',)
+
+    def __init__(self) -> None:
+        """Start knowing no roles."""
+        self._roles: dict[str, dict[str, Role | None]] = {}
+
+    def note(self, service: str, listed: Sequence[Entry]) -> bool:
+        """Take the engines as listed; True if one has another role now."""
+        before = self._roles.get(service, {})
+        now = {engine.name: engine.role for engine in listed}
+        self._roles[service] = now
+        known = before.keys() & now.keys()
+        return any(before[name] is not now[name] for name in known)
+
+
 @final
 class RoleKeeper:
     """Looks at the roles of each engine service and orders changes."""
@@ -67,6 +86,7 @@
         '_needed_at',
         '_seen',
         '_present',
+        '_progress',
     )
 
     def __init__(self, core: Core) -> None:
@@ -85,6 +105,7 @@
         #: The last order to an engine, by its name and start.
         self._pending: dict[tuple[str, int], _Sent] = {}
         self._needed_at: float | None = None
+        self._progress = _Progress()
         #: When each engine of a service could last be used.
         self._present: dict[str, dict[str, float]] = {}
         #: The engines of a service as last seen, and when one had joined.
@@ -122,6 +143,11 @@
         core = self._core
         now = core.now()
         listed = list(core.roster.live(service, now))
+        if self._progress.note(service, listed):
+            # Somebody else is at work. Roles of a large fleet take several
+            # rounds; without this, one instance after the other joins in and
+            # reads the lease three times a second.
+            self._needed_at = None
         engines = [
             one for one in listed if core.standings.reachable(one.name, now)
         ]
@@ -196,10 +222,7 @@
         now = self._core.now()
         if self._needed_at is None:
             self._needed_at = now
-        book = self._core.book
-        heard = find_heard(book, now, _TURN_S)
-        ranked = rank_by_rendezvous('roles', [*heard, book.name])
-        rank = ranked.index(book.name)
+        rank = find_rank(self._core.book, SCOPE, now)
         return now - self._needed_at >= rank * _TURN_S
 
     async def _order_all(self, changes: Sequence[RoleChange]) -> None:
--- a/packages/verbenahall/src/verbenahall/peers/__init__.py
+++ b/packages/verbenahall/src/verbenahall/peers/__init__.py
@@ -17,6 +17,7 @@
     hear,
     tell_whom,
 )
+from verbenahall.peers._turns import find_rank
 from verbenahall.peers._watchers import find_furthest, is_relieved
 
 __all__ = (
@@ -30,6 +31,7 @@
     'encode_word',
     'find_furthest',
     'find_heard',
+    'find_rank',
     'greet',
     'hear',
     'is_relieved',
--- a/packages/verbenahall/src/verbenahall/peers/_messages.py
+++ b/packages/verbenahall/src/verbenahall/peers/_messages.py
@@ -2,6 +2,7 @@
 
 import base64
 import dataclasses
+import zlib
 from collections.abc import Mapping, Sequence
 from typing import Any, Final
 
@@ -14,8 +15,12 @@
 #: Bytes of the records in a datagram of news, as encoded. A datagram longer
 #: than 1,400 bytes is cut in pieces on the way, and lost with any of them.
 _NEWS_BYTES: Final = 1200
-#: Bytes of base64 for each one of a record.
-_ENCODED_SHARE: Final = 4 / 3
+#: Level of compression: the fastest, as bytes are few.
+_LEVEL: Final = 1
+#: Bytes of a record's length before it.
+_LENGTH_BYTES: Final = 4
+#: Bytes that a datagram of news may unpack to.
+_MOST_UNPACKED: Final = 262_144
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,7 +83,7 @@
         {
             'topic': news.topic,
             'start': news.start,
-            'records': [base64.b64encode(one).decode() for one in news.records],
+            'records': _pack(news.records),
             'end': news.end,
             'cut': news.cut,
         },
@@ -112,8 +117,7 @@
 
 
 def _fits(news: News) -> bool:
-    size = sum(map(len, news.records))
-    return size * _ENCODED_SHARE <= _NEWS_BYTES
+    return len(_pack(news.records)) <= _NEWS_BYTES
 
 
 def decode_message(datagram: bytes) -> Maybe[Word | News]:
@@ -132,24 +136,60 @@
         case {
             'topic': str(topic),
             'start': int(start),
-            'records': list(records),
+            'records': str(packed),
             'end': int(end),
             'cut': bool(cut),
         }:
-            return _read_records(records).map(
+            return _unpack(packed).map(
                 lambda read: News(topic, start, read, end, cut),
             )
         case _:
             return Nothing
 
 
-def _read_records(records: list[Any]) -> Maybe[Sequence[bytes]]:
+def _pack(records: Sequence[bytes]) -> str:
+    """Pack records: entries of endpoints differ in a few fields only.
+
+    Each as it is, those of a fleet that starts fill the links for a moment,
+    get lost, and are read from the store by everybody.
+    """
+    framed = bytearray()
+    for record in records:
+        framed += len(record).to_bytes(_LENGTH_BYTES)
+        framed += record
+    packed = zlib.compress(framed, _LEVEL)
+    return base64.b64encode(packed).decode()
+
+
+def _unpack(packed: str) -> Maybe[Sequence[bytes]]:
     try:
-        return Some([base64.b64decode(one, validate=True) for one in records])
-    except (TypeError, ValueError):
+        return Some(_read_frames(_inflate(packed)))
+    except (ValueError, zlib.error):
         return Nothing
 
 
+def _inflate(packed: str) -> bytes:
+    """Unpack a datagram; one that would fill the memory is refused."""
+    inflater = zlib.decompressobj()
+    compressed = base64.b64decode(packed, validate=True)
+    framed = inflater.decompress(compressed, _MOST_UNPACKED)
+    if inflater.unconsumed_tail or not inflater.eof:
+        raise ValueError('more than a datagram of news may hold, or less')
+    return framed
+
+
+def _read_frames(framed: bytes) -> Sequence[bytes]:
+    records: list[bytes] = []
+    start = 0
+    while start < len(framed):
+        begin = start + _LENGTH_BYTES
+        start = begin + int.from_bytes(framed[start:begin])
+        records.append(framed[begin:start])
+    if start > len(framed):
+        raise ValueError('the last record is cut short')
+    return records
+
+
 def _decode_word(table: dict[str, Any]) -> Maybe[Word]:
     match table:
         case {
--- a/packages/verbenahall/tests/gateway/test_news.py
+++ b/packages/verbenahall/tests/gateway/test_news.py
@@ -149,3 +149,46 @@
             await wait_slots(desks, 6, 2)
 
     run(check())
+
+
+def delay_news(desk, seconds):
+    """Have what an instance hears of the store come later than the words."""
+    exchange = desk.gateway.finder.exchange
+    hear = exchange.hear_news
+    loop = asyncio.get_running_loop()
+    exchange.hear_news = lambda news: loop.call_later(seconds, hear, news)
+
+
+def test_news_that_come_after_the_word_are_waited_for(tmp_path):
+    """A peer's word tells of a change, and its news are still on their way.
+
+    The links of a fleet that starts are full. Read by everybody at once, each
+    change would cost the store a call for each instance.
+    """
+
+    async def check():
+        async with open_desks(tmp_path) as desks:
+            for desk in desks:
+                delay_news(desk, 0.25)
+            site = desks[0].site
+            before = site.store.calls['/-/log-read']
+            site.publish()
+            await wait_version(desks, 2, 1)
+            # The two that follow the store make about two calls a second for
+            # each of two topics.
+            assert site.store.calls['/-/log-read'] - before <= 8
+
+    run(check())
+
+
+def test_news_that_never_come_are_read_in_time(tmp_path):
+    """The news are lost; the peers' words tell that there are some."""
+
+    async def check():
+        async with open_desks(tmp_path) as desks:
+            for desk in desks:
+                desk.gateway.finder.exchange.hear_news = bool
+            desks[0].site.publish()
+            await wait_version(desks, 2, 1.5)
+
+    run(check())
