Manifests are told by datagram, and schedulers know what engines keep

And the first engine for a prefix was taken to keep it, also when nobody had asked for it yet: late issue-summaries had 6,480 tokens to prefill by the plan and took 0.69 s for it, three times those on time.

Change: a single record of up to 8,000 bytes as encoded is sent in pieces; a scheduler that has run for five seconds counts by what was prefilled through it.

--- a/packages/verbenahall/src/verbenahall/gateway/_scheduler.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_scheduler.py
@@ -74,12 +74,13 @@
         if service is None or self.stopping():
             self._send(caller, Declined(request.key))
             return
+        now = self._core.now()
         scope = (request.service, request.group)
         state = self._states.get(scope)
         if state is None:
-            state = SchedulerState(self._core.placement.without_load())
+            placement = self._core.placement.without_load()
+            state = SchedulerState(placement, now)
             self._states[scope] = state
-        now = self._core.now()
         fleet = self._describe_fleet(state, service, request.group)
         self._answer(
             receive(state, request, caller, fleet, now, self._core.random),
--- a/packages/verbenahall/src/verbenahall/peers/_messages.py
+++ b/packages/verbenahall/src/verbenahall/peers/_messages.py
@@ -15,6 +15,10 @@
 #: Bytes of the records in a datagram of news, as encoded. A datagram longer
 #: than 1,400 bytes is cut in pieces on the way, and lost with any of them.
 _NEWS_BYTES: Final = 1200
+#: Bytes of a single record, as encoded, that is sent in pieces all the same: a
+#: manifest. Left to the store, each of its changes cost a call for each
+#: instance.
+_RECORD_BYTES: Final = 8000
 #: Level of compression: the fastest, as bytes are few.
 _LEVEL: Final = 1
 #: Bytes of a record's length before it.
@@ -106,7 +110,7 @@
         else:
             parts.append(part)
     return [
-        part if _fits(part) else dataclasses.replace(part, records=())
+        part if _may_be_sent(part) else dataclasses.replace(part, records=())
         for part in parts
     ]
 
@@ -120,6 +124,10 @@
     return len(_pack(news.records)) <= _NEWS_BYTES
 
 
+def _may_be_sent(news: News) -> bool:
+    return len(_pack(news.records)) <= _RECORD_BYTES
+
+
 def decode_message(datagram: bytes) -> Maybe[Word | News]:
     """Decode a datagram; Nothing when it is neither."""
     match wire.decode_table(datagram):
--- a/packages/verbenahall/src/verbenahall/placement/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/placement/_decisions.py
@@ -239,9 +239,11 @@
     def _count_missing(self, engine: Entry, rank: int) -> int:
         """Return the tokens that an engine would have to read.
 
-        The first home is taken to keep what all instances send it.
+        The first home is taken to keep what all instances send it, unless
+        all that it was sent is known: taken for kept, a long prefix that is
+        new looks like a short prompt, and others are sent behind it.
         """
-        if rank == 0:
+        if rank == 0 and not self._state.knows_caches:
             kept = sum(part.tokens for part in self._work.shared)
         else:
             cache = self._state.cache_of(engine, self._traits.kv_tokens)
--- a/packages/verbenahall/src/verbenahall/placement/_state.py
+++ b/packages/verbenahall/src/verbenahall/placement/_state.py
@@ -22,6 +22,7 @@
     """Open work, kept parts, and how fast engines read and generate."""
 
     __slots__ = (
+        'knows_caches',
         'ledger',
         'read_speed',
         'handover',
@@ -31,6 +32,8 @@
 
     def __init__(self) -> None:
         """Start without knowledge."""
+        #: Whether all that engines have read since long was noted here.
+        self.knows_caches = False
         self.ledger = Ledger()
         self.read_speed = ReadSpeed()
         #: From the send of a prompt that was read to its first event.
--- a/packages/verbenahall/src/verbenahall/scheduling/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/scheduling/_decisions.py
@@ -36,6 +36,9 @@
     Waiting,
 )
 
+#: A scheduler has seen what engines keep after this time, in seconds. Before,
+#: it may follow another one, under which they have read most prefixes.
+_KNOWS_CACHES_S: Final = 5.0
 #: An instance that died tells of no end. What it had open is forgotten this
 #: long after the deadline, in seconds.
 _GRACE_S: Final = 0.5
@@ -62,6 +65,8 @@
         return (Reply(caller, assigned.answer),)
     if request.key in state.waiting:
         return (Reply(caller, Queued(request.key)),)
+    known = now - state.since > _KNOWS_CACHES_S
+    state.placement.knows_caches = known
     waiting = _make_waiting(request, caller, now)
     state.waiting[request.key] = waiting
     effects = join(state.queue, waiting.turn, fleet, now, source)
--- a/packages/verbenahall/src/verbenahall/scheduling/_state.py
+++ b/packages/verbenahall/src/verbenahall/scheduling/_state.py
@@ -45,10 +45,11 @@
 class SchedulerState:
     """The queue, the open assignments, and the load that they make."""
 
-    __slots__ = ('assigned', 'placement', 'queue', 'waiting')
+    __slots__ = ('assigned', 'placement', 'queue', 'since', 'waiting')
 
-    def __init__(self, placement: PlacementState) -> None:
+    def __init__(self, placement: PlacementState, since: float) -> None:
         """Start with nothing open; ``placement`` holds no load of others."""
+        self.since = since
         self.placement = placement
         self.queue = TurnQueue()
         self.waiting: dict[str, Waiting] = {}
