A cut-off data centre's requests go to its own group at once

Change: a group whose schedulers are silent is left out for two to four seconds, the next one and then the own data centre's is asked, and an answer is waited for for 0.06 s. Tests: groups end with the own one, silence of a group is soon forgotten, few requests of many meet it.

--- a/packages/verbenahall/src/verbenahall/gateway/_assignments.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_assignments.py
@@ -34,26 +34,37 @@
 Send = Callable[[str, Message], None]
 Answer = Assignment | Rejection | Declined
 
-#: A scheduler answers within this time, in seconds, or the next one is asked:
-#: a machine may stand still for a tenth of a second when its share of the
-#: processor is used up.
-_ANSWER_S: Final = 0.12
+#: A scheduler answers within this time, in seconds, or the next one is asked.
+#: An answer takes some milliseconds; waiting longer for one that is gone costs
+#: short requests their objective.
+_ANSWER_S: Final = 0.06
 #: A request that waits asks again after this time, in seconds. A scheduler
 #: that died is noticed by it, and an answer that got lost is had.
 _AGAIN_S: Final = 0.25
 #: Schedulers of a group that are tried before the instance decides itself.
 _TRIED: Final = 2
+#: A group whose schedulers are silent is left out for this long at most, in
+#: seconds: its data centre is cut off, and soon back.
+_GROUP_S: Final = 4.0
 
 
 @final
 class Assignments:
     """Has requests placed by the schedulers of a large fleet."""
 
-    __slots__ = ('_core', '_health', '_inboxes', '_numbers', '_send')
+    __slots__ = (
+        '_core',
+        '_groups',
+        '_health',
+        '_inboxes',
+        '_numbers',
+        '_send',
+    )
 
     def __init__(self, core: Core, send: Send) -> None:
         """Ask by ``send``; answers come to ``hear``."""
         self._core = core
+        self._groups = SchedulerHealth(_GROUP_S)
         self._health = SchedulerHealth()
         self._inboxes: dict[str, asyncio.Queue[Queued | Answer]] = {}
         self._numbers = itertools.count()
@@ -86,15 +97,17 @@
         now = self._core.now()
         usable = self._core.list_usable(call.service.name, now)
         found: Maybe[Result[ScheduledGrant, Problem]] = Nothing
-        for group in rank_groups(wish.work, usable):
-            ask = _Ask(call, wish, tried, group)
-            match await self._ask_group(ask):
-                case Some(Success(_)) as granted:
-                    return granted
-                case Some(_) as rejected:
-                    found = rejected
-                case _:
-                    return Nothing
+        home = self._core.settings.data_centre
+        silent = self._groups.list_silent(now)
+        for group in rank_groups(wish.work, usable, home):
+            if group in silent:
+                continue
+            answer = await self._ask_group(_Ask(call, wish, tried, group))
+            match answer:
+                case Some(Success(_)):
+                    return answer
+                case Some(_):
+                    found = answer
         return found
 
     async def _ask_group(
@@ -103,11 +116,14 @@
     ) -> Maybe[Result['ScheduledGrant', Problem]]:
         for scheduler in self._list_schedulers(ask.group):
             answer = await self._ask_scheduler(ask, scheduler)
+            if answer is not None:
+                self._groups.note_answer(ask.group)
             match answer:
                 case Assignment():
                     return self._accept(ask, answer, scheduler)
                 case Rejection():
                     return _read_rejection(answer)
+        self._groups.note_silence(ask.group, self._core.now())
         return Nothing
 
     def _list_schedulers(self, group: str) -> Sequence[str]:
--- a/packages/verbenahall/src/verbenahall/scheduling/_groups.py
+++ b/packages/verbenahall/src/verbenahall/scheduling/_groups.py
@@ -29,8 +29,8 @@
 _FEWEST_ENGINES: Final = 6
 #: Stands for the data centre of a group that spans all of them.
 _ANYWHERE: Final = ''
-#: Groups that a request may go to: the one that keeps its prefix, and one
-#: more when that one is overloaded.
+#: Groups by prefix that a request may go to: the one that keeps its prefix,
+#: and one more when that one is overloaded or out of reach.
 _GROUPS: Final = 2
 #: A peer of the own data centre that was not heard for this long schedules
 #: nothing, in seconds: twice the longest pause between two words.
@@ -42,11 +42,16 @@
     return len(book.peers) > _FEW_PEERS
 
 
-def rank_groups(work: Work, engines: Sequence[Entry]) -> Sequence[str]:
+def rank_groups(
+    work: Work,
+    engines: Sequence[Entry],
+    data_centre: str = '',
+) -> Sequence[str]:
     """Return the groups for a prompt, the one that keeps its prefix first.
 
     A group counts by its engines, so that each gets its share, and only one
-    that has a decode engine can serve.
+    that has a decode engine can serve. The last one is of the own data
+    centre: when that is cut off, it is the only one within reach.
     """
     names = _name_groups(engines)
     serving = {names[one.name] for one in engines if one.role is Role.DECODE}
@@ -54,8 +59,10 @@
     keeping = [name for name in prefilling if names[name] in serving]
     ranked = rank_by_rendezvous(work.home_key, keeping)
     groups = dict.fromkeys(names[name] for name in ranked)
-    others = sorted(serving - groups.keys())
-    return [*groups, *others][:_GROUPS]
+    ordered = [*groups, *sorted(serving - groups.keys())]
+    near = [one for one in ordered if _find_centre(one) == data_centre]
+    chosen = (*ordered[:_GROUPS], *near[:1])
+    return list(dict.fromkeys(chosen))
 
 
 def list_group(group: str, engines: Sequence[Entry]) -> Sequence[Entry]:
@@ -75,7 +82,7 @@
     Any may schedule one that spans all. Those of other data centres are not
     heard, so they are believed to run unless they are in ``avoided``.
     """
-    data_centre, _, _ = group.rpartition('/')
+    data_centre = _find_centre(group)
     if data_centre in {book.data_centre, _ANYWHERE}:
         found: Iterable[str] = [book.name, *find_heard(book, now, _HEARD_S)]
     else:
@@ -89,6 +96,11 @@
     return rank_by_rendezvous(group, candidates)
 
 
+def _find_centre(group: str) -> str:
+    """Return the data centre of a group."""
+    return group.rpartition('/')[0]
+
+
 def _find_home(book: PeerBook, name: str) -> str:
     """Return the data centre of an instance."""
     peer = book.peers.get(name)
--- a/packages/verbenahall/src/verbenahall/scheduling/_health.py
+++ b/packages/verbenahall/src/verbenahall/scheduling/_health.py
@@ -1,4 +1,4 @@
-"""Which schedulers have not answered lately."""
+"""Which schedulers, or groups of them, have not answered lately."""
 
 from typing import Final, final
 
@@ -11,16 +11,20 @@
 
 @final
 class SchedulerHealth:
-    """Silent schedulers by name, left out for longer and longer."""
+    """Silent ones by name, left out for longer and longer.
 
-    __slots__ = ('_pauses',)
+    ``longest_s`` bounds the time for which one is left out, in seconds.
+    """
 
-    def __init__(self) -> None:
+    __slots__ = ('_longest_s', '_pauses')
+
+    def __init__(self, longest_s: float = _LONGEST_S) -> None:
         """Start with nothing against anyone."""
+        self._longest_s = longest_s
         self._pauses: dict[str, tuple[float, float]] = {}
 
     def note_answer(self, name: str) -> None:
-        """Note that a scheduler answered."""
+        """Note that one answered."""
         self._pauses.pop(name, None)
 
     def note_silence(self, name: str, now: float) -> None:
@@ -29,7 +33,7 @@
         if now < until:
             # Several requests waited for the same silence.
             return
-        pause_s = min(max(_FIRST_S, 2 * pause_s), _LONGEST_S)
+        pause_s = min(max(_FIRST_S, 2 * pause_s), self._longest_s)
         self._pauses[name] = (pause_s, now + pause_s)
 
     def list_silent(self, now: float) -> frozenset[str]:
--- a/packages/verbenahall/tests/gateway/test_scheduling.py
+++ b/packages/verbenahall/tests/gateway/test_scheduling.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import functools
+from unittest import mock
 
 import pytest
 
@@ -136,6 +137,32 @@
     run(check())
 
 
+def test_group_out_of_reach_is_not_asked_for_each_request(tmp_path):
+    """A data centre is cut off with all its schedulers.
+
+    Asked for each request, they would cost each of them a wait.
+    """
+
+    async def check():
+        async with open_desks(tmp_path) as desks:
+            first, *others = desks
+            for desk in others:
+                kill_scheduling(desk)
+            first.gateway.scheduling.scheduler = mock.Mock()
+            statuses = [
+                (await first.ask(PATH, f'r-{number}'))[0] for number in range(6)
+            ]
+            assert set(statuses) == {200}
+            silent = [
+                line
+                for line in first.decisions('scheduled')
+                if line['outcome'] == 'silent'
+            ]
+            assert len(silent) <= 3
+
+    run(check())
+
+
 def test_scheduler_that_dies_with_a_queue_leaves_nobody_waiting(tmp_path):
     """A request waits in the queue of a scheduler that is killed.
 
--- a/packages/verbenahall/tests/scheduling/test_groups.py
+++ b/packages/verbenahall/tests/scheduling/test_groups.py
@@ -99,6 +99,19 @@
         assert sorted(groups) == ['ain/0', 'sidi/0']
 
 
+def test_own_data_centre_is_the_last_resort():
+    """The own data centre is cut off, and both groups by prefix are outside.
+
+    Its own engines are the only ones that its callers can reach.
+    """
+    engines = make_engines()
+    for number in range(30):
+        groups = rank_groups(make_work(f'prefix-{number}'), engines, 'fes')
+        assert 'fes/0' in groups
+        assert len(groups) == len(set(groups))
+        assert groups[:2] == rank_groups(make_work(f'prefix-{number}'), engines)
+
+
 def test_group_that_only_decodes_may_serve():
     """No engine prefills apart; decode engines read prompts themselves."""
     engines = make_engines(('ain',), prefill=0, decode=6)
@@ -164,6 +177,16 @@
     assert not health.list_silent(2)
 
 
+def test_silence_of_a_group_is_soon_forgotten():
+    """A data centre is cut off for some seconds; then its engines are back."""
+    health = SchedulerHealth(4.0)
+    for moment in (0, 10, 20, 30):
+        health.note_silence('ain/0', moment)
+
+    assert health.list_silent(33)
+    assert not health.list_silent(34)
+
+
 def test_scheduler_that_answers_again_is_trusted_again():
     """It was frozen for a while."""
     health = SchedulerHealth()
