A look at a scheduler's queue serves all that have come together

Each datagram was followed by a look at the whole queue, a millisecond or more; answers came after the instances had given up, and these asked others who know no load.

Change: requests are taken in as they come and answered by the next look, at most one each 5 ms, at once while nothing waits; leaving the queue is no search through it; an answer is waited for for 0.1 s.

--- a/packages/verbenahall/src/verbenahall/gateway/_assignments.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_assignments.py
@@ -35,9 +35,9 @@
 Answer = Assignment | Rejection | Declined
 
 #: A scheduler answers within this time, in seconds, or the next one is asked.
-#: An answer takes some milliseconds; waiting longer for one that is gone costs
-#: short requests their objective.
-_ANSWER_S: Final = 0.06
+#: An answer takes some milliseconds, at worst the tenth of a second for which
+#: a machine stands still when its share of the processor is used up.
+_ANSWER_S: Final = 0.1
 #: A request that waits asks again after this time, in seconds. A scheduler
 #: that died is noticed by it, and an answer that got lost is had.
 _AGAIN_S: Final = 0.25
--- a/packages/verbenahall/src/verbenahall/gateway/_scheduler.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_scheduler.py
@@ -1,6 +1,7 @@
 """Schedules groups of engines for the instances that ask this one."""
 
 import asyncio
+import dataclasses
 from collections.abc import Callable, Iterable, Mapping
 from typing import Final, final
 
@@ -36,17 +37,34 @@
 #: How often the queues are looked at beside the ends of prefills, in seconds:
 #: what waits in vain is told so.
 _LOOK_S: Final = 0.02
+#: Shortest time between two looks at a queue, in seconds.
+_PAUSE_S: Final = 0.005
 #: How often assignments without an end are looked for, in seconds.
 _EXPIRE_S: Final = 0.5
 
 _Scope = tuple[str, str]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Due:
+    """The next look at a queue."""
+
+    at: float
+    timer: asyncio.TimerHandle
+
+
 @final
 class Scheduler:
     """The groups that this instance schedules, by service and group."""
 
-    __slots__ = ('stopping', '_core', '_send', '_states', '_looking')
+    __slots__ = (
+        'stopping',
+        '_core',
+        '_due',
+        '_looked_at',
+        '_send',
+        '_states',
+    )
 
     def __init__(
         self,
@@ -58,7 +76,8 @@
         self._core = core
         self._send = send
         self._states: dict[_Scope, SchedulerState] = {}
-        self._looking: set[_Scope] = set()
+        self._looked_at: dict[_Scope, float] = {}
+        self._due: dict[_Scope, _Due] = {}
 
     async def run(self) -> None:
         """Forget what has no end, until cancelled."""
@@ -74,19 +93,15 @@
         if service is None or self.stopping():
             self._send(caller, Declined(request.key))
             return
-        now = self._core.now()
         scope = (request.service, request.group)
-        state = self._states.get(scope)
-        if state is None:
-            placement = self._core.placement.without_load()
-            state = SchedulerState(placement, now)
-            self._states[scope] = state
+        state = self._find_state(scope)
+        now = self._core.now()
         fleet = self._describe_fleet(state, service, request.group)
         self._answer(
             receive(state, request, caller, fleet, now, self._core.random),
             state,
         )
-        self._look_later(scope)
+        self._look_soon(scope)
 
     def note(self, progress: Prefilled | FirstEvent | Released) -> None:
         """Note how an assignment goes, and let others have its place."""
@@ -95,6 +110,14 @@
                 self._note(scope, state, progress)
                 return
 
+    def _find_state(self, scope: _Scope) -> SchedulerState:
+        state = self._states.get(scope)
+        if state is None:
+            placement = self._core.placement.without_load()
+            state = SchedulerState(placement, self._core.now())
+            self._states[scope] = state
+        return state
+
     def _note(
         self,
         scope: _Scope,
@@ -108,28 +131,39 @@
         note(state, progress, service, now)
         if isinstance(progress, Released) and progress.refused:
             self._core.standings.note_refusal(progress.refused, now)
-        self._look(scope)
+        self._look_soon(scope)
+
+    def _look_soon(self, scope: _Scope, within_s: float = 0) -> None:
+        """Look at a queue once for all that comes until then.
+
+        A look costs about a millisecond. One for each datagram took all of a
+        processor at the worst load, and answers came too late to be heard.
+        """
+        if not self._states[scope].queue.waiting:
+            return
+        now = self._core.now()
+        last_at = self._looked_at.get(scope, now - _PAUSE_S)
+        look_at = max(now + within_s, last_at + _PAUSE_S)
+        due = self._due.get(scope)
+        if due is not None and due.at <= look_at:
+            return
+        if due is not None:
+            due.timer.cancel()
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(look_at - now, self._look, scope)
+        self._due[scope] = _Due(look_at, timer)
 
     def _look(self, scope: _Scope) -> None:
+        self._due.pop(scope)
         state = self._states[scope]
         service = self._list_services().get(scope[0])
-        if service is None or not state.queue.waiting:
+        if service is None:
             return
         now = self._core.now()
+        self._looked_at[scope] = now
         fleet = self._describe_fleet(state, service, scope[1])
         self._answer(look(state, fleet, now, self._core.random), state)
-        self._look_later(scope)
-
-    def _look_later(self, scope: _Scope) -> None:
-        waiting = self._states[scope].queue.waiting
-        if waiting and scope not in self._looking:
-            self._looking.add(scope)
-            loop = asyncio.get_running_loop()
-            loop.call_later(_LOOK_S, self._look_again, scope)
-
-    def _look_again(self, scope: _Scope) -> None:
-        self._looking.discard(scope)
-        self._look(scope)
+        self._look_soon(scope, _LOOK_S)
 
     def _describe_fleet(
         self,
--- a/packages/verbenahall/src/verbenahall/placement/_turns.py
+++ b/packages/verbenahall/src/verbenahall/placement/_turns.py
@@ -73,7 +73,8 @@
     admitted = tuple(_admit(ranked, fleet, now))
     for given in admitted:
         queue.remove(given.turn)
-    staying = [turn for turn in ranked if turn in queue.waiting]
+    gone = {one.turn for one in admitted}
+    staying = [turn for turn in ranked if turn not in gone]
     hopeless = tuple(_find_hopeless(queue, staying, start))
     refused = [(one, _refuse(queue, one, now, source)) for one in hopeless]
     for turn in hopeless:
--- a/packages/verbenahall/src/verbenahall/scheduling/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/scheduling/_decisions.py
@@ -57,6 +57,8 @@
 ) -> Replies:
     """Take a request, or answer a copy of it as before.
 
+    What is neither refused nor known is answered by the next ``look``, which
+    goes through the whole queue: one look serves all that have come together.
     An instance that waits asks again now and then, to learn that its
     scheduler still runs and to hear an answer that got lost.
     """
@@ -70,11 +72,7 @@
     waiting = _make_waiting(request, caller, now)
     state.waiting[request.key] = waiting
     effects = join(state.queue, waiting.turn, fleet, now, source)
-    replies = list(_apply(state, effects))
-    replies.extend(look(state, fleet, now, source))
-    if request.key in state.waiting:
-        replies.append(Reply(caller, Queued(request.key)))
-    return replies
+    return tuple(_apply(state, effects))
 
 
 def look(
@@ -83,11 +81,14 @@
     now: float,
     source: random.Random,
 ) -> Replies:
-    """Assign engines that have room, and reject what waits in vain."""
+    """Assign engines that have room, and reject what waits in vain.
+
+    Those that go on waiting are told so once.
+    """
     if not state.queue.waiting:
         return ()
     effects = take_turns(state.queue, fleet, now, source)
-    return tuple(_apply(state, effects))
+    return (*_apply(state, effects), *_tell_waiting(state))
 
 
 def note(
@@ -128,6 +129,13 @@
         _release(state, assigned)
 
 
+def _tell_waiting(state: SchedulerState) -> Iterator[Reply]:
+    for key, waiting in state.waiting.items():
+        if not waiting.told:
+            waiting.told = True
+            yield Reply(waiting.caller, Queued(key))
+
+
 def _make_waiting(
     request: ScheduleRequest,
     caller: str,
--- a/packages/verbenahall/src/verbenahall/scheduling/_state.py
+++ b/packages/verbenahall/src/verbenahall/scheduling/_state.py
@@ -23,11 +23,15 @@
 
 @dataclasses.dataclass(slots=True)
 class Waiting:
-    """A request in the queue, and who asked for it."""
+    """A request in the queue, and who asked for it.
+
+    ``told`` is whether the caller knows that it waits.
+    """
 
     turn: Turn
     caller: str
     deadline: float
+    told: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/verbenahall/tests/scheduling/test_scheduler.py
+++ b/packages/verbenahall/tests/scheduling/test_scheduler.py
@@ -53,9 +53,9 @@
 
 def ask(state, request, now=0.0, caller='10.0.0.1:7380'):
     """Have the scheduler take a request; return what it answers, by caller."""
-    return scheduling.receive(
-        state, request, caller, make_fleet(state), now, SOURCE
-    )
+    fleet = make_fleet(state)
+    replies = scheduling.receive(state, request, caller, fleet, now, SOURCE)
+    return [*replies, *scheduling.look(state, fleet, now, SOURCE)]
 
 
 def kinds(replies):
@@ -250,3 +250,27 @@
     reply = ask(state, make_request('first'), now=1)[0]
 
     assert reply.message.missing == 3_000
+
+
+def test_requests_that_come_together_share_a_look(state):
+    """Hundreds of requests a second come at the worst load.
+
+    One look at the queue for each of them took all of a processor; answers
+    came late, and instances asked other schedulers, who know no load.
+    """
+    fleet = make_fleet(state)
+    answered = [
+        scheduling.receive(
+            state, make_request(f'r{number}', due_s=9), 'x', fleet, 0, SOURCE
+        )
+        for number in range(30)
+    ]
+    told = scheduling.look(state, fleet, 0, SOURCE)
+
+    assert not any(answered)
+    assert len(told) == 30
+    assert {type(one.message) for one in told} == {
+        scheduling.Assignment,
+        scheduling.Queued,
+    }
+    assert not scheduling.look(state, fleet, 0.01, SOURCE)
