Machines with fast processors schedule first

A seventh of the machines have 2.15 cores.

Change: an instance tells its processor with its address and its words, and the fastest of a data centre stand first. Test: a fast machine stands before slow ones; settings with, in part and without the processor are read.

--- a/packages/verbenahall/src/verbenahall/gateway/_core.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_core.py
@@ -46,7 +46,11 @@
         self.roster = Roster(RosterRules(lapse_s=min(LAPSE_S, lapse_s)))
         self.standings = Standings()
         self.placement = PlacementState()
-        self.book = PeerBook(settings.name, settings.data_centre)
+        self.book = PeerBook(
+            settings.name,
+            settings.data_centre,
+            settings.cores,
+        )
         self.session: aiohttp.ClientSession = make_session()
         self.engines = EngineCalls(self.session)
         self.store = StoreClient(self.session, settings.store)
--- a/packages/verbenahall/src/verbenahall/gateway/_peers.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_peers.py
@@ -61,14 +61,19 @@
 
     def _greet(self, name: str, card: bytes) -> None:
         match wire.decode(card):
-            case Success([str(address), str(data_centre)]):
-                greet(self._core.book, name, address, data_centre)
+            case Success([str(address), str(data_centre), cores]) if isinstance(
+                cores,
+                int | float,
+            ):
+                greet(self._core.book, name, address, data_centre, cores)
             case _:
                 journal.write_decision('peer_unreadable', peer=name)
 
     async def _register(self) -> bool:
         settings = self._core.settings
-        card = wire.encode([settings.peer_address, settings.data_centre])
+        card = wire.encode(
+            [settings.peer_address, settings.data_centre, settings.cores],
+        )
         record = encode_keyed(KeyedRecord(settings.name, card))
         outcome = await self._core.store.append(INSTANCES_TOPIC, [record])
         return isinstance(outcome, Appended)
--- a/packages/verbenahall/src/verbenahall/peers/_messages.py
+++ b/packages/verbenahall/src/verbenahall/peers/_messages.py
@@ -35,7 +35,8 @@
     datagram that was overtaken does not undo a newer one. ``changing`` names
     engines that the author has ordered to change and that take no work, and
     ``speed`` is what it has learned about reading. ``followed`` tells up to
-    which record the author has read each topic that it follows at the store.
+    which record the author has read each topic that it follows at the store,
+    and ``cores`` how much of the processor the author may use.
     """
 
     author: str
@@ -45,6 +46,7 @@
     changing: tuple[str, ...] = ()
     speed: tuple[float, ...] = ()
     followed: Mapping[str, int] = dataclasses.field(default_factory=dict)
+    cores: float = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -77,6 +79,7 @@
             'speed': word.speed,
             'dc': word.data_centre,
             'followed': dict(word.followed),
+            'cores': word.cores,
         },
     )
 
@@ -208,8 +211,16 @@
             'speed': list(speed),
             'dc': str(data_centre),
             'followed': dict(followed),
+            'cores': int() | float() as cores,
         }:
-            word = Word(author, number, loads, data_centre, followed=followed)
+            word = Word(
+                author,
+                number,
+                loads,
+                data_centre,
+                followed=followed,
+                cores=cores,
+            )
             return _type_members(word, changing, speed)
         case _:
             return Nothing
--- a/packages/verbenahall/src/verbenahall/peers/_shell.py
+++ b/packages/verbenahall/src/verbenahall/peers/_shell.py
@@ -132,7 +132,13 @@
     def _hear(self, word: Word, source: tuple[str, int]) -> None:
         now = clock.monotonic()
         host, port = source
-        greet(self._book, word.author, f'{host}:{port}', word.data_centre)
+        greet(
+            self._book,
+            word.author,
+            f'{host}:{port}',
+            word.data_centre,
+            word.cores,
+        )
         known = (word.author, word.number, now, word.followed)
         if hear(self._book, *known):
             self._ledger.hear(word.author, word.loads, now)
@@ -159,6 +165,7 @@
             tuple(self.changing()),
             self._speed.export(),
             followed,
+            self._book.cores,
         )
 
 
--- a/packages/verbenahall/src/verbenahall/peers/_state.py
+++ b/packages/verbenahall/src/verbenahall/peers/_state.py
@@ -27,10 +27,11 @@
 
 @final
 class _Peer:
-    """One peer's address, when it was heard and when it was told."""
+    """One peer: its address, its processor, when it was heard and told."""
 
     __slots__ = (
         'address',
+        'cores',
         'data_centre',
         'followed',
         'heard_at',
@@ -40,6 +41,7 @@
 
     def __init__(self, address: str, data_centre: str) -> None:
         self.address = address
+        self.cores: float = 1
         self.data_centre = data_centre
         self.followed = _NOTHING
         self.heard_at = -float('inf')
@@ -49,12 +51,21 @@
 
 @final
 class PeerBook:
-    """The peers by name; the own name is never among them."""
+    """The peers by name; the own name is never among them.
 
-    __slots__ = ('name', 'data_centre', 'peers')
+    ``cores`` is what this instance may use of the processor.
+    """
 
-    def __init__(self, name: str, data_centre: str = '') -> None:
+    __slots__ = ('cores', 'data_centre', 'name', 'peers')
+
+    def __init__(
+        self,
+        name: str,
+        data_centre: str = '',
+        cores: float = 1,
+    ) -> None:
         """Start without peers, in a data centre."""
+        self.cores = cores
         self.name = name
         self.data_centre = data_centre
         self.peers: dict[str, _Peer] = {}
@@ -65,6 +76,7 @@
     name: str,
     address: str,
     data_centre: str = '',
+    cores: float = 1,
 ) -> None:
     """Take a peer's address, from the store or from its datagram."""
     if name == book.name:
@@ -74,7 +86,9 @@
         return
     # A replaced machine has the name at another address and counts anew.
     if peer is None or peer.address != address:
-        book.peers[name] = _Peer(address, data_centre)
+        peer = _Peer(address, data_centre)
+        book.peers[name] = peer
+    peer.cores = cores
 
 
 def hear(
--- a/packages/verbenahall/src/verbenahall/platform/_settings.py
+++ b/packages/verbenahall/src/verbenahall/platform/_settings.py
@@ -39,6 +39,14 @@
             maximum=_LAST_PORT,
         ),
         'listen': Table({'front': _TEXT, 'ready': _TEXT}, open=True),
+        # ``cores`` is how many times as fast as one the core is.
+        'limits': Table(
+            {
+                'cpuShare': dataclasses.replace(_AMOUNT, default=1),
+                'cores': dataclasses.replace(_AMOUNT, default=1),
+            },
+            open=True,
+        ),
         'platform': Table({'address': _TEXT}, open=True),
         'bounds': Table(
             {
@@ -75,7 +83,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ProcessSettings:
-    """What the platform tells a process; addresses are ``IP:port``."""
+    """What the platform tells a process; addresses are ``IP:port``.
+
+    ``cores`` is how much of a usual core the process may use.
+    """
 
     name: str
     ip: str
@@ -85,6 +96,7 @@
     peer_port: int
     metrics_port: int
     store: str
+    cores: float
     bounds: Bounds
 
     @property
@@ -105,6 +117,7 @@
 
 def _build(table: dict[str, Any]) -> ProcessSettings:
     listen = table['listen']
+    limits = table['limits']
     return ProcessSettings(
         name=table['nodeName'],
         ip=table['ip'],
@@ -114,6 +127,7 @@
         peer_port=table['portRange'][0],
         metrics_port=table['metricsPort'],
         store=table['platform']['address'],
+        cores=limits['cpuShare'] * limits['cores'],
         bounds=_build_bounds(table['bounds']),
     )
 
--- a/packages/verbenahall/src/verbenahall/scheduling/_groups.py
+++ b/packages/verbenahall/src/verbenahall/scheduling/_groups.py
@@ -79,8 +79,10 @@
 ) -> Sequence[str]:
     """Return who may schedule a group: instances of its data centre.
 
-    Any may schedule one that spans all. Those of other data centres are not
-    heard, so they are believed to run unless they are in ``avoided``.
+    Those with the fastest processors stand first, as a scheduler needs some
+    of it beside its own callers. Any may schedule a group that spans all.
+    Those of other data centres are not heard, so they are believed to run
+    unless they are in ``avoided``.
     """
     data_centre = _find_centre(group)
     if data_centre in {book.data_centre, _ANYWHERE}:
@@ -93,7 +95,14 @@
         if name not in avoided
         and data_centre in {_find_home(book, name), _ANYWHERE}
     ]
-    return rank_by_rendezvous(group, candidates)
+    ranked = rank_by_rendezvous(group, candidates)
+    return sorted(ranked, key=lambda name: -_find_cores(book, name))
+
+
+def _find_cores(book: PeerBook, name: str) -> float:
+    """Return an instance's processor, without differences of no account."""
+    peer = book.peers.get(name)
+    return round(book.cores if peer is None else peer.cores)
 
 
 def _find_centre(group: str) -> str:
--- a/packages/verbenahall/tests/platform/test_wire.py
+++ b/packages/verbenahall/tests/platform/test_wire.py
@@ -249,6 +249,22 @@
     assert (settings.bounds.leaving_s, settings.bounds.retry_slack) == (2, 0)
 
 
+@pytest.mark.parametrize(
+    ('limits', 'cores'),
+    [
+        ('[limits]\ncpuShare = 0.717\ncores = 3', 2.151),
+        ('[limits]\ncpuShare = 0.5', 0.5),
+        ('', 1),
+    ],
+)
+def test_processor_of_the_machine(tmp_path, limits, cores):
+    """Machines differ, and a platform may not tell by how much."""
+    path = write_settings(tmp_path, '[bounds]', f'{limits}\n[bounds]')
+
+    settings = read_settings(path).unwrap()
+    assert settings.cores == pytest.approx(cores)
+
+
 @pytest.mark.parametrize(
     ('change', 'to', 'line', 'key'),
     [
--- a/packages/verbenahall/tests/scheduling/test_groups.py
+++ b/packages/verbenahall/tests/scheduling/test_groups.py
@@ -139,6 +139,21 @@
         assert {name.partition('-')[0] for name in ranked} == {centre}
 
 
+def test_fast_machine_schedules_before_slow_ones(book):
+    """Two of eight machines have four times the processor of the others.
+
+    On a slow one the decisions of a burst take all of it; its answers come
+    late, and its own callers wait.
+    """
+    for name in ('ain-3', 'fes-5'):
+        greet(book, name, book.peers[name].address, name[:3], 2.15)
+    for name in ('ain-4', 'fes-4'):
+        greet(book, name, book.peers[name].address, name[:3], 0.52)
+
+    assert rank_schedulers('ain/0', book, 0)[0] == 'ain-3'
+    assert rank_schedulers('fes/0', book, 0)[0] == 'fes-5'
+
+
 def test_peer_that_is_not_heard_schedules_nothing(book):
     """A peer of the own data centre died; the next one takes its place."""
     first, second, *_ = rank_schedulers('ain/0', book, 0)
