verbenactl losses tells why answers came late, and who called the store

Where a first event went late was read from logs by hand so far, and calls to the store had a metric by instance only. Losses has a table of late answers by their largest cause and route, and one of the store's calls by call, topic and outcome with the instances that made them; each call has a line. The scheduler's lines bear the request's identity, so that `verbenactl explain` shows them.

--- a/packages/verbenactl/src/verbenactl/_losses.py
+++ b/packages/verbenactl/src/verbenactl/_losses.py
@@ -1,4 +1,4 @@
-"""Where requests were lost: tables by route, window and cause, from logs.
+"""Where requests were lost or late: by route, window and cause, from logs.
 
 A request counts at the moment of its first line, and as what became of it:
 answered on time, answered late, refused, cut off, run to its deadline, left
@@ -13,6 +13,7 @@
 from types import MappingProxyType
 from typing import Any, Final, final
 
+from verbenactl._causes import Delays, count_store_calls
 from verbenactl._explaining import LogLine
 
 #: What became of a request, in the order of the columns.
@@ -53,10 +54,11 @@
 class _Story:
     """What the lines of one request tell."""
 
-    __slots__ = ('accepted', 'first_s', 'given_up', 'outcome')
+    __slots__ = ('accepted', 'delays', 'first_s', 'given_up', 'outcome')
 
     def __init__(self, accepted: LogLine) -> None:
         self.accepted = accepted
+        self.delays = Delays(float(accepted.decision.get('waited_s', 0)))
         self.first_s: float | None = None
         self.given_up: Mapping[str, Any] | None = None
         self.outcome = ''
@@ -94,7 +96,7 @@
 
 
 def find_losses(lines: Iterable[LogLine], window_s: float) -> Sequence[Table]:
-    """Return the tables of what was lost, by route, window and cause."""
+    """Return the tables of what was lost and late, and of the store's calls."""
     kept = sorted(lines, key=lambda line: line.at)
     stories = _tell_stories(kept)
     begun = kept[0].at if kept else 0
@@ -116,6 +118,12 @@
             ],
         ),
         Table('cause', ('cause', 'route', 'count'), _count_causes(stories)),
+        Table('late', ('cause', 'route', 'count'), _count_delays(stories)),
+        Table(
+            'store',
+            ('call', 'topic', 'outcome', 'calls', 'instances', 'kb'),
+            count_store_calls(kept),
+        ),
     )
 
 
@@ -139,6 +147,7 @@
         story = stories.get(request)
         if story is not None:
             _add_line(story, decision)
+            story.delays.add(decision, line.at)
     return list(stories.values())
 
 
@@ -168,14 +177,25 @@
 
 
 def _count_causes(stories: Iterable[_Story]) -> Sequence[tuple[str, ...]]:
-    lost = collections.Counter(
+    return _rank(
         (story.cause, story.route)
         for story in stories
         if story.fate not in {'on_time', 'late'}
     )
+
+
+def _count_delays(stories: Iterable[_Story]) -> Sequence[tuple[str, ...]]:
+    return _rank(
+        (story.delays.name_largest(), story.route)
+        for story in stories
+        if story.fate == 'late'
+    )
+
+
+def _rank(causes: Iterable[tuple[str, str]]) -> Sequence[tuple[str, ...]]:
     return [
         (cause, route, str(count))
-        for (cause, route), count in lost.most_common()
+        for (cause, route), count in collections.Counter(causes).most_common()
     ]
 
 
--- a/packages/verbenactl/tests/test_losses.py
+++ b/packages/verbenactl/tests/test_losses.py
@@ -122,3 +122,70 @@
     result = run_command('--window', '0')
     assert result.returncode != 0
     assert '--window takes seconds above 0' in result.stderr
+
+
+def find_late(*rows, waited_s=0):
+    """Return the cause of a late answer, from a request's lines."""
+    lines = tell('r', 1.0, *rows, answered('200'), waited_s=waited_s)
+    tables = {one.name: one for one in find_losses(parse_lines('a', lines), 2)}
+    return [row[0] for row in tables['late'].rows]
+
+
+def scheduled(waited_s):
+    return {'event': 'scheduled', 'waited_s': waited_s}
+
+
+def placed(wait_s):
+    return {'event': 'placed', 'wait_s': wait_s}
+
+
+def read(took_s):
+    return {'event': 'read', 'took_s': took_s}
+
+
+def test_late_answers_are_told_by_their_largest_cause():
+    """A user asks why an answer was late; nothing failed on the way."""
+    first = {**generated(0.5), 'first_s': 0.02}
+    assert find_late(scheduled(0.4), placed(0.1), read(0.1), first) == [
+        'waited for its turn'
+    ]
+    assert find_late(scheduled(0), placed(0.1), read(0.5), first) == [
+        'prefill longer than expected'
+    ]
+    assert find_late(scheduled(0), placed(0.4), read(0.4), first) == [
+        'expected from the start'
+    ]
+    late = {**generated(0.5), 'first_s': 0.45}
+    assert find_late(scheduled(0), placed(0.1), read(0.1), late) == [
+        'handover and first step'
+    ]
+    assert find_late(placed(0.1), read(0.1), first, waited_s=0.8) == [
+        'tried before'
+    ]
+
+
+def test_time_of_a_failed_attempt_is_told():
+    """An engine fell silent, and the request went to another one."""
+    first = {**generated(1.5), 'first_s': 0.02}
+    lines = [
+        *tell('r', 1.0, placed(0.1)),
+        json.dumps({'at': 2.2, 'request': 'r', 'event': 'attempt_failed'}),
+        *tell('r', 2.2, placed(0.1), read(0.1), first, answered('200'))[1:],
+    ]
+    tables = {one.name: one for one in find_losses(parse_lines('a', lines), 2)}
+    assert tables['late'].rows[0][0] == 'a failed attempt'
+
+
+def test_calls_to_the_store_are_told_by_topic():
+    """The store is shared by all; who calls it most, and what for?"""
+    call = {'event': 'store_call', 'call': 'read', 'outcome': '200'}
+    lines = [
+        json.dumps({**call, 'at': 1, 'topic': 'leases', 'received': 1500}),
+        json.dumps({**call, 'at': 2, 'topic': 'leases', 'received': 1500}),
+        json.dumps({**call, 'at': 3, 'topic': 'peers', 'received': 10}),
+    ]
+    tables = {one.name: one for one in find_losses(parse_lines('a', lines), 2)}
+    assert tables['store'].rows == [
+        ('read', 'leases', '200', '2', '1', '3'),
+        ('read', 'peers', '200', '1', '1', '0'),
+    ]
--- a/packages/verbenahall/src/verbenahall/gateway/_scheduler.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_scheduler.py
@@ -200,7 +200,7 @@
             case Assignment():
                 journal.write_decision(
                     'assigned',
-                    key=message.key,
+                    request=_read_identity(message.key),
                     prefill=message.prefill,
                     decode=message.decode,
                     ahead_s=journal.round_seconds(message.ahead_s),
@@ -213,7 +213,7 @@
                 metrics.SHED.add('scheduled')
                 journal.write_decision(
                     'rejected',
-                    key=message.key,
+                    request=_read_identity(message.key),
                     reason=message.message,
                     retry_after_s=journal.round_seconds(message.retry_after_s),
                     waiting=len(state.queue.waiting),
@@ -221,6 +221,11 @@
                 )
 
 
+def _read_identity(key: str) -> str:
+    """Return the caller's identity of a request, with which its key begins."""
+    return key.rsplit('/', 2)[0]
+
+
 @final
 class Scheduling:
     """Carries messages between this instance and schedulers, its own too."""
--- a/packages/verbenahall/src/verbenahall/platform/_store.py
+++ b/packages/verbenahall/src/verbenahall/platform/_store.py
@@ -14,7 +14,7 @@
 import aiohttp
 from returns.result import Failure, Result, Success
 
-from verbenahall import metrics, wire
+from verbenahall import journal, metrics, wire
 from verbenahall.platform import _fields as fields
 from verbenahall.platform import _names as names
 from verbenahall.platform._connections import CALL_FAILURES
@@ -201,12 +201,25 @@
                 ) as response:
                     answered = response.status, await response.read()
         except CALL_FAILURES as error:
-            metrics.STORE_CALLS.add(path, 'no_answer')
+            _tell_call(path, params['topic'], 'no_answer', 0)
             return Failure(Away(repr(error)))
-        metrics.STORE_CALLS.add(path, str(answered[0]))
+        status, answer = answered
+        _tell_call(path, params['topic'], str(status), len(answer))
         return Success(answered)
 
 
+def _tell_call(path: str, topic: str, outcome: str, received: int) -> None:
+    """Count a call and write a line for it: the store is shared by all."""
+    metrics.STORE_CALLS.add(path, outcome)
+    journal.write_decision(
+        'store_call',
+        call=path.rpartition('-')[-1],
+        topic=topic,
+        outcome=outcome,
+        received=received,
+    )
+
+
 def _join_pages(pages: Sequence[_Page]) -> Newest:
     newest = Newest({}, {}, pages[0].newest.end)
     for page in pages:
