A silent scheduler of another data centre costs one wait

Each instance has a request or two a second, so what it learns of a silent group helps few.

Change: one scheduler of a far group is asked, then the next group; a group is left out once two requests in a row found none. In the own data centre the second one is asked as before.

--- a/packages/verbenahall/src/verbenahall/gateway/_assignments.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_assignments.py
@@ -1,6 +1,7 @@
 """Asks the schedulers of engine groups where requests go."""
 
 import asyncio
+import collections
 import contextlib
 import dataclasses
 import itertools
@@ -26,6 +27,7 @@
     Released,
     ScheduleRequest,
     SchedulerHealth,
+    is_near,
     needs_scheduler,
     rank_groups,
     rank_schedulers,
@@ -41,8 +43,13 @@
 #: A request that waits asks again after this time, in seconds. A scheduler
 #: that died is noticed by it, and an answer that got lost is had.
 _AGAIN_S: Final = 0.25
-#: Schedulers of a group that are tried before the instance decides itself.
-_TRIED: Final = 2
+#: Schedulers that are tried for a request: of the own data centre's group, and
+#: of another one. When a far one is silent its data centre may be cut off, and
+#: a prompt with half a second left is better off with the next group.
+_NEAR_TRIED: Final = 2
+_FAR_TRIED: Final = 1
+#: Requests in a row that find no scheduler of a group before it is left out.
+_MISSES: Final = 2
 #: A group whose schedulers are silent is left out for this long at most, in
 #: seconds: its data centre is cut off, and soon back.
 _GROUP_S: Final = 4.0
@@ -57,6 +64,7 @@
         '_groups',
         '_health',
         '_inboxes',
+        '_misses',
         '_numbers',
         '_send',
     )
@@ -67,6 +75,7 @@
         self._groups = SchedulerHealth(_GROUP_S)
         self._health = SchedulerHealth()
         self._inboxes: dict[str, asyncio.Queue[Queued | Answer]] = {}
+        self._misses: collections.Counter[str] = collections.Counter()
         self._numbers = itertools.count()
         self._send = send
 
@@ -118,18 +127,23 @@
             answer = await self._ask_scheduler(ask, scheduler)
             if answer is not None:
                 self._groups.note_answer(ask.group)
+                self._misses.pop(ask.group, None)
             match answer:
                 case Assignment():
                     return self._accept(ask, answer, scheduler)
                 case Rejection():
                     return _read_rejection(answer)
-        self._groups.note_silence(ask.group, self._core.now())
+        self._misses[ask.group] += 1
+        if self._misses[ask.group] >= _MISSES:
+            self._groups.note_silence(ask.group, self._core.now())
         return Nothing
 
     def _list_schedulers(self, group: str) -> Sequence[str]:
         now = self._core.now()
+        book = self._core.book
         silent = self._health.list_silent(now)
-        return rank_schedulers(group, self._core.book, now, silent)[:_TRIED]
+        tried = _NEAR_TRIED if is_near(group, book) else _FAR_TRIED
+        return rank_schedulers(group, book, now, silent)[:tried]
 
     async def _ask_scheduler(
         self,
--- a/packages/verbenahall/src/verbenahall/scheduling/__init__.py
+++ b/packages/verbenahall/src/verbenahall/scheduling/__init__.py
@@ -16,6 +16,7 @@
     receive,
 )
 from verbenahall.scheduling._groups import (
+    is_near,
     list_group,
     needs_scheduler,
     rank_groups,
@@ -53,6 +54,7 @@
     'decode',
     'encode',
     'expire',
+    'is_near',
     'list_group',
     'look',
     'needs_scheduler',
--- a/packages/verbenahall/src/verbenahall/scheduling/_groups.py
+++ b/packages/verbenahall/src/verbenahall/scheduling/_groups.py
@@ -42,6 +42,11 @@
     return len(book.peers) > _FEW_PEERS
 
 
+def is_near(group: str, book: PeerBook) -> bool:
+    """Whether a group's schedulers are heard, as those of the own centre."""
+    return _find_centre(group) in {book.data_centre, _ANYWHERE}
+
+
 def rank_groups(
     work: Work,
     engines: Sequence[Entry],
@@ -85,7 +90,7 @@
     unless they are in ``avoided``.
     """
     data_centre = _find_centre(group)
-    if data_centre in {book.data_centre, _ANYWHERE}:
+    if is_near(group, book):
         found: Iterable[str] = [book.name, *find_heard(book, now, _HEARD_S)]
     else:
         found = book.peers
--- a/packages/verbenahall/tests/gateway/test_scheduling.py
+++ b/packages/verbenahall/tests/gateway/test_scheduling.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from verbenahall.gateway import _assignments as assignments
 from verbenahall.peers import find_heard
 from verbenahall.scheduling import _groups as groups
 
@@ -137,6 +138,38 @@
     run(check())
 
 
+def test_far_group_that_is_silent_costs_one_wait(tmp_path, monkeypatch):
+    """The data centre of a group is cut off while a request goes to it.
+
+    Asked one after the other, its schedulers would cost the request most of
+    its time, though other groups could serve it.
+    """
+
+    async def check():
+        engines = make_engines(readers=4, generators=2)
+        async with open_desks(tmp_path, engines) as desks:
+            first, *others = desks
+            for desk in others:
+                kill_scheduling(desk)
+            first.gateway.core.book.data_centre = 'elsewhere'
+            monkeypatch.setattr(assignments, 'rank_schedulers', rank_others)
+            status, _, _ = await first.ask(PATH, 'r-1')
+            assert status == 200
+            silent = [
+                line
+                for line in first.decisions('scheduled')
+                if line['request'] == 'r-1'
+            ]
+            assert [line['outcome'] for line in silent] == ['silent']
+
+    run(check())
+
+
+def rank_others(group, book, now, avoided):
+    """Rank all known peers, as those of a data centre that is not heard."""
+    return sorted(book.peers)
+
+
 def test_group_out_of_reach_is_not_asked_for_each_request(tmp_path):
     """A data centre is cut off with all its schedulers.
 
