--- a/packages/standins/src/verbenahall_standins/replay.py
+++ b/packages/standins/src/verbenahall_standins/replay.py
@@ -16,14 +16,14 @@
 from verbenahall.placement import (
     Fleet,
     Part,
+    PlacementRequest,
     PlacementState,
+    PrefillQueue,
+    QueuedRequest,
     Totals,
-    Turn,
-    TurnQueue,
-    Wish,
     Work,
-    join,
-    take_turns,
+    dispatch,
+    enqueue,
 )
 from verbenahall.roster import Entry
 
@@ -249,67 +249,69 @@
         for tokens in itertools.islice(itertools.cycle(_TIMED), _READS):
             seconds = READ_START_S + tokens * TOKEN_S
             self.state.learn_read(tokens, _KEPT, seconds)
-        self.queue = TurnQueue()
+        self.queue = PrefillQueue()
         self.arrived = {}
 
     def take(self, work, load, queued, now):
         """Take a caller's request, with or without waiting for a turn."""
-        wish = Wish(work, 0.2)
-        turn = Turn(
+        wanted = PlacementRequest(work, 0.2)
+        pending = QueuedRequest(
             request=f'r{next(self.replay.numbers)}',
-            wish=wish,
+            wanted=wanted,
             priority=load.priority,
             since=now,
             due_at=now + load.objective_s,
             objective_s=load.objective_s,
             leaves_at=now + load.patience_s,
         )
-        self.arrived[turn] = now
+        self.arrived[pending] = now
         if queued:
             fleet = self._fleet()
             source = self.replay.random
-            self._apply(join(self.queue, turn, fleet, now, source), now)
+            self._apply(enqueue(self.queue, pending, fleet, now, source), now)
             self.look(now)
             return
-        plan = self._fleet().place(turn, now).unwrap()
+        plan = self._fleet().place(pending, now).unwrap()
         reader = (plan.reader or plan.generator).name
         totals = Totals(reading=plan.missing)
         flight = self.state.ledger.open(reader, totals)
-        self._send(turn, plan, flight, now)
+        self._send(pending, plan, flight, now)
 
     def look(self, now):
         """Give turns."""
         if self.queue.waiting:
             fleet = self._fleet()
             source = self.replay.random
-            self._apply(take_turns(self.queue, fleet, now, source), now)
+            self._apply(dispatch(self.queue, fleet, now, source), now)
 
     def finish(self, admitted, now):
         """Note that a prompt was read."""
-        turn, flight, sent_at = admitted
+        pending, flight, sent_at = admitted
         took = now + HANDOVER_S - sent_at
-        self.queue.note_first(turn, took, now)
+        self.queue.note_first(pending, took, now)
         self.state.ledger.close(flight)
         outcome = self.replay.outcome
-        waited = now + HANDOVER_S - self.arrived[turn]
-        if now < turn.leaves_at:
+        waited = now + HANDOVER_S - self.arrived[pending]
+        if now < pending.leaves_at:
             outcome.waits.append(waited)
-            outcome.order.append((turn.priority, now))
+            outcome.order.append((pending.priority, now))
         self.look(now)
 
     def _apply(self, effects, now):
         for admitted in effects.admitted:
-            self._send(admitted.turn, admitted.plan, admitted.flight, now)
-        for turn, problem in effects.refused:
+            self._send(admitted.pending, admitted.plan, admitted.flight, now)
+        for pending, problem in effects.refused:
             outcome = self.replay.outcome
-            outcome.refused.append((problem, turn.leaves_at - now))
-            outcome.held.append(now - self.arrived[turn])
+            outcome.refused.append((problem, pending.leaves_at - now))
+            outcome.held.append(now - self.arrived[pending])
 
-    def _send(self, turn, plan, flight, now):
+    def _send(self, pending, plan, flight, now):
         reader = plan.reader or plan.generator
         engine = self.replay.engines[reader.name]
-        engine.begin((self, (turn, flight, now)), turn.wish.work, now)
-        self.state.cache_of(reader, TRAITS.kv_tokens).note(turn.wish.work.parts)
+        engine.begin((self, (pending, flight, now)), pending.wanted.work, now)
+        self.state.cache_of(reader, TRAITS.kv_tokens).note(
+            pending.wanted.work.parts
+        )
         self.replay.watch(engine)
 
     def _fleet(self):
--- a/packages/verbenahall/src/verbenahall/gateway/_assignments.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_assignments.py
@@ -15,7 +15,7 @@
 from verbenahall.errors import ErrorKind, Problem, Ran
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._messages import Call
-from verbenahall.placement import Flight, Plan, Totals, Wish
+from verbenahall.placement import InFlight, PlacementRequest, Plan, Totals
 from verbenahall.scheduling import (
     Assignment,
     Declined,
@@ -92,7 +92,7 @@
     async def ask(
         self,
         call: Call,
-        wish: Wish,
+        wanted: PlacementRequest,
         tried: frozenset[str],
     ) -> Maybe[Result['ScheduledGrant', Problem]]:
         """Return the engines, or why the request cannot be served.
@@ -108,10 +108,10 @@
         found: Maybe[Result[ScheduledGrant, Problem]] = Nothing
         home = self._core.settings.data_centre
         silent = self._groups.list_silent(now)
-        for group in rank_groups(wish.work, usable, home):
+        for group in rank_groups(wanted.work, usable, home):
             if group in silent:
                 continue
-            answer = await self._ask_group(_Ask(call, wish, tried, group))
+            answer = await self._ask_group(_Ask(call, wanted, tried, group))
             match answer:
                 case Some(Success(_)):
                     return answer
@@ -253,7 +253,7 @@
     """A request and the group that it would go to."""
 
     call: Call
-    wish: Wish
+    wanted: PlacementRequest
     tried: frozenset[str]
     group: str
 
@@ -264,8 +264,8 @@
             key=key,
             service=call.service.name,
             group=self.group,
-            work=self.wish.work,
-            gap_s=self.wish.gap_s,
+            work=self.wanted.work,
+            gap_s=self.wanted.gap_s,
             priority=call.route.priority,
             due_s=call.due - now,
             objective_s=call.route.objective_s,
@@ -298,7 +298,7 @@
         self,
         core: Core,
         plan: Plan,
-        flight: Flight,
+        flight: InFlight,
         tell: _Teller,
     ) -> None:
         """Tell the scheduler how it goes."""
@@ -310,7 +310,7 @@
         self._tell = tell
 
     def start(self) -> None:
-        """Take the turn's work out of the ledger: the send counts from now."""
+        """Take the reservation back: the send counts from now."""
         self._core.placement.ledger.close(self._flight)
 
     def note_prefill(self, seconds: float) -> None:
--- a/packages/verbenahall/src/verbenahall/gateway/_core.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_core.py
@@ -28,8 +28,8 @@
 _FEWEST_INSTANCES: Final = 10
 #: Share of the longest time of a route's callers by which one must have less
 #: to be taken for one that comes back. Callers that come for the first time
-#: differ by some 15%: with a bound of 5%, 3,300 of 4,800 counted as late
-#: on arrival. Those that come back are told to wait for up to a third.
+#: differ, too, and would count as late on arrival with a small bound; those
+#: that come back are told to wait for up to a third.
 _LEAST_WAITED: Final = 0.25
 
 
--- a/packages/verbenahall/src/verbenahall/gateway/_dispatch.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_dispatch.py
@@ -10,37 +10,37 @@
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._grants import Grant, LocalGrant
 from verbenahall.gateway._messages import Call
-from verbenahall.gateway._turns import ReadTurns
-from verbenahall.placement import Wish
+from verbenahall.gateway._prefill_queues import PrefillQueues
+from verbenahall.placement import PlacementRequest
 
 
 @final
 class Dispatch:
     """Asks the scheduler of the engines first, and decides without it."""
 
-    __slots__ = ('_assignments', '_core', '_turns')
+    __slots__ = ('_assignments', '_core', '_queues')
 
     def __init__(self, core: Core, assignments: Assignments) -> None:
         """Ask for assignments; the queue for own choices is empty."""
         self._assignments = assignments
         self._core = core
-        self._turns = ReadTurns(core)
+        self._queues = PrefillQueues(core)
 
     async def take(
         self,
         call: Call,
-        wish: Wish,
+        wanted: PlacementRequest,
         tried: frozenset[str],
     ) -> Result[Grant, Problem]:
-        """Wait for the turn; whoever gets a grant must end it."""
-        scheduled = await self._assignments.ask(call, wish, tried)
+        """Wait to be admitted; whoever gets a grant must end it."""
+        scheduled = await self._assignments.ask(call, wanted, tried)
         if isinstance(scheduled, Some):
             return scheduled.unwrap()
-        turn = await self._turns.take(call, wish, tried)
-        return turn.map(
+        pending = await self._queues.take(call, wanted, tried)
+        return pending.map(
             lambda admitted: LocalGrant(
                 self._core,
-                self._turns,
+                self._queues,
                 call,
                 admitted,
             ),
--- a/packages/verbenahall/src/verbenahall/gateway/_followers.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_followers.py
@@ -23,8 +23,8 @@
 #: How long one poll waits for a change, in seconds. A poll that reaches a
 #: silent store is never answered, and the platform expects a change in force
 #: three seconds after the store's return: with the time for an answer a
-#: swallowed poll is given up after 1.9 s. Polls of 12 s served an old manifest
-#: for 4 s after a silence of 3.7 s.
+#: swallowed poll is given up after 1.9 s, and an old manifest is served no
+#: longer than that.
 _POLL_S: Final = 1.0
 #: How long a poll waits that follows a change, or a topic without records.
 #: The store does not wake a poll that arrives while a record is on its way
--- a/packages/verbenahall/src/verbenahall/gateway/_following.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_following.py
@@ -26,8 +26,8 @@
 _MANIFEST_REST_S: Final = 0.2
 #: After changes among the endpoints the next ones are read later by this
 #: share of the time within which a leaving one may still get work. Engines
-#: are listed and replaced one by one: with 70 of them and 62 instances, each
-#: change read at once made 14,600 calls in a minute.
+#: are listed and replaced one by one; read at once, each change would be a
+#: call to the store.
 _REST_SHARE: Final = 0.25
 
 
--- a/packages/verbenahall/src/verbenahall/gateway/_generation.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_generation.py
@@ -12,7 +12,7 @@
 from verbenahall.gateway._reads import Handle
 from verbenahall.gateway._relay import EventRelay
 from verbenahall.gateway._sender import SUCCESS, Opened, Sender
-from verbenahall.placement import Flight, Plan, Totals
+from verbenahall.placement import InFlight, Plan, Totals
 from verbenahall.platform import CALL_FAILURES, SendOrder, read_answer
 from verbenahall.requests import Broken, Outcome
 
@@ -49,7 +49,7 @@
         self._sender = sender
         self._call = call
         self._relay = relay
-        self._flight = Flight(-1, '', Totals())
+        self._flight = InFlight(-1, '', Totals())
         self._sent_at: float = 0
         self._handed_over = False
 
--- a/packages/verbenahall/src/verbenahall/gateway/_grants.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_grants.py
@@ -1,10 +1,10 @@
-"""What a request may use once it has its turn, and how its use is told."""
+"""What an admitted request may use, and how its use is told."""
 
 from typing import Protocol, final
 
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._messages import Call
-from verbenahall.gateway._turns import ReadTurns
+from verbenahall.gateway._prefill_queues import PrefillQueues
 from verbenahall.placement import Admitted, Plan
 
 
@@ -34,9 +34,9 @@
 
 @final
 class LocalGrant:
-    """A turn that this instance's own queue has given."""
+    """A place that this instance's own queue has given."""
 
-    __slots__ = ('_admitted', '_call', '_core', '_granted_at', '_turns')
+    __slots__ = ('_admitted', '_call', '_core', '_granted_at', '_queues')
 
     #: The engine that goes on is chosen anew once the prompt was read.
     holds_decode = False
@@ -44,13 +44,13 @@
     def __init__(
         self,
         core: Core,
-        turns: ReadTurns,
+        queues: PrefillQueues,
         call: Call,
         admitted: Admitted,
     ) -> None:
         """Tell the queue of this process."""
         self._core = core
-        self._turns = turns
+        self._queues = queues
         self._call = call
         self._admitted = admitted
         self._granted_at = core.now()
@@ -61,30 +61,30 @@
         return self._admitted.plan
 
     def start(self) -> None:
-        """Take the turn's work out of the ledger: the send counts from now."""
+        """Take the reservation back: the send counts from now."""
         self._core.placement.ledger.close(self._admitted.flight)
 
     def note_prefill(self, seconds: float) -> None:
-        """Give the next turn."""
-        self._turns.look(self._call.service)
+        """Admit the next request."""
+        self._queues.look(self._call.service)
 
     def note_first(self, handover_s: float) -> None:
         """Let the queue learn how long first events take."""
-        self._turns.note_first(
+        self._queues.note_first(
             self._call,
-            self._admitted.turn,
+            self._admitted.pending,
             self._granted_at,
         )
 
     def end(self, *, step_s: float = 0, refused: str = '') -> None:
-        """Give the next turn."""
+        """Admit the next request."""
         self.start()
-        self._turns.look(self._call.service)
+        self._queues.look(self._call.service)
 
 
 @final
 class NoGrant:
-    """A request that goes on without a turn: its prompt was read before."""
+    """A request that goes on without waiting: its prompt was read before."""
 
     __slots__ = ('plan',)
 
--- a/packages/verbenahall/src/verbenahall/gateway/_ingress.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_ingress.py
@@ -124,8 +124,7 @@
         if self._stop.finishing:
             # The process stays for its open requests only. One more, on a
             # connection that was idle since before the stop, would be cut at
-            # the end of the grace period: sent 6 s after the signal, a stream
-            # broke after 1.8 s.
+            # the end of the grace period, in the middle of its stream.
             return Failure(
                 Problem(
                     ErrorKind.NOT_READY,
--- a/packages/verbenahall/src/verbenahall/gateway/_turns.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_prefill_queues.py
@@ -1,4 +1,4 @@
-"""Waits for a request's turn to be read; one queue for each model service."""
+"""Admits requests to engines; one prefill queue for each model service."""
 
 import asyncio
 from typing import Final, final
@@ -13,12 +13,12 @@
 from verbenahall.placement import (
     Admitted,
     Fleet,
-    Turn,
-    TurnEffects,
-    TurnQueue,
-    Wish,
-    join,
-    take_turns,
+    PlacementRequest,
+    PrefillQueue,
+    QueuedRequest,
+    QueueEffects,
+    dispatch,
+    enqueue,
 )
 
 #: How often waiting requests are looked at beside the ends of own reads, in
@@ -29,29 +29,29 @@
 
 
 @final
-class ReadTurns:
-    """Gives requests their turn to have their prompt read."""
+class PrefillQueues:
+    """Admits requests whose prompts engines have room for."""
 
     __slots__ = ('_core', '_queues', '_waits', '_looking')
 
     def __init__(self, core: Core) -> None:
         """Start without queues."""
         self._core = core
-        self._queues: dict[str, TurnQueue] = {}
-        self._waits: dict[Turn, asyncio.Future[Verdict]] = {}
+        self._queues: dict[str, PrefillQueue] = {}
+        self._waits: dict[QueuedRequest, asyncio.Future[Verdict]] = {}
         self._looking: set[str] = set()
 
     async def take(
         self,
         call: Call,
-        wish: Wish,
+        wanted: PlacementRequest,
         tried: frozenset[str],
     ) -> Verdict:
-        """Wait for the turn; whoever gets it must close its flight."""
+        """Wait to be admitted; whoever is must close its work in flight."""
         now = self._core.now()
-        turn = Turn(
+        pending = QueuedRequest(
             call.ask.identity,
-            wish,
+            wanted,
             call.route.priority,
             since=now,
             due_at=call.due,
@@ -61,12 +61,12 @@
             tried=tried,
         )
         wait = asyncio.get_running_loop().create_future()
-        self._waits[turn] = wait
-        queue = self._queues.setdefault(call.service.name, TurnQueue())
+        self._waits[pending] = wait
+        queue = self._queues.setdefault(call.service.name, PrefillQueue())
         self._apply(
-            join(
+            enqueue(
                 queue,
-                turn,
+                pending,
                 self._describe_fleet(call.service, now),
                 now,
                 self._core.random,
@@ -74,25 +74,27 @@
         )
         self.look(call.service)
         try:
-            return await self._wait(call, queue, turn, wait)
+            return await self._wait(call, queue, pending, wait)
         finally:
-            queue.remove(turn)
-            self._waits.pop(turn)
+            queue.remove(pending)
+            self._waits.pop(pending)
 
-    def note_first(self, call: Call, turn: Turn, sent_at: float) -> None:
-        """Learn from the first event of a request that has had its turn."""
+    def note_first(
+        self, call: Call, pending: QueuedRequest, sent_at: float
+    ) -> None:
+        """Learn from the first event of a request that was admitted."""
         now = self._core.now()
         queue = self._queues[call.service.name]
-        queue.note_first(turn, now - sent_at, now)
+        queue.note_first(pending, now - sent_at, now)
 
     def look(self, service: Service) -> None:
-        """Give turns to those that engines have room for."""
+        """Admit those that engines have room for."""
         queue = self._queues.get(service.name)
         if queue is None or not queue.waiting:
             return
         now = self._core.now()
         self._apply(
-            take_turns(
+            dispatch(
                 queue,
                 self._describe_fleet(service, now),
                 now,
@@ -111,17 +113,17 @@
     async def _wait(
         self,
         call: Call,
-        queue: TurnQueue,
-        turn: Turn,
+        queue: PrefillQueue,
+        pending: QueuedRequest,
         wait: asyncio.Future[Verdict],
     ) -> Verdict:
         if not wait.done():
-            self._tell_waiting(call, queue, turn)
+            self._tell_waiting(call, queue, pending)
         try:
             verdict = await wait
         except asyncio.CancelledError:
-            # The caller went away. A turn that it got in the same moment
-            # would count as a read that never ends.
+            # The caller went away. Admitted in the same moment, its request
+            # would count as a prefill that never ends.
             if wait.done() and not wait.cancelled():
                 self._give_back(wait.result())
             raise
@@ -138,29 +140,31 @@
         waiting = len(self._queues[service.name].waiting)
         return Fleet(core.placement, usable, service.engine, waiting)
 
-    def _apply(self, effects: TurnEffects) -> None:
+    def _apply(self, effects: QueueEffects) -> None:
         for admitted in effects.admitted:
-            self._settle(admitted.turn, Success(admitted))
-        for turn, problem in effects.refused:
-            metrics.SHED.add(str(turn.priority))
-            self._settle(turn, Failure(problem))
+            self._settle(admitted.pending, Success(admitted))
+        for pending, problem in effects.refused:
+            metrics.SHED.add(str(pending.priority))
+            self._settle(pending, Failure(problem))
 
-    def _settle(self, turn: Turn, verdict: Verdict) -> None:
-        wait = self._waits.get(turn)
+    def _settle(self, pending: QueuedRequest, verdict: Verdict) -> None:
+        wait = self._waits.get(pending)
         if wait is not None and not wait.done():
             wait.set_result(verdict)
         else:
             # The caller has left between two looks.
             self._give_back(verdict)
 
-    def _tell_waiting(self, call: Call, queue: TurnQueue, turn: Turn) -> None:
+    def _tell_waiting(
+        self, call: Call, queue: PrefillQueue, pending: QueuedRequest
+    ) -> None:
         now = self._core.now()
         journal.write_decision(
             'queued',
             request=call.ask.identity,
             waiting=len(queue.waiting),
-            late=turn.is_late(now),
-            returning=turn.returning,
-            lead_s=journal.round_seconds(turn.lead_s),
-            due_s=journal.round_seconds(turn.due_at - now),
+            late=pending.is_late(now),
+            returning=pending.returning,
+            lead_s=journal.round_seconds(pending.lead_s),
+            due_s=journal.round_seconds(pending.due_at - now),
         )
--- a/packages/verbenahall/src/verbenahall/gateway/_readiness.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_readiness.py
@@ -25,8 +25,7 @@
 
     An instance that is cut off with too few endpoints on its side would
     refuse its callers for as long as the cut lasts. Not ready, it has the
-    balancer send them to instances on the other side: during a cut of 6 s
-    the instances of the cut data centre refused 239 of some 270 requests.
+    balancer send them to instances on the other side.
     """
 
     __slots__ = ('_core', '_missing_since', '_told')
--- a/packages/verbenahall/src/verbenahall/gateway/_streams.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_streams.py
@@ -18,7 +18,7 @@
 from verbenahall.gateway._reads import Handle, PromptReads
 from verbenahall.gateway._relay import EventRelay
 from verbenahall.gateway._sender import Sender
-from verbenahall.placement import Plan, Wish, place
+from verbenahall.placement import PlacementRequest, Plan, place
 from verbenahall.requests import (
     NeverWritten,
     Outcome,
@@ -96,9 +96,9 @@
         """
         if self._handle or self._attempts.runs or self._relay.begun:
             return self._place().map(NoGrant)
-        wish = Wish(self._call.ask.work, self._call.route.gap_s)
+        wanted = PlacementRequest(self._call.ask.work, self._call.route.gap_s)
         tried = frozenset(self._attempts.tried)
-        return await dispatch.take(self._call, wish, tried)
+        return await dispatch.take(self._call, wanted, tried)
 
     async def _judge(
         self,
@@ -124,7 +124,7 @@
         read_by = self._handle.engine if self._handle else None
         return place(
             core.placement,
-            Wish(call.ask.work, call.route.gap_s, read_by),
+            PlacementRequest(call.ask.work, call.route.gap_s, read_by),
             fresh or usable,
             call.service.engine,
             now,
--- a/packages/verbenahall/src/verbenahall/peers/__init__.py
+++ b/packages/verbenahall/src/verbenahall/peers/__init__.py
@@ -17,7 +17,7 @@
     hear,
     tell_whom,
 )
-from verbenahall.peers._turns import find_rank
+from verbenahall.peers._ranks import find_rank
 from verbenahall.peers._watchers import find_furthest, is_relieved
 
 __all__ = (
--- a/packages/verbenahall/src/verbenahall/peers/_state.py
+++ b/packages/verbenahall/src/verbenahall/peers/_state.py
@@ -15,8 +15,8 @@
 #: receiver some 0.1 ms of processor time each, so this is about 1% of a core.
 _WORDS_A_SECOND: Final = 60
 #: From so many peers on only those of the own data centre are told. They are
-#: a fair sample of all, and telling 61 peers took more processor time than
-#: the requests.
+#: a fair sample of all, and telling all takes more processor time than the
+#: requests.
 _MANY_PEERS: Final = 20
 #: A peer that hears nothing doubts the last word after 1.5 s.
 _MOST_EVERY_S: Final = 0.6
--- a/packages/verbenahall/src/verbenahall/placement/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/placement/_decisions.py
@@ -52,7 +52,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Wish:
+class PlacementRequest:
     """A request to place: its work and what its caller bears.
 
     ``gap_s`` is the longest pause between two events that is on time.
@@ -74,7 +74,7 @@
 
 def place(
     state: PlacementState,
-    wish: Wish,
+    wanted: PlacementRequest,
     engines: Sequence[Entry],
     traits: EngineTraits,
     now: float,
@@ -91,9 +91,9 @@
             Problem(ErrorKind.NO_ENDPOINT, 'no engine generates now'),
         )
     readers = [one for one in engines if one.role is Role.PREFILL]
-    desk = _Desk(state, wish, traits, now, waiting)
-    if wish.read_by is not None:
-        return Success(desk.plan_rest(wish.read_by, generators))
+    desk = _CostModel(state, wanted, traits, now, waiting)
+    if wanted.read_by is not None:
+        return Success(desk.plan_rest(wanted.read_by, generators))
     options = itertools.chain(
         desk.offer_split(readers, generators),
         desk.offer_mixed(generators),
@@ -102,13 +102,13 @@
     return Success(best.plan)
 
 
-def find_home(work: Work, readers: Sequence[Entry]) -> str:
+def find_preferred(work: Work, readers: Sequence[Entry]) -> str:
     """Return the engine that is thought to keep a prompt's shared parts."""
     return _find_homes(work, readers)[0].name
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Joining:
+class _DecodeCandidate:
     """An engine that could go on with a prompt that was read elsewhere."""
 
     engine: Entry
@@ -122,34 +122,34 @@
         return self.first_s + self.crowding + _FILL_PRICE * self.fill
 
 
-class _Desk:
+class _CostModel:
     """Prices the ways to serve one request."""
 
     __slots__ = (
         '_state',
-        '_wish',
+        '_wanted',
         '_work',
         '_traits',
         '_now',
         '_waiting',
-        '_joinings',
+        '_candidates',
     )
 
     def __init__(
         self,
         state: PlacementState,
-        wish: Wish,
+        wanted: PlacementRequest,
         traits: EngineTraits,
         now: float,
         waiting: int,
     ) -> None:
         self._state = state
-        self._wish = wish
-        self._work = wish.work
+        self._wanted = wanted
+        self._work = wanted.work
         self._traits = traits
         self._now = now
         self._waiting = waiting
-        self._joinings: list[_Joining] = []
+        self._candidates: list[_DecodeCandidate] = []
 
     def offer_mixed(self, generators: Sequence[Entry]) -> Iterator[_Option]:
         """Price the engines that generate as readers of their own."""
@@ -216,20 +216,20 @@
         self,
         reader: Entry,
         generators: Sequence[Entry],
-    ) -> _Joining:
+    ) -> _DecodeCandidate:
         """Return the engine that goes on at the lowest price."""
-        if not self._joinings:
-            self._joinings = [self._offer_join(one) for one in generators]
+        if not self._candidates:
+            self._candidates = [self._offer_decode(one) for one in generators]
         best = min(
-            self._joinings,
+            self._candidates,
             key=lambda offer: offer.price + self._move_s(reader, offer.engine),
         )
         move_s = self._move_s(reader, best.engine)
         return dataclasses.replace(best, first_s=best.first_s + move_s)
 
-    def _offer_join(self, engine: Entry) -> _Joining:
+    def _offer_decode(self, engine: Entry) -> _DecodeCandidate:
         """Price an engine without the move, which depends on the reader."""
-        return _Joining(
+        return _DecodeCandidate(
             engine,
             first_s=self._join_s(engine),
             crowding=self._crowding(engine),
@@ -254,9 +254,8 @@
     def _work_price(self) -> float:
         """The price of engine time, which all who wait pay.
 
-        With a fixed price, prompts were read again at engines without their
-        shared parts just when there was least time for it: at twice what the
-        engines read, 684 of 3,600 were in time, and 1,300 with this price.
+        With a fixed price, prompts are read again at engines without their
+        shared parts just when there is least time for it.
         """
         return min(_WORK_PRICE + self._waiting, _MOST_WORK_PRICE)
 
@@ -300,7 +299,7 @@
         """Return the price of joining an engine's batch, in seconds."""
         fill = _exceed(self._fill(engine), _CROWDED)
         step = self._state.step_of(engine.name).read(self._now)
-        longest = self._wish.gap_s / self._traits.event_tokens
+        longest = self._wanted.gap_s / self._traits.event_tokens
         strain = step / longest if longest else 0
         return _FULL_PRICE * fill * fill + _STEP_PRICE * _exceed(
             strain,
--- a/packages/verbenahall/src/verbenahall/placement/_ledger.py
+++ b/packages/verbenahall/src/verbenahall/placement/_ledger.py
@@ -53,7 +53,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Flight:
+class InFlight:
     """One open send: its number, its engine, and what it occupies."""
 
     number: int
@@ -101,26 +101,26 @@
         are taken to send alike.
         """
         self.scale: float = 1
-        self._flights: dict[int, Flight] = {}
+        self._flights: dict[int, InFlight] = {}
         self._own: dict[str, Totals] = {}
         self._words: dict[str, _Word] = {}
         self._peers: dict[str, Totals] = {}
         self._readers = 0
         self._numbers = itertools.count()
 
-    def open(self, engine: str, totals: Totals) -> Flight:
+    def open(self, engine: str, totals: Totals) -> InFlight:
         """Note a send; close it with ``close``."""
-        flight = Flight(next(self._numbers), engine, totals)
+        flight = InFlight(next(self._numbers), engine, totals)
         self._flights[flight.number] = flight
         _add(self._own, engine, totals)
         return flight
 
-    def close(self, flight: Flight) -> None:
+    def close(self, flight: InFlight) -> None:
         """Note the end of a send; a second time changes nothing."""
         if self._flights.pop(flight.number, None) is not None:
             _take(self._own, flight.engine, flight.totals)
 
-    def note_read(self, flight: Flight) -> Flight:
+    def note_read(self, flight: InFlight) -> InFlight:
         """Note that a send's prompt was read; return what is left of it."""
         if not flight.totals.reading or flight.number not in self._flights:
             return flight
--- a/packages/verbenahall/src/verbenahall/placement/_queue.py
+++ b/packages/verbenahall/src/verbenahall/placement/_queue.py
@@ -1,4 +1,4 @@
-"""Requests that wait to be read, their order, and how fast they drain."""
+"""Requests that wait to be prefilled, their order, and how they drain."""
 
 import dataclasses
 from collections.abc import Sequence
@@ -6,8 +6,8 @@
 
 from verbenahall.admission import RateMeter
 from verbenahall.errors import Problem
-from verbenahall.placement._decisions import Wish
-from verbenahall.placement._ledger import Flight
+from verbenahall.placement._decisions import PlacementRequest
+from verbenahall.placement._ledger import InFlight
 from verbenahall.placement._messages import Plan
 
 #: Weight of one first event in what is expected of the next ones.
@@ -22,19 +22,19 @@
 
 @final
 @dataclasses.dataclass(slots=True, eq=False)
-class Turn:
-    """A request that waits to be read; times are monotonic seconds.
+class QueuedRequest:
+    """A request that waits to be prefilled; times are monotonic seconds.
 
     It waits ``since`` then; ``due_at`` is when its first event would be late,
     ``objective_s`` after its caller's first attempt, and ``leaves_at`` when
-    its caller leaves. ``returning`` callers were turned
-    away before, and the engines named in ``tried`` have failed this request.
-    ``lead_s`` is the expected time to its first event on idle engines, and
-    ``home`` the engine that is thought to keep its shared parts.
+    its caller leaves. ``returning`` callers were refused before, and the
+    engines named in ``tried`` have failed this request. ``lead_s`` is the
+    expected time to its first event on idle engines, and ``home`` the engine
+    that is thought to keep its shared parts.
     """
 
     request: str
-    wish: Wish
+    wanted: PlacementRequest
     priority: int
     since: float
     due_at: float
@@ -61,19 +61,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Admitted:
-    """A request whose turn it is, its plan, and its work in the ledger."""
+    """A request that may be sent, its plan, and its work in the ledger."""
 
-    turn: Turn
+    pending: QueuedRequest
     plan: Plan
-    flight: Flight
+    flight: InFlight
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class TurnEffects:
-    """Who has the turn, and who is turned away."""
+class QueueEffects:
+    """Who is admitted, and who is refused."""
 
     admitted: Sequence[Admitted] = ()
-    refused: Sequence[tuple[Turn, Problem]] = ()
+    refused: Sequence[tuple[QueuedRequest, Problem]] = ()
 
 
 @final
@@ -108,19 +108,19 @@
 
 
 @final
-class TurnQueue:
+class PrefillQueue:
     """The waiting requests of a service, and how fast they drain.
 
-    ``drained`` counts the turns given, ``late`` those of requests that were
-    late already: what those on time leave. ``excess`` is how much longer than
-    expected first events take once they have their turn.
+    ``drained`` counts the admitted, ``late`` those of them that were late
+    already: what those on time leave. ``excess`` is how much longer than
+    expected first events take once they are admitted.
     """
 
     __slots__ = ('waiting', 'drained', 'late', 'excess')
 
     def __init__(self) -> None:
         """Start empty."""
-        self.waiting: list[Turn] = []
+        self.waiting: list[QueuedRequest] = []
         self.drained = RateMeter()
         self.late = RateMeter()
         self.excess = Excess()
@@ -128,22 +128,24 @@
     def find_start(self, now: float) -> float:
         """Return when an engine would begin with a request that goes now.
 
-        Without what the last ones have met there, requests had their turn
-        when they were just on time, and all of them ended just late.
+        Without what the last ones have met there, requests are admitted when
+        they are just on time, and all of them end just late.
         """
         return now + self.excess.read(now)
 
-    def note_first(self, turn: Turn, took_s: float, now: float) -> None:
-        """Learn from the first event of a request that has had its turn."""
-        self.excess.note(max(0, took_s - turn.lead_s), now)
+    def note_first(
+        self, pending: QueuedRequest, took_s: float, now: float
+    ) -> None:
+        """Learn from the first event of a request that was admitted."""
+        self.excess.note(max(0, took_s - pending.lead_s), now)
 
-    def remove(self, turn: Turn) -> None:
+    def remove(self, pending: QueuedRequest) -> None:
         """Take a request out, if it still waits."""
-        if turn in self.waiting:
-            self.waiting.remove(turn)
+        if pending in self.waiting:
+            self.waiting.remove(pending)
 
     def meter(self, now: float, given: Sequence[Admitted]) -> None:
-        """Count the turns given; an empty queue drains as slow as it fills."""
+        """Count the admitted; an empty queue drains as slow as it fills."""
         for meter in (self.drained, self.late):
             if self.waiting:
                 meter.resume(now)
@@ -151,5 +153,5 @@
                 meter.pause()
         for admitted in given:
             self.drained.count(now)
-            if admitted.turn.is_late(now):
+            if admitted.pending.is_late(now):
                 self.late.count(now)
--- a/packages/verbenahall/src/verbenahall/placement/_rooms.py
+++ b/packages/verbenahall/src/verbenahall/placement/_slots.py
@@ -1,4 +1,4 @@
-"""Which engines have room for one more read, and for whose."""
+"""Which engines have room for one more prefill, and for whose."""
 
 import dataclasses
 from collections.abc import Iterator, Sequence
@@ -10,9 +10,9 @@
 from verbenahall.errors import Problem
 from verbenahall.fleet import Role
 from verbenahall.placement._decisions import place
-from verbenahall.placement._ledger import Flight, Totals
+from verbenahall.placement._ledger import InFlight, Totals
 from verbenahall.placement._messages import Plan
-from verbenahall.placement._queue import Turn
+from verbenahall.placement._queue import QueuedRequest
 from verbenahall.placement._state import PlacementState
 from verbenahall.roster import Entry
 
@@ -26,7 +26,7 @@
 #: come next do not wait for it.
 _LATE_DEPTH: Final = 0.5
 #: Waiting requests that are placed though their home has no room, at one
-#: look: placing costs some 0.1 ms, and at a burst there are 300 looks a second.
+#: look: placing is what a look at a long queue spends its time on.
 _SPILLED: Final = 2
 
 
@@ -50,13 +50,15 @@
         """Whether any engine generates."""
         return any(one.role is not Role.PREFILL for one in self.engines)
 
-    def place(self, turn: Turn, now: float) -> Result[Plan, Problem]:
+    def place(
+        self, pending: QueuedRequest, now: float
+    ) -> Result[Plan, Problem]:
         """Choose engines for a request, other than those that failed it."""
-        usable = [one for one in self.engines if one.name not in turn.tried]
+        usable = [one for one in self.engines if one.name not in pending.tried]
         engines = usable or self.engines
         return place(
             self.state,
-            turn.wish,
+            pending.wanted,
             engines,
             self.traits,
             now,
@@ -65,8 +67,8 @@
 
 
 @final
-class Rooms:
-    """The engines that have room for one more read; ``known`` are all."""
+class AdmissionSlots:
+    """The engines that have room for one more prefill; ``known`` are all."""
 
     __slots__ = ('known', 'open', '_state', '_depth_s', '_share_s')
 
@@ -78,29 +80,31 @@
         self.known = frozenset(one.name for one in fleet.engines)
         self.open = {name for name in self.known if self._is_open(name)}
 
-    def choose(self, ranked: Sequence[Turn]) -> Iterator[Turn]:
+    def choose(
+        self, ranked: Sequence[QueuedRequest]
+    ) -> Iterator[QueuedRequest]:
         """Yield who may find room, in order, while there is any."""
         spilled = 0
-        for turn in ranked:
+        for pending in ranked:
             if not self.open:
                 return
-            if turn.home in self.known - self.open:
+            if pending.home in self.known - self.open:
                 spilled += 1
                 if spilled > _SPILLED:
                     continue
-            yield turn
+            yield pending
 
-    def has_room(self, turn: Turn, plan: Plan, now: float) -> bool:
+    def has_room(self, pending: QueuedRequest, plan: Plan, now: float) -> bool:
         """Whether the plan's engine still has a short backlog with it."""
         name = _reader(plan)
         if not self._is_open(name):
             return False
-        most_s = turn.objective_s * _SHARED_DEPTH
-        if turn.is_late(now):
+        most_s = pending.objective_s * _SHARED_DEPTH
+        if pending.is_late(now):
             most_s *= _LATE_DEPTH
         return plan.ahead_s < max(most_s, self._depth_s)
 
-    def take(self, plan: Plan) -> Flight:
+    def take(self, plan: Plan) -> InFlight:
         """Count the plan's read."""
         name = _reader(plan)
         flight = self._state.ledger.open(name, Totals(reading=plan.missing))
@@ -111,9 +115,9 @@
     def _is_open(self, name: str) -> bool:
         """Whether this instance may have one more read at an engine.
 
-        One, and more only as its share of what all may have: peers' words are
-        0.1 s old, and with a common bound all instances saw the same engine
-        idle and sent it 18 prompts at once.
+        One, and more only as its share of what all may have: what peers tell
+        is a moment old, and with a common bound all instances see the same
+        engine idle and send it a prompt each.
         """
         own = self._state.ledger.own_of(name).reading
         return own * self._state.read_speed.token_s < self._share_s
--- a/packages/verbenahall/src/verbenahall/scheduling/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/scheduling/_decisions.py
@@ -13,12 +13,12 @@
 from verbenahall.placement import (
     Admitted,
     Fleet,
+    PlacementRequest,
+    QueuedRequest,
+    QueueEffects,
     Totals,
-    Turn,
-    TurnEffects,
-    Wish,
-    join,
-    take_turns,
+    dispatch,
+    enqueue,
 )
 from verbenahall.scheduling._messages import (
     Assignment,
@@ -71,7 +71,7 @@
     state.placement.knows_caches = known
     waiting = _make_waiting(request, caller, now)
     state.waiting[request.key] = waiting
-    effects = join(state.queue, waiting.turn, fleet, now, source)
+    effects = enqueue(state.queue, waiting.pending, fleet, now, source)
     return tuple(_apply(state, effects))
 
 
@@ -87,7 +87,7 @@
     """
     if not state.queue.waiting:
         return ()
-    effects = take_turns(state.queue, fleet, now, source)
+    effects = dispatch(state.queue, fleet, now, source)
     return (*_apply(state, effects), *_tell_waiting(state))
 
 
@@ -101,7 +101,7 @@
     waiting = state.waiting.pop(progress.key, None)
     if waiting is not None:
         # The caller left, or the instance has decided by itself meanwhile.
-        state.queue.remove(waiting.turn)
+        state.queue.remove(waiting.pending)
     assigned = state.assigned.get(progress.key)
     if assigned is None:
         return
@@ -141,9 +141,9 @@
     caller: str,
     now: float,
 ) -> Waiting:
-    turn = Turn(
+    pending = QueuedRequest(
         request.key,
-        Wish(request.work, request.gap_s),
+        PlacementRequest(request.work, request.gap_s),
         request.priority,
         since=now,
         due_at=now + request.due_s,
@@ -152,19 +152,19 @@
         returning=request.returning,
         tried=frozenset(request.tried),
     )
-    return Waiting(turn, caller, now + request.deadline_s)
+    return Waiting(pending, caller, now + request.deadline_s)
 
 
 def _apply(
     state: SchedulerState,
-    effects: TurnEffects,
+    effects: QueueEffects,
 ) -> Iterator[Reply]:
     for admitted in effects.admitted:
-        waiting = state.waiting.pop(admitted.turn.request)
+        waiting = state.waiting.pop(admitted.pending.request)
         yield _assign(state, waiting, admitted)
-    for turn, problem in effects.refused:
-        waiting = state.waiting.pop(turn.request)
-        yield Reply(waiting.caller, _reject(turn, problem))
+    for pending, problem in effects.refused:
+        waiting = state.waiting.pop(pending.request)
+        yield Reply(waiting.caller, _reject(pending, problem))
 
 
 def _assign(
@@ -174,11 +174,11 @@
 ) -> Reply:
     """Hold what the request will occupy, from now until it is released."""
     plan = admitted.plan
-    key = admitted.turn.request
+    key = admitted.pending.request
     decode = state.placement.ledger.open(
         plan.generator.name,
         Totals(
-            context=admitted.turn.wish.work.context_tokens,
+            context=admitted.pending.wanted.work.context_tokens,
             streams=1,
         ),
     )
@@ -201,9 +201,9 @@
     return Reply(waiting.caller, answer)
 
 
-def _reject(turn: Turn, problem: Problem) -> Rejection:
+def _reject(pending: QueuedRequest, problem: Problem) -> Rejection:
     return Rejection(
-        turn.request,
+        pending.request,
         problem.kind.value,
         problem.message,
         problem.answer.retry_after_s or 0,
@@ -217,7 +217,7 @@
     service: Service,
 ) -> None:
     plan = assigned.plan
-    work = assigned.waiting.turn.wish.work
+    work = assigned.waiting.pending.wanted.work
     if not plan.ahead_s:
         kept = work.prompt_tokens - plan.missing
         state.placement.learn_read(plan.missing, kept, seconds)
@@ -231,11 +231,13 @@
     service: Service,
     now: float,
 ) -> None:
-    turn = assigned.waiting.turn
-    state.queue.note_first(turn, event.seconds, now)
+    pending = assigned.waiting.pending
+    state.queue.note_first(pending, event.seconds, now)
     if event.handover_s:
         state.placement.handover.note(event.handover_s, now)
-    state.placement.note_kept(assigned.plan.generator, turn.wish.work, service)
+    state.placement.note_kept(
+        assigned.plan.generator, pending.wanted.work, service
+    )
 
 
 def _release(state: SchedulerState, assigned: Assigned) -> None:
--- a/packages/verbenahall/src/verbenahall/scheduling/_state.py
+++ b/packages/verbenahall/src/verbenahall/scheduling/_state.py
@@ -4,11 +4,11 @@
 from typing import final
 
 from verbenahall.placement import (
-    Flight,
+    InFlight,
     PlacementState,
     Plan,
-    Turn,
-    TurnQueue,
+    PrefillQueue,
+    QueuedRequest,
 )
 from verbenahall.scheduling._messages import Assignment, Message
 
@@ -28,7 +28,7 @@
     ``told`` is whether the caller knows that it waits.
     """
 
-    turn: Turn
+    pending: QueuedRequest
     caller: str
     deadline: float
     told: bool = False
@@ -41,8 +41,8 @@
     waiting: Waiting
     plan: Plan
     answer: Assignment
-    prefill: Flight
-    decode: Flight
+    prefill: InFlight
+    decode: InFlight
 
 
 @final
@@ -55,6 +55,6 @@
         """Start with nothing open; ``placement`` holds no load of others."""
         self.since = since
         self.placement = placement
-        self.queue = TurnQueue()
+        self.queue = PrefillQueue()
         self.waiting: dict[str, Waiting] = {}
         self.assigned: dict[str, Assigned] = {}
--- a/packages/verbenahall/tests/placement/test_turns.py
+++ b/packages/verbenahall/tests/placement/test_dispatch.py
@@ -3,21 +3,20 @@
 import random
 
 import pytest
-from verbenahall_standins.replay import TRAITS, make_entry
-
 from verbenahall.fleet import Role
 from verbenahall.placement import (
     Fleet,
     Part,
+    PlacementRequest,
     PlacementState,
+    PrefillQueue,
+    QueuedRequest,
     Totals,
-    Turn,
-    TurnQueue,
-    Wish,
     Work,
-    join,
-    take_turns,
+    dispatch,
+    enqueue,
 )
+from verbenahall_standins.replay import TRAITS, make_entry
 
 SOURCE = random.Random(7)
 
@@ -32,9 +31,9 @@
 
 def make_turn(name='t', *, priority=0, since=0, due=0.5, **changes):
     work = Work((Part('form', 6_000), Part(name, 3_000)), 9_000, 2)
-    return Turn(
+    return QueuedRequest(
         request=name,
-        wish=Wish(work, 0.2),
+        wanted=PlacementRequest(work, 0.2),
         priority=priority,
         since=since,
         due_at=since + due,
@@ -44,41 +43,41 @@
     )
 
 
-def fill(fleet, queue, *turns, now=0):
+def fill(fleet, queue, *queues, now=0):
     """Let requests wait behind a read that the instance has open."""
     for engine in fleet.engines:
         fleet.state.ledger.open(engine.name, Totals(reading=200_000))
-    for turn in turns:
-        join(queue, turn, fleet, now, SOURCE)
+    for pending in queues:
+        enqueue(queue, pending, fleet, now, SOURCE)
 
 
 def list_order(queue, now=0):
-    ranked = sorted(queue.waiting, key=lambda turn: turn.rank(now))
-    return [turn.request for turn in ranked]
+    ranked = sorted(queue.waiting, key=lambda pending: pending.rank(now))
+    return [pending.request for pending in ranked]
 
 
 def test_first_request_has_its_turn_at_once():
-    queue = TurnQueue()
+    queue = PrefillQueue()
     fleet = make_fleet(queue)
-    join(queue, make_turn(), fleet, 0, SOURCE)
-    effects = take_turns(queue, fleet, 0, SOURCE)
-    assert [one.turn.request for one in effects.admitted] == ['t']
+    enqueue(queue, make_turn(), fleet, 0, SOURCE)
+    effects = dispatch(queue, fleet, 0, SOURCE)
+    assert [one.pending.request for one in effects.admitted] == ['t']
     reader = effects.admitted[0].plan.reader.name
     assert fleet.state.ledger.own_of(reader).reading == 3_000
 
 
 def test_no_turn_while_the_engines_are_busy():
-    queue = TurnQueue()
+    queue = PrefillQueue()
     fleet = make_fleet(queue)
     fill(fleet, queue, make_turn())
-    assert not take_turns(queue, fleet, 0, SOURCE).admitted
+    assert not dispatch(queue, fleet, 0, SOURCE).admitted
     assert len(queue.waiting) == 1
 
 
 def test_urgent_go_first_then_those_on_time_then_those_who_return():
     # A caller that was refused and came back is late already. Behind every
     # newcomer that is late as well, it would be refused once more.
-    queue = TurnQueue()
+    queue = PrefillQueue()
     fleet = make_fleet(queue)
     fill(
         fleet,
@@ -101,55 +100,55 @@
 def test_hopeless_request_is_refused_at_once():
     # Its caller leaves before the first event can come; held back, it would
     # hear of it only at its deadline.
-    queue = TurnQueue()
+    queue = PrefillQueue()
     fleet = make_fleet(queue)
-    turn = make_turn()
-    turn.leaves_at = 0.01
-    effects = join(queue, turn, fleet, 0, SOURCE)
+    pending = make_turn()
+    pending.leaves_at = 0.01
+    effects = enqueue(queue, pending, fleet, 0, SOURCE)
     refused, problem = effects.refused[0]
-    assert refused is turn
+    assert refused is pending
     assert problem.answer.ran.value == 'no'
     assert not queue.waiting
 
 
 def test_waiting_request_is_refused_once_it_is_hopeless():
-    queue = TurnQueue()
+    queue = PrefillQueue()
     fleet = make_fleet(queue)
     fill(fleet, queue, make_turn())
-    assert not take_turns(queue, fleet, 1.0, SOURCE).refused
-    effects = take_turns(queue, fleet, 1.99, SOURCE)
-    assert [turn.request for turn, _ in effects.refused] == ['t']
+    assert not dispatch(queue, fleet, 1.0, SOURCE).refused
+    effects = dispatch(queue, fleet, 1.99, SOURCE)
+    assert [pending.request for pending, _ in effects.refused] == ['t']
 
 
 def test_request_is_late_once_first_events_take_longer():
     # Engines are slower than they were learned to be. Requests that are given
     # their turn at the last moment by the old figure would all be late.
-    queue = TurnQueue()
-    turn = make_turn(due=0.3)
+    queue = PrefillQueue()
+    pending = make_turn(due=0.3)
     fleet = make_fleet(queue)
-    join(queue, turn, fleet, 0, SOURCE)
-    assert not turn.is_late(queue.find_start(0))
+    enqueue(queue, pending, fleet, 0, SOURCE)
+    assert not pending.is_late(queue.find_start(0))
     for _ in range(40):
-        queue.note_first(turn, turn.lead_s + 0.3, 0)
-    assert turn.is_late(queue.find_start(0))
+        queue.note_first(pending, pending.lead_s + 0.3, 0)
+    assert pending.is_late(queue.find_start(0))
     for _ in range(80):
-        queue.note_first(turn, turn.lead_s, 0)
-    assert not turn.is_late(queue.find_start(0))
+        queue.note_first(pending, pending.lead_s, 0)
+    assert not pending.is_late(queue.find_start(0))
 
 
 def test_engines_that_failed_a_request_do_not_get_it_again():
-    queue = TurnQueue()
+    queue = PrefillQueue()
     fleet = make_fleet(queue, readers=2)
-    turn = make_turn(tried=frozenset(('r0',)))
-    join(queue, turn, fleet, 0, SOURCE)
-    admitted = take_turns(queue, fleet, 0, SOURCE).admitted[0]
+    pending = make_turn(tried=frozenset(('r0',)))
+    enqueue(queue, pending, fleet, 0, SOURCE)
+    admitted = dispatch(queue, fleet, 0, SOURCE).admitted[0]
     assert admitted.plan.reader.name == 'r1'
 
 
 def test_without_engines_callers_hear_so():
-    queue = TurnQueue()
+    queue = PrefillQueue()
     fleet = Fleet(PlacementState(), [], TRAITS)
-    _, problem = join(queue, make_turn(), fleet, 0, SOURCE).refused[0]
+    _, problem = enqueue(queue, make_turn(), fleet, 0, SOURCE).refused[0]
     assert problem.kind.value == 'no_endpoint'
 
 
@@ -157,13 +156,13 @@
 def test_retry_after_follows_the_queue_and_leaves_time(waiting):
     # A caller that is told to come back when its time is over has lost its
     # request; one that is told to come back at once finds the same queue.
-    queue = TurnQueue()
+    queue = PrefillQueue()
     fleet = make_fleet(queue)
     for number in range(waiting):
         queue.waiting.append(make_turn(f'w{number}'))
-    turn = make_turn()
-    turn.leaves_at = 0.02
-    _, problem = join(queue, turn, fleet, 0, SOURCE).refused[0]
+    pending = make_turn()
+    pending.leaves_at = 0.02
+    _, problem = enqueue(queue, pending, fleet, 0, SOURCE).refused[0]
     assert 0.1 <= problem.retry_after_s <= 0.25
 
 
@@ -171,8 +170,8 @@
     # Alone, an instance may have a second read open at an engine, so that
     # the engine never waits for it. With five others that do the same, the
     # reads of all would stand in each other's way.
-    alone = TurnQueue()
-    crowd = TurnQueue()
+    alone = PrefillQueue()
+    crowd = PrefillQueue()
     counts = []
     for queue, peers in ((alone, 0), (crowd, 5)):
         fleet = make_fleet(queue, generators=0)
@@ -186,10 +185,10 @@
             fleet.state.ledger.hear(f'p{peer}', word, 0)
         for number in range(4):
             work = Work((Part('form', 6_000), Part(f'{number}', 1_500)), 7_500)
-            turn = make_turn(f't{number}')
-            turn.wish = Wish(work, 0.2)
-            join(queue, turn, fleet, 0, SOURCE)
-        effects = take_turns(queue, fleet, 0, SOURCE)
+            pending = make_turn(f't{number}')
+            pending.wanted = PlacementRequest(work, 0.2)
+            enqueue(queue, pending, fleet, 0, SOURCE)
+        effects = dispatch(queue, fleet, 0, SOURCE)
         counts.append(
             sum(one.plan.reader is not None for one in effects.admitted),
         )
@@ -201,12 +200,12 @@
     # The only engine that generates crashes while requests wait. Nothing can
     # serve them here; held until they are hopeless, callers would lose two
     # seconds that they need to be served elsewhere.
-    queue = TurnQueue()
+    queue = PrefillQueue()
     fleet = make_fleet(queue)
     fill(fleet, queue, make_turn('a'), make_turn('b'))
     left = Fleet(fleet.state, fleet.engines[:1], TRAITS)
-    effects = take_turns(queue, left, 0.1, SOURCE)
-    assert [turn.request for turn, _ in effects.refused] == ['a', 'b']
+    effects = dispatch(queue, left, 0.1, SOURCE)
+    assert [pending.request for pending, _ in effects.refused] == ['a', 'b']
     kinds = {problem.kind.value for _, problem in effects.refused}
     assert kinds == {'no_endpoint'}
     assert not queue.waiting
@@ -217,9 +216,9 @@
 
     placed = 0
 
-    def place(self, turn, now):
+    def place(self, pending, now):
         CountingFleet.placed += 1
-        return super().place(turn, now)
+        return super().place(pending, now)
 
 
 def test_a_look_at_a_long_queue_costs_little():
@@ -227,13 +226,13 @@
     # looks a second. Placing each one at each look took an instance's whole
     # processor time: it read its callers' requests a second late, and sent
     # the requests of some that had left by then.
-    queue = TurnQueue()
+    queue = PrefillQueue()
     fleet = make_fleet(queue, readers=4, generators=2)
-    turns = [make_turn(f't{number}') for number in range(200)]
-    fill(fleet, queue, *turns)
+    queues = [make_turn(f't{number}') for number in range(200)]
+    fill(fleet, queue, *queues)
     looked = CountingFleet(fleet.state, fleet.engines, TRAITS, 200)
     CountingFleet.placed = 0
-    take_turns(queue, looked, 0.1, SOURCE)
+    dispatch(queue, looked, 0.1, SOURCE)
     assert CountingFleet.placed <= 8
 
 
@@ -241,14 +240,14 @@
     # Reads of long prompts take a tenth of a second and more, and first
     # events come late by as much. Counted twice, that had callers refused
     # that had half of their time left: one in six on a day of crashes.
-    queue = TurnQueue()
+    queue = PrefillQueue()
     fleet = make_fleet(queue)
-    turn = make_turn()
-    fill(fleet, queue, turn)
+    pending = make_turn()
+    fill(fleet, queue, pending)
     for _ in range(60):
-        queue.note_first(turn, turn.lead_s + 0.5, 1.2)
-    assert not take_turns(queue, fleet, 1.2, SOURCE).refused
-    assert take_turns(queue, fleet, 1.6, SOURCE).refused
+        queue.note_first(pending, pending.lead_s + 0.5, 1.2)
+    assert not dispatch(queue, fleet, 1.2, SOURCE).refused
+    assert dispatch(queue, fleet, 1.6, SOURCE).refused
 
 
 def test_engines_that_were_slow_are_tried_again():
@@ -256,18 +255,18 @@
     # had left. By what was learned then every later request is hopeless, and
     # refused ones show nothing of engines that are well again: an instance
     # would refuse all callers for ever in front of idle engines.
-    queue = TurnQueue()
+    queue = PrefillQueue()
     fleet = make_fleet(queue)
     for _ in range(200):
         queue.note_first(make_turn(), 5, 0)
-    turn = make_turn(since=0.1)
-    assert not join(queue, turn, fleet, 0.1, SOURCE).refused
-    admitted = take_turns(queue, fleet, 0.1, SOURCE).admitted
-    assert [one.turn for one in admitted] == [turn]
+    pending = make_turn(since=0.1)
+    assert not enqueue(queue, pending, fleet, 0.1, SOURCE).refused
+    admitted = dispatch(queue, fleet, 0.1, SOURCE).admitted
+    assert [one.pending for one in admitted] == [pending]
 
 
 def test_what_was_learned_of_slow_engines_fades():
-    queue = TurnQueue()
+    queue = PrefillQueue()
     queue.note_first(make_turn(), 5, 0)
     learned_s = queue.excess.read(0)
     assert queue.excess.read(10) < learned_s / 20
--- a/packages/verbenahall/tests/placement/test_placement.py
+++ b/packages/verbenahall/tests/placement/test_placement.py
@@ -4,15 +4,14 @@
 import random
 
 from returns.result import Failure, Success
-
 from verbenahall.catalog import EngineTraits
 from verbenahall.errors import ErrorKind
 from verbenahall.fleet import Role
 from verbenahall.placement import (
     Part,
+    PlacementRequest,
     PlacementState,
     Totals,
-    Wish,
     Work,
     place,
     plan_roles,
@@ -61,7 +60,9 @@
 
 
 def choose(state, work, engines, now=0):
-    return place(state, Wish(work, 0.25), engines, TRAITS, now).unwrap()
+    return place(
+        state, PlacementRequest(work, 0.25), engines, TRAITS, now
+    ).unwrap()
 
 
 def test_requests_with_a_shared_part_go_to_one_home():
@@ -184,7 +185,7 @@
 def test_without_generators_nothing_is_placed():
     outcome = place(
         make_state(),
-        Wish(make_work(), 0.25),
+        PlacementRequest(make_work(), 0.25),
         make_engines(generators=0),
         TRAITS,
         0,
@@ -195,7 +196,9 @@
 
 def test_request_without_parts_is_placed():
     state = make_state()
-    outcome = place(state, Wish(Work(), 0.25), make_engines(), TRAITS, 0)
+    outcome = place(
+        state, PlacementRequest(Work(), 0.25), make_engines(), TRAITS, 0
+    )
     assert isinstance(outcome, Success)
 
 
@@ -407,8 +410,10 @@
     home = choose(state, work, engines).reader
     state.ledger.open('g0', Totals(streams=8, context=8_000))
     state.ledger.open(home.name, Totals(reading=50_000))
-    spilled = place(state, Wish(work, 0.25), engines, TRAITS, 0).unwrap()
-    wish = Wish(work, 0.25)
-    stayed = place(state, wish, engines, TRAITS, 0, waiting=10).unwrap()
+    spilled = place(
+        state, PlacementRequest(work, 0.25), engines, TRAITS, 0
+    ).unwrap()
+    wanted = PlacementRequest(work, 0.25)
+    stayed = place(state, wanted, engines, TRAITS, 0, waiting=10).unwrap()
     assert spilled.reader != home
     assert stayed.reader == home
--- a/packages/verbenahall/tests/scheduling/test_groups.py
+++ b/packages/verbenahall/tests/scheduling/test_groups.py
@@ -3,7 +3,6 @@
 import collections
 
 import pytest
-
 from verbenahall.fleet import Role
 from verbenahall.peers import PeerBook, greet, hear
 from verbenahall.placement import Part, Work
--- a/packages/verbenahall/tests/scheduling/test_messages.py
+++ b/packages/verbenahall/tests/scheduling/test_messages.py
@@ -4,7 +4,6 @@
 
 import pytest
 from returns.maybe import Nothing, Some
-
 from verbenahall import scheduling
 from verbenahall.peers import decode_message
 from verbenahall.placement import Part, Work
--- a/packages/verbenahall/tests/scheduling/test_scheduler.py
+++ b/packages/verbenahall/tests/scheduling/test_scheduler.py
@@ -4,12 +4,11 @@
 import random
 
 import pytest
-from verbenahall_standins.replay import TRAITS, make_entry
-
 from verbenahall import scheduling
 from verbenahall.catalog import Service
 from verbenahall.fleet import Role
 from verbenahall.placement import Fleet, Part, PlacementState, Work
+from verbenahall_standins.replay import TRAITS, make_entry
 
 SOURCE = random.Random(7)
 ENGINES = (
