Rejected requests count as shed where their caller is answered

The scheduler counted each rejection under a label of its own, also those that another group served afterwards; the series is by priority. It is counted by the instance that refuses the caller now. Decisions are unchanged.

--- a/packages/verbenahall/src/verbenahall/gateway/_dispatch.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_dispatch.py
@@ -3,8 +3,9 @@
 from typing import final
 
 from returns.maybe import Some
-from returns.result import Result
+from returns.result import Failure, Result
 
+from verbenahall import metrics
 from verbenahall.errors import Problem
 from verbenahall.gateway._assignments import Assignments
 from verbenahall.gateway._core import Core
@@ -35,7 +36,10 @@
         """Wait to be admitted; whoever gets a grant must end it."""
         scheduled = await self._assignments.ask(call, wanted, tried)
         if isinstance(scheduled, Some):
-            return scheduled.unwrap()
+            verdict = scheduled.unwrap()
+            if isinstance(verdict, Failure):
+                metrics.SHED.add(str(call.route.priority))
+            return verdict
         pending = await self._queues.take(call, wanted, tried)
         return pending.map(
             lambda admitted: LocalGrant(
--- a/packages/verbenahall/src/verbenahall/gateway/_scheduler.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_scheduler.py
@@ -7,7 +7,7 @@
 
 from returns.maybe import Some
 
-from verbenahall import journal, metrics
+from verbenahall import journal
 from verbenahall.catalog import Service
 from verbenahall.gateway._assignments import Assignments
 from verbenahall.gateway._core import Core
@@ -210,7 +210,6 @@
                     open=len(state.assigned),
                 )
             case Rejection():
-                metrics.SHED.add('scheduled')
                 journal.write_decision(
                     'rejected',
                     request=_read_identity(message.key),
