A role change is counted once though its order is sent again

Traced: with the process frozen for 0.45 s just as an engine's answer arrives the same order goes out a second time (its line: order 3.0 started, order 3.0 started), which is allowed, as an order is absolute and numbered; and the engine says again that it has started. Seven freezes of 0.45 and 0.7 s at other moments gave one each, and an answer that came 0.5 s late none.

The product counted each try that was told "started".

--- a/packages/verbenahall/src/verbenahall/rollout/_engines.py
+++ b/packages/verbenahall/src/verbenahall/rollout/_engines.py
@@ -17,7 +17,7 @@
     observe_report,
     send_noted,
 )
-from verbenahall.rollout._lines import tell_sent
+from verbenahall.rollout._lines import SentOrders
 from verbenahall.rollout._tasks import Tasks
 from verbenahall.rollout._views import Member
 
@@ -50,6 +50,7 @@
         self._clock = clock
         self._asked_at: dict[tuple[str, str], float] = {}
         self._idle_at = -math.inf
+        self._sent = SentOrders()
 
     def ask_states(
         self,
@@ -140,7 +141,7 @@
             endpoint,
             self._clock,
         )
-        tell_sent(order, outcome, report.holding.role)
+        self._sent.tell(order, outcome, report.holding.role)
 
 
 def _identify(endpoint: Endpoint) -> tuple[str, str]:
--- a/packages/verbenahall/src/verbenahall/rollout/_lines.py
+++ b/packages/verbenahall/src/verbenahall/rollout/_lines.py
@@ -1,6 +1,7 @@
 """Decision lines and counts of the controller."""
 
 from collections.abc import Iterable, Sequence
+from typing import final
 
 from verbenahall import metrics
 from verbenahall.fleet import Role
@@ -20,16 +21,32 @@
         )
 
 
-def tell_sent(order: Order, outcome: Outcome, role: Role) -> None:
-    """Write a line for one try; ``role`` is what the engine had before."""
-    if outcome is Outcome.STARTED and order.target.role is not role:
-        metrics.ROLE_CHANGES.inc({})
-    write_decision(
-        'order',
-        engine=order.engine,
-        order=order.number,
-        outcome=outcome.value,
-    )
+@final
+class SentOrders:
+    """Writes a line for each try of an order, and counts role changes."""
+
+    __slots__ = ('_counted',)
+
+    def __init__(self) -> None:
+        """Start with nothing counted."""
+        self._counted: dict[str, str] = {}
+
+    def tell(self, order: Order, outcome: Outcome, role: Role) -> None:
+        """Tell of one try; ``role`` is what the engine had before.
+
+        An order whose answer came too late is sent again, and an engine that
+        is at it says again that it has started: one change of its role.
+        """
+        started = outcome is Outcome.STARTED and order.target.role is not role
+        if started and self._counted.get(order.engine) != order.number:
+            self._counted[order.engine] = order.number
+            metrics.ROLE_CHANGES.inc({})
+        write_decision(
+            'order',
+            engine=order.engine,
+            order=order.number,
+            outcome=outcome.value,
+        )
 
 
 def tell_waiting(fresh: Iterable[Waiting]) -> None:
