Logs tell how old the list of endpoints is at each send

Evidence missing: a standby took its list as confirmed at each look at its peers, so the age in the log stayed under 0.25 s however old the list was. No line told which way a record had come, how old it may have been, until when a lapsed endpoint is used, or that the process stood still.

Change, no decision altered: followers tell in their heartbeats for how long the store has not confirmed what they have read; hearers count that age from the tick before the last one, as a datagram may have waited for a stalled process. Instances of an earlier version ignore the new field, and their heartbeats confirm nothing.

--- a/packages/verbenahall/src/verbenahall/gateway/_contact.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_contact.py
@@ -30,9 +30,7 @@
 
     def note_answer(self) -> None:
         """Note that the store answered."""
-        now = self._core.now()
-        self.answered_at = now
-        self._core.confirmed[self._topic] = now
+        self.answered_at = self._core.now()
         if self._away:
             self._away = False
             journal.write_decision('store_regained', topic=self._topic)
--- a/packages/verbenahall/src/verbenahall/gateway/_core.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_core.py
@@ -55,7 +55,7 @@
         self.engines = EngineCalls(self.session)
         self.store = StoreClient(self.session, settings.store)
         self.now = clock.monotonic
-        #: When each topic was last known to be followed to its end.
+        #: When the store last held nothing newer of a topic than is known.
         self.confirmed: dict[str, float] = {}
         #: The longest time that callers of a route have said to wait.
         self.patience: dict[str, float] = {}
@@ -77,6 +77,15 @@
         confirmed = min(self.confirmed.values(), default=now)
         return max(0, now - confirmed)
 
+    def note_confirmed(self, topic: str, at: float) -> None:
+        """Note that the store held nothing newer of a topic at a time."""
+        if at > self.confirmed.get(topic, -float('inf')):
+            self.confirmed[topic] = at
+
+    def find_topic_age(self, topic: str, now: float) -> float:
+        """Return how old what is known of a topic may be; infinite at first."""
+        return now - self.confirmed.get(topic, -float('inf'))
+
     def list_usable(self, service: str, now: float) -> Sequence[Entry]:
         """Return the endpoints of a service that are not avoided.
 
--- a/packages/verbenahall/src/verbenahall/gateway/_followers.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_followers.py
@@ -16,8 +16,13 @@
 from verbenahall import journal
 from verbenahall.gateway._contact import StoreContact
 from verbenahall.gateway._core import Core
-from verbenahall.peers import News, find_furthest, is_relieved
-from verbenahall.platform import Deleted, KeyedRecord, decode_keyed
+from verbenahall.peers import (
+    News,
+    find_confirmed,
+    find_furthest,
+    is_relieved,
+)
+from verbenahall.platform import Batch, Deleted, KeyedRecord, decode_keyed
 from verbenahall.roster import note_cut_off, was_cut_off
 
 #: How long one poll waits for a change, in seconds. A poll that reaches a
@@ -48,6 +53,14 @@
 _NEWS_LATE_S: Final = 0.4
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Received:
+    """How a record came: by which way, and how old it may be at most."""
+
+    source: str
+    age_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Subject:
     """A topic, and what its records do.
@@ -58,7 +71,7 @@
     """
 
     topic: str
-    take: Callable[[KeyedRecord], None]
+    take: Callable[[KeyedRecord, Received], None]
     take_all: Callable[[Mapping[str, bytes]], None]
     rest_s: float
 
@@ -147,7 +160,7 @@
         if news.cut:
             note_cut_off(self._core.roster, self._core.now())
         if self.position is not None and news.start <= self.position:
-            self._advance(news.records, news.start)
+            self._advance(news.records, news.start, 'peer')
         if self.position is not None and news.end > self.position:
             self._wake.set()
 
@@ -161,7 +174,8 @@
         if max(told, self._furthest) > self.position:
             return self._patience.lasts(now)
         self._patience.end()
-        self._core.confirmed[topic] = now
+        confirmed_at = find_confirmed(self._core.book, topic, self.position)
+        self._core.note_confirmed(topic, confirmed_at)
         return now - self._contact.answered_at < _UNCHECKED_S
 
     def _is_relieved(self, now: float) -> bool:
@@ -173,12 +187,14 @@
         return await self._poll(self.position)
 
     async def _read_all(self) -> bool:
+        sent_at = self._core.now()
         match await self._core.store.read_newest(self.subject.topic):
             case Success(newest):
                 self._contact.note_answer()
                 self._soon = True
                 self.position = newest.end
                 self.subject.take_all(newest.items)
+                self._core.note_confirmed(self.subject.topic, sent_at)
                 return True
             case Failure(away):
                 self._contact.note_silence(away.reason)
@@ -187,11 +203,13 @@
     async def _poll(self, offset: int) -> bool:
         wait_s = _SOON_S if self._soon else _POLL_S
         topic = self.subject.topic
+        sent_at = self._core.now()
         match await self._core.store.read(topic, offset, wait_s):
             case Success(batch):
                 self._contact.note_answer()
                 self._soon = bool(batch.records) or not offset
-                await self._take(batch.records, offset)
+                waited_s = 0 if batch.records else wait_s
+                await self._take(batch, offset, sent_at + waited_s)
                 return True
             case Failure(Deleted()):
                 self._contact.note_answer()
@@ -203,13 +221,20 @@
                 self._contact.note_silence(away.reason)
         return False
 
-    async def _take(self, records: Sequence[bytes], offset: int) -> None:
-        """Take what was read, and tell the peers what is new in it."""
+    async def _take(self, batch: Batch, offset: int, read_at: float) -> None:
+        """Take what was read, and tell the peers what is new in it.
+
+        ``read_at`` is a time before which the store has not looked: when the
+        call was sent, or the end of its wait when nothing came.
+        """
         known = self.position
-        fresh = self._advance(records, offset)
+        records = batch.records
+        fresh = self._advance(records, offset, 'store')
+        now = self._core.now()
+        if batch.end <= offset + len(records):
+            self._core.note_confirmed(self.subject.topic, min(now, read_at))
         if not fresh or known is None:
             return
-        now = self._core.now()
         if not self._is_relieved(now):
             cut = was_cut_off(self._core.roster, now)
             end = offset + len(records)
@@ -221,6 +246,7 @@
         self,
         records: Sequence[bytes],
         offset: int,
+        source: str,
     ) -> Sequence[bytes]:
         """Take the records that are not known yet, and return them."""
         if self.position is None:
@@ -229,11 +255,13 @@
         self.position += len(fresh)
         if fresh:
             self._patience.end()
+        now = self._core.now()
+        age_s = self._core.find_topic_age(self.subject.topic, now)
         for record in fresh:
-            self._take_record(record)
+            self._take_record(record, Received(source, age_s))
         return fresh
 
-    def _take_record(self, record: bytes) -> None:
+    def _take_record(self, record: bytes, received: Received) -> None:
         try:
             keyed = decode_keyed(record)
         except ValueError as error:
@@ -243,7 +271,7 @@
                 reason=str(error),
             )
             return
-        self.subject.take(keyed)
+        self.subject.take(keyed, received)
 
 
 async def _wait_for(wake: asyncio.Event) -> None:
--- a/packages/verbenahall/src/verbenahall/gateway/_following.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_following.py
@@ -9,7 +9,7 @@
 from verbenahall import journal
 from verbenahall.catalog import adopt
 from verbenahall.gateway._core import Core
-from verbenahall.gateway._followers import Follower, Subject
+from verbenahall.gateway._followers import Follower, Received, Subject
 from verbenahall.peers import News
 from verbenahall.platform import (
     ENDPOINTS_TOPIC,
@@ -60,7 +60,7 @@
         )
         return [Follower(self._core, subject, spread) for subject in subjects]
 
-    def _take_manifest(self, record: KeyedRecord) -> None:
+    def _take_manifest(self, record: KeyedRecord, received: Received) -> None:
         if record.key != MANIFEST_KEY or not record.content:
             return
         match decode_manifest(record.content):
@@ -71,6 +71,8 @@
                     version=catalog.version,
                     routes=sum(map(len, catalog.routes.values())),
                     in_force=adopted,
+                    source=received.source,
+                    age_s=journal.round_seconds(received.age_s),
                 )
             case Failure(problem):
                 journal.write_decision(
@@ -79,23 +81,19 @@
                 )
 
     def _take_manifests(self, records: Mapping[str, bytes]) -> None:
+        now = self._core.now()
+        age_s = self._core.find_topic_age(OPERATOR_TOPIC, now)
         for key, content in records.items():
-            self._take_manifest(KeyedRecord(key, content))
+            record = KeyedRecord(key, content)
+            self._take_manifest(record, Received('store', age_s))
 
-    def _take_entry(self, record: KeyedRecord) -> None:
-        roster = self._core.roster
-        now = self._core.now()
+    def _take_entry(self, record: KeyedRecord, received: Received) -> None:
         if not record.content:
-            gone = drop(roster, record.key, now)
-            self._core.forget_unlisted()
-            journal.write_decision(
-                'endpoint_gone' if gone else 'endpoint_lapsed',
-                endpoint=record.key,
-            )
+            self._take_removal(record.key, received)
             return
         match decode_entry(record.key, record.content):
             case Some(entry):
-                taken = put(roster, entry)
+                taken = put(self._core.roster, entry)
                 journal.write_decision(
                     'endpoint',
                     endpoint=entry.name,
@@ -106,10 +104,26 @@
                     born=entry.born,
                     change=entry.change,
                     taken=taken,
+                    source=received.source,
+                    age_s=journal.round_seconds(received.age_s),
                 )
             case _:
                 _tell_unreadable(record.key)
 
+    def _take_removal(self, name: str, received: Received) -> None:
+        roster = self._core.roster
+        now = self._core.now()
+        gone = drop(roster, name, now)
+        seat = roster.seats.get(name)
+        self._core.forget_unlisted()
+        journal.write_decision(
+            'endpoint_gone' if gone else 'endpoint_lapsed',
+            endpoint=name,
+            source=received.source,
+            age_s=journal.round_seconds(received.age_s),
+            used_for_s=journal.round_seconds(seat.until - now) if seat else 0,
+        )
+
     def _take_entries(self, records: Mapping[str, bytes]) -> None:
         entries, unreadable = [], []
         for key, content in records.items():
--- a/packages/verbenahall/src/verbenahall/gateway/_sender.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_sender.py
@@ -11,12 +11,13 @@
 import yarl
 from returns.result import Failure, Result, Success
 
-from verbenahall import metrics
+from verbenahall import journal, metrics
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._messages import Answered, Call
 from verbenahall.platform import (
     CALL_FAILURES,
     CONNECT_FAILURES,
+    ENDPOINTS_TOPIC,
     SendOrder,
     build_send_headers,
     read_answer,
@@ -74,7 +75,7 @@
         )
         standing = self._core.standings.of(endpoint.name)
         standing.open += 1
-        metrics.LEFT_SECONDS.observe(call.left_s(self._core.now()))
+        self._tell_sent(call, endpoint, order)
         response = None
         try:
             response = await self._wait_until(until, request)
@@ -163,6 +164,29 @@
             return TimedOut()
         return Broken(repr(error))
 
+    def _tell_sent(
+        self,
+        call: Call,
+        endpoint: Entry,
+        order: SendOrder,
+    ) -> None:
+        """Write a line for a send, with the age of the list behind it."""
+        core = self._core
+        now = core.now()
+        age_s = core.find_topic_age(ENDPOINTS_TOPIC, now)
+        seat = core.roster.seats.get(endpoint.name)
+        metrics.LEFT_SECONDS.observe(call.left_s(now))
+        metrics.LIST_AGE_SECONDS.observe(age_s)
+        journal.write_decision(
+            'sent',
+            request=call.ask.identity,
+            endpoint=endpoint.name,
+            prefill=order.read_only,
+            age_s=journal.round_seconds(age_s),
+            listed=seat is not None and seat.until == float('inf'),
+            left_s=journal.round_seconds(call.left_s(now)),
+        )
+
     async def _wait_until(
         self,
         until: float,
--- a/packages/verbenahall/src/verbenahall/gateway/_serve.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_serve.py
@@ -103,6 +103,7 @@
         followers = Following(self.core).followers(exchange.spread)
         exchange.changing = keeper.changing
         exchange.followed = functools.partial(_list_followed, followers)
+        exchange.ages = functools.partial(_list_ages, self.core)
         exchange.hear_news = functools.partial(_give_news, followers)
         loops = {
             **{one.subject.topic: one.run for one in followers},
@@ -156,6 +157,12 @@
     }
 
 
+def _list_ages(core: Core) -> Mapping[str, float]:
+    """Return for how long the store has not confirmed each topic."""
+    now = core.now()
+    return {topic: core.find_topic_age(topic, now) for topic in core.confirmed}
+
+
 def _give_news(followers: Sequence[Follower], news: News) -> None:
     for follower in followers:
         if follower.subject.topic == news.topic:
--- a/packages/verbenahall/src/verbenahall/metrics.py
+++ b/packages/verbenahall/src/verbenahall/metrics.py
@@ -140,6 +140,10 @@
     'verbenahall_send_left_seconds',
     'Time that is left of a request at each send of it.',
 )
+LIST_AGE_SECONDS: Final = Timer(
+    'verbenahall_send_list_age_seconds',
+    'Time at a send since the store held nothing newer of the endpoints.',
+)
 BELIEF_AGE_SECONDS: Final = Timer(
     'verbenahall_belief_age_seconds',
     'Time since the store confirmed what a request is routed by.',
--- a/packages/verbenahall/src/verbenahall/peers/__init__.py
+++ b/packages/verbenahall/src/verbenahall/peers/__init__.py
@@ -10,6 +10,7 @@
 )
 from verbenahall.peers._shell import PeerExchange
 from verbenahall.peers._state import (
+    Confirmed,
     PeerBook,
     choose_due,
     find_heard,
@@ -18,9 +19,14 @@
     tell_whom,
 )
 from verbenahall.peers._ranks import find_rank
-from verbenahall.peers._watchers import find_furthest, is_relieved
+from verbenahall.peers._watchers import (
+    find_confirmed,
+    find_furthest,
+    is_relieved,
+)
 
 __all__ = (
+    'Confirmed',
     'News',
     'PeerBook',
     'PeerExchange',
@@ -29,6 +35,7 @@
     'decode_message',
     'encode_news',
     'encode_word',
+    'find_confirmed',
     'find_furthest',
     'find_heard',
     'find_rank',
--- a/packages/verbenahall/src/verbenahall/peers/_messages.py
+++ b/packages/verbenahall/src/verbenahall/peers/_messages.py
@@ -19,6 +19,8 @@
 #: manifest. Left to the store, each of its changes cost a call for each
 #: instance.
 _RECORD_BYTES: Final = 8000
+#: Digits of an age: milliseconds.
+_AGE_DIGITS: Final = 3
 #: Level of compression: the fastest, as bytes are few.
 _LEVEL: Final = 1
 #: Bytes of a record's length before it.
@@ -36,7 +38,8 @@
     engines that the author has ordered to change and that take no work, and
     ``speed`` is what it has learned about reading. ``followed`` tells up to
     which record the author has read each topic that it follows at the store,
-    and ``cores`` how much of the processor the author may use.
+    ``ages`` for how many seconds the store has not confirmed that there is no
+    newer one, and ``cores`` how much of the processor the author may use.
     """
 
     author: str
@@ -47,6 +50,7 @@
     speed: tuple[float, ...] = ()
     followed: Mapping[str, int] = dataclasses.field(default_factory=dict)
     cores: float = 1
+    ages: Mapping[str, float] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -80,6 +84,10 @@
             'dc': word.data_centre,
             'followed': dict(word.followed),
             'cores': word.cores,
+            'ages': {
+                topic: round(age_s, _AGE_DIGITS)
+                for topic, age_s in word.ages.items()
+            },
         },
     )
 
@@ -221,7 +229,7 @@
                 followed=followed,
                 cores=cores,
             )
-            return _type_members(word, changing, speed)
+            return _type_members(word, changing, speed, table.get('ages', {}))
         case _:
             return Nothing
 
@@ -230,6 +238,7 @@
     word: Word,
     changing: list[Any],
     speed: list[Any],
+    ages: Any,
 ) -> Maybe[Word]:
     """Check what the containers hold; a word is believed whole or not."""
     offsets = word.followed.values()
@@ -247,7 +256,8 @@
                 },
                 changing=tuple(changing),
                 speed=tuple(map(float, speed)),
+                ages={topic: float(age_s) for topic, age_s in ages.items()},
             ),
         )
-    except (TypeError, ValueError):
+    except (AttributeError, TypeError, ValueError):
         return Nothing
--- a/packages/verbenahall/src/verbenahall/peers/_shell.py
+++ b/packages/verbenahall/src/verbenahall/peers/_shell.py
@@ -9,6 +9,7 @@
 from returns.maybe import Some
 
 from verbenahall import clock, journal
+from verbenahall.peers._arrivals import ArrivalClock
 from verbenahall.peers._messages import (
     News,
     Word,
@@ -48,11 +49,12 @@
 
         Engines that a peer says are changing go to ``hear_changing``;
         ``changing`` tells those that this instance has ordered itself,
-        ``followed`` what it follows at the store, and news of the store go to
-        ``hear_news``.
+        ``followed`` what it follows at the store and ``ages`` for how long the
+        store has not confirmed it; news of the store go to ``hear_news``.
         """
         self.changing: Callable[[], Sequence[str]] = tuple
         self.followed: Callable[[], Mapping[str, int]] = dict
+        self.ages: Callable[[], Mapping[str, float]] = dict
         self.hear_news: Callable[[News], object] = bool
         #: Takes datagrams of other kinds with their senders' addresses; False
         #: leaves one to the exchange.
@@ -63,6 +65,7 @@
         self._hear_changing = hear_changing
         self._numbers = itertools.count()
         self._transport: Any = None
+        self._arrivals = ArrivalClock(_TICK_S)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
@@ -91,7 +94,9 @@
     async def run(self) -> None:
         """Tell the peers until cancelled."""
         while True:
-            self._tell(clock.monotonic())
+            now = clock.monotonic()
+            self._arrivals.note_tick(now)
+            self._tell(now)
             await asyncio.sleep(_TICK_S)
 
     def spread(self, news: News) -> None:
@@ -113,7 +118,7 @@
         from it, so it tells of no topic that it follows.
         """
         told = tell_whom(self._book)
-        datagram = encode_word(self._make_word({}))
+        datagram = encode_word(self._make_word({}, {}))
         for peer in self._book.peers.values():
             if peer not in told:
                 self.send(datagram, peer.address)
@@ -140,7 +145,7 @@
             word.cores,
         )
         known = (word.author, word.number, now, word.followed)
-        if hear(self._book, *known):
+        if hear(self._book, *known, self._arrivals.date(word)):
             self._ledger.hear(word.author, word.loads, now)
             self._speed.adopt(word.speed or (0,))
             for engine in word.changing:
@@ -152,11 +157,16 @@
         due = tuple(choose_due(self._book, now))
         if not due:
             return
-        datagram = encode_word(self._make_word(self.followed()))
+        word = self._make_word(self.followed(), self.ages())
+        datagram = encode_word(word)
         for address in due:
             self.send(datagram, address)
 
-    def _make_word(self, followed: Mapping[str, int]) -> Word:
+    def _make_word(
+        self,
+        followed: Mapping[str, int],
+        ages: Mapping[str, float],
+    ) -> Word:
         return Word(
             self._book.name,
             next(self._numbers),
@@ -166,6 +176,7 @@
             self._speed.export(),
             followed,
             self._book.cores,
+            ages,
         )
 
 
--- a/packages/verbenahall/src/verbenahall/peers/_state.py
+++ b/packages/verbenahall/src/verbenahall/peers/_state.py
@@ -1,5 +1,6 @@
 """Which peers there are, and when each one is told the next time."""
 
+import dataclasses
 from collections.abc import Iterator, Mapping
 from types import MappingProxyType
 from typing import Final, final
@@ -25,12 +26,25 @@
 _NOTHING: Final[Mapping[str, int]] = MappingProxyType({})
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Confirmed:
+    """What a peer has read of a topic, and when the store confirmed it.
+
+    ``offset`` is that of the next record, and ``at`` the monotonic time of
+    this instance at which there surely was no newer one.
+    """
+
+    offset: int
+    at: float
+
+
 @final
 class _Peer:
     """One peer: its address, its processor, when it was heard and told."""
 
     __slots__ = (
         'address',
+        'confirmed',
         'cores',
         'data_centre',
         'followed',
@@ -41,6 +55,7 @@
 
     def __init__(self, address: str, data_centre: str) -> None:
         self.address = address
+        self.confirmed: Mapping[str, Confirmed] = {}
         self.cores: float = 1
         self.data_centre = data_centre
         self.followed = _NOTHING
@@ -97,6 +112,7 @@
     number: int,
     now: float,
     followed: Mapping[str, int] = _NOTHING,
+    confirmed: Mapping[str, Confirmed] | None = None,
 ) -> bool:
     """Note a peer's word; False when a newer one was heard before."""
     peer = book.peers.get(name)
@@ -108,6 +124,7 @@
     peer.number = number
     peer.heard_at = now
     peer.followed = followed
+    peer.confirmed = confirmed or {}
     return True
 
 
--- a/packages/verbenahall/src/verbenahall/peers/_watchers.py
+++ b/packages/verbenahall/src/verbenahall/peers/_watchers.py
@@ -37,6 +37,21 @@
     return max(offsets, default=0)
 
 
+def find_confirmed(book: PeerBook, topic: str, position: int) -> float:
+    """Return when the store last confirmed that nothing follows a position.
+
+    Minus infinity if no peer tells so. What is told of an earlier place holds
+    for a later one: whoever has read further knows all that was there then.
+    """
+    confirmed = (
+        peer.confirmed[topic]
+        for peer in book.peers.values()
+        if topic in peer.confirmed
+    )
+    times = (one.at for one in confirmed if one.offset <= position)
+    return max(times, default=-float('inf'))
+
+
 def _find_watchers(
     book: PeerBook,
     topic: str,
