--- a/packages/verbenahall/tests/peers/test_arrivals.py
+++ b/packages/verbenahall/tests/peers/test_arrivals.py
@@ -67,7 +67,7 @@
 
 def test_place_that_is_not_reached_is_not_confirmed():
     """News of a change got lost: what the peer knows is not known here."""
-    book = make_book(Confirmed(7, 9.4))
+    book = make_book(Confirmed(7, 9))
     assert find_confirmed(book, TOPIC, 6) == -float('inf')
-    assert find_confirmed(book, TOPIC, 7) == 9.4
-    assert find_confirmed(book, TOPIC, 8) == 9.4
+    assert find_confirmed(book, TOPIC, 7) == 9
+    assert find_confirmed(book, TOPIC, 8) == 9
