The grace of a lapsed entry counts from when the store last listed it

Cause: an engine that leaves without a word has its entry removed. A removal that may be a lapse of the store was used for 1.8 s from when an instance read it, however late that was: the follower rests (0.75 s there) and a poll may miss its record (0.4 s), so 2.95 s and the instance's own delay come together.

Change: the grace ends no later than the bound, less the time of a send, after the store has last surely listed the endpoint. Only where the store has been out of reach since, it counts from the reading: then the bound does not bind, and the service would be left without endpoints (tests of outages added).

--- a/packages/verbenahall/src/verbenahall/gateway/_contact.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_contact.py
@@ -1,5 +1,6 @@
 """Whether this instance is in touch with the store, and since when not."""
 
+import dataclasses
 from typing import Final, final
 
 from verbenahall import journal
@@ -11,15 +12,29 @@
 _IN_TOUCH_S: Final = 1.8
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Received:
+    """How a record came: by which way, and how old it may be at most.
+
+    ``before`` is when the store surely did not hold it yet, None if the store
+    has been out of reach since.
+    """
+
+    source: str
+    age_s: float
+    before: float | None
+
+
 @final
 class StoreContact:
     """What the calls for one topic tell of the store."""
 
-    __slots__ = ('answered_at', '_away', '_core', '_topic')
+    __slots__ = ('answered_at', 'lost_at', '_away', '_core', '_topic')
 
     def __init__(self, core: Core, topic: str) -> None:
         """Start without an answer."""
         self.answered_at = -float('inf')
+        self.lost_at = -float('inf')
         self._away = False
         self._core = core
         self._topic = topic
@@ -28,6 +43,13 @@
         """Tell whether the store has answered lately."""
         return now - self.answered_at < _IN_TOUCH_S
 
+    def describe(self, source: str) -> Received:
+        """Describe records that come now, as far as their age is known."""
+        age_s = self._core.find_topic_age(self._topic, self._core.now())
+        confirmed_at = self._core.confirmed.get(self._topic, -float('inf'))
+        was_lost = self.lost_at > confirmed_at or age_s >= self._core.usable_s
+        return Received(source, age_s, None if was_lost else confirmed_at)
+
     def note_answer(self) -> None:
         """Note that the store answered."""
         self.answered_at = self._core.now()
@@ -38,7 +60,8 @@
     def note_silence(self, reason: str) -> None:
         """Note that it did not, and tell the first time of several."""
         self.answered_at = -float('inf')
-        note_cut_off(self._core.roster, self._core.now())
+        self.lost_at = self._core.now()
+        note_cut_off(self._core.roster, self.lost_at)
         if not self._away:
             self._away = True
             journal.write_decision(
--- a/packages/verbenahall/src/verbenahall/gateway/_core.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_core.py
@@ -13,16 +13,24 @@
 from verbenahall.gateway._standing import Standings
 from verbenahall.peers import PeerBook
 from verbenahall.placement import PlacementState
-from verbenahall.platform import ProcessSettings, StoreClient, make_session
+from verbenahall.platform import (
+    CONNECT_S,
+    ProcessSettings,
+    StoreClient,
+    make_session,
+)
 from verbenahall.requests import WindowBudget
 from verbenahall.roster import LAPSE_S, Entry, Roster, RosterRules
 
 #: Share of the operators' bound on further sends that is used: what counts
 #: is when sends arrive, which slides against when they are decided.
 _BUDGET_SHARE: Final = 0.8
-#: Share of the time within which a leaving endpoint may still get work for
-#: which one whose entry lapsed is used: the lapse may have been its leaving.
-_LAPSE_SHARE: Final = 0.9
+#: Time from the choice of an endpoint to the arrival of the request there, at
+#: most, in seconds: a new connection, and a turn of the loop.
+_SEND_S: Final = CONNECT_S + 0.1
+#: Least share of the time within which a leaving endpoint may get work for
+#: which a list is used, where that time is hardly longer than a send.
+_LEAST_USABLE: Final = 0.7
 #: Instances that are thought to share the budget at least: some may not be
 #: known yet.
 _FEWEST_INSTANCES: Final = 10
@@ -42,8 +50,14 @@
         self.settings = settings
         self.random = random.Random()
         self.catalog = CatalogState()
-        lapse_s = settings.bounds.leaving_s * _LAPSE_SHARE
-        self.roster = Roster(RosterRules(lapse_s=min(LAPSE_S, lapse_s)))
+        #: How old a list of endpoints may be at a send, in seconds.
+        self.usable_s = _find_usable(settings.bounds.leaving_s)
+        self.roster = Roster(
+            RosterRules(
+                lapse_s=min(LAPSE_S, self.usable_s),
+                usable_s=self.usable_s,
+            ),
+        )
         self.standings = Standings()
         self.placement = PlacementState()
         self.book = PeerBook(
@@ -149,3 +163,7 @@
     async def close(self) -> None:
         """Close the connections to endpoints and store."""
         await self.session.close()
+
+
+def _find_usable(leaving_s: float) -> float:
+    return max(leaving_s - _SEND_S, leaving_s * _LEAST_USABLE)
--- a/packages/verbenahall/src/verbenahall/gateway/_followers.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_followers.py
@@ -14,7 +14,7 @@
 from returns.result import Failure, Success
 
 from verbenahall import journal
-from verbenahall.gateway._contact import StoreContact
+from verbenahall.gateway._contact import Received, StoreContact
 from verbenahall.gateway._core import Core
 from verbenahall.peers import (
     News,
@@ -53,14 +53,6 @@
 _NEWS_LATE_S: Final = 0.4
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Received:
-    """How a record came: by which way, and how old it may be at most."""
-
-    source: str
-    age_s: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Subject:
     """A topic, and what its records do.
@@ -72,7 +64,7 @@
 
     topic: str
     take: Callable[[KeyedRecord, Received], None]
-    take_all: Callable[[Mapping[str, bytes]], None]
+    take_all: Callable[[Mapping[str, bytes], Received], None]
     rest_s: float
 
 
@@ -193,7 +185,8 @@
                 self._contact.note_answer()
                 self._soon = True
                 self.position = newest.end
-                self.subject.take_all(newest.items)
+                received = self._contact.describe('store')
+                self.subject.take_all(newest.items, received)
                 self._core.note_confirmed(self.subject.topic, sent_at)
                 return True
             case Failure(away):
@@ -255,10 +248,9 @@
         self.position += len(fresh)
         if fresh:
             self._patience.end()
-        now = self._core.now()
-        age_s = self._core.find_topic_age(self.subject.topic, now)
+        received = self._contact.describe(source)
         for record in fresh:
-            self._take_record(record, Received(source, age_s))
+            self._take_record(record, received)
         return fresh
 
     def _take_record(self, record: bytes, received: Received) -> None:
--- a/packages/verbenahall/src/verbenahall/gateway/_following.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_following.py
@@ -10,7 +10,8 @@
 from verbenahall import journal
 from verbenahall.catalog import adopt
 from verbenahall.gateway._core import Core
-from verbenahall.gateway._followers import Follower, Received, Subject
+from verbenahall.gateway._contact import Received
+from verbenahall.gateway._followers import Follower, Subject
 from verbenahall.peers import News, PeerExchange
 from verbenahall.platform import (
     ENDPOINTS_TOPIC,
@@ -81,12 +82,13 @@
                     reason=problem.message,
                 )
 
-    def _take_manifests(self, records: Mapping[str, bytes]) -> None:
-        now = self._core.now()
-        age_s = self._core.find_topic_age(OPERATOR_TOPIC, now)
+    def _take_manifests(
+        self,
+        records: Mapping[str, bytes],
+        received: Received,
+    ) -> None:
         for key, content in records.items():
-            record = KeyedRecord(key, content)
-            self._take_manifest(record, Received('store', age_s))
+            self._take_manifest(KeyedRecord(key, content), received)
 
     def _take_entry(self, record: KeyedRecord, received: Received) -> None:
         if not record.content:
@@ -114,7 +116,7 @@
     def _take_removal(self, name: str, received: Received) -> None:
         roster = self._core.roster
         now = self._core.now()
-        gone = drop(roster, name, now)
+        gone = drop(roster, name, now, received.before)
         seat = roster.seats.get(name)
         self._core.forget_unlisted()
         journal.write_decision(
@@ -125,7 +127,11 @@
             used_for_s=journal.round_seconds(seat.until - now) if seat else 0,
         )
 
-    def _take_entries(self, records: Mapping[str, bytes]) -> None:
+    def _take_entries(
+        self,
+        records: Mapping[str, bytes],
+        received: Received,
+    ) -> None:
         entries, unreadable = [], []
         for key, content in records.items():
             match decode_entry(key, content):
@@ -134,7 +140,14 @@
                 case _:
                     unreadable.append(key)
                     _tell_unreadable(key)
-        replace(self._core.roster, entries, unreadable, self._core.now())
+        now = self._core.now()
+        replace(
+            self._core.roster,
+            entries,
+            unreadable,
+            now,
+            received.before,
+        )
         self._core.forget_unlisted()
         journal.write_decision(
             'endpoints',
--- a/packages/verbenahall/src/verbenahall/platform/__init__.py
+++ b/packages/verbenahall/src/verbenahall/platform/__init__.py
@@ -13,6 +13,7 @@
 from verbenahall.platform._connections import (
     CALL_FAILURES,
     CONNECT_FAILURES,
+    CONNECT_S,
     make_session,
 )
 from verbenahall.platform._entries import decode_entry
@@ -72,6 +73,7 @@
     'Bounds',
     'CALL_FAILURES',
     'CONNECT_FAILURES',
+    'CONNECT_S',
     'Deleted',
     'ENDPOINTS_TOPIC',
     'EXPECT_ENDPOINT',
--- a/packages/verbenahall/src/verbenahall/platform/_connections.py
+++ b/packages/verbenahall/src/verbenahall/platform/_connections.py
@@ -29,7 +29,7 @@
 #: Longest time for a connection. Inside of a region one is there within some
 #: milliseconds; a lost first packet would be sent again after a second, and
 #: another endpoint answers sooner than that.
-_CONNECT_S: Final = 0.4
+CONNECT_S: Final = 0.4
 #: Idle time after which a connection is not used again when the endpoint
 #: names none, and the margin before the time that it names, in seconds. A
 #: request that crosses the endpoint's close may or may not have run.
@@ -159,7 +159,7 @@
             'User-Agent',
             'Content-Type',
         ),
-        timeout=aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_S),
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_S),
     )
     # The library would send a GET once more by itself when a kept connection
     # closes under it: a second run that no budget has counted, also of calls
--- a/packages/verbenahall/src/verbenahall/roster/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/roster/_decisions.py
@@ -35,12 +35,21 @@
     return True
 
 
-def drop(roster: Roster, name: str, now: float) -> bool:
+def drop(
+    roster: Roster,
+    name: str,
+    now: float,
+    listed_at: float | None = None,
+) -> bool:
     """Take out an endpoint whose entry was removed; True when it is gone.
 
     After the store was away, or when a large part of a service vanishes at
     once, the entries have lapsed though most of the endpoints live. Without
     the grace a whole service would answer nothing until they are back.
+
+    ``listed_at`` is when the store still listed the endpoint, None if it has
+    been out of reach since. The removal may be as old as that, so the grace
+    counts from there and not from when it was read.
     """
     _remove_overdue(roster, now)
     seat = roster.seats.get(name)
@@ -48,8 +57,10 @@
         return False
     roster.drops.append(Drop(now, name, seat.entry.service))
     if not seat.entry.leaving and _is_lapse(roster, seat.entry, now):
-        _spare(roster, seat.entry.service, now)
-        return False
+        until = _find_grace_end(roster, now, listed_at)
+        _spare(roster, seat.entry.service, until)
+        if now < seat.until:
+            return False
     roster.remove(name)
     return True
 
@@ -59,6 +70,7 @@
     entries: Iterable[Entry],
     unreadable: Iterable[str],
     now: float,
+    listed_at: float | None = None,
 ) -> None:
     """Take the whole list, as after a start or a lost history.
 
@@ -69,7 +81,7 @@
         put(roster, entry)
         listed.add(entry.name)
     for name in roster.seats.keys() - listed:
-        drop(roster, name, now)
+        drop(roster, name, now, listed_at)
     roster.known = True
 
 
@@ -109,9 +121,19 @@
     return len(gone) > total * roster.rules.mass_share
 
 
-def _spare(roster: Roster, service: str, now: float) -> None:
-    """Keep the lapsed endpoints of a service for a moment longer."""
+def _find_grace_end(
+    roster: Roster,
+    now: float,
+    listed_at: float | None,
+) -> float:
     until = now + roster.rules.lapse_s
+    if listed_at is None:
+        return until
+    return min(until, listed_at + roster.rules.usable_s)
+
+
+def _spare(roster: Roster, service: str, until: float) -> None:
+    """Keep the lapsed endpoints of a service for a moment longer."""
     for dropped in roster.drops:
         seat = roster.seats.get(dropped.name)
         if seat is not None and seat.entry.service == service:
--- a/packages/verbenahall/src/verbenahall/roster/_state.py
+++ b/packages/verbenahall/src/verbenahall/roster/_state.py
@@ -21,11 +21,13 @@
     """Bounds of the decisions.
 
     ``lapse_s`` is how long an endpoint whose entry lapsed with the store is
-    still used; it must stay under the time within which a leaving endpoint
-    may get no more work.
+    still used. ``usable_s`` is how long after the store has last listed an
+    endpoint a request may be sent there: the removal may have been its
+    leaving.
     """
 
     lapse_s: float = LAPSE_S
+    usable_s: float = LAPSE_S
     mass_share: float = _MASS_SHARE
 
 
--- a/packages/verbenahall/tests/drains/simulation.py
+++ b/packages/verbenahall/tests/drains/simulation.py
@@ -157,7 +157,8 @@
             if self._source.random() < DEAF_POLLS:
                 grown = asyncio.Event()
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(grown.wait(), wait_s)
+                async with asyncio.timeout(wait_s):
+                    await grown.wait()
         framed = b''.join(
             struct.pack('>I', len(record)) + record
             for _, record, _ in records[start:]
--- a/packages/verbenahall/tests/drains/test_drains.py
+++ b/packages/verbenahall/tests/drains/test_drains.py
@@ -79,6 +79,35 @@
             await fleet.instances.pop(name).stop()
 
 
+async def stop_store(fleet, draw):
+    """Have the store answer nobody, and entries lapse meanwhile."""
+    names = list(fleet.instances)
+    harmed = draw.choice((fleet.store.mute, fleet.store.refusing))
+    harmed.update(names)
+    lasts_s = draw.uniform(2, 6)
+    fleet.harm(names, asyncio.get_running_loop().time() + lasts_s)
+    await asyncio.sleep(lasts_s / 2)
+    fleet.lapse()
+    await asyncio.sleep(lasts_s / 2)
+    harmed.clear()
+    await asyncio.sleep(draw.uniform(0, 1.2))
+    fleet.relist()
+
+
+async def play_outages(seed):
+    """Play outages of the store and nothing else; return the fleet."""
+    draw = random.Random(seed)
+    fleet = Fleet(seed, 5, leaving_s=draw.choice((2, 3, 4)))
+    await fleet.open()
+    await asyncio.sleep(3)
+    sending = asyncio.create_task(fleet.send_until(SECONDS))
+    while not sending.done():
+        await stop_store(fleet, draw)
+        await asyncio.sleep(draw.uniform(2, 4))
+    await fleet.close()
+    return fleet
+
+
 async def play(seed):
     """Play a seed; return the fleet."""
     draw = random.Random(seed)
@@ -104,3 +133,11 @@
     fleet = run_simulated(play(seed))
     assert fleet.sends > 500
     assert not fleet.late
+
+
+@pytest.mark.parametrize('seed', range(FIRST, FIRST + COUNT // 3))
+def test_service_goes_on_when_entries_lapse_with_the_store(seed):
+    """Believed, the removals would leave a service without endpoints."""
+    fleet = run_simulated(play_outages(seed))
+    assert fleet.sends > 500
+    assert not fleet.refused
--- a/packages/verbenahall/tests/roster/test_roster.py
+++ b/packages/verbenahall/tests/roster/test_roster.py
@@ -90,6 +90,30 @@
     assert len(live_names(roster, 11)) == 9
 
 
+def test_lapse_that_is_read_late_is_used_no_longer_than_the_bound():
+    """An endpoint leaves without a word, and its removal is read late."""
+    roster = make_roster()
+    note_cut_off(roster, 10)
+    assert not drop(roster, 'e1', now=11, listed_at=9.8)
+    assert 'e1' in live_names(roster, 11.5)
+    assert 'e1' not in live_names(roster, 11.7)
+
+
+def test_removal_that_is_read_after_the_bound_takes_effect_at_once():
+    roster = make_roster()
+    note_cut_off(roster, 10)
+    assert drop(roster, 'e1', now=12, listed_at=10)
+    assert 'e1' not in roster.seats
+
+
+def test_lapse_after_an_outage_is_used_from_its_reading():
+    """Counted from before the outage, all endpoints were gone on its end."""
+    roster = make_roster()
+    note_cut_off(roster, 13.5)
+    assert not drop(roster, 'e1', now=14, listed_at=None)
+    assert 'e1' in live_names(roster, 15.7)
+
+
 def test_lapsed_endpoint_that_stays_away_is_gone():
     # One of the lapsed endpoints has crashed meanwhile. Work sent to it
     # would wait for a connection that nobody takes.
