Followers tell of failures of their own calls only

Cause: a follower that was refused tells its peers with the next change that it was cut off, for three seconds. The peers noted that as if they had been, and told it on. Two followers renewed it for each other with every change, for as long as changes came within three seconds of each other.

Evidence: a follower of four is refused for one second, and an endpoint joins each second after that; eight seconds later all four still count as cut off.

Change: what is told on is the failure of own calls for that topic; what peers tell counts for the hearer only.

Test: test_followers_do_not_keep_each_other_cut_off, failing before.

--- a/packages/verbenahall/src/verbenahall/gateway/_contact.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_contact.py
@@ -5,7 +5,7 @@
 
 from verbenahall import journal
 from verbenahall.gateway._core import Core
-from verbenahall.roster import note_cut_off
+from verbenahall.roster import RETURN_S, note_cut_off
 
 #: How long after an answer the store counts as in touch, in seconds: the rest
 #: after changes, a poll, and what its answer may take.
@@ -43,6 +43,14 @@
         """Tell whether the store has answered lately."""
         return now - self.answered_at < _IN_TOUCH_S
 
+    def was_lost(self, now: float) -> bool:
+        """Tell whether own calls have failed within the time of a lapse.
+
+        What peers tell of their calls does not count: two followers that
+        pass it on would tell each other so for ever.
+        """
+        return now - self.lost_at < RETURN_S
+
     def describe(self, source: str) -> Received:
         """Describe records that come now, as far as their age is known."""
         age_s = self._core.find_topic_age(self._topic, self._core.now())
--- a/packages/verbenahall/src/verbenahall/gateway/_followers.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_followers.py
@@ -23,7 +23,7 @@
     is_relieved,
 )
 from verbenahall.platform import Batch, Deleted, KeyedRecord, decode_keyed
-from verbenahall.roster import note_cut_off, was_cut_off
+from verbenahall.roster import note_cut_off
 
 #: How long one poll waits for a change, in seconds. A poll that reaches a
 #: silent store is never answered, and the platform expects a change in force
@@ -229,7 +229,7 @@
         if not fresh or known is None:
             return
         if not self._is_relieved(now):
-            cut = was_cut_off(self._core.roster, now)
+            cut = self._contact.was_lost(now)
             end = offset + len(records)
             news = News(self.subject.topic, known, fresh, end, cut)
             self._spread(news)
--- a/packages/verbenahall/src/verbenahall/peers/_messages.py
+++ b/packages/verbenahall/src/verbenahall/peers/_messages.py
@@ -58,8 +58,9 @@
     """Records of a topic that the author has just read from the store.
 
     ``records`` begin at the offset ``start``; they are left out when they are
-    too long for a datagram, and ``end`` says how far the topic goes. After a
-    cut from the store, ``cut`` tells that entries may be gone by the cut.
+    too long for a datagram, and ``end`` says how far the topic goes. ``cut``
+    tells that the author's own calls have failed lately, so that entries may
+    be gone by an outage of the store.
     """
 
     topic: str
--- a/packages/verbenahall/src/verbenahall/roster/__init__.py
+++ b/packages/verbenahall/src/verbenahall/roster/__init__.py
@@ -1,6 +1,7 @@
 """The endpoints that the store lists, and which of them may get work."""
 
 from verbenahall.roster._decisions import (
+    RETURN_S,
     drop,
     note_cut_off,
     put,
@@ -13,6 +14,7 @@
 __all__ = (
     'Entry',
     'LAPSE_S',
+    'RETURN_S',
     'Roster',
     'RosterRules',
     'Seat',
--- a/packages/verbenahall/src/verbenahall/roster/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/roster/_decisions.py
@@ -12,7 +12,7 @@
 _FEW: Final = 2
 #: The store's return and the first records after it are this far apart at
 #: most, in seconds.
-_RETURN_S: Final = 3.0
+RETURN_S: Final = 3.0
 
 
 def put(roster: Roster, entry: Entry) -> bool:
@@ -92,7 +92,7 @@
 
 def was_cut_off(roster: Roster, now: float) -> bool:
     """Tell whether entries that vanish now may have lapsed with the store."""
-    return now - roster.cut_off_at < _RETURN_S
+    return now - roster.cut_off_at < RETURN_S
 
 
 def _is_older(entry: Entry, known: Entry) -> bool:
--- a/packages/verbenahall/tests/drains/test_drains.py
+++ b/packages/verbenahall/tests/drains/test_drains.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from verbenahall.roster import was_cut_off
+
 from .simulation import Fleet, run_simulated
 
 #: Seeds that are played; more by hand, from another first one on.
@@ -141,3 +143,25 @@
     fleet = run_simulated(play_outages(seed))
     assert fleet.sends > 500
     assert not fleet.refused
+
+
+async def refuse_one_follower(fleet):
+    """Refuse a follower for a second; endpoints change for eight more."""
+    await fleet.open()
+    await asyncio.sleep(3)
+    refused = fleet.find_followers()[0]
+    fleet.store.refusing.add(refused)
+    await asyncio.sleep(1)
+    fleet.store.refusing.clear()
+    for _ in range(8):
+        await asyncio.sleep(1)
+        fleet.join()
+    await fleet.close()
+
+
+def test_followers_do_not_keep_each_other_cut_off():
+    """A refusal that is long over makes each removal look like a lapse."""
+    fleet = Fleet(1, 4, leaving_s=3)
+    run_simulated(refuse_one_follower(fleet))
+    rosters = [one.core.roster for one in fleet.instances.values()]
+    assert not any(was_cut_off(roster, 12) for roster in rosters)
