An instance asks the store itself when its list grows too old

Cause: an instance that relies on followers took their word for 1.8 s after their last answer, for as long as a heartbeat is believed (1.2 s), and looked every 0.25 s. Each hop has a limit of its own and nobody added them up; there is no bound on the age of the list.

Change: one age for each topic (freshness), counted from when the store last held nothing newer. At 0.8 of the longest usable age an instance asks the store with a call of its own, whatever polls, peers and datagrams do. Polls and rests of followers end in time for their heartbeats. A call that ends long after its limit shows a stalled process, and is no sign that the store is away.

--- a/packages/verbenahall/src/verbenahall/gateway/_contact.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_contact.py
@@ -29,14 +29,14 @@
 class StoreContact:
     """What the calls for one topic tell of the store."""
 
-    __slots__ = ('answered_at', 'lost_at', '_away', '_core', '_topic')
+    __slots__ = ('answered_at', '_away', '_core', '_freshness', '_topic')
 
     def __init__(self, core: Core, topic: str) -> None:
         """Start without an answer."""
         self.answered_at = -float('inf')
-        self.lost_at = -float('inf')
         self._away = False
         self._core = core
+        self._freshness = core.freshness[topic]
         self._topic = topic
 
     def is_fresh(self, now: float) -> bool:
@@ -49,14 +49,18 @@
         What peers tell of their calls does not count: two followers that
         pass it on would tell each other so for ever.
         """
-        return now - self.lost_at < RETURN_S
+        return now - self._freshness.lost_at < RETURN_S
 
     def describe(self, source: str) -> Received:
         """Describe records that come now, as far as their age is known."""
-        age_s = self._core.find_topic_age(self._topic, self._core.now())
-        confirmed_at = self._core.confirmed.get(self._topic, -float('inf'))
-        was_lost = self.lost_at > confirmed_at or age_s >= self._core.usable_s
-        return Received(source, age_s, None if was_lost else confirmed_at)
+        known = self._freshness
+        age_s = known.find_age(self._core.now())
+        was_lost = known.is_lost or age_s >= known.usable_s
+        return Received(
+            source,
+            age_s,
+            None if was_lost else known.confirmed_at,
+        )
 
     def note_answer(self) -> None:
         """Note that the store answered."""
@@ -68,8 +72,9 @@
     def note_silence(self, reason: str) -> None:
         """Note that it did not, and tell the first time of several."""
         self.answered_at = -float('inf')
-        self.lost_at = self._core.now()
-        note_cut_off(self._core.roster, self.lost_at)
+        now = self._core.now()
+        self._freshness.note_lost(now)
+        note_cut_off(self._core.roster, now)
         if not self._away:
             self._away = True
             journal.write_decision(
--- a/packages/verbenahall/src/verbenahall/gateway/_core.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_core.py
@@ -10,11 +10,14 @@
 from verbenahall import clock
 from verbenahall.catalog import CatalogState
 from verbenahall.gateway._engine_calls import EngineCalls
+from verbenahall.gateway._freshness import Freshness
 from verbenahall.gateway._standing import Standings
 from verbenahall.peers import PeerBook
 from verbenahall.placement import PlacementState
 from verbenahall.platform import (
     CONNECT_S,
+    ENDPOINTS_TOPIC,
+    OPERATOR_TOPIC,
     ProcessSettings,
     StoreClient,
     make_session,
@@ -50,14 +53,15 @@
         self.settings = settings
         self.random = random.Random()
         self.catalog = CatalogState()
-        #: How old a list of endpoints may be at a send, in seconds.
-        self.usable_s = _find_usable(settings.bounds.leaving_s)
+        usable_s = _find_usable(settings.bounds.leaving_s)
         self.roster = Roster(
-            RosterRules(
-                lapse_s=min(LAPSE_S, self.usable_s),
-                usable_s=self.usable_s,
-            ),
+            RosterRules(lapse_s=min(LAPSE_S, usable_s), usable_s=usable_s),
         )
+        #: How old what is known of each topic is.
+        self.freshness = {
+            ENDPOINTS_TOPIC: Freshness(usable_s),
+            OPERATOR_TOPIC: Freshness(usable_s),
+        }
         self.standings = Standings()
         self.placement = PlacementState()
         self.book = PeerBook(
@@ -69,8 +73,6 @@
         self.engines = EngineCalls(self.session)
         self.store = StoreClient(self.session, settings.store)
         self.now = clock.monotonic
-        #: When the store last held nothing newer of a topic than is known.
-        self.confirmed: dict[str, float] = {}
         #: The longest time that callers of a route have said to wait.
         self.patience: dict[str, float] = {}
         self._budgets: dict[str, WindowBudget] = {}
@@ -88,17 +90,7 @@
 
     def find_age(self, now: float) -> float:
         """Return for how long what the store holds has not been confirmed."""
-        confirmed = min(self.confirmed.values(), default=now)
-        return max(0, now - confirmed)
-
-    def note_confirmed(self, topic: str, at: float) -> None:
-        """Note that the store held nothing newer of a topic at a time."""
-        if at > self.confirmed.get(topic, -float('inf')):
-            self.confirmed[topic] = at
-
-    def find_topic_age(self, topic: str, now: float) -> float:
-        """Return how old what is known of a topic may be; infinite at first."""
-        return now - self.confirmed.get(topic, -float('inf'))
+        return max(one.find_age(now) for one in self.freshness.values())
 
     def list_usable(self, service: str, now: float) -> Sequence[Entry]:
         """Return the endpoints of a service that are not avoided.
--- a/packages/verbenahall/src/verbenahall/gateway/_followers.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_followers.py
@@ -16,12 +16,8 @@
 from verbenahall import journal
 from verbenahall.gateway._contact import Received, StoreContact
 from verbenahall.gateway._core import Core
-from verbenahall.peers import (
-    News,
-    find_confirmed,
-    find_furthest,
-    is_relieved,
-)
+from verbenahall.gateway._standby import Standby
+from verbenahall.peers import News
 from verbenahall.platform import Batch, Deleted, KeyedRecord, decode_keyed
 from verbenahall.roster import note_cut_off
 
@@ -47,10 +43,14 @@
 #: The longest time without a call of its own, in seconds. News are numbered,
 #: so this guards against faults that nobody foresaw only.
 _UNCHECKED_S: Final = 60.0
-#: How long news of records may be later than the word that there are such, in
-#: seconds. Both come by datagram, the word first; without this patience every
-#: instance of a large fleet reads from the store what is on its way to it.
-_NEWS_LATE_S: Final = 0.4
+#: Time for the answer to a poll beyond its wait, and to a read that does not
+#: wait, in seconds: the platform calls a store slow that takes 60 times its
+#: usual 4 ms.
+_ANSWER_S: Final = 0.9
+_REFRESH_S: Final = 0.45
+#: A call that ends this much later than its limit shows that the process stood
+#: still, in seconds. The store's answer may lie there unread.
+_STALL_S: Final = 0.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,27 +68,6 @@
     rest_s: float
 
 
-@final
-class _Patience:
-    """Waits a moment for news of records that peers are known to have."""
-
-    __slots__ = ('_since',)
-
-    def __init__(self) -> None:
-        """Start with nothing missing."""
-        self._since: float | None = None
-
-    def lasts(self, now: float) -> bool:
-        """Whether what is missing may still be on its way here."""
-        if self._since is None:
-            self._since = now
-        return now - self._since < _NEWS_LATE_S
-
-    def end(self) -> None:
-        """Note that nothing is missing, or that some of it has come."""
-        self._since = None
-
-
 @final
 class Follower:
     """Follows one keyed topic for as long as the process runs.
@@ -101,10 +80,11 @@
         'subject',
         '_contact',
         '_core',
-        '_furthest',
-        '_patience',
+        '_freshness',
+        '_rests',
         '_soon',
         '_spread',
+        '_standby',
         '_wake',
     )
 
@@ -119,9 +99,10 @@
         self.position: int | None = None
         self._core = core
         self._contact = StoreContact(core, subject.topic)
+        self._freshness = core.freshness[subject.topic]
         self._spread = spread
-        self._patience = _Patience()
-        self._furthest = 0
+        self._standby = Standby(core.book, subject.topic)
+        self._rests = False
         self._soon = True
         self._wake = asyncio.Event()
 
@@ -142,13 +123,13 @@
     def is_watching(self) -> bool:
         """Tell whether the topic is followed at the store itself."""
         now = self._core.now()
-        if self.position is None or self._is_relieved(now):
+        if self.position is None or self._standby.is_relieved(now):
             return False
         return self._contact.is_fresh(now)
 
     def hear(self, news: News) -> None:
         """Take a peer's news, or note that there is more than is known."""
-        self._furthest = max(self._furthest, news.end)
+        self._standby.hear(news.end)
         if news.cut:
             note_cut_off(self._core.roster, self._core.now())
         if self.position is not None and news.start <= self.position:
@@ -156,27 +137,40 @@
         if self.position is not None and news.end > self.position:
             self._wake.set()
 
+    def adopt_confirmed(self) -> None:
+        """Take what the peers say of the store's answers to them."""
+        if self.position is not None:
+            at = self._standby.find_confirmed(self.position)
+            self._freshness.note_confirmed(at)
+
+    async def refresh(self) -> bool:
+        """Ask the store at once; False if it does not answer."""
+        if self.position is None:
+            return False
+        return await self._poll(self.position, 0, _REFRESH_S)
+
     def _may_stand_by(self) -> bool:
         """Whether the peers' news are as good as calls of its own."""
         now = self._core.now()
-        if self.position is None or not self._is_relieved(now):
+        if self.position is None or not self._standby.is_relieved(now):
             return False
-        topic = self.subject.topic
-        told = find_furthest(self._core.book, topic, now)
-        if max(told, self._furthest) > self.position:
-            return self._patience.lasts(now)
-        self._patience.end()
-        confirmed_at = find_confirmed(self._core.book, topic, self.position)
-        self._core.note_confirmed(topic, confirmed_at)
+        if not self._standby.may_wait(self.position, now):
+            return False
+        self.adopt_confirmed()
         return now - self._contact.answered_at < _UNCHECKED_S
 
-    def _is_relieved(self, now: float) -> bool:
-        return is_relieved(self._core.book, self.subject.topic, now)
-
     async def _step(self) -> bool:
         if self.position is None:
             return await self._read_all()
-        return await self._poll(self.position)
+        wait_s = _SOON_S if self._soon else _POLL_S
+        wait_s = self._freshness.limit_wait(wait_s, self._core.now())
+        answered = await self._poll(self.position, wait_s, _ANSWER_S)
+        if self._rests:
+            self._rests = False
+            rest_s = self.subject.rest_s
+            now = self._core.now()
+            await asyncio.sleep(self._freshness.limit_wait(rest_s, now))
+        return answered
 
     async def _read_all(self) -> bool:
         sent_at = self._core.now()
@@ -187,22 +181,27 @@
                 self.position = newest.end
                 received = self._contact.describe('store')
                 self.subject.take_all(newest.items, received)
-                self._core.note_confirmed(self.subject.topic, sent_at)
+                self._freshness.note_confirmed(sent_at)
                 return True
             case Failure(away):
                 self._contact.note_silence(away.reason)
         return False
 
-    async def _poll(self, offset: int) -> bool:
-        wait_s = _SOON_S if self._soon else _POLL_S
+    async def _poll(
+        self,
+        offset: int,
+        wait_s: float,
+        answer_s: float,
+    ) -> bool:
         topic = self.subject.topic
         sent_at = self._core.now()
-        match await self._core.store.read(topic, offset, wait_s):
+        store = self._core.store
+        match await store.read(topic, offset, wait_s, answer_s):
             case Success(batch):
                 self._contact.note_answer()
                 self._soon = bool(batch.records) or not offset
                 waited_s = 0 if batch.records else wait_s
-                await self._take(batch, offset, sent_at + waited_s)
+                self._take(batch, offset, sent_at + waited_s)
                 return True
             case Failure(Deleted()):
                 self._contact.note_answer()
@@ -211,10 +210,12 @@
                 self.position = None
                 return True
             case Failure(away):
-                self._contact.note_silence(away.reason)
+                took_s = self._core.now() - sent_at
+                if took_s < wait_s + answer_s + _STALL_S:
+                    self._contact.note_silence(away.reason)
         return False
 
-    async def _take(self, batch: Batch, offset: int, read_at: float) -> None:
+    def _take(self, batch: Batch, offset: int, read_at: float) -> None:
         """Take what was read, and tell the peers what is new in it.
 
         ``read_at`` is a time before which the store has not looked: when the
@@ -225,15 +226,15 @@
         fresh = self._advance(records, offset, 'store')
         now = self._core.now()
         if batch.end <= offset + len(records):
-            self._core.note_confirmed(self.subject.topic, min(now, read_at))
+            self._freshness.note_confirmed(min(now, read_at))
         if not fresh or known is None:
             return
-        if not self._is_relieved(now):
+        if not self._standby.is_relieved(now):
             cut = self._contact.was_lost(now)
             end = offset + len(records)
             news = News(self.subject.topic, known, fresh, end, cut)
             self._spread(news)
-            await asyncio.sleep(self.subject.rest_s)
+            self._rests = True
 
     def _advance(
         self,
@@ -247,23 +248,24 @@
         fresh = records[self.position - offset :]
         self.position += len(fresh)
         if fresh:
-            self._patience.end()
+            self._standby.note_progress()
         received = self._contact.describe(source)
         for record in fresh:
-            self._take_record(record, received)
+            _apply(self.subject, record, received)
         return fresh
 
-    def _take_record(self, record: bytes, received: Received) -> None:
-        try:
-            keyed = decode_keyed(record)
-        except ValueError as error:
-            journal.write_decision(
-                'record_unreadable',
-                topic=self.subject.topic,
-                reason=str(error),
-            )
-            return
-        self.subject.take(keyed, received)
+
+def _apply(subject: Subject, record: bytes, received: Received) -> None:
+    try:
+        keyed = decode_keyed(record)
+    except ValueError as error:
+        journal.write_decision(
+            'record_unreadable',
+            topic=subject.topic,
+            reason=str(error),
+        )
+        return
+    subject.take(keyed, received)
 
 
 async def _wait_for(wake: asyncio.Event) -> None:
--- a/packages/verbenahall/src/verbenahall/gateway/_following.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_following.py
@@ -176,7 +176,11 @@
 def _list_ages(core: Core) -> Mapping[str, float]:
     """Return for how long the store has not confirmed each topic."""
     now = core.now()
-    return {topic: core.find_topic_age(topic, now) for topic in core.confirmed}
+    return {
+        topic: freshness.find_age(now)
+        for topic, freshness in core.freshness.items()
+        if freshness.is_known
+    }
 
 
 def _give_news(followers: Sequence[Follower], news: News) -> None:
--- a/packages/verbenahall/src/verbenahall/gateway/_sender.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_sender.py
@@ -173,7 +173,7 @@
         """Write a line for a send, with the age of the list behind it."""
         core = self._core
         now = core.now()
-        age_s = core.find_topic_age(ENDPOINTS_TOPIC, now)
+        age_s = core.freshness[ENDPOINTS_TOPIC].find_age(now)
         seat = core.roster.seats.get(endpoint.name)
         metrics.LEFT_SECONDS.observe(call.left_s(now))
         metrics.LIST_AGE_SECONDS.observe(age_s)
--- a/packages/verbenahall/src/verbenahall/gateway/_serve.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_serve.py
@@ -21,6 +21,7 @@
 from verbenahall.gateway._peers import PeerFinder
 from verbenahall.gateway._probes import Probes
 from verbenahall.gateway._readiness import Readiness
+from verbenahall.gateway._refresh import Refresher
 from verbenahall.gateway._scheduler import Scheduling
 from verbenahall.platform import READY, ProcessSettings
 from verbenahall.process import listen, run_service
@@ -98,9 +99,14 @@
         keeper = RoleKeeper(self.core)
         exchange = self.finder.exchange
         followers = follow_store(self.core, exchange)
+        by_topic = {one.subject.topic: one for one in followers}
         exchange.changing = keeper.changing
         loops = {
-            **{one.subject.topic: one.run for one in followers},
+            **{topic: one.run for topic, one in by_topic.items()},
+            **{
+                f'refresh {topic}': Refresher(self.core, one).run
+                for topic, one in by_topic.items()
+            },
             'peers': self.finder.run,
             'scheduler': self.scheduling.scheduler.run,
             'roles': keeper.run,
--- a/packages/verbenahall/src/verbenahall/platform/_store.py
+++ b/packages/verbenahall/src/verbenahall/platform/_store.py
@@ -127,8 +127,12 @@
         topic: str,
         start: int,
         wait_s: float = 0,
+        answer_s: float = _ANSWER_S,
     ) -> Result[Batch, Away | Deleted]:
-        """Read from an offset; wait up to ``wait_s`` for a first record."""
+        """Read from an offset; wait up to ``wait_s`` for a first record.
+
+        ``answer_s`` is how much longer the answer may take.
+        """
         params = {
             'topic': topic,
             'part': '0',
@@ -136,7 +140,8 @@
             'maxKb': str(_READ_KB),
             'waitMs': str(int(wait_s * _MS_IN_SECOND)),
         }
-        answer = await self._call('GET', names.READ, params, b'', wait_s)
+        limit_s = wait_s + answer_s
+        answer = await self._call('GET', names.READ, params, b'', limit_s)
         match answer:
             case Success((HTTPStatus.OK, body)):
                 return _decode_read(body)
@@ -158,7 +163,7 @@
         if at is not None:
             params['at'] = str(at)
         body = encode_records(records)
-        answer = await self._call('POST', names.APPEND, params, body, 0)
+        answer = await self._call('POST', names.APPEND, params, body, _ANSWER_S)
         match answer:
             case Success((status, answered)):
                 return _read_append(status, answered)
@@ -174,7 +179,7 @@
         params = {'topic': topic, 'part': '0'}
         if after:
             params['after'] = after
-        answer = await self._call('GET', names.NEWEST, params, b'', 0)
+        answer = await self._call('GET', names.NEWEST, params, b'', _ANSWER_S)
         match answer:
             case Success((HTTPStatus.OK, body)):
                 return _decode_page(body)
@@ -189,10 +194,10 @@
         path: str,
         params: dict[str, str],
         body: bytes,
-        wait_s: float,
+        limit_s: float,
     ) -> Result[tuple[int, bytes], Away]:
         try:
-            async with asyncio.timeout(wait_s + _ANSWER_S):
+            async with asyncio.timeout(limit_s):
                 async with self._session.request(
                     method,
                     self._base + path,
--- a/packages/verbenahall/tests/drains/simulation.py
+++ b/packages/verbenahall/tests/drains/simulation.py
@@ -26,6 +26,7 @@
 from verbenahall.gateway._following import follow_store
 from verbenahall.gateway._messages import Call
 from verbenahall.gateway._plain import PlainFlow
+from verbenahall.gateway._refresh import Refresher
 from verbenahall.gateway._sender import Sender
 from verbenahall.peers import PeerExchange, greet
 from verbenahall.placement import Work
@@ -262,6 +263,7 @@
     def start(self):
         """Follow the store and tell the peers."""
         loops = [one.run() for one in self.followers]
+        loops += [Refresher(self.core, one).run() for one in self.followers]
         loops.append(self.exchange.run())
         self._tasks = [asyncio.create_task(loop) for loop in loops]
 
@@ -444,7 +446,7 @@
             late_s=round(now - self.left[endpoint], 3),
             announced=endpoint in self.announced,
             listed=seat is not None and seat.until == float('inf'),
-            age_s=round(core.find_topic_age(ENDPOINTS_TOPIC, now), 3),
+            age_s=round(core.freshness[ENDPOINTS_TOPIC].find_age(now), 3),
         )
 
     async def send_until(self, end):
--- a/packages/verbenahall/tests/drains/test_drains.py
+++ b/packages/verbenahall/tests/drains/test_drains.py
@@ -165,3 +165,28 @@
     run_simulated(refuse_one_follower(fleet))
     rosters = [one.core.roster for one in fleet.instances.values()]
     assert not any(was_cut_off(roster, 12) for roster in rosters)
+
+
+async def silence_followers(fleet):
+    """Leave the followers unanswered just before endpoints leave."""
+    await fleet.open()
+    await asyncio.sleep(4)
+    followers = fleet.find_followers()
+    fleet.harm(followers, SECONDS)
+    # Every second heartbeat is lost, too.
+    fleet.loss = 0.5
+    fleet.join()
+    await asyncio.sleep(0.02)
+    fleet.store.mute.update(followers)
+    for name in tuple(fleet.live[:4]):
+        fleet.announce(name)
+    await fleet.send_until(9)
+    await fleet.close()
+
+
+@pytest.mark.parametrize('seed', range(1, 9))
+def test_followers_that_lost_the_store_do_not_delay_the_others(seed):
+    """Those that rely on them take silence for no change."""
+    fleet = Fleet(seed, 7, leaving_s=2)
+    run_simulated(silence_followers(fleet))
+    assert not fleet.late
