The list is looked at once more before a request leaves

Cause: nothing on the way of a request compared the age of the list with the bound, or looked at the list again. A process that stood still went on with its old list. Where no other engine generates, the one chosen before a prefill was kept although it had said meanwhile that it leaves.

Evidence: four processes stand still for 4 s while endpoints announce that they leave, and send to them at once (4.01 to 4.06 s, bound 2 s); the only decode engine leaves during a prefill and runs the request (200 instead of 503).

--- a/packages/verbenahall/src/verbenahall/gateway/_sender.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_sender.py
@@ -65,7 +65,14 @@
 
         Leaving the context early closes the connection, by which endpoints
         notice that nobody waits for the answer any more.
+
+        An endpoint that has left since it was chosen gets nothing.
         """
+        await self._core.freshness[ENDPOINTS_TOPIC].wait_usable()
+        if not self._core.roster.may_get_work(endpoint.name, self._core.now()):
+            self._tell_left(call, endpoint)
+            yield Failure(NeverWritten('the endpoint has left'))
+            return
         request = self._core.session.request(
             call.method,
             yarl.URL(f'http://{endpoint.address}{call.path}', encoded=True),
@@ -164,6 +171,14 @@
             return TimedOut()
         return Broken(repr(error))
 
+    def _tell_left(self, call: Call, endpoint: Entry) -> None:
+        journal.write_decision(
+            'not_sent',
+            request=call.ask.identity,
+            endpoint=endpoint.name,
+            reason='the endpoint has left',
+        )
+
     def _tell_sent(
         self,
         call: Call,
--- a/packages/verbenahall/src/verbenahall/roster/_state.py
+++ b/packages/verbenahall/src/verbenahall/roster/_state.py
@@ -54,11 +54,13 @@
     def live(self, service: str, now: float) -> Iterator[Entry]:
         """Yield the endpoints of a service that may get new work."""
         for seat in self.seats.values():
-            entry = seat.entry
-            if entry.service != service or entry.leaving:
-                continue
-            if now < seat.until:
-                yield entry
+            if seat.entry.service == service and _is_live(seat, now):
+                yield seat.entry
+
+    def may_get_work(self, name: str, now: float) -> bool:
+        """Whether a request may be sent to an endpoint now."""
+        seat = self.seats.get(name)
+        return seat is not None and _is_live(seat, now)
 
     def has_left(self, name: str) -> bool:
         """Whether an endpoint has said that it leaves."""
@@ -71,3 +73,7 @@
         self.departed[name] = self.seats.pop(name).entry
         while len(self.departed) > _REMEMBERED:
             self.departed.pop(next(iter(self.departed)))
+
+
+def _is_live(seat: Seat, now: float) -> bool:
+    return not seat.entry.leaving and now < seat.until
--- a/packages/verbenahall/tests/drains/simulation.py
+++ b/packages/verbenahall/tests/drains/simulation.py
@@ -98,13 +98,14 @@
     """The store: topics with long polls, and whom it does not answer.
 
     ``mute`` and ``refusing`` name instances whose calls get no answer, or a
-    503. ``calls`` counts what arrived.
+    503. ``calls`` counts what arrived, ``way_s`` is the time to it.
     """
 
     def __init__(self, source):
         self.mute = set()
         self.refusing = set()
         self.calls = 0
+        self.way_s = WAY_S
         self._source = source
         self._topics = {}
         self._grown = {}
@@ -118,7 +119,7 @@
     async def answer(self, instance, url, params):
         """Return status and body, or wait for ever."""
         self.calls += 1
-        await asyncio.sleep(WAY_S)
+        await asyncio.sleep(self.way_s)
         await self._check_mute(instance)
         if instance in self.refusing:
             return 503, b''
@@ -128,7 +129,7 @@
         if instance in self.refusing:
             return 503, b''
         await self._check_mute(instance)
-        await asyncio.sleep(WAY_S)
+        await asyncio.sleep(self.way_s)
         await self._check_mute(instance)
         return 200, body
 
--- a/packages/verbenahall/tests/drains/test_drains.py
+++ b/packages/verbenahall/tests/drains/test_drains.py
@@ -190,3 +190,24 @@
     fleet = Fleet(seed, 7, leaving_s=2)
     run_simulated(silence_followers(fleet))
     assert not fleet.late
+
+
+async def stall(fleet):
+    """Have all processes stand still for seconds while endpoints leave."""
+    await fleet.open()
+    await asyncio.sleep(4)
+    fleet.store.way_s = 0.05
+    for name in tuple(fleet.live[:4]):
+        fleet.announce(name)
+    asyncio.get_running_loop().clock.now += 4
+    await fleet.send_until(9)
+    await fleet.close()
+
+
+def test_process_that_stood_still_asks_the_store_before_it_sends():
+    """Its clock has gone on, and its list of endpoints has not."""
+    fleet = Fleet(1, 4, leaving_s=2)
+    run_simulated(stall(fleet))
+    assert fleet.sends > 50
+    assert not fleet.late
+    assert not fleet.refused
--- a/packages/verbenahall/tests/gateway/test_failing_engines.py
+++ b/packages/verbenahall/tests/gateway/test_failing_engines.py
@@ -221,6 +221,24 @@
     run(check())
 
 
+def test_only_generator_that_leaves_during_the_read_gets_no_work(tmp_path):
+    """With no other engine to choose, the old choice must not be kept."""
+
+    async def check():
+        engines = make_engines(readers=1, generators=1)
+        engines[0].faults.slow_read_s = 0.3
+        async with open_desk(tmp_path, engines) as desk:
+            asking = asyncio.create_task(desk.ask('/blurb/1'))
+            await desk.until(lambda: desk.decisions('placed'))
+            desk.site.list_endpoint(engines[1], state='draining')
+            status, headers, _ = await asking
+            assert status == 503
+            assert 'Retry-After' in headers
+            assert not engines[1].runs
+
+    run(check())
+
+
 def test_stream_without_signature_is_not_passed_on(tmp_path):
     # Something else answers at an engine's address. Its events would reach a
     # caller as if the engine had made them.
