A request waits for a manifest that is young enough

Cause: a process that stood still routes by the manifest that it had before, for as long as its first answer of the store takes.

Evidence: a route is taken away while the process stands still for 2.5 s; the request that waits in its socket is served by the dropped route.

Change: the age of manifests has a bound of its own (configApplyMs of the settings, that for endpoints where it is missing), and a request is routed only by one that is young enough, unless the store is out of reach.

--- a/packages/verbenahall/src/verbenahall/gateway/_core.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_core.py
@@ -60,7 +60,9 @@
         #: How old what is known of each topic is.
         self.freshness = {
             ENDPOINTS_TOPIC: Freshness(usable_s),
-            OPERATOR_TOPIC: Freshness(usable_s),
+            OPERATOR_TOPIC: Freshness(
+                _find_usable(settings.bounds.manifest_s),
+            ),
         }
         self.standings = Standings()
         self.placement = PlacementState()
--- a/packages/verbenahall/src/verbenahall/gateway/_ingress.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_ingress.py
@@ -24,7 +24,7 @@
 from verbenahall.gateway._plain import PlainFlow
 from verbenahall.gateway._sender import Sender
 from verbenahall.gateway._streams import StreamFlow
-from verbenahall.platform import Ask, read_ask
+from verbenahall.platform import OPERATOR_TOPIC, Ask, read_ask
 from verbenahall.shutdown import GracefulStop
 
 #: When callers may come back before the first manifest is known, in seconds.
@@ -132,6 +132,7 @@
                     retry_after_s=_ELSEWHERE_S,
                 ),
             )
+        await self._core.freshness[OPERATOR_TOPIC].wait_usable()
         catalog = self._core.catalog.catalog
         if catalog is None or not self._core.ready:
             return Failure(
--- a/packages/verbenahall/src/verbenahall/platform/_settings.py
+++ b/packages/verbenahall/src/verbenahall/platform/_settings.py
@@ -56,6 +56,7 @@
                 'retryRatio': _AMOUNT,
                 'retryWindowS': _AMOUNT,
                 'retrySlack': dataclasses.replace(_AMOUNT, default=0),
+                'configApplyMs': dataclasses.replace(_AMOUNT, default=0),
             },
             open=True,
         ),
@@ -69,11 +70,13 @@
     """Bounds of time and of retries that the operators give, in seconds.
 
     ``leaving_s`` is how long after its word a leaving endpoint may still get
-    work; ``retry_share`` and ``retry_slack`` bound the further sends of all
+    work, and ``manifest_s`` how long after its acceptance a manifest must be in
+    force; ``retry_share`` and ``retry_slack`` bound the further sends of all
     instances together within ``retry_window_s``.
     """
 
     leaving_s: float
+    manifest_s: float
     grace_s: float
     lease_s: float
     retry_share: float
@@ -135,9 +138,16 @@
 def _build_bounds(bounds: dict[str, Any]) -> Bounds:
     return Bounds(
         leaving_s=fields.seconds(bounds, 'drainMs'),
+        manifest_s=_read_manifest_bound(bounds),
         grace_s=bounds['graceS'],
         lease_s=fields.seconds(bounds, 'leaseMs'),
         retry_share=bounds['retryRatio'],
         retry_window_s=bounds['retryWindowS'],
         retry_slack=bounds['retrySlack'],
     )
+
+
+def _read_manifest_bound(bounds: dict[str, Any]) -> float:
+    """Return the bound for manifests; that for endpoints if there is none."""
+    name = 'configApplyMs' if bounds['configApplyMs'] else 'drainMs'
+    return fields.seconds(bounds, name)
--- a/packages/verbenahall/tests/gateway/test_store.py
+++ b/packages/verbenahall/tests/gateway/test_store.py
@@ -1,6 +1,8 @@
 """The store is away, forgets, repeats itself, or says what cannot be read."""
 
 import asyncio
+import socket
+import time
 
 import pytest
 from verbenahall_standins.platform import EngineStandIn
@@ -8,7 +10,15 @@
 from verbenahall.gateway import _followers as followers
 from verbenahall.peers import greet, hear
 
-from .conftest import dump, make_engines, make_plain, open_desk, run
+from .conftest import (
+    HOST,
+    PREFIX,
+    dump,
+    make_engines,
+    make_plain,
+    open_desk,
+    run,
+)
 
 
 def test_new_manifest_is_in_force_at_once(tmp_path):
@@ -271,3 +281,21 @@
             )
 
     run(check())
+
+
+def test_process_that_stood_still_asks_for_the_manifest_first(tmp_path):
+    """A route is taken away while the process stands still."""
+
+    async def check():
+        async with open_desk(tmp_path, plain=make_plain()) as desk:
+            host, _, port = desk.gateway.core.settings.callers.rpartition(':')
+            with socket.create_connection((host, int(port))) as caller:
+                caller.sendall(
+                    f'GET /archive/1 HTTP/1.1\r\nHost: {HOST}\r\n'
+                    f'{PREFIX}Request-Id: r-1\r\n\r\n'.encode(),
+                )
+                desk.site.publish(routes=[])
+                time.sleep(2.5)
+                await desk.until(lambda: desk.decisions('refused'))
+
+    run(check())
