Followers leave the store alone for 50 ms at least

What callers saw: nothing; read in the diff. A store that names records in its end which it does not hand out would be asked without a pause by a follower whose age has run out.

--- a/packages/verbenahall/src/verbenahall/gateway/_followers.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_followers.py
@@ -18,7 +18,13 @@
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._standby import Standby
 from verbenahall.peers import News
-from verbenahall.platform import Batch, Deleted, KeyedRecord, decode_keyed
+from verbenahall.platform import (
+    ANSWER_S,
+    Batch,
+    Deleted,
+    KeyedRecord,
+    decode_keyed,
+)
 from verbenahall.roster import note_cut_off
 
 #: How long one poll waits for a change, in seconds. A poll that reaches a
@@ -43,10 +49,8 @@
 #: The longest time without a call of its own, in seconds. News are numbered,
 #: so this guards against faults that nobody foresaw only.
 _UNCHECKED_S: Final = 60.0
-#: Time for the answer to a poll beyond its wait, and to a read that does not
-#: wait, in seconds: the platform calls a store slow that takes 60 times its
-#: usual 4 ms.
-_ANSWER_S: Final = 0.9
+#: Time for the answer to a read that does not wait, in seconds. A list that is
+#: too old is used, or a request held up, until the read is given up.
 _REFRESH_S: Final = 0.45
 #: A call that ends this much later than its limit shows that the process stood
 #: still, in seconds. The store's answer may lie there unread.
@@ -164,7 +168,7 @@
             return await self._read_all()
         wait_s = _SOON_S if self._soon else _POLL_S
         wait_s = self._freshness.limit_wait(wait_s, self._core.now())
-        answered = await self._poll(self.position, wait_s, _ANSWER_S)
+        answered = await self._poll(self.position, wait_s, ANSWER_S)
         if self._rests:
             self._rests = False
             rest_s = self.subject.rest_s
--- a/packages/verbenahall/src/verbenahall/gateway/_freshness.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_freshness.py
@@ -16,6 +16,9 @@
 #: Part of that again within which followers of the store ask it anew. The rest
 #: is time for their heartbeats.
 _FOLLOW_SHARE: Final = 0.65
+#: Least time between two calls of a follower, in seconds. A store that names
+#: records which it does not hand out would be asked without a pause.
+_LEAST_WAIT_S: Final = 0.05
 #: Longest wait for the store's answer before something old is used, in
 #: seconds. The call itself is given up sooner.
 _HOLD_S: Final = 0.5
@@ -64,7 +67,7 @@
         would ask the store themselves.
         """
         longest_s = self.refresh_s * _FOLLOW_SHARE - self.find_age(now)
-        return max(0, min(wait_s, longest_s))
+        return max(_LEAST_WAIT_S, min(wait_s, longest_s))
 
     def note_confirmed(self, at: float) -> None:
         """Note that the store held nothing newer at a time."""
--- a/packages/verbenahall/src/verbenahall/platform/__init__.py
+++ b/packages/verbenahall/src/verbenahall/platform/__init__.py
@@ -53,6 +53,7 @@
     read_settings,
 )
 from verbenahall.platform._store import (
+    ANSWER_S,
     AppendOutcome,
     Appended,
     Away,
@@ -64,6 +65,7 @@
 )
 
 __all__ = (
+    'ANSWER_S',
     'AnswerFacts',
     'AppendOutcome',
     'Appended',
--- a/packages/verbenahall/src/verbenahall/platform/_store.py
+++ b/packages/verbenahall/src/verbenahall/platform/_store.py
@@ -32,7 +32,7 @@
 )
 #: Longest time for an answer beyond what a call asks to wait, in seconds: the
 #: platform calls a store slow that takes 60 times its usual 4 ms.
-_ANSWER_S: Final = 0.9
+ANSWER_S: Final = 0.9
 _MS_IN_SECOND: Final = 1000
 #: Kilobytes of one read; a whole big manifest fits.
 _READ_KB: Final = 1024
@@ -127,7 +127,7 @@
         topic: str,
         start: int,
         wait_s: float = 0,
-        answer_s: float = _ANSWER_S,
+        answer_s: float = ANSWER_S,
     ) -> Result[Batch, Away | Deleted]:
         """Read from an offset; wait up to ``wait_s`` for a first record.
 
@@ -163,7 +163,7 @@
         if at is not None:
             params['at'] = str(at)
         body = encode_records(records)
-        answer = await self._call('POST', names.APPEND, params, body, _ANSWER_S)
+        answer = await self._call('POST', names.APPEND, params, body, ANSWER_S)
         match answer:
             case Success((status, answered)):
                 return _read_append(status, answered)
@@ -179,7 +179,7 @@
         params = {'topic': topic, 'part': '0'}
         if after:
             params['after'] = after
-        answer = await self._call('GET', names.NEWEST, params, b'', _ANSWER_S)
+        answer = await self._call('GET', names.NEWEST, params, b'', ANSWER_S)
         match answer:
             case Success((HTTPStatus.OK, body)):
                 return _decode_page(body)
