--- a/packages/verbenahall/src/verbenahall/gateway/_core.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_core.py
@@ -31,8 +31,8 @@
 #: Time from the choice of an endpoint to the arrival of the request there, at
 #: most, in seconds: a new connection, and a turn of the loop.
 _SEND_S: Final = CONNECT_S + 0.1
-#: Least share of the time within which a leaving endpoint may get work for
-#: which a list is used, where that time is hardly longer than a send.
+#: Least share of a bound for which what is known is used, where the bound is
+#: hardly longer than a send.
 _LEAST_USABLE: Final = 0.7
 #: Instances that are thought to share the budget at least: some may not be
 #: known yet.
@@ -159,5 +159,6 @@
         await self.session.close()
 
 
-def _find_usable(leaving_s: float) -> float:
-    return max(leaving_s - _SEND_S, leaving_s * _LEAST_USABLE)
+def _find_usable(bound_s: float) -> float:
+    """Return how old what is known may be, for a bound on arrivals."""
+    return max(bound_s - _SEND_S, bound_s * _LEAST_USABLE)
--- a/packages/verbenahall/src/verbenahall/gateway/_followers.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_followers.py
@@ -2,7 +2,8 @@
 
 The topic is read whole once and then followed by long polls, so that a change
 is known within milliseconds. Where enough peers do the same, their news take
-the place of the polls.
+the place of the polls; what bounds the age of what is known then is in
+``_refresh``.
 """
 
 import asyncio
@@ -27,24 +28,19 @@
 )
 from verbenahall.roster import note_cut_off
 
-#: How long one poll waits for a change, in seconds. A poll that reaches a
-#: silent store is never answered, and the platform expects a change in force
-#: three seconds after the store's return: with the time for an answer a
-#: swallowed poll is given up after 1.9 s, and an old manifest is served no
-#: longer than that.
+#: How long one poll waits for a change at most, in seconds. A poll that reaches
+#: a silent store is never answered, and keeps the follower waiting for its end.
 _POLL_S: Final = 1.0
 #: How long a poll waits that follows a change, or a topic without records.
-#: The store does not wake a poll that arrives while a record is on its way
-#: in: of two records 9 ms apart an instance saw the second one only when its
-#: poll of 25 s had ended.
+#: The store does not wake a poll that arrives while a record is on its way in,
+#: so the record is seen at the poll's end only.
 _SOON_S: Final = 0.4
 #: Pause before the store is tried again, in seconds: the first one, and the
 #: longest. A change must be in force within two seconds of the store's word.
 _FIRST_PAUSE_S: Final = 0.1
 _LONGEST_PAUSE_S: Final = 0.7
 #: How often an instance that goes by its peers' news looks whether it still
-#: may, in seconds, unless news wake it. Each look goes through all peers, and
-#: news that got lost are then read well within two seconds.
+#: may, in seconds, unless news wake it. Each look goes through all peers.
 _LOOK_S: Final = 0.25
 #: The longest time without a call of its own, in seconds. News are numbered,
 #: so this guards against faults that nobody foresaw only.
@@ -77,6 +73,10 @@
     """Follows one keyed topic for as long as the process runs.
 
     ``position`` is the offset of the next record, None before the first read.
+    An example::
+
+        follower = Follower(core, subject, exchange.spread)
+        await asyncio.gather(follower.run(), Refresher(core, follower).run())
     """
 
     __slots__ = (
--- a/packages/verbenahall/src/verbenahall/gateway/_sender.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_sender.py
@@ -35,6 +35,8 @@
 Answer = TypeVar('Answer')
 
 SUCCESS: Final = range(HTTPStatus.OK, HTTPStatus.MULTIPLE_CHOICES)
+#: Why nothing is sent to an endpoint that was chosen before it left.
+_LEFT: Final = 'the endpoint has left'
 #: Longest time for the rest of a refusal, in seconds.
 _REFUSAL_S: Final = 0.2
 #: How the kernel names a peer that acknowledges nothing.
@@ -71,7 +73,7 @@
         await self._core.freshness[ENDPOINTS_TOPIC].wait_usable()
         if not self._core.roster.may_get_work(endpoint.name, self._core.now()):
             self._tell_left(call, endpoint)
-            yield Failure(NeverWritten('the endpoint has left'))
+            yield Failure(NeverWritten(_LEFT))
             return
         request = self._core.session.request(
             call.method,
@@ -176,7 +178,7 @@
             'not_sent',
             request=call.ask.identity,
             endpoint=endpoint.name,
-            reason='the endpoint has left',
+            reason=_LEFT,
         )
 
     def _tell_sent(
