--- a/packages/verbenahall/tests/drains/simulation.py
+++ b/packages/verbenahall/tests/drains/fleet.py
@@ -1,26 +1,19 @@
 """A fleet on a simulated clock: instances, their store, and their network.
 
 The instances run the real followers, heartbeats, roster and send path. What
-is simulated is the clock, which jumps from one timer to the next, the store,
-the datagrams between instances and the connections to endpoints.
+is simulated is the clock, the store, the datagrams between instances and the
+connections to endpoints.
 """
 
 import asyncio
-import base64
-import contextlib
 import dataclasses
 import json
 import random
-import selectors
-import struct
 import tempfile
 from pathlib import Path
-from unittest import mock
 
-import aiohttp
 from verbenahall_standins.platform import write_settings
 
-from verbenahall import clock
 from verbenahall.catalog import Kind, Route, Service, Share
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._following import follow_store
@@ -30,19 +23,17 @@
 from verbenahall.gateway._sender import Sender
 from verbenahall.peers import PeerExchange, greet
 from verbenahall.placement import Work
-from verbenahall.platform import ENDPOINTS_TOPIC, Ask, read_settings
+from verbenahall.platform import (
+    ENDPOINTS_TOPIC,
+    OPERATOR_TOPIC,
+    Ask,
+    read_settings,
+)
+
+from .simulated_network import PEER_PORT, SimulatedSession, SimulatedSocket
+from .simulated_store import SimulatedStore
 
 SERVICE = 'pages'
-OPERATOR_TOPIC = 'keyed.op'
-PEER_PORT = 7380
-#: Time to the store or a peer, one way, in seconds.
-WAY_S = 0.001
-#: Share of new connections whose first packet is lost or late.
-SLOW_CONNECTS = 0.02
-SLOWEST_CONNECT_S = 0.39
-FOR_EVER_S = 3600
-#: Share of the polls that a record does not wake.
-DEAF_POLLS = 0.05
 ROUTE = Route(
     name='proof',
     host='desk.example',
@@ -56,194 +47,6 @@
 )
 
 
-class JumpingSelector(selectors.SelectSelector):
-    """Waits for nothing: the clock goes on to the next timer instead."""
-
-    def __init__(self):
-        super().__init__()
-        self.now = 0
-
-    def select(self, timeout=None):
-        """Return what is ready, or let time pass if nothing is."""
-        ready = super().select(0)
-        if not ready:
-            assert timeout is not None, 'nothing is left to happen'
-            self.now += timeout
-        return ready
-
-
-class SimulatedLoop(asyncio.SelectorEventLoop):
-    """An event loop whose time is its selector's."""
-
-    def __init__(self):
-        self.clock = JumpingSelector()
-        super().__init__(self.clock)
-
-    def time(self):
-        """Return the simulated time in seconds."""
-        return self.clock.now
-
-
-def run_simulated(coroutine):
-    """Run a coroutine on a simulated clock, from second 0 on."""
-    loop = SimulatedLoop()
-    try:
-        with mock.patch.object(clock, 'monotonic', loop.time):
-            return loop.run_until_complete(coroutine)
-    finally:
-        loop.close()
-
-
-class SimulatedStore:
-    """The store: topics with long polls, and whom it does not answer.
-
-    ``mute`` and ``refusing`` name instances whose calls get no answer, or a
-    503. ``calls`` counts what arrived, ``way_s`` is the time to it.
-    """
-
-    def __init__(self, source):
-        self.mute = set()
-        self.refusing = set()
-        self.calls = 0
-        self.way_s = WAY_S
-        self._source = source
-        self._topics = {}
-        self._grown = {}
-
-    def put(self, topic, key, content):
-        """Append a keyed record."""
-        record = bytes([len(key)]) + key.encode() + content
-        self._topics.setdefault(topic, []).append((key, record, content))
-        self._grown.pop(topic, asyncio.Event()).set()
-
-    async def answer(self, instance, url, params):
-        """Return status and body, or wait for ever."""
-        self.calls += 1
-        await asyncio.sleep(self.way_s)
-        await self._check_mute(instance)
-        if instance in self.refusing:
-            return 503, b''
-        if url.endswith('newest'):
-            return 200, self._list_newest(params['topic'])
-        body = await self._read(params)
-        if instance in self.refusing:
-            return 503, b''
-        await self._check_mute(instance)
-        await asyncio.sleep(self.way_s)
-        await self._check_mute(instance)
-        return 200, body
-
-    async def _check_mute(self, instance):
-        if instance in self.mute:
-            await asyncio.sleep(FOR_EVER_S)
-
-    def _list_newest(self, topic):
-        newest = {}
-        for offset, (key, _, content) in enumerate(self._topics[topic]):
-            newest[key] = {
-                'key': key,
-                'value': base64.b64encode(content).decode(),
-                'offset': offset,
-            }
-        items = [item for item in newest.values() if item['value']]
-        end = len(self._topics[topic])
-        table = {'items': items, 'hasMore': False, 'end': end}
-        return json.dumps(table).encode()
-
-    async def _read(self, params):
-        topic, start = params['topic'], int(params['from'])
-        records = self._topics[topic]
-        wait_s = int(params['waitMs']) / 1000
-        if start >= len(records) and wait_s:
-            grown = self._grown.setdefault(topic, asyncio.Event())
-            if self._source.random() < DEAF_POLLS:
-                grown = asyncio.Event()
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(wait_s):
-                    await grown.wait()
-        framed = b''.join(
-            struct.pack('>I', len(record)) + record
-            for _, record, _ in records[start:]
-        )
-        return struct.pack('>QQ', len(records), 0) + framed
-
-
-class SimulatedSession:
-    """An instance's HTTP session: to the store, or to an endpoint."""
-
-    def __init__(self, fleet, instance):
-        self._fleet = fleet
-        self._instance = instance
-
-    def request(self, method, url, **options):
-        """Begin a call."""
-        return _Request(self._call(str(url), options.get('params')))
-
-    async def close(self):
-        """Nothing is open."""
-
-    async def _call(self, url, params):
-        fleet = self._fleet
-        if 'store' in url:
-            answer = fleet.store.answer(self._instance, url, params)
-            return _Response(*await answer)
-        slow = fleet.source.random() < SLOW_CONNECTS
-        longest = SLOWEST_CONNECT_S if slow else WAY_S
-        await asyncio.sleep(fleet.source.uniform(0, longest))
-        host, _, _ = url.removeprefix('http://').partition(':')
-        fleet.note_arrival(self._instance, host)
-        raise aiohttp.ServerDisconnectedError
-
-
-class _Request:
-    """A call that may be awaited or entered, as the library's."""
-
-    def __init__(self, call):
-        self._call = call
-
-    def __await__(self):
-        return self._call.__await__()
-
-    async def __aenter__(self):
-        return await self._call
-
-    async def __aexit__(self, *error):
-        """Nothing is open."""
-
-
-@dataclasses.dataclass
-class _Response:
-    status: int
-    body: bytes
-
-    async def read(self):
-        """Return the body."""
-        return self.body
-
-
-class SimulatedSocket:
-    """Datagrams of one instance; some are lost."""
-
-    def __init__(self, fleet, instance):
-        self._fleet = fleet
-        self._instance = instance
-
-    def sendto(self, datagram, address):
-        """Deliver after a moment, or not at all."""
-        fleet = self._fleet
-        target = fleet.by_host[address[0]]
-        lost = fleet.source.random() < fleet.loss
-        if lost or {self._instance, target} & fleet.silenced:
-            return
-        loop = asyncio.get_running_loop()
-        way_s = WAY_S + fleet.source.uniform(0, fleet.delay_s)
-        sender = (fleet.hosts[self._instance], PEER_PORT)
-        loop.call_later(way_s, fleet.deliver, target, datagram, sender)
-
-    def close(self):
-        """Nothing is open."""
-
-
 class Instance:
     """One instance: its state, its followers and its heartbeats."""
 
--- /dev/null
+++ b/packages/verbenahall/tests/drains/simulated_network.py
@@ -0,0 +1,89 @@
+"""Connections and datagrams of the instances of a simulated fleet."""
+
+import asyncio
+import dataclasses
+
+import aiohttp
+
+PEER_PORT = 7380
+#: Time to an endpoint or a peer, one way, in seconds.
+WAY_S = 0.001
+#: Share of new connections whose first packet is lost or late.
+SLOW_CONNECTS = 0.02
+SLOWEST_CONNECT_S = 0.39
+
+
+class SimulatedSession:
+    """An instance's HTTP session: to the store, or to an endpoint."""
+
+    def __init__(self, fleet, instance):
+        self._fleet = fleet
+        self._instance = instance
+
+    def request(self, method, url, **options):
+        """Begin a call."""
+        return _Request(self._call(str(url), options.get('params')))
+
+    async def close(self):
+        """Nothing is open."""
+
+    async def _call(self, url, params):
+        fleet = self._fleet
+        if 'store' in url:
+            answer = fleet.store.answer(self._instance, url, params)
+            return _Response(*await answer)
+        slow = fleet.source.random() < SLOW_CONNECTS
+        longest = SLOWEST_CONNECT_S if slow else WAY_S
+        await asyncio.sleep(fleet.source.uniform(0, longest))
+        host, _, _ = url.removeprefix('http://').partition(':')
+        fleet.note_arrival(self._instance, host)
+        raise aiohttp.ServerDisconnectedError
+
+
+class _Request:
+    """A call that may be awaited or entered, as the library's."""
+
+    def __init__(self, call):
+        self._call = call
+
+    def __await__(self):
+        return self._call.__await__()
+
+    async def __aenter__(self):
+        return await self._call
+
+    async def __aexit__(self, *error):
+        """Nothing is open."""
+
+
+@dataclasses.dataclass
+class _Response:
+    status: int
+    body: bytes
+
+    async def read(self):
+        """Return the body."""
+        return self.body
+
+
+class SimulatedSocket:
+    """Datagrams of one instance; some are lost."""
+
+    def __init__(self, fleet, instance):
+        self._fleet = fleet
+        self._instance = instance
+
+    def sendto(self, datagram, address):
+        """Deliver after a moment, or not at all."""
+        fleet = self._fleet
+        target = fleet.by_host[address[0]]
+        lost = fleet.source.random() < fleet.loss
+        if lost or {self._instance, target} & fleet.silenced:
+            return
+        loop = asyncio.get_running_loop()
+        way_s = WAY_S + fleet.source.uniform(0, fleet.delay_s)
+        sender = (fleet.hosts[self._instance], PEER_PORT)
+        loop.call_later(way_s, fleet.deliver, target, datagram, sender)
+
+    def close(self):
+        """Nothing is open."""
--- /dev/null
+++ b/packages/verbenahall/tests/drains/simulated_store.py
@@ -0,0 +1,87 @@
+"""The store of a simulated fleet, and whom it does not answer."""
+
+import asyncio
+import base64
+import contextlib
+import json
+import struct
+
+#: Time to the store, one way, in seconds.
+WAY_S = 0.001
+#: Share of the polls that a record does not wake.
+DEAF_POLLS = 0.05
+FOR_EVER_S = 3600
+
+
+class SimulatedStore:
+    """The store: topics with long polls, and whom it does not answer.
+
+    ``mute`` and ``refusing`` name instances whose calls get no answer, or a
+    503. ``calls`` counts what arrived, ``way_s`` is the time to it.
+    """
+
+    def __init__(self, source):
+        self.mute = set()
+        self.refusing = set()
+        self.calls = 0
+        self.way_s = WAY_S
+        self._source = source
+        self._topics = {}
+        self._grown = {}
+
+    def put(self, topic, key, content):
+        """Append a keyed record."""
+        record = bytes([len(key)]) + key.encode() + content
+        self._topics.setdefault(topic, []).append((key, record, content))
+        self._grown.pop(topic, asyncio.Event()).set()
+
+    async def answer(self, instance, url, params):
+        """Return status and body, or wait for ever."""
+        self.calls += 1
+        await asyncio.sleep(self.way_s)
+        await self._check_mute(instance)
+        if instance in self.refusing:
+            return 503, b''
+        if url.endswith('newest'):
+            return 200, self._list_newest(params['topic'])
+        body = await self._read(params)
+        if instance in self.refusing:
+            return 503, b''
+        await self._check_mute(instance)
+        await asyncio.sleep(self.way_s)
+        await self._check_mute(instance)
+        return 200, body
+
+    async def _check_mute(self, instance):
+        if instance in self.mute:
+            await asyncio.sleep(FOR_EVER_S)
+
+    def _list_newest(self, topic):
+        newest = {}
+        for offset, (key, _, content) in enumerate(self._topics[topic]):
+            newest[key] = {
+                'key': key,
+                'value': base64.b64encode(content).decode(),
+                'offset': offset,
+            }
+        items = [item for item in newest.values() if item['value']]
+        end = len(self._topics[topic])
+        table = {'items': items, 'hasMore': False, 'end': end}
+        return json.dumps(table).encode()
+
+    async def _read(self, params):
+        topic, start = params['topic'], int(params['from'])
+        records = self._topics[topic]
+        wait_s = int(params['waitMs']) / 1000
+        if start >= len(records) and wait_s:
+            grown = self._grown.setdefault(topic, asyncio.Event())
+            if self._source.random() < DEAF_POLLS:
+                grown = asyncio.Event()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(wait_s):
+                    await grown.wait()
+        framed = b''.join(
+            struct.pack('>I', len(record)) + record
+            for _, record, _ in records[start:]
+        )
+        return struct.pack('>QQ', len(records), 0) + framed
--- a/packages/verbenahall/tests/drains/test_drains.py
+++ b/packages/verbenahall/tests/drains/test_drains.py
@@ -8,7 +8,8 @@
 
 from verbenahall.roster import was_cut_off
 
-from .simulation import Fleet, run_simulated
+from .fleet import Fleet
+from .simulated_clock import run_simulated
 
 #: Seeds that are played; more by hand, from another first one on.
 FIRST = int(os.environ.get('DRAIN_SEED', '1'))
--- a/packages/verbenahall/tests/drains/test_freshness.py
+++ b/packages/verbenahall/tests/drains/test_freshness.py
@@ -6,7 +6,7 @@
 
 from verbenahall.gateway._freshness import Freshness
 
-from .simulation import run_simulated
+from .simulated_clock import run_simulated
 
 
 async def wait(freshness, after_s, note):
