Logs tell which requests are the same, and where a connection ended

A request that crashes engines came sixteen times under sixteen ids, and its lines could only be found by its numbers of tokens. accepted now has a fingerprint: a hash of method, host, target, caller's address and body, from which nothing of the body can be read. A line connection_lost tells the start of the endpoint (born) and how many sends this instance had open there, so that the streams that ended together can be told. Nothing decides by either.

--- a/packages/verbenahall/src/verbenahall/gateway/_ingress.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_ingress.py
@@ -25,6 +25,7 @@
 from verbenahall.gateway._sender import Sender
 from verbenahall.gateway._streams import StreamFlow
 from verbenahall.platform import OPERATOR_TOPIC, Ask, read_ask
+from verbenahall.quarantine import make_fingerprint
 from verbenahall.shutdown import GracefulStop
 
 #: When callers may come back before the first manifest is known, in seconds.
@@ -95,6 +96,7 @@
         journal.write_decision(
             'accepted',
             request=call.ask.identity,
+            fingerprint=call.fingerprint,
             route=call.route.name,
             service=call.service.name,
             version=call.version,
@@ -163,6 +165,7 @@
         read = await read_within(request, catalog.limits)
         if isinstance(read, Failure):
             return read
+        body = read.unwrap()
         service = catalog.services.get(pick_service(route, self._core.random))
         if service is None:
             message = 'the service of the route is not in the manifest'
@@ -181,10 +184,17 @@
                 method=request.method,
                 path=request.raw_path,
                 raw_headers=request.raw_headers,
-                body=read.unwrap(),
+                body=body,
                 received=received,
                 deadline=received + wait_s,
                 waited_s=waited_s,
+                fingerprint=make_fingerprint(
+                    request.method,
+                    _read_host(request),
+                    request.raw_path,
+                    request.remote or '',
+                    body,
+                ),
             ),
         )
 
--- a/packages/verbenahall/src/verbenahall/gateway/_messages.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_messages.py
@@ -16,6 +16,7 @@
     answer is due, in monotonic seconds. ``path`` is the target as it came,
     and ``version`` the manifest's by which it was routed. ``waited_s`` is for
     how long the caller has waited in attempts before this one.
+    ``fingerprint`` is the same for each of these attempts.
     """
 
     ask: Ask
@@ -29,6 +30,7 @@
     received: float
     deadline: float
     waited_s: float = 0
+    fingerprint: str = ''
 
     @property
     def due(self) -> float:
--- a/packages/verbenahall/src/verbenahall/gateway/_sender.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_sender.py
@@ -171,8 +171,20 @@
         self.note(endpoint, good=False)
         if isinstance(error, TimeoutError) and now >= call.deadline:
             return TimedOut()
+        if not isinstance(error, TimeoutError):
+            self._tell_lost(call, endpoint)
         return Broken(repr(error))
 
+    def _tell_lost(self, call: Call, endpoint: Entry) -> None:
+        journal.write_decision(
+            'connection_lost',
+            request=call.ask.identity,
+            fingerprint=call.fingerprint,
+            endpoint=endpoint.name,
+            born=endpoint.born,
+            open=self._core.standings.of(endpoint.name).open,
+        )
+
     def _tell_left(self, call: Call, endpoint: Entry) -> None:
         journal.write_decision(
             'not_sent',
