A request that crashes engines is sent again and again, in a test that fails

The stand-in engine crashes on a request (every connection reset, the port closed, back as another start with its old entry removed), and three instances share four such engines.

--- a/packages/standins/src/verbenahall_standins/platform/_engine.py
+++ b/packages/standins/src/verbenahall_standins/platform/_engine.py
@@ -4,6 +4,7 @@
 import dataclasses
 import itertools
 import time
+from collections.abc import Callable
 from typing import Any, Final, final
 
 from aiohttp import web
@@ -26,7 +27,8 @@
     leaves a part of the next one behind, ``stall_after`` falls silent.
     ``slow_read_s`` lengthens reads, ``no_orders`` leaves orders unanswered,
     ``unsigned`` streams bear no signature, ``slow_head_s`` delays the head of
-    a stream.
+    a stream. A request with the body ``crash_on`` crashes the engine as it
+    begins to run; it is back ``restart_s`` later under another name.
     """
 
     full: bool = False
@@ -38,6 +40,8 @@
     no_orders: bool = False
     unsigned: bool = False
     slow_head_s: float = 0
+    crash_on: str | None = None
+    restart_s: float = 0.2
 
 
 @final
@@ -57,26 +61,49 @@
         self.cut: list[str] = []
         self.orders: list[dict[str, Any]] = []
         self.handles: dict[str, str] = {}
+        self.crashes = 0
+        #: Called with the name before a crash, once the engine is back.
+        self.restarted: Callable[[EngineStandIn, str], object] = _ignore
         self._numbers = itertools.count(1)
+        self._restarts: set[asyncio.Task[None]] = set()
         self._fence = 0
         self._runner: web.AppRunner | None = None
 
-    async def start(self) -> None:
-        """Listen on a free port."""
+    async def start(self, port: int = 0) -> None:
+        """Listen, on a free port unless one is given."""
         app = web.Application()
         app.router.add_get('/-/report', self._report)
         app.router.add_post('/-/order', self._order)
         app.router.add_delete('/-/kv-handle/{handle}', self._free)
         app.router.add_route('*', '/{path:.*}', self._serve)
-        served = await listen(app)
+        served = await listen(app, port)
         self._runner = served.runner
         self.address = served.address
 
     async def stop(self) -> None:
         """Close the listener and every connection."""
+        for restart in tuple(self._restarts):
+            restart.cancel()
         if self._runner is not None:
             await self._runner.cleanup()
 
+    async def crash(self) -> None:
+        """Drop every connection, and be back later as another start."""
+        self.crashes += 1
+        await _abort(self._runner)
+        restart = asyncio.create_task(self._restart())
+        self._restarts.add(restart)
+        restart.add_done_callback(self._restarts.discard)
+
+    async def _restart(self) -> None:
+        await asyncio.sleep(self.faults.restart_s)
+        await self._runner.cleanup()
+        before = self.name
+        base, _, _ = before.partition('.')
+        self.name = f'{base}.{self.crashes}'
+        await self.start(int(self.address.rpartition(':')[2]))
+        self.restarted(self, before)
+
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         headers = CIMultiDict(request.headers)
         body = await request.read()
@@ -92,6 +119,10 @@
             return await self._read(headers)
         if self.role != 'decode':
             return self._refuse(_MISDIRECTED)
+        if headers['body'] == self.faults.crash_on:
+            self.runs.append(headers)
+            await self.crash()
+            await asyncio.sleep(3600)
         return await self._generate(request, headers)
 
     async def _read(self, headers: CIMultiDict[str]) -> web.Response:
@@ -185,5 +216,18 @@
         return web.Response(status=202)
 
 
+async def _abort(runner: web.AppRunner) -> None:
+    """Reset every connection and refuse new ones."""
+    for connection in tuple(runner.server.connections):
+        if connection.transport is not None:
+            connection.transport.abort()
+    for site in tuple(runner.sites):
+        await site.stop()
+
+
+def _ignore(engine: EngineStandIn, before: str) -> None:
+    """List a new start nowhere."""
+
+
 def _event(number: int) -> bytes:
     return f'id: {number}\ndata: token-{number}\n\n'.encode()
--- a/packages/standins/src/verbenahall_standins/platform/_serving.py
+++ b/packages/standins/src/verbenahall_standins/platform/_serving.py
@@ -13,8 +13,11 @@
     address: str
 
 
-async def listen(app: web.Application) -> Served:
-    """Serve an application; closing connections cancels its handlers."""
+async def listen(app: web.Application, port: int = 0) -> Served:
+    """Serve an application, on a free port unless one is given.
+
+    Closing connections cancels its handlers.
+    """
     runner = web.AppRunner(
         app,
         access_log=None,
@@ -22,7 +25,7 @@
         shutdown_timeout=0.1,
     )
     await runner.setup()
-    site = web.TCPSite(runner, '127.0.0.1', 0)
+    site = web.TCPSite(runner, '127.0.0.1', port)
     await site.start()
     host, port = runner.addresses[0]
     return Served(runner, f'{host}:{port}')
--- a/packages/standins/src/verbenahall_standins/platform/_site.py
+++ b/packages/standins/src/verbenahall_standins/platform/_site.py
@@ -32,6 +32,8 @@
         """Prepare; nothing listens before ``start``."""
         self.store = StoreStandIn()
         self.engines = list(engines)
+        for engine in self.engines:
+            engine.restarted = self._relist
         self.plain = list(plain)
         self._changes = itertools.count(1)
         self._versions = itertools.count(1)
@@ -82,6 +84,11 @@
         record = json.dumps(manifest).encode()
         self.store.put('keyed.op', 'config', record)
 
+    def _relist(self, engine: EngineStandIn, before: str) -> None:
+        """Put a new start of an engine in the place of the one before."""
+        self.unlist(before)
+        self.list_endpoint(engine)
+
 
 def make_manifest(version: int) -> dict[str, Any]:
     """Return a manifest with a route of each kind."""
