A request that crashed three endpoints is sent no more, by any instance

Cause: nothing identified a request beyond its id, so each repeat started anew everywhere, and no instance knew of the others' crashes. The class: a bound on what all instances do together, kept by each alone.

Ruled out: the second attempt of one id alone (without it eight engines end, still over the bound); engines that end for another reason (each of those between 38 and 54 s had just been sent this request).

When the connection to a listed endpoint is lost, the instance tries to connect; if that is refused, the endpoint has crashed, and what ran there is reported to all peers, three times. Three crashes since the last whole answer bar a request for ten minutes: on arrival, and once more just before the bytes leave. Parts of a fleet that are cut off from each other learn by the store.

--- a/packages/verbenahall/src/verbenahall/errors.py
+++ b/packages/verbenahall/src/verbenahall/errors.py
@@ -40,6 +40,7 @@
     HEADERS_TOO_LARGE = 'headers_too_large'
     OVERLOADED = 'overloaded'
     QUOTA_EXCEEDED = 'quota_exceeded'
+    QUARANTINED = 'quarantined'
     INTERNAL = 'internal'
     ENDPOINT_FAILED = 'endpoint_failed'
     ANSWER_TRUNCATED = 'answer_truncated'
@@ -75,6 +76,7 @@
         ErrorKind.HEADERS_TOO_LARGE: Answer(431, Ran.NO),
         ErrorKind.OVERLOADED: Answer(429, Ran.NO, 1),
         ErrorKind.QUOTA_EXCEEDED: Answer(429, Ran.NO, 1),
+        ErrorKind.QUARANTINED: Answer(429, Ran.NO, 600),
         ErrorKind.INTERNAL: Answer(500, Ran.UNKNOWN),
         ErrorKind.ENDPOINT_FAILED: Answer(502, Ran.UNKNOWN),
         ErrorKind.ANSWER_TRUNCATED: Answer(502, Ran.YES),
--- a/packages/verbenahall/src/verbenahall/gateway/_core.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_core.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from typing import Any, Final, final
 
 import aiohttp
@@ -22,6 +22,7 @@
     StoreClient,
     make_session,
 )
+from verbenahall.quarantine import CrashLog
 from verbenahall.requests import WindowBudget
 from verbenahall.roster import LAPSE_S, Entry, Roster, RosterRules
 
@@ -65,6 +66,12 @@
             ),
         }
         self.standings = Standings()
+        self.crash_log = CrashLog()
+        #: Called with a request's fingerprint and the endpoint to which the
+        #: connection was lost while it was open.
+        self.note_lost: Callable[[str, Entry], object] = _note_nothing
+        #: Called with the fingerprint of a request that was answered whole.
+        self.note_answered: Callable[[str], object] = bool
         self.placement = PlacementState()
         self.book = PeerBook(
             settings.name,
@@ -159,6 +166,10 @@
         await self.session.close()
 
 
+def _note_nothing(fingerprint: str, endpoint: Entry) -> None:
+    """Nobody looks for crashes."""
+
+
 def _find_usable(bound_s: float) -> float:
     """Return how old what is known may be, for a bound on arrivals."""
     return max(bound_s - _SEND_S, bound_s * _LEAST_USABLE)
--- a/packages/verbenahall/src/verbenahall/gateway/_ingress.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_ingress.py
@@ -25,7 +25,8 @@
 from verbenahall.gateway._sender import Sender
 from verbenahall.gateway._streams import StreamFlow
 from verbenahall.platform import OPERATOR_TOPIC, Ask, read_ask
-from verbenahall.quarantine import make_fingerprint
+from verbenahall.quarantine import find_barred_s, make_fingerprint
+from verbenahall.requests import describe_quarantine
 from verbenahall.shutdown import GracefulStop
 
 #: When callers may come back before the first manifest is known, in seconds.
@@ -175,7 +176,7 @@
         if ask.wait_s is not None:
             waited_s = self._core.find_waited(route.name, ask.wait_s)
             wait_s = min(wait_s, ask.wait_s)
-        return Success(
+        return self._check_quarantine(
             Call(
                 ask=ask,
                 route=route,
@@ -198,6 +199,17 @@
             ),
         )
 
+    def _check_quarantine(self, call: Call) -> Result[Call, Problem]:
+        """Refuse at once what would not be sent later."""
+        barred_s = find_barred_s(
+            self._core.crash_log,
+            call.fingerprint,
+            call.received,
+        )
+        if barred_s:
+            return Failure(describe_quarantine(barred_s))
+        return Success(call)
+
     def _tell_refusal(
         self,
         request: web.Request,
--- a/packages/verbenahall/src/verbenahall/gateway/_probes.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_probes.py
@@ -1,6 +1,7 @@
 """Tries endpoints that could not be reached, beside the requests."""
 
 import asyncio
+import enum
 from typing import Final, final
 
 from verbenahall import journal
@@ -13,6 +14,33 @@
 _CONNECT_S: Final = 0.3
 
 
+@final
+class Contact(enum.Enum):
+    """What became of an attempt to connect to an endpoint.
+
+    A machine refuses at once where nobody listens. Silence may be the
+    network's.
+    """
+
+    LISTENS = 'listens'
+    REFUSES = 'refuses'
+    SILENT = 'silent'
+
+
+async def contact(address: str) -> Contact:
+    """Connect to an endpoint and close the connection again."""
+    host, _, port = address.rpartition(':')
+    try:
+        async with asyncio.timeout(_CONNECT_S):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except ConnectionRefusedError:
+        return Contact.REFUSES
+    except OSError:
+        return Contact.SILENT
+    writer.close()
+    return Contact.LISTENS
+
+
 @final
 class Probes:
     """Connects to avoided endpoints, so that no request has to try them."""
@@ -34,12 +62,6 @@
         seat = self._core.roster.seats.get(name)
         if seat is None:
             return
-        host, _, port = seat.entry.address.rpartition(':')
-        try:
-            async with asyncio.timeout(_CONNECT_S):
-                _, writer = await asyncio.open_connection(host, int(port))
-        except OSError:
-            return
-        writer.close()
-        self._core.standings.note_reached(name)
-        journal.write_decision('endpoint_reached', endpoint=name)
+        if await contact(seat.entry.address) is Contact.LISTENS:
+            self._core.standings.note_reached(name)
+            journal.write_decision('endpoint_reached', endpoint=name)
--- a/packages/verbenahall/src/verbenahall/gateway/_sender.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_sender.py
@@ -23,10 +23,12 @@
     read_answer,
     strip_hop_headers,
 )
+from verbenahall.quarantine import find_barred_s
 from verbenahall.requests import (
     Broken,
     NeverWritten,
     Outcome,
+    Quarantined,
     Refused,
     TimedOut,
 )
@@ -71,9 +73,10 @@
         An endpoint that has left since it was chosen gets nothing.
         """
         await self._core.freshness[ENDPOINTS_TOPIC].wait_usable()
-        if not self._core.roster.may_get_work(endpoint.name, self._core.now()):
-            self._tell_left(call, endpoint)
-            yield Failure(NeverWritten(_LEFT))
+        hindrance = self._find_hindrance(call, endpoint)
+        if hindrance is not None:
+            self._tell_not_sent(call, endpoint, hindrance)
+            yield Failure(hindrance)
             return
         request = self._core.session.request(
             call.method,
@@ -145,6 +148,8 @@
             return Failure(Broken('the answer bears no signature'))
         good = response.status < HTTPStatus.INTERNAL_SERVER_ERROR
         self.note(endpoint, good=good)
+        if signs and good:
+            self._core.note_answered(call.fingerprint)
         return Success(
             Answered(
                 response.status,
@@ -173,8 +178,24 @@
             return TimedOut()
         if not isinstance(error, TimeoutError):
             self._tell_lost(call, endpoint)
+            self._core.note_lost(call.fingerprint, endpoint)
         return Broken(repr(error))
 
+    def _find_hindrance(
+        self,
+        call: Call,
+        endpoint: Entry,
+    ) -> NeverWritten | Quarantined | None:
+        """Return why nothing may be sent to an endpoint chosen before."""
+        core = self._core
+        now = core.now()
+        barred_s = find_barred_s(core.crash_log, call.fingerprint, now)
+        if barred_s:
+            return Quarantined(barred_s)
+        if not core.roster.may_get_work(endpoint.name, now):
+            return NeverWritten(_LEFT)
+        return None
+
     def _tell_lost(self, call: Call, endpoint: Entry) -> None:
         journal.write_decision(
             'connection_lost',
@@ -185,12 +206,18 @@
             open=self._core.standings.of(endpoint.name).open,
         )
 
-    def _tell_left(self, call: Call, endpoint: Entry) -> None:
+    def _tell_not_sent(
+        self,
+        call: Call,
+        endpoint: Entry,
+        hindrance: NeverWritten | Quarantined,
+    ) -> None:
         journal.write_decision(
             'not_sent',
             request=call.ask.identity,
+            fingerprint=call.fingerprint,
             endpoint=endpoint.name,
-            reason=_LEFT,
+            reason=str(hindrance),
         )
 
     def _tell_sent(
--- a/packages/verbenahall/src/verbenahall/gateway/_serve.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_serve.py
@@ -14,6 +14,8 @@
 from verbenahall.front import Patience, Runner
 from verbenahall.gateway._beliefs import Beliefs
 from verbenahall.gateway._core import Core
+from verbenahall.gateway._crash_reports import CrashReports
+from verbenahall.gateway._crashes import CrashWatch
 from verbenahall.gateway._dispatch import Dispatch
 from verbenahall.gateway._following import follow_store
 from verbenahall.gateway._ingress import Ingress
@@ -64,6 +66,8 @@
         self.finder = PeerFinder(self.core)
         self.scheduling = Scheduling(self.core, self.finder.exchange)
         self.scheduling.scheduler.stopping = self._is_stopping
+        self.reports = CrashReports(self.core, self.finder.exchange)
+        self.crashes = CrashWatch(self.core, self.reports)
         self._supervisor = Supervisor()
         self._runners: list[web.AppRunner] = []
 
@@ -111,6 +115,8 @@
             'scheduler': self.scheduling.scheduler.run,
             'roles': keeper.run,
             'readiness': readiness.run,
+            'crashes': self.crashes.run,
+            'crash reports': self.reports.run,
             'probes': Probes(self.core).run,
             'beliefs': Beliefs(self.core).run,
             'lines': _flush_lines,
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/gateway/_stored_crashes.py
@@ -0,0 +1,65 @@
+"""Crashes that instances tell each other by the store.
+
+Parts of a fleet that are cut off from each other, but not from the store,
+would each have to see a request's crashes for themselves.
+"""
+
+from typing import final
+
+from returns.maybe import Some
+
+from verbenahall import journal
+from verbenahall.gateway._core import Core
+from verbenahall.platform import (
+    CRASHES_TOPIC,
+    Appended,
+    KeyedRecord,
+    encode_keyed,
+)
+from verbenahall.quarantine import CrashReport, decode, encode
+
+
+@final
+class StoredCrashes:
+    """One record for each instance, of the suspects that it knows."""
+
+    __slots__ = ('_core', '_written')
+
+    def __init__(self, core: Core) -> None:
+        """Start with nothing written."""
+        self._core = core
+        self._written: frozenset[tuple[str, str]] = frozenset()
+
+    async def write(self, report: CrashReport) -> None:
+        """Write a report, unless its crashes are written already."""
+        crashes = _list_crashes(report)
+        if crashes == self._written:
+            return
+        record = KeyedRecord(self._core.settings.name, encode(report))
+        outcome = await self._core.store.append(
+            CRASHES_TOPIC,
+            [encode_keyed(record)],
+        )
+        if isinstance(outcome, Appended):
+            self._written = crashes
+
+    async def read(self) -> list[tuple[CrashReport, str]]:
+        """Return each instance's report with its name, none if away."""
+        newest = await self._core.store.read_newest(CRASHES_TOPIC)
+        records = newest.map(lambda found: found.items).value_or({})
+        reports = []
+        for name, content in records.items():
+            match decode(content):
+                case Some(report):
+                    reports.append((report, name))
+                case _:
+                    journal.write_decision('crashes_unreadable', peer=name)
+        return reports
+
+
+def _list_crashes(report: CrashReport) -> frozenset[tuple[str, str]]:
+    return frozenset(
+        (crash.start, fingerprint)
+        for crash in report.crashes
+        for fingerprint in crash.fingerprints
+    )
--- a/packages/verbenahall/src/verbenahall/gateway/_streams.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_streams.py
@@ -22,6 +22,7 @@
 from verbenahall.requests import (
     NeverWritten,
     Outcome,
+    Quarantined,
     Refused,
     TimedOut,
     Unprepared,
@@ -284,6 +285,6 @@
     A read runs nothing, so the request may go on elsewhere whatever became
     of it, also where it may run only once.
     """
-    if isinstance(outcome, TimedOut):
+    if isinstance(outcome, TimedOut | Quarantined):
         return outcome
     return Unprepared(f'the prompt was not read: {outcome}')
--- a/packages/verbenahall/src/verbenahall/metrics.py
+++ b/packages/verbenahall/src/verbenahall/metrics.py
@@ -99,6 +99,10 @@
     'Requests given up before they ran, by priority.',
     'priority',
 )
+QUARANTINED: Final = Tally(
+    'verbenahall_quarantined_total',
+    'Crashes after which a request was sent no more.',
+)
 DROPPED_ANSWERS: Final = Tally(
     'verbenahall_dropped_answers_total',
     'Answers dropped since they belong to another attempt, by shape.',
--- a/packages/verbenahall/src/verbenahall/peers/__init__.py
+++ b/packages/verbenahall/src/verbenahall/peers/__init__.py
@@ -11,11 +11,14 @@
 from verbenahall.peers._shell import PeerExchange
 from verbenahall.peers._state import (
     Confirmed,
+    Peer,
     PeerBook,
     choose_due,
     find_heard,
+    find_missing,
     greet,
     hear,
+    is_sampled,
     tell_whom,
 )
 from verbenahall.peers._ranks import find_rank
@@ -28,6 +31,7 @@
 __all__ = (
     'Confirmed',
     'News',
+    'Peer',
     'PeerBook',
     'PeerExchange',
     'Word',
@@ -38,10 +42,12 @@
     'find_confirmed',
     'find_furthest',
     'find_heard',
+    'find_missing',
     'find_rank',
     'greet',
     'hear',
     'is_relieved',
+    'is_sampled',
     'split_news',
     'tell_whom',
 )
--- a/packages/verbenahall/src/verbenahall/peers/_state.py
+++ b/packages/verbenahall/src/verbenahall/peers/_state.py
@@ -21,6 +21,10 @@
 _MANY_PEERS: Final = 20
 #: A peer that hears nothing doubts the last word after 1.5 s.
 _MOST_EVERY_S: Final = 0.6
+#: A peer that was heard at all lately, but not within the shorter time, has
+#: fallen silent; both in seconds.
+_SILENT_AFTER_S: Final = 1.5
+_LATELY_S: Final = 30.0
 #: Peers that are remembered.
 _MOST_PEERS: Final = 2048
 _NOTHING: Final[Mapping[str, int]] = MappingProxyType({})
@@ -39,7 +43,7 @@
 
 
 @final
-class _Peer:
+class Peer:
     """One peer: its address, its processor, when it was heard and told."""
 
     __slots__ = (
@@ -83,7 +87,7 @@
         self.cores = cores
         self.name = name
         self.data_centre = data_centre
-        self.peers: dict[str, _Peer] = {}
+        self.peers: dict[str, Peer] = {}
 
 
 def greet(
@@ -101,7 +105,7 @@
         return
     # A replaced machine has the name at another address and counts anew.
     if peer is None or peer.address != address:
-        peer = _Peer(address, data_centre)
+        peer = Peer(address, data_centre)
         book.peers[name] = peer
     peer.cores = cores
 
@@ -141,14 +145,27 @@
             yield peer.address
 
 
-def tell_whom(book: PeerBook) -> list[_Peer]:
+def tell_whom(book: PeerBook) -> list[Peer]:
     """Return the peers that are told: all, or a sample when they are many."""
     peers = list(book.peers.values())
-    if len(peers) <= _MANY_PEERS:
+    if not is_sampled(book):
         return peers
     return [peer for peer in peers if peer.data_centre == book.data_centre]
 
 
+def is_sampled(book: PeerBook) -> bool:
+    """Whether only the peers of the own data centre are told and heard."""
+    return len(book.peers) > _MANY_PEERS
+
+
+def find_missing(book: PeerBook, now: float) -> bool:
+    """Whether a peer has fallen silent lately."""
+    return any(
+        _SILENT_AFTER_S < now - peer.heard_at < _LATELY_S
+        for peer in book.peers.values()
+    )
+
+
 def find_heard(book: PeerBook, now: float, within_s: float) -> list[str]:
     """Return the names of the peers that were heard lately."""
     return [
--- a/packages/verbenahall/src/verbenahall/platform/__init__.py
+++ b/packages/verbenahall/src/verbenahall/platform/__init__.py
@@ -29,6 +29,7 @@
 )
 from verbenahall.platform._manifest import decode_manifest
 from verbenahall.platform._names import (
+    CRASHES_TOPIC,
     ENDPOINTS_TOPIC,
     EXPECT_ENDPOINT,
     INSTANCES_TOPIC,
@@ -77,6 +78,7 @@
     'CONNECT_FAILURES',
     'CONNECT_S',
     'Deleted',
+    'CRASHES_TOPIC',
     'ENDPOINTS_TOPIC',
     'EXPECT_ENDPOINT',
     'EngineReport',
--- a/packages/verbenahall/src/verbenahall/platform/_names.py
+++ b/packages/verbenahall/src/verbenahall/platform/_names.py
@@ -64,6 +64,8 @@
 ENDPOINTS_TOPIC: Final = 'keyed.servers'
 #: Topic of this system's instances, a key for each one's name.
 INSTANCES_TOPIC: Final = 'keyed.instances'
+#: Topic of crashes, a key for each instance that has reported some.
+CRASHES_TOPIC: Final = 'keyed.crashes'
 #: Topic of this system's leases.
 LEASES_TOPIC: Final = 'keyed.leases'
 
--- a/packages/verbenahall/src/verbenahall/requests/__init__.py
+++ b/packages/verbenahall/src/verbenahall/requests/__init__.py
@@ -4,6 +4,7 @@
 from verbenahall.requests._decisions import (
     conclude,
     decide_next,
+    describe_quarantine,
     may_have_run,
     name_outcome,
 )
@@ -17,6 +18,7 @@
     Broken,
     NeverWritten,
     Outcome,
+    Quarantined,
     Refused,
     TimedOut,
     Unprepared,
@@ -30,6 +32,7 @@
     'GiveUp',
     'NeverWritten',
     'Outcome',
+    'Quarantined',
     'Refused',
     'Retry',
     'RetryBudget',
@@ -40,6 +43,7 @@
     'WindowBudget',
     'conclude',
     'decide_next',
+    'describe_quarantine',
     'feed',
     'may_have_run',
     'name_outcome',
--- a/packages/verbenahall/src/verbenahall/requests/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/requests/_decisions.py
@@ -15,6 +15,7 @@
     Broken,
     NeverWritten,
     Outcome,
+    Quarantined,
     Refused,
     TimedOut,
     Unprepared,
@@ -62,6 +63,8 @@
         case NeverWritten(detail):
             message = f'the endpoint could not be reached: {detail}'
             return Problem(ErrorKind.ENDPOINT_FAILED, message, ran)
+        case Quarantined(left_s):
+            return describe_quarantine(left_s, ran)
         case Refused(status):
             message = f'the endpoint refused with status {status}'
             return Problem(ErrorKind.OVERLOADED, message, ran)
@@ -73,9 +76,18 @@
             return Problem(ErrorKind.OUTCOME_UNKNOWN, message)
 
 
+def describe_quarantine(left_s: float, ran: Ran = Ran.NO) -> Problem:
+    """Say that a request is not sent for so many seconds."""
+    message = 'endpoints have crashed under this request'
+    return Problem(ErrorKind.QUARANTINED, message, ran, left_s)
+
+
 def may_have_run(outcome: Outcome) -> bool:
     """Whether a request may have run whose attempt failed so."""
-    return not isinstance(outcome, NeverWritten | Unprepared | Refused)
+    return not isinstance(
+        outcome,
+        NeverWritten | Unprepared | Refused | Quarantined,
+    )
 
 
 def name_outcome(outcome: Outcome) -> str:
@@ -87,6 +99,8 @@
             return 'unprepared'
         case Refused():
             return 'refused'
+        case Quarantined():
+            return 'quarantined'
         case Broken():
             return 'broken'
         case TimedOut():
@@ -101,7 +115,7 @@
             return True
         case Broken():
             return facts.repeatable
-        case TimedOut():
+        case TimedOut() | Quarantined():
             return False
 
 
--- a/packages/verbenahall/src/verbenahall/requests/_outcomes.py
+++ b/packages/verbenahall/src/verbenahall/requests/_outcomes.py
@@ -28,6 +28,16 @@
     status: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Quarantined:
+    """Nothing was sent: earlier sends of this request crashed endpoints.
+
+    It may be sent again after ``left_s`` seconds.
+    """
+
+    left_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Broken:
     """Bytes were written, and no whole answer came back.
@@ -45,4 +55,11 @@
     """The caller's deadline passed after bytes were written."""
 
 
-Outcome = Union[NeverWritten, Unprepared, Refused, Broken, TimedOut]
+Outcome = Union[
+    NeverWritten,
+    Unprepared,
+    Refused,
+    Quarantined,
+    Broken,
+    TimedOut,
+]
--- a/packages/verbenahall/tests/drains/fleet.py
+++ b/packages/verbenahall/tests/drains/fleet.py
@@ -12,6 +12,7 @@
 import tempfile
 from pathlib import Path
 
+import aiohttp
 from verbenahall_standins.platform import write_settings
 
 from verbenahall.catalog import Kind, Route, Service, Share
@@ -213,6 +214,10 @@
         for name in names:
             self._harmed[name] = max(self._harmed.get(name, 0), until)
 
+    def find_endpoint(self, host):
+        """Return the name of the newest endpoint at an address."""
+        return next(name for name, at in self._address.items() if at == host)
+
     def find_followers(self):
         """Return the instances that follow the endpoints at the store."""
         return [
@@ -227,13 +232,20 @@
         if instance is not None:
             instance.exchange.datagram_received(datagram, sender)
 
+    def is_cut(self, one, other):
+        """Whether no datagram gets from one instance to another."""
+        return bool({one, other} & self.silenced)
+
+    async def serve(self, instance, host, path):
+        """Take a request at an endpoint, which loses the connection."""
+        self.note_arrival(instance, host)
+        raise aiohttp.ServerDisconnectedError
+
     def note_arrival(self, instance, host):
         """Judge a request that has arrived at an endpoint."""
         now = asyncio.get_running_loop().time()
         self.sends += 1
-        endpoint = next(
-            name for name, at in self._address.items() if at == host
-        )
+        endpoint = self.find_endpoint(host)
         left_at = self.left.get(endpoint, now)
         harmed_until = self._harmed.get(instance, -self.stable_s)
         judged = now - harmed_until > self.stable_s
--- a/packages/verbenahall/tests/drains/simulated_network.py
+++ b/packages/verbenahall/tests/drains/simulated_network.py
@@ -3,8 +3,6 @@
 import asyncio
 import dataclasses
 
-import aiohttp
-
 PEER_PORT = 7380
 #: Time to an endpoint or a peer, one way, in seconds.
 WAY_S = 0.001
@@ -22,22 +20,27 @@
 
     def request(self, method, url, **options):
         """Begin a call."""
-        return _Request(self._call(str(url), options.get('params')))
+        return _Request(self._call(str(url), options))
 
     async def close(self):
         """Nothing is open."""
 
-    async def _call(self, url, params):
+    async def _call(self, url, options):
         fleet = self._fleet
         if 'store' in url:
-            answer = fleet.store.answer(self._instance, url, params)
-            return _Response(*await answer)
+            answer = fleet.store.answer(
+                self._instance,
+                url,
+                options['params'],
+                options['data'],
+            )
+            return SimulatedResponse(*await answer)
         slow = fleet.source.random() < SLOW_CONNECTS
         longest = SLOWEST_CONNECT_S if slow else WAY_S
         await asyncio.sleep(fleet.source.uniform(0, longest))
-        host, _, _ = url.removeprefix('http://').partition(':')
-        fleet.note_arrival(self._instance, host)
-        raise aiohttp.ServerDisconnectedError
+        host, _, rest = url.removeprefix('http://').partition(':')
+        path = rest[rest.index('/') :]
+        return await fleet.serve(self._instance, host, path)
 
 
 class _Request:
@@ -57,14 +60,22 @@
 
 
 @dataclasses.dataclass
-class _Response:
+class SimulatedResponse:
+    """A whole answer."""
+
     status: int
     body: bytes
+    headers: dict = dataclasses.field(default_factory=dict)
+    raw_headers: tuple = ()
+    reason: str = ''
 
     async def read(self):
         """Return the body."""
         return self.body
 
+    def close(self):
+        """Nothing is open."""
+
 
 class SimulatedSocket:
     """Datagrams of one instance; some are lost."""
@@ -78,7 +89,7 @@
         fleet = self._fleet
         target = fleet.by_host[address[0]]
         lost = fleet.source.random() < fleet.loss
-        if lost or {self._instance, target} & fleet.silenced:
+        if lost or fleet.is_cut(self._instance, target):
             return
         loop = asyncio.get_running_loop()
         way_s = WAY_S + fleet.source.uniform(0, fleet.delay_s)
--- a/packages/verbenahall/tests/drains/simulated_store.py
+++ b/packages/verbenahall/tests/drains/simulated_store.py
@@ -35,7 +35,7 @@
         self._topics.setdefault(topic, []).append((key, record, content))
         self._grown.pop(topic, asyncio.Event()).set()
 
-    async def answer(self, instance, url, params):
+    async def answer(self, instance, url, params, body):
         """Return status and body, or wait for ever."""
         self.calls += 1
         await asyncio.sleep(self.way_s)
@@ -44,6 +44,8 @@
             return 503, b''
         if url.endswith('newest'):
             return 200, self._list_newest(params['topic'])
+        if url.endswith('append'):
+            return 200, self._append(params['topic'], body)
         body = await self._read(params)
         if instance in self.refusing:
             return 503, b''
@@ -52,6 +54,13 @@
         await self._check_mute(instance)
         return 200, body
 
+    def _append(self, topic, body):
+        assert len(body) == 4 + int.from_bytes(body[:4]), 'one record a call'
+        key_end = 5 + body[4]
+        self.put(topic, body[5:key_end].decode(), body[key_end:])
+        end = len(self._topics[topic])
+        return json.dumps({'offset': end - 1, 'end': end}).encode()
+
     async def _check_mute(self, instance):
         if instance in self.mute:
             await asyncio.sleep(FOR_EVER_S)
