A crashing request from other addresses is the same one

So each address needed three crashes of its own.

Ruled out: crashes that are not told from lost connections.

Change: the fingerprint is made of method, host, target and body.

--- a/packages/verbenahall/src/verbenahall/gateway/_ingress.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_ingress.py
@@ -193,7 +193,6 @@
                     request.method,
                     _read_host(request),
                     request.raw_path,
-                    request.remote or '',
                     body,
                 ),
             ),
--- a/packages/verbenahall/src/verbenahall/quarantine/_fingerprint.py
+++ b/packages/verbenahall/src/verbenahall/quarantine/_fingerprint.py
@@ -13,18 +13,18 @@
     method: str,
     host: str,
     target: str,
-    caller: str,
     body: bytes,
 ) -> str:
-    """Return the same text for the same request of the same caller.
+    """Return the same text for the same request, wherever it comes from.
 
-    ``target`` is the path with its query and ``caller`` the address from
-    which the request came. Nothing of the body can be read from it::
+    ``target`` is the path with its query. The address is no part of it: a
+    caller's connections to different data centres come from different ones.
+    Nothing of the body can be read from it::
 
-        make_fingerprint('GET', 'desk.example', '/page/1', '10.0.0.1', b'')
+        make_fingerprint('GET', 'desk.example', '/page/1', b'')
     """
     digest = hashlib.blake2b(digest_size=_BYTES)
-    for text in (method, host, target, caller):
+    for text in (method, host, target):
         _add(digest, text.encode('utf-8', 'surrogateescape'))
     _add(digest, body)
     return digest.hexdigest()
--- a/packages/verbenahall/tests/gateway/test_repeated_crashes.py
+++ b/packages/verbenahall/tests/gateway/test_repeated_crashes.py
@@ -30,6 +30,16 @@
         yield desks
 
 
+async def ask_from(address, desk, identity):
+    """Send the crashing request from an address of the caller's."""
+    connector = aiohttp.TCPConnector(local_addr=(address, 0))
+    async with aiohttp.ClientSession(connector=connector) as session:
+        own = desk.session
+        desk.session = session
+        await ask_crashing(desk, identity)
+        desk.session = own
+
+
 def hears_both(desk):
     """Whether an instance hears its two peers."""
     core = desk.gateway.core
@@ -86,3 +96,21 @@
             assert count_crashing(engines) - before <= MOST_SENDS
 
     run(check())
+
+
+def test_crashing_request_from_other_addresses_is_the_same_one(tmp_path):
+    """A caller's connections come from different addresses by data centre."""
+
+    async def check():
+        engines = make_crashing()
+        async with open_desks(tmp_path, engines) as desks:
+            await crash_until(desks, engines, 3)
+            before = count_crashing(engines)
+            for number in range(12):
+                address = f'127.0.0.{2 + number % 4}'
+                desk = desks[number % len(desks)]
+                await ask_from(address, desk, f'again-{number}')
+                await asyncio.sleep(0.3)
+            assert count_crashing(engines) - before <= MOST_SENDS
+
+    run(check())
