--- a/packages/verbenahall/src/verbenahall/gateway/_sender.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_sender.py
@@ -18,6 +18,7 @@
     CALL_FAILURES,
     CONNECT_FAILURES,
     ENDPOINTS_TOPIC,
+    AnswerFacts,
     SendOrder,
     build_send_headers,
     read_answer,
@@ -243,6 +244,18 @@
             left_s=journal.round_seconds(call.left_s(now)),
         )
 
+    def _tell_rates(self, endpoint: Entry, facts: AnswerFacts) -> None:
+        """Write a line when an endpoint names another rate than before."""
+        standing = self._core.standings.of(endpoint.name)
+        if facts.misdirected or facts.rates == standing.rates:
+            return
+        standing.rates = facts.rates
+        journal.write_decision(
+            'rate_named',
+            endpoint=endpoint.name,
+            rates=facts.rates,
+        )
+
     async def _wait_until(
         self,
         until: float,
@@ -257,7 +270,9 @@
         order: SendOrder,
         response: aiohttp.ClientResponse,
     ) -> Opened:
-        if not read_answer(response.status, response.headers).not_run:
+        facts = read_answer(response.status, response.headers)
+        self._tell_rates(endpoint, facts)
+        if not facts.not_run:
             return Success(response)
         if not order.kv_source:
             # With a handle the refusal may be for the engine that holds it,
--- a/packages/verbenahall/src/verbenahall/gateway/_standing.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_standing.py
@@ -30,6 +30,7 @@
         'paused_until',
         'refusing_until',
         'open',
+        'rates',
     )
 
     def __init__(self) -> None:
@@ -39,6 +40,8 @@
         self.paused_until = -float('inf')
         self.refusing_until = -float('inf')
         self.open = 0
+        #: What its last answer named as its rate, as text.
+        self.rates: tuple[str, ...] = ()
 
 
 @final
--- a/packages/verbenahall/src/verbenahall/platform/_headers.py
+++ b/packages/verbenahall/src/verbenahall/platform/_headers.py
@@ -70,11 +70,15 @@
     """What an endpoint's headers say about its answer.
 
     ``not_run`` is the endpoint's word that it has not started the request.
-    ``signed`` tells whether the answer bears an endpoint's signature.
+    ``signed`` tells whether the answer bears an endpoint's signature, and
+    ``rates`` what it names as the requests a second that it takes, as text.
+    ``misdirected`` means that another endpoint has answered.
     """
 
     not_run: bool
     signed: bool
+    rates: tuple[str, ...] = ()
+    misdirected: bool = False
 
 
 def read_ask(headers: Mapping[str, str]) -> Ask:
@@ -137,9 +141,14 @@
 
 def read_answer(status: int, headers: Mapping[str, str]) -> AnswerFacts:
     """Decode what an endpoint says about its own answer."""
+    every = CIMultiDict(headers)
     return AnswerFacts(
         not_run=names.NOT_RUN in headers or status == _MISDIRECTED,
         signed=names.STAMP in headers,
+        rates=tuple(
+            text for name in names.RATES for text in every.getall(name, ())
+        ),
+        misdirected=status == _MISDIRECTED,
     )
 
 
--- a/packages/verbenahall/src/verbenahall/platform/_names.py
+++ b/packages/verbenahall/src/verbenahall/platform/_names.py
@@ -16,6 +16,9 @@
 STAMP: Final = 'X-Verbenahall-Server-Stamp'
 #: The name of the endpoint that is meant; any other one answers 421.
 EXPECT_ENDPOINT: Final = 'X-Verbenahall-Expect-Instance'
+#: Requests a second that an endpoint in need takes from all instances
+#: together, by either name.
+RATES: Final = ('Server-Limit', 'X-Verbenahall-Server-Limit')
 NOT_RUN: Final = 'X-Verbenahall-Not-Run'
 PRIORITY: Final = 'X-Verbenahall-Request-Priority'
 #: On a request: have the prompt read only.
