Instances send an endpoint more than the rate that it names, in a test

The plain stand-in names a rate and keeps when requests arrive; three instances send 50 requests a second to three of them.

--- a/packages/standins/src/verbenahall_standins/platform/_plain.py
+++ b/packages/standins/src/verbenahall_standins/platform/_plain.py
@@ -1,6 +1,7 @@
 """A plain service of the platform."""
 
 import asyncio
+import time
 from typing import Final, final
 
 from aiohttp import web
@@ -16,7 +17,9 @@
 
     ``status`` is what it answers; ``refuses`` says that it has not run a
     request, ``mute`` accepts one and says nothing, ``delay_s`` are the seconds
-    that an answer takes.
+    that an answer takes, and ``rate`` is what its answers name as the requests
+    a second that it takes. ``arrivals`` are the times of all requests, in
+    monotonic seconds.
     """
 
     def __init__(self, name: str) -> None:
@@ -28,6 +31,8 @@
         self.mute = False
         self.delay_s: float = 0
         self.signs = True
+        self.rate: str | None = None
+        self.arrivals: list[float] = []
         self.address = ''
         self.runs: list[dict[str, str]] = []
         self._runner: web.AppRunner | None = None
@@ -46,9 +51,11 @@
             await self._runner.cleanup()
 
     async def _serve(self, request: web.Request) -> web.Response:
+        self.arrivals.append(time.monotonic())
         body = await request.read()
+        named = {} if self.rate is None else {'Server-Limit': self.rate}
         if self.refuses:
-            headers = {f'{_PREFIX}Not-Run': '1'}
+            headers = {f'{_PREFIX}Not-Run': '1', **named}
             return web.Response(status=503, headers=headers)
         headers = dict(request.headers)
         self.runs.append(
@@ -57,7 +64,10 @@
         if self.mute:
             await asyncio.sleep(3600)
         await asyncio.sleep(self.delay_s)
-        answer = {f'{_PREFIX}Request-Id': headers[f'{_PREFIX}Request-Id']}
+        answer = {
+            f'{_PREFIX}Request-Id': headers[f'{_PREFIX}Request-Id'],
+            **named,
+        }
         if self.signs:
             answer[f'{_PREFIX}Server-Stamp'] = f'stand-in-{self.name}'
         return web.Response(
--- a/packages/verbenahall/tests/gateway/test_repeated_crashes.py
+++ b/packages/verbenahall/tests/gateway/test_repeated_crashes.py
@@ -17,10 +17,12 @@
 
 
 @contextlib.asynccontextmanager
-async def open_desks(folder, engines):
+async def open_desks(folder, engines=(), plain=()):
     """Run three instances that hear each other, on one site."""
     async with contextlib.AsyncExitStack() as stack:
-        first = await stack.enter_async_context(open_desk(folder, engines))
+        first = await stack.enter_async_context(
+            open_desk(folder, engines, plain),
+        )
         desks = [first]
         for name in NAMES[1:]:
             desk = open_desk(folder, name=name, site=first.site)
