All instances keep the rate that an endpoint names together

Cause: nobody read the rate, and nothing that instances keep for an endpoint is kept together.

Change: one instance for each such endpoint, chosen from those that are heard, gives permits, and each send asks it before the bytes leave. Without a permit a request goes elsewhere, waits, or is refused with the time until the next one.

--- a/packages/verbenahall/src/verbenahall/gateway/_core.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_core.py
@@ -11,6 +11,7 @@
 from verbenahall.catalog import CatalogState
 from verbenahall.gateway._engine_calls import EngineCalls
 from verbenahall.gateway._freshness import Freshness
+from verbenahall.gateway._gates import Gate, OpenGate, name_start
 from verbenahall.gateway._standing import Standings
 from verbenahall.peers import PeerBook
 from verbenahall.placement import PlacementState
@@ -25,6 +26,7 @@
 from verbenahall.quarantine import CrashLog
 from verbenahall.requests import WindowBudget
 from verbenahall.roster import LAPSE_S, Entry, Roster, RosterRules
+from verbenahall.throttling import RateTable
 
 #: Share of the operators' bound on further sends that is used: what counts
 #: is when sends arrive, which slides against when they are decided.
@@ -67,6 +69,8 @@
         }
         self.standings = Standings()
         self.crash_log = CrashLog()
+        self.rates = RateTable()
+        self.gate: Gate = OpenGate()
         #: Called with a request's fingerprint and the endpoint to which the
         #: connection was lost while it was open.
         self.note_lost: Callable[[str, Entry], object] = _note_nothing
@@ -112,6 +116,15 @@
         ]
         return usable or live
 
+    def has_other(self, endpoint: Entry, now: float) -> bool:
+        """Whether another endpoint could take what one has no room for."""
+        return any(
+            one.name != endpoint.name
+            and one.role is endpoint.role
+            and not self.standings.paused(one.name, now)
+            for one in self.roster.live(endpoint.service, now)
+        )
+
     def forget_unlisted(self) -> None:
         """Forget what was learned of endpoints that are gone.
 
@@ -121,6 +134,8 @@
         names = self.roster.seats.keys()
         self.standings.keep_only(names)
         self.placement.keep_only(names)
+        seats = self.roster.seats.values()
+        self.rates.keep_only({name_start(seat.entry) for seat in seats})
 
     def budget_of(self, service: str) -> WindowBudget:
         """Return the budget of further sends to a service.
--- a/packages/verbenahall/src/verbenahall/gateway/_crashes.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_crashes.py
@@ -7,6 +7,7 @@
 from verbenahall import journal
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._crash_reports import CrashReports
+from verbenahall.gateway._gates import name_start
 from verbenahall.gateway._probes import Contact, contact
 from verbenahall.quarantine import Crash
 from verbenahall.roster import Entry
@@ -60,7 +61,7 @@
         core = self._core
         if not core.roster.may_get_work(endpoint.name, core.now()):
             return
-        start = f'{endpoint.name}/{endpoint.born}'
+        start = name_start(endpoint)
         losses = self._losses.get(start)
         if losses is None:
             losses = _Losses(core.now(), set())
--- a/packages/verbenahall/src/verbenahall/gateway/_sender.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_sender.py
@@ -18,7 +18,6 @@
     CALL_FAILURES,
     CONNECT_FAILURES,
     ENDPOINTS_TOPIC,
-    AnswerFacts,
     SendOrder,
     build_send_headers,
     read_answer,
@@ -27,6 +26,7 @@
 from verbenahall.quarantine import find_barred_s
 from verbenahall.requests import (
     Broken,
+    Limited,
     NeverWritten,
     Outcome,
     Quarantined,
@@ -44,6 +44,8 @@
 _REFUSAL_S: Final = 0.2
 #: How the kernel names a peer that acknowledges nothing.
 _SILENCE: Final = frozenset((errno.ETIMEDOUT, errno.EHOSTUNREACH))
+#: Why nothing is sent.
+Hindrance = NeverWritten | Quarantined | Limited
 #: How an attempt may end with a response that is not read yet.
 Opened = Result[aiohttp.ClientResponse, Outcome]
 
@@ -73,8 +75,7 @@
 
         An endpoint that has left since it was chosen gets nothing.
         """
-        await self._core.freshness[ENDPOINTS_TOPIC].wait_usable()
-        hindrance = self._find_hindrance(call, endpoint)
+        hindrance = await self._find_hindrance(call, endpoint, until)
         if hindrance is not None:
             self._tell_not_sent(call, endpoint, hindrance)
             yield Failure(hindrance)
@@ -90,12 +91,13 @@
         standing.open += 1
         self._tell_sent(call, endpoint, order)
         response = None
+        sent_at = self._core.now()
         try:
             response = await self._wait_until(until, request)
         except CALL_FAILURES as error:
             yield Failure(self.name_failure(call, endpoint, error))
         else:
-            yield await self._judge(endpoint, order, response)
+            yield await self._judge(endpoint, order, response, sent_at)
         finally:
             standing.open -= 1
             if response is not None:
@@ -182,13 +184,18 @@
             self._core.note_lost(call.fingerprint, endpoint)
         return Broken(repr(error))
 
-    def _find_hindrance(
+    async def _find_hindrance(
         self,
         call: Call,
         endpoint: Entry,
-    ) -> NeverWritten | Quarantined | None:
+        until: float,
+    ) -> Hindrance | None:
         """Return why nothing may be sent to an endpoint chosen before."""
         core = self._core
+        limited = await core.gate.enter(endpoint, until - core.now())
+        if limited is not None:
+            return limited
+        await core.freshness[ENDPOINTS_TOPIC].wait_usable()
         now = core.now()
         barred_s = find_barred_s(core.crash_log, call.fingerprint, now)
         if barred_s:
@@ -211,7 +218,7 @@
         self,
         call: Call,
         endpoint: Entry,
-        hindrance: NeverWritten | Quarantined,
+        hindrance: Hindrance,
     ) -> None:
         journal.write_decision(
             'not_sent',
@@ -244,18 +251,6 @@
             left_s=journal.round_seconds(call.left_s(now)),
         )
 
-    def _tell_rates(self, endpoint: Entry, facts: AnswerFacts) -> None:
-        """Write a line when an endpoint names another rate than before."""
-        standing = self._core.standings.of(endpoint.name)
-        if facts.misdirected or facts.rates == standing.rates:
-            return
-        standing.rates = facts.rates
-        journal.write_decision(
-            'rate_named',
-            endpoint=endpoint.name,
-            rates=facts.rates,
-        )
-
     async def _wait_until(
         self,
         until: float,
@@ -269,9 +264,10 @@
         endpoint: Entry,
         order: SendOrder,
         response: aiohttp.ClientResponse,
+        sent_at: float,
     ) -> Opened:
         facts = read_answer(response.status, response.headers)
-        self._tell_rates(endpoint, facts)
+        self._core.gate.note_answer(endpoint, facts, sent_at)
         if not facts.not_run:
             return Success(response)
         if not order.kv_source:
--- a/packages/verbenahall/src/verbenahall/gateway/_serve.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_serve.py
@@ -21,6 +21,7 @@
 from verbenahall.gateway._ingress import Ingress
 from verbenahall.gateway._orders import RoleKeeper
 from verbenahall.gateway._peers import PeerFinder
+from verbenahall.gateway._permits import Permits
 from verbenahall.gateway._probes import Probes
 from verbenahall.gateway._readiness import Readiness
 from verbenahall.gateway._refresh import Refresher
@@ -68,6 +69,7 @@
         self.scheduling.scheduler.stopping = self._is_stopping
         self.reports = CrashReports(self.core, self.finder.exchange)
         self.crashes = CrashWatch(self.core, self.reports)
+        self.permits = Permits(self.core, self.finder.exchange)
         self._supervisor = Supervisor()
         self._runners: list[web.AppRunner] = []
 
@@ -117,6 +119,7 @@
             'readiness': readiness.run,
             'crashes': self.crashes.run,
             'crash reports': self.reports.run,
+            'permits': self.permits.run,
             'probes': Probes(self.core).run,
             'beliefs': Beliefs(self.core).run,
             'lines': _flush_lines,
--- a/packages/verbenahall/src/verbenahall/gateway/_standing.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_standing.py
@@ -30,7 +30,6 @@
         'paused_until',
         'refusing_until',
         'open',
-        'rates',
     )
 
     def __init__(self) -> None:
@@ -40,8 +39,6 @@
         self.paused_until = -float('inf')
         self.refusing_until = -float('inf')
         self.open = 0
-        #: What its last answer named as its rate, as text.
-        self.rates: tuple[str, ...] = ()
 
 
 @final
@@ -80,13 +77,18 @@
         self.note(endpoint, now, good=False)
         self.of(endpoint).paused_until = now + _PAUSE_S
 
-    def note_refusal(self, endpoint: str, now: float) -> None:
+    def note_refusal(
+        self,
+        endpoint: str,
+        now: float,
+        for_s: float = _REFUSAL_S,
+    ) -> None:
         """Leave an endpoint alone that takes no work for the moment.
 
         An engine that changes its role refuses everything for seconds while
         the store still lists its old one.
         """
-        self.of(endpoint).refusing_until = now + _REFUSAL_S
+        self.of(endpoint).refusing_until = now + for_s
 
     def note_reached(self, endpoint: str) -> None:
         """Use an endpoint again that took a connection."""
--- a/packages/verbenahall/src/verbenahall/gateway/_streams.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_streams.py
@@ -20,6 +20,7 @@
 from verbenahall.gateway._sender import Sender
 from verbenahall.placement import PlacementRequest, Plan, place
 from verbenahall.requests import (
+    Limited,
     NeverWritten,
     Outcome,
     Quarantined,
@@ -178,7 +179,7 @@
         one refuses, too, the handle itself is doubted.
         """
         match outcome:
-            case NeverWritten():
+            case NeverWritten() | Limited():
                 return True
             case Refused():
                 self._refusals += 1
@@ -275,7 +276,7 @@
     That it took no work is told: it may be changing its role, and others
     would be sent there next.
     """
-    refused = isinstance(outcome, Refused | NeverWritten)
+    refused = isinstance(outcome, Refused | NeverWritten | Limited)
     grant.end(refused=engine.name if refused else '')
 
 
@@ -285,6 +286,6 @@
     A read runs nothing, so the request may go on elsewhere whatever became
     of it, also where it may run only once.
     """
-    if isinstance(outcome, TimedOut | Quarantined):
+    if isinstance(outcome, TimedOut | Quarantined | Limited):
         return outcome
     return Unprepared(f'the prompt was not read: {outcome}')
--- a/packages/verbenahall/src/verbenahall/metrics.py
+++ b/packages/verbenahall/src/verbenahall/metrics.py
@@ -103,6 +103,11 @@
     'verbenahall_quarantined_total',
     'Crashes after which a request was sent no more.',
 )
+PERMITS: Final = Tally(
+    'verbenahall_permits_total',
+    'Sends to endpoints that name a rate: permitted or denied.',
+    'verdict',
+)
 DROPPED_ANSWERS: Final = Tally(
     'verbenahall_dropped_answers_total',
     'Answers dropped since they belong to another attempt, by shape.',
--- a/packages/verbenahall/src/verbenahall/requests/__init__.py
+++ b/packages/verbenahall/src/verbenahall/requests/__init__.py
@@ -16,6 +16,7 @@
 )
 from verbenahall.requests._outcomes import (
     Broken,
+    Limited,
     NeverWritten,
     Outcome,
     Quarantined,
@@ -30,6 +31,7 @@
     'Broken',
     'Facts',
     'GiveUp',
+    'Limited',
     'NeverWritten',
     'Outcome',
     'Quarantined',
--- a/packages/verbenahall/src/verbenahall/requests/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/requests/_decisions.py
@@ -13,6 +13,7 @@
 from verbenahall.requests._messages import Facts, GiveUp, Retry
 from verbenahall.requests._outcomes import (
     Broken,
+    Limited,
     NeverWritten,
     Outcome,
     Quarantined,
@@ -65,6 +66,9 @@
             return Problem(ErrorKind.ENDPOINT_FAILED, message, ran)
         case Quarantined(left_s):
             return describe_quarantine(left_s, ran)
+        case Limited(wait_s):
+            message = 'the endpoint takes no more requests now'
+            return Problem(ErrorKind.OVERLOADED, message, ran, wait_s)
         case Refused(status):
             message = f'the endpoint refused with status {status}'
             return Problem(ErrorKind.OVERLOADED, message, ran)
@@ -86,7 +90,7 @@
     """Whether a request may have run whose attempt failed so."""
     return not isinstance(
         outcome,
-        NeverWritten | Unprepared | Refused | Quarantined,
+        NeverWritten | Unprepared | Refused | Quarantined | Limited,
     )
 
 
@@ -101,6 +105,8 @@
             return 'refused'
         case Quarantined():
             return 'quarantined'
+        case Limited():
+            return 'limited'
         case Broken():
             return 'broken'
         case TimedOut():
@@ -111,7 +117,7 @@
     if facts.delivered and not facts.resumable:
         return False
     match outcome:
-        case NeverWritten() | Unprepared() | Refused():
+        case NeverWritten() | Unprepared() | Refused() | Limited():
             return True
         case Broken():
             return facts.repeatable
@@ -138,7 +144,8 @@
     # What reached no endpoint has put no load on the fleet. Paid for, the
     # failed connects of one crash used up the budget that streams which broke
     # in the same crash needed to be resumed.
-    return isinstance(outcome, NeverWritten) or budget.spend(facts.resends)
+    unsent = isinstance(outcome, NeverWritten | Limited)
+    return unsent or budget.spend(facts.resends)
 
 
 def _back_off(attempts: int, source: random.Random) -> float:
--- a/packages/verbenahall/src/verbenahall/requests/_outcomes.py
+++ b/packages/verbenahall/src/verbenahall/requests/_outcomes.py
@@ -38,6 +38,13 @@
     left_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limited:
+    """Nothing was sent: the endpoint takes the next one after ``wait_s``."""
+
+    wait_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Broken:
     """Bytes were written, and no whole answer came back.
@@ -60,6 +67,7 @@
     Unprepared,
     Refused,
     Quarantined,
+    Limited,
     Broken,
     TimedOut,
 ]
