Engines that name a rate fill no role

Cause: roles were planned as if engines that take two or three requests a second were whole ones.

Ruled out: the quarter of the rate that is not used (0.7 requests a second of 40).

Change: such engines are left out of the plan, and keep their role.

--- a/packages/verbenahall/src/verbenahall/gateway/_orders.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_orders.py
@@ -11,6 +11,7 @@
 from verbenahall.authority import LeaseTiming
 from verbenahall.fleet import Role
 from verbenahall.gateway._core import Core
+from verbenahall.gateway._gates import name_start
 from verbenahall.gateway._lease import SCOPE, RoleLease
 from verbenahall.peers import find_rank
 from verbenahall.placement import RoleChange, plan_roles
@@ -160,7 +161,11 @@
             for engine in engines
         }
         away = self._count_away(service, engines, now)
-        return plan_roles(engines, busy, away)
+        # An engine that takes some requests a second fills no role.
+        able = [
+            one for one in engines if not core.rates.is_limited(name_start(one))
+        ]
+        return plan_roles(able or engines, busy, away)
 
     def _count_away(
         self,
--- a/packages/verbenahall/src/verbenahall/throttling/_state.py
+++ b/packages/verbenahall/src/verbenahall/throttling/_state.py
@@ -30,6 +30,10 @@
         self.rates: dict[str, NamedRate] = {}
         self.silent: dict[str, float] = {}
 
+    def is_limited(self, start: str) -> bool:
+        """Whether an endpoint names a rate."""
+        return start in self.rates
+
     def keep_only(self, starts: Collection[str]) -> None:
         """Forget the endpoints that are no longer listed."""
         for kept in (self.rates, self.next_at):
