--- a/packages/verbenahall/tests/drains/crashing_fleet.py
+++ b/packages/verbenahall/tests/drains/crashing_fleet.py
@@ -9,17 +9,13 @@
 import aiohttp
 from aiohttp.client_reqrep import ConnectionKey
 
-from verbenahall.catalog import Kind, Service
+from verbenahall.catalog import Kind
 from verbenahall.gateway import _crashes as crashes
 from verbenahall.gateway._crash_reports import CrashReports
-from verbenahall.gateway._messages import Call
-from verbenahall.gateway._plain import PlainFlow
 from verbenahall.gateway._probes import Contact
-from verbenahall.placement import Work
-from verbenahall.platform import Ask
 from verbenahall.quarantine import find_barred_s, make_fingerprint
 
-from .fleet import ROUTE, SERVICE, Fleet
+from .fleet import ROUTE, Fleet
 from .simulated_network import SimulatedResponse
 
 CRASHING = '/proof/crashing'
@@ -36,8 +32,7 @@
     """Instances that tell each other of crashes, and endpoints that crash.
 
     ``crashed`` holds the time of each crash by the crashing request, and
-    ``sends`` when it reached an endpoint and from where. ``groups`` are parts
-    of the fleet between which no datagram gets through.
+    ``crashing_sends`` when it reached an endpoint and from where.
     """
 
     def __init__(self, seed, size):
@@ -46,7 +41,6 @@
         self.crashing_sends = []
         self.quarantined = 0
         self.answered = 0
-        self.groups = {}
         self._down = set()
         self._open = {}
         self._watching = []
@@ -69,11 +63,6 @@
             task.cancel()
         await super().close()
 
-    def is_cut(self, one, other):
-        """Whether no datagram gets from one instance to another."""
-        apart = self.groups.get(one, 0) != self.groups.get(other, 0)
-        return apart or super().is_cut(one, other)
-
     async def serve(self, instance, host, path):
         """Run a request at an endpoint, until it ends or crashes."""
         name = self.find_endpoint(host)
@@ -119,26 +108,13 @@
 
     async def ask(self, instance, path):
         """Ask once, as a caller whose request is told by its path."""
-        fingerprint = make_fingerprint('GET', '', path, b'')
+        fingerprint = make_fingerprint('POST', '', path, b'')
         now = instance.core.now()
         if find_barred_s(instance.core.crash_log, fingerprint, now):
             self.quarantined += path != CRASHING
             return
-        call = Call(
-            ask=Ask(path, REPEATABLE.timeout_s, Work(), None),
-            route=REPEATABLE,
-            service=Service(SERVICE),
-            version=1,
-            method='GET',
-            path=path,
-            raw_headers=(),
-            body=b'',
-            received=now,
-            deadline=now + REPEATABLE.timeout_s,
-            fingerprint=fingerprint,
-        )
-        answer = await PlainFlow(instance.core, instance._sender, call).run()
-        self.answered += answer.status == 200
+        status = await instance.ask(REPEATABLE, path, fingerprint)
+        self.answered += status == 200
 
     async def ask_until(self, end, crashing_every_s):
         """Have callers ask, some of them for what crashes endpoints."""
--- a/packages/verbenahall/tests/drains/fleet.py
+++ b/packages/verbenahall/tests/drains/fleet.py
@@ -82,18 +82,23 @@
 
     async def send(self):
         """Send one request to an endpoint that is chosen now; its status."""
+        return await self.ask(ROUTE, '/proof/')
+
+    async def ask(self, route, path, fingerprint=''):
+        """Send one request by a route; return its status."""
         now = self.core.now()
         call = Call(
-            ask=Ask('r-1', ROUTE.timeout_s, Work(), None),
-            route=ROUTE,
+            ask=Ask('r-1', route.timeout_s, Work(), None),
+            route=route,
             service=Service(SERVICE),
             version=1,
             method='POST',
-            path='/proof/',
+            path=path,
             raw_headers=(),
             body=b'',
             received=now,
-            deadline=now + ROUTE.timeout_s,
+            deadline=now + route.timeout_s,
+            fingerprint=fingerprint,
         )
         answer = await PlainFlow(self.core, self._sender, call).run()
         return answer.status
@@ -132,6 +137,8 @@
         self.loss = 0
         self.delay_s = 0
         self.silenced = set()
+        #: Parts of the fleet between which no datagram gets through.
+        self.groups = {}
         self.left = {}
         self.announced = set()
         self.live = []
@@ -234,7 +241,8 @@
 
     def is_cut(self, one, other):
         """Whether no datagram gets from one instance to another."""
-        return bool({one, other} & self.silenced)
+        apart = self.groups.get(one, 0) != self.groups.get(other, 0)
+        return apart or bool({one, other} & self.silenced)
 
     async def serve(self, instance, host, path):
         """Take a request at an endpoint, which loses the connection."""
--- a/packages/verbenahall/tests/drains/rated_fleet.py
+++ b/packages/verbenahall/tests/drains/rated_fleet.py
@@ -4,14 +4,10 @@
 import dataclasses
 import random
 
-from verbenahall.catalog import Kind, Service
-from verbenahall.gateway._messages import Call
+from verbenahall.catalog import Kind
 from verbenahall.gateway._permits import Permits
-from verbenahall.gateway._plain import PlainFlow
-from verbenahall.placement import Work
-from verbenahall.platform import Ask
 
-from .fleet import ROUTE, SERVICE, Fleet
+from .fleet import ROUTE, Fleet
 from .simulated_network import SimulatedResponse
 
 REPEATABLE = dataclasses.replace(ROUTE, kind=Kind.IDEMPOTENT, max_attempts=2)
@@ -37,7 +33,6 @@
         self.arrivals = {}
         self.told = {}
         self.statuses = []
-        self.groups = {}
         self._running = []
 
     async def open(self):
@@ -53,11 +48,6 @@
             task.cancel()
         await super().close()
 
-    def is_cut(self, one, other):
-        """Whether no datagram gets from one instance to another."""
-        apart = self.groups.get(one, 0) != self.groups.get(other, 0)
-        return apart or super().is_cut(one, other)
-
     def name_rate(self, endpoint, rate):
         """Have an endpoint name a rate from now on."""
         self.rates[endpoint] = rate
@@ -78,21 +68,7 @@
 
     async def ask(self, instance):
         """Ask once."""
-        now = instance.core.now()
-        call = Call(
-            ask=Ask('r', REPEATABLE.timeout_s, Work(), None),
-            route=REPEATABLE,
-            service=Service(SERVICE),
-            version=1,
-            method='GET',
-            path='/proof/1',
-            raw_headers=(),
-            body=b'',
-            received=now,
-            deadline=now + REPEATABLE.timeout_s,
-        )
-        answer = await PlainFlow(instance.core, instance._sender, call).run()
-        self.statuses.append(answer.status)
+        self.statuses.append(await instance.ask(REPEATABLE, '/proof/1'))
 
     async def ask_until(self, end):
         """Have callers ask at all instances."""
