An instance that is heard is not passed over for a lost answer

Endpoints that name a rate got three quarters of it, as two instances that both gave permits had to stay within one and a half times the rate.

Cause: an instance that did not answer within a tenth of a second was passed over for a second, and the next one gave permits beside it.

Change: an instance is passed over once it has not been heard for 1.3 s; only those of far data centres in a large fleet, which are not heard, for a second without an answer. Permits are given at the whole rate.

--- a/packages/verbenahall/src/verbenahall/throttling/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/throttling/_decisions.py
@@ -16,9 +16,6 @@
 )
 from verbenahall.throttling._state import NamedRate, RateTable
 
-#: Share of a named rate that one instance permits. Two that both do, since
-#: they hear different peers, stay within one and a half times the rate.
-_SHARE: Final = 0.75
 #: Lowest rate that is kept, in requests a second: an endpoint to which nothing
 #: is sent cannot say that it takes more again.
 _LEAST_RATE: Final = 0.2
@@ -90,7 +87,7 @@
         sum(now - peer.heard_at < within_s for peer in tell_whom(book))
         for within_s in (_HEARD_S, _LATELY_S)
     )
-    return _SHARE * (heard + 1) / (lately + 1)
+    return (heard + 1) / (lately + 1)
 
 
 def permit(
@@ -132,8 +129,7 @@
         name
         for name, peer in book.peers.items()
         if _may_permit(book, peer.data_centre, data_centre)
-        and _is_heard(book, name, now)
-        and now - table.silent.get(name, -math.inf) > _SILENT_S
+        and _is_there(table, book, name, now)
     ]
     if _may_permit(book, book.data_centre, data_centre):
         names.append(book.name)
@@ -144,10 +140,20 @@
     return not is_sampled(book) or home == data_centre
 
 
-def _is_heard(book: PeerBook, name: str, now: float) -> bool:
+def _is_there(
+    table: RateTable,
+    book: PeerBook,
+    name: str,
+    now: float,
+) -> bool:
+    """Whether a peer lives, by its heartbeats or else by its answers.
+
+    One that is heard is not passed over for a lost answer: the next one would
+    give permits beside it.
+    """
     peer = book.peers[name]
     if is_sampled(book) and peer.data_centre != book.data_centre:
-        return True
+        return now - table.silent.get(name, -math.inf) > _SILENT_S
     return now - peer.heard_at < _HEARD_S
 
 
