Senders' hooks have one shape and the field's names

Read as a newcomer: the core held a gate, two loose callbacks and an empty function for them. A rate limiter and an observer of crashes, both protocols in one module with one that does nothing, are in their place; permits are acquired, and what is barred is in quarantine.

--- a/packages/verbenahall/src/verbenahall/admission/_shell.py
+++ b/packages/verbenahall/src/verbenahall/admission/_shell.py
@@ -23,7 +23,7 @@
 
 
 @final
-class Gate:
+class RateLimiter:
     """Admits requests lane by lane.
 
     ``limits_of(lane)`` gives a lane's bounds at its first use, and again
--- a/packages/verbenahall/src/verbenahall/front/_flow.py
+++ b/packages/verbenahall/src/verbenahall/front/_flow.py
@@ -6,7 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from verbenahall import metrics
-from verbenahall.admission import Gate
+from verbenahall.admission import RateLimiter
 from verbenahall.errors import Problem
 from verbenahall.front._answers import REQUEST_ID, answer_problem
 from verbenahall.front._attempts import Attempts
@@ -31,7 +31,7 @@
         self,
         parts: Parts,
         fleet: FleetView,
-        gate: Gate,
+        gate: RateLimiter,
         attempts: Attempts,
     ) -> None:
         """Keep the rooms that a request passes through."""
--- a/packages/verbenahall/src/verbenahall/front/_shell.py
+++ b/packages/verbenahall/src/verbenahall/front/_shell.py
@@ -8,7 +8,7 @@
 from returns.result import Failure
 
 from verbenahall import wire
-from verbenahall.admission import Gate, WorkspaceBounds
+from verbenahall.admission import RateLimiter, WorkspaceBounds
 from verbenahall.config import InstanceConfig
 from verbenahall.front._answers import answer_problem
 from verbenahall.front._attempts import Attempts
@@ -53,7 +53,7 @@
         self._limits = config.limits
         self._parts = parts
         self._reader = Reader(config.limits, requests, parts.clock)
-        self._gate = Gate(fleet.limits_of, parts.clock)
+        self._gate = RateLimiter(fleet.limits_of, parts.clock)
         placer = Placer(parts, fleet, routing, attempts)
         self._attempts = Attempts(parts, placer)
         self._flow = Flow(parts, fleet, self._gate, self._attempts)
--- a/packages/verbenahall/src/verbenahall/gateway/_core.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_core.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Coroutine, Sequence
 from typing import Any, Final, final
 
 import aiohttp
@@ -11,7 +11,13 @@
 from verbenahall.catalog import CatalogState
 from verbenahall.gateway._engine_calls import EngineCalls
 from verbenahall.gateway._freshness import Freshness
-from verbenahall.gateway._gates import Gate, OpenGate, name_start
+from verbenahall.gateway._hooks import (
+    CrashObserver,
+    NoLimiter,
+    NoObserver,
+    RateLimiter,
+    name_start,
+)
 from verbenahall.gateway._standing import Standings
 from verbenahall.peers import PeerBook
 from verbenahall.placement import PlacementState
@@ -70,12 +76,8 @@
         self.standings = Standings()
         self.crash_log = CrashLog()
         self.rates = RateTable()
-        self.gate: Gate = OpenGate()
-        #: Called with a request's fingerprint and the endpoint to which the
-        #: connection was lost while it was open.
-        self.note_lost: Callable[[str, Entry], object] = _note_nothing
-        #: Called with the fingerprint of a request that was answered whole.
-        self.note_answered: Callable[[str], object] = bool
+        self.limiter: RateLimiter = NoLimiter()
+        self.observer: CrashObserver = NoObserver()
         self.placement = PlacementState()
         self.book = PeerBook(
             settings.name,
@@ -181,10 +183,6 @@
         await self.session.close()
 
 
-def _note_nothing(fingerprint: str, endpoint: Entry) -> None:
-    """Nobody looks for crashes."""
-
-
 def _find_usable(bound_s: float) -> float:
     """Return how old what is known may be, for a bound on arrivals."""
     return max(bound_s - _SEND_S, bound_s * _LEAST_USABLE)
--- a/packages/verbenahall/src/verbenahall/gateway/_crash_reports.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_crash_reports.py
@@ -89,15 +89,15 @@
         log = self._core.crash_log
         now = self._core.now()
         for fingerprint in quarantine.merge(log, report, now):
-            barred_s = quarantine.find_barred_s(log, fingerprint, now)
-            if barred_s:
-                self._tell_quarantined(fingerprint, source, barred_s)
+            left_s = quarantine.find_quarantine_s(log, fingerprint, now)
+            if left_s:
+                self._tell_quarantined(fingerprint, source, left_s)
 
     def _tell_quarantined(
         self,
         fingerprint: str,
         source: str,
-        barred_s: float,
+        left_s: float,
     ) -> None:
         """Write a line for a request that is sent no more."""
         suspect = self._core.crash_log.suspects[fingerprint]
@@ -108,7 +108,7 @@
             crashes=suspect.count,
             endpoints=sorted(suspect.crashes),
             source=source,
-            for_s=journal.round_seconds(barred_s),
+            for_s=journal.round_seconds(left_s),
         )
 
     def _tell(self, report: quarantine.CrashReport) -> None:
--- a/packages/verbenahall/src/verbenahall/gateway/_crashes.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_crashes.py
@@ -7,7 +7,7 @@
 from verbenahall import journal
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._crash_reports import CrashReports
-from verbenahall.gateway._gates import name_start
+from verbenahall.gateway._hooks import name_start
 from verbenahall.gateway._probes import Contact, contact
 from verbenahall.quarantine import Crash
 from verbenahall.roster import Entry
@@ -47,8 +47,7 @@
         self._core = core
         self._losses: dict[str, _Losses] = {}
         self._reports = reports
-        core.note_lost = self.note_lost
-        core.note_answered = reports.note_answered
+        core.observer = self
 
     async def run(self) -> None:
         """Forget what is over, until cancelled."""
@@ -71,6 +70,10 @@
         if losses.crashed:
             self._report(start, losses)
 
+    def note_answered(self, fingerprint: str) -> None:
+        """Note that a request was answered whole."""
+        self._reports.note_answered(fingerprint)
+
     async def _look(self, start: str, address: str, losses: _Losses) -> None:
         """Find out whether an endpoint has crashed."""
         found = await contact(address)
--- a/packages/verbenahall/src/verbenahall/gateway/_generation.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_generation.py
@@ -164,7 +164,7 @@
         pace = ended.pace
         now = self._core.now()
         self._sender.note(plan.generator, good=True)
-        self._core.note_answered(call.fingerprint)
+        self._core.observer.note_answered(call.fingerprint)
         placement = self._core.placement
         placement.note_kept(plan.generator, call.ask.work, call.service)
         if ended.step_s:
--- a/packages/verbenahall/src/verbenahall/gateway/_gates.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_hooks.py
@@ -1,4 +1,8 @@
-"""What a request passes before it leaves to an endpoint."""
+"""What senders ask before a send, and tell of its end.
+
+The parts that answer are built after the core, and are none in tests of other
+parts.
+"""
 
 from typing import Protocol, final
 
@@ -7,10 +11,10 @@
 from verbenahall.roster import Entry
 
 
-class Gate(Protocol):
+class RateLimiter(Protocol):
     """Holds back what an endpoint cannot take."""
 
-    async def enter(self, endpoint: Entry, left_s: float) -> Limited | None:
+    async def acquire(self, endpoint: Entry, left_s: float) -> Limited | None:
         """Wait until a request may leave; Limited if that takes too long.
 
         ``left_s`` seconds are left for its answer.
@@ -26,12 +30,12 @@
 
 
 @final
-class OpenGate:
+class NoLimiter:
     """Holds back nothing."""
 
     __slots__ = ()
 
-    async def enter(self, endpoint: Entry, left_s: float) -> Limited | None:
+    async def acquire(self, endpoint: Entry, left_s: float) -> Limited | None:
         """Let every request leave."""
 
     def note_answer(
@@ -43,6 +47,29 @@
         """Learn nothing."""
 
 
+class CrashObserver(Protocol):
+    """Learns which requests ran where a connection was lost."""
+
+    def note_lost(self, fingerprint: str, endpoint: Entry) -> None:
+        """Note a connection that was lost with a request on it."""
+
+    def note_answered(self, fingerprint: str) -> None:
+        """Note that a request was answered whole."""
+
+
+@final
+class NoObserver:
+    """Learns nothing."""
+
+    __slots__ = ()
+
+    def note_lost(self, fingerprint: str, endpoint: Entry) -> None:
+        """Learn nothing."""
+
+    def note_answered(self, fingerprint: str) -> None:
+        """Learn nothing."""
+
+
 def name_start(endpoint: Entry) -> str:
     """Return a name that another start of the endpoint does not have."""
     return f'{endpoint.name}/{endpoint.born}'
--- a/packages/verbenahall/src/verbenahall/gateway/_ingress.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_ingress.py
@@ -25,7 +25,7 @@
 from verbenahall.gateway._sender import Sender
 from verbenahall.gateway._streams import StreamFlow
 from verbenahall.platform import OPERATOR_TOPIC, Ask, read_ask
-from verbenahall.quarantine import find_barred_s, make_fingerprint
+from verbenahall.quarantine import find_quarantine_s, make_fingerprint
 from verbenahall.requests import describe_quarantine
 from verbenahall.shutdown import GracefulStop
 
@@ -200,13 +200,13 @@
 
     def _check_quarantine(self, call: Call) -> Result[Call, Problem]:
         """Refuse at once what would not be sent later."""
-        barred_s = find_barred_s(
+        left_s = find_quarantine_s(
             self._core.crash_log,
             call.fingerprint,
             call.received,
         )
-        if barred_s:
-            return Failure(describe_quarantine(barred_s))
+        if left_s:
+            return Failure(describe_quarantine(left_s))
         return Success(call)
 
     def _tell_refusal(
--- a/packages/verbenahall/src/verbenahall/gateway/_orders.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_orders.py
@@ -11,7 +11,7 @@
 from verbenahall.authority import LeaseTiming
 from verbenahall.fleet import Role
 from verbenahall.gateway._core import Core
-from verbenahall.gateway._gates import name_start
+from verbenahall.gateway._hooks import name_start
 from verbenahall.gateway._lease import SCOPE, RoleLease
 from verbenahall.peers import find_rank
 from verbenahall.placement import RoleChange, plan_roles
--- a/packages/verbenahall/src/verbenahall/gateway/_permits.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_permits.py
@@ -8,7 +8,7 @@
 
 from verbenahall import journal, metrics, throttling
 from verbenahall.gateway._core import Core
-from verbenahall.gateway._gates import name_start
+from verbenahall.gateway._hooks import name_start
 from verbenahall.peers import PeerExchange
 from verbenahall.platform import AnswerFacts
 from verbenahall.requests import Limited
@@ -50,7 +50,7 @@
         self._keys = itertools.count()
         self._table = core.rates
         self._waits: dict[int, asyncio.Future[Verdict]] = {}
-        core.gate = self
+        core.limiter = self
         exchange.hear_other = self.hear
 
     async def run(self) -> None:
@@ -61,10 +61,10 @@
                 start = name_start(seat.entry)
                 known = self._table.rates.get(start)
                 own = Some(self._core.book.name)
-                if known and self._find_permitter(seat.entry) == own:
+                if known and self._find_limiter(seat.entry) == own:
                     self._tell(throttling.RateNotice(start, known.rate))
 
-    async def enter(self, endpoint: Entry, left_s: float) -> Limited | None:
+    async def acquire(self, endpoint: Entry, left_s: float) -> Limited | None:
         """Wait until a request may leave; Limited if that takes too long."""
         start = name_start(endpoint)
         known = self._table.rates.get(start)
@@ -154,7 +154,7 @@
         endpoint: Entry,
         request: throttling.PermitRequest,
     ) -> Verdict:
-        match self._find_permitter(endpoint):
+        match self._find_limiter(endpoint):
             case Some(self._core.book.name):
                 return self._permit(request)
             case Some(name):
@@ -190,8 +190,8 @@
         share = throttling.find_share(self._core.book, now)
         return throttling.permit(self._table, request, share, now)
 
-    def _find_permitter(self, endpoint: Entry) -> Maybe[str]:
-        return throttling.choose_permitter(
+    def _find_limiter(self, endpoint: Entry) -> Maybe[str]:
+        return throttling.choose_limiter(
             self._table,
             self._core.book,
             name_start(endpoint),
--- a/packages/verbenahall/src/verbenahall/gateway/_sender.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_sender.py
@@ -23,7 +23,7 @@
     read_answer,
     strip_hop_headers,
 )
-from verbenahall.quarantine import find_barred_s
+from verbenahall.quarantine import find_quarantine_s
 from verbenahall.requests import (
     Broken,
     Limited,
@@ -152,7 +152,7 @@
         good = response.status < HTTPStatus.INTERNAL_SERVER_ERROR
         self.note(endpoint, good=good)
         if signs and good:
-            self._core.note_answered(call.fingerprint)
+            self._core.observer.note_answered(call.fingerprint)
         return Success(
             Answered(
                 response.status,
@@ -181,7 +181,7 @@
             return TimedOut()
         if not isinstance(error, TimeoutError):
             self._tell_lost(call, endpoint)
-            self._core.note_lost(call.fingerprint, endpoint)
+            self._core.observer.note_lost(call.fingerprint, endpoint)
         return Broken(repr(error))
 
     async def _find_hindrance(
@@ -192,14 +192,14 @@
     ) -> Hindrance | None:
         """Return why nothing may be sent to an endpoint chosen before."""
         core = self._core
-        limited = await core.gate.enter(endpoint, until - core.now())
+        limited = await core.limiter.acquire(endpoint, until - core.now())
         if limited is not None:
             return limited
         await core.freshness[ENDPOINTS_TOPIC].wait_usable()
         now = core.now()
-        barred_s = find_barred_s(core.crash_log, call.fingerprint, now)
-        if barred_s:
-            return Quarantined(barred_s)
+        left_s = find_quarantine_s(core.crash_log, call.fingerprint, now)
+        if left_s:
+            return Quarantined(left_s)
         if not core.roster.may_get_work(endpoint.name, now):
             return NeverWritten(_LEFT)
         return None
@@ -267,7 +267,7 @@
         sent_at: float,
     ) -> Opened:
         facts = read_answer(response.status, response.headers)
-        self._core.gate.note_answer(endpoint, facts, sent_at)
+        self._core.limiter.note_answer(endpoint, facts, sent_at)
         if not facts.not_run:
             return Success(response)
         if not order.kv_source:
--- a/packages/verbenahall/src/verbenahall/orders/__init__.py
+++ b/packages/verbenahall/src/verbenahall/orders/__init__.py
@@ -1,7 +1,7 @@
 """Orders to engines: recorded in the log, sent under a lease, followed up."""
 
 from verbenahall.orders._decisions import (
-    Gate,
+    RateLimiter,
     is_changing,
     open_gate,
     outstanding,
@@ -37,7 +37,7 @@
 __all__ = (
     'Dispatch',
     'EngineReport',
-    'Gate',
+    'RateLimiter',
     'Order',
     'OrderSender',
     'OrderTiming',
--- a/packages/verbenahall/src/verbenahall/orders/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/orders/_decisions.py
@@ -33,7 +33,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Gate:
+class RateLimiter:
     """When a holder may send its first order to an engine.
 
     ``opens_at`` is in monotonic seconds; ``read_back`` asks for the engine's
@@ -50,7 +50,7 @@
     timing: OrderTiming,
     *,
     checks_fencing: bool,
-) -> Gate:
+) -> RateLimiter:
     """Decide how long a new holder leaves an engine alone.
 
     An engine that checks tokens refuses whatever an earlier holder still
@@ -62,8 +62,8 @@
     its own claim, which is later than the end of the earlier lease.
     """
     if checks_fencing:
-        return Gate(granted_at, read_back=False)
+        return RateLimiter(granted_at, read_back=False)
     if grant.clean:
-        return Gate(granted_at + timing.order_timeout_s, read_back=True)
+        return RateLimiter(granted_at + timing.order_timeout_s, read_back=True)
     wait = timing.order_timeout_s + timing.longest_pause_s
-    return Gate(granted_at + wait, read_back=True)
+    return RateLimiter(granted_at + wait, read_back=True)
--- a/packages/verbenahall/src/verbenahall/quarantine/__init__.py
+++ b/packages/verbenahall/src/verbenahall/quarantine/__init__.py
@@ -7,7 +7,7 @@
 """
 
 from verbenahall.quarantine._decisions import (
-    find_barred_s,
+    find_quarantine_s,
     forget_old,
     is_repeated,
     list_recent,
@@ -33,7 +33,7 @@
     'Suspect',
     'decode',
     'encode',
-    'find_barred_s',
+    'find_quarantine_s',
     'forget_old',
     'is_repeated',
     'list_recent',
--- a/packages/verbenahall/src/verbenahall/quarantine/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/quarantine/_decisions.py
@@ -18,7 +18,7 @@
 _RECENT_S: Final = 10.0
 #: For how long a request is not sent after the last crash, in seconds. After
 #: that one more crash is enough.
-_BARRED_S: Final = 600.0
+_QUARANTINE_S: Final = 600.0
 #: After this time without a crash nothing is kept of a request, in seconds.
 _KEPT_S: Final = 3600.0
 
@@ -50,12 +50,12 @@
     return cleared
 
 
-def find_barred_s(log: CrashLog, fingerprint: str, now: float) -> float:
+def find_quarantine_s(log: CrashLog, fingerprint: str, now: float) -> float:
     """Return for how many seconds a request may not be sent, 0 for none."""
     suspect = log.suspects.get(fingerprint)
     if suspect is None or suspect.count < _MOST_CRASHES:
         return 0
-    return max(0, suspect.last_at + _BARRED_S - now)
+    return max(0, suspect.last_at + _QUARANTINE_S - now)
 
 
 def merge(
--- a/packages/verbenahall/src/verbenahall/throttling/__init__.py
+++ b/packages/verbenahall/src/verbenahall/throttling/__init__.py
@@ -5,7 +5,7 @@
 """
 
 from verbenahall.throttling._decisions import (
-    choose_permitter,
+    choose_limiter,
     find_share,
     note_no_rate,
     note_rate,
@@ -32,7 +32,7 @@
     'PermitRequest',
     'RateNotice',
     'RateTable',
-    'choose_permitter',
+    'choose_limiter',
     'decode',
     'encode',
     'find_share',
--- a/packages/verbenahall/src/verbenahall/throttling/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/throttling/_decisions.py
@@ -113,7 +113,7 @@
     return Permit(request.key, wait_s)
 
 
-def choose_permitter(
+def choose_limiter(
     table: RateTable,
     book: PeerBook,
     start: str,
--- a/packages/verbenahall/tests/drains/crashing_fleet.py
+++ b/packages/verbenahall/tests/drains/crashing_fleet.py
@@ -13,7 +13,7 @@
 from verbenahall.gateway import _crashes as crashes
 from verbenahall.gateway._crash_reports import CrashReports
 from verbenahall.gateway._probes import Contact
-from verbenahall.quarantine import find_barred_s, make_fingerprint
+from verbenahall.quarantine import find_quarantine_s, make_fingerprint
 
 from .fleet import ROUTE, Fleet
 from .simulated_network import SimulatedResponse
@@ -110,7 +110,7 @@
         """Ask once, as a caller whose request is told by its path."""
         fingerprint = make_fingerprint('POST', '', path, b'')
         now = instance.core.now()
-        if find_barred_s(instance.core.crash_log, fingerprint, now):
+        if find_quarantine_s(instance.core.crash_log, fingerprint, now):
             self.quarantined += path != CRASHING
             return
         status = await instance.ask(REPEATABLE, path, fingerprint)
--- a/packages/verbenahall/tests/drains/rated_fleet.py
+++ b/packages/verbenahall/tests/drains/rated_fleet.py
@@ -99,7 +99,7 @@
 
 
 async def cut_parts(fleet, draw):
-    """Cut the fleet in parts, lose datagrams, end and freeze permitters."""
+    """Cut the fleet in parts, lose datagrams, end instances."""
     while True:
         await asyncio.sleep(draw.uniform(0, 4))
         parts = draw.randint(1, 3)
--- a/packages/verbenahall/tests/gateway/test_roles.py
+++ b/packages/verbenahall/tests/gateway/test_roles.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from verbenahall.fleet import Role
-from verbenahall.gateway._gates import name_start
+from verbenahall.gateway._hooks import name_start
 from verbenahall.gateway._orders import _Progress
 from verbenahall.roster import Entry
 from verbenahall.throttling import note_rate
--- a/packages/verbenahall/tests/quarantine/test_crash_log.py
+++ b/packages/verbenahall/tests/quarantine/test_crash_log.py
@@ -9,7 +9,7 @@
     CrashReport,
     decode,
     encode,
-    find_barred_s,
+    find_quarantine_s,
     forget_old,
     merge,
     note_answered,
@@ -27,9 +27,9 @@
 def test_third_crash_bars_a_request():
     log = CrashLog()
     crash(log, 'f', 'e1', 'e2')
-    assert not find_barred_s(log, 'f', 11)
+    assert not find_quarantine_s(log, 'f', 11)
     crash(log, 'f', 'e3')
-    assert find_barred_s(log, 'f', 11) > 0
+    assert find_quarantine_s(log, 'f', 11) > 0
 
 
 def test_crash_that_is_heard_twice_counts_once():
@@ -39,7 +39,7 @@
     assert merge(log, report, 10) == {'f'}
     for now in range(11, 20):
         assert not merge(log, report, now)
-    assert not find_barred_s(log, 'f', 20)
+    assert not find_quarantine_s(log, 'f', 20)
 
 
 def test_request_that_is_answered_whole_is_no_cause():
@@ -48,16 +48,16 @@
     for number in range(20):
         crash(log, 'f', f'e{number}', at=number)
         assert note_answered(log, 'f', number + 0.5)
-        assert not find_barred_s(log, 'f', number + 1)
+        assert not find_quarantine_s(log, 'f', number + 1)
 
 
 def test_one_more_crash_after_the_time_bars_again():
     """After its time a request may be tried with one send, not with three."""
     log = CrashLog()
     crash(log, 'f', 'e1', 'e2', 'e3')
-    assert not find_barred_s(log, 'f', 700)
+    assert not find_quarantine_s(log, 'f', 700)
     crash(log, 'f', 'e4', at=701)
-    assert find_barred_s(log, 'f', 702) > 500
+    assert find_quarantine_s(log, 'f', 702) > 500
 
 
 def test_flood_of_requests_does_not_forget_the_one_that_crashes():
@@ -65,7 +65,7 @@
     crash(log, 'f', 'e1', 'e2', 'e3')
     for number in range(20_000):
         crash(log, f'other-{number}', f'e{number}')
-    assert find_barred_s(log, 'f', 11) > 0
+    assert find_quarantine_s(log, 'f', 11) > 0
     assert len(log.suspects) <= 4096
 
 
--- a/packages/verbenahall/tests/throttling/test_rates.py
+++ b/packages/verbenahall/tests/throttling/test_rates.py
@@ -10,7 +10,7 @@
     PermitRequest,
     RateNotice,
     RateTable,
-    choose_permitter,
+    choose_limiter,
     decode,
     encode,
     find_share,
@@ -103,7 +103,7 @@
 def test_instances_that_hear_each_other_agree_who_permits():
     names = [f'front-{number}' for number in range(4)]
     chosen = {
-        choose_permitter(RateTable(), make_book(name, names, 9), START, '', 10)
+        choose_limiter(RateTable(), make_book(name, names, 9), START, '', 10)
         for name in names
     }
     assert len(chosen) == 1
@@ -113,20 +113,20 @@
     """The next one would give permits beside it."""
     names = [f'front-{number}' for number in range(4)]
     book = make_book('front-0', names, 9.5)
-    first = choose_permitter(RateTable(), book, START, '', 10).unwrap()
+    first = choose_limiter(RateTable(), book, START, '', 10).unwrap()
     table = RateTable()
     table.silent[first] = 9.9
-    assert choose_permitter(table, book, START, '', 10) == Some(first)
+    assert choose_limiter(table, book, START, '', 10) == Some(first)
 
 
 def test_instance_that_is_heard_no_more_is_passed_over():
     names = [f'front-{number}' for number in range(4)]
     book = make_book('front-0', names, 9.5)
-    first = choose_permitter(RateTable(), book, START, '', 10).unwrap()
+    first = choose_limiter(RateTable(), book, START, '', 10).unwrap()
     for number, name in enumerate(names):
         if name not in {first, 'front-0'}:
             hear(book, name, 10 + number, 11)
-    assert choose_permitter(RateTable(), book, START, '', 11) != Some(first)
+    assert choose_limiter(RateTable(), book, START, '', 11) != Some(first)
 
 
 def test_far_instance_that_does_not_answer_is_passed_over():
@@ -134,10 +134,10 @@
     book = make_book('front-0', (), 0, count=30)
     for name in ('far-1', 'far-2'):
         greet(book, name, '10.9.0.1:1', 'there')
-    first = choose_permitter(RateTable(), book, START, 'there', 10).unwrap()
+    first = choose_limiter(RateTable(), book, START, 'there', 10).unwrap()
     table = RateTable()
     table.silent[first] = 9.9
-    second = choose_permitter(table, book, START, 'there', 10).unwrap()
+    second = choose_limiter(table, book, START, 'there', 10).unwrap()
     assert {first, second} == {'far-1', 'far-2'}
 
 
@@ -153,7 +153,7 @@
 def test_far_data_centre_permits_nothing_itself():
     """Many instances that hear nobody of the endpoint's data centre."""
     book = make_book('front-0', (), 0, count=30)
-    assert choose_permitter(RateTable(), book, START, 'there', 10) is Nothing
+    assert choose_limiter(RateTable(), book, START, 'there', 10) is Nothing
 
 
 @pytest.mark.parametrize(
