--- a/packages/verbenahall/src/verbenahall/gateway/_permits.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_permits.py
@@ -57,14 +57,12 @@
         """Tell the rates again, until cancelled."""
         while True:
             await asyncio.sleep(_EVERY_S)
-            if not self._table.rates:
-                continue
             own = Some(self._core.book.name)
-            for seat in self._core.roster.seats.values():
-                start = name_start(seat.entry)
-                known = self._table.rates.get(start)
-                if known and self._find_limiter(seat.entry) == own:
-                    self._tell(throttling.RateNotice(start, known.rate))
+            for endpoint in _list_limited(self._core):
+                start = name_start(endpoint)
+                if self._find_limiter(endpoint) == own:
+                    rate = self._table.rates[start].rate
+                    self._tell(throttling.RateNotice(start, rate))
 
     async def acquire(self, endpoint: Entry, left_s: float) -> Limited | None:
         """Wait until a request may leave; Limited if that takes too long."""
@@ -215,3 +213,14 @@
         datagram = throttling.encode(notice)
         for peer in self._core.book.peers.values():
             self._exchange.send(datagram, peer.address)
+
+
+def _list_limited(core: Core) -> list[Entry]:
+    """Return the endpoints that name a rate."""
+    if not core.rates.rates:
+        return []
+    return [
+        seat.entry
+        for seat in core.roster.seats.values()
+        if core.rates.is_limited(name_start(seat.entry))
+    ]
