--- a/packages/standins/src/verbenahall_standins/platform/_site.py
+++ b/packages/standins/src/verbenahall_standins/platform/_site.py
@@ -28,15 +28,20 @@
         self,
         engines: Sequence[EngineStandIn] = (),
         plain: Sequence[PlainStandIn] = (),
+        manifest: dict[str, Any] | None = None,
     ) -> None:
-        """Prepare; nothing listens before ``start``."""
+        """Prepare; nothing listens before ``start``.
+
+        ``manifest`` holds what every version has besides routes and services.
+        """
+        self.manifest = manifest or {}
+        self.version = 0
         self.store = StoreStandIn()
         self.engines = list(engines)
         for engine in self.engines:
             engine.restarted = self._relist
         self.plain = list(plain)
         self._changes = itertools.count(1)
-        self._versions = itertools.count(1)
 
     async def start(self) -> None:
         """Start all, list them, and publish the manifest."""
@@ -79,7 +84,12 @@
         **changes: Any,
     ) -> None:
         """Publish the next version of the manifest, with routes added."""
-        manifest = {**make_manifest(next(self._versions)), **changes}
+        self.version += 1
+        manifest = {
+            **make_manifest(self.version),
+            **self.manifest,
+            **changes,
+        }
         manifest['routes'] = [*manifest['routes'], *added]
         record = json.dumps(manifest).encode()
         self.store.put('keyed.op', 'config', record)
--- a/packages/verbenahall/tests/gateway/conftest.py
+++ b/packages/verbenahall/tests/gateway/conftest.py
@@ -63,17 +63,35 @@
             assert time.monotonic() - started < within_s, 'did not happen'
             await asyncio.sleep(0.01)
 
+    async def until_in_force(self):
+        """Wait until the newest manifest is in force."""
+        state = self.gateway.core.catalog
+        await self.until(lambda: state.catalog.version == self.site.version)
+
+    async def until_quiet(self):
+        """Wait until a poll of the store has begun under its present faults."""
+        calls = self.site.store.calls
+        polls = calls.get('/-/log-read', 0)
+        await self.until(lambda: calls.get('/-/log-read', 0) >= polls + 4)
+
     def decisions(self, event):
         """Return the decision lines of an event so far."""
         return [line for line in journal.recent if line['event'] == event]
 
 
 @contextlib.asynccontextmanager
-async def open_desk(folder, engines=(), plain=(), name='front-1', site=None):
-    """Run a gateway in front of stand-ins."""
+async def open_desk(
+    folder,
+    engines=(),
+    plain=(),
+    name='front-1',
+    site=None,
+    manifest=None,
+):
+    """Run a gateway in front of stand-ins; a manifest has further parts."""
     journal.recent.clear()
     own = site is None
-    site = site or Site(engines, plain)
+    site = site or Site(engines, plain, manifest)
     if own:
         await site.start()
     path = write_settings(folder, site.store.address, name)
