Requests run for the workspace that holds their API key, or not at all

Cause: the manifest's tenants, public routes and the two headers were not decoded at all.

Change: a slice authentication/ decides by the digest of a key who holds it; the adapter decodes tenants (all of them or the manifest stays as it was) and strips key and tenant from what callers send. A key is looked at once more just before each send, since it may have been taken away or moved while the request waited; prefills and retries go the same way. An unknown key that was never in force is looked up at the store before it is refused, once a second an instance at most, together with all that wait. A workspace's priority goes before the route's. An instance that is cut off serves by the keys it knows: requests that need no judgement of theirs are not refused in a partition.

--- a/packages/verbenahall/src/verbenahall/catalog/_messages.py
+++ b/packages/verbenahall/src/verbenahall/catalog/_messages.py
@@ -5,6 +5,8 @@
 from collections.abc import Mapping
 from typing import final
 
+from verbenahall.authentication import KeyTable
+
 
 @final
 class Kind(enum.Enum):
@@ -31,7 +33,8 @@
     ``objective_s`` the latency objective to the answer or the first event,
     ``gap_s`` the longest pause between two events that is still on time.
     ``priority`` is 0 for the most urgent. ``patience_s`` is how long callers
-    of a stream wait for an event before they leave.
+    of a stream wait for an event before they leave. A ``public`` route asks for
+    no API key.
     """
 
     name: str
@@ -46,6 +49,7 @@
     resumable: bool = False
     gap_s: float = 0
     patience_s: float = float('inf')
+    public: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -92,9 +96,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Catalog:
-    """One version of the manifest; routes by host, then by prefix."""
+    """One version of the manifest; routes by host, then by prefix.
+
+    ``keys`` is None where callers need no API key.
+    """
 
     version: int
     routes: Mapping[str, Mapping[str, Route]]
     services: Mapping[str, Service]
     limits: Limits
+    keys: KeyTable | None = None
--- a/packages/verbenahall/src/verbenahall/catalog/_state.py
+++ b/packages/verbenahall/src/verbenahall/catalog/_state.py
@@ -2,18 +2,23 @@
 
 from typing import final
 
+from verbenahall.authentication import KeyHistory, note_replaced
 from verbenahall.catalog._messages import Catalog
 
 
 @final
 class CatalogState:
-    """The catalog in force, None before the first one is known."""
+    """The catalog in force, None before the first one is known.
 
-    __slots__ = ('catalog',)
+    ``keys`` remembers the API keys that it holds no more.
+    """
+
+    __slots__ = ('catalog', 'keys')
 
     def __init__(self) -> None:
         """Start without a catalog."""
         self.catalog: Catalog | None = None
+        self.keys = KeyHistory()
 
 
 def adopt(state: CatalogState, catalog: Catalog) -> bool:
@@ -26,5 +31,6 @@
     known = state.catalog
     if known is not None and catalog.version <= known.version:
         return False
+    note_replaced(state.keys, known.keys if known else None, catalog.keys)
     state.catalog = catalog
     return True
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/gateway/_admission.py
@@ -0,0 +1,115 @@
+"""Which route a request takes, and in whose name it runs."""
+
+import dataclasses
+from typing import Final, final
+
+from aiohttp import web
+from returns.maybe import Some
+from returns.result import Failure, Result, Success
+
+from verbenahall.authentication import (
+    KeyLookups,
+    Workspace,
+    authenticate,
+    is_retired,
+)
+from verbenahall.catalog import Catalog, Route, find_route
+from verbenahall.errors import ErrorKind, Problem
+from verbenahall.gateway._core import Core
+from verbenahall.gateway._messages import Call
+from verbenahall.platform import Ask
+
+#: When callers may come back before the first manifest is known, in seconds.
+_NOT_READY_S: Final = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Admission:
+    """The route of a request by one manifest, and in whose name it runs."""
+
+    catalog: Catalog
+    route: Route
+    workspace: Workspace | None
+
+
+@final
+class Admissions:
+    """Admits requests by the newest manifest that is known."""
+
+    __slots__ = ('_core', '_lookups')
+
+    def __init__(self, core: Core, lookups: KeyLookups) -> None:
+        """Look up unknown keys before they are refused."""
+        self._core = core
+        self._lookups = lookups
+
+    async def admit(
+        self,
+        request: web.Request,
+        ask: Ask,
+    ) -> Result[Admission, Problem]:
+        """Return the route and the workspace, or why there is none."""
+        found = _find_admission(self._core, request, ask)
+        if _may_be_outdated(self._core, ask, found):
+            if await self._lookups.look():
+                found = _find_admission(self._core, request, ask)
+        return found
+
+
+def _find_admission(
+    core: Core,
+    request: web.Request,
+    ask: Ask,
+) -> Result[Admission, Problem]:
+    """Find the route of a request, and the workspace that holds its key."""
+    catalog = core.catalog.catalog
+    if catalog is None or not core.ready:
+        return Failure(
+            Problem(
+                ErrorKind.NOT_READY,
+                'the manifest is not known yet',
+                retry_after_s=_NOT_READY_S,
+            ),
+        )
+    path, _, _ = request.raw_path.partition('?')
+    match find_route(catalog, read_host(request), path):
+        case Some(route):
+            holder = authenticate(catalog.keys, ask.key, public=route.public)
+            return holder.map(lambda found: Admission(catalog, route, found))
+        case _:
+            return Failure(
+                Problem(ErrorKind.NOT_FOUND, 'no route has this path'),
+            )
+
+
+def _may_be_outdated(
+    core: Core,
+    ask: Ask,
+    found: Result[Admission, Problem],
+) -> bool:
+    """Whether a key is refused that a newer manifest may hold."""
+    if isinstance(found, Success) or not ask.key:
+        return False
+    refused = found.failure().kind is ErrorKind.UNAUTHORIZED
+    return refused and not is_retired(core.catalog.keys, ask.key)
+
+
+def find_workspace(
+    core: Core,
+    call: Call,
+) -> Result[Workspace | None, Problem]:
+    """Return in whose name a call may be sent now, if it still may be.
+
+    Its API key may have been taken away, or given to another workspace, since
+    the call was accepted.
+    """
+    catalog = core.catalog.catalog
+    if catalog is None or catalog.version == call.version:
+        return Success(call.workspace)
+    return authenticate(catalog.keys, call.ask.key, public=call.route.public)
+
+
+def read_host(request: web.Request) -> str:
+    """Return the host that the caller named, without its port."""
+    host, _, _ = request.headers.get('Host', '').partition(':')
+    return host.lower()
--- a/packages/verbenahall/src/verbenahall/gateway/_assignments.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_assignments.py
@@ -267,7 +267,7 @@
             group=self.group,
             work=self.wanted.work,
             gap_s=self.wanted.gap_s,
-            priority=call.route.priority,
+            priority=call.priority,
             due_s=call.due - now,
             objective_s=call.route.objective_s,
             leaves_s=call.leaves - now,
--- a/packages/verbenahall/src/verbenahall/gateway/_dispatch.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_dispatch.py
@@ -38,7 +38,7 @@
         if isinstance(scheduled, Some):
             verdict = scheduled.unwrap()
             if isinstance(verdict, Failure):
-                metrics.SHED.add(str(call.route.priority))
+                metrics.SHED.add(str(call.priority))
             return verdict
         pending = await self._queues.take(call, wanted, tried)
         return pending.map(
--- a/packages/verbenahall/src/verbenahall/gateway/_generation.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_generation.py
@@ -92,7 +92,7 @@
         return SendOrder(
             plan.generator.name,
             call.left_s(self._core.now()),
-            priority=call.route.priority,
+            priority=call.priority,
             kv_source=handle.source if handle else '',
             last_event=self._relay.state.last,
         )
--- a/packages/verbenahall/src/verbenahall/gateway/_ingress.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_ingress.py
@@ -4,18 +4,16 @@
 from typing import Final, final
 
 from aiohttp import web
-from returns.maybe import Some
 from returns.result import Failure, Result, Success
 
 from verbenahall import journal, metrics
-from verbenahall.catalog import (
-    Catalog,
-    Kind,
-    Route,
-    find_route,
-    pick_service,
-)
+from verbenahall.catalog import Kind, pick_service
 from verbenahall.errors import ErrorKind, Problem, Ran
+from verbenahall.gateway._admission import (
+    Admission,
+    Admissions,
+    read_host,
+)
 from verbenahall.gateway._answers import answer_with
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._dispatch import Dispatch
@@ -29,8 +27,6 @@
 from verbenahall.requests import describe_quarantine
 from verbenahall.shutdown import GracefulStop
 
-#: When callers may come back before the first manifest is known, in seconds.
-_NOT_READY_S: Final = 0.5
 #: When callers of a stopping instance may come back, in seconds: at once,
 #: since the balancer sends them to another one.
 _ELSEWHERE_S: Final = 0.05
@@ -40,16 +36,18 @@
 class Ingress:
     """Answers every request of a caller exactly once."""
 
-    __slots__ = ('_core', '_dispatch', '_sender', '_stop')
+    __slots__ = ('_admissions', '_core', '_dispatch', '_sender', '_stop')
 
     def __init__(
         self,
         core: Core,
         stop: GracefulStop,
         dispatch: Dispatch,
+        admissions: Admissions,
     ) -> None:
         """Route by what the core knows, until the stop."""
         self._core = core
+        self._admissions = admissions
         self._stop = stop
         self._sender = Sender(core)
         self._dispatch = dispatch
@@ -99,6 +97,7 @@
             request=call.ask.identity,
             fingerprint=call.fingerprint,
             route=call.route.name,
+            workspace=call.workspace.name if call.workspace else None,
             service=call.service.name,
             version=call.version,
             belief_s=journal.round_seconds(belief_s),
@@ -116,7 +115,7 @@
             outcome=outcome,
             took_s=journal.round_seconds(self._core.now() - call.received),
         )
-        metrics.REQUESTS.add(str(call.route.priority), outcome)
+        metrics.REQUESTS.add(str(call.priority), outcome)
 
     async def _accept(
         self,
@@ -136,33 +135,21 @@
                 ),
             )
         await self._core.freshness[OPERATOR_TOPIC].wait_usable()
-        catalog = self._core.catalog.catalog
-        if catalog is None or not self._core.ready:
-            return Failure(
-                Problem(
-                    ErrorKind.NOT_READY,
-                    'the manifest is not known yet',
-                    retry_after_s=_NOT_READY_S,
-                ),
-            )
-        path, _, _ = request.raw_path.partition('?')
-        host = _read_host(request)
-        match find_route(catalog, host, path):
-            case Some(route):
-                return await self._read(request, ask, received, catalog, route)
+        found = await self._admissions.admit(request, ask)
+        match found:
+            case Success(admission):
+                return await self._read(request, ask, received, admission)
             case _:
-                return Failure(
-                    Problem(ErrorKind.NOT_FOUND, 'no route has this path'),
-                )
+                return found
 
     async def _read(
         self,
         request: web.Request,
         ask: Ask,
         received: float,
-        catalog: Catalog,
-        route: Route,
+        admission: Admission,
     ) -> Result[Call, Problem]:
+        catalog, route = admission.catalog, admission.route
         read = await read_within(request, catalog.limits)
         if isinstance(read, Failure):
             return read
@@ -191,10 +178,11 @@
                 waited_s=waited_s,
                 fingerprint=make_fingerprint(
                     request.method,
-                    _read_host(request),
+                    read_host(request),
                     request.raw_path,
                     body,
                 ),
+                workspace=admission.workspace,
             ),
         )
 
@@ -223,9 +211,3 @@
             kind=problem.kind.value,
             reason=problem.message,
         )
-
-
-def _read_host(request: web.Request) -> str:
-    """Return the host that the caller named, without its port."""
-    host, _, _ = request.headers.get('Host', '').partition(':')
-    return host.lower()
--- a/packages/verbenahall/src/verbenahall/gateway/_messages.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_messages.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 from typing import Any, final
 
+from verbenahall.authentication import Workspace
 from verbenahall.catalog import Route, Service
 from verbenahall.platform import Ask
 
@@ -16,7 +17,8 @@
     answer is due, in monotonic seconds. ``path`` is the target as it came,
     and ``version`` the manifest's by which it was routed. ``waited_s`` is for
     how long the caller has waited in attempts before this one.
-    ``fingerprint`` is the same for each of these attempts.
+    ``fingerprint`` is the same for each of these attempts. ``workspace`` held
+    the request's API key in that version, None if nobody did.
     """
 
     ask: Ask
@@ -31,6 +33,13 @@
     deadline: float
     waited_s: float = 0
     fingerprint: str = ''
+    workspace: Workspace | None = None
+
+    @property
+    def priority(self) -> int:
+        """How urgent the request is, 0 first."""
+        own = self.workspace.priority if self.workspace else None
+        return self.route.priority if own is None else own
 
     @property
     def due(self) -> float:
--- a/packages/verbenahall/src/verbenahall/gateway/_prefill_queues.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_prefill_queues.py
@@ -52,7 +52,7 @@
         pending = QueuedRequest(
             call.ask.identity,
             wanted,
-            call.route.priority,
+            call.priority,
             since=now,
             due_at=call.due,
             objective_s=call.route.objective_s,
--- a/packages/verbenahall/src/verbenahall/gateway/_reads.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_reads.py
@@ -63,7 +63,7 @@
         order = SendOrder(
             reader.name,
             call.left_s(now),
-            priority=call.route.priority,
+            priority=call.priority,
             read_only=True,
         )
         late_at = now + _LATE_S + plan.wait_s * _LATE_FACTOR
--- a/packages/verbenahall/src/verbenahall/gateway/_sender.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_sender.py
@@ -12,6 +12,7 @@
 from returns.result import Failure, Result, Success
 
 from verbenahall import journal, metrics
+from verbenahall.gateway._admission import find_workspace
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._messages import Answered, Call
 from verbenahall.platform import (
@@ -32,6 +33,7 @@
     Quarantined,
     Refused,
     TimedOut,
+    Unauthorized,
 )
 from verbenahall.roster import Entry
 
@@ -45,7 +47,7 @@
 #: How the kernel names a peer that acknowledges nothing.
 _SILENCE: Final = frozenset((errno.ETIMEDOUT, errno.EHOSTUNREACH))
 #: Why nothing is sent.
-Hindrance = NeverWritten | Quarantined | Limited
+Hindrance = NeverWritten | Quarantined | Limited | Unauthorized
 #: How an attempt may end with a response that is not read yet.
 Opened = Result[aiohttp.ClientResponse, Outcome]
 
@@ -81,10 +83,15 @@
             self._tell_not_sent(call, endpoint, hindrance)
             yield Failure(hindrance)
             return
+        holder = find_workspace(self._core, call).value_or(None)
         request = self._core.session.request(
             call.method,
             yarl.URL(f'http://{endpoint.address}{call.path}', encoded=True),
-            headers=build_send_headers(call.raw_headers, order),
+            headers=build_send_headers(
+                call.raw_headers,
+                order,
+                holder.name if holder else '',
+            ),
             data=call.body or None,
             allow_redirects=False,
         )
@@ -203,6 +210,8 @@
             return Quarantined(left_s)
         if not core.roster.may_get_work(endpoint.name, now):
             return NeverWritten(_LEFT)
+        if isinstance(find_workspace(core, call), Failure):
+            return Unauthorized()
         return None
 
     def _tell_lost(self, call: Call, endpoint: Entry) -> None:
--- a/packages/verbenahall/src/verbenahall/gateway/_serve.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_serve.py
@@ -10,8 +10,10 @@
 from aiohttp import web
 
 from verbenahall import journal, metrics
+from verbenahall.authentication import KeyLookups
 from verbenahall.config import LimitsConfig
 from verbenahall.front import Patience, Runner
+from verbenahall.gateway._admission import Admissions
 from verbenahall.gateway._beliefs import Beliefs
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._crash_reports import CrashReports
@@ -26,7 +28,7 @@
 from verbenahall.gateway._readiness import Readiness
 from verbenahall.gateway._refresh import Refresher
 from verbenahall.gateway._scheduler import Scheduling
-from verbenahall.platform import READY, ProcessSettings
+from verbenahall.platform import OPERATOR_TOPIC, READY, ProcessSettings
 from verbenahall.process import listen, run_service
 from verbenahall.shutdown import GracefulStop, StopTiming
 from verbenahall.supervisor import Supervisor
@@ -70,6 +72,8 @@
         self.reports = CrashReports(self.core, self.finder.exchange)
         self.crashes = CrashWatch(self.core, self.reports)
         self.permits = Permits(self.core, self.finder.exchange)
+        followers = follow_store(self.core, self.finder.exchange)
+        self._followers = {one.subject.topic: one for one in followers}
         self._supervisor = Supervisor()
         self._runners: list[web.AppRunner] = []
 
@@ -82,7 +86,7 @@
                 self.core,
                 readiness,
                 self.stop,
-                Dispatch(self.core, self.scheduling.assignments),
+                self._make_ingress(),
             ),
             await _serve_metrics(self.core.settings),
         ]
@@ -98,14 +102,22 @@
         journal.write_decision('stopped', instance=self.core.settings.name)
         journal.flush()
 
+    def _make_ingress(self) -> Ingress:
+        lookups = KeyLookups(
+            self._followers[OPERATOR_TOPIC].refresh,
+            self.core.now,
+        )
+        dispatch = Dispatch(self.core, self.scheduling.assignments)
+        admissions = Admissions(self.core, lookups)
+        return Ingress(self.core, self.stop, dispatch, admissions)
+
     def _is_stopping(self) -> bool:
         return self.stop.stopping
 
     def _start_loops(self, readiness: Readiness) -> None:
         keeper = RoleKeeper(self.core)
         exchange = self.finder.exchange
-        followers = follow_store(self.core, exchange)
-        by_topic = {one.subject.topic: one for one in followers}
+        by_topic = self._followers
         exchange.changing = keeper.changing
         loops = {
             **{topic: one.run for topic, one in by_topic.items()},
@@ -171,14 +183,12 @@
     core: Core,
     readiness: Readiness,
     stop: GracefulStop,
-    dispatch: Dispatch,
+    ingress: Ingress,
 ) -> web.AppRunner:
     app = web.Application(client_max_size=_BODY_BYTES)
     stop.add_to(app)
     app.on_response_prepare.append(readiness.close_connection)
-    app.router.add_route(
-        '*', '/{path:.*}', Ingress(core, stop, dispatch).handle
-    )
+    app.router.add_route('*', '/{path:.*}', ingress.handle)
     limits = LimitsConfig(
         body_bytes=_BODY_BYTES,
         header_bytes=_LINE_BYTES,
--- a/packages/verbenahall/src/verbenahall/gateway/_streams.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_streams.py
@@ -26,6 +26,7 @@
     Quarantined,
     Refused,
     TimedOut,
+    Unauthorized,
     Unprepared,
 )
 from verbenahall.roster import Entry
@@ -286,6 +287,6 @@
     A read runs nothing, so the request may go on elsewhere whatever became
     of it, also where it may run only once.
     """
-    if isinstance(outcome, TimedOut | Quarantined | Limited):
+    if isinstance(outcome, TimedOut | Quarantined | Limited | Unauthorized):
         return outcome
     return Unprepared(f'the prompt was not read: {outcome}')
--- a/packages/verbenahall/src/verbenahall/platform/_headers.py
+++ b/packages/verbenahall/src/verbenahall/platform/_headers.py
@@ -6,6 +6,7 @@
 
 from multidict import CIMultiDict
 
+from verbenahall.authentication import digest_key
 from verbenahall.placement import Part, Work
 from verbenahall.platform import _names as names
 
@@ -40,13 +41,15 @@
     """What a caller's headers say about its request.
 
     ``wait_s`` is how long the caller still waits, None when it does not say;
-    ``last_event`` is the last event that it has of a broken stream.
+    ``last_event`` is the last event that it has of a broken stream, and
+    ``key`` the digest of its API key, empty when it has none or several.
     """
 
     identity: str
     wait_s: float | None
     work: Work
     last_event: int | None
+    key: bytes = b''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -88,6 +91,7 @@
         wait_s=_read_wait(headers.get(names.DEADLINE_MS, '')),
         work=_read_work(headers),
         last_event=read_event_number(headers.get(names.LAST_EVENT_ID, '')),
+        key=_read_key(headers),
     )
 
 
@@ -99,14 +103,19 @@
 def build_send_headers(
     raw: RawHeaders,
     order: SendOrder,
+    workspace: str = '',
 ) -> CIMultiDict[str]:
     """Build the headers of a send from the caller's own ones.
 
+    The endpoint is told the ``workspace``, if the request runs in its name.
+
     Headers that only the system may set are left out, whatever the caller
     has sent: with them a caller could read another one's KV cache.
     """
     headers = strip_hop_headers(raw, names.SYSTEM_HEADERS)
     headers[names.EXPECT_ENDPOINT] = order.endpoint
+    if workspace:
+        headers[names.TENANT] = workspace
     wait_ms = max(1, int(order.wait_s * _MS_IN_SECOND))
     headers[names.DEADLINE_MS] = str(wait_ms)
     if order.priority is not None:
@@ -161,6 +170,11 @@
     )
 
 
+def _read_key(headers: Mapping[str, str]) -> bytes:
+    keys = CIMultiDict(headers).getall(names.KEY, ())
+    return digest_key(keys[0]) if len(keys) == 1 else b''
+
+
 def _read_wait(text: str) -> float | None:
     if text.isascii() and text.isdigit():
         return int(text) / _MS_IN_SECOND
--- a/packages/verbenahall/src/verbenahall/platform/_manifest.py
+++ b/packages/verbenahall/src/verbenahall/platform/_manifest.py
@@ -7,6 +7,11 @@
 from returns.result import Failure, Result, Success
 
 from verbenahall import wire
+from verbenahall.authentication import (
+    KeyTable,
+    Workspace,
+    build_key_table,
+)
 from verbenahall.catalog import (
     Catalog,
     EngineTraits,
@@ -54,6 +59,7 @@
         routes=_build_routes(table['routes']),
         services={service.name: service for service in services},
         limits=_build_limits(table['limits']),
+        keys=_build_keys(table.get('tenants')),
     )
 
 
@@ -83,6 +89,7 @@
         max_attempts=max(1, fields.whole(row, 'maxAttempts', 1)),
         resumable=row.get('resumable') is True,
         gap_s=gap_s,
+        public=row.get('public') is True,
         patience_s=max(
             _PATIENCE_S,
             _PATIENCE_OBJECTIVES * objective_s,
@@ -130,3 +137,31 @@
         header_timeout_s=fields.seconds(row, 'headerTimeoutMs'),
         idle_timeout_s=fields.seconds(row, 'idleTimeoutMs'),
     )
+
+
+def _build_keys(rows: list[dict[str, Any]] | None) -> KeyTable | None:
+    """Return the keys of the tenants, as the wire calls workspaces.
+
+    Where the manifest names no tenants, callers need no key.
+    """
+    if not rows:
+        return None
+    return build_key_table(
+        _build_holder(row, place) for place, row in enumerate(rows)
+    )
+
+
+def _build_holder(
+    row: dict[str, Any],
+    place: int,
+) -> tuple[Workspace, list[str]]:
+    keys = row['apiKeys']
+    texts = isinstance(keys, list) and all(
+        isinstance(key, str) and key for key in keys
+    )
+    if not texts:
+        # The message goes into logs, so it does not quote what was found.
+        raise TypeError(f'tenants[{place}].apiKeys must be a list of texts')
+    has_priority = row.get('priority') is not None
+    priority = fields.whole(row, 'priority') if has_priority else None
+    return Workspace(fields.text(row, 'name'), priority), keys
--- a/packages/verbenahall/src/verbenahall/platform/_names.py
+++ b/packages/verbenahall/src/verbenahall/platform/_names.py
@@ -24,6 +24,10 @@
 #: On a request: have the prompt read only.
 STAGE: Final = 'X-Verbenahall-Stage'
 KV_FROM: Final = 'X-Verbenahall-Kv-From'
+#: The caller's API key, which no endpoint may see.
+KEY: Final = 'X-Verbenahall-Key'
+#: The workspace in whose name a request runs, for endpoints.
+TENANT: Final = 'X-Verbenahall-Tenant'
 
 #: Headers that only the system may set. A caller who could set them would
 #: choose endpoints, read others' KV cache or jump the queue.
@@ -35,6 +39,8 @@
         PRIORITY,
         STAGE,
         KV_FROM,
+        KEY,
+        TENANT,
         NOT_RUN,
         STAMP,
         'X-Verbenahall-Expect-Version',
--- a/packages/verbenahall/src/verbenahall/requests/__init__.py
+++ b/packages/verbenahall/src/verbenahall/requests/__init__.py
@@ -8,6 +8,11 @@
     may_have_run,
     name_outcome,
 )
+from verbenahall.requests._hindrances import (
+    Limited,
+    Quarantined,
+    Unauthorized,
+)
 from verbenahall.requests._messages import (
     AttemptNames,
     Facts,
@@ -16,10 +21,8 @@
 )
 from verbenahall.requests._outcomes import (
     Broken,
-    Limited,
     NeverWritten,
     Outcome,
-    Quarantined,
     Refused,
     TimedOut,
     Unprepared,
@@ -41,6 +44,7 @@
     'StreamState',
     'StreamStep',
     'TimedOut',
+    'Unauthorized',
     'Unprepared',
     'WindowBudget',
     'conclude',
--- a/packages/verbenahall/src/verbenahall/requests/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/requests/_decisions.py
@@ -10,13 +10,16 @@
 
 from verbenahall.errors import ErrorKind, Problem, Ran
 from verbenahall.requests._budget import RetryBudget, WindowBudget
+from verbenahall.requests._hindrances import (
+    Limited,
+    Quarantined,
+    Unauthorized,
+)
 from verbenahall.requests._messages import Facts, GiveUp, Retry
 from verbenahall.requests._outcomes import (
     Broken,
-    Limited,
     NeverWritten,
     Outcome,
-    Quarantined,
     Refused,
     TimedOut,
     Unprepared,
@@ -69,6 +72,9 @@
         case Limited(wait_s):
             message = 'the endpoint takes no more requests now'
             return Problem(ErrorKind.OVERLOADED, message, ran, wait_s)
+        case Unauthorized():
+            message = 'the API key is no longer in force'
+            return Problem(ErrorKind.UNAUTHORIZED, message, ran)
         case Refused(status):
             message = f'the endpoint refused with status {status}'
             return Problem(ErrorKind.OVERLOADED, message, ran)
@@ -90,7 +96,12 @@
     """Whether a request may have run whose attempt failed so."""
     return not isinstance(
         outcome,
-        NeverWritten | Unprepared | Refused | Quarantined | Limited,
+        NeverWritten
+        | Unprepared
+        | Refused
+        | Quarantined
+        | Limited
+        | Unauthorized,
     )
 
 
@@ -107,6 +118,8 @@
             return 'quarantined'
         case Limited():
             return 'limited'
+        case Unauthorized():
+            return 'unauthorized'
         case Broken():
             return 'broken'
         case TimedOut():
@@ -121,7 +134,7 @@
             return True
         case Broken():
             return facts.repeatable
-        case TimedOut() | Quarantined():
+        case TimedOut() | Quarantined() | Unauthorized():
             return False
 
 
--- a/packages/verbenahall/src/verbenahall/requests/_outcomes.py
+++ b/packages/verbenahall/src/verbenahall/requests/_outcomes.py
@@ -3,6 +3,12 @@
 import dataclasses
 from typing import Union
 
+from verbenahall.requests._hindrances import (
+    Limited,
+    Quarantined,
+    Unauthorized,
+)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NeverWritten:
@@ -28,23 +34,6 @@
     status: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Quarantined:
-    """Nothing was sent: earlier sends of this request crashed endpoints.
-
-    It may be sent again after ``left_s`` seconds.
-    """
-
-    left_s: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Limited:
-    """Nothing was sent: the endpoint takes the next one after ``wait_s``."""
-
-    wait_s: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Broken:
     """Bytes were written, and no whole answer came back.
@@ -68,6 +57,7 @@
     Refused,
     Quarantined,
     Limited,
+    Unauthorized,
     Broken,
     TimedOut,
 ]
--- /dev/null
+++ b/packages/verbenahall/tests/authentication/test_keys.py
@@ -0,0 +1,109 @@
+"""Whose key a request carries, and how often the store is asked for it."""
+
+import asyncio
+
+import pytest
+from returns.result import Failure, Success
+
+from verbenahall.authentication import (
+    KeyHistory,
+    KeyLookups,
+    Workspace,
+    authenticate,
+    build_key_table,
+    digest_key,
+    is_retired,
+    note_replaced,
+)
+from verbenahall.errors import ErrorKind
+
+PRESS = Workspace('press')
+CLUB = Workspace('club', priority=0)
+TABLE = build_key_table([(PRESS, ['one', 'two']), (CLUB, ['three'])])
+
+
+@pytest.mark.parametrize(
+    ('key', 'public', 'holder'),
+    [
+        ('one', False, PRESS),
+        ('two', False, PRESS),
+        ('three', True, CLUB),
+        ('none', True, None),
+    ],
+)
+def test_holder(key, public, holder):
+    found = authenticate(TABLE, digest_key(key), public=public)
+    assert found == Success(holder)
+
+
+@pytest.mark.parametrize('digest', [b'', digest_key('none'), b'one'])
+def test_unknown_key_is_unauthorized(digest):
+    refused = authenticate(TABLE, digest, public=False)
+    assert isinstance(refused, Failure)
+    assert refused.failure().kind is ErrorKind.UNAUTHORIZED
+
+
+def test_without_a_table_everybody_may_ask():
+    assert authenticate(None, b'', public=False) == Success(None)
+
+
+def test_key_of_two_workspaces_is_refused_without_being_named():
+    """Whose request it is could not be told; the message is logged."""
+    with pytest.raises(ValueError, match="'press' and 'club'") as caught:
+        build_key_table([(PRESS, ['secret']), (CLUB, ['secret'])])
+    assert 'secret' not in str(caught.value)
+
+
+def test_workspace_may_lose_all_its_keys():
+    table = build_key_table([(PRESS, []), (CLUB, ['three'])])
+    assert list(table.holders.values()) == [CLUB]
+
+
+def test_retired_keys_are_remembered_until_they_are_back():
+    history = KeyHistory()
+    later = build_key_table([(CLUB, ['three', 'four'])])
+    note_replaced(history, TABLE, later)
+    assert is_retired(history, digest_key('one'))
+    assert not is_retired(history, digest_key('three'))
+    note_replaced(history, later, TABLE)
+    assert not is_retired(history, digest_key('one'))
+    assert is_retired(history, digest_key('four'))
+    note_replaced(history, TABLE, None)
+    assert is_retired(history, digest_key('three'))
+
+
+class Clock:
+    """A clock that a test moves."""
+
+    def __init__(self):
+        self.seconds = 0
+
+    def __call__(self):
+        return self.seconds
+
+
+def test_lookups_are_shared_and_kept_apart():
+    """Random keys would otherwise buy a call to the store each."""
+
+    async def check():
+        calls = []
+        answer = asyncio.Event()
+
+        async def refresh():
+            calls.append(1)
+            await answer.wait()
+            return True
+
+        clock = Clock()
+        lookups = KeyLookups(refresh, clock)
+        waiting = [asyncio.create_task(lookups.look()) for _ in range(5)]
+        await asyncio.sleep(0)
+        waiting[0].cancel()
+        answer.set()
+        assert all(await asyncio.gather(*waiting[1:]))
+        assert not await lookups.look()
+        clock.seconds += 1
+        assert await lookups.look()
+        assert len(calls) == 2
+
+    asyncio.run(check())
--- a/packages/verbenahall/tests/drains/crashing_fleet.py
+++ b/packages/verbenahall/tests/drains/crashing_fleet.py
@@ -63,7 +63,7 @@
             task.cancel()
         await super().close()
 
-    async def serve(self, instance, host, path):
+    async def serve(self, instance, host, path, headers):
         """Run a request at an endpoint, until it ends or crashes."""
         name = self.find_endpoint(host)
         if name in self._down:
--- a/packages/verbenahall/tests/drains/fleet.py
+++ b/packages/verbenahall/tests/drains/fleet.py
@@ -244,7 +244,7 @@
         apart = self.groups.get(one, 0) != self.groups.get(other, 0)
         return apart or bool({one, other} & self.silenced)
 
-    async def serve(self, instance, host, path):
+    async def serve(self, instance, host, path, headers):
         """Take a request at an endpoint, which loses the connection."""
         self.note_arrival(instance, host)
         raise aiohttp.ServerDisconnectedError
@@ -255,11 +255,15 @@
         self.sends += 1
         endpoint = self.find_endpoint(host)
         left_at = self.left.get(endpoint, now)
-        harmed_until = self._harmed.get(instance, -self.stable_s)
-        judged = now - harmed_until > self.stable_s
-        if judged and now - left_at > self.leaving_s:
+        if self.is_judged(instance) and now - left_at > self.leaving_s:
             self.late.append(self._describe(instance, endpoint, now))
 
+    def is_judged(self, instance):
+        """Whether nothing has harmed an instance's way to the store lately."""
+        now = asyncio.get_running_loop().time()
+        harmed_until = self._harmed.get(instance, -self.stable_s)
+        return now - harmed_until > self.stable_s
+
     def _describe(self, instance, endpoint, now):
         core = self.instances[instance].core
         seat = core.roster.seats.get(endpoint)
--- a/packages/verbenahall/tests/drains/rated_fleet.py
+++ b/packages/verbenahall/tests/drains/rated_fleet.py
@@ -53,18 +53,18 @@
         self.rates[endpoint] = rate
         self.named_at[endpoint] = asyncio.get_running_loop().time()
 
-    async def serve(self, instance, host, path):
+    async def serve(self, instance, host, path, headers):
         """Answer after a while, with the rate if there is one."""
         loop = asyncio.get_running_loop()
         name = self.find_endpoint(host)
         self.arrivals.setdefault(name, []).append((loop.time(), instance))
         named = self.rates.get(name)
         await asyncio.sleep(self.source.uniform(0.01, 0.3))
-        headers = {STAMP: 'signed'}
+        answer = {STAMP: 'signed'}
         if named:
-            headers['Server-Limit'] = str(named)
+            answer['Server-Limit'] = str(named)
             self.told.setdefault((name, instance), loop.time())
-        return SimulatedResponse(200, b'whole', headers)
+        return SimulatedResponse(200, b'whole', answer)
 
     async def ask(self, instance):
         """Ask once."""
--- a/packages/verbenahall/tests/drains/simulated_network.py
+++ b/packages/verbenahall/tests/drains/simulated_network.py
@@ -40,7 +40,8 @@
         await asyncio.sleep(fleet.source.uniform(0, longest))
         host, _, rest = url.removeprefix('http://').partition(':')
         path = rest[rest.index('/') :]
-        return await fleet.serve(self._instance, host, path)
+        headers = options.get('headers', {})
+        return await fleet.serve(self._instance, host, path, headers)
 
 
 class _Request:
--- a/packages/verbenahall/tests/platform/test_wire.py
+++ b/packages/verbenahall/tests/platform/test_wire.py
@@ -8,6 +8,7 @@
 from returns.maybe import Nothing
 
 import verbenahall
+from verbenahall.authentication import Workspace, digest_key
 from verbenahall.catalog import Kind
 from verbenahall.fleet import Role
 from verbenahall.platform import (
@@ -116,6 +117,62 @@
     assert [share.service for share in route.shares] == ['a']
 
 
+def make_keyed_manifest(tenants):
+    return {
+        'version': 8,
+        'routes': [],
+        'services': [],
+        'limits': {
+            'maxHeaderBytes': 16_384,
+            'maxBodyBytes': 4_194_304,
+            'headerTimeoutMs': 3000,
+            'idleTimeoutMs': 15_000,
+        },
+        'tenants': tenants,
+    }
+
+
+def test_tenants_are_workspaces_with_keys():
+    tenants = [
+        {'name': 'club', 'apiKeys': ['k-1', 'k-2'], 'priority': 0},
+        {'name': 'press', 'apiKeys': []},
+    ]
+    manifest = dump(make_keyed_manifest(tenants))
+    keys = decode_manifest(manifest).unwrap().keys
+    assert keys.holders == {
+        digest_key('k-1'): Workspace('club', 0),
+        digest_key('k-2'): Workspace('club', 0),
+    }
+
+
+@pytest.mark.parametrize('tenants', [None, []])
+def test_manifest_without_tenants_asks_for_no_key(tenants):
+    manifest = dump(make_keyed_manifest(tenants))
+    assert decode_manifest(manifest).unwrap().keys is None
+
+
+@pytest.mark.parametrize(
+    ('tenant', 'place'),
+    [
+        ({'apiKeys': ['a-secret']}, 'name'),
+        ({'name': '', 'apiKeys': ['a-secret']}, 'name'),
+        ({'name': 'club'}, 'apiKeys'),
+        ({'name': 'club', 'apiKeys': 'a-secret'}, 'tenants[1].apiKeys'),
+        ({'name': 'club', 'apiKeys': ['a-secret', 7]}, 'tenants[1].apiKeys'),
+        ({'name': 'club', 'apiKeys': ['']}, 'tenants[1].apiKeys'),
+        ({'name': 'club', 'apiKeys': [], 'priority': -1}, 'priority'),
+        ({'name': 'club', 'apiKeys': ['a-secret', 'k-1']}, "'press'"),
+    ],
+)
+def test_manifest_with_a_bad_tenant_is_left_alone(tenant, place):
+    """Half of it in force would refuse callers whose keys are good."""
+    tenants = [{'name': 'press', 'apiKeys': ['k-1']}, tenant]
+    refused = decode_manifest(dump(make_keyed_manifest(tenants)))
+    message = refused.failure().message
+    assert place in message
+    assert 'secret' not in message
+
+
 def test_unknown_kind_runs_at_most_once():
     row = {'name': 'r', 'host': 'h', 'pathPrefix': '/a/', 'kind': 'new'}
     limits = {
