--- a/packages/verbenahall/src/verbenahall/authority/__init__.py
+++ b/packages/verbenahall/src/verbenahall/authority/__init__.py
@@ -3,6 +3,7 @@
 from verbenahall.authority._decisions import (
     Candidacy,
     choose_step,
+    find_claim_time,
     find_deadline,
     find_token,
     note_sent,
@@ -40,6 +41,7 @@
     'current_token',
     'encode_step',
     'export_state',
+    'find_claim_time',
     'find_deadline',
     'find_token',
     'note_sent',
--- a/packages/verbenahall/src/verbenahall/clock.py
+++ b/packages/verbenahall/src/verbenahall/clock.py
@@ -8,3 +8,8 @@
 
 monotonic: Clock = time.monotonic
 wall: Clock = time.time
+
+
+def boottime() -> float:
+    """Return seconds that also count while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/packages/verbenahall/src/verbenahall/gateway/_lease.py
+++ b/packages/verbenahall/src/verbenahall/duties/_lease.py
@@ -1,9 +1,10 @@
-"""The lease on the engines' roles, kept as one key in the store.
+"""The lease on one duty, kept as one key in the store.
 
 The lease's newest record is kept for ever, so a successor always finds it.
 Every append is conditional on the offset at which the topic ended when the
 record was read: of two claims the store lets in only one, and the offset of
-the claim is the fencing token, which no other holder can ever have.
+the claim is the fencing token, which no other holder can ever have. All
+duties share the topic, so no two of them ever have the same token either.
 """
 
 import dataclasses
@@ -22,6 +23,7 @@
     Release,
     Renew,
     choose_step,
+    find_claim_time,
     find_token,
     note_sent,
 )
@@ -34,7 +36,6 @@
     encode_keyed,
 )
 
-SCOPE: Final = 'roles'
 #: Digits that tell this run of the process from the ones before.
 _RUN_DIGITS: Final = 8
 
@@ -49,7 +50,7 @@
 
 
 @final
-class RoleLease:
+class DutyLease:
     """Claims the lease when it is needed; nobody renews it in idle times.
 
     ``now`` must be a clock that counts while the machine is suspended: a
@@ -58,6 +59,7 @@
     """
 
     __slots__ = (
+        'duty',
         '_store',
         '_instance',
         '_state',
@@ -70,16 +72,18 @@
     def __init__(
         self,
         store: StoreClient,
+        duty: str,
         instance: str,
         timing: LeaseTiming,
         delay_share: float,
         now: Clock,
     ) -> None:
-        """Stand for the lease in the name of an instance."""
+        """Stand for the lease on a duty in the name of an instance."""
+        self.duty = duty
         self._store = store
         self._instance = instance
         self._state = AuthorityState()
-        self._candidacy = Candidacy(SCOPE, _make_name(instance), delay_share)
+        self._candidacy = Candidacy(duty, _make_name(instance), delay_share)
         self._timing = timing
         self._now = now
         self._end = 0
@@ -98,18 +102,33 @@
             self._now(),
         )
 
+    @property
+    def grant(self) -> Grant:
+        """Who held the duty when the store was last read."""
+        return self._state.find_grant(self.duty)
+
+    def find_wait(self) -> float:
+        """Return for how long another holder is waited out, in seconds."""
+        due = find_claim_time(self._state, self._candidacy, self._timing)
+        return max(0, due - self._now())
+
     def forget(self) -> None:
-        """Give up a token that an engine has refused; it is not used again.
+        """Give up a token that was refused; it is not used again.
 
         Under a new name the own record is another's, whose lease is waited
         out; under the old one the next read would hand the token back.
         """
         self._candidacy = Candidacy(
-            SCOPE,
+            self.duty,
             _make_name(self._instance),
             self._candidacy.delay_share,
         )
 
+    async def look(self) -> Grant:
+        """Read who holds the duty; a successor waits from this on."""
+        await self._refresh()
+        return self.grant
+
     async def acquire(self) -> int | None:
         """Take one step towards the lease; return the token once held."""
         if self.token() is not None:
@@ -125,7 +144,7 @@
             case Claim():
                 await self._append(step, token=0)
             case Renew():
-                grant = self._state.find_grant(SCOPE)
+                grant = self._state.find_grant(self.duty)
                 await self._append(step, token=grant.token)
             case _:
                 pass
@@ -144,19 +163,23 @@
         match await self._store.read_newest(LEASES_TOPIC):
             case Success(newest):
                 self._end = newest.end
-                content = newest.items.get(SCOPE)
+                content = newest.items.get(self.duty)
                 if content is not None:
-                    self._hear(content, newest.offsets[SCOPE])
+                    self._hear(content, newest.offsets[self.duty])
             case Failure():
                 return
 
     def _hear(self, content: bytes, offset: int) -> None:
         record = _decode(content)
         if record is None:
-            journal.write_decision('lease_unreadable', offset=offset)
+            journal.write_decision(
+                'lease_unreadable',
+                duty=self.duty,
+                offset=offset,
+            )
             return
         last = offset + 1
-        known = self._state.find_grant(SCOPE)
+        known = self._state.find_grant(self.duty)
         if known.last == last:
             return
         self._grant(record, last)
@@ -164,7 +187,7 @@
     def _grant(self, record: _Record, last: int) -> None:
         # A released lease has no token, so the next claim need not wait.
         token = (record.token or last) if record.holder else 0
-        self._state.grants[SCOPE] = Grant(
+        self._state.grants[self.duty] = Grant(
             holder=record.holder,
             token=token,
             last=last,
@@ -172,8 +195,13 @@
             lease_s=record.lease_s,
             clean=not record.holder,
         )
-        self._state.heard[SCOPE] = self._now()
-        journal.write_decision('lease', holder=record.holder, token=token)
+        self._state.heard[self.duty] = self._now()
+        journal.write_decision(
+            'lease',
+            duty=self.duty,
+            holder=record.holder,
+            token=token,
+        )
 
     async def _append(
         self,
@@ -185,7 +213,7 @@
         name = self.holder if holder is None else holder
         record = _Record(name, token, self._timing.lease_s)
         body = encode_keyed(
-            KeyedRecord(SCOPE, wire.encode(dataclasses.asdict(record))),
+            KeyedRecord(self.duty, wire.encode(dataclasses.asdict(record))),
         )
         outcome = await self._store.append(LEASES_TOPIC, [body], self._end)
         # A record that got in without our hearing of it is found by the next
@@ -198,6 +226,7 @@
             case _:
                 journal.write_decision(
                     'lease_not_taken',
+                    duty=self.duty,
                     outcome=repr(outcome),
                     step=type(step).__name__,
                 )
--- a/packages/verbenahall/src/verbenahall/gateway/_orders.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_orders.py
@@ -2,22 +2,23 @@
 
 import asyncio
 import dataclasses
-import time
 from collections.abc import Sequence
 from http import HTTPStatus
 from typing import Final, final
 
-from verbenahall import journal, metrics
+from verbenahall import clock, journal, metrics
 from verbenahall.authority import LeaseTiming
+from verbenahall.duties import DutyLease
 from verbenahall.fleet import Role
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._hooks import name_start
-from verbenahall.gateway._lease import SCOPE, RoleLease
 from verbenahall.peers import find_rank
 from verbenahall.placement import RoleChange, plan_roles
 from verbenahall.platform import RoleOrder
 from verbenahall.roster import Entry
 
+#: The name under which the lease on roles is kept.
+_DUTY: Final = 'roles'
 #: How often the roles are looked at, in seconds.
 _LOOK_S: Final = 0.3
 #: No engine must have joined for this long, in seconds: engines that start
@@ -43,11 +44,6 @@
 _APART_S: Final = 0.5
 
 
-def read_boot_clock() -> float:
-    """Return seconds that also count while the machine is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Sent:
     """An order that was sent, and when."""
@@ -94,14 +90,15 @@
         """Order in turn with the peers that are heard."""
         self._core = core
         self._apart_s = core.settings.bounds.lease_s + _APART_S
-        self._lease = RoleLease(
+        self._lease = DutyLease(
             core.store,
+            _DUTY,
             core.settings.name,
             # The margin keeps two holders' orders further apart than a
             # lease, so that they are never seen to take turns.
             LeaseTiming(_LEASE_S, margin_s=self._apart_s),
             core.random.random(),
-            read_boot_clock,
+            clock.boottime,
         )
         #: The last order to an engine, by its name and start.
         self._pending: dict[tuple[str, int], _Sent] = {}
@@ -227,7 +224,7 @@
         now = self._core.now()
         if self._needed_at is None:
             self._needed_at = now
-        rank = find_rank(self._core.book, SCOPE, now)
+        rank = find_rank(self._core.book, _DUTY, now)
         return now - self._needed_at >= rank * _TURN_S
 
     async def _order_all(self, changes: Sequence[RoleChange]) -> None:
--- a/packages/verbenahall/tests/gateway/test_lease.py
+++ b/packages/verbenahall/tests/duties/test_lease.py
@@ -6,7 +6,7 @@
 from verbenahall_standins.platform import StoreStandIn
 
 from verbenahall.authority import LeaseTiming
-from verbenahall.gateway._lease import RoleLease
+from verbenahall.duties import DutyLease
 from verbenahall.platform import StoreClient, make_session
 
 _TIMING = LeaseTiming(lease_s=6, margin_s=3.5)
@@ -28,9 +28,9 @@
     session = make_session()
     clock = Clock()
 
-    def make(name):
+    def make(name, duty='roles'):
         client = StoreClient(session, store.address)
-        return RoleLease(client, name, _TIMING, 0, clock)
+        return DutyLease(client, duty, name, _TIMING, 0, clock)
 
     try:
         await check(store, make, clock)
@@ -146,3 +146,47 @@
         assert later > token
 
     asyncio.run(stand(check))
+
+
+def test_duties_have_holders_of_their_own_and_no_token_in_common():
+    """Two duties in one topic: a token for one must not fit the other."""
+
+    async def check(store, make, clock):
+        leases = [make('a', 'usage'), make('b', 'scale/x'), make('a', 'roles')]
+        tokens = [await one.acquire() for one in leases]
+        assert None not in tokens
+        assert len(set(tokens)) == len(tokens)
+        assert [one.token() for one in leases] == tokens
+
+    asyncio.run(stand(check))
+
+
+def test_standby_waits_from_its_own_look():
+    """A standby that reads the lease often takes over sooner, never early."""
+
+    async def check(store, make, clock):
+        holder, standby = make('a'), make('b')
+        await holder.acquire()
+        grant = await standby.look()
+        assert grant.holder == holder.holder
+        assert standby.find_wait() >= 9.5
+        clock.seconds += 5
+        assert await standby.acquire() is None
+        clock.seconds += 5
+        assert await standby.acquire() > grant.token
+
+    asyncio.run(stand(check))
+
+
+def test_claim_beside_another_duty_is_tried_again():
+    """Another duty's claim gets in between the read and the append."""
+
+    async def check(store, make, clock):
+        one, other = make('a', 'usage'), make('b', 'scale/x')
+        await asyncio.gather(one.acquire(), other.acquire())
+        clock.seconds += 1
+        tokens = {await one.acquire(), await other.acquire()}
+        assert None not in tokens
+        assert len(tokens) == 2
+
+    asyncio.run(stand(check))
