Usage is counted by workspace and window, and reported once

Change: a slice usage/. Each instance counts requests at their first event (or answer), by the true time: the boot clock with the median offset of all instances, so that no step of a wall clock moves a count. The holder of the lease on usage asks all instances every 0.7 s by datagram; counts only grow and merge by maximum for each run of an instance. Where the holder is not heard instances write their counts to the store. A window's report is written to the store on a condition before it is sent, and every later holder sends that record: never two reports of one window. Three instances look after the holder and succeed it in time for the windows it has left; it tells them its own counts.

Ways weighed: counts by the store alone (60 appends each 5 s and at worst 5 s of a killed instance lost) against datagrams with the store behind them, kept.

--- a/packages/verbenahall/src/verbenahall/duties/__init__.py
+++ b/packages/verbenahall/src/verbenahall/duties/__init__.py
@@ -1,5 +1,6 @@
 """Duties that one instance at a time carries out: leases and tokens."""
 
 from verbenahall.duties._lease import DutyLease
+from verbenahall.duties._succession import Succession
 
-__all__ = ('DutyLease',)
+__all__ = ('DutyLease', 'Succession')
--- a/packages/verbenahall/src/verbenahall/gateway/_core.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_core.py
@@ -33,6 +33,7 @@
 from verbenahall.requests import WindowBudget
 from verbenahall.roster import LAPSE_S, Entry, Roster, RosterRules
 from verbenahall.throttling import RateTable
+from verbenahall.usage import TrueClock, UsageMeter
 
 #: Share of the operators' bound on further sends that is used: what counts
 #: is when sends arrive, which slides against when they are decided.
@@ -73,6 +74,11 @@
                 _find_usable(settings.bounds.manifest_s),
             ),
         }
+        self.true_clock = TrueClock(clock.boottime, clock.wall)
+        self.meter = UsageMeter(
+            settings.bounds.usage_window_s,
+            self.true_clock.now,
+        )
         self.standings = Standings()
         self.crash_log = CrashLog()
         self.rates = RateTable()
--- a/packages/verbenahall/src/verbenahall/gateway/_generation.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_generation.py
@@ -35,6 +35,7 @@
         '_sent_at',
         '_handed_over',
         '_grant',
+        '_counted',
     )
 
     def __init__(
@@ -52,6 +53,7 @@
         self._flight = InFlight(-1, '', Totals())
         self._sent_at: float = 0
         self._handed_over = False
+        self._counted = False
 
     async def run(
         self,
@@ -151,6 +153,7 @@
         Left there until the stream's end, it looked to others like a prompt
         that they would have to wait for.
         """
+        self._count()
         placement = self._core.placement
         self._flight = placement.ledger.note_read(self._flight)
         now = self._core.now()
@@ -159,6 +162,13 @@
         if handover_s:
             placement.handover.note(handover_s, now)
 
+    def _count(self) -> None:
+        """Count the request once, however many engines go on with it."""
+        workspace = self._call.workspace
+        if workspace is not None and not self._counted:
+            self._core.meter.note_begun(workspace.name)
+        self._counted = True
+
     def _learn(self, plan: Plan, ended: StreamEnded) -> None:
         call = self._call
         pace = ended.pace
--- a/packages/verbenahall/src/verbenahall/gateway/_plain.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_plain.py
@@ -35,7 +35,14 @@
 class PlainFlow:
     """One call to a plain service, from its choice of endpoint to its end."""
 
-    __slots__ = ('_core', '_sender', '_call', '_attempts', '_fallback')
+    __slots__ = (
+        '_core',
+        '_sender',
+        '_call',
+        '_attempts',
+        '_fallback',
+        '_counted',
+    )
 
     def __init__(self, core: Core, sender: Sender, call: Call) -> None:
         """Prepare; nothing is sent before ``run``."""
@@ -44,6 +51,7 @@
         self._call = call
         self._attempts = Attempts(core, call)
         self._fallback: Answered | None = None
+        self._counted = False
 
     async def run(self) -> web.StreamResponse:
         """Send until an answer is final; return it."""
@@ -88,8 +96,17 @@
         order = SendOrder(endpoint.name, call.left_s(now))
         result = await self._sender.exchange(call, endpoint, order, until)
         self._attempts.note(endpoint.name, result)
+        if self._attempts.runs == 1:
+            self._count(self._core.now() - now)
         return result
 
+    def _count(self, ago_s: float) -> None:
+        """Count the request once it has, or may have, begun to run."""
+        workspace = self._call.workspace
+        if workspace is not None and not self._counted:
+            self._core.meter.note_begun(workspace.name, ago_s)
+        self._counted = True
+
     def _judge(
         self,
         endpoint: Entry,
--- a/packages/verbenahall/src/verbenahall/gateway/_serve.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_serve.py
@@ -28,6 +28,11 @@
 from verbenahall.gateway._readiness import Readiness
 from verbenahall.gateway._refresh import Refresher
 from verbenahall.gateway._scheduler import Scheduling
+from verbenahall.gateway._usage import (
+    make_usage_exchange,
+    make_usage_reporter,
+    reports_usage,
+)
 from verbenahall.platform import OPERATOR_TOPIC, READY, ProcessSettings
 from verbenahall.process import listen, run_service
 from verbenahall.shutdown import GracefulStop, StopTiming
@@ -74,6 +79,7 @@
         self.permits = Permits(self.core, self.finder.exchange)
         followers = follow_store(self.core, self.finder.exchange)
         self._followers = {one.subject.topic: one for one in followers}
+        self._usage = make_usage_exchange(self.core, self.finder.exchange)
         self._supervisor = Supervisor()
         self._runners: list[web.AppRunner] = []
 
@@ -95,6 +101,7 @@
 
     async def close(self) -> None:
         """Stop the loops and close every connection."""
+        self._usage.tell_last()
         await self._supervisor.stop()
         closing = [runner.cleanup() for runner in self._runners]
         await asyncio.gather(*closing)
@@ -136,6 +143,8 @@
             'beliefs': Beliefs(self.core).run,
             'lines': _flush_lines,
         }
+        if reports_usage(self.core.settings):
+            loops['usage'] = make_usage_reporter(self.core, self._usage).run
         for name, loop in loops.items():
             self._supervisor.start(name, loop)
 
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/gateway/_usage.py
@@ -0,0 +1,73 @@
+"""Puts the usage reporter of an instance together."""
+
+from typing import Final
+
+from verbenahall import clock
+from verbenahall.duties import DutyLease, Succession
+from verbenahall.gateway._core import Core
+from verbenahall.peers import PeerExchange
+from verbenahall.platform import USAGE_DUTY, DutyCalls, ProcessSettings
+from verbenahall.usage import (
+    DUTY,
+    Reports,
+    Surroundings,
+    UsageExchange,
+    UsageReporter,
+    Windows,
+    time_lease,
+)
+
+#: How much longer than the operators' bound two holders' calls are kept
+#: apart, in seconds, for what they were under way.
+_APART_S: Final = 0.5
+
+
+def reports_usage(settings: ProcessSettings) -> bool:
+    """Whether the operators want usage reports."""
+    bounds = settings.bounds
+    wanted = USAGE_DUTY in settings.duties and bool(settings.duty_api)
+    return wanted and bounds.usage_window_s > 0 and bounds.usage_late_s > 0
+
+
+def make_usage_exchange(core: Core, exchange: PeerExchange) -> UsageExchange:
+    """Answer whoever gathers counts, from now on."""
+    return UsageExchange(
+        exchange,
+        core.book,
+        core.store,
+        core.meter,
+        core.true_clock,
+    )
+
+
+def make_usage_reporter(core: Core, usage: UsageExchange) -> UsageReporter:
+    """Report for all instances, in turn with them."""
+    settings = core.settings
+    bounds = settings.bounds
+    windows = Windows(bounds.usage_window_s, bounds.usage_late_s)
+    calls = DutyCalls(core.session, settings.duty_api)
+    lease = DutyLease(
+        core.store,
+        DUTY,
+        settings.name,
+        time_lease(bounds.lease_s + _APART_S),
+        core.random.random(),
+        clock.boottime,
+    )
+    return UsageReporter(
+        Surroundings(
+            name=settings.name,
+            exchange=usage,
+            reports=Reports(core.store, calls, windows),
+            lease=lease,
+            succession=Succession(
+                lease,
+                core.book,
+                core.now,
+                windows.length_s,
+            ),
+            windows=windows,
+            clock=core.true_clock,
+            now=core.now,
+        ),
+    )
--- a/packages/verbenahall/src/verbenahall/metrics.py
+++ b/packages/verbenahall/src/verbenahall/metrics.py
@@ -108,6 +108,17 @@
     'Sends to endpoints that name a rate: permitted or denied.',
     'verdict',
 )
+DUTY_CALLS: Final = Tally(
+    'verbenahall_duty_calls_total',
+    "Calls to the platform that are one instance's duty, by outcome.",
+    'call',
+    'outcome',
+)
+USAGE_WINDOWS: Final = Tally(
+    'verbenahall_usage_windows_total',
+    'Usage windows that this instance reported, or gave up.',
+    'outcome',
+)
 DROPPED_ANSWERS: Final = Tally(
     'verbenahall_dropped_answers_total',
     'Answers dropped since they belong to another attempt, by shape.',
--- a/packages/verbenahall/src/verbenahall/peers/__init__.py
+++ b/packages/verbenahall/src/verbenahall/peers/__init__.py
@@ -21,7 +21,7 @@
     is_sampled,
     tell_whom,
 )
-from verbenahall.peers._ranks import find_rank
+from verbenahall.peers._ranks import find_rank, list_first
 from verbenahall.peers._watchers import (
     find_confirmed,
     find_furthest,
@@ -47,6 +47,7 @@
     'greet',
     'hear',
     'is_relieved',
+    'list_first',
     'is_sampled',
     'split_news',
     'tell_whom',
--- a/packages/verbenahall/src/verbenahall/peers/_ranks.py
+++ b/packages/verbenahall/src/verbenahall/peers/_ranks.py
@@ -26,5 +26,11 @@
     return ranked.index(book.name) * len(centres) + centre
 
 
+def list_first(book: PeerBook, duty: str, now: float, most: int) -> list[str]:
+    """Return the names of the heard peers that stand first for a duty."""
+    heard = find_heard(book, now, _HEARD_S)
+    return rank_by_rendezvous(duty, heard)[:most]
+
+
 def _is_near(book: PeerBook, name: str) -> bool:
     return book.peers[name].data_centre == book.data_centre
--- a/packages/verbenahall/src/verbenahall/platform/__init__.py
+++ b/packages/verbenahall/src/verbenahall/platform/__init__.py
@@ -16,6 +16,12 @@
     CONNECT_S,
     make_session,
 )
+from verbenahall.platform._duties import (
+    DutyCalls,
+    DutyOutcome,
+    ScaleOrder,
+    Seal,
+)
 from verbenahall.platform._entries import decode_entry
 from verbenahall.platform._headers import (
     AnswerFacts,
@@ -39,7 +45,12 @@
     ORDER,
     READY,
     REPORT,
+    REPORTS_TOPIC,
     REQUEST_ID,
+    SCALE_DUTY,
+    SCALING_TOPIC,
+    USAGE_DUTY,
+    USAGE_TOPIC,
 )
 from verbenahall.platform._records import (
     Batch,
@@ -81,6 +92,8 @@
     'CRASHES_TOPIC',
     'ENDPOINTS_TOPIC',
     'EXPECT_ENDPOINT',
+    'DutyCalls',
+    'DutyOutcome',
     'EngineReport',
     'INSTANCES_TOPIC',
     'KeyedRecord',
@@ -92,12 +105,19 @@
     'ProcessSettings',
     'READY',
     'REPORT',
+    'REPORTS_TOPIC',
     'REQUEST_ID',
     'ReadPrompt',
     'Refused',
     'RoleOrder',
+    'SCALE_DUTY',
+    'SCALING_TOPIC',
+    'ScaleOrder',
+    'Seal',
     'SendOrder',
     'StoreClient',
+    'USAGE_DUTY',
+    'USAGE_TOPIC',
     'Unknown',
     'build_send_headers',
     'decode_entry',
--- a/packages/verbenahall/src/verbenahall/platform/_names.py
+++ b/packages/verbenahall/src/verbenahall/platform/_names.py
@@ -62,6 +62,15 @@
 #: Where the platform asks an instance whether it takes requests.
 READY: Final = '/-/ready'
 
+# Calls of duties to the platform.
+USAGE: Final = '/usage'
+SCALE: Final = '/scale'
+DUTY_HOLDER: Final = 'X-Verbenahall-Duty-Holder'
+DUTY_TOKEN: Final = 'X-Verbenahall-Fence-Token'
+#: The names of these duties in a process's settings.
+USAGE_DUTY: Final = 'usage'
+SCALE_DUTY: Final = 'scale'
+
 # The store.
 APPEND: Final = '/-/log-append'
 READ: Final = '/-/log-read'
@@ -78,4 +87,11 @@
 #: Topic of this system's leases.
 LEASES_TOPIC: Final = 'keyed.leases'
 
+#: Topic of usage counts that the reporting instance could not ask for.
+USAGE_TOPIC: Final = 'keyed.usage'
+#: Topic of the usage reports that were decided on.
+REPORTS_TOPIC: Final = 'keyed.reports'
+#: Topic of how many engines a service had before it was scaled.
+SCALING_TOPIC: Final = 'keyed.scaling'
+
 SETTINGS_VARIABLE: Final = 'VERBENAHALL_CONFIG'
--- a/packages/verbenahall/src/verbenahall/platform/_settings.py
+++ b/packages/verbenahall/src/verbenahall/platform/_settings.py
@@ -48,6 +48,13 @@
             open=True,
         ),
         'platform': Table({'address': _TEXT}, open=True),
+        'cloudApi': Table(
+            {
+                'address': Field(str, default=''),
+                'duties': Field(list, entry=str, default=()),
+            },
+            open=True,
+        ),
         'bounds': Table(
             {
                 'drainMs': _AMOUNT,
@@ -57,6 +64,8 @@
                 'retryWindowS': _AMOUNT,
                 'retrySlack': dataclasses.replace(_AMOUNT, default=0),
                 'configApplyMs': dataclasses.replace(_AMOUNT, default=0),
+                'usageWindowS': dataclasses.replace(_AMOUNT, default=0),
+                'usageLateS': dataclasses.replace(_AMOUNT, default=0),
             },
             open=True,
         ),
@@ -72,7 +81,8 @@
     ``leaving_s`` is how long after its word a leaving endpoint may still get
     work, and ``manifest_s`` how long after its acceptance a manifest must be in
     force; ``retry_share`` and ``retry_slack`` bound the further sends of all
-    instances together within ``retry_window_s``.
+    instances together within ``retry_window_s``. Usage is reported for each
+    ``usage_window_s``, within ``usage_late_s`` after its end.
     """
 
     leaving_s: float
@@ -82,13 +92,16 @@
     retry_share: float
     retry_window_s: float
     retry_slack: float
+    usage_window_s: float = 0
+    usage_late_s: float = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ProcessSettings:
     """What the platform tells a process; addresses are ``IP:port``.
 
-    ``cores`` is how much of a usual core the process may use.
+    ``cores`` is how much of a usual core the process may use. ``duties`` are
+    the calls that one instance at a time makes to the address ``duty_api``.
     """
 
     name: str
@@ -101,6 +114,8 @@
     store: str
     cores: float
     bounds: Bounds
+    duty_api: str = ''
+    duties: frozenset[str] = frozenset()
 
     @property
     def peer_address(self) -> str:
@@ -132,6 +147,8 @@
         store=table['platform']['address'],
         cores=limits['cpuShare'] * limits['cores'],
         bounds=_build_bounds(table['bounds']),
+        duty_api=table['cloudApi']['address'],
+        duties=frozenset(table['cloudApi']['duties']),
     )
 
 
@@ -144,6 +161,8 @@
         retry_share=bounds['retryRatio'],
         retry_window_s=bounds['retryWindowS'],
         retry_slack=bounds['retrySlack'],
+        usage_window_s=bounds['usageWindowS'],
+        usage_late_s=bounds['usageLateS'],
     )
 
 
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/usage/__init__.py
@@ -0,0 +1,24 @@
+"""Usage by workspace and window: counted, gathered, and reported once."""
+
+from verbenahall.usage._clock import TrueClock
+from verbenahall.usage._decisions import Windows
+from verbenahall.usage._exchange import DUTY, UsageExchange
+from verbenahall.usage._meter import UsageMeter
+from verbenahall.usage._reports import Reports
+from verbenahall.usage._shell import (
+    Surroundings,
+    UsageReporter,
+    time_lease,
+)
+
+__all__ = (
+    'DUTY',
+    'Reports',
+    'Surroundings',
+    'TrueClock',
+    'UsageExchange',
+    'UsageMeter',
+    'UsageReporter',
+    'Windows',
+    'time_lease',
+)
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/usage/_messages.py
@@ -0,0 +1,157 @@
+"""The datagrams by which the counts of all instances are gathered."""
+
+import dataclasses
+import itertools
+from collections.abc import Iterator, Mapping
+from typing import Any, Final, Union
+
+from returns.maybe import Maybe, Nothing, Some
+from returns.result import Success
+
+from verbenahall import wire
+from verbenahall.usage._meter import Counts
+
+_POLL: Final = b'{"usage_poll":'
+_TOLD: Final = b'{"usage_told":'
+#: Counts in a datagram at most: it stays under 1,400 bytes.
+_MOST_IN_DATAGRAM: Final = 40
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UsagePoll:
+    """A request for counts; ``at`` is the true time, 0 when it is not sure."""
+
+    number: int
+    at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UsageTold:
+    """A part of what one run of an instance has counted, in answer to a poll.
+
+    ``at`` is the time by the instance's own clock alone.
+    """
+
+    instance: str
+    run: str
+    number: int
+    part: int
+    parts: int
+    at: float
+    counts: Mapping[int, Counts]
+
+
+_TOLD_FIELDS: Final = len(dataclasses.fields(UsageTold))
+#: Window, workspace and count.
+_Cell = tuple[int, str, int]
+#: A run and its counts.
+Written = tuple[str, dict[int, Counts]]
+Message = Union[UsagePoll, UsageTold]
+
+
+def encode_poll(poll: UsagePoll) -> bytes:
+    """Encode a poll."""
+    return wire.encode({'usage_poll': [poll.number, poll.at]})
+
+
+def encode_told(told: UsageTold) -> bytes:
+    """Encode a part of an answer."""
+    table = {
+        field.name: getattr(told, field.name)
+        for field in dataclasses.fields(told)
+    }
+    return wire.encode(
+        {'usage_told': {**table, 'counts': list_rows(told.counts)}},
+    )
+
+
+def decode(datagram: bytes) -> Maybe[Message]:
+    """Decode a datagram; Nothing when it is of another kind or spoiled."""
+    if not datagram.startswith((_POLL, _TOLD)):
+        return Nothing
+    match wire.decode_table(datagram):
+        case Success({'usage_poll': [int(number), at]}) if _is_time(at):
+            return Some(UsagePoll(number, at))
+        case Success({'usage_told': dict(table)}):
+            return _read_told(table)
+        case _:
+            return Nothing
+
+
+def encode_written(run: str, counts: Mapping[int, Counts]) -> bytes:
+    """Encode the counts of a run for the store."""
+    return wire.encode({'run': run, 'counts': list_rows(counts)})
+
+
+def decode_written(content: bytes) -> Maybe[Written]:
+    """Decode what a run has written to the store; Nothing when spoiled."""
+    match wire.decode_table(content):
+        case Success({'run': str(run), 'counts': rows}):
+            counts = read_counts(rows)
+        case _:
+            return Nothing
+    return Nothing if counts is None else Some((run, counts))
+
+
+def split_counts(counts: Mapping[int, Counts]) -> list[dict[int, Counts]]:
+    """Split counts into parts that each fit a datagram; one at least."""
+    cells = _list_cells(counts)
+    parts: list[dict[int, Counts]] = []
+    while taken := list(itertools.islice(cells, _MOST_IN_DATAGRAM)):
+        part: dict[int, Counts] = {}
+        for window, workspace, count in taken:
+            part[window] = {**part.get(window, {}), workspace: count}
+        parts.append(part)
+    return parts or [{}]
+
+
+def list_rows(counts: Mapping[int, Counts]) -> list[Any]:
+    """Return counts as rows that can be encoded."""
+    return [[window, dict(row)] for window, row in counts.items()]
+
+
+def read_counts(rows: Any) -> dict[int, Counts] | None:
+    """Check rows of windows and counts; None when they are something else."""
+    counts: dict[int, Counts] = {}
+    for row in rows if isinstance(rows, list) else (None,):
+        match row:
+            case [int(window), dict(cells)] if _are_counts(cells):
+                counts[window] = cells
+            case _:
+                return None
+    return counts
+
+
+def _list_cells(counts: Mapping[int, Counts]) -> Iterator[_Cell]:
+    for window, row in counts.items():
+        for workspace, count in row.items():
+            yield window, workspace, count
+
+
+def _read_told(table: dict[str, Any]) -> Maybe[Message]:
+    counts = read_counts(table.get('counts'))
+    if counts is None:
+        return Nothing
+    match table:
+        case {
+            'instance': str(),
+            'run': str(),
+            'number': int(),
+            'part': int(),
+            'parts': int(),
+            'at': at,
+        } if _is_time(at) and len(table) == _TOLD_FIELDS:
+            return Some(UsageTold(**{**table, 'counts': counts}))
+        case _:
+            return Nothing
+
+
+def _is_time(found: Any) -> bool:
+    return isinstance(found, int | float) and not isinstance(found, bool)
+
+
+def _are_counts(cells: dict[str, Any]) -> bool:
+    return all(
+        isinstance(count, int) and not isinstance(count, bool) and count >= 0
+        for count in cells.values()
+    )
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/usage/_meter.py
@@ -0,0 +1,40 @@
+"""Counts the requests that begin to run, by window and workspace."""
+
+import collections
+from collections.abc import Mapping
+from typing import final
+
+from verbenahall.clock import Clock
+
+#: Requests by workspace.
+Counts = Mapping[str, int]
+
+
+@final
+class UsageMeter:
+    """What this run of the process has counted; it only grows.
+
+    Window ``k`` begins ``k * window_s`` seconds after the start of 1970. A
+    ``window_s`` of 0 counts nothing.
+    """
+
+    __slots__ = ('counts', 'window_s', '_now')
+
+    def __init__(self, window_s: float, now: Clock) -> None:
+        """Count by the true time that ``now`` tells."""
+        self.window_s = window_s
+        self.counts: dict[int, collections.Counter[str]] = {}
+        self._now = now
+
+    def note_begun(self, workspace: str, ago_s: float = 0) -> None:
+        """Count a request that began to run some seconds ago."""
+        if not self.window_s:
+            return
+        window = int((self._now() - ago_s) // self.window_s)
+        self.counts.setdefault(window, collections.Counter())[workspace] += 1
+
+    def forget_before(self, window: int) -> None:
+        """Drop the windows before one."""
+        for known in tuple(self.counts):
+            if known < window:
+                self.counts.pop(known)
--- a/packages/verbenahall/tests/drains/simulated_clock.py
+++ b/packages/verbenahall/tests/drains/simulated_clock.py
@@ -7,6 +7,10 @@
 from verbenahall import clock
 
 
+#: The time of day at the simulated second 0, in seconds since 1970.
+START = 1_790_000_000
+
+
 class JumpingSelector(selectors.SelectSelector):
     """Waits for nothing: the clock goes on to the next timer instead."""
 
@@ -39,7 +43,11 @@
     """Run a coroutine on a simulated clock, from second 0 on."""
     loop = SimulatedLoop()
     try:
-        with mock.patch.object(clock, 'monotonic', loop.time):
+        with (
+            mock.patch.object(clock, 'monotonic', loop.time),
+            mock.patch.object(clock, 'boottime', loop.time),
+            mock.patch.object(clock, 'wall', lambda: START + loop.time()),
+        ):
             return loop.run_until_complete(coroutine)
     finally:
         loop.close()
--- a/packages/verbenahall/tests/drains/simulated_network.py
+++ b/packages/verbenahall/tests/drains/simulated_network.py
@@ -22,6 +22,12 @@
         """Begin a call."""
         return _Request(self._call(str(url), options))
 
+    def post(self, url, data, headers):
+        """Begin a call of a duty to the platform."""
+        return _Request(
+            self._fleet.take_duty(self._instance, url, data, headers),
+        )
+
     async def close(self):
         """Nothing is open."""
 
--- a/packages/verbenahall/tests/drains/simulated_store.py
+++ b/packages/verbenahall/tests/drains/simulated_store.py
@@ -25,6 +25,10 @@
         self.refusing = set()
         self.calls = 0
         self.way_s = WAY_S
+        #: Shares of the appends that are carried out without an answer, at
+        #: once or seconds later.
+        self.lost_appends = 0
+        self.late_appends = 0
         self._source = source
         self._topics = {}
         self._grown = {}
@@ -45,7 +49,7 @@
         if url.endswith('newest'):
             return 200, self._list_newest(params['topic'])
         if url.endswith('append'):
-            return 200, self._append(params['topic'], body)
+            return await self._take_append(params, body)
         body = await self._read(params)
         if instance in self.refusing:
             return 503, b''
@@ -54,12 +58,29 @@
         await self._check_mute(instance)
         return 200, body
 
-    def _append(self, topic, body):
+    async def _take_append(self, params, body):
+        drawn = self._source.random()
+        if drawn < self.late_appends:
+            delay_s = self._source.uniform(1, 9)
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay_s, self._append, params, body)
+            await asyncio.sleep(FOR_EVER_S)
+        answer = self._append(params, body)
+        if drawn < self.late_appends + self.lost_appends:
+            await asyncio.sleep(FOR_EVER_S)
+        return answer
+
+    def _append(self, params, body):
+        topic = params['topic']
+        end = len(self._topics.get(topic, ()))
+        if int(params.get('at', end)) != end:
+            return 412, b''
         assert len(body) == 4 + int.from_bytes(body[:4]), 'one record a call'
         key_end = 5 + body[4]
         self.put(topic, body[5:key_end].decode(), body[key_end:])
         end = len(self._topics[topic])
-        return json.dumps({'offset': end - 1, 'end': end}).encode()
+        answer = {'offset': end - 1, 'end': end}
+        return 200, json.dumps(answer).encode()
 
     async def _check_mute(self, instance):
         if instance in self.mute:
@@ -67,14 +88,15 @@
 
     def _list_newest(self, topic):
         newest = {}
-        for offset, (key, _, content) in enumerate(self._topics[topic]):
+        records = self._topics.get(topic, ())
+        for offset, (key, _, content) in enumerate(records):
             newest[key] = {
                 'key': key,
                 'value': base64.b64encode(content).decode(),
                 'offset': offset,
             }
         items = [item for item in newest.values() if item['value']]
-        end = len(self._topics[topic])
+        end = len(records)
         table = {'items': items, 'hasMore': False, 'end': end}
         return json.dumps(table).encode()
 
--- /dev/null
+++ b/packages/verbenahall/tests/platform/test_duties.py
@@ -0,0 +1,66 @@
+"""Calls of duties: what is sent, and what their answers mean."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+from aiohttp import web
+from verbenahall_standins.platform._serving import listen
+
+from verbenahall.platform import DutyCalls, DutyOutcome, Seal, make_session
+
+SEAL = Seal('front-1', 12)
+
+
+async def call(status, calls):
+    async def answer(request):
+        calls.append(
+            SimpleNamespace(
+                path=request.path,
+                headers=request.headers,
+                body=await request.json(),
+            ),
+        )
+        return web.Response(status=status, text='{}')
+
+    app = web.Application()
+    app.router.add_post('/usage', answer)
+    served = await listen(app)
+    session = make_session()
+    duties = DutyCalls(session, served.address)
+    try:
+        return await duties.report_usage(SEAL, 353_445_120, {'club': 4})
+    finally:
+        await session.close()
+        await served.runner.cleanup()
+
+
+@pytest.mark.parametrize(
+    ('status', 'outcome'),
+    [
+        (200, DutyOutcome.DONE),
+        (409, DutyOutcome.FENCED),
+        (429, DutyOutcome.BUSY),
+        (503, DutyOutcome.BUSY),
+        (400, DutyOutcome.REJECTED),
+    ],
+)
+def test_usage_report(status, outcome):
+    calls = []
+    assert asyncio.run(call(status, calls)) is outcome
+    assert calls[0].headers['X-Verbenahall-Duty-Holder'] == 'front-1'
+    assert calls[0].headers['X-Verbenahall-Fence-Token'] == '12'
+    assert calls[0].body == {'windowId': 353_445_120, 'counts': {'club': 4}}
+
+
+def test_report_without_an_answer_may_be_carried_out_later():
+    """Nobody listens; what became of the call is not known."""
+
+    async def check():
+        session = make_session()
+        duties = DutyCalls(session, '127.0.0.1:9')
+        outcome = await duties.report_usage(SEAL, 1, {})
+        await session.close()
+        return outcome
+
+    assert asyncio.run(check()) is DutyOutcome.UNKNOWN
--- a/packages/verbenahall/tests/platform/test_wire.py
+++ b/packages/verbenahall/tests/platform/test_wire.py
@@ -322,6 +322,22 @@
     assert settings.cores == pytest.approx(cores)
 
 
+def test_settings_of_duties(tmp_path):
+    table = '[cloudApi]\naddress = "10.2.0.28:8247"\nduties = ["usage"]\n'
+    bounds = '[bounds]\nusageWindowS = 5\nusageLateS = 10'
+    path = write_settings(tmp_path, '[bounds]', f'{table}{bounds}')
+    settings = read_settings(path).unwrap()
+    assert settings.duty_api == '10.2.0.28:8247'
+    assert settings.duties == {'usage'}
+    assert settings.bounds.usage_window_s == 5
+
+
+def test_settings_without_duties(tmp_path):
+    settings = read_settings(write_settings(tmp_path)).unwrap()
+    assert not settings.duties
+    assert not settings.bounds.usage_window_s
+
+
 @pytest.mark.parametrize(
     ('change', 'to', 'line', 'key'),
     [
--- /dev/null
+++ b/packages/verbenahall/tests/usage/test_clock.py
@@ -0,0 +1,48 @@
+"""The true time, on machines whose clocks are wrong."""
+
+from verbenahall.usage import TrueClock
+
+
+class Clock:
+    def __init__(self, seconds):
+        self.seconds = seconds
+
+    def __call__(self):
+        return self.seconds
+
+
+def make_clock(wall):
+    boottime = Clock(50)
+    return TrueClock(boottime, Clock(wall)), boottime
+
+
+def test_step_of_the_wall_clock_changes_nothing():
+    wall = Clock(1000)
+    boottime = Clock(50)
+    clock = TrueClock(boottime, wall)
+    wall.seconds += 30
+    boottime.seconds += 1
+    assert clock.now() == 1001
+
+
+def test_told_time_goes_before_the_own_one():
+    """A machine started with a clock that was 20 seconds behind."""
+    clock, boottime = make_clock(980)
+    clock.adopt(1000)
+    boottime.seconds += 2
+    assert clock.now() == 1002
+
+
+def test_message_that_lay_unread_does_not_turn_time_back():
+    """The process stood still for five seconds with a message unread."""
+    clock, boottime = make_clock(1000)
+    clock.adopt(1000)
+    boottime.seconds += 5
+    clock.adopt(1000.5)
+    assert clock.now() == 1005
+
+
+def test_median_leaves_wrong_clocks_out():
+    clock, _ = make_clock(1000)
+    assert clock.find_median([7]) is None
+    assert clock.find_median([7, 0.01, -11, 0.02]) == 1000.01
