Engines are ordered by kind and data centre under a lease

Change: a slice scaling/. The first holder of the duty writes down how many engines a service has; the cheapest mix of on-demand and spot instances of which that many outlive the loss of two data centres' spot instances is ordered, spot first, what is given back only once they serve. A pool without engines is left alone for a while; orders that were replaced by a late one are sent again; engines on demand make up for what is missing and stay for 10 s. Services without autoscale are left as they are. The adapter decodes bounds, prices and the mark of spot instances.

--- a/packages/verbenahall/src/verbenahall/catalog/__init__.py
+++ b/packages/verbenahall/src/verbenahall/catalog/__init__.py
@@ -7,6 +7,7 @@
     Kind,
     Limits,
     Route,
+    ScalingRules,
     Service,
     Share,
 )
@@ -19,6 +20,7 @@
     'Kind',
     'Limits',
     'Route',
+    'ScalingRules',
     'Service',
     'Share',
     'adopt',
--- a/packages/verbenahall/src/verbenahall/catalog/_messages.py
+++ b/packages/verbenahall/src/verbenahall/catalog/_messages.py
@@ -76,12 +76,33 @@
     role_change_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ScalingRules:
+    """Within which bounds a service is scaled, and what its engines cost.
+
+    ``least`` and ``most`` bound both kinds together, in each data centre. An
+    engine serves ``boot_s`` after its order. ``spot_share`` is the price of a
+    spot instance as a share of that of an on-demand one; ``prices`` are those
+    of the data centres, in units of each other.
+    """
+
+    least: int
+    most: int
+    boot_s: float
+    spot_share: float
+    prices: Mapping[str, float]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
-    """A service behind routes; ``engine`` is None for a plain one."""
+    """A service behind routes; ``engine`` is None for a plain one.
+
+    ``scaling`` is None for a service whose endpoints are not ordered.
+    """
 
     name: str
     engine: EngineTraits | None = None
+    scaling: ScalingRules | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/gateway/_scaling.py
@@ -0,0 +1,58 @@
+"""Puts the scaler of an instance together."""
+
+from collections.abc import Mapping
+from typing import Final
+
+from verbenahall import clock
+from verbenahall.catalog import ScalingRules
+from verbenahall.duties import DutyLease, Succession
+from verbenahall.gateway._core import Core
+from verbenahall.platform import SCALE_DUTY, DutyCalls, ProcessSettings
+from verbenahall.scaling import (
+    DUTY,
+    Scaler,
+    Surroundings,
+    time_lease,
+)
+
+#: How much longer than the operators' bound two holders' calls are kept
+#: apart, in seconds, for what they were under way.
+_APART_S: Final = 0.5
+#: How often a holder is looked after, in seconds; it renews its lease sooner.
+_PERIOD_S: Final = 6.0
+
+
+def scales_engines(settings: ProcessSettings) -> bool:
+    """Whether the operators want engines to be ordered."""
+    return SCALE_DUTY in settings.duties and bool(settings.duty_api)
+
+
+def make_scaler(core: Core) -> Scaler:
+    """Scale for all instances, in turn with them."""
+    settings = core.settings
+    lease = DutyLease(
+        core.store,
+        DUTY,
+        settings.name,
+        time_lease(settings.bounds.lease_s + _APART_S),
+        core.random.random(),
+        clock.boottime,
+    )
+    return Scaler(
+        Surroundings(
+            name=settings.name,
+            store=core.store,
+            calls=DutyCalls(core.session, settings.duty_api),
+            lease=lease,
+            succession=Succession(lease, core.book, core.now, _PERIOD_S),
+            list_rules=lambda: _list_rules(core),
+            list_engines=lambda name: list(core.roster.live(name, core.now())),
+            now=core.now,
+        ),
+    )
+
+
+def _list_rules(core: Core) -> Mapping[str, ScalingRules]:
+    catalog = core.catalog.catalog
+    services = catalog.services.values() if catalog else ()
+    return {one.name: one.scaling for one in services if one.scaling}
--- a/packages/verbenahall/src/verbenahall/gateway/_serve.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_serve.py
@@ -28,6 +28,7 @@
 from verbenahall.gateway._readiness import Readiness
 from verbenahall.gateway._refresh import Refresher
 from verbenahall.gateway._scheduler import Scheduling
+from verbenahall.gateway._scaling import make_scaler, scales_engines
 from verbenahall.gateway._usage import (
     make_usage_exchange,
     make_usage_reporter,
@@ -145,6 +146,8 @@
         }
         if reports_usage(self.core.settings):
             loops['usage'] = make_usage_reporter(self.core, self._usage).run
+        if scales_engines(self.core.settings):
+            loops['scaling'] = make_scaler(self.core).run
         for name, loop in loops.items():
             self._supervisor.start(name, loop)
 
--- a/packages/verbenahall/src/verbenahall/platform/_entries.py
+++ b/packages/verbenahall/src/verbenahall/platform/_entries.py
@@ -58,6 +58,7 @@
         # Counts the entry's changes, not the orders that were accepted.
         change=fields.whole(table, 'seq', 0),
         cold_s=fields.seconds(table, 'coldLeftMs', 0),
+        spot=table.get('spot') is True,
     )
 
 
--- a/packages/verbenahall/src/verbenahall/platform/_manifest.py
+++ b/packages/verbenahall/src/verbenahall/platform/_manifest.py
@@ -18,6 +18,7 @@
     Kind,
     Limits,
     Route,
+    ScalingRules,
     Service,
     Share,
 )
@@ -114,9 +115,32 @@
     return Service(
         name=fields.text(row, 'name'),
         engine=_build_traits(engine) if isinstance(engine, dict) else None,
+        scaling=_build_scaling(row.get('autoscale')),
     )
 
 
+def _build_scaling(row: dict[str, Any] | None) -> ScalingRules | None:
+    if not row:
+        return None
+    least = fields.whole(row, 'min')
+    most = fields.whole(row, 'max')
+    if least > most:
+        raise ValueError(f'autoscale.min {least} is above its max {most}')
+    return ScalingRules(
+        least=least,
+        most=most,
+        boot_s=fields.number(row, 'bootTimeoutS', 0),
+        spot_share=fields.number(row, 'spotPrice', 1),
+        prices=_read_prices(row.get('zonePrices')),
+    )
+
+
+def _read_prices(prices: dict[str, Any] | None) -> Mapping[str, float]:
+    """Return what an engine costs by data centre, the wire's zone."""
+    table = prices or {}
+    return {centre: fields.number(table, centre) for centre in table}
+
+
 def _build_traits(engine: dict[str, Any]) -> EngineTraits:
     megabits = fields.number(engine, 'linkMbps')
     return EngineTraits(
--- a/packages/verbenahall/src/verbenahall/roster/_messages.py
+++ b/packages/verbenahall/src/verbenahall/roster/_messages.py
@@ -12,7 +12,8 @@
 
     ``born`` tells two starts under the same name apart. ``change`` counts
     the entry's changes since that start. ``role`` is None for endpoints that
-    are no engines, ``cold_s`` how long it stays slow after its start.
+    are no engines, ``cold_s`` how long it stays slow after its start. The
+    platform may take a ``spot`` instance back at any time.
     """
 
     name: str
@@ -25,6 +26,7 @@
     born: int = 0
     change: int = 0
     cold_s: float = 0
+    spot: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/scaling/_messages.py
@@ -0,0 +1,26 @@
+"""Pools of engines, their bounds and their prices."""
+
+import dataclasses
+import enum
+from collections.abc import Mapping
+from typing import final
+
+
+@final
+class Kind(enum.Enum):
+    """Whether the platform may take an engine back at any time."""
+
+    ON_DEMAND = 'on_demand'
+    SPOT = 'spot'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pool:
+    """The engines of one kind in one data centre."""
+
+    data_centre: str
+    kind: Kind
+
+
+#: Engines by pool.
+Sizes = Mapping[Pool, int]
--- a/packages/verbenahall/tests/platform/test_duties.py
+++ b/packages/verbenahall/tests/platform/test_duties.py
@@ -7,12 +7,26 @@
 from aiohttp import web
 from verbenahall_standins.platform._serving import listen
 
-from verbenahall.platform import DutyCalls, DutyOutcome, Seal, make_session
+from verbenahall.platform import (
+    DutyCalls,
+    DutyOutcome,
+    ScaleOrder,
+    Seal,
+    make_session,
+)
 
 SEAL = Seal('front-1', 12)
 
 
-async def call(status, calls):
+def report(duties):
+    return duties.report_usage(SEAL, 353_445_120, {'club': 4})
+
+
+def order(duties):
+    return duties.scale(SEAL, 'llm', ScaleOrder('lampeter', 6, spot=True))
+
+
+async def call(status, calls, make):
     async def answer(request):
         calls.append(
             SimpleNamespace(
@@ -25,11 +39,12 @@
 
     app = web.Application()
     app.router.add_post('/usage', answer)
+    app.router.add_post('/scale', answer)
     served = await listen(app)
     session = make_session()
     duties = DutyCalls(session, served.address)
     try:
-        return await duties.report_usage(SEAL, 353_445_120, {'club': 4})
+        return await make(duties)
     finally:
         await session.close()
         await served.runner.cleanup()
@@ -47,12 +62,24 @@
 )
 def test_usage_report(status, outcome):
     calls = []
-    assert asyncio.run(call(status, calls)) is outcome
+    assert asyncio.run(call(status, calls, report)) is outcome
     assert calls[0].headers['X-Verbenahall-Duty-Holder'] == 'front-1'
     assert calls[0].headers['X-Verbenahall-Fence-Token'] == '12'
     assert calls[0].body == {'windowId': 353_445_120, 'counts': {'club': 4}}
 
 
+def test_order_for_engines():
+    calls = []
+    assert asyncio.run(call(200, calls, order)) is DutyOutcome.DONE
+    assert calls[0].path == '/scale'
+    assert calls[0].body == {
+        'service': 'llm',
+        'zone': 'lampeter',
+        'desired': 6,
+        'spot': True,
+    }
+
+
 def test_report_without_an_answer_may_be_carried_out_later():
     """Nobody listens; what became of the call is not known."""
 
--- a/packages/verbenahall/tests/platform/test_wire.py
+++ b/packages/verbenahall/tests/platform/test_wire.py
@@ -9,7 +9,7 @@
 
 import verbenahall
 from verbenahall.authentication import Workspace, digest_key
-from verbenahall.catalog import Kind
+from verbenahall.catalog import Kind, ScalingRules
 from verbenahall.fleet import Role
 from verbenahall.platform import (
     SendOrder,
@@ -173,6 +173,45 @@
     assert 'secret' not in message
 
 
+def make_scaled_manifest(**changes):
+    autoscale = {
+        'min': 1,
+        'max': 20,
+        'bootTimeoutS': 4.0,
+        'spotPrice': 0.18,
+        'zonePrices': {'aberystwyth': 0.85, 'lampeter': 1.2},
+    }
+    service = {'name': 'a', 'autoscale': {**autoscale, **changes}}
+    return dump({**make_keyed_manifest([]), 'services': [service]})
+
+
+def test_bounds_of_scaling():
+    service = decode_manifest(make_scaled_manifest()).unwrap().services['a']
+    prices = {'aberystwyth': 0.85, 'lampeter': 1.2}
+    assert service.scaling == ScalingRules(1, 20, 4, 0.18, prices)
+
+
+@pytest.mark.parametrize(
+    ('changes', 'place'),
+    [
+        ({'min': -1}, 'min'),
+        ({'min': 21}, 'max 20'),
+        ({'spotPrice': 'free'}, 'spotPrice'),
+        ({'zonePrices': {'lampeter': -1}}, 'lampeter'),
+    ],
+)
+def test_manifest_with_bad_bounds_of_scaling_is_left_alone(changes, place):
+    """Orders by half of it would end engines that are needed."""
+    refused = decode_manifest(make_scaled_manifest(**changes))
+    assert place in refused.failure().message
+
+
+def test_spot_instances_are_told_apart():
+    entry = decode_entry('i-1', dump({**ENTRY, 'spot': True}))
+    assert entry.unwrap().spot
+    assert not decode_entry('i-1', dump(ENTRY)).unwrap().spot
+
+
 def test_unknown_kind_runs_at_most_once():
     row = {'name': 'r', 'host': 'h', 'pathPrefix': '/a/', 'kind': 'new'}
     limits = {
--- /dev/null
+++ b/packages/verbenahall/tests/scaling/test_sizes.py
@@ -0,0 +1,153 @@
+"""How many engines of each kind are wanted, and when they are ordered."""
+
+import pytest
+
+from verbenahall.catalog import ScalingRules
+from verbenahall.scaling import Kind, Pool
+from verbenahall.scaling._decisions import Mix, choose_mix, plan_sizes
+from verbenahall.scaling._state import PoolOrders
+
+PRICES = {'a': 0.85, 'b': 1.2, 'c': 1.0}
+RULES = ScalingRules(1, 20, 4, 0.18, PRICES)
+START = {Pool(centre, Kind.ON_DEMAND): 10 for centre in PRICES}
+
+
+def spot(**sizes):
+    return {Pool(centre, Kind.SPOT): size for centre, size in sizes.items()}
+
+
+def on_demand(**sizes):
+    return {
+        Pool(centre, Kind.ON_DEMAND): size for centre, size in sizes.items()
+    }
+
+
+@pytest.mark.parametrize(
+    ('centres', 'most', 'share', 'mix'),
+    [
+        (3, 40, 0.18, Mix(0, 30)),
+        (3, 20, 0.18, Mix(5, 15)),
+        (3, 20, 0.9, Mix(10, 0)),
+        (2, 20, 0.18, Mix(10, 10)),
+        (1, 40, 0.18, Mix(30, 0)),
+        (15, 10, 0.18, Mix(0, 3)),
+        (3, 4, 0.18, Mix(4, 0)),
+    ],
+)
+def test_cheapest_mix_of_which_enough_outlives_reclaims(
+    centres,
+    most,
+    share,
+    mix,
+):
+    prices = {f'dc-{number}': 1 for number in range(centres)}
+    assert choose_mix(ScalingRules(1, most, 4, share, prices), 30) == mix
+
+
+def test_service_that_spot_instances_make_no_cheaper_is_left_alone():
+    rules = ScalingRules(1, 20, 4, 0.9, PRICES)
+    assert not plan_sizes(rules, 30, START, ())
+
+
+def test_both_kinds_together_stay_within_the_bound():
+    sizes = plan_sizes(RULES, 30, START, ())
+    assert sizes == {**spot(a=10, b=10, c=10), **START}
+
+
+def test_on_demand_engines_go_once_spot_instances_serve():
+    present = {**START, **spot(a=10, b=10, c=10)}
+    sizes = plan_sizes(RULES, 30, present, ())
+    assert sizes == {**spot(a=10, b=10, c=10), **on_demand(a=5, b=5, c=5)}
+    present = {**on_demand(a=5, b=5, c=5), **spot(a=10, b=10, c=10)}
+    sizes = plan_sizes(RULES, 30, present, ())
+    assert sizes == {**spot(a=15, b=15, c=15), **on_demand(a=5, b=5, c=5)}
+
+
+def test_one_reclaimed_data_centre_is_borne_by_the_others():
+    present = {**on_demand(a=5, b=5, c=5), **spot(a=15, b=15)}
+    sizes = plan_sizes(RULES, 30, present, ())
+    assert sizes == {**spot(a=15, b=15, c=15), **on_demand(a=5, b=5, c=5)}
+
+
+def test_missing_engines_are_made_up_for_where_they_cost_least():
+    """Two data centres have lost their spot instances at the same time."""
+    present = {**on_demand(a=5, b=5, c=5), **spot(b=12)}
+    sizes = plan_sizes(RULES, 30, present, ())
+    assert sizes == {**spot(a=12, b=15, c=15), **on_demand(a=8, b=5, c=5)}
+    closed = {Pool('a', Kind.ON_DEMAND)}
+    sizes = plan_sizes(RULES, 30, present, closed)
+    assert sizes == {**spot(a=15, b=15, c=12), **on_demand(a=5, b=5, c=8)}
+
+
+class Fleet:
+    """Orders that a platform carries out after the boot time."""
+
+    def __init__(self):
+        self.now = 100
+        self.orders = PoolOrders()
+        self.present = dict(START)
+
+    def choose(self):
+        closed = self.orders.list_closed(self.now)
+        wanted = plan_sizes(RULES, 30, self.present, closed)
+        return self.orders.choose(wanted, self.present, RULES, self.now)
+
+    def send(self):
+        chosen = self.choose()
+        for pool, size in chosen.items():
+            self.orders.note_ordered(pool, size, self.now)
+        return chosen
+
+
+def test_on_demand_engines_stay_while_spot_instances_boot():
+    """Given back at once, nothing would serve for the boot time."""
+    fleet = Fleet()
+    assert fleet.send() == spot(a=10, b=10, c=10)
+    fleet.now += 4
+    fleet.present.update(spot(a=10, b=10, c=7))
+    assert not fleet.send()
+    fleet.present.update(spot(a=10, b=10, c=10))
+    assert fleet.send() == on_demand(a=5, b=5, c=5)
+
+
+def test_pool_without_engines_is_tried_again_later():
+    fleet = Fleet()
+    pool = Pool('a', Kind.SPOT)
+    fleet.orders.note_none(pool, fleet.now)
+    assert pool not in fleet.choose()
+    fleet.now += 1.1
+    assert pool in fleet.choose()
+    fleet.orders.note_none(pool, fleet.now)
+    fleet.now += 1.1
+    assert pool not in fleet.choose()
+
+
+def test_order_that_an_older_one_has_replaced_is_sent_again():
+    """A call without an answer is carried out late, after a newer one."""
+    fleet = Fleet()
+    fleet.send()
+    fleet.now += 5
+    fleet.present.update(spot(a=10, b=10, c=10))
+    fleet.send()
+    settled = on_demand(a=5, b=5, c=5)
+    fleet.present = {**settled, **spot(a=10, b=10, c=10)}
+    assert fleet.send() == spot(a=15, b=15, c=15)
+    fleet.now += 5
+    fleet.present = {**settled, **spot(a=15, b=15, c=3)}
+    assert not fleet.send()
+    fleet.now += 3
+    assert fleet.send() == spot(c=15)
+
+
+def test_engines_on_demand_stay_for_a_while_after_a_reclaim():
+    """The next data centre may lose its spot instances any moment."""
+    fleet = Fleet()
+    fleet.send()
+    fleet.present = {**on_demand(a=5, b=5, c=5), **spot(b=12)}
+    fleet.now += 5
+    assert fleet.send()[Pool('a', Kind.ON_DEMAND)] == 8
+    fleet.now += 5
+    fleet.present = {**on_demand(a=8, b=5, c=5), **spot(a=12, b=15, c=15)}
+    assert not fleet.send()
+    fleet.now += 6
+    assert fleet.send() == on_demand(a=5)
