A fleet that starts anew reports the windows before its first holder

With no ledger in the store the first holder began with its own window, so requests of the seconds before it held the duty were never reported.

--- a/packages/verbenahall/src/verbenahall/usage/_reports.py
+++ b/packages/verbenahall/src/verbenahall/usage/_reports.py
@@ -68,22 +68,23 @@
         self._windows = windows
 
     async def load(self, now: float) -> bool:
-        """Read the ledger; a store without one starts with this window."""
+        """Read the ledger; without one every window in time is undecided."""
         match await self._store.read_newest(REPORTS_TOPIC):
             case Success(newest):
                 self._end = newest.end
                 content = newest.items.get(_KEY, b'')
             case _:
                 return False
-        if not content:
-            self.ledger = ReportLedger(self._windows.find(now) - 1)
-            return True
         match decode_ledger(content):
             case Some(ledger):
                 self.ledger = ledger
-            case _:
+            case _ if content:
+                # What was reported before is not known, so none of it is
+                # reported again.
                 journal.write_decision('reports_unreadable')
                 self.ledger = ReportLedger(self._windows.find(now) - 1)
+            case _:
+                self.ledger = ReportLedger(self._windows.find_overdue(now))
         return True
 
     def forget(self) -> None:
