The stand-in platform takes usage reports and orders engines

Tests run a whole instance before engines that boot, are given back and are reclaimed, and before a platform that carries calls out late.

--- a/packages/standins/src/verbenahall_standins/platform/__init__.py
+++ b/packages/standins/src/verbenahall_standins/platform/__init__.py
@@ -1,7 +1,9 @@
 """Stand-ins for the users' platform: store, engines and plain services."""
 
+from verbenahall_standins.platform._duties import DutyStandIn
 from verbenahall_standins.platform._engine import EngineFaults, EngineStandIn
 from verbenahall_standins.platform._plain import PlainStandIn
+from verbenahall_standins.platform._pools import EnginePool
 from verbenahall_standins.platform._raw import RawEndpoint
 from verbenahall_standins.platform._site import (
     HOST,
@@ -12,7 +14,9 @@
 from verbenahall_standins.platform._store import StoreFaults, StoreStandIn
 
 __all__ = (
+    'DutyStandIn',
     'EngineFaults',
+    'EnginePool',
     'EngineStandIn',
     'HOST',
     'PlainStandIn',
--- a/packages/standins/src/verbenahall_standins/platform/_site.py
+++ b/packages/standins/src/verbenahall_standins/platform/_site.py
@@ -94,6 +94,15 @@
         record = json.dumps(manifest).encode()
         self.store.put('keyed.op', 'config', record)
 
+    def list_services(self, **scaled: Any) -> list[dict[str, Any]]:
+        """Return the services, with the bounds of those that are scaled."""
+        return [
+            {**row, 'autoscale': scaled[row['name']]}
+            if row['name'] in scaled
+            else row
+            for row in make_manifest(0)['services']
+        ]
+
     def _relist(self, engine: EngineStandIn, before: str) -> None:
         """Put a new start of an engine in the place of the one before."""
         self.unlist(before)
@@ -159,8 +168,16 @@
     return {**row, **changes}
 
 
-def write_settings(folder: Path, store: str, name: str = 'front-1') -> Path:
-    """Write a process's settings on loopback; return the file."""
+def write_settings(
+    folder: Path,
+    store: str,
+    name: str = 'front-1',
+    duty_api: str = '',
+) -> Path:
+    """Write a process's settings on loopback; return the file.
+
+    With ``duty_api`` the process has duties, and usage windows of a second.
+    """
     path = folder / f'{name}.toml'
     callers, ready, control = (_find_port() for _ in range(3))
     peers, metrics = _find_port(), _find_port()
@@ -191,8 +208,13 @@
 retrySlack = 56
 retryAfterS = 7.2
 requireFence = true
+usageWindowS = 1
+usageLateS = 4
 [platform]
 address = "{store}"
+[cloudApi]
+address = "{duty_api}"
+duties = ["usage", "scale"]
 """,
     )
     return path
--- a/packages/verbenahall/tests/gateway/conftest.py
+++ b/packages/verbenahall/tests/gateway/conftest.py
@@ -87,6 +87,7 @@
     name='front-1',
     site=None,
     manifest=None,
+    duties=None,
 ):
     """Run a gateway in front of stand-ins; a manifest has further parts."""
     journal.recent.clear()
@@ -94,7 +95,11 @@
     site = site or Site(engines, plain, manifest)
     if own:
         await site.start()
-    path = write_settings(folder, site.store.address, name)
+    duty_api = ''
+    if duties is not None:
+        await duties.start()
+        duty_api = duties.address
+    path = write_settings(folder, site.store.address, name, duty_api)
     gateway = Gateway(read_settings(path).unwrap())
     await gateway.open()
     async with aiohttp.ClientSession(
@@ -107,8 +112,14 @@
             yield desk
         finally:
             await gateway.close()
-            if own:
-                await site.stop()
+            for part in (duties, site if own else None):
+                await stop_part(part)
+
+
+async def stop_part(part):
+    """Stop a part of the deployment, if there is one."""
+    if part is not None:
+        await part.stop()
 
 
 def run(coroutine):
--- /dev/null
+++ b/packages/verbenahall/tests/gateway/test_duties.py
@@ -0,0 +1,158 @@
+"""Usage and scaling through a whole instance, over real sockets."""
+
+import asyncio
+import collections
+import contextlib
+
+from verbenahall_standins.platform import DutyStandIn, EnginePool, Site
+
+from .conftest import PREFIX, make_engines, make_plain, open_desk, run
+
+TENANTS = (
+    {'name': 'club', 'apiKeys': ['club-key']},
+    {'name': 'council', 'apiKeys': ['council-key']},
+)
+ZONES = ('aberystwyth', 'cardigan', 'lampeter')
+AUTOSCALE = {
+    'min': 1,
+    'max': 20,
+    'bootTimeoutS': 0.2,
+    'spotPrice': 0.18,
+    'zonePrices': dict.fromkeys(ZONES, 1.0),
+}
+
+
+def make_site(engines=(), plain=(), **autoscale):
+    """Return a site whose callers need keys, and its duty interface."""
+    site = Site(engines, plain, {'tenants': TENANTS})
+    if autoscale:
+        site.manifest['services'] = site.list_services(drafter=autoscale)
+    return site, DutyStandIn(site)
+
+
+@contextlib.asynccontextmanager
+async def open_site(folder, site, duties):
+    """Run a gateway before a site that has duties."""
+    await site.start()
+    try:
+        async with open_desk(folder, site=site, duties=duties) as desk:
+            yield desk
+    finally:
+        await site.stop()
+
+
+async def ask(desk, number, path):
+    """Ask in the name of one of the workspaces."""
+    tenant = TENANTS[number % len(TENANTS)]
+    headers = {f'{PREFIX}Key': tenant['apiKeys'][0]}
+    status, _, _ = await desk.ask(path, f'r-{number}', headers=headers)
+    return tenant['name'], status
+
+
+def sum_reports(duties):
+    """Return what was reported of each workspace."""
+    total = collections.Counter()
+    for counts in duties.reports.values():
+        total.update(counts)
+    return total
+
+
+def test_usage_of_streams_and_plain_requests_is_reported(tmp_path):
+    """Every request that began is in one window's report, and in one only."""
+
+    async def check():
+        site, duties = make_site(make_engines(), make_plain(1))
+        async with open_site(tmp_path, site, duties) as desk:
+            asked = collections.Counter()
+            for number in range(40):
+                path = ('/proof/1', '/summary/1')[number // 2 % 2]
+                name, status = await ask(desk, number, path)
+                assert status == 200
+                asked[name] += 1
+                await asyncio.sleep(0.02)
+            await desk.until(lambda: sum_reports(duties) == asked, 12)
+            assert not duties.broken
+
+    run(check())
+
+
+def test_report_that_the_platform_took_late_is_not_changed(tmp_path):
+    """A call gets no answer and is carried out after it was repeated."""
+
+    async def check():
+        site, duties = make_site(plain=make_plain(1))
+        async with open_site(tmp_path, site, duties) as desk:
+            duties.faults.late_s = 0.7
+            for number in range(10):
+                await ask(desk, number, '/proof/1')
+            await desk.until(lambda: duties.reports, 12)
+            duties.faults.late_s = 0
+            await desk.until(lambda: sum(sum_reports(duties).values()) == 10)
+            assert not duties.broken
+
+    run(check())
+
+
+def test_engines_on_demand_give_way_to_spot_instances_unnoticed(tmp_path):
+    """Spot instances come first, then the others leave; nobody is refused."""
+
+    async def check():
+        site, duties = make_site(make_engines(), **AUTOSCALE)
+        async with open_site(tmp_path, site, duties) as desk:
+            on_demand = EnginePool('lampeter', spot=False)
+            spot = [EnginePool(zone, spot=True) for zone in ZONES]
+            statuses = collections.Counter()
+            number = 0
+            while duties.pools.count(on_demand) or not statuses:
+                number += 1
+                _, status = await ask(desk, number, '/summary/1')
+                statuses[status] += 1
+                assert number < 1000
+                await asyncio.sleep(0.02)
+            assert set(statuses) == {200}
+            # Three engines outlive the loss of two data centres.
+            assert [duties.pools.count(pool) for pool in spot] == [3, 3, 3]
+            assert not duties.broken
+
+    run(check())
+
+
+def test_pool_without_engines_is_made_up_for(tmp_path):
+    """No data centre but one has spot instances to give."""
+
+    async def check():
+        site, duties = make_site(make_engines(), **AUTOSCALE)
+        duties.pools.empty.update(
+            EnginePool(zone, spot=True) for zone in ZONES[:2]
+        )
+        async with open_site(tmp_path, site, duties) as desk:
+            held = EnginePool('lampeter', spot=True)
+            await desk.until(lambda: duties.pools.count(held) == 3, 12)
+            lines = [
+                line
+                for line in desk.decisions('duty_call')
+                if line['outcome'] == 'fenced'
+            ]
+            assert len(lines) >= 2
+            assert not desk.decisions('duty_lost')
+
+    run(check())
+
+
+def test_reclaimed_engines_leave_without_a_broken_stream(tmp_path):
+    """All spot instances of a data centre go at once, after a notice."""
+
+    async def check():
+        site, duties = make_site(make_engines(), **AUTOSCALE)
+        async with open_site(tmp_path, site, duties) as desk:
+            pool = EnginePool('cardigan', spot=True)
+            await desk.until(lambda: duties.pools.count(pool) == 3, 12)
+            reclaim = asyncio.create_task(duties.pools.reclaim('cardigan', 0.5))
+            for number in range(30):
+                _, status = await ask(desk, number, '/summary/1')
+                assert status == 200
+                await asyncio.sleep(0.02)
+            await reclaim
+            assert not duties.pools.count(pool)
+
+    run(check())
