--- a/packages/verbenactl/src/verbenactl/_inspect.py
+++ b/packages/verbenactl/src/verbenactl/_inspect.py
@@ -13,6 +13,7 @@
 from returns.result import Success
 
 from verbenactl import _base, _exits
+from verbenactl._duties import find_duties
 from verbenactl._explaining import LogLine, explain, parse_lines
 from verbenactl._instances import Answers
 from verbenactl._losses import find_losses, format_table
@@ -187,6 +188,25 @@
         return _exits.DONE
 
 
+class DutiesCommand(_base.AsyncCommand):
+    """Shows duties, their holders and what came of them, from logs."""
+
+    name = 'duties'
+    description = 'Show who held duties, usage windows, and engine orders.'
+    arguments: ClassVar[list[Argument]] = LossesCommand.arguments
+
+    async def run_async(self) -> int:
+        """Read the logs and write the tables."""
+        lines = itertools.chain.from_iterable(
+            _read_log(path) for path in self.argument('log') or ['-']
+        )
+        for table in find_duties(lines):
+            for row in format_table(table):
+                self.io.write_line(row.replace('<', r'\<'))
+            self.io.write_line('')
+        return _exits.DONE
+
+
 def _read_log(path: str) -> Iterator[LogLine]:
     if path == '-':
         yield from parse_lines('stdin', sys.stdin)
--- a/packages/verbenactl/src/verbenactl/console.py
+++ b/packages/verbenactl/src/verbenactl/console.py
@@ -10,6 +10,7 @@
 from verbenactl._inspect import (
     ExplainCommand,
     HistoryCommand,
+    DutiesCommand,
     LossesCommand,
     StatusCommand,
 )
@@ -38,6 +39,7 @@
         HistoryCommand(),
         ExplainCommand(),
         LossesCommand(),
+        DutiesCommand(),
     )
     for command in commands:
         application.add(command)
--- a/packages/verbenahall/src/verbenahall/platform/_duties.py
+++ b/packages/verbenahall/src/verbenahall/platform/_duties.py
@@ -131,7 +131,6 @@
         journal.write_decision(
             'duty_call',
             call=path,
-            body=str(body)[:_QUOTED],
             token=seal.token,
             outcome=outcome.value,
             answer=answer[:_QUOTED],
--- a/packages/verbenahall/src/verbenahall/scaling/_shell.py
+++ b/packages/verbenahall/src/verbenahall/scaling/_shell.py
@@ -136,6 +136,15 @@
             service,
             ScaleOrder(pool.data_centre, size, pool.kind is Kind.SPOT),
         )
+        journal.write_decision(
+            'scale_order',
+            service=service,
+            data_centre=pool.data_centre,
+            kind=pool.kind.value,
+            engines=size,
+            token=token,
+            outcome=outcome.value,
+        )
         now = self._with.now()
         orders = self._orders[service]
         match outcome:
--- a/packages/verbenahall/src/verbenahall/usage/_reports.py
+++ b/packages/verbenahall/src/verbenahall/usage/_reports.py
@@ -146,6 +146,12 @@
         counts = self.ledger.open[window] if self.ledger else {}
         outcome = await self._calls.report_usage(seal, window, counts)
         metrics.USAGE_WINDOWS.add(outcome.value)
+        journal.write_decision(
+            'usage_sent',
+            window=window,
+            token=seal.token,
+            outcome=outcome.value,
+        )
         if outcome in {DutyOutcome.DONE, DutyOutcome.REJECTED}:
             self._sent.add(window)
         return outcome
