--- a/packages/standins/src/verbenahall_standins/soak/_actions.py
+++ b/packages/standins/src/verbenahall_standins/soak/_actions.py
@@ -97,6 +97,18 @@
     deployment.publish()
 
 
+async def _replace_key(deployment: Deployment, event: Event) -> None:
+    deployment.replace_key()
+
+
+async def _delay_duties(deployment: Deployment, event: Event) -> None:
+    await _set(deployment.duties.faults, 'late_s', 1, 0, event)
+
+
+async def _silence_duties(deployment: Deployment, event: Event) -> None:
+    await _set(deployment.duties.faults, 'silent', True, False, event)
+
+
 def _pick_instance(deployment: Deployment, event: Event) -> Instance:
     return _pick(deployment.instances, event)
 
@@ -120,5 +132,8 @@
         Kind.TERMINATE: _terminate,
         Kind.HANGUP: _hang_up,
         Kind.MANIFEST: _publish,
+        Kind.KEYS: _replace_key,
+        Kind.DUTIES_LATE: _delay_duties,
+        Kind.DUTIES_SILENT: _silence_duties,
     },
 )
--- a/packages/standins/src/verbenahall_standins/soak/_callers.py
+++ b/packages/standins/src/verbenahall_standins/soak/_callers.py
@@ -39,12 +39,17 @@
         instance: Instance,
         numbers: 'itertools.count[int]',
         read_version: Callable[[], int],
+        read_key: Callable[[], str],
     ) -> None:
-        """Ask ``instance``; ``read_version`` tells the newest manifest's."""
+        """Ask ``instance``; ``read_version`` tells the newest manifest's.
+
+        ``read_key`` returns the API key that is in force.
+        """
         self.records: list[Record] = []
         self._instance = instance
         self._numbers = numbers
         self._read_version = read_version
+        self._read_key = read_key
         self._session: aiohttp.ClientSession | None = None
         self._open: set[asyncio.Task[Record]] = set()
 
@@ -70,6 +75,10 @@
         if self._session is not None:
             await self._session.close()
 
+    async def ask_with(self, key: str) -> Record:
+        """Ask once with a key."""
+        return await self._ask('GET', '/archive/1', key=key)
+
     async def ask_all(self) -> list[Record]:
         """Ask once for everything that the instance serves."""
         records = [
@@ -102,10 +111,12 @@
         *,
         repeatable: bool = True,
         version: int = 0,
+        key: str = '',
     ) -> Record:
         identity = f'{next(self._numbers):016x}'
         sent_at = time.monotonic()
-        status, whole = await self._exchange(method, path, identity)
+        key = key or self._read_key()
+        status, whole = await self._exchange(method, path, identity, key)
         ended_at = time.monotonic()
         record = Record(
             identity=identity,
@@ -127,6 +138,7 @@
         method: str,
         path: str,
         identity: str,
+        key: str,
     ) -> tuple[int, bool]:
         url = f'http://{self._instance.settings.callers}{path}'
         headers = {
@@ -136,6 +148,8 @@
             f'{_PREFIX}Model': 'm',
             f'{_PREFIX}Token-Count': '1000,50',
             f'{_PREFIX}Prompt-Prefix': 'aa:800,bb:200',
+            f'{_PREFIX}Key': key,
+            f'{_PREFIX}Tenant': 'council',
         }
         status = 0
         try:
--- a/packages/standins/src/verbenahall_standins/soak/_deployment.py
+++ b/packages/standins/src/verbenahall_standins/soak/_deployment.py
@@ -5,9 +5,10 @@
 from collections.abc import Mapping, Sequence
 from pathlib import Path
 from types import MappingProxyType
-from typing import Final, final
+from typing import Any, Final, final
 
 from verbenahall_standins.platform import (
+    DutyStandIn,
     EngineStandIn,
     PlainStandIn,
     Site,
@@ -25,11 +26,17 @@
     {'prefill': 3, 'decode': 2},
 )
 _LOOK_S: Final = 0.1
+#: Whose requests the callers' are, and whose key is never replaced.
+WORKSPACE: Final = 'desk'
+_OTHER: Final = 'council'
 
 
 @final
 class Deployment:
-    """One site on loopback; ``version`` is that of its newest manifest."""
+    """One site on loopback; ``version`` is that of its newest manifest.
+
+    ``key`` is the callers' API key, and ``retired`` the one before it.
+    """
 
     def __init__(self, folder: Path) -> None:
         """Prepare; nothing is started before ``start``."""
@@ -39,7 +46,10 @@
             for number in range(count)
         ]
         plain = [PlainStandIn(f'page-{number}') for number in range(_PLAIN)]
-        self.site = Site(engines, plain)
+        self.key = 'key-1'
+        self.retired = ''
+        self.site = Site(engines, plain, self._list_tenants())
+        self.duties = DutyStandIn(self.site)
         self.version = 1
         self.links: dict[str, Proxy] = {}
         self.store_links: list[Proxy] = []
@@ -57,6 +67,7 @@
     async def start(self) -> None:
         """Start all, and wait until callers may come."""
         await self.site.start()
+        await self.duties.start()
         for endpoint in self.endpoints:
             link = Proxy(endpoint.address)
             await link.start()
@@ -70,7 +81,7 @@
         """End all."""
         await asyncio.gather(*(one.stop() for one in self.callers))
         links = (*self.links.values(), *self.store_links)
-        for part in (*self.instances, *links, self.site):
+        for part in (*self.instances, *links, self.duties, self.site):
             await part.stop()
 
     async def follow_roles(self) -> None:
@@ -91,15 +102,40 @@
             ],
         )
 
+    def replace_key(self) -> None:
+        """Give the callers another key, and take theirs away."""
+        self.retired = self.key
+        self.key = f'key-{self.site.version + 1}'
+        self.site.manifest = self._list_tenants()
+        self.publish()
+
+    def _list_tenants(self) -> dict[str, Any]:
+        tenants = ((WORKSPACE, self.key), (_OTHER, 'other-key'))
+        return {
+            'tenants': [
+                {'name': name, 'apiKeys': [key]} for name, key in tenants
+            ],
+        }
+
     async def _start_instance(self, name: str) -> None:
         link = Proxy(self.site.store.address)
         await link.start()
         self.store_links.append(link)
-        path = write_settings(self._folder, link.address, name)
+        path = write_settings(
+            self._folder,
+            link.address,
+            name,
+            self.duties.address,
+        )
         instance = Instance(name, path)
         await instance.start()
         self.instances.append(instance)
-        callers = Callers(instance, self._numbers, lambda: self.version)
+        callers = Callers(
+            instance,
+            self._numbers,
+            lambda: self.version,
+            lambda: self.key,
+        )
         await callers.start()
         self.callers.append(callers)
 
--- a/packages/standins/src/verbenahall_standins/soak/_plan.py
+++ b/packages/standins/src/verbenahall_standins/soak/_plan.py
@@ -32,6 +32,9 @@
     TERMINATE = 'terminate'
     HANGUP = 'hangup'
     MANIFEST = 'manifest'
+    KEYS = 'keys'
+    DUTIES_LATE = 'duties_late'
+    DUTIES_SILENT = 'duties_silent'
 
 
 #: How often each kind is drawn against the others.
@@ -49,6 +52,9 @@
         Kind.TERMINATE: 1,
         Kind.HANGUP: 1,
         Kind.MANIFEST: 4,
+        Kind.KEYS: 3,
+        Kind.DUTIES_LATE: 1,
+        Kind.DUTIES_SILENT: 1,
     },
 )
 #: Bound of the drawn numbers; much larger than any number of targets.
--- a/packages/standins/src/verbenahall_standins/soak/_run.py
+++ b/packages/standins/src/verbenahall_standins/soak/_run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import time
 from collections import Counter
 from collections.abc import AsyncIterator, Sequence
@@ -11,9 +12,12 @@
 
 from verbenahall_standins.soak._actions import act
 from verbenahall_standins.soak._checks import Record, find_broken
-from verbenahall_standins.soak._deployment import Deployment
+from verbenahall_standins.soak._deployment import WORKSPACE, Deployment
 from verbenahall_standins.soak._plan import Event, draw_plan
 
+_REQUEST: Final = 'X-Verbenahall-Request-Id'
+_WORKSPACE: Final = 'X-Verbenahall-Tenant'
+_KEY: Final = 'X-Verbenahall-Key'
 #: Time for all to hold again after the last fault: entries are back and
 #: settings in force within two to three seconds.
 _SETTLE_S: Final = 3.5
@@ -26,7 +30,18 @@
         await _play(deployment, draw_plan(seed, seconds), seconds)
         await asyncio.sleep(_SETTLE_S)
         last = [await one.ask_all() for one in deployment.callers]
-    return [*_judge(deployment), *_judge_end(last)]
+        retired = [
+            await one.ask_with(deployment.retired)
+            for one in deployment.callers
+            if deployment.retired
+        ]
+    return [
+        *_judge(deployment),
+        *_judge_end(last),
+        *_judge_retired(retired),
+        *_judge_workspaces(deployment),
+        *deployment.duties.broken,
+    ]
 
 
 @contextlib.asynccontextmanager
@@ -64,7 +79,7 @@
 def _judge(deployment: Deployment) -> list[str]:
     records = [one for calls in deployment.callers for one in calls.records]
     runs = Counter(
-        run['X-Verbenahall-Request-Id']
+        run[_REQUEST]
         for endpoint in deployment.endpoints
         for run in endpoint.runs
     )
@@ -78,6 +93,28 @@
     return [*find_broken(records, runs, orders), *ends]
 
 
+def _judge_retired(asked: Sequence[Record]) -> list[str]:
+    return [
+        f'{record.identity}: {record.instance} answers {record.status}'
+        ' to a key that was taken away'
+        for record in asked
+        if record.status != HTTPStatus.UNAUTHORIZED
+    ]
+
+
+def _judge_workspaces(deployment: Deployment) -> list[str]:
+    """Every send names the key's workspace, and holds no key."""
+    sends = itertools.chain(
+        *(endpoint.runs for endpoint in deployment.endpoints),
+        *(engine.reads for engine in deployment.site.engines),
+    )
+    return [
+        f'{send[_REQUEST]}: sent for {send.get(_WORKSPACE)} or with its key'
+        for send in sends
+        if send.get(_WORKSPACE) != WORKSPACE or _KEY in send
+    ]
+
+
 def _judge_end(last: Sequence[Sequence[Record]]) -> list[str]:
     return [
         f'{record.identity}: {record.instance} answers {record.status}'
