Entries that lapse with the store order no engines

While the store is away entries lapse though their engines live; the holder of the duty would count them as gone and order engines on demand in their place, up to the bound. Found in reading; the test fails before (5 orders, 4 expected) and passes now. While the store does not confirm the list, and for the time in which lapsed entries come back, nothing is ordered.

--- a/packages/verbenahall/src/verbenahall/gateway/_scaling.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_scaling.py
@@ -7,7 +7,13 @@
 from verbenahall.catalog import ScalingRules
 from verbenahall.duties import DutyLease, Succession
 from verbenahall.gateway._core import Core
-from verbenahall.platform import SCALE_DUTY, DutyCalls, ProcessSettings
+from verbenahall.platform import (
+    ENDPOINTS_TOPIC,
+    SCALE_DUTY,
+    DutyCalls,
+    ProcessSettings,
+)
+from verbenahall.roster import was_cut_off
 from verbenahall.scaling import (
     DUTY,
     Scaler,
@@ -47,11 +53,20 @@
             succession=Succession(lease, core.book, core.now, _PERIOD_S),
             list_rules=lambda: _list_rules(core),
             list_engines=lambda name: list(core.roster.live(name, core.now())),
+            is_listed=lambda: _is_listed(core),
             now=core.now,
         ),
     )
 
 
+def _is_listed(core: Core) -> bool:
+    """Whether the store has confirmed the engines without a break lately."""
+    now = core.now()
+    freshness = core.freshness[ENDPOINTS_TOPIC]
+    is_young = freshness.find_age(now) <= freshness.usable_s
+    return is_young and not was_cut_off(core.roster, now)
+
+
 def _list_rules(core: Core) -> Mapping[str, ScalingRules]:
     catalog = core.catalog.catalog
     services = catalog.services.values() if catalog else ()
--- a/packages/verbenahall/src/verbenahall/scaling/_shell.py
+++ b/packages/verbenahall/src/verbenahall/scaling/_shell.py
@@ -39,7 +39,8 @@
     """What the scaler works with; ``name`` is the instance's.
 
     ``list_rules`` returns the services that are scaled, and ``list_engines``
-    those of a service that may get work.
+    those of a service that may get work; ``is_listed`` tells whether the store
+    can be believed about them now.
     """
 
     name: str
@@ -49,6 +50,7 @@
     succession: Succession
     list_rules: Callable[[], Mapping[str, ScalingRules]]
     list_engines: Callable[[str], list[Entry]]
+    is_listed: Callable[[], bool]
     now: Clock
 
 
@@ -91,7 +93,9 @@
 
     async def _scale_all(self, rules: Mapping[str, ScalingRules]) -> None:
         now = self._with.now()
-        if now - self._tried_at < _PAUSE_S:
+        # Entries lapse while the store is away; counted as engines that are
+        # gone, they would all be ordered anew.
+        if now - self._tried_at < _PAUSE_S or not self._with.is_listed():
             return
         lease = self._with.lease
         token = await lease.acquire()
--- a/packages/verbenahall/tests/gateway/test_duties.py
+++ b/packages/verbenahall/tests/gateway/test_duties.py
@@ -156,3 +156,31 @@
             assert not duties.pools.count(pool)
 
     run(check())
+
+
+def test_entries_that_lapse_with_the_store_order_no_engines(tmp_path):
+    """The store is away, and the entries of all engines lapse meanwhile."""
+
+    async def check():
+        site, duties = make_site(make_engines(), **AUTOSCALE)
+        async with open_site(tmp_path, site, duties) as desk:
+            on_demand = EnginePool('lampeter', spot=False)
+            await desk.until(
+                lambda: (
+                    desk.decisions('scale_order')
+                    and not duties.pools.count(on_demand)
+                ),
+                12,
+            )
+            ordered = len(desk.decisions('scale_order'))
+            site.store.faults.down = 503
+            await desk.until(lambda: desk.decisions('store_lost'))
+            for name in list(desk.gateway.core.roster.seats):
+                site.unlist(name)
+            site.store.faults.down = 0
+            await desk.until(lambda: desk.decisions('store_regained'))
+            # Entries that lapsed are back within some two seconds.
+            await asyncio.sleep(2.6)
+            assert len(desk.decisions('scale_order')) == ordered
+
+    run(check())
