What scaling notes and what it decides are apart

No decision changes: a check of whether a pool is due also noted times, which a reader would not expect; counts in the store are merged by a method of their own. 46 tests of scaling, usage and duties pass.

--- a/packages/verbenahall/src/verbenahall/scaling/_state.py
+++ b/packages/verbenahall/src/verbenahall/scaling/_state.py
@@ -56,6 +56,7 @@
         now: float,
     ) -> dict[Pool, int]:
         """Return the orders to send now."""
+        self._note_seen(wanted, present, now)
         closed = self.list_closed(now)
         due = {
             pool: size
@@ -63,22 +64,19 @@
             if pool not in closed
             and self._is_due(pool, size, present.get(pool, 0), rules, now)
         }
-        if any(
-            self._is_booting(pool, present.get(pool, 0), rules, now)
-            for pool in wanted
-        ):
-            # What takes over is not there yet.
-            return {
-                pool: size
-                for pool, size in due.items()
-                if not _gives_back(pool, size, present)
-            }
-        return {
-            pool: size
+        # Nothing is given back while what takes over is not there yet.
+        booting = any(
+            self._is_booting(other, present.get(other, 0), rules, now)
+            for other in wanted
+        )
+        held_back = {
+            pool
             for pool, size in due.items()
-            if not (
-                _gives_back(pool, size, present) and self._is_kept(pool, now)
-            )
+            if _gives_back(pool, size, present)
+            and (booting or self._is_kept(pool, now))
+        }
+        return {
+            pool: size for pool, size in due.items() if pool not in held_back
         }
 
     def note_ordered(self, pool: Pool, size: int, now: float) -> None:
@@ -90,11 +88,19 @@
     def note_none(self, pool: Pool, now: float) -> None:
         """Note that a pool has no engine to give; it is tried again later."""
         known = self._closings.get(pool)
-        pause_s = (
-            min(known.pause_s * 2, _LONGEST_CLOSED_S) if known else (_CLOSED_S)
-        )
+        pause_s = 2 * known.pause_s if known else _CLOSED_S
+        pause_s = min(pause_s, _LONGEST_CLOSED_S)
         self._closings[pool] = _Closing(now + pause_s, pause_s)
 
+    def _note_seen(self, wanted: Sizes, present: Sizes, now: float) -> None:
+        """Note which pools have the wanted size, and need all their engines."""
+        for pool, size in wanted.items():
+            there = present.get(pool, 0)
+            if there == size:
+                self._same_at[pool] = now
+            if size >= max(there, self._ordered.get(pool, 0)):
+                self._needed_at[pool] = now
+
     def _is_booting(
         self,
         pool: Pool,
@@ -117,10 +123,7 @@
     ) -> bool:
         """Whether a pool has not the wanted size, nor is on its way to it."""
         ordered = self._ordered.get(pool)
-        if size >= max(there, ordered or 0):
-            self._needed_at[pool] = now
         if there == size:
-            self._same_at[pool] = now
             return ordered is not None and ordered != size
         if ordered != size:
             return True
--- a/packages/verbenahall/src/verbenahall/usage/_exchange.py
+++ b/packages/verbenahall/src/verbenahall/usage/_exchange.py
@@ -113,10 +113,6 @@
         """Return the instances that have not answered since a time."""
         return list(self.gathering.find_missing(self._book.peers, since))
 
-    def has_counts(self, window: int) -> bool:
-        """Whether this run has counted anything up to a window."""
-        return any(known <= window for known in self.meter.counts)
-
     def forget_before(self, window: int) -> None:
         """Drop the windows before one."""
         self.meter.forget_before(window)
@@ -134,17 +130,19 @@
         """Take the counts that instances have written; False if away."""
         match await self._store.read_newest(USAGE_TOPIC):
             case Success(newest):
-                pass
+                for name, content in newest.items.items():
+                    self._merge_written(name, content)
+                return True
             case _:
                 return False
-        for name, content in newest.items.items():
-            match decode_written(content):
-                case Some((run, counts)):
-                    self.gathering.merge(run, counts)
-                case _:
-                    # Another writer's record; the others' counts hold.
-                    journal.write_decision('usage_unreadable', instance=name)
-        return True
+
+    def _merge_written(self, name: str, content: bytes) -> None:
+        match decode_written(content):
+            case Some((run, counts)):
+                self.gathering.merge(run, counts)
+            case _:
+                # Another writer's record; the others' counts hold.
+                journal.write_decision('usage_unreadable', instance=name)
 
     def _tell_successors(self) -> None:
         """Tell the own counts to those that take over when this one dies."""
--- a/packages/verbenahall/src/verbenahall/usage/_meter.py
+++ b/packages/verbenahall/src/verbenahall/usage/_meter.py
@@ -33,6 +33,10 @@
         window = int((self._now() - ago_s) // self.window_s)
         self.counts.setdefault(window, collections.Counter())[workspace] += 1
 
+    def has_counts(self, window: int) -> bool:
+        """Whether anything was counted up to a window."""
+        return any(known <= window for known in self.counts)
+
     def forget_before(self, window: int) -> None:
         """Drop the windows before one."""
         for known in tuple(self.counts):
--- a/packages/verbenahall/src/verbenahall/usage/_shell.py
+++ b/packages/verbenahall/src/verbenahall/usage/_shell.py
@@ -188,5 +188,6 @@
         window = find_unasked(self._with.windows, exchange.asked_at, at)
         if window is None or window <= self._written:
             return
-        if not exchange.has_counts(window) or await exchange.write_counts():
+        has_counts = exchange.meter.has_counts(window)
+        if not has_counts or await exchange.write_counts():
             self._written = window
