Leases on duties are made in one place

Read as a newcomer: three modules each held the margin between two holders and put a lease together from the same parts, and two slices each wrapped a constant in a function. No length, margin or order of draws changes; no decision does.

--- a/packages/verbenahall/src/verbenahall/gateway/_orders.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_orders.py
@@ -6,11 +6,10 @@
 from http import HTTPStatus
 from typing import Final, final
 
-from verbenahall import clock, journal, metrics
-from verbenahall.authority import LeaseTiming
-from verbenahall.duties import DutyLease
+from verbenahall import journal, metrics
 from verbenahall.fleet import Role
 from verbenahall.gateway._core import Core
+from verbenahall.gateway._duty_leases import find_apart_s, make_lease
 from verbenahall.gateway._hooks import name_start
 from verbenahall.peers import find_rank
 from verbenahall.placement import RoleChange, plan_roles
@@ -89,17 +88,8 @@
     def __init__(self, core: Core) -> None:
         """Order in turn with the peers that are heard."""
         self._core = core
-        self._apart_s = core.settings.bounds.lease_s + _APART_S
-        self._lease = DutyLease(
-            core.store,
-            _DUTY,
-            core.settings.name,
-            # The margin keeps two holders' orders further apart than a
-            # lease, so that they are never seen to take turns.
-            LeaseTiming(_LEASE_S, margin_s=self._apart_s),
-            core.random.random(),
-            clock.boottime,
-        )
+        self._apart_s = find_apart_s(core)
+        self._lease = make_lease(core, _DUTY, _LEASE_S)
         #: The last order to an engine, by its name and start.
         self._pending: dict[tuple[str, int], _Sent] = {}
         self._needed_at: float | None = None
--- a/packages/verbenahall/src/verbenahall/gateway/_scaling.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_scaling.py
@@ -3,10 +3,10 @@
 from collections.abc import Mapping
 from typing import Final
 
-from verbenahall import clock
 from verbenahall.catalog import ScalingRules
-from verbenahall.duties import DutyLease, Succession
+from verbenahall.duties import Succession
 from verbenahall.gateway._core import Core
+from verbenahall.gateway._duty_leases import make_lease
 from verbenahall.platform import (
     ENDPOINTS_TOPIC,
     SCALE_DUTY,
@@ -16,14 +16,11 @@
 from verbenahall.roster import was_cut_off
 from verbenahall.scaling import (
     DUTY,
+    LEASE_S,
     Scaler,
     Surroundings,
-    time_lease,
 )
 
-#: How much longer than the operators' bound two holders' calls are kept
-#: apart, in seconds, for what they were under way.
-_APART_S: Final = 0.5
 #: How often a holder is looked after, in seconds; it renews its lease sooner.
 _PERIOD_S: Final = 6.0
 
@@ -36,14 +33,7 @@
 def make_scaler(core: Core) -> Scaler:
     """Scale for all instances, in turn with them."""
     settings = core.settings
-    lease = DutyLease(
-        core.store,
-        DUTY,
-        settings.name,
-        time_lease(settings.bounds.lease_s + _APART_S),
-        core.random.random(),
-        clock.boottime,
-    )
+    lease = make_lease(core, DUTY, LEASE_S)
     return Scaler(
         Surroundings(
             name=settings.name,
--- a/packages/verbenahall/src/verbenahall/gateway/_usage.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_usage.py
@@ -1,26 +1,20 @@
 """Puts the usage reporter of an instance together."""
 
-from typing import Final
-
-from verbenahall import clock
-from verbenahall.duties import DutyLease, Succession
+from verbenahall.duties import Succession
 from verbenahall.gateway._core import Core
+from verbenahall.gateway._duty_leases import make_lease
 from verbenahall.peers import PeerExchange
 from verbenahall.platform import USAGE_DUTY, DutyCalls, ProcessSettings
 from verbenahall.usage import (
     DUTY,
+    LEASE_S,
     Reports,
     Surroundings,
     UsageExchange,
     UsageReporter,
     Windows,
-    time_lease,
 )
 
-#: How much longer than the operators' bound two holders' calls are kept
-#: apart, in seconds, for what they were under way.
-_APART_S: Final = 0.5
-
 
 def reports_usage(settings: ProcessSettings) -> bool:
     """Whether the operators want usage reports."""
@@ -46,14 +40,7 @@
     bounds = settings.bounds
     windows = Windows(bounds.usage_window_s, bounds.usage_late_s)
     calls = DutyCalls(core.session, settings.duty_api)
-    lease = DutyLease(
-        core.store,
-        DUTY,
-        settings.name,
-        time_lease(bounds.lease_s + _APART_S),
-        core.random.random(),
-        clock.boottime,
-    )
+    lease = make_lease(core, DUTY, LEASE_S)
     return UsageReporter(
         Surroundings(
             name=settings.name,
--- a/packages/verbenahall/src/verbenahall/scaling/__init__.py
+++ b/packages/verbenahall/src/verbenahall/scaling/__init__.py
@@ -1,13 +1,13 @@
 """How many engines there are, of which kind, in which data centre."""
 
 from verbenahall.scaling._messages import Kind, Pool
-from verbenahall.scaling._shell import DUTY, Scaler, Surroundings, time_lease
+from verbenahall.scaling._shell import DUTY, LEASE_S, Scaler, Surroundings
 
 __all__ = (
     'DUTY',
+    'LEASE_S',
     'Kind',
     'Pool',
     'Scaler',
     'Surroundings',
-    'time_lease',
 )
--- a/packages/verbenahall/src/verbenahall/scaling/_shell.py
+++ b/packages/verbenahall/src/verbenahall/scaling/_shell.py
@@ -7,7 +7,6 @@
 from typing import Final, final
 
 from verbenahall import journal
-from verbenahall.authority import LeaseTiming
 from verbenahall.clock import Clock
 from verbenahall.duties import DutyLease, Succession
 from verbenahall.platform import (
@@ -29,7 +28,7 @@
 #: How often the pools are looked at, in seconds.
 _LOOK_S: Final = 0.4
 #: How long the lease holds, in seconds; it is renewed when it has ended.
-_LEASE_S: Final = 5.0
+LEASE_S: Final = 5.0
 #: Pause after a failed call, in seconds.
 _PAUSE_S: Final = 1.0
 
@@ -54,11 +53,6 @@
     now: Clock
 
 
-def time_lease(apart_s: float) -> LeaseTiming:
-    """Return the lease's lengths; holders act ``apart_s`` from each other."""
-    return LeaseTiming(_LEASE_S, margin_s=apart_s)
-
-
 @final
 class Scaler:
     """One instance's part in the duty of scaling."""
--- a/packages/verbenahall/src/verbenahall/usage/__init__.py
+++ b/packages/verbenahall/src/verbenahall/usage/__init__.py
@@ -6,13 +6,14 @@
 from verbenahall.usage._meter import UsageMeter
 from verbenahall.usage._reports import Reports
 from verbenahall.usage._shell import (
+    LEASE_S,
     Surroundings,
     UsageReporter,
-    time_lease,
 )
 
 __all__ = (
     'DUTY',
+    'LEASE_S',
     'Reports',
     'Surroundings',
     'TrueClock',
@@ -20,5 +21,4 @@
     'UsageMeter',
     'UsageReporter',
     'Windows',
-    'time_lease',
 )
--- a/packages/verbenahall/src/verbenahall/usage/_shell.py
+++ b/packages/verbenahall/src/verbenahall/usage/_shell.py
@@ -5,7 +5,6 @@
 from typing import Final, final
 
 from verbenahall import journal
-from verbenahall.authority import LeaseTiming
 from verbenahall.clock import Clock
 from verbenahall.duties import DutyLease, Succession
 from verbenahall.platform import DutyOutcome, Seal
@@ -26,7 +25,7 @@
 #: has counted since the last time is lost.
 _POLL_S: Final = 0.7
 #: Time for one window's calls, in seconds.
-_LEASE_S: Final = 2.5
+LEASE_S: Final = 2.5
 #: Pause before a call is tried again, in seconds.
 _PAUSE_S: Final = 0.4
 #: Windows that counts are kept for beyond the time of their reports.
@@ -47,11 +46,6 @@
     now: Clock
 
 
-def time_lease(apart_s: float) -> LeaseTiming:
-    """Return the lease's lengths; holders act ``apart_s`` from each other."""
-    return LeaseTiming(_LEASE_S, margin_s=apart_s)
-
-
 @final
 class UsageReporter:
     """One instance's part in the duty of usage reports."""
