Log the subject of a request, and what its engine did when its caller left

Added: subject and priority in 'accepted', subject in 'refused', the streams of the chosen decode engine in 'assigned', a line 'caller_left' and a counter verbenahall_callers_left_total, and two tables of verbenactl losses: groups that were asked for steadily and never served, with the number expected by chance. No decision changes.

The three hypotheses differ in these lines: full engines show caller_left with streams above the slots; failing ones caller_left or attempt_failed with few streams; quarantine shows 'quarantined' and refusals of one fingerprint.

--- a/packages/verbenactl/src/verbenactl/_losses.py
+++ b/packages/verbenactl/src/verbenactl/_losses.py
@@ -14,6 +14,7 @@
 from typing import Any, Final, final
 
 from verbenactl._delays import DelayBreakdown, count_store_calls
+from verbenactl._groups import Ended, count_groups, list_unserved
 from verbenactl._explanations import LogLine
 
 #: Results of requests, in the order of the columns.
@@ -37,6 +38,8 @@
         'deadline_exceeded': 'deadline',
     },
 )
+#: Fields of the line ``accepted`` by which requests are grouped.
+_GROUP_FIELDS: Final = ('subject', 'workspace', 'priority')
 #: First digit of a successful HTTP status.
 _SUCCESS: Final = '2'
 _THOUSAND: Final = 1000
@@ -55,7 +58,14 @@
 class _RequestSummary:
     """Summary of the lines on one request."""
 
-    __slots__ = ('accepted', 'delays', 'first_s', 'given_up', 'outcome')
+    __slots__ = (
+        'accepted',
+        'delays',
+        'first_s',
+        'given_up',
+        'outcome',
+        'scheduling_group',
+    )
 
     def __init__(self, accepted: LogLine) -> None:
         self.accepted = accepted
@@ -65,6 +75,7 @@
         self.first_s: float | None = None
         self.given_up: Mapping[str, Any] | None = None
         self.outcome = ''
+        self.scheduling_group = ''
 
     @property
     def route(self) -> str:
@@ -95,6 +106,25 @@
         words = (word for word in reason.split() if not _contains_digit(word))
         return f'{self.given_up.get("kind", "")}: {" ".join(words)}'
 
+    def describe_end(self) -> Ended:
+        """Return how the request ended, with the groups that it belongs to."""
+        accepted = self.accepted.decision
+        groups = {
+            field: str(accepted[field])
+            for field in _GROUP_FIELDS
+            if accepted.get(field) not in {None, ''}
+        }
+        groups['instance'] = self.accepted.source
+        if self.scheduling_group:
+            groups['engines'] = self.scheduling_group
+        return Ended(
+            route=self.route,
+            groups=groups,
+            at=self.accepted.at,
+            served=self.result in {'on_time', 'late'},
+            result=self.result,
+        )
+
     def _is_on_time(self) -> bool:
         accepted = self.accepted.decision
         before_s = float(accepted.get('waited_s', 0))
@@ -134,6 +164,7 @@
         ),
         Table('cause', ('cause', 'route', 'count'), _count_causes(summaries)),
         Table('late', ('cause', 'route', 'count'), _count_delays(summaries)),
+        *_make_group_tables([one.describe_end() for one in summaries]),
         Table(
             'store',
             ('call', 'topic', 'outcome', 'calls', 'instances', 'kb'),
@@ -142,6 +173,21 @@
     )
 
 
+def _make_group_tables(ended: Sequence[Ended]) -> tuple[Table, Table]:
+    return (
+        Table(
+            'groups',
+            ('by', 'route', 'groups', 'unserved', 'by_chance'),
+            list(count_groups(ended)),
+        ),
+        Table(
+            'unserved',
+            ('by', 'route', 'name', 'asked', 'over_s', 'most'),
+            list(list_unserved(ended)),
+        ),
+    )
+
+
 def format_table(table: Table) -> Iterator[str]:
     """Yield the lines of a table, its columns aligned."""
     rows = [table.columns, *table.rows]
@@ -171,6 +217,8 @@
         case {'event': 'generated', 'since_s': since_s}:
             if summary.first_s is None:
                 summary.first_s = float(since_s)
+        case {'event': 'scheduled', 'group': group}:
+            summary.scheduling_group = summary.scheduling_group or str(group)
         case {'event': 'given_up'}:
             summary.given_up = decision
         case {'event': 'answered', 'outcome': outcome, 'took_s': took_s}:
--- a/packages/verbenactl/tests/test_losses.py
+++ b/packages/verbenactl/tests/test_losses.py
@@ -191,3 +191,70 @@
         ('read', 'leases', '200', '2', '1', '3'),
         ('read', 'peers', '200', '1', '1', '0'),
     ]
+
+
+def make_group(name, count, outcome, *, route='check', every_s=3.0):
+    """Return the lines of a group's requests, all with one outcome."""
+    return [
+        line
+        for number in range(count)
+        for line in (
+            json.dumps(
+                {
+                    'event': 'accepted',
+                    'request': f'{name}-{number}',
+                    'at': number * every_s,
+                    'route': route,
+                    'subject': name,
+                }
+            ),
+            json.dumps(
+                {
+                    'event': 'answered',
+                    'request': f'{name}-{number}',
+                    'at': number * every_s + 1,
+                    'outcome': outcome,
+                    'took_s': 1,
+                }
+            ),
+        )
+    ]
+
+
+def find_table(lines, name):
+    tables = {one.name: one for one in find_losses(parse_lines('a', lines), 2)}
+    return [row for row in tables[name].rows if row[0] == 'subject']
+
+
+def test_group_that_is_never_served_is_listed():
+    # All requests of one subject fail. The averages of its route and of its
+    # windows hardly show it.
+    lines = [
+        *make_group('s1', 5, 'caller_gone'),
+        *make_group('s2', 95, '200', every_s=0.2),
+    ]
+    assert find_table(lines, 'unserved') == [
+        ('subject', 'check', 's1', '5', '12.0', 'left')
+    ]
+    assert find_table(lines, 'groups') == [
+        ('subject', 'check', '2', '1', '0.0')
+    ]
+
+
+def test_group_that_was_asked_for_seldom_or_briefly_is_not_listed():
+    lines = [
+        *make_group('few', 3, '429', every_s=9),
+        *make_group('brief', 9, '429', every_s=0.5),
+        *make_group('mixed', 5, '429'),
+        *make_group('mixed', 6, '200'),
+    ]
+    assert not find_table(lines, 'unserved')
+
+
+def test_groups_unserved_by_chance_are_estimated_by_route():
+    # Half of a route's requests fail, so one of sixteen groups of four does.
+    lines = [
+        *make_group('s1', 4, '429'),
+        *make_group('s2', 4, '200'),
+    ]
+    assert find_table(lines, 'groups')[0][-1] == '0.12'
--- a/packages/verbenahall/src/verbenahall/gateway/_generation.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_generation.py
@@ -1,11 +1,12 @@
 """Sends a request to its decode engine and relays the stream."""
 
+import asyncio
 from typing import Final, final
 
 import aiohttp
 from returns.result import Failure, Result, Success
 
-from verbenahall import journal
+from verbenahall import journal, metrics
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._grants import Grant
 from verbenahall.gateway._messages import Answered, Call, StreamEnded
@@ -91,6 +92,9 @@
                 result = await self._handle_opened(
                     plan, options, opened, resumable
                 )
+        except (asyncio.CancelledError, _CALLER_DISCONNECTED):
+            self._log_caller_left(plan)
+            raise
         finally:
             load_table.close(self._flight)
         ended = result.value_or(None)
@@ -183,6 +187,25 @@
             self._core.meter.record_started(workspace.name)
         self._counted = True
 
+    def _log_caller_left(self, plan: Plan) -> None:
+        """Log what the engine had sent when the caller disconnected."""
+        relay = self._relay
+        silent_s = self._core.now() - (relay.last_event_at or self._sent_at)
+        metrics.CALLERS_LEFT.add('begun' if relay.begun else 'unanswered')
+        journal.write_decision(
+            'caller_left',
+            request=self._call.head.identity,
+            engine=plan.decode_engine.name,
+            events=relay.event_count,
+            silent_s=journal.round_to_ms(silent_s),
+            streams=self._count_streams(plan),
+        )
+
+    def _count_streams(self, plan: Plan) -> int:
+        """Return the known number of open streams at the decode engine."""
+        load_table = self._core.placement.load_table
+        return load_table.totals(plan.decode_engine.name).streams
+
     def _record_completion(self, plan: Plan, ended: StreamEnded) -> None:
         call = self._call
         timing = ended.timing
--- a/packages/verbenahall/src/verbenahall/gateway/_ingress.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_ingress.py
@@ -97,6 +97,8 @@
             request=call.head.identity,
             fingerprint=call.fingerprint,
             route=call.route.name,
+            subject=call.head.work.affinity_key,
+            priority=call.priority,
             workspace=call.workspace.name if call.workspace else None,
             service=call.service.name,
             version=call.version,
@@ -208,6 +210,7 @@
             request=head.identity,
             host=request.headers.get('Host', ''),
             path=request.raw_path,
+            subject=head.work.affinity_key,
             kind=problem.kind.value,
             reason=problem.message,
         )
--- a/packages/verbenahall/src/verbenahall/gateway/_relay.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_relay.py
@@ -24,13 +24,25 @@
     """Relays complete events; the headers are those of the first engine.
 
     A stream that ends early must not look complete, so it is aborted: the
-    caller's connection is closed without the final chunk.
+    caller's connection is closed without the final chunk. ``event_count`` and
+    ``last_event_at`` are those of all engines so far, the time None before the
+    first event.
     """
 
-    __slots__ = ('state', '_request', '_call', '_clock', '_response')
+    __slots__ = (
+        'event_count',
+        'last_event_at',
+        'state',
+        '_request',
+        '_call',
+        '_clock',
+        '_response',
+    )
 
     def __init__(self, request: web.Request, call: Call, now: Clock) -> None:
         """Store the arguments; nothing is sent yet."""
+        self.event_count = 0
+        self.last_event_at: float | None = None
         self.state = EventState(call.head.last_event)
         self._request = request
         self._call = call
@@ -97,6 +109,8 @@
 
     def _record_timing(self, timing: StreamTiming, events: int) -> None:
         now = self._clock()
+        self.event_count += events
+        self.last_event_at = now
         pause = timing.record(events, now)
         if pause is None and self._response is None:
             metrics.FIRST_TOKEN_SECONDS.observe(now - self._call.received)
--- a/packages/verbenahall/src/verbenahall/gateway/_scheduler.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_scheduler.py
@@ -221,6 +221,7 @@
                     ahead_s=journal.round_to_ms(message.ahead_s),
                     wait_s=journal.round_to_ms(message.wait_s),
                     reason=message.reason,
+                    streams=_count_streams(state, message.decode),
                     waiting=len(state.queue.waiting),
                     open=len(state.assigned),
                 )
@@ -235,6 +236,11 @@
                 )
 
 
+def _count_streams(state: SchedulerState, engine: str) -> int:
+    """Return the number of streams that are assigned to an engine."""
+    return state.placement.load_table.totals(engine).streams
+
+
 def _read_request_id(key: str) -> str:
     """Return the caller's request id, which is the first part of a key."""
     return key.rsplit('/', 2)[0]
--- a/packages/verbenahall/src/verbenahall/metrics.py
+++ b/packages/verbenahall/src/verbenahall/metrics.py
@@ -144,6 +144,12 @@
     'kind',
     'ran',
 )
+CALLERS_LEFT: Final = BufferedCounter(
+    'verbenahall_callers_left_total',
+    'Callers that disconnected while an engine had their request, by whether'
+    ' the answer had begun.',
+    'answer',
+)
 PREFILL_TOKENS: Final = BufferedCounter(
     'verbenahall_read_tokens_total',
     'Prompt tokens of reads, by what was expected: missing or kept.',
