--- a/packages/verbenactl/src/verbenactl/_groups.py
+++ b/packages/verbenactl/src/verbenactl/_groups.py
@@ -46,7 +46,7 @@
     time between the first and the last, and how most of them ended.
     """
     for key, members in _find_steady(requests).items():
-        if any(one.served for one in members):
+        if not _is_unserved(members):
             continue
         results = collections.Counter(one.result for one in members)
         yield (
@@ -68,17 +68,12 @@
     for (dimension, route, _), members in _find_steady(requests).items():
         kinds[dimension, route].append(members)
     for kind, groups in sorted(kinds.items()):
-        unserved = [
-            group
-            for group in groups
-            if not any(request.served for request in group)
-        ]
         share = unserved_shares[kind[1]]
         expected = sum(share ** len(group) for group in groups)
         yield (
             *kind,
             str(len(groups)),
-            str(len(unserved)),
+            str(sum(map(_is_unserved, groups))),
             str(round(expected, _DECIMALS)),
         )
 
@@ -106,6 +101,10 @@
     return {route: unserved[route] / totals[route] for route in totals}
 
 
+def _is_unserved(members: Iterable[Ended]) -> bool:
+    return not any(one.served for one in members)
+
+
 def _find_span_s(members: Sequence[Ended]) -> float:
     times = [one.at for one in members]
     return max(times) - min(times)
--- a/packages/verbenactl/src/verbenactl/_losses.py
+++ b/packages/verbenactl/src/verbenactl/_losses.py
@@ -146,7 +146,7 @@
     for summary in summaries:
         routes[summary.route].append(summary)
     prefills = _sum_prefills(kept, started_at, window_s)
-    return (
+    return [
         Table(
             'route', ('route', 'asked', *RESULTS), list(_count_results(routes))
         ),
@@ -170,7 +170,7 @@
             ('call', 'topic', 'outcome', 'calls', 'instances', 'kb'),
             count_store_calls(kept),
         ),
-    )
+    ]
 
 
 def _make_group_tables(ended: Sequence[Ended]) -> tuple[Table, Table]:
