Placement: count the slots that long streams hold at decode engines

Cause: a request was admitted by the room for its prefill alone. Where long streams held all slots it was assigned all the same, waited at the engine behind more urgent ones, and its caller left. No group refused it, so no other group was asked, and the group follows from the prompt: the same subjects lost each time.

Change: the load table keeps the open streams of each engine with their expected tokens, priority and start. The wait for a slot follows from them in the order in which engines start streams, and is part of the expected time to the first event. So a full group rejects, the next one is asked, and if none has a slot in time the caller is refused at once and told when one is expected. This holds with and without schedulers.

--- a/packages/verbenahall/src/verbenahall/gateway/_generation.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_generation.py
@@ -13,7 +13,7 @@
 from verbenahall.gateway._prefill_calls import CacheHandle
 from verbenahall.gateway._relay import EventRelay
 from verbenahall.gateway._sender import SUCCESS_STATUSES, Opened, Sender
-from verbenahall.placement import InFlight, Plan, Totals
+from verbenahall.placement import InFlight, PlacementRequest, Plan, Totals
 from verbenahall.platform import CALL_FAILURES, SendOptions, read_answer_head
 from verbenahall.requests import Broken, Outcome
 
@@ -81,6 +81,11 @@
                 held_tokens=self._call.head.work.context_tokens,
                 streams=1,
             ),
+            PlacementRequest(
+                self._call.head.work,
+                self._call.route.gap_s,
+                priority=self._call.priority,
+            ).make_stream(has_handle=handle is not None),
         )
         self._sent_at = self._core.now()
         until = self._relay.find_idle_deadline(resumable=resumable)
@@ -173,8 +178,10 @@
         """
         self._count_usage()
         placement = self._core.placement
-        self._flight = placement.load_table.record_prefill_end(self._flight)
         now = self._core.now()
+        self._flight = placement.load_table.record_first_event(
+            self._flight, now
+        )
         handover_s = now - self._sent_at if self._handed_over else 0
         self._grant.record_first_event(handover_s)
         if handover_s:
@@ -217,8 +224,8 @@
             plan.decode_engine, call.head.work, call.service
         )
         if ended.step_s:
-            placement.find_step_time(plan.decode_engine.name).observe(
-                ended.step_s, now
+            placement.record_step_time(
+                plan.decode_engine.name, ended.step_s, now
             )
         journal.write_decision(
             'generated',
--- a/packages/verbenahall/src/verbenahall/gateway/_stream_flow.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_stream_flow.py
@@ -103,7 +103,9 @@
         if self._kv_handle or self._attempts.runs or self._relay.begun:
             return self._place().map(UnqueuedGrant)
         placement_request = PlacementRequest(
-            self._call.head.work, self._call.route.gap_s
+            self._call.head.work,
+            self._call.route.gap_s,
+            priority=self._call.priority,
         )
         tried = frozenset(self._attempts.tried)
         return await dispatch.admit(self._call, placement_request, tried)
@@ -132,7 +134,9 @@
         prefilled_by = self._kv_handle.engine if self._kv_handle else None
         return place(
             core.placement,
-            PlacementRequest(call.head.work, call.route.gap_s, prefilled_by),
+            PlacementRequest(
+                call.head.work, call.route.gap_s, prefilled_by, call.priority
+            ),
             untried or usable,
             call.service.engine,
             now,
--- a/packages/verbenahall/src/verbenahall/placement/__init__.py
+++ b/packages/verbenahall/src/verbenahall/placement/__init__.py
@@ -13,12 +13,14 @@
 from verbenahall.placement._roles import RoleChange, plan_roles
 from verbenahall.placement._slots import Fleet
 from verbenahall.placement._state import PlacementState
+from verbenahall.placement._streams import OpenStream
 
 __all__ = (
     'Admitted',
     'Fleet',
     'InFlight',
     'LoadTable',
+    'OpenStream',
     'Part',
     'PlacementRequest',
     'PlacementState',
--- a/packages/verbenahall/src/verbenahall/placement/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/placement/_decisions.py
@@ -20,6 +20,7 @@
 from verbenahall.fleet import Role
 from verbenahall.placement._messages import Plan, Work
 from verbenahall.placement._state import PlacementState
+from verbenahall.placement._streams import OpenStream
 from verbenahall.roster import Entry
 from verbenahall.routing import rank_by_rendezvous
 
@@ -59,12 +60,17 @@
 
     ``gap_s`` is the longest pause in seconds between two events that still
     counts as on time. ``prefilled_by`` is the engine that has prefilled the
-    prompt already, if any.
+    prompt already, if any. ``priority`` is that of the request, 0 the highest.
     """
 
     work: Work
     gap_s: float
     prefilled_by: Entry | None = None
+    priority: int = 0
+
+    def make_stream(self, *, has_handle: bool) -> OpenStream:
+        """Return the request's stream, as it is counted at its engine."""
+        return OpenStream(self.priority, self.work.output_tokens, has_handle)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -121,6 +127,7 @@
     first_s: float
     congestion_cost: float
     fill: float
+    slot_wait_s: float
 
     @property
     def cost(self) -> float:
@@ -170,18 +177,19 @@
             missing = self._count_missing(engine, rank)
             wait_s = self._backlog_s(engine) * _MIXED_SLOWDOWN
             prefill_s = self._prefill_s(missing) * _MIXED_SLOWDOWN
-            first_s = self._mixed_first_s(engine, wait_s + prefill_s)
+            slot_wait_s = self._slot_wait_s(engine, has_handle=False)
             plan = Plan(
                 None,
                 engine,
                 missing,
-                first_s,
+                self._mixed_first_s(engine, wait_s + prefill_s + slot_wait_s),
                 f'mixed {rank}',
                 wait_s,
+                slot_wait_s,
             )
             stall_cost = self._stall_cost(engine, prefill_s)
             yield _Option(
-                plan, first_s + stall_cost + self._congestion_cost(engine)
+                plan, plan.wait_s + stall_cost + self._congestion_cost(engine)
             )
 
     def evaluate_split(
@@ -210,6 +218,7 @@
                 first_s,
                 f'home {rank}',
                 wait_s,
+                decode.slot_wait_s,
             )
             yield _Option(plan, cost)
 
@@ -218,7 +227,14 @@
     ) -> Plan:
         """Choose the decode engine of a prompt that is already prefilled."""
         decode = self._choose_decode_engine(prefill_engine, decode_engines)
-        return Plan(prefill_engine, decode.engine, 0, decode.first_s, 'handle')
+        return Plan(
+            prefill_engine,
+            decode.engine,
+            0,
+            decode.first_s,
+            'handle',
+            slot_wait_s=decode.slot_wait_s,
+        )
 
     def _mixed_first_s(self, engine: Entry, prefill_s: float) -> float:
         step_s = self._state.find_step_time(engine.name).estimate(self._now)
@@ -258,11 +274,13 @@
 
     def _evaluate_decode(self, engine: Entry) -> _DecodeCandidate:
         """Evaluate an engine without the transfer from the prefill engine."""
+        slot_wait_s = self._slot_wait_s(engine, has_handle=True)
         return _DecodeCandidate(
             engine,
-            first_s=self._decode_wait_s(engine),
+            first_s=self._decode_wait_s(engine) + slot_wait_s,
             congestion_cost=self._congestion_cost(engine),
             fill=self._fill(engine),
+            slot_wait_s=slot_wait_s,
         )
 
     def _count_missing(self, engine: Entry, rank: int) -> int:
@@ -319,6 +337,18 @@
         handover_s = self._state.handover.estimate(self._now)
         return handover_s + self._backlog_s(engine) * _MIXED_SLOWDOWN
 
+    def _slot_wait_s(self, engine: Entry, *, has_handle: bool) -> float:
+        """Return how long the stream waits for a slot of a decode engine."""
+        load_table = self._state.load_table
+        return load_table.streams.find_slot_wait(
+            engine.name,
+            self._request.make_stream(has_handle=has_handle),
+            self._traits.slots,
+            load_table.totals(engine.name).streams,
+            self._state.token_times.estimate(engine.name),
+            self._now,
+        )
+
     def _fill(self, engine: Entry) -> float:
         """Return the fill of an engine with the request, by memory or slots."""
         totals = self._state.load_table.totals(engine.name)
--- a/packages/verbenahall/src/verbenahall/placement/_dispatch.py
+++ b/packages/verbenahall/src/verbenahall/placement/_dispatch.py
@@ -47,7 +47,7 @@
     """
     match fleet.place(pending, now):
         case Success(plan):
-            pending.expected_first_s = plan.wait_s - plan.ahead_s
+            pending.expect(plan)
             pending.preferred_engine = find_preferred_engine(
                 pending.placement_request.work, fleet.prefill_engines
             )
@@ -137,7 +137,11 @@
     remaining = [pending for pending in ranked if not pending.will_expire(now)]
     for pending in slots.list_candidates(remaining):
         plan = fleet.place(pending, now).value_or(None)
-        if plan is not None and slots.has_room(pending, plan, now):
+        if plan is None:
+            continue
+        # Since it was queued, streams may have taken the slots.
+        pending.expect(plan)
+        if slots.has_room(pending, plan, now) and not pending.will_expire(now):
             yield Admitted(pending, plan, slots.reserve(plan))
 
 
@@ -166,10 +170,11 @@
 ) -> Problem:
     """Return the refusal of a request, with the time after which to retry.
 
-    That is the time in which the queue ahead of it drains, with jitter, so
-    that callers refused together don't return together.
+    That is the time in which the queue ahead of it drains, or a decode engine
+    has a free slot, with jitter, so that callers refused together don't return
+    together.
     """
-    wait_s = _estimate_wait_s(queue, pending, now)
+    wait_s = max(_estimate_wait_s(queue, pending, now), pending.slot_wait_s)
     max_s = (pending.leaves_at - now) * _MAX_RETRY_SHARE
     retry_s = max(_MIN_RETRY_S, min(wait_s, max_s))
     return Problem(
--- a/packages/verbenahall/src/verbenahall/placement/_load_table.py
+++ b/packages/verbenahall/src/verbenahall/placement/_load_table.py
@@ -5,6 +5,8 @@
 from collections.abc import Mapping
 from typing import Final, final
 
+from verbenahall.placement._streams import OpenStream, StreamTable
+
 #: Seconds for which a peer's report counts. Peers report several times a
 #: second; one that has stopped is down or cut off.
 _REPORT_TTL_S: Final = 1.5
@@ -85,6 +87,7 @@
 
     __slots__ = (
         'scale',
+        'streams',
         '_open_sends',
         '_local',
         '_reports',
@@ -101,6 +104,8 @@
         instance, and the others are assumed to send the same load.
         """
         self.scale: float = 1
+        #: Streams that were opened here, not those that peers report.
+        self.streams = StreamTable()
         self._open_sends: dict[int, InFlight] = {}
         self._local: dict[str, Totals] = {}
         self._reports: dict[str, _PeerReport] = {}
@@ -108,29 +113,41 @@
         self._prefilling = 0
         self._next_numbers = itertools.count()
 
-    def open(self, engine: str, totals: Totals) -> InFlight:
+    def open(
+        self,
+        engine: str,
+        totals: Totals,
+        stream: OpenStream | None = None,
+    ) -> InFlight:
         """Add the work of a request; ``close`` removes it."""
         flight = InFlight(next(self._next_numbers), engine, totals)
         self._open_sends[flight.number] = flight
         _add(self._local, engine, totals)
+        if stream is not None:
+            self.streams.add(engine, flight.number, stream)
         return flight
 
     def close(self, flight: InFlight) -> None:
         """Remove the work of a request; does nothing if it is closed."""
         if self._open_sends.pop(flight.number, None) is not None:
             _subtract(self._local, flight.engine, flight.totals)
+            self.streams.remove(flight.engine, flight.number)
+
+    def record_first_event(self, flight: InFlight, now: float) -> InFlight:
+        """Record a stream's first event; return the work that is still open.
 
-    def record_prefill_end(self, flight: InFlight) -> InFlight:
-        """Record the end of a prefill; return the work that is still open."""
-        if (
-            not flight.totals.prefill_tokens
-            or flight.number not in self._open_sends
-        ):
+        Its prefill has ended.
+        """
+        if flight.number not in self._open_sends:
             return flight
+        stream = self.streams.remove(flight.engine, flight.number)
+        if stream is not None:
+            stream.started_at = now
         self.close(flight)
         return self.open(
             flight.engine,
             dataclasses.replace(flight.totals, prefill_tokens=0),
+            stream,
         )
 
     def set_peer_loads(
--- a/packages/verbenahall/src/verbenahall/placement/_messages.py
+++ b/packages/verbenahall/src/verbenahall/placement/_messages.py
@@ -48,8 +48,9 @@
 
     ``prefill_engine`` is None if ``decode_engine`` prefills the prompt as well.
     ``missing`` is the estimated number of tokens to prefill, ``wait_s`` the
-    expected time to the first event in seconds, and ``ahead_s`` the part of it
-    for prefills that the engine has already admitted.
+    expected time to the first event in seconds, ``ahead_s`` the part of it for
+    prefills that the engine has already admitted, and ``slot_wait_s`` the part
+    until the decode engine has a free slot.
     """
 
     prefill_engine: Entry | None
@@ -58,3 +59,4 @@
     wait_s: float
     reason: str
     ahead_s: float = 0
+    slot_wait_s: float = 0
--- a/packages/verbenahall/src/verbenahall/placement/_queue.py
+++ b/packages/verbenahall/src/verbenahall/placement/_queue.py
@@ -32,8 +32,9 @@
     first attempt of its caller, and ``leaves_at`` when its caller leaves.
     ``returning`` is true if the caller was refused before. ``tried`` names the
     engines that have failed this request. ``expected_first_s`` is the expected
-    time to its first event on idle engines, and ``preferred_engine`` the engine
-    most likely to have its shared parts cached.
+    time to its first event if its prefill begins at once, ``slot_wait_s`` the
+    part of it until a decode engine has a free slot, and ``preferred_engine``
+    the engine most likely to have its shared parts cached.
     """
 
     request_id: str
@@ -46,8 +47,14 @@
     returning: bool = False
     tried: frozenset[str] = _NO_ENGINES
     expected_first_s: float = 0
+    slot_wait_s: float = 0
     preferred_engine: str = ''
 
+    def expect(self, plan: Plan) -> None:
+        """Update the expected times by a plan."""
+        self.expected_first_s = plan.wait_s - plan.ahead_s
+        self.slot_wait_s = plan.slot_wait_s
+
     def is_late(self, now: float) -> bool:
         """Whether the first event can no longer be on time."""
         return now + self.expected_first_s > self.due_at
--- a/packages/verbenahall/src/verbenahall/placement/_speeds.py
+++ b/packages/verbenahall/src/verbenahall/placement/_speeds.py
@@ -6,7 +6,7 @@
 """
 
 import operator
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from typing import Final, final
 
 #: Initial coefficients: seconds before the first token, for a thousand tokens,
@@ -40,6 +40,8 @@
 #: Initial decode step time in seconds, and weight of one new sample.
 _STEP_S: Final = 0.006
 _STEP_SMOOTHING: Final = 0.2
+#: Weight of one stream in the time of a token.
+_TOKEN_SMOOTHING: Final = 0.1
 #: Half-life of the decay of the step time to its initial value, in seconds.
 _STEP_HALF_LIFE_S: Final = 2.0
 
@@ -159,6 +161,41 @@
         return self._initial_s + (self._mean_s - self._initial_s) * decay
 
 
+@final
+class TokenTimes:
+    """The time of a token in the streams of each engine, in seconds.
+
+    Unlike a ``DecayingAverage`` it does not forget: an engine whose slots are
+    held by long streams shows no new times.
+    """
+
+    __slots__ = ('_times', '_typical_s')
+
+    def __init__(self) -> None:
+        """Start with the initial decode step time."""
+        self._times: dict[str, float] = {}
+        self._typical_s = _STEP_S
+
+    def record(self, engine: str, seconds: float) -> None:
+        """Record the time of a token in a stream that has ended."""
+        before_s = self._typical_s if self._times else seconds
+        self._typical_s = _smooth(before_s, seconds)
+        self._times[engine] = _smooth(self._times.get(engine, seconds), seconds)
+
+    def estimate(self, engine: str) -> float:
+        """Return the time at an engine, that of the others if it is unknown."""
+        return self._times.get(engine, self._typical_s)
+
+    def retain(self, names: Collection[str]) -> None:
+        """Remove the engines that are no longer listed."""
+        for name in self._times.keys() - names:
+            self._times.pop(name)
+
+
+def _smooth(mean: float, sample: float) -> float:
+    return mean + _TOKEN_SMOOTHING * (sample - mean)
+
+
 def _dot(left: Sequence[float], right: Sequence[float]) -> float:
     return sum(map(operator.mul, left, right))
 
--- a/packages/verbenahall/src/verbenahall/placement/_state.py
+++ b/packages/verbenahall/src/verbenahall/placement/_state.py
@@ -7,7 +7,11 @@
 from verbenahall.placement._caches import PrefixCache
 from verbenahall.placement._load_table import LoadTable
 from verbenahall.placement._messages import Work
-from verbenahall.placement._speeds import DecayingAverage, PrefillSpeed
+from verbenahall.placement._speeds import (
+    DecayingAverage,
+    PrefillSpeed,
+    TokenTimes,
+)
 from verbenahall.roster import Entry
 
 #: Shortest prefill that is used to estimate the speed, in tokens. The time of
@@ -28,6 +32,7 @@
         'load_table',
         'prefill_speed',
         'handover',
+        'token_times',
         '_caches',
         '_steps',
     )
@@ -40,6 +45,7 @@
         self.prefill_speed = PrefillSpeed()
         #: Time from the decode request to its first event, in seconds.
         self.handover = DecayingAverage(_HANDOVER_S)
+        self.token_times = TokenTimes()
         self._caches: dict[tuple[str, int], PrefixCache] = {}
         self._steps: dict[str, DecayingAverage] = {}
 
@@ -53,6 +59,7 @@
         other = PlacementState()
         other.prefill_speed = self.prefill_speed
         other.handover = self.handover
+        other.token_times = self.token_times
         other._caches = self._caches
         other._steps = self._steps
         return other
@@ -78,10 +85,16 @@
         """Return the estimated decode step time of an engine."""
         return self._steps.setdefault(engine, DecayingAverage())
 
+    def record_step_time(self, engine: str, step_s: float, now: float) -> None:
+        """Record the time between two tokens in a stream that has ended."""
+        self.find_step_time(engine).observe(step_s, now)
+        self.token_times.record(engine, step_s)
+
     def retain(self, names: Collection[str]) -> None:
         """Remove the state of engines that are no longer listed."""
         for name in self._steps.keys() - names:
             self._steps.pop(name)
+        self.token_times.retain(names)
         for key in tuple(self._caches):
             if key[0] not in names:
                 self._caches.pop(key)
--- a/packages/verbenahall/src/verbenahall/scheduling/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/scheduling/_decisions.py
@@ -118,10 +118,9 @@
         case Released(step_s=step_s):
             _release(state, assigned)
             if step_s:
-                step = state.placement.find_step_time(
-                    assigned.plan.decode_engine.name
+                state.placement.record_step_time(
+                    assigned.plan.decode_engine.name, step_s, now
                 )
-                step.observe(step_s, now)
 
 
 def expire_assignments(state: SchedulerState, now: float) -> None:
@@ -149,7 +148,9 @@
 ) -> Waiting:
     pending = QueuedRequest(
         request.key,
-        PlacementRequest(request.work, request.gap_s),
+        PlacementRequest(
+            request.work, request.gap_s, priority=request.priority
+        ),
         request.priority,
         queued_at=now,
         due_at=now + request.due_s,
@@ -181,12 +182,16 @@
     """Add the load of a request to the load table until it is released."""
     plan = admitted.plan
     key = admitted.pending.request_id
+    placement_request = admitted.pending.placement_request
     decode = state.placement.load_table.open(
         plan.decode_engine.name,
         Totals(
-            held_tokens=admitted.pending.placement_request.work.context_tokens,
+            held_tokens=placement_request.work.context_tokens,
             streams=1,
         ),
+        placement_request.make_stream(
+            has_handle=plan.prefill_engine is not None
+        ),
     )
     answer = Assignment(
         key=key,
@@ -240,6 +245,9 @@
     now: float,
 ) -> None:
     pending = assigned.waiting.pending
+    assigned.decode = state.placement.load_table.record_first_event(
+        assigned.decode, now
+    )
     state.queue.record_first_event(pending, event.seconds, now)
     if event.handover_s:
         state.placement.handover.observe(event.handover_s, now)
