Placement: engines that fail requests cost more than loaded ones

A decode engine that accepts streams and sends nothing left three of twelve subjects unserved; with a silent prefill engine requests were answered 503, with an engine that refuses streams with a handle 429, while other engines were idle.

Cause: engines were chosen by their load alone. One that fails its requests without a refused connection has little open work, so it was the cheapest. A timeout only changed a failure rate that placement does not read; a caller that left before its deadline ended the attempt without any outcome; refusals of sends with a handle did not count; the scheduler heard of refusals only. The engines of a subject follow from its prompt, so the same subjects lost each time.

Change: placement keeps a failure rate for each engine, from failed attempts, refusals and callers that left after a second without an event; the scheduler gets it with the release (a new optional field). The expected loss is part of the cost. An engine whose recent requests mostly failed is left out, unless over half of all do: a cost alone was not enough, since an overfull engine costs more. It is tried again as the rate decays. Ruled out: avoiding an engine for a fixed time after one timeout, which under overload would empty the fleet.

--- a/packages/verbenahall/src/verbenahall/gateway/_generation.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_generation.py
@@ -19,6 +19,9 @@
 
 Generated = Result[StreamEnded | Answered, Outcome]
 
+#: An engine has failed a request if it has sent no event for this long when the
+#: caller leaves, in seconds.
+_SILENT_S: Final = 1.0
 #: Raised when the caller's connection broke while the stream was relayed.
 _CALLER_DISCONNECTED: Final = ConnectionResetError
 
@@ -98,7 +101,7 @@
                     plan, options, opened, resumable
                 )
         except (asyncio.CancelledError, _CALLER_DISCONNECTED):
-            self._log_caller_left(plan)
+            self._record_caller_left(plan)
             raise
         finally:
             load_table.close(self._flight)
@@ -179,6 +182,7 @@
         self._count_usage()
         placement = self._core.placement
         now = self._core.now()
+        placement.failures.record(self._flight.engine, now, failed=False)
         self._flight = placement.load_table.record_first_event(
             self._flight, now
         )
@@ -194,10 +198,19 @@
             self._core.meter.record_started(workspace.name)
         self._counted = True
 
-    def _log_caller_left(self, plan: Plan) -> None:
-        """Log what the engine had sent when the caller disconnected."""
+    def _record_caller_left(self, plan: Plan) -> None:
+        """Record what the engine had sent when the caller disconnected.
+
+        A caller that has waited in vain for an event leaves before its
+        deadline, so that the attempt ends without a failure of the engine.
+        """
         relay = self._relay
-        silent_s = self._core.now() - (relay.last_event_at or self._sent_at)
+        now = self._core.now()
+        silent_s = now - max(self._sent_at, relay.last_event_at or 0)
+        if silent_s >= _SILENT_S:
+            engine = plan.decode_engine.name
+            self._core.placement.failures.record(engine, now, failed=True)
+            self._grant.end(failed=engine)
         metrics.CALLERS_LEFT.add('begun' if relay.begun else 'unanswered')
         journal.write_decision(
             'caller_left',
--- a/packages/verbenahall/src/verbenahall/gateway/_grants.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_grants.py
@@ -32,11 +32,14 @@
         decode engine until now, 0 for a send without a handle.
         """
 
-    def end(self, *, step_s: float = 0, refused: str = '') -> None:
+    def end(
+        self, *, step_s: float = 0, refused: str = '', failed: str = ''
+    ) -> None:
         """Release the engines; further calls have no effect.
 
-        ``step_s`` is the time between two tokens, 0 if unknown, and
-        ``refused`` the name of the engine that refused the request, if any.
+        ``step_s`` is the time between two tokens, 0 if unknown, ``refused`` the
+        name of the engine that refused the request, if any, and ``failed`` that
+        of the engine that refused or failed it.
         """
 
 
@@ -84,7 +87,9 @@
             self._granted_at,
         )
 
-    def end(self, *, step_s: float = 0, refused: str = '') -> None:
+    def end(
+        self, *, step_s: float = 0, refused: str = '', failed: str = ''
+    ) -> None:
         """Admit the next request."""
         self.start()
         self._queues.admit_waiting(self._call.service)
@@ -114,5 +119,7 @@
     def record_first_event(self, handover_s: float) -> None:
         """Do nothing: no queue measures it."""
 
-    def end(self, *, step_s: float = 0, refused: str = '') -> None:
+    def end(
+        self, *, step_s: float = 0, refused: str = '', failed: str = ''
+    ) -> None:
         """Do nothing: nothing is reserved."""
--- a/packages/verbenahall/src/verbenahall/gateway/_prefill_calls.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_prefill_calls.py
@@ -18,7 +18,15 @@
     decode_prefill_result,
     format_kv_source,
 )
-from verbenahall.requests import Broken, Outcome
+from verbenahall.requests import (
+    Broken,
+    Limited,
+    Outcome,
+    Quarantined,
+    TimedOut,
+    Unauthorized,
+    Unprepared,
+)
 from verbenahall.roster import Entry
 
 #: A prefill times out after the expected wait times this factor, plus this
@@ -83,6 +91,9 @@
             load_table.close(flight)
         prefilled = _decode_handle(result)
         if isinstance(prefilled, Success):
+            self._core.placement.failures.record(
+                prefill_engine.name, self._core.now(), failed=False
+            )
             self._record_prefill(
                 call, plan, prefill_engine, tokens_ahead, self._core.now() - now
             )
@@ -144,3 +155,14 @@
             return Success(prompt)
         case _:
             return Failure(Broken('the answer to the prefill has no handle'))
+
+
+def classify_prefill_failure(outcome: Outcome) -> Outcome:
+    """Return the outcome of an attempt whose prefill failed.
+
+    A prefill doesn't execute the request, so any failure of it allows another
+    attempt, even for a request that may run only once.
+    """
+    if isinstance(outcome, TimedOut | Quarantined | Limited | Unauthorized):
+        return outcome
+    return Unprepared(f'the prefill failed: {outcome}')
--- a/packages/verbenahall/src/verbenahall/gateway/_scheduled_grants.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_scheduled_grants.py
@@ -71,12 +71,14 @@
         took_s = self._core.now() - self._granted_at
         self._send(FirstEvent(self._channel.key, took_s, handover_s))
 
-    def end(self, *, step_s: float = 0, refused: str = '') -> None:
+    def end(
+        self, *, step_s: float = 0, refused: str = '', failed: str = ''
+    ) -> None:
         """Release the engines; further calls have no effect."""
         if not self._ended:
             self._ended = True
             self.start()
-            self._send(Released(self._channel.key, step_s, refused))
+            self._send(Released(self._channel.key, step_s, refused, failed))
 
     def _send(self, message: Message) -> None:
         self._channel.send(self._channel.address, message)
--- a/packages/verbenahall/src/verbenahall/gateway/_stream_flow.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_stream_flow.py
@@ -15,18 +15,21 @@
 from verbenahall.gateway._generation import Generated, Generation
 from verbenahall.gateway._grants import Grant, UnqueuedGrant
 from verbenahall.gateway._messages import Answered, Call, StreamEnded
-from verbenahall.gateway._prefill_calls import CacheHandle, PrefillCalls
+from verbenahall.gateway._prefill_calls import (
+    CacheHandle,
+    PrefillCalls,
+    classify_prefill_failure,
+)
 from verbenahall.gateway._relay import EventRelay
 from verbenahall.gateway._sender import Sender
 from verbenahall.placement import PlacementRequest, Plan, place
 from verbenahall.requests import (
+    Broken,
     Limited,
     NeverWritten,
     Outcome,
-    Quarantined,
     Refused,
     TimedOut,
-    Unauthorized,
     Unprepared,
 )
 from verbenahall.roster import Entry
@@ -155,8 +158,8 @@
             match prefilled:
                 case Failure(outcome):
                     self._attempts.tried.add(plan.prefill_engine.name)
-                    _end_grant(grant, plan.prefill_engine, outcome)
-                    return Failure(_classify_prefill_failure(outcome))
+                    self._end_grant(grant, plan.prefill_engine, outcome)
+                    return Failure(classify_prefill_failure(outcome))
                 case Success(handle):
                     self._kv_handle = handle
             grant.record_prefill(self._core.now() - started)
@@ -174,7 +177,7 @@
         self._attempts.record(plan.decode_engine.name, result)
         match result:
             case Failure(outcome):
-                _end_grant(grant, plan.decode_engine, outcome)
+                self._end_grant(grant, plan.decode_engine, outcome)
                 if not self._can_keep_handle(outcome):
                     self._drop_handle()
             case Success(StreamEnded(step_s=step_s)):
@@ -223,6 +226,24 @@
                 return plan
         return self._place().value_or(plan)
 
+    def _end_grant(self, grant: Grant, engine: Entry, outcome: Outcome) -> None:
+        """End a grant after a failure at one of its engines.
+
+        The failure is reported with it. An engine that changes its role or
+        does not respond has little open work, and the next requests would be
+        assigned to it.
+        """
+        refused = isinstance(outcome, Refused | NeverWritten | Limited)
+        failed = isinstance(outcome, Refused | Broken | TimedOut)
+        if failed:
+            self._core.placement.failures.record(
+                engine.name, self._core.now(), failed=True
+            )
+        grant.end(
+            refused=engine.name if refused else '',
+            failed=engine.name if failed else '',
+        )
+
     def _release(self) -> None:
         """Free the handle and end the grant."""
         self._drop_handle()
@@ -287,24 +308,3 @@
             reason=plan.reason,
             attempt=self._attempts.started + 1,
         )
-
-
-def _end_grant(grant: Grant, engine: Entry, outcome: Outcome) -> None:
-    """End a grant after a failure at one of its engines.
-
-    A refusal is reported with it: the engine may be changing its role, and
-    the scheduler would assign the next requests to it.
-    """
-    refused = isinstance(outcome, Refused | NeverWritten | Limited)
-    grant.end(refused=engine.name if refused else '')
-
-
-def _classify_prefill_failure(outcome: Outcome) -> Outcome:
-    """Return the outcome of an attempt whose prefill failed.
-
-    A prefill doesn't execute the request, so any failure of it allows another
-    attempt, even for a request that may run only once.
-    """
-    if isinstance(outcome, TimedOut | Quarantined | Limited | Unauthorized):
-        return outcome
-    return Unprepared(f'the prefill failed: {outcome}')
--- a/packages/verbenahall/src/verbenahall/placement/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/placement/_decisions.py
@@ -95,12 +95,18 @@
     of engine time costs more the longer that queue is. Fails with
     ``NO_ENDPOINT`` if no engine can decode.
     """
-    decode_engines = [one for one in engines if one.role is not Role.PREFILL]
+    decode_engines: Sequence[Entry] = [
+        one for one in engines if one.role is not Role.PREFILL
+    ]
     if not decode_engines:
         return Failure(
             Problem(ErrorKind.NO_ENDPOINT, 'no decode engine is available'),
         )
-    prefill_engines = [one for one in engines if one.role is Role.PREFILL]
+    prefill_engines: Sequence[Entry] = [
+        one for one in engines if one.role is Role.PREFILL
+    ]
+    decode_engines = state.failures.select_working(decode_engines, now)
+    prefill_engines = state.failures.select_working(prefill_engines, now)
     cost_model = _CostModel(state, request, traits, now, waiting_count)
     if request.prefilled_by is not None:
         return Success(
@@ -128,6 +134,7 @@
     congestion_cost: float
     fill: float
     slot_wait_s: float
+    lost_s: float
 
     @property
     def cost(self) -> float:
@@ -136,7 +143,12 @@
         It includes a small cost of the fill, which spreads streams evenly over
         engines that are equal otherwise.
         """
-        return self.first_s + self.congestion_cost + _FILL_COST * self.fill
+        return (
+            self.first_s
+            + self.congestion_cost
+            + self.lost_s
+            + _FILL_COST * self.fill
+        )
 
 
 class _CostModel:
@@ -189,7 +201,11 @@
             )
             stall_cost = self._stall_cost(engine, prefill_s)
             yield _Option(
-                plan, plan.wait_s + stall_cost + self._congestion_cost(engine)
+                plan,
+                plan.wait_s
+                + stall_cost
+                + self._congestion_cost(engine)
+                + self._lost_s(engine),
             )
 
     def evaluate_split(
@@ -210,6 +226,8 @@
                 first_s
                 + prefill_s * self._engine_time_cost
                 + decode.congestion_cost
+                + decode.lost_s
+                + self._lost_s(prefill_engine)
             )
             plan = Plan(
                 prefill_engine,
@@ -281,8 +299,13 @@
             congestion_cost=self._congestion_cost(engine),
             fill=self._fill(engine),
             slot_wait_s=slot_wait_s,
+            lost_s=self._lost_s(engine),
         )
 
+    def _lost_s(self, engine: Entry) -> float:
+        """Return the cost in seconds of an engine that fails requests."""
+        return self._state.failures.expect_lost_s(engine.name, self._now)
+
     def _count_missing(self, engine: Entry, rank: int) -> int:
         """Return the tokens that an engine would have to prefill.
 
--- a/packages/verbenahall/src/verbenahall/placement/_state.py
+++ b/packages/verbenahall/src/verbenahall/placement/_state.py
@@ -5,6 +5,7 @@
 
 from verbenahall.catalog import Service
 from verbenahall.placement._caches import PrefixCache
+from verbenahall.placement._failures import FailureRates
 from verbenahall.placement._load_table import LoadTable
 from verbenahall.placement._messages import Work
 from verbenahall.placement._speeds import (
@@ -29,6 +30,7 @@
 
     __slots__ = (
         'caches_complete',
+        'failures',
         'load_table',
         'prefill_speed',
         'handover',
@@ -41,6 +43,7 @@
         """Start with no open work and with initial estimates."""
         #: Whether all recent prefills of the engines were recorded here.
         self.caches_complete = False
+        self.failures = FailureRates()
         self.load_table = LoadTable()
         self.prefill_speed = PrefillSpeed()
         #: Time from the decode request to its first event, in seconds.
@@ -60,6 +63,7 @@
         other.prefill_speed = self.prefill_speed
         other.handover = self.handover
         other.token_times = self.token_times
+        other.failures = self.failures
         other._caches = self._caches
         other._steps = self._steps
         return other
@@ -95,6 +99,7 @@
         for name in self._steps.keys() - names:
             self._steps.pop(name)
         self.token_times.retain(names)
+        self.failures.retain(names)
         for key in tuple(self._caches):
             if key[0] not in names:
                 self._caches.pop(key)
--- a/packages/verbenahall/src/verbenahall/scheduling/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/scheduling/_decisions.py
@@ -21,6 +21,7 @@
     dispatch,
     enqueue,
 )
+from verbenahall.roster import Entry
 from verbenahall.scheduling._messages import (
     Assignment,
     FirstEvent,
@@ -113,14 +114,12 @@
     match progress:
         case Prefilled(seconds=seconds):
             _record_prefill(state, assigned, seconds, service)
+            _record_success(state, assigned.plan.prefill_engine, now)
         case FirstEvent():
             _record_first_event(state, assigned, progress, service, now)
-        case Released(step_s=step_s):
-            _release(state, assigned)
-            if step_s:
-                state.placement.record_step_time(
-                    assigned.plan.decode_engine.name, step_s, now
-                )
+            _record_success(state, assigned.plan.decode_engine, now)
+        case Released():
+            _record_release(state, assigned, progress, now)
 
 
 def expire_assignments(state: SchedulerState, now: float) -> None:
@@ -256,6 +255,25 @@
     )
 
 
+def _record_success(
+    state: SchedulerState, engine: Entry | None, now: float
+) -> None:
+    if engine is not None:
+        state.placement.failures.record(engine.name, now, failed=False)
+
+
+def _record_release(
+    state: SchedulerState, assigned: Assigned, released: Released, now: float
+) -> None:
+    _release(state, assigned)
+    if released.failed:
+        state.placement.failures.record(released.failed, now, failed=True)
+    if released.step_s:
+        state.placement.record_step_time(
+            assigned.plan.decode_engine.name, released.step_s, now
+        )
+
+
 def _release(state: SchedulerState, assigned: Assigned) -> None:
     state.placement.load_table.close(assigned.prefill)
     state.placement.load_table.close(assigned.decode)
--- a/packages/verbenahall/src/verbenahall/scheduling/_messages.py
+++ b/packages/verbenahall/src/verbenahall/scheduling/_messages.py
@@ -111,12 +111,14 @@
     """The request has no open work at the engines any more.
 
     ``step_s`` is the decode step time measured in its stream, 0 if unknown,
-    and ``refused`` the name of the engine that refused the work, if one did.
+    ``refused`` the name of the engine that refused the work, if one did, and
+    ``failed`` that of the engine that refused or failed it.
     """
 
     key: str
     step_s: float = 0
     refused: str = ''
+    failed: str = ''
 
 
 Message = (
@@ -187,6 +189,8 @@
         str(table['key']),
         float(table['step_s']),
         str(table['refused']),
+        # Instances of earlier versions do not send it.
+        str(table.get('failed', '')),
     )
 
 
--- a/packages/verbenahall/tests/scheduling/test_scheduler.py
+++ b/packages/verbenahall/tests/scheduling/test_scheduler.py
@@ -283,3 +283,33 @@
         scheduling.Queued,
     }
     assert not scheduling.assign_waiting(state, fleet, 0.01, RNG)
+
+
+def test_engine_that_failed_one_instance_is_avoided_for_all(service):
+    """A silent engine has no load, so it would get each next request."""
+    engines = (
+        make_entry('p0', Role.PREFILL),
+        make_entry('d0', Role.DECODE),
+        make_entry('d1', Role.DECODE),
+    )
+    state = scheduling.SchedulerState(PlacementState(), started_at=0)
+
+    def assign(key, now):
+        fleet = Fleet(state.placement, engines, TRAITS)
+        scheduling.receive_request(
+            state, make_request(key), 'sender', fleet, now, RNG
+        )
+        replies = scheduling.assign_waiting(state, fleet, now, RNG)
+        return replies[0].message.decode
+
+    silent = assign('a', 0)
+    for number in range(5):
+        now = 2 + number
+        scheduling.record_progress(
+            state, scheduling.Released('a', failed=silent), service, now
+        )
+        key = f'b{number}'
+        assert assign(key, now) != silent
+        scheduling.record_progress(
+            state, scheduling.Released(key), service, now
+        )
