Plain services: an endpoint whose callers leave unanswered counts as failing

A caller that waits in vain closes its connection before its deadline, the attempt is cancelled, and no outcome is recorded. The endpoint has no open calls and counts as idle.

Change: a call that is cancelled after at least the route's objective without a whole answer is a failure of the endpoint.

--- a/packages/verbenahall/src/verbenahall/gateway/_sender.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_sender.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import errno
-from collections.abc import AsyncIterator, Awaitable
+from collections.abc import AsyncIterator, Awaitable, Iterator
 from http import HTTPStatus
 from typing import Final, TypeVar, final
 
@@ -123,19 +123,14 @@
         until: float,
     ) -> Result[Answered, Outcome]:
         """Send a call and read the whole answer."""
-        async with self.open(call, endpoint, options, until) as opened:
-            match opened:
-                case Success(response):
-                    return await self.read_whole(
-                        call,
-                        endpoint,
-                        options,
-                        response,
-                        until,
-                    )
-                case Failure(outcome):
-                    return Failure(outcome)
-        return Failure(Broken('no outcome'))
+        with _record_unanswered(self._core, call, endpoint):
+            async with self.open(call, endpoint, options, until) as opened:
+                if isinstance(opened, Failure):
+                    return opened
+                response = opened.unwrap()
+                return await self.read_whole(
+                    call, endpoint, options, response, until
+                )
 
     def record_outcome(self, endpoint: Entry, *, good: bool) -> None:
         """Record whether an endpoint's answer was good."""
@@ -302,3 +297,22 @@
         with contextlib.suppress(*CALL_FAILURES):
             await asyncio.wait_for(response.read(), _REFUSAL_BODY_S)
         return Failure(Refused(response.status))
+
+
+@contextlib.contextmanager
+def _record_unanswered(
+    core: Core, call: Call, endpoint: Entry
+) -> Iterator[None]:
+    """Record a failure of an endpoint whose answer the caller did not await.
+
+    A caller that waits in vain leaves before its deadline, so that the attempt
+    ends without an outcome.
+    """
+    started = core.now()
+    try:
+        yield
+    except asyncio.CancelledError:
+        now = core.now()
+        if now - started >= call.route.objective_s:
+            core.endpoint_health.record_outcome(endpoint.name, now, good=False)
+        raise
--- a/packages/verbenahall/tests/gateway/test_silent_engines.py
+++ b/packages/verbenahall/tests/gateway/test_silent_engines.py
@@ -3,7 +3,7 @@
 import asyncio
 import collections
 
-from .conftest import PREFIX, make_engines, run, run_gateway
+from .conftest import PREFIX, make_engines, make_plain, run, run_gateway
 
 #: How long callers wait for an answer, in seconds.
 PATIENCE_S = 2.0
@@ -11,14 +11,16 @@
 ROUNDS = 4
 
 
-async def ask_as(harness, subject, number, path='/blurb/1'):
+async def ask_as(
+    harness, subject, number, path='/blurb/1', patience_s=PATIENCE_S
+):
     """Send a request of a subject; return its status, 0 if the caller left."""
     headers = {
         f'{PREFIX}Deadline-Ms': '15000',
         f'{PREFIX}Prompt-Prefix': f'{subject}:800,own-{number}:200',
     }
     try:
-        async with asyncio.timeout(PATIENCE_S):
+        async with asyncio.timeout(patience_s):
             status, _, _ = await harness.send(
                 path, f'r-{subject}-{number}', headers=headers
             )
@@ -104,3 +106,20 @@
             assert last.count(200) >= len(subjects) - 1
 
     run(check())
+
+
+def test_plain_endpoint_that_callers_leave_is_avoided(tmp_path):
+    # An endpoint accepts calls and does not answer. Callers leave before their
+    # deadline, so that no attempt ends with a failure, and it stays as likely
+    # a choice as the endpoint that works.
+    async def check():
+        plain = make_plain()
+        async with run_gateway(tmp_path, plain=plain) as harness:
+            plain[0].unresponsive = True
+            answers = [
+                await ask_as(harness, 'page', number, '/proof/1', 0.6)
+                for number in range(16)
+            ]
+            assert answers[-8:].count(200) >= 7
+
+    run(check())
