Placement: streams that preempt a new one leave it fewer slots

A form-query was assigned to an engine whose slots urgent streams take again and again, so that it got no event, or was cut after two silent seconds in the middle of its stream.

Cause: each urgent stream ends after 0.1 s, so by the streams open at one moment a slot is always free soon. But the next urgent one takes it.

Change: the rate of tokens of more urgent streams at an engine, times the time of a token, is the number of slots that they occupy in the mean; only the others count for a less urgent stream.

--- a/packages/verbenahall/src/verbenahall/gateway/_generation.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_generation.py
@@ -88,7 +88,7 @@
                 self._call.head.work,
                 self._call.route.gap_s,
                 priority=self._call.priority,
-            ).make_stream(has_handle=handle is not None),
+            ).make_stream(self._core.now(), has_handle=handle is not None),
         )
         self._sent_at = self._core.now()
         until = self._relay.find_idle_deadline(resumable=resumable)
--- a/packages/verbenahall/src/verbenahall/placement/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/placement/_decisions.py
@@ -68,9 +68,11 @@
     prefilled_by: Entry | None = None
     priority: int = 0
 
-    def make_stream(self, *, has_handle: bool) -> OpenStream:
+    def make_stream(self, now: float, *, has_handle: bool) -> OpenStream:
         """Return the request's stream, as it is counted at its engine."""
-        return OpenStream(self.priority, self.work.output_tokens, has_handle)
+        return OpenStream(
+            self.priority, self.work.output_tokens, now, has_handle
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -365,11 +367,10 @@
         load_table = self._state.load_table
         return load_table.streams.find_slot_wait(
             engine.name,
-            self._request.make_stream(has_handle=has_handle),
+            self._request.make_stream(self._now, has_handle=has_handle),
             self._traits.slots,
             load_table.totals(engine.name).streams,
             self._state.token_times.estimate(engine.name),
-            self._now,
         )
 
     def _fill(self, engine: Entry) -> float:
--- a/packages/verbenahall/src/verbenahall/placement/_state.py
+++ b/packages/verbenahall/src/verbenahall/placement/_state.py
@@ -99,6 +99,7 @@
         for name in self._steps.keys() - names:
             self._steps.pop(name)
         self.token_times.retain(names)
+        self.load_table.streams.retain(names)
         self.failures.retain(names)
         for key in tuple(self._caches):
             if key[0] not in names:
--- a/packages/verbenahall/src/verbenahall/placement/_streams.py
+++ b/packages/verbenahall/src/verbenahall/placement/_streams.py
@@ -7,9 +7,15 @@
 
 import dataclasses
 import heapq
-from collections.abc import Iterable
+import math
+from collections.abc import Collection, Iterable
 from typing import Final, final
 
+#: Time constant of the rate of tokens, in seconds: long enough to include the
+#: pauses between short streams, short enough to follow a burst.
+_RATE_TIME_S: Final = 1.5
+#: Wait for a slot that more urgent streams take again and again, in seconds.
+_NO_SLOT_S: Final = 60.0
 #: Least share of a stream's expected length that it is assumed to go on, since
 #: the expected number of tokens is only an estimate.
 _MIN_REMAINING_SHARE: Final = 0.1
@@ -20,13 +26,14 @@
 class OpenStream:
     """A stream at an engine, from the choice of the engine to its end.
 
-    ``tokens`` is the expected number of output tokens. ``has_handle`` is
-    whether it continues from a KV cache handle. ``started_at`` is when its
-    first event came, None before.
+    ``tokens`` is the expected number of output tokens, ``opened_at`` when the
+    engine was chosen. ``has_handle`` is whether it continues from a KV cache
+    handle. ``started_at`` is when its first event came, None before.
     """
 
     priority: int
     tokens: int
+    opened_at: float
     has_handle: bool = False
     started_at: float | None = None
 
@@ -37,19 +44,46 @@
         return self.priority <= other.priority
 
 
+@final
+class _TokenRate:
+    """The tokens a second of the streams that were opened lately."""
+
+    __slots__ = ('_tokens', '_updated_at')
+
+    def __init__(self) -> None:
+        self._tokens: float = 0
+        self._updated_at: float = 0
+
+    def add(self, tokens: int, now: float) -> None:
+        self._tokens = self._decay(now) + tokens
+        self._updated_at = now
+
+    def read(self, now: float) -> float:
+        return self._decay(now) / _RATE_TIME_S
+
+    def _decay(self, now: float) -> float:
+        age_s = max(0, now - self._updated_at)
+        return self._tokens * math.exp(-age_s / _RATE_TIME_S)
+
+
 @final
 class StreamTable:
     """The open streams that this process knows, by engine and number."""
 
-    __slots__ = ('_streams',)
+    __slots__ = ('_rates', '_streams')
 
     def __init__(self) -> None:
         """Start without streams."""
         self._streams: dict[str, dict[int, OpenStream]] = {}
+        self._rates: dict[str, dict[int, _TokenRate]] = {}
 
     def add(self, engine: str, number: int, stream: OpenStream) -> None:
         """Add an open stream under a number."""
         self._streams.setdefault(engine, {})[number] = stream
+        if stream.started_at is None:
+            rates = self._rates.setdefault(engine, {})
+            rate = rates.setdefault(stream.priority, _TokenRate())
+            rate.add(stream.tokens, stream.opened_at)
 
     def remove(self, engine: str, number: int) -> OpenStream | None:
         """Remove a stream and return it; None if there is none."""
@@ -59,6 +93,11 @@
             self._streams.pop(engine, None)
         return stream
 
+    def retain(self, names: Collection[str]) -> None:
+        """Remove the rates of engines that are no longer listed."""
+        for name in self._rates.keys() - names:
+            self._rates.pop(name)
+
     def find_slot_wait(
         self,
         engine: str,
@@ -66,7 +105,6 @@
         slots: int,
         open_count: int,
         token_s: float,
-        now: float,
     ) -> float:
         """Return the time until a new stream gets a slot, in seconds.
 
@@ -74,12 +112,32 @@
         Those known here are taken as a sample of them. ``token_s`` is the time
         of a token.
         """
-        known = self._streams.get(engine)
-        if open_count < slots or not known:
+        known = self._streams.get(engine, {})
+        urgent_tokens_s = self._count_urgent_tokens_s(engine, stream)
+        if open_count < slots and not urgent_tokens_s:
             return 0
-        ahead = [one for one in known.values() if one.goes_before(stream)]
-        sampled_slots = max(1, round(slots * len(known) / open_count))
-        return _simulate_wait(ahead, sampled_slots, token_s, now)
+        sampled_slots = slots * len(known) / max(open_count, 1) or slots
+        left_slots = round(sampled_slots - urgent_tokens_s * token_s)
+        if left_slots < 1:
+            return _NO_SLOT_S
+        ahead = [
+            one
+            for one in known.values()
+            if one.priority >= stream.priority and one.goes_before(stream)
+        ]
+        return _simulate_wait(ahead, left_slots, token_s, stream.opened_at)
+
+    def _count_urgent_tokens_s(self, engine: str, stream: OpenStream) -> float:
+        """Return the rate of tokens in streams that preempt a new one.
+
+        It is in tokens a second: with the time of a token, the number of slots
+        that these streams occupy in the mean.
+        """
+        return sum(
+            rate.read(stream.opened_at)
+            for priority, rate in self._rates.get(engine, {}).items()
+            if priority < stream.priority
+        )
 
 
 def _simulate_wait(
--- a/packages/verbenahall/src/verbenahall/scheduling/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/scheduling/_decisions.py
@@ -76,7 +76,7 @@
     waiting = _make_waiting(request, sender, now)
     state.waiting[request.key] = waiting
     effects = enqueue(state.queue, waiting.pending, fleet, now, rng)
-    return tuple(_apply(state, effects))
+    return tuple(_apply(state, effects, now))
 
 
 def assign_waiting(
@@ -92,7 +92,7 @@
     if not state.queue.waiting:
         return ()
     effects = dispatch(state.queue, fleet, now, rng)
-    return (*_apply(state, effects), *_notify_waiting(state))
+    return (*_apply(state, effects, now), *_notify_waiting(state))
 
 
 def record_progress(
@@ -164,10 +164,11 @@
 def _apply(
     state: SchedulerState,
     effects: QueueEffects,
+    now: float,
 ) -> Iterator[Reply]:
     for admitted in effects.admitted:
         waiting = state.waiting.pop(admitted.pending.request_id)
-        yield _assign(state, waiting, admitted)
+        yield _assign(state, waiting, admitted, now)
     for pending, problem in effects.refused:
         waiting = state.waiting.pop(pending.request_id)
         yield Reply(waiting.sender, _reject(pending, problem))
@@ -177,6 +178,7 @@
     state: SchedulerState,
     waiting: Waiting,
     admitted: Admitted,
+    now: float,
 ) -> Reply:
     """Add the load of a request to the load table until it is released."""
     plan = admitted.plan
@@ -189,7 +191,7 @@
             streams=1,
         ),
         placement_request.make_stream(
-            has_handle=plan.prefill_engine is not None
+            now, has_handle=plan.prefill_engine is not None
         ),
     )
     answer = Assignment(
