Failing test: a request stays in quarantine for engines that answer

Three instances on one site; one gets refused connections from three engines, which answer the two others. The request that it had open there is answered 429 by all on this commit.

--- a/packages/verbenahall/tests/gateway/test_repeated_crashes.py
+++ b/packages/verbenahall/tests/gateway/test_repeated_crashes.py
@@ -6,6 +6,8 @@
 
 import aiohttp
 
+from verbenahall.gateway import _crashes as crashes
+from verbenahall.gateway._probes import ConnectOutcome
 from verbenahall.peers import list_live_peers
 
 from .conftest import make_engines, run, run_gateway
@@ -119,3 +121,42 @@
             assert count_crashing(engines) - before <= MAX_SENDS
 
     run(check())
+
+
+def test_request_is_not_quarantined_for_engines_that_answer(
+    tmp_path, monkeypatch
+):
+    """An instance that is cut off takes refused connections for crashes.
+
+    The other instances get answers from the same engines, so the requests that
+    it had open there must not stay refused.
+    """
+
+    async def refuse(address):
+        return ConnectOutcome.REFUSES
+
+    async def check():
+        engines = make_engines(decode_count=3)
+        async with run_gateways(tmp_path, engines) as harnesses:
+            cut_off, other = harnesses[0].gateway, harnesses[1]
+            await send_innocent(harnesses[0], 'r-0')
+            fingerprint = other.log_lines('accepted')[0]['fingerprint']
+            monkeypatch.setattr(crashes, 'try_connect', refuse)
+            for engine in engines[2:]:
+                listing = cut_off.core.roster.listings[engine.name]
+                cut_off.crash_detector.record_lost_connection(
+                    fingerprint, listing.entry
+                )
+            await other.wait_until(lambda: other.log_lines('quarantined'))
+            for number in range(12):
+                await other.send('/summary/1', f'other-{number}', data='other')
+            await asyncio.sleep(0.2)
+            for harness in harnesses:
+                assert (await send_innocent(harness, 'r-1'))[0] == 200
+
+    run(check())
+
+
+async def send_innocent(harness, identity):
+    """Send a request that crashes nothing."""
+    return await harness.send('/summary/1', identity, data='innocent')
