Quarantine: an endpoint that answers refutes its reported crash

Cause: a lost connection and a refused new one counted as a crash, for good. A cut that refuses connections looks the same to the instances behind it, and their reports were merged by all, also by those whom the endpoints answered.

Class: a verdict on others by one observer, kept without a way to take it back.

Change: an answer of an incarnation to a request sent after its reported crash refutes the crash. The instance tells its peers by the crash reports (a new optional field, ignored by earlier versions), and later reports of the same crash are ignored.

Ruled out: a longer wait before a report, which gives a crashing request more endpoints.

--- a/packages/verbenahall/src/verbenahall/gateway/_crash_reports.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_crash_reports.py
@@ -80,6 +80,16 @@
             journal.write_decision('suspect_cleared', fingerprint=fingerprint)
             self._broadcast(quarantine.CrashReport(answered={fingerprint: 0}))
 
+    def record_alive(self, incarnation: str, at: float) -> None:
+        """Refute a reported crash of an endpoint that has answered since."""
+        core = self._core
+        if quarantine.record_alive(core.crash_log, incarnation, at):
+            journal.write_decision('crash_refuted', endpoint=incarnation)
+            report = quarantine.CrashReport(
+                alive={incarnation: core.now() - at}
+            )
+            core.spawn(self._broadcast_repeatedly(report))
+
     def handle_datagram(self, datagram: bytes, sender: str) -> bool:
         """Merge a peer's report; pass other datagrams on."""
         found = quarantine.decode(datagram)
@@ -103,25 +113,7 @@
         for fingerprint in quarantine.merge(log, report, now):
             left_s = quarantine.find_quarantine_s(log, fingerprint, now)
             if left_s:
-                self._log_quarantined(fingerprint, source, left_s)
-
-    def _log_quarantined(
-        self,
-        fingerprint: str,
-        source: str,
-        left_s: float,
-    ) -> None:
-        """Log and count a request that is put in quarantine."""
-        suspect = self._core.crash_log.suspects[fingerprint]
-        metrics.QUARANTINED.add()
-        journal.write_decision(
-            'quarantined',
-            fingerprint=fingerprint,
-            crashes=suspect.crash_count,
-            endpoints=sorted(suspect.crashes),
-            source=source,
-            for_s=journal.round_to_ms(left_s),
-        )
+                _log_quarantined(log, fingerprint, source, left_s)
 
     def _broadcast(self, report: quarantine.CrashReport) -> None:
         self._send(report, self._core.peer_table.peers.values())
@@ -153,6 +145,22 @@
                 self._exchange.send(datagram, peer.address)
 
 
+def _log_quarantined(
+    log: quarantine.CrashLog, fingerprint: str, source: str, left_s: float
+) -> None:
+    """Log and count a request that is put in quarantine."""
+    suspect = log.suspects[fingerprint]
+    metrics.QUARANTINED.add()
+    journal.write_decision(
+        'quarantined',
+        fingerprint=fingerprint,
+        crashes=suspect.crash_count,
+        endpoints=sorted(suspect.crashes),
+        source=source,
+        for_s=journal.round_to_ms(left_s),
+    )
+
+
 def _may_be_partitioned(
     peer_table: PeerTable, store_sync_until: float, now: float
 ) -> bool:
@@ -176,4 +184,5 @@
             dataclasses.replace(crash, age_s=crash.age_s + delay_s)
             for crash in report.crashes
         ),
+        alive={name: age_s + delay_s for name, age_s in report.alive.items()},
     )
--- a/packages/verbenahall/src/verbenahall/gateway/_crashes.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_crashes.py
@@ -77,6 +77,10 @@
         if losses.crashed:
             self._report_new(incarnation, losses)
 
+    def record_alive(self, endpoint: Entry, sent_at: float) -> None:
+        """Record a response of an endpoint to a request sent at ``sent_at``."""
+        self._replicator.record_alive(format_incarnation(endpoint), sent_at)
+
     def record_answered(self, fingerprint: str) -> None:
         """Record that a request received a complete response."""
         self._replicator.record_answered(fingerprint)
--- a/packages/verbenahall/src/verbenahall/gateway/_hooks.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_hooks.py
@@ -48,11 +48,14 @@
 
 
 class CrashObserver(Protocol):
-    """Receives lost connections and complete responses of requests."""
+    """Receives lost connections and responses of endpoints."""
 
     def record_lost_connection(self, fingerprint: str, endpoint: Entry) -> None:
         """Record a connection that was lost while a request was open."""
 
+    def record_alive(self, endpoint: Entry, sent_at: float) -> None:
+        """Record a response of an endpoint to a request sent at ``sent_at``."""
+
     def record_answered(self, fingerprint: str) -> None:
         """Record that a request received a complete response."""
 
@@ -66,6 +69,9 @@
     def record_lost_connection(self, fingerprint: str, endpoint: Entry) -> None:
         """Ignore the lost connection."""
 
+    def record_alive(self, endpoint: Entry, sent_at: float) -> None:
+        """Ignore the response."""
+
     def record_answered(self, fingerprint: str) -> None:
         """Ignore the response."""
 
--- a/packages/verbenahall/src/verbenahall/gateway/_sender.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_sender.py
@@ -284,6 +284,8 @@
     ) -> Opened:
         answer_head = read_answer_head(response.status, response.headers)
         self._core.limiter.record_answer(endpoint, answer_head, sent_at)
+        if not answer_head.misdirected:
+            self._core.observer.record_alive(endpoint, sent_at)
         if not answer_head.not_run:
             return Success(response)
         if not options.kv_source:
--- a/packages/verbenahall/src/verbenahall/quarantine/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/quarantine/_decisions.py
@@ -1,5 +1,6 @@
 """Decides which requests are in quarantine, and for how long."""
 
+import math
 from collections.abc import Sequence
 from typing import Final
 
@@ -29,10 +30,16 @@
     fingerprint: str,
     at: float,
 ) -> bool:
-    """Record that a request ran at a crashed endpoint; False if known."""
+    """Record that a request ran at a crashed endpoint.
+
+    False if that is known, or if the endpoint is known to have run since.
+    """
+    if at <= log.alive_at.get(incarnation, -math.inf):
+        return False
     suspect = log.suspects.get(fingerprint)
     if suspect is not None and incarnation in suspect.crashes:
         return False
+    log.record_crash_time(incarnation, at)
     return log.touch(fingerprint).add(incarnation, at)
 
 
@@ -50,6 +57,23 @@
     return cleared
 
 
+def record_alive(log: CrashLog, incarnation: str, at: float) -> bool:
+    """Record that an incarnation ran at a time; True if that refutes a crash.
+
+    An instance that is cut off from an endpoint may take refused connections
+    for a crash, while the endpoint answers others. Without the refutation, the
+    requests that were open there would stay in quarantine.
+    """
+    crashed_at = log.crashed_at.get(incarnation)
+    if crashed_at is None or at <= crashed_at:
+        return False
+    log.crashed_at.pop(incarnation)
+    log.alive_at[incarnation] = at
+    for suspect in log.suspects.values():
+        suspect.crashes.pop(incarnation, None)
+    return True
+
+
 def find_quarantine_s(log: CrashLog, fingerprint: str, now: float) -> float:
     """Return the rest of a request's quarantine in seconds, or 0."""
     suspect = log.suspects.get(fingerprint)
@@ -72,6 +96,8 @@
     )
     for fingerprint, age_s in report.answered.items():
         record_answered(log, fingerprint, now - age_s)
+    for incarnation, age_s in report.alive.items():
+        record_alive(log, incarnation, now - age_s)
     return changed
 
 
@@ -131,6 +157,10 @@
     ]
     for fingerprint in expired:
         log.suspects.pop(fingerprint)
+    for times in (log.alive_at, log.crashed_at):
+        for incarnation, at in tuple(times.items()):
+            if now - at > _RETENTION_S:
+                times.pop(incarnation)
 
 
 def _is_expired(suspect: Suspect, now: float) -> bool:
--- a/packages/verbenahall/src/verbenahall/quarantine/_messages.py
+++ b/packages/verbenahall/src/verbenahall/quarantine/_messages.py
@@ -17,7 +17,7 @@
 _MAX_FINGERPRINTS: Final = 50
 #: Decimal places of an age in seconds, that is milliseconds.
 _AGE_DIGITS: Final = 3
-_NO_ANSWERS: Final[Mapping[str, float]] = MappingProxyType({})
+_NO_AGES: Final[Mapping[str, float]] = MappingProxyType({})
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,11 +35,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CrashReport:
-    """Crashes, and the ages of suspects' last complete responses in seconds."""
+    """Crashes, and what refutes them, with ages in seconds.
+
+    ``answered`` holds the ages of suspects' last complete responses, ``alive``
+    how long ago incarnations with a reported crash were known to run.
+    """
 
     crashes: tuple[Crash, ...] = ()
     answered: Mapping[str, float] = dataclasses.field(
-        default_factory=lambda: _NO_ANSWERS,
+        default_factory=lambda: _NO_AGES,
+    )
+    alive: Mapping[str, float] = dataclasses.field(
+        default_factory=lambda: _NO_AGES,
     )
 
 
@@ -55,21 +62,26 @@
                 )
                 for crash in report.crashes
             ],
-            'answered': {
-                fingerprint: round(age_s, _AGE_DIGITS)
-                for fingerprint, age_s in report.answered.items()
-            },
+            'answered': _round_ages(report.answered),
+            'alive': _round_ages(report.alive),
         },
     )
 
 
+def _round_ages(ages: Mapping[str, float]) -> Mapping[str, float]:
+    return {name: round(age_s, _AGE_DIGITS) for name, age_s in ages.items()}
+
+
 def decode(datagram: bytes) -> Maybe[CrashReport]:
     """Decode a report; Nothing if the datagram is not a valid one."""
     if not datagram.startswith(_PREFIX):
         return Nothing
     match wire.decode_table(datagram):
-        case Success({'crashes': list(rows), 'answered': dict(answered)}):
-            return _read(rows, answered)
+        case Success(
+            {'crashes': list(rows), 'answered': dict(answered), **others}
+        ):
+            # Instances of earlier versions do not send ``alive``.
+            return _read(rows, answered, others.get('alive', {}))
         case _:
             return Nothing
 
@@ -89,6 +101,8 @@
         yield CrashReport(tuple(part))
     for ages in _split_chunks(tuple(report.answered.items())):
         yield CrashReport(answered=dict(ages))
+    for alive_ages in _split_chunks(tuple(report.alive.items())):
+        yield CrashReport(alive=dict(alive_ages))
 
 
 def _split_crashes(crashes: Sequence[Crash]) -> Iterator[Crash]:
@@ -105,22 +119,25 @@
 def _read(
     rows: Sequence[Any],
     answered: Mapping[str, Any],
+    alive: Any,
 ) -> Maybe[CrashReport]:
     """Check and convert the contents; one invalid item rejects the report."""
     try:
         return Some(
             CrashReport(
                 tuple(_read_crash(*row) for row in rows),
-                {
-                    fingerprint: _read_age(age_s)
-                    for fingerprint, age_s in answered.items()
-                },
+                _read_ages(answered),
+                _read_ages(dict(alive)),
             ),
         )
     except (TypeError, ValueError):
         return Nothing
 
 
+def _read_ages(ages: Mapping[str, Any]) -> Mapping[str, float]:
+    return {name: _read_age(age_s) for name, age_s in ages.items()}
+
+
 def _read_crash(incarnation: Any, age_s: Any, fingerprints: Any) -> Crash:
     names = (incarnation, *fingerprints)
     if not all(isinstance(name, str) for name in names):
--- a/packages/verbenahall/src/verbenahall/quarantine/_state.py
+++ b/packages/verbenahall/src/verbenahall/quarantine/_state.py
@@ -4,6 +4,8 @@
 
 #: Most suspects that are kept, which takes about two megabytes.
 _MAX_SUSPECTS: Final = 4096
+#: Most incarnations whose last crash is kept.
+_MAX_INCARNATIONS: Final = 4096
 #: Number of suspects that are evicted together when there are too many.
 _EVICTION_BATCH: Final = 512
 #: Most crashes that are kept for each suspect.
@@ -58,14 +60,28 @@
 
 @final
 class CrashLog:
-    """The suspects by fingerprint, ordered by their last change."""
+    """The suspects by fingerprint, ordered by their last change.
 
-    __slots__ = ('suspects',)
+    ``crashed_at`` holds the time of the last crash of each incarnation of an
+    endpoint, ``alive_at`` until when an incarnation with a reported crash is
+    known to have run.
+    """
+
+    __slots__ = ('alive_at', 'crashed_at', 'suspects')
 
     def __init__(self) -> None:
         """Start without suspects."""
+        self.alive_at: dict[str, float] = {}
+        self.crashed_at: dict[str, float] = {}
         self.suspects: dict[str, Suspect] = {}
 
+    def record_crash_time(self, incarnation: str, at: float) -> None:
+        """Keep the time of an incarnation's last crash."""
+        before = self.crashed_at.pop(incarnation, at)
+        self.crashed_at[incarnation] = max(at, before)
+        if len(self.crashed_at) > _MAX_INCARNATIONS:
+            self.crashed_at.pop(next(iter(self.crashed_at)))
+
     def touch(self, fingerprint: str) -> Suspect:
         """Return a suspect as the last changed one; create it if needed."""
         suspect = self.suspects.pop(fingerprint, None) or Suspect()
--- a/packages/verbenahall/tests/quarantine/test_crash_log.py
+++ b/packages/verbenahall/tests/quarantine/test_crash_log.py
@@ -11,6 +11,7 @@
     encode,
     find_quarantine_s,
     merge,
+    record_alive,
     record_answered,
     record_crash,
     remove_expired,
@@ -60,6 +61,28 @@
     assert find_quarantine_s(log, 'f', 702) > 500
 
 
+def test_endpoint_that_answers_has_not_crashed():
+    log = CrashLog()
+    crash(log, 'f', 'e1', 'e2', 'e3')
+    assert not record_alive(log, 'e3', 9)
+    assert find_quarantine_s(log, 'f', 11) > 0
+    assert record_alive(log, 'e3', 10.5)
+    assert not find_quarantine_s(log, 'f', 11)
+
+
+def test_late_report_of_a_refuted_crash_is_ignored():
+    """Reports are repeated, also by instances that missed the refutation."""
+    log = CrashLog()
+    crash(log, 'f', 'e1', 'e2', 'e3')
+    merge(log, CrashReport(alive={'e1': 0.5}), 12)
+    crash(log, 'f', 'e1')
+    crash(log, 'g', 'e1')
+    assert not find_quarantine_s(log, 'f', 12)
+    assert 'g' not in log.suspects
+    crash(log, 'f', 'e1', at=12)
+    assert find_quarantine_s(log, 'f', 12) > 0
+
+
 def test_flood_of_requests_does_not_evict_the_one_that_crashes():
     log = CrashLog()
     crash(log, 'f', 'e1', 'e2', 'e3')
@@ -99,10 +122,15 @@
 
 
 def test_decoding_restores_an_encoded_report():
-    report = CrashReport((Crash('e', 1.5, ('f', 'g')),), {'h': 0.25})
+    report = CrashReport((Crash('e', 1.5, ('f', 'g')),), {'h': 0.25}, {'i': 2})
     assert decode(encode(report)) == Some(report)
 
 
+def test_report_of_an_earlier_version_is_decoded():
+    datagram = b'{"crashes":[["e",1.5,["f"]]],"answered":{}}'
+    assert decode(datagram) == Some(CrashReport((Crash('e', 1.5, ('f',)),)))
+
+
 @pytest.mark.parametrize(
     'datagram',
     [
@@ -116,6 +144,8 @@
         b'{"crashes":[["e",1,[5]]],"answered":{}}',
         b'{"crashes":[["e",1,"fg"],[]],"answered":{}}',
         b'{"crashes":[],"answered":{"f":null}}',
+        b'{"crashes":[],"answered":{},"alive":{"e":-1}}',
+        b'{"crashes":[],"answered":{},"alive":5}',
     ],
 )
 def test_malformed_report_is_ignored(datagram):
