Callers with another deadline are no returning ones

A caller whose deadline is a third of that of others on its route counted as one that has waited for the other two thirds. All its requests were late on arrival, so they got only the prefills that others left over: none under load, for as long as the instance ran. One caller with a very long deadline did the same to all others.

Cause: the longest deadline ever stated was taken for that of every caller, with no bound by the route's timeout, and never forgotten.

--- a/packages/verbenahall/src/verbenahall/gateway/_core.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_core.py
@@ -9,6 +9,7 @@
 
 from verbenahall import clock
 from verbenahall.catalog import CatalogState
+from verbenahall.gateway._earlier_waits import EarlierWaits
 from verbenahall.gateway._endpoint_health import EndpointHealthTable
 from verbenahall.gateway._engine_calls import EngineCalls
 from verbenahall.gateway._freshness import Freshness
@@ -48,12 +49,6 @@
 #: Smallest number of instances that the retry budget is divided by: some
 #: instances may not be known yet.
 _MIN_INSTANCES: Final = 10
-#: A caller counts as returning if the wait that it states is shorter than the
-#: longest one of the route's callers by more than this share of the longest.
-#: The waits of first-time callers differ, too; with a smaller share some of
-#: them would count as past their objective on arrival. Returning callers have
-#: been refused with a Retry-After of up to a third of their wait.
-_MIN_WAITED_SHARE: Final = 0.25
 
 
 @final
@@ -98,8 +93,7 @@
         self.engines = EngineCalls(self.session)
         self.store = StoreClient(self.session, settings.store)
         self.now = clock.monotonic
-        #: The longest wait that callers of each route have stated, in seconds.
-        self.longest_waits: dict[str, float] = {}
+        self.earlier_waits = EarlierWaits()
         self._budgets: dict[str, WindowBudget] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -176,17 +170,6 @@
         budget.burst = burst
         return budget
 
-    def estimate_earlier_wait(self, route: str, wait_s: float) -> float:
-        """Estimate how long a caller has waited in earlier attempts.
-
-        Callers of a route wait for about the same time, and a returning caller
-        states a much shorter wait than the longest one seen.
-        """
-        longest = max(self.longest_waits.get(route, 0), wait_s)
-        self.longest_waits[route] = longest
-        waited_s = longest - wait_s
-        return waited_s if waited_s > longest * _MIN_WAITED_SHARE else 0
-
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
         """Run a coroutine in the background; no caller waits for it."""
         task = asyncio.create_task(work)
--- a/packages/verbenahall/src/verbenahall/gateway/_ingress.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_ingress.py
@@ -163,8 +163,10 @@
         wait_s = route.timeout_s
         waited_s: float = 0
         if head.wait_s is not None:
-            waited_s = self._core.estimate_earlier_wait(route.name, head.wait_s)
             wait_s = min(wait_s, head.wait_s)
+            waited_s = self._core.earlier_waits.estimate(
+                route.name, wait_s, received
+            )
         return self._check_quarantine(
             Call(
                 head=head,
--- a/packages/verbenahall/tests/gateway/test_waiting.py
+++ b/packages/verbenahall/tests/gateway/test_waiting.py
@@ -112,3 +112,32 @@
             assert waited == [0, 0, 0, 0]
 
     run(check())
+
+
+def test_callers_with_a_much_shorter_deadline_are_no_returning_ones(tmp_path):
+    # Some callers of a route have a third of the time of others. Taken for
+    # returning ones, all their requests count as late on arrival and get what
+    # the others leave over, so that they are never served under load.
+    async def check():
+        async with run_gateway(tmp_path, make_slow_engines(0)) as harness:
+            for number, wait_ms in enumerate((3000, 1000, 1000)):
+                changes = {f'{PREFIX}Deadline-Ms': str(wait_ms)}
+                await send_long(harness, f'r-{number}', **changes)
+            waited = [one['waited_s'] for one in harness.log_lines('accepted')]
+            assert waited == [0, 0, 0]
+
+    run(check())
+
+
+def test_deadline_beyond_the_timeout_does_not_make_others_late(tmp_path):
+    # One caller states a deadline that no answer may take. All others would
+    # count as returning ones for as long as the instance runs.
+    async def check():
+        async with run_gateway(tmp_path, make_slow_engines(0)) as harness:
+            for number, wait_ms in enumerate((4_300, 3000, 3000)):
+                changes = {f'{PREFIX}Deadline-Ms': str(wait_ms)}
+                await send_long(harness, f'r-{number}', **changes)
+            waited = [one['waited_s'] for one in harness.log_lines('accepted')]
+            assert waited == [0, 0, 0]
+
+    run(check())
