Soak: engines that stay silent, and subjects that are never served

The silent engines are drawn by a generator of their own, so that each seed draws the same other faults as before. Two tests of the check.

--- a/packages/standins/src/verbenahall_standins/soak/__init__.py
+++ b/packages/standins/src/verbenahall_standins/soak/__init__.py
@@ -1,8 +1,9 @@
 """Soak test: real instances under random faults, with checked guarantees."""
 
-from verbenahall_standins.soak._checks import Record, find_violations
+from verbenahall_standins.soak._checks import find_violations
 from verbenahall_standins.soak._plan import Event, Kind, draw_plan
 from verbenahall_standins.soak._proxy import Link, Proxy
+from verbenahall_standins.soak._records import Record
 from verbenahall_standins.soak._run import run_soak
 
 __all__ = (
--- a/packages/standins/src/verbenahall_standins/soak/__main__.py
+++ b/packages/standins/src/verbenahall_standins/soak/__main__.py
@@ -1,5 +1,8 @@
 """Soak test: ``python -m verbenahall_standins.soak SEED [COUNT] [SECONDS]``.
 
+``--instances N`` runs more instances than usual; from eleven on, schedulers
+assign the engines.
+
 Prints a line for each seed with the violations found. A seed always draws the
 same faults; their effects also depend on the machine's timing.
 """
@@ -14,25 +17,32 @@
 from verbenahall_standins.soak import run_soak
 
 _SECONDS: Final = 20.0
+#: Number of instances, and of seeds with so many that run at a time.
+_INSTANCES: Final = 3
 _MAX_PARALLEL: Final = 3
 
 
-async def run_seed(seed: int, seconds: float, slots: asyncio.Semaphore) -> bool:
+async def run_seed(
+    seed: int, seconds: float, instances: int, slots: asyncio.Semaphore
+) -> bool:
     """Run a seed in a free slot; return whether it had no violation."""
     async with slots:
         with tempfile.TemporaryDirectory() as folder:
-            violations = await run_soak(seed, seconds, Path(folder))
+            violations = await run_soak(seed, seconds, Path(folder), instances)
     outcome = '\n  '.join(violations) if violations else 'no violations'
     sys.stdout.write(f'seed {seed}: {outcome}\n')
     sys.stdout.flush()
     return not violations
 
 
-async def run_seeds(first: int, count: int, seconds: float) -> int:
+async def run_seeds(
+    first: int, count: int, seconds: float, instances: int
+) -> int:
     """Run seeds, a few in parallel; return how many had violations."""
-    slots = asyncio.Semaphore(_MAX_PARALLEL)
+    parallel = max(1, _MAX_PARALLEL * _INSTANCES // instances)
+    slots = asyncio.Semaphore(parallel)
     seeds = range(first, first + count)
-    runs = (run_seed(seed, seconds, slots) for seed in seeds)
+    runs = (run_seed(seed, seconds, instances, slots) for seed in seeds)
     results = await asyncio.gather(*runs)
     return results.count(False)
 
@@ -43,8 +53,14 @@
     parser.add_argument('first', type=int)
     parser.add_argument('count', type=int, nargs='?', default=1)
     parser.add_argument('seconds', type=float, nargs='?', default=_SECONDS)
+    parser.add_argument('--instances', type=int, default=_INSTANCES)
     arguments = parser.parse_args()
-    runs = run_seeds(arguments.first, arguments.count, arguments.seconds)
+    runs = run_seeds(
+        arguments.first,
+        arguments.count,
+        arguments.seconds,
+        arguments.instances,
+    )
     violations = asyncio.run(runs)
     sys.stdout.write(
         f'{violations} of {arguments.count} seeds had violations\n'
--- a/packages/standins/src/verbenahall_standins/soak/_actions.py
+++ b/packages/standins/src/verbenahall_standins/soak/_actions.py
@@ -59,6 +59,12 @@
     await _set_temporarily(engine.faults, 'stall_after', 1, None, event)
 
 
+async def _silence_engine(deployment: Deployment, event: Event) -> None:
+    """Let an engine accept requests without answering, as if stopped."""
+    engine = _select(deployment.site.engines, event)
+    await _set_temporarily(engine.faults, 'unresponsive', True, False, event)
+
+
 async def _break_engine(deployment: Deployment, event: Event) -> None:
     engine = _select(deployment.site.engines, event)
     await _set_temporarily(engine.faults, 'break_after', 2, None, event)
@@ -141,5 +147,6 @@
         Kind.KEYS: _replace_key,
         Kind.DUTIES_LATE: _delay_duties,
         Kind.DUTIES_SILENT: _ignore_duties,
+        Kind.ENGINE_SILENT: _silence_engine,
     },
 )
--- a/packages/standins/src/verbenahall_standins/soak/_callers.py
+++ b/packages/standins/src/verbenahall_standins/soak/_callers.py
@@ -3,13 +3,13 @@
 import asyncio
 import itertools
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Final, final
 
 import aiohttp
 
 from verbenahall_standins.platform import HOST
-from verbenahall_standins.soak._checks import Record
+from verbenahall_standins.soak._records import Record
 from verbenahall_standins.soak._instances import Instance
 
 _PREFIX: Final = 'X-Verbenahall-'
@@ -20,6 +20,11 @@
 _PAUSE_S: Final = 0.1
 #: Status of an answer that broke off after its head.
 TRUNCATED: Final = -1
+#: Subjects of the model requests, each in turn: with one request of each route
+#: in 0.4 s, a subject is asked for every 2.4 s.
+_SUBJECTS: Final = tuple(f'5{number}' for number in range(6))
+#: Paths of model requests, which have a subject.
+_MODEL_PATHS: Final = frozenset(('/summary/1', '/blurb/1'))
 #: Requests sent in turn: method, path, whether they may run repeatedly.
 _REQUESTS: Final = (
     ('GET', '/archive/1', True),
@@ -53,6 +58,9 @@
         self._get_key = get_key
         self._session: aiohttp.ClientSession | None = None
         self._open_requests: set[asyncio.Task[Record]] = set()
+        self._subjects = {
+            path: itertools.cycle(_SUBJECTS) for path in _MODEL_PATHS
+        }
 
     async def start(self) -> None:
         """Open the session."""
@@ -119,7 +127,9 @@
         request_id = f'{next(self._numbers):016x}'
         sent_at = time.monotonic()
         key = key or self._get_key()
-        status, complete = await self._exchange(method, path, request_id, key)
+        subject = next(self._subjects[path]) if path in _MODEL_PATHS else ''
+        headers = self._make_headers(request_id, key, subject)
+        status, complete = await self._exchange(method, path, headers)
         ended_at = time.monotonic()
         record = Record(
             request_id=request_id,
@@ -132,28 +142,33 @@
             repeatable=repeatable,
             disturbed=self._instance.was_disturbed(sent_at, ended_at, status),
             version=version,
+            path=path,
+            subject=subject,
         )
         self.records.append(record)
         return record
 
-    async def _exchange(
-        self,
-        method: str,
-        path: str,
-        request_id: str,
-        key: str,
-    ) -> tuple[int, bool]:
-        url = f'http://{self._instance.settings.callers}{path}'
-        headers = {
+    def _make_headers(
+        self, request_id: str, key: str, subject: str
+    ) -> Mapping[str, str]:
+        return {
             'Host': HOST,
             f'{_PREFIX}Request-Id': request_id,
             f'{_PREFIX}Deadline-Ms': '2000',
             f'{_PREFIX}Model': 'm',
             f'{_PREFIX}Token-Count': '1000,50',
-            f'{_PREFIX}Prompt-Prefix': 'aa:800,bb:200',
+            f'{_PREFIX}Prompt-Prefix': f'{subject or "aa"}:800,bb:200',
             f'{_PREFIX}Key': key,
             f'{_PREFIX}Tenant': 'council',
         }
+
+    async def _exchange(
+        self,
+        method: str,
+        path: str,
+        headers: Mapping[str, str],
+    ) -> tuple[int, bool]:
+        url = f'http://{self._instance.settings.callers}{path}'
         status = 0
         try:
             async with asyncio.timeout(_TIMEOUT_S):
--- a/packages/standins/src/verbenahall_standins/soak/_checks.py
+++ b/packages/standins/src/verbenahall_standins/soak/_checks.py
@@ -1,10 +1,12 @@
 """Checks the records of callers and endpoints against the guarantees."""
 
 import collections
-import dataclasses
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 from typing import Any, Final
 
+from verbenahall_standins.soak._records import Record
+from verbenahall_standins.soak._starvation import find_starved
+
 #: Statuses that state that the request has not run.
 _REFUSALS: Final = frozenset((429, 503))
 _GOOD: Final = 200
@@ -18,28 +20,6 @@
 _Accepted = Sequence[Mapping[str, Any]]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Record:
-    """One request as its caller saw it.
-
-    ``status`` is 0 without an answer. ``complete`` is true for a signed and
-    complete answer, ``disturbed`` if the instance was stopped, frozen or
-    killed meanwhile. ``version`` is the manifest version that added the
-    request's route, 0 for a route that every version has.
-    """
-
-    request_id: str
-    instance: str
-    sent_at: float
-    ended_at: float
-    wait_s: float
-    status: int
-    complete: bool
-    repeatable: bool
-    disturbed: bool
-    version: int = 0
-
-
 def find_violations(
     records: Sequence[Record],
     runs: Mapping[str, int],
@@ -55,6 +35,7 @@
         *_check_runs(records, runs),
         *_check_versions(records),
         *_check_orders(orders),
+        *find_starved(records),
     ]
 
 
--- a/packages/standins/src/verbenahall_standins/soak/_deployment.py
+++ b/packages/standins/src/verbenahall_standins/soak/_deployment.py
@@ -19,7 +19,6 @@
 from verbenahall_standins.soak._instances import Instance
 from verbenahall_standins.soak._proxy import Proxy
 
-_INSTANCES: Final = 3
 _PLAIN: Final = 2
 #: Number of engines of each role, as the planner would assign them.
 _ENGINES: Final[Mapping[str, int]] = MappingProxyType(
@@ -39,8 +38,9 @@
     ``key`` is the callers' API key, ``revoked_key`` their previous one.
     """
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, instance_count: int) -> None:
         """Prepare; nothing is started before ``start``."""
+        self._instance_count = instance_count
         engines = [
             EngineStandIn(f'{role}-{number}', role)
             for role, count in _ENGINES.items()
@@ -74,7 +74,7 @@
             await link.start()
             self.links[endpoint.name] = link
             self._list_endpoint(endpoint)
-        for number in range(_INSTANCES):
+        for number in range(self._instance_count):
             await self._start_instance(f'front-{number}')
         await asyncio.gather(
             *(one.wait_until_ready() for one in self.instances)
--- a/packages/standins/src/verbenahall_standins/soak/_plan.py
+++ b/packages/standins/src/verbenahall_standins/soak/_plan.py
@@ -3,7 +3,7 @@
 import dataclasses
 import enum
 import random
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from types import MappingProxyType
 from typing import Final, final
 
@@ -36,6 +36,8 @@
     KEYS = 'keys'
     DUTIES_LATE = 'duties_late'
     DUTIES_SILENT = 'duties_silent'
+    #: Not drawn by weight; see ``_draw_silent_engines``.
+    ENGINE_SILENT = 'engine_silent'
 
 
 #: Relative frequency of each kind.
@@ -58,6 +60,11 @@
         Kind.DUTIES_SILENT: 1,
     },
 )
+#: Time between two engines that become silent, and how long each stays so at
+#: most, in seconds: longer than other faults, so that requests meet a silent
+#: engine again and again.
+_SILENT_INTERVAL_S: Final = 10.0
+_MAX_SILENT_S: Final = 9.0
 #: Upper bound of drawn numbers; far above the number of targets.
 _DRAW_LIMIT: Final = 65_536
 
@@ -88,9 +95,25 @@
     latest_start = max(_QUIET_S, seconds - _QUIET_S - _MAX_FAULT_S)
     count = max(1, round((latest_start - _QUIET_S) * _FAULTS_PER_S))
     events = [_draw_event(rng, latest_start) for _ in range(count)]
+    events.extend(_draw_silent_engines(seed, seconds))
     return sorted(events, key=lambda event: event.at)
 
 
+def _draw_silent_engines(seed: int, seconds: float) -> Iterator[Event]:
+    """Draw long faults of engines, without an effect on the other draws."""
+    rng = random.Random(f'silent engines {seed}')
+    for number in range(max(1, int(seconds / _SILENT_INTERVAL_S))):
+        at = _QUIET_S + number * _SILENT_INTERVAL_S
+        longest_s = min(_MAX_SILENT_S, seconds - _QUIET_S - at)
+        yield Event(
+            at=at,
+            kind=Kind.ENGINE_SILENT,
+            for_s=rng.uniform(_MIN_FAULT_S, max(_MIN_FAULT_S, longest_s)),
+            target_draw=rng.randrange(_DRAW_LIMIT),
+            shape=rng.randrange(_DRAW_LIMIT),
+        )
+
+
 def _draw_event(rng: random.Random, latest_start: float) -> Event:
     kinds = list(_WEIGHTS)
     weights = list(_WEIGHTS.values())
--- a/packages/standins/src/verbenahall_standins/soak/_run.py
+++ b/packages/standins/src/verbenahall_standins/soak/_run.py
@@ -11,21 +11,29 @@
 from typing import Final
 
 from verbenahall_standins.soak._actions import run_event
-from verbenahall_standins.soak._checks import Record, find_violations
+from verbenahall_standins.soak._checks import find_violations
 from verbenahall_standins.soak._deployment import WORKSPACE, Deployment
 from verbenahall_standins.soak._plan import Event, draw_plan
+from verbenahall_standins.soak._records import Record
 
 _REQUEST_ID_HEADER: Final = 'X-Verbenahall-Request-Id'
 _WORKSPACE_HEADER: Final = 'X-Verbenahall-Tenant'
 _KEY_HEADER: Final = 'X-Verbenahall-Key'
+#: Number of instances unless given.
+_INSTANCES: Final = 3
 #: Time for the recovery from the last fault, in seconds: within two to three
 #: seconds endpoints are listed and settings in force again.
 _RECOVERY_S: Final = 3.5
 
 
-async def run_soak(seed: int, seconds: float, folder: Path) -> list[str]:
+async def run_soak(
+    seed: int,
+    seconds: float,
+    folder: Path,
+    instances: int = _INSTANCES,
+) -> list[str]:
     """Run one seed; return the violations, one line each."""
-    deployment = Deployment(folder)
+    deployment = Deployment(folder, instances)
     async with _run_callers(deployment):
         await _run_events(deployment, draw_plan(seed, seconds), seconds)
         await asyncio.sleep(_RECOVERY_S)
--- a/packages/standins/tests/soak/test_soak.py
+++ b/packages/standins/tests/soak/test_soak.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import itertools
 
 import pytest
 
@@ -75,6 +76,47 @@
     assert not find_violations([newer, elsewhere], {}, [])
 
 
+def make_subject(name, statuses):
+    """Return the records of one subject, a request each three seconds."""
+    return [
+        change(
+            request_id=f'{name}-{number}',
+            sent_at=3 * number,
+            ended_at=3 * number + 1,
+            status=status,
+            path='/blurb/1',
+            subject=name,
+        )
+        for number, status in enumerate(statuses)
+    ]
+
+
+def test_subjects_that_are_never_served_are_found():
+    served = [
+        record
+        for number in range(10)
+        for record in make_subject(f's{number}', itertools.repeat(200, 20))
+    ]
+    unserved = [
+        record
+        for number in range(3)
+        for record in make_subject(f'u{number}', itertools.repeat(429, 5))
+    ]
+    assert not find_violations(served, {}, [])
+    assert find_violations([*served, *unserved], {}, [])
+
+
+def test_unserved_subjects_by_chance_are_no_violation():
+    records = [
+        record
+        for number in range(20)
+        for record in make_subject(f's{number}', [429, 429, 429, 200])
+    ]
+    records.extend(make_subject('u0', itertools.repeat(429, 4)))
+    records.extend(make_subject('u1', itertools.repeat(429, 4)))
+    assert not find_violations(records, {}, [])
+
+
 @pytest.mark.parametrize(
     'orders',
     [
--- a/packages/verbenahall/src/verbenahall/gateway/_earlier_waits.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_earlier_waits.py
@@ -3,11 +3,11 @@
 from typing import Final, final
 
 #: A caller counts as returning if the wait that it states is shorter than the
-#: longest one of the route's callers by a share of the longest within these
-#: bounds. The waits of first-time callers differ, too; with a smaller share some
-#: would count as past their objective on arrival. One that returns has been
-#: refused with a Retry-After of up to a third of its wait, and jitter; a caller
-#: with a shorter wait than that has another deadline.
+#: longest one on its route by a share of that within these bounds. The waits of
+#: first-time callers differ, too; with a smaller share some would count as past
+#: their objective on arrival. One that returns has been refused with a
+#: Retry-After of up to a third of its wait, and jitter; a caller with a shorter
+#: wait than that has another deadline.
 _MIN_WAITED_SHARE: Final = 0.25
 _MAX_WAITED_SHARE: Final = 0.45
 #: How long the longest wait is kept at least, in seconds. Callers with long
