--- a/packages/verbenahall/src/verbenahall/placement/_failures.py
+++ b/packages/verbenahall/src/verbenahall/placement/_failures.py
@@ -20,6 +20,8 @@
 #: Largest share of the engines that are left out as failing. If more fail, the
 #: cause is probably an overload or the network.
 _MAX_FAILING_SHARE: Final = 0.5
+#: Failure rate below which failures are forgotten.
+_FORGOTTEN_RATE: Final = 0.01
 #: Time that a caller loses by a failed attempt, in seconds: an unresponsive
 #: engine is given up after one to two seconds.
 _LOST_S: Final = 1.5
@@ -46,7 +48,8 @@
     def estimate(self, engine: str, now: float) -> float:
         """Return the failure rate, which decays while nothing is recorded."""
         rate, recorded_at = self._rates.get(engine, (0, now))
-        return rate * 0.5 ** ((now - recorded_at) / _HALF_LIFE_S)
+        rate *= 0.5 ** ((now - recorded_at) / _HALF_LIFE_S)
+        return rate if rate > _FORGOTTEN_RATE else 0
 
     def expect_lost_s(self, engine: str, now: float) -> float:
         """Return the time that a request is expected to lose at an engine."""
