Placement: the wait for a slot costs no more than before, and needs a known stream

Change: the load of an engine is summed up once for a choice, costs are computed once for an engine, and the wait only where slots are taken or preempted. The wait without known streams is 0, and a sample keeps one slot at least.

--- a/packages/verbenahall/src/verbenahall/placement/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/placement/_decisions.py
@@ -18,6 +18,7 @@
 from verbenahall.catalog import EngineTraits
 from verbenahall.errors import ErrorKind, Problem
 from verbenahall.fleet import Role
+from verbenahall.placement._load_table import Totals
 from verbenahall.placement._messages import Plan, Work
 from verbenahall.placement._state import PlacementState
 from verbenahall.placement._streams import OpenStream
@@ -127,30 +128,21 @@
     return _rank_preferred(work, prefill_engines)[0].name
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class _DecodeCandidate:
-    """A decode engine for a prompt that another engine prefills."""
+    """A decode engine for a prompt that another engine prefills.
+
+    ``first_s`` is the time to the first event without the transfer,
+    ``burden_cost`` what the load and the failures of the engine cost beyond it.
+    ``cost`` is the sum, with a small cost of the fill, which spreads streams
+    evenly over engines that are equal otherwise. All are in seconds.
+    """
 
     engine: Entry
     first_s: float
-    congestion_cost: float
-    fill: float
+    burden_cost: float
+    cost: float
     slot_wait_s: float
-    lost_s: float
-
-    @property
-    def cost(self) -> float:
-        """The cost in seconds.
-
-        It includes a small cost of the fill, which spreads streams evenly over
-        engines that are equal otherwise.
-        """
-        return (
-            self.first_s
-            + self.congestion_cost
-            + self.lost_s
-            + _FILL_COST * self.fill
-        )
 
 
 class _CostModel:
@@ -164,6 +156,7 @@
         '_now',
         '_waiting_count',
         '_candidates',
+        '_loads',
     )
 
     def __init__(
@@ -181,6 +174,7 @@
         self._now = now
         self._waiting_count = waiting_count
         self._candidates: list[_DecodeCandidate] = []
+        self._loads: dict[str, Totals] = {}
 
     def evaluate_mixed(
         self, decode_engines: Sequence[Entry]
@@ -206,7 +200,7 @@
                 plan,
                 plan.wait_s
                 + stall_cost
-                + self._congestion_cost(engine)
+                + self._congestion_cost(engine, self._fill(engine))
                 + self._lost_s(engine),
             )
 
@@ -224,11 +218,11 @@
             decode = self._choose_decode_engine(prefill_engine, decode_engines)
             wait_s = self._backlog_s(prefill_engine)
             first_s = self._start_s + wait_s + prefill_s + decode.first_s
+            first_s += self._transfer_s(prefill_engine, decode.engine)
             cost = (
                 first_s
                 + prefill_s * self._engine_time_cost
-                + decode.congestion_cost
-                + decode.lost_s
+                + decode.burden_cost
                 + self._lost_s(prefill_engine)
             )
             plan = Plan(
@@ -251,7 +245,7 @@
             prefill_engine,
             decode.engine,
             0,
-            decode.first_s,
+            decode.first_s + self._transfer_s(prefill_engine, decode.engine),
             'handle',
             slot_wait_s=decode.slot_wait_s,
         )
@@ -267,7 +261,7 @@
         cost, prefills that looked cheap were sent to decode engines, and
         streams there missed their objective because of the pauses.
         """
-        streams = self._state.load_table.totals(engine.name).streams
+        streams = self._find_load(engine).streams
         return prefill_s * (
             self._engine_time_cost + streams * _STREAM_STALL_COST
         )
@@ -282,26 +276,27 @@
             self._candidates = [
                 self._evaluate_decode(one) for one in decode_engines
             ]
-        best = min(
+        return min(
             self._candidates,
             key=lambda candidate: (
                 candidate.cost
                 + self._transfer_s(prefill_engine, candidate.engine)
             ),
         )
-        transfer_s = self._transfer_s(prefill_engine, best.engine)
-        return dataclasses.replace(best, first_s=best.first_s + transfer_s)
 
     def _evaluate_decode(self, engine: Entry) -> _DecodeCandidate:
         """Evaluate an engine without the transfer from the prefill engine."""
         slot_wait_s = self._slot_wait_s(engine, has_handle=True)
+        first_s = self._decode_wait_s(engine) + slot_wait_s
+        fill = self._fill(engine)
+        burden_cost = self._congestion_cost(engine, fill)
+        burden_cost += self._lost_s(engine)
         return _DecodeCandidate(
             engine,
-            first_s=self._decode_wait_s(engine) + slot_wait_s,
-            congestion_cost=self._congestion_cost(engine),
-            fill=self._fill(engine),
+            first_s=first_s,
+            burden_cost=burden_cost,
+            cost=first_s + burden_cost + _FILL_COST * fill,
             slot_wait_s=slot_wait_s,
-            lost_s=self._lost_s(engine),
         )
 
     def _lost_s(self, engine: Entry) -> float:
@@ -344,8 +339,16 @@
         cached = self._work.prompt_tokens - missing
         return self._state.prefill_speed.predict_s(missing, cached)
 
+    def _find_load(self, engine: Entry) -> Totals:
+        """Return the open work at an engine, which is summed up once."""
+        load = self._loads.get(engine.name)
+        if load is None:
+            load = self._state.load_table.totals(engine.name)
+            self._loads[engine.name] = load
+        return load
+
     def _backlog_s(self, engine: Entry) -> float:
-        totals = self._state.load_table.totals(engine.name)
+        totals = self._find_load(engine)
         return totals.prefill_tokens * self._state.prefill_speed.token_s
 
     def _transfer_s(self, source: Entry, target: Entry) -> float:
@@ -364,18 +367,24 @@
 
     def _slot_wait_s(self, engine: Entry, *, has_handle: bool) -> float:
         """Return how long the stream waits for a slot of a decode engine."""
-        load_table = self._state.load_table
-        return load_table.streams.find_slot_wait(
+        streams = self._state.load_table.streams
+        open_count = self._find_load(engine).streams
+        slots = self._traits.slots
+        if open_count < slots and not streams.has_more_urgent(
+            engine.name, self._request.priority
+        ):
+            return 0
+        return streams.find_slot_wait(
             engine.name,
             self._request.make_stream(self._now, has_handle=has_handle),
-            self._traits.slots,
-            load_table.totals(engine.name).streams,
+            slots,
+            open_count,
             self._state.token_times.estimate(engine.name),
         )
 
     def _fill(self, engine: Entry) -> float:
         """Return the fill of an engine with the request, by memory or slots."""
-        totals = self._state.load_table.totals(engine.name)
+        totals = self._find_load(engine)
         held_tokens = totals.held_tokens + self._work.context_tokens
         streams_after = totals.streams + 1
         return max(
@@ -383,13 +392,13 @@
             streams_after / self._traits.slots,
         )
 
-    def _congestion_cost(self, engine: Entry) -> float:
+    def _congestion_cost(self, engine: Entry, fill: float) -> float:
         """Return the cost in seconds of joining the batch of a busy engine."""
-        fill = _relative_excess(self._fill(engine), _CONGESTION_THRESHOLD)
+        excess = _relative_excess(fill, _CONGESTION_THRESHOLD)
         step = self._state.find_step_time(engine.name).estimate(self._now)
         max_step_s = self._request.gap_s / self._traits.event_tokens
         step_share = step / max_step_s if max_step_s else 0
-        return _FULL_COST * fill * fill + _STEP_COST * _relative_excess(
+        return _FULL_COST * excess * excess + _STEP_COST * _relative_excess(
             step_share,
             _STEP_THRESHOLD,
         )
--- a/packages/verbenahall/src/verbenahall/placement/_streams.py
+++ b/packages/verbenahall/src/verbenahall/placement/_streams.py
@@ -113,19 +113,40 @@
         of a token.
         """
         known = self._streams.get(engine, {})
-        urgent_tokens_s = self._count_urgent_tokens_s(engine, stream)
-        if open_count < slots and not urgent_tokens_s:
-            return 0
-        sampled_slots = slots * len(known) / max(open_count, 1) or slots
-        left_slots = round(sampled_slots - urgent_tokens_s * token_s)
-        if left_slots < 1:
+        left_slots: float = slots
+        if known and open_count > len(known):
+            left_slots = max(1, slots * len(known) / open_count)
+        if self.has_more_urgent(engine, stream.priority):
+            urgent_tokens_s = self._count_urgent_tokens_s(engine, stream)
+            left_slots -= urgent_tokens_s * token_s
+        return self._wait_for_slot(
+            known.values(), stream, round(left_slots), token_s
+        )
+
+    def has_more_urgent(self, engine: str, priority: int) -> bool:
+        """Whether an engine has had streams that preempt this priority."""
+        rates = self._rates.get(engine)
+        return bool(rates) and priority > min(rates)
+
+    def _wait_for_slot(
+        self,
+        known: Collection[OpenStream],
+        stream: OpenStream,
+        slots: int,
+        token_s: float,
+    ) -> float:
+        if slots < 1:
             return _NO_SLOT_S
+        if len(known) < slots:
+            return 0
         ahead = [
             one
-            for one in known.values()
+            for one in known
             if one.priority >= stream.priority and one.goes_before(stream)
         ]
-        return _simulate_wait(ahead, left_slots, token_s, stream.opened_at)
+        if len(ahead) < slots:
+            return 0
+        return _simulate_wait(ahead, slots, token_s, stream.opened_at)
 
     def _count_urgent_tokens_s(self, engine: str, stream: OpenStream) -> float:
         """Return the rate of tokens in streams that preempt a new one.
@@ -135,7 +156,7 @@
         """
         return sum(
             rate.read(stream.opened_at)
-            for priority, rate in self._rates.get(engine, {}).items()
+            for priority, rate in self._rates[engine].items()
             if priority < stream.priority
         )
 
