--- a/packages/verbenahall/src/verbenahall/placement/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/placement/_decisions.py
@@ -301,7 +301,7 @@
 
     def _lost_s(self, engine: Entry) -> float:
         """Return the cost in seconds of an engine that fails requests."""
-        return self._state.failures.expect_lost_s(engine.name, self._now)
+        return self._state.failures.estimate_lost_s(engine.name, self._now)
 
     def _count_missing(self, engine: Entry, rank: int) -> int:
         """Return the tokens that an engine would have to prefill.
--- a/packages/verbenahall/src/verbenahall/placement/_dispatch.py
+++ b/packages/verbenahall/src/verbenahall/placement/_dispatch.py
@@ -47,7 +47,7 @@
     """
     match fleet.place(pending, now):
         case Success(plan):
-            pending.expect(plan)
+            pending.update_estimates(plan)
             pending.preferred_engine = find_preferred_engine(
                 pending.placement_request.work, fleet.prefill_engines
             )
@@ -140,7 +140,7 @@
         if plan is None:
             continue
         # Since it was queued, streams may have taken the slots.
-        pending.expect(plan)
+        pending.update_estimates(plan)
         if slots.has_room(pending, plan, now) and not pending.will_expire(now):
             yield Admitted(pending, plan, slots.reserve(plan))
 
--- a/packages/verbenahall/src/verbenahall/placement/_failures.py
+++ b/packages/verbenahall/src/verbenahall/placement/_failures.py
@@ -51,7 +51,7 @@
         rate *= 0.5 ** ((now - recorded_at) / _HALF_LIFE_S)
         return rate if rate > _FORGOTTEN_RATE else 0
 
-    def expect_lost_s(self, engine: str, now: float) -> float:
+    def estimate_lost_s(self, engine: str, now: float) -> float:
         """Return the time that a request is expected to lose at an engine."""
         if engine not in self._rates:
             return 0
--- a/packages/verbenahall/src/verbenahall/placement/_queue.py
+++ b/packages/verbenahall/src/verbenahall/placement/_queue.py
@@ -50,7 +50,7 @@
     slot_wait_s: float = 0
     preferred_engine: str = ''
 
-    def expect(self, plan: Plan) -> None:
+    def update_estimates(self, plan: Plan) -> None:
         """Update the expected times by a plan."""
         self.expected_first_s = plan.wait_s - plan.ahead_s
         self.slot_wait_s = plan.slot_wait_s
--- a/packages/verbenahall/tests/gateway/test_silent_engines.py
+++ b/packages/verbenahall/tests/gateway/test_silent_engines.py
@@ -11,7 +11,7 @@
 ROUNDS = 4
 
 
-async def ask_as(
+async def send_as(
     harness, subject, number, path='/blurb/1', patience_s=PATIENCE_S
 ):
     """Send a request of a subject; return its status, 0 if the caller left."""
@@ -29,12 +29,12 @@
     return status
 
 
-async def ask_in_rounds(harness, subjects, rounds=ROUNDS):
+async def send_in_rounds(harness, subjects, rounds=ROUNDS):
     """Send a request of each subject in each round; return the statuses."""
     statuses = collections.defaultdict(list)
     for number in range(rounds):
         answers = await asyncio.gather(
-            *(ask_as(harness, subject, number) for subject in subjects)
+            *(send_as(harness, subject, number) for subject in subjects)
         )
         for subject, status in zip(subjects, answers, strict=True):
             statuses[subject].append(status)
@@ -57,7 +57,7 @@
         async with run_gateway(tmp_path, engines) as harness:
             engines[4].faults.full = True
             answers = [
-                await ask_as(harness, f'{number:x}', 0) for number in range(40)
+                await send_as(harness, f'{number:x}', 0) for number in range(40)
             ]
             assert set(answers) == {200}
             refused = [
@@ -78,7 +78,7 @@
         subjects = [f'{number:x}' for number in range(24)]
         async with run_gateway(tmp_path, engines) as harness:
             engines[0].faults.unresponsive = True
-            statuses = await ask_in_rounds(harness, subjects)
+            statuses = await send_in_rounds(harness, subjects)
             assert not list_unserved(statuses)
             last = [answers[-1] for answers in statuses.values()]
             assert set(last) == {200}
@@ -100,7 +100,7 @@
         subjects = [f'{number:x}' for number in range(12)]
         async with run_gateway(tmp_path, engines) as harness:
             engines[4].faults.unresponsive = True
-            statuses = await ask_in_rounds(harness, subjects, rounds=3)
+            statuses = await send_in_rounds(harness, subjects, rounds=3)
             assert not list_unserved(statuses)
             last = [answers[-1] for answers in statuses.values()]
             assert last.count(200) >= len(subjects) - 1
@@ -117,7 +117,7 @@
         async with run_gateway(tmp_path, plain=plain) as harness:
             plain[0].unresponsive = True
             answers = [
-                await ask_as(harness, 'page', number, '/proof/1', 0.6)
+                await send_as(harness, 'page', number, '/proof/1', 0.6)
                 for number in range(16)
             ]
             assert answers[-8:].count(200) >= 7
--- a/packages/verbenahall/tests/scheduling/stream_fleet.py
+++ b/packages/verbenahall/tests/scheduling/stream_fleet.py
@@ -198,10 +198,10 @@
         request.groups = list(
             scheduling.rank_groups(request.work, self.entries, 'a')
         )
-        self._ask(request)
+        self._request_group(request)
 
-    def _ask(self, request):
-        """Ask the next group; without one the caller is refused."""
+    def _request_group(self, request):
+        """Send to the next group; without one the caller is refused."""
         if not request.groups:
             self._end(request, 'refused')
             return
@@ -239,7 +239,7 @@
                     self._send(request, reply.message)
                 case scheduling.Rejection():
                     request.groups.pop(0)
-                    self._ask(request)
+                    self._request_group(request)
 
     def _process_queues(self):
         for group, state in tuple(self.states.items()):
--- a/packages/verbenahall/tests/scheduling/test_long_streams.py
+++ b/packages/verbenahall/tests/scheduling/test_long_streams.py
@@ -32,7 +32,7 @@
         fleet.add(LONG, name, 0.5 + 0.01 * number, output)
 
 
-def ask_steadily(fleet, kind, subjects, end, every_s, start=1):
+def send_steadily(fleet, kind, subjects, end, every_s, start=1):
     """Add a request of each subject per interval; return the requests."""
     first = len(fleet.requests)
     count = int((end - start) / every_s)
@@ -48,10 +48,10 @@
     # belongs there leave each time, while another data centre has free slots.
     fleet = StreamFleet(make_engines({'a': 5, 'b': 5}, {'a': 1, 'b': 3}))
     fill_group(fleet, 'a/0')
-    asked = ask_steadily(fleet, LONG, SUBJECTS, 11, 2.5)
+    sent = send_steadily(fleet, LONG, SUBJECTS, 11, 2.5)
     fleet.run(18)
-    assert not list_unserved(asked)
-    assert count_outcomes(asked)['served'] > 0.95 * len(asked)
+    assert not list_unserved(sent)
+    assert count_outcomes(sent)['served'] > 0.95 * len(sent)
 
 
 def test_request_without_a_slot_in_time_is_refused_at_once():
@@ -59,17 +59,17 @@
     # engine costs the caller two seconds and can't succeed.
     fleet = StreamFleet(make_engines({'a': 5}, {'a': 1}))
     fill_group(fleet, 'a/0')
-    asked = ask_steadily(fleet, LONG, SUBJECTS, 6, 2.5)
+    sent = send_steadily(fleet, LONG, SUBJECTS, 6, 2.5)
     fleet.run(9)
-    assert count_outcomes(asked) == {'refused': len(asked)}
-    assert max(one.ended_at - one.at for one in asked) < 0.1
+    assert count_outcomes(sent) == {'refused': len(sent)}
+    assert max(one.ended_at - one.at for one in sent) < 0.1
 
 
 def test_request_with_a_slot_in_time_waits_for_it():
     # The slots are full, but the first stream ends before the caller leaves.
     # Streams before have shown how long a token takes.
     fleet = StreamFleet(make_engines({'a': 5}, {'a': 1}))
-    ask_steadily(fleet, SHORT, SUBJECTS, 0.2, 0.2, start=0)
+    send_steadily(fleet, SHORT, SUBJECTS, 0.2, 0.2, start=0)
     fill_group(fleet, 'a/0', output=int(1.5 / STEP_S))
     fleet.add(LONG, 'form', 1)
     fleet.run(4)
@@ -81,9 +81,9 @@
     # More streams than slots are open at an engine, but each is so short that
     # the next one starts in time.
     fleet = StreamFleet(make_engines({'a': 5}, {'a': 1}))
-    asked = ask_steadily(fleet, SHORT, SUBJECTS, 6, 0.2)
+    sent = send_steadily(fleet, SHORT, SUBJECTS, 6, 0.2)
     fleet.run(9)
-    assert count_outcomes(asked)['served'] == len(asked)
+    assert count_outcomes(sent)['served'] == len(sent)
 
 
 def list_belonging(fleet, group, count):
@@ -104,8 +104,8 @@
     # centre has free slots.
     fleet = StreamFleet(make_engines({'a': 5, 'b': 5}, {'a': 1, 'b': 3}))
     urgent = list_belonging(fleet, 'a/0', 12)
-    ask_steadily(fleet, SHORT, urgent, 14, 12 / 68, start=0)
-    asked = ask_steadily(fleet, LONG, SUBJECTS, 11, 2.5)
+    send_steadily(fleet, SHORT, urgent, 14, 12 / 68, start=0)
+    sent = send_steadily(fleet, LONG, SUBJECTS, 11, 2.5)
     fleet.run(18)
-    assert not list_unserved(asked)
-    assert count_outcomes(asked)['left'] < 0.1 * len(asked)
+    assert not list_unserved(sent)
+    assert count_outcomes(sent)['left'] < 0.1 * len(sent)
