Logs and counters for leaving and backoffs that answers announce

Callers saw nothing; the users' record shows requests to endpoints that had said in an answer that they leave, or had asked for a backoff. No line told whether an answer had either header, so none of the hypotheses could be told from another.

- The adapter reads Server-Leaving, Retry-After and Date of every answer, also of prefills and control calls.
A misdirected answer (421) is another endpoint's and is not read.
- Lines leaving_announced (once for each incarnation) and backoff_requested, and three counters; not_sent is counted by reason.
- The checks before a send are in a module of their own, gateway/_send_checks.
- Stand-ins of endpoints send both headers and keep who received them.

No decision has changed.

--- a/packages/standins/src/verbenahall_standins/platform/__init__.py
+++ b/packages/standins/src/verbenahall_standins/platform/__init__.py
@@ -2,6 +2,7 @@
 
 from verbenahall_standins.platform._duties import DutyStandIn
 from verbenahall_standins.platform._engine import EngineFaults, EngineStandIn
+from verbenahall_standins.platform._notices import Arrival, Notice, Notices
 from verbenahall_standins.platform._plain import PlainStandIn
 from verbenahall_standins.platform._pools import EnginePool
 from verbenahall_standins.platform._raw import RawEndpoint
@@ -14,11 +15,14 @@
 from verbenahall_standins.platform._store import StoreFaults, StoreStandIn
 
 __all__ = (
+    'Arrival',
     'DutyStandIn',
     'EngineFaults',
     'EnginePool',
     'EngineStandIn',
     'HOST',
+    'Notice',
+    'Notices',
     'PlainStandIn',
     'RawEndpoint',
     'Site',
--- a/packages/standins/src/verbenahall_standins/platform/_engine.py
+++ b/packages/standins/src/verbenahall_standins/platform/_engine.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
+from verbenahall_standins.platform._notices import Notices
 from verbenahall_standins.platform._serving import listen
 
 _PREFIX: Final = 'X-Verbenahall-'
@@ -51,12 +52,13 @@
 
     ``runs`` and ``prefills`` hold the headers of its decode and prefill
     requests, ``freed`` the released KV handles, ``cancelled`` the ids of the
-    requests whose stream was cancelled.
+    requests whose stream was cancelled, ``notices`` the headers about itself.
     """
 
     def __init__(self, name: str, role: str, events: int = 5) -> None:
         """Prepare an engine whose streams have ``events`` events."""
         self.name = name
+        self.notices = Notices()
         self.role = role
         self.events = events
         self.faults = EngineFaults()
@@ -78,6 +80,7 @@
     async def start(self, port: int = 0) -> None:
         """Listen on a port, 0 for a free one."""
         app = web.Application()
+        self.notices.install(app)
         app.router.add_get('/-/report', self._report)
         app.router.add_post('/-/order', self._order)
         app.router.add_delete('/-/kv-handle/{handle}', self._release_handle)
--- a/packages/standins/src/verbenahall_standins/platform/_plain.py
+++ b/packages/standins/src/verbenahall_standins/platform/_plain.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from verbenahall_standins.platform._notices import Notices
 from verbenahall_standins.platform._serving import listen
 
 _PREFIX: Final = 'X-Verbenahall-'
@@ -20,12 +21,14 @@
     ``refuses`` answers that the request has not run, ``unresponsive`` accepts
     requests and never answers, ``stamps_answers`` adds the stamp to answers.
     ``rate`` is the rate limit that answers advertise, in requests a second.
-    ``arrivals`` are the times of all requests in monotonic seconds.
+    ``arrivals`` are the times of all requests in monotonic seconds, and
+    ``notices`` the headers about the endpoint itself.
     """
 
     def __init__(self, name: str) -> None:
         """Prepare an endpoint without faults."""
         self.name = name
+        self.notices = Notices()
         self.role = ''
         self.status = 200
         self.refuses = False
@@ -41,6 +44,7 @@
     async def start(self) -> None:
         """Listen on a free port."""
         app = web.Application()
+        self.notices.install(app)
         app.router.add_route('*', '/{path:.*}', self._serve)
         running = await listen(app)
         self._runner = running.runner
--- a/packages/verbenahall/src/verbenahall/gateway/_core.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_core.py
@@ -5,12 +5,11 @@
 from collections.abc import Coroutine, Sequence
 from typing import Any, Final, final
 
-import aiohttp
-
 from verbenahall import clock
 from verbenahall.catalog import CatalogState
 from verbenahall.gateway._earlier_waits import EarlierWaits
 from verbenahall.gateway._endpoint_health import EndpointHealthTable
+from verbenahall.gateway._endpoint_notices import EndpointNotices
 from verbenahall.gateway._engine_calls import EngineCalls
 from verbenahall.gateway._freshness import Freshness
 from verbenahall.gateway._hooks import (
@@ -89,8 +88,9 @@
             settings.data_centre,
             settings.cores,
         )
-        self.session: aiohttp.ClientSession = make_session()
-        self.engines = EngineCalls(self.session)
+        self.session = make_session()
+        self.notices = EndpointNotices()
+        self.engines = EngineCalls(self.session, self.notices.record_answer)
         self.store = StoreClient(self.session, settings.store)
         self.now = clock.monotonic
         self.earlier_waits = EarlierWaits()
--- a/packages/verbenahall/src/verbenahall/gateway/_engine_calls.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_engine_calls.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Callable, Mapping
 from types import MappingProxyType
 from typing import Final, final
 
@@ -15,11 +15,13 @@
     EXPECT_ENDPOINT,
     ORDER,
     REPORT,
+    AnswerHead,
     EngineReport,
     RoleOrder,
     decode_report,
     encode_order,
     format_handle_path,
+    read_answer_head,
 )
 from verbenahall.roster import Entry
 
@@ -28,15 +30,21 @@
 _CALL_S: Final = 1.0
 _NO_HEADERS: Final[Mapping[str, str]] = MappingProxyType({})
 
+#: Records the head of an engine's answer and the kind of the call.
+RecordAnswer = Callable[[Entry, AnswerHead, str], None]
+
 
 @final
 class EngineCalls:
     """Makes the calls; a failure is logged and gives an empty result."""
 
-    __slots__ = ('_session',)
+    __slots__ = ('_record_answer', '_session')
 
-    def __init__(self, session: aiohttp.ClientSession) -> None:
-        """Call through ``session``."""
+    def __init__(
+        self, session: aiohttp.ClientSession, record_answer: RecordAnswer
+    ) -> None:
+        """Call through ``session``; pass answer heads to ``record_answer``."""
+        self._record_answer = record_answer
         self._session = session
 
     async def fetch_report(self, engine: Entry) -> Maybe[EngineReport]:
@@ -94,6 +102,10 @@
                 data=body,
                 headers=headers,
             ) as response:
+                answer_head = read_answer_head(
+                    response.status, response.headers
+                )
+                self._record_answer(engine, answer_head, 'control')
                 yield response
 
 
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/gateway/_send_checks.py
@@ -0,0 +1,78 @@
+"""Checks immediately before a send whether the call may still be sent.
+
+An endpoint is chosen some time before: the request may have waited since for
+a prefill, a permit or a fresh list.
+"""
+
+from typing import Final
+
+from returns.result import Failure
+
+from verbenahall import journal, metrics
+from verbenahall.gateway._admission import find_workspace
+from verbenahall.gateway._core import Core
+from verbenahall.gateway._messages import Call
+from verbenahall.platform import ENDPOINTS_TOPIC
+from verbenahall.quarantine import find_quarantine_s
+from verbenahall.requests import (
+    NeverWritten,
+    NotSent,
+    Quarantined,
+    Unauthorized,
+    get_outcome_label,
+)
+from verbenahall.roster import Entry
+
+#: Reason that is logged when the endpoint left after it was chosen.
+_ENDPOINT_LEFT: Final = 'the endpoint has left'
+
+
+async def check_sendable(
+    core: Core,
+    call: Call,
+    endpoint: Entry,
+    until: float,
+) -> NotSent | None:
+    """Return why a call may not be sent, and log it; None if it may be.
+
+    That is the case if the endpoint has left since it was chosen, if its rate
+    limit allows no more, if the call is in quarantine because endpoints crashed
+    while they ran it, or if its API key is no longer valid. ``until`` is when
+    the answer is of no more use, in monotonic seconds.
+    """
+    not_sent = await _find_obstacle(core, call, endpoint, until)
+    if not_sent is not None:
+        _log_not_sent(call, endpoint, not_sent)
+    return not_sent
+
+
+async def _find_obstacle(
+    core: Core,
+    call: Call,
+    endpoint: Entry,
+    until: float,
+) -> NotSent | None:
+    limited = await core.limiter.acquire(endpoint, until - core.now())
+    if limited is not None:
+        return limited
+    await core.freshness[ENDPOINTS_TOPIC].wait_usable()
+    now = core.now()
+    left_s = find_quarantine_s(core.crash_log, call.fingerprint, now)
+    if left_s:
+        return Quarantined(left_s)
+    if not core.roster.is_live(endpoint.name, now):
+        return NeverWritten(_ENDPOINT_LEFT)
+    if isinstance(find_workspace(core, call), Failure):
+        return Unauthorized()
+    return None
+
+
+def _log_not_sent(call: Call, endpoint: Entry, not_sent: NotSent) -> None:
+    metrics.NOT_SENT.add(get_outcome_label(not_sent))
+    journal.write_decision(
+        'not_sent',
+        request=call.head.identity,
+        fingerprint=call.fingerprint,
+        endpoint=endpoint.name,
+        reason=str(not_sent),
+    )
--- a/packages/verbenahall/src/verbenahall/gateway/_sender.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_sender.py
@@ -15,6 +15,7 @@
 from verbenahall.gateway._admission import find_workspace
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._messages import Answered, Call
+from verbenahall.gateway._send_checks import check_sendable
 from verbenahall.platform import (
     CALL_FAILURES,
     CONNECT_FAILURES,
@@ -24,30 +25,22 @@
     read_answer_head,
     strip_hop_headers,
 )
-from verbenahall.quarantine import find_quarantine_s
 from verbenahall.requests import (
     Broken,
-    Limited,
     NeverWritten,
     Outcome,
-    Quarantined,
     Refused,
     TimedOut,
-    Unauthorized,
 )
 from verbenahall.roster import Entry
 
 Answer = TypeVar('Answer')
 
 SUCCESS_STATUSES: Final = range(HTTPStatus.OK, HTTPStatus.MULTIPLE_CHOICES)
-#: Reason that is logged when the endpoint left after it was chosen.
-_ENDPOINT_LEFT: Final = 'the endpoint has left'
 #: Longest time to read the body of a refusal, in seconds.
 _REFUSAL_BODY_S: Final = 0.2
 #: Errors of the kernel for a host that doesn't acknowledge packets.
 _NO_ACK_ERRNOS: Final = frozenset((errno.ETIMEDOUT, errno.EHOSTUNREACH))
-#: Reasons why a call is not sent.
-NotSent = NeverWritten | Quarantined | Limited | Unauthorized
 #: A response whose body is not read yet, or the outcome of a failed send.
 Opened = Result[aiohttp.ClientResponse, Outcome]
 
@@ -75,14 +68,10 @@
         Leaving the context early closes the connection, which signals to the
         endpoint that the caller no longer waits for the answer.
 
-        Nothing is sent if the endpoint has left since it was chosen, if its
-        rate limit allows no more, if the call is in quarantine because
-        endpoints crashed while they ran it, or if its API key is no longer
-        valid.
+        Nothing is sent if ``check_sendable`` has a reason against it.
         """
-        not_sent = await self._check_sendable(call, endpoint, until)
+        not_sent = await check_sendable(self._core, call, endpoint, until)
         if not_sent is not None:
-            self._log_not_sent(call, endpoint, not_sent)
             yield Failure(not_sent)
             return
         workspace = find_workspace(self._core, call).value_or(None)
@@ -198,28 +187,6 @@
             )
         return Broken(repr(error))
 
-    async def _check_sendable(
-        self,
-        call: Call,
-        endpoint: Entry,
-        until: float,
-    ) -> NotSent | None:
-        """Return why a call may not be sent; None if it may be."""
-        core = self._core
-        limited = await core.limiter.acquire(endpoint, until - core.now())
-        if limited is not None:
-            return limited
-        await core.freshness[ENDPOINTS_TOPIC].wait_usable()
-        now = core.now()
-        left_s = find_quarantine_s(core.crash_log, call.fingerprint, now)
-        if left_s:
-            return Quarantined(left_s)
-        if not core.roster.is_live(endpoint.name, now):
-            return NeverWritten(_ENDPOINT_LEFT)
-        if isinstance(find_workspace(core, call), Failure):
-            return Unauthorized()
-        return None
-
     def _log_lost_connection(self, call: Call, endpoint: Entry) -> None:
         journal.write_decision(
             'connection_lost',
@@ -230,20 +197,6 @@
             open=self._core.endpoint_health.get(endpoint.name).open,
         )
 
-    def _log_not_sent(
-        self,
-        call: Call,
-        endpoint: Entry,
-        not_sent: NotSent,
-    ) -> None:
-        journal.write_decision(
-            'not_sent',
-            request=call.head.identity,
-            fingerprint=call.fingerprint,
-            endpoint=endpoint.name,
-            reason=str(not_sent),
-        )
-
     def _log_sent(
         self,
         call: Call,
@@ -283,6 +236,8 @@
         sent_at: float,
     ) -> Opened:
         answer_head = read_answer_head(response.status, response.headers)
+        source = 'prefill' if options.prefill_only else 'request'
+        self._core.notices.record_answer(endpoint, answer_head, source)
         self._core.limiter.record_answer(endpoint, answer_head, sent_at)
         if not answer_head.misdirected:
             self._core.observer.record_alive(endpoint, sent_at)
--- a/packages/verbenahall/src/verbenahall/metrics.py
+++ b/packages/verbenahall/src/verbenahall/metrics.py
@@ -110,6 +110,22 @@
     'Sends to endpoints that name a rate: permitted or denied.',
     'verdict',
 )
+LEAVING_ANNOUNCED: Final = BufferedCounter(
+    'verbenahall_leaving_announced_total',
+    'Endpoints found to leave, by what told it: a kind of call, or a peer.',
+    'source',
+)
+BACKOFFS_REQUESTED: Final = BufferedCounter(
+    'verbenahall_backoffs_requested_total',
+    'Refusals with Retry-After, by kind of call: valid or invalid.',
+    'source',
+    'header',
+)
+NOT_SENT: Final = BufferedCounter(
+    'verbenahall_not_sent_total',
+    'Attempts that were not sent after an endpoint was chosen, by reason.',
+    'reason',
+)
 DUTY_CALLS: Final = BufferedCounter(
     'verbenahall_duty_calls_total',
     "Calls to the platform that are one instance's duty, by outcome.",
--- a/packages/verbenahall/src/verbenahall/platform/_headers.py
+++ b/packages/verbenahall/src/verbenahall/platform/_headers.py
@@ -12,6 +12,7 @@
 
 _MS_IN_SECOND: Final = 1000
 _MISDIRECTED: Final = 421
+_UNAVAILABLE: Final = 503
 #: Hop-by-hop headers, and those that the HTTP library sets from the body.
 _HOP_HEADERS: Final = frozenset(
     (
@@ -77,12 +78,17 @@
     ``signed`` is whether the answer has an endpoint's signature. ``rates``
     holds the rates that the endpoint advertises, in requests per second, as
     text. ``misdirected`` means that another endpoint has answered.
+    ``leaving`` means that the endpoint is about to exit. ``retry_after`` holds
+    the Retry-After headers of a refusal and ``date`` its Date header, as text.
     """
 
     not_run: bool
     signed: bool
     rates: tuple[str, ...] = ()
     misdirected: bool = False
+    leaving: bool = False
+    retry_after: tuple[str, ...] = ()
+    date: str = ''
 
 
 def read_request_head(headers: Mapping[str, str]) -> RequestHead:
@@ -151,15 +157,27 @@
 def read_answer_head(status: int, headers: Mapping[str, str]) -> AnswerHead:
     """Decode the headers of an endpoint's answer."""
     all_headers = CIMultiDict(headers)
+    leaving = _list_values(all_headers, names.LEAVING)
+    refused = status == _UNAVAILABLE
     return AnswerHead(
         not_run=names.NOT_RUN in headers or status == _MISDIRECTED,
         signed=names.STAMP in headers,
-        rates=tuple(
-            text
-            for name in names.RATES
-            for text in all_headers.getall(name, ())
-        ),
+        rates=_list_values(all_headers, names.RATES),
         misdirected=status == _MISDIRECTED,
+        leaving=names.LEAVING_YES in {text.strip() for text in leaving},
+        retry_after=_list_values(
+            all_headers, (names.RETRY_AFTER,) if refused else ()
+        ),
+        date=headers.get(names.DATE, ''),
+    )
+
+
+def _list_values(
+    headers: CIMultiDict[str], header_names: Iterable[str]
+) -> tuple[str, ...]:
+    """Return the values of headers that may occur several times."""
+    return tuple(
+        text for name in header_names for text in headers.getall(name, ())
     )
 
 
--- a/packages/verbenahall/src/verbenahall/platform/_names.py
+++ b/packages/verbenahall/src/verbenahall/platform/_names.py
@@ -20,6 +20,12 @@
 #: instances together; both names are in use.
 RATES: Final = ('Server-Limit', 'X-Verbenahall-Server-Limit')
 NOT_RUN: Final = 'X-Verbenahall-Not-Run'
+#: In every answer of an endpoint that leaves; both names are in use.
+LEAVING: Final = ('Server-Leaving', 'X-Verbenahall-Server-Leaving')
+LEAVING_YES: Final = '1'
+#: In a refusal: how long the endpoint accepts nothing from this instance.
+RETRY_AFTER: Final = 'Retry-After'
+DATE: Final = 'Date'
 PRIORITY: Final = 'X-Verbenahall-Request-Priority'
 #: On a request: prefill the prompt only.
 STAGE: Final = 'X-Verbenahall-Stage'
--- a/packages/verbenahall/src/verbenahall/requests/__init__.py
+++ b/packages/verbenahall/src/verbenahall/requests/__init__.py
@@ -22,6 +22,7 @@
 from verbenahall.requests._outcomes import (
     Broken,
     NeverWritten,
+    NotSent,
     Outcome,
     Refused,
     TimedOut,
@@ -39,6 +40,7 @@
     'GiveUp',
     'Limited',
     'NeverWritten',
+    'NotSent',
     'Outcome',
     'Quarantined',
     'Refused',
--- a/packages/verbenahall/src/verbenahall/requests/_outcomes.py
+++ b/packages/verbenahall/src/verbenahall/requests/_outcomes.py
@@ -61,3 +61,6 @@
     Broken,
     TimedOut,
 ]
+
+#: Outcomes of attempts at which no byte was sent to an endpoint.
+NotSent = Union[NeverWritten, Quarantined, Limited, Unauthorized]
--- a/packages/verbenahall/tests/platform/test_wire.py
+++ b/packages/verbenahall/tests/platform/test_wire.py
@@ -5,6 +5,7 @@
 import re
 
 import pytest
+from multidict import CIMultiDict
 from returns.maybe import Nothing
 
 import verbenahall
@@ -289,6 +290,16 @@
     assert not read_answer_head(503, {}).not_run
 
 
+def test_answer_head_shows_what_the_endpoint_states_about_itself():
+    leaving = read_answer_head(200, {'Server-Leaving': '1'})
+    assert leaving.leaving
+    assert not read_answer_head(200, {'Server-Leaving': '0'}).leaving
+    headers = CIMultiDict([('Retry-After', '1'), ('retry-after', '3')])
+    assert read_answer_head(503, headers).retry_after == ('1', '3')
+    # Retry-After of another status is for the caller of a redirect or a rate.
+    assert not read_answer_head(200, headers).retry_after
+
+
 def test_report_and_prefill_result_are_decoded():
     report = decode_report(
         b'{"stage":"decode","busy":false,"seq":2,"waiting":1,"running":12}',
