Roster: an endpoint whose answers say that it leaves gets no more requests

What callers saw: nothing, until the endpoint exits under them.

Cause: an instance learned from the store only that an endpoint leaves. There the entry was confirmed 12 s after the answers had begun to say so. No answer header but the signature, Not-Run and the rate was read.

Ruled out: that it was read and overruled by a later entry, and that requests chosen before were sent after it.

Change: the roster keeps the incarnation as leaving, so every choice and the check before the bytes go read the same fact. It outlasts later entries that say ready, whole lists, removal and return; another incarnation starts afresh; at most 4096 are kept. Read from all answers: streams, refusals, prefills, control calls; not from 421. Role orders look once more after the lease was awaited.

Why it works: the check before a send reads the roster after every wait, and from there to the endpoint's socket it takes 0.4 s at most.

Before: test_announced_leaving fails, 7 requests after the bound.

--- a/packages/verbenahall/src/verbenahall/gateway/_core.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_core.py
@@ -89,7 +89,7 @@
             settings.cores,
         )
         self.session = make_session()
-        self.notices = EndpointNotices()
+        self.notices = EndpointNotices(self.roster)
         self.engines = EngineCalls(self.session, self.notices.record_answer)
         self.store = StoreClient(self.session, settings.store)
         self.now = clock.monotonic
--- a/packages/verbenahall/src/verbenahall/gateway/_endpoint_notices.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_endpoint_notices.py
@@ -8,18 +8,18 @@
 from verbenahall.backoff import read_retry_after
 from verbenahall.gateway._hooks import format_incarnation
 from verbenahall.platform import AnswerHead
-from verbenahall.roster import Entry
+from verbenahall.roster import Entry, Roster, record_leaving
 
 
 @final
 class EndpointNotices:
-    """Logs endpoints that announce their leaving or request a backoff."""
+    """Records endpoints that announce their leaving or request a backoff."""
 
-    __slots__ = ('_leaving',)
+    __slots__ = ('_roster',)
 
-    def __init__(self) -> None:
-        """Start without notices."""
-        self._leaving: set[str] = set()
+    def __init__(self, roster: Roster) -> None:
+        """Record leaving endpoints in a roster."""
+        self._roster = roster
 
     def record_answer(
         self, endpoint: Entry, answer_head: AnswerHead, source: str
@@ -37,13 +37,13 @@
             self._record_backoff(endpoint, answer_head, source)
 
     def _record_leaving(self, endpoint: Entry, source: str) -> None:
-        incarnation = format_incarnation(endpoint)
-        if incarnation in self._leaving:
+        if not record_leaving(self._roster, endpoint.name, endpoint.born):
             return
-        self._leaving.add(incarnation)
         metrics.LEAVING_ANNOUNCED.add(source)
         journal.write_decision(
-            'leaving_announced', endpoint=incarnation, source=source
+            'leaving_announced',
+            endpoint=format_incarnation(endpoint),
+            source=source,
         )
 
     def _record_backoff(
--- a/packages/verbenahall/src/verbenahall/gateway/_orders.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_orders.py
@@ -246,10 +246,12 @@
 
     async def _order(self, change: RoleChange, token: int) -> None:
         engine = change.engine
+        if not _is_live(self._core, engine):
+            return
         report = (await self._core.engines.fetch_report(engine)).value_or(None)
         if report is None or report.changing or report.role is change.role:
             return
-        if self._lease.token() != token:
+        if self._lease.token() != token or not _is_live(self._core, engine):
             return
         order = RoleOrder(change.role, self._lease.holder, token, report.orders)
         now = self._core.now()
@@ -267,3 +269,8 @@
             self._lease.discard_token()
         if status in {HTTPStatus.ACCEPTED, HTTPStatus.OK}:
             metrics.ROLE_CHANGES.inc({'role': change.role.value})
+
+
+def _is_live(core: Core, engine: Entry) -> bool:
+    """Whether an engine has not left since the roles were planned."""
+    return core.roster.is_live(engine.name, core.now())
--- a/packages/verbenahall/src/verbenahall/roster/__init__.py
+++ b/packages/verbenahall/src/verbenahall/roster/__init__.py
@@ -6,6 +6,7 @@
     apply_list,
     apply_removal,
     had_store_outage,
+    record_leaving,
     record_store_outage,
 )
 from verbenahall.roster._messages import Entry, Listing
@@ -22,5 +23,6 @@
     'apply_list',
     'apply_removal',
     'had_store_outage',
+    'record_leaving',
     'record_store_outage',
 )
--- a/packages/verbenahall/src/verbenahall/roster/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/roster/_decisions.py
@@ -1,5 +1,6 @@
 """Changes of the roster by records of the store and by store outages."""
 
+import dataclasses
 from collections.abc import Iterable
 from typing import Final
 
@@ -21,12 +22,15 @@
 
     The store may execute writes seconds late. Without this check, an old entry
     that arrives after the one with ``leaving`` would cause requests to be sent
-    to an endpoint that is about to exit.
+    to an endpoint that is about to exit. An incarnation that has announced its
+    leaving stays leaving, whatever its entry says.
     """
     listing = roster.listings.get(entry.name)
-    known = listing.entry if listing else roster.removed.get(entry.name)
+    known = roster.find_entry(entry.name)
     if known is not None and _is_outdated(entry, known):
         return False
+    if (entry.name, entry.born) in roster.announced:
+        entry = dataclasses.replace(entry, leaving=True)
     if listing is None:
         roster.listings[entry.name] = Listing(entry)
         roster.removed.pop(entry.name, None)
@@ -36,6 +40,25 @@
     return True
 
 
+def record_leaving(roster: Roster, name: str, born: int) -> bool:
+    """Record that an incarnation says that it leaves; False if that is known.
+
+    An endpoint's answers say so before its entry does: the store may confirm
+    the entry many seconds later. Another incarnation under the same name is not
+    affected.
+    """
+    if (name, born) in roster.announced:
+        return False
+    roster.keep_announced((name, born))
+    known = roster.find_entry(name)
+    if known is None or known.born != born:
+        return True
+    listing = roster.listings.get(name)
+    if listing is not None:
+        listing.entry = dataclasses.replace(known, leaving=True)
+    return not known.leaving
+
+
 def apply_removal(
     roster: Roster,
     name: str,
--- a/packages/verbenahall/src/verbenahall/roster/_state.py
+++ b/packages/verbenahall/src/verbenahall/roster/_state.py
@@ -15,6 +15,12 @@
 _MASS_REMOVAL_SHARE: Final = 0.4
 #: Maximum number of removed endpoints whose last entry is kept.
 _MAX_REMOVED: Final = 4096
+#: Maximum number of incarnations that are kept as leaving. They are kept beyond
+#: their removal, because an older entry may list them again.
+_MAX_LEAVING: Final = 4096
+
+#: An endpoint's name, and its start as the entry counts it.
+Incarnation = tuple[str, int]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,6 +44,7 @@
 
     ``listings`` holds the listed endpoints. ``removed`` holds the last entries
     of removed endpoints, so that an outdated entry does not list them again.
+    ``announced`` holds the incarnations whose answers say that they leave.
     ``store_outage_at`` is when the store was last unreachable, in monotonic
     seconds. ``is_loaded`` is whether a full list has been applied.
     """
@@ -46,6 +53,7 @@
         'rules',
         'listings',
         'removed',
+        'announced',
         'store_outage_at',
         'is_loaded',
         'removals',
@@ -56,6 +64,7 @@
         self.rules = rules or RosterRules()
         self.listings: dict[str, Listing] = {}
         self.removed: dict[str, Entry] = {}
+        self.announced: dict[Incarnation, None] = {}
         self.store_outage_at = -float('inf')
         self.is_loaded = False
         self.removals: list[Removal] = []
@@ -73,10 +82,20 @@
 
     def is_leaving(self, name: str) -> bool:
         """Whether the last entry of an endpoint is ``leaving``."""
-        listing = self.listings.get(name)
-        entry = listing.entry if listing else self.removed.get(name)
+        entry = self.find_entry(name)
         return entry is not None and entry.leaving
 
+    def find_entry(self, name: str) -> Entry | None:
+        """Return the last entry of an endpoint, also after its removal."""
+        listing = self.listings.get(name)
+        return listing.entry if listing else self.removed.get(name)
+
+    def keep_announced(self, incarnation: Incarnation) -> None:
+        """Keep an incarnation as leaving; the oldest ones are dropped."""
+        self.announced[incarnation] = None
+        while len(self.announced) > _MAX_LEAVING:
+            self.announced.pop(next(iter(self.announced)))
+
     def remove(self, name: str) -> None:
         """Remove an endpoint, and keep its last entry if there is room."""
         self.removed[name] = self.listings.pop(name).entry
