Backoff: an endpoint that refuses with Retry-After gets no request until its end

What callers saw: some answers came one attempt later, and every attempt that was refused took from the retry budget.

Cause: a refusal put an endpoint aside for a constant 0.5 s, whatever it stated, and not at all if the send had a handle. Where all endpoints were aside they were used nevertheless. Control calls went round every check.

Ruled out: that the time was read and overruled (no line pauses longer than 0.5 s), and that the requests had been chosen before the refusal (they were accepted after it).

Change: a slice of its own, backoff, with what is asked for by incarnation. The choice, the check before the bytes go, the prefill queue, scheduler requests, control calls and probes read it. It binds this instance only: schedulers learn which engines accept none of a request's instance. Later answers shorten nothing, a longer backoff goes before a shorter one, a removal and return of the entry changes nothing. After its end an endpoint gets one unanswered request, and one more for each that it accepts. If all endpoints back off, a request is refused at once, with a Retry-After from the first that ends, urgent callers first, within a third of what the caller waits. Invalid headers are logged and count as a plain refusal; none lasts longer than an hour.

Why it works: the check before a send comes after every wait, and between it and the socket lie 0.4 s at most, less than the half second that is allowed.

Tests of gateway, roster, drains, scheduling, platform, backoff, placement and requests: 597 passed.

--- a/packages/verbenahall/src/verbenahall/gateway/_core.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_core.py
@@ -2,14 +2,13 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine, Sequence
+from collections.abc import Coroutine
 from typing import Any, Final, final
 
 from verbenahall import clock
 from verbenahall.catalog import CatalogState
 from verbenahall.gateway._earlier_waits import EarlierWaits
-from verbenahall.gateway._endpoint_health import EndpointHealthTable
-from verbenahall.gateway._endpoint_notices import EndpointNotices
+from verbenahall.gateway._endpoints import Endpoints
 from verbenahall.gateway._engine_calls import EngineCalls
 from verbenahall.gateway._freshness import Freshness
 from verbenahall.gateway._hooks import (
@@ -31,7 +30,7 @@
 )
 from verbenahall.quarantine import CrashLog
 from verbenahall.requests import WindowBudget
-from verbenahall.roster import LAPSE_GRACE_S, Entry, Roster, RosterRules
+from verbenahall.roster import LAPSE_GRACE_S, Roster, RosterRules
 from verbenahall.throttling import RateTable
 from verbenahall.usage import SyncedClock, UsageMeter
 
@@ -77,7 +76,6 @@
             settings.bounds.usage_window_s,
             self.synced_clock.now,
         )
-        self.endpoint_health = EndpointHealthTable()
         self.crash_log = CrashLog()
         self.rates = RateTable()
         self.limiter: RateLimiter = NoLimiter()
@@ -89,10 +87,11 @@
             settings.cores,
         )
         self.session = make_session()
-        self.notices = EndpointNotices(self.roster)
-        self.engines = EngineCalls(self.session, self.notices.record_answer)
-        self.store = StoreClient(self.session, settings.store)
         self.now = clock.monotonic
+        self.endpoints = Endpoints(self.roster, self.random, self.now)
+        self.endpoint_health = self.endpoints.health
+        self.engines = EngineCalls(self.session, self.endpoints.notices)
+        self.store = StoreClient(self.session, settings.store)
         self.earlier_waits = EarlierWaits()
         self._budgets: dict[str, WindowBudget] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -111,28 +110,6 @@
         """Return the greatest age of a local copy of a topic, in seconds."""
         return max(one.find_age(now) for one in self.freshness.values())
 
-    def list_usable(self, service: str, now: float) -> Sequence[Entry]:
-        """Return the live endpoints of a service that are not avoided.
-
-        If all are avoided, all are returned, as one may have recovered.
-        """
-        live = list(self.roster.list_live(service, now))
-        usable = [
-            one
-            for one in live
-            if not self.endpoint_health.is_avoided(one.name, now)
-        ]
-        return usable or live
-
-    def has_alternative(self, endpoint: Entry, now: float) -> bool:
-        """Whether another endpoint could take a request that one refuses."""
-        return any(
-            one.name != endpoint.name
-            and one.role is endpoint.role
-            and not self.endpoint_health.is_avoided(one.name, now)
-            for one in self.roster.list_live(endpoint.service, now)
-        )
-
     def remove_unlisted(self) -> None:
         """Remove the state kept for endpoints that are no longer listed.
 
--- a/packages/verbenahall/src/verbenahall/gateway/_endpoint_notices.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_endpoint_notices.py
@@ -1,25 +1,44 @@
 """Records what endpoints state about themselves in their answers."""
 
-from typing import final
+import random
+from typing import Final, final
 
 from returns.maybe import Some
 
 from verbenahall import journal, metrics
-from verbenahall.backoff import read_retry_after
+from verbenahall.backoff import BackoffTable, read_retry_after
+from verbenahall.clock import Clock
 from verbenahall.gateway._hooks import format_incarnation
 from verbenahall.platform import AnswerHead
 from verbenahall.roster import Entry, Roster, record_leaving
 
+#: Range of the random factor of a requested backoff: instances that were
+#: refused together must not return together, and none returns early.
+_JITTER: Final = (1.0, 1.1)
+
 
 @final
 class EndpointNotices:
     """Records endpoints that announce their leaving or request a backoff."""
 
-    __slots__ = ('_roster',)
+    __slots__ = ('_backoffs', '_now', '_random', '_roster')
 
-    def __init__(self, roster: Roster) -> None:
-        """Record leaving endpoints in a roster."""
+    def __init__(
+        self,
+        roster: Roster,
+        backoffs: BackoffTable,
+        rng: random.Random,
+        now: Clock,
+    ) -> None:
+        """Record leaving endpoints in the roster, backoffs in their table."""
         self._roster = roster
+        self._backoffs = backoffs
+        self._random = rng
+        self._now = now
+
+    def find_backoff_s(self, endpoint: Entry) -> float:
+        """Return the rest of an endpoint's backoff in seconds, 0 for none."""
+        return self._backoffs.find_left_s(endpoint.incarnation, self._now())
 
     def record_answer(
         self, endpoint: Entry, answer_head: AnswerHead, source: str
@@ -37,7 +56,7 @@
             self._record_backoff(endpoint, answer_head, source)
 
     def _record_leaving(self, endpoint: Entry, source: str) -> None:
-        if not record_leaving(self._roster, endpoint.name, endpoint.born):
+        if not record_leaving(self._roster, endpoint.incarnation):
             return
         metrics.LEAVING_ANNOUNCED.add(source)
         journal.write_decision(
@@ -50,6 +69,11 @@
         self, endpoint: Entry, answer_head: AnswerHead, source: str
     ) -> None:
         found = read_retry_after(answer_head.retry_after, answer_head.date)
+        if isinstance(found, Some):
+            for_s = found.unwrap() * self._random.uniform(*_JITTER)
+            self._backoffs.record_request(
+                endpoint.incarnation, for_s, self._now()
+            )
         metrics.BACKOFFS_REQUESTED.add(
             source, 'valid' if isinstance(found, Some) else 'invalid'
         )
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/gateway/_endpoints.py
@@ -0,0 +1,83 @@
+"""What an instance knows of the endpoints, and which may get its requests."""
+
+import random
+from collections.abc import Sequence
+from typing import final
+
+from verbenahall.backoff import BackoffTable
+from verbenahall.clock import Clock
+from verbenahall.gateway._endpoint_health import EndpointHealthTable
+from verbenahall.gateway._endpoint_notices import EndpointNotices
+from verbenahall.roster import Entry, Roster
+
+
+@final
+class Endpoints:
+    """The roster with the outcomes and the answers of this instance's sends.
+
+    ``roster`` knows which endpoints leave, ``backoffs`` which have requested a
+    backoff, and ``health`` which have failed. All choices of an endpoint use
+    these.
+    """
+
+    __slots__ = ('backoffs', 'health', 'notices', '_roster')
+
+    def __init__(self, roster: Roster, rng: random.Random, now: Clock) -> None:
+        """Start without any outcome."""
+        self.backoffs = BackoffTable()
+        self.health = EndpointHealthTable()
+        self.notices = EndpointNotices(roster, self.backoffs, rng, now)
+        self._roster = roster
+
+    def list_available(self, service: str, now: float) -> Sequence[Entry]:
+        """Return the live endpoints that accept this instance's requests.
+
+        Those that have requested a backoff from it do not.
+        """
+        return [
+            one
+            for one in self._roster.list_live(service, now)
+            if self.backoffs.may_send(one.incarnation, now)
+        ]
+
+    def list_backing_off(self, service: str, now: float) -> Sequence[Entry]:
+        """Return the live endpoints that have requested a backoff."""
+        return [
+            one
+            for one in self._roster.list_live(service, now)
+            if not self.backoffs.may_send(one.incarnation, now)
+        ]
+
+    def list_usable(self, service: str, now: float) -> Sequence[Entry]:
+        """Return the available endpoints of a service that are not avoided.
+
+        If all are avoided, all are returned, as one may have recovered.
+        """
+        return self._prefer_healthy(self.list_available(service, now), now)
+
+    def list_assignable(self, service: str, now: float) -> Sequence[Entry]:
+        """Return the endpoints that may be assigned to other instances.
+
+        A backoff that is requested from this instance does not bind them.
+        """
+        live = list(self._roster.list_live(service, now))
+        return self._prefer_healthy(live, now)
+
+    def has_alternative(self, endpoint: Entry, now: float) -> bool:
+        """Whether another endpoint could take a request that one refuses."""
+        return any(
+            one.name != endpoint.name
+            and one.role is endpoint.role
+            and not self.health.is_avoided(one.name, now)
+            for one in self.list_available(endpoint.service, now)
+        )
+
+    def _prefer_healthy(
+        self, endpoints: Sequence[Entry], now: float
+    ) -> Sequence[Entry]:
+        healthy = [
+            one
+            for one in endpoints
+            if not self.health.is_avoided(one.name, now)
+        ]
+        return healthy or endpoints
--- a/packages/verbenahall/src/verbenahall/gateway/_engine_calls.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_engine_calls.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Callable, Mapping
+from collections.abc import AsyncIterator, Mapping
 from types import MappingProxyType
 from typing import Final, final
 
@@ -10,12 +10,13 @@
 from returns.maybe import Maybe, Nothing
 
 from verbenahall import journal
+from verbenahall.errors import VerbenahallError
+from verbenahall.gateway._endpoint_notices import EndpointNotices
 from verbenahall.platform import (
     CALL_FAILURES,
     EXPECT_ENDPOINT,
     ORDER,
     REPORT,
-    AnswerHead,
     EngineReport,
     RoleOrder,
     decode_report,
@@ -29,22 +30,34 @@
 #: milliseconds, and one that does not is polled again later.
 _CALL_S: Final = 1.0
 _NO_HEADERS: Final[Mapping[str, str]] = MappingProxyType({})
+#: Longest backoff of an engine after which a handle is still freed, in seconds.
+#: A handle that nobody fetches expires by itself about then.
+_MAX_FREE_DELAY_S: Final = 5.0
 
-#: Records the head of an engine's answer and the kind of the call.
-RecordAnswer = Callable[[Entry, AnswerHead, str], None]
+
+@final
+class BackingOffError(VerbenahallError):
+    """The engine has requested a backoff, so it was not called."""
+
+
+#: Exceptions of a call that was not made or has no complete answer.
+_FAILURES: Final = (*CALL_FAILURES, BackingOffError)
 
 
 @final
 class EngineCalls:
-    """Makes the calls; a failure is logged and gives an empty result."""
+    """Makes the calls; a failure is logged and gives an empty result.
+
+    An engine that has requested a backoff gets no call until its end.
+    """
 
-    __slots__ = ('_record_answer', '_session')
+    __slots__ = ('_notices', '_session')
 
     def __init__(
-        self, session: aiohttp.ClientSession, record_answer: RecordAnswer
+        self, session: aiohttp.ClientSession, notices: EndpointNotices
     ) -> None:
-        """Call through ``session``; pass answer heads to ``record_answer``."""
-        self._record_answer = record_answer
+        """Call through ``session``; record the heads of answers."""
+        self._notices = notices
         self._session = session
 
     async def fetch_report(self, engine: Entry) -> Maybe[EngineReport]:
@@ -53,7 +66,7 @@
         try:
             async with answer as response:
                 return decode_report(await response.read())
-        except CALL_FAILURES as error:
+        except _FAILURES as error:
             _log_failure('report_failed', engine, error)
         return Nothing
 
@@ -72,17 +85,20 @@
             async with answer as response:
                 await response.read()
                 return response.status
-        except CALL_FAILURES as error:
+        except _FAILURES as error:
             _log_failure('order_unanswered', engine, error)
         return None
 
     async def free_handle(self, engine: Entry, handle: str) -> None:
         """Free KV cache that will not be fetched."""
+        backoff_s = self._notices.find_backoff_s(engine)
+        if 0 < backoff_s <= _MAX_FREE_DELAY_S:
+            await asyncio.sleep(backoff_s)
         answer = self._call('DELETE', engine, format_handle_path(handle))
         try:
             async with answer as response:
                 await response.read()
-        except CALL_FAILURES as error:
+        except _FAILURES as error:
             _log_failure('handle_not_freed', engine, error)
 
     @contextlib.asynccontextmanager
@@ -94,6 +110,9 @@
         body: bytes | None = None,
         headers: Mapping[str, str] = _NO_HEADERS,
     ) -> AsyncIterator[aiohttp.ClientResponse]:
+        backoff_s = self._notices.find_backoff_s(engine)
+        if backoff_s:
+            raise BackingOffError(backoff_s)
         url = f'http://{engine.address}{path}'
         async with asyncio.timeout(_CALL_S):
             async with self._session.request(
@@ -105,7 +124,7 @@
                 answer_head = read_answer_head(
                     response.status, response.headers
                 )
-                self._record_answer(engine, answer_head, 'control')
+                self._notices.record_answer(engine, answer_head, 'control')
                 yield response
 
 
--- a/packages/verbenahall/src/verbenahall/gateway/_permits.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_permits.py
@@ -77,7 +77,9 @@
         if current is None:
             return None
         # A request that another endpoint can take doesn't wait for a permit.
-        has_alternative = self._core.has_alternative(endpoint, self._core.now())
+        has_alternative = self._core.endpoints.has_alternative(
+            endpoint, self._core.now()
+        )
         longest_s = 0 if has_alternative else left_s * _MAX_WAIT_SHARE
         response = await self._request_permit(
             endpoint,
--- a/packages/verbenahall/src/verbenahall/gateway/_plain_flow.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_plain_flow.py
@@ -11,6 +11,10 @@
 from verbenahall.errors import ErrorKind, Problem, Ran
 from verbenahall.gateway._answers import build_answer_response
 from verbenahall.gateway._attempts import Attempts
+from verbenahall.gateway._backoff_waits import (
+    await_slow_start,
+    make_backoff_problem,
+)
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._messages import Answered, Call
 from verbenahall.gateway._sender import Sender
@@ -68,6 +72,10 @@
             untried = self._list_untried(now)
             endpoint = choose_endpoint(self._core, untried, now)
             if endpoint is None:
+                if await await_slow_start(
+                    self._core, self._call, self._attempts.tried
+                ):
+                    continue
                 return self._abandon(self._make_no_endpoint_problem())
             others = len(untried) > 1
             result = await self._send(endpoint, others=others)
@@ -75,10 +83,12 @@
         return final_answer
 
     def _list_untried(self, now: float) -> Sequence[Entry]:
-        """Return the live endpoints that have not failed this call."""
-        live = self._core.roster.list_live(self._call.service.name, now)
+        """Return the available endpoints that have not failed this call."""
+        available = self._core.endpoints.list_available(
+            self._call.service.name, now
+        )
         tried = self._attempts.tried
-        return [one for one in live if one.name not in tried]
+        return [one for one in available if one.name not in tried]
 
     async def _send(
         self,
@@ -156,6 +166,9 @@
         return self._attempts.abandon(problem)
 
     def _make_no_endpoint_problem(self) -> Problem:
+        backoff_problem = make_backoff_problem(self._core, self._call)
+        if backoff_problem is not None:
+            return backoff_problem
         return Problem(
             ErrorKind.NO_ENDPOINT,
             'no endpoint of the service is left to try',
--- a/packages/verbenahall/src/verbenahall/gateway/_prefill_calls.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_prefill_calls.py
@@ -19,6 +19,7 @@
     format_kv_source,
 )
 from verbenahall.requests import (
+    BackingOff,
     Broken,
     Limited,
     Outcome,
@@ -163,6 +164,8 @@
     A prefill doesn't execute the request, so any failure of it allows another
     attempt, even for a request that may run only once.
     """
-    if isinstance(outcome, TimedOut | Quarantined | Limited | Unauthorized):
+    if isinstance(
+        outcome, TimedOut | Quarantined | Limited | BackingOff | Unauthorized
+    ):
         return outcome
     return Unprepared(f'the prefill failed: {outcome}')
--- a/packages/verbenahall/src/verbenahall/gateway/_prefill_queues.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_prefill_queues.py
@@ -145,7 +145,7 @@
 
     def _describe_fleet(self, service: Service, now: float) -> Fleet:
         core = self._core
-        usable = core.list_usable(service.name, now)
+        usable = core.endpoints.list_usable(service.name, now)
         waiting_count = len(self._queues[service.name].waiting)
         return Fleet(core.placement, usable, service.engine, waiting_count)
 
--- a/packages/verbenahall/src/verbenahall/gateway/_probes.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_probes.py
@@ -6,6 +6,7 @@
 
 from verbenahall import journal
 from verbenahall.gateway._core import Core
+from verbenahall.roster import Entry
 
 #: Interval between probes of unreachable endpoints, in seconds. They receive no
 #: requests until a probe succeeds.
@@ -61,9 +62,14 @@
             )
             await asyncio.gather(*(self._probe(name) for name in avoided))
 
+    def _is_excluded(self, entry: Entry) -> bool:
+        """Whether an endpoint would get no request even if it is reached."""
+        backoff_s = self._core.endpoints.notices.find_backoff_s(entry)
+        return entry.leaving or backoff_s > 0
+
     async def _probe(self, name: str) -> None:
         listing = self._core.roster.listings.get(name)
-        if listing is None:
+        if listing is None or self._is_excluded(listing.entry):
             return
         if await try_connect(listing.entry.address) is ConnectOutcome.LISTENS:
             self._core.endpoint_health.record_reachable(name)
--- a/packages/verbenahall/src/verbenahall/gateway/_scheduler.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_scheduler.py
@@ -182,7 +182,9 @@
         service: Service,
         group: str,
     ) -> Fleet:
-        usable = self._core.list_usable(service.name, self._core.now())
+        usable = self._core.endpoints.list_assignable(
+            service.name, self._core.now()
+        )
         return Fleet(
             state.placement,
             list_group_engines(group, usable),
--- a/packages/verbenahall/src/verbenahall/gateway/_scheduler_client.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_scheduler_client.py
@@ -110,7 +110,11 @@
         if not needs_scheduler(self._core.peer_table):
             return Nothing
         now = self._core.now()
-        usable = self._core.list_usable(call.service.name, now)
+        usable = self._core.endpoints.list_assignable(call.service.name, now)
+        backing_off = self._core.endpoints.list_backing_off(
+            call.service.name, now
+        )
+        unavailable = frozenset(one.name for one in backing_off)
         found: Maybe[Result[ScheduledGrant, Problem]] = Nothing
         local_centre = self._core.settings.data_centre
         skipped = self._groups.list_unresponsive(now)
@@ -118,7 +122,9 @@
             if group in skipped:
                 continue
             answer = await self._request_from_group(
-                _GroupRequest(call, placement_request, tried, group),
+                _GroupRequest(
+                    call, placement_request, tried, unavailable, group
+                ),
             )
             match answer:
                 case Some(Success(_)):
@@ -248,7 +254,9 @@
         """Accept the engines, unless one is not usable for this instance."""
         address = self._find_address(scheduler)
         now = self._core.now()
-        usable = self._core.list_usable(group_request.call.service.name, now)
+        usable = self._core.endpoints.list_usable(
+            group_request.call.service.name, now
+        )
         by_name = {one.name: one for one in usable}
         decode = by_name.get(assignment.decode)
         prefill = by_name.get(assignment.prefill)
@@ -278,6 +286,7 @@
     call: Call
     placement_request: PlacementRequest
     tried: frozenset[str]
+    unavailable: frozenset[str]
     group: str
 
     def build(self, key: str, now: float) -> ScheduleRequest:
@@ -296,6 +305,7 @@
             deadline_s=call.left_s(now),
             returning=call.waited_s > 0,
             tried=tuple(self.tried),
+            unavailable=tuple(self.unavailable),
         )
 
 
--- a/packages/verbenahall/src/verbenahall/gateway/_send_checks.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_send_checks.py
@@ -15,6 +15,7 @@
 from verbenahall.platform import ENDPOINTS_TOPIC
 from verbenahall.quarantine import find_quarantine_s
 from verbenahall.requests import (
+    BackingOff,
     NeverWritten,
     NotSent,
     Quarantined,
@@ -35,9 +36,10 @@
 ) -> NotSent | None:
     """Return why a call may not be sent, and log it; None if it may be.
 
-    That is the case if the endpoint has left since it was chosen, if its rate
-    limit allows no more, if the call is in quarantine because endpoints crashed
-    while they ran it, or if its API key is no longer valid. ``until`` is when
+    That is the case if the endpoint has left since it was chosen or requested
+    a backoff, if its rate limit allows no more, if the call is in quarantine
+    because endpoints crashed while they ran it, or if its API key is no longer
+    valid. ``until`` is when
     the answer is of no more use, in monotonic seconds.
     """
     not_sent = await _find_obstacle(core, call, endpoint, until)
@@ -62,6 +64,10 @@
         return Quarantined(left_s)
     if not core.roster.is_live(endpoint.name, now):
         return NeverWritten(_ENDPOINT_LEFT)
+    if not core.endpoints.backoffs.may_send(endpoint.incarnation, now):
+        return BackingOff(
+            core.endpoints.backoffs.find_left_s(endpoint.incarnation, now)
+        )
     if isinstance(find_workspace(core, call), Failure):
         return Unauthorized()
     return None
--- a/packages/verbenahall/src/verbenahall/gateway/_sender.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_sender.py
@@ -12,6 +12,7 @@
 from returns.result import Failure, Result, Success
 
 from verbenahall import journal, metrics
+from verbenahall.backoff import Trial
 from verbenahall.gateway._admission import find_workspace
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._messages import Answered, Call
@@ -88,6 +89,7 @@
         )
         health = self._core.endpoint_health.get(endpoint.name)
         health.open += 1
+        trial = self._core.endpoints.backoffs.begin_trial(endpoint.incarnation)
         self._log_sent(call, endpoint, options)
         response = None
         sent_at = self._core.now()
@@ -96,13 +98,18 @@
         except CALL_FAILURES as error:
             yield Failure(self.classify_failure(call, endpoint, error))
         else:
-            yield await self._check_refusal(
+            opened = await self._check_refusal(
                 endpoint, options, response, sent_at
             )
+            self._core.endpoints.backoffs.end_trial(
+                endpoint.incarnation,
+                trial,
+                accepted=isinstance(opened, Success),
+            )
+            yield opened
         finally:
             health.open -= 1
-            if response is not None:
-                response.close()
+            self._end_send(endpoint, trial, response)
 
     async def exchange(
         self,
@@ -187,6 +194,17 @@
             )
         return Broken(repr(error))
 
+    def _end_send(
+        self,
+        endpoint: Entry,
+        trial: Trial | None,
+        response: aiohttp.ClientResponse | None,
+    ) -> None:
+        """Stop counting a send as a trial, and close its connection."""
+        self._core.endpoints.backoffs.end_trial(endpoint.incarnation, trial)
+        if response is not None:
+            response.close()
+
     def _log_lost_connection(self, call: Call, endpoint: Entry) -> None:
         journal.write_decision(
             'connection_lost',
@@ -237,7 +255,9 @@
     ) -> Opened:
         answer_head = read_answer_head(response.status, response.headers)
         source = 'prefill' if options.prefill_only else 'request'
-        self._core.notices.record_answer(endpoint, answer_head, source)
+        self._core.endpoints.notices.record_answer(
+            endpoint, answer_head, source
+        )
         self._core.limiter.record_answer(endpoint, answer_head, sent_at)
         if not answer_head.misdirected:
             self._core.observer.record_alive(endpoint, sent_at)
--- a/packages/verbenahall/src/verbenahall/gateway/_stream_flow.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_stream_flow.py
@@ -9,6 +9,10 @@
 from verbenahall.errors import ErrorKind, Problem
 from verbenahall.gateway._answers import build_answer_response
 from verbenahall.gateway._attempts import Attempts
+from verbenahall.gateway._backoff_waits import (
+    await_slow_start,
+    make_backoff_problem,
+)
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._dispatch import Dispatch
 from verbenahall.gateway._events import discard_partial
@@ -24,6 +28,7 @@
 from verbenahall.gateway._sender import Sender
 from verbenahall.placement import PlacementRequest, Plan, place
 from verbenahall.requests import (
+    BackingOff,
     Broken,
     Limited,
     NeverWritten,
@@ -91,9 +96,21 @@
                     result = await self._execute_plan(grant)
                     final_answer = await self._handle_result(grant.plan, result)
                 case Failure(problem):
-                    return self._abandon(problem)
+                    final_answer = await self._handle_no_admission(problem)
         return final_answer
 
+    async def _handle_no_admission(
+        self, problem: Problem
+    ) -> web.StreamResponse | None:
+        """Return the final answer; None if an engine is available again."""
+        if problem.kind is ErrorKind.NO_ENDPOINT:
+            if await await_slow_start(
+                self._core, self._call, self._attempts.tried
+            ):
+                return None
+            problem = make_backoff_problem(self._core, self._call) or problem
+        return self._abandon(problem)
+
     async def _await_admission(
         self, dispatch: Dispatch
     ) -> Result[Grant, Problem]:
@@ -131,7 +148,7 @@
         core = self._core
         call = self._call
         now = core.now()
-        usable = core.list_usable(call.service.name, now)
+        usable = core.endpoints.list_usable(call.service.name, now)
         tried = self._attempts.tried
         untried = [one for one in usable if one.name not in tried]
         prefilled_by = self._kv_handle.engine if self._kv_handle else None
@@ -194,7 +211,7 @@
         second one the handle is considered unusable.
         """
         match outcome:
-            case NeverWritten() | Limited():
+            case NeverWritten() | Limited() | BackingOff():
                 return True
             case Refused():
                 self._refusals += 1
@@ -221,7 +238,7 @@
         plan = grant.plan
         if grant.holds_decode:
             service = self._call.service.name
-            usable = self._core.list_usable(service, self._core.now())
+            usable = self._core.endpoints.list_usable(service, self._core.now())
             if plan.decode_engine.name in {one.name for one in usable}:
                 return plan
         return self._place().value_or(plan)
--- a/packages/verbenahall/src/verbenahall/placement/_queue.py
+++ b/packages/verbenahall/src/verbenahall/placement/_queue.py
@@ -31,7 +31,8 @@
     its first event is past its objective, which is ``objective_s`` after the
     first attempt of its caller, and ``leaves_at`` when its caller leaves.
     ``returning`` is true if the caller was refused before. ``tried`` names the
-    engines that have failed this request. ``expected_first_s`` is the expected
+    engines that have failed this request, ``unavailable`` those that accept
+    none of its instance. ``expected_first_s`` is the expected
     time to its first event if its prefill begins at once, ``slot_wait_s`` the
     part of it until a decode engine has a free slot, and ``preferred_engine``
     the engine most likely to have its shared parts cached.
@@ -46,6 +47,7 @@
     leaves_at: float
     returning: bool = False
     tried: frozenset[str] = _NO_ENGINES
+    unavailable: frozenset[str] = _NO_ENGINES
     expected_first_s: float = 0
     slot_wait_s: float = 0
     preferred_engine: str = ''
--- a/packages/verbenahall/src/verbenahall/placement/_slots.py
+++ b/packages/verbenahall/src/verbenahall/placement/_slots.py
@@ -61,8 +61,11 @@
         self, pending: QueuedRequest, now: float
     ) -> Result[Plan, Problem]:
         """Choose engines for a request; avoids those that failed it."""
-        usable = [one for one in self.engines if one.name not in pending.tried]
-        engines = usable or self.engines
+        available = [
+            one for one in self.engines if one.name not in pending.unavailable
+        ]
+        usable = [one for one in available if one.name not in pending.tried]
+        engines = usable or available
         return place(
             self.state,
             pending.placement_request,
--- a/packages/verbenahall/src/verbenahall/requests/__init__.py
+++ b/packages/verbenahall/src/verbenahall/requests/__init__.py
@@ -15,6 +15,7 @@
     RetryContext,
 )
 from verbenahall.requests._not_sent import (
+    BackingOff,
     Limited,
     Quarantined,
     Unauthorized,
@@ -36,6 +37,7 @@
 
 __all__ = (
     'AttemptIds',
+    'BackingOff',
     'Broken',
     'GiveUp',
     'Limited',
--- a/packages/verbenahall/src/verbenahall/requests/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/requests/_decisions.py
@@ -12,6 +12,7 @@
 from verbenahall.requests._budget import RetryBudget, WindowBudget
 from verbenahall.requests._messages import GiveUp, Retry, RetryContext
 from verbenahall.requests._not_sent import (
+    BackingOff,
     Limited,
     Quarantined,
     Unauthorized,
@@ -75,6 +76,9 @@
         case Limited(wait_s):
             message = 'the endpoint accepts no more requests at present'
             return Problem(ErrorKind.OVERLOADED, message, ran, wait_s)
+        case BackingOff(left_s):
+            message = 'the endpoint has requested a backoff'
+            return Problem(ErrorKind.OVERLOADED, message, ran, left_s)
         case Unauthorized():
             message = 'the API key is no longer valid'
             return Problem(ErrorKind.UNAUTHORIZED, message, ran)
@@ -104,6 +108,7 @@
         | Refused
         | Quarantined
         | Limited
+        | BackingOff
         | Unauthorized,
     )
 
@@ -121,6 +126,8 @@
             return 'quarantined'
         case Limited():
             return 'limited'
+        case BackingOff():
+            return 'backing_off'
         case Unauthorized():
             return 'unauthorized'
         case Broken():
@@ -133,7 +140,9 @@
     if retry_context.delivered and not retry_context.resumable:
         return False
     match outcome:
-        case NeverWritten() | Unprepared() | Refused() | Limited():
+        case (
+            NeverWritten() | Unprepared() | Refused() | Limited() | BackingOff()
+        ):
             return True
         case Broken():
             return retry_context.repeatable
@@ -161,7 +170,7 @@
     # Attempts that reached no endpoint put no load on the fleet, so they are
     # not charged. When they were, the failed connects after a crash used up
     # the budget that the streams broken by it needed in order to resume.
-    is_unsent = isinstance(outcome, NeverWritten | Limited)
+    is_unsent = isinstance(outcome, NeverWritten | Limited | BackingOff)
     return is_unsent or budget.try_spend(retry_context.send_count)
 
 
--- a/packages/verbenahall/src/verbenahall/requests/_not_sent.py
+++ b/packages/verbenahall/src/verbenahall/requests/_not_sent.py
@@ -20,6 +20,17 @@
     wait_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class BackingOff:
+    """Not sent: the endpoint has requested a backoff from this instance.
+
+    It ends after ``left_s`` seconds; 0 if it has ended, and the endpoint has
+    not answered the first requests since.
+    """
+
+    left_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Unauthorized:
     """Not sent: the request's API key is no longer valid."""
--- a/packages/verbenahall/src/verbenahall/requests/_outcomes.py
+++ b/packages/verbenahall/src/verbenahall/requests/_outcomes.py
@@ -4,6 +4,7 @@
 from typing import Union
 
 from verbenahall.requests._not_sent import (
+    BackingOff,
     Limited,
     Quarantined,
     Unauthorized,
@@ -57,10 +58,11 @@
     Refused,
     Quarantined,
     Limited,
+    BackingOff,
     Unauthorized,
     Broken,
     TimedOut,
 ]
 
 #: Outcomes of attempts at which no byte was sent to an endpoint.
-NotSent = Union[NeverWritten, Quarantined, Limited, Unauthorized]
+NotSent = Union[NeverWritten, Quarantined, Limited, BackingOff, Unauthorized]
--- a/packages/verbenahall/src/verbenahall/roster/__init__.py
+++ b/packages/verbenahall/src/verbenahall/roster/__init__.py
@@ -9,11 +9,12 @@
     record_leaving,
     record_store_outage,
 )
-from verbenahall.roster._messages import Entry, Listing
+from verbenahall.roster._messages import Entry, Incarnation, Listing
 from verbenahall.roster._state import LAPSE_GRACE_S, Roster, RosterRules
 
 __all__ = (
     'Entry',
+    'Incarnation',
     'LAPSE_GRACE_S',
     'Listing',
     'Roster',
--- a/packages/verbenahall/src/verbenahall/roster/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/roster/_decisions.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from typing import Final
 
-from verbenahall.roster._messages import Entry, Listing, Removal
+from verbenahall.roster._messages import Entry, Incarnation, Listing, Removal
 from verbenahall.roster._state import Roster
 
 #: Removals within this time count as one event, in seconds.
@@ -29,7 +29,7 @@
     known = roster.find_entry(entry.name)
     if known is not None and _is_outdated(entry, known):
         return False
-    if (entry.name, entry.born) in roster.announced:
+    if entry.incarnation in roster.announced:
         entry = dataclasses.replace(entry, leaving=True)
     if listing is None:
         roster.listings[entry.name] = Listing(entry)
@@ -40,18 +40,19 @@
     return True
 
 
-def record_leaving(roster: Roster, name: str, born: int) -> bool:
+def record_leaving(roster: Roster, incarnation: Incarnation) -> bool:
     """Record that an incarnation says that it leaves; False if that is known.
 
     An endpoint's answers say so before its entry does: the store may confirm
     the entry many seconds later. Another incarnation under the same name is not
     affected.
     """
-    if (name, born) in roster.announced:
+    if incarnation in roster.announced:
         return False
-    roster.keep_announced((name, born))
+    roster.keep_announced(incarnation)
+    name, _ = incarnation
     known = roster.find_entry(name)
-    if known is None or known.born != born:
+    if known is None or known.incarnation != incarnation:
         return True
     listing = roster.listings.get(name)
     if listing is not None:
--- a/packages/verbenahall/src/verbenahall/roster/_messages.py
+++ b/packages/verbenahall/src/verbenahall/roster/_messages.py
@@ -5,6 +5,9 @@
 
 from verbenahall.fleet import Role
 
+#: An endpoint's name, and its start as the entry counts it.
+Incarnation = tuple[str, int]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Entry:
@@ -28,6 +31,11 @@
     cold_s: float = 0
     spot: bool = False
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """The key of what is known of this start of the endpoint."""
+        return (self.name, self.born)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Removal:
--- a/packages/verbenahall/src/verbenahall/roster/_state.py
+++ b/packages/verbenahall/src/verbenahall/roster/_state.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 from typing import Final, final
 
-from verbenahall.roster._messages import Entry, Listing, Removal
+from verbenahall.roster._messages import Entry, Incarnation, Listing, Removal
 
 #: How long lapsed entries are used, in seconds. According to the platform,
 #: entries that lapsed in an outage of the store are written again within about
@@ -19,9 +19,6 @@
 #: their removal, because an older entry may list them again.
 _MAX_LEAVING: Final = 4096
 
-#: An endpoint's name, and its start as the entry counts it.
-Incarnation = tuple[str, int]
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RosterRules:
--- a/packages/verbenahall/src/verbenahall/scheduling/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/scheduling/_decisions.py
@@ -9,6 +9,8 @@
 from collections.abc import Iterator, Sequence
 from typing import Final
 
+from returns.result import Failure
+
 from verbenahall.catalog import Service
 from verbenahall.errors import Problem
 from verbenahall.placement import (
@@ -69,8 +71,10 @@
     assigned = state.assigned.get(request.key)
     if assigned is not None:
         return (Reply(sender, assigned.answer),)
-    if request.key in state.waiting:
-        return (Reply(sender, Queued(request.key)),)
+    waiting = state.waiting.get(request.key)
+    if waiting is not None:
+        waiting.pending.unavailable = frozenset(request.unavailable)
+        return (Reply(sender, _answer_waiting(state, waiting, fleet, now)),)
     complete = now - state.started_at > _CACHES_COMPLETE_S
     state.placement.caches_complete = complete
     waiting = _make_waiting(request, sender, now)
@@ -133,6 +137,20 @@
         _release(state, assigned)
 
 
+def _answer_waiting(
+    state: SchedulerState, waiting: Waiting, fleet: Fleet, now: float
+) -> Queued | Rejection:
+    """Answer a queued request; rejects it if no engine accepts it any more."""
+    pending = waiting.pending
+    if pending.unavailable:
+        placed = fleet.place(pending, now)
+        if isinstance(placed, Failure):
+            state.queue.remove(pending)
+            state.waiting.pop(pending.request_id)
+            return _reject(pending, placed.failure())
+    return Queued(pending.request_id)
+
+
 def _notify_waiting(state: SchedulerState) -> Iterator[Reply]:
     for key, waiting in state.waiting.items():
         if not waiting.notified:
@@ -157,6 +175,7 @@
         leaves_at=now + request.leaves_s,
         returning=request.returning,
         tried=frozenset(request.tried),
+        unavailable=frozenset(request.unavailable),
     )
     return Waiting(pending, sender, now + request.deadline_s)
 
--- a/packages/verbenahall/src/verbenahall/scheduling/_messages.py
+++ b/packages/verbenahall/src/verbenahall/scheduling/_messages.py
@@ -24,7 +24,8 @@
     reused, so that copies are recognized. Times are seconds from sending:
     ``due_s`` until the first event is past its objective, ``leaves_s`` until
     the caller leaves without one, ``deadline_s`` until the whole answer is of
-    no use. ``tried`` names the engines that have failed the request.
+    no use. ``tried`` names the engines that have failed the request,
+    ``unavailable`` those that accept no requests of the instance.
     """
 
     key: str
@@ -39,6 +40,7 @@
     deadline_s: float
     returning: bool = False
     tried: tuple[str, ...] = ()
+    unavailable: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -152,6 +154,8 @@
         deadline_s=float(table['deadline_s']),
         returning=bool(table['returning']),
         tried=tuple(map(str, table['tried'])),
+        # Instances of earlier versions do not send it.
+        unavailable=tuple(map(str, table.get('unavailable', ()))),
     )
 
 
--- a/packages/verbenahall/tests/drains/fleet.py
+++ b/packages/verbenahall/tests/drains/fleet.py
@@ -57,7 +57,7 @@
         self._unused_session = self.core.session
         session = SimulatedSession(fleet, name)
         self.core.session = session
-        self.core.random = random.Random(f'{fleet.seed} {name}')
+        self.core.random.seed(f'{fleet.seed} {name}')
         self.core.store._session = session
         self.exchange = PeerExchange(
             self.core.peer_table, self.core.placement, bool
--- a/packages/verbenahall/tests/gateway/test_announced_leaving.py
+++ b/packages/verbenahall/tests/gateway/test_announced_leaving.py
@@ -80,7 +80,7 @@
             sending = asyncio.create_task(harness.send('/summary/1'))
             await harness.wait_until(lambda: harness.log_lines('placed'))
             chosen = harness.log_lines('placed')[0]['generator']
-            harness.gateway.core.notices.record_answer(
+            harness.gateway.core.endpoints.notices.record_answer(
                 harness.gateway.core.roster.find_entry(chosen),
                 make_leaving_head(),
                 'request',
@@ -118,7 +118,7 @@
     async def check():
         async with run_gateway(tmp_path, plain=make_plain(1)) as harness:
             endpoint = harness.gateway.core.roster.find_entry('page-0')
-            harness.gateway.core.notices.record_answer(
+            harness.gateway.core.endpoints.notices.record_answer(
                 endpoint, make_leaving_head(misdirected=True), 'request'
             )
             status, _, _ = await harness.send('/archive/1', method='GET')
--- a/packages/verbenahall/tests/roster/test_roster.py
+++ b/packages/verbenahall/tests/roster/test_roster.py
@@ -193,8 +193,8 @@
 def test_announced_leaving_outlasts_later_entries():
     """An endpoint that leaves may still write that it is ready."""
     roster = make_roster()
-    assert record_leaving(roster, 'e1', 0)
-    assert not record_leaving(roster, 'e1', 0)
+    assert record_leaving(roster, ('e1', 0))
+    assert not record_leaving(roster, ('e1', 0))
     assert 'e1' not in live_names(roster, 1)
     apply_entry(roster, make_entry('e1', change=5))
     assert 'e1' not in live_names(roster, 2)
@@ -205,7 +205,7 @@
 def test_announced_leaving_outlasts_a_removal():
     """An entry that is written late lists a removed endpoint again."""
     roster = make_roster()
-    record_leaving(roster, 'e1', 0)
+    record_leaving(roster, ('e1', 0))
     apply_removal(roster, 'e1', now=1)
     apply_entry(roster, make_entry('e1', change=5))
     assert 'e1' not in live_names(roster, 2)
@@ -215,23 +215,23 @@
     """The answer to a request that was sent before the removal is late."""
     roster = make_roster()
     apply_removal(roster, 'e1', now=1)
-    assert record_leaving(roster, 'e1', 0)
+    assert record_leaving(roster, ('e1', 0))
     apply_entry(roster, make_entry('e1', change=5))
     assert 'e1' not in live_names(roster, 2)
 
 
 def test_next_incarnation_of_a_leaving_endpoint_is_used():
     roster = make_roster()
-    record_leaving(roster, 'e1', 0)
+    record_leaving(roster, ('e1', 0))
     apply_entry(roster, make_entry('e1', born=7))
     assert 'e1' in live_names(roster, 1)
     # A late answer of the previous incarnation says nothing about this one.
-    record_leaving(roster, 'e1', 0)
+    record_leaving(roster, ('e1', 0))
     assert 'e1' in live_names(roster, 2)
 
 
 def test_leaving_incarnations_are_bounded():
     roster = make_roster()
     for number in range(5000):
-        record_leaving(roster, f'gone-{number}', 0)
+        record_leaving(roster, (f'gone-{number}', 0))
     assert len(roster.announced) == 4096
--- a/packages/verbenahall/tests/scheduling/test_scheduler.py
+++ b/packages/verbenahall/tests/scheduling/test_scheduler.py
@@ -313,3 +313,56 @@
         scheduling.record_progress(
             state, scheduling.Released(key), service, now
         )
+
+
+def make_pair_fleet(state):
+    """Return a fleet with two decode engines."""
+    engines = (*ENGINES, make_entry('d1', Role.DECODE))
+    return Fleet(state.placement, engines, TRAITS, len(state.queue.waiting))
+
+
+@pytest.mark.parametrize(
+    ('unavailable', 'assigned'), [('d0', 'd1'), ('d1', 'd0')]
+)
+def test_backoff_binds_only_the_instance_that_was_refused(
+    state, unavailable, assigned
+):
+    """The scheduler assigned engines that its client might not use."""
+    fleet = make_pair_fleet(state)
+    for key, names in (('a', (unavailable,)), ('b', (assigned,))):
+        request = make_request(key, unavailable=names, due_s=9)
+        scheduling.receive_request(state, request, '', fleet, 0, RNG)
+    replies = scheduling.assign_waiting(state, fleet, 0, RNG)
+    engines = {
+        reply.message.key: reply.message.decode
+        for reply in replies
+        if isinstance(reply.message, scheduling.Assignment)
+    }
+    assert engines['a'] == assigned
+    assert engines.get('b', unavailable) == unavailable
+
+
+def test_request_is_rejected_at_once_if_no_engine_accepts_its_instance(state):
+    """In the queue it would wait until its caller leaves."""
+    request = make_request('a', unavailable=('d0',))
+    assert list_types(submit(state, request)) == [
+        ('10.0.0.1:7380', scheduling.Rejection)
+    ]
+
+
+def test_queued_request_is_rejected_when_its_last_engine_backs_off(state):
+    submit(state, make_request('busy', due_s=9))
+    while not state.queue.waiting:
+        submit(state, make_request(f'r{len(state.assigned)}', due_s=9))
+    key = state.queue.waiting[0].request_id
+    request = make_request(key, due_s=9, unavailable=('d0',))
+    assert list_types(submit(state, request, sender='other')) == [
+        ('other', scheduling.Rejection)
+    ]
+    assert not state.queue.waiting
+
+
+def test_unavailable_engines_are_sent_to_the_scheduler():
+    request = make_request('a', unavailable=('d0',))
+    decoded = scheduling.decode(scheduling.encode(request)).unwrap()
+    assert decoded.unavailable == ('d0',)
