Peers are told of endpoints whose answers say that they leave

What callers saw: requests through an instance that sends an endpoint little go there until its own first answer with the header, seconds after the others know.

Change: an instance whose answer says so tells its peers by a datagram, and repeats it for 20 s to two of them a second, so that those beyond a partition and those that start learn it too. A notice of an incarnation that is not listed, or junk, changes nothing.

--- a/packages/verbenahall/src/verbenahall/gateway/_endpoint_notices.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_endpoint_notices.py
@@ -1,6 +1,7 @@
 """Records what endpoints state about themselves in their answers."""
 
 import random
+from collections.abc import Callable
 from typing import Final, final
 
 from returns.maybe import Some
@@ -10,7 +11,7 @@
 from verbenahall.clock import Clock
 from verbenahall.gateway._hooks import format_incarnation
 from verbenahall.platform import AnswerHead
-from verbenahall.roster import Entry, Roster, record_leaving
+from verbenahall.roster import Entry, Incarnation, Roster, record_leaving
 
 #: Range of the random factor of a requested backoff: instances that were
 #: refused together must not return together, and none returns early.
@@ -21,7 +22,7 @@
 class EndpointNotices:
     """Records endpoints that announce their leaving or request a backoff."""
 
-    __slots__ = ('_backoffs', '_now', '_random', '_roster')
+    __slots__ = ('on_leaving', '_backoffs', '_now', '_random', '_roster')
 
     def __init__(
         self,
@@ -31,6 +32,8 @@
         now: Clock,
     ) -> None:
         """Record leaving endpoints in the roster, backoffs in their table."""
+        #: Called once for each incarnation whose answer says that it leaves.
+        self.on_leaving: Callable[[Incarnation], object] = bool
         self._roster = roster
         self._backoffs = backoffs
         self._random = rng
@@ -64,6 +67,7 @@
             endpoint=format_incarnation(endpoint),
             source=source,
         )
+        self.on_leaving(endpoint.incarnation)
 
     def _record_backoff(
         self, endpoint: Entry, answer_head: AnswerHead, source: str
--- a/packages/verbenahall/src/verbenahall/gateway/_serve.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_serve.py
@@ -20,6 +20,7 @@
 from verbenahall.gateway._dispatch import Dispatch
 from verbenahall.gateway._fleet_state_log import FleetStateLog
 from verbenahall.gateway._ingress import Ingress
+from verbenahall.gateway._leaving_notices import LeavingReplicator
 from verbenahall.gateway._orders import RoleController
 from verbenahall.gateway._peers import PeerFinder
 from verbenahall.gateway._permits import DistributedRateLimiter
@@ -87,6 +88,9 @@
         self.rate_limiter = DistributedRateLimiter(
             self.core, self.finder.exchange
         )
+        self.leaving_replicator = LeavingReplicator(
+            self.core, self.finder.exchange
+        )
         followers = make_followers(self.core, self.finder.exchange)
         self._followers = {one.handler.topic: one for one in followers}
         self._usage = make_usage_exchange(self.core, self.finder.exchange)
@@ -148,6 +152,7 @@
             'readiness': readiness.run,
             'crashes': self.crash_detector.run,
             'crash reports': self.crash_log_replicator.run,
+            'leaving notices': self.leaving_replicator.run,
             'permits': self.rate_limiter.run,
             'probes': EndpointProber(self.core).run,
             'beliefs': FleetStateLog(self.core).run,
--- a/packages/verbenahall/src/verbenahall/roster/__init__.py
+++ b/packages/verbenahall/src/verbenahall/roster/__init__.py
@@ -10,19 +10,29 @@
     record_store_outage,
 )
 from verbenahall.roster._messages import Entry, Incarnation, Listing
+from verbenahall.roster._notices import (
+    LeavingNotice,
+    apply_notice,
+    decode_notice,
+    encode_notice,
+)
 from verbenahall.roster._state import LAPSE_GRACE_S, Roster, RosterRules
 
 __all__ = (
     'Entry',
     'Incarnation',
     'LAPSE_GRACE_S',
+    'LeavingNotice',
     'Listing',
     'Roster',
     'RosterRules',
     'STORE_RECOVERY_S',
     'apply_entry',
     'apply_list',
+    'apply_notice',
     'apply_removal',
+    'decode_notice',
+    'encode_notice',
     'had_store_outage',
     'record_leaving',
     'record_store_outage',
