Retry-After of a lack of endpoints lies within the caller's time

What callers saw: with no engine left a caller that waits 3 s was told to come back after 2, the default of the kind; it needs two thirds of its time to be served.

Change: Attempts caps the Retry-After of overloaded and no_endpoint at a third of the time left, the share that placement and backoff use. Quarantine and others keep theirs.

Before: test_request_is_refused_at_once_if_all_endpoints_leave[/summary/1] fails with Retry-After 2 (bound 1).

--- a/packages/verbenahall/src/verbenahall/backoff/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/backoff/_decisions.py
@@ -3,14 +3,13 @@
 import random
 from typing import Final
 
+from verbenahall.errors import MAX_RETRY_SHARE
+
 #: Shortest Retry-After, in seconds.
 _MIN_RETRY_S: Final = 0.2
 #: Range over which the returns of callers of one priority are spread, in
 #: seconds. Callers of the next priority return after them.
 _SPREAD_S: Final = 0.2
-#: Longest Retry-After as a share of the caller's remaining time; the rest is
-#: needed to serve the retry.
-_MAX_RETRY_SHARE: Final = 1 / 3
 #: Lowest random factor of the longest Retry-After.
 _MIN_JITTER: Final = 0.75
 
@@ -28,5 +27,5 @@
     served, within ``caller_left_s``: another instance may serve them before.
     """
     delay_s = max(left_s, _MIN_RETRY_S) + _SPREAD_S * (priority + rng.random())
-    longest_s = caller_left_s * _MAX_RETRY_SHARE * rng.uniform(_MIN_JITTER, 1)
+    longest_s = caller_left_s * MAX_RETRY_SHARE * rng.uniform(_MIN_JITTER, 1)
     return max(0, min(delay_s, longest_s))
--- a/packages/verbenahall/src/verbenahall/errors.py
+++ b/packages/verbenahall/src/verbenahall/errors.py
@@ -93,6 +93,15 @@
 )
 
 
+#: Longest Retry-After as a share of the time until the caller leaves; the rest
+#: is needed to serve the retry.
+MAX_RETRY_SHARE: Final = 1 / 3
+#: Kinds of failure that may end while the caller waits.
+_TEMPORARY_KINDS: Final = frozenset(
+    (ErrorKind.OVERLOADED, ErrorKind.NO_ENDPOINT),
+)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Problem:
     """A failure: its kind and a message for people.
@@ -121,6 +130,19 @@
         )
 
 
+def limit_retry_after(problem: Problem, left_s: float) -> Problem:
+    """Return the problem with a Retry-After within the caller's time.
+
+    ``left_s`` is how long the caller still waits, in seconds. Only a lack of
+    endpoints may end before that; other kinds keep their Retry-After.
+    """
+    stated_s = problem.answer.retry_after_s
+    if problem.kind not in _TEMPORARY_KINDS or stated_s is None:
+        return problem
+    longest_s = max(0, left_s * MAX_RETRY_SHARE)
+    return dataclasses.replace(problem, retry_after_s=min(stated_s, longest_s))
+
+
 class VerbenahallError(Exception):
     """Base of every exception that this project raises."""
 
--- a/packages/verbenahall/src/verbenahall/gateway/_attempts.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_attempts.py
@@ -6,7 +6,7 @@
 from returns.result import Failure, Result
 
 from verbenahall import journal, metrics
-from verbenahall.errors import ErrorKind, Problem, Ran
+from verbenahall.errors import ErrorKind, Problem, Ran, limit_retry_after
 from verbenahall.gateway._answers import build_problem_response
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._messages import Call
@@ -102,6 +102,7 @@
         ``delivered`` means that the caller has part of an answer already.
         """
         call = self._call
+        problem = limit_retry_after(problem, call.left_s(self._core.now()))
         if self.runs and problem.answer.ran is Ran.NO:
             # The problem describes only the last attempt, but an earlier one
             # may have run the request. A caller that is informed that it has
--- a/packages/verbenahall/src/verbenahall/placement/_dispatch.py
+++ b/packages/verbenahall/src/verbenahall/placement/_dispatch.py
@@ -13,7 +13,7 @@
 
 from returns.result import Failure, Success
 
-from verbenahall.errors import ErrorKind, Problem, Ran
+from verbenahall.errors import MAX_RETRY_SHARE, ErrorKind, Problem, Ran
 from verbenahall.placement._decisions import find_preferred_engine
 from verbenahall.placement._queue import (
     Admitted,
@@ -25,9 +25,6 @@
 
 #: Shortest Retry-After of a refusal, in seconds.
 _MIN_RETRY_S: Final = 0.2
-#: Longest Retry-After as a share of the time until the caller leaves; the rest
-#: is needed to serve the retry.
-_MAX_RETRY_SHARE: Final = 1 / 3
 #: Range of the random factor of Retry-After.
 _RETRY_JITTER: Final = (0.75, 1.25)
 
@@ -175,7 +172,7 @@
     together.
     """
     wait_s = max(_estimate_wait_s(queue, pending, now), pending.slot_wait_s)
-    max_s = (pending.leaves_at - now) * _MAX_RETRY_SHARE
+    max_s = (pending.leaves_at - now) * MAX_RETRY_SHARE
     retry_s = max(_MIN_RETRY_S, min(wait_s, max_s))
     return Problem(
         ErrorKind.OVERLOADED,
--- a/packages/verbenahall/tests/gateway/test_announced_leaving.py
+++ b/packages/verbenahall/tests/gateway/test_announced_leaving.py
@@ -106,8 +106,10 @@
             await harness.send(path, 'r-1')
             for number in range(2, 6):
                 started = time.monotonic()
-                status, _, _ = await harness.send(path, f'r-{number}')
+                status, headers, _ = await harness.send(path, f'r-{number}')
                 assert (status, time.monotonic() - started < 0.3) == (503, True)
+                # The caller waits three seconds, and returns within a third.
+                assert 0 < float(headers['Retry-After']) <= 1
 
     run(check())
 
