Answers to callers carry no header that an endpoint states about itself

What callers saw: Server-Leaving, Server-Limit and the endpoint's Retry-After of a 503 that is passed on. They speak to the system that sends to this endpoint; a caller's next request may go to another one.

Change: the adapter strips them from answers; Retry-After stays on other statuses, where it belongs to the service's own answer.

The test of it fails without the change (the function is new; the three headers were in the answer).

--- a/packages/verbenahall/src/verbenahall/gateway/_relay.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_relay.py
@@ -10,7 +10,7 @@
 from verbenahall.clock import Clock
 from verbenahall.gateway._events import EventState, feed
 from verbenahall.gateway._messages import Call, StreamTiming
-from verbenahall.platform import strip_hop_headers
+from verbenahall.platform import strip_answer_headers
 
 #: Idle time after which a resumable stream is resumed on another engine, as a
 #: multiple of the route's longest gap between events, and its minimum in
@@ -126,7 +126,9 @@
             self._response = web.StreamResponse(
                 status=response.status,
                 reason=response.reason,
-                headers=strip_hop_headers(response.raw_headers),
+                headers=strip_answer_headers(
+                    response.status, response.raw_headers
+                ),
             )
             self._response.enable_chunked_encoding()
             await self._response.prepare(self._request)
--- a/packages/verbenahall/src/verbenahall/gateway/_sender.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_sender.py
@@ -24,7 +24,7 @@
     SendOptions,
     build_send_headers,
     read_answer_head,
-    strip_hop_headers,
+    strip_answer_headers,
 )
 from verbenahall.requests import (
     Broken,
@@ -165,7 +165,7 @@
             Answered(
                 response.status,
                 response.reason or '',
-                strip_hop_headers(response.raw_headers),
+                strip_answer_headers(response.status, response.raw_headers),
                 body,
             ),
         )
--- a/packages/verbenahall/src/verbenahall/platform/__init__.py
+++ b/packages/verbenahall/src/verbenahall/platform/__init__.py
@@ -34,6 +34,7 @@
     read_answer_head,
     read_event_number,
     read_request_head,
+    strip_answer_headers,
     strip_hop_headers,
 )
 from verbenahall.platform._manifest import decode_manifest
@@ -138,5 +139,6 @@
     'read_event_number',
     'read_request_head',
     'read_settings',
+    'strip_answer_headers',
     'strip_hop_headers',
 )
--- a/packages/verbenahall/src/verbenahall/platform/_headers.py
+++ b/packages/verbenahall/src/verbenahall/platform/_headers.py
@@ -154,6 +154,19 @@
     return CIMultiDict(pair for pair in pairs if pair[0].lower() not in dropped)
 
 
+def strip_answer_headers(status: int, raw: RawHeaders) -> CIMultiDict[str]:
+    """Return the headers of an endpoint's answer that callers get.
+
+    What an endpoint states about itself concerns this system only. That
+    includes the Retry-After of a refusal: a caller's next request may go to
+    another endpoint.
+    """
+    headers = strip_hop_headers(raw, names.ENDPOINT_HEADERS)
+    if status == _UNAVAILABLE:
+        headers.popall(names.RETRY_AFTER, None)
+    return headers
+
+
 def read_answer_head(status: int, headers: Mapping[str, str]) -> AnswerHead:
     """Decode the headers of an endpoint's answer."""
     all_headers = CIMultiDict(headers)
--- a/packages/verbenahall/src/verbenahall/platform/_names.py
+++ b/packages/verbenahall/src/verbenahall/platform/_names.py
@@ -61,6 +61,9 @@
     )
 )
 
+#: Headers of answers that are meant for this system, not for callers.
+ENDPOINT_HEADERS: Final = frozenset(name.lower() for name in (*LEAVING, *RATES))
+
 # Calls to endpoints.
 REPORT: Final = '/-/report'
 ORDER: Final = '/-/order'
--- a/packages/verbenahall/tests/platform/test_wire.py
+++ b/packages/verbenahall/tests/platform/test_wire.py
@@ -23,6 +23,7 @@
     read_answer_head,
     read_request_head,
     read_settings,
+    strip_answer_headers,
     strip_hop_headers,
 )
 from verbenahall.platform._records import (
@@ -300,6 +301,19 @@
     assert not read_answer_head(200, headers).retry_after
 
 
+@pytest.mark.parametrize(
+    ('status', 'kept'), [(503, ['X-B']), (202, ['Retry-After', 'X-B'])]
+)
+def test_callers_do_not_get_what_endpoints_state_about_themselves(status, kept):
+    raw = [
+        (b'server-leaving', b'1'),
+        (b'Server-Limit', b'2.5'),
+        (b'Retry-After', b'3'),
+        (b'X-B', b'2'),
+    ]
+    assert list(strip_answer_headers(status, raw)) == kept
+
+
 def test_report_and_prefill_result_are_decoded():
     report = decode_report(
         b'{"stage":"decode","busy":false,"seq":2,"waiting":1,"running":12}',
