Soak: endpoints that say that they leave, and refusals with a backoff

Endpoints say in their answers that they leave while their entry says ready, are replaced later, or refuse everything and state for how long; in series, beside the faults that were drawn before, whose draws do not change. The new check goes by what endpoints receive: none to one that leaves 2 s after an answer of it was passed on, two in a backoff after half a second, for each instance; a restart or freeze of it and a fault of the link to the endpoint excuse it.

Plain stand-ins answer 421 to requests for another incarnation.

--- a/packages/standins/src/verbenahall_standins/platform/_engine.py
+++ b/packages/standins/src/verbenahall_standins/platform/_engine.py
@@ -110,6 +110,7 @@
         old_name = self.name
         base, _, _ = old_name.partition('.')
         self.name = f'{base}.{self.crashes}'
+        self.notices.restart()
         await self.start(int(self.address.rpartition(':')[2]))
         self.restarted(self, old_name)
 
--- a/packages/standins/src/verbenahall_standins/platform/_notices.py
+++ b/packages/standins/src/verbenahall_standins/platform/_notices.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 _REQUEST_ID: Final = 'X-Verbenahall-Request-Id'
+_STAMP: Final = 'X-Verbenahall-Server-Stamp'
 _LEAVING: Final = 'Server-Leaving'
 _RETRY_AFTER: Final = 'Retry-After'
 _UNAVAILABLE: Final = 503
@@ -14,24 +15,31 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Arrival:
-    """A request that reached the endpoint, in monotonic seconds."""
+    """A request that reached the endpoint, in monotonic seconds.
+
+    ``start`` counts the endpoint's starts.
+    """
 
     at: float
     request_id: str
     path: str
+    start: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Notice:
     """An answer that stated something; ``at`` is in monotonic seconds.
 
-    ``backoff_s`` is the requested backoff in seconds, 0 for none.
+    ``backoff_s`` is the requested backoff in seconds, 0 for none, and ``stamp``
+    the signature of the answer, if it has one.
     """
 
     at: float
     request_id: str
     leaving: bool
     backoff_s: float
+    start: int
+    stamp: str
 
 
 @final
@@ -41,7 +49,8 @@
     With ``leaving`` every answer states that the endpoint leaves. Each value
     of ``retry_after`` is a Retry-After header of refusals (503) with the
     meaning ``backoff_s``. ``arrivals`` holds all requests and control calls,
-    ``sent`` the answers with such a header.
+    ``sent`` the answers with such a header. ``start`` counts the endpoint's
+    starts, since its next incarnation has other notices.
     """
 
     def __init__(self) -> None:
@@ -49,6 +58,7 @@
         self.leaving = False
         self.retry_after: tuple[str, ...] = ()
         self.backoff_s: float = 0
+        self.start = 0
         self.arrivals: list[Arrival] = []
         self.sent: list[Notice] = []
 
@@ -57,6 +67,12 @@
         self.backoff_s = seconds
         self.retry_after = (str(seconds),) if seconds else ()
 
+    def restart(self) -> None:
+        """Begin without headers, as the endpoint's next incarnation."""
+        self.leaving = False
+        self.request_backoff(0)
+        self.start += 1
+
     def install(self, app: web.Application) -> None:
         """Observe the requests and answers of an application."""
         app.middlewares.append(self._record_arrival)
@@ -71,6 +87,7 @@
                 time.monotonic(),
                 request.headers.get(_REQUEST_ID, ''),
                 request.path,
+                self.start,
             )
         )
         return await handler(request)
@@ -88,5 +105,12 @@
         if self.leaving or backoff_s:
             request_id = request.headers.get(_REQUEST_ID, '')
             self.sent.append(
-                Notice(time.monotonic(), request_id, self.leaving, backoff_s)
+                Notice(
+                    time.monotonic(),
+                    request_id,
+                    self.leaving,
+                    backoff_s,
+                    self.start,
+                    response.headers.get(_STAMP, ''),
+                )
             )
--- a/packages/standins/src/verbenahall_standins/platform/_plain.py
+++ b/packages/standins/src/verbenahall_standins/platform/_plain.py
@@ -58,6 +58,9 @@
     async def _serve(self, request: web.Request) -> web.Response:
         self.arrivals.append(time.monotonic())
         body = await request.read()
+        expected = request.headers.get(f'{_PREFIX}Expect-Instance', self.name)
+        if expected != self.name:
+            return web.Response(status=421)
         rate_header = {} if self.rate is None else {'Server-Limit': self.rate}
         if self.refuses:
             headers = {f'{_PREFIX}Not-Run': '1', **rate_header}
--- a/packages/standins/src/verbenahall_standins/soak/_actions.py
+++ b/packages/standins/src/verbenahall_standins/soak/_actions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import time
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from http import HTTPStatus
 from types import MappingProxyType
@@ -9,10 +10,13 @@
 
 from verbenahall_standins.soak._deployment import Deployment
 from verbenahall_standins.soak._instances import Instance
-from verbenahall_standins.soak._plan import Event, Kind
+from verbenahall_standins.soak._notices import LinkFault
+from verbenahall_standins.soak._plan import LEAVING_S, Event, Kind
 from verbenahall_standins.soak._proxy import Link, Proxy
 
 _LINKS: Final = (Link.SLOW, Link.RESET, Link.ONE_WAY, Link.SILENT)
+#: Backoffs that endpoints request, in seconds.
+_BACKOFFS_S: Final = (3.0, 1.0, 2.0, 0.25)
 #: One in this many store link faults affects all instances.
 _SHARED_EVERY: Final = 3
 
@@ -23,8 +27,12 @@
 
 
 async def _disturb_endpoint_link(deployment: Deployment, event: Event) -> None:
-    links = tuple(deployment.links.values())
-    await _disturb_links([_select(links, event)], event)
+    endpoint = _select(deployment.endpoints, event)
+    started_at = time.monotonic()
+    await _disturb_links([deployment.links[endpoint.name]], event)
+    deployment.link_faults.append(
+        LinkFault(endpoint.notices, started_at, time.monotonic())
+    )
 
 
 async def _disturb_store_link(deployment: Deployment, event: Event) -> None:
@@ -87,6 +95,32 @@
     setattr(target, name, normal)
 
 
+async def _leave(deployment: Deployment, event: Event) -> None:
+    """Let an endpoint say in its answers that it leaves, then replace it.
+
+    Its entry in the store does not change until then.
+    """
+    endpoint = _select(deployment.endpoints, event)
+    if endpoint.notices.leaving:
+        return
+    endpoint.notices.leaving = True
+    await asyncio.sleep(LEAVING_S + event.for_s)
+    deployment.replace_endpoint(endpoint)
+
+
+async def _request_backoffs(deployment: Deployment, event: Event) -> None:
+    """Let an endpoint refuse everything and state for how long."""
+    endpoint = _select(deployment.endpoints, event)
+    endpoint.notices.request_backoff(
+        _BACKOFFS_S[event.shape % len(_BACKOFFS_S)]
+    )
+    target, name = (
+        (endpoint.faults, 'full') if endpoint.role else (endpoint, 'refuses')
+    )
+    await _set_temporarily(target, name, True, False, event)
+    endpoint.notices.request_backoff(0)
+
+
 async def _freeze(deployment: Deployment, event: Event) -> None:
     await _select_instance(deployment, event).freeze(event.for_s)
 
@@ -148,5 +182,7 @@
         Kind.DUTIES_LATE: _delay_duties,
         Kind.DUTIES_SILENT: _ignore_duties,
         Kind.ENGINE_SILENT: _silence_engine,
+        Kind.ENDPOINT_LEAVES: _leave,
+        Kind.ENDPOINT_BACKS_OFF: _request_backoffs,
     },
 )
--- a/packages/standins/src/verbenahall_standins/soak/_callers.py
+++ b/packages/standins/src/verbenahall_standins/soak/_callers.py
@@ -1,6 +1,7 @@
 """Callers of one instance, and records of their requests."""
 
 import asyncio
+import dataclasses
 import itertools
 import time
 from collections.abc import Callable, Mapping
@@ -14,7 +15,7 @@
 
 _PREFIX: Final = 'X-Verbenahall-'
 _DEADLINE_S: Final = 2.0
-_DEADLINE_MS: Final = '2000'
+
 #: Timeout of a caller, in seconds; far beyond the request's deadline.
 _TIMEOUT_S: Final = 6.0
 _PAUSE_S: Final = 0.1
@@ -129,7 +130,7 @@
         key = key or self._get_key()
         subject = next(self._subjects[path]) if path in _MODEL_PATHS else ''
         headers = self._make_headers(request_id, key, subject)
-        status, complete = await self._exchange(method, path, headers)
+        answer = await self._exchange(method, path, headers)
         ended_at = time.monotonic()
         record = Record(
             request_id=request_id,
@@ -137,13 +138,16 @@
             sent_at=sent_at,
             ended_at=ended_at,
             wait_s=_DEADLINE_S,
-            status=status,
-            complete=complete,
+            status=answer.status,
+            complete=answer.complete,
             repeatable=repeatable,
-            disturbed=self._instance.was_disturbed(sent_at, ended_at, status),
+            disturbed=self._instance.was_disturbed(
+                sent_at, ended_at, answer.status
+            ),
             version=version,
             path=path,
             subject=subject,
+            stamp=answer.stamp,
         )
         self.records.append(record)
         return record
@@ -167,7 +171,7 @@
         method: str,
         path: str,
         headers: Mapping[str, str],
-    ) -> tuple[int, bool]:
+    ) -> '_Answer':
         url = f'http://{self._instance.settings.callers}{path}'
         status = 0
         try:
@@ -179,9 +183,22 @@
                 ) as response:
                     status = TRUNCATED
                     body = await response.text()
-                    return response.status, _is_complete(response.headers, body)
+                    return _Answer(
+                        response.status,
+                        _is_complete(response.headers, body),
+                        response.headers.get(f'{_PREFIX}Server-Stamp', ''),
+                    )
         except (aiohttp.ClientError, OSError, TimeoutError):
-            return status, False
+            return _Answer(status)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answer:
+    """What a caller got; the fields are those of ``Record``."""
+
+    status: int
+    complete: bool = False
+    stamp: str = ''
 
 
 def _is_complete(headers: object, body: str) -> bool:
--- a/packages/standins/src/verbenahall_standins/soak/_deployment.py
+++ b/packages/standins/src/verbenahall_standins/soak/_deployment.py
@@ -17,6 +17,7 @@
 )
 from verbenahall_standins.soak._callers import Callers
 from verbenahall_standins.soak._instances import Instance
+from verbenahall_standins.soak._notices import LinkFault
 from verbenahall_standins.soak._proxy import Proxy
 
 _PLAIN: Final = 2
@@ -53,6 +54,7 @@
         self.duties = DutyStandIn(self.site)
         self.version = 1
         self.links: dict[str, Proxy] = {}
+        self.link_faults: list[LinkFault] = []
         self.store_links: list[Proxy] = []
         self.instances: list[Instance] = []
         self.callers: list[Callers] = []
@@ -95,6 +97,25 @@
                     self._list_endpoint(engine)
             await asyncio.sleep(_POLL_S)
 
+    def replace_endpoint(self, endpoint: EngineStandIn | PlainStandIn) -> None:
+        """Replace an endpoint by its next incarnation at the same address."""
+        old_name = endpoint.name
+        self.site.unlist(old_name)
+        endpoint.notices.restart()
+        base, _, _ = old_name.partition('.')
+        endpoint.name = f'{base}.{endpoint.notices.start}'
+        self.links[endpoint.name] = self.links.pop(old_name)
+        self._listed_roles.pop(old_name)
+        self._list_endpoint(endpoint)
+
+    def was_disturbed(self, name: str, start: float, end: float) -> bool:
+        """Whether an instance was restarted or frozen between two times."""
+        return any(
+            instance.was_restarted(start, end)
+            for instance in self.instances
+            if instance.name == name
+        )
+
     def publish(self) -> None:
         """Publish a manifest with one more route."""
         self.version += 1
--- a/packages/standins/src/verbenahall_standins/soak/_instances.py
+++ b/packages/standins/src/verbenahall_standins/soak/_instances.py
@@ -124,6 +124,13 @@
             if not disturbance.graceful or not status
         )
 
+    def was_restarted(self, start: float, end: float) -> bool:
+        """Whether the process was restarted or frozen between two times."""
+        return any(
+            disturbance.started_at <= end and start <= disturbance.ended_at
+            for disturbance in self._disturbances
+        )
+
     def _add_disturbance(self, *, graceful: bool) -> _Disturbance:
         disturbance = _Disturbance(time.monotonic(), graceful)
         self._disturbances.append(disturbance)
--- a/packages/standins/src/verbenahall_standins/soak/_plan.py
+++ b/packages/standins/src/verbenahall_standins/soak/_plan.py
@@ -38,6 +38,9 @@
     DUTIES_SILENT = 'duties_silent'
     #: Not drawn by weight; see ``_draw_silent_engines``.
     ENGINE_SILENT = 'engine_silent'
+    #: Not drawn by weight; see ``_draw_notices``.
+    ENDPOINT_LEAVES = 'endpoint_leaves'
+    ENDPOINT_BACKS_OFF = 'endpoint_backs_off'
 
 
 #: Relative frequency of each kind.
@@ -65,6 +68,12 @@
 #: engine again and again.
 _SILENT_INTERVAL_S: Final = 10.0
 _MAX_SILENT_S: Final = 9.0
+#: Interval at which an endpoint begins to leave or to refuse with a backoff, in
+#: seconds; several of them overlap.
+_NOTICE_INTERVAL_S: Final = 2.0
+#: Time in which an endpoint that leaves still serves, beyond the event, in
+#: seconds: longer than requests may still arrive there.
+LEAVING_S: Final = 2.5
 #: Upper bound of drawn numbers; far above the number of targets.
 _DRAW_LIMIT: Final = 65_536
 
@@ -96,6 +105,7 @@
     count = max(1, round((latest_start - _QUIET_S) * _FAULTS_PER_S))
     events = [_draw_event(rng, latest_start) for _ in range(count)]
     events.extend(_draw_silent_engines(seed, seconds))
+    events.extend(_draw_notices(seed, latest_start))
     return sorted(events, key=lambda event: event.at)
 
 
@@ -114,6 +124,21 @@
         )
 
 
+def _draw_notices(seed: int, latest_start: float) -> Iterator[Event]:
+    """Draw endpoints that leave or back off; the other draws don't change."""
+    rng = random.Random(f'notices {seed}')
+    at = _QUIET_S
+    while at < latest_start:
+        yield Event(
+            at=at,
+            kind=rng.choice((Kind.ENDPOINT_LEAVES, Kind.ENDPOINT_BACKS_OFF)),
+            for_s=rng.uniform(_MIN_FAULT_S, _MAX_FAULT_S),
+            target_draw=rng.randrange(_DRAW_LIMIT),
+            shape=rng.randrange(_DRAW_LIMIT),
+        )
+        at += rng.uniform(0, 2 * _NOTICE_INTERVAL_S)
+
+
 def _draw_event(rng: random.Random, latest_start: float) -> Event:
     kinds = list(_WEIGHTS)
     weights = list(_WEIGHTS.values())
--- a/packages/standins/src/verbenahall_standins/soak/_records.py
+++ b/packages/standins/src/verbenahall_standins/soak/_records.py
@@ -11,7 +11,8 @@
     complete answer, ``disturbed`` if the instance was stopped, frozen or
     killed meanwhile. ``version`` is the manifest version that added the
     request's route, 0 for a route that every version has. ``subject`` is the
-    shared part of the prompt, empty for requests without one.
+    shared part of the prompt, empty for requests without one. ``stamp`` is the
+    signature of the endpoint that answered.
     """
 
     request_id: str
@@ -26,3 +27,4 @@
     version: int = 0
     path: str = ''
     subject: str = ''
+    stamp: str = ''
--- a/packages/standins/src/verbenahall_standins/soak/_run.py
+++ b/packages/standins/src/verbenahall_standins/soak/_run.py
@@ -13,6 +13,7 @@
 from verbenahall_standins.soak._actions import run_event
 from verbenahall_standins.soak._checks import find_violations
 from verbenahall_standins.soak._deployment import WORKSPACE, Deployment
+from verbenahall_standins.soak._notices import find_unheeded_notices
 from verbenahall_standins.soak._plan import Event, draw_plan
 from verbenahall_standins.soak._records import Record
 
@@ -98,7 +99,16 @@
         for code in instance.exit_codes
         if code
     ]
-    return [*find_violations(records, runs, orders), *ends]
+    return [
+        *find_violations(records, runs, orders),
+        *find_unheeded_notices(
+            {one.name: one.notices for one in deployment.endpoints},
+            records,
+            deployment.link_faults,
+            deployment.was_disturbed,
+        ),
+        *ends,
+    ]
 
 
 def _check_revoked_key(answered: Sequence[Record]) -> list[str]:
