--- a/packages/standins/src/verbenahall_standins/soak/__init__.py
+++ b/packages/standins/src/verbenahall_standins/soak/__init__.py
@@ -1,6 +1,10 @@
 """Soak test: real instances under random faults, with checked guarantees."""
 
 from verbenahall_standins.soak._checks import find_violations
+from verbenahall_standins.soak._notices import (
+    LinkFault,
+    find_unheeded_notices,
+)
 from verbenahall_standins.soak._plan import Event, Kind, draw_plan
 from verbenahall_standins.soak._proxy import Link, Proxy
 from verbenahall_standins.soak._records import Record
@@ -10,9 +14,11 @@
     'Event',
     'Kind',
     'Link',
+    'LinkFault',
     'Proxy',
     'Record',
     'draw_plan',
+    'find_unheeded_notices',
     'find_violations',
     'run_soak',
 )
--- a/packages/standins/src/verbenahall_standins/soak/_actions.py
+++ b/packages/standins/src/verbenahall_standins/soak/_actions.py
@@ -1,6 +1,7 @@
 """Applies the events of a plan to a deployment."""
 
 import asyncio
+import dataclasses
 import signal
 import time
 from collections.abc import Awaitable, Callable, Mapping, Sequence
@@ -16,7 +17,7 @@
 
 _LINKS: Final = (Link.SLOW, Link.RESET, Link.ONE_WAY, Link.SILENT)
 #: Backoffs that endpoints request, in seconds.
-_BACKOFFS_S: Final = (3.0, 1.0, 2.0, 0.25)
+_BACKOFFS_S: Final = (3.0, 2.0, 3.0, 0.25)
 #: One in this many store link faults affects all instances.
 _SHARED_EVERY: Final = 3
 
@@ -109,15 +110,18 @@
 
 
 async def _request_backoffs(deployment: Deployment, event: Event) -> None:
-    """Let an endpoint refuse everything and state for how long."""
+    """Let an endpoint refuse everything and state for how long.
+
+    It refuses for longer than a backoff, so that it is met again at the end.
+    """
     endpoint = _select(deployment.endpoints, event)
-    endpoint.notices.request_backoff(
-        _BACKOFFS_S[event.shape % len(_BACKOFFS_S)]
-    )
-    target, name = (
-        (endpoint.faults, 'full') if endpoint.role else (endpoint, 'refuses')
-    )
-    await _set_temporarily(target, name, True, False, event)
+    backoff_s = _BACKOFFS_S[event.shape % len(_BACKOFFS_S)]
+    longer = dataclasses.replace(event, for_s=event.for_s + backoff_s)
+    endpoint.notices.request_backoff(backoff_s)
+    if endpoint.role:
+        await _set_temporarily(endpoint.faults, 'full', True, False, longer)
+    else:
+        await _set_temporarily(endpoint, 'refuses', True, False, longer)
     endpoint.notices.request_backoff(0)
 
 
--- a/packages/standins/tests/soak/test_soak.py
+++ b/packages/standins/tests/soak/test_soak.py
@@ -6,11 +6,14 @@
 
 import pytest
 
+from verbenahall_standins.platform import Arrival, Notice, Notices
 from verbenahall_standins.soak import (
     Link,
+    LinkFault,
     Proxy,
     Record,
     draw_plan,
+    find_unheeded_notices,
     find_violations,
     run_soak,
 )
@@ -128,6 +131,62 @@
     assert find_violations([], {}, orders)
 
 
+STAMP = 'stand-in-page-0'
+
+
+def make_notices(*arrivals_at, leaving=False, backoff_s=0):
+    """Return an endpoint's notice to a request, and its arrivals since.
+
+    The notice is sent at second 0 to the request 0 of an instance, which sends
+    all that arrive.
+    """
+    notices = Notices()
+    stamp = STAMP if leaving else ''
+    notices.sent.append(Notice(0, '0', leaving, backoff_s, 0, stamp))
+    notices.arrivals.extend(
+        Arrival(at, str(number), '/', 0)
+        for number, at in enumerate((0, *arrivals_at))
+    )
+    records = [
+        change(request_id=one.request_id, sent_at=one.at, stamp=stamp)
+        for one in notices.arrivals
+    ]
+    return notices, records
+
+
+def find_unheeded(notices, records, faults=(), *, disturbed=False):
+    """Return the violations of a notice."""
+    return list(
+        find_unheeded_notices(
+            {'page-0': notices}, records, faults, lambda *_: disturbed
+        )
+    )
+
+
+def test_request_to_a_leaving_endpoint_is_found():
+    notices, records = make_notices(1.9, 2.1, leaving=True)
+    assert find_unheeded(notices, records)
+    assert not find_unheeded(notices, records, disturbed=True)
+    assert not find_unheeded(notices, records, [LinkFault(notices, 1, 1.5)])
+    other = dataclasses.replace(records[0], stamp='stand-in-page-1')
+    assert not find_unheeded(notices, [other, *records[1:]])
+
+
+def test_requests_in_a_backoff_are_found():
+    notices, records = make_notices(0.4, 0.6, 1, 1.5, backoff_s=2)
+    assert find_unheeded(notices, records)
+    notices, records = make_notices(0.4, 0.6, 1, 2.1, 3, backoff_s=2)
+    assert not find_unheeded(notices, records)
+
+
+def test_next_incarnation_is_not_bound_by_a_notice():
+    notices, records = make_notices(1, 2.1, 2.2, 2.3, leaving=True, backoff_s=9)
+    notices.arrivals[1:] = [
+        dataclasses.replace(one, start=1) for one in notices.arrivals[1:]
+    ]
+    assert not find_unheeded(notices, records)
+
+
 @pytest.mark.parametrize(
     ('link', 'arrives', 'returns'),
     [
