Backoff: a trial that is answered late does not end the next backoff

What callers would see: an endpoint that had requested a second backoff got up to 38 requests of one instance in it.

Cause: the slow start ends with its ninth accepted request. A tenth that was sent before and answered later removed the record by its key, which by then was that of the next backoff.

--- a/packages/verbenahall/src/verbenahall/backoff/_state.py
+++ b/packages/verbenahall/src/verbenahall/backoff/_state.py
@@ -116,10 +116,11 @@
             return
         trial.is_open = False
         trial.backoff.unanswered -= 1
-        if accepted and trial.backoff.until == trial.until:
+        is_current = self._backoffs.get(incarnation) is trial.backoff
+        if accepted and is_current and trial.backoff.until == trial.until:
             trial.backoff.limit += 1
             if trial.backoff.limit >= _RECOVERED_LIMIT:
-                self._backoffs.pop(incarnation, None)
+                self._backoffs.pop(incarnation)
 
     def _remove_expired(self, now: float) -> None:
         expired = [
--- a/packages/verbenahall/tests/backoff/test_backoff_table.py
+++ b/packages/verbenahall/tests/backoff/test_backoff_table.py
@@ -59,6 +59,16 @@
     assert not table.may_send(ENGINE, 8)
 
 
+def test_late_trial_of_an_ended_backoff_does_not_end_the_next_one():
+    """More trials than the limit needs may be accepted, the last one late."""
+    table = make_table()
+    trial = table.begin_trial(ENGINE)
+    accept_sends(table, 8)
+    table.record_request(ENGINE, 3, 5)
+    table.end_trial(ENGINE, trial, accepted=True)
+    assert not table.may_send(ENGINE, 6)
+
+
 def test_endpoint_gets_few_requests_first():
     """All requests that waited for the end would be refused together."""
     table = make_table()
