Product's own interface: a refused endpoint's Retry-After is observed

Change: the backoff comes with the outcome, is kept by incarnation, and candidates leave it out. If all of a service's or a model's endpoints back off, the request is refused at once as overloaded, with the time until the first of them ends.

--- a/packages/verbenahall/src/verbenahall/backoff/_state.py
+++ b/packages/verbenahall/src/verbenahall/backoff/_state.py
@@ -1,9 +1,8 @@
 """The backoffs that endpoints have requested from this instance."""
 
+from collections.abc import Hashable
 from typing import Final, final
 
-from verbenahall.roster import Incarnation
-
 #: Most unanswered sends to an endpoint directly after its backoff. Each request
 #: that it accepts allows one more (slow start).
 _FIRST_LIMIT: Final = 1
@@ -61,10 +60,10 @@
 
     def __init__(self) -> None:
         """Start without backoffs."""
-        self._backoffs: dict[Incarnation, Backoff] = {}
+        self._backoffs: dict[Hashable, Backoff] = {}
 
     def record_request(
-        self, incarnation: Incarnation, for_s: float, now: float
+        self, incarnation: Hashable, for_s: float, now: float
     ) -> None:
         """Record that an endpoint requests a backoff.
 
@@ -77,19 +76,19 @@
         backoff.limit = _FIRST_LIMIT
         self._backoffs[incarnation] = backoff
 
-    def find_left_s(self, incarnation: Incarnation, now: float) -> float:
+    def find_left_s(self, incarnation: Hashable, now: float) -> float:
         """Return the rest of an endpoint's backoff in seconds, 0 for none."""
         backoff = self._backoffs.get(incarnation)
         return max(0, backoff.until - now) if backoff else 0
 
-    def may_send(self, incarnation: Incarnation, now: float) -> bool:
+    def may_send(self, incarnation: Hashable, now: float) -> bool:
         """Whether neither a backoff nor the slow start after it forbids it."""
         backoff = self._backoffs.get(incarnation)
         if backoff is None:
             return True
         return now >= backoff.until and backoff.unanswered < backoff.limit
 
-    def begin_trial(self, incarnation: Incarnation) -> Trial | None:
+    def begin_trial(self, incarnation: Hashable) -> Trial | None:
         """Count a send if the endpoint is in its slow start, else None.
 
         The calling code must pass the trial to ``end_trial``.
@@ -102,7 +101,7 @@
 
     def end_trial(
         self,
-        incarnation: Incarnation,
+        incarnation: Hashable,
         trial: Trial | None,
         *,
         accepted: bool = False,
--- a/packages/verbenahall/src/verbenahall/front/_attempts.py
+++ b/packages/verbenahall/src/verbenahall/front/_attempts.py
@@ -123,7 +123,7 @@
             # cancelled; without a cancel call the engine would keep working.
             if may_still_run(result):
                 sender.cancel(placed)
-        record_outcome(self._dependencies, placed.endpoint.name, result)
+        record_outcome(self._dependencies, placed.endpoint, result)
         return result
 
     async def _send(
--- a/packages/verbenahall/src/verbenahall/front/_dependencies.py
+++ b/packages/verbenahall/src/verbenahall/front/_dependencies.py
@@ -7,6 +7,7 @@
 
 from returns.result import Result
 
+from verbenahall.backoff import BackoffTable
 from verbenahall.clock import Clock, monotonic
 from verbenahall.errors import Problem
 from verbenahall.fleet import Endpoint, EndpointKind, EndpointStatus
@@ -63,7 +64,8 @@
     of a call; ``release(workspace, key, offset)`` releases it if the call
     certainly never ran. ``record_demand(model, prompt_tokens, output_tokens)``
     is called for each request for a known model. ``check_ready()`` returns why
-    the instance takes no requests, or None. ``rng`` has a different seed on
+    the instance takes no requests, or None. ``backoffs`` holds what endpoints
+    have requested from this instance. ``rng`` has a different seed on
     each instance.
     """
 
@@ -82,3 +84,4 @@
     clock: Clock = monotonic
     record_demand: Callable[[str, int, int], None] = ignore_demand
     release: Callable[[str, str, int], None] = ignore_release
+    backoffs: BackoffTable = dataclasses.field(default_factory=BackoffTable)
--- a/packages/verbenahall/src/verbenahall/front/_endpoints.py
+++ b/packages/verbenahall/src/verbenahall/front/_endpoints.py
@@ -8,6 +8,7 @@
 from multidict import CIMultiDictProxy
 from yarl import URL
 
+from verbenahall.backoff import read_retry_after
 from verbenahall.fleet import Endpoint
 from verbenahall.front._messages import RequestHead
 from verbenahall.load import Report, parse_report
@@ -16,6 +17,7 @@
 #: Exceptions of the HTTP client; ``TimeoutError`` is an ``OSError``.
 CLIENT_ERRORS: Final = (aiohttp.ClientError, OSError)
 _NOT_STARTED_HEADER: Final = 'X-Not-Started'
+_RETRY_AFTER_HEADER: Final = 'Retry-After'
 _LOAD_HEADER: Final = 'X-Load'
 _MS_PER_S: Final = 1000
 _SERVER_ERROR: Final = 500
@@ -87,7 +89,11 @@
 def classify_status(answer: aiohttp.ClientResponse) -> Outcome | None:
     """Return the failure that the status stands for, or None."""
     if _NOT_STARTED_HEADER in answer.headers:
-        return Refused(answer.status)
+        backoff = read_retry_after(
+            answer.headers.getall(_RETRY_AFTER_HEADER, ()),
+            answer.headers.get('Date', ''),
+        )
+        return Refused(answer.status, backoff.value_or(0))
     if answer.status >= _SERVER_ERROR:
         return Broken(f'status {answer.status}', answered=True)
     return None
--- a/packages/verbenahall/src/verbenahall/front/_fleet.py
+++ b/packages/verbenahall/src/verbenahall/front/_fleet.py
@@ -9,9 +9,10 @@
 
 from verbenahall.admission import AdmissionLimits
 from verbenahall.config import InstanceConfig
-from verbenahall.errors import ErrorKind, Problem
+from verbenahall.errors import ErrorKind, Problem, Ran
 from verbenahall.fleet import Endpoint, EndpointKind, Role
 from verbenahall.front._dependencies import FrontDependencies
+from verbenahall.front._feedback import get_key
 from verbenahall.front._messages import Call, ModelCall
 from verbenahall.routing import Candidate, select_subset
 
@@ -63,12 +64,11 @@
             return cached
         if len(self._cache) >= _MAX_CACHED_LISTS:
             self._cache.clear()
-        service, model, adapter = requirement
-        candidates = (
-            self._list_services(service, now)
-            if service
-            else self._list_engines(model, adapter, now)
-        )
+        candidates = [
+            candidate
+            for candidate in self._list_live(requirement, now)
+            if not _find_backoff_s(self._dependencies, candidate, now)
+        ]
         # A longer list costs more to build and is cached for longer.
         cache_s = _CACHE_S + _CACHE_S_PER_CANDIDATE * len(candidates)
         subset = self._select_subset(candidates)
@@ -94,10 +94,20 @@
         if unready:
             # Until the instance is ready, a model may only seem not to exist.
             return Failure(unready)
+        now = self._dependencies.clock()
+        backoff_s = min(
+            (
+                _find_backoff_s(self._dependencies, candidate, now)
+                for candidate in self._list_live(requirement, now)
+            ),
+            default=0,
+        )
+        if backoff_s:
+            return Failure(_build_backoff_problem(backoff_s))
         service, model, adapter = requirement
         settings = self._dependencies.read_settings()
         if service:
-            return self._build_missing_service(service, settings.services)
+            return _build_missing_service(service, settings.services)
         known = model in settings.models
         if not known and not self._dependencies.states.has_model(model):
             return _fail(ErrorKind.UNKNOWN_MODEL, f'no model {model!r}')
@@ -145,6 +155,15 @@
             *select_subset(instance, remote),
         ]
 
+    def _list_live(
+        self, requirement: Requirement, now: float
+    ) -> list[Candidate]:
+        """Return the candidates, also those that have requested a backoff."""
+        service, model, adapter = requirement
+        if service:
+            return self._list_services(service, now)
+        return self._list_engines(model, adapter, now)
+
     def _list_undrained(
         self,
         kind: EndpointKind,
@@ -177,17 +196,28 @@
                 candidates.append(Candidate(endpoint, state.role))
         return candidates
 
-    def _build_missing_service(
-        self,
-        service: str,
-        configured: object,
-    ) -> Result[None, Problem]:
-        if service in configured:
-            return _fail(
-                ErrorKind.NO_ENDPOINT,
-                f'no endpoint of service {service!r} is live',
-            )
-        return _fail(ErrorKind.NOT_FOUND, f'no service {service!r}')
+
+def _build_missing_service(
+    service: str, configured: object
+) -> Result[None, Problem]:
+    if service in configured:
+        return _fail(
+            ErrorKind.NO_ENDPOINT,
+            f'no endpoint of service {service!r} is live',
+        )
+    return _fail(ErrorKind.NOT_FOUND, f'no service {service!r}')
+
+
+def _find_backoff_s(
+    dependencies: FrontDependencies, candidate: Candidate, now: float
+) -> float:
+    """Return the time until a candidate accepts requests, in seconds."""
+    return dependencies.backoffs.find_left_s(get_key(candidate.endpoint), now)
+
+
+def _build_backoff_problem(backoff_s: float) -> Problem:
+    message = 'the endpoints have requested a backoff'
+    return Problem(ErrorKind.OVERLOADED, message, Ran.NO, backoff_s)
 
 
 def _fail(kind: ErrorKind, message: str) -> Result[None, Problem]:
--- a/packages/verbenahall/src/verbenahall/requests/_outcomes.py
+++ b/packages/verbenahall/src/verbenahall/requests/_outcomes.py
@@ -30,9 +30,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refused:
-    """The endpoint answered that it has not started the request."""
+    """The endpoint answered that it has not started the request.
+
+    ``backoff_s`` is how long it wants no further request, 0 if it states none.
+    """
 
     status: int
+    backoff_s: float = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/verbenahall/tests/front/conftest.py
+++ b/packages/verbenahall/tests/front/conftest.py
@@ -74,6 +74,9 @@
         body = await request.read()
         if fault == 'refuse':
             return web.Response(status=503, headers={'X-Not-Started': '1'})
+        if fault == 'back_off':
+            headers = {'X-Not-Started': '1', 'Retry-After': '3'}
+            return web.Response(status=503, headers=headers)
         if fault == 'reset_before':
             request.transport.abort()
             return web.Response()
