--- a/packages/standins/src/verbenahall_standins/platform/_engine.py
+++ b/packages/standins/src/verbenahall_standins/platform/_engine.py
@@ -60,6 +60,7 @@
         self.name = name
         self.notices = Notices()
         self.role = role
+        self.state = 'ready'
         self.events = events
         self.faults = EngineFaults()
         self.address = ''
@@ -204,6 +205,7 @@
         return web.json_response(
             {
                 'stage': self.role,
+                'state': self.state,
                 'busy': False,
                 'seq': len(self.orders),
                 'waiting': 0,
--- a/packages/verbenahall/src/verbenahall/gateway/_endpoint_notices.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_endpoint_notices.py
@@ -43,6 +43,18 @@
         """Return the rest of an endpoint's backoff in seconds, 0 for none."""
         return self._backoffs.find_left_s(endpoint.incarnation, self._now())
 
+    def record_leaving(self, endpoint: Entry, source: str) -> None:
+        """Record that an endpoint says that it leaves."""
+        if not record_leaving(self._roster, endpoint.incarnation):
+            return
+        metrics.LEAVING_ANNOUNCED.add(source)
+        journal.write_decision(
+            'leaving_announced',
+            endpoint=format_incarnation(endpoint),
+            source=source,
+        )
+        self.on_leaving(endpoint.incarnation)
+
     def record_answer(
         self, endpoint: Entry, answer_head: AnswerHead, source: str
     ) -> None:
@@ -54,21 +66,10 @@
         if answer_head.misdirected:
             return
         if answer_head.leaving:
-            self._record_leaving(endpoint, source)
+            self.record_leaving(endpoint, source)
         if answer_head.retry_after:
             self._record_backoff(endpoint, answer_head, source)
 
-    def _record_leaving(self, endpoint: Entry, source: str) -> None:
-        if not record_leaving(self._roster, endpoint.incarnation):
-            return
-        metrics.LEAVING_ANNOUNCED.add(source)
-        journal.write_decision(
-            'leaving_announced',
-            endpoint=format_incarnation(endpoint),
-            source=source,
-        )
-        self.on_leaving(endpoint.incarnation)
-
     def _record_backoff(
         self, endpoint: Entry, answer_head: AnswerHead, source: str
     ) -> None:
--- a/packages/verbenahall/src/verbenahall/gateway/_engine_calls.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_engine_calls.py
@@ -65,10 +65,13 @@
         answer = self._call('GET', engine, REPORT)
         try:
             async with answer as response:
-                return decode_report(await response.read())
+                report = decode_report(await response.read())
         except _FAILURES as error:
             _log_failure('report_failed', engine, error)
-        return Nothing
+            return Nothing
+        if report.map(lambda found: found.leaving).value_or(False):
+            self._notices.record_leaving(engine, 'report')
+        return report
 
     async def send_order(self, engine: Entry, order: RoleOrder) -> int | None:
         """Send a role order; return the HTTP status.
--- a/packages/verbenahall/src/verbenahall/platform/_calls.py
+++ b/packages/verbenahall/src/verbenahall/platform/_calls.py
@@ -1,7 +1,7 @@
 """Control calls to engines: reports, role orders and KV cache handles."""
 
 import dataclasses
-from typing import Any
+from typing import Any, Final
 
 from returns.maybe import Maybe, Nothing, Some
 from returns.result import Success
@@ -11,6 +11,9 @@
 from verbenahall.platform import _fields as fields
 from verbenahall.platform import _names as names
 
+#: State of an engine that leaves, in its report as in its entry.
+_LEAVING_STATE: Final = 'draining'
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PrefillResult:
@@ -26,7 +29,7 @@
 
     ``orders`` counts the role orders that the engine has accepted since its
     start. The next order carries this count, so that the engine ignores an
-    order that arrives late.
+    order that arrives late. ``leaving`` means that it is about to exit.
     """
 
     role: Role
@@ -35,6 +38,7 @@
     waiting: int
     running: int
     kv_used: int
+    leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -101,6 +105,7 @@
                 waiting=fields.integer(table, 'waiting', 0),
                 running=fields.integer(table, 'running', 0),
                 kv_used=fields.integer(table, 'kvUsed', 0),
+                leaving=table.get('state') == _LEAVING_STATE,
             ),
         )
     except (KeyError, TypeError, ValueError):
--- a/packages/verbenahall/tests/gateway/test_announced_leaving.py
+++ b/packages/verbenahall/tests/gateway/test_announced_leaving.py
@@ -70,6 +70,23 @@
     run(check())
 
 
+def test_report_states_that_the_engine_leaves(tmp_path):
+    """Its report has a state beside the role, which nobody read."""
+
+    async def check():
+        engines = make_engines(prefill_count=2, decode_count=2)
+        async with run_gateway(tmp_path, engines) as harness:
+            core = harness.gateway.core
+            engines[2].state = 'draining'
+            entry = core.roster.find_entry('generator-0')
+            await core.engines.fetch_report(entry)
+            assert not core.roster.is_live('generator-0', core.now())
+            await send_every(harness, ['/summary/1'], 1)
+            assert not engines[2].runs
+
+    run(check())
+
+
 def test_request_that_waits_is_not_sent_to_an_engine_that_leaves(tmp_path):
     """The engine is chosen before the prefill, and left during it."""
 
