--- a/packages/verbenahall/src/verbenahall/gateway/_plain_flow.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_plain_flow.py
@@ -11,13 +11,10 @@
 from verbenahall.errors import ErrorKind, Problem, Ran
 from verbenahall.gateway._answers import build_answer_response
 from verbenahall.gateway._attempts import Attempts
-from verbenahall.gateway._backoff_waits import (
-    await_slow_start,
-    make_backoff_problem,
-)
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._messages import Answered, Call
 from verbenahall.gateway._sender import Sender
+from verbenahall.gateway._shortages import await_slow_start, find_cause
 from verbenahall.platform import SendOptions
 from verbenahall.requests import Outcome
 from verbenahall.roster import Entry
@@ -166,15 +163,13 @@
         return self._attempts.abandon(problem)
 
     def _make_no_endpoint_problem(self) -> Problem:
-        backoff_problem = make_backoff_problem(self._core, self._call)
-        if backoff_problem is not None:
-            return backoff_problem
-        return Problem(
+        problem = Problem(
             ErrorKind.NO_ENDPOINT,
             'no endpoint of the service is left to try',
             Ran.NO,
             retry_after_s=self._call.route.objective_s,
         )
+        return find_cause(self._core, self._call, problem)
 
 
 def choose_endpoint(
--- a/packages/verbenahall/src/verbenahall/gateway/_backoff_waits.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_shortages.py
@@ -1,6 +1,7 @@
-"""Calls that only endpoints could take that have requested a backoff."""
+"""Calls that no endpoint takes: waits for a slow start, and the cause."""
 
 import asyncio
+import dataclasses
 from collections.abc import Collection, Sequence
 from typing import Final
 
@@ -36,24 +37,24 @@
     return False
 
 
-def make_backoff_problem(core: Core, call: Call) -> Problem | None:
-    """Return the problem of a call that only endpoints in backoff could take.
+def find_cause(core: Core, call: Call, problem: Problem) -> Problem:
+    """Return why no endpoint can take a call, ``problem`` if it is unknown.
 
-    None if there is no backoff, so that there is another reason. The caller
-    learns when the first backoff ends, never what the endpoint stated.
+    If endpoints have requested a backoff, the caller learns when the first one
+    ends, never what the endpoint stated.
     """
     now = core.now()
     left_s = _find_shortest(core, call, now)
-    if left_s is None:
-        return None
-    return Problem(
-        ErrorKind.OVERLOADED,
-        'the endpoints of the service have requested a backoff',
-        Ran.NO,
-        choose_retry_after(
+    if left_s is not None:
+        retry_after_s = choose_retry_after(
             left_s, call.priority, call.left_s(now), core.random
-        ),
-    )
+        )
+        message = 'the endpoints of the service have requested a backoff'
+        return Problem(ErrorKind.OVERLOADED, message, Ran.NO, retry_after_s)
+    if _are_all_leaving(core, call.service.name):
+        message = 'the last endpoints of the service leave'
+        return dataclasses.replace(problem, message=message)
+    return problem
 
 
 def _is_slow_start(core: Core, call: Call) -> bool:
@@ -72,6 +73,13 @@
     )
 
 
+def _are_all_leaving(core: Core, service: str) -> bool:
+    entries = [one.entry for one in core.roster.listings.values()]
+    listed = [one for one in entries if one.service == service]
+    decoding = _select_decoding(listed)
+    return bool(decoding) and all(one.leaving for one in decoding)
+
+
 def _select_decoding(endpoints: Sequence[Entry]) -> Sequence[Entry]:
     """Return the endpoints that can answer a call, not only prefill it."""
     return [one for one in endpoints if one.role is not Role.PREFILL]
--- a/packages/verbenahall/src/verbenahall/gateway/_stream_flow.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_stream_flow.py
@@ -9,10 +9,6 @@
 from verbenahall.errors import ErrorKind, Problem
 from verbenahall.gateway._answers import build_answer_response
 from verbenahall.gateway._attempts import Attempts
-from verbenahall.gateway._backoff_waits import (
-    await_slow_start,
-    make_backoff_problem,
-)
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._dispatch import Dispatch
 from verbenahall.gateway._events import discard_partial
@@ -26,6 +22,7 @@
 )
 from verbenahall.gateway._relay import EventRelay
 from verbenahall.gateway._sender import Sender
+from verbenahall.gateway._shortages import await_slow_start, find_cause
 from verbenahall.placement import PlacementRequest, Plan, place
 from verbenahall.requests import (
     BackingOff,
@@ -108,7 +105,7 @@
                 self._core, self._call, self._attempts.tried
             ):
                 return None
-            problem = make_backoff_problem(self._core, self._call) or problem
+            problem = find_cause(self._core, self._call, problem)
         return self._abandon(problem)
 
     async def _await_admission(
--- a/packages/verbenahall/tests/gateway/test_announced_leaving.py
+++ b/packages/verbenahall/tests/gateway/test_announced_leaving.py
@@ -127,6 +127,8 @@
                 assert (status, time.monotonic() - started < 0.3) == (503, True)
                 # The caller waits three seconds, and returns within a third.
                 assert 0 < float(headers['Retry-After']) <= 1
+            reason = harness.log_lines('given_up')[-1]['reason']
+            assert reason == 'the last endpoints of the service leave'
 
     run(check())
 
--- a/packages/verbenahall/tests/gateway/test_requested_backoff.py
+++ b/packages/verbenahall/tests/gateway/test_requested_backoff.py
@@ -147,6 +147,8 @@
                 assert (status, time.monotonic() - started < 0.3) == (429, True)
                 # The caller waits three seconds, and returns within a third.
                 assert 0 < float(headers['Retry-After']) <= 1
+            reason = harness.log_lines('given_up')[-1]['reason']
+            assert 'requested a backoff' in reason
             for endpoint in (*engines, *plain):
                 assert count_arrivals_in_backoff(endpoint) == 0
 
