Retry-After of a 429 is observed, too; no look-ups while nobody backs off

An endpoint's refusal with 429 promises the same as one with 503. While no backoff is known, choices go through the live endpoints as before, without a look-up for each. Tests of the wire, backoff, both incidents and the simulated fleet pass.

--- a/packages/verbenahall/src/verbenahall/backoff/_state.py
+++ b/packages/verbenahall/src/verbenahall/backoff/_state.py
@@ -62,6 +62,11 @@
         """Start without backoffs."""
         self._backoffs: dict[Hashable, Backoff] = {}
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no endpoint has requested a backoff lately."""
+        return not self._backoffs
+
     def record_request(
         self, incarnation: Hashable, for_s: float, now: float
     ) -> None:
--- a/packages/verbenahall/src/verbenahall/gateway/_endpoints.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_endpoints.py
@@ -34,14 +34,17 @@
 
         Those that have requested a backoff from it do not.
         """
+        live = self._roster.list_live(service, now)
+        if self.backoffs.is_empty:
+            return list(live)
         return [
-            one
-            for one in self._roster.list_live(service, now)
-            if self.backoffs.may_send(one.incarnation, now)
+            one for one in live if self.backoffs.may_send(one.incarnation, now)
         ]
 
     def list_backing_off(self, service: str, now: float) -> Sequence[Entry]:
         """Return the live endpoints that have requested a backoff."""
+        if self.backoffs.is_empty:
+            return ()
         return [
             one
             for one in self._roster.list_live(service, now)
--- a/packages/verbenahall/src/verbenahall/gateway/_send_checks.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_send_checks.py
@@ -39,8 +39,7 @@
     That is the case if the endpoint has left since it was chosen or requested
     a backoff, if its rate limit allows no more, if the call is in quarantine
     because endpoints crashed while they ran it, or if its API key is no longer
-    valid. ``until`` is when
-    the answer is of no more use, in monotonic seconds.
+    valid. ``until`` is when the answer is of no more use, in monotonic seconds.
     """
     not_sent = await _find_obstacle(core, call, endpoint, until)
     if not_sent is not None:
--- a/packages/verbenahall/src/verbenahall/platform/_headers.py
+++ b/packages/verbenahall/src/verbenahall/platform/_headers.py
@@ -12,7 +12,8 @@
 
 _MS_IN_SECOND: Final = 1000
 _MISDIRECTED: Final = 421
-_UNAVAILABLE: Final = 503
+#: Statuses whose Retry-After is meant for this system.
+_REFUSALS: Final = frozenset((429, 503))
 #: Hop-by-hop headers, and those that the HTTP library sets from the body.
 _HOP_HEADERS: Final = frozenset(
     (
@@ -162,7 +163,7 @@
     another endpoint.
     """
     headers = strip_hop_headers(raw, names.ENDPOINT_HEADERS)
-    if status == _UNAVAILABLE:
+    if status in _REFUSALS:
         headers.popall(names.RETRY_AFTER, None)
     return headers
 
@@ -171,7 +172,6 @@
     """Decode the headers of an endpoint's answer."""
     all_headers = CIMultiDict(headers)
     leaving = _list_values(all_headers, names.LEAVING)
-    refused = status == _UNAVAILABLE
     return AnswerHead(
         not_run=names.NOT_RUN in headers or status == _MISDIRECTED,
         signed=names.STAMP in headers,
@@ -179,7 +179,7 @@
         misdirected=status == _MISDIRECTED,
         leaving=names.LEAVING_YES in {text.strip() for text in leaving},
         retry_after=_list_values(
-            all_headers, (names.RETRY_AFTER,) if refused else ()
+            all_headers, (names.RETRY_AFTER,) if status in _REFUSALS else ()
         ),
         date=headers.get(names.DATE, ''),
     )
--- a/packages/verbenahall/tests/platform/test_wire.py
+++ b/packages/verbenahall/tests/platform/test_wire.py
@@ -296,7 +296,8 @@
     assert leaving.leaving
     assert not read_answer_head(200, {'Server-Leaving': '0'}).leaving
     headers = CIMultiDict([('Retry-After', '1'), ('retry-after', '3')])
-    assert read_answer_head(503, headers).retry_after == ('1', '3')
+    for status in (429, 503):
+        assert read_answer_head(status, headers).retry_after == ('1', '3')
     # Retry-After of another status is for the caller of a redirect or a rate.
     assert not read_answer_head(200, headers).retry_after
 
