--- a/packages/verbenahall/tests/gateway/test_announced_leaving.py
+++ b/packages/verbenahall/tests/gateway/test_announced_leaving.py
@@ -26,6 +26,21 @@
     run(check())
 
 
+def test_leaving_is_heeded_while_the_store_is_unresponsive(tmp_path):
+    async def check():
+        async with run_gateway(tmp_path, plain=make_plain(3)) as harness:
+            harness.site.store.faults.silent = True
+            await harness.wait_for_polls()
+            leaving = harness.site.plain[0]
+            leaving.notices.leaving = True
+            answers = await send_every(harness, ['/archive/1'], 3)
+            assert {status for status, _, _ in answers} == {200}
+            assert leaving.notices.sent
+            assert not list_late_arrivals(leaving)
+
+    run(check())
+
+
 @pytest.mark.parametrize('served', ['prefills', 'runs'])
 def test_leaving_engine_gets_no_requests(tmp_path, served):
     """Prefill answers and the heads of streams state it, too."""
