--- a/packages/verbenahall/tests/gateway/test_scheduling.py
+++ b/packages/verbenahall/tests/gateway/test_scheduling.py
@@ -9,6 +9,7 @@
 
 from verbenahall.gateway import _scheduler_client as scheduler_client
 from verbenahall.peers import list_live_peers
+from verbenahall.platform import read_answer_head
 from verbenahall.scheduling import _groups as groups
 
 from .conftest import make_engines, run, run_gateway
@@ -302,3 +303,30 @@
             assert core.endpoint_health.is_avoided(prefill_engine, core.now())
 
     run(check())
+
+
+def test_backoff_of_one_instance_is_heeded_by_its_scheduler(tmp_path):
+    """The scheduler is another instance, which the engine accepts."""
+
+    async def check():
+        engines = make_engines(decode_count=2)
+        async with run_gateways(tmp_path, engines) as harnesses:
+            core = harnesses[0].gateway.core
+            engine = engines[2]
+            entry = core.roster.find_entry(engine.name)
+            head = read_answer_head(503, {'Retry-After': '30'})
+            core.endpoints.notices.record_answer(entry, head, 'request')
+            before = len(engine.runs)
+            for number in range(12):
+                status, _, _ = await harnesses[0].send(PATH, f'a-{number}')
+                assert status == 200
+            assert len(engine.runs) == before
+            for number in range(12):
+                await harnesses[1].send(PATH, f'b-{number}')
+            assert len(engine.runs) > before
+            outcomes = {
+                line['outcome'] for line in harnesses[0].log_lines('scheduled')
+            }
+            assert outcomes == {'Assignment'}
+
+    run(check())
