--- a/packages/verbenahall/src/verbenahall/backoff/_state.py
+++ b/packages/verbenahall/src/verbenahall/backoff/_state.py
@@ -67,13 +67,12 @@
         """Whether no endpoint has requested a backoff lately."""
         return not self._backoffs
 
-    def record_request(
+    def begin_backoff(
         self, incarnation: Hashable, for_s: float, now: float
     ) -> None:
-        """Record that an endpoint requests a backoff.
+        """Send nothing to an endpoint for some seconds, as it has requested.
 
-        One that is requested by an earlier answer and lasts longer still
-        applies.
+        A backoff that was requested before and lasts longer still applies.
         """
         self._remove_expired(now)
         backoff = self._backoffs.pop(incarnation, None) or Backoff()
--- a/packages/verbenahall/src/verbenahall/front/_feedback.py
+++ b/packages/verbenahall/src/verbenahall/front/_feedback.py
@@ -14,7 +14,7 @@
 _CONFLICT: Final = 409
 
 
-def get_key(endpoint: Endpoint) -> tuple[str, str]:
+def get_incarnation_key(endpoint: Endpoint) -> tuple[str, str]:
     """Return the key of what is known of one incarnation of an endpoint."""
     return (endpoint.name, endpoint.incarnation)
 
@@ -62,8 +62,8 @@
 ) -> None:
     """Record how long an endpoint wants no request, if it states that."""
     if backoff_s:
-        dependencies.backoffs.record_request(
-            get_key(endpoint), backoff_s, dependencies.clock()
+        dependencies.backoffs.begin_backoff(
+            get_incarnation_key(endpoint), backoff_s, dependencies.clock()
         )
         write_decision(
             'backoff_requested', endpoint=endpoint.name, for_s=backoff_s
--- a/packages/verbenahall/src/verbenahall/front/_fleet.py
+++ b/packages/verbenahall/src/verbenahall/front/_fleet.py
@@ -12,7 +12,7 @@
 from verbenahall.errors import ErrorKind, Problem, Ran
 from verbenahall.fleet import Endpoint, EndpointKind, Role
 from verbenahall.front._dependencies import FrontDependencies
-from verbenahall.front._feedback import get_key
+from verbenahall.front._feedback import get_incarnation_key
 from verbenahall.front._messages import Call, ModelCall
 from verbenahall.routing import Candidate, select_subset
 
@@ -212,7 +212,9 @@
     dependencies: FrontDependencies, candidate: Candidate, now: float
 ) -> float:
     """Return the time until a candidate accepts requests, in seconds."""
-    return dependencies.backoffs.find_left_s(get_key(candidate.endpoint), now)
+    return dependencies.backoffs.find_left_s(
+        get_incarnation_key(candidate.endpoint), now
+    )
 
 
 def _build_backoff_problem(backoff_s: float) -> Problem:
--- a/packages/verbenahall/src/verbenahall/gateway/_endpoint_notices.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_endpoint_notices.py
@@ -76,7 +76,7 @@
         found = read_retry_after(answer_head.retry_after, answer_head.date)
         if isinstance(found, Some):
             for_s = found.unwrap() * self._random.uniform(*_JITTER)
-            self._backoffs.record_request(
+            self._backoffs.begin_backoff(
                 endpoint.incarnation, for_s, self._now()
             )
         metrics.BACKOFFS_REQUESTED.add(
--- a/packages/verbenahall/tests/backoff/test_backoff_table.py
+++ b/packages/verbenahall/tests/backoff/test_backoff_table.py
@@ -11,7 +11,7 @@
 
 def make_table(for_s=3.0):
     table = BackoffTable()
-    table.record_request(ENGINE, for_s, 0)
+    table.begin_backoff(ENGINE, for_s, 0)
     return table
 
 
@@ -30,9 +30,9 @@
 
 def test_longer_backoff_goes_before_a_shorter_one():
     table = make_table(3)
-    table.record_request(ENGINE, 0.5, 1)
+    table.begin_backoff(ENGINE, 0.5, 1)
     assert table.find_left_s(ENGINE, 1) == 2
-    table.record_request(ENGINE, 5, 1)
+    table.begin_backoff(ENGINE, 5, 1)
     assert table.find_left_s(ENGINE, 1) == 5
 
 
@@ -43,7 +43,7 @@
 def test_accepted_request_from_before_shortens_nothing():
     table = BackoffTable()
     trial = table.begin_trial(ENGINE)
-    table.record_request(ENGINE, 3, 0)
+    table.begin_backoff(ENGINE, 3, 0)
     table.end_trial(ENGINE, trial, accepted=True)
     assert not table.may_send(ENGINE, 1)
 
@@ -51,7 +51,7 @@
 def test_accepted_trial_shortens_no_later_backoff():
     table = make_table()
     trials = [table.begin_trial(ENGINE) for _ in range(20)]
-    table.record_request(ENGINE, 3, 4)
+    table.begin_backoff(ENGINE, 3, 4)
     for trial in trials:
         table.end_trial(ENGINE, trial, accepted=True)
     assert not table.may_send(ENGINE, 6)
@@ -64,7 +64,7 @@
     table = make_table()
     trial = table.begin_trial(ENGINE)
     accept_sends(table, 8)
-    table.record_request(ENGINE, 3, 5)
+    table.begin_backoff(ENGINE, 3, 5)
     table.end_trial(ENGINE, trial, accepted=True)
     assert not table.may_send(ENGINE, 6)
 
@@ -98,9 +98,9 @@
 def test_table_is_bounded():
     table = BackoffTable()
     for number in range(20_000):
-        table.record_request((f'e-{number}', 0), 3, 0)
+        table.begin_backoff((f'e-{number}', 0), 3, 0)
     assert len(table._backoffs) == 16_384
-    table.record_request(ENGINE, 3, 100)
+    table.begin_backoff(ENGINE, 3, 100)
     assert len(table._backoffs) == 1
 
 
