Test, red: callers of an instance without endpoints are not served

Two instances, engines and plain endpoints; the links of one instance to all endpoints hang or are reset while callers, store and peers reach it. With new connections refused and open ones alive it serves its callers, which is kept as a case.

--- a/packages/standins/src/verbenahall_standins/soak/__init__.py
+++ b/packages/standins/src/verbenahall_standins/soak/__init__.py
@@ -1,6 +1,7 @@
 """Soak test: real instances under random faults, with checked guarantees."""
 
 from verbenahall_standins.soak._checks import find_violations
+from verbenahall_standins.soak._links import Cut, EndpointLinks
 from verbenahall_standins.soak._notices import (
     LinkFault,
     find_unheeded_notices,
@@ -11,6 +12,8 @@
 from verbenahall_standins.soak._run import run_soak
 
 __all__ = (
+    'Cut',
+    'EndpointLinks',
     'Event',
     'Kind',
     'Link',
--- a/packages/verbenahall/src/verbenahall/gateway/_crashes.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_crashes.py
@@ -89,7 +89,7 @@
         self, incarnation: str, address: str, losses: _LostConnections
     ) -> None:
         """Connect to an endpoint; report a crash if it refuses."""
-        outcome = await try_connect(address)
+        outcome = await try_connect(self._core, address)
         losses.crashed = outcome is ConnectOutcome.REFUSES
         if losses.crashed:
             await asyncio.sleep(_SETTLE_S)
--- a/packages/verbenahall/src/verbenahall/gateway/_probes.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_probes.py
@@ -29,17 +29,14 @@
     SILENT = 'silent'
 
 
-async def try_connect(address: str) -> ConnectOutcome:
+async def try_connect(core: Core, address: str) -> ConnectOutcome:
     """Connect to an endpoint, close the connection, return the outcome."""
-    host, _, port = address.rpartition(':')
     try:
-        async with asyncio.timeout(_CONNECT_TIMEOUT_S):
-            _, writer = await asyncio.open_connection(host, int(port))
+        await core.session.connector.test(address, _CONNECT_TIMEOUT_S)
     except ConnectionRefusedError:
         return ConnectOutcome.REFUSES
     except OSError:
         return ConnectOutcome.SILENT
-    writer.close()
     return ConnectOutcome.LISTENS
 
 
@@ -71,6 +68,7 @@
         listing = self._core.roster.listings.get(name)
         if listing is None or self._is_excluded(listing.entry):
             return
-        if await try_connect(listing.entry.address) is ConnectOutcome.LISTENS:
+        outcome = await try_connect(self._core, listing.entry.address)
+        if outcome is ConnectOutcome.LISTENS:
             self._core.endpoint_health.record_reachable(name)
             journal.write_decision('endpoint_reached', endpoint=name)
--- a/packages/verbenahall/src/verbenahall/platform/_connections.py
+++ b/packages/verbenahall/src/verbenahall/platform/_connections.py
@@ -9,6 +9,7 @@
 import asyncio
 import re
 import socket
+from collections.abc import Callable
 from typing import Any, Final, final
 
 import aiohttp
@@ -132,18 +133,42 @@
 
 
 @final
-class _Connector(aiohttp.TCPConnector):
-    """Opens checked connections with TCP keepalive."""
+class Connector(aiohttp.TCPConnector):
+    """Opens checked connections with TCP keepalive.
+
+    ``open_socket`` opens the sockets of all connections, also of those that
+    only test whether an address accepts any.
+    """
 
     def __init__(self) -> None:
+        """Start without connections."""
+        self.open_socket: Callable[[Any], socket.socket] = _open_socket
         super().__init__(
             limit=0,
             use_dns_cache=False,
             keepalive_timeout=60,
-            socket_factory=_open_socket,
+            socket_factory=self._open,
         )
         self._factory = self._make_connection
 
+    async def test(self, address: str, timeout_s: float) -> None:
+        """Connect to an address and close the connection again.
+
+        Raises ``OSError``, or ``TimeoutError`` after ``timeout_s`` seconds.
+        """
+        host, _, port = address.rpartition(':')
+        place = (host, int(port))
+        kind = (socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+        opened = self.open_socket((*kind, '', place))
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._loop.sock_connect(opened, place)
+        finally:
+            opened.close()
+
+    def _open(self, address: Any) -> socket.socket:
+        return self.open_socket(address)
+
     def _make_connection(self) -> EndpointConnection:
         return EndpointConnection(self._loop)
 
@@ -151,7 +176,7 @@
 def make_session() -> aiohttp.ClientSession:
     """Create the session for calls to endpoints and to the store."""
     session = aiohttp.ClientSession(
-        connector=_Connector(),
+        connector=Connector(),
         request_class=EndpointRequest,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
--- a/packages/verbenahall/tests/drains/crashing_fleet.py
+++ b/packages/verbenahall/tests/drains/crashing_fleet.py
@@ -104,7 +104,7 @@
         loop.call_later(3, self.remove, name)
         return True
 
-    async def try_connect(self, address):
+    async def try_connect(self, _core, address):
         """Return whether an endpoint accepts connections."""
         await asyncio.sleep(0.002)
         name = self.find_endpoint(address.partition(':')[0])
--- a/packages/verbenahall/tests/gateway/conftest.py
+++ b/packages/verbenahall/tests/gateway/conftest.py
@@ -95,11 +95,13 @@
     site=None,
     manifest=None,
     duties=None,
+    links=None,
 ):
     """Run a gateway in front of stand-ins.
 
     ``manifest`` adds to the manifest's content; with ``site`` the gateway
-    joins an existing deployment, which is not stopped with it.
+    joins an existing deployment, which is not stopped with it. With ``links``
+    the gateway reaches the endpoints by these.
     """
     journal.recent.clear()
     owns_site = site is None
@@ -112,6 +114,10 @@
         duty_api = duties.address
     path = write_settings(folder, site.store.address, name, duty_api)
     gateway = Gateway(read_settings(path).unwrap())
+    if links is not None:
+        endpoints = (*site.engines, *site.plain)
+        await links.start([one.address for one in endpoints])
+        links.install(gateway.core.session)
     await gateway.open()
     async with aiohttp.ClientSession(
         skip_auto_headers=('User-Agent', 'Accept', 'Accept-Encoding'),
@@ -123,7 +129,7 @@
             yield harness
         finally:
             await gateway.close()
-            for part in (duties, site if owns_site else None):
+            for part in (duties, links, site if owns_site else None):
                 await stop_part(part)
 
 
--- a/packages/verbenahall/tests/gateway/test_repeated_crashes.py
+++ b/packages/verbenahall/tests/gateway/test_repeated_crashes.py
@@ -132,7 +132,7 @@
     it had open there must not stay refused.
     """
 
-    async def refuse(address):
+    async def refuse(core, address):
         return ConnectOutcome.REFUSES
 
     async def check():
