Requests are forwarded by a peer where no endpoint of their service is reached

Cause: an instance had no way to an endpoint but its own connections. In the logs eight of nine endpoints are marked as unreachable 3.5 s after the cut's begin, and every request still fails for six seconds more, to the logs' end.

The slice reach keeps whether any endpoint of a service accepts a connection, the slice forwarding chooses a peer that reaches it, and the request is served there as that peer's own, one hop at most. Heartbeats carry the services that their author does not reach.

--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/forwarding/__init__.py
@@ -0,0 +1,34 @@
+"""Requests that a peer serves for an instance that reaches no endpoint.
+
+A request takes one hop at most, and an instance that refuses a forwarded
+request has not run it.
+"""
+
+from verbenahall.forwarding._decisions import choose_peer, find_refusal
+from verbenahall.forwarding._messages import (
+    HOP_HEADER,
+    REFUSED_HEADER,
+    Hop,
+    HopRefusal,
+    decode_hop,
+    encode_hop,
+)
+from verbenahall.forwarding._state import (
+    ChosenPeer,
+    OpenForwards,
+    ReceiverState,
+)
+
+__all__ = (
+    'ChosenPeer',
+    'HOP_HEADER',
+    'Hop',
+    'HopRefusal',
+    'OpenForwards',
+    'REFUSED_HEADER',
+    'ReceiverState',
+    'choose_peer',
+    'decode_hop',
+    'encode_hop',
+    'find_refusal',
+)
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/forwarding/_decisions.py
@@ -0,0 +1,75 @@
+"""Chooses the peer for a request, and decides on received ones."""
+
+import random
+from collections.abc import Collection
+from typing import Final
+
+from returns.maybe import Maybe, Nothing, Some
+
+from verbenahall.forwarding._messages import Hop, HopRefusal
+from verbenahall.forwarding._state import (
+    ChosenPeer,
+    OpenForwards,
+    ReceiverState,
+)
+from verbenahall.peers import PeerTable, is_local_only, list_live_peers
+
+#: A peer is a candidate for this long after its last heartbeat, in seconds.
+_PEER_TIMEOUT_S: Final = 1.0
+#: Open requests by which a peer in another data centre counts as busier than a
+#: local one: bytes between data centres cost money and time.
+_REMOTE_LOAD: Final = 2
+#: Forwarded requests that an instance serves at a time at most. Beyond that its
+#: own callers would hardly be served.
+_MAX_RECEIVED: Final = 256
+
+
+def choose_peer(
+    peer_table: PeerTable,
+    open_forwards: OpenForwards,
+    service: str,
+    tried: Collection[str],
+    now: float,
+    rng: random.Random,
+) -> Maybe[ChosenPeer]:
+    """Choose the least busy peer that reaches a service, not one in ``tried``.
+
+    Where heartbeats stay within a data centre, it is unknown what other peers
+    reach; one of them is chosen if no local one reaches the service.
+    """
+    peers = peer_table.peers
+    candidates = [
+        name
+        for name in list_live_peers(peer_table, now, _PEER_TIMEOUT_S)
+        if name not in tried and service not in peers[name].unreachable
+    ]
+    if not candidates and is_local_only(peer_table):
+        candidates = [
+            name
+            for name, peer in peers.items()
+            if name not in tried and peer.data_centre != peer_table.data_centre
+        ]
+    if not candidates:
+        return Nothing
+    chosen = min(
+        candidates,
+        key=lambda name: (
+            open_forwards.sent[name]
+            + _REMOTE_LOAD
+            * (peers[name].data_centre != peer_table.data_centre),
+            rng.random(),
+        ),
+    )
+    return Some(ChosenPeer(chosen, peers[chosen].address))
+
+
+def find_refusal(hop: Hop, receiver: ReceiverState) -> HopRefusal | None:
+    """Return why a forwarded request is refused, None if it is served."""
+    obstacles = (
+        (not receiver.is_known_author, HopRefusal.UNKNOWN_AUTHOR),
+        (receiver.is_stopping, HopRefusal.STOPPING),
+        (receiver.version < hop.version, HopRefusal.OLD_SETTINGS),
+        (receiver.is_lost, HopRefusal.UNREACHABLE),
+        (receiver.open_requests >= _MAX_RECEIVED, HopRefusal.TOO_MANY),
+    )
+    return next((reason for applies, reason in obstacles if applies), None)
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/forwarding/_messages.py
@@ -0,0 +1,105 @@
+"""What an instance states about a request that it forwards."""
+
+import dataclasses
+import enum
+import math
+from collections.abc import Mapping
+from typing import Any, Final, final
+
+from returns.maybe import Maybe, Nothing, Some
+from returns.result import Success
+
+from verbenahall import wire
+
+#: Header of a forwarded request, with a JSON object.
+HOP_HEADER: Final = 'Verbenahall-Hop'
+#: Header of a refusal of the receiving instance, with its reason.
+REFUSED_HEADER: Final = 'Verbenahall-Hop-Refused'
+#: Upper bound of the number of runs that a hop may state.
+_MAX_RUNS: Final = 1000
+
+
+@final
+class HopRefusal(enum.Enum):
+    """Reasons for which an instance refuses a forwarded request."""
+
+    INVALID = 'invalid'
+    UNKNOWN_AUTHOR = 'unknown_author'
+    STOPPING = 'stopping'
+    OLD_SETTINGS = 'old_settings'
+    UNREACHABLE = 'unreachable'
+    TOO_MANY = 'too_many'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hop:
+    """The state of a request at the instance that forwards it.
+
+    ``author`` is that instance and ``version`` the version of its manifest.
+    ``service`` is the request's service by that. ``runs`` is how often the
+    request may have run. ``is_counted`` is whether the author's retry budget
+    counts it as a request, ``is_metered`` whether its usage does. ``waited_s``
+    is how long the caller has waited in earlier attempts, in seconds.
+    """
+
+    author: str
+    version: int
+    service: str
+    runs: int = 0
+    is_counted: bool = False
+    is_metered: bool = False
+    waited_s: float = 0
+
+
+def encode_hop(hop: Hop) -> str:
+    """Return the header value for a hop."""
+    return wire.encode(
+        {
+            'from': hop.author,
+            'version': hop.version,
+            'service': hop.service,
+            'runs': hop.runs,
+            'counted': hop.is_counted,
+            'metered': hop.is_metered,
+            'waited': hop.waited_s,
+        },
+    ).decode()
+
+
+def decode_hop(text: str) -> Maybe[Hop]:
+    """Decode a header value; Nothing if it is malformed."""
+    match wire.decode_table(text.encode('utf-8', 'surrogateescape')):
+        case Success(table):
+            return _build_hop(table)
+        case _:
+            return Nothing
+
+
+def _build_hop(table: Mapping[str, Any]) -> Maybe[Hop]:
+    match table:
+        case {
+            'from': str(author),
+            'version': int(version),
+            'service': str(service),
+            'runs': int(runs),
+            'counted': bool(is_counted),
+            'metered': bool(is_metered),
+            'waited': int() | float() as waited_s,
+        } if _is_in_range(runs, waited_s):
+            return Some(
+                Hop(
+                    author,
+                    version,
+                    service,
+                    runs,
+                    is_counted,
+                    is_metered,
+                    waited_s,
+                )
+            )
+        case _:
+            return Nothing
+
+
+def _is_in_range(runs: int, waited_s: float) -> bool:
+    return 0 <= runs <= _MAX_RUNS and 0 <= waited_s < math.inf
--- a/packages/verbenahall/src/verbenahall/gateway/_attempts.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_attempts.py
@@ -25,27 +25,38 @@
 class Attempts:
     """Counts the attempts at a call and decides on retries.
 
-    ``started`` counts all attempts, ``runs`` those that may have run, and
-    ``tried`` holds the names of the endpoints that failed one. The pause of a
-    ``Retry`` is ignored: the next attempt goes to another endpoint, and
-    callers disconnect after two seconds without an answer.
+    ``started`` counts all attempts, ``runs`` those that may have run, also at
+    the instance that forwarded the call. ``is_metered`` is whether the call is
+    counted in its workspace's usage. ``tried`` holds the names of the endpoints
+    that failed an attempt. The pause of a ``Retry`` is ignored: the next
+    attempt goes to another endpoint, and callers disconnect after two seconds
+    without an answer.
     """
 
-    __slots__ = ('started', 'runs', 'tried', '_core', '_call', '_budget')
+    __slots__ = (
+        'call',
+        'is_metered',
+        'runs',
+        'started',
+        'tried',
+        '_budget',
+        '_core',
+    )
 
     def __init__(self, core: Core, call: Call) -> None:
-        """Start without attempts."""
+        """Start without attempts of this instance."""
+        self.call = call
+        self.is_metered = call.hop is not None and call.hop.is_metered
         self.started = 0
-        self.runs = 0
+        self.runs = call.hop.runs if call.hop else 0
         self.tried: set[str] = set()
         self._core = core
-        self._call = call
         self._budget = core.get_retry_budget(call.service.name)
 
     @property
     def may_run_again(self) -> bool:
         """Whether the route allows another run after the next one."""
-        return self.runs + 1 < self._call.route.max_attempts
+        return self.runs + 1 < self.call.route.max_attempts
 
     def record(self, endpoint: str, result: Result[Any, Outcome]) -> None:
         """Record the result of a send that may have run the request."""
@@ -55,6 +66,16 @@
         else:
             self.runs += 1
 
+    def count_usage(self, ago_s: float = 0) -> None:
+        """Count the call in its workspace's usage, once for all attempts.
+
+        ``ago_s`` is how long ago it was sent, in seconds.
+        """
+        workspace = self.call.workspace
+        if workspace is not None and not self.is_metered:
+            self._core.meter.record_started(workspace.name, ago_s)
+        self.is_metered = True
+
     def handle_failure(
         self,
         outcome: Outcome,
@@ -101,7 +122,7 @@
 
         ``delivered`` means that the caller has part of an answer already.
         """
-        call = self._call
+        call = self.call
         problem = limit_retry_after(problem, call.left_s(self._core.now()))
         if self.runs and problem.answer.ran is Ran.NO:
             # The problem describes only the last attempt, but an earlier one
@@ -125,7 +146,7 @@
     def _make_retry_context(
         self, delivered: bool, send_count: int
     ) -> RetryContext:
-        call = self._call
+        call = self.call
         return RetryContext(
             repeatable=call.route.repeatable,
             deadline=call.deadline,
@@ -147,7 +168,7 @@
     ) -> None:
         journal.write_decision(
             'attempt_failed',
-            request=self._call.head.identity,
+            request=self.call.head.identity,
             outcome=outcome,
             detail=detail,
             attempts=self.started,
--- a/packages/verbenahall/src/verbenahall/gateway/_core.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_core.py
@@ -13,6 +13,8 @@
 from verbenahall.gateway._freshness import Freshness
 from verbenahall.gateway._hooks import (
     CrashObserver,
+    Forwarder,
+    NoForwarder,
     NoLimiter,
     NoObserver,
     RateLimiter,
@@ -29,6 +31,7 @@
     make_session,
 )
 from verbenahall.quarantine import CrashLog
+from verbenahall.reach import ReachTable
 from verbenahall.requests import WindowBudget
 from verbenahall.roster import LAPSE_GRACE_S, Roster, RosterRules
 from verbenahall.throttling import RateTable
@@ -80,6 +83,8 @@
         self.rates = RateTable()
         self.limiter: RateLimiter = NoLimiter()
         self.observer: CrashObserver = NoObserver()
+        self.reach = ReachTable()
+        self.forwarder: Forwarder = NoForwarder()
         self.placement = PlacementState()
         self.peer_table = PeerTable(
             settings.name,
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/gateway/_forwarder.py
@@ -0,0 +1,184 @@
+"""Forwards calls to peers where this instance reaches no endpoint."""
+
+import asyncio
+from typing import Final, final
+
+from aiohttp import web
+from returns.maybe import Maybe, Some
+from returns.result import Failure, Success
+
+from verbenahall import journal, metrics, reach
+from verbenahall.errors import ErrorKind, Problem, Ran
+from verbenahall.forwarding import ChosenPeer, OpenForwards, choose_peer
+from verbenahall.gateway._attempts import Attempts
+from verbenahall.gateway._core import Core
+from verbenahall.gateway._events import discard_partial
+from verbenahall.gateway._hop_client import Forwarded, HopClient
+from verbenahall.gateway._messages import Call
+from verbenahall.gateway._relay import EventRelay
+from verbenahall.requests import NeverWritten, Refused, get_outcome_label
+
+#: Peers that are tried for one call at most.
+_MAX_PEERS: Final = 3
+#: Longest wait for a check of the path that is under way, in seconds: the
+#: connects of its two rounds and the interval at which checks are started.
+_MAX_CHECK_S: Final = 0.7
+_POLL_S: Final = 0.02
+
+
+@final
+class PeerForwarder:
+    """Lets peers serve calls whose endpoints this instance doesn't reach."""
+
+    __slots__ = ('_client', '_core', '_open')
+
+    def __init__(self, core: Core, open_forwards: OpenForwards) -> None:
+        """Install the forwarder in the core."""
+        self._client = HopClient(core)
+        self._core = core
+        self._open = open_forwards
+        core.forwarder = self
+
+    async def should_forward(self, attempts: Attempts) -> bool:
+        """Whether the service of a call is not reached.
+
+        After a failed attempt this waits for a check that is under way, so
+        that the call doesn't meet one endpoint after the other in vain.
+        """
+        call = attempts.call
+        if call.hop is not None:
+            return False
+        if attempts.started:
+            await self._wait_checked(call)
+        return self._core.reach.is_lost(call.service.name)
+
+    async def run(
+        self, attempts: Attempts, relay: EventRelay | None = None
+    ) -> web.StreamResponse:
+        """Return the answer of a peer, or why there is none.
+
+        With ``relay`` a stream is relayed as it arrives.
+        """
+        tried: set[str] = set()
+        while len(tried) < _MAX_PEERS:
+            chosen = self._choose_peer(attempts.call, tried)
+            if not isinstance(chosen, Some):
+                break
+            peer = chosen.unwrap()
+            tried.add(peer.name)
+            result = await self._send_once(attempts, peer, relay)
+            answer = _handle_result(attempts, peer, relay, result)
+            if answer is not None:
+                return answer
+        problem = self._make_unreachable_problem(attempts.call)
+        return _abandon(attempts, problem, relay)
+
+    async def _send_once(
+        self, attempts: Attempts, peer: ChosenPeer, relay: EventRelay | None
+    ) -> Forwarded:
+        attempts.started += 1
+        started = self._core.now()
+        self._log_forwarded(attempts.call, peer)
+        if relay is not None:
+            discard_partial(relay.state)
+        self._open.begin(peer.name)
+        try:
+            result = await self._client.send(attempts, peer, relay)
+        finally:
+            self._open.end(peer.name)
+        attempts.record(peer.name, result)
+        took_s = self._core.now() - started
+        _log_ended(attempts.call, peer, _describe(result), took_s)
+        return result
+
+    async def _wait_checked(self, call: Call) -> None:
+        known = self._core.reach.get(call.service.name)
+        end = self._core.now() + _MAX_CHECK_S
+        while self._core.now() < end and reach.is_check_due(
+            known, self._core.now()
+        ):
+            await asyncio.sleep(_POLL_S)
+
+    def _choose_peer(self, call: Call, tried: set[str]) -> Maybe[ChosenPeer]:
+        core = self._core
+        return choose_peer(
+            core.peer_table,
+            self._open,
+            call.service.name,
+            tried,
+            core.now(),
+            core.random,
+        )
+
+    def _make_unreachable_problem(self, call: Call) -> Problem:
+        return Problem(
+            ErrorKind.NO_ENDPOINT,
+            'no endpoint of the service is reached from here or by a peer',
+            Ran.NO,
+            retry_after_s=call.route.objective_s,
+        )
+
+    def _log_forwarded(self, call: Call, peer: ChosenPeer) -> None:
+        journal.write_decision(
+            'forwarded',
+            request=call.head.identity,
+            peer=peer.name,
+            service=call.service.name,
+            left_s=journal.round_to_ms(call.left_s(self._core.now())),
+        )
+
+
+def _handle_result(
+    attempts: Attempts,
+    peer: ChosenPeer,
+    relay: EventRelay | None,
+    result: Forwarded,
+) -> web.StreamResponse | None:
+    """Return the final answer; None if another peer may be tried."""
+    match result:
+        case Success(answer):
+            return answer
+        case Failure(NeverWritten() | Refused()):
+            return None
+        case Failure(outcome):
+            problem = attempts.handle_failure(
+                outcome, delivered=_has_begun(relay), peer=peer.name
+            )
+            return problem and _abandon(attempts, problem, relay)
+    raise AssertionError('a result is a success or a failure')
+
+
+def _abandon(
+    attempts: Attempts, problem: Problem, relay: EventRelay | None
+) -> web.StreamResponse:
+    """Return an error response, or abort the stream if it has begun."""
+    answer = attempts.abandon(problem, delivered=_has_begun(relay))
+    aborted = relay.abort_stream() if relay else None
+    return aborted or answer
+
+
+def _has_begun(relay: EventRelay | None) -> bool:
+    return relay is not None and relay.begun
+
+
+def _log_ended(
+    call: Call, peer: ChosenPeer, outcome: str, took_s: float
+) -> None:
+    metrics.FORWARDED.add(outcome)
+    metrics.HOP_SECONDS.observe(took_s)
+    journal.write_decision(
+        'forward_ended',
+        request=call.head.identity,
+        peer=peer.name,
+        outcome=outcome,
+        took_s=journal.round_to_ms(took_s),
+    )
+
+
+def _describe(result: Forwarded) -> str:
+    match result:
+        case Success(answer):
+            return str(answer.status)
+        case Failure(outcome):
+            return get_outcome_label(outcome)
+    raise AssertionError('a result is a success or a failure')
--- a/packages/verbenahall/src/verbenahall/gateway/_generation.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_generation.py
@@ -7,14 +7,16 @@
 from returns.result import Failure, Result, Success
 
 from verbenahall import journal, metrics
+from verbenahall.gateway._attempts import Attempts
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._grants import Grant
-from verbenahall.gateway._messages import Answered, Call, StreamEnded
+from verbenahall.gateway._messages import Answered, StreamEnded
 from verbenahall.gateway._prefill_calls import CacheHandle
 from verbenahall.gateway._relay import EventRelay
 from verbenahall.gateway._sender import SUCCESS_STATUSES, Opened, Sender
 from verbenahall.placement import InFlight, PlacementRequest, Plan, Totals
 from verbenahall.platform import CALL_FAILURES, SendOptions, read_answer_head
+from verbenahall.reach import record_response
 from verbenahall.requests import Broken, Outcome
 
 Generated = Result[StreamEnded | Answered, Outcome]
@@ -39,25 +41,25 @@
         '_sent_at',
         '_handed_over',
         '_grant',
-        '_counted',
+        '_attempts',
     )
 
     def __init__(
         self,
         core: Core,
         sender: Sender,
-        call: Call,
+        attempts: Attempts,
         relay: EventRelay,
     ) -> None:
         """Relay streams to the caller through ``relay``."""
+        self._attempts = attempts
         self._core = core
         self._sender = sender
-        self._call = call
+        self._call = attempts.call
         self._relay = relay
         self._flight = InFlight(-1, '', Totals())
         self._sent_at: float = 0
         self._handed_over = False
-        self._counted = False
 
     async def run(
         self,
@@ -164,6 +166,7 @@
             timing = await self._relay.pump(
                 response,
                 self._handle_first_event,
+                self._record_response,
                 resumable=resumable,
             )
         except _CALLER_DISCONNECTED:
@@ -173,13 +176,17 @@
         event_tokens = call.service.engine.event_tokens
         return Success(StreamEnded(timing, timing.find_step_s(event_tokens)))
 
+    def _record_response(self) -> None:
+        service_reach = self._core.reach.get(self._call.service.name)
+        record_response(service_reach, self._core.now())
+
     def _handle_first_event(self) -> None:
         """Remove the prefill from the engine's open work at the first event.
 
         Kept there until the end of the stream, it would count as a prompt
         that other requests have to wait for.
         """
-        self._count_usage()
+        self._attempts.count_usage()
         placement = self._core.placement
         now = self._core.now()
         placement.failures.record(self._flight.engine, now, failed=False)
@@ -191,13 +198,6 @@
         if handover_s:
             placement.handover.observe(handover_s, now)
 
-    def _count_usage(self) -> None:
-        """Count the request in its workspace's usage, once for all attempts."""
-        workspace = self._call.workspace
-        if workspace is not None and not self._counted:
-            self._core.meter.record_started(workspace.name)
-        self._counted = True
-
     def _record_caller_left(self, plan: Plan) -> None:
         """Record what the engine had sent when the caller disconnected.
 
--- a/packages/verbenahall/src/verbenahall/gateway/_hooks.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_hooks.py
@@ -4,12 +4,18 @@
 tests of other modules run with the defaults.
 """
 
-from typing import Protocol, final
+from typing import TYPE_CHECKING, Protocol, final
+
+from aiohttp import web
 
 from verbenahall.platform import AnswerHead
 from verbenahall.requests import Limited
 from verbenahall.roster import Entry
 
+if TYPE_CHECKING:
+    from verbenahall.gateway._attempts import Attempts
+    from verbenahall.gateway._relay import EventRelay
+
 
 class RateLimiter(Protocol):
     """Delays or refuses sends beyond the rate that an endpoint accepts."""
@@ -76,6 +82,35 @@
         """Ignore the response."""
 
 
+class Forwarder(Protocol):
+    """Forwards calls to peers where this instance reaches no endpoint."""
+
+    async def should_forward(self, attempts: 'Attempts') -> bool:
+        """Whether the service of a call is not reached."""
+
+    async def run(
+        self, attempts: 'Attempts', relay: 'EventRelay | None' = None
+    ) -> web.StreamResponse:
+        """Return the answer of a peer, or why there is none."""
+
+
+@final
+class NoForwarder:
+    """A forwarder that forwards nothing."""
+
+    __slots__ = ()
+
+    async def should_forward(self, attempts: 'Attempts') -> bool:
+        """Return False."""
+        return False
+
+    async def run(
+        self, attempts: 'Attempts', relay: 'EventRelay | None' = None
+    ) -> web.StreamResponse:
+        """Fail, as nothing is to be forwarded."""
+        raise AssertionError('there is no forwarder')
+
+
 def format_incarnation(endpoint: Entry) -> str:
     """Return a name that identifies this incarnation of an endpoint."""
     return f'{endpoint.name}/{endpoint.born}'
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/gateway/_hop_client.py
@@ -0,0 +1,180 @@
+"""Sends calls to peers and passes their answers on."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from http import HTTPStatus
+from typing import final
+
+import aiohttp
+import yarl
+from aiohttp.web import StreamResponse
+from returns.result import Failure, Result, Success
+
+from verbenahall.forwarding import (
+    HOP_HEADER,
+    REFUSED_HEADER,
+    ChosenPeer,
+    Hop,
+    encode_hop,
+)
+from verbenahall.gateway._answers import build_answer_response
+from verbenahall.gateway._attempts import Attempts
+from verbenahall.gateway._core import Core
+from verbenahall.gateway._messages import Answered, Call
+from verbenahall.gateway._relay import EventRelay
+from verbenahall.platform import (
+    CALL_FAILURES,
+    CONNECT_FAILURES,
+    build_forward_headers,
+    strip_hop_headers,
+)
+from verbenahall.requests import (
+    Broken,
+    NeverWritten,
+    Outcome,
+    Refused,
+    TimedOut,
+)
+
+#: The answer for the caller, or why there is none.
+Forwarded = Result[StreamResponse, Outcome]
+
+
+@final
+class HopClient:
+    """Sends calls to peers and classifies the outcomes.
+
+    A peer that refuses with ``REFUSED_HEADER`` has not run the call. All other
+    answers are final, whatever their status.
+    """
+
+    __slots__ = ('_core',)
+
+    def __init__(self, core: Core) -> None:
+        """Send through the HTTP session of the core."""
+        self._core = core
+
+    async def send(
+        self, attempts: Attempts, peer: ChosenPeer, relay: EventRelay | None
+    ) -> Forwarded:
+        """Send a call to a peer; return its answer.
+
+        With ``relay`` a stream is relayed as it arrives.
+        """
+        call = attempts.call
+        last_event = relay.state.last if relay else call.head.last_event
+        async with self._open(attempts, peer, last_event) as opened:
+            match opened:
+                case Success(response):
+                    return await self._pass_on(call, response, relay)
+                case _:
+                    return opened
+
+    @contextlib.asynccontextmanager
+    async def _open(
+        self,
+        attempts: Attempts,
+        peer: ChosenPeer,
+        last_event: int | None,
+    ) -> AsyncIterator[Result[aiohttp.ClientResponse, Outcome]]:
+        """Send a call and yield the response once its head has arrived.
+
+        Leaving the context early closes the connection, which signals to the
+        peer that the caller no longer waits for the answer.
+        """
+        call = attempts.call
+        left_s = call.left_s(self._core.now())
+        headers = build_forward_headers(call.raw_headers, left_s, last_event)
+        headers[HOP_HEADER] = encode_hop(self._make_hop(attempts))
+        request = self._core.session.request(
+            call.method,
+            yarl.URL(f'http://{peer.address}{call.path}', encoded=True),
+            headers=headers,
+            data=call.body or None,
+            allow_redirects=False,
+        )
+        response = None
+        try:
+            async with asyncio.timeout(left_s):
+                response = await request
+        except CALL_FAILURES as error:
+            yield Failure(self._classify(call, error))
+        else:
+            yield _check_refusal(response)
+        finally:
+            if response is not None:
+                response.close()
+
+    async def _pass_on(
+        self,
+        call: Call,
+        response: aiohttp.ClientResponse,
+        relay: EventRelay | None,
+    ) -> Forwarded:
+        """Relay a stream, or return another answer whole."""
+        if relay is not None and response.status == HTTPStatus.OK:
+            reading = _relay_stream(response, relay)
+        else:
+            reading = _read_whole(response)
+        left_s = call.left_s(self._core.now())
+        try:
+            async with asyncio.timeout(left_s):
+                return await reading
+        except ConnectionResetError:
+            # Raised when the caller's connection broke.
+            raise
+        except CALL_FAILURES as error:
+            return Failure(self._classify(call, error))
+
+    def _make_hop(self, attempts: Attempts) -> Hop:
+        call = attempts.call
+        return Hop(
+            self._core.settings.name,
+            call.version,
+            call.service.name,
+            attempts.runs,
+            call.is_counted,
+            attempts.is_metered,
+            call.waited_s,
+        )
+
+    def _classify(self, call: Call, error: BaseException) -> Outcome:
+        if isinstance(error, CONNECT_FAILURES):
+            return NeverWritten(repr(error))
+        is_timeout = isinstance(error, TimeoutError)
+        if is_timeout and self._core.now() >= call.deadline:
+            return TimedOut()
+        return Broken(repr(error))
+
+
+def _check_refusal(
+    response: aiohttp.ClientResponse,
+) -> Result[aiohttp.ClientResponse, Outcome]:
+    if REFUSED_HEADER in response.headers:
+        return Failure(Refused(response.status))
+    return Success(response)
+
+
+async def _relay_stream(
+    response: aiohttp.ClientResponse, relay: EventRelay
+) -> Forwarded:
+    # The peer itself resumes a stream that stalls.
+    await relay.pump(response, bool, bool, resumable=False)
+    finished = await relay.finish()
+    if finished is None:
+        return Failure(Broken('the stream had no events'))
+    return Success(finished)
+
+
+async def _read_whole(response: aiohttp.ClientResponse) -> Forwarded:
+    return Success(
+        build_answer_response(
+            Answered(
+                response.status,
+                response.reason or '',
+                strip_hop_headers(response.raw_headers),
+                await response.read(),
+            ),
+        ),
+    )
--- a/packages/verbenahall/src/verbenahall/gateway/_messages.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_messages.py
@@ -6,6 +6,7 @@
 
 from verbenahall.authentication import Workspace
 from verbenahall.catalog import Route, Service
+from verbenahall.forwarding import Hop
 from verbenahall.platform import RequestHead
 
 
@@ -19,7 +20,9 @@
     ``waited_s`` is the estimated time that the caller has waited in earlier
     attempts, in seconds. ``fingerprint`` is the same for all attempts at a
     request. ``workspace`` is the holder of the request's API key in that
-    version, None if no workspace holds it.
+    version, None if no workspace holds it. ``hop`` is what the instance that
+    forwarded the request states about it, None if it came from its caller.
+    ``is_counted`` is whether the retry budget counts it as a request.
     """
 
     head: RequestHead
@@ -35,6 +38,8 @@
     waited_s: float = 0
     fingerprint: str = ''
     workspace: Workspace | None = None
+    hop: Hop | None = None
+    is_counted: bool = False
 
     @property
     def priority(self) -> int:
--- a/packages/verbenahall/src/verbenahall/gateway/_plain_flow.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_plain_flow.py
@@ -43,7 +43,6 @@
         '_call',
         '_attempts',
         '_fallback',
-        '_counted',
     )
 
     def __init__(self, core: Core, sender: Sender, call: Call) -> None:
@@ -53,7 +52,6 @@
         self._call = call
         self._attempts = Attempts(core, call)
         self._fallback: Answered | None = None
-        self._counted = False
 
     async def run(self) -> web.StreamResponse:
         """Make attempts until an answer is final; return it."""
@@ -65,6 +63,8 @@
     async def _run(self) -> web.StreamResponse:
         final_answer: web.StreamResponse | None = None
         while final_answer is None:
+            if await self._core.forwarder.should_forward(self._attempts):
+                return await self._core.forwarder.run(self._attempts)
             now = self._core.now()
             untried = self._list_untried(now)
             endpoint = choose_endpoint(self._core, untried, now)
@@ -105,19 +105,9 @@
         result = await self._sender.exchange(call, endpoint, options, until)
         self._attempts.record(endpoint.name, result)
         if self._attempts.runs == 1:
-            self._count_usage(self._core.now() - now)
+            self._attempts.count_usage(self._core.now() - now)
         return result
 
-    def _count_usage(self, ago_s: float) -> None:
-        """Count the request in its workspace's usage, once for all attempts.
-
-        ``ago_s`` is how long ago it was sent, in seconds.
-        """
-        workspace = self._call.workspace
-        if workspace is not None and not self._counted:
-            self._core.meter.record_started(workspace.name, ago_s)
-        self._counted = True
-
     def _handle_result(
         self,
         endpoint: Entry,
--- a/packages/verbenahall/src/verbenahall/gateway/_relay.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_relay.py
@@ -57,13 +57,15 @@
     async def pump(
         self,
         response: ClientResponse,
-        record_first_event: Callable[[], None],
+        record_first_event: Callable[[], object],
+        record_response: Callable[[], object],
         *,
         resumable: bool,
     ) -> StreamTiming:
         """Relay an engine's stream to its end; return its timing.
 
-        ``record_first_event`` is called at the engine's first new event. Raises
+        ``record_first_event`` is called at the engine's first new event, and
+        ``record_response`` whenever bytes arrive. Raises
         ``TimeoutError`` when the stream stalls, ``ClientPayloadError`` when it
         ends inside an event, and other errors when the connection breaks.
         """
@@ -73,6 +75,7 @@
                 piece = await response.content.readany()
             if not piece:
                 break
+            record_response()
             step = feed(self.state, piece)
             if step.events:
                 if not timing.events:
--- a/packages/verbenahall/src/verbenahall/gateway/_sender.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_sender.py
@@ -26,6 +26,12 @@
     read_answer_head,
     strip_answer_headers,
 )
+from verbenahall.reach import (
+    record_ended,
+    record_response,
+    record_sent,
+    record_trouble,
+)
 from verbenahall.requests import (
     Broken,
     NeverWritten,
@@ -87,10 +93,8 @@
             data=call.body or None,
             allow_redirects=False,
         )
-        health = self._core.endpoint_health.get(endpoint.name)
-        health.open += 1
         trial = self._core.endpoints.backoffs.begin_trial(endpoint.incarnation)
-        self._log_sent(call, endpoint, options)
+        self._begin_send(call, endpoint, options)
         response = None
         sent_at = self._core.now()
         try:
@@ -98,6 +102,8 @@
         except CALL_FAILURES as error:
             yield Failure(self.classify_failure(call, endpoint, error))
         else:
+            service_reach = self._core.reach.get(endpoint.service)
+            record_response(service_reach, self._core.now())
             opened = await self._check_refusal(
                 endpoint, options, response, sent_at
             )
@@ -108,7 +114,6 @@
             )
             yield opened
         finally:
-            health.open -= 1
             self._end_send(endpoint, trial, response)
 
     async def exchange(
@@ -178,7 +183,10 @@
     ) -> Outcome:
         """Return the outcome of a failed send and record the failure."""
         now = self._core.now()
-        if isinstance(error, CONNECT_FAILURES):
+        is_connect_failure = isinstance(error, CONNECT_FAILURES)
+        if is_connect_failure or not isinstance(error, TimeoutError):
+            record_trouble(self._core.reach.get(endpoint.service))
+        if is_connect_failure:
             self._core.endpoint_health.record_unreachable(endpoint.name, now)
             return NeverWritten(repr(error))
         if isinstance(error, OSError) and error.errno in _NO_ACK_ERRNOS:
@@ -194,13 +202,26 @@
             )
         return Broken(repr(error))
 
+    def _begin_send(
+        self, call: Call, endpoint: Entry, options: SendOptions
+    ) -> None:
+        """Log a send and count it as open."""
+        core = self._core
+        core.endpoint_health.get(endpoint.name).open += 1
+        record_sent(core.reach.get(endpoint.service), core.now())
+        self._log_sent(call, endpoint, options)
+
     def _end_send(
         self,
         endpoint: Entry,
         trial: Trial | None,
         response: aiohttp.ClientResponse | None,
     ) -> None:
-        """Stop counting a send as a trial, and close its connection."""
+        """Stop counting a send as open, and close its connection."""
+        health = self._core.endpoint_health.get(endpoint.name)
+        # The record is a new one if the endpoint was unlisted meanwhile.
+        health.open = max(0, health.open - 1)
+        record_ended(self._core.reach.get(endpoint.service))
         self._core.endpoints.backoffs.end_trial(endpoint.incarnation, trial)
         if response is not None:
             response.close()
--- a/packages/verbenahall/src/verbenahall/gateway/_serve.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_serve.py
@@ -14,17 +14,22 @@
 from verbenahall.config import LimitsConfig
 from verbenahall.front import ReadTimeouts, Runner
 from verbenahall.gateway._admission import RequestAdmitter
+from verbenahall.gateway._call_reader import CallReader
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._crash_reports import CrashLogReplicator
 from verbenahall.gateway._crashes import CrashDetector
 from verbenahall.gateway._dispatch import Dispatch
+from verbenahall.forwarding import OpenForwards
 from verbenahall.gateway._fleet_state_log import FleetStateLog
+from verbenahall.gateway._forwarder import PeerForwarder
+from verbenahall.gateway._hop_server import HopServer
 from verbenahall.gateway._ingress import Ingress
 from verbenahall.gateway._leaving_notices import LeavingReplicator
 from verbenahall.gateway._orders import RoleController
 from verbenahall.gateway._peers import PeerFinder
 from verbenahall.gateway._permits import DistributedRateLimiter
 from verbenahall.gateway._probes import EndpointProber
+from verbenahall.gateway._reach import ReachMonitor
 from verbenahall.gateway._readiness import Readiness
 from verbenahall.gateway._record_handlers import make_followers
 from verbenahall.gateway._refresh import Refresher
@@ -46,6 +51,7 @@
 _MAX_LINE_BYTES: Final = 65_536
 _MAX_BODY_BYTES: Final = 67_108_864
 _MAX_CONNECTIONS: Final = 3000
+_ANY_PATH: Final = '/{path:.*}'
 #: A new connection without a request is closed after this time, in seconds: the
 #: usual idle timeout of callers and load balancers.
 _FIRST_REQUEST_S: Final = 60.0
@@ -91,6 +97,8 @@
         self.leaving_replicator = LeavingReplicator(
             self.core, self.finder.exchange
         )
+        self._open_forwards = OpenForwards()
+        PeerForwarder(self.core, self._open_forwards)
         followers = make_followers(self.core, self.finder.exchange)
         self._followers = {one.handler.topic: one for one in followers}
         self._usage = make_usage_exchange(self.core, self.finder.exchange)
@@ -100,14 +108,14 @@
     async def open(self) -> None:
         """Open the listeners and start the background loops."""
         readiness = Readiness(self.core)
+        ingress = self._make_ingress()
+        hop_server = HopServer(
+            self.core, self.stop, ingress, self._open_forwards
+        )
         self._runners = [
             await _serve_readiness(self.core, readiness, self.stop),
-            await _serve_callers(
-                self.core,
-                readiness,
-                self.stop,
-                self._make_ingress(),
-            ),
+            await _serve_callers(self.core, readiness, self.stop, ingress),
+            await _serve_peers(self.core, self.stop, hop_server),
             await _serve_metrics(self.core.settings),
         ]
         self._start_loops(readiness)
@@ -130,7 +138,8 @@
         )
         dispatch = Dispatch(self.core, self.scheduling.scheduler_client)
         admitter = RequestAdmitter(self.core, key_refresher)
-        return Ingress(self.core, self.stop, dispatch, admitter)
+        reader = CallReader(self.core, admitter)
+        return Ingress(self.core, self.stop, dispatch, reader)
 
     def _is_stopping(self) -> bool:
         return self.stop.stopping
@@ -140,6 +149,7 @@
         exchange = self.finder.exchange
         by_topic = self._followers
         exchange.changing = role_controller.changing
+        exchange.list_unreachable = self.core.reach.list_lost
         loops = {
             **{topic: one.run for topic, one in by_topic.items()},
             **{
@@ -154,6 +164,7 @@
             'crash reports': self.crash_log_replicator.run,
             'leaving notices': self.leaving_replicator.run,
             'permits': self.rate_limiter.run,
+            'reach': ReachMonitor(self.core).run,
             'probes': EndpointProber(self.core).run,
             'beliefs': FleetStateLog(self.core).run,
             'lines': _flush_log,
@@ -212,9 +223,24 @@
     ingress: Ingress,
 ) -> web.AppRunner:
     app = web.Application(client_max_size=_MAX_BODY_BYTES)
-    stop.add_to(app)
     app.on_response_prepare.append(readiness.close_connection)
-    app.router.add_route('*', '/{path:.*}', ingress.handle)
+    app.router.add_route('*', _ANY_PATH, ingress.handle)
+    return await _serve_requests(core, stop, app, core.settings.callers)
+
+
+async def _serve_peers(
+    core: Core, stop: GracefulStop, hop_server: HopServer
+) -> web.AppRunner:
+    """Serve requests that peers forward, on the port between instances."""
+    app = web.Application(client_max_size=_MAX_BODY_BYTES)
+    app.router.add_route('*', _ANY_PATH, hop_server.handle)
+    return await _serve_requests(core, stop, app, core.settings.peer_address)
+
+
+async def _serve_requests(
+    core: Core, stop: GracefulStop, app: web.Application, address: str
+) -> web.AppRunner:
+    stop.add_to(app)
     limits = LimitsConfig(
         body_bytes=_MAX_BODY_BYTES,
         header_bytes=_MAX_LINE_BYTES,
@@ -227,7 +253,7 @@
         default_deadline_s=0,
     )
     runner = Runner(app, limits, functools.partial(_find_read_timeouts, core))
-    site = await listen(runner, core.settings.callers)
+    site = await listen(runner, address)
     stop.hooks.close.append(site.stop)
     return runner
 
--- a/packages/verbenahall/src/verbenahall/gateway/_stream_flow.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_stream_flow.py
@@ -69,8 +69,8 @@
         self._call = call
         self._relay = EventRelay(request, call, core.now)
         self._prefills = PrefillCalls(core, sender)
-        self._generation = Generation(core, sender, call, self._relay)
         self._attempts = Attempts(core, call)
+        self._generation = Generation(core, sender, self._attempts, self._relay)
         self._kv_handle: CacheHandle | None = None
         self._grant: Grant | None = None
         self._refusals = 0
@@ -85,7 +85,10 @@
 
     async def _run(self, dispatch: Dispatch) -> web.StreamResponse:
         final_answer: web.StreamResponse | None = None
+        forwarder = self._core.forwarder
         while final_answer is None:
+            if await forwarder.should_forward(self._attempts):
+                return await forwarder.run(self._attempts, self._relay)
             match await self._await_admission(dispatch):
                 case Success(grant):
                     self._grant = grant
--- a/packages/verbenahall/src/verbenahall/metrics.py
+++ b/packages/verbenahall/src/verbenahall/metrics.py
@@ -142,6 +142,25 @@
     'Answers dropped since they belong to another attempt, by shape.',
     'shape',
 )
+REACH_CHECKS: Final = BufferedCounter(
+    'verbenahall_reach_checks_total',
+    'Checks whether any endpoint of a service is reached, by outcome.',
+    'outcome',
+)
+FORWARDED: Final = BufferedCounter(
+    'verbenahall_forwarded_total',
+    'Requests sent to a peer as no endpoint was reached, by outcome.',
+    'outcome',
+)
+HOPS_REFUSED: Final = BufferedCounter(
+    'verbenahall_hops_refused_total',
+    'Requests of peers that were refused before anything was done, by reason.',
+    'reason',
+)
+HOP_SECONDS: Final = BufferedHistogram(
+    'verbenahall_hop_seconds',
+    'Time from the send of a request to a peer to the end of its answer.',
+)
 QUEUE_SECONDS: Final = BufferedHistogram(
     'verbenahall_queue_seconds',
     'Time from a request being read to its admission.',
--- a/packages/verbenahall/src/verbenahall/peers/_messages.py
+++ b/packages/verbenahall/src/verbenahall/peers/_messages.py
@@ -40,7 +40,8 @@
     its measurements of prefill speed. ``followed_offsets`` is the next offset
     of each topic that the author follows at the store, ``ages`` the seconds
     since the store last confirmed that it holds nothing newer, and ``cores``
-    how many processor cores the author may use.
+    how many processor cores the author may use. ``unreachable`` holds the
+    services of which the author reaches no endpoint.
     """
 
     author: str
@@ -54,6 +55,7 @@
     )
     cores: float = 1
     ages: Mapping[str, float] = dataclasses.field(default_factory=dict)
+    unreachable: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -97,10 +99,18 @@
                 topic: round(age_s, _AGE_DECIMALS)
                 for topic, age_s in heartbeat.ages.items()
             },
+            # Left out while empty, as in nearly all heartbeats.
+            **_encode_unreachable(heartbeat),
         },
     )
 
 
+def _encode_unreachable(heartbeat: Heartbeat) -> Mapping[str, Any]:
+    if heartbeat.unreachable:
+        return {'unreachable': heartbeat.unreachable}
+    return {}
+
+
 def encode_update(update: TopicUpdate) -> bytes:
     """Encode an update, whose records may hold any bytes."""
     return wire.encode(
@@ -257,7 +267,7 @@
                 heartbeat,
                 changing,
                 speed,
-                table.get('ages', {}),
+                table,
             )
         case _:
             return Nothing
@@ -267,14 +277,16 @@
     heartbeat: Heartbeat,
     changing: list[Any],
     speed: list[Any],
-    ages: Any,
+    table: dict[str, Any],
 ) -> Maybe[Heartbeat]:
     """Check and convert the members of the containers.
 
-    One invalid member invalidates the whole heartbeat.
+    One invalid member invalidates the whole heartbeat. ``table`` may lack the
+    optional ones.
     """
     offsets = heartbeat.followed_offsets.values()
-    if not all(isinstance(engine, str) for engine in changing):
+    unreachable = table.get('unreachable', [])
+    if not _is_list_of_text(changing) or not _is_list_of_text(unreachable):
         return Nothing
     if not all(isinstance(offset, int) for offset in offsets):
         return Nothing
@@ -288,8 +300,19 @@
                 },
                 changing=tuple(changing),
                 speed=tuple(map(float, speed)),
-                ages={topic: float(age_s) for topic, age_s in ages.items()},
+                ages=_convert_ages(table.get('ages', {})),
+                unreachable=tuple(unreachable),
             ),
         )
     except (AttributeError, TypeError, ValueError):
         return Nothing
+
+
+def _is_list_of_text(members: Any) -> bool:
+    return isinstance(members, list) and all(
+        isinstance(member, str) for member in members
+    )
+
+
+def _convert_ages(ages: Any) -> Mapping[str, float]:
+    return {topic: float(age_s) for topic, age_s in ages.items()}
--- a/packages/verbenahall/src/verbenahall/peers/_shell.py
+++ b/packages/verbenahall/src/verbenahall/peers/_shell.py
@@ -48,15 +48,17 @@
         """Exchange the open work in the load table of the placement state.
 
         ``on_engine_changing`` is called for each engine that a peer reports as
-        changing its role, ``on_update`` for each store update. Three callbacks
+        changing its role, ``on_update`` for each store update. Four callbacks
         supply fields of the heartbeats: ``changing`` the engines that this
         instance has ordered to change, ``followed_offsets`` the offsets of the
         topics that it follows, ``list_ages`` the seconds since the store last
-        confirmed each topic.
+        confirmed each topic, ``list_unreachable`` the services of which this
+        instance reaches no endpoint.
         """
         self.changing: Callable[[], Sequence[str]] = tuple
         self.followed_offsets: Callable[[], Mapping[str, int]] = dict
         self.list_ages: Callable[[], Mapping[str, float]] = dict
+        self.list_unreachable: Callable[[], Sequence[str]] = tuple
         self.on_update: Callable[[TopicUpdate], object] = bool
         #: Called for every datagram, with the sender's address, before the
         #: exchange decodes it. Returns True if it has handled the datagram.
@@ -166,6 +168,8 @@
             *received,
             self._arrivals.find_confirmations(heartbeat),
         ):
+            peer = self._peer_table.peers[heartbeat.author]
+            peer.unreachable = frozenset(heartbeat.unreachable)
             self._load_table.set_peer_loads(
                 heartbeat.author, heartbeat.loads, now
             )
@@ -201,6 +205,7 @@
             followed_offsets,
             self._peer_table.cores,
             ages,
+            tuple(self.list_unreachable()),
         )
 
 
--- a/packages/verbenahall/src/verbenahall/peers/_state.py
+++ b/packages/verbenahall/src/verbenahall/peers/_state.py
@@ -52,7 +52,8 @@
 
     ``last_heartbeat_at`` is when its last heartbeat was received,
     ``last_sent_at`` when the last one was sent to it, and ``number`` the number
-    of the last one received.
+    of the last one received. ``unreachable`` holds the services of which the
+    peer reaches no endpoint.
     """
 
     __slots__ = (
@@ -64,6 +65,7 @@
         'last_heartbeat_at',
         'last_sent_at',
         'number',
+        'unreachable',
     )
 
     def __init__(self, address: str, data_centre: str) -> None:
@@ -75,6 +77,7 @@
         self.last_heartbeat_at = -float('inf')
         self.last_sent_at = -float('inf')
         self.number = -1
+        self.unreachable: frozenset[str] = frozenset()
 
 
 @final
--- a/packages/verbenahall/src/verbenahall/platform/_headers.py
+++ b/packages/verbenahall/src/verbenahall/platform/_headers.py
@@ -123,8 +123,7 @@
     headers[names.EXPECT_ENDPOINT] = options.endpoint
     if workspace:
         headers[names.TENANT] = workspace
-    wait_ms = max(1, int(options.wait_s * _MS_IN_SECOND))
-    headers[names.DEADLINE_MS] = str(wait_ms)
+    headers[names.DEADLINE_MS] = _format_wait(options.wait_s)
     if options.priority is not None:
         headers[names.PRIORITY] = str(options.priority)
     if options.prefill_only:
@@ -136,6 +135,23 @@
     return headers
 
 
+def build_forward_headers(
+    raw: RawHeaders,
+    wait_s: float,
+    last_event: int | None,
+) -> CIMultiDict[str]:
+    """Build the headers of a request that another instance serves.
+
+    They are those of the caller, with the time that is left in seconds, and
+    the last event that the caller has received.
+    """
+    headers = strip_hop_headers(raw)
+    headers[names.DEADLINE_MS] = _format_wait(wait_s)
+    if last_event is not None:
+        headers[names.LAST_EVENT_ID] = str(last_event)
+    return headers
+
+
 def strip_hop_headers(
     raw: RawHeaders,
     excluded: frozenset[str] = _NO_NAMES,
@@ -210,6 +226,10 @@
     return digest_key(keys[0]) if len(keys) == 1 else b''
 
 
+def _format_wait(wait_s: float) -> str:
+    return str(max(1, int(wait_s * _MS_IN_SECOND)))
+
+
 def _parse_wait(text: str) -> float | None:
     if text.isascii() and text.isdigit():
         return int(text) / _MS_IN_SECOND
