A refused connection is a crash only if another endpoint accepts one

Cause: the detector takes what its own path does for a fact about the endpoint. Why this works: a refusal of one endpoint while another accepts a connection is no fault of the path; without any that accepts, nothing is reported, and another instance that reaches the endpoint still reports a real crash.

The test failed before (two crashes reported by one reset) and passes; the 341 tests of gateway, drains and quarantine pass, with the bounds on repeated crashes unchanged.

--- a/packages/verbenahall/src/verbenahall/gateway/_crashes.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_crashes.py
@@ -9,6 +9,7 @@
 from verbenahall.gateway._crash_reports import CrashLogReplicator
 from verbenahall.gateway._hooks import format_incarnation
 from verbenahall.gateway._probes import ConnectOutcome, try_connect
+from verbenahall.gateway._reach import reaches_any
 from verbenahall.quarantine import Crash
 from verbenahall.roster import Entry
 
@@ -42,7 +43,9 @@
 
     A connection may also be lost because of the network, or because an
     endpoint that leaves closes its open connections. An endpoint has crashed
-    if it is listed as serving and refuses a new connection.
+    if it is listed as serving and refuses a new connection, and another
+    endpoint accepts one: where the path from this instance to all endpoints is
+    lost, refused connections say nothing about the endpoints.
     """
 
     __slots__ = ('_core', '_losses', '_replicator')
@@ -70,9 +73,7 @@
         if losses is None:
             losses = _LostConnections(core.now(), set())
             self._losses[incarnation] = losses
-            core.spawn(
-                self._check_endpoint(incarnation, endpoint.address, losses)
-            )
+            core.spawn(self._check_endpoint(incarnation, endpoint, losses))
         losses.fingerprints.add(fingerprint)
         if losses.crashed:
             self._report_new(incarnation, losses)
@@ -86,11 +87,13 @@
         self._replicator.record_answered(fingerprint)
 
     async def _check_endpoint(
-        self, incarnation: str, address: str, losses: _LostConnections
+        self, incarnation: str, endpoint: Entry, losses: _LostConnections
     ) -> None:
         """Connect to an endpoint; report a crash if it refuses."""
-        outcome = await try_connect(self._core, address)
-        losses.crashed = outcome is ConnectOutcome.REFUSES
+        outcome = await try_connect(self._core, endpoint.address)
+        refuses = outcome is ConnectOutcome.REFUSES
+        has_path = not refuses or await self._reaches_others(endpoint)
+        losses.crashed = refuses and has_path
         if losses.crashed:
             await asyncio.sleep(_SETTLE_S)
             self._report_new(incarnation, losses)
@@ -100,9 +103,21 @@
             'crash' if losses.crashed else 'no_crash',
             endpoint=incarnation,
             contact=outcome.value,
+            path='good' if has_path else 'lost',
             requests=len(losses.fingerprints),
         )
 
+    async def _reaches_others(self, endpoint: Entry) -> bool:
+        """Whether another endpoint is reached; True if there is none."""
+        roster = self._core.roster
+        now = self._core.now()
+        others = [
+            listing.entry
+            for name, listing in roster.listings.items()
+            if name != endpoint.name and roster.is_live(name, now)
+        ]
+        return not others or await reaches_any(self._core, others)
+
     def _report_new(self, incarnation: str, losses: _LostConnections) -> None:
         """Report the requests that have not been reported yet."""
         unreported = losses.fingerprints - losses.reported
--- a/packages/verbenahall/tests/drains/crashing_fleet.py
+++ b/packages/verbenahall/tests/drains/crashing_fleet.py
@@ -11,6 +11,7 @@
 
 from verbenahall.catalog import RouteKind
 from verbenahall.gateway import _crashes as crashes
+from verbenahall.gateway import _reach as reach
 from verbenahall.gateway._crash_reports import CrashLogReplicator
 from verbenahall.gateway._probes import ConnectOutcome
 from verbenahall.quarantine import find_quarantine_s, make_fingerprint
@@ -191,7 +192,10 @@
     rng = random.Random(seed)
     fleet = CrashingFleet(seed, rng.randint(4, 9))
     fleet.stable_s = 3
-    with mock.patch.object(crashes, 'try_connect', fleet.try_connect):
+    with (
+        mock.patch.object(crashes, 'try_connect', fleet.try_connect),
+        mock.patch.object(reach, 'try_connect', fleet.try_connect),
+    ):
         await fleet.open()
         await asyncio.sleep(3)
         fault_task = asyncio.create_task(inject_faults(fleet, rng))
--- a/packages/verbenahall/tests/gateway/test_cut_off_from_endpoints.py
+++ b/packages/verbenahall/tests/gateway/test_cut_off_from_endpoints.py
@@ -114,3 +114,25 @@
             assert find_share(at_cut) >= LEAST_SHARE
 
     run(check())
+
+
+def test_lost_links_are_no_evidence_of_crashes(tmp_path):
+    # The links of one instance are reset while requests are open. If it took
+    # the refused connections for crashes of the endpoints, all instances would
+    # put requests in quarantine that have done nothing.
+    async def check():
+        async with run_fleet(tmp_path) as fleet:
+            cut, _ = fleet.harnesses
+            for endpoint in cut.site.plain:
+                endpoint.delay_s = 0.3
+            for _ in range(3):
+                sending = asyncio.create_task(fleet.send_all(cut, 0.6))
+                await asyncio.sleep(0.4)
+                fleet.links.cut(Cut.RESET)
+                await sending
+                fleet.links.cut(Cut.NONE)
+                await asyncio.sleep(1)
+            assert cut.log_lines('connection_lost')
+            assert not cut.log_lines('crash')
+
+    run(check())
