Soak: instances lose their links to all endpoints, in three forms

Each instance process connects to the endpoints by links of its own, which hang, are reset, or keep open connections and take no new ones, for 4.5 to 8 s, at some of the instances, overlapping with all other faults of the plan. A check compares the callers of cut instances with the others by the users' rule, from 3 s after the cut's begin on.

--- a/packages/standins/src/verbenahall_standins/soak/__init__.py
+++ b/packages/standins/src/verbenahall_standins/soak/__init__.py
@@ -1,27 +1,31 @@
 """Soak test: real instances under random faults, with checked guarantees."""
 
 from verbenahall_standins.soak._checks import find_violations
+from verbenahall_standins.soak._cuts import CutWindow, find_unserved
 from verbenahall_standins.soak._links import Cut, EndpointLinks
 from verbenahall_standins.soak._notices import (
     LinkFault,
     find_unheeded_notices,
 )
 from verbenahall_standins.soak._plan import Event, Kind, draw_plan
-from verbenahall_standins.soak._proxy import Link, Proxy
+from verbenahall_standins.soak._proxy import Link, Listener, Proxy
 from verbenahall_standins.soak._records import Record
 from verbenahall_standins.soak._run import run_soak
 
 __all__ = (
     'Cut',
+    'CutWindow',
     'EndpointLinks',
     'Event',
     'Kind',
     'Link',
     'LinkFault',
+    'Listener',
     'Proxy',
     'Record',
     'draw_plan',
     'find_unheeded_notices',
+    'find_unserved',
     'find_violations',
     'run_soak',
 )
--- a/packages/standins/src/verbenahall_standins/soak/_actions.py
+++ b/packages/standins/src/verbenahall_standins/soak/_actions.py
@@ -11,6 +11,7 @@
 
 from verbenahall_standins.soak._deployment import Deployment
 from verbenahall_standins.soak._instances import Instance
+from verbenahall_standins.soak._links import Cut
 from verbenahall_standins.soak._notices import LinkFault
 from verbenahall_standins.soak._plan import LEAVING_S, Event, Kind
 from verbenahall_standins.soak._proxy import Link, Proxy
@@ -18,6 +19,7 @@
 _LINKS: Final = (Link.SLOW, Link.RESET, Link.ONE_WAY, Link.SILENT)
 #: Backoffs that endpoints request, in seconds.
 _BACKOFFS_S: Final = (3.0, 2.0, 3.0, 0.25)
+_CUTS: Final = (Cut.HANGING, Cut.RESET, Cut.NO_NEW)
 #: One in this many store link faults affects all instances.
 _SHARED_EVERY: Final = 3
 
@@ -125,6 +127,16 @@
     endpoint.notices.request_backoff(0)
 
 
+async def _cut_instances(deployment: Deployment, event: Event) -> None:
+    """Cut some instances, but not all, from all endpoints."""
+    names = [one.name for one in deployment.instances]
+    count_draw, form_number = divmod(event.shape, len(_CUTS))
+    count = 1 + count_draw % (len(names) - 1)
+    first = event.target_draw % len(names)
+    chosen = (names[first:] + names[:first])[:count]
+    await deployment.cuts.cut(chosen, _CUTS[form_number], event.for_s)
+
+
 async def _freeze(deployment: Deployment, event: Event) -> None:
     await _select_instance(deployment, event).freeze(event.for_s)
 
@@ -188,5 +200,6 @@
         Kind.ENGINE_SILENT: _silence_engine,
         Kind.ENDPOINT_LEAVES: _leave,
         Kind.ENDPOINT_BACKS_OFF: _request_backoffs,
+        Kind.INSTANCES_CUT: _cut_instances,
     },
 )
--- a/packages/standins/src/verbenahall_standins/soak/_instances.py
+++ b/packages/standins/src/verbenahall_standins/soak/_instances.py
@@ -38,11 +38,15 @@
 class Instance:
     """One gateway process, restarted with the same settings."""
 
-    def __init__(self, name: str, path: Path) -> None:
-        """Prepare a process with the settings at ``path``."""
+    def __init__(self, name: str, path: Path, links_path: Path) -> None:
+        """Prepare a process with the settings at ``path``.
+
+        It connects to endpoints by the links in the file ``links_path``.
+        """
         self.name = name
         self.settings: ProcessSettings = read_settings(path).unwrap()
         self.exit_codes: list[int] = []
+        self._links_path = links_path
         self._path = path
         self._output = path.with_suffix('.log')
         self._process: asyncio.subprocess.Process | None = None
@@ -60,7 +64,8 @@
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 '-m',
-                'verbenahall.gateway',
+                'verbenahall_standins.soak._linked_instance',
+                str(self._links_path),
                 env={**os.environ, 'VERBENAHALL_CONFIG': str(self._path)},
                 stdout=stdout,
             )
--- a/packages/standins/src/verbenahall_standins/soak/_plan.py
+++ b/packages/standins/src/verbenahall_standins/soak/_plan.py
@@ -41,6 +41,8 @@
     #: Not drawn by weight; see ``_draw_notices``.
     ENDPOINT_LEAVES = 'endpoint_leaves'
     ENDPOINT_BACKS_OFF = 'endpoint_backs_off'
+    #: Not drawn by weight; see ``_draw_cuts``.
+    INSTANCES_CUT = 'instances_cut'
 
 
 #: Relative frequency of each kind.
@@ -74,6 +76,11 @@
 #: Time in which an endpoint that leaves still serves, beyond the event, in
 #: seconds: longer than requests may still arrive there.
 LEAVING_S: Final = 2.5
+#: Interval at which instances lose their links to all endpoints, and for how
+#: long, in seconds: far longer than it may take to notice.
+_CUT_INTERVAL_S: Final = 10.0
+_MIN_CUT_S: Final = 4.5
+_MAX_CUT_S: Final = 8.0
 #: Upper bound of drawn numbers; far above the number of targets.
 _DRAW_LIMIT: Final = 65_536
 
@@ -106,6 +113,7 @@
     events = [_draw_event(rng, latest_start) for _ in range(count)]
     events.extend(_draw_silent_engines(seed, seconds))
     events.extend(_draw_notices(seed, latest_start))
+    events.extend(_draw_cuts(seed, seconds))
     return sorted(events, key=lambda event: event.at)
 
 
@@ -139,6 +147,22 @@
         at += rng.uniform(0, 2 * _NOTICE_INTERVAL_S)
 
 
+def _draw_cuts(seed: int, seconds: float) -> Iterator[Event]:
+    """Draw cuts of instances; the other draws don't change."""
+    rng = random.Random(f'cuts {seed}')
+    at = rng.uniform(_QUIET_S, 2 * _QUIET_S)
+    while at + _MIN_CUT_S < seconds - _QUIET_S:
+        longest_s = min(_MAX_CUT_S, seconds - _QUIET_S - at)
+        yield Event(
+            at=at,
+            kind=Kind.INSTANCES_CUT,
+            for_s=rng.uniform(_MIN_CUT_S, longest_s),
+            target_draw=rng.randrange(_DRAW_LIMIT),
+            shape=rng.randrange(_DRAW_LIMIT),
+        )
+        at += _CUT_INTERVAL_S
+
+
 def _draw_event(rng: random.Random, latest_start: float) -> Event:
     kinds = list(_WEIGHTS)
     weights = list(_WEIGHTS.values())
--- a/packages/standins/src/verbenahall_standins/soak/_run.py
+++ b/packages/standins/src/verbenahall_standins/soak/_run.py
@@ -12,6 +12,7 @@
 
 from verbenahall_standins.soak._actions import run_event
 from verbenahall_standins.soak._checks import find_violations
+from verbenahall_standins.soak._cuts import find_unserved
 from verbenahall_standins.soak._deployment import WORKSPACE, Deployment
 from verbenahall_standins.soak._notices import find_unheeded_notices
 from verbenahall_standins.soak._plan import Event, draw_plan
@@ -107,6 +108,7 @@
             deployment.link_faults,
             deployment.was_disturbed,
         ),
+        *find_unserved(records, deployment.cuts.windows),
         *ends,
     ]
 
--- a/packages/standins/tests/soak/test_soak.py
+++ b/packages/standins/tests/soak/test_soak.py
@@ -1,6 +1,7 @@
 """Tests of the soak: plan, proxy, checks, and short runs."""
 
 import asyncio
+import contextlib
 import dataclasses
 import itertools
 
@@ -8,12 +9,15 @@
 
 from verbenahall_standins.platform import Arrival, Notice, Notices
 from verbenahall_standins.soak import (
+    CutWindow,
     Link,
     LinkFault,
+    Listener,
     Proxy,
     Record,
     draw_plan,
     find_unheeded_notices,
+    find_unserved,
     find_violations,
     run_soak,
 )
@@ -240,3 +244,73 @@
     # Links, the store, endpoints and processes fail in a random order, some
     # of them at the same time. Longer soaks with more seeds are run by hand.
     assert asyncio.run(run_soak(seed, 9, tmp_path)) == []
+
+
+def make_records(instance, good, bad, sent_at=5):
+    """Return records of one instance, some of them refused."""
+    return [
+        change(
+            instance=instance,
+            sent_at=sent_at,
+            ended_at=sent_at + 1,
+            status=200 if number < good else 503,
+            complete=number < good,
+        )
+        for number in range(good + bad)
+    ]
+
+
+@pytest.mark.parametrize(
+    ('good', 'bad', 'sent_at', 'found'),
+    [
+        (10, 20, 5, True),
+        (30, 0, 5, False),
+        (22, 8, 5, False),
+        (0, 9, 5, False),
+        (10, 20, 2, False),
+        (10, 20, 9.5, False),
+    ],
+)
+def test_unserved_callers_of_a_cut_instance_are_found(
+    good, bad, sent_at, found
+):
+    records = [
+        *make_records('front-1', good, bad, sent_at),
+        *make_records('front-2', 30, 0),
+    ]
+    window = CutWindow(frozenset(('front-1',)), 0, 10)
+    assert bool(list(find_unserved(records, [window]))) is found
+
+
+def test_failures_at_all_instances_are_not_those_of_a_cut():
+    records = [
+        *make_records('front-1', 10, 20),
+        *make_records('front-2', 10, 20),
+    ]
+    window = CutWindow(frozenset(('front-1',)), 0, 10)
+    assert not list(find_unserved(records, [window]))
+
+
+@pytest.mark.parametrize(
+    ('listener', 'error'),
+    [
+        (Listener.OPEN, contextlib.nullcontext()),
+        (Listener.DARK, pytest.raises(TimeoutError)),
+        (Listener.CLOSED, pytest.raises(ConnectionRefusedError)),
+    ],
+)
+def test_proxy_applies_the_state_of_its_listener(listener, error):
+    async def check():
+        proxy = Proxy('127.0.0.1:1')
+        await proxy.start()
+        host, _, port = proxy.address.rpartition(':')
+        await proxy.set_listener(listener)
+        with error:
+            async with asyncio.timeout(0.3):
+                await asyncio.open_connection(host, int(port))
+        await proxy.set_listener(Listener.OPEN)
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.close()
+        await proxy.stop()
+
+    asyncio.run(check())
