What a lost path fails is counted against no engine, and by no duty

A failed attempt waits for the check of the path that is under way, some milliseconds where an endpoint answers, and reports nothing if the path is lost. A check ends with the first endpoint that accepts. An instance that reaches none orders no role changes, reports itself as reaching no service to readiness, and probes a bounded sample of unreachable endpoints instead of all. Why it works: with the loss known before the report, there is nothing left that is said of an engine.

The test of failure rates failed before and passes. Those of role orders and of readiness passed before, too: the planner had no reachable engines to plan for. They stay as guards.

--- a/packages/verbenahall/src/verbenahall/gateway/_forwarder.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_forwarder.py
@@ -54,9 +54,18 @@
         if call.hop is not None:
             return False
         if attempts.started:
-            await self._wait_checked(call)
+            await self.wait_checked(call.service.name)
         return self._core.reach.is_lost(call.service.name)
 
+    async def wait_checked(self, service: str) -> None:
+        """Wait for the end of a check of the path that is under way."""
+        known = self._core.reach.get(service)
+        end = self._core.now() + _MAX_CHECK_S
+        while self._core.now() < end and reach.is_check_due(
+            known, self._core.now()
+        ):
+            await asyncio.sleep(_POLL_S)
+
     async def run(
         self, attempts: Attempts, relay: EventRelay | None = None
     ) -> web.StreamResponse:
@@ -106,14 +115,6 @@
         _log_ended(attempts.call, peer, _describe(result), took_s)
         return result
 
-    async def _wait_checked(self, call: Call) -> None:
-        known = self._core.reach.get(call.service.name)
-        end = self._core.now() + _MAX_CHECK_S
-        while self._core.now() < end and reach.is_check_due(
-            known, self._core.now()
-        ):
-            await asyncio.sleep(_POLL_S)
-
     def _choose_peer(self, call: Call, tried: set[str]) -> Maybe[ChosenPeer]:
         core = self._core
         return choose_peer(
--- a/packages/verbenahall/src/verbenahall/gateway/_hooks.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_hooks.py
@@ -88,6 +88,9 @@
     async def should_forward(self, attempts: 'Attempts') -> bool:
         """Whether the service of a call is not reached."""
 
+    async def wait_checked(self, service: str) -> None:
+        """Wait for the end of a check of the path that is under way."""
+
     async def run(
         self, attempts: 'Attempts', relay: 'EventRelay | None' = None
     ) -> web.StreamResponse:
@@ -104,6 +107,9 @@
         """Return False."""
         return False
 
+    async def wait_checked(self, service: str) -> None:
+        """Return at once."""
+
     async def run(
         self, attempts: 'Attempts', relay: 'EventRelay | None' = None
     ) -> web.StreamResponse:
--- a/packages/verbenahall/src/verbenahall/gateway/_orders.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_orders.py
@@ -133,6 +133,9 @@
 
     def _plan(self, service: str) -> Sequence[RoleChange]:
         core = self._core
+        if core.reach.is_lost(service):
+            # Another instance has to order; the lease is released.
+            return ()
         now = core.now()
         listed = list(core.roster.list_live(service, now))
         if self._role_observer.update(service, listed):
--- a/packages/verbenahall/src/verbenahall/gateway/_probes.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_probes.py
@@ -11,6 +11,8 @@
 #: Interval between probes of unreachable endpoints, in seconds. They receive no
 #: requests until a probe succeeds.
 _PROBE_INTERVAL_S: Final = 0.4
+#: Endpoints that are probed in one interval at most.
+_MAX_PROBES: Final = 16
 #: Timeout of a probe, in seconds; within a region a connection is established
 #: in a few milliseconds.
 _CONNECT_TIMEOUT_S: Final = 0.3
@@ -57,12 +59,18 @@
             avoided = self._core.endpoint_health.list_unreachable(
                 self._core.now()
             )
-            await asyncio.gather(*(self._probe(name) for name in avoided))
+            count = min(len(avoided), _MAX_PROBES)
+            sample = self._core.random.sample(avoided, count)
+            await asyncio.gather(*(self._probe(name) for name in sample))
 
     def _is_excluded(self, entry: Entry) -> bool:
-        """Whether an endpoint would get no request even if it is reached."""
+        """Whether an endpoint would get no request even if it is reached.
+
+        While its whole service is not reached, that is checked as a whole.
+        """
         backoff_s = self._core.endpoints.notices.find_backoff_s(entry)
-        return entry.leaving or backoff_s > 0
+        is_lost = self._core.reach.is_lost(entry.service)
+        return entry.leaving or backoff_s > 0 or is_lost
 
     async def _probe(self, name: str) -> None:
         listing = self._core.roster.listings.get(name)
--- a/packages/verbenahall/src/verbenahall/gateway/_reach.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_reach.py
@@ -93,8 +93,20 @@
 
 
 async def _connect_to_any(core: Core, entries: Sequence[Entry]) -> bool:
-    connecting = (try_connect(core, one.address) for one in entries)
-    return ConnectOutcome.LISTENS in await asyncio.gather(*connecting)
+    """Connect to all endpoints at once; return at the first that accepts."""
+    pending = {
+        asyncio.create_task(try_connect(core, one.address)) for one in entries
+    }
+    accepts = False
+    while pending and not accepts:
+        done, pending = await asyncio.wait(
+            pending, return_when=asyncio.FIRST_COMPLETED
+        )
+        outcomes = {task.result() for task in done}
+        accepts = ConnectOutcome.LISTENS in outcomes
+    for task in pending:
+        task.cancel()
+    return accepts
 
 
 def _list_checkable(core: Core, service: str) -> Sequence[Entry]:
@@ -109,6 +121,8 @@
 def _use_again(core: Core, service: str, after_s: float) -> None:
     """Use all endpoints of a service whose path has returned."""
     for entry in core.roster.list_live(service, core.now()):
+        # These failures were those of the path.
+        core.endpoint_health.get(entry.name).failure_rate = 0
         core.endpoint_health.record_reachable(entry.name)
     journal.write_decision(
         'service_reachable',
--- a/packages/verbenahall/src/verbenahall/gateway/_readiness.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_readiness.py
@@ -95,6 +95,8 @@
         A service without any listed endpoint counts as reachable: no other
         instance could serve it either.
         """
+        if self._core.reach.is_lost(service):
+            return False
         final_endpoints = [
             entry
             for entry in self._core.roster.list_live(service, now)
--- a/packages/verbenahall/src/verbenahall/gateway/_stream_flow.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_stream_flow.py
@@ -175,7 +175,7 @@
             match prefilled:
                 case Failure(outcome):
                     self._attempts.tried.add(plan.prefill_engine.name)
-                    self._end_grant(grant, plan.prefill_engine, outcome)
+                    await self._end_grant(grant, plan.prefill_engine, outcome)
                     return Failure(classify_prefill_failure(outcome))
                 case Success(handle):
                     self._kv_handle = handle
@@ -194,7 +194,7 @@
         self._attempts.record(plan.decode_engine.name, result)
         match result:
             case Failure(outcome):
-                self._end_grant(grant, plan.decode_engine, outcome)
+                await self._end_grant(grant, plan.decode_engine, outcome)
                 if not self._can_keep_handle(outcome):
                     self._drop_handle()
             case Success(StreamEnded(step_s=step_s)):
@@ -243,13 +243,21 @@
                 return plan
         return self._place().value_or(plan)
 
-    def _end_grant(self, grant: Grant, engine: Entry, outcome: Outcome) -> None:
+    async def _end_grant(
+        self, grant: Grant, engine: Entry, outcome: Outcome
+    ) -> None:
         """End a grant after a failure at one of its engines.
 
-        The failure is reported with it. An engine that changes its role or
-        does not respond has little open work, and the next requests would be
-        assigned to it.
+        The failure is reported with it, unless this instance has lost the path
+        to all engines. An engine that changes its role or does not respond has
+        little open work, and the next requests would be assigned to it.
         """
+        service = self._call.service.name
+        if isinstance(outcome, NeverWritten | Broken):
+            await self._core.forwarder.wait_checked(service)
+        if self._core.reach.is_lost(service):
+            grant.end()
+            return
         refused = isinstance(outcome, Refused | NeverWritten | Limited)
         failed = isinstance(outcome, Refused | Broken | TimedOut)
         if failed:
--- a/packages/verbenahall/tests/gateway/test_cut_off_from_endpoints.py
+++ b/packages/verbenahall/tests/gateway/test_cut_off_from_endpoints.py
@@ -30,7 +30,7 @@
         async with run_fleet(tmp_path) as fleet:
             cut, other = fleet.harnesses
             assert find_share(await fleet.send_all(cut, 0.5)) == 1
-            fleet.links.cut(form)
+            await fleet.links.cut(form)
             await fleet.send_all(cut, STABLE_S)
             at_cut, at_other = await asyncio.gather(
                 fleet.send_all(cut, 2), fleet.send_all(other, 2)
@@ -53,11 +53,65 @@
             for _ in range(3):
                 sending = asyncio.create_task(fleet.send_all(cut, 0.6))
                 await asyncio.sleep(0.4)
-                fleet.links.cut(Cut.RESET)
+                await fleet.links.cut(Cut.RESET)
                 await sending
-                fleet.links.cut(Cut.NONE)
+                await fleet.links.cut(Cut.NONE)
                 await asyncio.sleep(1)
             assert cut.log_lines('connection_lost')
             assert not cut.log_lines('crash')
 
     run(check())
+
+
+@pytest.mark.parametrize('form', FORMS[:2])
+def test_cut_instance_orders_no_role_changes(tmp_path, form):
+    # It reaches no engine, so its idea of which engines were lost is wrong.
+    # Another instance has to hold the lease on the roles.
+    async def check():
+        async with run_fleet(tmp_path) as fleet:
+            cut = fleet.harnesses[0]
+            await fleet.lose_endpoints(form)
+            before = len(cut.log_lines('role_order'))
+            orders = [len(one.orders) for one in fleet.site.engines]
+            await asyncio.sleep(2)
+            assert len(cut.log_lines('role_order')) == before
+            assert [len(one.orders) for one in fleet.site.engines] == orders
+
+    run(check())
+
+
+def test_cut_instance_stays_ready_while_peers_serve_its_callers(tmp_path):
+    # If all cut instances of a data centre were not ready, the few others
+    # would take all new connections.
+    async def check():
+        async with run_fleet(tmp_path) as fleet:
+            cut = fleet.harnesses[0]
+            await fleet.lose_endpoints(Cut.HANGING)
+            await asyncio.sleep(1)
+            assert await cut.is_ready()
+
+    run(check())
+
+
+def test_failures_of_a_lost_path_are_no_failures_of_engines(tmp_path):
+    # Streams that are open when the links begin to hang end without an event.
+    # Counted against the engines, these would get less work from this instance
+    # and, where a scheduler assigns them, from all.
+    async def check():
+        async with run_fleet(tmp_path) as fleet:
+            cut = fleet.harnesses[0]
+            for engine in fleet.site.engines:
+                engine.faults.slow_head_s = 0.3
+            sending = asyncio.create_task(fleet.send_all(cut, 1))
+            await asyncio.sleep(0.5)
+            await fleet.links.cut(Cut.HANGING)
+            await sending
+            core = cut.gateway.core
+            assert core.reach.list_lost()
+            rates = [
+                core.placement.failures.estimate(one.name, core.now())
+                for one in fleet.site.engines
+            ]
+            assert rates == [0, 0, 0, 0]
+
+    run(check())
