--- a/packages/verbenactl/src/verbenactl/_losses.py
+++ b/packages/verbenactl/src/verbenactl/_losses.py
@@ -16,6 +16,7 @@
 from verbenactl._delays import DelayBreakdown, count_store_calls
 from verbenactl._groups import Ended, count_groups, list_unserved
 from verbenactl._explanations import LogLine
+from verbenactl._hops import HOP_COLUMNS, count_hops
 
 #: Results of requests, in the order of the columns.
 RESULTS: Final = (
@@ -133,7 +134,7 @@
 
 
 def find_losses(lines: Iterable[LogLine], window_s: float) -> Sequence[Table]:
-    """Return tables of results, causes, delays and store calls."""
+    """Return tables of results, causes, delays, hops and store calls."""
     kept = sorted(lines, key=lambda line: line.at)
     summaries = _summarize_requests(kept)
     started_at = kept[0].at if kept else 0
@@ -165,6 +166,7 @@
         Table('cause', ('cause', 'route', 'count'), _count_causes(summaries)),
         Table('late', ('cause', 'route', 'count'), _count_delays(summaries)),
         *_make_group_tables([one.describe_end() for one in summaries]),
+        Table('hops', HOP_COLUMNS, count_hops(kept)),
         Table(
             'store',
             ('call', 'topic', 'outcome', 'calls', 'instances', 'kb'),
--- a/packages/verbenactl/tests/test_losses.py
+++ b/packages/verbenactl/tests/test_losses.py
@@ -258,3 +258,25 @@
         *make_group('s2', 4, '200'),
     ]
     assert find_table(lines, 'groups')[0][-1] == '0.12'
+
+
+def test_hops_are_counted_by_their_instances():
+    # An operator sees from the hops which instances were cut off from the
+    # endpoints, and which served their callers.
+    lines = [
+        json.dumps(
+            {
+                'event': 'forward_ended',
+                'at': 1.0,
+                'request': f'r-{number}',
+                'peer': 'front-2',
+                'outcome': outcome,
+            }
+        )
+        for number, outcome in enumerate(
+            ('200', '503', 'refused', 'never_written', 'broken')
+        )
+    ]
+    tables = find_losses(parse_lines('front-1', lines), 2.0)
+    hops = next(table for table in tables if table.name == 'hops')
+    assert hops.rows == [('front-1', 'front-2', '5', '2', '2', '1')]
