A resumed stream that gets an error answer is aborted

Seen: part of a stream was delivered, its engine broke, and the next engine answered with an error. The error went out as a second answer on the caller's connection, so that the caller waited for the rest until it gave up. Cause: the answer of the last attempt was returned without a look at what had been delivered. Why this works: an aborted connection is the one end of a begun stream that does not look complete.

The test ran into its limit of 1 s before and passes.

--- a/packages/standins/src/verbenahall_standins/platform/_engine.py
+++ b/packages/standins/src/verbenahall_standins/platform/_engine.py
@@ -28,6 +28,7 @@
     ``half_event`` in the middle of the next event; ``stall_after`` sends no
     more events after that many. ``prefill_delay_s`` is the duration of a
     prefill and ``slow_head_s`` the delay of a stream's head, in seconds.
+    ``fails_resumed`` answers 500 to a stream that is to go on after an event.
     ``no_orders`` leaves orders unanswered, ``unsigned`` omits the stamp of
     streams. A request with the body ``crash_on`` crashes the engine when it
     starts; the engine restarts ``restart_s`` seconds later under a new name.
@@ -39,6 +40,7 @@
     half_event: bool = False
     stall_after: int | None = None
     prefill_delay_s: float = 0
+    fails_resumed: bool = False
     no_orders: bool = False
     unsigned: bool = False
     slow_head_s: float = 0
@@ -166,9 +168,11 @@
         )
         if self.faults.unsigned:
             response.headers.pop(f'{_PREFIX}Server-Stamp')
+        first = int(headers.get('Last-Event-Id', '0')) + 1
+        if first > 1 and self.faults.fails_resumed:
+            return web.Response(status=500, headers=response.headers)
         await asyncio.sleep(self.faults.slow_head_s)
         await response.prepare(request)
-        first = int(headers.get('Last-Event-Id', '0')) + 1
         try:
             for sent, number in enumerate(range(first, self.events + 1)):
                 if sent == self.faults.break_after:
--- a/packages/verbenahall/src/verbenahall/gateway/_stream_flow.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_stream_flow.py
@@ -305,6 +305,12 @@
 
     async def _finish(self, done: object) -> web.StreamResponse:
         if isinstance(done, Answered):
+            if self._relay.begun:
+                # A second answer on the connection would be no HTTP.
+                message = f'resumed with status {done.status}'
+                return self._abandon(
+                    Problem(ErrorKind.ANSWER_TRUNCATED, message)
+                )
             return build_answer_response(done)
         response = await self._relay.finish()
         if response is None:
--- a/packages/verbenahall/tests/gateway/test_failing_engines.py
+++ b/packages/verbenahall/tests/gateway/test_failing_engines.py
@@ -27,6 +27,23 @@
     run(check())
 
 
+def test_error_answer_to_a_resumed_stream_aborts_it(tmp_path):
+    # Part of the stream was delivered. Another answer behind it on the same
+    # connection would be no HTTP, and the caller would wait for the rest.
+    async def check():
+        engines = make_engines(decode_count=2)
+        for engine in engines[2:]:
+            engine.faults.break_after = 2
+            engine.faults.fails_resumed = True
+        async with run_gateway(tmp_path, engines) as harness:
+            async with asyncio.timeout(1):
+                with pytest.raises(aiohttp.ClientError):
+                    await harness.send('/summary/1')
+            assert sum(len(one.runs) for one in engines) == 2
+
+    run(check())
+
+
 def test_broken_stream_that_cannot_resume_is_aborted(tmp_path):
     # The route allows no second run. If the answer ended normally, the caller
     # would take it for complete.
