A forwarded stream that has begun gets no second answer

Cause: any answer of a peer counted as final. Now an answer that is no stream ends the hop as refused, so that another peer is tried, or as broken.

--- a/packages/verbenahall/src/verbenahall/gateway/_hop_client.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_hop_client.py
@@ -4,7 +4,7 @@
 import contextlib
 from collections.abc import AsyncIterator
 from http import HTTPStatus
-from typing import final
+from typing import Final, final
 
 import aiohttp
 import yarl
@@ -37,6 +37,10 @@
     TimedOut,
 )
 
+#: Statuses of an instance which state that a request has not run.
+_NOT_RUN: Final = frozenset(
+    (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
+)
 #: The answer for the caller, or why there is none.
 Forwarded = Result[StreamResponse, Outcome]
 
@@ -122,6 +126,9 @@
         """Relay a stream, or return another answer whole."""
         if relay is not None and response.status == HTTPStatus.OK:
             reading = _relay_stream(response, relay)
+        elif relay is not None and relay.begun:
+            # A second answer on the caller's connection would be no HTTP.
+            return Failure(_classify_answer(response.status))
         else:
             reading = _read_whole(response)
         left_s = call.left_s(self._core.now())
@@ -164,6 +171,13 @@
     return Success(response)
 
 
+def _classify_answer(status: int) -> Outcome:
+    """Return the outcome of a resumed stream that gets another answer."""
+    if status in _NOT_RUN:
+        return Refused(status)
+    return Broken(f'status {status}', answered=True)
+
+
 async def _relay_stream(
     response: aiohttp.ClientResponse, relay: EventRelay
 ) -> Forwarded:
--- a/packages/verbenahall/tests/gateway/test_forwarding.py
+++ b/packages/verbenahall/tests/gateway/test_forwarding.py
@@ -128,6 +128,29 @@
     run(check())
 
 
+@pytest.mark.parametrize('status', [b'401 Unauthorized', b'500 Failed'])
+def test_error_answer_to_a_resumed_stream_aborts_it(tmp_path, status):
+    # Part of the stream was delivered through another peer. A second answer on
+    # the same connection would leave the caller waiting for the rest.
+    async def check():
+        async with run_fleet(tmp_path) as fleet:
+            cut = fleet.harnesses[0]
+            await fleet.lose_endpoints(Cut.RESET)
+            broken = (STREAM_HEAD, make_event(1), b'')
+            error = b'HTTP/1.1 ' + status + b'\r\nContent-Length: 0\r\n\r\n'
+            # The peer that runs last is chosen first.
+            async with (
+                fleet.run_peer((error,), name='raw-2') as second,
+                fleet.run_peer(broken, name='raw-1'),
+                asyncio.timeout(1),
+            ):
+                with pytest.raises(aiohttp.ClientError):
+                    await cut.send('/summary/1', 'stream')
+                assert len(second.requests) == 1
+
+    run(check())
+
+
 def test_refused_hop_is_tried_at_the_next_peer(tmp_path):
     async def check():
         async with run_fleet(tmp_path) as fleet:
