--- a/packages/verbenahall/tests/failures/conftest.py
+++ b/packages/verbenahall/tests/failures/conftest.py
@@ -93,10 +93,10 @@
         await asyncio.gather(*(self.start_instance(one) for one in instances))
         await asyncio.gather(*map(self.wait_until_ready, instances))
 
-    async def start_instance(self, name, log=''):
+    async def start_instance(self, name, log='', registry='registry'):
         config = self.folder / f'{name}.toml'
         log = log or self.processes['log'].address
-        registry = self.processes['registry'].address
+        registry = self.processes[registry].address
         config.write_text(
             self.config.format(name=name, log=log, registry=registry),
         )
