--- a/packages/standins/src/verbenahall_standins/soak/_cuts.py
+++ b/packages/standins/src/verbenahall_standins/soak/_cuts.py
@@ -8,7 +8,7 @@
 import asyncio
 import dataclasses
 import time
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from http import HTTPStatus
 from pathlib import Path
 from typing import Final, final
@@ -29,6 +29,10 @@
 _ALLOWED_SHARE: Final = 0.02
 
 
+#: Statuses of requests whose key or route an instance does not know.
+_UNKNOWN: Final = frozenset((HTTPStatus.UNAUTHORIZED, HTTPStatus.NOT_FOUND))
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CutWindow:
     """A time in which some instances reached no endpoint."""
@@ -38,6 +42,10 @@
     ended_at: float
 
 
+#: Called with a window and two times.
+HasHelper = Callable[[CutWindow, float, float], bool]
+
+
 @final
 class InstanceCuts:
     """The links of all instances, and ``windows`` in which some were cut."""
@@ -85,16 +93,23 @@
 
 
 def find_unserved(
-    records: Sequence[Record], windows: Sequence[CutWindow]
+    records: Sequence[Record],
+    windows: Sequence[CutWindow],
+    has_helper: HasHelper,
 ) -> Iterator[str]:
-    """Yield a line for each cut whose instances served too few callers."""
+    """Yield a line for each cut whose instances served too few callers.
+
+    ``has_helper`` returns whether an instance outside a window ran without a
+    disturbance between two times. Without one there is nothing to compare with.
+    """
     for window in windows:
         seen = [
             record
             for record in records
-            if not record.disturbed
+            if _counts(record)
             and window.started_at + _STABLE_S <= record.sent_at
             and record.ended_at <= window.ended_at
+            and has_helper(window, record.sent_at, record.ended_at)
         ]
         at_cut = [one for one in seen if one.instance in window.instances]
         at_others = [
@@ -109,6 +124,14 @@
             )
 
 
+def _counts(record: Record) -> bool:
+    """Whether a request depends on the endpoints.
+
+    An instance whose store link is cut, too, does not know new keys and routes.
+    """
+    return not record.disturbed and record.status not in _UNKNOWN
+
+
 def _is_unserved(at_cut: Sequence[Record], at_others: Sequence[Record]) -> bool:
     good = _count_good(at_cut)
     other_rate = _count_good(at_others) / len(at_others)
--- a/packages/standins/src/verbenahall_standins/soak/_run.py
+++ b/packages/standins/src/verbenahall_standins/soak/_run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import itertools
 import time
 from collections import Counter
@@ -12,7 +13,7 @@
 
 from verbenahall_standins.soak._actions import run_event
 from verbenahall_standins.soak._checks import find_violations
-from verbenahall_standins.soak._cuts import find_unserved
+from verbenahall_standins.soak._cuts import CutWindow, find_unserved
 from verbenahall_standins.soak._deployment import WORKSPACE, Deployment
 from verbenahall_standins.soak._notices import find_unheeded_notices
 from verbenahall_standins.soak._plan import Event, draw_plan
@@ -108,11 +109,26 @@
             deployment.link_faults,
             deployment.was_disturbed,
         ),
-        *find_unserved(records, deployment.cuts.windows),
+        *find_unserved(
+            records,
+            deployment.cuts.windows,
+            functools.partial(_has_helper, deployment),
+        ),
         *ends,
     ]
 
 
+def _has_helper(
+    deployment: Deployment, window: CutWindow, start: float, end: float
+) -> bool:
+    """Whether an instance that is not cut ran on between two times."""
+    return any(
+        not instance.was_restarted(start, end)
+        for instance in deployment.instances
+        if instance.name not in window.instances
+    )
+
+
 def _check_revoked_key(answered: Sequence[Record]) -> list[str]:
     return [
         f'{record.request_id}: {record.instance} answers {record.status}'
--- a/packages/standins/tests/soak/test_soak.py
+++ b/packages/standins/tests/soak/test_soak.py
@@ -246,14 +246,14 @@
     assert asyncio.run(run_soak(seed, 9, tmp_path)) == []
 
 
-def make_records(instance, good, bad, sent_at=5):
-    """Return records of one instance, some of them refused."""
+def make_records(instance, good, bad, sent_at=5, status=503):
+    """Return records of one instance, some of them with another status."""
     return [
         change(
             instance=instance,
             sent_at=sent_at,
             ended_at=sent_at + 1,
-            status=200 if number < good else 503,
+            status=200 if number < good else status,
             complete=number < good,
         )
         for number in range(good + bad)
@@ -261,25 +261,28 @@
 
 
 @pytest.mark.parametrize(
-    ('good', 'bad', 'sent_at', 'found'),
+    ('good', 'bad', 'sent_at', 'status', 'has_helper', 'found'),
     [
-        (10, 20, 5, True),
-        (30, 0, 5, False),
-        (22, 8, 5, False),
-        (0, 9, 5, False),
-        (10, 20, 2, False),
-        (10, 20, 9.5, False),
+        (10, 20, 5, 503, True, True),
+        (30, 0, 5, 503, True, False),
+        (22, 8, 5, 503, True, False),
+        (0, 9, 5, 503, True, False),
+        (10, 20, 2, 503, True, False),
+        (10, 20, 9.5, 503, True, False),
+        (10, 20, 5, 401, True, False),
+        (10, 20, 5, 503, False, False),
     ],
 )
 def test_unserved_callers_of_a_cut_instance_are_found(
-    good, bad, sent_at, found
+    good, bad, sent_at, status, has_helper, found
 ):
     records = [
-        *make_records('front-1', good, bad, sent_at),
+        *make_records('front-1', good, bad, sent_at, status),
         *make_records('front-2', 30, 0),
     ]
     window = CutWindow(frozenset(('front-1',)), 0, 10)
-    assert bool(list(find_unserved(records, [window]))) is found
+    violations = find_unserved(records, [window], lambda *_: has_helper)
+    assert bool(list(violations)) is found
 
 
 def test_failures_at_all_instances_are_not_those_of_a_cut():
@@ -288,7 +291,7 @@
         *make_records('front-2', 10, 20),
     ]
     window = CutWindow(frozenset(('front-1',)), 0, 10)
-    assert not list(find_unserved(records, [window]))
+    assert not list(find_unserved(records, [window], lambda *_: True))
 
 
 @pytest.mark.parametrize(
