No request waits for a check once the path is known to be lost

Read, then measured by a test: a request that had failed once before the loss was known, and each further one of its attempts, waited for the next check of the lost path, 0.31 s in the test and up to 0.7 s, before it was forwarded. The wait is for a check that may find the loss; afterwards there is nothing to wait for. The test failed before (bound 0.05 s) and passes.

--- a/packages/verbenahall/src/verbenahall/gateway/_forwarder.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_forwarder.py
@@ -58,12 +58,12 @@
         return self._core.reach.is_lost(call.service.name)
 
     async def wait_checked(self, service: str) -> None:
-        """Wait for the end of a check of the path that is under way."""
+        """Wait for the end of a check that may find the path lost."""
         known = self._core.reach.get(service)
         end = self._core.now() + _MAX_CHECK_S
-        while self._core.now() < end and reach.is_check_due(
-            known, self._core.now()
-        ):
+        while known.lost_at is None and self._core.now() < end:
+            if not reach.is_check_due(known, self._core.now()):
+                return
             await asyncio.sleep(_POLL_S)
 
     async def run(
--- a/packages/verbenahall/tests/gateway/test_forwarding.py
+++ b/packages/verbenahall/tests/gateway/test_forwarding.py
@@ -345,3 +345,19 @@
             assert not cut.log_lines('forwarded')
 
     run(check())
+
+
+def test_nothing_is_awaited_once_the_loss_is_known(tmp_path):
+    # The checks of a lost path go on. A request that waited for one of them
+    # before it is forwarded would lose up to 0.7 s.
+    async def check():
+        async with run_fleet(tmp_path) as fleet:
+            cut = fleet.harnesses[0]
+            await fleet.lose_endpoints(Cut.HANGING)
+            for number in range(8):
+                started = time.monotonic()
+                await cut.gateway.core.forwarder.wait_checked('pages')
+                assert time.monotonic() - started < 0.05
+                await asyncio.sleep(0.1 + number / 100)
+
+    run(check())
