SIGHUP in the last moments of a graceful stop does not end the process

Cause: the event loop restores the default action of the signal as it closes, and some hundred milliseconds remain until the process has ended. The signal is ignored from before the loop starts and after the gateway has closed. A SIGHUP that comes while the modules are still being imported ends the process as before.

--- a/packages/verbenahall/src/verbenahall/gateway/_serve.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_serve.py
@@ -195,6 +195,7 @@
         _handle_hangup()
         await gateway.stop.run()
         await gateway.close()
+        _ignore_hangup()
         self._ended.set()
 
     async def wait(self) -> None:
@@ -204,6 +205,7 @@
 
 def serve(settings: ProcessSettings) -> None:
     """Run an entry instance until the process is stopped."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     run_service(GatewayService(settings), settings.bounds.grace_s)
 
 
@@ -319,3 +321,12 @@
         journal.write_decision,
         'reload',
     )
+
+
+def _ignore_hangup() -> None:
+    """Ignore SIGHUP while the process ends.
+
+    The event loop would restore the default action as it closes.
+    """
+    asyncio.get_running_loop().remove_signal_handler(signal.SIGHUP)
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
--- a/packages/verbenahall/tests/gateway/test_process.py
+++ b/packages/verbenahall/tests/gateway/test_process.py
@@ -125,6 +125,21 @@
     run(check())
 
 
+def test_hangup_signal_does_not_spoil_a_graceful_stop(tmp_path):
+    # The settings file changes while the platform stops an instance. The
+    # process must end by itself, with the exit code of a graceful stop.
+    async def check():
+        async with start_instance(tmp_path) as (instance, _):
+            instance.started.send_signal(signal.SIGTERM)
+            async with asyncio.timeout(GRACE_S):
+                while instance.started.returncode is None:
+                    instance.started.send_signal(signal.SIGHUP)
+                    await asyncio.sleep(0.005)
+            assert instance.started.returncode == 0
+
+    run(check())
+
+
 @pytest.mark.parametrize('after_s', [3.4, 4.4])
 def test_late_request_to_a_stopping_instance_is_refused_at_once(
     tmp_path,
