A refusal after a broken hop does not claim that nothing has run

Read in the diff: a repeatable request whose first hop broke may have run there; the next peer, which had not run it, refused it, and its 429 or 503 with a Retry-After went to the caller, who is promised by it that nothing has run. An unsigned refusal now ends the hop as refused if an earlier attempt may have run, so that another peer is tried, and without one the answer is 504. The test got 429 and 503 before and passes.

--- a/packages/verbenahall/src/verbenahall/gateway/_hop_client.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_hop_client.py
@@ -27,6 +27,7 @@
     CALL_FAILURES,
     CONNECT_FAILURES,
     build_forward_headers,
+    read_answer_head,
     strip_hop_headers,
 )
 from verbenahall.requests import (
@@ -78,7 +79,7 @@
         async with self._open(call, peer, hop, last_event) as opened:
             match opened:
                 case Success(response):
-                    return await self._pass_on(call, response, relay)
+                    return await self._pass_on(attempts, response, relay)
                 case _:
                     return opened
 
@@ -119,16 +120,22 @@
 
     async def _pass_on(
         self,
-        call: Call,
+        attempts: Attempts,
         response: aiohttp.ClientResponse,
         relay: EventRelay | None,
     ) -> Forwarded:
         """Relay a stream, or return another answer whole."""
+        call = attempts.call
+        if attempts.runs and _is_refusal(response):
+            # It would state that the call has not run, which an earlier attempt
+            # may have done.
+            return Failure(Refused(response.status))
         if relay is not None and response.status == HTTPStatus.OK:
             reading = _relay_stream(response, relay)
         elif relay is not None and relay.begun:
             # A second answer on the caller's connection would be no HTTP.
-            return Failure(_classify_answer(response.status))
+            detail = f'status {response.status}'
+            return Failure(Broken(detail, answered=True))
         else:
             reading = _read_whole(response)
         left_s = call.left_s(self._core.now())
@@ -171,11 +178,10 @@
     return Success(response)
 
 
-def _classify_answer(status: int) -> Outcome:
-    """Return the outcome of a resumed stream that gets another answer."""
-    if status in _NOT_RUN:
-        return Refused(status)
-    return Broken(f'status {status}', answered=True)
+def _is_refusal(response: aiohttp.ClientResponse) -> bool:
+    """Whether the peer states, and no endpoint does, that nothing has run."""
+    answer_head = read_answer_head(response.status, response.headers)
+    return response.status in _NOT_RUN and not answer_head.signed
 
 
 async def _relay_stream(
--- a/packages/verbenahall/tests/gateway/test_forwarding.py
+++ b/packages/verbenahall/tests/gateway/test_forwarding.py
@@ -25,6 +25,8 @@
     b'Content-Length: 0\r\n\r\n'
 )
 CLOSED = (b'',)
+#: An address at which nothing listens.
+DARK = '127.0.0.1:9'
 RESET = (None,)
 #: Answers that break after the request was sent.
 BROKEN = (
@@ -151,6 +153,36 @@
     run(check())
 
 
+@pytest.mark.parametrize('status', [b'429 Busy', b'503 Unavailable'])
+def test_refusal_after_a_broken_hop_does_not_claim_that_nothing_ran(
+    tmp_path, status
+):
+    # The first peer may have run the request. The second one, which has not,
+    # states that it was not run.
+    async def check():
+        async with run_fleet(tmp_path) as fleet:
+            cut = fleet.harnesses[0]
+            await fleet.lose_endpoints(Cut.RESET)
+            refusal = (
+                b'HTTP/1.1 ' + status + b'\r\nRetry-After: 1\r\n'
+                b'Content-Length: 0\r\n\r\n'
+            )
+            # The peer that runs last is chosen first.
+            async with (
+                fleet.run_peer((refusal,), name='raw-2') as second,
+                fleet.run_peer(CLOSED, name='raw-1'),
+            ):
+                cut.gateway.core.peer_table.peers['front-2'].address = DARK
+                answer, headers, _ = await cut.send(
+                    '/archive/1', 'again', method='GET'
+                )
+                assert len(second.requests) == 1
+            assert answer == 504
+            assert 'Retry-After' not in headers
+
+    run(check())
+
+
 def test_refused_hop_is_tried_at_the_next_peer(tmp_path):
     async def check():
         async with run_fleet(tmp_path) as fleet:
