Test: peers that are cut off, too, get no forwarded requests

Two of three instances reach no endpoint; both their callers are served by the third, and no hop is refused once the heartbeats have said so. Passed at once.

--- a/packages/verbenahall/tests/gateway/test_cut_off_from_endpoints.py
+++ b/packages/verbenahall/tests/gateway/test_cut_off_from_endpoints.py
@@ -115,3 +115,26 @@
             assert rates == [0, 0, 0, 0]
 
     run(check())
+
+
+def test_peers_that_are_cut_off_too_get_no_requests(tmp_path):
+    # Most instances are cut off at the same time. They say so in their
+    # heartbeats, and the one that is left serves the callers of all.
+    async def check():
+        async with run_fleet(tmp_path, 3) as fleet:
+            cut, other, _ = fleet.harnesses
+            await fleet.lose_endpoints(Cut.RESET)
+            for service in ('pages', 'drafter'):
+                known = other.gateway.core.reach.get(service)
+                known.lost_at = 0
+                known.checked_at = float('inf')
+            peer = cut.gateway.core.peer_table.peers['front-2']
+            await cut.wait_until(lambda: len(peer.unreachable) == 2)
+            before = len(cut.log_lines('hop_refused'))
+            statuses = await asyncio.gather(
+                fleet.send_all(cut, 1), fleet.send_all(other, 1)
+            )
+            assert [set(found) for found in statuses] == [{200}, {200}]
+            assert len(cut.log_lines('hop_refused')) == before
+
+    run(check())
