Test: the requests of the cut fleet have ids of their own

Traced: recent decisions are kept by process, and the new tests send requests r-0, r-1 and so on, in the same worker before it as the files happen to be spread. Their ids are cut-0, cut-1 and so on now.

--- a/packages/verbenahall/tests/gateway/cut_fleet.py
+++ b/packages/verbenahall/tests/gateway/cut_fleet.py
@@ -41,7 +41,7 @@
 
     async def send(self, harness, method, path, **options):
         """Send one request; return its status, 0 without an answer."""
-        identity = f'r-{next(self._numbers)}'
+        identity = f'cut-{next(self._numbers)}'
         with contextlib.suppress(OSError):
             async with asyncio.timeout(4):
                 answer = await harness.send(
