Test: the backoff begins once a request has arrived, not after a tenth of a second

Cause: the test took for granted that a request arrives within 0.1 s by the wall clock.

Ruled out: that all six are sent to the other endpoint.

Change: requests are sent until one has arrived, five seconds at most.

--- a/packages/verbenahall/tests/gateway/notices.py
+++ b/packages/verbenahall/tests/gateway/notices.py
@@ -38,6 +38,18 @@
     return statuses
 
 
+async def send_until_arrival(harness, endpoint, within_s=5):
+    """Begin requests until one arrives at an endpoint; return their tasks."""
+    tasks = []
+    end = time.monotonic() + within_s
+    while not endpoint.notices.arrivals:
+        assert time.monotonic() < end, 'no arrival in time'
+        sending = harness.send('/archive/1', f's-{len(tasks)}')
+        tasks.append(asyncio.create_task(sending))
+        await asyncio.sleep(0.02)
+    return tasks
+
+
 def list_late_arrivals(endpoint):
     """Return the requests that arrived too long after a notice of leaving."""
     told_at = [one.at for one in endpoint.notices.sent if one.leaving]
--- a/packages/verbenahall/tests/gateway/test_requested_backoff.py
+++ b/packages/verbenahall/tests/gateway/test_requested_backoff.py
@@ -13,6 +13,7 @@
     count_arrivals_in_backoff,
     send_every,
     send_until,
+    send_until_arrival,
 )
 
 BACKOFF_S = 3
@@ -101,11 +102,7 @@
             endpoint = harness.site.plain[0]
             endpoint.delay_s = 0.4
             harness.site.plain[1].delay_s = 0.4
-            slow = [
-                asyncio.create_task(harness.send('/archive/1', f's-{number}'))
-                for number in range(6)
-            ]
-            await asyncio.sleep(0.1)
+            slow = await send_until_arrival(harness, endpoint)
             request_backoff(harness, endpoint.name)
             before = len(endpoint.notices.arrivals)
             assert before
