Requests of the product's own interface are forwarded where no endpoint is left

The 404: services were known by the settings or by a live endpoint only.

Change: a request for which no endpoint is left is forwarded to a live instance of the list, local ones first, three at most, one hop. It is forwarded before its admission, or after its attempts if these certainly ran nothing or it may be repeated. Hop, refusals, bounds and the choice of the least busy peer are those of the slice forwarding, which both interfaces use now; log lines and metrics, too. A call whose key was claimed here is not forwarded. The readers of requests move to a module of their own. Services of the list count as known.

Why it works: peers reach the endpoints that this instance does not; a peer that has none either refuses at once and has run nothing, and no peer forwards again.

--- a/packages/verbenahall/src/verbenahall/forwarding/__init__.py
+++ b/packages/verbenahall/src/verbenahall/forwarding/__init__.py
@@ -4,7 +4,11 @@
 request has not run it.
 """
 
-from verbenahall.forwarding._decisions import choose_peer, find_refusal
+from verbenahall.forwarding._decisions import (
+    choose_least_busy,
+    choose_peer,
+    find_refusal,
+)
 from verbenahall.forwarding._messages import (
     HOP_HEADER,
     REFUSED_HEADER,
@@ -12,10 +16,17 @@
     HopRefusal,
     decode_hop,
     encode_hop,
+    read_hop,
+)
+from verbenahall.forwarding._records import (
+    record_forward_ended,
+    record_forwarded,
+    record_hop_refused,
 )
 from verbenahall.forwarding._state import (
     ChosenPeer,
     OpenForwards,
+    PeerCandidate,
     ReceiverState,
 )
 
@@ -25,10 +36,16 @@
     'Hop',
     'HopRefusal',
     'OpenForwards',
+    'PeerCandidate',
     'REFUSED_HEADER',
     'ReceiverState',
+    'choose_least_busy',
     'choose_peer',
     'decode_hop',
     'encode_hop',
     'find_refusal',
+    'read_hop',
+    'record_forward_ended',
+    'record_forwarded',
+    'record_hop_refused',
 )
--- a/packages/verbenahall/src/verbenahall/forwarding/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/forwarding/_decisions.py
@@ -1,7 +1,7 @@
 """Chooses the peer for a request, and decides on received ones."""
 
 import random
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 from typing import Final
 
 from returns.maybe import Maybe, Nothing, Some
@@ -10,6 +10,7 @@
 from verbenahall.forwarding._state import (
     ChosenPeer,
     OpenForwards,
+    PeerCandidate,
     ReceiverState,
 )
 from verbenahall.peers import PeerTable, is_local_only, list_live_peers
@@ -49,18 +50,37 @@
             for name, peer in peers.items()
             if name not in tried and peer.data_centre != peer_table.data_centre
         ]
-    if not candidates:
-        return Nothing
+    return choose_least_busy(
+        (
+            PeerCandidate(
+                name,
+                peers[name].address,
+                is_local=peers[name].data_centre == peer_table.data_centre,
+            )
+            for name in candidates
+        ),
+        open_forwards,
+        rng,
+    )
+
+
+def choose_least_busy(
+    candidates: Iterable[PeerCandidate],
+    open_forwards: OpenForwards,
+    rng: random.Random,
+) -> Maybe[ChosenPeer]:
+    """Choose the peer with the fewest open requests of this instance."""
     chosen = min(
         candidates,
-        key=lambda name: (
-            open_forwards.sent[name]
-            + _REMOTE_LOAD
-            * (peers[name].data_centre != peer_table.data_centre),
+        key=lambda one: (
+            open_forwards.sent[one.name] + _REMOTE_LOAD * (not one.is_local),
             rng.random(),
         ),
+        default=None,
     )
-    return Some(ChosenPeer(chosen, peers[chosen].address))
+    if chosen is None:
+        return Nothing
+    return Some(ChosenPeer(chosen.name, chosen.address))
 
 
 def find_refusal(hop: Hop, receiver: ReceiverState) -> HopRefusal | None:
--- a/packages/verbenahall/src/verbenahall/forwarding/_messages.py
+++ b/packages/verbenahall/src/verbenahall/forwarding/_messages.py
@@ -71,6 +71,11 @@
     ).decode()
 
 
+def read_hop(headers: Mapping[str, str]) -> Maybe[Hop]:
+    """Read the hop from a request's headers; Nothing if it is malformed."""
+    return decode_hop(headers.get(HOP_HEADER, ''))
+
+
 def decode_hop(text: str) -> Maybe[Hop]:
     """Decode a header value; Nothing if it is malformed."""
     match wire.decode_table(text.encode('utf-8', 'surrogateescape')):
--- a/packages/verbenahall/src/verbenahall/forwarding/_state.py
+++ b/packages/verbenahall/src/verbenahall/forwarding/_state.py
@@ -13,6 +13,15 @@
     address: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerCandidate:
+    """A peer that may get a request; ``is_local`` is by data centre."""
+
+    name: str
+    address: str
+    is_local: bool
+
+
 @final
 class OpenForwards:
     """Counts of open requests: sent to each peer, and received from all."""
--- a/packages/verbenahall/src/verbenahall/front/__init__.py
+++ b/packages/verbenahall/src/verbenahall/front/__init__.py
@@ -2,7 +2,11 @@
 
 from verbenahall.front._answers import build_error_response
 from verbenahall.front._connections import ReadTimeouts, Runner
-from verbenahall.front._dependencies import Adapters, FrontDependencies
+from verbenahall.front._dependencies import (
+    Adapters,
+    FrontDependencies,
+    PeerAccess,
+)
 from verbenahall.front._endpoints import Sessions
 from verbenahall.front._engines import EngineAdapter
 from verbenahall.front._server import make_application, make_session
@@ -14,6 +18,7 @@
     'EngineAdapter',
     'Front',
     'FrontDependencies',
+    'PeerAccess',
     'ReadTimeouts',
     'Runner',
     'ServiceAdapter',
--- a/packages/verbenahall/src/verbenahall/front/_attempts.py
+++ b/packages/verbenahall/src/verbenahall/front/_attempts.py
@@ -60,6 +60,10 @@
             self._release_claim(progress, result.failure())
         return result
 
+    def charge_retry(self) -> bool:
+        """Charge the budget for a retry of a peer; False if it is used up."""
+        return self._budget.try_spend()
+
     def abandon_unresponsive(self) -> None:
         """End the attempts whose endpoints have become unresponsive.
 
--- a/packages/verbenahall/src/verbenahall/front/_dependencies.py
+++ b/packages/verbenahall/src/verbenahall/front/_dependencies.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import random
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from typing import Any, Protocol
 
 from returns.result import Result
@@ -11,6 +11,7 @@
 from verbenahall.clock import Clock, monotonic
 from verbenahall.errors import Problem
 from verbenahall.fleet import Endpoint, EndpointKind, EndpointStatus
+from verbenahall.front._endpoints import Sessions
 from verbenahall.front._engines import EngineAdapter
 from verbenahall.front._services import ServiceAdapter
 from verbenahall.load import EngineStates, LoadState
@@ -41,10 +42,30 @@
     services: ServiceAdapter
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerAccess:
+    """The other instances that may serve requests of this one.
+
+    ``list_live()`` returns them, ``is_local(peer)`` is by data centre.
+    ``is_author(name, host)`` is whether a request from ``host`` may come from
+    the listed instance ``name``.
+    """
+
+    sessions: Sessions
+    list_live: Callable[[], Sequence[Endpoint]]
+    is_local: Callable[[Endpoint], bool]
+    is_author: Callable[[str, str | None], bool]
+
+
 def ignore_release(workspace: str, key: str, offset: int) -> None:
     """Do nothing: the key stays claimed."""
 
 
+def list_no_services() -> Collection[str]:
+    """Return no names: services are known by the settings only."""
+    return ()
+
+
 def ignore_demand(
     model: str,
     prompt_tokens: int,
@@ -66,7 +87,9 @@
     is called for each request for a known model. ``check_ready()`` returns why
     the instance takes no requests, or None. ``backoffs`` holds what endpoints
     have requested from this instance. ``rng`` has a different seed on
-    each instance.
+    each instance. ``list_services()`` returns the services that the platform
+    lists, also those whose endpoints are all silent. Without ``peers`` no
+    request is forwarded or received.
     """
 
     list_available: Callable[[EndpointKind, float, str], Sequence[Endpoint]]
@@ -85,3 +108,5 @@
     record_demand: Callable[[str, int, int], None] = ignore_demand
     release: Callable[[str, str, int], None] = ignore_release
     backoffs: BackoffTable = dataclasses.field(default_factory=BackoffTable)
+    list_services: Callable[[], Collection[str]] = list_no_services
+    peers: PeerAccess | None = None
--- a/packages/verbenahall/src/verbenahall/front/_fleet.py
+++ b/packages/verbenahall/src/verbenahall/front/_fleet.py
@@ -107,7 +107,9 @@
         service, model, adapter = requirement
         settings = self._dependencies.read_settings()
         if service:
-            return _build_missing_service(service, settings.services)
+            listed = self._dependencies.list_services()
+            known = service in settings.services or service in listed
+            return _build_missing_service(service, known=known)
         known = model in settings.models
         if not known and not self._dependencies.states.has_model(model):
             return _fail(ErrorKind.UNKNOWN_MODEL, f'no model {model!r}')
@@ -197,10 +199,19 @@
         return candidates
 
 
+def is_lost(fleet: FleetView, requirement: Requirement) -> bool:
+    """Whether no endpoint can be reached for a requirement."""
+    checked = fleet.check(requirement)
+    return (
+        isinstance(checked, Failure)
+        and checked.failure().kind is ErrorKind.NO_ENDPOINT
+    )
+
+
 def _build_missing_service(
-    service: str, configured: object
+    service: str, *, known: bool
 ) -> Result[None, Problem]:
-    if service in configured:
+    if known:
         return _fail(
             ErrorKind.NO_ENDPOINT,
             f'no endpoint of service {service!r} is live',
--- a/packages/verbenahall/src/verbenahall/front/_parse.py
+++ b/packages/verbenahall/src/verbenahall/front/_parse.py
@@ -77,6 +77,7 @@
 def read_service_call(
     head: RequestHead,
     request: web.BaseRequest,
+    raw_path: str,
     body: bytes,
     services: Mapping[str, Any],
 ) -> ServiceCall:
@@ -85,9 +86,7 @@
     The path and query after the service's name are forwarded byte for byte.
     The service's settings may name further methods that are repeatable.
     """
-    service, _, tail = request.raw_path.removeprefix(_SERVICES_PATH).partition(
-        '/'
-    )
+    service, _, tail = raw_path.removeprefix(_SERVICES_PATH).partition('/')
     service, separator, query = service.partition('?')
     settings = services.get(service)
     repeatable = settings.repeatable if settings else ()
--- a/packages/verbenahall/src/verbenahall/front/_pipeline.py
+++ b/packages/verbenahall/src/verbenahall/front/_pipeline.py
@@ -1,5 +1,6 @@
 """Handles a request from admission to its response."""
 
+import functools
 from typing import final
 
 from aiohttp import web
@@ -7,11 +8,13 @@
 
 from verbenahall import metrics
 from verbenahall.admission import AdmissionController
-from verbenahall.errors import Problem
+from verbenahall.errors import Problem, Ran
+from verbenahall.forwarding import Hop
 from verbenahall.front._answers import REQUEST_ID_HEADER, build_error_response
 from verbenahall.front._attempts import AttemptRunner
 from verbenahall.front._dependencies import FrontDependencies
-from verbenahall.front._fleet import FleetView
+from verbenahall.front._fleet import FleetView, is_lost
+from verbenahall.front._forwarder import PeerForwarder
 from verbenahall.front._messages import Answered, Call, ModelCall, RequestHead
 from verbenahall.front._progress import Progress
 from verbenahall.front._relay import StreamRelay
@@ -33,12 +36,14 @@
         fleet: FleetView,
         admission: AdmissionController,
         attempts: AttemptRunner,
+        forwarder: PeerForwarder | None,
     ) -> None:
         """Store the stages of the pipeline."""
         self._dependencies = dependencies
         self._fleet = fleet
         self._admission = admission
         self._attempts = attempts
+        self._forwarder = forwarder
         self._relays: set[StreamRelay] = set()
 
     async def handle(
@@ -46,22 +51,23 @@
         lane: str,
         call: Call,
         request: web.Request,
+        hop: Hop | None = None,
     ) -> web.StreamResponse:
-        """Handle a request of a lane (``model:name`` or ``service:name``)."""
+        """Handle a request of a lane (``model:name`` or ``service:name``).
+
+        ``hop`` is what a peer states that has forwarded the request.
+        """
         progress = Progress(call)
-        ticket = call.head.ticket
-        checked = self._fleet.check(progress.requirement)
-        if isinstance(checked, Success):
-            self._record_demand(call)
-            checked = await self._admission.acquire(lane, ticket)
-        if isinstance(checked, Failure):
-            return self._build_failure(call.head, checked.failure())
-        waited = self._dependencies.clock() - call.head.received_at
-        metrics.QUEUE_SECONDS.observe(waited)
+        progress.is_counted = hop is not None and hop.is_counted
+        forwarder = None if hop else self._forwarder
+        relay = self._make_relay(call, request)
+        if relay is not None:
+            self._relays.add(relay)
         try:
-            return await self._serve(progress, call, request)
+            result = await self._run(lane, progress, relay, forwarder)
         finally:
-            self._admission.release(lane, ticket)
+            self._relays.discard(relay)
+        return await self._finish(call.head, relay, result)
 
     def abort_stalled(self, max_stall_s: float) -> None:
         """Disconnect callers that have read nothing for ``max_stall_s``."""
@@ -69,86 +75,129 @@
         for relay in tuple(self._relays):
             relay.abort_if_stalled(now, max_stall_s)
 
-    def _record_demand(self, call: Call) -> None:
+    async def _run(
+        self,
+        lane: str,
+        progress: Progress,
+        relay: StreamRelay | None,
+        forwarder: PeerForwarder | None,
+    ) -> Result[web.StreamResponse, Problem]:
+        result = await self._serve(lane, progress, relay)
+        if forwarder and self._may_forward(progress, relay, result):
+            return await forwarder.run(progress, relay)
+        return result
+
+    def _may_forward(
+        self,
+        progress: Progress,
+        relay: StreamRelay | None,
+        result: Result[web.StreamResponse, Problem],
+    ) -> bool:
+        """Whether a peer may serve a request that no endpoint here can.
+
+        A peer would take a claim of the request's key for a duplicate, and a
+        stream that has begun cannot be continued by it.
+        """
+        if isinstance(result, Success) or progress.claim_offset is not None:
+            return False
+        if relay is not None and relay.response is not None:
+            return False
+        left_s = progress.call.head.deadline - self._dependencies.clock()
+        is_safe = (
+            result.failure().answer.ran is Ran.NO or progress.call.repeatable
+        )
+        return (
+            is_safe
+            and left_s > 0
+            and is_lost(self._fleet, progress.requirement)
+        )
+
+    def _record_demand(self, progress: Progress) -> None:
         """Count a model request as demand, even if admission sheds it later.
 
         It is called only for models that an endpoint serves. Callers may send
         any other name, and an entry for each would fill the memory.
         """
-        if isinstance(call, ModelCall):
+        call = progress.call
+        if isinstance(call, ModelCall) and not progress.is_counted:
             self._dependencies.record_demand(
                 call.model,
                 call.prompt_tokens,
                 call.output_tokens,
             )
+        progress.is_counted = True
 
     async def _serve(
-        self,
-        progress: Progress,
-        call: Call,
-        request: web.Request,
-    ) -> web.StreamResponse:
+        self, lane: str, progress: Progress, relay: StreamRelay | None
+    ) -> Result[web.StreamResponse, Problem]:
+        """Admit a request and run its attempts at endpoints."""
+        head = progress.call.head
+        checked = self._fleet.check(progress.requirement)
+        if isinstance(checked, Success):
+            self._record_demand(progress)
+            checked = await self._admission.acquire(lane, head.ticket)
+        if isinstance(checked, Failure):
+            return checked
+        metrics.QUEUE_SECONDS.observe(
+            self._dependencies.clock() - head.received_at
+        )
+        try:
+            return await self._attempt(progress, relay)
+        finally:
+            self._admission.release(lane, head.ticket)
+
+    async def _attempt(
+        self, progress: Progress, relay: StreamRelay | None
+    ) -> Result[web.StreamResponse, Problem]:
+        call = progress.call
+        adapters = self._dependencies.adapters
         match call:
-            case ModelCall(stream=True):
-                return await self._relay(progress, call, request)
+            case ModelCall() if relay is not None:
+                return await self._attempts.run(
+                    progress,
+                    StreamSender(
+                        adapters.engines, progress, call, relay, self._fleet
+                    ),
+                )
             case ModelCall():
-                sender = PlainSender(self._dependencies.adapters.engines, call)
+                sender = PlainSender(adapters.engines, call)
             case _:
-                sender = ServiceSender(
-                    self._dependencies.adapters.services, call
-                )
+                sender = ServiceSender(adapters.services, call)
         result = await self._attempts.run(progress, sender)
-        return self._build_response(call.head, result)
+        return result.map(functools.partial(_build_response, call.head))
 
-    async def _relay(
-        self,
-        progress: Progress,
-        call: ModelCall,
-        request: web.Request,
-    ) -> web.StreamResponse:
-        """Run a streamed request.
+    def _make_relay(
+        self, call: Call, request: web.Request
+    ) -> StreamRelay | None:
+        match call:
+            case ModelCall(stream=True):
+                return StreamRelay(
+                    request,
+                    call.head.request,
+                    call.head.received_at,
+                    self._dependencies.clock,
+                )
+            case _:
+                return None
 
-        A failure after the first token is sent as an error event.
-        """
-        head = call.head
-        relay = StreamRelay(
-            request, head.request, head.received_at, self._dependencies.clock
-        )
-        engines = self._dependencies.adapters.engines
-        sender = StreamSender(engines, progress, call, relay, self._fleet)
-        self._relays.add(relay)
-        try:
-            result = await self._attempts.run(progress, sender)
-        finally:
-            self._relays.discard(relay)
-        if isinstance(result, Success):
-            metrics.REQUESTS.add(str(head.ticket.priority), 'ok')
-            return result.unwrap()
-        error_response = self._build_failure(head, result.failure())
-        if relay.response is None:
-            return error_response
-        return await relay.send_error(result.failure())
-
-    def _build_response(
+    async def _finish(
         self,
         head: RequestHead,
-        result: Result[Answered, Problem],
+        relay: StreamRelay | None,
+        result: Result[web.StreamResponse, Problem],
     ) -> web.StreamResponse:
+        """Return the response; a begun stream ends with an error event."""
         if isinstance(result, Failure):
-            return self._build_failure(head, result.failure())
-        answered = result.unwrap()
+            error_response = self._build_failure(head, result.failure())
+            if relay is None or relay.response is None:
+                return error_response
+            return await relay.send_error(result.failure())
         metrics.REQUESTS.add(str(head.ticket.priority), 'ok')
-        metrics.FIRST_TOKEN_SECONDS.observe(
-            self._dependencies.clock() - head.received_at,
-        )
-        return web.Response(
-            status=answered.status,
-            body=answered.body,
-            headers={
-                'Content-Type': answered.content_type,
-                REQUEST_ID_HEADER: head.request,
-            },
-        )
+        if relay is None:
+            metrics.FIRST_TOKEN_SECONDS.observe(
+                self._dependencies.clock() - head.received_at,
+            )
+        return result.unwrap()
 
     def _build_failure(
         self, head: RequestHead, problem: Problem
@@ -164,3 +213,14 @@
             message=problem.message,
         )
         return build_error_response(problem, head.request)
+
+
+def _build_response(head: RequestHead, answered: Answered) -> web.Response:
+    return web.Response(
+        status=answered.status,
+        body=answered.body,
+        headers={
+            'Content-Type': answered.content_type,
+            REQUEST_ID_HEADER: head.request,
+        },
+    )
--- a/packages/verbenahall/src/verbenahall/front/_progress.py
+++ b/packages/verbenahall/src/verbenahall/front/_progress.py
@@ -48,7 +48,8 @@
     ``delivered_tokens`` counts the tokens sent to the caller, and ``version``
     is the model version that produced them. ``claim_offset`` is the offset of
     the record that claimed the request's key, or None. ``may_have_run`` means
-    that an earlier attempt ended with an unknown outcome.
+    that an earlier attempt ended with an unknown outcome. ``is_counted`` means
+    that the request was counted as demand.
     """
 
     __slots__ = (
@@ -61,6 +62,7 @@
         'may_have_run',
         'delivered_tokens',
         'version',
+        'is_counted',
     )
 
     def __init__(self, call: Call) -> None:
@@ -74,6 +76,7 @@
         self.may_have_run = False
         self.delivered_tokens = 0
         self.version = ''
+        self.is_counted = False
 
 
 def build_routing_request(progress: Progress) -> RoutingRequest:
--- a/packages/verbenahall/src/verbenahall/front/_reader.py
+++ b/packages/verbenahall/src/verbenahall/front/_reader.py
@@ -28,12 +28,18 @@
         self._limits = limits
         self._ids = ids
         self._clock = clock
+        self.json_depth = limits.json_depth
 
-    def read_head(self, request: web.Request) -> RequestHead:
-        """Parse the headers; raise ``ProblemError`` if they are invalid."""
+    def read_head(
+        self, request: web.Request, identity: str = ''
+    ) -> RequestHead:
+        """Parse the headers; raise ``ProblemError`` if they are invalid.
+
+        A request of a peer keeps the ``identity`` that the peer gave it.
+        """
         read = read_head(
             request.headers,
-            self._ids.next_id(),
+            identity or self._ids.next_id(),
             self._limits.default_deadline_s,
             self._clock(),
         )
--- a/packages/verbenahall/src/verbenahall/front/_relay.py
+++ b/packages/verbenahall/src/verbenahall/front/_relay.py
@@ -20,6 +20,7 @@
         'Cache-Control': 'no-cache',
     },
 )
+_EVENT_END: Final = b'\n\n'
 _DONE: Final = b'data: [DONE]\n\n'
 
 
@@ -68,16 +69,36 @@
             step = process_chunk(state, chunk)
             if step.forwarded:
                 last_event_at = self._record_timing(last_event_at)
-                response = self.response or await self._start_response()
-                self._writing_since = last_event_at
-                await response.write(step.forwarded)
-                self._writing_since = None
+                await self._write(step.forwarded)
             if state.gap:
                 return Failure(
                     Broken('a token index is missing from the stream')
                 )
         return Success(await self._finish())
 
+    async def pass_on(
+        self, stream: OpenStream
+    ) -> Result[web.StreamResponse, Outcome]:
+        """Forward the stream of a peer, which has checked its events.
+
+        Only whole events are forwarded, so that an error event can follow
+        where the stream breaks.
+        """
+        pending = b''
+        try:
+            while chunk := await stream.read():
+                whole, separator, pending = (pending + chunk).rpartition(
+                    _EVENT_END
+                )
+                if separator:
+                    await self._write(whole + separator)
+        except StreamBrokenError as error:
+            return Failure(Broken(str(error)))
+        if pending or self.response is None:
+            return Failure(Broken('the stream ended within an event'))
+        await self.response.write_eof()
+        return Success(self.response)
+
     async def send_error(self, problem: Problem) -> web.StreamResponse:
         """End the stream with an error event; the answer is incomplete."""
         response = self.response or await self._start_response()
@@ -99,6 +120,12 @@
         if transport is not None:
             transport.abort()
 
+    async def _write(self, events: bytes) -> None:
+        response = self.response or await self._start_response()
+        self._writing_since = self._clock()
+        await response.write(events)
+        self._writing_since = None
+
     async def _start_response(self) -> web.StreamResponse:
         self.response = web.StreamResponse(
             headers={**_HEADERS, REQUEST_ID_HEADER: self._request},
--- a/packages/verbenahall/src/verbenahall/front/_shell.py
+++ b/packages/verbenahall/src/verbenahall/front/_shell.py
@@ -5,19 +5,21 @@
 from typing import Final, final
 
 from aiohttp import web
-from returns.result import Failure
 
 from verbenahall import wire
 from verbenahall.admission import AdmissionController, WorkspaceBounds
 from verbenahall.config import InstanceConfig
+from verbenahall.forwarding import OpenForwards
 from verbenahall.front._answers import build_error_response
 from verbenahall.front._attempts import AttemptRunner
 from verbenahall.front._dependencies import FrontDependencies
 from verbenahall.front._fleet import FleetView
-from verbenahall.front._parse import read_model_call, read_service_call
+from verbenahall.front._forwarder import PeerForwarder
+from verbenahall.front._hop_receiver import HopReceiver
 from verbenahall.front._pipeline import RequestPipeline
 from verbenahall.front._placement import Placer
 from verbenahall.front._reader import RequestReader
+from verbenahall.front._requests import RequestHandler
 from verbenahall.requests import AttemptIds
 from verbenahall.routing import RoutingState
 
@@ -52,33 +54,45 @@
         routing = RoutingState(
             config.name, config.data_centre, dependencies.rng
         )
-        attempts = AttemptIds(f'{config.name}.{incarnation}')
-        requests = AttemptIds(f'r-{incarnation}')
         fleet = FleetView(dependencies, config)
         self._fleet = fleet
         self._limits = config.limits
         self._dependencies = dependencies
-        self._reader = RequestReader(
-            config.limits, requests, dependencies.clock
-        )
         self._admission = AdmissionController(
             fleet.get_limits, dependencies.clock
         )
-        placer = Placer(dependencies, fleet, routing, attempts)
+        placer = Placer(
+            dependencies,
+            fleet,
+            routing,
+            AttemptIds(f'{config.name}.{incarnation}'),
+        )
         self._attempts = AttemptRunner(dependencies, placer)
+        open_forwards = OpenForwards()
+        peers = dependencies.peers
+        forwarder = peers and PeerForwarder(
+            config.name, dependencies, peers, open_forwards
+        )
+        receiver = peers and HopReceiver(
+            dependencies, peers, fleet, self._attempts, open_forwards
+        )
         self._pipeline = RequestPipeline(
-            dependencies, fleet, self._admission, self._attempts
+            dependencies, fleet, self._admission, self._attempts, forwarder
+        )
+        self._handler = RequestHandler(
+            RequestReader(
+                config.limits,
+                AttemptIds(f'r-{incarnation}'),
+                dependencies.clock,
+            ),
+            dependencies.read_settings,
+            self._pipeline,
+            receiver,
         )
 
     def add_routes(self, app: web.Application) -> None:
         """Add the routes for callers and the two health routes."""
-        app.router.add_post('/v1/completions', self._handle_model_call)
-        app.router.add_post('/v1/chat/completions', self._handle_model_call)
-        app.router.add_route(
-            '*',
-            '/services/{name}{tail:(/.*)?}',
-            self._handle_service_call,
-        )
+        self._handler.add_routes(app)
         app.router.add_get('/healthz', self._show_health)
         app.router.add_get('/readyz', self._show_ready)
 
@@ -114,35 +128,6 @@
             for name, bounds in workspaces.items()
         }
 
-    async def _handle_model_call(
-        self,
-        request: web.Request,
-    ) -> web.StreamResponse:
-        head = self._reader.read_head(request)
-        body = await self._reader.read_body(request)
-        read = read_model_call(
-            head,
-            request.path,
-            body,
-            self._limits.json_depth,
-        )
-        if isinstance(read, Failure):
-            return build_error_response(read.failure(), head.request)
-        call = read.unwrap()
-        return await self._pipeline.handle(f'model:{call.model}', call, request)
-
-    async def _handle_service_call(
-        self,
-        request: web.Request,
-    ) -> web.StreamResponse:
-        head = self._reader.read_head(request)
-        body = await self._reader.read_body(request)
-        services = self._dependencies.read_settings().services
-        call = read_service_call(head, request, body, services)
-        return await self._pipeline.handle(
-            f'service:{call.service}', call, request
-        )
-
     async def _show_health(self, request: web.Request) -> web.Response:
         return web.Response(body=wire.encode({'alive': True}))
 
--- a/packages/verbenahall/src/verbenahall/gateway/_forwarder.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_forwarder.py
@@ -7,9 +7,15 @@
 from returns.maybe import Maybe, Some
 from returns.result import Failure, Success
 
-from verbenahall import journal, metrics, reach
+from verbenahall import reach
 from verbenahall.errors import ErrorKind, Problem, Ran
-from verbenahall.forwarding import ChosenPeer, OpenForwards, choose_peer
+from verbenahall.forwarding import (
+    ChosenPeer,
+    OpenForwards,
+    choose_peer,
+    record_forward_ended,
+    record_forwarded,
+)
 from verbenahall.gateway._attempts import Attempts
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._events import discard_partial
@@ -100,7 +106,13 @@
     ) -> Forwarded:
         attempts.started += 1
         started = self._core.now()
-        self._log_forwarded(attempts.call, peer)
+        call = attempts.call
+        record_forwarded(
+            call.head.identity,
+            peer.name,
+            call.service.name,
+            call.left_s(started),
+        )
         if relay is not None:
             discard_partial(relay.state)
         self._open.begin(peer.name)
@@ -112,7 +124,9 @@
             self._open.end(peer.name)
         attempts.record(peer.name, result)
         took_s = self._core.now() - started
-        _log_ended(attempts.call, peer, _describe(result), took_s)
+        record_forward_ended(
+            call.head.identity, peer.name, _describe(result), took_s
+        )
         return result
 
     def _choose_peer(self, call: Call, tried: set[str]) -> Maybe[ChosenPeer]:
@@ -134,15 +148,6 @@
             retry_after_s=call.route.objective_s,
         )
 
-    def _log_forwarded(self, call: Call, peer: ChosenPeer) -> None:
-        journal.write_decision(
-            'forwarded',
-            request=call.head.identity,
-            peer=peer.name,
-            service=call.service.name,
-            left_s=journal.round_to_ms(call.left_s(self._core.now())),
-        )
-
 
 def _handle_result(
     attempts: Attempts,
@@ -181,20 +186,6 @@
     return relay is not None and relay.begun
 
 
-def _log_ended(
-    call: Call, peer: ChosenPeer, outcome: str, took_s: float
-) -> None:
-    metrics.FORWARDED.add(outcome)
-    metrics.HOP_SECONDS.observe(took_s)
-    journal.write_decision(
-        'forward_ended',
-        request=call.head.identity,
-        peer=peer.name,
-        outcome=outcome,
-        took_s=journal.round_to_ms(took_s),
-    )
-
-
 def _describe(result: Forwarded) -> str:
     match result:
         case Success(answer):
--- a/packages/verbenahall/src/verbenahall/gateway/_hop_server.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_hop_server.py
@@ -6,17 +6,16 @@
 from aiohttp import web
 from returns.maybe import Some
 
-from verbenahall import journal, metrics
 from verbenahall.errors import ErrorKind, Problem, Ran
 from verbenahall.forwarding import (
-    HOP_HEADER,
     REFUSED_HEADER,
     Hop,
     HopRefusal,
     OpenForwards,
     ReceiverState,
-    decode_hop,
     find_refusal,
+    read_hop,
+    record_hop_refused,
 )
 from verbenahall.gateway._answers import build_problem_response
 from verbenahall.gateway._core import Core
@@ -50,7 +49,7 @@
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Handle one forwarded request."""
-        match decode_hop(request.headers.get(HOP_HEADER, '')):
+        match read_hop(request.headers):
             case Some(hop):
                 await self._wait_for_manifest(hop)
                 refusal = find_refusal(hop, self._make_state(request, hop))
@@ -98,13 +97,7 @@
     ) -> web.Response:
         """Refuse a request that was not run, so that another peer gets it."""
         identity = request.headers.get(REQUEST_ID, '')
-        journal.write_decision(
-            'hop_refused',
-            request=identity,
-            peer=request.remote,
-            reason=refusal.value,
-        )
-        metrics.HOPS_REFUSED.add(refusal.value)
+        record_hop_refused(identity, request.remote, refusal)
         problem = Problem(ErrorKind.NO_ENDPOINT, refusal.value, Ran.NO)
         response = build_problem_response(problem, identity)
         response.headers[REFUSED_HEADER] = refusal.value
--- a/packages/verbenahall/src/verbenahall/instance/_core.py
+++ b/packages/verbenahall/src/verbenahall/instance/_core.py
@@ -20,6 +20,7 @@
 from verbenahall.membership import (
     MembershipRules,
     MembershipState,
+    find_endpoint,
     list_endpoints,
     list_live,
 )
@@ -57,7 +58,7 @@
             self.client,
             self.folds.list_foldables(),
             self.sessions.pooled,
-            self._list_peers,
+            self._list_addresses,
             is_peer=self._is_peer,
         )
         self.stopping = False
@@ -82,13 +83,29 @@
         await self.sessions.pooled.close()
         await self.sessions.single_use.close()
 
-    def _list_peers(self) -> list[str]:
-        """Return the other instances' addresses, local data centre first."""
+    def list_peers(self) -> list[Endpoint]:
+        """Return the other live instances."""
         now = clock.monotonic()
         instances = list_live(self.members, EndpointKind.INSTANCE, now)
-        others = [peer for peer in instances if peer.name != self.config.name]
-        others.sort(key=self._is_in_other_data_centre)
-        return [peer.address for peer in others]
+        return [peer for peer in instances if peer.name != self.config.name]
+
+    def is_local(self, peer: Endpoint) -> bool:
+        """Whether a peer is in this instance's data centre."""
+        return peer.data_centre == self.config.data_centre
+
+    def is_instance(self, name: str, host: str | None) -> bool:
+        """Whether the platform's list has an instance with this address."""
+        peer = find_endpoint(self.members, name)
+        return (
+            peer is not None
+            and peer.kind is EndpointKind.INSTANCE
+            and peer.address.rpartition(':')[0] == host
+        )
+
+    def _list_addresses(self) -> list[str]:
+        """Return the other instances' addresses, local data centre first."""
+        peers = sorted(self.list_peers(), key=self.is_local, reverse=True)
+        return [peer.address for peer in peers]
 
     def _is_peer(self, host: str) -> bool:
         """Whether the platform's list has an instance with this host."""
@@ -97,6 +114,3 @@
             and endpoint.address.rpartition(':')[0] == host
             for endpoint in list_endpoints(self.members)
         )
-
-    def _is_in_other_data_centre(self, peer: Endpoint) -> bool:
-        return peer.data_centre != self.config.data_centre
--- a/packages/verbenahall/src/verbenahall/instance/_membership_adapter.py
+++ b/packages/verbenahall/src/verbenahall/instance/_membership_adapter.py
@@ -9,6 +9,7 @@
 from verbenahall.membership import (
     MembershipState,
     get_status,
+    list_endpoints,
     list_live,
     observe_answer,
     observe_failure,
@@ -49,6 +50,14 @@
             if not is_changing(self._orders, endpoint.name)
         ]
 
+    def list_services(self) -> set[str]:
+        """Return the services of listed endpoints, also of silent ones."""
+        return {
+            endpoint.service
+            for endpoint in list_endpoints(self._members)
+            if endpoint.kind is EndpointKind.SERVICE
+        }
+
     def find_status(self, name: str, now: float) -> EndpointStatus:
         """Return an endpoint's status."""
         return get_status(self._members, name, now)
--- a/packages/verbenahall/src/verbenahall/instance/_wiring.py
+++ b/packages/verbenahall/src/verbenahall/instance/_wiring.py
@@ -14,6 +14,7 @@
     EngineAdapter,
     Front,
     FrontDependencies,
+    PeerAccess,
     ServiceAdapter,
     make_application,
 )
@@ -85,6 +86,13 @@
                 ServiceAdapter(core.sessions, self._record_load_report),
             ),
             rng=core.rng,
+            list_services=membership.list_services,
+            peers=PeerAccess(
+                core.sessions,
+                core.list_peers,
+                is_local=core.is_local,
+                is_author=core.is_instance,
+            ),
         )
 
     def _build_application(self) -> web.Application:
--- a/packages/verbenahall/tests/front/conftest.py
+++ b/packages/verbenahall/tests/front/conftest.py
@@ -257,6 +257,16 @@
             front.ServiceAdapter(sessions, store_report),
         ),
         rng=random.Random(1),
+        list_services=lambda: {endpoint.service for endpoint in endpoints},
+    )
+
+
+def make_peer_access(sessions, peers):
+    return front.PeerAccess(
+        sessions,
+        list_live=lambda: peers,
+        is_local=lambda peer: peer.data_centre == 'here',
+        is_author=lambda name, host: (name, host) == ('i1', '127.0.0.1'),
     )
 
 
@@ -265,9 +275,14 @@
     fakes,
     kind=EndpointKind.ENGINE,
     resumes=True,
+    peers=None,
     **limits,
 ):
-    """Run fake endpoints and a front; stop them on exit."""
+    """Run fake endpoints and a front; stop them on exit.
+
+    With ``peers``, a list of endpoints, it forwards requests to these and
+    receives those of an instance ``i1``.
+    """
     async with contextlib.AsyncExitStack() as stack:
         service = 'pages' if kind is EndpointKind.SERVICE else ''
         endpoints = [
@@ -290,6 +305,10 @@
         dependencies = build_dependencies(
             endpoints, fakes, kind, sessions, recorder, resumes
         )
+        if peers is not None:
+            dependencies = dataclasses.replace(
+                dependencies, peers=make_peer_access(sessions, peers)
+            )
         limits_config = dataclasses.replace(LIMITS, **limits)
         config = InstanceConfig(
             name='i1',
@@ -356,3 +375,9 @@
 def module_front():
     """Return the function that starts a front for a whole module."""
     return start_module_front
+
+
+@pytest.fixture
+def run_server():
+    """Return the coroutine that serves an application on a free port."""
+    return serve
