A scheduler that is cut off assigns the engines that others reach

What callers see: where a scheduler loses its links to all engines, the engines at which its own sends failed before it knew get no requests of any instance for up to 5 s, and the others get all.

A scheduler leaves engines out that it has marked as unreachable, also when it knows that the path and not the engine is lost.

Change: while the service is lost from here, these marks are not heeded for assignments to other instances. Refusals, leaving and lapsed entries count as before.

Why it works: an assignment takes messages of instances only. An instance that does not reach the engine says so by its own mark and asks anew.

--- a/packages/verbenahall/src/verbenahall/gateway/_endpoints.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_endpoints.py
@@ -58,13 +58,24 @@
         """
         return self._prefer_healthy(self.list_available(service, now), now)
 
-    def list_assignable(self, service: str, now: float) -> Sequence[Entry]:
+    def list_assignable(
+        self, service: str, now: float, *, is_lost: bool = False
+    ) -> Sequence[Entry]:
         """Return the endpoints that may be assigned to other instances.
 
-        A backoff that is requested from this instance does not bind them.
+        A backoff that is requested from this instance does not bind them. With
+        ``is_lost`` this instance reaches none of the service; others may reach
+        those that it has marked as unreachable.
         """
         live = list(self._roster.list_live(service, now))
-        return self._prefer_healthy(live, now)
+        if not is_lost:
+            return self._prefer_healthy(live, now)
+        ready = [
+            one
+            for one in live
+            if now >= self.health.get(one.name).refusing_until
+        ]
+        return ready or live
 
     def has_alternative(self, endpoint: Entry, now: float) -> bool:
         """Whether another endpoint could take a request that one refuses."""
--- a/packages/verbenahall/src/verbenahall/gateway/_scheduler.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_scheduler.py
@@ -183,7 +183,9 @@
         group: str,
     ) -> Fleet:
         usable = self._core.endpoints.list_assignable(
-            service.name, self._core.now()
+            service.name,
+            self._core.now(),
+            is_lost=self._core.reach.is_lost(service.name),
         )
         return Fleet(
             state.placement,
--- a/packages/verbenahall/tests/gateway/test_scheduling.py
+++ b/packages/verbenahall/tests/gateway/test_scheduling.py
@@ -137,6 +137,24 @@
     run(check())
 
 
+def test_scheduler_that_is_cut_off_assigns_engines_that_others_reach(tmp_path):
+    """Its own failed sends took engines from the requests of all instances."""
+
+    async def check():
+        async with run_gateways(tmp_path) as harnesses:
+            first, core = harnesses[0], harnesses[-1].gateway.core
+            preferred = first.log_lines('assigned')[-1]['prefill']
+            known = core.reach.get('drafter')
+            known.lost_at = core.now()
+            known.checked_at = float('inf')
+            core.endpoint_health.record_unreachable(preferred, core.now())
+            status, _, _ = await first.send(PATH, 'r-1')
+            assert status == 200
+            assert first.log_lines('assigned')[-1]['prefill'] == preferred
+
+    run(check())
+
+
 def test_instance_without_schedulers_places_requests_itself(tmp_path):
     """All other instances are unreachable."""
 
