A repeatable request is not left with a peer that freezes

What callers see: an instance that reaches no endpoint forwards its callers' requests to a peer. If that peer freezes, each open one is answered 504 at its deadline, though other peers would serve it.

Cause: nothing looked at the peer while the hop was open. New requests go elsewhere a second after its last heartbeat, those under way did not.

Change: while a hop is open its peer's heartbeats are looked at five times a second. Where they have ended for 1.5 s, another peer is at hand and the route lets the request run again, the hop is given up as one that broke. A request that may run once waits as before, and so does one at a peer that never sent a heartbeat here (another data centre of a large fleet).

Why it works: what follows is the known path of a broken hop: one more attempt of the route's, charged to the next peer's budget, streams resumed at their last event.

--- a/packages/verbenahall/src/verbenahall/forwarding/__init__.py
+++ b/packages/verbenahall/src/verbenahall/forwarding/__init__.py
@@ -8,6 +8,7 @@
     choose_least_busy,
     choose_peer,
     find_refusal,
+    is_frozen,
 )
 from verbenahall.forwarding._messages import (
     HOP_HEADER,
@@ -44,6 +45,7 @@
     'decode_hop',
     'encode_hop',
     'find_refusal',
+    'is_frozen',
     'read_hop',
     'record_forward_ended',
     'record_forwarded',
--- a/packages/verbenahall/src/verbenahall/forwarding/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/forwarding/_decisions.py
@@ -1,5 +1,6 @@
 """Chooses the peer for a request, and decides on received ones."""
 
+import math
 import random
 from collections.abc import Collection, Iterable
 from typing import Final
@@ -17,6 +18,9 @@
 
 #: A peer is a candidate for this long after its last heartbeat, in seconds.
 _PEER_TIMEOUT_S: Final = 1.0
+#: A peer whose heartbeats have ended for this long is taken for frozen or
+#: dead, in seconds. A sound one may pause for a second.
+_FROZEN_S: Final = 1.5
 #: Open requests by which a peer in another data centre counts as busier than a
 #: local one: bytes between data centres cost money and time.
 _REMOTE_LOAD: Final = 2
@@ -64,6 +68,12 @@
     )
 
 
+def is_frozen(peer_table: PeerTable, name: str, now: float) -> bool:
+    """Whether a peer has sent heartbeats and has stopped."""
+    peer = peer_table.peers.get(name)
+    return peer is None or _FROZEN_S < now - peer.last_heartbeat_at < math.inf
+
+
 def choose_least_busy(
     candidates: Iterable[PeerCandidate],
     open_forwards: OpenForwards,
--- a/packages/verbenahall/src/verbenahall/gateway/_forwarder.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_forwarder.py
@@ -1,6 +1,9 @@
 """Forwards calls to peers where this instance reaches no endpoint."""
 
 import asyncio
+import contextlib
+import dataclasses
+from collections.abc import AsyncIterator, Collection, Coroutine
 from typing import Final, final
 
 from aiohttp import web
@@ -13,6 +16,7 @@
     ChosenPeer,
     OpenForwards,
     choose_peer,
+    is_frozen,
     record_forward_ended,
     record_forwarded,
 )
@@ -23,6 +27,7 @@
 from verbenahall.gateway._messages import Call
 from verbenahall.gateway._relay import EventRelay
 from verbenahall.requests import (
+    Broken,
     DeferredBudget,
     NeverWritten,
     Refused,
@@ -35,6 +40,8 @@
 #: connects of its two rounds and the interval at which checks are started.
 _MAX_CHECK_S: Final = 0.7
 _POLL_S: Final = 0.02
+#: Interval at which the peer of an open hop is looked at, in seconds.
+_WATCH_S: Final = 0.2
 
 
 @final
@@ -87,9 +94,8 @@
                 break
             peer = chosen.unwrap()
             tried.add(peer.name)
-            result = await self._send_once(
-                attempts, peer, relay, is_charged=attempts.runs == runs_before
-            )
+            hop = _Hop(peer, frozenset(tried), attempts.runs == runs_before)
+            result = await self._send_once(attempts, hop, relay)
             answer = _handle_result(attempts, peer, relay, result)
             if answer is not None:
                 return answer
@@ -99,11 +105,10 @@
     async def _send_once(
         self,
         attempts: Attempts,
-        peer: ChosenPeer,
+        hop: '_Hop',
         relay: EventRelay | None,
-        *,
-        is_charged: bool,
     ) -> Forwarded:
+        peer = hop.peer
         attempts.started += 1
         started = self._core.now()
         call = attempts.call
@@ -117,9 +122,7 @@
             discard_partial(relay.state)
         self._open.begin(peer.name)
         try:
-            result = await self._client.send(
-                attempts, peer, relay, is_charged=is_charged
-            )
+            result = await self._send_watched(attempts, hop, relay)
         finally:
             self._open.end(peer.name)
         attempts.record(peer.name, result)
@@ -129,7 +132,44 @@
         )
         return result
 
-    def _choose_peer(self, call: Call, tried: set[str]) -> Maybe[ChosenPeer]:
+    async def _send_watched(
+        self, attempts: Attempts, hop: '_Hop', relay: EventRelay | None
+    ) -> Forwarded:
+        """Send a call; give it up if the peer freezes and another may help."""
+        try:
+            async with (
+                asyncio.timeout(None) as limit,
+                _run_beside(self._watch(attempts, hop, relay, limit)),
+            ):
+                return await self._client.send(
+                    attempts, hop.peer, relay, is_charged=hop.is_charged
+                )
+        except TimeoutError:
+            return Failure(Broken('the peer is frozen'))
+
+    async def _watch(
+        self,
+        attempts: Attempts,
+        hop: '_Hop',
+        relay: EventRelay | None,
+        limit: asyncio.Timeout,
+    ) -> None:
+        core = self._core
+        while True:
+            await asyncio.sleep(_WATCH_S)
+            if (
+                is_frozen(core.peer_table, hop.peer.name, core.now())
+                and _may_try_another(attempts, relay)
+                and isinstance(
+                    self._choose_peer(attempts.call, hop.tried), Some
+                )
+            ):
+                limit.reschedule(asyncio.get_running_loop().time())
+                return
+
+    def _choose_peer(
+        self, call: Call, tried: Collection[str]
+    ) -> Maybe[ChosenPeer]:
         core = self._core
         return choose_peer(
             core.peer_table,
@@ -149,6 +189,40 @@
         )
 
 
+@contextlib.asynccontextmanager
+async def _run_beside(
+    watch: Coroutine[None, None, None],
+) -> AsyncIterator[None]:
+    """Run a coroutine while the context is open."""
+    watching = asyncio.create_task(watch)
+    try:
+        yield
+    finally:
+        watching.cancel()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Hop:
+    """A hop to a peer, with the peers tried up to it.
+
+    ``is_charged`` is whether a retry was charged to this instance's budget.
+    """
+
+    peer: ChosenPeer
+    tried: frozenset[str]
+    is_charged: bool
+
+
+def _may_try_another(attempts: Attempts, relay: EventRelay | None) -> bool:
+    """Whether a call may be sent once more though the peer may have run it."""
+    route = attempts.call.route
+    has_runs_left = (
+        not route.max_attempts or attempts.runs + 1 < route.max_attempts
+    )
+    may_go_on = route.resumable or not _has_begun(relay)
+    return route.repeatable and may_go_on and has_runs_left
+
+
 def _handle_result(
     attempts: Attempts,
     peer: ChosenPeer,
--- a/packages/verbenahall/tests/forwarding/test_peer_choice.py
+++ b/packages/verbenahall/tests/forwarding/test_peer_choice.py
@@ -5,7 +5,7 @@
 import pytest
 from returns.maybe import Nothing
 
-from verbenahall.forwarding import OpenForwards, choose_peer
+from verbenahall.forwarding import OpenForwards, choose_peer, is_frozen
 from verbenahall.peers import PeerTable, add_peer
 
 NOW = 100.0
@@ -96,3 +96,19 @@
         choose_peer(table, open_forwards, 'pages', (), NOW, random.Random(1))
         == Nothing
     )
+
+
+@pytest.mark.parametrize(
+    ('age_s', 'frozen'),
+    [(0, False), (1.4, False), (1.6, True), (float('inf'), False)],
+)
+def test_only_a_peer_that_sent_heartbeats_may_be_frozen(age_s, frozen):
+    # No heartbeats come from the other data centres of a large fleet.
+    table = PeerTable('front-1')
+    add_peer(table, 'front-2', '127.0.0.1:1')
+    table.peers['front-2'].last_heartbeat_at = NOW - age_s
+    assert is_frozen(table, 'front-2', NOW) is frozen
+
+
+def test_peer_that_is_no_longer_known_counts_as_frozen():
+    assert is_frozen(PeerTable('front-1'), 'front-2', NOW)
--- a/packages/verbenahall/tests/gateway/cut_fleet.py
+++ b/packages/verbenahall/tests/gateway/cut_fleet.py
@@ -73,8 +73,11 @@
         await sending
 
     @contextlib.asynccontextmanager
-    async def run_peer(self, *answers, name='raw'):
-        """Run a peer that gives raw answers; it is chosen before others."""
+    async def run_peer(self, *answers, name='raw', is_frozen=False):
+        """Run a peer that gives raw answers; it is chosen before others.
+
+        A frozen one sends no heartbeat from now on.
+        """
         peer = RawEndpoint(*answers)
         await peer.start()
         gateway = self.harnesses[0].gateway
@@ -82,7 +85,8 @@
         for known in table.peers:
             gateway.open_forwards.begin(known)
         add_peer(table, name, peer.address, table.data_centre)
-        table.peers[name].last_heartbeat_at = float('inf')
+        now = gateway.core.now()
+        table.peers[name].last_heartbeat_at = now if is_frozen else now + 60
         try:
             yield peer
         finally:
--- a/packages/verbenahall/tests/gateway/test_forwarding.py
+++ b/packages/verbenahall/tests/gateway/test_forwarding.py
@@ -37,6 +37,11 @@
 )
 
 
+#: A frozen peer is given up within this time, in seconds: it sends no
+#: heartbeats for 1.5 s.
+FROZEN_BOUND_S = 2.0
+
+
 class MeterSpy:
     """Records the names for which an instance counts usage."""
 
@@ -91,6 +96,41 @@
     run(check())
 
 
+@pytest.mark.parametrize('answer', [(), (PLAIN_HEAD, b'half of it')])
+def test_repeatable_request_does_not_wait_for_a_frozen_peer(tmp_path, answer):
+    """A peer froze with the request, and its caller waited in vain."""
+
+    async def check():
+        async with run_fleet(tmp_path) as fleet:
+            cut = fleet.harnesses[0]
+            await fleet.lose_endpoints(Cut.RESET)
+            async with fleet.run_peer(answer, is_frozen=True):
+                started = time.monotonic()
+                status, _, _ = await cut.send(
+                    '/archive/1', 'again', method='GET'
+                )
+                took_s = time.monotonic() - started
+            assert status == 200
+            assert took_s < FROZEN_BOUND_S
+            assert fleet.count_runs('again') == 1
+
+    run(check())
+
+
+def test_request_that_may_run_once_waits_for_a_frozen_peer(tmp_path):
+    async def check():
+        async with run_fleet(tmp_path) as fleet:
+            cut = fleet.harnesses[0]
+            await fleet.lose_endpoints(Cut.RESET)
+            async with fleet.run_peer((), is_frozen=True) as peer:
+                status, _, _ = await cut.send('/proof/1', 'once')
+                assert len(peer.requests) == 1
+            assert status == 504
+            assert not fleet.count_runs('once')
+
+    run(check())
+
+
 @pytest.mark.parametrize(
     'answer',
     [
