--- a/packages/verbenahall/src/verbenahall/forwarding/_records.py
+++ b/packages/verbenahall/src/verbenahall/forwarding/_records.py
@@ -1,7 +1,11 @@
 """Log lines and metrics of forwarded requests."""
 
+from aiohttp import web
+from returns.result import Failure, Result
+
 from verbenahall import journal, metrics
 from verbenahall.forwarding._messages import HopRefusal
+from verbenahall.requests import Outcome, get_outcome_label
 
 
 def record_forwarded(
@@ -18,9 +22,17 @@
 
 
 def record_forward_ended(
-    request: str, peer: str, outcome: str, took_s: float
+    request: str,
+    peer: str,
+    result: Result[web.StreamResponse, Outcome],
+    took_s: float,
 ) -> None:
     """Record how a hop ended: the status, or the label of the failure."""
+    match result:
+        case Failure(failure):
+            outcome = get_outcome_label(failure)
+        case _:
+            outcome = str(result.unwrap().status)
     metrics.FORWARDED.add(outcome)
     metrics.HOP_SECONDS.observe(took_s)
     journal.write_decision(
--- a/packages/verbenahall/src/verbenahall/front/_forwarder.py
+++ b/packages/verbenahall/src/verbenahall/front/_forwarder.py
@@ -28,7 +28,6 @@
     Refused,
     RetryContext,
     decide_retry,
-    get_outcome_label,
 )
 
 #: Peers that are tried for one request at most.
@@ -96,7 +95,7 @@
         finally:
             self._open.end(peer.name)
         took_s = self._dependencies.clock() - started
-        record_forward_ended(head.request, peer.name, _describe(result), took_s)
+        record_forward_ended(head.request, peer.name, result, took_s)
         return result
 
     def _handle_failure(
@@ -148,12 +147,3 @@
             is_charged=not progress.may_have_run,
             is_counted=progress.is_counted,
         )
-
-
-def _describe(result: Result[web.StreamResponse, Outcome]) -> str:
-    match result:
-        case Success(answer):
-            return str(answer.status)
-        case Failure(outcome):
-            return get_outcome_label(outcome)
-    raise AssertionError('a result is a success or a failure')
--- a/packages/verbenahall/src/verbenahall/gateway/_forwarder.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_forwarder.py
@@ -31,7 +31,6 @@
     DeferredBudget,
     NeverWritten,
     Refused,
-    get_outcome_label,
 )
 
 #: Peers that are tried for one call at most.
@@ -127,9 +126,7 @@
             self._open.end(peer.name)
         attempts.record(peer.name, result)
         took_s = self._core.now() - started
-        record_forward_ended(
-            call.head.identity, peer.name, _describe(result), took_s
-        )
+        record_forward_ended(call.head.identity, peer.name, result, took_s)
         return result
 
     async def _send_watched(
@@ -258,12 +255,3 @@
 
 def _has_begun(relay: EventRelay | None) -> bool:
     return relay is not None and relay.begun
-
-
-def _describe(result: Forwarded) -> str:
-    match result:
-        case Success(answer):
-            return str(answer.status)
-        case Failure(outcome):
-            return get_outcome_label(outcome)
-    raise AssertionError('a result is a success or a failure')
