Log lines are written in pieces that a pipe takes at once

Cause: the reader keeps 8,192 bytes of each write. Shown at one instance: 46 lines at 0.5321 s are 8,192 bytes, the last of them cut in its middle, and the next line of this instance is 0.2 s later. An instance wrote all that was buffered in one call.

Change: no call writes more than PIPE_BUF bytes (4,096), which a pipe takes whole or not at all. Still without blocking; what is not taken stays in the buffer.

--- a/packages/verbenahall/src/verbenahall/lines.py
+++ b/packages/verbenahall/src/verbenahall/lines.py
@@ -5,6 +5,7 @@
 """
 
 import os
+import select
 from collections.abc import Callable
 from typing import Final, final
 
@@ -54,9 +55,14 @@
         self._write_partial()
 
     def _write_partial(self) -> None:
+        """Write in pieces that a pipe accepts whole or not at all.
+
+        Readers that take a bounded piece of each write lose the rest of a
+        longer one.
+        """
         while self._partial:
             try:
-                written = self._write(self._partial)
+                written = self._write(self._partial[: select.PIPE_BUF])
             except BlockingIOError:
                 break
             except OSError:
--- a/packages/verbenahall/tests/test_lines.py
+++ b/packages/verbenahall/tests/test_lines.py
@@ -1,6 +1,7 @@
 """Writing log lines never blocks."""
 
 import os
+import select
 import time
 
 from verbenahall.lines import LineSink
@@ -70,3 +71,21 @@
     sink.flush()
     sink.add(b'line')
     sink.flush()
+
+
+def test_no_write_is_longer_than_a_pipe_takes_at_once():
+    # A reader that takes a bounded piece of each write loses the last lines of
+    # requests.
+    written = []
+
+    def write(payload):
+        written.append(payload)
+        return len(payload)
+
+    sink = LineSink(write)
+    lines = [b'{"n":%d}' % number for number in range(5_000)]
+    for line in lines:
+        sink.add(line)
+    sink.flush()
+    assert max(map(len, written)) <= select.PIPE_BUF
+    assert b''.join(written).splitlines() == lines
