--- a/packages/standins/src/verbenahall_standins/soak/__main__.py
+++ b/packages/standins/src/verbenahall_standins/soak/__main__.py
@@ -3,12 +3,14 @@
 ``--instances N`` runs more instances than usual; from eleven on, schedulers
 assign the engines.
 
-Prints a line for each seed with the violations found. A seed always draws the
-same faults; their effects also depend on the machine's timing.
+Prints a line for each seed with the violations found, and then keeps the logs
+of its instances in ``reports/soak-SEED``. A seed always draws the same faults;
+their effects also depend on the machine's timing.
 """
 
 import argparse
 import asyncio
+import shutil
 import sys
 import tempfile
 from pathlib import Path
@@ -17,6 +19,7 @@
 from verbenahall_standins.soak import run_soak
 
 _SECONDS: Final = 20.0
+_REPORTS: Final = Path('reports')
 #: Number of instances, and of seeds with so many that run at a time.
 _INSTANCES: Final = 3
 _MAX_PARALLEL: Final = 3
@@ -29,6 +32,9 @@
     async with slots:
         with tempfile.TemporaryDirectory() as folder:
             violations = await run_soak(seed, seconds, Path(folder), instances)
+            if violations:
+                kept = _REPORTS / f'soak-{seed}'
+                shutil.copytree(folder, kept, dirs_exist_ok=True)
     outcome = '\n  '.join(violations) if violations else 'no violations'
     sys.stdout.write(f'seed {seed}: {outcome}\n')
     sys.stdout.flush()
