Soak: a notice to a request that was given up before binds nobody

Cause, from these logs: front-1 sends the request at 4.323 s into a link that has been cut, gives it up at 6.324 s and answers 504. The link, whose bytes are held back and not lost, delivers it after the cut, and page-0 answers at 11.5 s with a backoff of 3 s. front-1 has closed that connection and sends nine requests from 12.3 to 14.1 s. The check excused requests for half a second after the cut; under load (22) the delivery took longer.

Ruled out: a send in a known backoff. front-1 logged no backoff of page-0, and no answer of page-0 to it lies between 4.3 and 12.3 s.

Change: a notice counts only if it was made before its request's caller had the final answer. The new test failed before; backoffs and leaving of answers that were awaited are found as before (three tests).

--- a/packages/standins/src/verbenahall_standins/soak/_notices.py
+++ b/packages/standins/src/verbenahall_standins/soak/_notices.py
@@ -58,9 +58,13 @@
     arrivals: Iterable[Arrival],
     by_id: Mapping[str, Record],
 ) -> Sequence[Arrival]:
-    """Return the requests that should not have arrived after a notice."""
+    """Return the requests that should not have arrived after a notice.
+
+    A request that a link has held back may be answered when its instance has
+    given it up, and reads no answer any more.
+    """
     told = by_id.get(notice.request_id)
-    if told is None:
+    if told is None or told.ended_at < notice.at:
         return ()
     later = [
         one
--- a/packages/standins/tests/soak/test_soak.py
+++ b/packages/standins/tests/soak/test_soak.py
@@ -183,6 +183,14 @@
     assert not find_unheeded(notices, records)
 
 
+def test_notice_to_a_request_that_was_given_up_binds_nobody():
+    """A cut link delivered a request seconds after its caller's 504."""
+    notices, records = make_notices(0.6, 1, 1.5, backoff_s=2)
+    assert find_unheeded(notices, records)
+    late = dataclasses.replace(records[0], ended_at=-0.1)
+    assert not find_unheeded(notices, [late, *records[1:]])
+
+
 def test_next_incarnation_is_not_bound_by_a_notice():
     notices, records = make_notices(1, 2.1, 2.2, 2.3, leaving=True, backoff_s=9)
     notices.arrivals = [
