Metrics: a failure that a peer answered does not count as served

What operators saw: at an instance without endpoints the series verbenahall_requests_total{outcome="ok"} also counted requests that its peer answered 502, 503 or 504, as the answer was passed on. Read while the forwarding of the product's own interface was read again; no caller is affected.

Change: such an answer counts as peer_failed. Statuses of this kind from endpoints never come here: they are failures of an attempt.

Evidence: test_failure_of_a_peer_does_not_count_as_served failed before and passes; 200 tests of front and pages passed in 37.43 s.

--- a/packages/verbenahall/src/verbenahall/front/_pipeline.py
+++ b/packages/verbenahall/src/verbenahall/front/_pipeline.py
@@ -1,7 +1,7 @@
 """Handles a request from admission to its response."""
 
 import functools
-from typing import final
+from typing import Final, final
 
 from aiohttp import web
 from returns.result import Failure, Result, Success
@@ -25,6 +25,10 @@
 )
 from verbenahall.journal import write_decision
 
+#: Statuses of an instance's own failures. From endpoints they are no answers,
+#: so here they come from peers.
+_FAILED_AT_PEER: Final = frozenset((502, 503, 504))
+
 
 @final
 class RequestPipeline:
@@ -192,12 +196,14 @@
             if relay is None or relay.response is None:
                 return error_response
             return await relay.send_error(result.failure())
-        metrics.REQUESTS.add(str(head.ticket.priority), 'ok')
+        response = result.unwrap()
+        outcome = 'peer_failed' if response.status in _FAILED_AT_PEER else 'ok'
+        metrics.REQUESTS.add(str(head.ticket.priority), outcome)
         if relay is None:
             metrics.FIRST_TOKEN_SECONDS.observe(
                 self._dependencies.clock() - head.received_at,
             )
-        return result.unwrap()
+        return response
 
     def _build_failure(
         self, head: RequestHead, problem: Problem
--- a/packages/verbenahall/src/verbenahall/metrics.py
+++ b/packages/verbenahall/src/verbenahall/metrics.py
@@ -87,7 +87,8 @@
 
 REQUESTS: Final = BufferedCounter(
     'verbenahall_requests_total',
-    'Requests answered, by priority and outcome (ok or the error kind).',
+    'Requests answered, by priority and outcome (ok, peer_failed or the error'
+    ' kind).',
     'priority',
     'outcome',
 )
--- a/packages/verbenahall/tests/front/test_hops.py
+++ b/packages/verbenahall/tests/front/test_hops.py
@@ -8,7 +8,7 @@
 import pytest
 from aiohttp import web
 
-from verbenahall import journal
+from verbenahall import journal, metrics
 from verbenahall.fleet import Endpoint, EndpointKind, EndpointStatus
 from verbenahall.forwarding import HOP_HEADER, REFUSED_HEADER, Hop, encode_hop
 
@@ -70,6 +70,9 @@
         request.transport.abort()
         return web.Response()
 
+    async def fail(self, request):
+        return web.Response(status=504)
+
     async def overloaded(self, request):
         return web.Response(status=429, headers={'Retry-After': '2'})
 
@@ -379,3 +382,14 @@
             assert events.count('forwarded') == 1
 
     asyncio.run(check())
+
+
+def test_failure_of_a_peer_does_not_count_as_served(start_with_peers):
+    async def check():
+        async with start_with_peers('fail') as (harness, _):
+            before = metrics.REQUESTS.total('2', 'peer_failed')
+            status, _, _ = await harness.post()
+            assert status == 504
+            assert metrics.REQUESTS.total('2', 'peer_failed') == before + 1
+
+    asyncio.run(check())
