A request that may have run is never answered 503

The answer was 503, a status which promises that the request has not run.

Cause: the outcome of the last attempt, "not sent", is one of the kind no_endpoint with ran "unknown" then, and the choice of the public kind changed such kinds only if their status was under 500. 503 is a refusal like 429.

Change: 503 is left out as well; the answer is 504 without Retry-After.

--- a/packages/verbenahall/src/verbenahall/gateway/_answers.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_answers.py
@@ -57,9 +57,9 @@
         and answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
     ):
         return dataclasses.replace(problem, kind=ErrorKind.NO_ENDPOINT)
-    if (
-        answer.ran is Ran.UNKNOWN
-        and answer.status < HTTPStatus.INTERNAL_SERVER_ERROR
+    if answer.ran is Ran.UNKNOWN and (
+        answer.status < HTTPStatus.INTERNAL_SERVER_ERROR
+        or answer.status == HTTPStatus.SERVICE_UNAVAILABLE
     ):
         return dataclasses.replace(problem, kind=ErrorKind.OUTCOME_UNKNOWN)
     return problem
--- a/packages/verbenahall/tests/gateway/test_answers.py
+++ b/packages/verbenahall/tests/gateway/test_answers.py
@@ -5,6 +5,9 @@
 import pytest
 from verbenahall_standins.platform import RawEndpoint
 
+from verbenahall.errors import ErrorKind, Problem, Ran
+from verbenahall.gateway._answers import build_problem_response
+
 from .conftest import run, run_gateway
 
 
@@ -146,3 +149,11 @@
             await raw.stop()
 
     run(check())
+
+
+@pytest.mark.parametrize('kind', ErrorKind)
+def test_status_of_a_request_that_may_have_run_is_no_refusal(kind):
+    """A prefill failed after an attempt that may have run: 503."""
+    response = build_problem_response(Problem(kind, '', Ran.UNKNOWN), 'r-1')
+    assert response.status not in {408, 421, 429, 503}
+    assert 'Retry-After' not in response.headers
