Soak: SIGTERM ends its instances, and a stranger's request is a violation

What was seen: a soak of 50 seeds ended by an error at its 14th seed, KeyError X-Verbenahall-Request-Id, an endpoint had run a request without an id. Another soak had been ended by SIGTERM two minutes before, and its nine instances were still running and calling the addresses of their store and endpoints, which are drawn from the system's range and may be drawn again. That the stranger was one of the nine was not shown: the error took the request with it.

Change: SIGTERM acts as an interrupt, so that the instances are stopped; a run without an id is reported as a violation in place of the error.

Evidence: after SIGTERM at second 8 no instance is left, where nine were left before. Tests of the soak pass.

--- a/packages/standins/src/verbenahall_standins/soak/__main__.py
+++ b/packages/standins/src/verbenahall_standins/soak/__main__.py
@@ -11,6 +11,7 @@
 import argparse
 import asyncio
 import shutil
+import signal
 import sys
 import tempfile
 from pathlib import Path
@@ -67,6 +68,9 @@
         arguments.seconds,
         arguments.instances,
     )
+    # SIGTERM ends the instances, too; they would go on calling addresses that
+    # the next soak may use.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     violations = asyncio.run(runs)
     sys.stdout.write(
         f'{violations} of {arguments.count} seeds had violations\n'
--- a/packages/standins/src/verbenahall_standins/soak/_run.py
+++ b/packages/standins/src/verbenahall_standins/soak/_run.py
@@ -93,10 +93,11 @@
 def _check_requests(deployment: Deployment) -> list[str]:
     records = [one for calls in deployment.callers for one in calls.records]
     runs = Counter(
-        run[_REQUEST_ID_HEADER]
+        run.get(_REQUEST_ID_HEADER, '')
         for endpoint in deployment.endpoints
         for run in endpoint.runs
     )
+    unnamed = runs.pop('', 0)
     orders = [engine.orders for engine in deployment.site.engines]
     ends = [
         f'{instance.name}: exit code {code} after SIGTERM'
@@ -104,7 +105,9 @@
         for code in instance.exit_codes
         if code
     ]
+    strangers = [f'{unnamed} runs of requests without an ID'] if unnamed else []
     return [
+        *strangers,
         *find_violations(records, runs, orders),
         *find_unheeded_notices(
             {one.name: one.notices for one in deployment.endpoints},
@@ -151,7 +154,7 @@
         *(engine.prefills for engine in deployment.site.engines),
     )
     return [
-        f'{send[_REQUEST_ID_HEADER]}: sent for'
+        f'{send.get(_REQUEST_ID_HEADER)}: sent for'
         f' {send.get(_WORKSPACE_HEADER)} or with a key'
         for send in sends
         if send.get(_WORKSPACE_HEADER) != WORKSPACE or _KEY_HEADER in send
