Soak: a seed with violations says how long the stand-ins stood still

Change: the soak measures for how long its event loop stands still, and names the longest time of a seed beside its violations. It excuses nothing.

--- a/packages/standins/src/verbenahall_standins/soak/__main__.py
+++ b/packages/standins/src/verbenahall_standins/soak/__main__.py
@@ -14,29 +14,52 @@
 import signal
 import sys
 import tempfile
+import time
 from pathlib import Path
 from typing import Final
 
 from verbenahall_standins.soak import run_soak
 
 _SECONDS: Final = 20.0
+#: Interval at which it is measured whether this process stands still, in
+#: seconds.
+_WATCH_S: Final = 0.05
 _REPORTS: Final = Path('reports')
 #: Number of instances, and of seeds with so many that run at a time.
 _INSTANCES: Final = 3
 _MAX_PARALLEL: Final = 3
 
 
+async def watch_stalls(stalls: list[float]) -> None:
+    """Add each time for which this process stood still, in seconds.
+
+    It runs all stand-ins, so that their answers were late by as much.
+    """
+    while True:
+        started = time.monotonic()
+        await asyncio.sleep(_WATCH_S)
+        stalls.append(time.monotonic() - started - _WATCH_S)
+
+
 async def run_seed(
-    seed: int, seconds: float, instances: int, slots: asyncio.Semaphore
+    seed: int,
+    seconds: float,
+    instances: int,
+    slots: asyncio.Semaphore,
+    stalls: list[float],
 ) -> bool:
     """Run a seed in a free slot; return whether it had no violation."""
     async with slots:
+        first = len(stalls)
         with tempfile.TemporaryDirectory() as folder:
             violations = await run_soak(seed, seconds, Path(folder), instances)
             if violations:
                 kept = _REPORTS / f'soak-{seed}'
                 shutil.copytree(folder, kept, dirs_exist_ok=True)
-    outcome = '\n  '.join(violations) if violations else 'no violations'
+    longest_s = max(stalls[first:], default=0)
+    stalled = f'the stand-ins stood still up to {longest_s:.1f} s'
+    described = [*violations, stalled] if violations else ['no violations']
+    outcome = '\n  '.join(described)
     sys.stdout.write(f'seed {seed}: {outcome}\n')
     sys.stdout.flush()
     return not violations
@@ -49,8 +72,11 @@
     parallel = max(1, _MAX_PARALLEL * _INSTANCES // instances)
     slots = asyncio.Semaphore(parallel)
     seeds = range(first, first + count)
-    runs = (run_seed(seed, seconds, instances, slots) for seed in seeds)
+    stalls: list[float] = []
+    watching = asyncio.create_task(watch_stalls(stalls))
+    runs = (run_seed(seed, seconds, instances, slots, stalls) for seed in seeds)
     results = await asyncio.gather(*runs)
+    watching.cancel()
     return results.count(False)
 
 
