Known red: streams that go on at another software version

What callers saw: the events of a stream came from two software versions of an engine. The tests trigger it with engines of two versions side by side: within an attempt, taken up at another instance, taken up after the instance that began it has ended, with ids that nobody knows, and after the version has left.

The stand-in engine gets a version, which the site lists.

--- a/packages/standins/src/verbenahall_standins/platform/_engine.py
+++ b/packages/standins/src/verbenahall_standins/platform/_engine.py
@@ -52,14 +52,18 @@
 class EngineStandIn:
     """One engine on loopback.
 
-    ``runs`` and ``prefills`` hold the headers of its decode and prefill
-    requests, ``freed`` the released KV handles, ``cancelled`` the ids of the
-    requests whose stream was cancelled, ``notices`` the headers about itself.
+    ``version`` is that of its software. ``runs`` and ``prefills`` hold the
+    headers of its decode and prefill requests, ``freed`` the released KV
+    handles, ``cancelled`` the ids of the requests whose stream was cancelled,
+    ``notices`` the headers about itself.
     """
 
-    def __init__(self, name: str, role: str, events: int = 5) -> None:
+    def __init__(
+        self, name: str, role: str, events: int = 5, version: str = 'v1'
+    ) -> None:
         """Prepare an engine whose streams have ``events`` events."""
         self.name = name
+        self.version = version
         self.notices = Notices()
         self.role = role
         self.state = 'ready'
--- a/packages/standins/src/verbenahall_standins/platform/_site.py
+++ b/packages/standins/src/verbenahall_standins/platform/_site.py
@@ -62,7 +62,7 @@
             'service': 'drafter' if endpoint.role else 'pages',
             'address': endpoint.address,
             'zone': 'lampeter',
-            'version': 'v1',
+            'version': getattr(endpoint, 'version', 'v1'),
             'slots': 8,
             'state': 'ready',
             'coldLeftMs': 0,
--- /dev/null
+++ b/packages/verbenahall/tests/gateway/test_stream_versions.py
@@ -0,0 +1,153 @@
+"""Streams of a service whose engines run several software versions."""
+
+import asyncio
+import contextlib
+
+import aiohttp
+import pytest
+
+from .conftest import run, run_gateway
+from .versioned_fleet import (
+    break_streams,
+    list_versions,
+    make_resume_headers,
+    make_versioned_engines,
+    mend_streams,
+    run_instances,
+)
+
+STREAMS = 12
+
+
+async def begin_broken(harness, identity):
+    """Begin a stream that breaks after two events."""
+    with contextlib.suppress(aiohttp.ClientError):
+        await harness.send('/summary/1', identity)
+
+
+async def begin_streams(harness, count=STREAMS):
+    """Begin streams that break; return the ids of those with events."""
+    break_streams(harness.site)
+    identities = [f'first-{number}' for number in range(count)]
+    for identity in identities:
+        await begin_broken(harness, identity)
+    mend_streams(harness.site)
+    return [one for one in identities if list_versions(harness.site, one)]
+
+
+async def take_up(harness, first):
+    """Take a stream up again; return its status."""
+    status, _, _ = await harness.send(
+        '/summary/1', f'again-{first}', headers=make_resume_headers(first)
+    )
+    return status
+
+
+def test_stream_is_not_resumed_by_an_engine_of_another_version(tmp_path):
+    # The engine of a stream breaks off, and the instance itself goes on at an
+    # engine whose events do not fit to those that the caller has.
+    async def check():
+        engines = make_versioned_engines(v1=1, v2=1)
+        async with run_gateway(tmp_path, engines) as harness:
+            begun = await begin_streams(harness)
+            assert len(begun) == STREAMS
+            mixed = [
+                one
+                for one in begun
+                if len(list_versions(harness.site, one)) > 1
+            ]
+            assert not mixed
+
+    run(check())
+
+
+def test_stream_is_taken_up_at_its_version_by_another_instance(tmp_path):
+    # The caller's next try reaches an instance that has not begun the stream.
+    async def check():
+        engines = make_versioned_engines(v1=2, v2=2)
+        async with run_instances(tmp_path, engines) as (first, second):
+            begun = await begin_streams(first)
+            assert len(begun) == STREAMS
+            statuses = [await take_up(second, one) for one in begun]
+            mixed = [
+                one
+                for one in begun
+                if len(list_versions(first.site, one, f'again-{one}')) > 1
+            ]
+            assert not mixed
+            assert set(statuses) == {200}
+
+    run(check())
+
+
+def test_stream_is_taken_up_at_its_version_after_its_instance_ended(tmp_path):
+    # The instance that knew the version is gone when the caller returns.
+    async def check():
+        engines = make_versioned_engines(v1=2, v2=2)
+        async with run_instances(tmp_path, engines, 3) as harnesses:
+            first, second, _ = harnesses
+            begun = await begin_streams(second)
+            assert len(begun) == STREAMS
+            await second.gateway.close()
+            statuses = [await take_up(first, one) for one in begun]
+            mixed = [
+                one
+                for one in begun
+                if len(list_versions(first.site, one, f'again-{one}')) > 1
+            ]
+            assert not mixed
+            assert set(statuses) == {200}
+
+    run(check())
+
+
+@pytest.mark.parametrize(
+    'headers',
+    (
+        {'Resumes': 'nobody', 'Last-Event-Id': '2'},
+        {'Last-Event-Id': '2'},
+        {'Resumes': 'a' * 8000, 'Last-Event-Id': '2'},
+        {'Resumes': '', 'Last-Event-Id': '2'},
+    ),
+)
+def test_stream_of_unknown_version_is_refused_at_once(tmp_path, headers):
+    # At any version it could hold events that do not fit together.
+    async def check():
+        engines = make_versioned_engines(v1=1, v2=1)
+        async with run_gateway(tmp_path, engines) as harness:
+            loop = asyncio.get_running_loop()
+            started = loop.time()
+            status, answered, _ = await harness.send(
+                '/summary/1', 'again', headers=headers
+            )
+            assert status == 503
+            assert float(answered['Retry-After']) > 0
+            assert loop.time() - started < 0.5
+            assert not list_versions(harness.site, 'again')
+
+    run(check())
+
+
+def test_stream_whose_version_is_gone_is_refused_at_once(tmp_path):
+    # The last engine of its version has left; begun anew at another one, the
+    # stream would hold events of both.
+    async def check():
+        engines = make_versioned_engines(v1=1, v2=1)
+        async with run_gateway(tmp_path, engines) as harness:
+            begun = await begin_streams(harness)
+            at_v1 = [
+                one
+                for one in begun
+                if list_versions(harness.site, one) == {'v1'}
+            ]
+            assert at_v1
+            harness.site.unlist('v1-0')
+            harness.site.unlist('reader-v1')
+            roster = harness.gateway.core.roster
+            await harness.wait_until(lambda: 'v1-0' not in roster.listings)
+            statuses = [await take_up(harness, one) for one in at_v1]
+            assert set(statuses) == {503}
+            again = [f'again-{one}' for one in at_v1]
+            assert not list_versions(harness.site, *again)
+
+    run(check())
