Logs: the software version of each send, and the stream that a caller takes up

The entry's version is decoded (empty if it is missing or no short text), and Resumes is read (one header of up to 128 characters). sent has software and after_event, endpoint has software, accepted has after_event and resumes. Nothing chooses by them yet.

--- a/packages/verbenahall/src/verbenahall/gateway/_ingress.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_ingress.py
@@ -110,6 +110,8 @@
             left_s=journal.round_to_ms(call.left_s(call.received)),
             waited_s=journal.round_to_ms(call.waited_s),
             forwarded_by=call.hop.author if call.hop else None,
+            after_event=call.head.last_event,
+            resumes=call.head.resumes or None,
             objective_s=call.route.objective_s,
             prompt=call.head.work.prompt_tokens,
             output=call.head.work.output_tokens,
--- a/packages/verbenahall/src/verbenahall/gateway/_record_handlers.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_record_handlers.py
@@ -108,6 +108,7 @@
                     service=entry.service,
                     address=entry.address,
                     role=entry.role.value if entry.role else None,
+                    software=entry.version,
                     leaving=entry.leaving,
                     born=entry.born,
                     change=entry.change,
--- a/packages/verbenahall/src/verbenahall/gateway/_sender.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_sender.py
@@ -254,6 +254,8 @@
             request=call.head.identity,
             endpoint=endpoint.name,
             prefill=options.prefill_only,
+            software=endpoint.version,
+            after_event=options.last_event,
             age_s=journal.round_to_ms(age_s),
             listed=listing is not None and listing.usable_until == float('inf'),
             left_s=journal.round_to_ms(call.left_s(now)),
--- a/packages/verbenahall/src/verbenahall/platform/_entries.py
+++ b/packages/verbenahall/src/verbenahall/platform/_entries.py
@@ -14,6 +14,8 @@
 #: The platform's states, and whether the endpoint is leaving.
 _LEAVING: Final = MappingProxyType({'ready': False, 'draining': True})
 _OCTETS: Final = 4
+#: Longest software version in characters; it is sent in headers and datagrams.
+_MAX_VERSION: Final = 64
 _LAST_PORT: Final = 65_535
 #: The platform calls the role of an engine its stage.
 _ROLES: Final = MappingProxyType(
@@ -59,9 +61,21 @@
         change=fields.integer(table, 'seq', 0),
         cold_s=fields.seconds(table, 'coldLeftMs', 0),
         spot=table.get('spot') is True,
+        version=_read_version(table.get('version')),
     )
 
 
+def _read_version(found: Any) -> str:
+    """Return a software version, empty if it is missing or no short text."""
+    is_version = (
+        isinstance(found, str)
+        and len(found) <= _MAX_VERSION
+        and found.isascii()
+        and found.isprintable()
+    )
+    return found if is_version else ''
+
+
 def _check_address(address: str) -> str:
     host, _, port = address.rpartition(':')
     octets = [int(octet) for octet in host.split('.')]
--- a/packages/verbenahall/src/verbenahall/platform/_headers.py
+++ b/packages/verbenahall/src/verbenahall/platform/_headers.py
@@ -31,6 +31,8 @@
     ),
 )
 _PREFILL_STAGE: Final = 'prefill'
+#: Longest request id by which a stream is taken up, in characters.
+_MAX_RESUMED_ID: Final = 128
 
 _NO_NAMES: Final[frozenset[str]] = frozenset()
 
@@ -43,8 +45,10 @@
 
     ``identity`` is the request id, empty if there is none. ``wait_s`` is how
     long the caller still waits, None if it is not stated. ``last_event`` is
-    the last event that the caller received of a broken stream. ``key`` is the
-    digest of its API key, empty if there is none or more than one.
+    the last event that the caller received of a broken stream, ``resumes`` the
+    request id of the attempt that brought the first one, empty if there is
+    none, more than one or a longer one than ids are. ``key`` is the digest of
+    its API key, empty if there is none or more than one.
     """
 
     identity: str
@@ -52,6 +56,7 @@
     work: Work
     last_event: int | None
     key: bytes = b''
+    resumes: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -100,6 +105,7 @@
         work=_read_work(headers),
         last_event=read_event_number(headers.get(names.LAST_EVENT_ID, '')),
         key=_read_key(headers),
+        resumes=_read_resumed_id(headers),
     )
 
 
@@ -226,6 +232,13 @@
     return digest_key(keys[0]) if len(keys) == 1 else b''
 
 
+def _read_resumed_id(headers: Mapping[str, str]) -> str:
+    found = CIMultiDict(headers).getall(names.RESUMES, ())
+    if len(found) != 1 or len(found[0]) > _MAX_RESUMED_ID:
+        return ''
+    return found[0].strip()
+
+
 def _format_wait(wait_s: float) -> str:
     return str(max(1, int(wait_s * _MS_IN_SECOND)))
 
--- a/packages/verbenahall/src/verbenahall/platform/_names.py
+++ b/packages/verbenahall/src/verbenahall/platform/_names.py
@@ -12,6 +12,9 @@
 TOKEN_COUNT: Final = 'X-Verbenahall-Token-Count'
 LENGTH_HINT: Final = 'X-Verbenahall-Length-Hint'
 LAST_EVENT_ID: Final = 'Last-Event-Id'
+#: The request id of the attempt that brought the first event of a stream which
+#: the caller takes up.
+RESUMES: Final = 'Resumes'
 #: The endpoint's signature of its answer.
 STAMP: Final = 'X-Verbenahall-Server-Stamp'
 #: The name of the intended endpoint; any other one answers 421.
--- a/packages/verbenahall/src/verbenahall/roster/_messages.py
+++ b/packages/verbenahall/src/verbenahall/roster/_messages.py
@@ -16,7 +16,8 @@
     ``born`` distinguishes starts under the same name. ``change`` counts the
     changes of the entry since that start. ``role`` is None for endpoints that
     are not engines. ``cold_s`` is how long the endpoint is slow after its
-    start. The platform may reclaim a ``spot`` instance at any time.
+    start. The platform may reclaim a ``spot`` instance at any time. ``version``
+    is that of the endpoint's software, empty if the entry states none.
     """
 
     name: str
@@ -30,6 +31,7 @@
     change: int = 0
     cold_s: float = 0
     spot: bool = False
+    version: str = ''
 
     @property
     def incarnation(self) -> Incarnation:
--- a/packages/verbenahall/tests/platform/test_wire.py
+++ b/packages/verbenahall/tests/platform/test_wire.py
@@ -452,3 +452,24 @@
     ]
     found = [path.name for path in outside if wire.search(path.read_text())]
     assert not found
+
+
+@pytest.mark.parametrize('version', (None, 7, ['v1'], 'v' * 65, 'v\n1', 'é'))
+def test_invalid_software_version_counts_as_missing(version):
+    # Another writer's entry must neither hide the endpoint nor reach a header.
+    entry = decode_entry('i-1', dump({**ENTRY, 'version': version})).unwrap()
+    assert not entry.version
+
+
+@pytest.mark.parametrize(
+    ('pairs', 'expected'),
+    (
+        ((), ''),
+        ((('Resumes', 'a1'),), 'a1'),
+        ((('Resumes', 'a1'), ('Resumes', 'b2')), ''),
+        ((('Resumes', 'a' * 65_536),), ''),
+    ),
+)
+def test_resumed_id_is_one_short_header(pairs, expected):
+    # Of two ids one may be another stream's; a long one would fill the memory.
+    assert read_request_head(CIMultiDict(pairs)).resumes == expected
