Streams go on only at the software version that began them

Cause: the entry's version was dropped, so that no choice of an engine could heed it, and what an instance knew of a stream ended with the attempt.

Change: the version of the engine that writes the first event is kept with the stream. A resumed stream, in the attempt, at a scheduler, behind a hop and when a caller takes it up, is placed at decode engines of that version only. While a service has several versions each beginning is sent to three owners by rendezvous hash of its id before the first event goes out, and asked for when a caller names it in Resumes. Unknown is refused at once (503, not run), as is a version without an engine. An engine whose entry changed its version since it was chosen gets nothing.

Why it works: a decode engine of another version cannot be chosen once the version is known, and without it nothing is sent. A stall is given up only if an engine of the version can take over.

The raw peer of gateway/test_forwarding.py states the version as instances do now.

--- a/packages/verbenahall/src/verbenahall/forwarding/__init__.py
+++ b/packages/verbenahall/src/verbenahall/forwarding/__init__.py
@@ -13,6 +13,7 @@
 from verbenahall.forwarding._messages import (
     HOP_HEADER,
     REFUSED_HEADER,
+    VERSION_HEADER,
     Hop,
     HopRefusal,
     decode_hop,
@@ -40,6 +41,7 @@
     'PeerCandidate',
     'REFUSED_HEADER',
     'ReceiverState',
+    'VERSION_HEADER',
     'choose_least_busy',
     'choose_peer',
     'decode_hop',
--- a/packages/verbenahall/src/verbenahall/forwarding/_messages.py
+++ b/packages/verbenahall/src/verbenahall/forwarding/_messages.py
@@ -13,6 +13,8 @@
 
 #: Header of a forwarded request, with a JSON object.
 HOP_HEADER: Final = 'Verbenahall-Hop'
+#: Header of a peer's answer: the software version whose events it holds.
+VERSION_HEADER: Final = 'Verbenahall-Stream-Version'
 #: Header of a refusal of the receiving instance, with its reason.
 REFUSED_HEADER: Final = 'Verbenahall-Hop-Refused'
 #: Upper bound of the number of runs that a hop may state.
@@ -42,7 +44,8 @@
     charged for this send, if it is a retry. ``is_counted`` is whether that
     budget counts the request, ``is_metered`` whether its usage is counted.
     ``waited_s`` is how long the caller has waited in earlier attempts, in
-    seconds.
+    seconds. ``stream_version`` is the software version of the events that the
+    caller has, None if it has none.
     """
 
     author: str
@@ -53,6 +56,7 @@
     is_counted: bool = False
     is_metered: bool = False
     waited_s: float = 0
+    stream_version: str | None = None
 
 
 def encode_hop(hop: Hop) -> str:
@@ -67,6 +71,7 @@
             'counted': hop.is_counted,
             'metered': hop.is_metered,
             'waited': hop.waited_s,
+            'software': hop.stream_version,
         },
     ).decode()
 
@@ -107,11 +112,18 @@
                     is_counted,
                     is_metered,
                     waited_s,
+                    _read_stream_version(table),
                 )
             )
         case _:
             return Nothing
 
 
+def _read_stream_version(table: Mapping[str, Any]) -> str | None:
+    """Return the stream's version; instances of earlier versions send none."""
+    found = table.get('software')
+    return found if isinstance(found, str) else None
+
+
 def _is_in_range(runs: int, waited_s: float) -> bool:
     return 0 <= runs <= _MAX_RUNS and 0 <= waited_s < math.inf
--- a/packages/verbenahall/src/verbenahall/gateway/_core.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_core.py
@@ -20,6 +20,7 @@
     RateLimiter,
     format_incarnation,
 )
+from verbenahall.gateway._version_hook import NoVersionFinder, VersionFinder
 from verbenahall.peers import PeerTable
 from verbenahall.placement import PlacementState
 from verbenahall.platform import (
@@ -85,6 +86,7 @@
         self.observer: CrashObserver = NoObserver()
         self.reach = ReachTable()
         self.forwarder: Forwarder = NoForwarder()
+        self.stream_versions: VersionFinder = NoVersionFinder()
         self.placement = PlacementState()
         self.peer_table = PeerTable(
             settings.name,
--- a/packages/verbenahall/src/verbenahall/gateway/_events.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_events.py
@@ -25,14 +25,27 @@
 
     ``last`` is the number of the last event that was relayed, None before the
     first; ``partial`` holds the bytes of an event that is not complete yet.
+    ``version`` is the software version of the engines whose events the stream
+    holds, None while it holds none.
     """
 
-    __slots__ = ('last', 'partial')
+    __slots__ = ('last', 'partial', 'version')
 
     def __init__(self, last: int | None) -> None:
         """Start after event ``last``, which the caller has received."""
         self.last = last
         self.partial = b''
+        self.version: str | None = None
+
+    def begin(self, version: str | None) -> bool:
+        """Keep the version of the first events; False if one is known.
+
+        None is an unknown version.
+        """
+        is_first = self.version is None
+        if is_first:
+            self.version = version
+        return is_first
 
 
 def feed(state: EventState, piece: bytes) -> NewEvents:
--- a/packages/verbenahall/src/verbenahall/gateway/_generation.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_generation.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from verbenahall import journal, metrics
+from verbenahall.fleet import Role
 from verbenahall.gateway._attempts import Attempts
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._grants import Grant
@@ -18,6 +19,7 @@
 from verbenahall.platform import CALL_FAILURES, SendOptions, read_answer_head
 from verbenahall.reach import record_response
 from verbenahall.requests import Broken, Outcome
+from verbenahall.roster import select_version
 
 Generated = Result[StreamEnded | Answered, Outcome]
 
@@ -42,6 +44,7 @@
         '_handed_over',
         '_grant',
         '_attempts',
+        '_engine',
     )
 
     def __init__(
@@ -76,6 +79,7 @@
         means that another engine may take over if this one fails.
         """
         self._grant: Grant = grant
+        self._engine = plan.decode_engine
         options = self._make_options(plan, handle)
         load_table = self._core.placement.load_table
         self._handed_over = handle is not None
@@ -167,6 +171,7 @@
                 response,
                 self._handle_first_event,
                 self._record_response,
+                self._has_successor,
                 resumable=resumable,
             )
         except _CALLER_DISCONNECTED:
@@ -176,6 +181,20 @@
         event_tokens = call.service.engine.event_tokens
         return Success(StreamEnded(timing, timing.find_step_s(event_tokens)))
 
+    def _has_successor(self) -> bool:
+        """Whether another engine may go on with the stream.
+
+        A stream that has no events yet may begin at any other engine.
+        """
+        available = self._core.endpoints.list_available(
+            self._engine.service, self._core.now()
+        )
+        fitting = select_version(available, self._relay.state.version)
+        return any(
+            one.name != self._engine.name and one.role is not Role.PREFILL
+            for one in fitting
+        )
+
     def _record_response(self) -> None:
         service_reach = self._core.reach.get(self._call.service.name)
         record_response(service_reach, self._core.now())
@@ -187,6 +206,7 @@
         that other requests have to wait for.
         """
         self._attempts.count_usage()
+        self._record_version()
         placement = self._core.placement
         now = self._core.now()
         placement.failures.record(self._flight.engine, now, failed=False)
@@ -198,6 +218,13 @@
         if handover_s:
             placement.handover.observe(handover_s, now)
 
+    def _record_version(self) -> None:
+        """Record the version that begins the stream, before it is relayed."""
+        if self._relay.state.begin(self._engine.version):
+            self._core.stream_versions.record_begun(self._call, self._engine)
+        elif self._call.takes_up and not self._relay.begun:
+            metrics.STREAMS_TAKEN_UP.add('gone_on')
+
     def _record_caller_left(self, plan: Plan) -> None:
         """Record what the engine had sent when the caller disconnected.
 
--- a/packages/verbenahall/src/verbenahall/gateway/_hop_client.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_hop_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 from collections.abc import AsyncIterator
 from http import HTTPStatus
 from typing import Final, final
@@ -14,6 +15,7 @@
 from verbenahall.forwarding import (
     HOP_HEADER,
     REFUSED_HEADER,
+    VERSION_HEADER,
     ChosenPeer,
     Hop,
     encode_hop,
@@ -74,7 +76,7 @@
         whether a retry was charged to the budget of this instance.
         """
         call = attempts.call
-        hop = self._make_hop(attempts, is_charged=is_charged)
+        hop = self._make_hop(attempts, relay, is_charged=is_charged)
         last_event = relay.state.last if relay else call.head.last_event
         async with self._open(call, peer, hop, last_event) as opened:
             match opened:
@@ -148,7 +150,13 @@
         except CALL_FAILURES as error:
             return Failure(self._classify(call, error))
 
-    def _make_hop(self, attempts: Attempts, *, is_charged: bool) -> Hop:
+    def _make_hop(
+        self,
+        attempts: Attempts,
+        relay: EventRelay | None,
+        *,
+        is_charged: bool,
+    ) -> Hop:
         call = attempts.call
         return Hop(
             self._core.settings.name,
@@ -159,6 +167,7 @@
             call.is_counted,
             attempts.is_metered,
             call.waited_s,
+            relay.state.version if relay else None,
         )
 
     def _classify(self, call: Call, error: BaseException) -> Outcome:
@@ -187,8 +196,16 @@
 async def _relay_stream(
     response: aiohttp.ClientResponse, relay: EventRelay
 ) -> Forwarded:
+    # An instance of an earlier version of this system states none. Then the
+    # next peer has to find it.
+    stated = response.headers.get(VERSION_HEADER)
     # The peer itself resumes a stream that stalls.
-    await relay.pump(response, bool, bool, resumable=False)
+    await relay.pump(
+        response,
+        functools.partial(relay.state.begin, stated),
+        bool,
+        resumable=False,
+    )
     finished = await relay.finish()
     if finished is None:
         return Failure(Broken('the stream had no events'))
--- a/packages/verbenahall/src/verbenahall/gateway/_messages.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_messages.py
@@ -49,8 +49,22 @@
 
     @property
     def due_at(self) -> float:
-        """When the first event is past its objective, in monotonic seconds."""
-        return self.received - self.waited_s + self.route.objective_s
+        """When the first event is past its objective, in monotonic seconds.
+
+        A stream that its caller takes up has had its first event.
+        """
+        waited_s = 0 if self.takes_up else self.waited_s
+        return self.received - waited_s + self.route.objective_s
+
+    @property
+    def takes_up(self) -> bool:
+        """Whether the caller takes up a stream that has begun."""
+        return self.head.last_event is not None
+
+    @property
+    def returning(self) -> bool:
+        """Whether the caller has tried before."""
+        return self.takes_up or self.waited_s > 0
 
     @property
     def leaves_at(self) -> float:
--- a/packages/verbenahall/src/verbenahall/gateway/_prefill_queues.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_prefill_queues.py
@@ -62,7 +62,7 @@
             due_at=call.due_at,
             objective_s=call.route.objective_s,
             leaves_at=call.leaves_at,
-            returning=call.waited_s > 0,
+            returning=call.returning,
             tried=tried,
         )
         future = asyncio.get_running_loop().create_future()
--- a/packages/verbenahall/src/verbenahall/gateway/_relay.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_relay.py
@@ -1,6 +1,7 @@
 """Relays the events of a stream to the caller, over several engines."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from typing import Final, final
 
@@ -8,6 +9,7 @@
 
 from verbenahall import metrics
 from verbenahall.clock import Clock
+from verbenahall.forwarding import VERSION_HEADER
 from verbenahall.gateway._events import EventState, feed
 from verbenahall.gateway._messages import Call, StreamTiming
 from verbenahall.platform import strip_answer_headers
@@ -59,20 +61,22 @@
         response: ClientResponse,
         record_first_event: Callable[[], object],
         record_response: Callable[[], object],
+        has_successor: Callable[[], bool] = bool,
         *,
         resumable: bool,
     ) -> StreamTiming:
         """Relay an engine's stream to its end; return its timing.
 
         ``record_first_event`` is called at the engine's first new event, and
-        ``record_response`` whenever bytes arrive. Raises
+        ``record_response`` whenever bytes arrive. A stalled engine is given up
+        before the deadline if the stream is ``resumable`` and, at that moment,
+        ``has_successor`` returns that another engine may go on. Raises
         ``TimeoutError`` when the stream stalls, ``ClientPayloadError`` when it
         ends inside an event, and other errors when the connection breaks.
         """
         timing = StreamTiming()
         while True:
-            async with asyncio.timeout(self._find_idle_timeout(resumable)):
-                piece = await response.content.readany()
+            piece = await self._read(response, has_successor, resumable)
             if not piece:
                 break
             record_response()
@@ -107,6 +111,20 @@
         idle_s = max(_MIN_IDLE_S, call.route.gap_s * _IDLE_GAPS)
         return min(call.deadline, self._clock() + idle_s)
 
+    async def _read(
+        self,
+        response: ClientResponse,
+        has_successor: Callable[[], bool],
+        resumable: bool,
+    ) -> bytes:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._find_idle_timeout(resumable)):
+                return await response.content.readany()
+        if resumable and has_successor():
+            raise TimeoutError('the stream stalls')
+        async with asyncio.timeout(self._find_idle_timeout(resumable=False)):
+            return await response.content.readany()
+
     def _find_idle_timeout(self, resumable: bool) -> float:
         return self.find_idle_deadline(resumable=resumable) - self._clock()
 
@@ -126,12 +144,16 @@
         data: bytes,
     ) -> None:
         if self._response is None:
+            headers = strip_answer_headers(
+                response.status, response.raw_headers
+            )
+            headers.popall(VERSION_HEADER, None)
+            if self._call.hop is not None:
+                headers[VERSION_HEADER] = self.state.version or ''
             self._response = web.StreamResponse(
                 status=response.status,
                 reason=response.reason,
-                headers=strip_answer_headers(
-                    response.status, response.raw_headers
-                ),
+                headers=headers,
             )
             self._response.enable_chunked_encoding()
             await self._response.prepare(self._request)
--- a/packages/verbenahall/src/verbenahall/gateway/_scheduler_client.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_scheduler_client.py
@@ -34,6 +34,7 @@
     rank_groups,
     rank_schedulers,
 )
+from verbenahall.roster import Entry, fits_version
 
 Answer = Assignment | Rejection | Declined
 
@@ -260,7 +261,9 @@
         by_name = {one.name: one for one in usable}
         decode = by_name.get(assignment.decode)
         prefill = by_name.get(assignment.prefill)
-        if decode is None or (assignment.prefill and prefill is None):
+        if not _fits(group_request, decode) or (
+            assignment.prefill and prefill is None
+        ):
             self._send(address, Released(assignment.key))
             return Nothing
         plan = Plan(
@@ -303,9 +306,10 @@
             objective_s=call.route.objective_s,
             leaves_s=call.leaves_at - now,
             deadline_s=call.left_s(now),
-            returning=call.waited_s > 0,
+            returning=call.returning,
             tried=tuple(self.tried),
             unavailable=tuple(self.unavailable),
+            version=self.placement_request.version,
         )
 
 
@@ -320,6 +324,16 @@
     return None
 
 
+def _fits(group_request: _GroupRequest, decode: Entry | None) -> bool:
+    """Whether a request may be sent to the decode engine of an assignment.
+
+    The scheduler may know other endpoints, or may heed no versions.
+    """
+    return decode is not None and fits_version(
+        decode, group_request.placement_request.version
+    )
+
+
 def _read_rejection(
     rejection: Rejection,
 ) -> Maybe[Result[ScheduledGrant, Problem]]:
--- a/packages/verbenahall/src/verbenahall/gateway/_send_checks.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_send_checks.py
@@ -22,11 +22,15 @@
     Unauthorized,
     get_outcome_label,
 )
-from verbenahall.roster import Entry
+from verbenahall.roster import Entry, fits_version
 
 #: Reason that is logged when the endpoint left after it was chosen.
 _ENDPOINT_LEFT: Final = 'the endpoint has left'
 
+#: Reason that is logged when the endpoint was started again, under its name and
+#: with another software version, after it was chosen.
+_ENDPOINT_UPDATED: Final = 'the endpoint has another software version now'
+
 
 async def check_sendable(
     core: Core,
@@ -63,6 +67,8 @@
         return Quarantined(left_s)
     if not core.roster.is_live(endpoint.name, now):
         return NeverWritten(_ENDPOINT_LEFT)
+    if not fits_version(endpoint, core.roster.find_version(endpoint.name)):
+        return NeverWritten(_ENDPOINT_UPDATED)
     if not core.endpoints.backoffs.may_send(endpoint.incarnation, now):
         return BackingOff(
             core.endpoints.backoffs.find_left_s(endpoint.incarnation, now)
--- a/packages/verbenahall/src/verbenahall/gateway/_serve.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_serve.py
@@ -35,6 +35,7 @@
 from verbenahall.gateway._refresh import Refresher
 from verbenahall.gateway._scaling import make_scaler, scales_engines
 from verbenahall.gateway._scheduler import SchedulingTransport
+from verbenahall.gateway._stream_versions import StreamVersions
 from verbenahall.gateway._usage import (
     make_usage_exchange,
     make_usage_reporter,
@@ -97,6 +98,7 @@
         self.leaving_replicator = LeavingReplicator(
             self.core, self.finder.exchange
         )
+        self.stream_versions = StreamVersions(self.core, self.finder.exchange)
         self.open_forwards = OpenForwards()
         PeerForwarder(self.core, self.open_forwards)
         followers = make_followers(self.core, self.finder.exchange)
@@ -165,6 +167,7 @@
             'leaving notices': self.leaving_replicator.run,
             'permits': self.rate_limiter.run,
             'reach': ReachMonitor(self.core).run,
+            'stream versions': self.stream_versions.run,
             'probes': EndpointProber(self.core).run,
             'beliefs': FleetStateLog(self.core).run,
             'lines': _flush_log,
--- a/packages/verbenahall/src/verbenahall/gateway/_stream_flow.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_stream_flow.py
@@ -22,8 +22,14 @@
 )
 from verbenahall.gateway._relay import EventRelay
 from verbenahall.gateway._sender import Sender
+from verbenahall.gateway._stream_placement import (
+    find_version,
+    is_lacking,
+    make_gone_problem,
+    place_unqueued,
+)
 from verbenahall.gateway._shortages import await_slow_start, find_cause
-from verbenahall.placement import PlacementRequest, Plan, place
+from verbenahall.placement import PlacementRequest, Plan
 from verbenahall.requests import (
     BackingOff,
     Broken,
@@ -84,7 +90,7 @@
             metrics.ATTEMPTS.add(str(self._attempts.started))
 
     async def _run(self, dispatch: Dispatch) -> web.StreamResponse:
-        final_answer: web.StreamResponse | None = None
+        final_answer = await self._find_version()
         forwarder = self._core.forwarder
         while final_answer is None:
             if await forwarder.should_forward(self._attempts):
@@ -99,10 +105,29 @@
                     final_answer = await self._handle_no_admission(problem)
         return final_answer
 
+    async def _find_version(self) -> web.StreamResponse | None:
+        """Find the version of a stream that is taken up; refuse an unknown one.
+
+        The instance that has forwarded the request states the version itself.
+        """
+        match await find_version(self._core, self._call):
+            case Success(version):
+                self._relay.state.version = version
+                return None
+            case Failure(problem):
+                return self._abandon(problem)
+        raise AssertionError('a result is a success or a failure')
+
     async def _handle_no_admission(
         self, problem: Problem
     ) -> web.StreamResponse | None:
         """Return the final answer; None if an engine is available again."""
+        version = self._relay.state.version
+        if problem.kind is ErrorKind.NO_ENDPOINT and version is not None:
+            # No engine of the version is left, or none that accepts requests.
+            return self._abandon(
+                make_gone_problem(self._core, self._call, version)
+            )
         if problem.kind is ErrorKind.NO_ENDPOINT:
             if await await_slow_start(
                 self._core, self._call, self._attempts.tried
@@ -126,9 +151,14 @@
             self._call.head.work,
             self._call.route.gap_s,
             priority=self._call.priority,
+            version=self._relay.state.version,
         )
         tried = frozenset(self._attempts.tried)
-        return await dispatch.admit(self._call, placement_request, tried)
+        admitted = await dispatch.admit(self._call, placement_request, tried)
+        if is_lacking(admitted) and placement_request.version is not None:
+            # The engines of the version that are avoided are its only ones.
+            return self._place().map(UnqueuedGrant)
+        return admitted
 
     async def _handle_result(
         self,
@@ -145,21 +175,17 @@
         raise AssertionError('a result is a success or a failure')
 
     def _place(self) -> Result[Plan, Problem]:
-        core = self._core
-        call = self._call
-        now = core.now()
-        usable = core.endpoints.list_usable(call.service.name, now)
-        tried = self._attempts.tried
-        untried = [one for one in usable if one.name not in tried]
-        prefilled_by = self._kv_handle.engine if self._kv_handle else None
-        return place(
-            core.placement,
+        return place_unqueued(
+            self._core,
+            self._call,
             PlacementRequest(
-                call.head.work, call.route.gap_s, prefilled_by, call.priority
+                self._call.head.work,
+                self._call.route.gap_s,
+                self._kv_handle.engine if self._kv_handle else None,
+                self._call.priority,
+                self._relay.state.version,
             ),
-            untried or usable,
-            call.service.engine,
-            now,
+            self._attempts.tried,
         )
 
     async def _execute_plan(self, grant: Grant) -> Generated:
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/gateway/_stream_versions.py
@@ -0,0 +1,255 @@
+"""Records and finds the software versions at which streams began."""
+
+import asyncio
+import collections
+import itertools
+from collections.abc import Iterable
+from typing import Final, final
+
+from returns.maybe import Maybe, Some
+
+from verbenahall import journal, metrics
+from verbenahall.catalog import Catalog, RouteKind
+from verbenahall.gateway._core import Core
+from verbenahall.gateway._messages import Call
+from verbenahall.gateway._version_questions import VersionQuestions
+from verbenahall.peers import PeerExchange
+from verbenahall.platform import ENDPOINTS_TOPIC
+from verbenahall.roster import Entry
+from verbenahall.stream_versions import (
+    Beginning,
+    Knowledge,
+    Question,
+    Reply,
+    StreamRecord,
+    StreamRecords,
+    VersionHistory,
+    choose_owners,
+    decide_version,
+    decode,
+    encode,
+    make_stream_key,
+)
+
+#: Interval at which the listed versions are recorded, in seconds, and what it
+#: is longer by for each endpoint: in a large fleet the pass takes milliseconds.
+_TICK_S: Final = 0.1
+_TICK_FOR_EACH_S: Final = 0.00005
+#: A caller may take a stream up as long as its own time limit lasts, which is
+#: rarely longer than twice the timeout of the route.
+_LIFE_FACTOR: Final = 2.0
+_LIFE_MARGIN_S: Final = 2.0
+#: Number of endpoints by service and software version.
+_Counts = dict[str, collections.Counter[str]]
+
+
+@final
+class StreamVersions:
+    """Knows the versions of streams, with the help of the peers.
+
+    ``history`` holds the versions of each service and ``records`` the streams
+    that began here or of which a peer has told.
+    """
+
+    __slots__ = (
+        'history',
+        'records',
+        '_core',
+        '_exchange',
+        '_life',
+        '_next_handler',
+        '_questions',
+        '_reported',
+    )
+
+    def __init__(self, core: Core, exchange: PeerExchange) -> None:
+        """Install the handlers in the core and in the peers' exchange."""
+        self.history = VersionHistory()
+        self.records = StreamRecords()
+        self._core = core
+        self._exchange = exchange
+        self._next_handler = exchange.datagram_handler
+        self._questions = VersionQuestions(core, self._send)
+        self._reported: _Counts = {}
+        #: The version of the manifest, and how long streams live by it.
+        self._life: tuple[int, float] = (0, _LIFE_MARGIN_S)
+        core.stream_versions = self
+        exchange.datagram_handler = self.handle_datagram
+
+    async def run(self) -> None:
+        """Record the listed versions, until cancelled."""
+        while True:
+            self.update(self._core.now())
+            endpoints = len(self._core.roster.listings)
+            await asyncio.sleep(_TICK_S + endpoints * _TICK_FOR_EACH_S)
+
+    def update(self, now: float) -> None:
+        """Record the listed versions; tell of streams if there are several."""
+        if not self._core.roster.is_loaded:
+            return
+        self._record_listed(now)
+        forgotten = now - self._find_life_s()
+        self.history.forget(forgotten)
+        self.records.forget(forgotten)
+        for key, record in tuple(self.records.list_untold()):
+            self._tell(key, record, now)
+
+    def record_begun(self, call: Call, engine: Entry) -> None:
+        """Record that an engine brings the first event of a call's stream."""
+        if not call.head.identity:
+            return
+        now = self._core.now()
+        service = call.service.name
+        self.history.record(service, engine.version, now)
+        key = _make_key(call, call.head.identity)
+        record = StreamRecord(service, engine.version, now, is_told=False)
+        self.records.add(key, record)
+        self._tell(key, record, now)
+
+    async def find(self, call: Call) -> Maybe[str]:
+        """Return the version of the stream that a call takes up.
+
+        Nothing means that it is unknown. Takes 0.12 s at most.
+        """
+        started = self._core.now()
+        self._record_listed(started)
+        resumes = call.head.resumes
+        key = _make_key(call, resumes) if resumes else ''
+        service = call.service.name
+        own = self._answer(Question(0, key, service), started)
+        replies = [own]
+        if own.knowledge not in {Knowledge.RECORDED, Knowledge.SOLE}:
+            replies.extend(await self._questions.ask(key, service))
+        now = self._core.now()
+        listed = self.history.list_versions(service, now - self._find_life_s())
+        found = decide_version(replies, listed)
+        if key and isinstance(found, Some):
+            self.records.add(
+                key, StreamRecord(service, found.unwrap(), now, is_told=True)
+            )
+        self._log_found(call, found, replies, now - started)
+        return found
+
+    def handle_datagram(self, datagram: bytes, sender: str) -> bool:
+        """Handle a peer's message; pass other datagrams on."""
+        message = decode(datagram)
+        if not isinstance(message, Some):
+            return self._next_handler(datagram, sender)
+        now = self._core.now()
+        match message.unwrap():
+            case Beginning(key, service, version, age_s):
+                self.history.record(service, version, now - age_s)
+                self.records.add(
+                    key,
+                    StreamRecord(service, version, now - age_s, is_told=True),
+                )
+            case Question() as question:
+                self._record_listed(now)
+                self._send(self._answer(question, now), [sender])
+            case Reply() as reply:
+                self._questions.receive(reply, sender)
+        return True
+
+    def _answer(self, question: Question, now: float) -> Reply:
+        number = question.number
+        record = self.records.find(question.key)
+        if record is not None:
+            return Reply(number, Knowledge.RECORDED, record.version)
+        since = now - self._find_life_s()
+        sole = self.history.find_sole(question.service, since)
+        if isinstance(sole, Some):
+            return Reply(number, Knowledge.SOLE, sole.unwrap())
+        versions = self.history.list_versions(question.service, since)
+        if len(versions) > 1:
+            return Reply(number, Knowledge.SEVERAL)
+        return Reply(number, Knowledge.UNKNOWN)
+
+    def _record_listed(self, now: float) -> None:
+        core = self._core
+        freshness = core.freshness[ENDPOINTS_TOPIC]
+        entries = [one.entry for one in core.roster.listings.values()]
+        self.history.record_listed(
+            entries,
+            now,
+            is_recent=freshness.find_age(now) <= freshness.usable_s,
+        )
+        self._reported = _log_changes(entries, self._reported)
+
+    def _tell(self, key: str, record: StreamRecord, now: float) -> None:
+        """Tell the owners of a stream, unless its service has one version."""
+        since = now - self._find_life_s()
+        if isinstance(self.history.find_sole(record.service, since), Some):
+            return
+        peer_table = self._core.peer_table
+        owners = choose_owners(peer_table, key, now)
+        age_s = max(0, now - record.began_at)
+        record.is_told = True
+        self._send(
+            Beginning(key, record.service, record.version, age_s),
+            [peer_table.peers[name].address for name in owners],
+        )
+
+    def _send(
+        self, message: Beginning | Question | Reply, addresses: Iterable[str]
+    ) -> None:
+        datagram = encode(message)
+        for address in addresses:
+            self._exchange.send(datagram, address)
+
+    def _find_life_s(self) -> float:
+        """Return how long after its beginning a stream may be taken up."""
+        catalog = self._core.catalog.catalog
+        version = catalog.version if catalog else 0
+        known_version, life_s = self._life
+        if version != known_version:
+            life_s = _compute_life_s(catalog)
+            self._life = (version, life_s)
+        return life_s
+
+    def _log_found(
+        self,
+        call: Call,
+        found: Maybe[str],
+        replies: Iterable[Reply],
+        took_s: float,
+    ) -> None:
+        known_by = sorted({one.knowledge.value for one in replies})
+        outcome = 'found' if isinstance(found, Some) else 'unknown'
+        metrics.STREAMS_TAKEN_UP.add(outcome)
+        journal.write_decision(
+            'taken_up',
+            request=call.head.identity,
+            resumes=call.head.resumes or None,
+            software=found.value_or(None),
+            known_by=known_by,
+            took_s=journal.round_to_ms(took_s),
+        )
+
+
+def _make_key(call: Call, request: str) -> str:
+    workspace = call.workspace.name if call.workspace else ''
+    return make_stream_key(call.service.name, workspace, request)
+
+
+def _compute_life_s(catalog: Catalog) -> float:
+    routes = itertools.chain.from_iterable(
+        by_prefix.values() for by_prefix in catalog.routes.values()
+    )
+    longest_s = max(
+        (route.timeout_s for route in routes if route.kind is RouteKind.STREAM),
+        default=0,
+    )
+    return longest_s * _LIFE_FACTOR + _LIFE_MARGIN_S
+
+
+def _log_changes(entries: Iterable[Entry], reported: _Counts) -> _Counts:
+    """Log the services whose versions have changed; return all versions."""
+    counts: _Counts = collections.defaultdict(collections.Counter)
+    for entry in entries:
+        counts[entry.service][entry.version] += 1
+    for service, versions in counts.items():
+        if versions.keys() != reported.get(service, {}).keys():
+            journal.write_decision(
+                'service_versions', service=service, endpoints=versions
+            )
+    return counts
--- a/packages/verbenahall/src/verbenahall/metrics.py
+++ b/packages/verbenahall/src/verbenahall/metrics.py
@@ -153,6 +153,12 @@
     'Requests sent to a peer as no endpoint was reached, by outcome.',
     'outcome',
 )
+STREAMS_TAKEN_UP: Final = BufferedCounter(
+    'verbenahall_streams_taken_up_total',
+    'Streams that callers take up: whether their version is found or unknown,'
+    ' and whether they have gone on or their version is gone.',
+    'outcome',
+)
 HOPS_REFUSED: Final = BufferedCounter(
     'verbenahall_hops_refused_total',
     'Requests of peers that were refused before anything was done, by reason.',
--- a/packages/verbenahall/src/verbenahall/placement/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/placement/_decisions.py
@@ -22,7 +22,7 @@
 from verbenahall.placement._messages import Plan, Work
 from verbenahall.placement._state import PlacementState
 from verbenahall.placement._streams import OpenStream
-from verbenahall.roster import Entry
+from verbenahall.roster import Entry, select_version
 from verbenahall.routing import rank_by_rendezvous
 
 #: Engines that are considered for a prefix, in order of preference.
@@ -62,12 +62,15 @@
     ``gap_s`` is the longest pause in seconds between two events that still
     counts as on time. ``prefilled_by`` is the engine that has prefilled the
     prompt already, if any. ``priority`` is that of the request, 0 the highest.
+    ``version`` is the software version that has to write the events, None if
+    any may.
     """
 
     work: Work
     gap_s: float
     prefilled_by: Entry | None = None
     priority: int = 0
+    version: str | None = None
 
     def make_stream(self, now: float, *, has_handle: bool) -> OpenStream:
         """Return the request's stream, as it is counted at its engine."""
@@ -99,7 +102,9 @@
     ``NO_ENDPOINT`` if no engine can decode.
     """
     decode_engines: Sequence[Entry] = [
-        one for one in engines if one.role is not Role.PREFILL
+        one
+        for one in select_version(engines, request.version)
+        if one.role is not Role.PREFILL
     ]
     if not decode_engines:
         return Failure(
--- a/packages/verbenahall/src/verbenahall/placement/_slots.py
+++ b/packages/verbenahall/src/verbenahall/placement/_slots.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator, Sequence
 from typing import Final, final
 
-from returns.result import Result
+from returns.result import Failure, Result
 
 from verbenahall.catalog import EngineTraits
 from verbenahall.errors import Problem
@@ -65,7 +65,14 @@
             one for one in self.engines if one.name not in pending.unavailable
         ]
         usable = [one for one in available if one.name not in pending.tried]
-        engines = usable or available
+        placed = self._place_at(usable, pending, now)
+        if isinstance(placed, Failure):
+            return self._place_at(available, pending, now)
+        return placed
+
+    def _place_at(
+        self, engines: Sequence[Entry], pending: QueuedRequest, now: float
+    ) -> Result[Plan, Problem]:
         return place(
             self.state,
             pending.placement_request,
--- a/packages/verbenahall/src/verbenahall/roster/__init__.py
+++ b/packages/verbenahall/src/verbenahall/roster/__init__.py
@@ -17,6 +17,7 @@
     encode_notice,
 )
 from verbenahall.roster._state import LAPSE_GRACE_S, Roster, RosterRules
+from verbenahall.roster._versions import fits_version, select_version
 
 __all__ = (
     'Entry',
@@ -33,7 +34,9 @@
     'apply_removal',
     'decode_notice',
     'encode_notice',
+    'fits_version',
     'had_store_outage',
     'record_leaving',
     'record_store_outage',
+    'select_version',
 )
--- a/packages/verbenahall/src/verbenahall/roster/_state.py
+++ b/packages/verbenahall/src/verbenahall/roster/_state.py
@@ -87,6 +87,11 @@
         listing = self.listings.get(name)
         return listing.entry if listing else self.removed.get(name)
 
+    def find_version(self, name: str) -> str | None:
+        """Return the software version of an endpoint's last entry."""
+        entry = self.find_entry(name)
+        return entry.version if entry else None
+
     def keep_announced(self, incarnation: Incarnation) -> None:
         """Keep an incarnation as leaving; the oldest ones are dropped."""
         self.announced[incarnation] = None
--- a/packages/verbenahall/src/verbenahall/scheduling/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/scheduling/_decisions.py
@@ -166,7 +166,10 @@
     pending = QueuedRequest(
         request.key,
         PlacementRequest(
-            request.work, request.gap_s, priority=request.priority
+            request.work,
+            request.gap_s,
+            priority=request.priority,
+            version=request.version,
         ),
         request.priority,
         queued_at=now,
--- a/packages/verbenahall/src/verbenahall/scheduling/_messages.py
+++ b/packages/verbenahall/src/verbenahall/scheduling/_messages.py
@@ -25,7 +25,8 @@
     ``due_s`` until the first event is past its objective, ``leaves_s`` until
     the caller leaves without one, ``deadline_s`` until the whole answer is of
     no use. ``tried`` names the engines that have failed the request,
-    ``unavailable`` those that accept no requests of the instance.
+    ``unavailable`` those that accept no requests of the instance. ``version``
+    is the software version of the decode engine, None if any may serve.
     """
 
     key: str
@@ -41,6 +42,7 @@
     returning: bool = False
     tried: tuple[str, ...] = ()
     unavailable: tuple[str, ...] = ()
+    version: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -156,9 +158,14 @@
         tried=tuple(map(str, table['tried'])),
         # Instances of earlier versions do not send it.
         unavailable=tuple(map(str, table.get('unavailable', ()))),
+        version=_read_version(table.get('version')),
     )
 
 
+def _read_version(found: Any) -> str | None:
+    return None if found is None else str(found)
+
+
 def _parse_assignment(table: _Table) -> Assignment:
     return Assignment(
         key=str(table['key']),
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/stream_versions/__init__.py
@@ -0,0 +1,40 @@
+"""At which software version a stream began, and whether it may go on.
+
+Engines of several software versions may serve one service, and the events of
+two versions do not fit together. While a service has one version nothing is
+recorded. Otherwise each beginning is sent to a few instances, the owners of
+its key, and asked for when a caller takes the stream up again.
+"""
+
+from verbenahall.stream_versions._decisions import (
+    choose_asked,
+    choose_owners,
+    decide_version,
+)
+from verbenahall.stream_versions._history import VersionHistory
+from verbenahall.stream_versions._messages import (
+    Beginning,
+    Knowledge,
+    Question,
+    Reply,
+    decode,
+    encode,
+    make_stream_key,
+)
+from verbenahall.stream_versions._records import StreamRecord, StreamRecords
+
+__all__ = (
+    'Beginning',
+    'Knowledge',
+    'Question',
+    'Reply',
+    'StreamRecord',
+    'StreamRecords',
+    'VersionHistory',
+    'choose_asked',
+    'choose_owners',
+    'decide_version',
+    'decode',
+    'encode',
+    'make_stream_key',
+)
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/stream_versions/_history.py
@@ -0,0 +1,70 @@
+"""The software versions that each service has had."""
+
+import math
+from collections.abc import Iterable, Mapping
+from typing import final
+
+from returns.maybe import Maybe, Nothing, Some
+
+from verbenahall.roster import Entry
+
+
+@final
+class VersionHistory:
+    """When each version of each service was last known to serve.
+
+    ``since`` is when this instance began to follow the list of endpoints, in
+    monotonic seconds, infinite before.
+    """
+
+    __slots__ = ('since', '_seen_at')
+
+    def __init__(self) -> None:
+        """Start without any version."""
+        self.since = math.inf
+        self._seen_at: dict[str, dict[str, float]] = {}
+
+    def record_listed(
+        self, entries: Iterable[Entry], now: float, *, is_recent: bool
+    ) -> None:
+        """Record the listed endpoints, the leaving ones included.
+
+        While the list is not recent, versions come and go without being seen,
+        so that the following starts anew.
+        """
+        self.since = min(self.since, now) if is_recent else math.inf
+        for entry in entries:
+            self.record(entry.service, entry.version, now)
+
+    def record(self, service: str, version: str, at: float) -> None:
+        """Record that a version of a service served at a time."""
+        seen_at = self._seen_at.setdefault(service, {})
+        seen_at[version] = max(at, seen_at.get(version, -math.inf))
+
+    def forget(self, before: float) -> None:
+        """Forget the versions that have not served since a time."""
+        for service, seen_at in tuple(self._seen_at.items()):
+            for version, at in tuple(seen_at.items()):
+                if at < before:
+                    seen_at.pop(version)
+            if not seen_at:
+                self._seen_at.pop(service)
+
+    def list_versions(self, service: str, since: float) -> Mapping[str, float]:
+        """Return the versions that served since a time, and when last."""
+        return {
+            version: at
+            for version, at in self._seen_at.get(service, {}).items()
+            if at >= since
+        }
+
+    def find_sole(self, service: str, since: float) -> Maybe[str]:
+        """Return the only version that a service has had since a time.
+
+        Nothing if there were several, or if the list is followed for a shorter
+        time.
+        """
+        versions = self.list_versions(service, since)
+        if self.since > since or len(versions) != 1:
+            return Nothing
+        return Some(next(iter(versions)))
--- a/packages/verbenahall/tests/gateway/test_forwarding.py
+++ b/packages/verbenahall/tests/gateway/test_forwarding.py
@@ -7,14 +7,23 @@
 import pytest
 from verbenahall_standins.soak import Cut
 
-from verbenahall.forwarding import HOP_HEADER, Hop, encode_hop
+from verbenahall.forwarding import (
+    HOP_HEADER,
+    VERSION_HEADER,
+    Hop,
+    decode_hop,
+    encode_hop,
+)
+
+from verbenahall.stream_versions import StreamRecord, make_stream_key
 
 from .conftest import HOST, PREFIX, run
 from .cut_fleet import run_fleet
 
 STREAM_HEAD = (
     b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
-    b'X-Verbenahall-Server-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n'
+    b'X-Verbenahall-Server-Stamp: s\r\nTransfer-Encoding: chunked\r\n'
+    b'Verbenahall-Stream-Version: v1\r\n\r\n'
 )
 PLAIN_HEAD = (
     b'HTTP/1.1 200 OK\r\nX-Verbenahall-Server-Stamp: s\r\n'
@@ -433,3 +442,112 @@
                 await asyncio.sleep(0.1 + number / 100)
 
     run(check())
+
+
+def read_header(request, name):
+    """Return the values of a header of a raw request."""
+    head = request.partition(b'\r\n\r\n')[0].decode()
+    rows = [line.partition(': ') for line in head.splitlines()]
+    return [text for key, _, text in rows if key.lower() == name.lower()]
+
+
+def test_next_peer_learns_what_the_broken_hop_has_delivered(tmp_path):
+    # Asked from the first event on, it would send pieces of another run; not
+    # told of the first run, it would make one too many.
+    async def check():
+        async with run_fleet(tmp_path) as fleet:
+            cut = fleet.harnesses[0]
+            await fleet.lose_endpoints(Cut.RESET)
+            records = cut.gateway.stream_versions.records
+            key = make_stream_key('drafter', '', 'begun')
+            now = cut.gateway.core.now()
+            records.add(key, StreamRecord('drafter', 'v1', now, is_told=True))
+            broken = (STREAM_HEAD, make_event(4), make_event(5), b'')
+            ended = (STREAM_HEAD, make_event(6) + b'0\r\n\r\n')
+            # The peer that runs last is chosen first.
+            async with (
+                fleet.run_peer(ended, name='raw-2') as second,
+                fleet.run_peer(broken, name='raw-1') as first,
+            ):
+                status, headers, _ = await cut.send(
+                    '/summary/1',
+                    'again',
+                    headers={
+                        'Last-Event-Id': '3',
+                        'Resumes': 'begun',
+                        f'{PREFIX}Deadline-Ms': '1500',
+                    },
+                )
+                sent = (first.requests[0], second.requests[0])
+            assert status == 200
+            assert VERSION_HEADER not in headers
+            assert read_header(sent[0], 'Last-Event-Id') == ['3']
+            assert read_header(sent[1], 'Last-Event-Id') == ['5']
+            hops = [
+                decode_hop(read_header(one, HOP_HEADER)[0]).unwrap()
+                for one in sent
+            ]
+            assert [one.runs for one in hops] == [0, 1]
+            assert [one.stream_version for one in hops] == ['v1', 'v1']
+            deadlines = [
+                read_header(one, f'{PREFIX}Deadline-Ms') for one in sent
+            ]
+            assert all(len(one) == 1 for one in deadlines)
+            assert int(deadlines[1][0]) <= int(deadlines[0][0]) < 1500
+
+    run(check())
+
+
+def use_two_versions(fleet):
+    """Let one of the two decode engines have another software version."""
+    engine = fleet.site.engines[-1]
+    engine.version = 'v2'
+    fleet.site.list_endpoint(engine)
+    return [one for one in fleet.site.engines if one.role == 'decode']
+
+
+@pytest.mark.parametrize('stated', (b'v1', b'v2'))
+def test_stream_goes_on_behind_the_hop_at_its_version(tmp_path, stated):
+    async def check():
+        async with run_fleet(tmp_path) as fleet:
+            cut, other = fleet.harnesses
+            decoding = use_two_versions(fleet)
+            roster = other.gateway.core.roster
+            name = decoding[-1].name
+            await other.wait_until(lambda: roster.find_version(name) == 'v2')
+            await fleet.lose_endpoints(Cut.RESET)
+            head = STREAM_HEAD.replace(b'v1', stated)
+            async with fleet.run_peer((head, make_event(1), b'')):
+                for number in range(6):
+                    status, _, _ = await cut.send('/summary/1', f's-{number}')
+                    assert status == 200
+            ran = {
+                engine.version
+                for engine in decoding
+                for one in engine.runs
+                if one[f'{PREFIX}Request-Id'].startswith('s-')
+            }
+            assert ran == {stated.decode()}
+
+    run(check())
+
+
+def test_stream_of_a_peer_that_states_no_version_is_not_joined(tmp_path):
+    # An instance of an earlier version of this system has begun the stream.
+    async def check():
+        async with run_fleet(tmp_path) as fleet:
+            cut, other = fleet.harnesses
+            decoding = use_two_versions(fleet)
+            roster = other.gateway.core.roster
+            name = decoding[-1].name
+            await other.wait_until(lambda: roster.find_version(name) == 'v2')
+            await fleet.lose_endpoints(Cut.RESET)
+            head = STREAM_HEAD.replace(
+                b'Verbenahall-Stream-Version: v1\r\n', b''
+            )
+            async with fleet.run_peer((head, make_event(1), b'')):
+                with pytest.raises(aiohttp.ClientError):
+                    await cut.send('/summary/1', 'joined')
+            assert not fleet.count_runs('joined')
+
+    run(check())
