A hop with a version that is no text is not decoded

The field is left out where there is no version, and a value that is no text rejects the hop, as in the other fields.

--- a/packages/verbenahall/src/verbenahall/forwarding/_messages.py
+++ b/packages/verbenahall/src/verbenahall/forwarding/_messages.py
@@ -71,11 +71,17 @@
             'counted': hop.is_counted,
             'metered': hop.is_metered,
             'waited': hop.waited_s,
-            'software': hop.stream_version,
+            **_encode_version(hop),
         },
     ).decode()
 
 
+def _encode_version(hop: Hop) -> Mapping[str, str]:
+    if hop.stream_version is None:
+        return {}
+    return {'software': hop.stream_version}
+
+
 def read_hop(headers: Mapping[str, str]) -> Maybe[Hop]:
     """Read the hop from a request's headers; Nothing if it is malformed."""
     return decode_hop(headers.get(HOP_HEADER, ''))
@@ -101,7 +107,7 @@
             'counted': bool(is_counted),
             'metered': bool(is_metered),
             'waited': int() | float() as waited_s,
-        } if _is_in_range(runs, waited_s):
+        } if _is_in_range(runs, waited_s) and _is_text_or_absent(table):
             return Some(
                 Hop(
                     author,
@@ -112,17 +118,16 @@
                     is_counted,
                     is_metered,
                     waited_s,
-                    _read_stream_version(table),
+                    table.get('software'),
                 )
             )
         case _:
             return Nothing
 
 
-def _read_stream_version(table: Mapping[str, Any]) -> str | None:
-    """Return the stream's version; instances of earlier versions send none."""
-    found = table.get('software')
-    return found if isinstance(found, str) else None
+def _is_text_or_absent(table: Mapping[str, Any]) -> bool:
+    """Whether the version is valid; earlier instances send none."""
+    return isinstance(table.get('software', ''), str)
 
 
 def _is_in_range(runs: int, waited_s: float) -> bool:
--- a/packages/verbenahall/tests/forwarding/test_hops.py
+++ b/packages/verbenahall/tests/forwarding/test_hops.py
@@ -17,7 +17,7 @@
     find_refusal,
 )
 
-HOP = Hop('front-1', 3, 'pages', 1, False, True, True, 0.5)
+HOP = Hop('front-1', 3, 'pages', 1, False, True, True, 0.5, 'v1')
 FIELDS = wire.decode(encode_hop(HOP).encode()).unwrap()
 READY = ReceiverState(
     is_known_author=True,
@@ -30,6 +30,8 @@
 
 def test_hop_is_decoded_as_it_was_encoded():
     assert decode_hop(encode_hop(HOP)) == Some(HOP)
+    new = dataclasses.replace(HOP, stream_version=None)
+    assert decode_hop(encode_hop(new)) == Some(new)
 
 
 @pytest.mark.parametrize('field', FIELDS)
