Soak: engines of several versions, rollouts, and callers that take streams up

The users' rules for versions could be seen by no test of whole processes: all engines had one version, and no caller took a stream up. The soak now starts with two versions side by side, replaces an engine by one of another version every few seconds (overlapping with kills, cuts, freezes and silent stores), lets streams last a fifth of a second, and callers take broken ones up at other instances with Resumes. Two checks by the users' rules: no stream with events of two versions, and of 12 or more that are taken up at instances in touch, while two engines of the version serve, at least half as many go on as new ones begin.

Both checks have tests that a violation is found.

--- a/packages/standins/src/verbenahall_standins/platform/_engine.py
+++ b/packages/standins/src/verbenahall_standins/platform/_engine.py
@@ -29,6 +29,7 @@
     more events after that many. ``prefill_delay_s`` is the duration of a
     prefill and ``slow_head_s`` the delay of a stream's head, in seconds.
     ``fails_resumed`` answers 500 to a stream that is to go on after an event.
+    ``event_pause_s`` is the time between two events in seconds.
     ``no_orders`` leaves orders unanswered, ``unsigned`` omits the stamp of
     streams. A request with the body ``crash_on`` crashes the engine when it
     starts; the engine restarts ``restart_s`` seconds later under a new name.
@@ -44,6 +45,7 @@
     no_orders: bool = False
     unsigned: bool = False
     slow_head_s: float = 0
+    event_pause_s: float = 0
     crash_on: str | None = None
     restart_s: float = 0.2
 
@@ -183,8 +185,8 @@
                     return self._break_stream(request, response)
                 if sent == self.faults.stall_after:
                     await asyncio.sleep(3600)
-                await response.write(_event(number))
-                await asyncio.sleep(0)
+                await response.write(_event(number, self.version))
+                await asyncio.sleep(self.faults.event_pause_s)
         except asyncio.CancelledError:
             self.cancelled.append(request_id)
             raise
@@ -249,5 +251,5 @@
     """Ignore a restart of an engine that is not listed."""
 
 
-def _event(number: int) -> bytes:
-    return f'id: {number}\ndata: token-{number}\n\n'.encode()
+def _event(number: int, version: str) -> bytes:
+    return f'id: {number}\ndata: token-{number} of {version}\n\n'.encode()
--- a/packages/standins/src/verbenahall_standins/soak/__init__.py
+++ b/packages/standins/src/verbenahall_standins/soak/__init__.py
@@ -11,6 +11,11 @@
 from verbenahall_standins.soak._proxy import Link, Listener, Proxy
 from verbenahall_standins.soak._records import Record
 from verbenahall_standins.soak._run import run_soak
+from verbenahall_standins.soak._streams import (
+    StreamAttempt,
+    find_mixed,
+    find_not_resumed,
+)
 
 __all__ = (
     'Cut',
@@ -23,7 +28,10 @@
     'Listener',
     'Proxy',
     'Record',
+    'StreamAttempt',
     'draw_plan',
+    'find_mixed',
+    'find_not_resumed',
     'find_unheeded_notices',
     'find_unserved',
     'find_violations',
--- a/packages/standins/src/verbenahall_standins/soak/_actions.py
+++ b/packages/standins/src/verbenahall_standins/soak/_actions.py
@@ -19,6 +19,8 @@
 _LINKS: Final = (Link.SLOW, Link.RESET, Link.ONE_WAY, Link.SILENT)
 #: Backoffs that endpoints request, in seconds.
 _BACKOFFS_S: Final = (3.0, 2.0, 3.0, 0.25)
+#: Software versions that engines have side by side.
+_VERSIONS: Final = 3
 _CUTS: Final = (Cut.HANGING, Cut.RESET, Cut.NO_NEW)
 #: One in this many store link faults affects all instances.
 _SHARED_EVERY: Final = 3
@@ -111,6 +113,18 @@
     deployment.replace_endpoint(endpoint)
 
 
+async def _roll_out(deployment: Deployment, event: Event) -> None:
+    """Let an engine leave, and replace it by one of another version."""
+    engine = _select(deployment.site.engines, event)
+    if engine.notices.leaving:
+        return
+    engine.notices.leaving = True
+    await asyncio.sleep(LEAVING_S + event.for_s)
+    version = f'v{event.shape % _VERSIONS}'
+    engine.version = version
+    deployment.replace_endpoint(engine)
+
+
 async def _request_backoffs(deployment: Deployment, event: Event) -> None:
     """Let an endpoint refuse everything and state for how long.
 
@@ -201,5 +215,6 @@
         Kind.ENDPOINT_LEAVES: _leave,
         Kind.ENDPOINT_BACKS_OFF: _request_backoffs,
         Kind.INSTANCES_CUT: _cut_instances,
+        Kind.ROLLOUT: _roll_out,
     },
 )
--- a/packages/standins/src/verbenahall_standins/soak/_callers.py
+++ b/packages/standins/src/verbenahall_standins/soak/_callers.py
@@ -5,13 +5,18 @@
 import itertools
 import time
 from collections.abc import Callable, Mapping
-from typing import Final, final
+from typing import Final, Protocol, final
 
 import aiohttp
 
-from verbenahall_standins.platform import HOST
+from verbenahall_standins.platform import HOST, Site
 from verbenahall_standins.soak._records import Record
 from verbenahall_standins.soak._instances import Instance
+from verbenahall_standins.soak._streams import (
+    StreamAttempt,
+    count_serving,
+    read_events,
+)
 
 _PREFIX: Final = 'X-Verbenahall-'
 _DEADLINE_S: Final = 2.0
@@ -19,6 +24,12 @@
 #: Timeout of a caller, in seconds; far beyond the request's deadline.
 _TIMEOUT_S: Final = 6.0
 _PAUSE_S: Final = 0.1
+#: Path of the streams that may be taken up, the attempts at one of them, and
+#: the pause before the next one in seconds.
+_STREAM_PATH: Final = '/summary/1'
+_MAX_ATTEMPTS: Final = 3
+_RETRY_S: Final = 0.05
+_LAST_EVENT: Final = 5
 #: Status of an answer that broke off after its head.
 TRUNCATED: Final = -1
 #: Subjects of the model requests, each in turn: with one request of each route
@@ -46,13 +57,17 @@
         numbers: 'itertools.count[int]',
         get_version: Callable[[], int],
         get_key: Callable[[], str],
+        fleet: 'Fleet',
     ) -> None:
         """Send to ``instance``, with request ids from ``numbers``.
 
         ``get_version`` returns the version of the newest manifest, ``get_key``
-        the API key that is in force.
+        the API key that is in force. Streams that break are taken up at other
+        instances of ``fleet``.
         """
         self.records: list[Record] = []
+        self.streams: list[StreamAttempt] = []
+        self._fleet = fleet
         self._instance = instance
         self._numbers = numbers
         self._get_version = get_version
@@ -130,8 +145,21 @@
         key = key or self._get_key()
         subject = next(self._subjects[path]) if path in _MODEL_PATHS else ''
         headers = self._make_headers(request_id, key, subject)
-        answer = await self._exchange(method, path, headers)
+        answer = await self._exchange(method, path, headers, self._instance)
         ended_at = time.monotonic()
+        if path == _STREAM_PATH:
+            self._take_up_broken(
+                StreamAttempt(
+                    request_id,
+                    request_id,
+                    self._instance.name,
+                    sent_at,
+                    answer.status,
+                    0,
+                    answer.last_event,
+                    answer.versions,
+                )
+            )
         record = Record(
             request_id=request_id,
             instance=self._instance.name,
@@ -152,6 +180,56 @@
         self.records.append(record)
         return record
 
+    def _take_up_broken(self, begun: StreamAttempt) -> None:
+        """Record an attempt; take its stream up if it has broken off."""
+        self.streams.append(begun)
+        if begun.has_events and begun.last_event < _LAST_EVENT:
+            task = asyncio.create_task(self._take_up(begun))
+            self._open_requests.add(task)
+            task.add_done_callback(self._open_requests.discard)
+
+    async def _take_up(self, begun: StreamAttempt) -> None:
+        """Take a stream up at other instances until it is complete."""
+        last_event = begun.last_event
+        others = [
+            one for one in self._fleet.instances if one is not self._instance
+        ]
+        for instance in itertools.islice(
+            itertools.cycle(others), _MAX_ATTEMPTS
+        ):
+            await asyncio.sleep(_RETRY_S)
+            request_id = f'{next(self._numbers):016x}'
+            sent_at = time.monotonic()
+            serving = count_serving(
+                self._fleet.site.engines, min(begun.versions)
+            )
+            answer = await self._exchange(
+                'POST',
+                _STREAM_PATH,
+                {
+                    **self._make_headers(request_id, self._get_key(), ''),
+                    'Resumes': begun.first_id,
+                    'Last-Event-Id': str(last_event),
+                },
+                instance,
+            )
+            self.streams.append(
+                StreamAttempt(
+                    begun.first_id,
+                    request_id,
+                    instance.name,
+                    sent_at,
+                    answer.status,
+                    last_event,
+                    answer.last_event,
+                    answer.versions,
+                    serving,
+                )
+            )
+            last_event = max(last_event, answer.last_event)
+            if last_event >= _LAST_EVENT:
+                return
+
     def _make_headers(
         self, request_id: str, key: str, subject: str
     ) -> Mapping[str, str]:
@@ -171,9 +249,11 @@
         method: str,
         path: str,
         headers: Mapping[str, str],
+        instance: Instance,
     ) -> '_Answer':
-        url = f'http://{self._instance.settings.callers}{path}'
+        url = f'http://{instance.settings.callers}{path}'
         status = 0
+        received = bytearray()
         try:
             async with asyncio.timeout(_TIMEOUT_S):
                 async with self._session.request(
@@ -182,14 +262,16 @@
                     headers=headers,
                 ) as response:
                     status = TRUNCATED
-                    body = await response.text()
+                    await _read_into(response, received)
+                    body = received.decode()
                     return _Answer(
                         response.status,
                         _is_complete(response.headers, body),
                         response.headers.get(f'{_PREFIX}Server-Stamp', ''),
+                        *read_events(body),
                     )
         except (aiohttp.ClientError, OSError, TimeoutError):
-            return _Answer(status)
+            return _Answer(status, False, '', *read_events(received.decode()))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -199,6 +281,23 @@
     status: int
     complete: bool = False
     stamp: str = ''
+    last_event: int = 0
+    versions: frozenset[str] = frozenset()
+
+
+class Fleet(Protocol):
+    """The instances, and the stand-ins behind them."""
+
+    instances: list[Instance]
+    site: Site
+
+
+async def _read_into(
+    response: aiohttp.ClientResponse, received: bytearray
+) -> None:
+    """Read a body; what came before a failure is kept."""
+    async for piece in response.content.iter_any():
+        received.extend(piece)
 
 
 def _is_complete(headers: object, body: str) -> bool:
--- a/packages/standins/src/verbenahall_standins/soak/_deployment.py
+++ b/packages/standins/src/verbenahall_standins/soak/_deployment.py
@@ -24,8 +24,11 @@
 _PLAIN: Final = 2
 #: Number of engines of each role, as the planner would assign them.
 _ENGINES: Final[Mapping[str, int]] = MappingProxyType(
-    {'prefill': 3, 'decode': 2},
+    {'prefill': 3, 'decode': 4},
 )
+#: Time between two events of a stream, in seconds, so that streams are open
+#: while instances end.
+_EVENT_PAUSE_S: Final = 0.04
 _POLL_S: Final = 0.1
 #: Workspace of the callers.
 WORKSPACE: Final = 'desk'
@@ -48,6 +51,9 @@
             for role, count in _ENGINES.items()
             for number in range(count)
         ]
+        for place, engine in enumerate(engines):
+            engine.version = f'v{place % 2}'
+            engine.faults.event_pause_s = _EVENT_PAUSE_S
         plain = [PlainStandIn(f'page-{number}') for number in range(_PLAIN)]
         self.key = 'key-1'
         self.revoked_key = ''
@@ -169,6 +175,7 @@
             self._numbers,
             lambda: self.version,
             lambda: self.key,
+            self,
         )
         await callers.start()
         self.callers.append(callers)
--- a/packages/standins/src/verbenahall_standins/soak/_plan.py
+++ b/packages/standins/src/verbenahall_standins/soak/_plan.py
@@ -43,6 +43,8 @@
     ENDPOINT_BACKS_OFF = 'endpoint_backs_off'
     #: Not drawn by weight; see ``_draw_cuts``.
     INSTANCES_CUT = 'instances_cut'
+    #: Not drawn by weight; see ``_draw_rollouts``.
+    ROLLOUT = 'rollout'
 
 
 #: Relative frequency of each kind.
@@ -81,6 +83,9 @@
 _CUT_INTERVAL_S: Final = 10.0
 _MIN_CUT_S: Final = 4.5
 _MAX_CUT_S: Final = 8.0
+#: Interval at which an engine is replaced by one of another software version,
+#: in seconds.
+_ROLLOUT_INTERVAL_S: Final = 3.0
 #: Upper bound of drawn numbers; far above the number of targets.
 _DRAW_LIMIT: Final = 65_536
 
@@ -114,6 +119,7 @@
     events.extend(_draw_silent_engines(seed, seconds))
     events.extend(_draw_notices(seed, latest_start))
     events.extend(_draw_cuts(seed, seconds))
+    events.extend(_draw_rollouts(seed, latest_start))
     return sorted(events, key=lambda event: event.at)
 
 
@@ -163,6 +169,21 @@
         at += _CUT_INTERVAL_S
 
 
+def _draw_rollouts(seed: int, latest_start: float) -> Iterator[Event]:
+    """Draw replacements of engines; the other draws don't change."""
+    rng = random.Random(f'rollouts {seed}')
+    at = _QUIET_S
+    while at < latest_start:
+        yield Event(
+            at=at,
+            kind=Kind.ROLLOUT,
+            for_s=rng.uniform(_MIN_FAULT_S, _MAX_FAULT_S),
+            target_draw=rng.randrange(_DRAW_LIMIT),
+            shape=rng.randrange(_DRAW_LIMIT),
+        )
+        at += rng.uniform(0, 2 * _ROLLOUT_INTERVAL_S)
+
+
 def _draw_event(rng: random.Random, latest_start: float) -> Event:
     kinds = list(_WEIGHTS)
     weights = list(_WEIGHTS.values())
--- a/packages/standins/src/verbenahall_standins/soak/_run.py
+++ b/packages/standins/src/verbenahall_standins/soak/_run.py
@@ -21,6 +21,7 @@
 from verbenahall_standins.soak._notices import find_unheeded_notices
 from verbenahall_standins.soak._plan import Event, draw_plan
 from verbenahall_standins.soak._records import Record
+from verbenahall_standins.soak._streams import find_mixed, find_not_resumed
 
 _REQUEST_ID_HEADER: Final = 'X-Verbenahall-Request-Id'
 _WORKSPACE_HEADER: Final = 'X-Verbenahall-Tenant'
@@ -115,6 +116,7 @@
             deployment.link_faults,
             deployment.was_disturbed,
         ),
+        *_check_streams(deployment),
         *find_unserved(
             records,
             deployment.cuts.windows,
@@ -124,6 +126,17 @@
     ]
 
 
+def _check_streams(deployment: Deployment) -> list[str]:
+    attempts = [one for calls in deployment.callers for one in calls.streams]
+    return [
+        *find_mixed(attempts),
+        *find_not_resumed(
+            attempts,
+            lambda name, at: name in _list_in_touch(deployment, at, at),
+        ),
+    ]
+
+
 def _list_in_touch(
     deployment: Deployment, start: float, end: float
 ) -> frozenset[str]:
--- a/packages/standins/tests/soak/test_soak.py
+++ b/packages/standins/tests/soak/test_soak.py
@@ -15,7 +15,10 @@
     Listener,
     Proxy,
     Record,
+    StreamAttempt,
     draw_plan,
+    find_mixed,
+    find_not_resumed,
     find_unheeded_notices,
     find_unserved,
     find_violations,
@@ -330,3 +333,50 @@
         await proxy.stop()
 
     asyncio.run(check())
+
+
+def make_attempt(number, versions=('v1',), after_event=0, **changes):
+    """Return an attempt at a stream with the given versions of events."""
+    return StreamAttempt(
+        first_id=f'r-{number}',
+        request_id=f'r-{number}-{after_event}',
+        instance='front-1',
+        sent_at=number,
+        status=200,
+        after_event=after_event,
+        last_event=5,
+        versions=frozenset(versions),
+        **{'serving': 2, **changes},
+    )
+
+
+def test_stream_with_events_of_two_versions_is_found():
+    begun, other = make_attempt(1), make_attempt(1, ('v2',), 2)
+    assert not list(find_mixed([begun, make_attempt(2, ('v2',))]))
+    assert list(find_mixed([begun, other]))
+    assert list(find_mixed([make_attempt(1, ('v1', 'v2'))]))
+
+
+@pytest.mark.parametrize(
+    ('gone_on', 'serving', 'in_touch', 'is_found'),
+    (
+        (12, 2, True, False),
+        (6, 2, True, True),
+        (6, 1, True, False),
+        (6, 2, False, False),
+    ),
+)
+def test_streams_that_do_not_go_on_are_found(
+    gone_on, serving, in_touch, is_found
+):
+    attempts = [
+        *(make_attempt(number) for number in range(20)),
+        *(
+            make_attempt(
+                number, ('v1',) if number < gone_on else (), 2, serving=serving
+            )
+            for number in range(14)
+        ),
+    ]
+    found = list(find_not_resumed(attempts, lambda name, at: in_touch))
+    assert bool(found) is is_found
