Roles: each software version keeps a decode engine as far as possible

Seen when the scarce version was tried: after a release three of six engines may be of a version of which none decodes, so that its streams go on nowhere, though the rule asks for it while two of its engines serve. Engines that are to decode are now taken from a version without a decode engine first, and the last one of a version is changed to prefill last. With one version nothing changes: the order is as before.

The two new tests failed before (2 failed, 33 passed), 35 pass.

--- a/packages/verbenahall/src/verbenahall/placement/_roles.py
+++ b/packages/verbenahall/src/verbenahall/placement/_roles.py
@@ -7,8 +7,9 @@
 
 import collections
 import dataclasses
+import functools
 import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Final
 
 from verbenahall.fleet import Role
@@ -50,18 +51,19 @@
     prefill_engines = [one for one in engines if one.role is Role.PREFILL]
     if recently_lost:
         missing = 0 if decode_engines else 1
-        return _choose_engines(prefill_engines, Role.DECODE, missing, busy)
+        return _choose_engines(prefill_engines, Role.DECODE, missing, busy, ())
     total = len(decode_engines) + len(prefill_engines)
     max_changes = max(_MAX_CHANGES, int(total * _MAX_CHANGED_SHARE))
     target = math.ceil(total * _DECODE_SHARE)
     surplus = len(decode_engines) - target
+    versions = [one.version for one in decode_engines]
     if surplus > 0:
+        count = min(surplus, max_changes)
         return _choose_engines(
-            decode_engines, Role.PREFILL, min(surplus, max_changes), busy
+            decode_engines, Role.PREFILL, count, busy, versions
         )
-    return _choose_engines(
-        prefill_engines, Role.DECODE, min(-surplus, max_changes), busy
-    )
+    count = min(-surplus, max_changes)
+    return _choose_engines(prefill_engines, Role.DECODE, count, busy, versions)
 
 
 def _choose_engines(
@@ -69,25 +71,44 @@
     role: Role,
     count: int,
     busy: Mapping[str, int],
+    decoding_versions: Iterable[str],
 ) -> tuple[RoleChange, ...]:
     """Choose engines from the data centres that have most of ``engines``.
 
     Within a data centre the least busy engines are chosen first.
 
     A data centre whose engines all have one role sends either all prompts or
-    all KV caches to other data centres.
+    all KV caches to other data centres. Before that, a software version keeps
+    a decode engine as far as possible: its streams can go on at no other.
     """
     ranked = sorted(
         engines,
         key=lambda one: (busy.get(one.name, 0), one.name),
     )
+    decoding = collections.Counter(decoding_versions)
     chosen: list[Entry] = []
     while ranked and len(chosen) < count:
         counts = collections.Counter(one.data_centre for one in ranked)
-        largest = max(counts.values())
-        engine = next(
-            one for one in ranked if counts[one.data_centre] == largest
+        engine = min(
+            ranked, key=functools.partial(_rank_change, role, decoding, counts)
         )
         ranked.remove(engine)
+        decoding[engine.version] += 1 if role is Role.DECODE else -1
         chosen.append(engine)
     return tuple(RoleChange(engine, role) for engine in chosen)
+
+
+def _rank_change(
+    role: Role,
+    decoding: Mapping[str, int],
+    counts: Mapping[str, int],
+    engine: Entry,
+) -> tuple[bool, int]:
+    """Return the sort key of an engine that may change; the lowest is next.
+
+    ``decoding`` counts the decode engines by version, ``counts`` the engines
+    that may change by data centre.
+    """
+    decode_count = decoding[engine.version]
+    is_needed = decode_count > 0 if role is Role.DECODE else decode_count <= 1
+    return (is_needed, -counts[engine.data_centre])
--- a/packages/verbenahall/tests/placement/test_placement.py
+++ b/packages/verbenahall/tests/placement/test_placement.py
@@ -431,3 +431,28 @@
     ).unwrap()
     assert spilled.prefill_engine != preferred
     assert stayed.prefill_engine == preferred
+
+
+def use_versions(engines, versions):
+    """Give the engines software versions, one letter each."""
+    return [
+        dataclasses.replace(engine, version=versions[number])
+        for number, engine in enumerate(engines)
+    ]
+
+
+def test_version_without_a_decode_engine_gets_the_next_one():
+    # Its streams could go on nowhere, though three of its engines serve.
+    engines = make_engines(prefill_count=5, decode_count=1)
+    changes = plan_roles(use_versions(engines, 'aabbba'), {'reader-2': 9})
+    assert [(one.engine.version, one.role) for one in changes] == [
+        ('b', Role.DECODE)
+    ]
+
+
+def test_last_decode_engine_of_a_version_keeps_its_role():
+    engines = make_engines(prefill_count=3, decode_count=3)
+    changes = plan_roles(use_versions(engines, 'aaaabb'), {})
+    assert [(one.engine.version, one.role) for one in changes] == [
+        ('b', Role.PREFILL)
+    ]
