--- a/packages/verbenactl/src/verbenactl/_explanations.py
+++ b/packages/verbenactl/src/verbenactl/_explanations.py
@@ -1,6 +1,7 @@
 """Explains a request from log lines: its events and their outcome."""
 
 import dataclasses
+import itertools
 from collections.abc import Iterable, Iterator, Mapping
 from types import MappingProxyType
 from typing import Any, Final
@@ -53,19 +54,43 @@
 
 
 def explain(lines: Iterable[LogLine], request: str) -> list[str]:
-    """Return a line for each decision on a request, and the cause."""
+    """Return a line for each decision on a request, and the cause.
+
+    The other attempts at a stream that was taken up are included, each with a
+    cause of its own.
+    """
+    decisions = sorted(lines, key=lambda line: line.at)
     matching = [
-        line for line in lines if line.decision.get('request') == request
+        (attempt, line)
+        for attempt in _list_attempts(decisions, request)
+        for line in decisions
+        if line.decision.get('request') == attempt
     ]
     if not matching:
         return [f'no line names request {request}']
-    matching.sort(key=lambda line: line.at)
-    started_at = matching[0].at
-    rows = [_describe(line, line.at - started_at) for line in matching]
-    rows.append(f'cause: {find_cause(matching)}')
+    rows: list[str] = []
+    started_at = matching[0][1].at
+    for attempt, group in itertools.groupby(matching, key=lambda row: row[0]):
+        found = [line for _, line in group]
+        if attempt != request:
+            rows.append(f'attempt {attempt} at the same stream:')
+        rows.extend(_describe(line, line.at - started_at) for line in found)
+        rows.append(f'cause: {find_cause(found)}')
     return rows
 
 
+def _list_attempts(lines: Iterable[LogLine], request: str) -> list[str]:
+    """Return the requests that are attempts at one stream, in order."""
+    resumed = {
+        line.decision['request']: line.decision['resumes']
+        for line in lines
+        if line.decision['event'] == 'accepted' and line.decision.get('resumes')
+    }
+    first = resumed.get(request, request)
+    later = [one for one, begun in resumed.items() if begun == first]
+    return [first, *(one for one in later if one != first)]
+
+
 def find_cause(lines: Iterable[LogLine]) -> str:
     """Return a sentence on how and why a request ended."""
     events = {line.decision['event']: line.decision for line in lines}
--- a/packages/verbenactl/tests/test_explaining.py
+++ b/packages/verbenactl/tests/test_explaining.py
@@ -4,6 +4,8 @@
 import subprocess
 import sys
 
+import pytest
+
 from verbenactl._explanations import explain, parse_lines
 
 LINES = (
@@ -77,3 +79,21 @@
         check=True,
     )
     assert 'cause: failed' in ended.stdout
+
+
+@pytest.mark.parametrize('request_id', ('r-1', 'r-2'))
+def test_attempts_at_one_stream_are_shown_together(request_id):
+    # A stream changed its version between two attempts at two instances, and
+    # neither attempt by itself showed it.
+    rows = (
+        {'event': 'accepted', 'at': 1, 'request': 'r-1'},
+        {'event': 'sent', 'at': 2, 'request': 'r-1', 'software': 'v1'},
+        {'event': 'accepted', 'at': 3, 'request': 'r-2', 'resumes': 'r-1'},
+        {'event': 'sent', 'at': 4, 'request': 'r-2', 'software': 'v2'},
+        {'event': 'accepted', 'at': 5, 'request': 'r-3'},
+    )
+    output = '\n'.join(explain(parse_lines('x', encode(rows)), request_id))
+    assert 'software=v1' in output
+    assert 'software=v2' in output
+    assert 'same stream' in output
+    assert 'r-3' not in output
