--- a/packages/standins/src/verbenahall_standins/platform/_engine.py
+++ b/packages/standins/src/verbenahall_standins/platform/_engine.py
@@ -17,6 +17,8 @@
 _STAMP: Final = 'stand-in'
 _REFUSED: Final = 503
 _MISDIRECTED: Final = 421
+#: Time from the head of an answer to a crash on a part, in seconds.
+_CRASH_DELAY_S: Final = 0.05
 
 
 @dataclasses.dataclass(slots=True)
@@ -32,7 +34,9 @@
     ``event_pause_s`` is the time between two events in seconds.
     ``no_orders`` leaves orders unanswered, ``unsigned`` omits the stamp of
     streams. A request with the body ``crash_on`` crashes the engine when it
-    starts; the engine restarts ``restart_s`` seconds later under a new name.
+    starts; the engine restarts ``restart_s`` seconds later under a new name. So
+    does one whose prompt has the part ``crash_on_part`` before its last, a
+    moment after the head of the answer.
     """
 
     full: bool = False
@@ -47,6 +51,7 @@
     slow_head_s: float = 0
     event_pause_s: float = 0
     crash_on: str | None = None
+    crash_on_part: str | None = None
     restart_s: float = 0.2
 
 
@@ -179,6 +184,7 @@
             return web.Response(status=500, headers=response.headers)
         await asyncio.sleep(self.faults.slow_head_s)
         await response.prepare(request)
+        await self._crash_on_part(headers)
         try:
             for sent, number in enumerate(range(first, self.events + 1)):
                 if sent == self.faults.break_after:
@@ -192,6 +198,12 @@
             raise
         return response
 
+    async def _crash_on_part(self, headers: CIMultiDict[str]) -> None:
+        if self.faults.crash_on_part in _list_shared_parts(headers):
+            await asyncio.sleep(_CRASH_DELAY_S)
+            await self.crash()
+            await asyncio.sleep(3600)
+
     def _break_stream(
         self,
         request: web.Request,
@@ -247,6 +259,12 @@
         await site.stop()
 
 
+def _list_shared_parts(headers: CIMultiDict[str]) -> list[str]:
+    """Return the identities of the parts of a prompt before its last."""
+    parts = headers.get(f'{_PREFIX}Prompt-Prefix', '').split(',')
+    return [one.partition(':')[0] for one in parts[:-1]]
+
+
 def _ignore_restart(engine: EngineStandIn, old_name: str) -> None:
     """Ignore a restart of an engine that is not listed."""
 
