A part of prompts that crashes engines is quarantined

Cause: a crash was counted against the whole request, and no two of these are equal.

Change: the parts before the last are counted as whole requests are, by the same reports. Five crashes since the last whole answer put a part in quarantine, eight if it was answered within five minutes before. A crash at which a quarantined part was open is explained by it, and counts against nothing else. A prefill neither accuses nor acquits, and a status is no answer. Repeated reports name the suspects with most crashes first.

Why it works: a deadly part is open at each crash that it causes and is never answered whole, so that five crashes reach the limit; parts of sound requests are answered between crashes, and what is still counted when the culprit is found is released. The check before the bytes leave knows parts, so that what waits, is retried, is forwarded or taken up is not sent either.

--- a/packages/verbenahall/src/verbenahall/gateway/_call_reader.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_call_reader.py
@@ -19,11 +19,17 @@
 from verbenahall.gateway._limits import read_limited_body
 from verbenahall.gateway._messages import Call
 from verbenahall.platform import OPERATOR_TOPIC, RequestHead
-from verbenahall.quarantine import find_quarantine_s, make_fingerprint
+from verbenahall.quarantine import (
+    find_longest_quarantine_s,
+    make_fingerprint,
+    make_part_key,
+)
 from verbenahall.requests import build_quarantine_problem
 
 _RawHeaders = tuple[tuple[bytes, bytes], ...]
 _HOP_HEADER: Final = HOP_HEADER.lower().encode()
+#: Parts of a prompt that are counted at most; a caller may list thousands.
+_MAX_PARTS: Final = 64
 
 
 @final
@@ -102,14 +108,15 @@
                     body,
                 ),
                 workspace=admission.workspace,
+                part_keys=_make_part_keys(service.name, head),
             ),
         )
 
     def _check_quarantine(self, call: Call) -> Result[Call, Problem]:
         """Refuse a quarantined call, which would not be sent anyway."""
-        left_s = find_quarantine_s(
+        left_s = find_longest_quarantine_s(
             self._core.crash_log,
-            call.fingerprint,
+            call.quarantine_keys,
             call.received,
         )
         if left_s:
@@ -126,6 +133,12 @@
     )
 
 
+def _make_part_keys(service: str, head: RequestHead) -> tuple[str, ...]:
+    parts = head.work.shared_parts[:_MAX_PARTS]
+    keys = (make_part_key(service, part.identity) for part in parts)
+    return tuple(dict.fromkeys(keys))
+
+
 def _drop_hop_header(raw: _RawHeaders) -> _RawHeaders:
     """Return the headers without the one that only instances set."""
     return tuple(pair for pair in raw if pair[0].lower() != _HOP_HEADER)
--- a/packages/verbenahall/src/verbenahall/gateway/_crashes.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_crashes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Collection
 from typing import Final, final
 
 from verbenahall import journal
@@ -10,7 +11,7 @@
 from verbenahall.gateway._hooks import format_incarnation
 from verbenahall.gateway._probes import ConnectOutcome, try_connect
 from verbenahall.gateway._reach import reaches_any
-from verbenahall.quarantine import Crash
+from verbenahall.quarantine import Crash, is_part
 from verbenahall.roster import Entry
 
 #: Time within which all connections to a crashed endpoint have ended, in
@@ -27,12 +28,14 @@
 class _LostConnections:
     """Requests whose connection to an endpoint's incarnation was lost.
 
-    ``lost_at`` is the time of the first loss and ``reported`` holds the
-    fingerprints that were reported already.
+    ``lost_at`` is the time of the first loss, ``fingerprints`` holds their keys
+    and those of the parts of their prompts, and ``reported`` those that were
+    reported already.
     """
 
     lost_at: float
     fingerprints: set[str]
+    requests: int = 0
     crashed: bool = False
     reported: frozenset[str] = frozenset()
 
@@ -63,7 +66,9 @@
             await asyncio.sleep(_CLEANUP_INTERVAL_S)
             self._remove_expired(self._core.now())
 
-    def record_lost_connection(self, fingerprint: str, endpoint: Entry) -> None:
+    def record_lost_connection(
+        self, fingerprint: str, endpoint: Entry, parts: Collection[str] = ()
+    ) -> None:
         """Record a connection that was lost while a request was open."""
         core = self._core
         if not core.roster.is_live(endpoint.name, core.now()):
@@ -74,7 +79,8 @@
             losses = _LostConnections(core.now(), set())
             self._losses[incarnation] = losses
             core.spawn(self._check_endpoint(incarnation, endpoint, losses))
-        losses.fingerprints.add(fingerprint)
+        losses.fingerprints.update((fingerprint, *parts))
+        losses.requests += 1
         if losses.crashed:
             self._report_new(incarnation, losses)
 
@@ -82,9 +88,12 @@
         """Record a response of an endpoint to a request sent at ``sent_at``."""
         self._replicator.record_alive(format_incarnation(endpoint), sent_at)
 
-    def record_answered(self, fingerprint: str) -> None:
+    def record_answered(
+        self, fingerprint: str, parts: Collection[str] = ()
+    ) -> None:
         """Record that a request received a complete response."""
-        self._replicator.record_answered(fingerprint)
+        for key in (fingerprint, *parts):
+            self._replicator.record_answered(key)
 
     async def _check_endpoint(
         self, incarnation: str, endpoint: Entry, losses: _LostConnections
@@ -104,7 +113,8 @@
             endpoint=incarnation,
             contact=outcome.value,
             path='good' if has_path else 'lost',
-            requests=len(losses.fingerprints),
+            requests=losses.requests,
+            parts=sum(map(is_part, losses.fingerprints)),
         )
 
     async def _reaches_others(self, endpoint: Entry) -> bool:
--- a/packages/verbenahall/src/verbenahall/gateway/_generation.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_generation.py
@@ -258,7 +258,7 @@
         timing = ended.timing
         now = self._core.now()
         self._sender.record_outcome(plan.decode_engine, good=True)
-        self._core.observer.record_answered(call.fingerprint)
+        self._core.observer.record_answered(call.fingerprint, call.part_keys)
         placement = self._core.placement
         placement.record_cached(
             plan.decode_engine, call.head.work, call.service
--- a/packages/verbenahall/src/verbenahall/gateway/_hooks.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_hooks.py
@@ -4,6 +4,7 @@
 tests of other modules run with the defaults.
 """
 
+from collections.abc import Collection
 from typing import TYPE_CHECKING, Protocol, final
 
 from aiohttp import web
@@ -56,13 +57,21 @@
 class CrashObserver(Protocol):
     """Receives lost connections and responses of endpoints."""
 
-    def record_lost_connection(self, fingerprint: str, endpoint: Entry) -> None:
-        """Record a connection that was lost while a request was open."""
+    def record_lost_connection(
+        self, fingerprint: str, endpoint: Entry, parts: Collection[str] = ()
+    ) -> None:
+        """Record a connection that was lost while a request was open.
+
+        ``parts`` are the keys of the parts on which the endpoint may have begun
+        to write an answer.
+        """
 
     def record_alive(self, endpoint: Entry, sent_at: float) -> None:
         """Record a response of an endpoint to a request sent at ``sent_at``."""
 
-    def record_answered(self, fingerprint: str) -> None:
+    def record_answered(
+        self, fingerprint: str, parts: Collection[str] = ()
+    ) -> None:
         """Record that a request received a complete response."""
 
 
@@ -72,13 +81,17 @@
 
     __slots__ = ()
 
-    def record_lost_connection(self, fingerprint: str, endpoint: Entry) -> None:
+    def record_lost_connection(
+        self, fingerprint: str, endpoint: Entry, parts: Collection[str] = ()
+    ) -> None:
         """Ignore the lost connection."""
 
     def record_alive(self, endpoint: Entry, sent_at: float) -> None:
         """Ignore the response."""
 
-    def record_answered(self, fingerprint: str) -> None:
+    def record_answered(
+        self, fingerprint: str, parts: Collection[str] = ()
+    ) -> None:
         """Ignore the response."""
 
 
--- a/packages/verbenahall/src/verbenahall/gateway/_messages.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_messages.py
@@ -23,6 +23,7 @@
     version, None if no workspace holds it. ``hop`` is what the instance that
     forwarded the request states about it, None if it came from its caller.
     ``is_counted`` is whether the retry budget counts it as a request.
+    ``part_keys`` identify the parts of its prompt that other requests share.
     """
 
     head: RequestHead
@@ -40,6 +41,12 @@
     workspace: Workspace | None = None
     hop: Hop | None = None
     is_counted: bool = False
+    part_keys: tuple[str, ...] = ()
+
+    @property
+    def quarantine_keys(self) -> tuple[str, ...]:
+        """The keys under which crashes are counted against this request."""
+        return (self.fingerprint, *self.part_keys)
 
     @property
     def priority(self) -> int:
--- a/packages/verbenahall/src/verbenahall/gateway/_send_checks.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_send_checks.py
@@ -13,7 +13,7 @@
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._messages import Call
 from verbenahall.platform import ENDPOINTS_TOPIC
-from verbenahall.quarantine import find_quarantine_s
+from verbenahall.quarantine import find_longest_quarantine_s
 from verbenahall.requests import (
     BackingOff,
     NeverWritten,
@@ -62,7 +62,9 @@
         return limited
     await core.freshness[ENDPOINTS_TOPIC].wait_usable()
     now = core.now()
-    left_s = find_quarantine_s(core.crash_log, call.fingerprint, now)
+    left_s = find_longest_quarantine_s(
+        core.crash_log, call.quarantine_keys, now
+    )
     if left_s:
         return Quarantined(left_s)
     if not core.roster.is_live(endpoint.name, now):
--- a/packages/verbenahall/src/verbenahall/gateway/_sender.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_sender.py
@@ -100,7 +100,11 @@
         try:
             response = await self._wait_until(until, request)
         except CALL_FAILURES as error:
-            yield Failure(self.classify_failure(call, endpoint, error))
+            yield Failure(
+                self.classify_failure(
+                    call, endpoint, error, writes=not options.prefill_only
+                )
+            )
         else:
             service_reach = self._core.reach.get(endpoint.service)
             record_response(service_reach, self._core.now())
@@ -150,7 +154,11 @@
         try:
             body = await self._wait_until(until, response.read())
         except CALL_FAILURES as error:
-            return Failure(self.classify_failure(call, endpoint, error))
+            return Failure(
+                self.classify_failure(
+                    call, endpoint, error, writes=not options.prefill_only
+                )
+            )
         answer_head = read_answer_head(response.status, response.headers)
         must_be_signed = not options.prefill_only
         if (
@@ -165,7 +173,10 @@
         good = response.status < HTTPStatus.INTERNAL_SERVER_ERROR
         self.record_outcome(endpoint, good=good)
         if must_be_signed and good:
-            self._core.observer.record_answered(call.fingerprint)
+            is_success = response.status in SUCCESS_STATUSES
+            self._core.observer.record_answered(
+                call.fingerprint, call.part_keys if is_success else ()
+            )
         return Success(
             Answered(
                 response.status,
@@ -180,8 +191,14 @@
         call: Call,
         endpoint: Entry,
         error: BaseException,
+        *,
+        writes: bool = True,
     ) -> Outcome:
-        """Return the outcome of a failed send and record the failure."""
+        """Return the outcome of a failed send and record the failure.
+
+        ``writes`` is whether the endpoint was to write an answer, not only to
+        prefill the prompt.
+        """
         now = self._core.now()
         is_connect_failure = isinstance(error, CONNECT_FAILURES)
         if is_connect_failure or not isinstance(error, TimeoutError):
@@ -198,7 +215,7 @@
         if not isinstance(error, TimeoutError):
             self._log_lost_connection(call, endpoint)
             self._core.observer.record_lost_connection(
-                call.fingerprint, endpoint
+                call.fingerprint, endpoint, call.part_keys if writes else ()
             )
         return Broken(repr(error))
 
--- a/packages/verbenahall/src/verbenahall/quarantine/__init__.py
+++ b/packages/verbenahall/src/verbenahall/quarantine/__init__.py
@@ -3,10 +3,13 @@
 Requests are identified by a fingerprint, which does not depend on the request
 id or on the instance that receives them. Instances report to each other which
 requests were running at an endpoint that crashed. A request that was running at
-several crashes is put in quarantine: it is not sent for some time.
+several crashes is put in quarantine: it is not sent for some time. The same
+holds for a part of prompts, whatever else the requests with it hold.
 """
 
 from verbenahall.quarantine._decisions import (
+    explain_crashes,
+    find_longest_quarantine_s,
     find_quarantine_s,
     is_repeated,
     list_recent,
@@ -17,7 +20,11 @@
     record_crash,
     remove_expired,
 )
-from verbenahall.quarantine._fingerprint import make_fingerprint
+from verbenahall.quarantine._fingerprint import (
+    is_part,
+    make_fingerprint,
+    make_part_key,
+)
 from verbenahall.quarantine._messages import (
     Crash,
     CrashReport,
@@ -34,11 +41,15 @@
     'Suspect',
     'decode',
     'encode',
+    'explain_crashes',
+    'find_longest_quarantine_s',
     'find_quarantine_s',
+    'is_part',
     'is_repeated',
     'list_recent',
     'list_repeated',
     'make_fingerprint',
+    'make_part_key',
     'merge',
     'record_alive',
     'record_answered',
--- a/packages/verbenahall/src/verbenahall/quarantine/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/quarantine/_decisions.py
@@ -1,18 +1,26 @@
-"""Decides which requests are in quarantine, and for how long."""
+"""Decides which requests and parts are in quarantine, and for how long."""
 
 import math
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from typing import Final
 
+from verbenahall.quarantine._fingerprint import is_part
 from verbenahall.quarantine._messages import Crash, CrashReport
 from verbenahall.quarantine._state import CrashLog, Suspect
 
 #: Number of crashes that puts a request in quarantine. An innocent request that
 #: was running at the same time is involved in one crash, seldom in two.
 _MAX_CRASHES: Final = 3
+#: The same for a part of prompts. Parts are shared by many requests, which are
+#: open at one crash after the other while a deadly part crashes engines.
+_MAX_PART_CRASHES: Final = 5
+#: The same for a part of a prompt that was answered lately, which a deadly one
+#: never is, and for how long that counts, in seconds.
+_MAX_TRUSTED_CRASHES: Final = 8
+_TRUSTED_S: Final = 300.0
 #: Number of crashes from which on a suspect is reported repeatedly.
 _REPEATED_CRASHES: Final = 2
-#: Most suspects in a repeated report; those with the latest changes come first.
+#: Most suspects in a repeated report.
 _MAX_REPORTED: Final = 100
 #: How long after its last crash a suspect is included in reports through the
 #: store, in seconds.
@@ -49,11 +57,15 @@
     A request that a caller sends all the time is running whenever an endpoint
     crashes, without being the cause.
     """
+    if is_part(fingerprint):
+        log.keep_answered(fingerprint, at)
     suspect = log.suspects.get(fingerprint)
     if suspect is None or at <= suspect.answered_at:
         return False
     cleared = suspect.answered_at < suspect.last_at < at
     suspect.answered_at = at
+    if cleared:
+        log.forget_explained(fingerprint)
     return cleared
 
 
@@ -68,6 +80,7 @@
     if crashed_at is None or at <= crashed_at:
         return False
     log.crashed_at.pop(incarnation)
+    log.explained.pop(incarnation, None)
     log.alive_at[incarnation] = at
     for suspect in log.suspects.values():
         suspect.crashes.pop(incarnation, None)
@@ -75,13 +88,57 @@
 
 
 def find_quarantine_s(log: CrashLog, fingerprint: str, now: float) -> float:
-    """Return the rest of a request's quarantine in seconds, or 0."""
+    """Return the rest of a suspect's quarantine in seconds, or 0."""
     suspect = log.suspects.get(fingerprint)
-    if suspect is None or suspect.crash_count < _MAX_CRASHES:
+    if suspect is None or not _is_guilty(log, fingerprint, now):
         return 0
     return max(0, suspect.last_at + _QUARANTINE_S - now)
 
 
+def find_longest_quarantine_s(
+    log: CrashLog, keys: Iterable[str], now: float
+) -> float:
+    """Return the longest rest of a quarantine of several keys, or 0."""
+    return max((find_quarantine_s(log, key, now) for key in keys), default=0)
+
+
+def _is_guilty(log: CrashLog, key: str, now: float) -> bool:
+    return len(log.list_unexplained(key)) >= _find_limit(log, key, now)
+
+
+def _find_limit(log: CrashLog, key: str, now: float) -> int:
+    """Return the number of crashes that puts a suspect in quarantine."""
+    if not is_part(key):
+        return _MAX_CRASHES
+    answered_at = log.parts_answered.get(key, -math.inf)
+    if now - answered_at < _TRUSTED_S:
+        return _MAX_TRUSTED_CRASHES
+    return _MAX_PART_CRASHES
+
+
+def explain_crashes(log: CrashLog, keys: Iterable[str], now: float) -> None:
+    """Attribute crashes to the parts among ``keys`` that are in quarantine.
+
+    The parts with most crashes come first, all of them if several have as many:
+    one of them is deadly. Whatever else was open at their crashes may be
+    innocent, so these count against nothing else.
+    """
+    counts = {
+        key: len(log.list_unexplained(key)) for key in keys if is_part(key)
+    }
+    for count in sorted(set(counts.values()), reverse=True):
+        guilty = [
+            key
+            for key, found in counts.items()
+            if found == count and _is_guilty(log, key, now)
+        ]
+        crashes = {key: log.list_unexplained(key) for key in guilty}
+        for key, incarnations in crashes.items():
+            for incarnation in incarnations:
+                known = log.explained.get(incarnation, frozenset())
+                log.explained[incarnation] = known | {key}
+
+
 def merge(
     log: CrashLog,
     report: CrashReport,
@@ -98,6 +155,7 @@
         record_answered(log, fingerprint, now - age_s)
     for incarnation, age_s in report.alive.items():
         record_alive(log, incarnation, now - age_s)
+    explain_crashes(log, changed, now)
     return changed
 
 
@@ -120,6 +178,15 @@
     )
 
 
+def _sort_by_crashes(log: CrashLog, keys: Iterable[str]) -> list[str]:
+    """Order suspects, those with most crashes first.
+
+    While engines crash, many innocent ones run at two or three crashes. They
+    must not displace the one that has run at all.
+    """
+    return sorted(keys, key=lambda key: -log.suspects[key].crash_count)
+
+
 def list_recent(log: CrashLog, now: float) -> CrashReport:
     """Return a report of recent suspects, those with several crashes first."""
     recent = [
@@ -127,10 +194,6 @@
         for fingerprint, suspect in reversed(log.suspects.items())
         if now - suspect.last_at < _RECENT_S
     ]
-    recent.sort(
-        key=lambda suspected: is_repeated(log, suspected),
-        reverse=True,
-    )
     return _make_report(log, now, recent)
 
 
@@ -142,7 +205,9 @@
     return CrashReport(
         tuple(
             Crash(incarnation, max(0, now - at), (fingerprint,))
-            for fingerprint in fingerprints[:_MAX_REPORTED]
+            for fingerprint in _sort_by_crashes(log, fingerprints)[
+                :_MAX_REPORTED
+            ]
             for incarnation, at in log.suspects[fingerprint].list_uncleared()
         ),
     )
@@ -157,6 +222,8 @@
     ]
     for fingerprint in expired:
         log.suspects.pop(fingerprint)
+    for incarnation in log.explained.keys() - log.crashed_at.keys():
+        log.explained.pop(incarnation)
     for times in (log.alive_at, log.crashed_at):
         for incarnation, at in tuple(times.items()):
             if now - at > _RETENTION_S:
--- a/packages/verbenahall/src/verbenahall/quarantine/_fingerprint.py
+++ b/packages/verbenahall/src/verbenahall/quarantine/_fingerprint.py
@@ -1,4 +1,7 @@
-"""Fingerprints, which identify equal requests under different request ids."""
+"""Keys of what may crash endpoints: whole requests, and parts of prompts.
+
+Fingerprints identify equal requests under different request ids.
+"""
 
 import hashlib
 from typing import Final
@@ -7,6 +10,8 @@
 _BYTES: Final = 8
 #: Size of the length that precedes each part, in bytes.
 _LENGTH_BYTES: Final = 8
+#: Prefix of the keys of parts.
+_PART: Final = 'part:'
 
 
 def make_fingerprint(
@@ -30,6 +35,24 @@
     return digest.hexdigest()
 
 
+def make_part_key(service: str, identity: str) -> str:
+    """Return the key of a part in the prompts of a service.
+
+    An example::
+
+        make_part_key('drafter', '5c1e07a2')
+    """
+    digest = hashlib.blake2b(digest_size=_BYTES)
+    for text in (service, identity):
+        _add(digest, text.encode('utf-8', 'surrogateescape'))
+    return _PART + digest.hexdigest()
+
+
+def is_part(key: str) -> bool:
+    """Whether a key is that of a part, not of a whole request."""
+    return key.startswith(_PART)
+
+
 def _add(digest: 'hashlib._Hash', part: bytes) -> None:
     """Hash a part after its length, so that parts can't be confused."""
     digest.update(len(part).to_bytes(_LENGTH_BYTES))
--- a/packages/verbenahall/src/verbenahall/quarantine/_state.py
+++ b/packages/verbenahall/src/verbenahall/quarantine/_state.py
@@ -1,4 +1,4 @@
-"""The crash log: requests that were running at endpoints that crashed."""
+"""The crash log: what was running at endpoints that crashed."""
 
 from typing import Final, final
 
@@ -10,11 +10,13 @@
 _EVICTION_BATCH: Final = 512
 #: Most crashes that are kept for each suspect.
 _MAX_CRASHES: Final = 8
+#: Most parts whose last whole answer is kept.
+_MAX_PARTS: Final = 4096
 
 
 @final
 class Suspect:
-    """A request that was running at endpoints that crashed.
+    """A request, or a part of prompts, that ran at endpoints that crashed.
 
     ``crashes`` holds the time of each crash by the endpoint's incarnation, and
     ``answered_at`` the time of the request's last complete response.
@@ -64,17 +66,57 @@
 
     ``crashed_at`` holds the time of the last crash of each incarnation of an
     endpoint, ``alive_at`` until when an incarnation with a reported crash is
-    known to have run.
+    known to have run. ``explained`` holds the quarantined parts that were open
+    at the crash of an incarnation, ``parts_answered`` the time of the last
+    whole answer to a prompt with a part.
     """
 
-    __slots__ = ('alive_at', 'crashed_at', 'suspects')
+    __slots__ = (
+        'alive_at',
+        'crashed_at',
+        'explained',
+        'parts_answered',
+        'suspects',
+    )
 
     def __init__(self) -> None:
         """Start without suspects."""
         self.alive_at: dict[str, float] = {}
         self.crashed_at: dict[str, float] = {}
+        self.explained: dict[str, frozenset[str]] = {}
+        self.parts_answered: dict[str, float] = {}
         self.suspects: dict[str, Suspect] = {}
 
+    def list_unexplained(self, key: str) -> list[str]:
+        """Return the crashes that count against a suspect, by incarnation.
+
+        Those at which a quarantined part was open count against that only.
+        """
+        suspect = self.suspects.get(key)
+        if suspect is None:
+            return []
+        return [
+            incarnation
+            for incarnation, _ in suspect.list_uncleared()
+            if key in self.explained.get(incarnation, (key,))
+        ]
+
+    def keep_answered(self, part: str, at: float) -> None:
+        """Keep the time of a whole answer to a prompt with a part."""
+        self.parts_answered.pop(part, None)
+        self.parts_answered[part] = at
+        if len(self.parts_answered) > _MAX_PARTS:
+            self.parts_answered.pop(next(iter(self.parts_answered)))
+
+    def forget_explained(self, part: str) -> None:
+        """Let the crashes that a part has explained count for others again."""
+        for incarnation, parts in tuple(self.explained.items()):
+            others = parts - {part}
+            if others:
+                self.explained[incarnation] = others
+            else:
+                self.explained.pop(incarnation)
+
     def record_crash_time(self, incarnation: str, at: float) -> None:
         """Keep the time of an incarnation's last crash."""
         before = self.crashed_at.pop(incarnation, at)
