Soak: a part of prompts that crashes engines

A check by the users' rule: at most three are run, sent by instances in touch, later than three seconds after the fifth crash; its test finds a violation. All prompts have bodies of their own now: with one body for all, sound requests were equal to the crashing ones and were quarantined as whole requests.

--- a/packages/standins/src/verbenahall_standins/platform/__init__.py
+++ b/packages/standins/src/verbenahall_standins/platform/__init__.py
@@ -1,7 +1,11 @@
 """Stand-ins for the users' platform: store, engines, plain services."""
 
 from verbenahall_standins.platform._duties import DutyStandIn
-from verbenahall_standins.platform._engine import EngineFaults, EngineStandIn
+from verbenahall_standins.platform._engine import (
+    EngineFaults,
+    EngineStandIn,
+    PartRun,
+)
 from verbenahall_standins.platform._notices import Arrival, Notice, Notices
 from verbenahall_standins.platform._plain import PlainStandIn
 from verbenahall_standins.platform._pools import EnginePool
@@ -23,6 +27,7 @@
     'HOST',
     'Notice',
     'Notices',
+    'PartRun',
     'PlainStandIn',
     'RawEndpoint',
     'Site',
--- a/packages/standins/src/verbenahall_standins/platform/_engine.py
+++ b/packages/standins/src/verbenahall_standins/platform/_engine.py
@@ -4,7 +4,7 @@
 import dataclasses
 import itertools
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any, Final, final
 
 from aiohttp import web
@@ -55,6 +55,15 @@
     restart_s: float = 0.2
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartRun:
+    """A run on a part that crashes engines; ``at`` is in monotonic seconds."""
+
+    part: str
+    at: float
+    request_id: str
+
+
 @final
 class EngineStandIn:
     """One engine on loopback.
@@ -84,6 +93,12 @@
         self.orders: list[dict[str, Any]] = []
         self.handles: dict[str, str] = {}
         self.crashes = 0
+        #: Runs on a part that crashes engines, and the crashes: the part and
+        #: the time in monotonic seconds.
+        self.part_runs: list[PartRun] = []
+        self.part_crashes: list[tuple[str, float]] = []
+        #: Called when the engine crashes, before its connections are reset.
+        self.crashed: Callable[[EngineStandIn], Awaitable[None]] = _ignore_crash
         #: Called with the old name when the engine has restarted.
         self.restarted: Callable[[EngineStandIn, str], object] = _ignore_restart
         self._numbers = itertools.count(1)
@@ -113,6 +128,7 @@
     async def crash(self) -> None:
         """Reset every connection and restart later under a new name."""
         self.crashes += 1
+        await self.crashed(self)
         await _abort(self._runner)
         restart_task = asyncio.create_task(self._restart())
         self._restart_tasks.add(restart_task)
@@ -123,8 +139,8 @@
         await self._runner.cleanup()
         old_name = self.name
         base, _, _ = old_name.partition('.')
-        self.name = f'{base}.{self.crashes}'
         self.notices.restart()
+        self.name = '.'.join((base, str(self.notices.start)))
         await self.start(int(self.address.rpartition(':')[2]))
         self.restarted(self, old_name)
 
@@ -196,12 +212,20 @@
         except asyncio.CancelledError:
             self.cancelled.append(request_id)
             raise
+        except ConnectionResetError:
+            self.cancelled.append(request_id)
         return response
 
     async def _crash_on_part(self, headers: CIMultiDict[str]) -> None:
-        if self.faults.crash_on_part in _list_shared_parts(headers):
+        part = self.faults.crash_on_part
+        if part in _list_shared_parts(headers):
+            request_id = headers[f'{_PREFIX}Request-Id']
+            self.part_runs.append(PartRun(part, time.monotonic(), request_id))
+            crashes, name = self.crashes, self.name
             await asyncio.sleep(_CRASH_DELAY_S)
-            await self.crash()
+            if (self.crashes, self.name) == (crashes, name):
+                self.part_crashes.append((part, time.monotonic()))
+                await self.crash()
             await asyncio.sleep(3600)
 
     def _break_stream(
@@ -265,6 +289,10 @@
     return [one.partition(':')[0] for one in parts[:-1]]
 
 
+async def _ignore_crash(engine: EngineStandIn) -> None:
+    """Ignore a crash of an engine behind no links."""
+
+
 def _ignore_restart(engine: EngineStandIn, old_name: str) -> None:
     """Ignore a restart of an engine that is not listed."""
 
--- a/packages/standins/src/verbenahall_standins/soak/__init__.py
+++ b/packages/standins/src/verbenahall_standins/soak/__init__.py
@@ -7,6 +7,7 @@
     LinkFault,
     find_unheeded_notices,
 )
+from verbenahall_standins.soak._parts import find_resent_parts
 from verbenahall_standins.soak._plan import Event, Kind, draw_plan
 from verbenahall_standins.soak._proxy import Link, Listener, Proxy
 from verbenahall_standins.soak._records import Record
@@ -32,6 +33,7 @@
     'draw_plan',
     'find_mixed',
     'find_not_resumed',
+    'find_resent_parts',
     'find_unheeded_notices',
     'find_unserved',
     'find_violations',
--- a/packages/standins/src/verbenahall_standins/soak/_actions.py
+++ b/packages/standins/src/verbenahall_standins/soak/_actions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import itertools
 import signal
 import time
 from collections.abc import Awaitable, Callable, Mapping, Sequence
@@ -19,6 +20,8 @@
 _LINKS: Final = (Link.SLOW, Link.RESET, Link.ONE_WAY, Link.SILENT)
 #: Backoffs that endpoints request, in seconds.
 _BACKOFFS_S: Final = (3.0, 2.0, 3.0, 0.25)
+#: Pause between two requests that crash engines, in seconds.
+_CRASHING_PAUSE_S: Final = 0.15
 #: Software versions that engines have side by side.
 _VERSIONS: Final = 3
 _CUTS: Final = (Cut.HANGING, Cut.RESET, Cut.NO_NEW)
@@ -110,6 +113,9 @@
         return
     endpoint.notices.leaving = True
     await asyncio.sleep(LEAVING_S + event.for_s)
+    if not endpoint.notices.leaving:
+        # It has crashed and is back as another incarnation.
+        return
     deployment.replace_endpoint(endpoint)
 
 
@@ -120,11 +126,33 @@
         return
     engine.notices.leaving = True
     await asyncio.sleep(LEAVING_S + event.for_s)
+    if not engine.notices.leaving:
+        # It has crashed and is back as another incarnation.
+        return
     version = f'v{event.shape % _VERSIONS}'
     engine.version = version
     deployment.replace_endpoint(engine)
 
 
+async def _send_crashing_part(deployment: Deployment, event: Event) -> None:
+    """Send requests with a part that crashes engines, to all instances."""
+    part = f'dead{event.shape}'
+    _set_crashing_part(deployment, part)
+    end = time.monotonic() + event.for_s
+    async with asyncio.TaskGroup() as group:
+        for callers in itertools.cycle(deployment.callers):
+            if time.monotonic() >= end:
+                break
+            group.create_task(callers.send_crashing(part))
+            await asyncio.sleep(_CRASHING_PAUSE_S)
+    _set_crashing_part(deployment, None)
+
+
+def _set_crashing_part(deployment: Deployment, part: str | None) -> None:
+    for engine in deployment.site.engines:
+        engine.faults.crash_on_part = part
+
+
 async def _request_backoffs(deployment: Deployment, event: Event) -> None:
     """Let an endpoint refuse everything and state for how long.
 
@@ -216,5 +244,6 @@
         Kind.ENDPOINT_BACKS_OFF: _request_backoffs,
         Kind.INSTANCES_CUT: _cut_instances,
         Kind.ROLLOUT: _roll_out,
+        Kind.CRASHING_PART: _send_crashing_part,
     },
 )
--- a/packages/standins/src/verbenahall_standins/soak/_callers.py
+++ b/packages/standins/src/verbenahall_standins/soak/_callers.py
@@ -19,6 +19,7 @@
 )
 
 _PREFIX: Final = 'X-Verbenahall-'
+_REQUEST_ID: Final = f'{_PREFIX}Request-Id'
 _DEADLINE_S: Final = 2.0
 
 #: Timeout of a caller, in seconds; far beyond the request's deadline.
@@ -67,6 +68,8 @@
         """
         self.records: list[Record] = []
         self.streams: list[StreamAttempt] = []
+        #: The instance of each request with a part that crashes engines.
+        self.crashing_from: dict[str, str] = {}
         self._fleet = fleet
         self._instance = instance
         self._numbers = numbers
@@ -104,6 +107,18 @@
         """Send one request with a key."""
         return await self._send('GET', '/archive/1', key=key)
 
+    async def send_crashing(self, part: str) -> None:
+        """Send a request with a part that crashes engines; none is equal."""
+        request_id = f'{next(self._numbers):016x}'
+        headers = {
+            **self._make_headers(request_id, self._get_key(), ''),
+            f'{_PREFIX}Prompt-Prefix': (
+                f'{_SUBJECTS[0]}:300,{part}:200,own{request_id}:500'
+            ),
+        }
+        self.crashing_from[request_id] = self._instance.name
+        await self._exchange('POST', '/summary/1', headers, self._instance)
+
     async def send_all(self) -> list[Record]:
         """Send one request by each route that the instance serves."""
         records = [
@@ -235,7 +250,7 @@
     ) -> Mapping[str, str]:
         return {
             'Host': HOST,
-            f'{_PREFIX}Request-Id': request_id,
+            _REQUEST_ID: request_id,
             f'{_PREFIX}Deadline-Ms': '2000',
             f'{_PREFIX}Model': 'm',
             f'{_PREFIX}Token-Count': '1000,50',
@@ -260,6 +275,7 @@
                     method,
                     url,
                     headers=headers,
+                    data=_make_body(path, headers),
                 ) as response:
                     status = TRUNCATED
                     await _read_into(response, received)
@@ -292,6 +308,13 @@
     site: Site
 
 
+def _make_body(path: str, headers: Mapping[str, str]) -> str | None:
+    """Return the body of a request; no two prompts are equal."""
+    if path in _MODEL_PATHS:
+        return f'prompt of {headers[_REQUEST_ID]}'
+    return None
+
+
 async def _read_into(
     response: aiohttp.ClientResponse, received: bytearray
 ) -> None:
--- a/packages/standins/src/verbenahall_standins/soak/_cuts.py
+++ b/packages/standins/src/verbenahall_standins/soak/_cuts.py
@@ -78,6 +78,12 @@
         self.windows.append(CutWindow(frozenset(names), started_at, ended_at))
         await asyncio.gather(*(one.cut(Cut.NONE) for one in links))
 
+    async def set_endpoint(self, address: str, form: Cut) -> None:
+        """Set the links of all instances to one endpoint."""
+        await asyncio.gather(
+            *(one.cut(form, [address]) for one in self._links.values())
+        )
+
     def was_cut(self, name: str, start: float, end: float) -> bool:
         """Whether an instance was cut off between two times.
 
--- a/packages/standins/src/verbenahall_standins/soak/_deployment.py
+++ b/packages/standins/src/verbenahall_standins/soak/_deployment.py
@@ -18,6 +18,7 @@
 from verbenahall_standins.soak._callers import Callers
 from verbenahall_standins.soak._cuts import InstanceCuts
 from verbenahall_standins.soak._instances import Instance
+from verbenahall_standins.soak._links import Cut
 from verbenahall_standins.soak._notices import LinkFault
 from verbenahall_standins.soak._proxy import Proxy
 
@@ -29,6 +30,8 @@
 #: Time between two events of a stream, in seconds, so that streams are open
 #: while instances end.
 _EVENT_PAUSE_S: Final = 0.04
+#: Time until an engine that crashed is back, in seconds.
+_RESTART_S: Final = 1.0
 _POLL_S: Final = 0.1
 #: Workspace of the callers.
 WORKSPACE: Final = 'desk'
@@ -52,13 +55,18 @@
             for number in range(count)
         ]
         for place, engine in enumerate(engines):
+            engine.faults.restart_s = _RESTART_S
+            engine.crashed = self._refuse_connections
             engine.version = f'v{place % 2}'
             engine.faults.event_pause_s = _EVENT_PAUSE_S
         plain = [PlainStandIn(f'page-{number}') for number in range(_PLAIN)]
         self.key = 'key-1'
         self.revoked_key = ''
         self.site = Site(engines, plain, self._make_tenants())
+        for listed in engines:
+            listed.restarted = self._relist_engine
         self.duties = DutyStandIn(self.site)
+        self._restarts: set[asyncio.Task[None]] = set()
         self.version = 1
         self.links: dict[str, Proxy] = {}
         self.link_faults: list[LinkFault] = []
@@ -108,14 +116,32 @@
     def replace_endpoint(self, endpoint: EngineStandIn | PlainStandIn) -> None:
         """Replace an endpoint by its next incarnation at the same address."""
         old_name = endpoint.name
-        self.site.unlist(old_name)
         endpoint.notices.restart()
         base, _, _ = old_name.partition('.')
         endpoint.name = f'{base}.{endpoint.notices.start}'
+        self._relist(endpoint, old_name)
+
+    def _relist(
+        self, endpoint: EngineStandIn | PlainStandIn, old_name: str
+    ) -> None:
+        self.site.unlist(old_name)
         self.links[endpoint.name] = self.links.pop(old_name)
         self._listed_roles.pop(old_name)
         self._list_endpoint(endpoint)
 
+    async def _refuse_connections(self, engine: EngineStandIn) -> None:
+        """Let the links to a crashed engine refuse connections as it does."""
+        address = self.links[engine.name].address
+        await self.cuts.set_endpoint(address, Cut.RESET)
+
+    def _relist_engine(self, engine: EngineStandIn, old_name: str) -> None:
+        """List an engine that is back after a crash, and open its links."""
+        self._relist(engine, old_name)
+        address = self.links[engine.name].address
+        task = asyncio.create_task(self.cuts.set_endpoint(address, Cut.NONE))
+        self._restarts.add(task)
+        task.add_done_callback(self._restarts.discard)
+
     def was_disturbed(self, name: str, start: float, end: float) -> bool:
         """Whether an instance was restarted, frozen or cut between two times.
 
--- a/packages/standins/src/verbenahall_standins/soak/_plan.py
+++ b/packages/standins/src/verbenahall_standins/soak/_plan.py
@@ -45,6 +45,8 @@
     INSTANCES_CUT = 'instances_cut'
     #: Not drawn by weight; see ``_draw_rollouts``.
     ROLLOUT = 'rollout'
+    #: Not drawn by weight; see ``_draw_crashing_parts``.
+    CRASHING_PART = 'crashing_part'
 
 
 #: Relative frequency of each kind.
@@ -86,6 +88,10 @@
 #: Interval at which an engine is replaced by one of another software version,
 #: in seconds.
 _ROLLOUT_INTERVAL_S: Final = 3.0
+#: One in this many seeds has a part of prompts that crashes engines, for so
+#: long in seconds: far longer than the crashes may take that are allowed.
+_CRASHING_EVERY: Final = 2
+_CRASHING_S: Final = 9.0
 #: Upper bound of drawn numbers; far above the number of targets.
 _DRAW_LIMIT: Final = 65_536
 
@@ -120,6 +126,7 @@
     events.extend(_draw_notices(seed, latest_start))
     events.extend(_draw_cuts(seed, seconds))
     events.extend(_draw_rollouts(seed, latest_start))
+    events.extend(_draw_crashing_parts(seed, seconds))
     return sorted(events, key=lambda event: event.at)
 
 
@@ -174,16 +181,29 @@
     rng = random.Random(f'rollouts {seed}')
     at = _QUIET_S
     while at < latest_start:
-        yield Event(
-            at=at,
-            kind=Kind.ROLLOUT,
-            for_s=rng.uniform(_MIN_FAULT_S, _MAX_FAULT_S),
-            target_draw=rng.randrange(_DRAW_LIMIT),
-            shape=rng.randrange(_DRAW_LIMIT),
-        )
+        for_s = rng.uniform(_MIN_FAULT_S, _MAX_FAULT_S)
+        yield _make_event(rng, Kind.ROLLOUT, at, for_s)
         at += rng.uniform(0, 2 * _ROLLOUT_INTERVAL_S)
 
 
+def _draw_crashing_parts(seed: int, seconds: float) -> Iterator[Event]:
+    """Draw a part that crashes engines; the other draws don't change."""
+    rng = random.Random(f'crashing parts {seed}')
+    latest_start = seconds - _CRASHING_S - _MAX_FAULT_S
+    if latest_start < _QUIET_S or rng.randrange(_CRASHING_EVERY):
+        return
+    at = rng.uniform(_QUIET_S, latest_start)
+    yield _make_event(rng, Kind.CRASHING_PART, at, _CRASHING_S)
+
+
+def _make_event(
+    rng: random.Random, kind: Kind, at: float, for_s: float
+) -> Event:
+    """Return an event whose target and variant are drawn."""
+    target_draw = rng.randrange(_DRAW_LIMIT)
+    return Event(at, kind, for_s, target_draw, rng.randrange(_DRAW_LIMIT))
+
+
 def _draw_event(rng: random.Random, latest_start: float) -> Event:
     kinds = list(_WEIGHTS)
     weights = list(_WEIGHTS.values())
--- a/packages/standins/src/verbenahall_standins/soak/_run.py
+++ b/packages/standins/src/verbenahall_standins/soak/_run.py
@@ -6,7 +6,7 @@
 import itertools
 import time
 from collections import Counter
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Mapping, Sequence
 from http import HTTPStatus
 from pathlib import Path
 from typing import Final
@@ -19,6 +19,7 @@
 )
 from verbenahall_standins.soak._deployment import WORKSPACE, Deployment
 from verbenahall_standins.soak._notices import find_unheeded_notices
+from verbenahall_standins.soak._parts import find_resent_parts
 from verbenahall_standins.soak._plan import Event, draw_plan
 from verbenahall_standins.soak._records import Record
 from verbenahall_standins.soak._streams import find_mixed, find_not_resumed
@@ -129,6 +130,11 @@
 def _check_streams(deployment: Deployment) -> list[str]:
     attempts = [one for calls in deployment.callers for one in calls.streams]
     return [
+        *find_resent_parts(
+            deployment.site.engines,
+            _join_instances(deployment),
+            lambda name, at: name in _list_in_touch(deployment, at, at),
+        ),
         *find_mixed(attempts),
         *find_not_resumed(
             attempts,
@@ -137,6 +143,15 @@
     ]
 
 
+def _join_instances(deployment: Deployment) -> Mapping[str, str]:
+    """Return the instance of each request that crashes engines."""
+    return dict(
+        itertools.chain.from_iterable(
+            calls.crashing_from.items() for calls in deployment.callers
+        )
+    )
+
+
 def _list_in_touch(
     deployment: Deployment, start: float, end: float
 ) -> frozenset[str]:
--- a/packages/standins/tests/soak/test_soak.py
+++ b/packages/standins/tests/soak/test_soak.py
@@ -7,7 +7,13 @@
 
 import pytest
 
-from verbenahall_standins.platform import Arrival, Notice, Notices
+from verbenahall_standins.platform import (
+    Arrival,
+    EngineStandIn,
+    Notice,
+    Notices,
+    PartRun,
+)
 from verbenahall_standins.soak import (
     CutWindow,
     Link,
@@ -19,6 +25,7 @@
     draw_plan,
     find_mixed,
     find_not_resumed,
+    find_resent_parts,
     find_unheeded_notices,
     find_unserved,
     find_violations,
@@ -380,3 +387,21 @@
     ]
     found = list(find_not_resumed(attempts, lambda name, at: in_touch))
     assert bool(found) is is_found
+
+
+@pytest.mark.parametrize(
+    ('sends', 'in_touch', 'is_found'),
+    ((4, True, True), (3, True, False), (4, False, False)),
+)
+def test_part_that_is_sent_again_after_five_crashes_is_found(
+    sends, in_touch, is_found
+):
+    engine = EngineStandIn('engine', 'decode')
+    engine.part_crashes = [('dead', at) for at in range(5)]
+    engine.part_runs = [
+        *(PartRun('dead', 1, f'early-{number}') for number in range(9)),
+        *(PartRun('dead', 8, f'late-{number}') for number in range(sends)),
+    ]
+    instances = {one.request_id: 'front-1' for one in engine.part_runs}
+    found = find_resent_parts([engine], instances, lambda name, at: in_touch)
+    assert bool(list(found)) is is_found
