New connections are reset unread while most of them come to one instance

Cause: the event loop accepts one connection in each iteration; the others wait in the kernel, 1,024 at most. The instance is never late by its own clock, and serves the oldest connection, which nobody waits for any more.

Change: callers' connections are accepted by a listener of its own, all that wait at a time, so that an overload shows as a late event loop. While that is late by 0.15 s and the instance gets three times as many new connections as its peers on average (heartbeats state the rate), new ones are reset unread.

Why it works: a connection that is reset unread is tried at a peer at once; what is accepted is served within a fraction of a second; open connections go on.

Not tried: one of nine, and a whole region.

--- a/packages/standins/src/verbenahall_standins/soak/__init__.py
+++ b/packages/standins/src/verbenahall_standins/soak/__init__.py
@@ -2,6 +2,7 @@
 
 from verbenahall_standins.soak._checks import find_violations
 from verbenahall_standins.soak._cuts import CutWindow, find_unserved
+from verbenahall_standins.soak._deployment import Deployment
 from verbenahall_standins.soak._links import Cut, EndpointLinks
 from verbenahall_standins.soak._notices import (
     LinkFault,
@@ -20,6 +21,7 @@
 
 __all__ = (
     'Cut',
+    'Deployment',
     'CutWindow',
     'EndpointLinks',
     'Event',
--- a/packages/verbenahall/src/verbenahall/admission/__init__.py
+++ b/packages/verbenahall/src/verbenahall/admission/__init__.py
@@ -1,5 +1,6 @@
 """Admission: which requests run, wait or are rejected, and in which order."""
 
+from verbenahall.admission._crowding import CrowdState
 from verbenahall.admission._decisions import (
     expire,
     finish,
@@ -25,6 +26,7 @@
     'AdmissionController',
     'AdmissionLimits',
     'AdmissionState',
+    'CrowdState',
     'Effects',
     'FLAG_PRIORITY',
     'LOWEST_PRIORITY',
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/gateway/_crowding.py
@@ -0,0 +1,64 @@
+"""Refuses new connections while most of them come to this instance."""
+
+import asyncio
+from typing import Final, final
+
+from verbenahall import journal, metrics
+from verbenahall.admission import CrowdState
+from verbenahall.gateway._core import Core
+from verbenahall.peers import list_live_peers
+
+#: Interval at which the delay of the event loop is measured, in seconds.
+_TICK_S: Final = 0.1
+#: Peers without a heartbeat for this long could not serve the callers either,
+#: in seconds.
+_PEER_TIMEOUT_S: Final = 1.0
+
+
+@final
+class CrowdGuard:
+    """Decides for each new connection of callers whether it is accepted."""
+
+    __slots__ = ('state', '_core')
+
+    def __init__(self, core: Core) -> None:
+        """Accept connections until ``run`` finds an overload."""
+        self.state = CrowdState(core.now())
+        self._core = core
+
+    async def run(self) -> None:
+        """Measure the delay of the event loop, until cancelled."""
+        while True:
+            started = self._core.now()
+            await asyncio.sleep(_TICK_S)
+            self._update(self._core.now() - started - _TICK_S)
+
+    def accepts(self) -> bool:
+        """Count a new connection; return whether it is accepted."""
+        self.state.count_connection()
+        if self.state.is_refusing:
+            metrics.CONNECTIONS_REFUSED.add()
+        return not self.state.is_refusing
+
+    def get_rate(self) -> float:
+        """Return the rate of new connections, for heartbeats."""
+        return round(self.state.rate, 1)
+
+    def _update(self, late_s: float) -> None:
+        now = self._core.now()
+        peer_rates = self._list_peer_rates(now)
+        if self.state.update(late_s, peer_rates, now):
+            journal.write_decision(
+                'refusing_connections'
+                if self.state.is_refusing
+                else 'accepting_connections',
+                late_s=journal.round_to_ms(late_s),
+                rate=round(self.state.rate, 1),
+                peer_rates=[round(rate, 1) for rate in peer_rates],
+            )
+
+    def _list_peer_rates(self, now: float) -> list[float]:
+        peer_table = self._core.peer_table
+        live = list_live_peers(peer_table, now, _PEER_TIMEOUT_S)
+        rates = (peer_table.peers[name].connection_rate for name in live)
+        return [rate for rate in rates if rate is not None]
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/gateway/_listener.py
@@ -0,0 +1,87 @@
+"""Accepts callers' connections, or resets them unread."""
+
+import asyncio
+import contextlib
+import socket
+import struct
+from collections.abc import Callable
+from typing import Any, Final, final
+
+from verbenahall import journal
+
+#: Connections that the kernel queues until the event loop accepts them.
+_BACKLOG: Final = 1024
+#: Connections that are accepted at a time; open ones are served in between.
+_MAX_BATCH: Final = 256
+#: Linger time of zero: closing the socket resets the connection.
+_RESET: Final = struct.pack('ii', 1, 0)
+
+
+@final
+class GuardedListener:
+    """Accepts all connections that wait, unless ``accepts`` returns False.
+
+    The event loop by itself accepts one connection in each iteration. The
+    others would wait in the kernel, unseen, until their callers have given up.
+    """
+
+    __slots__ = ('_accepts', '_factory', '_listening', '_tasks')
+
+    def __init__(
+        self,
+        factory: Callable[[], asyncio.Protocol],
+        accepts: Callable[[], bool],
+    ) -> None:
+        """Serve accepted connections by the protocols of ``factory``."""
+        self._accepts = accepts
+        self._factory = factory
+        self._listening: socket.socket | None = None
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    def start(self, address: str) -> None:
+        """Listen on ``IP:port``."""
+        host, _, port = address.rpartition(':')
+        self._listening = socket.create_server(
+            (host, int(port)), backlog=_BACKLOG
+        )
+        self._listening.setblocking(False)
+        loop = asyncio.get_running_loop()
+        loop.add_reader(self._listening, self._accept_waiting)
+
+    async def stop(self) -> None:
+        """Close the listener; accepted connections go on."""
+        if self._listening is not None:
+            asyncio.get_running_loop().remove_reader(self._listening)
+            self._listening.close()
+            self._listening = None
+
+    def _accept_waiting(self) -> None:
+        with contextlib.suppress(BlockingIOError):
+            for _ in range(_MAX_BATCH):
+                self._accept()
+
+    def _accept(self) -> None:
+        try:
+            accepted, _ = self._listening.accept()
+        except ConnectionAbortedError:
+            # The caller has left while it waited.
+            return
+        except BlockingIOError:
+            raise
+        except OSError as error:
+            journal.write_decision('accept_failed', reason=repr(error))
+            raise BlockingIOError from error
+        if self._accepts():
+            self._serve(accepted)
+        else:
+            accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+            accepted.close()
+
+    def _serve(self, accepted: socket.socket) -> None:
+        accepted.setblocking(False)
+        loop = asyncio.get_running_loop()
+        task = loop.create_task(
+            loop.connect_accepted_socket(self._factory, accepted)
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- a/packages/verbenahall/src/verbenahall/gateway/_serve.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_serve.py
@@ -11,13 +11,12 @@
 
 from verbenahall import journal, metrics
 from verbenahall.authentication import KeyRefresher
-from verbenahall.config import LimitsConfig
-from verbenahall.front import ReadTimeouts, Runner
 from verbenahall.gateway._admission import RequestAdmitter
 from verbenahall.gateway._call_reader import CallReader
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._crash_reports import CrashLogReplicator
 from verbenahall.gateway._crashes import CrashDetector
+from verbenahall.gateway._crowding import CrowdGuard
 from verbenahall.gateway._dispatch import Dispatch
 from verbenahall.forwarding import OpenForwards
 from verbenahall.gateway._fleet_state_log import FleetStateLog
@@ -25,6 +24,7 @@
 from verbenahall.gateway._hop_server import HopServer
 from verbenahall.gateway._ingress import Ingress
 from verbenahall.gateway._leaving_notices import LeavingReplicator
+from verbenahall.gateway._listener import GuardedListener
 from verbenahall.gateway._orders import RoleController
 from verbenahall.gateway._peers import PeerFinder
 from verbenahall.gateway._permits import DistributedRateLimiter
@@ -33,6 +33,7 @@
 from verbenahall.gateway._readiness import Readiness
 from verbenahall.gateway._record_handlers import make_followers
 from verbenahall.gateway._refresh import Refresher
+from verbenahall.gateway._runners import MAX_BODY_BYTES, make_runner
 from verbenahall.gateway._scaling import make_scaler, scales_engines
 from verbenahall.gateway._scheduler import SchedulingTransport
 from verbenahall.gateway._stream_versions import StreamVersions
@@ -46,16 +47,7 @@
 from verbenahall.shutdown import GracefulStop, StopTiming
 from verbenahall.supervisor import Supervisor
 
-#: Longest line or header that the HTTP library accepts, in bytes; the
-#: manifest's limit on all headers is lower and changes while connections are
-#: open.
-_MAX_LINE_BYTES: Final = 65_536
-_MAX_BODY_BYTES: Final = 67_108_864
-_MAX_CONNECTIONS: Final = 3000
 _ANY_PATH: Final = '/{path:.*}'
-#: A new connection without a request is closed after this time, in seconds: the
-#: usual idle timeout of callers and load balancers.
-_FIRST_REQUEST_S: Final = 60.0
 #: How long new connections are accepted after the stop begins, in seconds: the
 #: platform checks readiness once a second and removes an instance after two
 #: failed checks.
@@ -99,6 +91,7 @@
             self.core, self.finder.exchange
         )
         self.stream_versions = StreamVersions(self.core, self.finder.exchange)
+        self.crowd_guard = CrowdGuard(self.core)
         self.open_forwards = OpenForwards()
         PeerForwarder(self.core, self.open_forwards)
         followers = make_followers(self.core, self.finder.exchange)
@@ -106,6 +99,7 @@
         self._usage = make_usage_exchange(self.core, self.finder.exchange)
         self._supervisor = Supervisor()
         self._runners: list[web.AppRunner] = []
+        self._listener: GuardedListener | None = None
 
     async def open(self) -> None:
         """Open the listeners and start the background loops."""
@@ -116,7 +110,7 @@
         )
         self._runners = [
             await _serve_readiness(self.core, readiness, self.stop),
-            await _serve_callers(self.core, readiness, self.stop, ingress),
+            await self._serve_callers(readiness, ingress),
             await _serve_peers(self.core, self.stop, hop_server),
             await _serve_metrics(self.core.settings),
         ]
@@ -127,12 +121,30 @@
         """Stop the background loops and close every connection."""
         self._usage.send_final_counts()
         await self._supervisor.stop()
+        if self._listener is not None:
+            await self._listener.stop()
         closing = [runner.cleanup() for runner in self._runners]
         await asyncio.gather(*closing)
         await self.core.close()
         journal.write_decision('stopped', instance=self.core.settings.name)
         journal.flush()
 
+    async def _serve_callers(
+        self, readiness: Readiness, ingress: Ingress
+    ) -> web.AppRunner:
+        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        app.on_response_prepare.append(readiness.close_connection)
+        app.router.add_route('*', _ANY_PATH, ingress.handle)
+        self.stop.add_to(app)
+        runner = make_runner(self.core, app)
+        await runner.setup()
+        self._listener = GuardedListener(
+            runner.server, self.crowd_guard.accepts
+        )
+        self._listener.start(self.core.settings.callers)
+        self.stop.hooks.close.append(self._listener.stop)
+        return runner
+
     def _make_ingress(self) -> Ingress:
         key_refresher = KeyRefresher(
             self._followers[OPERATOR_TOPIC].refresh,
@@ -152,6 +164,7 @@
         by_topic = self._followers
         exchange.changing = role_controller.changing
         exchange.list_unreachable = self.core.reach.list_lost
+        exchange.get_connection_rate = self.crowd_guard.get_rate
         loops = {
             **{topic: one.run for topic, one in by_topic.items()},
             **{
@@ -166,6 +179,7 @@
             'crash reports': self.crash_log_replicator.run,
             'leaving notices': self.leaving_replicator.run,
             'permits': self.rate_limiter.run,
+            'crowding': self.crowd_guard.run,
             'reach': ReachMonitor(self.core).run,
             'stream versions': self.stream_versions.run,
             'probes': EndpointProber(self.core).run,
@@ -221,63 +235,19 @@
     )
 
 
-async def _serve_callers(
-    core: Core,
-    readiness: Readiness,
-    stop: GracefulStop,
-    ingress: Ingress,
-) -> web.AppRunner:
-    app = web.Application(client_max_size=_MAX_BODY_BYTES)
-    app.on_response_prepare.append(readiness.close_connection)
-    app.router.add_route('*', _ANY_PATH, ingress.handle)
-    return await _serve_requests(core, stop, app, core.settings.callers)
-
-
 async def _serve_peers(
     core: Core, stop: GracefulStop, hop_server: HopServer
 ) -> web.AppRunner:
     """Serve requests that peers forward, on the port between instances."""
-    app = web.Application(client_max_size=_MAX_BODY_BYTES)
+    app = web.Application(client_max_size=MAX_BODY_BYTES)
     app.router.add_route('*', _ANY_PATH, hop_server.handle)
-    return await _serve_requests(core, stop, app, core.settings.peer_address)
-
-
-async def _serve_requests(
-    core: Core, stop: GracefulStop, app: web.Application, address: str
-) -> web.AppRunner:
     stop.add_to(app)
-    limits = LimitsConfig(
-        body_bytes=_MAX_BODY_BYTES,
-        header_bytes=_MAX_LINE_BYTES,
-        json_depth=0,
-        connections=_MAX_CONNECTIONS,
-        body_timeout_s=_FIRST_REQUEST_S,
-        queue_per_priority=0,
-        queue_per_workspace=0,
-        in_flight_per_engine=0,
-        default_deadline_s=0,
-    )
-    runner = Runner(app, limits, functools.partial(_find_read_timeouts, core))
-    site = await listen(runner, address)
+    runner = make_runner(core, app)
+    site = await listen(runner, core.settings.peer_address)
     stop.hooks.close.append(site.stop)
     return runner
 
 
-def _find_read_timeouts(core: Core) -> ReadTimeouts:
-    """Return the read timeouts of the manifest in force."""
-    catalog = core.catalog.catalog
-    if catalog is None:
-        return ReadTimeouts(
-            _FIRST_REQUEST_S, _FIRST_REQUEST_S, _FIRST_REQUEST_S
-        )
-    limits = catalog.limits
-    return ReadTimeouts(
-        first_request_s=max(_FIRST_REQUEST_S, limits.idle_timeout_s),
-        head_s=limits.header_timeout_s,
-        idle_s=limits.idle_timeout_s,
-    )
-
-
 async def _serve_readiness(
     core: Core,
     readiness: Readiness,
--- a/packages/verbenahall/src/verbenahall/metrics.py
+++ b/packages/verbenahall/src/verbenahall/metrics.py
@@ -153,6 +153,10 @@
     'Requests sent to a peer as no endpoint was reached, by outcome.',
     'outcome',
 )
+CONNECTIONS_REFUSED: Final = BufferedCounter(
+    'verbenahall_connections_refused_total',
+    'New connections refused unread, as most of them came to this instance.',
+)
 STREAMS_TAKEN_UP: Final = BufferedCounter(
     'verbenahall_streams_taken_up_total',
     'Streams that callers take up: whether their version is found or unknown,'
--- a/packages/verbenahall/src/verbenahall/peers/_messages.py
+++ b/packages/verbenahall/src/verbenahall/peers/_messages.py
@@ -41,7 +41,8 @@
     of each topic that the author follows at the store, ``ages`` the seconds
     since the store last confirmed that it holds nothing newer, and ``cores``
     how many processor cores the author may use. ``unreachable`` holds the
-    services of which the author reaches no endpoint.
+    services of which the author reaches no endpoint. ``connection_rate`` is how
+    many new connections it gets per second, None if it does not state it.
     """
 
     author: str
@@ -56,6 +57,7 @@
     cores: float = 1
     ages: Mapping[str, float] = dataclasses.field(default_factory=dict)
     unreachable: tuple[str, ...] = ()
+    connection_rate: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -99,6 +101,7 @@
                 topic: round(age_s, _AGE_DECIMALS)
                 for topic, age_s in heartbeat.ages.items()
             },
+            'connections': heartbeat.connection_rate,
             # Left out while empty, as in nearly all heartbeats.
             **_encode_unreachable(heartbeat),
         },
@@ -302,12 +305,17 @@
                 speed=tuple(map(float, speed)),
                 ages=_convert_ages(table.get('ages', {})),
                 unreachable=tuple(unreachable),
+                connection_rate=_convert_rate(table.get('connections')),
             ),
         )
     except (AttributeError, TypeError, ValueError):
         return Nothing
 
 
+def _convert_rate(found: Any) -> float | None:
+    return None if found is None else float(found)
+
+
 def _is_list_of_text(members: Any) -> bool:
     return isinstance(members, list) and all(
         isinstance(member, str) for member in members
--- a/packages/verbenahall/src/verbenahall/peers/_state.py
+++ b/packages/verbenahall/src/verbenahall/peers/_state.py
@@ -53,12 +53,14 @@
     ``last_heartbeat_at`` is when its last heartbeat was received,
     ``last_sent_at`` when the last one was sent to it, and ``number`` the number
     of the last one received. ``unreachable`` holds the services of which the
-    peer reaches no endpoint.
+    peer reaches no endpoint. ``connection_rate`` is how many new connections it
+    gets per second, None if it has not stated it.
     """
 
     __slots__ = (
         'address',
         'confirmed',
+        'connection_rate',
         'cores',
         'data_centre',
         'followed_offsets',
@@ -71,6 +73,7 @@
     def __init__(self, address: str, data_centre: str) -> None:
         self.address = address
         self.confirmed: Mapping[str, ConfirmedOffset] = {}
+        self.connection_rate: float | None = None
         self.cores: float = 1
         self.data_centre = data_centre
         self.followed_offsets = _NO_OFFSETS
