--- a/packages/verbenahall/src/verbenahall/gateway/_sender.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_sender.py
@@ -251,6 +251,7 @@
             endpoint=endpoint.name,
             born=endpoint.born,
             open=self._core.endpoint_health.get(endpoint.name).open,
+            parts=call.part_keys,
         )
 
     def _log_sent(
