--- a/packages/verbenahall/tests/drains/crashing_fleet.py
+++ b/packages/verbenahall/tests/drains/crashing_fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import errno
+import itertools
 import random
 from unittest import mock
 
@@ -14,9 +15,14 @@
 from verbenahall.gateway import _reach as reach
 from verbenahall.gateway._crash_reports import CrashLogReplicator
 from verbenahall.gateway._probes import ConnectOutcome
-from verbenahall.quarantine import find_quarantine_s, make_fingerprint
+from verbenahall.quarantine import (
+    find_longest_quarantine_s,
+    find_quarantine_s,
+    make_fingerprint,
+    make_part_key,
+)
 
-from .fleet import ROUTE, Fleet
+from .fleet import ROUTE, SERVICE, Fleet
 from .simulated_network import SimulatedResponse
 
 CRASHING_PATH = '/proof/crashing'
@@ -24,6 +30,8 @@
 REPEATABLE = dataclasses.replace(
     ROUTE, kind=RouteKind.IDEMPOTENT, max_attempts=2, timeout_s=4
 )
+#: Number of the second parts of sound requests' prompts.
+SUBJECTS = 40
 #: Time from the crashing request's start to the crash, in seconds.
 CRASH_DELAY_S = 0.06
 CONNECTION_KEY = ConnectionKey('endpoint', 80, False, None, None, None, None)
@@ -44,6 +52,7 @@
         self.crashing_sends = []
         self.quarantined = 0
         self.answered_count = 0
+        self._numbers = itertools.count()
         self._crashed_endpoints = set()
         self._open_runs = {}
         self._crash_tasks = []
@@ -150,6 +159,38 @@
             self.crash_times.append(asyncio.get_running_loop().time())
 
 
+class PartCrashingFleet(CrashingFleet):
+    """A fleet whose endpoints crash on a part of prompts.
+
+    No two requests are equal. All share the first part, and each sound one a
+    second part with some others.
+    """
+
+    async def send_request(self, instance, path):
+        """Send one request that no other equals."""
+        is_deadly = path == CRASHING_PATH
+        second = (
+            'dead'
+            if is_deadly
+            else f'subject-{self.traffic_rng.randrange(SUBJECTS)}'
+        )
+        fingerprint = f'whole-{next(self._numbers)}'
+        part_keys = (
+            make_part_key(SERVICE, 'first'),
+            make_part_key(SERVICE, second),
+        )
+        now = instance.core.now()
+        if find_longest_quarantine_s(
+            instance.core.crash_log, (fingerprint, *part_keys), now
+        ):
+            self.quarantined += not is_deadly
+            return
+        status = await instance.send_by_route(
+            REPEATABLE, path, fingerprint, part_keys
+        )
+        self.answered_count += status == 200
+
+
 def list_excess_sends(fleet, crashes_allowed=3):
     """Return the sends of the crashing request after the allowed crashes.
 
@@ -187,10 +228,12 @@
     fleet.partitions = {name: number % 3 for number, name in enumerate(names)}
 
 
-async def simulate(seed, crashing_every_s, inject_faults):
+async def simulate(
+    seed, crashing_every_s, inject_faults, make_fleet=CrashingFleet
+):
     """Simulate a seed for 30 seconds; return the fleet."""
     rng = random.Random(seed)
-    fleet = CrashingFleet(seed, rng.randint(4, 9))
+    fleet = make_fleet(seed, rng.randint(4, 9))
     fleet.stable_s = 3
     with (
         mock.patch.object(crashes, 'try_connect', fleet.try_connect),
--- a/packages/verbenahall/tests/drains/fleet.py
+++ b/packages/verbenahall/tests/drains/fleet.py
@@ -88,7 +88,7 @@
         """Send one request by ``ROUTE``; return its status."""
         return await self.send_by_route(ROUTE, '/proof/')
 
-    async def send_by_route(self, route, path, fingerprint=''):
+    async def send_by_route(self, route, path, fingerprint='', part_keys=()):
         """Send one request by a route; return the answer's status."""
         now = self.core.now()
         call = Call(
@@ -103,6 +103,7 @@
             received=now,
             deadline=now + route.timeout_s,
             fingerprint=fingerprint,
+            part_keys=part_keys,
         )
         answer = await PlainFlow(self.core, self._sender, call).run()
         return answer.status
--- a/packages/verbenahall/tests/drains/test_crashing_fleet.py
+++ b/packages/verbenahall/tests/drains/test_crashing_fleet.py
@@ -5,6 +5,7 @@
 import pytest
 
 from .crashing_fleet import (
+    PartCrashingFleet,
     crash_random_endpoints,
     list_excess_sends,
     partition_fleet,
@@ -44,3 +45,28 @@
     fleet = run_simulated(simulate(seed, 0, crash_random_endpoints))
     assert fleet.answered_count > 1000
     assert not fleet.quarantined
+
+
+#: Crashes that the users allow for a part of prompts.
+PART_CRASHES = 5
+
+
+@pytest.mark.parametrize('seed', range(FIRST_SEED, FIRST_SEED + SEED_COUNT))
+@pytest.mark.parametrize('faults', (partition_fleet, partition_permanently))
+def test_crashing_part_is_sent_at_most_three_more_times(seed, faults):
+    """No two of the requests are equal, and partitions see few of them."""
+    fleet = run_simulated(simulate(seed, 0.4, faults, PartCrashingFleet))
+    assert len(fleet.crash_times) >= PART_CRASHES
+    assert len(list_excess_sends(fleet, PART_CRASHES)) <= MAX_SENDS
+    assert fleet.answered_count > 1000
+    assert not fleet.quarantined
+
+
+@pytest.mark.parametrize('seed', range(FIRST_SEED, FIRST_SEED + SEED_COUNT))
+def test_unrelated_crashes_quarantine_no_part(seed):
+    """Sound requests share parts, of which some run at each crash."""
+    fleet = run_simulated(
+        simulate(seed, 0, crash_random_endpoints, PartCrashingFleet)
+    )
+    assert fleet.answered_count > 1000
+    assert not fleet.quarantined
