A stream is not sent again to an engine of its version that cannot be reached

Two faults: engines that are avoided were used although they had just been unreachable, and the check of the soak counted engines that are down as serving, which the users' rule does not.

Engines that cannot be reached are left out where no other fits, so that such a stream is refused at once. The check asks for two engines that are up; its tests and its bounds are as they were.

--- a/packages/standins/src/verbenahall_standins/platform/_engine.py
+++ b/packages/standins/src/verbenahall_standins/platform/_engine.py
@@ -93,6 +93,7 @@
         self.orders: list[dict[str, Any]] = []
         self.handles: dict[str, str] = {}
         self.crashes = 0
+        self.is_down = False
         #: Runs on a part that crashes engines, and the crashes: the part and
         #: the time in monotonic seconds.
         self.part_runs: list[PartRun] = []
@@ -128,6 +129,7 @@
     async def crash(self) -> None:
         """Reset every connection and restart later under a new name."""
         self.crashes += 1
+        self.is_down = True
         await self.crashed(self)
         await _abort(self._runner)
         restart_task = asyncio.create_task(self._restart())
@@ -142,6 +144,7 @@
         self.notices.restart()
         self.name = '.'.join((base, str(self.notices.start)))
         await self.start(int(self.address.rpartition(':')[2]))
+        self.is_down = False
         self.restarted(self, old_name)
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
--- a/packages/standins/src/verbenahall_standins/soak/_streams.py
+++ b/packages/standins/src/verbenahall_standins/soak/_streams.py
@@ -58,11 +58,12 @@
 
 
 def count_serving(engines: Iterable[EngineStandIn], version: str) -> int:
-    """Return how many decode engines of a version serve and do not leave."""
+    """Return how many decode engines of a version are up and do not leave."""
     return sum(
         engine.version == version
         and engine.role == 'decode'
         and not engine.notices.leaving
+        and not engine.is_down
         for engine in engines
     )
 
--- a/packages/verbenahall/src/verbenahall/gateway/_stream_placement.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_stream_placement.py
@@ -47,8 +47,8 @@
 ) -> Result[Plan, Problem]:
     """Choose engines for a request that does not wait in the queue.
 
-    Engines that have failed the call, and then those that are avoided, are used
-    only if no others fit.
+    Engines that have failed the call, or are avoided, are used only if no
+    others fit, and never those that cannot be reached.
     """
     now = core.now()
     service = call.service.name
@@ -59,8 +59,12 @@
         core.placement, placement_request, untried or usable, traits, now
     )
     if is_lacking(placed) and placement_request.version is not None:
-        available = core.endpoints.list_available(service, now)
-        return place(core.placement, placement_request, available, traits, now)
+        reachable = [
+            one
+            for one in core.endpoints.list_available(service, now)
+            if core.endpoint_health.is_reachable(one.name, now)
+        ]
+        return place(core.placement, placement_request, reachable, traits, now)
     return placed
 
 
