The store keeps which services had several software versions

A service with several versions is recorded in the store by up to three instances, when it begins and when it ends; an instance reads the records once, when it starts. With none it relies on the list: nobody has seen another version. With one, what is not recorded by an owner stays unknown.

--- a/packages/verbenahall/src/verbenahall/gateway/_stream_versions.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_stream_versions.py
@@ -12,6 +12,7 @@
 from verbenahall.catalog import Catalog, RouteKind
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._messages import Call
+from verbenahall.gateway._stored_versions import StoredVersions
 from verbenahall.gateway._version_questions import VersionQuestions
 from verbenahall.peers import PeerExchange
 from verbenahall.platform import ENDPOINTS_TOPIC
@@ -60,6 +61,7 @@
         '_next_handler',
         '_questions',
         '_reported',
+        '_stored',
     )
 
     def __init__(self, core: Core, exchange: PeerExchange) -> None:
@@ -73,13 +75,17 @@
         self._reported: _Counts = {}
         #: The version of the manifest, and how long streams live by it.
         self._life: tuple[int, float] = (0, _LIFE_MARGIN_S)
+        self._stored = StoredVersions(core)
         core.stream_versions = self
         exchange.datagram_handler = self.handle_datagram
 
     async def run(self) -> None:
         """Record the listed versions, until cancelled."""
         while True:
-            self.update(self._core.now())
+            now = self._core.now()
+            self.update(now)
+            since = now - self._find_life_s()
+            await self._stored.exchange(self.history, since, now)
             endpoints = len(self._core.roster.listings)
             await asyncio.sleep(_TICK_S + endpoints * _TICK_FOR_EACH_S)
 
--- a/packages/verbenahall/src/verbenahall/platform/__init__.py
+++ b/packages/verbenahall/src/verbenahall/platform/__init__.py
@@ -56,6 +56,7 @@
     SCALING_TOPIC,
     USAGE_DUTY,
     USAGE_TOPIC,
+    VERSIONS_TOPIC,
 )
 from verbenahall.platform._records import (
     Batch,
@@ -102,6 +103,7 @@
     'SCALING_TOPIC',
     'USAGE_DUTY',
     'USAGE_TOPIC',
+    'VERSIONS_TOPIC',
     'AnswerHead',
     'Appended',
     'AppendOutcome',
--- a/packages/verbenahall/src/verbenahall/platform/_names.py
+++ b/packages/verbenahall/src/verbenahall/platform/_names.py
@@ -96,6 +96,9 @@
 INSTANCES_TOPIC: Final = 'keyed.instances'
 #: Topic of crashes, with one key per reporting instance.
 CRASHES_TOPIC: Final = 'keyed.crashes'
+#: Topic of the services with several software versions, with one key per
+#: instance.
+VERSIONS_TOPIC: Final = 'keyed.versions'
 #: Topic of this system's leases.
 LEASES_TOPIC: Final = 'keyed.leases'
 
--- a/packages/verbenahall/src/verbenahall/stream_versions/_history.py
+++ b/packages/verbenahall/src/verbenahall/stream_versions/_history.py
@@ -41,6 +41,18 @@
         seen_at = self._seen_at.setdefault(service, {})
         seen_at[version] = max(at, seen_at.get(version, -math.inf))
 
+    def assume_past(self) -> None:
+        """Take the versions that are known for all that there were."""
+        self.since = -math.inf
+
+    def list_several(self, since: float) -> dict[str, list[str]]:
+        """Return the services that had several versions since a time."""
+        versions = {
+            service: sorted(self.list_versions(service, since))
+            for service in self._seen_at
+        }
+        return {name: found for name, found in versions.items() if found[1:]}
+
     def forget(self, before: float) -> None:
         """Forget the versions that have not served since a time."""
         for service, seen_at in tuple(self._seen_at.items()):
--- a/packages/verbenahall/tests/gateway/test_stream_versions.py
+++ b/packages/verbenahall/tests/gateway/test_stream_versions.py
@@ -151,3 +151,47 @@
             assert not list_versions(harness.site, *again)
 
     run(check())
+
+
+def test_stream_is_not_guessed_after_all_instances_were_started_again(tmp_path):
+    # The engine of the stream has left meanwhile, so that the list shows one
+    # version, and nobody has a past.
+    async def check():
+        engines = make_versioned_engines(v1=1, v2=1)
+        async with run_gateway(tmp_path, engines) as harness:
+            site = harness.site
+            begun = await begin_streams(harness)
+            at_v2 = [one for one in begun if list_versions(site, one) == {'v2'}]
+            assert at_v2
+            read = site.store.newest
+            await harness.wait_until(lambda: any(read('keyed.versions')), 4)
+            await harness.gateway.close()
+            site.unlist('v2-0')
+            site.unlist('reader-v2')
+            async with run_gateway(
+                tmp_path, name='front-2', site=site
+            ) as started:
+                await asyncio.sleep(0.5)
+                statuses = [await take_up(started, one) for one in at_v2]
+                assert set(statuses) == {503}
+                again = [f'again-{one}' for one in at_v2]
+                assert not list_versions(site, *again)
+
+    run(check())
+
+
+def test_stream_goes_on_after_all_instances_were_started_again(tmp_path):
+    # The service has one version, and the store knows of no other.
+    async def check():
+        engines = make_versioned_engines(v1=2)
+        async with run_gateway(tmp_path, engines) as harness:
+            begun = await begin_streams(harness)
+            await harness.gateway.close()
+            async with run_gateway(
+                tmp_path, name='front-2', site=harness.site
+            ) as started:
+                await asyncio.sleep(0.5)
+                statuses = [await take_up(started, one) for one in begun]
+                assert set(statuses) == {200}
+
+    run(check())
