While the store confirms no list, a sole version counts if most instances know it

More than half of the instances that are asked have to know the same version, and none another one. A part of the fleet that is cut off from most others refuses as before.

--- a/packages/verbenahall/src/verbenahall/gateway/_stream_versions.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_stream_versions.py
@@ -3,7 +3,7 @@
 import asyncio
 import collections
 import itertools
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import Final, final
 
 from returns.maybe import Maybe, Some
@@ -25,6 +25,7 @@
     StreamRecord,
     StreamRecords,
     VersionHistory,
+    choose_asked,
     choose_owners,
     decide_version,
     decode,
@@ -122,18 +123,15 @@
         resumes = call.head.resumes
         key = _make_key(call, resumes) if resumes else ''
         service = call.service.name
-        own = self._answer(Question(0, key, service), started)
-        replies = [own]
-        if own.knowledge not in {Knowledge.RECORDED, Knowledge.SOLE}:
+        replies = [self._answer(Question(0, key, service), started)]
+        if replies[0].knowledge not in {Knowledge.RECORDED, Knowledge.SOLE}:
             replies.extend(await self._questions.ask(key, service))
+        found = self._decide(service, replies)
         now = self._core.now()
-        listed = self.history.list_versions(service, now - self._find_life_s())
-        found = decide_version(replies, listed)
         if key and isinstance(found, Some):
-            self.records.add(
-                key, StreamRecord(service, found.unwrap(), now, is_told=True)
-            )
-        self._log_found(call, found, replies, now - started)
+            record = StreamRecord(service, found.unwrap(), now, is_told=True)
+            self.records.add(key, record)
+        _log_found(call, found, replies, now - started)
         return found
 
     def handle_datagram(self, datagram: bytes, sender: str) -> bool:
@@ -165,11 +163,20 @@
         sole = self.history.find_sole(question.service, since)
         if isinstance(sole, Some):
             return Reply(number, Knowledge.SOLE, sole.unwrap())
+        listed = self.history.find_listed(question.service, since)
+        if isinstance(listed, Some):
+            return Reply(number, Knowledge.LISTED, listed.unwrap())
         versions = self.history.list_versions(question.service, since)
         if len(versions) > 1:
             return Reply(number, Knowledge.SEVERAL)
         return Reply(number, Knowledge.UNKNOWN)
 
+    def _decide(self, service: str, replies: Sequence[Reply]) -> Maybe[str]:
+        since = self._core.now() - self._find_life_s()
+        listed = self.history.list_versions(service, since)
+        asked = len(choose_asked(self._core.peer_table, service)) + 1
+        return decide_version(replies, listed, asked)
+
     def _record_listed(self, now: float) -> None:
         core = self._core
         freshness = core.freshness[ENDPOINTS_TOPIC]
@@ -212,25 +219,6 @@
             self._life = (version, life_s)
         return life_s
 
-    def _log_found(
-        self,
-        call: Call,
-        found: Maybe[str],
-        replies: Iterable[Reply],
-        took_s: float,
-    ) -> None:
-        known_by = sorted({one.knowledge.value for one in replies})
-        outcome = 'found' if isinstance(found, Some) else 'unknown'
-        metrics.STREAMS_TAKEN_UP.add(outcome)
-        journal.write_decision(
-            'taken_up',
-            request=call.head.identity,
-            resumes=call.head.resumes or None,
-            software=found.value_or(None),
-            known_by=known_by,
-            took_s=journal.round_to_ms(took_s),
-        )
-
 
 def _make_key(call: Call, request: str) -> str:
     workspace = call.workspace.name if call.workspace else ''
@@ -259,3 +247,19 @@
                 'service_versions', service=service, endpoints=versions
             )
     return counts
+
+
+def _log_found(
+    call: Call, found: Maybe[str], replies: Iterable[Reply], took_s: float
+) -> None:
+    known_by = sorted({one.knowledge.value for one in replies})
+    outcome = 'found' if isinstance(found, Some) else 'unknown'
+    metrics.STREAMS_TAKEN_UP.add(outcome)
+    journal.write_decision(
+        'taken_up',
+        request=call.head.identity,
+        resumes=call.head.resumes or None,
+        software=found.value_or(None),
+        known_by=known_by,
+        took_s=journal.round_to_ms(took_s),
+    )
--- a/packages/verbenahall/src/verbenahall/stream_versions/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/stream_versions/_decisions.py
@@ -16,6 +16,7 @@
 #: Instances that are asked for each owner: two instances may see different
 #: peers as live.
 _ASKED_FOR_EACH: Final = 3
+_CLAIMS: Final = frozenset((Knowledge.SOLE, Knowledge.LISTED))
 #: A peer whose last heartbeat is older than this is not told, in seconds.
 _LIVE_S: Final = 1.3
 
@@ -43,20 +44,26 @@
 
 
 def decide_version(
-    replies: Sequence[Reply], listed: Collection[str]
+    replies: Sequence[Reply], listed: Collection[str], asked: int = 1
 ) -> Maybe[str]:
     """Return the version at which a stream goes on, Nothing if it is unknown.
 
-    ``listed`` holds the versions that this instance knows of the service. A
-    sole version counts only if nobody knows of another one.
+    ``listed`` holds the versions that this instance knows of the service, and
+    ``asked`` is the number of instances that could reply, this one included. A
+    sole version counts only if nobody knows of another one. While the store
+    confirms no list, most have to know the same one: those that are cut off
+    from the others may have missed a second one.
     """
     recorded = {one.version for one in replies if _is(one, Knowledge.RECORDED)}
     if recorded:
         return _find_only(recorded)
     if any(_is(one, Knowledge.SEVERAL) for one in replies):
         return Nothing
-    sole = {one.version for one in replies if _is(one, Knowledge.SOLE)}
-    return _find_only(sole | set(listed)) if sole else Nothing
+    claims = [one for one in replies if one.knowledge in _CLAIMS]
+    has_confirmed = any(_is(one, Knowledge.SOLE) for one in claims)
+    if not has_confirmed and len(claims) * 2 <= asked:
+        return Nothing
+    return _find_only({one.version for one in claims} | set(listed))
 
 
 def _is(reply: Reply, knowledge: Knowledge) -> bool:
--- a/packages/verbenahall/src/verbenahall/stream_versions/_history.py
+++ b/packages/verbenahall/src/verbenahall/stream_versions/_history.py
@@ -13,14 +13,16 @@
 class VersionHistory:
     """When each version of each service was last known to serve.
 
-    ``since`` is when this instance began to follow the list of endpoints, in
-    monotonic seconds, infinite before.
+    ``since`` is when this instance began to follow a list of endpoints that was
+    recent all the time, ``listed_since`` when it began to follow any, both in
+    monotonic seconds and infinite before.
     """
 
-    __slots__ = ('since', '_seen_at')
+    __slots__ = ('listed_since', 'since', '_seen_at')
 
     def __init__(self) -> None:
         """Start without any version."""
+        self.listed_since = math.inf
         self.since = math.inf
         self._seen_at: dict[str, dict[str, float]] = {}
 
@@ -32,6 +34,7 @@
         While the list is not recent, versions come and go without being seen,
         so that the following starts anew.
         """
+        self.listed_since = min(self.listed_since, now)
         self.since = min(self.since, now) if is_recent else math.inf
         for entry in entries:
             self.record(entry.service, entry.version, now)
@@ -43,6 +46,7 @@
 
     def assume_past(self) -> None:
         """Take the versions that are known for all that there were."""
+        self.listed_since = -math.inf
         self.since = -math.inf
 
     def list_several(self, since: float) -> dict[str, list[str]]:
@@ -76,7 +80,18 @@
         Nothing if there were several, or if the list is followed for a shorter
         time.
         """
+        if self.since > since:
+            return Nothing
+        return self._find_only(service, since)
+
+    def find_listed(self, service: str, since: float) -> Maybe[str]:
+        """Return the same by a list that may have been old in between."""
+        if self.listed_since > since:
+            return Nothing
+        return self._find_only(service, since)
+
+    def _find_only(self, service: str, since: float) -> Maybe[str]:
         versions = self.list_versions(service, since)
-        if self.since > since or len(versions) != 1:
+        if len(versions) != 1:
             return Nothing
         return Some(next(iter(versions)))
--- a/packages/verbenahall/src/verbenahall/stream_versions/_messages.py
+++ b/packages/verbenahall/src/verbenahall/stream_versions/_messages.py
@@ -25,13 +25,15 @@
     """What an instance knows of the version of a stream.
 
     ``RECORDED`` is the version that began it. ``SOLE`` is the only version that
-    its service had for longer than any stream lives. ``SEVERAL`` means that the
+    its service had for longer than any stream lives, ``LISTED`` the same by a
+    list that the store has not confirmed lately. ``SEVERAL`` means that the
     service had several and the stream is unknown, ``UNKNOWN`` that the instance
     has not known the service for long enough.
     """
 
     RECORDED = 'recorded'
     SOLE = 'sole'
+    LISTED = 'listed'
     SEVERAL = 'several'
     UNKNOWN = 'unknown'
 
--- a/packages/verbenahall/tests/stream_versions/test_knowledge.py
+++ b/packages/verbenahall/tests/stream_versions/test_knowledge.py
@@ -104,10 +104,43 @@
     ),
 )
 def test_unknown_version_is_not_guessed(replies, listed, expected):
+    # Each of two instances that are asked may be the only one that knows.
     answers = [Reply(0, knowledge, version) for knowledge, version in replies]
     assert decide_version(answers, listed) == expected
 
 
+@pytest.mark.parametrize(
+    ('claims', 'others', 'asked', 'expected'),
+    (
+        (5, 0, 9, Some('v1')),
+        (4, 0, 9, Nothing),
+        (4, 5, 9, Nothing),
+        (8, 1, 9, Nothing),
+        (1, 0, 1, Some('v1')),
+    ),
+)
+def test_old_list_counts_if_most_instances_have_the_same(
+    claims, others, asked, expected
+):
+    # The store is down for all. A part that is cut off could miss a version
+    # that the others know, and must not go on by itself.
+    replies = [
+        *(Reply(0, Knowledge.LISTED, 'v1') for _ in range(claims)),
+        *(Reply(0, Knowledge.LISTED, 'v2') for _ in range(others)),
+    ]
+    assert decide_version(replies, {'v1'}, asked) == expected
+
+
+def test_list_that_was_old_still_tells_the_versions():
+    history = VersionHistory()
+    entries = [make_entry('e', 'v1')]
+    history.record_listed(entries, 10, is_recent=True)
+    history.record_listed(entries, 30, is_recent=False)
+    assert history.find_sole('drafter', 20) is Nothing
+    assert history.find_listed('drafter', 20) == Some('v1')
+    assert history.find_listed('drafter', 9) is Nothing
+
+
 def test_sole_version_needs_a_past():
     # An instance that was started again sees one version, and the last engine
     # of another one may have left a moment ago.
