The listener pauses when the system has no room for a connection

Read while its diff was read again: after a failure to accept, as without a free descriptor, the listening socket stays readable, and the loop would have tried without end and logged each try. It pauses for a fifth of a second, as the event loop's own listener does for a second; a connection that breaks while its protocol is made is logged.

--- a/packages/verbenahall/src/verbenahall/gateway/_listener.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_listener.py
@@ -1,11 +1,10 @@
 """Accepts callers' connections, or resets them unread."""
 
 import asyncio
-import contextlib
 import socket
 import struct
 from collections.abc import Callable
-from typing import Any, Final, final
+from typing import Final, final
 
 from verbenahall import journal
 
@@ -13,6 +12,9 @@
 _BACKLOG: Final = 1024
 #: Connections that are accepted at a time; open ones are served in between.
 _MAX_BATCH: Final = 256
+#: Pause after a failure to accept for lack of descriptors or memory, in
+#: seconds.
+_PAUSE_S: Final = 0.2
 #: Linger time of zero: closing the socket resets the connection.
 _RESET: Final = struct.pack('ii', 1, 0)
 
@@ -36,7 +38,7 @@
         self._accepts = accepts
         self._factory = factory
         self._listening: socket.socket | None = None
-        self._tasks: set[asyncio.Task[Any]] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
 
     def start(self, address: str) -> None:
         """Listen on ``IP:port``."""
@@ -56,32 +58,44 @@
             self._listening = None
 
     def _accept_waiting(self) -> None:
-        with contextlib.suppress(BlockingIOError):
+        """Accept until nothing waits; pause if the system has no room."""
+        try:
             for _ in range(_MAX_BATCH):
                 self._accept()
+        except BlockingIOError:
+            return
+        except OSError as error:
+            # The socket stays readable, and the loop would try without end.
+            journal.write_decision('accept_failed', reason=repr(error))
+            loop = asyncio.get_running_loop()
+            loop.remove_reader(self._listening)
+            loop.call_later(_PAUSE_S, self._listen_again)
+
+    def _listen_again(self) -> None:
+        if self._listening is not None:
+            loop = asyncio.get_running_loop()
+            loop.add_reader(self._listening, self._accept_waiting)
 
     def _accept(self) -> None:
+        """Accept one connection; BlockingIOError if none waits."""
         try:
             accepted, _ = self._listening.accept()
         except ConnectionAbortedError:
             # The caller has left while it waited.
             return
-        except BlockingIOError:
-            raise
-        except OSError as error:
-            journal.write_decision('accept_failed', reason=repr(error))
-            raise BlockingIOError from error
-        if self._accepts():
-            self._serve(accepted)
-        else:
+        if not self._accepts():
             accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
             accepted.close()
-
-    def _serve(self, accepted: socket.socket) -> None:
+            return
         accepted.setblocking(False)
-        loop = asyncio.get_running_loop()
-        task = loop.create_task(
-            loop.connect_accepted_socket(self._factory, accepted)
-        )
+        task = asyncio.create_task(self._serve(accepted))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, accepted: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.connect_accepted_socket(self._factory, accepted)
+        except OSError as error:
+            journal.write_decision('accept_failed', reason=repr(error))
+            accepted.close()
