Connections that waited while the process stood still are refused, too

Its log shows the crowded process late by 0.8 and 1.7 s, and 59 requests accepted in the second after, nearly all of callers that had left: all that waited is accepted before the delay of the loop is measured. The delay is looked at for each connection now.

--- a/packages/verbenahall/src/verbenahall/admission/__init__.py
+++ b/packages/verbenahall/src/verbenahall/admission/__init__.py
@@ -1,6 +1,6 @@
 """Admission: which requests run, wait or are rejected, and in which order."""
 
-from verbenahall.admission._crowding import CrowdState
+from verbenahall.admission._connection_shedding import SheddingState
 from verbenahall.admission._decisions import (
     expire,
     finish,
@@ -26,7 +26,7 @@
     'AdmissionController',
     'AdmissionLimits',
     'AdmissionState',
-    'CrowdState',
+    'SheddingState',
     'Effects',
     'FLAG_PRIORITY',
     'LOWEST_PRIORITY',
--- a/packages/verbenahall/src/verbenahall/admission/_crowding.py
+++ b/packages/verbenahall/src/verbenahall/admission/_connection_shedding.py
@@ -17,15 +17,15 @@
 #: New connections of an instance, as a multiple of what its peers have on
 #: average, from which on peers could serve them instead. Where all instances
 #: are overloaded alike, a refused caller would meet the same elsewhere.
-_CROWDED_FACTOR: Final = 3.0
-#: New connections per second that no instance counts as a crowd.
+_IMBALANCE_FACTOR: Final = 3.0
+#: New connections per second up to which an instance refuses none.
 _MIN_RATE: Final = 5.0
 #: Time constant of the measured rate of new connections, in seconds.
 _SMOOTHING_S: Final = 0.5
 
 
 @final
-class CrowdState:
+class SheddingState:
     """The rate of new connections, and whether they are refused.
 
     ``rate`` is in connections per second, refused ones included, and
@@ -56,9 +56,13 @@
         self._update_rate(now)
         was_refusing = self.is_refusing
         limit_s = _RELIEVED_S if was_refusing else _OVERLOADED_S
-        self.is_refusing = late_s > limit_s and self._is_crowded(peer_rates)
+        self.is_refusing = late_s > limit_s and self._is_imbalanced(peer_rates)
         return self.is_refusing is not was_refusing
 
+    def is_overdue(self, late_s: float) -> bool:
+        """Whether a delay of the event loop changes what is accepted."""
+        return not self.is_refusing and late_s > _OVERLOADED_S
+
     def _update_rate(self, now: float) -> None:
         elapsed_s = max(now - self._counted_at, math.ulp(1))
         weight = 1 - math.exp(-elapsed_s / _SMOOTHING_S)
@@ -66,8 +70,8 @@
         self._count = 0
         self._counted_at = now
 
-    def _is_crowded(self, peer_rates: Collection[float]) -> bool:
+    def _is_imbalanced(self, peer_rates: Collection[float]) -> bool:
         if not peer_rates:
             return False
         average = sum(peer_rates) / len(peer_rates)
-        return self.rate > max(_MIN_RATE, average * _CROWDED_FACTOR)
+        return self.rate > max(_MIN_RATE, average * _IMBALANCE_FACTOR)
--- a/packages/verbenahall/src/verbenahall/gateway/_crowding.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_connection_shedding.py
@@ -4,7 +4,7 @@
 from typing import Final, final
 
 from verbenahall import journal, metrics
-from verbenahall.admission import CrowdState
+from verbenahall.admission import SheddingState
 from verbenahall.gateway._core import Core
 from verbenahall.peers import list_live_peers
 
@@ -16,26 +16,31 @@
 
 
 @final
-class CrowdGuard:
+class ConnectionShedder:
     """Decides for each new connection of callers whether it is accepted."""
 
-    __slots__ = ('state', '_core')
+    __slots__ = ('state', '_core', '_tick_at')
 
     def __init__(self, core: Core) -> None:
         """Accept connections until ``run`` finds an overload."""
-        self.state = CrowdState(core.now())
+        self.state = SheddingState(core.now())
         self._core = core
+        self._tick_at = core.now()
 
     async def run(self) -> None:
         """Measure the delay of the event loop, until cancelled."""
         while True:
-            started = self._core.now()
+            self._tick_at = self._core.now()
             await asyncio.sleep(_TICK_S)
-            self._update(self._core.now() - started - _TICK_S)
+            self._update(self._find_late_s())
 
     def accepts(self) -> bool:
         """Count a new connection; return whether it is accepted."""
         self.state.count_connection()
+        late_s = self._find_late_s()
+        if self.state.is_overdue(late_s):
+            # The process stood still, and so did the callers that now wait.
+            self._update(late_s)
         if self.state.is_refusing:
             metrics.CONNECTIONS_REFUSED.add()
         return not self.state.is_refusing
@@ -44,6 +49,9 @@
         """Return the rate of new connections, for heartbeats."""
         return round(self.state.rate, 1)
 
+    def _find_late_s(self) -> float:
+        return self._core.now() - self._tick_at - _TICK_S
+
     def _update(self, late_s: float) -> None:
         now = self._core.now()
         peer_rates = self._list_peer_rates(now)
--- a/packages/verbenahall/src/verbenahall/gateway/_serve.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_serve.py
@@ -16,7 +16,7 @@
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._crash_reports import CrashLogReplicator
 from verbenahall.gateway._crashes import CrashDetector
-from verbenahall.gateway._crowding import CrowdGuard
+from verbenahall.gateway._connection_shedding import ConnectionShedder
 from verbenahall.gateway._dispatch import Dispatch
 from verbenahall.forwarding import OpenForwards
 from verbenahall.gateway._fleet_state_log import FleetStateLog
@@ -91,7 +91,7 @@
             self.core, self.finder.exchange
         )
         self.stream_versions = StreamVersions(self.core, self.finder.exchange)
-        self.crowd_guard = CrowdGuard(self.core)
+        self.connection_shedder = ConnectionShedder(self.core)
         self.open_forwards = OpenForwards()
         PeerForwarder(self.core, self.open_forwards)
         followers = make_followers(self.core, self.finder.exchange)
@@ -139,7 +139,7 @@
         runner = make_runner(self.core, app)
         await runner.setup()
         self._listener = GuardedListener(
-            runner.server, self.crowd_guard.accepts
+            runner.server, self.connection_shedder.accepts
         )
         self._listener.start(self.core.settings.callers)
         self.stop.hooks.close.append(self._listener.stop)
@@ -164,7 +164,7 @@
         by_topic = self._followers
         exchange.changing = role_controller.changing
         exchange.list_unreachable = self.core.reach.list_lost
-        exchange.get_connection_rate = self.crowd_guard.get_rate
+        exchange.get_connection_rate = self.connection_shedder.get_rate
         loops = {
             **{topic: one.run for topic, one in by_topic.items()},
             **{
@@ -179,7 +179,7 @@
             'crash reports': self.crash_log_replicator.run,
             'leaving notices': self.leaving_replicator.run,
             'permits': self.rate_limiter.run,
-            'crowding': self.crowd_guard.run,
+            'crowding': self.connection_shedder.run,
             'reach': ReachMonitor(self.core).run,
             'stream versions': self.stream_versions.run,
             'probes': EndpointProber(self.core).run,
--- a/packages/verbenahall/src/verbenahall/gateway/_stream_versions.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_stream_versions.py
@@ -13,19 +13,19 @@
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._messages import Call
 from verbenahall.gateway._stored_versions import StoredVersions
-from verbenahall.gateway._version_questions import VersionQuestions
+from verbenahall.gateway._version_queries import VersionQueries
 from verbenahall.peers import PeerExchange
 from verbenahall.platform import ENDPOINTS_TOPIC
 from verbenahall.roster import Entry
 from verbenahall.stream_versions import (
     Beginning,
-    Knowledge,
-    Question,
+    Evidence,
+    VersionQuery,
     Reply,
     StreamRecord,
     StreamRecords,
     VersionHistory,
-    choose_asked,
+    choose_queried,
     choose_owners,
     decide_version,
     decode,
@@ -50,7 +50,7 @@
     """Knows the versions of streams, with the help of the peers.
 
     ``history`` holds the versions of each service and ``records`` the streams
-    that began here or of which a peer has told.
+    that began here or were received from a peer.
     """
 
     __slots__ = (
@@ -60,7 +60,7 @@
         '_exchange',
         '_life',
         '_next_handler',
-        '_questions',
+        '_queries',
         '_reported',
         '_stored',
     )
@@ -72,7 +72,7 @@
         self._core = core
         self._exchange = exchange
         self._next_handler = exchange.datagram_handler
-        self._questions = VersionQuestions(core, self._send)
+        self._queries = VersionQueries(core, self._send)
         self._reported: _Counts = {}
         #: The version of the manifest, and how long streams live by it.
         self._life: tuple[int, float] = (0, _LIFE_MARGIN_S)
@@ -91,15 +91,15 @@
             await asyncio.sleep(_TICK_S + endpoints * _TICK_FOR_EACH_S)
 
     def update(self, now: float) -> None:
-        """Record the listed versions; tell of streams if there are several."""
+        """Record the listed versions; replicate streams of several versions."""
         if not self._core.roster.is_loaded:
             return
         self._record_listed(now)
         forgotten = now - self._find_life_s()
         self.history.forget(forgotten)
         self.records.forget(forgotten)
-        for key, record in tuple(self.records.list_untold()):
-            self._tell(key, record, now)
+        for key, record in tuple(self.records.list_unreplicated()):
+            self._replicate(key, record, now)
 
     def record_begun(self, call: Call, engine: Entry) -> None:
         """Record that an engine brings the first event of a call's stream."""
@@ -109,9 +109,9 @@
         service = call.service.name
         self.history.record(service, engine.version, now)
         key = _make_key(call, call.head.identity)
-        record = StreamRecord(service, engine.version, now, is_told=False)
+        record = StreamRecord(service, engine.version, now, is_replicated=False)
         self.records.add(key, record)
-        self._tell(key, record, now)
+        self._replicate(key, record, now)
 
     async def find(self, call: Call) -> Maybe[str]:
         """Return the version of the stream that a call takes up.
@@ -123,13 +123,15 @@
         resumes = call.head.resumes
         key = _make_key(call, resumes) if resumes else ''
         service = call.service.name
-        replies = [self._answer(Question(0, key, service), started)]
-        if replies[0].knowledge not in {Knowledge.RECORDED, Knowledge.SOLE}:
-            replies.extend(await self._questions.ask(key, service))
+        replies = [self._answer(VersionQuery(0, key, service), started)]
+        if replies[0].evidence not in {Evidence.RECORDED, Evidence.SOLE}:
+            replies.extend(await self._queries.send(key, service))
         found = self._decide(service, replies)
         now = self._core.now()
         if key and isinstance(found, Some):
-            record = StreamRecord(service, found.unwrap(), now, is_told=True)
+            record = StreamRecord(
+                service, found.unwrap(), now, is_replicated=True
+            )
             self.records.add(key, record)
         _log_found(call, found, replies, now - started)
         return found
@@ -145,37 +147,39 @@
                 self.history.record(service, version, now - age_s)
                 self.records.add(
                     key,
-                    StreamRecord(service, version, now - age_s, is_told=True),
+                    StreamRecord(
+                        service, version, now - age_s, is_replicated=True
+                    ),
                 )
-            case Question() as question:
+            case VersionQuery() as query:
                 self._record_listed(now)
-                self._send(self._answer(question, now), [sender])
+                self._send(self._answer(query, now), [sender])
             case Reply() as reply:
-                self._questions.receive(reply, sender)
+                self._queries.receive(reply, sender)
         return True
 
-    def _answer(self, question: Question, now: float) -> Reply:
-        number = question.number
-        record = self.records.find(question.key)
+    def _answer(self, query: VersionQuery, now: float) -> Reply:
+        number = query.number
+        record = self.records.find(query.key)
         if record is not None:
-            return Reply(number, Knowledge.RECORDED, record.version)
+            return Reply(number, Evidence.RECORDED, record.version)
         since = now - self._find_life_s()
-        sole = self.history.find_sole(question.service, since)
+        sole = self.history.find_sole(query.service, since)
         if isinstance(sole, Some):
-            return Reply(number, Knowledge.SOLE, sole.unwrap())
-        listed = self.history.find_listed(question.service, since)
+            return Reply(number, Evidence.SOLE, sole.unwrap())
+        listed = self.history.find_listed(query.service, since)
         if isinstance(listed, Some):
-            return Reply(number, Knowledge.LISTED, listed.unwrap())
-        versions = self.history.list_versions(question.service, since)
+            return Reply(number, Evidence.LISTED, listed.unwrap())
+        versions = self.history.list_versions(query.service, since)
         if len(versions) > 1:
-            return Reply(number, Knowledge.SEVERAL)
-        return Reply(number, Knowledge.UNKNOWN)
+            return Reply(number, Evidence.SEVERAL)
+        return Reply(number, Evidence.UNKNOWN)
 
     def _decide(self, service: str, replies: Sequence[Reply]) -> Maybe[str]:
         since = self._core.now() - self._find_life_s()
         listed = self.history.list_versions(service, since)
-        asked = len(choose_asked(self._core.peer_table, service)) + 1
-        return decide_version(replies, listed, asked)
+        queried = len(choose_queried(self._core.peer_table, service)) + 1
+        return decide_version(replies, listed, queried)
 
     def _record_listed(self, now: float) -> None:
         core = self._core
@@ -188,22 +192,24 @@
         )
         self._reported = _log_changes(entries, self._reported)
 
-    def _tell(self, key: str, record: StreamRecord, now: float) -> None:
-        """Tell the owners of a stream, unless its service has one version."""
+    def _replicate(self, key: str, record: StreamRecord, now: float) -> None:
+        """Send a stream to its owners, unless its service has one version."""
         since = now - self._find_life_s()
         if isinstance(self.history.find_sole(record.service, since), Some):
             return
         peer_table = self._core.peer_table
         owners = choose_owners(peer_table, key, now)
         age_s = max(0, now - record.began_at)
-        record.is_told = True
+        record.is_replicated = True
         self._send(
             Beginning(key, record.service, record.version, age_s),
             [peer_table.peers[name].address for name in owners],
         )
 
     def _send(
-        self, message: Beginning | Question | Reply, addresses: Iterable[str]
+        self,
+        message: Beginning | VersionQuery | Reply,
+        addresses: Iterable[str],
     ) -> None:
         datagram = encode(message)
         for address in addresses:
@@ -252,7 +258,7 @@
 def _log_found(
     call: Call, found: Maybe[str], replies: Iterable[Reply], took_s: float
 ) -> None:
-    known_by = sorted({one.knowledge.value for one in replies})
+    known_by = sorted({one.evidence.value for one in replies})
     outcome = 'found' if isinstance(found, Some) else 'unknown'
     metrics.STREAMS_TAKEN_UP.add(outcome)
     journal.write_decision(
--- a/packages/verbenahall/src/verbenahall/quarantine/__init__.py
+++ b/packages/verbenahall/src/verbenahall/quarantine/__init__.py
@@ -8,7 +8,7 @@
 """
 
 from verbenahall.quarantine._decisions import (
-    explain_crashes,
+    attribute_crashes,
     find_longest_quarantine_s,
     find_quarantine_s,
     is_repeated,
@@ -41,7 +41,7 @@
     'Suspect',
     'decode',
     'encode',
-    'explain_crashes',
+    'attribute_crashes',
     'find_longest_quarantine_s',
     'find_quarantine_s',
     'is_part',
--- a/packages/verbenahall/src/verbenahall/quarantine/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/quarantine/_decisions.py
@@ -65,7 +65,7 @@
     cleared = suspect.answered_at < suspect.last_at < at
     suspect.answered_at = at
     if cleared:
-        log.forget_explained(fingerprint)
+        log.forget_attributed(fingerprint)
     return cleared
 
 
@@ -80,7 +80,7 @@
     if crashed_at is None or at <= crashed_at:
         return False
     log.crashed_at.pop(incarnation)
-    log.explained.pop(incarnation, None)
+    log.attributed.pop(incarnation, None)
     log.alive_at[incarnation] = at
     for suspect in log.suspects.values():
         suspect.crashes.pop(incarnation, None)
@@ -90,7 +90,7 @@
 def find_quarantine_s(log: CrashLog, fingerprint: str, now: float) -> float:
     """Return the rest of a suspect's quarantine in seconds, or 0."""
     suspect = log.suspects.get(fingerprint)
-    if suspect is None or not _is_guilty(log, fingerprint, now):
+    if suspect is None or not _is_over_limit(log, fingerprint, now):
         return 0
     return max(0, suspect.last_at + _QUARANTINE_S - now)
 
@@ -102,8 +102,8 @@
     return max((find_quarantine_s(log, key, now) for key in keys), default=0)
 
 
-def _is_guilty(log: CrashLog, key: str, now: float) -> bool:
-    return len(log.list_unexplained(key)) >= _find_limit(log, key, now)
+def _is_over_limit(log: CrashLog, key: str, now: float) -> bool:
+    return len(log.list_unattributed(key)) >= _find_limit(log, key, now)
 
 
 def _find_limit(log: CrashLog, key: str, now: float) -> int:
@@ -116,7 +116,7 @@
     return _MAX_PART_CRASHES
 
 
-def explain_crashes(log: CrashLog, keys: Iterable[str], now: float) -> None:
+def attribute_crashes(log: CrashLog, keys: Iterable[str], now: float) -> None:
     """Attribute crashes to the parts among ``keys`` that are in quarantine.
 
     The parts with most crashes come first, all of them if several have as many:
@@ -124,19 +124,19 @@
     innocent, so these count against nothing else.
     """
     counts = {
-        key: len(log.list_unexplained(key)) for key in keys if is_part(key)
+        key: len(log.list_unattributed(key)) for key in keys if is_part(key)
     }
     for count in sorted(set(counts.values()), reverse=True):
-        guilty = [
+        over_limit = [
             key
             for key, found in counts.items()
-            if found == count and _is_guilty(log, key, now)
+            if found == count and _is_over_limit(log, key, now)
         ]
-        crashes = {key: log.list_unexplained(key) for key in guilty}
+        crashes = {key: log.list_unattributed(key) for key in over_limit}
         for key, incarnations in crashes.items():
             for incarnation in incarnations:
-                known = log.explained.get(incarnation, frozenset())
-                log.explained[incarnation] = known | {key}
+                known = log.attributed.get(incarnation, frozenset())
+                log.attributed[incarnation] = known | {key}
 
 
 def merge(
@@ -155,7 +155,7 @@
         record_answered(log, fingerprint, now - age_s)
     for incarnation, age_s in report.alive.items():
         record_alive(log, incarnation, now - age_s)
-    explain_crashes(log, changed, now)
+    attribute_crashes(log, changed, now)
     return changed
 
 
@@ -222,8 +222,8 @@
     ]
     for fingerprint in expired:
         log.suspects.pop(fingerprint)
-    for incarnation in log.explained.keys() - log.crashed_at.keys():
-        log.explained.pop(incarnation)
+    for incarnation in log.attributed.keys() - log.crashed_at.keys():
+        log.attributed.pop(incarnation)
     for times in (log.alive_at, log.crashed_at):
         for incarnation, at in tuple(times.items()):
             if now - at > _RETENTION_S:
--- a/packages/verbenahall/src/verbenahall/quarantine/_state.py
+++ b/packages/verbenahall/src/verbenahall/quarantine/_state.py
@@ -66,7 +66,7 @@
 
     ``crashed_at`` holds the time of the last crash of each incarnation of an
     endpoint, ``alive_at`` until when an incarnation with a reported crash is
-    known to have run. ``explained`` holds the quarantined parts that were open
+    known to have run. ``attributed`` holds the quarantined parts that were open
     at the crash of an incarnation, ``parts_answered`` the time of the last
     whole answer to a prompt with a part.
     """
@@ -74,7 +74,7 @@
     __slots__ = (
         'alive_at',
         'crashed_at',
-        'explained',
+        'attributed',
         'parts_answered',
         'suspects',
     )
@@ -83,11 +83,11 @@
         """Start without suspects."""
         self.alive_at: dict[str, float] = {}
         self.crashed_at: dict[str, float] = {}
-        self.explained: dict[str, frozenset[str]] = {}
+        self.attributed: dict[str, frozenset[str]] = {}
         self.parts_answered: dict[str, float] = {}
         self.suspects: dict[str, Suspect] = {}
 
-    def list_unexplained(self, key: str) -> list[str]:
+    def list_unattributed(self, key: str) -> list[str]:
         """Return the crashes that count against a suspect, by incarnation.
 
         Those at which a quarantined part was open count against that only.
@@ -98,7 +98,7 @@
         return [
             incarnation
             for incarnation, _ in suspect.list_uncleared()
-            if key in self.explained.get(incarnation, (key,))
+            if key in self.attributed.get(incarnation, (key,))
         ]
 
     def keep_answered(self, part: str, at: float) -> None:
@@ -108,14 +108,14 @@
         if len(self.parts_answered) > _MAX_PARTS:
             self.parts_answered.pop(next(iter(self.parts_answered)))
 
-    def forget_explained(self, part: str) -> None:
+    def forget_attributed(self, part: str) -> None:
         """Let the crashes that a part has explained count for others again."""
-        for incarnation, parts in tuple(self.explained.items()):
+        for incarnation, parts in tuple(self.attributed.items()):
             others = parts - {part}
             if others:
-                self.explained[incarnation] = others
+                self.attributed[incarnation] = others
             else:
-                self.explained.pop(incarnation)
+                self.attributed.pop(incarnation)
 
     def record_crash_time(self, incarnation: str, at: float) -> None:
         """Keep the time of an incarnation's last crash."""
--- a/packages/verbenahall/src/verbenahall/stream_versions/__init__.py
+++ b/packages/verbenahall/src/verbenahall/stream_versions/__init__.py
@@ -3,19 +3,19 @@
 Engines of several software versions may serve one service, and the events of
 two versions do not fit together. While a service has one version nothing is
 recorded. Otherwise each beginning is sent to a few instances, the owners of
-its key, and asked for when a caller takes the stream up again.
+its key, and looked up there when a caller takes the stream up again.
 """
 
 from verbenahall.stream_versions._decisions import (
-    choose_asked,
+    choose_queried,
     choose_owners,
     decide_version,
 )
 from verbenahall.stream_versions._history import VersionHistory
 from verbenahall.stream_versions._messages import (
     Beginning,
-    Knowledge,
-    Question,
+    Evidence,
+    VersionQuery,
     Reply,
     decode,
     encode,
@@ -25,13 +25,13 @@
 
 __all__ = (
     'Beginning',
-    'Knowledge',
-    'Question',
+    'Evidence',
+    'VersionQuery',
     'Reply',
     'StreamRecord',
     'StreamRecords',
     'VersionHistory',
-    'choose_asked',
+    'choose_queried',
     'choose_owners',
     'decide_version',
     'decode',
--- a/packages/verbenahall/src/verbenahall/stream_versions/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/stream_versions/_decisions.py
@@ -1,4 +1,4 @@
-"""Decides who is told and asked of streams, and how they go on."""
+"""Chooses the owners of streams, and the version at which they go on."""
 
 import collections
 from collections.abc import Collection, Iterator, Mapping, Sequence
@@ -8,21 +8,21 @@
 
 from verbenahall.peers import PeerTable, is_local_only, list_live_peers
 from verbenahall.routing import rank_by_rendezvous
-from verbenahall.stream_versions._messages import Knowledge, Reply
+from verbenahall.stream_versions._messages import Evidence, Reply
 
-#: Instances that are told of a beginning. All of them and the author have to
+#: Instances that keep a beginning. All of them and the author have to
 #: end before the stream's version is unknown.
 _OWNERS: Final = 3
-#: Instances that are asked for each owner: two instances may see different
+#: Instances that are queried for each owner: two instances may see different
 #: peers as live.
-_ASKED_FOR_EACH: Final = 3
-_CLAIMS: Final = frozenset((Knowledge.SOLE, Knowledge.LISTED))
-#: A peer whose last heartbeat is older than this is not told, in seconds.
+_QUERIED_PER_OWNER: Final = 3
+_CLAIMS: Final = frozenset((Evidence.SOLE, Evidence.LISTED))
+#: A peer whose last heartbeat is older than this is no owner, in seconds.
 _LIVE_S: Final = 1.3
 
 
 def choose_owners(peer_table: PeerTable, key: str, now: float) -> list[str]:
-    """Return the peers that are told of a stream's beginning.
+    """Return the peers that keep a stream's beginning.
 
     They are in different data centres as far as there are enough, so that the
     loss of one leaves others.
@@ -31,8 +31,8 @@
     return list(_pick(_rank_by_centre(peer_table, key, live), _OWNERS))
 
 
-def choose_asked(peer_table: PeerTable, key: str) -> list[str]:
-    """Return the peers that are asked for the version of a stream.
+def choose_queried(peer_table: PeerTable, key: str) -> list[str]:
+    """Return the peers that are queried for the version of a stream.
 
     Those without a heartbeat are included, as the author may have heard them.
     """
@@ -40,34 +40,34 @@
     if not is_local_only(peer_table):
         return list(names)
     ranked = _rank_by_centre(peer_table, key, names)
-    return list(_pick(ranked, _OWNERS * _ASKED_FOR_EACH))
+    return list(_pick(ranked, _OWNERS * _QUERIED_PER_OWNER))
 
 
 def decide_version(
-    replies: Sequence[Reply], listed: Collection[str], asked: int = 1
+    replies: Sequence[Reply], listed: Collection[str], queried: int = 1
 ) -> Maybe[str]:
     """Return the version at which a stream goes on, Nothing if it is unknown.
 
     ``listed`` holds the versions that this instance knows of the service, and
-    ``asked`` is the number of instances that could reply, this one included. A
-    sole version counts only if nobody knows of another one. While the store
+    ``queried`` is the number of instances that could reply, this one included.
+    A sole version counts only if nobody knows of another one. While the store
     confirms no list, most have to know the same one: those that are cut off
     from the others may have missed a second one.
     """
-    recorded = {one.version for one in replies if _is(one, Knowledge.RECORDED)}
+    recorded = {one.version for one in replies if _is(one, Evidence.RECORDED)}
     if recorded:
         return _find_only(recorded)
-    if any(_is(one, Knowledge.SEVERAL) for one in replies):
+    if any(_is(one, Evidence.SEVERAL) for one in replies):
         return Nothing
-    claims = [one for one in replies if one.knowledge in _CLAIMS]
-    has_confirmed = any(_is(one, Knowledge.SOLE) for one in claims)
-    if not has_confirmed and len(claims) * 2 <= asked:
+    claims = [one for one in replies if one.evidence in _CLAIMS]
+    has_confirmed = any(_is(one, Evidence.SOLE) for one in claims)
+    if not has_confirmed and len(claims) * 2 <= queried:
         return Nothing
     return _find_only({one.version for one in claims} | set(listed))
 
 
-def _is(reply: Reply, knowledge: Knowledge) -> bool:
-    return reply.knowledge is knowledge
+def _is(reply: Reply, evidence: Evidence) -> bool:
+    return reply.evidence is evidence
 
 
 def _find_only(versions: Collection[str]) -> Maybe[str]:
--- a/packages/verbenahall/src/verbenahall/stream_versions/_messages.py
+++ b/packages/verbenahall/src/verbenahall/stream_versions/_messages.py
@@ -21,7 +21,7 @@
 
 
 @final
-class Knowledge(enum.Enum):
+class Evidence(enum.Enum):
     """What an instance knows of the version of a stream.
 
     ``RECORDED`` is the version that began it. ``SOLE`` is the only version that
@@ -49,8 +49,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Question:
-    """Asks for the version of a stream; ``number`` identifies the question."""
+class VersionQuery:
+    """Asks for the version of a stream; ``number`` identifies the query."""
 
     number: int
     key: str
@@ -59,14 +59,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reply:
-    """The answer to a question; ``version`` is empty where it is not known."""
+    """The answer to a query; ``version`` is empty where it is not known."""
 
     number: int
-    knowledge: Knowledge
+    evidence: Evidence
     version: str = ''
 
 
-Message = Beginning | Question | Reply
+Message = Beginning | VersionQuery | Reply
 _Parser = Callable[[list[Any]], Maybe[Message]]
 
 
@@ -91,10 +91,10 @@
     match message:
         case Beginning(key, service, version, age_s):
             row = ['began', key, service, version, round(age_s, _AGE_DIGITS)]
-        case Question(number, key, service):
-            row = ['asked', number, key, service]
-        case Reply(number, knowledge, version):
-            row = ['known', number, knowledge.value, version]
+        case VersionQuery(number, key, service):
+            row = ['query', number, key, service]
+        case Reply(number, evidence, version):
+            row = ['reply', number, evidence.value, version]
     return wire.encode({'stream': row})
 
 
@@ -122,27 +122,27 @@
             return Nothing
 
 
-def _parse_question(values: list[Any]) -> Maybe[Message]:
+def _parse_query(values: list[Any]) -> Maybe[Message]:
     match values:
         case [int(number), str(key), str(service)]:
-            return Some(Question(number, key, service))
+            return Some(VersionQuery(number, key, service))
         case _:
             return Nothing
 
 
 def _parse_reply(values: list[Any]) -> Maybe[Message]:
     match values:
-        case [int(number), str(text), str(version)] if text in _KNOWLEDGE:
-            return Some(Reply(number, Knowledge(text), version))
+        case [int(number), str(text), str(version)] if text in _EVIDENCE:
+            return Some(Reply(number, Evidence(text), version))
         case _:
             return Nothing
 
 
-_KNOWLEDGE: Final = frozenset(one.value for one in Knowledge)
+_EVIDENCE: Final = frozenset(one.value for one in Evidence)
 _PARSERS: Final[Mapping[str, _Parser]] = MappingProxyType(
     {
         'began': _parse_beginning,
-        'asked': _parse_question,
-        'known': _parse_reply,
+        'query': _parse_query,
+        'reply': _parse_reply,
     },
 )
--- a/packages/verbenahall/src/verbenahall/stream_versions/_records.py
+++ b/packages/verbenahall/src/verbenahall/stream_versions/_records.py
@@ -12,14 +12,15 @@
 class StreamRecord:
     """The version at which a stream of a service began.
 
-    ``began_at`` is in monotonic seconds. ``is_told`` is whether the owners of
-    its key know of it: this instance has told them, or was told as one.
+    ``began_at`` is in monotonic seconds. ``is_replicated`` is whether the
+    owners of its key have it: this instance has sent it to them, or received
+    it as one.
     """
 
     service: str
     version: str
     began_at: float
-    is_told: bool
+    is_replicated: bool
 
 
 @final
@@ -47,10 +48,10 @@
         """Return the record of a stream, if it is known."""
         return self._records.get(key)
 
-    def list_untold(self) -> Iterator[tuple[str, StreamRecord]]:
+    def list_unreplicated(self) -> Iterator[tuple[str, StreamRecord]]:
         """Yield the records that no other instance knows, with their keys."""
         for key, record in self._records.items():
-            if not record.is_told:
+            if not record.is_replicated:
                 yield key, record
 
     def forget(self, before: float) -> None:
