--- a/packages/verbenahall/src/verbenahall/stream_versions/__init__.py
+++ b/packages/verbenahall/src/verbenahall/stream_versions/__init__.py
@@ -7,16 +7,16 @@
 """
 
 from verbenahall.stream_versions._decisions import (
-    choose_queried,
     choose_owners,
+    choose_queried,
     decide_version,
 )
 from verbenahall.stream_versions._history import VersionHistory
 from verbenahall.stream_versions._messages import (
     Beginning,
     Evidence,
-    VersionQuery,
     Reply,
+    VersionQuery,
     decode,
     encode,
     make_stream_key,
@@ -26,13 +26,13 @@
 __all__ = (
     'Beginning',
     'Evidence',
-    'VersionQuery',
     'Reply',
     'StreamRecord',
     'StreamRecords',
     'VersionHistory',
-    'choose_queried',
+    'VersionQuery',
     'choose_owners',
+    'choose_queried',
     'decide_version',
     'decode',
     'encode',
