--- a/packages/standins/src/verbenahall_standins/soak/_proxy.py
+++ b/packages/standins/src/verbenahall_standins/soak/_proxy.py
@@ -55,6 +55,8 @@
         self.link = Link.GOOD
         self.address = ''
         self._dark_sockets: list[socket.socket] = []
+        #: Faults overlap; two that open the listener at once need one port.
+        self._changing = asyncio.Lock()
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -74,11 +76,12 @@
 
     async def set_listener(self, listener: Listener) -> None:
         """Set what new connections meet; open ones go on."""
-        self._close_listener()
-        if listener is Listener.OPEN:
-            await self.start()
-        elif listener is Listener.DARK:
-            self._open_dark()
+        async with self._changing:
+            self._close_listener()
+            if listener is Listener.OPEN:
+                await self.start()
+            elif listener is Listener.DARK:
+                self._open_dark()
 
     def set(self, link: Link) -> None:
         """Set the state; ``RESET`` also resets open connections."""
--- a/packages/standins/tests/soak/test_soak.py
+++ b/packages/standins/tests/soak/test_soak.py
@@ -405,3 +405,19 @@
     instances = {one.request_id: 'front-1' for one in engine.part_runs}
     found = find_resent_parts([engine], instances, lambda name, at: in_touch)
     assert bool(list(found)) is is_found
+
+
+def test_overlapping_faults_open_a_listener_once():
+    # A cut ends while a crashed engine is back, and both open its link.
+    async def check():
+        proxy = Proxy('127.0.0.1:9')
+        await proxy.start()
+        await asyncio.gather(
+            *(proxy.set_listener(Listener.OPEN) for _ in range(4))
+        )
+        host, _, port = proxy.address.rpartition(':')
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.close()
+        await proxy.stop()
+
+    asyncio.run(check())
