--- a/packages/verbenahall/src/verbenahall/gateway/_messages.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_messages.py
@@ -2,13 +2,17 @@
 
 import dataclasses
 from collections.abc import Mapping
-from typing import Any, final
+from typing import Any, Final, final
 
 from verbenahall.authentication import Workspace
 from verbenahall.catalog import Route, Service
 from verbenahall.forwarding import Hop
+from verbenahall.placement import RequestSource
 from verbenahall.platform import RequestHead
 
+#: Bytes of the digest of an API key by which its requests are counted.
+_CALLER_BYTES: Final = 8
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Call:
@@ -48,6 +52,17 @@
         """The keys under which crashes are counted against this request."""
         return (self.fingerprint, *self.part_keys)
 
+    def describe_source(self, instance: str, data_centre: str) -> RequestSource:
+        """Return where the request comes from; an instance has accepted it."""
+        return RequestSource(
+            self.fingerprint,
+            self.head.key[:_CALLER_BYTES].hex(),
+            self.workspace.name if self.workspace else '',
+            self.route.name,
+            instance,
+            data_centre,
+        )
+
     @property
     def priority(self) -> int:
         """The workspace's priority, or else the route's; 0 is the highest."""
--- a/packages/verbenahall/src/verbenahall/gateway/_prefill_queues.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_prefill_queues.py
@@ -64,6 +64,9 @@
             leaves_at=call.leaves_at,
             returning=call.returning,
             tried=tried,
+            source=call.describe_source(
+                self._core.settings.name, self._core.settings.data_centre
+            ),
         )
         future = asyncio.get_running_loop().create_future()
         self._futures[pending] = future
--- a/packages/verbenahall/src/verbenahall/gateway/_scheduler_client.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_scheduler_client.py
@@ -20,7 +20,12 @@
     ScheduledGrant,
     Send,
 )
-from verbenahall.placement import PlacementRequest, Plan, Totals
+from verbenahall.placement import (
+    PlacementRequest,
+    Plan,
+    RequestSource,
+    Totals,
+)
 from verbenahall.scheduling import (
     Assignment,
     Declined,
@@ -124,7 +129,14 @@
                 continue
             answer = await self._request_from_group(
                 _GroupRequest(
-                    call, placement_request, tried, unavailable, group
+                    call,
+                    placement_request,
+                    tried,
+                    unavailable,
+                    group,
+                    call.describe_source(
+                        self._core.settings.name, local_centre
+                    ),
                 ),
             )
             match answer:
@@ -291,6 +303,7 @@
     tried: frozenset[str]
     unavailable: frozenset[str]
     group: str
+    source: RequestSource
 
     def build(self, key: str, now: float) -> ScheduleRequest:
         """Return the message to a scheduler, with the remaining times."""
@@ -310,6 +323,7 @@
             tried=tuple(self.tried),
             unavailable=tuple(self.unavailable),
             version=self.placement_request.version,
+            source=self.source,
         )
 
 
--- a/packages/verbenahall/src/verbenahall/placement/__init__.py
+++ b/packages/verbenahall/src/verbenahall/placement/__init__.py
@@ -3,7 +3,13 @@
 from verbenahall.placement._decisions import PlacementRequest, place
 from verbenahall.placement._dispatch import dispatch, enqueue
 from verbenahall.placement._load_table import InFlight, LoadTable, Totals
-from verbenahall.placement._messages import Part, Plan, Work
+from verbenahall.placement._messages import (
+    UNKNOWN_SOURCE,
+    Part,
+    Plan,
+    RequestSource,
+    Work,
+)
 from verbenahall.placement._queue import (
     Admitted,
     PrefillQueue,
@@ -16,6 +22,7 @@
 from verbenahall.placement._streams import OpenStream
 
 __all__ = (
+    'UNKNOWN_SOURCE',
     'Admitted',
     'Fleet',
     'InFlight',
@@ -28,6 +35,7 @@
     'PrefillQueue',
     'QueueEffects',
     'QueuedRequest',
+    'RequestSource',
     'RoleChange',
     'Totals',
     'Work',
--- a/packages/verbenahall/src/verbenahall/placement/_messages.py
+++ b/packages/verbenahall/src/verbenahall/placement/_messages.py
@@ -1,6 +1,7 @@
 """The tokens of a model request, and the plan by which it is served."""
 
 import dataclasses
+from typing import Final
 
 from verbenahall.roster import Entry
 
@@ -42,6 +43,27 @@
         return self.prompt_tokens + self.output_tokens
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestSource:
+    """Where a request comes from, by which queues treat callers alike.
+
+    ``fingerprint`` is the same for all attempts at a request, ``caller`` for
+    all requests with one API key. ``instance`` and ``data_centre`` are those
+    that took the request from its caller. An empty text means unknown.
+    """
+
+    fingerprint: str = ''
+    caller: str = ''
+    workspace: str = ''
+    route: str = ''
+    instance: str = ''
+    data_centre: str = ''
+
+
+#: Source of a request of which nothing is stated.
+UNKNOWN_SOURCE: Final = RequestSource()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Plan:
     """The engines of a request, and the estimates behind the choice.
--- a/packages/verbenahall/src/verbenahall/placement/_queue.py
+++ b/packages/verbenahall/src/verbenahall/placement/_queue.py
@@ -8,7 +8,11 @@
 from verbenahall.errors import Problem
 from verbenahall.placement._decisions import PlacementRequest
 from verbenahall.placement._load_table import InFlight
-from verbenahall.placement._messages import Plan
+from verbenahall.placement._messages import (
+    UNKNOWN_SOURCE,
+    Plan,
+    RequestSource,
+)
 
 #: Weight of one first event in the smoothed delay.
 _SMOOTHING: Final = 0.1
@@ -35,7 +39,9 @@
     none of its instance. ``expected_first_s`` is the expected
     time to its first event if its prefill begins at once, ``slot_wait_s`` the
     part of it until a decode engine has a free slot, and ``preferred_engine``
-    the engine most likely to have its shared parts cached.
+    the engine most likely to have its shared parts cached. ``source`` is where
+    it comes from, and ``beyond_share`` whether its workspace has used more than
+    its share of the engines.
     """
 
     request_id: str
@@ -51,6 +57,8 @@
     expected_first_s: float = 0
     slot_wait_s: float = 0
     preferred_engine: str = ''
+    source: RequestSource = UNKNOWN_SOURCE
+    beyond_share: bool = False
 
     def update_estimates(self, plan: Plan) -> None:
         """Update the expected times by a plan."""
--- a/packages/verbenahall/src/verbenahall/scheduling/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/scheduling/_decisions.py
@@ -179,6 +179,7 @@
         returning=request.returning,
         tried=frozenset(request.tried),
         unavailable=frozenset(request.unavailable),
+        source=request.source,
     )
     return Waiting(pending, sender, now + request.deadline_s)
 
--- a/packages/verbenahall/src/verbenahall/scheduling/_messages.py
+++ b/packages/verbenahall/src/verbenahall/scheduling/_messages.py
@@ -9,11 +9,28 @@
 from returns.result import Success
 
 from verbenahall import wire
-from verbenahall.placement import Part, Work
+from verbenahall.placement import (
+    UNKNOWN_SOURCE,
+    Part,
+    RequestSource,
+    Work,
+)
 
 #: Key for the kind of a message. Peer messages on the same socket don't have
 #: it.
 _TYPE: Final = 'type'
+#: Keys of the fields of a request's source, in their order; short as each
+#: request has them.
+_SOURCE_KEYS: Final[Mapping[str, str]] = MappingProxyType(
+    {
+        'fingerprint': 'fp',
+        'caller': 'caller',
+        'workspace': 'ws',
+        'route': 'route',
+        'instance': 'origin',
+        'data_centre': 'odc',
+    },
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -26,7 +43,8 @@
     the caller leaves without one, ``deadline_s`` until the whole answer is of
     no use. ``tried`` names the engines that have failed the request,
     ``unavailable`` those that accept no requests of the instance. ``version``
-    is the software version of the decode engine, None if any may serve.
+    is the software version of the decode engine, None if any may serve, and
+    ``source`` where the request comes from.
     """
 
     key: str
@@ -43,6 +61,7 @@
     tried: tuple[str, ...] = ()
     unavailable: tuple[str, ...] = ()
     version: str | None = None
+    source: RequestSource = UNKNOWN_SOURCE
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -159,9 +178,16 @@
         # Instances of earlier versions do not send it.
         unavailable=tuple(map(str, table.get('unavailable', ()))),
         version=_read_version(table.get('version')),
+        source=_parse_source(table),
     )
 
 
+def _parse_source(table: _Table) -> RequestSource:
+    """Read the source, of which instances of earlier versions send nothing."""
+    texts = (str(table.get(key, '')) for key in _SOURCE_KEYS.values())
+    return RequestSource(*texts)
+
+
 def _read_version(found: Any) -> str | None:
     return None if found is None else str(found)
 
@@ -245,9 +271,18 @@
         table['parts'] = [(one.identity, one.tokens) for one in work.parts]
         table['prompt'] = work.prompt_tokens
         table['output'] = work.output_tokens
+    source = table.pop('source', None)
+    if source is not None:
+        table.update(_encode_source(source))
     return wire.encode({_TYPE: _TYPE_NAMES[type(message)], **table})
 
 
+def _encode_source(source: RequestSource) -> Mapping[str, str]:
+    """Return the keys of what is known of a source."""
+    fields = {key: getattr(source, name) for name, key in _SOURCE_KEYS.items()}
+    return {key: text for key, text in fields.items() if text}
+
+
 def decode(datagram: bytes) -> Maybe[Message]:
     """Decode a datagram; Nothing if it is no valid scheduling message."""
     match wire.decode_table(datagram):
--- a/packages/verbenahall/tests/scheduling/test_messages.py
+++ b/packages/verbenahall/tests/scheduling/test_messages.py
@@ -6,7 +6,12 @@
 from returns.maybe import Nothing, Some
 from verbenahall import scheduling
 from verbenahall.peers import decode_message
-from verbenahall.placement import Part, Work
+from verbenahall.placement import (
+    UNKNOWN_SOURCE,
+    Part,
+    RequestSource,
+    Work,
+)
 
 REQUEST = scheduling.ScheduleRequest(
     key='r-1/front-1/0',
@@ -21,6 +26,7 @@
     deadline_s=3.0,
     returning=True,
     tried=('engine-1',),
+    source=RequestSource('f1', 'c1', 'press', 'r-1', 'front-1', 'ain'),
 )
 MESSAGES = (
     REQUEST,
@@ -87,3 +93,12 @@
     long = dataclasses.replace(REQUEST, work=work, tried=('e' * 20,) * 3)
 
     assert len(scheduling.encode(long)) <= 1400
+
+
+def test_request_of_an_earlier_version_has_an_unknown_source():
+    """An instance that is upgraded last sends no source."""
+    unknown = dataclasses.replace(REQUEST, source=UNKNOWN_SOURCE)
+    datagram = scheduling.encode(unknown)
+
+    assert b'"fp"' not in datagram
+    assert scheduling.decode(datagram) == Some(unknown)
