--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/engine_speeds/_group.py
@@ -0,0 +1,219 @@
+"""The engines of a service, compared with the typical one among them."""
+
+import dataclasses
+import math
+import statistics
+from collections.abc import Iterator, Sequence
+from typing import Final, final
+
+from verbenahall.engine_speeds._trackers import MIN_SAMPLES, RatioTracker
+from verbenahall.roster import Incarnation
+
+#: Ratio of the speeds of two engines from which engines are told apart.
+_MIN_RATIO: Final = 1.2
+#: Standard errors by which the values of two engines must be apart beyond
+#: that ratio. Among many equal engines some seem to differ by chance.
+_ERRORS: Final = 2.0
+#: Interval in seconds at which engines are compared with each other. With
+#: thousands of engines it takes milliseconds.
+_COMPARE_INTERVAL_S: Final = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportedFactor:
+    """Long-term factors of an engine, as instances report them to each other.
+
+    A factor of 0 is unknown.
+    """
+
+    name: str
+    born: int
+    prefill: float
+    step: float
+
+
+@final
+class _Measured:
+    """One kind of duration at an engine, apart and close to full."""
+
+    __slots__ = ('usual', 'crowded')
+
+    def __init__(self, usual: RatioTracker) -> None:
+        """Start without measurements close to full."""
+        self.usual = usual
+        self.crowded: RatioTracker | None = None
+
+    def observe(
+        self, ratio: float, share: float, now: float, *, crowded: bool
+    ) -> None:
+        if not crowded:
+            self.usual.observe(ratio, share, now)
+            return
+        if self.crowded is None:
+            self.crowded = RatioTracker()
+        usual = math.exp(self.usual.long_term)
+        self.crowded.observe(ratio / usual, share, now)
+
+    def estimate(self, now: float, *, crowded: bool) -> float:
+        if crowded and self.crowded is not None:
+            return self.usual.long_term + self.crowded.estimate(now)
+        return self.usual.estimate(now)
+
+
+@final
+class Record:
+    """What was measured at one incarnation of an engine."""
+
+    __slots__ = ('prefill', 'step')
+
+    def __init__(self, prefill: RatioTracker, step: RatioTracker) -> None:
+        """Start with the long-term values of other instances, if any."""
+        self.prefill = _Measured(prefill)
+        self.step = _Measured(step)
+
+    @property
+    def is_measured_in_both(self) -> bool:
+        """Whether both prefills and steps were measured."""
+        return self.prefill.usual.is_known and self.step.usual.is_known
+
+
+@final
+class Group:
+    """The engines of one service, and the typical one among them.
+
+    ``typical_prefill`` and ``typical_step`` are the medians of the long-term
+    values, ``scale_offset`` that of the differences between both for engines
+    that were measured in both roles.
+    """
+
+    __slots__ = (
+        'records',
+        'uneven',
+        'typical_prefill',
+        'typical_step',
+        'scale_offset',
+        'compared_at',
+    )
+
+    def __init__(self) -> None:
+        """Start without engines."""
+        self.records: dict[Incarnation, Record] = {}
+        self.uneven = False
+        self.typical_prefill: float = 0
+        self.typical_step: float = 0
+        self.scale_offset: float = 0
+        self.compared_at = -math.inf
+
+    def compare(self, now: float) -> None:
+        """Compare the engines with each other, at most every half second."""
+        if now - self.compared_at < _COMPARE_INTERVAL_S:
+            return
+        self.compared_at = now
+        records = self.records.values()
+        prefills = [one.prefill.usual for one in records]
+        steps = [one.step.usual for one in records]
+        self.typical_prefill = _find_typical(prefills, self.typical_prefill)
+        self.typical_step = _find_typical(steps, self.typical_step)
+        self.uneven = _is_uneven(prefills, self.typical_prefill) or _is_uneven(
+            steps, self.typical_step
+        )
+        offsets = [
+            self.rate_prefill(one) - self.rate_step(one)
+            for one in records
+            if one.is_measured_in_both
+        ]
+        self.scale_offset = statistics.median(offsets) if offsets else 0
+
+    def rate_prefill(self, record: Record) -> float:
+        """Return the long-term prefill time relative to the typical engine."""
+        return record.prefill.usual.long_term - self.typical_prefill
+
+    def rate_step(self, record: Record) -> float:
+        """Return the long-term step time relative to the typical engine."""
+        return record.step.usual.long_term - self.typical_step
+
+    def estimate_prefill(
+        self, record: Record, now: float, *, crowded: bool
+    ) -> float:
+        """Return the current factor on prefill times.
+
+        For an engine that has only decoded it is the one on its steps.
+        """
+        if not record.prefill.usual.samples:
+            return self.estimate_step(record, now, crowded=crowded)
+        value = record.prefill.estimate(now, crowded=crowded)
+        return math.exp(value - self.typical_prefill)
+
+    def estimate_step(
+        self, record: Record, now: float, *, crowded: bool
+    ) -> float:
+        """Return the current factor on step times, 1 if it is unknown."""
+        if not record.step.usual.samples:
+            return 1
+        value = record.step.estimate(now, crowded=crowded)
+        return math.exp(value - self.typical_step)
+
+
+def make_record(group: Group, reported: ReportedFactor | None) -> Record:
+    """Return the record of a new engine, with the factors of a peer if any."""
+    if reported is None:
+        return Record(RatioTracker(), RatioTracker())
+    return Record(
+        _make_tracker(reported.prefill, group.typical_prefill),
+        _make_tracker(reported.step, group.typical_step),
+    )
+
+
+def _make_tracker(factor: float, typical: float) -> RatioTracker:
+    if factor <= 0:
+        return RatioTracker()
+    return RatioTracker(typical + math.log(factor))
+
+
+def _find_typical(trackers: Sequence[RatioTracker], before: float) -> float:
+    """Return the median of what was measured here.
+
+    Values that other instances have reported are relative to it and move
+    along. They take no part: only engines unlike the typical one are reported.
+    """
+    measured = [
+        one.long_term for one in trackers if one.measured >= MIN_SAMPLES
+    ]
+    typical = statistics.median(measured) if measured else before
+    for tracker in trackers:
+        if tracker.samples and not tracker.measured:
+            tracker.long_term += typical - before
+    return typical
+
+
+def _is_uneven(trackers: Sequence[RatioTracker], typical: float) -> bool:
+    known = [one for one in trackers if one.is_known]
+    if not known:
+        return False
+    slowest = max(one.long_term - _ERRORS * one.error for one in known)
+    fastest = min(one.long_term + _ERRORS * one.error for one in known)
+    if any(one.measured < MIN_SAMPLES for one in known):
+        # Reported engines differ from the typical one, which is not reported.
+        slowest = max(slowest, typical)
+        fastest = min(fastest, typical)
+    return slowest - fastest > math.log(_MIN_RATIO)
+
+
+def list_differing(group: Group) -> Iterator[ReportedFactor]:
+    """Yield the engines that differ from the typical one by more than 1.2."""
+    if not group.uneven:
+        return
+    for (name, born), record in group.records.items():
+        prefill: float = 0
+        step: float = 0
+        if record.prefill.usual.is_known:
+            prefill = math.exp(group.rate_prefill(record))
+        if record.step.usual.is_known:
+            step = math.exp(group.rate_step(record))
+        if _differs(prefill) or _differs(step):
+            yield ReportedFactor(name, born, prefill, step)
+
+
+def _differs(factor: float) -> bool:
+    """Whether a known factor is that of an engine unlike the typical one."""
+    return factor > _MIN_RATIO or 0 < factor < 1 / _MIN_RATIO
