--- a/packages/standins/src/verbenahall_standins/replay.py
+++ b/packages/standins/src/verbenahall_standins/replay.py
@@ -5,19 +5,23 @@
 prefills. Instances know each other's load from their last heartbeats.
 """
 
+import collections
 import dataclasses
 import functools
 import heapq
 import itertools
 import random
+from collections.abc import Callable
 
 from verbenahall.catalog import EngineTraits
 from verbenahall.fleet import Role
 from verbenahall.placement import (
     Fleet,
+    OpenPrefill,
     Part,
     PlacementRequest,
     PlacementState,
+    Plan,
     PrefillQueue,
     QueuedRequest,
     Totals,
@@ -64,7 +68,8 @@
     """The rate of requests, their prompts and their time limits.
 
     A prompt starts with the ``shared`` tokens of one of ``prefix_count``
-    prefixes and ends with ``own`` tokens that no other prompt has.
+    prefixes and ends with ``own`` tokens that no other prompt has. ``shape`` is
+    the share of the rate, at most 1, at each time.
     """
 
     rate: float
@@ -75,6 +80,7 @@
     objective_s: float = 0.15
     abandon_after_s: float = 2
     priority: int = 0
+    shape: Callable[[float], float] | None = None
 
 
 class Engine:
@@ -85,9 +91,11 @@
     ``prefilled_tokens`` those that were not cached.
     """
 
-    def __init__(self, entry, speed=1.0):
+    def __init__(self, entry, speed=1.0, token_s=S_PER_TOKEN):
         self.entry = entry
         self.speed = speed
+        self.token_s = token_s
+        self.rate = 1
         self.open_prefills = {}
         self.cached_parts = set()
         self.advanced_to: float = 0
@@ -108,17 +116,23 @@
         self.cached_parts.update(part.identity for part in work.shared_parts)
         self.prefilled_tokens += tokens
         self.open_prefills[number] = (
-            PREFILL_START_S + tokens * S_PER_TOKEN / self.speed
+            PREFILL_START_S + tokens * self.token_s / self.speed
         )
 
+    def change_rate(self, rate, now):
+        """Run at ``rate`` times the usual speed from ``now`` on."""
+        self.advance(now)
+        self.rate = rate
+
     def advance(self, now):
         """Advance the open prefills to the time ``now``."""
         while self.open_prefills and self.advanced_to < now:
             shortest = min(self.open_prefills.values()) * len(
                 self.open_prefills
             )
+            shortest /= self.rate
             passed = min(shortest, now - self.advanced_to)
-            share = passed / len(self.open_prefills)
+            share = passed * self.rate / len(self.open_prefills)
             self.open_prefills = {
                 key: left - share for key, left in self.open_prefills.items()
             }
@@ -132,9 +146,8 @@
         if not self.open_prefills:
             return None
         number = min(self.open_prefills, key=self.open_prefills.get)
-        return self.advanced_to + self.open_prefills[number] * len(
-            self.open_prefills
-        ), number
+        left_s = self.open_prefills[number] * len(self.open_prefills)
+        return self.advanced_to + left_s / self.rate, number
 
 
 class Outcome:
@@ -142,7 +155,8 @@
 
     ``waits`` holds the time to each first event, ``refused`` the problem and
     the remaining time of each refusal, ``rejected_after_s`` its time in the
-    queue, ``served_order`` the priority and time of each end of a prefill.
+    queue, ``served_order`` the priority and time of each end of a prefill,
+    ``arrived`` and ``on_time`` the number of requests by priority.
     """
 
     def __init__(self):
@@ -150,6 +164,8 @@
         self.refused = []
         self.rejected_after_s = []
         self.served_order = []
+        self.arrived = collections.Counter()
+        self.on_time = collections.Counter()
 
     def count_on_time(self, objective_s):
         """Return the number of first events within the objective."""
@@ -169,13 +185,22 @@
         sample=1,
         heartbeat_interval_s=HEARTBEAT_INTERVAL_S,
         scheduled=False,
+        speeds=(1.0,),
+        token_s=S_PER_TOKEN,
+        measure='never',
     ):
         """Create instances and engines.
 
         Each instance sends its load to one in ``sample`` of the others every
         ``heartbeat_interval_s`` seconds. If ``scheduled``, one scheduler
-        places all requests, which takes ``MESSAGE_S`` more.
+        places all requests, which takes ``MESSAGE_S`` more. ``speeds`` are
+        those of the engines in turn, ``token_s`` the time of a token at speed
+        1. ``measure`` is what instances measure of prefills: ``never``, the
+        ``common`` speed, or that of ``each`` engine.
         """
+        self.token_s = token_s
+        self.measure = measure
+        self.counted_from_s = 0
         self.rng = random.Random(seed)
         self.sample = sample
         self.heartbeat_interval_s = heartbeat_interval_s
@@ -184,6 +209,8 @@
             name: _make_engine(
                 name,
                 Role.PREFILL if number < prefill_count else Role.DECODE,
+                speeds[number % len(speeds)],
+                token_s,
             )
             for number, name in enumerate(names)
         }
@@ -213,6 +240,15 @@
         """Schedule a callback for the time ``now``."""
         heapq.heappush(self.events, (now, next(self.numbers), callback))
 
+    def slow_down(self, name, slowdown, times):
+        """Slow an engine down during periods; ``times`` are their bounds."""
+        engine = self.engines[name]
+        for begin, end in times:
+            for now, rate in ((begin, 1 / slowdown), (end, 1)):
+                self.schedule(
+                    now, functools.partial(self._change_rate, engine, rate)
+                )
+
     def schedule_next_end(self, engine):
         """Schedule the next end of a prefill at an engine."""
         ends = engine.predict_next_end()
@@ -227,6 +263,8 @@
         now: float = 0
         while now < load.seconds:
             now += self.rng.expovariate(load.rate)
+            if load.shape and self.rng.random() > load.shape(now):
+                continue
             instance = self._choose_instance()
             prefix = self.rng.randrange(load.prefix_count)
             number = next(self.numbers)
@@ -241,6 +279,10 @@
                 functools.partial(instance.handle_request, work, load, queued),
             )
 
+    def _change_rate(self, engine, rate, now):
+        engine.change_rate(rate, now)
+        self.schedule_next_end(engine)
+
     def _choose_instance(self):
         """Return the scheduler, or else a random instance."""
         chosen = self.rng.choice(self.instances)
@@ -278,6 +320,15 @@
         self.schedule_next_end(engine)
 
 
+@dataclasses.dataclass(frozen=True)
+class _Sent:
+    """A prefill that an instance has sent by a plan."""
+
+    plan: Plan
+    prefill: OpenPrefill
+    at: float
+
+
 class _Instance:
     """An instance with its placement state, queue and requests."""
 
@@ -289,8 +340,8 @@
         for tokens in itertools.islice(
             itertools.cycle(_TIMED_PROMPTS), _TIMED_PREFILLS
         ):
-            seconds = PREFILL_START_S + tokens * S_PER_TOKEN
-            self.state.record_prefill_time(tokens, _CACHED_TOKENS, seconds)
+            seconds = PREFILL_START_S + tokens * replay.token_s
+            self.state.prefill_speed.update(tokens, _CACHED_TOKENS, seconds)
         self.queue = PrefillQueue()
         self.arrived = {}
 
@@ -307,6 +358,8 @@
             leaves_at=now + load.abandon_after_s,
         )
         self.arrived[pending] = now
+        if now >= self.replay.counted_from_s:
+            self.replay.outcome.arrived[load.priority] += 1
         if queued:
             fleet = self._fleet()
             rng = self.replay.rng
@@ -328,15 +381,19 @@
 
     def handle_prefilled(self, admitted, now):
         """Record the end of a prefill."""
-        pending, flight, sent_at = admitted
+        pending, opened, sent_at = admitted
         took_s = now + HANDOVER_S - sent_at
         self.queue.record_first_event(pending, took_s, now)
-        self.state.load_table.close(flight)
+        share = self.state.close_prefill(opened.prefill, now)
+        self._record_prefill(pending, opened, share, now)
         outcome = self.replay.outcome
         wait_s = now + HANDOVER_S - self.arrived[pending]
         if now < pending.leaves_at:
             outcome.waits.append(wait_s)
             outcome.served_order.append((pending.priority, now))
+            if self.arrived[pending] >= self.replay.counted_from_s:
+                on_time = wait_s <= pending.objective_s
+                outcome.on_time[pending.priority] += on_time
         self.dispatch_waiting(now)
 
     def _apply(self, effects, now):
@@ -350,20 +407,45 @@
     def _send(self, pending, plan, flight, now):
         prefill_engine = plan.prefill_engine or plan.decode_engine
         engine = self.replay.engines[prefill_engine.name]
+        # Counted from here on as a prefill that was sent, as instances do.
+        self.state.load_table.close(flight)
+        prefill = self.state.open_prefill(prefill_engine, plan, now)
         engine.start_prefill(
-            (self, (pending, flight, now)), pending.placement_request.work, now
+            (self, (pending, _Sent(plan, prefill, now), now)),
+            pending.placement_request.work,
+            now,
         )
         self.state.find_cache(prefill_engine, TRAITS.kv_tokens).record(
             pending.placement_request.work.parts
         )
         self.replay.schedule_next_end(engine)
 
+    def _record_prefill(self, pending, sent, share, now):
+        """Measure a prefill, as far as the replay has instances do that."""
+        plan = sent.plan
+        engine = plan.prefill_engine
+        measure = self.replay.measure
+        if engine is None or measure == 'never':
+            return
+        sample = plan.make_sample(
+            pending.placement_request.work,
+            now - sent.at,
+            share,
+            alone=not sent.prefill.tokens_ahead,
+        )
+        if measure == 'each':
+            self.state.record_prefill_time(engine, sample, TRAITS, now)
+        elif sample.alone:
+            self.state.prefill_speed.update(
+                sample.missing, sample.cached, sample.seconds
+            )
+
     def _fleet(self):
         entries = [one.entry for one in self.replay.engines.values()]
         return Fleet(self.state, entries, TRAITS, len(self.queue.waiting))
 
 
-def make_entry(name, role):
+def make_entry(name, role, born=0):
     """Return the roster entry of an engine."""
     return Entry(
         name=name,
@@ -373,10 +455,11 @@
         leaving=False,
         slots=TRAITS.slots,
         role=role,
+        born=born,
     )
 
 
-def _make_engine(name, role):
+def _make_engine(name, role, speed, token_s):
     """Return an engine; decode engines prefill at half the speed."""
-    speed = 1 if role is Role.PREFILL else 0.5
-    return Engine(make_entry(name, role), speed)
+    share = 1 if role is Role.PREFILL else 0.5
+    return Engine(make_entry(name, role), share * speed, token_s)
--- a/packages/verbenahall/src/verbenahall/gateway/_generation.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_generation.py
@@ -263,9 +263,9 @@
         placement.record_cached(
             plan.decode_engine, call.head.work, call.service
         )
-        if ended.step_s:
+        if ended.step_s and call.service.engine is not None:
             placement.record_step_time(
-                plan.decode_engine.name, ended.step_s, now
+                plan.decode_engine, ended.step_s, call.service.engine, now
             )
         journal.write_decision(
             'generated',
--- a/packages/verbenahall/src/verbenahall/gateway/_orders.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_orders.py
@@ -10,12 +10,13 @@
 from typing import Final, final
 
 from verbenahall import journal, metrics
+from verbenahall.catalog import EngineTraits
 from verbenahall.fleet import Role
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._duty_leases import find_separation_s, make_lease
 from verbenahall.gateway._hooks import format_incarnation
 from verbenahall.peers import find_rank
-from verbenahall.placement import RoleChange, plan_roles
+from verbenahall.placement import RoleChange, RoleObserver, RolePlanner
 from verbenahall.platform import RoleOrder
 from verbenahall.roster import Entry
 
@@ -55,25 +56,6 @@
     sent_at: float
 
 
-@final
-class _RoleObserver:
-    """Detects that listed engines have changed their roles."""
-
-    __slots__ = ('_roles',)
-
-    def __init__(self) -> None:
-        """Start without any roles."""
-        self._roles: dict[str, dict[str, Role | None]] = {}
-
-    def update(self, service: str, listed: Sequence[Entry]) -> bool:
-        """Update the roles from the list; True if a listed role changed."""
-        previous = self._roles.get(service, {})
-        now = {engine.name: engine.role for engine in listed}
-        self._roles[service] = now
-        known = previous.keys() & now.keys()
-        return any(previous[name] is not now[name] for name in known)
-
-
 @final
 class RoleController:
     """Plans the roles of each engine service and orders the changes."""
@@ -87,6 +69,7 @@
         '_joins',
         '_last_reachable',
         '_role_observer',
+        '_planner',
     )
 
     def __init__(self, core: Core) -> None:
@@ -97,7 +80,8 @@
         #: The last order to each engine, by its name and incarnation.
         self._pending: dict[tuple[str, int], _SentOrder] = {}
         self._changes_needed_at: float | None = None
-        self._role_observer = _RoleObserver()
+        self._role_observer = RoleObserver()
+        self._planner = RolePlanner(core.placement)
         #: Time at which each engine was last reachable, by service and name.
         self._last_reachable: dict[str, dict[str, float]] = {}
         #: Last list of engine names and time of the last join, by service.
@@ -114,7 +98,7 @@
                 change
                 for service in catalog.services.values()
                 if service.engine
-                for change in self._plan(service.name)
+                for change in self._plan(service.name, service.engine)
             ]
             if changes and self._may_order():
                 await self._order_all(changes)
@@ -131,7 +115,7 @@
             if self._is_pending(name, born, now)
         ]
 
-    def _plan(self, service: str) -> Sequence[RoleChange]:
+    def _plan(self, service: str, traits: EngineTraits) -> Sequence[RoleChange]:
         core = self._core
         if core.reach.is_lost(service):
             # Another instance has to order; the lease is released.
@@ -154,10 +138,6 @@
             self._is_pending(entry.name, entry.born, now) for entry in listed
         ):
             return ()
-        stream_counts = {
-            engine.name: core.placement.load_table.totals(engine.name).streams
-            for engine in engines
-        }
         lost = self._count_lost(service, engines, now)
         # An engine that accepts only a few requests a second can't fill a role.
         unthrottled = [
@@ -165,7 +145,7 @@
             for entry in engines
             if not core.rates.is_limited(format_incarnation(entry))
         ]
-        return plan_roles(unthrottled or engines, stream_counts, lost)
+        return self._planner.plan(unthrottled or engines, traits, lost, now)
 
     def _count_lost(
         self,
--- a/packages/verbenahall/src/verbenahall/gateway/_prefill_calls.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_prefill_calls.py
@@ -11,7 +11,7 @@
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._messages import Answered, Call
 from verbenahall.gateway._sender import Sender
-from verbenahall.placement import Plan, Totals
+from verbenahall.placement import OpenPrefill, Plan, PrefillSample
 from verbenahall.platform import (
     PrefillResult,
     SendOptions,
@@ -76,11 +76,8 @@
             prefill_only=True,
         )
         timeout_at = now + _TIMEOUT_MARGIN_S + plan.wait_s * _TIMEOUT_FACTOR
-        load_table = self._core.placement.load_table
-        tokens_ahead = load_table.totals(prefill_engine.name).prefill_tokens
-        flight = load_table.open(
-            prefill_engine.name, Totals(prefill_tokens=plan.missing)
-        )
+        placement = self._core.placement
+        opened = placement.open_prefill(prefill_engine, plan, now)
         try:
             result = await self._sender.exchange(
                 call,
@@ -89,15 +86,19 @@
                 min(call.deadline, timeout_at),
             )
         finally:
-            load_table.close(flight)
+            share = placement.close_prefill(opened, self._core.now())
         prefilled = _decode_handle(result)
         if isinstance(prefilled, Success):
-            self._core.placement.failures.record(
+            placement.failures.record(
                 prefill_engine.name, self._core.now(), failed=False
             )
-            self._record_prefill(
-                call, plan, prefill_engine, tokens_ahead, self._core.now() - now
+            sample = plan.make_sample(
+                call.head.work,
+                self._core.now() - now,
+                share,
+                alone=not opened.tokens_ahead,
             )
+            self._record_prefill(call, prefill_engine, sample, opened)
         return prefilled.map(
             lambda prompt: CacheHandle(prefill_engine, prompt.handle)
         )
@@ -114,28 +115,26 @@
     def _record_prefill(
         self,
         call: Call,
-        plan: Plan,
         prefill_engine: Entry,
-        tokens_ahead: int,
-        seconds: float,
+        sample: PrefillSample,
+        opened: OpenPrefill,
     ) -> None:
-        cached_tokens = call.head.work.prompt_tokens - plan.missing
-        if not tokens_ahead:
+        if call.service.engine is not None:
             self._core.placement.record_prefill_time(
-                plan.missing, cached_tokens, seconds
+                prefill_engine, sample, call.service.engine, self._core.now()
             )
         journal.write_decision(
             'read',
             request=call.head.identity,
             engine=prefill_engine.name,
-            missing=plan.missing,
-            kept=cached_tokens,
-            ahead=tokens_ahead,
-            took_s=journal.round_to_ms(seconds),
+            missing=sample.missing,
+            kept=sample.cached,
+            ahead=opened.tokens_ahead,
+            took_s=journal.round_to_ms(sample.seconds),
         )
-        metrics.PREFILL_SECONDS.observe(seconds)
-        metrics.PREFILL_TOKENS.add('missing', count=plan.missing)
-        metrics.PREFILL_TOKENS.add('kept', count=cached_tokens)
+        metrics.PREFILL_SECONDS.observe(sample.seconds)
+        metrics.PREFILL_TOKENS.add('missing', count=sample.missing)
+        metrics.PREFILL_TOKENS.add('kept', count=sample.cached)
         self._core.placement.record_cached(
             prefill_engine, call.head.work, call.service
         )
--- a/packages/verbenahall/src/verbenahall/peers/_messages.py
+++ b/packages/verbenahall/src/verbenahall/peers/_messages.py
@@ -2,14 +2,20 @@
 
 import base64
 import dataclasses
+import itertools
 import zlib
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from typing import Any, Final
 
 from returns.maybe import Maybe, Nothing, Some
 from returns.result import Success
 
 from verbenahall import wire
+from verbenahall.engine_speeds import (
+    MAX_FACTOR,
+    MAX_FACTORS,
+    ReportedFactor,
+)
 from verbenahall.placement import Totals
 
 #: Maximum size of the encoded records in an update, in bytes. A datagram longer
@@ -21,6 +27,8 @@
 _RECORD_BYTES: Final = 8000
 #: Decimal places of an age in seconds: milliseconds.
 _AGE_DECIMALS: Final = 3
+#: Factors on durations are encoded in thousandths.
+_THOUSAND: Final = 1000
 #: Level of compression: the fastest, as the payloads are short.
 _COMPRESSION_LEVEL: Final = 1
 #: Bytes of the length that precedes each record.
@@ -43,6 +51,7 @@
     how many processor cores the author may use. ``unreachable`` holds the
     services of which the author reaches no endpoint. ``connection_rate`` is how
     many new connections it gets per second, None if it does not state it.
+    ``factors`` are those on durations at engines unlike the typical one.
     """
 
     author: str
@@ -58,6 +67,7 @@
     ages: Mapping[str, float] = dataclasses.field(default_factory=dict)
     unreachable: tuple[str, ...] = ()
     connection_rate: float | None = None
+    factors: Sequence[ReportedFactor] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -104,6 +114,7 @@
             'connections': heartbeat.connection_rate,
             # Left out while empty, as in nearly all heartbeats.
             **_encode_unreachable(heartbeat),
+            **_encode_factors(heartbeat),
         },
     )
 
@@ -114,6 +125,22 @@
     return {}
 
 
+def _encode_factors(heartbeat: Heartbeat) -> Mapping[str, Any]:
+    """Return the factors in thousandths, if there are any."""
+    if not heartbeat.factors:
+        return {}
+    return {
+        'factors': {
+            one.name: (
+                one.born,
+                round(one.prefill * _THOUSAND),
+                round(one.step * _THOUSAND),
+            )
+            for one in heartbeat.factors
+        },
+    }
+
+
 def encode_update(update: TopicUpdate) -> bytes:
     """Encode an update, whose records may hold any bytes."""
     return wire.encode(
@@ -306,6 +333,7 @@
                 ages=_convert_ages(table.get('ages', {})),
                 unreachable=tuple(unreachable),
                 connection_rate=_convert_rate(table.get('connections')),
+                factors=tuple(_convert_factors(table.get('factors', {}))),
             ),
         )
     except (AttributeError, TypeError, ValueError):
@@ -316,6 +344,15 @@
     return None if found is None else float(found)
 
 
+def _convert_factors(found: Any) -> Iterator[ReportedFactor]:
+    """Yield the factors; ValueError if one is out of range."""
+    for name, (born, *factors) in itertools.islice(found.items(), MAX_FACTORS):
+        prefill, step = (float(one) / _THOUSAND for one in factors)
+        if not (0 <= prefill <= MAX_FACTOR and 0 <= step <= MAX_FACTOR):
+            raise ValueError(f'factors of {name} are out of range')
+        yield ReportedFactor(name, int(born), prefill, step)
+
+
 def _is_list_of_text(members: Any) -> bool:
     return isinstance(members, list) and all(
         isinstance(member, str) for member in members
--- a/packages/verbenahall/src/verbenahall/peers/_shell.py
+++ b/packages/verbenahall/src/verbenahall/peers/_shell.py
@@ -68,6 +68,7 @@
         self._peer_table = peer_table
         self._load_table = placement.load_table
         self._speed = placement.prefill_speed
+        self._engine_speeds = placement.engine_speeds
         self._on_engine_changing = on_engine_changing
         self._numbers = itertools.count()
         self._transport: Any = None
@@ -177,6 +178,7 @@
                 heartbeat.author, heartbeat.loads, now
             )
             self._speed.adopt(heartbeat.speed or (0,))
+            self._engine_speeds.adopt(heartbeat.factors)
             for engine in heartbeat.changing:
                 self._on_engine_changing(engine)
 
@@ -198,9 +200,10 @@
         followed_offsets: Mapping[str, int],
         ages: Mapping[str, float],
     ) -> Heartbeat:
+        number = next(self._numbers)
         return Heartbeat(
             self._peer_table.name,
-            next(self._numbers),
+            number,
             self._load_table.local_loads(),
             self._peer_table.data_centre,
             tuple(self.changing()),
@@ -210,6 +213,7 @@
             ages,
             tuple(self.list_unreachable()),
             self.get_connection_rate(),
+            self._engine_speeds.export(number),
         )
 
 
--- a/packages/verbenahall/src/verbenahall/placement/__init__.py
+++ b/packages/verbenahall/src/verbenahall/placement/__init__.py
@@ -7,6 +7,7 @@
     UNKNOWN_SOURCE,
     Part,
     Plan,
+    PrefillSample,
     RequestSource,
     Work,
 )
@@ -16,9 +17,10 @@
     QueuedRequest,
     QueueEffects,
 )
+from verbenahall.placement._role_planner import RoleObserver, RolePlanner
 from verbenahall.placement._roles import RoleChange, plan_roles
 from verbenahall.placement._slots import Fleet
-from verbenahall.placement._state import PlacementState
+from verbenahall.placement._state import OpenPrefill, PlacementState
 from verbenahall.placement._streams import OpenStream
 
 __all__ = (
@@ -27,16 +29,20 @@
     'Fleet',
     'InFlight',
     'LoadTable',
+    'OpenPrefill',
     'OpenStream',
     'Part',
     'PlacementRequest',
     'PlacementState',
     'Plan',
     'PrefillQueue',
+    'PrefillSample',
     'QueueEffects',
     'QueuedRequest',
     'RequestSource',
     'RoleChange',
+    'RoleObserver',
+    'RolePlanner',
     'Totals',
     'Work',
     'dispatch',
--- a/packages/verbenahall/src/verbenahall/placement/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/placement/_decisions.py
@@ -10,6 +10,7 @@
 
 import dataclasses
 import itertools
+import math
 from collections.abc import Iterator, Sequence
 from typing import Final
 
@@ -20,7 +21,11 @@
 from verbenahall.fleet import Role
 from verbenahall.placement._load_table import Totals
 from verbenahall.placement._messages import Plan, Work
-from verbenahall.placement._state import PlacementState
+from verbenahall.placement._state import (
+    CROWDED_SHARE,
+    PlacementState,
+    measure_fill,
+)
 from verbenahall.placement._streams import OpenStream
 from verbenahall.roster import Entry, select_version
 from verbenahall.routing import rank_by_rendezvous
@@ -53,6 +58,13 @@
 _STEP_THRESHOLD: Final = 0.6
 #: Cost of the longest acceptable step time, in seconds.
 _STEP_COST: Final = 1.0
+#: Cost of a first event past its due time, in seconds of wait, where engines
+#: differ in speed: as much as streams that are too slow.
+_LATE_COST: Final = 1.0
+#: Faster engines that are considered if no preferred one would be in time.
+_FASTER_ENGINES: Final = 2
+#: Ratio of speeds from which an engine counts as faster than the preferred.
+_FASTER_RATIO: Final = 1.2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,16 +87,24 @@
     def make_stream(self, now: float, *, has_handle: bool) -> OpenStream:
         """Return the request's stream, as it is counted at its engine."""
         return OpenStream(
-            self.priority, self.work.output_tokens, now, has_handle
+            self.priority,
+            self.work.output_tokens,
+            now,
+            has_handle,
+            gap_s=self.gap_s,
         )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Option:
-    """A plan for a request and its cost in seconds."""
+    """A plan for a request and its cost in seconds.
+
+    ``stream_cost`` is the part of the cost for streams that are stalled.
+    """
 
     plan: Plan
     cost: float
+    stream_cost: float = 0
 
 
 def place(
@@ -94,12 +114,14 @@
     traits: EngineTraits,
     now: float,
     waiting_count: int = 0,
+    due_s: float = math.inf,
 ) -> Result[Plan, Problem]:
     """Choose the engines that prefill and decode a request.
 
     ``waiting_count`` is the number of requests queued for prefill. Each second
-    of engine time costs more the longer that queue is. Fails with
-    ``NO_ENDPOINT`` if no engine can decode.
+    of engine time costs more the longer that queue is. ``due_s`` is the time
+    in seconds until the first event is due. Fails with ``NO_ENDPOINT`` if no
+    engine can decode.
     """
     decode_engines: Sequence[Entry] = [
         one
@@ -120,14 +142,48 @@
         return Success(
             cost_model.plan_decode(request.prefilled_by, decode_engines)
         )
-    options = itertools.chain(
-        cost_model.evaluate_split(prefill_engines, decode_engines),
-        cost_model.evaluate_mixed(decode_engines),
-    )
+    service = decode_engines[0].service
+    if state.engine_speeds.is_uneven(service):
+        cost_model.use_level(state.engine_speeds.find_level(service))
+        options = _evaluate_uneven(
+            cost_model, prefill_engines, decode_engines, due_s
+        )
+    else:
+        options = itertools.chain(
+            cost_model.evaluate_split(prefill_engines, decode_engines),
+            cost_model.evaluate_mixed(decode_engines),
+        )
     best = min(options, key=lambda option: option.cost)
     return Success(best.plan)
 
 
+def _evaluate_uneven(
+    cost_model: '_CostModel',
+    prefill_engines: Sequence[Entry],
+    decode_engines: Sequence[Entry],
+    due_s: float,
+) -> Iterator[_Option]:
+    """Yield the plans for engines of unequal speed.
+
+    If no preferred engine is in time, faster ones are considered, and decode
+    engines that can prefill without a pause that any of their streams notices.
+    """
+    split = list(cost_model.evaluate_split(prefill_engines, decode_engines))
+    in_time = any(one.plan.wait_s <= due_s for one in split)
+    may_be_late = due_s > 0 and not in_time
+    if may_be_late:
+        split.extend(
+            cost_model.evaluate_faster(prefill_engines, decode_engines)
+        )
+    for option in (*split, *cost_model.evaluate_mixed(decode_engines)):
+        cost = option.cost
+        if may_be_late and cost_model.is_pause_short(option.plan):
+            cost -= option.stream_cost
+        if option.plan.wait_s > due_s:
+            cost += _LATE_COST
+        yield dataclasses.replace(option, cost=cost)
+
+
 def find_preferred_engine(work: Work, prefill_engines: Sequence[Entry]) -> str:
     """Return the engine most likely to have the shared parts cached."""
     return _rank_preferred(work, prefill_engines)[0].name
@@ -162,6 +218,8 @@
         '_waiting_count',
         '_candidates',
         '_loads',
+        '_prefill_factors',
+        '_level',
     )
 
     def __init__(
@@ -180,6 +238,12 @@
         self._waiting_count = waiting_count
         self._candidates: list[_DecodeCandidate] = []
         self._loads: dict[str, Totals] = {}
+        self._prefill_factors: dict[str, float] = {}
+        self._level: float = 1
+
+    def use_level(self, level: float) -> None:
+        """Multiply the common prefill estimate by ``level`` from now on."""
+        self._level = level
 
     def evaluate_mixed(
         self, decode_engines: Sequence[Entry]
@@ -188,25 +252,16 @@
         preferred = _rank_preferred(self._work, decode_engines)
         for rank, engine in enumerate(preferred):
             missing = self._count_missing(engine, rank)
-            wait_s = self._backlog_s(engine) * _MIXED_SLOWDOWN
-            prefill_s = self._prefill_s(missing) * _MIXED_SLOWDOWN
-            slot_wait_s = self._slot_wait_s(engine, has_handle=False)
-            plan = Plan(
-                None,
-                engine,
-                missing,
-                self._mixed_first_s(engine, wait_s + prefill_s + slot_wait_s),
-                f'mixed {rank}',
-                wait_s,
-                slot_wait_s,
-            )
-            stall_cost = self._stall_cost(engine, prefill_s)
+            plan = self._plan_mixed(engine, missing, f'mixed {rank}')
+            work_s = self._prefill_s(missing) * _MIXED_SLOWDOWN
+            stream_share = self._count_stalled(engine)
             yield _Option(
                 plan,
                 plan.wait_s
-                + stall_cost
+                + work_s * (self._engine_time_cost + stream_share)
                 + self._congestion_cost(engine, self._fill(engine))
                 + self._lost_s(engine),
+                work_s * stream_share,
             )
 
     def evaluate_split(
@@ -218,28 +273,45 @@
         for rank, prefill_engine in enumerate(
             _rank_preferred(self._work, prefill_engines)
         ):
-            missing = self._count_missing(prefill_engine, rank)
-            prefill_s = self._prefill_s(missing)
-            decode = self._choose_decode_engine(prefill_engine, decode_engines)
-            wait_s = self._backlog_s(prefill_engine)
-            first_s = self._start_s + wait_s + prefill_s + decode.first_s
-            first_s += self._transfer_s(prefill_engine, decode.engine)
-            cost = (
-                first_s
-                + prefill_s * self._engine_time_cost
-                + decode.burden_cost
-                + self._lost_s(prefill_engine)
-            )
-            plan = Plan(
-                prefill_engine,
-                decode.engine,
-                missing,
-                first_s,
-                f'home {rank}',
-                wait_s,
-                decode.slot_wait_s,
-            )
-            yield _Option(plan, cost)
+            yield self._evaluate_split_at(rank, prefill_engine, decode_engines)
+
+    def evaluate_faster(
+        self,
+        prefill_engines: Sequence[Entry],
+        decode_engines: Sequence[Entry],
+    ) -> Iterator[_Option]:
+        """Yield plans with prefill engines faster than the preferred ones.
+
+        They are the first such engines by preference, so that prompts with a
+        common prefix share them.
+        """
+        ranked = _rank_all(self._work, prefill_engines)
+        preferred = ranked[:_PREFERRED_ENGINES]
+        if not preferred:
+            return
+        bound = min(map(self._prefill_factor, preferred)) / _FASTER_RATIO
+        count = 0
+        for rank, engine in enumerate(ranked[_PREFERRED_ENGINES:]):
+            if self._prefill_factor(engine) < bound:
+                yield self._evaluate_split_at(
+                    rank + _PREFERRED_ENGINES, engine, decode_engines
+                )
+                count += 1
+            if count == _FASTER_ENGINES:
+                return
+
+    def is_pause_short(self, plan: Plan) -> bool:
+        """Whether a prefill by the decode engine stalls no stream too long.
+
+        The limits of streams that other instances sent are not known; they are
+        taken to be that of the request.
+        """
+        engine = plan.decode_engine
+        limits = [self._state.load_table.streams.find_shortest_gap(engine.name)]
+        if self._request.gap_s:
+            limits.append(self._request.gap_s)
+        pause_s = plan.ahead_s + self._mixed_s(engine, plan.missing)
+        return pause_s < min(limits)
 
     def plan_decode(
         self, prefill_engine: Entry, decode_engines: Sequence[Entry]
@@ -255,21 +327,71 @@
             slot_wait_s=decode.slot_wait_s,
         )
 
+    def _plan_mixed(self, engine: Entry, missing: int, reason: str) -> Plan:
+        """Return the plan by which a decode engine prefills a prompt."""
+        wait_s = self._backlog_s(engine) * _MIXED_SLOWDOWN
+        slot_wait_s = self._slot_wait_s(engine, has_handle=False)
+        prefill_s = self._mixed_s(engine, missing)
+        return Plan(
+            None,
+            engine,
+            missing,
+            self._mixed_first_s(engine, wait_s + prefill_s + slot_wait_s),
+            reason,
+            wait_s,
+            slot_wait_s,
+        )
+
+    def _mixed_s(self, engine: Entry, missing: int) -> float:
+        """Return the time that a decode engine takes for a prefill."""
+        work_s = self._prefill_s(missing) * _MIXED_SLOWDOWN
+        return work_s * self._prefill_factor(engine)
+
+    def _evaluate_split_at(
+        self,
+        rank: int,
+        prefill_engine: Entry,
+        decode_engines: Sequence[Entry],
+    ) -> _Option:
+        missing = self._count_missing(prefill_engine, rank)
+        work_s = self._prefill_s(missing)
+        decode = self._choose_decode_engine(prefill_engine, decode_engines)
+        wait_s = self._backlog_s(prefill_engine)
+        factor = self._prefill_factor(prefill_engine)
+        prefill_s = work_s * factor
+        first_s = self._start_s * factor + wait_s + prefill_s + decode.first_s
+        first_s += self._transfer_s(prefill_engine, decode.engine)
+        plan = Plan(
+            prefill_engine,
+            decode.engine,
+            missing,
+            first_s,
+            f'home {rank}',
+            wait_s,
+            decode.slot_wait_s,
+        )
+        return _Option(
+            plan,
+            first_s
+            + work_s * self._engine_time_cost
+            + decode.burden_cost
+            + self._lost_s(prefill_engine),
+        )
+
     def _mixed_first_s(self, engine: Entry, prefill_s: float) -> float:
-        step_s = self._state.find_step_time(engine.name).estimate(self._now)
-        return self._start_s + prefill_s + step_s
+        start_s = self._start_s * self._prefill_factor(engine)
+        return start_s + prefill_s + self._step_s(engine)
 
-    def _stall_cost(self, engine: Entry, prefill_s: float) -> float:
-        """Return the cost of a prefill on an engine that decodes streams.
+    def _count_stalled(self, engine: Entry) -> float:
+        """Return the cost of a prefill for the streams that an engine decodes.
 
-        All of its streams pause for the length of the prefill. Without this
-        cost, prefills that looked cheap were sent to decode engines, and
+        It is the cost of each second that the prefill takes at the typical
+        engine. All of its streams pause for the length of the prefill. Without
+        this cost, prefills that looked cheap were sent to decode engines, and
         streams there missed their objective because of the pauses.
         """
         streams = self._find_load(engine).streams
-        return prefill_s * (
-            self._engine_time_cost + streams * _STREAM_STALL_COST
-        )
+        return streams * _STREAM_STALL_COST * self._prefill_factor(engine)
 
     def _choose_decode_engine(
         self,
@@ -338,11 +460,12 @@
 
     @property
     def _start_s(self) -> float:
-        return self._state.prefill_speed.start_s
+        return self._state.prefill_speed.start_s * self._level
 
     def _prefill_s(self, missing: int) -> float:
         cached = self._work.prompt_tokens - missing
-        return self._state.prefill_speed.predict_s(missing, cached)
+        predicted_s = self._state.prefill_speed.predict_s(missing, cached)
+        return predicted_s * self._level
 
     def _find_load(self, engine: Entry) -> Totals:
         """Return the open work at an engine, which is summed up once."""
@@ -354,7 +477,33 @@
 
     def _backlog_s(self, engine: Entry) -> float:
         totals = self._find_load(engine)
-        return totals.prefill_tokens * self._state.prefill_speed.token_s
+        backlog_s = totals.prefill_tokens * self._state.prefill_speed.token_s
+        return backlog_s * self._level * self._prefill_factor(engine)
+
+    def _prefill_factor(self, engine: Entry) -> float:
+        """Return the factor on the prefill time, which is computed once."""
+        factor = self._prefill_factors.get(engine.name)
+        if factor is None:
+            factor = self._state.engine_speeds.find_prefill_factor(
+                engine, self._now, crowded=self._is_crowded(engine)
+            )
+            self._prefill_factors[engine.name] = factor
+        return factor
+
+    def _step_factor(self, engine: Entry) -> float:
+        return self._state.engine_speeds.find_step_factor(
+            engine, self._now, crowded=self._is_crowded(engine)
+        )
+
+    def _is_crowded(self, engine: Entry) -> bool:
+        return (
+            measure_fill(self._find_load(engine), self._traits) > CROWDED_SHARE
+        )
+
+    def _step_s(self, engine: Entry) -> float:
+        return self._state.find_step_time(engine.name).estimate(
+            self._now, self._step_factor(engine)
+        )
 
     def _transfer_s(self, source: Entry, target: Entry) -> float:
         kv_bytes = self._work.prompt_tokens * self._traits.kv_token_bytes
@@ -368,6 +517,7 @@
         Prompts that the engine prefills itself go first, in chunks.
         """
         handover_s = self._state.handover.estimate(self._now)
+        handover_s *= self._step_factor(engine)
         return handover_s + self._backlog_s(engine) * _MIXED_SLOWDOWN
 
     def _slot_wait_s(self, engine: Entry, *, has_handle: bool) -> float:
@@ -384,23 +534,20 @@
             self._request.make_stream(self._now, has_handle=has_handle),
             slots,
             open_count,
-            self._state.token_times.estimate(engine.name),
+            self._state.token_times.estimate(
+                engine.name, self._step_factor(engine)
+            ),
         )
 
     def _fill(self, engine: Entry) -> float:
         """Return the fill of an engine with the request, by memory or slots."""
-        totals = self._find_load(engine)
-        held_tokens = totals.held_tokens + self._work.context_tokens
-        streams_after = totals.streams + 1
-        return max(
-            held_tokens / self._traits.kv_tokens,
-            streams_after / self._traits.slots,
-        )
+        added = Totals(held_tokens=self._work.context_tokens, streams=1)
+        return measure_fill(self._find_load(engine).plus(added), self._traits)
 
     def _congestion_cost(self, engine: Entry, fill: float) -> float:
         """Return the cost in seconds of joining the batch of a busy engine."""
         excess = _relative_excess(fill, _CONGESTION_THRESHOLD)
-        step = self._state.find_step_time(engine.name).estimate(self._now)
+        step = self._step_s(engine)
         max_step_s = self._request.gap_s / self._traits.event_tokens
         step_share = step / max_step_s if max_step_s else 0
         return _FULL_COST * excess * excess + _STEP_COST * _relative_excess(
@@ -415,6 +562,10 @@
 
 
 def _rank_preferred(work: Work, engines: Sequence[Entry]) -> list[Entry]:
+    return _rank_all(work, engines)[:_PREFERRED_ENGINES]
+
+
+def _rank_all(work: Work, engines: Sequence[Entry]) -> list[Entry]:
     by_name = {engine.name: engine for engine in engines}
     ranked = rank_by_rendezvous(work.affinity_key, by_name)
-    return [by_name[name] for name in ranked[:_PREFERRED_ENGINES]]
+    return [by_name[name] for name in ranked]
--- a/packages/verbenahall/src/verbenahall/placement/_messages.py
+++ b/packages/verbenahall/src/verbenahall/placement/_messages.py
@@ -64,6 +64,21 @@
 UNKNOWN_SOURCE: Final = RequestSource()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PrefillSample:
+    """A measured prefill: ``missing`` tokens after ``cached`` ones.
+
+    It took ``seconds``, in which it had the share ``share`` of the engine's
+    time. ``alone`` is whether no other prefill was ahead of it.
+    """
+
+    missing: int
+    cached: int
+    seconds: float
+    share: float = 1
+    alone: bool = True
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Plan:
     """The engines of a request, and the estimates behind the choice.
@@ -82,3 +97,10 @@
     reason: str
     ahead_s: float = 0
     slot_wait_s: float = 0
+
+    def make_sample(
+        self, work: Work, seconds: float, share: float, *, alone: bool
+    ) -> PrefillSample:
+        """Return the measurement of the plan's prefill."""
+        cached = work.prompt_tokens - self.missing
+        return PrefillSample(self.missing, cached, seconds, share, alone)
--- a/packages/verbenahall/src/verbenahall/placement/_roles.py
+++ b/packages/verbenahall/src/verbenahall/placement/_roles.py
@@ -9,9 +9,11 @@
 import dataclasses
 import functools
 import math
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from types import MappingProxyType
 from typing import Final
 
+from verbenahall.engine_speeds import USUAL_ROLES, ServiceRoles
 from verbenahall.fleet import Role
 from verbenahall.roster import Entry
 
@@ -23,6 +25,9 @@
 #: to reach its roles after a start.
 _MAX_CHANGES: Final = 4
 _MAX_CHANGED_SHARE: Final = 1 / 6
+#: Ratio of the speeds of two classes of engines, when engines are chosen.
+_SPEED_CLASS: Final = 1.3
+_EQUALLY_FAST: Final[Mapping[str, float]] = MappingProxyType({})
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,6 +42,8 @@
     engines: Sequence[Entry],
     busy: Mapping[str, int],
     recently_lost: int = 0,
+    factors: Mapping[str, float] = _EQUALLY_FAST,
+    roles: ServiceRoles = USUAL_ROLES,
 ) -> tuple[RoleChange, ...]:
     """Return the changes that give a service its planned roles.
 
@@ -46,36 +53,49 @@
     Most of them are back by the time a change would be done, and changing
     roles back and forth takes two engines out of service for seconds each. So
     with lost engines a change is made only if no decode engine is left.
+    ``factors`` are those on the durations at engines that differ in speed: the
+    fast ones are chosen for prefill, the slow ones for decode. ``roles`` is
+    what else the roles are to follow.
     """
     decode_engines = [one for one in engines if one.role is Role.DECODE]
     prefill_engines = [one for one in engines if one.role is Role.PREFILL]
+    versions = [one.version for one in decode_engines]
+    choose = functools.partial(_choose_engines, busy, factors)
     if recently_lost:
         missing = 0 if decode_engines else 1
-        return _choose_engines(prefill_engines, Role.DECODE, missing, busy, ())
+        return choose(prefill_engines, Role.DECODE, missing, ())
     total = len(decode_engines) + len(prefill_engines)
-    max_changes = max(_MAX_CHANGES, int(total * _MAX_CHANGED_SHARE))
-    target = math.ceil(total * _DECODE_SHARE)
+    target = roles.decode_count or math.ceil(total * _DECODE_SHARE)
     surplus = len(decode_engines) - target
-    versions = [one.version for one in decode_engines]
+    if not surplus:
+        return tuple(_exchange(roles))
+    count = min(
+        abs(surplus), max(_MAX_CHANGES, int(total * _MAX_CHANGED_SHARE))
+    )
     if surplus > 0:
-        count = min(surplus, max_changes)
-        return _choose_engines(
-            decode_engines, Role.PREFILL, count, busy, versions
-        )
-    count = min(-surplus, max_changes)
-    return _choose_engines(prefill_engines, Role.DECODE, count, busy, versions)
+        return choose(decode_engines, Role.PREFILL, count, versions)
+    return choose(prefill_engines, Role.DECODE, count, versions)
+
+
+def _exchange(roles: ServiceRoles) -> Iterator[RoleChange]:
+    """Yield the changes of pairs that exchange their roles."""
+    for prefill_engine, decode_engine in roles.exchanges:
+        yield RoleChange(prefill_engine, Role.DECODE)
+        yield RoleChange(decode_engine, Role.PREFILL)
 
 
 def _choose_engines(
+    busy: Mapping[str, int],
+    factors: Mapping[str, float],
     engines: Sequence[Entry],
     role: Role,
     count: int,
-    busy: Mapping[str, int],
     decoding_versions: Iterable[str],
 ) -> tuple[RoleChange, ...]:
     """Choose engines from the data centres that have most of ``engines``.
 
-    Within a data centre the least busy engines are chosen first.
+    Within a data centre the fastest engines are chosen first for prefill and
+    the slowest for decode, among equally fast ones the least busy.
 
     A data centre whose engines all have one role sends either all prompts or
     all KV caches to other data centres. Before that, a software version keeps
@@ -83,7 +103,11 @@
     """
     ranked = sorted(
         engines,
-        key=lambda one: (busy.get(one.name, 0), one.name),
+        key=lambda one: (
+            _rank_speed(role, factors.get(one.name, 1)),
+            busy.get(one.name, 0),
+            one.name,
+        ),
     )
     decoding = collections.Counter(decoding_versions)
     chosen: list[Entry] = []
@@ -98,6 +122,16 @@
     return tuple(RoleChange(engine, role) for engine in chosen)
 
 
+def _rank_speed(role: Role, factor: float) -> int:
+    """Return the sort key of an engine by its speed, in classes.
+
+    The lowest is the fastest for prefill and the slowest for decode. Speeds
+    that differ by less than a class are measured no better than that.
+    """
+    speed_class = round(math.log(factor, _SPEED_CLASS))
+    return speed_class if role is Role.PREFILL else -speed_class
+
+
 def _rank_change(
     role: Role,
     decoding: Mapping[str, int],
--- a/packages/verbenahall/src/verbenahall/placement/_slots.py
+++ b/packages/verbenahall/src/verbenahall/placement/_slots.py
@@ -80,6 +80,7 @@
             self.traits,
             now,
             self.waiting_count,
+            pending.due_at - now,
         )
 
 
@@ -96,6 +97,7 @@
         '_state',
         '_min_queue_s',
         '_local_share_s',
+        '_factors',
     )
 
     def __init__(self, fleet: Fleet) -> None:
@@ -105,6 +107,12 @@
         self._local_share_s = self._min_queue_s / (
             fleet.state.load_table.prefilling_peers + 1
         )
+        speeds = fleet.state.engine_speeds
+        self._factors = {
+            one.name: speeds.find_prefill_factor(one)
+            * speeds.find_level(one.service)
+            for one in fleet.engines
+        }
         self.engine_names = frozenset(one.name for one in fleet.engines)
         self.open_engines = {
             name for name in self.engine_names if self._is_open(name)
@@ -156,10 +164,8 @@
         prompt each.
         """
         local_tokens = self._state.load_table.local_totals(name).prefill_tokens
-        return (
-            local_tokens * self._state.prefill_speed.token_s
-            < self._local_share_s
-        )
+        local_s = local_tokens * self._state.prefill_speed.token_s
+        return local_s * self._factors.get(name, 1) < self._local_share_s
 
 
 def _get_prefill_engine(plan: Plan) -> str:
--- a/packages/verbenahall/src/verbenahall/placement/_speeds.py
+++ b/packages/verbenahall/src/verbenahall/placement/_speeds.py
@@ -154,11 +154,15 @@
         self._mean_s = current + _STEP_SMOOTHING * (seconds - current)
         self._observed_at = now
 
-    def estimate(self, now: float) -> float:
-        """Return the expected duration in seconds."""
+    def estimate(self, now: float, factor: float = 1) -> float:
+        """Return the expected duration in seconds.
+
+        ``factor`` is that of the engine on the initial value.
+        """
         age = now - self._observed_at
         decay = 0.5 ** (age / _STEP_HALF_LIFE_S)
-        return self._initial_s + (self._mean_s - self._initial_s) * decay
+        initial_s = self._initial_s * factor
+        return initial_s + (self._mean_s - initial_s) * decay
 
 
 @final
@@ -169,22 +173,25 @@
     held by long streams shows no new times.
     """
 
-    __slots__ = ('_times', '_typical_s')
+    __slots__ = ('typical_s', '_times')
 
     def __init__(self) -> None:
         """Start with the initial decode step time."""
         self._times: dict[str, float] = {}
-        self._typical_s = _STEP_S
+        self.typical_s = _STEP_S
 
     def record(self, engine: str, seconds: float) -> None:
         """Record the time of a token in a stream that has ended."""
-        before_s = self._typical_s if self._times else seconds
-        self._typical_s = _smooth(before_s, seconds)
+        before_s = self.typical_s if self._times else seconds
+        self.typical_s = _smooth(before_s, seconds)
         self._times[engine] = _smooth(self._times.get(engine, seconds), seconds)
 
-    def estimate(self, engine: str) -> float:
-        """Return the time at an engine, that of the others if it is unknown."""
-        return self._times.get(engine, self._typical_s)
+    def estimate(self, engine: str, factor: float = 1) -> float:
+        """Return the time at an engine.
+
+        If it is unknown, it is that of the others times ``factor``.
+        """
+        return self._times.get(engine, self.typical_s * factor)
 
     def retain(self, names: Collection[str]) -> None:
         """Remove the engines that are no longer listed."""
--- a/packages/verbenahall/src/verbenahall/placement/_state.py
+++ b/packages/verbenahall/src/verbenahall/placement/_state.py
@@ -1,13 +1,15 @@
 """The state that placement keeps between requests."""
 
+import dataclasses
 from collections.abc import Collection
 from typing import Final, final
 
-from verbenahall.catalog import Service
+from verbenahall.catalog import EngineTraits, Service
+from verbenahall.engine_speeds import EngineSpeeds, SharedTime
 from verbenahall.placement._caches import PrefixCache
 from verbenahall.placement._failures import FailureRates
-from verbenahall.placement._load_table import LoadTable
-from verbenahall.placement._messages import Work
+from verbenahall.placement._load_table import InFlight, LoadTable, Totals
+from verbenahall.placement._messages import Plan, PrefillSample, Work
 from verbenahall.placement._speeds import (
     DecayingAverage,
     PrefillSpeed,
@@ -22,6 +24,23 @@
 #: event, for a prompt that another engine has prefilled: a round trip, a
 #: transfer and a decode step.
 _HANDOVER_S: Final = 0.01
+#: Share of an engine's slots or memory above which its speed is measured apart.
+CROWDED_SHARE: Final = 0.7
+#: Least share of a prefill's time that is computation, for the speed of its
+#: engine to be measured. The rest is network time, the same at all engines.
+_MIN_COMPUTED_SHARE: Final = 0.25
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OpenPrefill:
+    """A prefill that this process has sent; ``tokens_ahead`` were open there.
+
+    ``waits`` is whether others were ahead of it, also by its plan.
+    """
+
+    flight: InFlight
+    tokens_ahead: int
+    waits: bool
 
 
 @final
@@ -35,6 +54,8 @@
         'prefill_speed',
         'handover',
         'token_times',
+        'engine_speeds',
+        'shared_time',
         '_caches',
         '_steps',
     )
@@ -49,6 +70,9 @@
         #: Time from the decode request to its first event, in seconds.
         self.handover = DecayingAverage(_HANDOVER_S)
         self.token_times = TokenTimes()
+        self.engine_speeds = EngineSpeeds()
+        #: The share of engines that the prefills sent from here get.
+        self.shared_time = SharedTime()
         self._caches: dict[tuple[str, int], PrefixCache] = {}
         self._steps: dict[str, DecayingAverage] = {}
 
@@ -63,6 +87,7 @@
         other.prefill_speed = self.prefill_speed
         other.handover = self.handover
         other.token_times = self.token_times
+        other.engine_speeds = self.engine_speeds
         other.failures = self.failures
         other._caches = self._caches
         other._steps = self._steps
@@ -89,10 +114,23 @@
         """Return the estimated decode step time of an engine."""
         return self._steps.setdefault(engine, DecayingAverage())
 
-    def record_step_time(self, engine: str, step_s: float, now: float) -> None:
+    def record_step_time(
+        self, engine: Entry, step_s: float, traits: EngineTraits, now: float
+    ) -> None:
         """Record the time between two tokens in a stream that has ended."""
-        self.find_step_time(engine).observe(step_s, now)
-        self.token_times.record(engine, step_s)
+        self.engine_speeds.record_step(
+            engine,
+            step_s / self.token_times.typical_s,
+            crowded=self.is_crowded(engine, traits),
+            now=now,
+        )
+        self.find_step_time(engine.name).observe(step_s, now)
+        self.token_times.record(engine.name, step_s)
+
+    def is_crowded(self, engine: Entry, traits: EngineTraits) -> bool:
+        """Whether an engine is close to full, by its slots or its memory."""
+        totals = self.load_table.totals(engine.name)
+        return measure_fill(totals, traits) > CROWDED_SHARE
 
     def retain(self, names: Collection[str]) -> None:
         """Remove the state of engines that are no longer listed."""
@@ -101,13 +139,71 @@
         self.token_times.retain(names)
         self.load_table.streams.retain(names)
         self.failures.retain(names)
+        self.engine_speeds.retain(names)
         for key in tuple(self._caches):
             if key[0] not in names:
                 self._caches.pop(key)
 
+    def open_prefill(
+        self, engine: Entry, plan: Plan, now: float
+    ) -> OpenPrefill:
+        """Add a prefill that is sent to an engine to the load table."""
+        ahead = self.load_table.totals(engine.name).prefill_tokens
+        flight = self.load_table.open(
+            engine.name, Totals(prefill_tokens=plan.missing)
+        )
+        self.shared_time.start(flight.number, engine.name, now)
+        return OpenPrefill(flight, ahead, waits=ahead > 0 or plan.ahead_s > 0)
+
+    def close_prefill(self, prefill: OpenPrefill, now: float) -> float:
+        """Remove a prefill; return the share of the engine's time that it got.
+
+        Returns 0 if it cannot be known: others were ahead of it, or peers have
+        sent prefills to the engine meanwhile.
+        """
+        share = self.shared_time.end(prefill.flight.number, now)
+        self.load_table.close(prefill.flight)
+        name = prefill.flight.engine
+        local = self.load_table.local_totals(name).prefill_tokens
+        others = self.load_table.totals(name).prefill_tokens - local
+        return 0 if prefill.waits or others > 0 else share
+
     def record_prefill_time(
-        self, missing: int, cached: int, seconds: float
+        self,
+        engine: Entry,
+        sample: PrefillSample,
+        traits: EngineTraits,
+        now: float,
     ) -> None:
-        """Update the prefill speed with a prefill that waited for no other."""
-        if missing >= _MIN_TIMED_TOKENS and seconds > 0:
-            self.prefill_speed.update(missing, cached, seconds)
+        """Update the speed of an engine, and the common one if it was alone."""
+        if sample.missing < _MIN_TIMED_TOKENS or sample.seconds <= 0:
+            return
+        speeds = self.engine_speeds
+        crowded = self.is_crowded(engine, traits)
+        factor = speeds.find_prefill_factor(engine, now, crowded=crowded)
+        start_s = self.prefill_speed.start_s
+        predicted_s = self.prefill_speed.predict_s(
+            sample.missing, sample.cached
+        )
+        # A prefill that shares the engine starts beside the others.
+        expected_s = predicted_s + start_s * sample.share
+        if predicted_s > _MIN_COMPUTED_SHARE * expected_s and sample.share > 0:
+            speeds.record_prefill(
+                engine,
+                sample.seconds * sample.share / expected_s,
+                share=sample.share,
+                crowded=crowded,
+                now=now,
+            )
+        if sample.alone:
+            # The common estimate is that of the typical engine.
+            self.prefill_speed.update(
+                sample.missing, sample.cached, sample.seconds / factor
+            )
+
+
+def measure_fill(totals: Totals, traits: EngineTraits) -> float:
+    """Return the fill of an engine by memory or slots, whichever is higher."""
+    return max(
+        totals.held_tokens / traits.kv_tokens, totals.streams / traits.slots
+    )
--- a/packages/verbenahall/src/verbenahall/placement/_streams.py
+++ b/packages/verbenahall/src/verbenahall/placement/_streams.py
@@ -28,7 +28,8 @@
 
     ``tokens`` is the expected number of output tokens, ``opened_at`` when the
     engine was chosen. ``has_handle`` is whether it continues from a KV cache
-    handle. ``started_at`` is when its first event came, None before.
+    handle. ``started_at`` is when its first event came, None before. ``gap_s``
+    is its longest acceptable pause in seconds, 0 if there is no limit.
     """
 
     priority: int
@@ -36,6 +37,7 @@
     opened_at: float
     has_handle: bool = False
     started_at: float | None = None
+    gap_s: float = 0
 
     def goes_before(self, other: 'OpenStream') -> bool:
         """Whether this stream keeps or gets a slot before a new one."""
@@ -123,6 +125,16 @@
             known.values(), stream, round(left_slots), token_s
         )
 
+    def find_shortest_gap(self, engine: str) -> float:
+        """Return the shortest pause that a stream here accepts, in seconds.
+
+        It is infinite if none of the streams at the engine has a limit.
+        """
+        streams = self._streams.get(engine, {}).values()
+        return min(
+            (one.gap_s for one in streams if one.gap_s), default=math.inf
+        )
+
     def has_more_urgent(self, engine: str, priority: int) -> bool:
         """Whether an engine has had streams that preempt this priority."""
         rates = self._rates.get(engine)
--- a/packages/verbenahall/src/verbenahall/scheduling/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/scheduling/_decisions.py
@@ -115,15 +115,16 @@
     if assigned is None:
         return
     state.placement.load_table.close(assigned.prefill)
+    share = state.placement.shared_time.end(assigned.prefill.number, now)
     match progress:
         case Prefilled(seconds=seconds):
-            _record_prefill(state, assigned, seconds, service)
+            _record_prefill(state, assigned, seconds, share, service, now)
             _record_success(state, assigned.plan.prefill_engine, now)
         case FirstEvent():
             _record_first_event(state, assigned, progress, service, now)
             _record_success(state, assigned.plan.decode_engine, now)
         case Released():
-            _record_release(state, assigned, progress, now)
+            _record_release(state, assigned, progress, service, now)
 
 
 def expire_assignments(state: SchedulerState, now: float) -> None:
@@ -134,7 +135,7 @@
         if now > assigned.waiting.deadline + _GRACE_S
     ]
     for assigned in overdue:
-        _release(state, assigned)
+        _release(state, assigned, now)
 
 
 def _answer_waiting(
@@ -226,6 +227,9 @@
         ahead_s=plan.ahead_s,
         reason=plan.reason,
     )
+    state.placement.shared_time.start(
+        admitted.flight.number, admitted.flight.engine, now
+    )
     state.assigned[key] = Assigned(
         waiting,
         plan,
@@ -249,16 +253,17 @@
     state: SchedulerState,
     assigned: Assigned,
     seconds: float,
+    share: float,
     service: Service,
+    now: float,
 ) -> None:
     plan = assigned.plan
+    engine = plan.prefill_engine or plan.decode_engine
     work = assigned.waiting.pending.placement_request.work
-    if not plan.ahead_s:
-        cached = work.prompt_tokens - plan.missing
-        state.placement.record_prefill_time(plan.missing, cached, seconds)
-    state.placement.record_cached(
-        plan.prefill_engine or plan.decode_engine, work, service
-    )
+    if service.engine is not None:
+        sample = plan.make_sample(work, seconds, share, alone=not plan.ahead_s)
+        state.placement.record_prefill_time(engine, sample, service.engine, now)
+    state.placement.record_cached(engine, work, service)
 
 
 def _record_first_event(
@@ -288,18 +293,23 @@
 
 
 def _record_release(
-    state: SchedulerState, assigned: Assigned, released: Released, now: float
+    state: SchedulerState,
+    assigned: Assigned,
+    released: Released,
+    service: Service,
+    now: float,
 ) -> None:
-    _release(state, assigned)
+    _release(state, assigned, now)
     if released.failed:
         state.placement.failures.record(released.failed, now, failed=True)
-    if released.step_s:
+    if released.step_s and service.engine is not None:
         state.placement.record_step_time(
-            assigned.plan.decode_engine.name, released.step_s, now
+            assigned.plan.decode_engine, released.step_s, service.engine, now
         )
 
 
-def _release(state: SchedulerState, assigned: Assigned) -> None:
+def _release(state: SchedulerState, assigned: Assigned, now: float) -> None:
     state.placement.load_table.close(assigned.prefill)
     state.placement.load_table.close(assigned.decode)
+    state.placement.shared_time.end(assigned.prefill.number, now)
     state.assigned.pop(assigned.answer.key)
--- a/packages/verbenahall/tests/gateway/test_roles.py
+++ b/packages/verbenahall/tests/gateway/test_roles.py
@@ -4,7 +4,7 @@
 
 from verbenahall.fleet import Role
 from verbenahall.gateway._hooks import format_incarnation
-from verbenahall.gateway._orders import _RoleObserver
+from verbenahall.placement import RoleObserver
 from verbenahall.roster import Entry
 from verbenahall.throttling import record_rate
 
@@ -27,7 +27,7 @@
     every few seconds, and each one read the lease from the store three times a
     second.
     """
-    observer = _RoleObserver()
+    observer = RoleObserver()
     changed = dataclasses.replace(ENGINE, role=Role.PREFILL)
 
     assert not observer.update('drafter', [ENGINE])
@@ -37,7 +37,7 @@
 
 def test_engine_that_joins_or_leaves_is_no_role_change():
     """Engines crash and start without any order."""
-    observer = _RoleObserver()
+    observer = RoleObserver()
     observer.update('drafter', [ENGINE])
 
     assert not observer.update('drafter', [])
