--- a/packages/verbenahall/src/verbenahall/gateway/_core.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_core.py
@@ -7,7 +7,7 @@
 
 from verbenahall import clock
 from verbenahall.catalog import CatalogState
-from verbenahall.overload import EarlierWaits
+from verbenahall.fair_shares import FairShares
 from verbenahall.gateway._endpoints import Endpoints
 from verbenahall.gateway._engine_calls import EngineCalls
 from verbenahall.gateway._freshness import Freshness
@@ -21,6 +21,7 @@
     format_incarnation,
 )
 from verbenahall.gateway._version_hook import NoVersionFinder, VersionFinder
+from verbenahall.overload import EarlierWaits
 from verbenahall.peers import PeerTable
 from verbenahall.placement import PlacementState
 from verbenahall.platform import (
@@ -100,6 +101,7 @@
         self.engines = EngineCalls(self.session, self.endpoints.notices)
         self.store = StoreClient(self.session, settings.store)
         self.earlier_waits = EarlierWaits()
+        self.fair_shares = FairShares()
         self._budgets: dict[str, WindowBudget] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
