Endpoint health moves out of the gateway into a slice of its own

Health, notices and choice of endpoints are decisions without sockets, and gateway/ must make room for the wiring of endpoint alerts.

--- a/packages/verbenahall/src/verbenahall/gateway/_endpoints.py
+++ b/packages/verbenahall/src/verbenahall/endpoint_health/_endpoints.py
@@ -6,8 +6,8 @@
 
 from verbenahall.backoff import BackoffTable
 from verbenahall.clock import Clock
-from verbenahall.gateway._endpoint_health import EndpointHealthTable
-from verbenahall.gateway._endpoint_notices import EndpointNotices
+from verbenahall.endpoint_health._health import EndpointHealthTable
+from verbenahall.endpoint_health._notices import EndpointNotices
 from verbenahall.roster import Entry, Roster
 
 
--- a/packages/verbenahall/src/verbenahall/gateway/_endpoint_notices.py
+++ b/packages/verbenahall/src/verbenahall/endpoint_health/_notices.py
@@ -9,9 +9,14 @@
 from verbenahall import journal, metrics
 from verbenahall.backoff import BackoffTable, read_retry_after
 from verbenahall.clock import Clock
-from verbenahall.gateway._hooks import format_incarnation
 from verbenahall.platform import AnswerHead
-from verbenahall.roster import Entry, Incarnation, Roster, record_leaving
+from verbenahall.roster import (
+    Entry,
+    Incarnation,
+    Roster,
+    format_incarnation,
+    record_leaving,
+)
 
 #: Range of the random factor of a requested backoff: instances that were
 #: refused together must not return together, and none returns early.
--- a/packages/verbenahall/src/verbenahall/gateway/_core.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_core.py
@@ -8,7 +8,7 @@
 from verbenahall import clock
 from verbenahall.catalog import CatalogState
 from verbenahall.gateway._earlier_waits import EarlierWaits
-from verbenahall.gateway._endpoints import Endpoints
+from verbenahall.endpoint_health import Endpoints
 from verbenahall.gateway._engine_calls import EngineCalls
 from verbenahall.gateway._freshness import Freshness
 from verbenahall.gateway._hooks import (
@@ -18,7 +18,6 @@
     NoLimiter,
     NoObserver,
     RateLimiter,
-    format_incarnation,
 )
 from verbenahall.gateway._version_hook import NoVersionFinder, VersionFinder
 from verbenahall.peers import PeerTable
@@ -34,7 +33,12 @@
 from verbenahall.quarantine import CrashLog
 from verbenahall.reach import ReachTable
 from verbenahall.requests import WindowBudget
-from verbenahall.roster import LAPSE_GRACE_S, Roster, RosterRules
+from verbenahall.roster import (
+    LAPSE_GRACE_S,
+    Roster,
+    RosterRules,
+    format_incarnation,
+)
 from verbenahall.throttling import RateTable
 from verbenahall.usage import SyncedClock, UsageMeter
 
--- a/packages/verbenahall/src/verbenahall/gateway/_crashes.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_crashes.py
@@ -8,11 +8,10 @@
 from verbenahall import journal
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._crash_reports import CrashLogReplicator
-from verbenahall.gateway._hooks import format_incarnation
 from verbenahall.gateway._probes import ConnectOutcome, try_connect
 from verbenahall.gateway._reach import reaches_any
 from verbenahall.quarantine import Crash, is_part
-from verbenahall.roster import Entry
+from verbenahall.roster import Entry, format_incarnation
 
 #: Time within which all connections to a crashed endpoint have ended, in
 #: seconds.
--- a/packages/verbenahall/src/verbenahall/gateway/_engine_calls.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_engine_calls.py
@@ -11,7 +11,7 @@
 
 from verbenahall import journal
 from verbenahall.errors import VerbenahallError
-from verbenahall.gateway._endpoint_notices import EndpointNotices
+from verbenahall.endpoint_health import EndpointNotices
 from verbenahall.platform import (
     CALL_FAILURES,
     EXPECT_ENDPOINT,
--- a/packages/verbenahall/src/verbenahall/gateway/_hooks.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_hooks.py
@@ -128,8 +128,3 @@
     ) -> web.StreamResponse:
         """Fail, as nothing is to be forwarded."""
         raise AssertionError('there is no forwarder')
-
-
-def format_incarnation(endpoint: Entry) -> str:
-    """Return a name that identifies this incarnation of an endpoint."""
-    return f'{endpoint.name}/{endpoint.born}'
--- a/packages/verbenahall/src/verbenahall/gateway/_orders.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_orders.py
@@ -13,11 +13,10 @@
 from verbenahall.fleet import Role
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._duty_leases import find_separation_s, make_lease
-from verbenahall.gateway._hooks import format_incarnation
 from verbenahall.peers import find_rank
 from verbenahall.placement import RoleChange, plan_roles
 from verbenahall.platform import RoleOrder
-from verbenahall.roster import Entry
+from verbenahall.roster import Entry, format_incarnation
 
 #: Duty whose lease an instance must hold to order role changes.
 _DUTY: Final = 'roles'
--- a/packages/verbenahall/src/verbenahall/gateway/_permits.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_permits.py
@@ -14,11 +14,10 @@
 
 from verbenahall import journal, metrics, throttling
 from verbenahall.gateway._core import Core
-from verbenahall.gateway._hooks import format_incarnation
 from verbenahall.peers import PeerExchange
 from verbenahall.platform import AnswerHead
 from verbenahall.requests import Limited
-from verbenahall.roster import Entry
+from verbenahall.roster import Entry, format_incarnation
 
 #: Timeout of a permit request to a peer, in seconds; after it the request is
 #: sent to another endpoint.
--- a/packages/verbenahall/src/verbenahall/roster/__init__.py
+++ b/packages/verbenahall/src/verbenahall/roster/__init__.py
@@ -9,7 +9,12 @@
     record_leaving,
     record_store_outage,
 )
-from verbenahall.roster._messages import Entry, Incarnation, Listing
+from verbenahall.roster._messages import (
+    Entry,
+    Incarnation,
+    Listing,
+    format_incarnation,
+)
 from verbenahall.roster._notices import (
     LeavingNotice,
     apply_notice,
@@ -35,6 +40,7 @@
     'decode_notice',
     'encode_notice',
     'fits_version',
+    'format_incarnation',
     'had_store_outage',
     'record_leaving',
     'record_store_outage',
--- a/packages/verbenahall/src/verbenahall/roster/_messages.py
+++ b/packages/verbenahall/src/verbenahall/roster/_messages.py
@@ -39,6 +39,11 @@
         return (self.name, self.born)
 
 
+def format_incarnation(endpoint: Entry) -> str:
+    """Return a name that identifies this incarnation of an endpoint."""
+    return f'{endpoint.name}/{endpoint.born}'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Removal:
     """The removal of an endpoint's entry; ``at`` is when it was read."""
