Endpoints that are back get one request at a time until three succeed

Callers saw bursts of failed attempts at engines that had come back and failed again: one accepted connection was enough for every instance and scheduler to use an endpoint in full. The breaker is half-open after a probe: one trial at a time, three successes close it, a failed trial doubles the pause before the next probe from 0.5 s to 8 s. A limit on the share of requests was ruled out: the count of requests differs too much between instances.

Failures of requests from before the endpoint was lost do not count, and the breaker is closed when the endpoint starts again under its name.

--- a/packages/verbenahall/src/verbenahall/endpoint_health/_endpoints.py
+++ b/packages/verbenahall/src/verbenahall/endpoint_health/_endpoints.py
@@ -1,13 +1,14 @@
 """What an instance knows of the endpoints, and which may get its requests."""
 
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import final
 
 from verbenahall.backoff import BackoffTable
 from verbenahall.clock import Clock
 from verbenahall.endpoint_health._health import EndpointHealthTable
 from verbenahall.endpoint_health._notices import EndpointNotices
+from verbenahall.endpoint_health._trials import record_reachable
 from verbenahall.roster import Entry, Roster
 
 
@@ -20,15 +21,46 @@
     these.
     """
 
-    __slots__ = ('backoffs', 'health', 'notices', '_roster')
+    __slots__ = (
+        'backoffs',
+        'health',
+        'notices',
+        'on_reached',
+        'on_unreachable',
+        '_now',
+        '_roster',
+    )
 
     def __init__(self, roster: Roster, rng: random.Random, now: Clock) -> None:
         """Start without any outcome."""
         self.backoffs = BackoffTable()
         self.health = EndpointHealthTable()
-        self.notices = EndpointNotices(roster, self.backoffs, rng, now)
+        self.notices = EndpointNotices(
+            roster, self.backoffs, self.health, rng, now
+        )
+        #: Called for each failure to reach an endpoint, with its cause.
+        self.on_unreachable: Callable[[Entry, BaseException], object]
+        self.on_unreachable = _ignore_unreachable
+        #: Called for each endpoint that a probe has reached again.
+        self.on_reached: Callable[[Entry], object] = _ignore_reached
+        self._now = now
         self._roster = roster
 
+    def record_unreachable(self, endpoint: Entry, cause: BaseException) -> None:
+        """Exclude an endpoint that was not reached, unless it has restarted."""
+        known = self._roster.find_entry(endpoint.name)
+        if known is not None and known.incarnation != endpoint.incarnation:
+            return
+        self.health.record_unreachable(
+            endpoint.name, self._now(), endpoint.born
+        )
+        self.on_unreachable(endpoint, cause)
+
+    def record_reached(self, endpoint: Entry) -> None:
+        """Try an endpoint again that a probe has reached."""
+        record_reachable(self.health, endpoint.name)
+        self.on_reached(endpoint)
+
     def list_available(self, service: str, now: float) -> Sequence[Entry]:
         """Return the live endpoints that accept this instance's requests.
 
@@ -95,3 +127,11 @@
             if not self.health.is_avoided(one.name, now)
         ]
         return healthy or endpoints
+
+
+def _ignore_unreachable(endpoint: Entry, cause: BaseException) -> None:
+    """Send no alert."""
+
+
+def _ignore_reached(endpoint: Entry) -> None:
+    """Withdraw no alert."""
--- a/packages/verbenahall/src/verbenahall/endpoint_health/_health.py
+++ b/packages/verbenahall/src/verbenahall/endpoint_health/_health.py
@@ -1,89 +1,94 @@
-"""Health of endpoints by the outcomes of this process's own sends.
+"""Health of endpoints by the outcomes of sends and by alerts of peers.
 
 A health check may pass while requests fail, and a store entry outlives its
 endpoint by seconds, so endpoints are avoided by the outcomes of sends.
 """
 
-from collections.abc import Collection
+from collections.abc import Mapping
 from typing import Final, final
 
-#: Weight of one outcome in the moving average of failures.
-_OUTCOME_WEIGHT: Final = 0.2
-#: An unreachable endpoint is avoided for this long at most, in seconds, or
-#: until a probe succeeds. Without probes, each request that tried it again lost
-#: a whole connect timeout.
-_UNREACHABLE_S: Final = 5.0
+from verbenahall.endpoint_health._breakers import (
+    Breaker,
+    Phase,
+    close_breaker,
+    open_breaker,
+    record_trial,
+)
+from verbenahall.placement import FailureRates
+
 #: An endpoint that has refused a request is avoided for this long, in seconds.
 #: By then a full one has capacity again, and a change of its role has been
 #: reported.
 _REFUSAL_S: Final = 0.5
-#: Time without sends in which the failure rate halves, in seconds.
-_HALF_LIFE_S: Final = 5.0
 
 
 @final
 class EndpointHealth:
     """Recent outcomes of the sends to one endpoint.
 
-    ``failure_rate`` is the moving average of failures at the time
-    ``updated_at``, between 0 and 1, and ``open`` the number of sends that are
-    under way.
+    ``open`` is the number of sends under way, ``answered_at`` the time of the
+    last answer, and ``born`` the start of the endpoint that ``breaker`` applies
+    to, None if it is not known.
     """
 
-    __slots__ = (
-        'failure_rate',
-        'updated_at',
-        'unreachable_until',
-        'refusing_until',
-        'open',
-    )
+    __slots__ = ('answered_at', 'born', 'breaker', 'open', 'refusing_until')
 
     def __init__(self) -> None:
         """Start without failures."""
-        self.failure_rate: float = 0
-        self.updated_at: float = 0
-        self.unreachable_until = -float('inf')
+        self.answered_at = -float('inf')
+        self.born: int | None = None
+        self.breaker = Breaker()
         self.refusing_until = -float('inf')
         self.open = 0
 
 
 @final
 class EndpointHealthTable:
-    """Recent outcomes by endpoint name."""
+    """Recent outcomes by endpoint name, in ``records``."""
 
-    __slots__ = ('_health',)
+    __slots__ = ('records', '_failures')
 
     def __init__(self) -> None:
         """Start without outcomes."""
-        self._health: dict[str, EndpointHealth] = {}
+        self._failures = FailureRates()
+        self.records: dict[str, EndpointHealth] = {}
 
     def get(self, endpoint: str) -> EndpointHealth:
         """Return an endpoint's record; creates it if it is missing."""
-        return self._health.setdefault(endpoint, EndpointHealth())
+        return self.records.setdefault(endpoint, EndpointHealth())
 
     def has(self, endpoint: str) -> bool:
         """Whether there is a record of an endpoint."""
-        return endpoint in self._health
+        return endpoint in self.records
+
+    def retain(self, starts: Mapping[str, int]) -> None:
+        """Keep the records of these endpoints only.
 
-    def retain(self, names: Collection[str]) -> None:
-        """Remove the records of all other endpoints."""
-        for name in self._health.keys() - names:
-            self._health.pop(name)
+        ``starts`` holds by name when each was born. One that was started again
+        is not excluded for what its predecessor did.
+        """
+        self._failures.retain(starts)
+        for name in self.records.keys() - starts.keys():
+            self.records.pop(name)
+        for name, health in self.records.items():
+            if health.born not in {None, starts[name]}:
+                close_breaker(health.breaker)
+            health.born = starts[name]
 
     def record_outcome(self, endpoint: str, now: float, *, good: bool) -> None:
         """Record the outcome of a send."""
+        self._failures.record(endpoint, now, failed=not good)
+        record_trial(self.get(endpoint).breaker, now, good=good)
+
+    def record_unreachable(
+        self, endpoint: str, now: float, born: int | None = None
+    ) -> None:
+        """Exclude an endpoint that accepts no connection or is unresponsive."""
+        self._failures.record(endpoint, now, failed=True)
         health = self.get(endpoint)
-        failure_rate = self.failure_rate(endpoint, now)
-        target = 0 if good else 1
-        health.failure_rate = failure_rate + _OUTCOME_WEIGHT * (
-            target - failure_rate
-        )
-        health.updated_at = now
-
-    def record_unreachable(self, endpoint: str, now: float) -> None:
-        """Avoid an endpoint that accepts no connection or is unresponsive."""
-        self.record_outcome(endpoint, now, good=False)
-        self.get(endpoint).unreachable_until = now + _UNREACHABLE_S
+        health.born = born
+        health.breaker.alerted = False
+        open_breaker(health.breaker, now)
 
     def record_refusal(
         self,
@@ -98,29 +103,27 @@
         """
         self.get(endpoint).refusing_until = now + for_s
 
-    def record_reachable(self, endpoint: str) -> None:
-        """Use an endpoint again that accepted a connection."""
-        self.get(endpoint).unreachable_until = -float('inf')
+    def clear(self, endpoint: str) -> None:
+        """Forget the failures of an endpoint, which had another cause."""
+        self._failures.clear(endpoint)
+        close_breaker(self.get(endpoint).breaker)
 
     def list_unreachable(self, now: float) -> list[str]:
-        """Return the endpoints that are avoided as unreachable."""
+        """Return the endpoints that are excluded as unreachable."""
         return [
-            name
-            for name, health in self._health.items()
-            if now < health.unreachable_until
+            name for name in self.records if not self.is_reachable(name, now)
         ]
 
     def failure_rate(self, endpoint: str, now: float) -> float:
         """Return the failure rate, which decays while nothing is sent."""
-        health = self.get(endpoint)
-        decay = 0.5 ** ((now - health.updated_at) / _HALF_LIFE_S)
-        return health.failure_rate * decay
+        return self._failures.estimate(endpoint, now)
 
     def is_reachable(self, endpoint: str, now: float) -> bool:
         """Whether an endpoint is not marked as unreachable."""
-        return now >= self.get(endpoint).unreachable_until
+        breaker = self.get(endpoint).breaker
+        return breaker.find_phase(now) is not Phase.OPEN
 
     def is_avoided(self, endpoint: str, now: float) -> bool:
-        """Whether an endpoint is avoided, as unreachable or refusing."""
+        """Whether an endpoint is avoided: excluded, on trial, or refusing."""
         health = self.get(endpoint)
-        return now < max(health.unreachable_until, health.refusing_until)
+        return now < health.refusing_until or not health.breaker.admits(now)
--- a/packages/verbenahall/src/verbenahall/endpoint_health/_notices.py
+++ b/packages/verbenahall/src/verbenahall/endpoint_health/_notices.py
@@ -9,6 +9,7 @@
 from verbenahall import journal, metrics
 from verbenahall.backoff import BackoffTable, read_retry_after
 from verbenahall.clock import Clock
+from verbenahall.endpoint_health._health import EndpointHealthTable
 from verbenahall.platform import AnswerHead
 from verbenahall.roster import (
     Entry,
@@ -27,12 +28,20 @@
 class EndpointNotices:
     """Records endpoints that announce their leaving or request a backoff."""
 
-    __slots__ = ('on_leaving', '_backoffs', '_now', '_random', '_roster')
+    __slots__ = (
+        'on_leaving',
+        '_backoffs',
+        '_health',
+        '_now',
+        '_random',
+        '_roster',
+    )
 
     def __init__(
         self,
         roster: Roster,
         backoffs: BackoffTable,
+        health: EndpointHealthTable,
         rng: random.Random,
         now: Clock,
     ) -> None:
@@ -41,6 +50,7 @@
         self.on_leaving: Callable[[Incarnation], object] = bool
         self._roster = roster
         self._backoffs = backoffs
+        self._health = health
         self._random = rng
         self._now = now
 
@@ -70,6 +80,7 @@
         """
         if answer_head.misdirected:
             return
+        self._health.get(endpoint.name).answered_at = self._now()
         if answer_head.leaving:
             self.record_leaving(endpoint, source)
         if answer_head.retry_after:
--- a/packages/verbenahall/src/verbenahall/gateway/_core.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_core.py
@@ -127,13 +127,14 @@
         Each start of an endpoint has a new name, so state that is kept by name
         would grow for as long as the instance runs.
         """
-        names = self.roster.listings.keys()
-        self.endpoint_health.retain(names)
-        self.placement.retain(names)
+        listings = self.roster.listings
+        self.endpoint_health.retain(
+            {name: one.entry.born for name, one in listings.items()}
+        )
+        self.placement.retain(listings.keys())
         if not self.rates.is_empty:
-            listings = self.roster.listings.values()
             self.rates.retain(
-                {format_incarnation(listing.entry) for listing in listings}
+                {format_incarnation(one.entry) for one in listings.values()}
             )
 
     def get_retry_budget(self, service: str) -> WindowBudget:
--- a/packages/verbenahall/src/verbenahall/gateway/_probes.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_probes.py
@@ -5,6 +5,7 @@
 from typing import Final, final
 
 from verbenahall import journal
+from verbenahall.endpoint_health import list_probe_due
 from verbenahall.gateway._core import Core
 from verbenahall.roster import Entry
 
@@ -56,12 +57,22 @@
         """Probe until cancelled."""
         while True:
             await asyncio.sleep(_PROBE_INTERVAL_S)
-            avoided = self._core.endpoint_health.list_unreachable(
-                self._core.now()
+            avoided = list_probe_due(
+                self._core.endpoint_health, self._core.now()
             )
             count = min(len(avoided), _MAX_PROBES)
             sample = self._core.random.sample(avoided, count)
-            await asyncio.gather(*(self._probe(name) for name in sample))
+            await asyncio.gather(*(self.probe(name) for name in sample))
+
+    async def probe(self, name: str) -> None:
+        """Probe one endpoint; try it again if it accepts a connection."""
+        listing = self._core.roster.listings.get(name)
+        if listing is None or self._is_excluded(listing.entry):
+            return
+        outcome = await try_connect(self._core, listing.entry.address)
+        if outcome is ConnectOutcome.LISTENS:
+            self._core.endpoints.record_reached(listing.entry)
+            journal.write_decision('endpoint_reached', endpoint=name)
 
     def _is_excluded(self, entry: Entry) -> bool:
         """Whether an endpoint would get no request even if it is reached.
@@ -71,12 +82,3 @@
         backoff_s = self._core.endpoints.notices.find_backoff_s(entry)
         is_lost = self._core.reach.is_lost(entry.service)
         return entry.leaving or backoff_s > 0 or is_lost
-
-    async def _probe(self, name: str) -> None:
-        listing = self._core.roster.listings.get(name)
-        if listing is None or self._is_excluded(listing.entry):
-            return
-        outcome = await try_connect(self._core, listing.entry.address)
-        if outcome is ConnectOutcome.LISTENS:
-            self._core.endpoint_health.record_reachable(name)
-            journal.write_decision('endpoint_reached', endpoint=name)
--- a/packages/verbenahall/src/verbenahall/gateway/_reach.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_reach.py
@@ -122,8 +122,7 @@
     """Use all endpoints of a service whose path has returned."""
     for entry in core.roster.list_live(service, core.now()):
         # These failures were those of the path.
-        core.endpoint_health.get(entry.name).failure_rate = 0
-        core.endpoint_health.record_reachable(entry.name)
+        core.endpoint_health.clear(entry.name)
     journal.write_decision(
         'service_reachable',
         service=service,
--- a/packages/verbenahall/src/verbenahall/gateway/_scheduler.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_scheduler.py
@@ -32,6 +32,8 @@
     list_group_engines,
     receive_request,
     record_progress,
+    begin_trials,
+    record_trial_progress,
 )
 
 #: Interval at which queues are processed without an event, in seconds, so that
@@ -136,6 +138,7 @@
         if service is None:
             return
         now = self._core.now()
+        record_trial_progress(state, progress, self._core.endpoint_health, now)
         record_progress(state, progress, service, now)
         if isinstance(progress, Released) and progress.refused:
             self._core.endpoint_health.record_refusal(progress.refused, now)
@@ -209,7 +212,9 @@
         replies: Iterable[Reply],
         state: SchedulerState,
     ) -> None:
+        now = self._core.now()
         for reply in replies:
+            begin_trials(self._core.endpoint_health, reply.message, now)
             self._log_reply(reply.message, state)
             self._send(reply.sender, reply.message)
 
--- a/packages/verbenahall/src/verbenahall/gateway/_sender.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_sender.py
@@ -13,6 +13,7 @@
 
 from verbenahall import journal, metrics
 from verbenahall.backoff import Trial
+from verbenahall.endpoint_health import begin_send, end_send
 from verbenahall.gateway._admission import find_workspace
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._messages import Answered, Call
@@ -118,7 +119,7 @@
             )
             yield opened
         finally:
-            self._end_send(endpoint, trial, response)
+            self._end_send(call, endpoint, trial, response)
 
     async def exchange(
         self,
@@ -204,10 +205,10 @@
         if is_connect_failure or not isinstance(error, TimeoutError):
             record_trouble(self._core.reach.get(endpoint.service))
         if is_connect_failure:
-            self._core.endpoint_health.record_unreachable(endpoint.name, now)
+            self._core.endpoints.record_unreachable(endpoint, error)
             return NeverWritten(repr(error))
         if isinstance(error, OSError) and error.errno in _NO_ACK_ERRNOS:
-            self._core.endpoint_health.record_unreachable(endpoint.name, now)
+            self._core.endpoints.record_unreachable(endpoint, error)
             return Broken(repr(error))
         self.record_outcome(endpoint, good=False)
         if isinstance(error, TimeoutError) and now >= call.deadline:
@@ -224,20 +225,21 @@
     ) -> None:
         """Log a send and count it as open."""
         core = self._core
-        core.endpoint_health.get(endpoint.name).open += 1
+        begin_send(
+            core.endpoint_health, endpoint.name, call.head.identity, core.now()
+        )
         record_sent(core.reach.get(endpoint.service), core.now())
         self._log_sent(call, endpoint, options)
 
     def _end_send(
         self,
+        call: Call,
         endpoint: Entry,
         trial: Trial | None,
         response: aiohttp.ClientResponse | None,
     ) -> None:
         """Stop counting a send as open, and close its connection."""
-        health = self._core.endpoint_health.get(endpoint.name)
-        # The record is a new one if the endpoint was unlisted meanwhile.
-        health.open = max(0, health.open - 1)
+        end_send(self._core.endpoint_health, endpoint.name, call.head.identity)
         record_ended(self._core.reach.get(endpoint.service))
         self._core.endpoints.backoffs.end_trial(endpoint.incarnation, trial)
         if response is not None:
--- a/packages/verbenahall/src/verbenahall/placement/__init__.py
+++ b/packages/verbenahall/src/verbenahall/placement/__init__.py
@@ -2,6 +2,7 @@
 
 from verbenahall.placement._decisions import PlacementRequest, place
 from verbenahall.placement._dispatch import dispatch, enqueue
+from verbenahall.placement._failures import FailureRates
 from verbenahall.placement._load_table import InFlight, LoadTable, Totals
 from verbenahall.placement._messages import (
     UNKNOWN_SOURCE,
@@ -24,6 +25,7 @@
 __all__ = (
     'UNKNOWN_SOURCE',
     'Admitted',
+    'FailureRates',
     'Fleet',
     'InFlight',
     'LoadTable',
--- a/packages/verbenahall/src/verbenahall/placement/_failures.py
+++ b/packages/verbenahall/src/verbenahall/placement/_failures.py
@@ -73,6 +73,10 @@
             return engines
         return working
 
+    def clear(self, engine: str) -> None:
+        """Forget the failures of an engine."""
+        self._rates.pop(engine, None)
+
     def retain(self, names: Collection[str]) -> None:
         """Remove the engines that are no longer listed."""
         for name in self._rates.keys() - names:
--- a/packages/verbenahall/src/verbenahall/scheduling/__init__.py
+++ b/packages/verbenahall/src/verbenahall/scheduling/__init__.py
@@ -38,6 +38,7 @@
     encode,
 )
 from verbenahall.scheduling._state import Reply, SchedulerState
+from verbenahall.scheduling._trials import begin_trials, record_trial_progress
 
 __all__ = (
     'Assignment',
@@ -53,6 +54,7 @@
     'SchedulerHealth',
     'SchedulerState',
     'assign_waiting',
+    'begin_trials',
     'decode',
     'encode',
     'expire_assignments',
@@ -63,4 +65,5 @@
     'rank_schedulers',
     'receive_request',
     'record_progress',
+    'record_trial_progress',
 )
