Trials of a scheduler's assignments are counted apart from own sends

An instance that schedules a group rejected its own assignment to an engine on trial, because the trial of that request was counted against it.

--- a/packages/verbenahall/src/verbenahall/endpoint_health/__init__.py
+++ b/packages/verbenahall/src/verbenahall/endpoint_health/__init__.py
@@ -4,7 +4,7 @@
 gets one request at a time until some have succeeded (circuit breaker).
 """
 
-from verbenahall.endpoint_health._breakers import Phase
+from verbenahall.endpoint_health._breakers import Phase, Sending
 from verbenahall.endpoint_health._endpoints import Endpoints
 from verbenahall.endpoint_health._health import EndpointHealthTable
 from verbenahall.endpoint_health._notices import EndpointNotices
@@ -24,6 +24,7 @@
     'EndpointNotices',
     'Endpoints',
     'Phase',
+    'Sending',
     'begin_send',
     'begin_trials',
     'end_send',
--- a/packages/verbenahall/src/verbenahall/endpoint_health/_breakers.py
+++ b/packages/verbenahall/src/verbenahall/endpoint_health/_breakers.py
@@ -33,15 +33,40 @@
     HALF_OPEN = 'half_open'
 
 
+@final
+class Sending(enum.Enum):
+    """Who limits the requests to an endpoint that is back.
+
+    An instance counts its own requests. A scheduler counts those that it
+    assigns, so an instance sends an assigned one whatever else it has open.
+    """
+
+    OWN = 'own'
+    ASSIGNING = 'assigning'
+    ASSIGNED = 'assigned'
+
+
+@final
+class Trial:
+    """The request with which an endpoint is tried, and until when at most."""
+
+    __slots__ = ('key', 'until')
+
+    def __init__(self) -> None:
+        """Start without a request."""
+        self.key = ''
+        self.until = -float('inf')
+
+
 @final
 class Breaker:
     """The circuit breaker of one endpoint; times are monotonic seconds.
 
     Until ``open_until`` it gets no request, and from ``probe_at`` on it is
     probed. ``trials_left`` is how many requests have to succeed until it
-    counts as recovered. Until ``trial_until`` one of these is under way, whose
-    key is ``trial``. ``pause_s`` is the last pause after a failed trial, and
-    ``alerted`` whether only an alert of a peer has opened the breaker.
+    counts as recovered, and ``trials`` the ones under way. ``pause_s`` is the
+    last pause after a failed trial, and ``alerted`` whether only an alert of a
+    peer has opened the breaker.
     """
 
     __slots__ = (
@@ -49,8 +74,7 @@
         'open_until',
         'pause_s',
         'probe_at',
-        'trial',
-        'trial_until',
+        'trials',
         'trials_left',
     )
 
@@ -60,8 +84,7 @@
         self.open_until = -float('inf')
         self.pause_s: float = 0
         self.probe_at = -float('inf')
-        self.trial = ''
-        self.trial_until = -float('inf')
+        self.trials = {sending: Trial() for sending in Sending}
         self.trials_left = 0
 
     def find_phase(self, now: float) -> Phase:
@@ -70,13 +93,13 @@
             return Phase.OPEN
         return Phase.HALF_OPEN if self.trials_left else Phase.CLOSED
 
-    def admits(self, now: float) -> bool:
+    def admits(self, now: float, sending: Sending) -> bool:
         """Whether the endpoint may get another request."""
         match self.find_phase(now):
             case Phase.OPEN:
                 return False
             case Phase.HALF_OPEN:
-                return now >= self.trial_until
+                return now >= self.trials[sending].until
             case _:
                 return True
 
@@ -103,17 +126,22 @@
     until = now + breaker.pause_s + _UNREACHABLE_S
     breaker.open_until = max(breaker.open_until, until)
     breaker.trials_left = _TRIALS
-    breaker.trial_until = -float('inf')
+    _clear_trials(breaker)
 
 
-def begin_trial(breaker: Breaker, key: str, now: float) -> None:
+def begin_trial(
+    breaker: Breaker, sending: Sending, key: str, now: float
+) -> None:
     """Count a request that is sent to an endpoint that is back."""
     if breaker.find_phase(now) is Phase.HALF_OPEN:
-        breaker.trial = key
-        breaker.trial_until = now + _TRIAL_S
+        trial = breaker.trials[sending]
+        trial.key = key
+        trial.until = now + _TRIAL_S
 
 
-def record_trial(breaker: Breaker, now: float, *, good: bool) -> None:
+def record_trial(
+    breaker: Breaker, sending: Sending, now: float, *, good: bool
+) -> None:
     """Record the outcome of a request.
 
     A failure without a trial under way is that of an earlier request, which
@@ -121,23 +149,25 @@
     """
     if breaker.find_phase(now) is not Phase.HALF_OPEN:
         return
+    trial = breaker.trials[sending]
     if good:
         breaker.trials_left -= 1
-        breaker.trial_until = -float('inf')
+        trial.until = -float('inf')
         if not breaker.trials_left:
             close_breaker(breaker)
-    elif now < breaker.trial_until:
+    elif now < trial.until:
         open_breaker(breaker, now)
 
 
-def end_trial(breaker: Breaker, key: str) -> None:
+def end_trial(breaker: Breaker, sending: Sending, key: str) -> None:
     """Allow the next trial after one that ended, maybe without an outcome.
 
     A stream has its outcome at its first event and may end long after that, so
     its end has no effect on a later trial.
     """
-    if breaker.trial == key:
-        breaker.trial_until = -float('inf')
+    trial = breaker.trials[sending]
+    if trial.key == key:
+        trial.until = -float('inf')
 
 
 def admit_trials(breaker: Breaker) -> None:
@@ -151,4 +181,9 @@
     admit_trials(breaker)
     breaker.trials_left = 0
     breaker.pause_s = 0
-    breaker.trial_until = -float('inf')
+    _clear_trials(breaker)
+
+
+def _clear_trials(breaker: Breaker) -> None:
+    for trial in breaker.trials.values():
+        trial.until = -float('inf')
--- a/packages/verbenahall/src/verbenahall/endpoint_health/_endpoints.py
+++ b/packages/verbenahall/src/verbenahall/endpoint_health/_endpoints.py
@@ -6,6 +6,7 @@
 
 from verbenahall.backoff import BackoffTable
 from verbenahall.clock import Clock
+from verbenahall.endpoint_health._breakers import Sending
 from verbenahall.endpoint_health._health import EndpointHealthTable
 from verbenahall.endpoint_health._notices import EndpointNotices
 from verbenahall.endpoint_health._trials import record_reachable
@@ -88,7 +89,18 @@
 
         If all are avoided, all are returned, as one may have recovered.
         """
-        return self._prefer_healthy(self.list_available(service, now), now)
+        return self._prefer_healthy(
+            self.list_available(service, now), now, Sending.OWN
+        )
+
+    def list_assigned(self, service: str, now: float) -> Sequence[Entry]:
+        """Return the usable endpoints for a request that a scheduler assigned.
+
+        The scheduler limits the requests to those that are back.
+        """
+        return self._prefer_healthy(
+            self.list_available(service, now), now, Sending.ASSIGNED
+        )
 
     def list_assignable(
         self, service: str, now: float, *, is_lost: bool = False
@@ -101,7 +113,7 @@
         """
         live = list(self._roster.list_live(service, now))
         if not is_lost:
-            return self._prefer_healthy(live, now)
+            return self._prefer_healthy(live, now, Sending.ASSIGNING)
         ready = [
             one
             for one in live
@@ -119,12 +131,12 @@
         )
 
     def _prefer_healthy(
-        self, endpoints: Sequence[Entry], now: float
+        self, endpoints: Sequence[Entry], now: float, sending: Sending
     ) -> Sequence[Entry]:
         healthy = [
             one
             for one in endpoints
-            if not self.health.is_avoided(one.name, now)
+            if not self.health.is_avoided(one.name, now, sending)
         ]
         return healthy or endpoints
 
--- a/packages/verbenahall/src/verbenahall/endpoint_health/_health.py
+++ b/packages/verbenahall/src/verbenahall/endpoint_health/_health.py
@@ -10,6 +10,7 @@
 from verbenahall.endpoint_health._breakers import (
     Breaker,
     Phase,
+    Sending,
     close_breaker,
     open_breaker,
     record_trial,
@@ -78,7 +79,8 @@
     def record_outcome(self, endpoint: str, now: float, *, good: bool) -> None:
         """Record the outcome of a send."""
         self._failures.record(endpoint, now, failed=not good)
-        record_trial(self.get(endpoint).breaker, now, good=good)
+        breaker = self.get(endpoint).breaker
+        record_trial(breaker, Sending.OWN, now, good=good)
 
     def record_unreachable(
         self, endpoint: str, now: float, born: int | None = None
@@ -123,7 +125,11 @@
         breaker = self.get(endpoint).breaker
         return breaker.find_phase(now) is not Phase.OPEN
 
-    def is_avoided(self, endpoint: str, now: float) -> bool:
+    def is_avoided(
+        self, endpoint: str, now: float, sending: Sending = Sending.OWN
+    ) -> bool:
         """Whether an endpoint is avoided: excluded, on trial, or refusing."""
         health = self.get(endpoint)
-        return now < health.refusing_until or not health.breaker.admits(now)
+        if now < health.refusing_until:
+            return True
+        return not health.breaker.admits(now, sending)
--- a/packages/verbenahall/src/verbenahall/endpoint_health/_trials.py
+++ b/packages/verbenahall/src/verbenahall/endpoint_health/_trials.py
@@ -4,6 +4,7 @@
 
 from verbenahall.endpoint_health._breakers import (
     Phase,
+    Sending,
     admit_trials,
     begin_trial,
     end_trial,
@@ -19,7 +20,7 @@
     """Count a send as open; ``key`` identifies its request."""
     health = table.get(endpoint)
     health.open += 1
-    begin_trial(health.breaker, key, now)
+    begin_trial(health.breaker, Sending.OWN, key, now)
 
 
 def end_send(table: EndpointHealthTable, endpoint: str, key: str) -> None:
@@ -27,7 +28,7 @@
     health = table.get(endpoint)
     # The record is a new one if the endpoint was unlisted meanwhile.
     health.open = max(0, health.open - 1)
-    end_trial(health.breaker, key)
+    end_trial(health.breaker, Sending.OWN, key)
 
 
 def begin_trials(
@@ -35,7 +36,7 @@
 ) -> None:
     """Count a request that another instance sends to some endpoints."""
     for name in filter(table.has, endpoints):
-        begin_trial(table.get(name).breaker, key, now)
+        begin_trial(table.get(name).breaker, Sending.ASSIGNING, key, now)
 
 
 def record_trials(
@@ -47,7 +48,7 @@
 ) -> None:
     """Record the outcome of a request that another instance has sent."""
     for name in filter(table.has, endpoints):
-        record_trial(table.get(name).breaker, now, good=good)
+        record_trial(table.get(name).breaker, Sending.ASSIGNING, now, good=good)
 
 
 def end_trials(
@@ -55,7 +56,7 @@
 ) -> None:
     """End the trials of a request that another instance has sent."""
     for name in filter(table.has, endpoints):
-        end_trial(table.get(name).breaker, key)
+        end_trial(table.get(name).breaker, Sending.ASSIGNING, key)
 
 
 def record_alerted(
--- a/packages/verbenahall/src/verbenahall/gateway/_scheduler_client.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_scheduler_client.py
@@ -267,7 +267,7 @@
         """Accept the engines, unless one is not usable for this instance."""
         address = self._find_address(scheduler)
         now = self._core.now()
-        usable = self._core.endpoints.list_usable(
+        usable = self._core.endpoints.list_assigned(
             group_request.call.service.name, now
         )
         by_name = {one.name: one for one in usable}
--- a/packages/verbenahall/src/verbenahall/gateway/_stream_flow.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_stream_flow.py
@@ -264,7 +264,8 @@
         plan = grant.plan
         if grant.holds_decode:
             service = self._call.service.name
-            usable = self._core.endpoints.list_usable(service, self._core.now())
+            now = self._core.now()
+            usable = self._core.endpoints.list_assigned(service, now)
             if plan.decode_engine.name in {one.name for one in usable}:
                 return plan
         return self._place().value_or(plan)
--- a/packages/verbenahall/tests/endpoint_health/test_breakers.py
+++ b/packages/verbenahall/tests/endpoint_health/test_breakers.py
@@ -1,7 +1,11 @@
 """An endpoint that is back after a failure gets few requests at first."""
 
+import dataclasses
+import random
+
 import pytest
 from verbenahall import endpoint_health
+from verbenahall.roster import Entry, Roster, apply_entry
 
 NAME = 'page-0'
 
@@ -78,3 +82,19 @@
     assert table.is_avoided(NAME, 0.1)
     table.retain({NAME: 2})
     assert not table.is_avoided(NAME, 0.1)
+
+
+def test_scheduler_may_use_the_engine_that_it_has_assigned():
+    # The scheduler's own instance sent an assigned request back to it, as the
+    # trial of that very request kept it from the engine.
+    roster = Roster()
+    entry = Entry(NAME, 'pages', '10.0.0.1:80', 'a', leaving=False)
+    other = dataclasses.replace(entry, name='page-1')
+    for one in (entry, other):
+        apply_entry(roster, one)
+    endpoints = endpoint_health.Endpoints(roster, random.Random(1), lambda: 1)
+    endpoints.record_unreachable(entry, OSError())
+    endpoints.record_reached(entry)
+    endpoint_health.begin_trials(endpoints.health, (NAME,), 'a', 1)
+    assert endpoints.list_assignable('pages', 1) == [other]
+    assert endpoints.list_assigned('pages', 1) == [entry, other]
--- a/packages/verbenahall/tests/scheduling/test_trials.py
+++ b/packages/verbenahall/tests/scheduling/test_trials.py
@@ -6,6 +6,8 @@
 
 __all__ = ('service', 'state')
 
+Sending = endpoint_health.Sending
+
 
 def test_engine_that_is_back_gets_one_assignment(state, service):
     # The scheduler sends no requests itself, so it would never learn that a
@@ -15,10 +17,10 @@
     endpoint_health.record_reachable(health, 'p0')
     answer = submit(state, make_request('a'))[0].message
     scheduling.begin_trials(health, answer, 0)
-    assert health.is_avoided('p0', 0.01)
+    assert health.is_avoided('p0', 0.01, Sending.ASSIGNING)
     progress = scheduling.Prefilled('a', 0.05)
     scheduling.record_trial_progress(state, progress, health, 0.05)
-    assert not health.is_avoided('p0', 0.06)
+    assert not health.is_avoided('p0', 0.06, Sending.ASSIGNING)
 
 
 def test_released_assignment_that_failed_excludes_the_engine(state, service):
