All instances leave out an endpoint that one of them does not reach

Each instance found out by a send of its own that an endpoint had crashed, and schedulers assigned engines that others knew to be down. The first to detect it now sends endpoint_alert to its data centre and to a relay of each other one, twice. Refused connections are accepted by all; timeouts elsewhere only after two data centres report them. Alerts on over half of a service within a second are withdrawn, and an instance that reaches no other endpoint of the service sends none. A field in heartbeats was ruled out: up to 0.6 s late, and never in other data centres.

Crash reports and leaving notices use the same channel on the peers' socket.

--- a/packages/verbenahall/src/verbenahall/gateway/_crash_reports.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_crash_reports.py
@@ -5,12 +5,11 @@
 from collections.abc import Iterable
 from typing import Final, final
 
-from returns.maybe import Some
-
 from verbenahall import journal, metrics, quarantine
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._stored_crashes import StoredCrashes
 from verbenahall.peers import (
+    NoticeChannel,
     Peer,
     PeerExchange,
     PeerTable,
@@ -36,9 +35,8 @@
     """Keeps the crash logs of all instances consistent."""
 
     __slots__ = (
+        '_channel',
         '_core',
-        '_exchange',
-        '_next_handler',
         '_store_sync_until',
         '_stored',
     )
@@ -46,11 +44,9 @@
     def __init__(self, core: Core, exchange: PeerExchange) -> None:
         """Install the handler of crash reports in the peers' exchange."""
         self._core = core
-        self._exchange = exchange
-        self._next_handler = exchange.datagram_handler
+        self._channel = NoticeChannel(exchange, quarantine.decode, self._merge)
         self._stored = StoredCrashes(core)
         self._store_sync_until = -float('inf')
-        exchange.datagram_handler = self.handle_datagram
 
     async def run(self) -> None:
         """Repeat reports that may have been lost, until cancelled."""
@@ -90,14 +86,6 @@
             )
             core.spawn(self._broadcast_repeatedly(report))
 
-    def handle_datagram(self, datagram: bytes, sender: str) -> bool:
-        """Merge a peer's report; pass other datagrams on."""
-        found = quarantine.decode(datagram)
-        if isinstance(found, Some):
-            self._merge(found.unwrap(), sender)
-            return True
-        return self._next_handler(datagram, sender)
-
     async def _broadcast_repeatedly(
         self, report: quarantine.CrashReport
     ) -> None:
@@ -137,12 +125,9 @@
     def _send(
         self, report: quarantine.CrashReport, peers: Iterable[Peer]
     ) -> None:
-        datagrams = [
-            quarantine.encode(part) for part in quarantine.split(report)
-        ]
-        for peer in peers:
-            for datagram in datagrams:
-                self._exchange.send(datagram, peer.address)
+        recipients = tuple(peers)
+        for part in quarantine.split(report):
+            self._channel.send(quarantine.encode(part), recipients)
 
 
 def _log_quarantined(
--- a/packages/verbenahall/src/verbenahall/gateway/_crashes.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_crashes.py
@@ -103,6 +103,9 @@
         has_path = not refuses or await self._reaches_others(endpoint)
         losses.crashed = refuses and has_path
         if losses.crashed:
+            self._core.endpoints.record_unreachable(
+                endpoint, ConnectionRefusedError()
+            )
             await asyncio.sleep(_SETTLE_S)
             self._report_new(incarnation, losses)
         else:
--- a/packages/verbenahall/src/verbenahall/gateway/_leaving_notices.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_leaving_notices.py
@@ -8,11 +8,14 @@
 from collections.abc import Iterable
 from typing import Final, final
 
-from returns.maybe import Some
-
 from verbenahall import journal, metrics
 from verbenahall.gateway._core import Core
-from verbenahall.peers import Peer, PeerExchange, list_recipients
+from verbenahall.peers import (
+    NoticeChannel,
+    Peer,
+    PeerExchange,
+    list_recipients,
+)
 from verbenahall.roster import (
     Incarnation,
     LeavingNotice,
@@ -34,16 +37,14 @@
 class LeavingReplicator:
     """Sends and receives notices of endpoints that leave."""
 
-    __slots__ = ('_core', '_exchange', '_next_handler', '_noticed_at')
+    __slots__ = ('_channel', '_core', '_noticed_at')
 
     def __init__(self, core: Core, exchange: PeerExchange) -> None:
         """Install the handlers in the core and in the peers' exchange."""
         self._core = core
-        self._exchange = exchange
-        self._next_handler = exchange.datagram_handler
+        self._channel = NoticeChannel(exchange, decode_notice, self._receive)
         self._noticed_at: dict[Incarnation, float] = {}
         core.endpoints.notices.on_leaving = self.announce
-        exchange.datagram_handler = self.handle_datagram
 
     async def run(self) -> None:
         """Repeat the notices of this instance, until cancelled."""
@@ -56,12 +57,7 @@
         self._noticed_at[incarnation] = self._core.now()
         self._send(incarnation, list_recipients(self._core.peer_table))
 
-    def handle_datagram(self, datagram: bytes, sender: str) -> bool:
-        """Apply a peer's notice; pass other datagrams on."""
-        found = decode_notice(datagram)
-        if not isinstance(found, Some):
-            return self._next_handler(datagram, sender)
-        notice = found.unwrap()
+    def _receive(self, notice: LeavingNotice, sender: str) -> None:
         if apply_notice(self._core.roster, notice):
             metrics.LEAVING_ANNOUNCED.add('peer')
             journal.write_decision(
@@ -69,7 +65,6 @@
                 endpoint='{}/{}'.format(*notice.incarnation),
                 source=sender,
             )
-        return True
 
     def _repeat(self, now: float) -> None:
         peers = list(self._core.peer_table.peers.values())
@@ -81,6 +76,4 @@
                 self._send(incarnation, self._core.random.sample(peers, fanout))
 
     def _send(self, incarnation: Incarnation, peers: Iterable[Peer]) -> None:
-        datagram = encode_notice(LeavingNotice(incarnation))
-        for peer in peers:
-            self._exchange.send(datagram, peer.address)
+        self._channel.send(encode_notice(LeavingNotice(incarnation)), peers)
--- a/packages/verbenahall/src/verbenahall/gateway/_probes.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_probes.py
@@ -73,6 +73,9 @@
         if outcome is ConnectOutcome.LISTENS:
             self._core.endpoints.record_reached(listing.entry)
             journal.write_decision('endpoint_reached', endpoint=name)
+        elif outcome is ConnectOutcome.REFUSES:
+            refusal = ConnectionRefusedError()
+            self._core.endpoints.on_unreachable(listing.entry, refusal)
 
     def _is_excluded(self, entry: Entry) -> bool:
         """Whether an endpoint would get no request even if it is reached.
--- a/packages/verbenahall/src/verbenahall/gateway/_serve.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_serve.py
@@ -19,6 +19,7 @@
 from verbenahall.gateway._connection_shedding import ConnectionShedder
 from verbenahall.gateway._dispatch import Dispatch
 from verbenahall.forwarding import OpenForwards
+from verbenahall.gateway._endpoint_alerts import make_prober
 from verbenahall.gateway._fleet_state_log import FleetStateLog
 from verbenahall.gateway._forwarder import PeerForwarder
 from verbenahall.gateway._hop_server import HopServer
@@ -28,7 +29,6 @@
 from verbenahall.gateway._orders import RoleController
 from verbenahall.gateway._peers import PeerFinder
 from verbenahall.gateway._permits import DistributedRateLimiter
-from verbenahall.gateway._probes import EndpointProber
 from verbenahall.gateway._reach import ReachMonitor
 from verbenahall.gateway._readiness import Readiness
 from verbenahall.gateway._record_handlers import make_followers
@@ -90,6 +90,7 @@
         self.leaving_replicator = LeavingReplicator(
             self.core, self.finder.exchange
         )
+        self.prober = make_prober(self.core, self.finder.exchange)
         self.stream_versions = StreamVersions(self.core, self.finder.exchange)
         self.connection_shedder = ConnectionShedder(self.core)
         self.open_forwards = OpenForwards()
@@ -182,7 +183,7 @@
             'crowding': self.connection_shedder.run,
             'reach': ReachMonitor(self.core).run,
             'stream versions': self.stream_versions.run,
-            'probes': EndpointProber(self.core).run,
+            'probes': self.prober.run,
             'beliefs': FleetStateLog(self.core).run,
             'lines': _flush_log,
         }
--- a/packages/verbenahall/src/verbenahall/metrics.py
+++ b/packages/verbenahall/src/verbenahall/metrics.py
@@ -122,6 +122,13 @@
     'source',
     'header',
 )
+ENDPOINT_ALERTS: Final = BufferedCounter(
+    'verbenahall_endpoint_alerts_total',
+    'Alerts about endpoints that are not reached, or are again: sent, or what'
+    ' became of those received.',
+    'why',
+    'verdict',
+)
 NOT_SENT: Final = BufferedCounter(
     'verbenahall_not_sent_total',
     'Attempts that were not sent after an endpoint was chosen, by reason.',
--- a/packages/verbenahall/src/verbenahall/peers/__init__.py
+++ b/packages/verbenahall/src/verbenahall/peers/__init__.py
@@ -8,6 +8,7 @@
     encode_update,
     split_update,
 )
+from verbenahall.peers._notices import NoticeChannel
 from verbenahall.peers._ranks import find_rank, list_top_ranked
 from verbenahall.peers._shell import PeerExchange
 from verbenahall.peers._state import (
@@ -31,6 +32,7 @@
 __all__ = (
     'ConfirmedOffset',
     'Heartbeat',
+    'NoticeChannel',
     'Peer',
     'PeerExchange',
     'PeerTable',
