Prompts go past a group that is near its limit to one that is not

While one data centre got long prompts, its prompts waited with their prefix and the engines of others were idle: another group was asked only after a rejection. Schedulers now state pressure and taking in their answers, and an instance asks the next group by prefix first if the first one's pressure is over 0.8 and the other's lower by 0.3 with the prefix prefilled again. A group over 0.5 refuses such prompts, as instances know pressures of different times. Keys on the wire are optional; without known pressures the order of groups is as before.

--- a/packages/verbenahall/src/verbenahall/gateway/_scheduler.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_scheduler.py
@@ -25,6 +25,7 @@
     Reply,
     ScheduleRequest,
     SchedulerState,
+    add_status,
     assign_waiting,
     decode,
     encode,
@@ -34,6 +35,7 @@
     record_progress,
     begin_trials,
     record_trial_progress,
+    refuse_spill,
 )
 
 #: Interval at which queues are processed without an event, in seconds, so that
@@ -101,6 +103,10 @@
         scope = (request.service, request.group)
         state = self._find_state(scope)
         now = self._core.now()
+        refusal = refuse_spill(state, request, now)
+        if refusal is not None:
+            self._send_replies((Reply(sender, refusal),), state)
+            return
         fleet = self._describe_fleet(state, service, request.group)
         self._send_replies(
             receive_request(
@@ -216,7 +222,7 @@
         for reply in replies:
             begin_trials(self._core.endpoint_health, reply.message, now)
             self._log_reply(reply.message, state)
-            self._send(reply.sender, reply.message)
+            self._send(reply.sender, add_status(state, reply.message, now))
 
     def _log_reply(self, message: Message, state: SchedulerState) -> None:
         """Log a decision with the load that it was based on."""
--- a/packages/verbenahall/src/verbenahall/gateway/_scheduler_client.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_scheduler_client.py
@@ -20,11 +20,13 @@
     ScheduledGrant,
     Send,
 )
+from verbenahall.overflow import GroupOrder, StatusTable, order_groups
 from verbenahall.placement import (
     PlacementRequest,
     Plan,
     RequestSource,
     Totals,
+    Work,
 )
 from verbenahall.scheduling import (
     Assignment,
@@ -34,6 +36,7 @@
     Released,
     ScheduleRequest,
     SchedulerHealth,
+    find_status,
     is_local,
     needs_scheduler,
     rank_groups,
@@ -79,6 +82,7 @@
         '_misses',
         '_numbers',
         '_send',
+        '_statuses',
     )
 
     def __init__(self, core: Core, send: Send) -> None:
@@ -90,6 +94,7 @@
         self._misses: collections.Counter[str] = collections.Counter()
         self._numbers = itertools.count()
         self._send = send
+        self._statuses = StatusTable()
 
     def receive(self, message: Queued | Answer, scheduler: str) -> None:
         """Handle an answer of the scheduler at an address."""
@@ -116,15 +121,18 @@
         if not needs_scheduler(self._core.peer_table):
             return Nothing
         now = self._core.now()
-        usable = self._core.endpoints.list_assignable(call.service.name, now)
-        backing_off = self._core.endpoints.list_backing_off(
-            call.service.name, now
+        endpoints = self._core.endpoints
+        usable = endpoints.list_assignable(call.service.name, now)
+        unavailable = frozenset(
+            one.name
+            for one in endpoints.list_backing_off(call.service.name, now)
         )
-        unavailable = frozenset(one.name for one in backing_off)
         found: Maybe[Result[ScheduledGrant, Problem]] = Nothing
-        local_centre = self._core.settings.data_centre
         skipped = self._groups.list_unresponsive(now)
-        for group in rank_groups(placement_request.work, usable, local_centre):
+        order = _order_groups(
+            self._core, self._statuses, call, placement_request.work, usable
+        )
+        for group in order.groups:
             if group in skipped:
                 continue
             answer = await self._request_from_group(
@@ -135,8 +143,10 @@
                     unavailable,
                     group,
                     call.describe_source(
-                        self._core.settings.name, local_centre
+                        self._core.settings.name,
+                        self._core.settings.data_centre,
                     ),
+                    order.find_spilled(group),
                 ),
             )
             match answer:
@@ -219,8 +229,14 @@
         while True:
             self._send(address, group_request.build(key, self._core.now()))
             message = await _receive_within(inbox, _ANSWER_S)
+            self._statuses.record(
+                *group_request.scope, find_status(message), self._core.now()
+            )
             if isinstance(message, Queued):
                 message = await _receive_within(inbox, _RESEND_S)
+                self._statuses.record(
+                    *group_request.scope, find_status(message), self._core.now()
+                )
                 if message is None or isinstance(message, Queued):
                     continue
             return message
@@ -304,6 +320,12 @@
     unavailable: frozenset[str]
     group: str
     source: RequestSource
+    spilled: str
+
+    @property
+    def scope(self) -> tuple[str, str]:
+        """The service and the group."""
+        return (self.call.service.name, self.group)
 
     def build(self, key: str, now: float) -> ScheduleRequest:
         """Return the message to a scheduler, with the remaining times."""
@@ -324,6 +346,7 @@
             unavailable=tuple(self.unavailable),
             version=self.placement_request.version,
             source=self.source,
+            spilled=self.spilled,
         )
 
 
@@ -338,6 +361,34 @@
     return None
 
 
+def _order_groups(
+    core: Core,
+    statuses: StatusTable,
+    call: Call,
+    work: Work,
+    usable: Sequence[Entry],
+) -> GroupOrder:
+    """Return the groups for a prompt, past one that is near its limit."""
+    shared_tokens = sum(part.tokens for part in work.shared_parts)
+    prefix_s = core.placement.prefill_speed.predict_s(shared_tokens, 0)
+    order = order_groups(
+        statuses,
+        call.service.name,
+        rank_groups(work, usable, core.settings.data_centre),
+        prefix_s / call.route.objective_s,
+        core.now(),
+    )
+    if order.spilled:
+        metrics.OVERFLOWS.add(order.groups[0])
+        journal.write_decision(
+            'overflow',
+            request=call.head.identity,
+            group=order.spilled,
+            to=order.groups[0],
+        )
+    return order
+
+
 def _fits(group_request: _GroupRequest, decode: Entry | None) -> bool:
     """Whether a request may be sent to the decode engine of an assignment.
 
--- a/packages/verbenahall/src/verbenahall/metrics.py
+++ b/packages/verbenahall/src/verbenahall/metrics.py
@@ -129,6 +129,12 @@
     'why',
     'verdict',
 )
+OVERFLOWS: Final = BufferedCounter(
+    'verbenahall_overflows_total',
+    'Prompts sent past the group that has their prefix cached, by the group that'
+    ' they are sent to.',
+    'group',
+)
 NOT_SENT: Final = BufferedCounter(
     'verbenahall_not_sent_total',
     'Attempts that were not sent after an endpoint was chosen, by reason.',
--- a/packages/verbenahall/src/verbenahall/scheduling/__init__.py
+++ b/packages/verbenahall/src/verbenahall/scheduling/__init__.py
@@ -16,6 +16,7 @@
     receive_request,
     record_progress,
 )
+from verbenahall.scheduling._group_status import add_status, refuse_spill
 from verbenahall.scheduling._groups import (
     is_local,
     list_group_engines,
@@ -36,6 +37,7 @@
     ScheduleRequest,
     decode,
     encode,
+    find_status,
 )
 from verbenahall.scheduling._state import Reply, SchedulerState
 from verbenahall.scheduling._trials import begin_trials, record_trial_progress
@@ -53,11 +55,13 @@
     'ScheduleRequest',
     'SchedulerHealth',
     'SchedulerState',
+    'add_status',
     'assign_waiting',
     'begin_trials',
     'decode',
     'encode',
     'expire_assignments',
+    'find_status',
     'is_local',
     'list_group_engines',
     'needs_scheduler',
@@ -66,4 +70,5 @@
     'receive_request',
     'record_progress',
     'record_trial_progress',
+    'refuse_spill',
 )
--- a/packages/verbenahall/src/verbenahall/scheduling/_messages.py
+++ b/packages/verbenahall/src/verbenahall/scheduling/_messages.py
@@ -9,6 +9,7 @@
 from returns.result import Success
 
 from verbenahall import wire
+from verbenahall.overflow import GroupStatus
 from verbenahall.placement import (
     UNKNOWN_SOURCE,
     Part,
@@ -44,7 +45,8 @@
     no use. ``tried`` names the engines that have failed the request,
     ``unavailable`` those that accept no requests of the instance. ``version``
     is the software version of the decode engine, None if any may serve, and
-    ``source`` where the request comes from.
+    ``source`` where the request comes from. ``spilled`` is the group that the
+    request is sent past because it is near its limit, empty if there is none.
     """
 
     key: str
@@ -62,13 +64,18 @@
     unavailable: tuple[str, ...] = ()
     version: str | None = None
     source: RequestSource = UNKNOWN_SOURCE
+    spilled: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Queued:
-    """The request is queued; the scheduler will answer again."""
+    """The request is queued; the scheduler will answer again.
+
+    ``status`` is that of the group, None from schedulers of earlier versions.
+    """
 
     key: str
+    status: GroupStatus | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -88,6 +95,7 @@
     wait_s: float
     ahead_s: float
     reason: str
+    status: GroupStatus | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,6 +106,7 @@
     kind: str
     message: str
     retry_after_s: float
+    status: GroupStatus | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -179,6 +188,7 @@
         unavailable=tuple(map(str, table.get('unavailable', ()))),
         version=_read_version(table.get('version')),
         source=_parse_source(table),
+        spilled=str(table.get('spilled', '')),
     )
 
 
@@ -188,6 +198,14 @@
     return RequestSource(*texts)
 
 
+def _parse_status(table: _Table) -> GroupStatus | None:
+    """Read the status, which schedulers of earlier versions do not send."""
+    if 'pressure' not in table:
+        return None
+    taking = tuple(map(str, table.get('taking', ())))
+    return GroupStatus(float(table['pressure']), taking)
+
+
 def _read_version(found: Any) -> str | None:
     return None if found is None else str(found)
 
@@ -201,6 +219,7 @@
         wait_s=float(table['wait_s']),
         ahead_s=float(table['ahead_s']),
         reason=str(table['reason']),
+        status=_parse_status(table),
     )
 
 
@@ -210,6 +229,7 @@
         kind=str(table['kind']),
         message=str(table['message']),
         retry_after_s=float(table['retry_after_s']),
+        status=_parse_status(table),
     )
 
 
@@ -234,7 +254,7 @@
 _PARSERS: Final[Mapping[str, _Parser]] = MappingProxyType(
     {
         'schedule': _parse_request,
-        'queued': lambda table: Queued(str(table['key'])),
+        'queued': lambda table: Queued(str(table['key']), _parse_status(table)),
         'assignment': _parse_assignment,
         'rejection': _parse_rejection,
         'declined': lambda table: Declined(str(table['key'])),
@@ -260,6 +280,17 @@
 )
 
 
+def find_status(message: Message | None) -> GroupStatus | None:
+    """Return the group's status in an answer, None if there is none."""
+    match message:
+        case Queued(status=status) | Assignment(status=status):
+            return status
+        case Rejection(status=status):
+            return status
+        case _:
+            return None
+
+
 def encode(message: Message) -> bytes:
     """Encode a message for a datagram."""
     table = {
@@ -274,6 +305,11 @@
     source = table.pop('source', None)
     if source is not None:
         table.update(_encode_source(source))
+    if not table.get('spilled', True):
+        table.pop('spilled')
+    status = table.pop('status', None)
+    if status is not None:
+        table.update(pressure=status.pressure, taking=status.taking)
     return wire.encode({_TYPE: _TYPE_NAMES[type(message)], **table})
 
 
--- a/packages/verbenahall/src/verbenahall/scheduling/_state.py
+++ b/packages/verbenahall/src/verbenahall/scheduling/_state.py
@@ -3,6 +3,7 @@
 import dataclasses
 from typing import final
 
+from verbenahall.overflow import GroupLoad
 from verbenahall.placement import (
     InFlight,
     PlacementState,
@@ -52,12 +53,20 @@
 class SchedulerState:
     """The queue, the open assignments, and their load."""
 
-    __slots__ = ('assigned', 'placement', 'queue', 'started_at', 'waiting')
+    __slots__ = (
+        'assigned',
+        'group_load',
+        'placement',
+        'queue',
+        'started_at',
+        'waiting',
+    )
 
     def __init__(self, placement: PlacementState, started_at: float) -> None:
         """Start with nothing open; ``placement`` has no other open work."""
         self.started_at = started_at
         self.placement = placement
+        self.group_load = GroupLoad()
         self.queue = PrefillQueue()
         self.waiting: dict[str, Waiting] = {}
         self.assigned: dict[str, Assigned] = {}
--- a/packages/verbenahall/tests/gateway/test_roles.py
+++ b/packages/verbenahall/tests/gateway/test_roles.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from verbenahall.fleet import Role
-from verbenahall.gateway._hooks import format_incarnation
+from verbenahall.roster import format_incarnation
 from verbenahall.gateway._orders import _RoleObserver
 from verbenahall.roster import Entry
 from verbenahall.throttling import record_rate
