--- a/packages/verbenahall/src/verbenahall/metrics.py
+++ b/packages/verbenahall/src/verbenahall/metrics.py
@@ -131,8 +131,8 @@
 )
 OVERFLOWS: Final = BufferedCounter(
     'verbenahall_overflows_total',
-    'Prompts sent past the group that has their prefix cached, by the group that'
-    ' they are sent to.',
+    'Prompts sent past the group that has their prefix cached, by the group'
+    ' that they are sent to.',
     'group',
 )
 NOT_SENT: Final = BufferedCounter(
--- a/packages/verbenahall/tests/overflow/test_overflow.py
+++ b/packages/verbenahall/tests/overflow/test_overflow.py
@@ -21,7 +21,7 @@
 SERVICE = 'm'
 OTHER = types.MappingProxyType({'a': 'b', 'b': 'a'})
 #: Least time between prompts in one direction and in the other, in seconds.
-TURN_S = 0.5
+TURN_S = 1
 
 
 class Group:
