Alerts: endpoints are counted once a second, records kept without a copy

At 12,000 endpoints the list of a service was gone through for each alert, and a table of all starts was built for each record of the store. A test covers a machine without power, which two data centres have to report.

--- a/packages/verbenahall/src/verbenahall/endpoint_alerts/_shell.py
+++ b/packages/verbenahall/src/verbenahall/endpoint_alerts/_shell.py
@@ -48,6 +48,8 @@
 #: Time after which an endpoint is probed by the instances that are not chosen
 #: to probe it at once, in seconds.
 _OTHERS_PROBE_S: Final = 2.0
+#: Age from which on endpoints are counted again, in seconds.
+_COUNT_S: Final = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -69,11 +71,19 @@
     probe: Callable[[str], Coroutine[Any, Any, None]]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Counted:
+    """The number of endpoints of a service at a time."""
+
+    number: int
+    at: float
+
+
 @final
 class AlertReplicator:
     """Alerts the peers of endpoints that are not reached, and heeds theirs."""
 
-    __slots__ = ('_channel', '_surroundings', '_table')
+    __slots__ = ('_channel', '_counted', '_surroundings', '_table')
 
     def __init__(
         self, surroundings: Surroundings, exchange: PeerExchange
@@ -81,6 +91,7 @@
         """Install the handlers in the endpoints and the peers' exchange."""
         self._surroundings = surroundings
         self._table = AlertTable()
+        self._counted: dict[str, _Counted] = {}
         self._channel = NoticeChannel(exchange, decode, self._receive)
         surroundings.endpoints.on_unreachable = self.report
         surroundings.endpoints.on_reached = self.withdraw
@@ -96,7 +107,10 @@
         self._announce(endpoint, Why.REACHED)
 
     def _announce(self, endpoint: Entry, why: Why) -> None:
-        alert = self._make_alert(endpoint, why)
+        data_centre = self._surroundings.peer_table.data_centre
+        alert = Alert(
+            endpoint.service, endpoint.incarnation, why, 0, data_centre
+        )
         if self._is_to_be_sent(alert):
             self._surroundings.spawn(self._send_copies(endpoint, alert))
 
@@ -161,28 +175,31 @@
         if probes:
             surroundings.spawn(surroundings.probe(name))
 
-    def _make_alert(self, endpoint: Entry, why: Why) -> Alert:
-        return Alert(
-            endpoint.service,
-            endpoint.incarnation,
-            why,
-            0,
-            self._surroundings.peer_table.data_centre,
-        )
-
     def _make_view(self, alert: Alert) -> EndpointView:
         surroundings = self._surroundings
         name, _ = alert.incarnation
-        now = surroundings.now()
-        listed = surroundings.roster.list_live(alert.service, now)
         health = surroundings.endpoints.health
         return EndpointView(
             self._find_listed(alert) is not None,
-            len(list(listed)),
+            self._count_listed(alert.service),
             health.get(name).answered_at if health.has(name) else -float('inf'),
             surroundings.peer_table.data_centre,
         )
 
+    def _count_listed(self, service: str) -> int:
+        """Return the number of live endpoints of a service.
+
+        It is counted once a second at most: there may be thousands, and a
+        hundred alerts at once.
+        """
+        now = self._surroundings.now()
+        counted = self._counted.get(service)
+        if counted is None or now - counted.at > _COUNT_S:
+            listed = self._surroundings.roster.list_live(service, now)
+            counted = _Counted(len(list(listed)), now)
+            self._counted[service] = counted
+        return counted.number
+
     def _find_listed(self, alert: Alert) -> Entry | None:
         """Return the entry of an incarnation that is listed and stays."""
         roster = self._surroundings.roster
--- a/packages/verbenahall/src/verbenahall/endpoint_health/_health.py
+++ b/packages/verbenahall/src/verbenahall/endpoint_health/_health.py
@@ -16,6 +16,7 @@
     record_trial,
 )
 from verbenahall.placement import FailureRates
+from verbenahall.roster import Listing
 
 #: An endpoint that has refused a request is avoided for this long, in seconds.
 #: By then a full one has capacity again, and a change of its role has been
@@ -62,19 +63,20 @@
         """Whether there is a record of an endpoint."""
         return endpoint in self.records
 
-    def retain(self, starts: Mapping[str, int]) -> None:
-        """Keep the records of these endpoints only.
+    def retain(self, listings: Mapping[str, Listing]) -> None:
+        """Keep the records of the listed endpoints only.
 
-        ``starts`` holds by name when each was born. One that was started again
-        is not excluded for what its predecessor did.
+        One that was started again under its name is not excluded for what its
+        predecessor did.
         """
-        self._failures.retain(starts)
-        for name in self.records.keys() - starts.keys():
+        self._failures.retain(listings)
+        for name in self.records.keys() - listings.keys():
             self.records.pop(name)
         for name, health in self.records.items():
-            if health.born not in {None, starts[name]}:
+            born = listings[name].entry.born
+            if health.born not in {None, born}:
                 close_breaker(health.breaker)
-            health.born = starts[name]
+            health.born = born
 
     def record_outcome(self, endpoint: str, now: float, *, good: bool) -> None:
         """Record the outcome of a send."""
--- a/packages/verbenahall/src/verbenahall/gateway/_core.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_core.py
@@ -128,9 +128,7 @@
         would grow for as long as the instance runs.
         """
         listings = self.roster.listings
-        self.endpoint_health.retain(
-            {name: one.entry.born for name, one in listings.items()}
-        )
+        self.endpoint_health.retain(listings)
         self.placement.retain(listings.keys())
         if not self.rates.is_empty:
             self.rates.retain(
--- a/packages/verbenahall/tests/drains/alerting_fleet.py
+++ b/packages/verbenahall/tests/drains/alerting_fleet.py
@@ -94,7 +94,8 @@
     async def _connect(self, entry):
         """Return why a connection fails, None if it does not."""
         await asyncio.sleep(ONE_WAY_S)
-        if self.fleet.is_cut(self.name[0], entry.data_centre):
+        is_cut = self.fleet.is_cut(self.name[0], entry.data_centre)
+        if is_cut or entry in self.fleet.dark:
             await asyncio.sleep(CONNECT_S)
             return TimeoutError()
         return ConnectionRefusedError() if entry in self.fleet.down else None
@@ -109,7 +110,8 @@
 class AlertingFleet:
     """Three data centres with instances and endpoints each.
 
-    ``down`` holds the endpoints that have crashed, ``cuts`` pairs of data
+    ``down`` holds the endpoints that have crashed, ``dark`` those whose machine
+    has lost power, ``cuts`` pairs of data
     centres without a path, ``loss_share`` the share of datagrams that get lost,
     and ``wasted`` the sends to endpoints that were not reached.
     """
@@ -134,6 +136,7 @@
             for place in DATA_CENTRES
             for number in range(size)
         ]
+        self.dark = set()
         self.down = set()
         self.cuts = set()
         self.wasted = []
--- a/packages/verbenahall/tests/drains/test_alerting_fleet.py
+++ b/packages/verbenahall/tests/drains/test_alerting_fleet.py
@@ -60,6 +60,27 @@
     assert len(fleet.wasted) < len(alone.wasted)
 
 
+def test_machine_without_power_is_left_out_by_all():
+    # Connecting times out, which another data centre believes only after two
+    # have reported it.
+    async def check():
+        fleet = AlertingFleet()
+        entry = fleet.entries[0]
+        fleet.dark.add(entry)
+        loop = asyncio.get_running_loop()
+        senders = asyncio.ensure_future(fleet.run_until(2))
+        while not fleet.wasted:
+            await asyncio.sleep(0.01)
+        detected_at = loop.time()
+        while fleet.count_excluding(entry) < len(fleet.names):
+            await asyncio.sleep(0.01)
+        took_s = loop.time() - detected_at
+        await senders
+        return took_s
+
+    assert run_simulated(check()) < BOUND_S
+
+
 def test_wrong_alert_is_refuted_by_a_probe():
     # One instance gets a reset by its own machine and reports the endpoint.
     async def check():
--- a/packages/verbenahall/tests/endpoint_health/test_breakers.py
+++ b/packages/verbenahall/tests/endpoint_health/test_breakers.py
@@ -5,7 +5,7 @@
 
 import pytest
 from verbenahall import endpoint_health
-from verbenahall.roster import Entry, Roster, apply_entry
+from verbenahall.roster import Entry, Listing, Roster, apply_entry
 
 NAME = 'page-0'
 
@@ -78,9 +78,10 @@
 def test_restarted_endpoint_is_not_excluded_for_its_predecessor():
     table = endpoint_health.EndpointHealthTable()
     table.record_unreachable(NAME, 0, born=1)
-    table.retain({NAME: 1})
+    entry = Entry(NAME, 'pages', '10.0.0.1:80', 'a', leaving=False, born=1)
+    table.retain({NAME: Listing(entry)})
     assert table.is_avoided(NAME, 0.1)
-    table.retain({NAME: 2})
+    table.retain({NAME: Listing(dataclasses.replace(entry, born=2))})
     assert not table.is_avoided(NAME, 0.1)
 
 
