--- a/packages/verbenahall/src/verbenahall/endpoint_health/_breakers.py
+++ b/packages/verbenahall/src/verbenahall/endpoint_health/_breakers.py
@@ -95,6 +95,8 @@
 
     def admits(self, now: float, sending: Sending) -> bool:
         """Whether the endpoint may get another request."""
+        if not self.trials_left:
+            return True
         match self.find_phase(now):
             case Phase.OPEN:
                 return False
--- a/packages/verbenahall/src/verbenahall/endpoint_health/_health.py
+++ b/packages/verbenahall/src/verbenahall/endpoint_health/_health.py
@@ -57,7 +57,11 @@
 
     def get(self, endpoint: str) -> EndpointHealth:
         """Return an endpoint's record; creates it if it is missing."""
-        return self.records.setdefault(endpoint, EndpointHealth())
+        health = self.records.get(endpoint)
+        if health is None:
+            health = EndpointHealth()
+            self.records[endpoint] = health
+        return health
 
     def has(self, endpoint: str) -> bool:
         """Whether there is a record of an endpoint."""
@@ -124,14 +128,18 @@
 
     def is_reachable(self, endpoint: str, now: float) -> bool:
         """Whether an endpoint is not marked as unreachable."""
-        breaker = self.get(endpoint).breaker
-        return breaker.find_phase(now) is not Phase.OPEN
+        health = self.records.get(endpoint)
+        if health is None:
+            return True
+        return health.breaker.find_phase(now) is not Phase.OPEN
 
     def is_avoided(
         self, endpoint: str, now: float, sending: Sending = Sending.OWN
     ) -> bool:
         """Whether an endpoint is avoided: excluded, on trial, or refusing."""
-        health = self.get(endpoint)
+        health = self.records.get(endpoint)
+        if health is None:
+            return False
         if now < health.refusing_until:
             return True
         return not health.breaker.admits(now, sending)
