--- a/packages/verbenahall/src/verbenahall/overflow/_load.py
+++ b/packages/verbenahall/src/verbenahall/overflow/_load.py
@@ -14,9 +14,10 @@
 #: Share of the objective that a prompt may wait at the limit; the rest is for
 #: its own prefill.
 _WAIT_SHARE: Final = 0.5
-#: Pressure from which on a group takes no prompts of others: that from which
-#: they offload, less the least difference.
-_MAX_TAKING_PRESSURE: Final = 0.5
+#: Pressure from which on a group takes no prompts of others. Without their
+#: prefix they take several times the work: with 0.5, groups that took prompts
+#: were over their own limit before the next refusal.
+_MAX_TAKING_PRESSURE: Final = 0.15
 #: How long a group counts as taking prompts of another one, in seconds.
 _TAKING_S: Final = 1.0
 
