--- a/packages/verbenahall/src/verbenahall/gateway/_core.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_core.py
@@ -7,8 +7,8 @@
 
 from verbenahall import clock
 from verbenahall.catalog import CatalogState
+from verbenahall.endpoint_health import Endpoints
 from verbenahall.fair_shares import FairShares
-from verbenahall.gateway._endpoints import Endpoints
 from verbenahall.gateway._engine_calls import EngineCalls
 from verbenahall.gateway._freshness import Freshness
 from verbenahall.gateway._hooks import (
@@ -18,7 +18,6 @@
     NoLimiter,
     NoObserver,
     RateLimiter,
-    format_incarnation,
 )
 from verbenahall.gateway._version_hook import NoVersionFinder, VersionFinder
 from verbenahall.overload import EarlierWaits
@@ -35,7 +34,12 @@
 from verbenahall.quarantine import CrashLog
 from verbenahall.reach import ReachTable
 from verbenahall.requests import WindowBudget
-from verbenahall.roster import LAPSE_GRACE_S, Roster, RosterRules
+from verbenahall.roster import (
+    LAPSE_GRACE_S,
+    Roster,
+    RosterRules,
+    format_incarnation,
+)
 from verbenahall.throttling import RateTable
 from verbenahall.usage import SyncedClock, UsageMeter
 
@@ -125,13 +129,12 @@
         Each start of an endpoint has a new name, so state that is kept by name
         would grow for as long as the instance runs.
         """
-        names = self.roster.listings.keys()
-        self.endpoint_health.retain(names)
-        self.placement.retain(names)
+        listings = self.roster.listings
+        self.endpoint_health.retain(listings)
+        self.placement.retain(listings.keys())
         if not self.rates.is_empty:
-            listings = self.roster.listings.values()
             self.rates.retain(
-                {format_incarnation(listing.entry) for listing in listings}
+                {format_incarnation(one.entry) for one in listings.values()}
             )
 
     def get_retry_budget(self, service: str) -> WindowBudget:
--- a/packages/verbenahall/src/verbenahall/gateway/_crashes.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_crashes.py
@@ -8,11 +8,10 @@
 from verbenahall import journal
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._crash_reports import CrashLogReplicator
-from verbenahall.gateway._hooks import format_incarnation
 from verbenahall.gateway._probes import ConnectOutcome, try_connect
 from verbenahall.gateway._reach import reaches_any
 from verbenahall.quarantine import Crash, is_part
-from verbenahall.roster import Entry
+from verbenahall.roster import Entry, format_incarnation
 
 #: Time within which all connections to a crashed endpoint have ended, in
 #: seconds.
@@ -104,6 +103,9 @@
         has_path = not refuses or await self._reaches_others(endpoint)
         losses.crashed = refuses and has_path
         if losses.crashed:
+            self._core.endpoints.record_unreachable(
+                endpoint, ConnectionRefusedError()
+            )
             await asyncio.sleep(_SETTLE_S)
             self._report_new(incarnation, losses)
         else:
--- a/packages/verbenahall/src/verbenahall/gateway/_scheduler.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_scheduler.py
@@ -25,6 +25,7 @@
     ScheduleRequest,
     SchedulerState,
     ShareReporter,
+    add_status,
     assign_waiting,
     decode,
     encode,
@@ -33,6 +34,9 @@
     log_reply,
     receive_request,
     record_progress,
+    begin_trials,
+    record_trial_progress,
+    refuse_spill,
 )
 
 #: Interval at which queues are processed without an event, in seconds, so that
@@ -107,6 +111,10 @@
         scope = (request.service, request.group)
         state = self._find_state(scope)
         now = self._core.now()
+        refusal = refuse_spill(state, request, now)
+        if refusal is not None:
+            self._send_replies((Reply(sender, refusal),), state)
+            return
         fleet = self._describe_fleet(state, service, request.group)
         self._send_replies(
             receive_request(
@@ -148,6 +156,7 @@
         if service is None:
             return
         now = self._core.now()
+        record_trial_progress(state, progress, self._core.endpoint_health, now)
         record_progress(state, progress, service, now)
         if isinstance(progress, Released) and progress.refused:
             self._core.endpoint_health.record_refusal(progress.refused, now)
@@ -221,9 +230,11 @@
         replies: Iterable[Reply],
         state: SchedulerState,
     ) -> None:
+        now = self._core.now()
         for reply in replies:
+            begin_trials(self._core.endpoint_health, reply.message, now)
             log_reply(reply.message, state)
-            self._send(reply.sender, reply.message)
+            self._send(reply.sender, add_status(state, reply.message, now))
 
 
 @final
--- a/packages/verbenahall/src/verbenahall/metrics.py
+++ b/packages/verbenahall/src/verbenahall/metrics.py
@@ -128,6 +128,19 @@
     'source',
     'header',
 )
+ENDPOINT_ALERTS: Final = BufferedCounter(
+    'verbenahall_endpoint_alerts_total',
+    'Alerts about endpoints that are not reached, or are again: sent, or what'
+    ' became of those received.',
+    'why',
+    'verdict',
+)
+OVERFLOWS: Final = BufferedCounter(
+    'verbenahall_overflows_total',
+    'Prompts sent past the group that has their prefix cached, by the group'
+    ' that they are sent to.',
+    'group',
+)
 NOT_SENT: Final = BufferedCounter(
     'verbenahall_not_sent_total',
     'Attempts that were not sent after an endpoint was chosen, by reason.',
--- a/packages/verbenahall/src/verbenahall/scheduling/__init__.py
+++ b/packages/verbenahall/src/verbenahall/scheduling/__init__.py
@@ -17,6 +17,7 @@
     receive_request,
     record_progress,
 )
+from verbenahall.scheduling._group_status import add_status, refuse_spill
 from verbenahall.scheduling._groups import (
     is_local,
     list_group_engines,
@@ -37,9 +38,11 @@
     ScheduleRequest,
     decode,
     encode,
+    find_status,
 )
 from verbenahall.scheduling._share_reports import ShareReporter
 from verbenahall.scheduling._state import Reply, SchedulerState
+from verbenahall.scheduling._trials import begin_trials, record_trial_progress
 
 __all__ = (
     'Assignment',
@@ -55,10 +58,13 @@
     'SchedulerHealth',
     'SchedulerState',
     'ShareReporter',
+    'add_status',
     'assign_waiting',
+    'begin_trials',
     'decode',
     'encode',
     'expire_assignments',
+    'find_status',
     'is_local',
     'list_group_engines',
     'log_reply',
@@ -67,4 +73,6 @@
     'rank_schedulers',
     'receive_request',
     'record_progress',
+    'record_trial_progress',
+    'refuse_spill',
 )
--- a/packages/verbenahall/src/verbenahall/scheduling/_state.py
+++ b/packages/verbenahall/src/verbenahall/scheduling/_state.py
@@ -4,6 +4,7 @@
 from typing import final
 
 from verbenahall.fair_shares import ShareState
+from verbenahall.overflow import GroupLoad
 from verbenahall.placement import (
     InFlight,
     PlacementState,
@@ -55,6 +56,7 @@
 
     __slots__ = (
         'assigned',
+        'group_load',
         'placement',
         'queue',
         'shares',
@@ -74,6 +76,7 @@
         """
         self.started_at = started_at
         self.placement = placement
+        self.group_load = GroupLoad()
         self.queue = PrefillQueue()
         self.shares = shares or ShareState()
         self.waiting: dict[str, Waiting] = {}
--- a/packages/verbenahall/tests/fair_shares/test_shares.py
+++ b/packages/verbenahall/tests/fair_shares/test_shares.py
@@ -1,5 +1,6 @@
 """Which requests are beyond the share of their workspace or caller."""
 
+import functools
 import random
 
 import pytest
@@ -54,7 +55,7 @@
     served = []
     for _ in range(count):
         mark_beyond_share(state, waiting, now)
-        first = min(waiting, key=lambda one: make_rank(one, now))
+        first = min(waiting, key=functools.partial(make_rank, start=now))
         waiting.remove(first)
         charge(state, first, COST_S, now)
         served.append(first)
--- a/packages/verbenahall/tests/gateway/test_roles.py
+++ b/packages/verbenahall/tests/gateway/test_roles.py
@@ -3,9 +3,8 @@
 import dataclasses
 
 from verbenahall.fleet import Role
-from verbenahall.gateway._hooks import format_incarnation
 from verbenahall.placement import RoleObserver
-from verbenahall.roster import Entry
+from verbenahall.roster import Entry, format_incarnation
 from verbenahall.throttling import record_rate
 
 from .conftest import make_engines, run, run_gateway
