Stand-in store: entrances with faults of their own

A store could refuse or ignore all instances only, so that no test had an instance that the store refuses while it serves the others. An entrance is another address of the same store with its own faults, now also a reset of each connection, and counts the calls that arrive there.

--- a/packages/standins/src/verbenahall_standins/platform/__init__.py
+++ b/packages/standins/src/verbenahall_standins/platform/__init__.py
@@ -16,7 +16,11 @@
     make_route,
     write_settings,
 )
-from verbenahall_standins.platform._store import StoreFaults, StoreStandIn
+from verbenahall_standins.platform._store import (
+    StoreEntrance,
+    StoreFaults,
+    StoreStandIn,
+)
 
 __all__ = (
     'Arrival',
@@ -31,6 +35,7 @@
     'PlainStandIn',
     'RawEndpoint',
     'Site',
+    'StoreEntrance',
     'StoreFaults',
     'StoreStandIn',
     'make_route',
--- a/packages/standins/src/verbenahall_standins/platform/_store.py
+++ b/packages/standins/src/verbenahall_standins/platform/_store.py
@@ -4,10 +4,12 @@
 import base64
 import contextlib
 import dataclasses
+import functools
 import struct
 from typing import Final, final
 
 from aiohttp import web
+from aiohttp.typedefs import Handler
 
 from verbenahall_standins.platform._serving import listen
 
@@ -26,15 +28,33 @@
     ``down`` is the status with which every call is answered, 0 for no fault.
     ``silent`` leaves calls unanswered, ``lose_appends`` applies appends
     without answering them, ``miss_wakeups`` lets a long poll miss the records
-    that are appended while it waits.
+    that are appended while it waits, ``reset`` resets each connection that a
+    call arrives on.
     """
 
     down: int = 0
+    reset: bool = False
     silent: bool = False
     lose_appends: bool = False
     miss_wakeups: bool = False
 
 
+@final
+class StoreEntrance:
+    """One address of a store, with faults of its own.
+
+    Instances that use an entrance of their own can be refused while the store
+    serves the others. ``calls`` counts the requests that arrive here.
+    """
+
+    __slots__ = ('address', 'calls', 'faults')
+
+    def __init__(self, faults: StoreFaults) -> None:
+        self.address = ''
+        self.calls = 0
+        self.faults = faults
+
+
 @final
 class _Topic:
     """One topic: its records from the offset ``first`` on.
@@ -81,22 +101,17 @@
         self.address = ''
         self.calls: dict[str, int] = {}
         self._topics: dict[str, _Topic] = {}
-        self._runner: web.AppRunner | None = None
+        self._runners: list[web.AppRunner] = []
 
     async def start(self) -> None:
         """Listen on a free port."""
-        app = web.Application(middlewares=[self._inject_faults])
-        app.router.add_post('/-/log-append', self._append)
-        app.router.add_get('/-/log-read', self._read)
-        app.router.add_get('/-/log-newest', self._newest)
-        running = await listen(app)
-        self._runner = running.runner
-        self.address = running.address
+        entrance = await self.open_entrance(self.faults)
+        self.address = entrance.address
 
     async def stop(self) -> None:
-        """Close the listener."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        """Close the listeners."""
+        for runner in self._runners:
+            await runner.cleanup()
 
     def put(self, topic: str, key: str, content: bytes) -> int:
         """Append a keyed record, as the operator or an endpoint does."""
@@ -116,19 +131,36 @@
         kept = self._get_topic(topic).newest
         return {key: content for key, (_, content) in kept.items()}
 
-    @web.middleware
+    async def open_entrance(self, faults: StoreFaults) -> StoreEntrance:
+        """Listen on another port, with faults that apply there only."""
+        entrance = StoreEntrance(faults)
+        inject_faults = functools.partial(self._inject_faults, entrance)
+        app = web.Application(middlewares=[web.middleware(inject_faults)])
+        app.router.add_post('/-/log-append', self._append)
+        app.router.add_get('/-/log-read', self._read)
+        app.router.add_get('/-/log-newest', self._newest)
+        running = await listen(app)
+        self._runners.append(running.runner)
+        entrance.address = running.address
+        return entrance
+
     async def _inject_faults(
         self,
+        entrance: StoreEntrance,
         request: web.Request,
-        handler: object,
+        handler: Handler,
     ) -> web.StreamResponse:
+        faults = entrance.faults
+        entrance.calls += 1
         self.calls[request.path] = self.calls.get(request.path, 0) + 1
-        if self.faults.silent:
+        if faults.silent:
             await asyncio.sleep(3600)
-        if self.faults.down:
-            return web.Response(status=self.faults.down)
+        if faults.reset and request.transport is not None:
+            request.transport.abort()
+        if faults.down:
+            return web.Response(status=faults.down)
         response = await handler(request)
-        if self.faults.lose_appends and request.path == '/-/log-append':
+        if faults.lose_appends and request.path == '/-/log-append':
             await asyncio.sleep(3600)
         return response
 
--- a/packages/verbenahall/tests/gateway/conftest.py
+++ b/packages/verbenahall/tests/gateway/conftest.py
@@ -96,12 +96,14 @@
     manifest=None,
     duties=None,
     links=None,
+    store=None,
 ):
     """Run a gateway in front of stand-ins.
 
     ``manifest`` adds to the manifest's content; with ``site`` the gateway
     joins an existing deployment, which is not stopped with it. With ``links``
-    the gateway reaches the endpoints by these.
+    the gateway reaches the endpoints by these. ``store`` is the entrance of
+    the store that it uses, if not the common one.
     """
     journal.recent.clear()
     owns_site = site is None
@@ -112,7 +114,8 @@
     if duties is not None:
         await duties.start()
         duty_api = duties.address
-    path = write_settings(folder, site.store.address, name, duty_api)
+    address = (store or site.store).address
+    path = write_settings(folder, address, name, duty_api)
     gateway = Gateway(read_settings(path).unwrap())
     if links is not None:
         endpoints = (*site.engines, *site.plain)
