Instances that the store refuses get its topics from peers

Seen: 19 of 62 instances got no manifest for 37 s while the store refused them; 243 requests were handled by an old version, 208 refused wrongly.

Cause: updates of peers cover a refused instance only as long as each one fits. After a lost update, or a record that no datagram holds, each later update starts after the gap, which was read from the store only. An instance without a whole read has no offset at all, and in a large fleet nobody reads the store in a data centre whose instances are all refused.

Ruled out: the choice of the followers. Refused followers leave the heartbeats and are replaced, and instances of small fleets kept their confirmations.

Change: the slice store_relay. While its calls fail, an instance requests missing records, the whole topic, or a confirmation over the port between instances, and spaces its calls to the store. Freshness, standby and reachability move there from gateway, with the application of records. No request is sent while the store answers.

The test of confirmations by peers also compares the peer's name, as strictly as before.

--- a/packages/verbenahall/src/verbenahall/gateway/_core.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_core.py
@@ -10,7 +10,6 @@
 from verbenahall.gateway._earlier_waits import EarlierWaits
 from verbenahall.gateway._endpoints import Endpoints
 from verbenahall.gateway._engine_calls import EngineCalls
-from verbenahall.gateway._freshness import Freshness
 from verbenahall.gateway._hooks import (
     CrashObserver,
     Forwarder,
@@ -35,6 +34,7 @@
 from verbenahall.reach import ReachTable
 from verbenahall.requests import WindowBudget
 from verbenahall.roster import LAPSE_GRACE_S, Roster, RosterRules
+from verbenahall.store_relay import Freshness, StoreSpacing
 from verbenahall.throttling import RateTable
 from verbenahall.usage import SyncedClock, UsageMeter
 
@@ -75,6 +75,7 @@
                 _find_usable_age(settings.bounds.manifest_s),
             ),
         }
+        self.store_spacing = StoreSpacing(self.random)
         self.synced_clock = SyncedClock(clock.boottime, clock.wall)
         self.meter = UsageMeter(
             settings.bounds.usage_window_s,
--- a/packages/verbenahall/src/verbenahall/gateway/_followers.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_followers.py
@@ -8,25 +8,26 @@
 
 import asyncio
 import contextlib
-import dataclasses
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable
 from typing import Final, final
 
 from returns.result import Failure, Success
 
 from verbenahall import journal
 from verbenahall.gateway._core import Core
-from verbenahall.gateway._standby import Standby
-from verbenahall.gateway._store_reachability import Received, StoreReachability
 from verbenahall.peers import TopicUpdate
 from verbenahall.platform import (
     ANSWER_S,
     Batch,
     Deleted,
-    KeyedRecord,
-    decode_keyed,
 )
 from verbenahall.roster import record_store_outage
+from verbenahall.store_relay import (
+    LocalTopic,
+    Standby,
+    StoreReachability,
+    TopicHandler,
+)
 
 #: How long one poll waits for a change at most, in seconds. A poll that arrives
 #: while the store is unresponsive is never answered, and blocks the follower
@@ -36,10 +37,6 @@
 #: seconds. The store does not wake a poll that arrives while a record is being
 #: appended, so that record is returned only at the end of the poll.
 _SHORT_POLL_S: Final = 0.4
-#: Shortest and longest pause before a failed call is retried, in seconds. A
-#: change must be in force within two seconds after the store has confirmed it.
-_MIN_PAUSE_S: Final = 0.1
-_MAX_PAUSE_S: Final = 0.7
 #: Interval at which an instance that relies on updates from its peers checks
 #: whether enough of them still follow the topic, in seconds. An update that
 #: shows that records are missing wakes it earlier. Each check iterates over all
@@ -58,43 +55,24 @@
 _STALL_S: Final = 0.25
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class TopicHandler:
-    """A topic, and the handlers for its records.
-
-    ``apply_record`` is called for each changed record, and ``apply_all`` with
-    the records of a whole read. After a change the topic is not polled for
-    ``pause_s``, because changes mostly come in groups, which then cost one
-    call.
-    """
-
-    topic: str
-    apply_record: Callable[[KeyedRecord, Received], None]
-    apply_all: Callable[[Mapping[str, bytes], Received], None]
-    pause_s: float
-
-
 @final
 class Follower:
     """Follows one keyed topic for as long as the process runs.
 
-    ``position`` is the offset of the next record, None before the first read
-    and after the store has deleted records that were not read.
-    An example::
+    ``local`` is the copy that it keeps up to date. An example::
 
         follower = Follower(core, handler, exchange.broadcast)
         await asyncio.gather(follower.run(), Refresher(core, follower).run())
     """
 
     __slots__ = (
-        'position',
-        'handler',
-        '_reachability',
+        'local',
+        '_broadcast',
         '_core',
         '_freshness',
         '_pause_pending',
         '_polls_short',
-        '_broadcast',
+        '_reachability',
         '_standby',
         '_wake',
     )
@@ -106,30 +84,47 @@
         broadcast: Callable[[TopicUpdate], None],
     ) -> None:
         """Prepare; records read from the store also go to ``broadcast``."""
-        self.handler = handler
-        self.position: int | None = None
         self._core = core
-        self._reachability = StoreReachability(core, handler.topic)
         self._freshness = core.freshness[handler.topic]
+        self._reachability = StoreReachability(
+            handler.topic,
+            self._freshness,
+            core.roster,
+            core.store_spacing,
+            core.now,
+        )
         self._broadcast = broadcast
         self._standby = Standby(core.peer_table, handler.topic)
+        self.local = LocalTopic(
+            handler,
+            self._freshness,
+            self._reachability,
+            self._standby,
+            core.now,
+        )
         self._pause_pending = False
         self._polls_short = True
         self._wake = asyncio.Event()
 
+    @property
+    def handler(self) -> TopicHandler:
+        """The topic and the handlers for its records."""
+        return self.local.handler
+
+    @property
+    def position(self) -> int | None:
+        """Offset of the next record, None without a whole read."""
+        return self.local.position
+
     async def run(self) -> None:
         """Read the topic whole, then follow it, until cancelled."""
-        pause = _MIN_PAUSE_S
         while True:
             if self._may_stand_by():
                 await _wait_for(self._wake)
-                continue
-            if await self._step():
-                pause = _MIN_PAUSE_S
-                continue
-            jitter = self._core.random.uniform(0.5, 1)
-            await asyncio.sleep(pause * jitter)
-            pause = min(pause * 2, _MAX_PAUSE_S)
+            elif self._reachability.begin_call():
+                await self._step()
+            else:
+                await self._reachability.wait()
 
     def is_polling_store(self) -> bool:
         """Whether the topic is followed by polls that the store answers."""
@@ -144,19 +139,13 @@
         if update.after_outage:
             record_store_outage(self._core.roster, self._core.now())
         if self.position is not None and update.start <= self.position:
-            self._apply_records(update.records, update.start, 'peer')
+            self.local.apply_records(update.records, update.start, 'peer')
         if self.position is not None and update.end > self.position:
             self._wake.set()
 
-    def apply_peer_confirmations(self) -> None:
-        """Use the confirmations of the store that the peers have received."""
-        if self.position is not None:
-            at = self._standby.find_confirmed_at(self.position)
-            self._freshness.record_confirmed(at)
-
     async def refresh(self) -> bool:
         """Read the store without waiting; False if it does not answer."""
-        if self.position is None:
+        if self.position is None or not self._reachability.begin_call():
             return False
         return await self._poll(self.position, 0, _REFRESH_TIMEOUT_S)
 
@@ -167,7 +156,7 @@
             return False
         if not self._standby.may_wait(self.position, now):
             return False
-        self.apply_peer_confirmations()
+        self.local.apply_peer_confirmations()
         return now - self._reachability.answered_at < _MAX_UNCHECKED_S
 
     async def _step(self) -> bool:
@@ -175,6 +164,9 @@
             return await self._read_all()
         wait_s = _SHORT_POLL_S if self._polls_short else _POLL_S
         wait_s = self._freshness.limit_wait(wait_s, self._core.now())
+        if self._reachability.is_refused:
+            # An answer without delay shows at once that the store serves.
+            wait_s = 0
         answered = await self._poll(self.position, wait_s, ANSWER_S)
         if self._pause_pending:
             self._pause_pending = False
@@ -189,10 +181,10 @@
             case Success(newest):
                 self._reachability.record_answer()
                 self._polls_short = True
-                self.position = newest.end
-                received = self._reachability.describe_source('store')
-                self.handler.apply_all(newest.items, received)
-                self._freshness.record_confirmed(sent_at)
+                # A peer may have sent a newer state since the call was sent.
+                if newest.end >= (self.position or 0):
+                    self.local.apply_all(newest.items, newest.end, 'store')
+                    self._freshness.record_confirmed(sent_at)
                 return True
             case Failure(error):
                 self._reachability.record_failure(error.reason)
@@ -218,7 +210,8 @@
                 self._reachability.record_answer()
                 # Records that were not read are deleted: read the whole topic.
                 journal.write_decision('history_lost', topic=topic)
-                self.position = None
+                if self.position == offset:
+                    self.local.copy.discard()
                 return True
             case Failure(error):
                 took_s = self._core.now() - sent_at
@@ -234,7 +227,7 @@
         """
         position_before = self.position
         records = batch.records
-        fresh = self._apply_records(records, offset, 'store')
+        fresh = self.local.apply_records(records, offset, 'store')
         now = self._core.now()
         if batch.end <= offset + len(records):
             self._freshness.record_confirmed(min(now, read_at))
@@ -253,37 +246,6 @@
             self._broadcast(update)
             self._pause_pending = True
 
-    def _apply_records(
-        self,
-        records: Sequence[bytes],
-        offset: int,
-        source: str,
-    ) -> Sequence[bytes]:
-        """Apply the records that are new to this instance, and return them."""
-        if self.position is None:
-            return ()
-        fresh = records[self.position - offset :]
-        self.position += len(fresh)
-        if fresh:
-            self._standby.record_progress()
-        received = self._reachability.describe_source(source)
-        for record in fresh:
-            _apply(self.handler, record, received)
-        return fresh
-
-
-def _apply(handler: TopicHandler, record: bytes, received: Received) -> None:
-    try:
-        keyed = decode_keyed(record)
-    except ValueError as error:
-        journal.write_decision(
-            'record_unreadable',
-            topic=handler.topic,
-            reason=str(error),
-        )
-        return
-    handler.apply_record(keyed, received)
-
 
 async def _wait_for(wake: asyncio.Event) -> None:
     """Wait until an update shows that records are missing, or a timeout."""
--- a/packages/verbenahall/src/verbenahall/gateway/_record_handlers.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_record_handlers.py
@@ -10,8 +10,7 @@
 from verbenahall import journal
 from verbenahall.catalog import apply_catalog
 from verbenahall.gateway._core import Core
-from verbenahall.gateway._followers import Follower, TopicHandler
-from verbenahall.gateway._store_reachability import Received
+from verbenahall.gateway._followers import Follower
 from verbenahall.peers import PeerExchange, TopicUpdate
 from verbenahall.platform import (
     ENDPOINTS_TOPIC,
@@ -22,6 +21,7 @@
     decode_manifest,
 )
 from verbenahall.roster import apply_entry, apply_list, apply_removal
+from verbenahall.store_relay import Received, TopicHandler
 
 #: Pause between a manifest and the poll for the next one, in seconds. A
 #: manifest must be in force within two seconds.
--- a/packages/verbenahall/src/verbenahall/gateway/_refresh.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_refresh.py
@@ -36,7 +36,7 @@
         """Read the store whenever a refresh is due, until cancelled."""
         while True:
             await asyncio.sleep(max(_MIN_CHECK_S, self._find_wait()))
-            self._follower.apply_peer_confirmations()
+            self._follower.local.apply_peer_confirmations()
             if self._find_wait() > 0 or await self._follower.refresh():
                 continue
             jitter = self._core.random.uniform(0.5, 1)
--- a/packages/verbenahall/src/verbenahall/gateway/_serve.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_serve.py
@@ -31,12 +31,11 @@
 from verbenahall.gateway._probes import EndpointProber
 from verbenahall.gateway._reach import ReachMonitor
 from verbenahall.gateway._readiness import Readiness
-from verbenahall.gateway._record_handlers import make_followers
-from verbenahall.gateway._refresh import Refresher
 from verbenahall.gateway._runners import MAX_BODY_BYTES, make_runner
 from verbenahall.gateway._scaling import make_scaler, scales_engines
 from verbenahall.gateway._scheduler import SchedulingTransport
 from verbenahall.gateway._stream_versions import StreamVersions
+from verbenahall.gateway._topics import Topics
 from verbenahall.gateway._usage import (
     make_usage_exchange,
     make_usage_reporter,
@@ -94,8 +93,7 @@
         self.connection_shedder = ConnectionShedder(self.core)
         self.open_forwards = OpenForwards()
         PeerForwarder(self.core, self.open_forwards)
-        followers = make_followers(self.core, self.finder.exchange)
-        self._followers = {one.handler.topic: one for one in followers}
+        self._topics = Topics(self.core, self.finder.exchange)
         self._usage = make_usage_exchange(self.core, self.finder.exchange)
         self._supervisor = Supervisor()
         self._runners: list[web.AppRunner] = []
@@ -111,7 +109,7 @@
         self._runners = [
             await _serve_readiness(self.core, readiness, self.stop),
             await self._serve_callers(readiness, ingress),
-            await _serve_peers(self.core, self.stop, hop_server),
+            await self._serve_peers(hop_server),
             await _serve_metrics(self.core.settings),
         ]
         self._start_loops(readiness)
@@ -145,9 +143,20 @@
         self.stop.hooks.close.append(self._listener.stop)
         return runner
 
+    async def _serve_peers(self, hop_server: HopServer) -> web.AppRunner:
+        """Serve peers: requests that they forward, and topics."""
+        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        self._topics.add_routes(app, hop_server.handle)
+        app.router.add_route('*', _ANY_PATH, hop_server.handle)
+        self.stop.add_to(app)
+        runner = make_runner(self.core, app)
+        site = await listen(runner, self.core.settings.peer_address)
+        self.stop.hooks.close.append(site.stop)
+        return runner
+
     def _make_ingress(self) -> Ingress:
         key_refresher = KeyRefresher(
-            self._followers[OPERATOR_TOPIC].refresh,
+            self._topics.followers[OPERATOR_TOPIC].refresh,
             self.core.now,
         )
         dispatch = Dispatch(self.core, self.scheduling.scheduler_client)
@@ -161,16 +170,11 @@
     def _start_loops(self, readiness: Readiness) -> None:
         role_controller = RoleController(self.core)
         exchange = self.finder.exchange
-        by_topic = self._followers
         exchange.changing = role_controller.changing
         exchange.list_unreachable = self.core.reach.list_lost
         exchange.get_connection_rate = self.connection_shedder.get_rate
         loops = {
-            **{topic: one.run for topic, one in by_topic.items()},
-            **{
-                f'refresh {topic}': Refresher(self.core, one).run
-                for topic, one in by_topic.items()
-            },
+            **self._topics.list_loops(),
             'peers': self.finder.run,
             'scheduler': self.scheduling.scheduler.run,
             'roles': role_controller.run,
@@ -235,19 +239,6 @@
     )
 
 
-async def _serve_peers(
-    core: Core, stop: GracefulStop, hop_server: HopServer
-) -> web.AppRunner:
-    """Serve requests that peers forward, on the port between instances."""
-    app = web.Application(client_max_size=MAX_BODY_BYTES)
-    app.router.add_route('*', _ANY_PATH, hop_server.handle)
-    stop.add_to(app)
-    runner = make_runner(core, app)
-    site = await listen(runner, core.settings.peer_address)
-    stop.hooks.close.append(site.stop)
-    return runner
-
-
 async def _serve_readiness(
     core: Core,
     readiness: Readiness,
--- a/packages/verbenahall/src/verbenahall/metrics.py
+++ b/packages/verbenahall/src/verbenahall/metrics.py
@@ -228,6 +228,18 @@
     'call',
     'outcome',
 )
+RELAY_REQUESTS: Final = BufferedCounter(
+    'verbenahall_relay_requests_total',
+    'Requests for a topic to a peer while the store refuses this instance, by'
+    ' topic and what the answer brought.',
+    'topic',
+    'outcome',
+)
+RELAY_ANSWERS: Final = BufferedCounter(
+    'verbenahall_relay_answers_total',
+    'Answers to peers that the store refuses, by status.',
+    'status',
+)
 IN_FLIGHT: Final = Gauge(
     'verbenahall_in_flight',
     'Requests admitted and not yet answered.',
--- a/packages/verbenahall/src/verbenahall/peers/__init__.py
+++ b/packages/verbenahall/src/verbenahall/peers/__init__.py
@@ -23,7 +23,7 @@
     record_heartbeat,
 )
 from verbenahall.peers._topic_followers import (
-    find_confirmed_at,
+    find_confirmation,
     find_latest_offset,
     is_covered_by_peers,
 )
@@ -40,7 +40,7 @@
     'decode_message',
     'encode_heartbeat',
     'encode_update',
-    'find_confirmed_at',
+    'find_confirmation',
     'find_latest_offset',
     'find_rank',
     'has_unresponsive_peer',
--- a/packages/verbenahall/src/verbenahall/peers/_topic_followers.py
+++ b/packages/verbenahall/src/verbenahall/peers/_topic_followers.py
@@ -40,22 +40,24 @@
     return max(offsets, default=0)
 
 
-def find_confirmed_at(
+def find_confirmation(
     peer_table: PeerTable, topic: str, position: int
-) -> float:
-    """Return when the store last confirmed that a position is the newest.
+) -> tuple[float, str]:
+    """Return when the store confirmed a position as the newest, and to whom.
 
-    Minus infinity if no peer reports it. A confirmation of an earlier offset
-    also holds for a later position: an instance at the later position has
-    read all that the store held at the time of the confirmation.
+    Minus infinity and an empty name if no peer reports it. A confirmation of an
+    earlier offset also holds for a later position: an instance at the later
+    position has read all that the store held at the time of the confirmation.
     """
     confirmed = (
-        peer.confirmed[topic]
-        for peer in peer_table.peers.values()
+        (peer.confirmed[topic], name)
+        for name, peer in peer_table.peers.items()
         if topic in peer.confirmed
     )
-    times = (one.at for one in confirmed if one.offset <= position)
-    return max(times, default=-float('inf'))
+    found = (
+        (one.at, name) for one, name in confirmed if one.offset <= position
+    )
+    return max(found, default=(-float('inf'), ''))
 
 
 def _list_followers(
--- a/packages/verbenahall/src/verbenahall/platform/__init__.py
+++ b/packages/verbenahall/src/verbenahall/platform/__init__.py
@@ -61,7 +61,9 @@
 from verbenahall.platform._records import (
     Batch,
     KeyedRecord,
+    decode_batch,
     decode_keyed,
+    encode_batch,
     encode_keyed,
 )
 from verbenahall.platform._settings import (
@@ -129,7 +131,9 @@
     'build_forward_headers',
     'build_send_headers',
     'decode_entry',
+    'decode_batch',
     'decode_keyed',
+    'encode_batch',
     'decode_manifest',
     'decode_prefill_result',
     'decode_report',
--- a/packages/verbenahall/src/verbenahall/platform/_records.py
+++ b/packages/verbenahall/src/verbenahall/platform/_records.py
@@ -45,6 +45,11 @@
     return Batch(end, first, tuple(_split(body, _BOUNDS.size)))
 
 
+def encode_batch(batch: Batch) -> bytes:
+    """Encode records as in the answer of a read."""
+    return _BOUNDS.pack(batch.end, batch.first) + encode_records(batch.records)
+
+
 def decode_keyed(record: bytes) -> KeyedRecord:
     """Decode a record of a keyed topic; ``ValueError`` if it has no key."""
     if not record or len(record) < 1 + record[0]:
--- a/packages/verbenahall/src/verbenahall/gateway/_freshness.py
+++ b/packages/verbenahall/src/verbenahall/store_relay/_freshness.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 from typing import Final, final
 
 from verbenahall import clock
@@ -16,7 +17,7 @@
 _REFRESH_SHARE: Final = 0.8
 #: Share of the refresh age within which a follower of the store polls again.
 #: The remainder is time for its heartbeats to reach the peers.
-_POLL_SHARE: Final = 0.65
+POLL_SHARE: Final = 0.65
 #: Shortest time between two calls of a follower, in seconds. Without it, a
 #: store that reports records but does not return them would be polled in a
 #: busy loop.
@@ -27,19 +28,39 @@
 _NEVER: Final = -float('inf')
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Confirmation:
+    """The store's own answer that it holds nothing newer.
+
+    ``at`` is a time at which it held nothing newer, ``origin`` the instance
+    that got the answer, and ``hops`` how often it was forwarded since.
+    """
+
+    at: float
+    origin: str = ''
+    hops: int = 0
+
+
 @final
 class Freshness:
     """The age of the local copy of one topic, by the monotonic clock.
 
     ``usable_s`` is the age up to which it may be used, ``confirmed_at`` when
-    the store last held nothing newer, and ``failed_at`` when a call of this
-    instance last failed.
+    the store last held nothing newer, ``confirmation`` the answer that says so,
+    and ``failed_at`` when a call of this instance last failed.
     """
 
-    __slots__ = ('confirmed_at', 'failed_at', 'usable_s', '_changed')
+    __slots__ = (
+        'confirmation',
+        'confirmed_at',
+        'failed_at',
+        'usable_s',
+        '_changed',
+    )
 
     def __init__(self, usable_s: float) -> None:
         """Start without a confirmation by the store."""
+        self.confirmation = Confirmation(_NEVER)
         self.confirmed_at = _NEVER
         self.failed_at = _NEVER
         self.usable_s = usable_s
@@ -70,14 +91,21 @@
         Peers that rely on the follower receive its confirmations with a
         delay; after a longer wait they would read the store themselves.
         """
-        longest_s = self.refresh_s * _POLL_SHARE - self.find_age(now)
+        longest_s = self.refresh_s * POLL_SHARE - self.find_age(now)
         return max(_MIN_WAIT_S, min(wait_s, longest_s))
 
     def record_confirmed(self, at: float) -> None:
-        """Record that the store held nothing newer at a time."""
-        if at > self.confirmed_at:
-            self.confirmed_at = at
-            self._wake()
+        """Record an answer of the store to this instance."""
+        self.record_confirmation(Confirmation(at))
+
+    def record_confirmation(self, confirmation: Confirmation) -> bool:
+        """Record a confirmation; return whether it is newer than the last."""
+        if confirmation.at <= self.confirmed_at:
+            return False
+        self.confirmation = confirmation
+        self.confirmed_at = confirmation.at
+        self._wake()
+        return True
 
     def record_failure(self, now: float) -> None:
         """Record that a call of this instance to the store failed."""
--- a/packages/verbenahall/src/verbenahall/gateway/_store_reachability.py
+++ b/packages/verbenahall/src/verbenahall/store_relay/_reachability.py
@@ -4,12 +4,18 @@
 from typing import Final, final
 
 from verbenahall import journal
-from verbenahall.gateway._core import Core
-from verbenahall.roster import STORE_RECOVERY_S, record_store_outage
+from verbenahall.clock import Clock
+from verbenahall.roster import STORE_RECOVERY_S, Roster, record_store_outage
+from verbenahall.store_relay._freshness import Freshness
+from verbenahall.store_relay._spacing import StoreSpacing
 
 #: How long after an answer the store counts as reachable, in seconds: the
 #: pause after changes, a poll, and the time for its answer.
 _REACHABLE_S: Final = 1.8
+#: Shortest and longest wait for a call that may not begin yet, in seconds. The
+#: wait is bounded because peers may stop confirming the topic meanwhile.
+_MIN_WAIT_S: Final = 0.01
+_MAX_WAIT_S: Final = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,24 +38,47 @@
 
     __slots__ = (
         'answered_at',
-        '_is_unreachable',
-        '_core',
+        'is_refused',
+        'spacing',
         '_freshness',
+        '_now',
+        '_roster',
         '_topic',
     )
 
-    def __init__(self, core: Core, topic: str) -> None:
-        """Start without an answer."""
+    def __init__(
+        self,
+        topic: str,
+        freshness: Freshness,
+        roster: Roster,
+        spacing: StoreSpacing,
+        now: Clock,
+    ) -> None:
+        """Start without an answer; ``spacing`` is that of all topics."""
         self.answered_at = -float('inf')
-        self._is_unreachable = False
-        self._core = core
-        self._freshness = core.freshness[topic]
+        #: Whether the last call failed.
+        self.is_refused = False
+        self.spacing = spacing
+        self._freshness = freshness
+        self._now = now
+        self._roster = roster
         self._topic = topic
 
     def is_reachable(self, now: float) -> bool:
         """Whether the store has answered within ``_REACHABLE_S``."""
         return now - self.answered_at < _REACHABLE_S
 
+    def begin_call(self) -> bool:
+        """Whether a call may begin now, while calls may be spaced."""
+        now = self._now()
+        return self.spacing.begin_call(now, covered=self._is_covered(now))
+
+    async def wait(self) -> None:
+        """Wait until a call may begin, or the store has answered another."""
+        now = self._now()
+        wait_s = self.spacing.find_wait(now, covered=self._is_covered(now))
+        await self.spacing.wait(min(max(wait_s, _MIN_WAIT_S), _MAX_WAIT_S))
+
     def has_failed_lately(self, now: float) -> bool:
         """Whether a call of this instance failed within ``STORE_RECOVERY_S``.
 
@@ -61,7 +90,7 @@
     def describe_source(self, source: str) -> Received:
         """Return the source and the age of records that arrive now."""
         freshness = self._freshness
-        age_s = freshness.find_age(self._core.now())
+        age_s = freshness.find_age(self._now())
         is_outdated = freshness.has_failed or age_s >= freshness.usable_s
         return Received(
             source,
@@ -71,21 +100,27 @@
 
     def record_answer(self) -> None:
         """Record that the store answered."""
-        self.answered_at = self._core.now()
-        if self._is_unreachable:
-            self._is_unreachable = False
+        self.answered_at = self._now()
+        self.spacing.record_answer()
+        if self.is_refused:
+            self.is_refused = False
             journal.write_decision('store_regained', topic=self._topic)
 
     def record_failure(self, reason: str) -> None:
         """Record that a call failed; only the first in a row is logged."""
         self.answered_at = -float('inf')
-        now = self._core.now()
+        now = self._now()
         self._freshness.record_failure(now)
-        record_store_outage(self._core.roster, now)
-        if not self._is_unreachable:
-            self._is_unreachable = True
+        self.spacing.record_failure(now)
+        record_store_outage(self._roster, now)
+        if not self.is_refused:
+            self.is_refused = True
             journal.write_decision(
                 'store_lost',
                 topic=self._topic,
                 reason=reason,
             )
+
+    def _is_covered(self, now: float) -> bool:
+        """Whether peers confirm the topic, so that it is young enough."""
+        return self._freshness.find_age(now) < self._freshness.usable_s
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/store_relay/_server.py
@@ -0,0 +1,145 @@
+"""Sends topics to peers that the store refuses."""
+
+import dataclasses
+from collections.abc import Awaitable, Callable, Mapping
+from http import HTTPStatus
+from typing import Final, final
+
+from aiohttp import web
+
+from verbenahall import metrics
+from verbenahall.clock import Clock
+from verbenahall.forwarding import HOP_HEADER
+from verbenahall.peers import PeerTable
+from verbenahall.store_relay._messages import (
+    STATE_HEADER,
+    TopicState,
+    encode_body,
+    encode_head,
+)
+from verbenahall.store_relay._topic import LocalTopic
+
+#: Encoded bodies that are kept. Instances that are refused together mostly
+#: request the same records, which are then compressed once.
+_MAX_BODIES: Final = 4
+#: Answers that are being sent at once at most; more requesters use the next
+#: peer.
+_MAX_OPEN: Final = 32
+
+
+@final
+class RelayServer:
+    """Answers requests for topics from this instance's own copies."""
+
+    __slots__ = (
+        '_bodies',
+        '_forward',
+        '_now',
+        '_open_count',
+        '_peer_table',
+        '_topics',
+    )
+
+    def __init__(
+        self,
+        topics: Mapping[str, LocalTopic],
+        peer_table: PeerTable,
+        now: Clock,
+        forward: Callable[[web.Request], Awaitable[web.StreamResponse]],
+    ) -> None:
+        """Serve ``topics``; ``forward`` handles forwarded callers' requests."""
+        self._bodies: dict[tuple[str, int, int, bool], bytes] = {}
+        self._forward = forward
+        self._now = now
+        self._open_count = 0
+        self._peer_table = peer_table
+        self._topics = topics
+
+    async def handle(self, request: web.Request) -> web.StreamResponse:
+        """Answer one request of a peer.
+
+        A caller's request for the same path is forwarded with a hop. It must
+        not get the topics, which hold the digests of keys.
+        """
+        if HOP_HEADER in request.headers:
+            return await self._forward(request)
+        if not self._is_peer(request.remote):
+            return self._refuse(HTTPStatus.FORBIDDEN)
+        topic = request.query.get('topic', '')
+        served = self._topics.get(topic)
+        offset = _read_offset(request.query.get('from', ''))
+        if served is None or offset is None:
+            return self._refuse(HTTPStatus.BAD_REQUEST)
+        if served.copy.end is None or self._open_count >= _MAX_OPEN:
+            return self._refuse(HTTPStatus.SERVICE_UNAVAILABLE)
+        state = self._make_state(served, offset, served.copy.end)
+        metrics.RELAY_ANSWERS.add('200')
+        return await self._send(request, topic, state)
+
+    def _is_peer(self, host: str | None) -> bool:
+        """Whether a request comes from the address of a known peer."""
+        addresses = (one.address for one in self._peer_table.peers.values())
+        return any(host == known.rpartition(':')[0] for known in addresses)
+
+    def _make_state(
+        self, served: LocalTopic, offset: int, end: int
+    ) -> TopicState:
+        """Return the state without its records."""
+        confirmation = served.freshness.confirmation
+        is_whole = offset < served.copy.first
+        return TopicState(
+            (),
+            0 if is_whole else min(offset, end),
+            end,
+            is_whole,
+            max(0, self._now() - confirmation.at),
+            confirmation.origin or self._peer_table.name,
+            confirmation.hops,
+        )
+
+    async def _send(
+        self, request: web.Request, topic: str, state: TopicState
+    ) -> web.StreamResponse:
+        response = web.Response(
+            body=self._find_body(topic, state),
+            headers={STATE_HEADER: encode_head(state)},
+        )
+        self._open_count += 1
+        try:
+            await _write(request, response)
+        finally:
+            self._open_count -= 1
+        return response
+
+    def _find_body(self, topic: str, state: TopicState) -> bytes:
+        """Return the encoded records; requests for the same share them."""
+        key = (topic, state.start, state.end, state.is_whole)
+        body = self._bodies.get(key)
+        if body is None:
+            copy = self._topics[topic].copy
+            records = (
+                copy.list_all()
+                if state.is_whole
+                else copy.list_from(state.start)
+            )
+            body = encode_body(dataclasses.replace(state, records=records))
+            self._bodies[key] = body
+            while len(self._bodies) > _MAX_BODIES:
+                self._bodies.pop(next(iter(self._bodies)))
+        return body
+
+    def _refuse(self, status: HTTPStatus) -> web.Response:
+        metrics.RELAY_ANSWERS.add(str(status.value))
+        return web.Response(status=status)
+
+
+async def _write(request: web.Request, response: web.Response) -> None:
+    await response.prepare(request)
+    await response.write_eof()
+
+
+def _read_offset(text: str) -> int | None:
+    try:
+        return int(text)
+    except ValueError:
+        return None
--- a/packages/verbenahall/src/verbenahall/gateway/_standby.py
+++ b/packages/verbenahall/src/verbenahall/store_relay/_standby.py
@@ -4,10 +4,11 @@
 
 from verbenahall.peers import (
     PeerTable,
-    find_confirmed_at,
+    find_confirmation,
     find_latest_offset,
     is_covered_by_peers,
 )
+from verbenahall.store_relay._freshness import Confirmation
 
 #: How long the update with new records may arrive after a heartbeat that
 #: reports them, in seconds. If instances did not wait for it, every instance of
@@ -37,19 +38,24 @@
         """Whether enough peers follow the topic at the store."""
         return is_covered_by_peers(self._peer_table, self._topic, now)
 
-    def find_confirmed_at(self, position: int) -> float:
-        """Return when a peer last had a position confirmed as the newest."""
-        return find_confirmed_at(self._peer_table, self._topic, position)
+    def find_confirmation(self, position: int) -> Confirmation:
+        """Return the newest confirmation of a position by a peer's report."""
+        at, origin = find_confirmation(self._peer_table, self._topic, position)
+        return Confirmation(at, origin, hops=1)
 
     def may_wait(self, position: int, now: float) -> bool:
         """Whether no record is missing, or missing ones may still arrive."""
+        return self.find_missing_s(position, now) < _MAX_UPDATE_DELAY_S
+
+    def find_missing_s(self, position: int, now: float) -> float:
+        """Return for how long records have been missing, 0 if none are."""
         reported = find_latest_offset(self._peer_table, self._topic, now)
         if max(reported, self._latest_offset) <= position:
             self._missing_since = None
-            return True
+            return 0
         if self._missing_since is None:
             self._missing_since = now
-        return now - self._missing_since < _MAX_UPDATE_DELAY_S
+        return now - self._missing_since
 
     def record_progress(self) -> None:
         """Record that missing records have arrived."""
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/store_relay/_state.py
@@ -0,0 +1,68 @@
+"""The requests of one topic that an instance has sent to peers."""
+
+import random
+from typing import Final, final
+
+#: Interval of requests that were answered, in seconds. An instance whose whole
+#: data centre is refused gets changes and confirmations by these only.
+_INTERVAL_S: Final = 0.3
+#: Pause after failures, in seconds, doubled with each one after the first
+#: ``_QUICK_FAILURES``, after which the next peer is tried at once.
+_MIN_PAUSE_S: Final = 0.1
+_MAX_PAUSE_S: Final = 1.0
+_QUICK_FAILURES: Final = 3
+#: Range of the random factor of the pauses.
+_JITTER: Final = (0.75, 1.0)
+#: How long a peer is avoided that gave no answer, and one whose answer brought
+#: nothing, in seconds.
+_FAILED_S: Final = 2.0
+_BEHIND_S: Final = 0.5
+
+
+@final
+class RelayState:
+    """When the next request is due, and which peers are avoided.
+
+    ``avoided_until`` holds the end of this by peer, ``failures`` counts the
+    requests in a row that brought nothing.
+    """
+
+    __slots__ = ('avoided_until', 'due_at', 'failures', '_random')
+
+    def __init__(self, rng: random.Random) -> None:
+        """Start with a request that is due."""
+        self.avoided_until: dict[str, float] = {}
+        self.due_at = -float('inf')
+        self.failures = 0
+        self._random = rng
+
+    def record_use(self, now: float) -> None:
+        """Record an answer that brought records or a confirmation."""
+        self.failures = 0
+        self.due_at = now + _INTERVAL_S * self._random.uniform(*_JITTER)
+
+    def record_behind(self, peer: str, now: float) -> None:
+        """Record that the answer of a peer brought nothing."""
+        self._record_failure(peer, now, _BEHIND_S)
+
+    def record_failure(self, peer: str, now: float) -> None:
+        """Record that a peer gave no answer."""
+        self._record_failure(peer, now, _FAILED_S)
+
+    def record_no_peer(self, now: float) -> None:
+        """Record that there is no peer to send a request to."""
+        self.due_at = now + _MAX_PAUSE_S
+
+    def _record_failure(self, peer: str, now: float, for_s: float) -> None:
+        self.avoided_until = {
+            name: until
+            for name, until in self.avoided_until.items()
+            if until > now
+        }
+        self.avoided_until[peer] = now + for_s
+        self.failures += 1
+        doublings = self.failures - _QUICK_FAILURES
+        pause_s = min(_MIN_PAUSE_S * 2 ** min(doublings, 8), _MAX_PAUSE_S)
+        if doublings < 0:
+            pause_s = 0
+        self.due_at = now + pause_s * self._random.uniform(*_JITTER)
--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/store_relay/_topic.py
@@ -0,0 +1,137 @@
+"""An instance's own copy of a topic, from the store and from peers."""
+
+from collections.abc import Mapping, Sequence
+from typing import final
+
+from verbenahall.clock import Clock
+from verbenahall.store_relay._copy import (
+    TopicCopy,
+    decode_items,
+    decode_record,
+)
+from verbenahall.store_relay._decisions import TopicView
+from verbenahall.store_relay._freshness import (
+    POLL_SHARE,
+    Confirmation,
+    Freshness,
+)
+from verbenahall.store_relay._handlers import TopicHandler
+from verbenahall.store_relay._messages import TopicState
+from verbenahall.store_relay._reachability import StoreReachability
+from verbenahall.store_relay._standby import Standby
+
+
+@final
+class LocalTopic:
+    """The records of a topic in the order of their offsets, each applied once.
+
+    ``position`` is the offset of the next record, None before the first whole
+    read and after the store has deleted records that were not read.
+    """
+
+    __slots__ = (
+        'copy',
+        'freshness',
+        'handler',
+        'reachability',
+        'standby',
+        '_now',
+    )
+
+    def __init__(
+        self,
+        handler: TopicHandler,
+        freshness: Freshness,
+        reachability: StoreReachability,
+        standby: Standby,
+        now: Clock,
+    ) -> None:
+        """Start without a record."""
+        self.copy = TopicCopy()
+        self.freshness = freshness
+        self.handler = handler
+        self.reachability = reachability
+        self.standby = standby
+        self._now = now
+
+    @property
+    def position(self) -> int | None:
+        """Offset of the next record, None without a state."""
+        return self.copy.end
+
+    @property
+    def name(self) -> str:
+        """The topic's name."""
+        return self.handler.topic
+
+    def describe(self) -> TopicView:
+        """Return what it depends on whether a peer must send the topic."""
+        now = self._now()
+        position = self.position
+        has_state = position is not None
+        return TopicView(
+            has_state,
+            self.standby.find_missing_s(position or 0, now) if has_state else 0,
+            self.freshness.find_age(now),
+            self.freshness.refresh_s * POLL_SHARE,
+            self.reachability.is_refused,
+        )
+
+    def apply_records(
+        self, records: Sequence[bytes], offset: int, source: str
+    ) -> Sequence[bytes]:
+        """Apply the records that are new to this instance, and return them."""
+        if self.position is None:
+            return ()
+        fresh = records[self.position - offset :]
+        if fresh:
+            self.standby.record_progress()
+        received = self.reachability.describe_source(source)
+        for record in fresh:
+            keyed = decode_record(self.name, record)
+            self.copy.append(record, keyed)
+            if keyed is not None:
+                self.handler.apply_record(keyed, received)
+        return fresh
+
+    def apply_all(
+        self, items: Mapping[str, bytes], end: int, source: str
+    ) -> None:
+        """Replace the copy by a whole topic that is complete at ``end``."""
+        self.copy.replace(items, end)
+        self.standby.record_progress()
+        received = self.reachability.describe_source(source)
+        self.handler.apply_all(items, received)
+
+    def apply_state(
+        self, state: TopicState, confirmation: Confirmation | None
+    ) -> bool:
+        """Apply a peer's answer; return whether it brought anything new."""
+        before = self.position
+        if state.is_whole:
+            self._apply_whole(state)
+        elif before is not None and state.start <= before:
+            self.apply_records(state.records, state.start, 'relay')
+        position = self.position
+        is_newer = False
+        if confirmation and position is not None and position >= state.end:
+            is_newer = self.freshness.record_confirmation(confirmation)
+        return is_newer or position != before
+
+    def apply_peer_confirmations(self) -> None:
+        """Use the confirmations of the store that the peers have received."""
+        if self.position is not None:
+            found = self.standby.find_confirmation(self.position)
+            self.freshness.record_confirmation(found)
+
+    def _apply_whole(self, state: TopicState) -> None:
+        """Apply a whole topic, unless this instance has had a newer one.
+
+        After the store has deleted records that were not read there is no
+        position, but a peer that lags behind must still not override what was
+        applied before.
+        """
+        is_new = self.position is None or state.end > self.position
+        if is_new and state.end >= self.copy.highest_end:
+            items = decode_items(self.name, state.records)
+            self.apply_all(items, state.end, 'relay')
--- a/packages/verbenahall/tests/drains/test_freshness.py
+++ b/packages/verbenahall/tests/drains/test_freshness.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from verbenahall.gateway._freshness import Freshness
+from verbenahall.store_relay import Freshness
 
 from .simulated_clock import run_simulated
 
--- a/packages/verbenahall/tests/peers/test_arrivals.py
+++ b/packages/verbenahall/tests/peers/test_arrivals.py
@@ -10,7 +10,7 @@
     add_peer,
     decode_message,
     encode_heartbeat,
-    find_confirmed_at,
+    find_confirmation,
     record_heartbeat,
 )
 from verbenahall.peers._arrivals import ArrivalClock
@@ -78,6 +78,7 @@
 def test_offset_before_the_confirmed_one_is_not_confirmed():
     """An update got lost: the peer has read records that are missing here."""
     peer_table = make_peer_table(ConfirmedOffset(7, 9))
-    assert find_confirmed_at(peer_table, TOPIC, 6) == -float('inf')
-    assert find_confirmed_at(peer_table, TOPIC, 7) == 9
-    assert find_confirmed_at(peer_table, TOPIC, 8) == 9
+    name = next(iter(peer_table.peers))
+    assert find_confirmation(peer_table, TOPIC, 6) == (-float('inf'), '')
+    assert find_confirmation(peer_table, TOPIC, 7) == (9, name)
+    assert find_confirmation(peer_table, TOPIC, 8) == (9, name)
