Refused instances request confirmations only if no heartbeat brings them

Seen in review: a refused instance did not use the confirmations in its peers' heartbeats before it asked for its own, so that it sent a request every 0.3 s although two followers confirmed its copy.

Change: confirmations of heartbeats count first. With a follower among the peers, requests wait for the age at which an instance reads the store itself; without one they are sent every half second. Missing records are requested at once. An unknown key leads to a request, as it leads to a call to the store.

--- a/packages/verbenahall/src/verbenahall/gateway/_serve.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_serve.py
@@ -41,7 +41,7 @@
     make_usage_reporter,
     reports_usage,
 )
-from verbenahall.platform import OPERATOR_TOPIC, READY, ProcessSettings
+from verbenahall.platform import READY, ProcessSettings
 from verbenahall.process import listen, run_service
 from verbenahall.shutdown import GracefulStop, StopTiming
 from verbenahall.supervisor import Supervisor
@@ -156,7 +156,7 @@
 
     def _make_ingress(self) -> Ingress:
         key_refresher = KeyRefresher(
-            self._topics.followers[OPERATOR_TOPIC].refresh,
+            self._topics.refresh_manifest,
             self.core.now,
         )
         dispatch = Dispatch(self.core, self.scheduling.scheduler_client)
--- a/packages/verbenahall/src/verbenahall/gateway/_topics.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_topics.py
@@ -9,6 +9,7 @@
 from verbenahall.gateway._record_handlers import make_followers
 from verbenahall.gateway._refresh import Refresher
 from verbenahall.peers import PeerExchange
+from verbenahall.platform import OPERATOR_TOPIC
 from verbenahall.store_relay import (
     RELAY_PATH,
     RelayClient,
@@ -22,25 +23,34 @@
 class Topics:
     """The followers by topic, and what relays topics between peers."""
 
-    __slots__ = ('_core', 'followers')
+    __slots__ = ('_core', '_relays', 'followers')
 
     def __init__(self, core: Core, exchange: PeerExchange) -> None:
         """Share what is read with the peers of an exchange."""
         self._core = core
         followers = make_followers(core, exchange)
         self.followers = {one.handler.topic: one for one in followers}
-
-    def list_loops(self) -> Loops:
-        """Return the background loops by name."""
-        core = self._core
         relay = RelayDependencies(
             core.peer_table, core.session, core.random, core.now
         )
+        self._relays = {
+            topic: RelayClient(one.local, relay)
+            for topic, one in self.followers.items()
+        }
+
+    async def refresh_manifest(self) -> bool:
+        """Get the newest manifest from the store, or else from a peer."""
+        if await self.followers[OPERATOR_TOPIC].refresh():
+            return True
+        return await self._relays[OPERATOR_TOPIC].refresh()
+
+    def list_loops(self) -> Loops:
+        """Return the background loops by name."""
         loops: dict[str, Loop] = {}
         for topic, follower in self.followers.items():
             loops[topic] = follower.run
-            loops[f'refresh {topic}'] = Refresher(core, follower).run
-            loops[f'relay {topic}'] = RelayClient(follower.local, relay).run
+            loops[f'refresh {topic}'] = Refresher(self._core, follower).run
+            loops[f'relay {topic}'] = self._relays[topic].run
         return loops
 
     def add_routes(
--- a/packages/verbenahall/src/verbenahall/store_relay/_client.py
+++ b/packages/verbenahall/src/verbenahall/store_relay/_client.py
@@ -31,7 +31,7 @@
 
 #: Interval of the checks whether a peer is needed, in seconds: while the store
 #: refuses this instance, and otherwise. Each check iterates over all peers.
-_REFUSED_CHECK_S: Final = 0.05
+_REFUSED_CHECK_S: Final = 0.1
 _CHECK_S: Final = 0.25
 #: Timeout of a request, in seconds. A whole topic of a large fleet takes a few
 #: milliseconds within a region.
@@ -67,11 +67,20 @@
         while True:
             view = self._topic.describe()
             reason = find_reason(view)
-            if reason is not None and self._is_due():
+            if reason is not None and self._is_due(reason):
                 await self.request(reason)
             check_s = _REFUSED_CHECK_S if view.is_refused else _CHECK_S
             await asyncio.sleep(check_s)
 
+    async def refresh(self) -> bool:
+        """Request what is new at once if the store refuses this instance.
+
+        Return whether a peer has confirmed the topic or sent records.
+        """
+        if not self._topic.reachability.is_refused:
+            return False
+        return await self.request(Reason.OUTDATED)
+
     async def request(self, reason: Reason) -> bool:
         """Send one request; return whether its answer brought anything."""
         sent_at = self._dependencies.now()
@@ -113,8 +122,10 @@
         )
         return next(iter(candidates), None)
 
-    def _is_due(self) -> bool:
-        return self._dependencies.now() >= self._state.due_at
+    def _is_due(self, reason: Reason) -> bool:
+        return self._state.is_due(
+            self._dependencies.now(), urgent=reason is not Reason.OUTDATED
+        )
 
     async def _fetch(self, peer: str) -> TopicState | None:
         """Return a peer's state of the topic, None if it gives none."""
--- a/packages/verbenahall/src/verbenahall/store_relay/_freshness.py
+++ b/packages/verbenahall/src/verbenahall/store_relay/_freshness.py
@@ -17,7 +17,7 @@
 _REFRESH_SHARE: Final = 0.8
 #: Share of the refresh age within which a follower of the store polls again.
 #: The remainder is time for its heartbeats to reach the peers.
-POLL_SHARE: Final = 0.65
+_POLL_SHARE: Final = 0.65
 #: Shortest time between two calls of a follower, in seconds. Without it, a
 #: store that reports records but does not return them would be polled in a
 #: busy loop.
@@ -91,7 +91,7 @@
         Peers that rely on the follower receive its confirmations with a
         delay; after a longer wait they would read the store themselves.
         """
-        longest_s = self.refresh_s * POLL_SHARE - self.find_age(now)
+        longest_s = self.refresh_s * _POLL_SHARE - self.find_age(now)
         return max(_MIN_WAIT_S, min(wait_s, longest_s))
 
     def record_confirmed(self, at: float) -> None:
--- a/packages/verbenahall/src/verbenahall/store_relay/_spacing.py
+++ b/packages/verbenahall/src/verbenahall/store_relay/_spacing.py
@@ -66,10 +66,11 @@
         if not self._has_begun:
             return
         self._has_begun = False
+        if not self._pause_s:
+            self._began_at = now
         doubled_s = min(self._pause_s * 2, _MAX_PAUSE_S)
         self._pause_s = max(doubled_s, _MIN_PAUSE_S)
         self._jitter = self._random.uniform(*_JITTER)
-        self._began_at = now
 
     def find_wait(self, now: float, *, covered: bool) -> float:
         """Return the time until the next call in seconds, 0 if it is due.
--- a/packages/verbenahall/src/verbenahall/store_relay/_standby.py
+++ b/packages/verbenahall/src/verbenahall/store_relay/_standby.py
@@ -38,6 +38,10 @@
         """Whether enough peers follow the topic at the store."""
         return is_covered_by_peers(self._peer_table, self._topic, now)
 
+    def has_follower(self, now: float) -> bool:
+        """Whether a live peer follows the topic at the store."""
+        return find_latest_offset(self._peer_table, self._topic, now) > 0
+
     def find_confirmation(self, position: int) -> Confirmation:
         """Return the newest confirmation of a position by a peer's report."""
         at, origin = find_confirmation(self._peer_table, self._topic, position)
--- a/packages/verbenahall/src/verbenahall/store_relay/_state.py
+++ b/packages/verbenahall/src/verbenahall/store_relay/_state.py
@@ -4,8 +4,11 @@
 from typing import Final, final
 
 #: Interval of requests that were answered, in seconds. An instance whose whole
-#: data centre is refused gets changes and confirmations by these only.
-_INTERVAL_S: Final = 0.3
+#: data centre is refused gets changes and confirmations by these only, and a
+#: change must be in force within two seconds.
+_INTERVAL_S: Final = 0.5
+#: The same if records are known to be missing, in seconds.
+_URGENT_INTERVAL_S: Final = 0.1
 #: Pause after failures, in seconds, doubled with each one after the first
 #: ``_QUICK_FAILURES``, after which the next peer is tried at once.
 _MIN_PAUSE_S: Final = 0.1
@@ -24,22 +27,36 @@
     """When the next request is due, and which peers are avoided.
 
     ``avoided_until`` holds the end of this by peer, ``failures`` counts the
-    requests in a row that brought nothing.
+    requests in a row that brought nothing. The next request is due at
+    ``due_at``, or at ``urgent_at`` if records are missing.
     """
 
-    __slots__ = ('avoided_until', 'due_at', 'failures', '_random')
+    __slots__ = (
+        'avoided_until',
+        'due_at',
+        'failures',
+        'urgent_at',
+        '_random',
+    )
 
     def __init__(self, rng: random.Random) -> None:
         """Start with a request that is due."""
         self.avoided_until: dict[str, float] = {}
         self.due_at = -float('inf')
         self.failures = 0
+        self.urgent_at = self.due_at
         self._random = rng
 
+    def is_due(self, now: float, *, urgent: bool) -> bool:
+        """Whether the next request is due."""
+        due_at = self.urgent_at if urgent else self.due_at
+        return now >= due_at
+
     def record_use(self, now: float) -> None:
         """Record an answer that brought records or a confirmation."""
         self.failures = 0
         self.due_at = now + _INTERVAL_S * self._random.uniform(*_JITTER)
+        self.urgent_at = now + _URGENT_INTERVAL_S
 
     def record_behind(self, peer: str, now: float) -> None:
         """Record that the answer of a peer brought nothing."""
@@ -52,6 +69,7 @@
     def record_no_peer(self, now: float) -> None:
         """Record that there is no peer to send a request to."""
         self.due_at = now + _MAX_PAUSE_S
+        self.urgent_at = self.due_at
 
     def _record_failure(self, peer: str, now: float, for_s: float) -> None:
         self.avoided_until = {
@@ -66,3 +84,4 @@
         if doublings < 0:
             pause_s = 0
         self.due_at = now + pause_s * self._random.uniform(*_JITTER)
+        self.urgent_at = self.due_at
--- a/packages/verbenahall/src/verbenahall/store_relay/_topic.py
+++ b/packages/verbenahall/src/verbenahall/store_relay/_topic.py
@@ -10,11 +10,7 @@
     decode_record,
 )
 from verbenahall.store_relay._decisions import TopicView
-from verbenahall.store_relay._freshness import (
-    POLL_SHARE,
-    Confirmation,
-    Freshness,
-)
+from verbenahall.store_relay._freshness import Confirmation, Freshness
 from verbenahall.store_relay._handlers import TopicHandler
 from verbenahall.store_relay._messages import TopicState
 from verbenahall.store_relay._reachability import StoreReachability
@@ -67,14 +63,18 @@
     def describe(self) -> TopicView:
         """Return what it depends on whether a peer must send the topic."""
         now = self._now()
+        is_refused = self.reachability.is_refused
+        if is_refused:
+            self.apply_peer_confirmations()
         position = self.position
         has_state = position is not None
         return TopicView(
             has_state,
             self.standby.find_missing_s(position or 0, now) if has_state else 0,
             self.freshness.find_age(now),
-            self.freshness.refresh_s * POLL_SHARE,
-            self.reachability.is_refused,
+            # Without a follower among the peers, changes come by answers only.
+            self.freshness.refresh_s if self.standby.has_follower(now) else 0,
+            is_refused,
         )
 
     def apply_records(
