--- a/packages/verbenahall/src/verbenahall/gateway/_core.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_core.py
@@ -10,7 +10,6 @@
 from verbenahall.endpoint_health import Endpoints
 from verbenahall.fair_shares import FairShares
 from verbenahall.gateway._engine_calls import EngineCalls
-from verbenahall.gateway._freshness import Freshness
 from verbenahall.gateway._hooks import (
     CrashObserver,
     Forwarder,
@@ -40,6 +39,7 @@
     RosterRules,
     format_incarnation,
 )
+from verbenahall.store_relay import Freshness, StoreSpacing
 from verbenahall.throttling import RateTable
 from verbenahall.usage import SyncedClock, UsageMeter
 
@@ -80,6 +80,7 @@
                 _find_usable_age(settings.bounds.manifest_s),
             ),
         }
+        self.store_spacing = StoreSpacing(self.random)
         self.synced_clock = SyncedClock(clock.boottime, clock.wall)
         self.meter = UsageMeter(
             settings.bounds.usage_window_s,
--- a/packages/verbenahall/src/verbenahall/peers/__init__.py
+++ b/packages/verbenahall/src/verbenahall/peers/__init__.py
@@ -26,7 +26,7 @@
     record_heartbeat,
 )
 from verbenahall.peers._topic_followers import (
-    find_confirmed_at,
+    find_confirmation,
     find_latest_offset,
     is_covered_by_peers,
 )
@@ -46,7 +46,7 @@
     'encode_heartbeat',
     'encode_shares',
     'encode_update',
-    'find_confirmed_at',
+    'find_confirmation',
     'find_latest_offset',
     'find_rank',
     'has_unresponsive_peer',
