Engine speeds: fewer false differences, reports in a tenth of heartbeats, pauses

Differences of steps alone no longer count, since steps take longer with more streams.

The typical engine is the median of engines with two measurements: with five, only the fast ones counted at first in small fleets, and slow engines had a factor of 2.3. A prefill at an instance is measured beside its own others, but not beside those of peers.

Factors are sent in 0.7 s of every 10 s. In each of up to 60 heartbeats a second they would take 38 KB/s, now at most 2.7 KB/s (computed).

A prefill by a decode engine that stalls a stream beyond its limit costs as much as a late first event; in a swing, one that stalls none that long costs nothing for them. Before, plans with a pause of 0.26 s were chosen although streams accept 0.05 s (test_decode_engine_prefills_in_a_swing_if_no_stream_notices).

The test of invalid heartbeats had no valid number of cores, so each was rejected for that; it now has one, and passes.

--- a/packages/standins/src/verbenahall_standins/replay.py
+++ b/packages/standins/src/verbenahall_standins/replay.py
@@ -297,12 +297,14 @@
     def _send_heartbeats(self, now):
         for one in self.instances:
             totals = dict(one.state.load_table.local_loads())
+            factors = one.state.engine_speeds.export(now)
             for other in self.instances[
                 one.number % self.sample :: self.sample
             ]:
                 other.state.load_table.scale = self.sample
                 if other is not one:
                     other.state.load_table.set_peer_loads(one.name, totals, now)
+                    other.state.engine_speeds.adopt(factors)
 
     def _end_prefills(self, engine, version, now):
         if engine.version != version:
--- a/packages/verbenahall/src/verbenahall/engine_speeds/_group.py
+++ b/packages/verbenahall/src/verbenahall/engine_speeds/_group.py
@@ -13,7 +13,11 @@
 _MIN_RATIO: Final = 1.2
 #: Standard errors by which the values of two engines must be apart beyond
 #: that ratio. Among many equal engines some seem to differ by chance.
-_ERRORS: Final = 2.0
+_ERRORS: Final = 2.5
+#: Measurements from which an engine counts for the typical one. With as many
+#: as for other purposes, only fast engines would count at first, since slow
+#: ones are used less.
+_TYPICAL_SAMPLES: Final = 2
 #: Interval in seconds at which engines are compared with each other. With
 #: thousands of engines it takes milliseconds.
 _COMPARE_INTERVAL_S: Final = 0.5
@@ -38,11 +42,16 @@
 
     __slots__ = ('usual', 'crowded')
 
-    def __init__(self, usual: RatioTracker) -> None:
-        """Start without measurements close to full."""
-        self.usual = usual
+    def __init__(self) -> None:
+        """Start without measurements."""
+        self.usual = RatioTracker()
         self.crowded: RatioTracker | None = None
 
+    @property
+    def is_known(self) -> bool:
+        """Whether there are enough measurements to rely on."""
+        return self.usual.is_known
+
     def observe(
         self, ratio: float, share: float, now: float, *, crowded: bool
     ) -> None:
@@ -66,15 +75,15 @@
 
     __slots__ = ('prefill', 'step')
 
-    def __init__(self, prefill: RatioTracker, step: RatioTracker) -> None:
-        """Start with the long-term values of other instances, if any."""
-        self.prefill = _Measured(prefill)
-        self.step = _Measured(step)
+    def __init__(self) -> None:
+        """Start without measurements."""
+        self.prefill = _Measured()
+        self.step = _Measured()
 
     @property
     def is_measured_in_both(self) -> bool:
         """Whether both prefills and steps were measured."""
-        return self.prefill.usual.is_known and self.step.usual.is_known
+        return self.prefill.is_known and self.step.is_known
 
 
 @final
@@ -114,9 +123,8 @@
         steps = [one.step.usual for one in records]
         self.typical_prefill = _find_typical(prefills, self.typical_prefill)
         self.typical_step = _find_typical(steps, self.typical_step)
-        self.uneven = _is_uneven(prefills, self.typical_prefill) or _is_uneven(
-            steps, self.typical_step
-        )
+        # Steps take longer with more streams, also at equally fast engines.
+        self.uneven = _is_uneven(prefills, self.typical_prefill)
         offsets = [
             self.rate_prefill(one) - self.rate_step(one)
             for one in records
@@ -154,19 +162,19 @@
         return math.exp(value - self.typical_step)
 
 
-def make_record(group: Group, reported: ReportedFactor | None) -> Record:
-    """Return the record of a new engine, with the factors of a peer if any."""
-    if reported is None:
-        return Record(RatioTracker(), RatioTracker())
-    return Record(
-        _make_tracker(reported.prefill, group.typical_prefill),
-        _make_tracker(reported.step, group.typical_step),
-    )
+def use_report(group: Group, record: Record, reported: ReportedFactor) -> None:
+    """Use the factors of a peer for what has not been measured enough here."""
+    if not group.uneven:
+        group.compared_at = -math.inf
+    if reported.prefill and not record.prefill.is_known:
+        record.prefill.usual = _make_tracker(
+            reported.prefill, group.typical_prefill
+        )
+    if reported.step and not record.step.is_known:
+        record.step.usual = _make_tracker(reported.step, group.typical_step)
 
 
 def _make_tracker(factor: float, typical: float) -> RatioTracker:
-    if factor <= 0:
-        return RatioTracker()
     return RatioTracker(typical + math.log(factor))
 
 
@@ -177,7 +185,7 @@
     along. They take no part: only engines unlike the typical one are reported.
     """
     measured = [
-        one.long_term for one in trackers if one.measured >= MIN_SAMPLES
+        one.long_term for one in trackers if one.measured >= _TYPICAL_SAMPLES
     ]
     typical = statistics.median(measured) if measured else before
     for tracker in trackers:
@@ -206,9 +214,9 @@
     for (name, born), record in group.records.items():
         prefill: float = 0
         step: float = 0
-        if record.prefill.usual.is_known:
+        if record.prefill.is_known:
             prefill = math.exp(group.rate_prefill(record))
-        if record.step.usual.is_known:
+        if record.step.is_known:
             step = math.exp(group.rate_step(record))
         if _differs(prefill) or _differs(step):
             yield ReportedFactor(name, born, prefill, step)
--- a/packages/verbenahall/src/verbenahall/engine_speeds/_table.py
+++ b/packages/verbenahall/src/verbenahall/engine_speeds/_table.py
@@ -9,7 +9,7 @@
     Record,
     ReportedFactor,
     list_differing,
-    make_record,
+    use_report,
 )
 from verbenahall.roster import Entry, Incarnation
 
@@ -17,6 +17,12 @@
 _MAX_REPORTED: Final = 4096
 #: Maximum number of factors in one report.
 MAX_FACTORS: Final = 16
+#: Period in which factors are sent to peers, and the part of it in which
+#: heartbeats carry them, in seconds. Every peer gets a heartbeat within the
+#: latter. With 60 heartbeats a second and 40 bytes for a factor this is at most
+#: 2.7 KB/s; in every heartbeat they would take 38 KB/s.
+_REPORT_PERIOD_S: Final = 10.0
+_REPORT_WINDOW_S: Final = 0.7
 
 _Known = TypeVar('_Known')
 
@@ -119,20 +125,23 @@
         group = self._groups[service]
         factors: dict[str, float] = {}
         for (name, _), record in group.records.items():
-            if record.prefill.usual.is_known:
+            if record.prefill.is_known:
                 factors[name] = math.exp(group.rate_prefill(record))
-            elif record.step.usual.is_known:
+            elif record.step.is_known:
                 factors[name] = math.exp(
                     group.rate_step(record) + group.scale_offset
                 )
         return factors
 
-    def export(self, number: int) -> Sequence[ReportedFactor]:
-        """Return factors that differ by more than 1.2, to send to peers.
+    def export(self, now: float) -> Sequence[ReportedFactor]:
+        """Return the factors to send to peers in a heartbeat at ``now``.
 
-        With more than ``MAX_FACTORS`` of them, successive values of ``number``
-        give them in turn.
+        They are those that differ by more than 1.2, at most ``MAX_FACTORS`` in
+        each period, in turn. Most of the time there are none to send.
         """
+        turn, phase_s = divmod(now, _REPORT_PERIOD_S)
+        if phase_s >= _REPORT_WINDOW_S:
+            return ()
         factors = [
             found
             for group in self._groups.values()
@@ -140,18 +149,19 @@
         ]
         if len(factors) <= MAX_FACTORS:
             return factors
-        start = number * MAX_FACTORS % len(factors)
+        start = int(turn) * MAX_FACTORS % len(factors)
         turned = factors[start:] + factors[:start]
         return turned[:MAX_FACTORS]
 
     def adopt(self, factors: Iterable[ReportedFactor]) -> None:
-        """Use the factors of a peer for engines not measured here yet."""
+        """Use the factors of a peer for engines hardly measured here yet."""
         for factor in factors:
             key = (factor.name, factor.born)
-            is_measured = any(
-                key in group.records for group in self._groups.values()
+            is_known = any(
+                key in group.records and group.records[key].prefill.is_known
+                for group in self._groups.values()
             )
-            if not is_measured and len(self._reported) < _MAX_REPORTED:
+            if not is_known and len(self._reported) < _MAX_REPORTED:
                 self._reported[key] = factor
 
     def retain(self, names: Collection[str]) -> None:
@@ -174,11 +184,11 @@
         record = group.records.get(engine.incarnation)
         reported = self._reported.pop(engine.incarnation, None)
         if record is None:
-            record = make_record(group, reported)
+            record = Record()
             group.records[engine.incarnation] = record
-            if reported is not None:
-                group.compared_at = -math.inf
-                group.compare(self._latest)
+        if reported is not None:
+            use_report(group, record, reported)
+            group.compare(self._latest)
         return group, record
 
 
--- a/packages/verbenahall/src/verbenahall/engine_speeds/_trackers.py
+++ b/packages/verbenahall/src/verbenahall/engine_speeds/_trackers.py
@@ -18,7 +18,7 @@
 #: number of measurements.
 _MAX_SAMPLES: Final = 30
 #: Measurements that a long-term value needs to be relied upon.
-MIN_SAMPLES: Final = 5
+MIN_SAMPLES: Final = 6
 #: Bounds of a measured ratio. Engines differ by up to 2.5 times, and slow
 #: phases are 2.5 times slower again.
 _MIN_RATIO: Final = 0.15
--- a/packages/verbenahall/src/verbenahall/peers/_shell.py
+++ b/packages/verbenahall/src/verbenahall/peers/_shell.py
@@ -200,10 +200,9 @@
         followed_offsets: Mapping[str, int],
         ages: Mapping[str, float],
     ) -> Heartbeat:
-        number = next(self._numbers)
         return Heartbeat(
             self._peer_table.name,
-            number,
+            next(self._numbers),
             self._load_table.local_loads(),
             self._peer_table.data_centre,
             tuple(self.changing()),
@@ -213,7 +212,7 @@
             ages,
             tuple(self.list_unreachable()),
             self.get_connection_rate(),
-            self._engine_speeds.export(number),
+            self._engine_speeds.export(clock.monotonic()),
         )
 
 
--- a/packages/verbenahall/src/verbenahall/placement/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/placement/_decisions.py
@@ -175,13 +175,13 @@
         split.extend(
             cost_model.evaluate_faster(prefill_engines, decode_engines)
         )
-    for option in (*split, *cost_model.evaluate_mixed(decode_engines)):
-        cost = option.cost
-        if may_be_late and cost_model.is_pause_short(option.plan):
-            cost -= option.stream_cost
-        if option.plan.wait_s > due_s:
-            cost += _LATE_COST
-        yield dataclasses.replace(option, cost=cost)
+    mixed = [
+        cost_model.weigh_pause(one, may_relieve=may_be_late)
+        for one in cost_model.evaluate_mixed(decode_engines)
+    ]
+    for option in (*split, *mixed):
+        late_cost = _LATE_COST if option.plan.wait_s > due_s else 0
+        yield dataclasses.replace(option, cost=option.cost + late_cost)
 
 
 def find_preferred_engine(work: Work, prefill_engines: Sequence[Entry]) -> str:
@@ -300,18 +300,18 @@
             if count == _FASTER_ENGINES:
                 return
 
-    def is_pause_short(self, plan: Plan) -> bool:
-        """Whether a prefill by the decode engine stalls no stream too long.
+    def weigh_pause(self, option: _Option, *, may_relieve: bool) -> _Option:
+        """Return a prefill by a decode engine with the cost of its pause.
 
-        The limits of streams that other instances sent are not known; they are
-        taken to be that of the request.
+        Streams that pause beyond their limit are late. If none is, their pause
+        costs nothing while prompts would be late at all prefill engines.
         """
-        engine = plan.decode_engine
-        limits = [self._state.load_table.streams.find_shortest_gap(engine.name)]
-        if self._request.gap_s:
-            limits.append(self._request.gap_s)
-        pause_s = plan.ahead_s + self._mixed_s(engine, plan.missing)
-        return pause_s < min(limits)
+        cost = option.cost
+        if not self._is_pause_short(option.plan):
+            cost += _LATE_COST
+        elif may_relieve:
+            cost -= option.stream_cost
+        return dataclasses.replace(option, cost=cost)
 
     def plan_decode(
         self, prefill_engine: Entry, decode_engines: Sequence[Entry]
@@ -342,6 +342,20 @@
             slot_wait_s,
         )
 
+    def _is_pause_short(self, plan: Plan) -> bool:
+        """Whether a prefill by the decode engine stalls no stream too long.
+
+        The limits of streams that other instances sent are not known; they are
+        taken to be that of the request.
+        """
+        engine = plan.decode_engine
+        if not self._find_load(engine).streams:
+            return True
+        limit_s = self._state.load_table.streams.find_shortest_gap(engine.name)
+        if self._request.gap_s:
+            limit_s = min(limit_s, self._request.gap_s)
+        return plan.ahead_s + self._mixed_s(engine, plan.missing) < limit_s
+
     def _mixed_s(self, engine: Entry, missing: int) -> float:
         """Return the time that a decode engine takes for a prefill."""
         work_s = self._prefill_s(missing) * _MIXED_SLOWDOWN
--- a/packages/verbenahall/src/verbenahall/placement/_state.py
+++ b/packages/verbenahall/src/verbenahall/placement/_state.py
@@ -35,12 +35,13 @@
 class OpenPrefill:
     """A prefill that this process has sent; ``tokens_ahead`` were open there.
 
-    ``waits`` is whether others were ahead of it, also by its plan.
+    ``shares_unknown`` is whether the engine had prefills of other processes,
+    of which it is not known how long they stay open.
     """
 
     flight: InFlight
     tokens_ahead: int
-    waits: bool
+    shares_unknown: bool
 
 
 @final
@@ -149,24 +150,27 @@
     ) -> OpenPrefill:
         """Add a prefill that is sent to an engine to the load table."""
         ahead = self.load_table.totals(engine.name).prefill_tokens
+        # In a large fleet only some peers report, but a scheduler has planned.
+        is_sampled = self.load_table.scale != 1
+        shares_unknown = self._count_others(engine.name) > 0 or (
+            is_sampled and plan.ahead_s > 0
+        )
         flight = self.load_table.open(
             engine.name, Totals(prefill_tokens=plan.missing)
         )
         self.shared_time.start(flight.number, engine.name, now)
-        return OpenPrefill(flight, ahead, waits=ahead > 0 or plan.ahead_s > 0)
+        return OpenPrefill(flight, ahead, shares_unknown)
 
     def close_prefill(self, prefill: OpenPrefill, now: float) -> float:
         """Remove a prefill; return the share of the engine's time that it got.
 
-        Returns 0 if it cannot be known: others were ahead of it, or peers have
-        sent prefills to the engine meanwhile.
+        Returns 0 if it is not known, since peers have sent prefills to the
+        engine before or meanwhile.
         """
         share = self.shared_time.end(prefill.flight.number, now)
         self.load_table.close(prefill.flight)
-        name = prefill.flight.engine
-        local = self.load_table.local_totals(name).prefill_tokens
-        others = self.load_table.totals(name).prefill_tokens - local
-        return 0 if prefill.waits or others > 0 else share
+        has_others = self._count_others(prefill.flight.engine) > 0
+        return 0 if prefill.shares_unknown or has_others else share
 
     def record_prefill_time(
         self,
@@ -201,6 +205,11 @@
                 sample.missing, sample.cached, sample.seconds / factor
             )
 
+    def _count_others(self, engine: str) -> int:
+        """Return the prefill tokens of other processes open at an engine."""
+        local = self.load_table.local_totals(engine).prefill_tokens
+        return self.load_table.totals(engine).prefill_tokens - local
+
 
 def measure_fill(totals: Totals, traits: EngineTraits) -> float:
     """Return the fill of an engine by memory or slots, whichever is higher."""
--- a/packages/verbenahall/tests/peers/test_peers.py
+++ b/packages/verbenahall/tests/peers/test_peers.py
@@ -3,6 +3,7 @@
 import pytest
 from returns.maybe import Nothing, Some
 
+from verbenahall.engine_speeds import ReportedFactor
 from verbenahall.peers import (
     Heartbeat,
     PeerTable,
@@ -22,6 +23,7 @@
         7,
         {'engine-1': Totals(5, 600, 2)},
         followed_offsets={'keyed.op': 4},
+        factors=(ReportedFactor('engine-1', 1_767_225_600_000, 0.41, 0),),
     )
     assert decode_message(encode_heartbeat(heartbeat)) == Some(heartbeat)
 
@@ -45,6 +47,10 @@
         b'"changing":[5]',
         b'"followed":{"keyed.op":"4"}',
         b'"followed":[]',
+        b'"factors":[["engine-1",1,410,0]]',
+        b'"factors":{"engine-1":[1,410]}',
+        b'"factors":{"engine-1":[1,-410,0]}',
+        b'"factors":{"engine-1":[1,NaN,0]}',
     ],
 )
 def test_heartbeat_with_an_invalid_field_is_rejected(field):
@@ -59,7 +65,7 @@
         b'"followed":{}',
     )
     kept = [one for one in others if not one.startswith(given)]
-    start = [b'"from":"a"', b'"n":1', b'"dc":"z"']
+    start = [b'"from":"a"', b'"n":1', b'"dc":"z"', b'"cores":1']
     datagram = b'{%b}' % b','.join([*start, *kept, field])
     assert decode_message(datagram) is Nothing
 
--- a/packages/verbenahall/tests/placement/test_uneven_engines.py
+++ b/packages/verbenahall/tests/placement/test_uneven_engines.py
@@ -4,7 +4,18 @@
 import math
 
 import pytest
-from verbenahall_standins.replay import Load, Replay
+from verbenahall.fleet import Role
+from verbenahall.placement import (
+    OpenStream,
+    Part,
+    PlacementRequest,
+    PlacementState,
+    Totals,
+    Work,
+    place,
+)
+from verbenahall.routing import rank_by_rendezvous
+from verbenahall_standins.replay import TRAITS, Load, Replay, make_entry
 
 SECONDS = 20
 #: Time in which engines cache the prefixes for the first time.
@@ -116,3 +127,59 @@
     speeds = (1.0,)
     shares = replay_share('alternating', measure, speeds=speeds)
     assert shares == replay_share('alternating', 'common', speeds=speeds)
+
+
+def make_uneven_state(factors):
+    """Return a state in which the engines were measured as stated."""
+    state = PlacementState()
+    for number in range(20):
+        for name, factor in factors.items():
+            state.engine_speeds.record_prefill(
+                make_entry(name, Role.PREFILL),
+                factor,
+                share=1,
+                crowded=False,
+                now=number / 10,
+            )
+    return state
+
+
+def place_long(state, engines, due_s):
+    """Place a prompt of 9,000 tokens without a shared part."""
+    work = Work((Part('own', 9_000),), 9_000, 100)
+    request = PlacementRequest(work, gap_s=0.3)
+    return place(state, request, engines, TRAITS, 2, due_s=due_s).unwrap()
+
+
+def test_late_prompt_goes_to_an_engine_beyond_the_preferred():
+    # All three preferred engines are slow. The prompt would be late at each.
+    names = [f'p{number}' for number in range(8)]
+    engines = [make_entry(name, Role.PREFILL) for name in names]
+    engines.append(make_entry('d0', Role.DECODE))
+    preferred = set(rank_by_rendezvous('own', names)[:3])
+    factors = {name: 1.0 if name in preferred else 0.4 for name in names}
+    state = make_uneven_state(factors | {'p8': 1.0, 'p9': 1.0})
+    at_leisure = place_long(state, engines, due_s=5)
+    assert at_leisure.prefill_engine.name in preferred
+    in_haste = place_long(state, engines, due_s=0.6 * at_leisure.wait_s)
+    assert in_haste.prefill_engine.name not in preferred
+    assert in_haste.wait_s < 0.6 * at_leisure.wait_s
+
+
+@pytest.mark.parametrize(('gap_s', 'is_mixed'), [(2.0, True), (0.05, False)])
+def test_decode_engine_prefills_in_a_swing_if_no_stream_notices(
+    gap_s, is_mixed
+):
+    # All prefill engines have a backlog for the next seconds, and a role change
+    # would come too late. A stream of the decode engine must not pause for
+    # longer than its caller accepts.
+    engines = [make_entry(f'p{number}', Role.PREFILL) for number in range(3)]
+    engines.append(make_entry('d0', Role.DECODE))
+    state = make_uneven_state({'p0': 0.4, 'p1': 1.0, 'p2': 1.0})
+    for engine in engines[:3]:
+        state.load_table.open(engine.name, Totals(prefill_tokens=150_000))
+    for number in range(4):
+        stream = OpenStream(0, 100, number / 10, gap_s=gap_s)
+        state.load_table.open('d0', Totals(streams=1), stream)
+    plan = place_long(state, engines, due_s=0.5)
+    assert (plan.prefill_engine is None) is is_mixed
