--- a/packages/verbenahall/src/verbenahall/overload/_messages.py
+++ b/packages/verbenahall/src/verbenahall/overload/_messages.py
@@ -22,8 +22,10 @@
 
     RETURNED = 0
     ON_TIME = 1
-    LATE = 2
-    EARLY = 3
+    #: It could be on time alone, but others are served first.
+    LEFT_OUT = 2
+    LATE = 3
+    EARLY = 4
 
 
 #: Sort key of a queue: priority, beyond share, stage, not returning, due time.
--- a/packages/verbenahall/src/verbenahall/overload/_selection.py
+++ b/packages/verbenahall/src/verbenahall/overload/_selection.py
@@ -8,7 +8,6 @@
 
 import heapq
 import itertools
-import math
 import operator
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Final, final
@@ -152,7 +151,13 @@
     def _leave_out(self, selected: _Selected) -> None:
         """Rank a request among the late ones of its class."""
         candidate = selected[-1]
-        candidate.rank = make_rank(candidate, math.inf)
+        candidate.rank = (
+            candidate.priority,
+            candidate.beyond_share,
+            Stage.LEFT_OUT,
+            not candidate.returning,
+            candidate.due_at,
+        )
         self._add_late(selected)
 
     def _add_late(self, selected: _Selected) -> None:
--- a/packages/verbenahall/src/verbenahall/placement/_dispatch.py
+++ b/packages/verbenahall/src/verbenahall/placement/_dispatch.py
@@ -47,8 +47,12 @@
         case Failure(problem):
             return QueueEffects(refused=((pending, problem),))
     queue.record_arrival(pending, now)
-    start = queue.predict_start(pending, now) if queue.waiting else now
-    if pending.will_expire(start + _estimate_wait_s(queue, pending, now)):
+    # With an empty queue a request is tried regardless of the delays that the
+    # last ones had.
+    wait_s = _estimate_wait_s(queue, pending, now)
+    if pending.will_expire(now) or (
+        queue.waiting and queue.will_expire(pending, wait_s, now)
+    ):
         return QueueEffects(
             refused=((pending, _refuse(queue, pending, now, rng)),)
         )
@@ -104,12 +108,11 @@
     delays = queue.overload.delays.estimate_all(now)
     late = 0
     for pending in ranked:
+        late += pending.is_left_out
+        wait_s = late / rate if rate and pending.is_left_out else 0
         start = now + delays.get(pending.planned_engine, 0)
-        is_late = pending.is_late(start)
-        late += is_late
-        wait_s = late / rate if rate and is_late else 0
         if pending.will_expire(start + wait_s):
-            late -= is_late
+            late -= pending.is_left_out
             yield pending
 
 
@@ -173,8 +176,8 @@
         rng,
     )
     queue.overload.outcomes.record(pending.source, now, missed=True)
-    start = queue.predict_start(pending, now)
-    expected_s = start - now + wait_s + pending.expected_first_s
+    delay_s = queue.overload.delays.estimate(pending.planned_engine, now)
+    expected_s = delay_s + wait_s + pending.expected_first_s
     return Problem(
         ErrorKind.OVERLOADED,
         f'{len(queue.waiting)} requests wait for prefill: a first event takes'
--- a/packages/verbenahall/src/verbenahall/placement/_queue.py
+++ b/packages/verbenahall/src/verbenahall/placement/_queue.py
@@ -146,12 +146,22 @@
     def predict_start(self, pending: QueuedRequest, now: float) -> float:
         """Return when its engine would start on a request that is sent now.
 
-        It includes the delay that recent requests had at that engine. Without
-        it, requests would be admitted at the last moment at which they could
-        be on time, and all would be slightly late.
+        It includes a bound on the delay that recent requests had at that
+        engine. Without it, requests would be admitted at the last moment at
+        which they could be on time, and all would be slightly late.
         """
         delays = self.overload.delays
-        return now + delays.estimate(pending.planned_engine, now)
+        return now + delays.estimate_bound(pending.planned_engine, now)
+
+    def will_expire(
+        self, pending: QueuedRequest, wait_s: float, now: float
+    ) -> bool:
+        """Whether a caller leaves first if its request is sent in ``wait_s``.
+
+        It includes the mean delay that recent requests had at its engine.
+        """
+        delay_s = self.overload.delays.estimate(pending.planned_engine, now)
+        return pending.will_expire(now + delay_s + wait_s)
 
     def rank_waiting(
         self, engines: EngineShare, now: float
@@ -168,7 +178,7 @@
         return rank_candidates(
             self.waiting,
             engines,
-            self.overload.delays.estimate_all(now),
+            self.overload.delays.estimate_bounds(now),
             self.overload.outcomes.find_starved(now),
             now,
         )
