--- a/packages/verbenahall/src/verbenahall/endpoint_alerts/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/endpoint_alerts/_decisions.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+from types import MappingProxyType
 from typing import Final, final
 
 from verbenahall.endpoint_alerts._messages import Alert, Why
@@ -21,6 +22,10 @@
 #: its endpoint has ended.
 _ANSWER_MARGIN_S: Final = 0.05
 _MIN_DATA_CENTRES: Final = 2
+#: Data centres whose alerts are relayed, by what they have found out.
+_RELAYED: Final = MappingProxyType(
+    {Why.REFUSED: 1, Why.DARK: _MIN_DATA_CENTRES, Why.REACHED: 0}
+)
 
 
 @final
@@ -165,13 +170,18 @@
 
 
 def _is_to_be_relayed(report: Report, alert: Alert, view: EndpointView) -> bool:
-    """Whether this instance relays an alert to its own data centre."""
-    key = (alert.why, alert.data_centre)
+    """Whether this instance relays an alert to its own data centre.
+
+    One refused connection is enough, and timeouts of two data centres are. At a
+    crash all data centres send alerts at once, and each instance would get
+    those of all.
+    """
     if alert.relayed or alert.data_centre == view.data_centre:
         return False
-    if key in report.relayed:
+    relayed = {place for why, place in report.relayed if why is alert.why}
+    if alert.data_centre in relayed or len(relayed) >= _RELAYED[alert.why]:
         return False
-    report.relayed.add(key)
+    report.relayed.add((alert.why, alert.data_centre))
     return True
 
 
