--- a/packages/verbenahall/src/verbenahall/endpoint_alerts/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/endpoint_alerts/_decisions.py
@@ -76,12 +76,12 @@
     """
     report = table.reports.get(alert.incarnation)
     if alert.why is Why.REACHED:
-        return report is not None and bool(report.heard_at)
+        return report is not None and bool(report.reported_at)
     if report is None:
         return True
     return not any(
         _covers(why, data_centre, alert)
-        for (why, data_centre), at in report.heard_at.items()
+        for (why, data_centre), at in report.reported_at.items()
         if now - at < _CONFIRM_S
     )
 
@@ -92,7 +92,7 @@
     if alert.why is Why.REACHED:
         report.record_reached(now)
     else:
-        report.heard_at[alert.why, alert.data_centre] = now
+        report.reported_at[alert.why, alert.data_centre] = now
 
 
 def is_refuted(table: AlertTable, incarnation: Incarnation, at: float) -> bool:
@@ -114,7 +114,7 @@
         return Effects(Verdict.REFUTED)
     report = table.touch(alert.incarnation, now)
     relays = _is_to_be_relayed(report, alert, view)
-    report.heard_at.setdefault((alert.why, alert.data_centre), now)
+    report.reported_at.setdefault((alert.why, alert.data_centre), now)
     if view.answered_at > lost_at + _ANSWER_MARGIN_S:
         return Effects(Verdict.REFUTED, relays)
     if report.accepted_at is not None:
@@ -162,7 +162,7 @@
 
 def _restore(table: AlertTable, alert: Alert, now: float) -> Effects:
     report = table.reports.get(alert.incarnation)
-    if report is None or not report.heard_at:
+    if report is None or not report.reported_at:
         return Effects(Verdict.KNOWN)
     report.record_reached(now - alert.age_s)
     table.suspected.get(alert.service, {}).pop(alert.incarnation, None)
@@ -188,7 +188,7 @@
 def _is_confirmed(report: Report, view: EndpointView, now: float) -> bool:
     """Whether the alerts say that the endpoint is away, not only a path."""
     recent = [
-        key for key, at in report.heard_at.items() if now - at < _CONFIRM_S
+        key for key, at in report.reported_at.items() if now - at < _CONFIRM_S
     ]
     if any(why is Why.REFUSED for why, _ in recent):
         return True
--- a/packages/verbenahall/src/verbenahall/endpoint_alerts/_shell.py
+++ b/packages/verbenahall/src/verbenahall/endpoint_alerts/_shell.py
@@ -81,7 +81,7 @@
 
 @final
 class AlertReplicator:
-    """Alerts the peers of endpoints that are not reached, and heeds theirs."""
+    """Sends alerts about endpoints that are not reached, and applies others."""
 
     __slots__ = ('_channel', '_counted', '_surroundings', '_table')
 
--- a/packages/verbenahall/src/verbenahall/endpoint_alerts/_state.py
+++ b/packages/verbenahall/src/verbenahall/endpoint_alerts/_state.py
@@ -16,7 +16,7 @@
 class Report:
     """The alerts about one incarnation.
 
-    ``heard_at`` is when each data centre has first reported it, by what it has
+    ``reported_at`` is when each data centre has first reported it, by what it has
     found out; ``relayed`` holds the reports that were relayed. The endpoint was
     excluded because of them at ``accepted_at``, None if it was not, and a probe
     has last reached it at ``reached_at``.
@@ -25,7 +25,7 @@
     __slots__ = (
         'accepted_at',
         'first_at',
-        'heard_at',
+        'reported_at',
         'reached_at',
         'relayed',
     )
@@ -34,14 +34,14 @@
         """Start without an alert."""
         self.accepted_at: float | None = None
         self.first_at = now
-        self.heard_at: dict[tuple[Why, str], float] = {}
+        self.reported_at: dict[tuple[Why, str], float] = {}
         self.reached_at = -float('inf')
         self.relayed: set[tuple[Why, str]] = set()
 
     def record_reached(self, at: float) -> None:
         """Forget the alerts about an endpoint that a probe has reached."""
         self.accepted_at = None
-        self.heard_at.clear()
+        self.reported_at.clear()
         self.relayed.clear()
         self.reached_at = max(self.reached_at, at)
 
--- a/packages/verbenahall/tests/drains/test_alerting_fleet.py
+++ b/packages/verbenahall/tests/drains/test_alerting_fleet.py
@@ -61,7 +61,7 @@
 
 
 def test_machine_without_power_is_left_out_by_all():
-    # Connecting times out, which another data centre believes only after two
+    # Connecting times out, which other data centres accept only after two
     # have reported it.
     async def check():
         fleet = AlertingFleet()
