--- a/packages/verbenahall/src/verbenahall/endpoint_alerts/_state.py
+++ b/packages/verbenahall/src/verbenahall/endpoint_alerts/_state.py
@@ -16,10 +16,10 @@
 class Report:
     """The alerts about one incarnation.
 
-    ``reported_at`` is when each data centre has first reported it, by what it has
-    found out; ``relayed`` holds the reports that were relayed. The endpoint was
-    excluded because of them at ``accepted_at``, None if it was not, and a probe
-    has last reached it at ``reached_at``.
+    ``reported_at`` is when each data centre has first reported it, by what it
+    has found out; ``relayed`` holds the reports that were relayed. The endpoint
+    was excluded because of them at ``accepted_at``, None if it was not, and a
+    probe has last reached it at ``reached_at``.
     """
 
     __slots__ = (
