--- a/packages/verbenahall/src/verbenahall/endpoint_alerts/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/endpoint_alerts/_decisions.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+from types import MappingProxyType
 from typing import Final, final
 
 from verbenahall.endpoint_alerts._messages import Alert, Why
@@ -21,6 +22,10 @@
 #: its endpoint has ended.
 _ANSWER_MARGIN_S: Final = 0.05
 _MIN_DATA_CENTRES: Final = 2
+#: Data centres whose alerts are relayed, by what they have found out.
+_RELAYED: Final = MappingProxyType(
+    {Why.REFUSED: 1, Why.DARK: _MIN_DATA_CENTRES, Why.REACHED: 0}
+)
 
 
 @final
@@ -71,12 +76,12 @@
     """
     report = table.reports.get(alert.incarnation)
     if alert.why is Why.REACHED:
-        return report is not None and bool(report.heard_at)
+        return report is not None and bool(report.reported_at)
     if report is None:
         return True
     return not any(
         _covers(why, data_centre, alert)
-        for (why, data_centre), at in report.heard_at.items()
+        for (why, data_centre), at in report.reported_at.items()
         if now - at < _CONFIRM_S
     )
 
@@ -87,7 +92,7 @@
     if alert.why is Why.REACHED:
         report.record_reached(now)
     else:
-        report.heard_at[alert.why, alert.data_centre] = now
+        report.reported_at[alert.why, alert.data_centre] = now
 
 
 def is_refuted(table: AlertTable, incarnation: Incarnation, at: float) -> bool:
@@ -109,7 +114,7 @@
         return Effects(Verdict.REFUTED)
     report = table.touch(alert.incarnation, now)
     relays = _is_to_be_relayed(report, alert, view)
-    report.heard_at.setdefault((alert.why, alert.data_centre), now)
+    report.reported_at.setdefault((alert.why, alert.data_centre), now)
     if view.answered_at > lost_at + _ANSWER_MARGIN_S:
         return Effects(Verdict.REFUTED, relays)
     if report.accepted_at is not None:
@@ -157,7 +162,7 @@
 
 def _restore(table: AlertTable, alert: Alert, now: float) -> Effects:
     report = table.reports.get(alert.incarnation)
-    if report is None or not report.heard_at:
+    if report is None or not report.reported_at:
         return Effects(Verdict.KNOWN)
     report.record_reached(now - alert.age_s)
     table.suspected.get(alert.service, {}).pop(alert.incarnation, None)
@@ -165,20 +170,25 @@
 
 
 def _is_to_be_relayed(report: Report, alert: Alert, view: EndpointView) -> bool:
-    """Whether this instance relays an alert to its own data centre."""
-    key = (alert.why, alert.data_centre)
+    """Whether this instance relays an alert to its own data centre.
+
+    One refused connection is enough, and timeouts of two data centres are. At a
+    crash all data centres send alerts at once, and each instance would get
+    those of all.
+    """
     if alert.relayed or alert.data_centre == view.data_centre:
         return False
-    if key in report.relayed:
+    relayed = {place for why, place in report.relayed if why is alert.why}
+    if alert.data_centre in relayed or len(relayed) >= _RELAYED[alert.why]:
         return False
-    report.relayed.add(key)
+    report.relayed.add((alert.why, alert.data_centre))
     return True
 
 
 def _is_confirmed(report: Report, view: EndpointView, now: float) -> bool:
     """Whether the alerts say that the endpoint is away, not only a path."""
     recent = [
-        key for key, at in report.heard_at.items() if now - at < _CONFIRM_S
+        key for key, at in report.reported_at.items() if now - at < _CONFIRM_S
     ]
     if any(why is Why.REFUSED for why, _ in recent):
         return True
