capacity: demand, forecast, size and mix of engines

Callers' deployments kept the number of engines of the start, whatever the load. Pure decisions; nothing calls them yet.

--- /dev/null
+++ b/packages/verbenahall/src/verbenahall/capacity/_planner.py
@@ -0,0 +1,188 @@
+"""The number of engines that a service will need, and its pools' sizes."""
+
+import collections
+import dataclasses
+import math
+from typing import Final, final
+
+from verbenahall.capacity._messages import CapacityKind, Demand, Pool, Sizes
+from verbenahall.capacity._meter import SMOOTHING_S
+from verbenahall.capacity._mix import Availability, plan_sizes
+from verbenahall.capacity._size import ServiceTraits, count_engines
+from verbenahall.catalog import ScalingRules
+
+#: Time for which the highest demand counts, in seconds: load that falls and
+#: rises threefold within this time must not find too few engines.
+_PEAK_S: Final = 20.0
+#: Time for which a forecast counts, in seconds. A smaller size must have been
+#: enough for this long before engines are given back.
+_HOLD_S: Final = 10.0
+#: Time of known traffic before engines are given back, in seconds.
+_KNOWN_S: Final = 10.0
+#: Time over which the trend of the demand is measured, in seconds.
+_TREND_S: Final = 4.0
+#: Time before that in which a demand as high as the present one means that it
+#: swings rather than rises, in seconds: the mix of long and short prompts may
+#: alternate every few seconds.
+_SWING_S: Final = 12.0
+#: Time of known traffic in which the smoothed rates rise by themselves, in
+#: seconds, and the time before a trend counts, which must not include it.
+_WARM_UP_S: Final = 3 * SMOOTHING_S
+_TREND_WARM_UP_S: Final = _WARM_UP_S + _TREND_S
+#: The same after a change of the holder, in seconds: until the instances that
+#: send sums have read its name, and the time of a trend.
+_RESUMED_WARM_UP_S: Final = 12.0
+#: Standard deviations of random arrivals by which demand must have risen for a
+#: trend. Only the rise beyond them counts.
+_NOISE_DEVIATIONS: Final = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Need:
+    """Demand at a time, and the engines for it and for its forecast."""
+
+    at: float
+    demand: Demand
+    current: int
+    forecast: int
+
+
+@final
+class CapacityPlanner:
+    """Plans the pools of one service while the duty is held.
+
+    Times are monotonic. ``needed`` is the number of engines that must serve at
+    any time, 0 while no traffic is known.
+    """
+
+    __slots__ = (
+        '_initial',
+        '_needs',
+        '_planned_from',
+        '_settled_at',
+        '_trend_from',
+    )
+
+    def __init__(self) -> None:
+        """Start without known traffic."""
+        self._initial: dict[Pool, int] = {}
+        self._needs: collections.deque[_Need] = collections.deque()
+        #: When traffic is known for long enough to order the planned mix, to
+        #: give engines back, and to measure trends; infinite before the first
+        #: traffic.
+        self._planned_from = math.inf
+        self._settled_at = math.inf
+        self._trend_from = math.inf
+
+    def record_demand(
+        self,
+        demand: Demand,
+        traits: ServiceTraits,
+        rules: ScalingRules,
+        now: float,
+    ) -> None:
+        """Record the demand of all data centres."""
+        if not self._is_known():
+            if not demand.prefill_s:
+                return
+            self._settled_at = now + _KNOWN_S
+            self._trend_from = now + _TREND_WARM_UP_S
+            self._planned_from = now + _WARM_UP_S
+        forecast = self._predict(demand, rules.boot_s, now)
+        self._needs.append(
+            _Need(
+                now,
+                demand,
+                count_engines(demand, traits),
+                count_engines(forecast, traits),
+            ),
+        )
+        while self._needs[0].at < now - _PEAK_S:
+            self._needs.popleft()
+
+    def resume(self, demand: Demand, now: float) -> None:
+        """Continue for a previous holder, which knew this demand.
+
+        The sums of the data centres arrive one after the other, which is not a
+        trend.
+        """
+        if demand.prefill_s:
+            self._settled_at = now
+            self._planned_from = now
+            self._trend_from = now + _RESUMED_WARM_UP_S
+
+    def find_needed(self, now: float) -> int:
+        """Return the number of engines that must serve at any time."""
+        peak = max((need.current for need in self._needs), default=0)
+        expected = max(
+            (need.forecast for need in self._needs if need.at > now - _HOLD_S),
+            default=0,
+        )
+        return max(peak, expected)
+
+    def plan(
+        self,
+        rules: ScalingRules,
+        present: Sizes,
+        availability: Availability,
+        now: float,
+    ) -> dict[Pool, int]:
+        """Return the target sizes; empty if no pool is to change.
+
+        Before traffic is known only lost spot engines are replaced: they cost
+        little, and the size that is present was chosen for the traffic to
+        come. In the first seconds of traffic engines are only added if there
+        are too few, then the planned spot engines as well, which replace
+        others later.
+        """
+        if not self._is_known():
+            return self._replace_lost_spot(present)
+        needed = self.find_needed(now)
+        available = sum(present.values()) + sum(availability.booting.values())
+        if available >= needed and now < self._planned_from:
+            return {}
+        sizes = plan_sizes(rules, needed, present, availability)
+        if now >= self._settled_at:
+            return sizes
+        return {
+            pool: max(size, present.get(pool, 0))
+            for pool, size in sizes.items()
+        }
+
+    def _is_known(self) -> bool:
+        return self._settled_at < math.inf
+
+    def _replace_lost_spot(self, present: Sizes) -> dict[Pool, int]:
+        for pool, count in present.items():
+            if pool.kind is CapacityKind.SPOT:
+                known = self._initial.get(pool, 0)
+                self._initial[pool] = max(known, count)
+        return dict(self._initial)
+
+    def _predict(self, demand: Demand, boot_s: float, now: float) -> Demand:
+        """Return the demand by its trend when ordered engines will serve."""
+        earlier = [
+            need.demand
+            for need in self._needs
+            if now - _SWING_S <= need.at <= now - _TREND_S
+        ]
+        if not earlier or now < self._trend_from:
+            return demand
+        steps = boot_s / _TREND_S
+        prefill_s = demand.prefill_s + steps * _find_rise(
+            max(one.prefill_s for one in earlier),
+            demand.prefill_s,
+            math.sqrt(demand.prefill_s * demand.mean_prefill_s / SMOOTHING_S),
+        )
+        streams = demand.streams + steps * _find_rise(
+            max(one.streams for one in earlier),
+            demand.streams,
+            math.sqrt(demand.streams),
+        )
+        growth = prefill_s / demand.prefill_s if demand.prefill_s else 1
+        return Demand(prefill_s, streams, demand.prefills * growth)
+
+
+def _find_rise(before: float, after: float, deviation: float) -> float:
+    """Return the rise beyond what random arrivals explain."""
+    return max(0, after - before - _NOISE_DEVIATIONS * deviation)
