peers: heartbeats state the demand that an instance counts

The holder of the duty of scaling needs the demand of all instances. The field demand (service to engine milliseconds of prefill per second, open streams and prefills per second) is left out while it is empty, so deployments without scaling rules send the same bytes as before; instances of the previous version ignore it, and a heartbeat without it means no demand.

--- a/packages/verbenahall/src/verbenahall/peers/_messages.py
+++ b/packages/verbenahall/src/verbenahall/peers/_messages.py
@@ -10,6 +10,7 @@
 from returns.result import Success
 
 from verbenahall import wire
+from verbenahall.capacity import Demands, export_demands, read_demands
 from verbenahall.placement import Totals
 
 #: Maximum size of the encoded records in an update, in bytes. A datagram longer
@@ -43,6 +44,7 @@
     how many processor cores the author may use. ``unreachable`` holds the
     services of which the author reaches no endpoint. ``connection_rate`` is how
     many new connections it gets per second, None if it does not state it.
+    ``demand`` is what it sends to the services that are scaled.
     """
 
     author: str
@@ -58,6 +60,7 @@
     ages: Mapping[str, float] = dataclasses.field(default_factory=dict)
     unreachable: tuple[str, ...] = ()
     connection_rate: float | None = None
+    demand: Demands = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -102,16 +105,18 @@
                 for topic, age_s in heartbeat.ages.items()
             },
             'connections': heartbeat.connection_rate,
-            # Left out while empty, as in nearly all heartbeats.
-            **_encode_unreachable(heartbeat),
+            **_encode_optional(heartbeat),
         },
     )
 
 
-def _encode_unreachable(heartbeat: Heartbeat) -> Mapping[str, Any]:
-    if heartbeat.unreachable:
-        return {'unreachable': heartbeat.unreachable}
-    return {}
+def _encode_optional(heartbeat: Heartbeat) -> Mapping[str, Any]:
+    """Return the fields that are left out while they are empty."""
+    optional = {
+        'unreachable': heartbeat.unreachable,
+        'demand': export_demands(heartbeat.demand),
+    }
+    return {name: found for name, found in optional.items() if found}
 
 
 def encode_update(update: TopicUpdate) -> bytes:
@@ -306,6 +311,7 @@
                 ages=_convert_ages(table.get('ages', {})),
                 unreachable=tuple(unreachable),
                 connection_rate=_convert_rate(table.get('connections')),
+                demand=read_demands(table.get('demand', {})),
             ),
         )
     except (AttributeError, TypeError, ValueError):
--- a/packages/verbenahall/src/verbenahall/peers/_shell.py
+++ b/packages/verbenahall/src/verbenahall/peers/_shell.py
@@ -9,6 +9,7 @@
 from returns.maybe import Some
 
 from verbenahall import clock, journal
+from verbenahall.capacity import Demands
 from verbenahall.peers._arrivals import ArrivalClock
 from verbenahall.peers._messages import (
     Heartbeat,
@@ -48,19 +49,20 @@
         """Exchange the open work in the load table of the placement state.
 
         ``on_engine_changing`` is called for each engine that a peer reports as
-        changing its role, ``on_update`` for each store update. Five callbacks
+        changing its role, ``on_update`` for each store update. Six callbacks
         supply fields of the heartbeats: ``changing`` the engines that this
         instance has ordered to change, ``followed_offsets`` the offsets of the
         topics that it follows, ``list_ages`` the seconds since the store last
         confirmed each topic, ``list_unreachable`` the services of which this
         instance reaches no endpoint, ``get_connection_rate`` the rate of its
-        new connections.
+        new connections, ``get_demand`` what it sends to scaled services.
         """
         self.changing: Callable[[], Sequence[str]] = tuple
         self.followed_offsets: Callable[[], Mapping[str, int]] = dict
         self.list_ages: Callable[[], Mapping[str, float]] = dict
         self.list_unreachable: Callable[[], Sequence[str]] = tuple
         self.get_connection_rate: Callable[[], float] = float
+        self.get_demand: Callable[[], Demands] = dict
         self.on_update: Callable[[TopicUpdate], object] = bool
         #: Called for every datagram, with the sender's address, before the
         #: exchange decodes it. Returns True if it has handled the datagram.
@@ -173,6 +175,7 @@
             peer = self._peer_table.peers[heartbeat.author]
             peer.unreachable = frozenset(heartbeat.unreachable)
             peer.connection_rate = heartbeat.connection_rate
+            peer.demand = heartbeat.demand
             self._load_table.set_peer_loads(
                 heartbeat.author, heartbeat.loads, now
             )
@@ -210,6 +213,7 @@
             ages,
             tuple(self.list_unreachable()),
             self.get_connection_rate(),
+            self.get_demand(),
         )
 
 
--- a/packages/verbenahall/src/verbenahall/peers/_state.py
+++ b/packages/verbenahall/src/verbenahall/peers/_state.py
@@ -5,6 +5,8 @@
 from types import MappingProxyType
 from typing import Final, final
 
+from verbenahall.capacity import Demands
+
 #: A peer whose last heartbeat is younger than this is live and is sent
 #: heartbeats at the full rate, in seconds.
 _LIVE_S: Final = 3.0
@@ -54,7 +56,8 @@
     ``last_sent_at`` when the last one was sent to it, and ``number`` the number
     of the last one received. ``unreachable`` holds the services of which the
     peer reaches no endpoint. ``connection_rate`` is how many new connections it
-    gets per second, None if it has not stated it.
+    gets per second, None if it has not stated it. ``demand`` is what it sends
+    to the services that are scaled.
     """
 
     __slots__ = (
@@ -63,6 +66,7 @@
         'connection_rate',
         'cores',
         'data_centre',
+        'demand',
         'followed_offsets',
         'last_heartbeat_at',
         'last_sent_at',
@@ -76,6 +80,7 @@
         self.connection_rate: float | None = None
         self.cores: float = 1
         self.data_centre = data_centre
+        self.demand: Demands = {}
         self.followed_offsets = _NO_OFFSETS
         self.last_heartbeat_at = -float('inf')
         self.last_sent_at = -float('inf')
