duties: a lease says whether its token is superseded

A refused call does not tell whether the token or the order was refused. is_superseded reads the record again: True with another holder or token, None if the store does not answer. The end of the lease by itself is no answer to that. holding_instance names the holder for messages to it.

--- a/packages/verbenahall/src/verbenahall/duties/_lease.py
+++ b/packages/verbenahall/src/verbenahall/duties/_lease.py
@@ -11,7 +11,7 @@
 import uuid
 from typing import Final, final
 
-from returns.result import Failure, Success
+from returns.result import Success
 
 from verbenahall import journal, wire
 from verbenahall.authority import (
@@ -136,6 +136,21 @@
         await self._refresh()
         return self.grant
 
+    @property
+    def holding_instance(self) -> str:
+        """The instance that holds the duty, empty if none was read."""
+        return self.grant.holder.rpartition('-')[0]
+
+    async def is_superseded(self, token: int) -> bool | None:
+        """Whether another holder or a higher token has replaced ``token``.
+
+        None if the store does not answer.
+        """
+        if not await self._refresh():
+            return None
+        grant = self.grant
+        return grant.holder != self.holder or grant.token != token
+
     async def acquire(self) -> int | None:
         """Claim or renew the lease if possible; return its token or None."""
         if self.token() is not None:
@@ -166,15 +181,17 @@
         if self.token() is not None:
             await self._append(Release(self._end), token=0, holder='')
 
-    async def _refresh(self) -> None:
+    async def _refresh(self) -> bool:
+        """Read the newest record; return whether the store answered."""
         match await self._store.read_newest(LEASES_TOPIC):
             case Success(newest):
                 self._end = newest.end
                 content = newest.items.get(self.duty)
                 if content is not None:
                     self._apply_record(content, newest.offsets[self.duty])
-            case Failure():
-                return
+                return True
+            case _:
+                return False
 
     def _apply_record(self, content: bytes, offset: int) -> None:
         record = _decode(content)
