scaling: the size follows the demand, and orders outlive the holder

87 engines ran where 45 were listed at the start and 5 engine-seconds per second were needed, since the base size was counted once. The holder of the duty now orders what capacity decides by the demand of all data centres, records the targets in the store before it sends them, and a successor resumes from the record.

Orders answered fenced after a change of the holder had two causes. The lease often ends during a call, and a refusal for lack of capacity then counted as a higher token: the holder discarded its own and stepped down. And the successor sent every order again at once, also those to pools without capacity.

Without scaling rules nothing is counted or sent.

--- a/packages/verbenahall/src/verbenahall/gateway/_core.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_core.py
@@ -6,6 +6,7 @@
 from typing import Any, Final, final
 
 from verbenahall import clock
+from verbenahall.capacity import DemandMeter
 from verbenahall.catalog import CatalogState
 from verbenahall.gateway._earlier_waits import EarlierWaits
 from verbenahall.gateway._endpoints import Endpoints
@@ -88,6 +89,7 @@
         self.forwarder: Forwarder = NoForwarder()
         self.stream_versions: VersionFinder = NoVersionFinder()
         self.placement = PlacementState()
+        self.demand = DemandMeter(self.placement)
         self.peer_table = PeerTable(
             settings.name,
             settings.data_centre,
--- a/packages/verbenahall/src/verbenahall/gateway/_scaling.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_scaling.py
@@ -1,12 +1,11 @@
 """Builds the scaler of an instance."""
 
-from collections.abc import Mapping
 from typing import Final
 
-from verbenahall.catalog import ScalingRules
 from verbenahall.duties import Succession
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._duty_leases import make_lease
+from verbenahall.peers import PeerExchange
 from verbenahall.platform import (
     ENDPOINTS_TOPIC,
     SCALE_DUTY,
@@ -14,12 +13,7 @@
     ProcessSettings,
 )
 from verbenahall.roster import had_store_outage
-from verbenahall.scaling import (
-    DUTY,
-    LEASE_S,
-    Dependencies,
-    Scaler,
-)
+from verbenahall.scaling import DUTY, LEASE_S, Dependencies, Scaler, list_scaled
 
 #: Interval at which standbys check the holder, in seconds; the holder renews
 #: its lease more often.
@@ -31,7 +25,7 @@
     return SCALE_DUTY in settings.duties and bool(settings.duty_api)
 
 
-def make_scaler(core: Core) -> Scaler:
+def make_scaler(core: Core, exchange: PeerExchange) -> Scaler:
     """Return the scaler; one instance at a time holds the duty for all."""
     settings = core.settings
     lease = make_lease(core, DUTY, LEASE_S)
@@ -44,10 +38,12 @@
             succession=Succession(
                 lease, core.peer_table, core.now, _RENEWAL_PERIOD_S
             ),
-            list_rules=lambda: _list_rules(core),
-            list_engines=lambda name: list(
-                core.roster.list_live(name, core.now())
-            ),
+            exchange=exchange,
+            peer_table=core.peer_table,
+            meter=core.demand,
+            load_table=core.placement.load_table,
+            roster=core.roster,
+            list_services=lambda: list_scaled(core.catalog.catalog),
             is_list_current=lambda: _is_list_current(core),
             now=core.now,
         ),
@@ -60,9 +56,3 @@
     freshness = core.freshness[ENDPOINTS_TOPIC]
     is_fresh = freshness.find_age(now) <= freshness.usable_s
     return is_fresh and not had_store_outage(core.roster, now)
-
-
-def _list_rules(core: Core) -> Mapping[str, ScalingRules]:
-    catalog = core.catalog.catalog
-    services = catalog.services.values() if catalog else ()
-    return {one.name: one.scaling for one in services if one.scaling}
--- a/packages/verbenahall/src/verbenahall/gateway/_serve.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_serve.py
@@ -189,7 +189,7 @@
         if reports_usage(self.core.settings):
             loops['usage'] = make_usage_reporter(self.core, self._usage).run
         if scales_engines(self.core.settings):
-            loops['scaling'] = make_scaler(self.core).run
+            loops['scaling'] = make_scaler(self.core, exchange).run
         for name, loop in loops.items():
             self._supervisor.start(name, loop)
 
--- a/packages/verbenahall/src/verbenahall/gateway/_stream_flow.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_stream_flow.py
@@ -193,10 +193,15 @@
         self._attempts.started += 1
         grant.start()
         plan = grant.plan
+        call = self._call
+        started = self._core.now()
+        if self._kv_handle is None:
+            self._core.demand.record_plan(
+                call.service, plan, call.head.work, started
+            )
         if plan.prefill_engine is not None and self._kv_handle is None:
-            started = self._core.now()
             prefilled = await self._prefills.prefill(
-                self._call, plan, plan.prefill_engine
+                call, plan, plan.prefill_engine
             )
             match prefilled:
                 case Failure(outcome):
--- a/packages/verbenahall/src/verbenahall/metrics.py
+++ b/packages/verbenahall/src/verbenahall/metrics.py
@@ -243,6 +243,16 @@
     'Orders sent that change the role of an engine.',
     registry=REGISTRY,
 )
+ENGINES_NEEDED: Final = Gauge(
+    'verbenahall_engines_needed',
+    'Engines of a service that must serve at any time, at the duty holder.',
+    registry=REGISTRY,
+)
+ENGINES_PRESENT: Final = Gauge(
+    'verbenahall_engines_present',
+    'Engines of a service that serve, at the duty holder.',
+    registry=REGISTRY,
+)
 SETTINGS_POSITION: Final = Gauge(
     'verbenahall_settings_position',
     'Offset of the last settings record applied.',
--- a/packages/verbenahall/src/verbenahall/scaling/_shell.py
+++ b/packages/verbenahall/src/verbenahall/scaling/_shell.py
@@ -3,24 +3,24 @@
 import asyncio
 import collections
 import dataclasses
-from collections.abc import Callable, Mapping
+from collections.abc import Iterable, Mapping
 from typing import Final, final
 
-from verbenahall import journal
-from verbenahall.catalog import ScalingRules
-from verbenahall.clock import Clock
-from verbenahall.duties import DutyLease, Succession
-from verbenahall.platform import (
-    DutyClient,
-    DutyOutcome,
-    LeaseToken,
-    ScaleOrder,
-    StoreClient,
+from verbenahall import journal, metrics
+from verbenahall.capacity import (
+    CapacityKind,
+    CapacityPlanner,
+    Demand,
+    Pool,
+    Sizes,
+    find_invalid_field,
 )
+from verbenahall.platform import DutyOutcome, LeaseToken, ScaleOrder
 from verbenahall.roster import Entry
-from verbenahall.scaling._bases import BaseSizes
-from verbenahall.scaling._decisions import plan_sizes
-from verbenahall.scaling._messages import CapacityKind, Pool, Sizes
+from verbenahall.scaling._dependencies import Dependencies
+from verbenahall.scaling._exchange import DemandExchange
+from verbenahall.scaling._records import OrderRecord, OrderRecords
+from verbenahall.scaling._services import ScaledService
 from verbenahall.scaling._state import PoolOrders
 
 #: Name of the duty, and of its lease.
@@ -31,27 +31,33 @@
 LEASE_S: Final = 5.0
 #: Time before a failed call is retried, in seconds.
 _RETRY_INTERVAL_S: Final = 1.0
+#: Decimal places of a demand in the log.
+_DECIMALS: Final = 3
+
+
+@final
+class _ServiceState:
+    """What the holder of the duty knows of one service."""
+
+    __slots__ = ('demand', 'invalid', 'needed', 'orders', 'planner')
+
+    def __init__(self) -> None:
+        """Start without orders and without known demand."""
+        self.demand = Demand()
+        self.invalid = ''
+        self.needed = 0
+        self.orders = PoolOrders()
+        self.planner = CapacityPlanner()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Dependencies:
-    """Dependencies of the scaler; ``name`` is the instance's.
-
-    ``list_rules`` returns the rules of the services that are scaled, and
-    ``list_engines`` the engines of a service that may get requests.
-    ``is_list_current`` returns whether the local copy of the store's list of
-    engines is current.
-    """
-
-    name: str
-    store: StoreClient
-    calls: DutyClient
-    lease: DutyLease
-    succession: Succession
-    list_rules: Callable[[], Mapping[str, ScalingRules]]
-    list_engines: Callable[[str], list[Entry]]
-    is_list_current: Callable[[], bool]
-    now: Clock
+class _Order:
+    """An order for the engines of one pool, under a fencing token."""
+
+    service: str
+    pool: Pool
+    size: int
+    token: int
 
 
 @final
@@ -59,41 +65,49 @@
     """Carries out the duty of scaling if this instance holds it."""
 
     __slots__ = (
-        '_bases',
+        '_demand',
         '_dependencies',
         '_failed_at',
         '_holds_duty',
-        '_orders',
+        '_records',
+        '_states',
     )
 
     def __init__(self, dependencies: Dependencies) -> None:
         """Create the scaler; nothing is ordered before ``run``."""
-        self._bases = BaseSizes(dependencies.store, dependencies.now)
+        self._demand = DemandExchange(dependencies)
+        self._records = OrderRecords(dependencies.store)
         self._holds_duty = False
-        self._orders: dict[str, PoolOrders] = {}
+        self._states: dict[str, _ServiceState] = {}
         self._failed_at = -float('inf')
         self._dependencies = dependencies
 
     async def run(self) -> None:
-        """Order or stand by until cancelled."""
+        """Exchange demand, and order or stand by, until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._demand.run())
+            group.create_task(self._run_duty())
+
+    async def _run_duty(self) -> None:
         while True:
             await asyncio.sleep(_CHECK_INTERVAL_S)
-            rules = self._dependencies.list_rules()
-            if self._holds_duty and rules:
-                await self._scale_all(rules)
-            elif rules and await self._dependencies.succession.step():
+            services = self._dependencies.list_services()
+            if self._holds_duty and services:
+                await self._scale_all(services)
+            elif services and await self._dependencies.succession.step():
                 journal.write_decision('duty_held', duty=DUTY)
                 self._holds_duty = True
-                self._orders.clear()
+                self._records.discard()
+                self._states.clear()
 
-    async def _scale_all(self, rules: Mapping[str, ScalingRules]) -> None:
+    async def _scale_all(self, services: Mapping[str, ScaledService]) -> None:
         now = self._dependencies.now()
-        # Entries expire while the store is unavailable. If they counted as
-        # lost engines, all of them would be ordered again.
-        if (
-            now - self._failed_at < _RETRY_INTERVAL_S
-            or not self._dependencies.is_list_current()
-        ):
+        if not self._dependencies.is_list_current():
+            # Entries expire while the store is unavailable, and are listed
+            # again some time after it is back. If they counted as lost
+            # engines, all of them would be ordered again.
+            self._failed_at = now
+        if now - self._failed_at < _RETRY_INTERVAL_S:
             return
         lease = self._dependencies.lease
         token = await lease.acquire()
@@ -102,78 +116,164 @@
             if lease.grant.token and lease.grant.holder != lease.holder:
                 self._step_down('another instance holds the lease')
             return
-        for service, service_rules in rules.items():
-            engines = self._dependencies.list_engines(service)
-            base = await self._bases.find(service, engines)
-            if base:
-                await self._scale(service, service_rules, base, token)
+        if not self._records.is_read and not await self._resume(now):
+            self._failed_at = now
+            return
+        for service, scaled in services.items():
+            state = self._states.setdefault(service, _ServiceState())
+            if self._has_valid_rules(service, scaled, state):
+                await self._scale(service, scaled, state, token)
+
+    async def _resume(self, now: float) -> bool:
+        """Read the records of the previous holder; False if that failed."""
+        if not await self._records.read():
+            return False
+        for service, record in self._records.known.items():
+            if service not in self._states:
+                state = self._states.setdefault(service, _ServiceState())
+                state.orders.resume(record.targets, now)
+                state.planner.resume(record.demand, now)
+                journal.write_decision(
+                    'scaling_resumed',
+                    service=service,
+                    token=record.token,
+                    engines=sum(record.targets.values()),
+                )
+        return True
+
+    def _has_valid_rules(
+        self, service: str, scaled: ScaledService, state: _ServiceState
+    ) -> bool:
+        """Whether the rules are valid; an invalid field is logged once."""
+        field = find_invalid_field(scaled.rules)
+        if field and field != state.invalid:
+            journal.write_decision(
+                'scaling_rules_invalid', service=service, field=field
+            )
+        state.invalid = field
+        return not field
 
     async def _scale(
         self,
         service: str,
-        rules: ScalingRules,
-        base: int,
+        scaled: ScaledService,
+        state: _ServiceState,
         token: int,
     ) -> None:
-        now = self._dependencies.now()
-        orders = self._orders.setdefault(service, PoolOrders())
-        present = _count(self._dependencies.list_engines(service))
-        wanted = plan_sizes(rules, base, present, orders.list_closed(now))
-        chosen = orders.choose(wanted, present, rules, now)
+        chosen = self._choose_orders(service, scaled, state)
+        if not chosen:
+            return
+        # A successor finds the orders, also those that are being sent while
+        # this instance is killed.
+        targets = {**state.orders.targets, **chosen}
+        record = OrderRecord(targets, token, state.demand)
+        if not await self._records.write(service, record):
+            self._failed_at = self._dependencies.now()
+            return
         for pool, size in chosen.items():
             if (
                 not self._holds_duty
                 or self._dependencies.lease.token() != token
             ):
                 return
-            await self._send_order(service, pool, size, token)
+            await self._send_order(_Order(service, pool, size, token))
 
-    async def _send_order(
-        self,
-        service: str,
-        pool: Pool,
-        size: int,
-        token: int,
+    def _choose_orders(
+        self, service: str, scaled: ScaledService, state: _ServiceState
+    ) -> Sizes:
+        """Return the orders to send for a service now."""
+        now = self._dependencies.now()
+        rules = scaled.rules
+        table = self._demand.table
+        engines = self._dependencies.roster.list_live(service, now)
+        present = _count(engines)
+        state.demand = table.total(service, now)
+        state.planner.record_demand(state.demand, scaled.traits, rules, now)
+        state.orders.record_present(present, now)
+        self._log_needed(service, state, sum(present.values()))
+        availability = state.orders.describe(table.list_centres(), rules, now)
+        wanted = state.planner.plan(rules, present, availability, now)
+        return state.orders.choose(wanted, rules, now)
+
+    def _log_needed(
+        self, service: str, state: _ServiceState, engines: int
     ) -> None:
-        lease_token = LeaseToken(self._dependencies.name, token)
+        """Log the number of engines that must serve when it changes."""
+        needed = state.planner.find_needed(self._dependencies.now())
+        labels = {'service': service}
+        metrics.ENGINES_NEEDED.set(labels, needed)
+        metrics.ENGINES_PRESENT.set(labels, engines)
+        if needed == state.needed:
+            return
+        state.needed = needed
+        journal.write_decision(
+            'engines_needed',
+            service=service,
+            engines=needed,
+            present=engines,
+            prefill_s=round(state.demand.prefill_s, _DECIMALS),
+            streams=round(state.demand.streams),
+        )
+
+    async def _send_order(self, order: _Order) -> None:
+        lease_token = LeaseToken(self._dependencies.name, order.token)
+        pool = order.pool
         outcome = await self._dependencies.calls.scale(
             lease_token,
-            service,
-            ScaleOrder(pool.data_centre, size, pool.kind is CapacityKind.SPOT),
+            order.service,
+            ScaleOrder(
+                pool.data_centre, order.size, pool.kind is CapacityKind.SPOT
+            ),
         )
         journal.write_decision(
             'scale_order',
-            service=service,
+            service=order.service,
             data_centre=pool.data_centre,
             kind=pool.kind.value,
-            engines=size,
-            token=token,
+            engines=order.size,
+            token=order.token,
             outcome=outcome.value,
         )
         now = self._dependencies.now()
-        orders = self._orders[service]
+        orders = self._states[order.service].orders
         match outcome:
             case DutyOutcome.DONE:
-                orders.record_ordered(pool, size, now)
-            case DutyOutcome.FENCED if (
-                self._dependencies.lease.token() != token
-            ):
-                self._dependencies.lease.discard_token()
-                self._step_down('a higher token was seen')
-            case DutyOutcome.FENCED | DutyOutcome.REJECTED:
-                # The lease is still held, so the refusal means that the pool
-                # has no available capacity.
-                orders.record_unavailable(pool, now)
+                orders.record_ordered(pool, order.size, now)
+            case DutyOutcome.FENCED:
+                # Until the cause is known, nothing is sent to the pool.
+                orders.closures.record_unavailable(pool, now)
+                await self._handle_fenced(order, orders)
+            case DutyOutcome.REJECTED:
+                orders.closures.record_unavailable(pool, now)
             case _:
                 self._failed_at = now
 
+    async def _handle_fenced(self, order: _Order, orders: PoolOrders) -> None:
+        """Find out whether an order was refused because of its token.
+
+        The platform answers alike if the pool has no capacity. The lease may
+        have ended during the call, which does not mean that another instance
+        has a higher token.
+        """
+        lease = self._dependencies.lease
+        is_superseded = await lease.is_superseded(order.token)
+        if is_superseded is None:
+            self._failed_at = self._dependencies.now()
+        elif is_superseded:
+            lease.discard_token()
+            self._step_down('a higher token was seen')
+        elif not orders.needs_capacity(order.pool, order.size):
+            # No capacity is needed to remove engines.
+            lease.discard_token()
+            self._step_down('the token was refused')
+
     def _step_down(self, reason: str) -> None:
         journal.write_decision('duty_lost', duty=DUTY, reason=reason)
         self._holds_duty = False
         self._dependencies.succession.step_down()
 
 
-def _count(engines: list[Entry]) -> Sizes:
+def _count(engines: Iterable[Entry]) -> Sizes:
     return collections.Counter(
         Pool(
             engine.data_centre,
