scaling: demand is summed up by the loop of the duty

The instance that sends the sum of its data centre reads the lease for the holder's name. In a task of its own this ran beside the claims and renewals of the same lease, which keep the end of the topic between two calls; a renewal could have been recorded under another offset, and the holder would have had no token until the next one. Found by reading. Now both run one after the other. Checks: tests of scaling, capacity and gateway/test_duties pass (102).

--- a/packages/verbenahall/src/verbenahall/scaling/_exchange.py
+++ b/packages/verbenahall/src/verbenahall/scaling/_exchange.py
@@ -5,7 +5,6 @@
 data centre sends the sum to the holder.
 """
 
-import asyncio
 import collections
 from collections.abc import Iterator
 from typing import Final, final
@@ -27,8 +26,6 @@
 
 #: Name by which instances of a data centre are ranked for sending its sum.
 _DUTY: Final = 'demand'
-#: Interval at which the demand is summed up, in seconds.
-_SUM_INTERVAL_S: Final = 0.5
 #: A peer without a heartbeat for this long no longer counts, in seconds: two
 #: of the longest intervals between heartbeats, and one that got lost.
 _LIVE_S: Final = 2.0
@@ -46,6 +43,7 @@
         '_dependencies',
         '_lease_read_at',
         '_next_handler',
+        '_unknown_holder',
     )
 
     def __init__(self, dependencies: Dependencies) -> None:
@@ -53,6 +51,7 @@
         self.table = DemandTable()
         self._lease_read_at = -float('inf')
         self._next_handler = dependencies.exchange.datagram_handler
+        self._unknown_holder = ''
         self._dependencies = dependencies
         dependencies.exchange.get_demand = self.read_local
         dependencies.exchange.datagram_handler = self.handle_datagram
@@ -74,17 +73,17 @@
             self._count_streams(), self._dependencies.now()
         )
 
-    async def run(self) -> None:
-        """Sum up the demand until cancelled."""
-        while True:
-            await asyncio.sleep(_SUM_INTERVAL_S)
-            if not self._dependencies.list_services():
-                continue
-            now = self._dependencies.now()
-            if is_local_only(self._dependencies.peer_table):
-                await self._report(now)
-            else:
-                self._record_all(now)
+    async def step(self) -> None:
+        """Sum up the demand, and send the sum if this instance is to do so.
+
+        The lease is read here as well, so this must not run at the same time as
+        a claim or renewal.
+        """
+        now = self._dependencies.now()
+        if is_local_only(self._dependencies.peer_table):
+            await self._report(now)
+        else:
+            self._record_all(now)
 
     def _record_all(self, now: float) -> None:
         """Record the sum of each data centre, by the peers' heartbeats."""
@@ -133,7 +132,8 @@
             self._dependencies.exchange.send(
                 encode_sum(demand_sum), peer.address
             )
-        elif holder:
+        elif holder != self._unknown_holder:
+            self._unknown_holder = holder
             journal.write_decision('demand_not_sent', holder=holder)
 
     def _list_reported(self, now: float) -> Iterator[tuple[str, Demands]]:
--- a/packages/verbenahall/src/verbenahall/scaling/_shell.py
+++ b/packages/verbenahall/src/verbenahall/scaling/_shell.py
@@ -83,22 +83,22 @@
         self._dependencies = dependencies
 
     async def run(self) -> None:
-        """Exchange demand, and order or stand by, until cancelled."""
-        async with asyncio.TaskGroup() as group:
-            group.create_task(self._demand.run())
-            group.create_task(self._run_duty())
-
-    async def _run_duty(self) -> None:
+        """Sum up the demand, and order or stand by, until cancelled."""
         while True:
             await asyncio.sleep(_CHECK_INTERVAL_S)
             services = self._dependencies.list_services()
-            if self._holds_duty and services:
-                await self._scale_all(services)
-            elif services and await self._dependencies.succession.step():
-                journal.write_decision('duty_held', duty=DUTY)
-                self._holds_duty = True
-                self._records.discard()
-                self._states.clear()
+            if services:
+                await self._demand.step()
+                await self._step(services)
+
+    async def _step(self, services: Mapping[str, ScaledService]) -> None:
+        if self._holds_duty:
+            await self._scale_all(services)
+        elif await self._dependencies.succession.step():
+            journal.write_decision('duty_held', duty=DUTY)
+            self._holds_duty = True
+            self._records.discard()
+            self._states.clear()
 
     async def _scale_all(self, services: Mapping[str, ScaledService]) -> None:
         now = self._dependencies.now()
