standins: replay of load patterns against policies that size a service

Measures the cost and the prompts in time on constant load and the patterns 1, 6 and 7 of docs/design/hard-load.md, next to the size of before, a naive policy and an offline bound.

--- a/packages/standins/src/verbenahall_standins/bench.py
+++ b/packages/standins/src/verbenahall_standins/bench.py
@@ -1,17 +1,21 @@
-"""Compares routing policies and measures the overhead of an instance.
+"""Compares policies, and measures the overhead of an instance.
 
 ``python -m verbenahall_standins.bench --seed N`` prints one line for
 each measure: its name, value, unit, baseline value and ratio. Policies run on
-the traces of the seed and of two further seeds that are only reported.
+the traces of the seed and of two further seeds that are only reported; sizes
+of a service on fixed load patterns.
 """
 
 import argparse
+from collections.abc import Callable, Mapping
 from pathlib import Path
+from types import MappingProxyType
 from typing import Final
 
 from verbenahall_standins import comparison, plots
 from verbenahall_standins.lines import print_line
 from verbenahall_standins.overhead import measure_overhead
+from verbenahall_standins.sizing import compare_sizes
 
 #: Offsets of the seeds whose traces are only reported: no policy is tuned on
 #: them.
@@ -29,17 +33,37 @@
         print_line(line)
 
 
+def compare_overhead(seed: int) -> None:
+    """Print the overhead of an instance; it depends on no seed."""
+    for line in measure_overhead():
+        print_line(line)
+
+
+def compare_sizing(seed: int) -> None:
+    """Print what the engines cost, and how prompts are served by them."""
+    for line in compare_sizes(seed):
+        print_line(line)
+
+
+_Measure = Callable[[int], None]
+_MEASURES: Final[Mapping[str, _Measure]] = MappingProxyType(
+    {
+        'overhead': compare_overhead,
+        'policies': compare_policies,
+        'sizing': compare_sizing,
+    },
+)
+
+
 def main() -> None:
     """Parse the command line and print the measures."""
     parser = argparse.ArgumentParser(description='Measures of one run')
     parser.add_argument('--seed', type=int, default=1)
-    parser.add_argument('--only', choices=('overhead', 'policies'))
+    parser.add_argument('--only', choices=tuple(_MEASURES))
     options = parser.parse_args()
-    if options.only != 'policies':
-        for line in measure_overhead():
-            print_line(line)
-    if options.only != 'overhead':
-        compare_policies(options.seed)
+    for name, measure in _MEASURES.items():
+        if options.only in {None, name}:
+            measure(options.seed)
 
 
 if __name__ == '__main__':
