--- a/packages/verbenahall/src/verbenahall/platform/_names.py
+++ b/packages/verbenahall/src/verbenahall/platform/_names.py
@@ -107,7 +107,7 @@
 USAGE_TOPIC: Final = 'keyed.usage'
 #: Topic of the final usage reports, which are written before they are sent.
 REPORTS_TOPIC: Final = 'keyed.reports'
-#: Topic of the number of engines of a service before it was scaled.
+#: Topic of the last orders for engines, with one key per service.
 SCALING_TOPIC: Final = 'keyed.scaling'
 
 SETTINGS_VARIABLE: Final = 'VERBENAHALL_CONFIG'
--- a/packages/verbenahall/tests/peers/test_peers.py
+++ b/packages/verbenahall/tests/peers/test_peers.py
@@ -3,6 +3,7 @@
 import pytest
 from returns.maybe import Nothing, Some
 
+from verbenahall.capacity import Demand
 from verbenahall.peers import (
     Heartbeat,
     PeerTable,
@@ -22,10 +23,19 @@
         7,
         {'engine-1': Totals(5, 600, 2)},
         followed_offsets={'keyed.op': 4},
+        demand={'drafter': Demand(3.12, 14, 25.5)},
     )
     assert decode_message(encode_heartbeat(heartbeat)) == Some(heartbeat)
 
 
+def test_heartbeat_without_demand_has_no_field_for_it():
+    # Deployments that are not scaled must send the heartbeats of before, and
+    # get those of instances that do not know the field.
+    heartbeat = Heartbeat('front-1', 7, {})
+    assert b'demand' not in encode_heartbeat(heartbeat)
+    assert decode_message(encode_heartbeat(heartbeat)) == Some(heartbeat)
+
+
 @pytest.mark.parametrize(
     'datagram',
     [b'', b'\xff\xfe', b'[]', b'{"from":"a"}', b'{"from":"a","n":1,"load":3}'],
@@ -45,6 +55,10 @@
         b'"changing":[5]',
         b'"followed":{"keyed.op":"4"}',
         b'"followed":[]',
+        b'"demand":[]',
+        b'"demand":{"drafter":[1]}',
+        b'"demand":{"drafter":["x",2]}',
+        b'"demand":{"drafter":[-1,2]}',
     ],
 )
 def test_heartbeat_with_an_invalid_field_is_rejected(field):
@@ -59,7 +73,9 @@
         b'"followed":{}',
     )
     kept = [one for one in others if not one.startswith(given)]
-    start = [b'"from":"a"', b'"n":1', b'"dc":"z"']
+    start = [b'"from":"a"', b'"n":1', b'"dc":"z"', b'"cores":1']
+    valid = b'{%b}' % b','.join([*start, *others])
+    assert isinstance(decode_message(valid), Some)
     datagram = b'{%b}' % b','.join([*start, *kept, field])
     assert decode_message(datagram) is Nothing
 
