capacity: saturated engines, and a reserve for a rise after a reclaim

Now 1.5 times the demand is assumed above 0.75 of the time of prefill engines, a trend is at most threefold in 20 s, and the size is raised by that growth while a data centre is without its spot engines.

--- a/packages/standins/src/verbenahall_standins/sizing.py
+++ b/packages/standins/src/verbenahall_standins/sizing.py
@@ -56,7 +56,7 @@
 STEADY_S: Final = 46.0
 #: Engines of each kind in each data centre by which the size of the start
 #: remained after two reclaims before the size followed the load.
-_FORMER_MIX: Final = (5, 30)
+_FORMER_MIX: Final = (3, 36)
 #: Engine time of a mean prompt, in seconds.
 _MEAN_S: Final = sum(
     share * seconds
@@ -122,12 +122,20 @@
     Loss(110, 'c', closed_s=8),
     Loss(140, 'b', crashed=0.25),
 )
+#: Two data centres lose their spot engines while load rises threefold.
+_LOSSES_IN_RISE: Final = (
+    Loss(58, 'a', closed_s=10),
+    Loss(64, 'b', closed_s=9),
+    Loss(134, 'c', closed_s=10),
+    Loss(135, 'a', closed_s=10),
+)
 #: The patterns of docs/design/hard-load.md to which the size must respond.
 PATTERNS: Final = (
     Pattern('constant', 180, lambda at: 5),
     Pattern('alternating', 180, _alternate),
     Pattern('losses', 180, lambda at: 5, _LOSSES),
     Pattern('fall_and_rise', 240, _fall_and_rise),
+    Pattern('losses_in_rise', 180, _fall_and_rise, _LOSSES_IN_RISE),
 )
 
 
@@ -259,7 +267,7 @@
     def decide(self, fleet: Fleet, demand: Demand, now: float) -> None:
         """Plan and order."""
         present = collections.Counter(fleet.serving)
-        self.planner.record_demand(demand, TRAITS, RULES, now)
+        self.planner.record_demand(demand, TRAITS, RULES, present.total(), now)
         self.orders.record_present(present, now)
         available = self.orders.describe(RULES.prices, RULES, now)
         wanted = self.planner.plan(RULES, present, available, now)
--- a/packages/verbenahall/src/verbenahall/capacity/_planner.py
+++ b/packages/verbenahall/src/verbenahall/capacity/_planner.py
@@ -8,7 +8,11 @@
 from verbenahall.capacity._messages import CapacityKind, Demand, Pool, Sizes
 from verbenahall.capacity._meter import SMOOTHING_S
 from verbenahall.capacity._mix import Availability, plan_sizes
-from verbenahall.capacity._size import ServiceTraits, count_engines
+from verbenahall.capacity._size import (
+    ServiceTraits,
+    count_engines,
+    count_prefill_engines,
+)
 from verbenahall.catalog import ScalingRules
 
 #: Time for which the highest demand counts, in seconds: load that falls and
@@ -35,6 +39,15 @@
 #: Standard deviations of random arrivals by which demand must have risen for a
 #: trend. Only the rise beyond them counts.
 _NOISE_DEVIATIONS: Final = 2.0
+#: Highest rise that is forecast, as a share of the demand per second: that of
+#: load that rises threefold within 20 s. The prompts of a queue that is served
+#: at last are no trend.
+_MAX_RISE_PER_S: Final = 0.1
+#: Share of the time of prefill engines from which more may be in demand than is
+#: sent, as prompts wait, and the growth that is assumed then. The sizes that
+#: are ordered use at most 0.6 of it.
+_SATURATED_SHARE: Final = 0.75
+_SATURATED_GROWTH: Final = 1.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -79,16 +92,19 @@
         demand: Demand,
         traits: ServiceTraits,
         rules: ScalingRules,
+        engines: int,
         now: float,
     ) -> None:
-        """Record the demand of all data centres."""
+        """Record the demand of all data centres, which ``engines`` serve."""
         if not self._is_known():
             if not demand.prefill_s:
                 return
             self._settled_at = now + _KNOWN_S
             self._trend_from = now + _TREND_WARM_UP_S
             self._planned_from = now + _WARM_UP_S
-        forecast = self._predict(demand, rules.boot_s, now)
+        forecast = self._predict(demand, rules, now)
+        if demand.prefill_s > _SATURATED_SHARE * count_prefill_engines(engines):
+            forecast = demand.times(_SATURATED_GROWTH)
         self._needs.append(
             _Need(
                 now,
@@ -138,6 +154,10 @@
         if not self._is_known():
             return self._replace_lost_spot(present)
         needed = self.find_needed(now)
+        if availability.reclaimed:
+            # The reserve is in use. Load that rises now finds too few engines
+            # before the reclaimed ones can be replaced.
+            needed = math.ceil(needed * _find_max_growth(rules))
         available = sum(present.values()) + sum(availability.booting.values())
         if available >= needed and now < self._planned_from:
             return {}
@@ -159,7 +179,9 @@
                 self._initial[pool] = max(known, count)
         return dict(self._initial)
 
-    def _predict(self, demand: Demand, boot_s: float, now: float) -> Demand:
+    def _predict(
+        self, demand: Demand, rules: ScalingRules, now: float
+    ) -> Demand:
         """Return the demand by its trend when ordered engines will serve."""
         earlier = [
             need.demand
@@ -168,7 +190,7 @@
         ]
         if not earlier or now < self._trend_from:
             return demand
-        steps = boot_s / _TREND_S
+        steps = rules.boot_s / _TREND_S
         prefill_s = demand.prefill_s + steps * _find_rise(
             max(one.prefill_s for one in earlier),
             demand.prefill_s,
@@ -179,8 +201,19 @@
             demand.streams,
             math.sqrt(demand.streams),
         )
+        highest = demand.times(_find_max_growth(rules))
+        prefill_s = min(prefill_s, highest.prefill_s)
         growth = prefill_s / demand.prefill_s if demand.prefill_s else 1
-        return Demand(prefill_s, streams, demand.prefills * growth)
+        return Demand(
+            prefill_s,
+            min(streams, highest.streams),
+            demand.prefills * growth,
+        )
+
+
+def _find_max_growth(rules: ScalingRules) -> float:
+    """Return the factor by which demand may grow in a boot time."""
+    return 1 + _MAX_RISE_PER_S * rules.boot_s
 
 
 def _find_rise(before: float, after: float, deviation: float) -> float:
--- a/packages/verbenahall/src/verbenahall/capacity/_size.py
+++ b/packages/verbenahall/src/verbenahall/capacity/_size.py
@@ -36,7 +36,7 @@
 
 def count_engines(demand: Demand, traits: ServiceTraits) -> int:
     """Return the number of engines of which enough prefill and decode."""
-    prefill = _count_prefill_engines(demand, traits.objective_s)
+    prefill = _find_prefill_engines(demand, traits.objective_s)
     slots = max(1, traits.slots) * _MAX_SLOT_SHARE
     decode = max(1, math.ceil(demand.streams / slots))
     # Two of three engines prefill, and the number that decodes is rounded up.
@@ -45,7 +45,12 @@
     return max(MIN_SIZE, for_prefill, for_decode)
 
 
-def _count_prefill_engines(demand: Demand, objective_s: float) -> int:
+def count_prefill_engines(engines: int) -> int:
+    """Return how many of a number of engines prefill."""
+    return engines - math.ceil(engines / _ENGINES_PER_DECODE)
+
+
+def _find_prefill_engines(demand: Demand, objective_s: float) -> int:
     load = demand.prefill_s
     engines = max(1, math.ceil(load / _MAX_PREFILL_SHARE))
     max_wait_s = objective_s * _MAX_WAIT_SHARE
--- a/packages/verbenahall/src/verbenahall/scaling/_service_state.py
+++ b/packages/verbenahall/src/verbenahall/scaling/_service_state.py
@@ -65,10 +65,13 @@
         """Return the orders to send now, given the engines that serve."""
         rules = scaled.rules
         present = _count(engines)
+        serving = sum(present.values())
         self.demand = table.total(self._service, now)
-        self.planner.record_demand(self.demand, scaled.traits, rules, now)
+        self.planner.record_demand(
+            self.demand, scaled.traits, rules, serving, now
+        )
         self.orders.record_present(present, now)
-        self._log_needed(sum(present.values()), now)
+        self._log_needed(serving, now)
         availability = self.orders.describe(table.list_centres(), rules, now)
         wanted = self.planner.plan(rules, present, availability, now)
         return self.orders.choose(wanted, rules, now)
--- a/packages/verbenahall/tests/capacity/test_demand.py
+++ b/packages/verbenahall/tests/capacity/test_demand.py
@@ -85,6 +85,7 @@
         self.now = 0
         self.planner = CapacityPlanner()
         self.present = present
+        self.engines = 1000
 
     def run(self, length_s, load):
         """Return the targets after some seconds of a load."""
@@ -92,7 +93,9 @@
         while self.now < until:
             self.now += 0.4
             demand = Demand(load(self.now), 0, load(self.now) / 0.2)
-            self.planner.record_demand(demand, TRAITS, RULES, self.now)
+            self.planner.record_demand(
+                demand, TRAITS, RULES, self.engines, self.now
+            )
         return self.planner.plan(
             RULES, self.present, Availability(tuple('abc')), self.now
         )
@@ -140,6 +143,30 @@
     assert holder.planner.find_needed(60) == steady.planner.find_needed(60)
 
 
+def test_saturated_engines_need_more_than_their_demand():
+    # Too few engines are left, prompts wait, and what is sent is only what the
+    # engines can take. Sized by that, they would never catch up.
+    holder = Holder({})
+    holder.run(30, lambda now: 5)
+    before = holder.planner.find_needed(holder.now)
+    holder.engines = 9
+    holder.run(1, lambda now: 5)
+    assert holder.planner.find_needed(holder.now) >= 1.4 * before
+
+
+def test_size_has_a_reserve_for_a_rise_while_engines_are_reclaimed():
+    # Two data centres lose their spot engines while load rises: those that are
+    # left are just enough for the load of before.
+    present = {Pool(one, CapacityKind.SPOT): 14 for one in 'bc'}
+    holder = Holder(present)
+    holder.run(30, lambda now: 5)
+    reclaimed = Availability(
+        tuple('abc'), reclaimed={Pool('a', CapacityKind.SPOT)}
+    )
+    sizes = holder.planner.plan(RULES, present, reclaimed, holder.now)
+    assert sizes[Pool('b', CapacityKind.SPOT)] == 20
+
+
 def test_fall_counts_only_after_the_peaks_of_20_s():
     # Load falls to a third and is back within 20 s.
     holder = Holder({})
--- a/packages/verbenahall/tests/scaling/test_scaler.py
+++ b/packages/verbenahall/tests/scaling/test_scaler.py
@@ -17,7 +17,12 @@
 )
 from verbenahall.catalog import ScalingRules
 from verbenahall.duties import DutyLease, Succession
-from verbenahall.peers import PeerExchange, PeerTable, add_peer
+from verbenahall.peers import (
+    PeerExchange,
+    PeerTable,
+    add_peer,
+    encode_heartbeat,
+)
 from verbenahall.placement import PlacementState, Totals
 from verbenahall.platform import DutyOutcome, StoreClient, make_session
 from verbenahall.roster import LAPSE_GRACE_S, Roster, RosterRules
@@ -377,3 +382,23 @@
         assert not holder.exchange.get_demand()
 
     run_with_store(check)
+
+
+def test_holder_knows_the_demand_of_its_peers_by_their_heartbeats():
+    # In a small fleet no other message carries it. Sized by its own callers
+    # only, the service would lose most of its engines.
+    async def check(store, client, clock, platform):
+        holder = Instance('front-1', client, clock, platform)
+        peer = Instance('front-2', client, clock, platform)
+        for _ in range(50):
+            peer.meter.record_prefill(DRAFTER, 0.1, clock.seconds)
+        heartbeat = encode_heartbeat(peer.exchange._make_heartbeat({}, {}))
+        holder.exchange.datagram_received(heartbeat, ('127.0.0.1', 9))
+        received_at = holder.peer_table.peers['front-2'].last_heartbeat_at
+        holder.scaler._demand._record_all(received_at)
+        table = holder.scaler._demand.table
+        demand = table.total(DRAFTER, received_at)
+        assert demand.prefill_s == pytest.approx(2.5)
+        assert demand.prefills == pytest.approx(25)
+
+    run_with_store(check)
