--- a/packages/verbenahall/src/verbenahall/gateway/_core.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_core.py
@@ -6,6 +6,7 @@
 from typing import Any, Final, final
 
 from verbenahall import clock
+from verbenahall.capacity import DemandMeter
 from verbenahall.catalog import CatalogState
 from verbenahall.endpoint_health import Endpoints
 from verbenahall.fair_shares import FairShares
@@ -94,6 +95,7 @@
         self.forwarder: Forwarder = NoForwarder()
         self.stream_versions: VersionFinder = NoVersionFinder()
         self.placement = PlacementState()
+        self.demand = DemandMeter(self.placement)
         self.peer_table = PeerTable(
             settings.name,
             settings.data_centre,
--- a/packages/verbenahall/src/verbenahall/peers/_messages.py
+++ b/packages/verbenahall/src/verbenahall/peers/_messages.py
@@ -11,6 +11,7 @@
 from returns.result import Success
 
 from verbenahall import wire
+from verbenahall.capacity import Demands, export_demands, read_demands
 from verbenahall.engine_speeds import (
     MAX_FACTOR,
     MAX_FACTORS,
@@ -57,6 +58,7 @@
     ``factors`` are those on durations at engines unlike the typical one.
     ``charged`` is the engine time in milliseconds that it has charged to
     workspaces of late, empty in most heartbeats.
+    ``demand`` is what it sends to the services that are scaled.
     """
 
     author: str
@@ -74,6 +76,7 @@
     connection_rate: float | None = None
     factors: Sequence[ReportedFactor] = ()
     charged: Mapping[str, float] = dataclasses.field(default_factory=dict)
+    demand: Demands = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -130,17 +133,18 @@
                 for topic, age_s in heartbeat.ages.items()
             },
             'connections': heartbeat.connection_rate,
-            # Left out while empty, as in nearly all heartbeats.
             **_encode_optional(heartbeat),
         },
     )
 
 
 def _encode_optional(heartbeat: Heartbeat) -> Mapping[str, Any]:
+    """Return the fields that are left out while they are empty."""
     fields = {
         'unreachable': heartbeat.unreachable,
         'charged': dict(heartbeat.charged),
         'factors': _encode_factors(heartbeat.factors),
+        'demand': export_demands(heartbeat.demand),
     }
     return {key: content for key, content in fields.items() if content}
 
@@ -375,6 +379,7 @@
                 connection_rate=_convert_rate(table.get('connections')),
                 factors=tuple(_convert_factors(table.get('factors', {}))),
                 charged=_convert_charged(table.get('charged', {})),
+                demand=read_demands(table.get('demand', {})),
             ),
         )
     except (AttributeError, TypeError, ValueError):
