--- a/packages/verbenahall/src/verbenahall/engine_speeds/__init__.py
+++ b/packages/verbenahall/src/verbenahall/engine_speeds/__init__.py
@@ -1,6 +1,7 @@
 """Measures how fast engines are relative to the others of their service."""
 
 from verbenahall.engine_speeds._group import ReportedFactor
+from verbenahall.engine_speeds._log import log_factors
 from verbenahall.engine_speeds._role_timer import (
     USUAL_ROLES,
     EngineUse,
@@ -22,4 +23,5 @@
     'RoleTimer',
     'ServiceRoles',
     'SharedTime',
+    'log_factors',
 )
--- a/packages/verbenahall/src/verbenahall/engine_speeds/_group.py
+++ b/packages/verbenahall/src/verbenahall/engine_speeds/_group.py
@@ -21,6 +21,9 @@
 #: Interval in seconds at which engines are compared with each other. With
 #: thousands of engines it takes milliseconds.
 _COMPARE_INTERVAL_S: Final = 0.5
+#: Time in seconds for which an estimate is used, unless there is a measurement.
+#: Each placement needs those of all decode engines.
+_CACHED_S: Final = 0.02
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,12 +43,14 @@
 class _Measured:
     """One kind of duration at an engine, apart and close to full."""
 
-    __slots__ = ('usual', 'crowded')
+    __slots__ = ('usual', 'crowded', '_cached')
 
     def __init__(self) -> None:
         """Start without measurements."""
         self.usual = RatioTracker()
         self.crowded: RatioTracker | None = None
+        #: Until when an estimate is used, whether close to full, and its value.
+        self._cached: tuple[float, bool, float] = (-math.inf, False, 0)
 
     @property
     def is_known(self) -> bool:
@@ -55,6 +60,7 @@
     def observe(
         self, ratio: float, share: float, now: float, *, crowded: bool
     ) -> None:
+        self._cached = (-math.inf, False, 0)
         if not crowded:
             self.usual.observe(ratio, share, now)
             return
@@ -64,9 +70,15 @@
         self.crowded.observe(ratio / usual, share, now)
 
     def estimate(self, now: float, *, crowded: bool) -> float:
+        until, was_crowded, value = self._cached
+        if now < until and crowded is was_crowded:
+            return value
         if crowded and self.crowded is not None:
-            return self.usual.long_term + self.crowded.estimate(now)
-        return self.usual.estimate(now)
+            value = self.usual.long_term + self.crowded.estimate(now)
+        else:
+            value = self.usual.estimate(now)
+        self._cached = (now + _CACHED_S, crowded, value)
+        return value
 
 
 @final
--- a/packages/verbenahall/src/verbenahall/engine_speeds/_table.py
+++ b/packages/verbenahall/src/verbenahall/engine_speeds/_table.py
@@ -52,6 +52,10 @@
         """Whether engines of a service differ in speed."""
         return service in self._groups and self._groups[service].uneven
 
+    def list_uneven(self) -> Sequence[str]:
+        """Return the services whose engines differ in speed."""
+        return [name for name, group in self._groups.items() if group.uneven]
+
     def record_prefill(
         self,
         engine: Entry,
@@ -94,6 +98,20 @@
         at = self._latest if now is None else now
         return group.estimate_prefill(record, at, crowded=crowded)
 
+    def list_prefill_factors(
+        self, engines: Iterable[Entry]
+    ) -> Mapping[str, float]:
+        """Return the factors on the common estimate, as last measured.
+
+        Those of services whose engines are equally fast are left out.
+        """
+        return {
+            one.name: self.find_prefill_factor(one)
+            * self.find_level(one.service)
+            for one in engines
+            if self._differs(one)
+        }
+
     def find_level(self, service: str) -> float:
         """Return how long the typical engine takes by the common estimate.
 
@@ -104,14 +122,17 @@
             return 1
         return math.exp(self._groups[service].typical_prefill)
 
-    def find_step_factor(
-        self, engine: Entry, now: float, *, crowded: bool = False
-    ) -> float:
-        """Return the factor on the step time of an engine."""
+    def find_factors(
+        self, engine: Entry, now: float, *, crowded: bool
+    ) -> tuple[float, float]:
+        """Return the factors on prefill and step times, both at once."""
         if not self._differs(engine):
-            return 1
+            return (1, 1)
         group, record = self._find_record(engine)
-        return group.estimate_step(record, now, crowded=crowded)
+        return (
+            group.estimate_prefill(record, now, crowded=crowded),
+            group.estimate_step(record, now, crowded=crowded),
+        )
 
     def list_long_term(self, service: str) -> Mapping[str, float]:
         """Return the long-term factors of measured engines, by name.
@@ -172,9 +193,10 @@
 
     def _differs(self, engine: Entry) -> bool:
         """Whether engines differ, also by what was reported of this one."""
-        if engine.incarnation in self._reported:
+        if self._reported and engine.incarnation in self._reported:
             self._find_record(engine)
-        return self.is_uneven(engine.service)
+        group = self._groups.get(engine.service)
+        return group is not None and group.uneven
 
     def _find_record(self, engine: Entry) -> tuple[Group, Record]:
         group = self._groups.get(engine.service)
@@ -182,7 +204,9 @@
             group = Group()
             self._groups[engine.service] = group
         record = group.records.get(engine.incarnation)
-        reported = self._reported.pop(engine.incarnation, None)
+        reported = None
+        if self._reported:
+            reported = self._reported.pop(engine.incarnation, None)
         if record is None:
             record = Record()
             group.records[engine.incarnation] = record
--- a/packages/verbenahall/src/verbenahall/gateway/_fleet_state_log.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_fleet_state_log.py
@@ -4,6 +4,7 @@
 from typing import Final, final
 
 from verbenahall import journal
+from verbenahall.engine_speeds import log_factors
 from verbenahall.gateway._core import Core
 
 #: Interval between two log lines, in seconds.
@@ -45,3 +46,5 @@
             read_thousand_s=round(speed.token_s * _THOUSAND, _DECIMALS),
             read_samples=speed.samples,
         )
+        for service in core.placement.engine_speeds.list_uneven():
+            log_factors(core.placement.engine_speeds, service)
--- a/packages/verbenahall/src/verbenahall/gateway/_orders.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_orders.py
@@ -244,6 +244,7 @@
             'role_order',
             endpoint=engine.name,
             role=change.role.value,
+            reason=change.reason,
             token=token,
             orders=report.orders,
             status=status,
--- a/packages/verbenahall/src/verbenahall/metrics.py
+++ b/packages/verbenahall/src/verbenahall/metrics.py
@@ -243,6 +243,16 @@
     'Orders sent that change the role of an engine.',
     registry=REGISTRY,
 )
+MEASURED_ENGINES: Final = Gauge(
+    'verbenahall_measured_engines',
+    'Engines of a service of unequal engines whose speed is known.',
+    registry=REGISTRY,
+)
+ENGINE_SPREAD: Final = Gauge(
+    'verbenahall_engine_spread',
+    'Time of the slowest engine of a service, relative to the fastest.',
+    registry=REGISTRY,
+)
 SETTINGS_POSITION: Final = Gauge(
     'verbenahall_settings_position',
     'Offset of the last settings record applied.',
--- a/packages/verbenahall/src/verbenahall/placement/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/placement/_decisions.py
@@ -218,7 +218,8 @@
         '_waiting_count',
         '_candidates',
         '_loads',
-        '_prefill_factors',
+        '_factors',
+        '_is_uneven',
         '_level',
     )
 
@@ -238,11 +239,14 @@
         self._waiting_count = waiting_count
         self._candidates: list[_DecodeCandidate] = []
         self._loads: dict[str, Totals] = {}
-        self._prefill_factors: dict[str, float] = {}
+        self._factors: dict[str, tuple[float, float]] = {}
+        # Both are in force only where engines differ in speed.
+        self._is_uneven = False
         self._level: float = 1
 
     def use_level(self, level: float) -> None:
         """Multiply the common prefill estimate by ``level`` from now on."""
+        self._is_uneven = True
         self._level = level
 
     def evaluate_mixed(
@@ -495,24 +499,24 @@
         return backlog_s * self._level * self._prefill_factor(engine)
 
     def _prefill_factor(self, engine: Entry) -> float:
-        """Return the factor on the prefill time, which is computed once."""
-        factor = self._prefill_factors.get(engine.name)
-        if factor is None:
-            factor = self._state.engine_speeds.find_prefill_factor(
-                engine, self._now, crowded=self._is_crowded(engine)
-            )
-            self._prefill_factors[engine.name] = factor
-        return factor
+        return self._find_factors(engine)[0] if self._is_uneven else 1
 
     def _step_factor(self, engine: Entry) -> float:
-        return self._state.engine_speeds.find_step_factor(
-            engine, self._now, crowded=self._is_crowded(engine)
-        )
-
-    def _is_crowded(self, engine: Entry) -> bool:
-        return (
-            measure_fill(self._find_load(engine), self._traits) > CROWDED_SHARE
-        )
+        return self._find_factors(engine)[1] if self._is_uneven else 1
+
+    def _find_factors(self, engine: Entry) -> tuple[float, float]:
+        """Return the factors on prefills and steps, which are found once."""
+        factors = self._factors.get(engine.name)
+        if factors is None:
+            totals = self._find_load(engine)
+            fill = measure_fill(
+                totals.held_tokens, totals.streams, self._traits
+            )
+            factors = self._state.engine_speeds.find_factors(
+                engine, self._now, crowded=fill > CROWDED_SHARE
+            )
+            self._factors[engine.name] = factors
+        return factors
 
     def _step_s(self, engine: Entry) -> float:
         return self._state.find_step_time(engine.name).estimate(
@@ -555,8 +559,9 @@
 
     def _fill(self, engine: Entry) -> float:
         """Return the fill of an engine with the request, by memory or slots."""
-        added = Totals(held_tokens=self._work.context_tokens, streams=1)
-        return measure_fill(self._find_load(engine).plus(added), self._traits)
+        totals = self._find_load(engine)
+        held_tokens = totals.held_tokens + self._work.context_tokens
+        return measure_fill(held_tokens, totals.streams + 1, self._traits)
 
     def _congestion_cost(self, engine: Entry, fill: float) -> float:
         """Return the cost in seconds of joining the batch of a busy engine."""
--- a/packages/verbenahall/src/verbenahall/placement/_roles.py
+++ b/packages/verbenahall/src/verbenahall/placement/_roles.py
@@ -27,15 +27,21 @@
 _MAX_CHANGED_SHARE: Final = 1 / 6
 #: Ratio of the speeds of two classes of engines, when engines are chosen.
 _SPEED_CLASS: Final = 1.3
+_EXCHANGE: Final = 'exchange'
 _EQUALLY_FAST: Final[Mapping[str, float]] = MappingProxyType({})
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RoleChange:
-    """An engine and the role that it is to change to."""
+    """An engine and the role that it is to change to.
+
+    ``reason`` is ``share`` if the number of engines with a role is to change,
+    or ``exchange`` if a fast and a slow engine exchange their roles.
+    """
 
     engine: Entry
     role: Role
+    reason: str = 'share'
 
 
 def plan_roles(
@@ -80,8 +86,8 @@
 def _exchange(roles: ServiceRoles) -> Iterator[RoleChange]:
     """Yield the changes of pairs that exchange their roles."""
     for prefill_engine, decode_engine in roles.exchanges:
-        yield RoleChange(prefill_engine, Role.DECODE)
-        yield RoleChange(decode_engine, Role.PREFILL)
+        yield RoleChange(prefill_engine, Role.DECODE, _EXCHANGE)
+        yield RoleChange(decode_engine, Role.PREFILL, _EXCHANGE)
 
 
 def _choose_engines(
--- a/packages/verbenahall/src/verbenahall/placement/_slots.py
+++ b/packages/verbenahall/src/verbenahall/placement/_slots.py
@@ -107,12 +107,9 @@
         self._local_share_s = self._min_queue_s / (
             fleet.state.load_table.prefilling_peers + 1
         )
-        speeds = fleet.state.engine_speeds
-        self._factors = {
-            one.name: speeds.find_prefill_factor(one)
-            * speeds.find_level(one.service)
-            for one in fleet.engines
-        }
+        self._factors = fleet.state.engine_speeds.list_prefill_factors(
+            fleet.engines
+        )
         self.engine_names = frozenset(one.name for one in fleet.engines)
         self.open_engines = {
             name for name in self.engine_names if self._is_open(name)
--- a/packages/verbenahall/src/verbenahall/placement/_state.py
+++ b/packages/verbenahall/src/verbenahall/placement/_state.py
@@ -131,7 +131,8 @@
     def is_crowded(self, engine: Entry, traits: EngineTraits) -> bool:
         """Whether an engine is close to full, by its slots or its memory."""
         totals = self.load_table.totals(engine.name)
-        return measure_fill(totals, traits) > CROWDED_SHARE
+        fill = measure_fill(totals.held_tokens, totals.streams, traits)
+        return fill > CROWDED_SHARE
 
     def retain(self, names: Collection[str]) -> None:
         """Remove the state of engines that are no longer listed."""
@@ -211,8 +212,6 @@
         return self.load_table.totals(engine).prefill_tokens - local
 
 
-def measure_fill(totals: Totals, traits: EngineTraits) -> float:
+def measure_fill(held_tokens: int, streams: int, traits: EngineTraits) -> float:
     """Return the fill of an engine by memory or slots, whichever is higher."""
-    return max(
-        totals.held_tokens / traits.kv_tokens, totals.streams / traits.slots
-    )
+    return max(held_tokens / traits.kv_tokens, streams / traits.slots)
