--- a/packages/verbenahall/src/verbenahall/engine_speeds/_role_timer.py
+++ b/packages/verbenahall/src/verbenahall/engine_speeds/_role_timer.py
@@ -96,7 +96,7 @@
         self,
         engines: Sequence[Entry],
         factors: Mapping[str, float],
-        use: EngineUse,
+        use: EngineUse | None,
         now: float,
         *,
         is_disturbed: bool = False,
@@ -104,25 +104,29 @@
         """Return what the roles are to follow from ``now`` on.
 
         ``factors`` are the long-term factors on durations by engine, empty if
-        engines are equally fast. While ``is_disturbed``, because engines were
-        lost or are changing, no reason begins to last.
+        engines are equally fast. ``use`` is None if not all of it is known: the
+        number of decode engines is the usual one then. While ``is_disturbed``,
+        because engines were lost or are changing, no reason begins to last.
         """
         if not factors:
             self._pairs.clear()
             self._target = None
             self._updated_at = None
             return USUAL_ROLES
-        self._smooth_use(use, now)
+        if use is not None:
+            self._smooth_use(use, now)
         if is_disturbed:
             self._pairs.clear()
             self._shift = (0, now)
             self._target = None
             return ServiceRoles()
+        exchanges = tuple(self._find_exchanges(engines, factors, now))
+        if use is None:
+            return ServiceRoles(exchanges=exchanges)
         current = sum(one.role is Role.DECODE for one in engines)
         self._follow_demand(engines, current, now)
         return ServiceRoles(
-            self._count_decode_engines(engines, current),
-            tuple(self._find_exchanges(engines, factors, now)),
+            self._count_decode_engines(engines, current), exchanges
         )
 
     def _smooth_use(self, use: EngineUse, now: float) -> None:
--- a/packages/verbenahall/src/verbenahall/placement/_role_planner.py
+++ b/packages/verbenahall/src/verbenahall/placement/_role_planner.py
@@ -79,8 +79,15 @@
         streams: Mapping[str, int],
         engines: Sequence[Entry],
         traits: EngineTraits,
-    ) -> EngineUse:
+    ) -> EngineUse | None:
+        """Return the use of the engines, None if not all peers report.
+
+        In a large fleet instances know different parts of it. Each would change
+        back what another one has ordered.
+        """
         load_table = self._state.load_table
+        if load_table.scale != 1:
+            return None
         prefilling = sum(
             load_table.totals(one.name).prefill_tokens > 0
             for one in engines
--- a/packages/verbenahall/tests/engine_speeds/test_roles.py
+++ b/packages/verbenahall/tests/engine_speeds/test_roles.py
@@ -122,6 +122,15 @@
     assert roles[-1].decode_count == 2
 
 
+def test_large_fleet_keeps_the_usual_number_of_decode_engines():
+    # Each instance knows the load of its own data centre only. If they followed
+    # that, each would change back what another one has ordered.
+    timer = RoleTimer(ROLE_CHANGE_S)
+    roles = run(timer, None, 0, 60)
+    assert {one.decode_count for one in roles} == {None}
+    assert roles[-1].exchanges
+
+
 def test_fast_engines_are_chosen_when_roles_change_anyway():
     # Seven engines decode and four of them are to prefill: the fast ones, even
     # if they are busier.
