--- a/packages/verbenahall/src/verbenahall/metrics.py
+++ b/packages/verbenahall/src/verbenahall/metrics.py
@@ -282,6 +282,14 @@
 ENGINES_PRESENT: Final = Gauge(
     'verbenahall_engines_present',
     'Engines of a service that serve, at the duty holder.',
+MEASURED_ENGINES: Final = Gauge(
+    'verbenahall_measured_engines',
+    'Engines of a service of unequal engines whose speed is known.',
+    registry=REGISTRY,
+)
+ENGINE_SPREAD: Final = Gauge(
+    'verbenahall_engine_spread',
+    'Time of the slowest engine of a service, relative to the fastest.',
     registry=REGISTRY,
 )
 SETTINGS_POSITION: Final = Gauge(
