Queues report overload, and callers get the first group's return time

Operators saw refusals but not why a request was late.

A caller that several groups rejected was told the return time of the last one, but comes back to the first, where it counted as early. It now gets the first one's.

--- a/packages/verbenahall/src/verbenahall/gateway/_prefill_queues.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_prefill_queues.py
@@ -10,6 +10,7 @@
 from verbenahall.errors import Problem
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._messages import Call
+from verbenahall.overload import report_overload
 from verbenahall.placement import (
     Admitted,
     Fleet,
@@ -112,6 +113,7 @@
                 self._core.random,
             ),
         )
+        report_overload(queue.overload, service.name, queue.waiting, now)
         if queue.waiting and service.name not in self._polling:
             self._polling.add(service.name)
             loop = asyncio.get_running_loop()
--- a/packages/verbenahall/src/verbenahall/gateway/_scheduler.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_scheduler.py
@@ -11,6 +11,7 @@
 from verbenahall.catalog import Service
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._scheduler_client import SchedulerClient
+from verbenahall.overload import report_overload
 from verbenahall.peers import PeerExchange
 from verbenahall.placement import Fleet
 from verbenahall.scheduling import (
@@ -174,6 +175,8 @@
         self._send_replies(
             assign_waiting(state, fleet, now, self._core.random), state
         )
+        queue = state.queue
+        report_overload(queue.overload, scope[0], queue.waiting, now)
         self._schedule_run(scope, _QUEUE_INTERVAL_S)
 
     def _describe_fleet(
--- a/packages/verbenahall/src/verbenahall/gateway/_scheduler_client.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_scheduler_client.py
@@ -142,7 +142,8 @@
             match answer:
                 case Some(Success(_)):
                     return answer
-                case Some(_):
+                # The caller returns to the first group, at its time.
+                case Some(_) if found is Nothing:
                     found = answer
         return found
 
--- a/packages/verbenahall/src/verbenahall/metrics.py
+++ b/packages/verbenahall/src/verbenahall/metrics.py
@@ -102,6 +102,12 @@
     'Requests given up before they ran, by priority.',
     'priority',
 )
+OVERLOAD: Final = BufferedCounter(
+    'verbenahall_overload_total',
+    'Decisions of prefill queues: refused, left_out (served after others to'
+    ' let them be on time), returned (came back as told) or early.',
+    'outcome',
+)
 QUARANTINED: Final = BufferedCounter(
     'verbenahall_quarantined_total',
     'Crashes after which a request was sent no more.',
--- a/packages/verbenahall/src/verbenahall/overload/__init__.py
+++ b/packages/verbenahall/src/verbenahall/overload/__init__.py
@@ -14,6 +14,7 @@
     Turn,
 )
 from verbenahall.overload._outcomes import GroupOutcomes
+from verbenahall.overload._report import report_overload
 from verbenahall.overload._returns import ReturnTimes
 from verbenahall.overload._selection import (
     EngineShare,
@@ -36,4 +37,5 @@
     'Turn',
     'make_rank',
     'rank_candidates',
+    'report_overload',
 )
--- a/packages/verbenahall/src/verbenahall/placement/_dispatch.py
+++ b/packages/verbenahall/src/verbenahall/placement/_dispatch.py
@@ -176,6 +176,7 @@
         rng,
     )
     queue.overload.outcomes.record(pending.source, now, missed=True)
+    queue.overload.counts['refused'] += 1
     delay_s = queue.overload.delays.estimate(pending.planned_engine, now)
     expected_s = delay_s + wait_s + pending.expected_first_s
     return Problem(
--- a/packages/verbenahall/src/verbenahall/placement/_queue.py
+++ b/packages/verbenahall/src/verbenahall/placement/_queue.py
@@ -190,6 +190,8 @@
         last ones had.
         """
         pending.turn = self.overload.returns.classify(pending.source, now)
+        if pending.turn is not Turn.ORDINARY:
+            self.overload.counts[pending.turn.name.lower()] += 1
         start = self.predict_start(pending, now) if self.waiting else now
         pending.rank = make_rank(pending, start)
 
@@ -226,3 +228,5 @@
             self.drain_rate.count(now)
             if admitted.pending.is_late(now):
                 self.late_drain_rate.count(now)
+            if admitted.pending.rank[2] is Stage.LEFT_OUT:
+                self.overload.counts['left_out'] += 1
