--- a/packages/standins/src/verbenahall_standins/shared_queue.py
+++ b/packages/standins/src/verbenahall_standins/shared_queue.py
@@ -13,6 +13,8 @@
 import heapq
 import itertools
 import random
+import statistics
+import sys
 import time
 from collections.abc import Iterator, Mapping, Sequence
 from typing import Final
@@ -20,6 +22,7 @@
 from verbenahall.fair_shares import (
     ShareState,
     charge,
+    correct,
     mark_beyond_share,
 )
 from verbenahall.placement import (
@@ -39,6 +42,8 @@
 #: Interval between two runs over the queue, in seconds.
 _DISPATCH_S: Final = 0.005
 _ENGINES: Final = 16
+_MICROS: Final = 1_000_000
+_PERCENTILES: Final = 100
 #: Requests a second that the engines serve.
 CAPACITY: Final = _ENGINES / _ENGINE_S
 #: Longest pause between two events of a request, in seconds.
@@ -88,7 +93,7 @@
     """Requests sent, served, and served in time, by workspace or caller.
 
     ``idle_s`` is engine time that was not used while requests waited,
-    ``decision_s`` the time of each marking.
+    ``decision_s`` the processor time of each marking.
     """
 
     sent: collections.Counter[str] = dataclasses.field(
@@ -195,9 +200,9 @@
             heapq.heappop(self._ends)
         self.waiting = [one for one in self.waiting if one.leaves_at > now]
         if self.policy is Policy.FAIR:
-            started = time.perf_counter()
+            started = time.thread_time()
             mark_beyond_share(self.shares, self.waiting, now)
-            self.outcome.decision_s.append(time.perf_counter() - started)
+            self.outcome.decision_s.append(time.thread_time() - started)
         idle = self.engines - len(self._ends)
         ranked = sorted(self.waiting, key=lambda one: one.rank(now))
         for pending in ranked[:idle]:
@@ -212,6 +217,7 @@
     def _serve(self, pending: QueuedRequest, now: float) -> None:
         heapq.heappush(self._ends, now + _ENGINE_S)
         charge(self.shares, pending, _ENGINE_S, now)
+        correct(self.shares, pending, _ENGINE_S)
         workspace = pending.source.workspace
         self.outcome.served[workspace] += 1
         if now + _ENGINE_S <= pending.due_at:
@@ -336,3 +342,50 @@
     """Whether the caller of a request repeats it at once."""
     number = int(arrival.caller.removeprefix('key-c'))
     return number < _CALLERS * _IMPATIENT_SHARE
+
+
+def _format_micros(seconds: float) -> str:
+    return f'{round(seconds * _MICROS)} us'
+
+
+def _describe(policy: Policy, outcome: Outcome) -> str:
+    in_time = [outcome.in_time[name] for name in outcome.sent]
+    fairness = round(compute_jain_index(in_time), 3)
+    large = outcome.in_time[LARGE]
+    sent = outcome.sent.total()
+    idle_s = round(outcome.idle_s, 2)
+    parts = [
+        f'{policy.value}: Jain {fairness}',
+        f'in time {sum(in_time)}',
+        f'sent {sent}',
+        f'large {large}',
+        f'idle {idle_s} s',
+    ]
+    if outcome.decision_s:
+        p99_s = statistics.quantiles(outcome.decision_s, n=_PERCENTILES)[-1]
+        median_s = statistics.median(outcome.decision_s)
+        parts.append(f'marking {_format_micros(median_s)}')
+        parts.append(f'p99 {_format_micros(p99_s)}')
+    return ', '.join(parts)
+
+
+def main(seed: int = 1) -> None:
+    """Print the outcomes of all policies for both patterns."""
+    arrivals = make_uneven_load(random.Random(seed))
+    for policy in Policy:
+        outcome = run_uneven_load(policy, arrivals)
+        sys.stdout.write(f'{_describe(policy, outcome)}\n')
+    for retry_policy in (Policy.FAIR, Policy.BEFORE):
+        callers = RetryingCallers(retry_policy, seed)
+        callers.run()
+        shares = [
+            callers.answered[one] / callers.asked[one] for one in (True, False)
+        ]
+        sys.stdout.write(
+            f'{retry_policy.value}: answered of callers that repeat at once'
+            f' {shares[0]:.2f}, of others {shares[1]:.2f}\n'
+        )
+
+
+if __name__ == '__main__':
+    main()
--- a/packages/verbenahall/src/verbenahall/fair_shares/_costs.py
+++ b/packages/verbenahall/src/verbenahall/fair_shares/_costs.py
@@ -1,6 +1,6 @@
 """The engine time of requests, in seconds."""
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
     from verbenahall.placement import (
@@ -9,6 +9,12 @@
         Work,
     )
 
+#: Largest factor between the expected and the measured time of a prefill, up or
+#: down. Engines differ by less. Beyond it, a measurement shows a stall, or a
+#: prompt too short to be timed, and a workspace would pay for seconds that it
+#: did not use, or nothing at all.
+_MAX_FACTOR: Final = 4.0
+
 
 def estimate_engine_time(
     placement: 'PlacementState', plan: 'Plan', work: 'Work'
@@ -36,9 +42,12 @@
     estimated_s = estimate_engine_time(placement, plan, work)
     if plan.ahead_s:
         return estimated_s
-    measured_s = max(0, seconds - placement.prefill_speed.start_s)
     predicted_s = _predict_prefill(placement, plan, work)
-    return max(0, estimated_s + measured_s - predicted_s)
+    measured_s = seconds - placement.prefill_speed.start_s
+    bounded_s = min(
+        max(measured_s, predicted_s / _MAX_FACTOR), predicted_s * _MAX_FACTOR
+    )
+    return estimated_s - predicted_s + bounded_s
 
 
 def _predict_prefill(
--- a/packages/verbenahall/src/verbenahall/fair_shares/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/fair_shares/_decisions.py
@@ -1,6 +1,5 @@
 """Decides which waiting requests are beyond their share, and charges them."""
 
-import bisect
 from collections.abc import Sequence
 from typing import TYPE_CHECKING, Final
 
@@ -40,11 +39,14 @@
         return
     token_cost = state.token_s * state.find_unit(now)
     _update_waiting(state, waiting, now)
+    # Repeats are in no level.
+    marked = len(waiting)
     for level in state.levels.values():
+        marked -= level.count
         if level.waiting:
             level.sort(token_cost, now)
-            _mark_level(state, level, token_cost)
-    state.marked = sum(pending.beyond_share for pending in waiting)
+            marked += _mark_level(state, level, token_cost)
+    state.marked = marked
 
 
 def charge(
@@ -53,15 +55,15 @@
     """Charge an admitted request to its workspace and its caller.
 
     ``engine_s`` is its expected engine time in seconds. ``correct`` and
-    ``release`` change it once more is known. A repeat was charged when it began
-    to wait, and the engine time replaces that charge.
+    ``release`` change it once more is known. A repeat was charged as it began
+    to wait, too.
     """
     if not state.names:
         return
     state.admitted[pending.beyond_share] += 1
-    state.observe_cost(count_unshared(pending), engine_s)
-    correct(state, pending, 0)
-    _charge(state, pending, engine_s, now)
+    one = _make_charge(state, pending, engine_s, now)
+    state.open_charges[pending] = one
+    _add(state, one, engine_s)
 
 
 def charge_admitted(
@@ -97,9 +99,9 @@
 
     Further corrections of the same request have no effect.
     """
-    one = state.open_charges.pop(pending, None)
-    if one is not None:
-        _add(state, one, engine_s - one.engine_s)
+    if pending in state.open_charges:
+        state.observe_cost(count_unshared(pending), engine_s)
+        _replace(state, pending, engine_s)
 
 
 def release(
@@ -107,22 +109,29 @@
 ) -> None:
     """End the charge of a request; it is taken back if no engine ran it."""
     if refused:
-        correct(state, pending, 0)
+        _replace(state, pending, 0)
     state.open_charges.pop(pending, None)
 
 
-def _charge(
+def _make_charge(
     state: ShareState, pending: 'QueuedRequest', engine_s: float, now: float
-) -> None:
-    one = Charge(
+) -> Charge:
+    return Charge(
         pending.priority,
         state.classify(pending.source.workspace),
         pending.source.caller,
         engine_s,
         now,
     )
-    state.open_charges[pending] = one
-    _add(state, one, engine_s)
+
+
+def _replace(
+    state: ShareState, pending: 'QueuedRequest', engine_s: float
+) -> None:
+    """Replace the open charge of a request, if it has one."""
+    one = state.open_charges.pop(pending, None)
+    if one is not None:
+        _add(state, one, engine_s - one.engine_s)
 
 
 def _add(state: ShareState, one: Charge, engine_s: float) -> None:
@@ -149,7 +158,10 @@
         entry = state.classify(pending.source.workspace)
         state.find_level(pending.priority).add(entry, pending)
     for repeat in changes.repeats:
-        _charge(state, repeat, count_unshared(repeat) * state.token_s, now)
+        # Replacing this charge at the admission would move it in time: others
+        # that begin to wait in between would start behind it.
+        engine_s = count_unshared(repeat) * state.token_s
+        _add(state, _make_charge(state, repeat, engine_s, now), engine_s)
 
 
 def _clear_marks(state: ShareState, waiting: Sequence['QueuedRequest']) -> None:
@@ -159,17 +171,12 @@
         state.marked = 0
 
 
-def _mark_level(state: ShareState, level: Level, token_cost: float) -> None:
-    """Mark the requests of one priority."""
+def _mark_level(state: ShareState, level: Level, token_cost: float) -> int:
+    """Mark the requests of one priority; return how many are beyond."""
     mean_tokens = level.tokens / level.count
     allowance = _LEAD_REQUESTS * mean_tokens * token_cost
     lowest = level.workspaces.advance(level.waiting.keys())
     if len(level.waiting) == 1:
-        level.mark_callers(allowance)
-        return
+        return level.mark_callers(allowance)
     limit = lowest + allowance
-    passes = level.workspaces.passes
-    for name, backlog in level.waiting.items():
-        lead = limit - passes[name]
-        tokens = lead / token_cost * state.get_share(name)
-        backlog.mark(bisect.bisect_right(backlog.tokens_before, tokens))
+    return level.mark_workspaces(limit, 1 / token_cost, state.bounds)
--- a/packages/verbenahall/src/verbenahall/fair_shares/_levels.py
+++ b/packages/verbenahall/src/verbenahall/fair_shares/_levels.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 from typing import TYPE_CHECKING, Final, final
 
+from verbenahall.fair_shares._queue import DEFAULT_BOUNDS, Workspaces
 from verbenahall.fair_shares._virtual_times import VirtualTimes
 
 if TYPE_CHECKING:
@@ -23,13 +24,11 @@
     ``tokens_before`` are the tokens of the requests before each of them,
     ``starts`` the virtual times of their callers at their start. ``callers``
     are those that wait, and ``within`` is how many requests are not marked.
-    From ``next_late_at`` on, the order has to be computed again, as it has to
-    be while ``is_dirty``.
+    From ``next_late_at`` on, the order has to be computed again.
     """
 
     __slots__ = (
         'callers',
-        'is_dirty',
         'next_late_at',
         'ordered',
         'starts',
@@ -40,7 +39,6 @@
     def __init__(self) -> None:
         """Start empty."""
         self.callers: frozenset[str] = frozenset()
-        self.is_dirty = True
         self.next_late_at = float('inf')
         self.ordered: list[QueuedRequest] = []
         self.starts: list[float] = []
@@ -50,12 +48,10 @@
     def add(self, pending: 'QueuedRequest') -> None:
         """Add a request that has begun to wait."""
         self.ordered.append(pending)
-        self.is_dirty = True
 
     def remove(self, pending: 'QueuedRequest') -> None:
         """Remove a request that no longer waits."""
         self.ordered.remove(pending)
-        self.is_dirty = True
 
     def sort(
         self, callers: VirtualTimes, token_cost: float, now: float
@@ -79,8 +75,6 @@
 
     def mark(self, within: int) -> None:
         """Mark all requests but the first ``within`` ones."""
-        if within == self.within:
-            return
         for index, pending in enumerate(self.ordered):
             pending.beyond_share = index >= within
         self.within = within
@@ -106,10 +100,9 @@
             self.tokens_before.append(total)
             total += count_unshared(one)
             late_at = one.due_at - one.expected_first_s
-            if now < late_at < self.next_late_at:
+            if now < late_at < self.next_late_at and len(turns) > 1:
                 self.next_late_at = late_at
         self.within = len(turns)
-        self.is_dirty = False
 
 
 @final
@@ -117,15 +110,26 @@
     """The virtual times and the waiting requests of one priority.
 
     ``waiting`` has the workspaces with waiting requests. ``tokens`` and
-    ``count`` are the sums over these requests.
+    ``count`` are the sums over these requests. The order of those in ``dirty``
+    has to be computed again, and that of all from ``next_late_at`` on.
     """
 
-    __slots__ = ('callers', 'count', 'tokens', 'waiting', 'workspaces')
+    __slots__ = (
+        'callers',
+        'count',
+        'dirty',
+        'next_late_at',
+        'tokens',
+        'waiting',
+        'workspaces',
+    )
 
     def __init__(self) -> None:
         """Start without workspaces."""
         self.callers: dict[str, VirtualTimes] = {}
         self.count = 0
+        self.dirty: set[str] = set()
+        self.next_late_at = float('inf')
         self.tokens = 0
         self.waiting: dict[str, Backlog] = {}
         self.workspaces = VirtualTimes()
@@ -146,6 +150,7 @@
             self.waiting[workspace] = backlog
             self.workspaces.enter(workspace)
         backlog.add(pending)
+        self.dirty.add(workspace)
         self.count += 1
         self.tokens += count_unshared(pending)
 
@@ -153,6 +158,7 @@
         """Remove a request that no longer waits."""
         backlog = self.waiting[workspace]
         backlog.remove(pending)
+        self.dirty.add(workspace)
         if not backlog.ordered:
             self.waiting.pop(workspace)
         self.count -= 1
@@ -161,24 +167,57 @@
     def charge_caller(self, workspace: str, caller: str, cost: float) -> None:
         """Advance the virtual time of a caller within its workspace."""
         self.find_callers(workspace).charge(caller, cost)
-        backlog = self.waiting.get(workspace)
-        if backlog is not None:
-            backlog.is_dirty = True
+        self.dirty.add(workspace)
 
     def sort(self, token_cost: float, now: float) -> None:
         """Compute the order of the workspaces whose requests have changed."""
-        for name, backlog in self.waiting.items():
-            if backlog.is_dirty or now >= backlog.next_late_at:
-                backlog.sort(self.find_callers(name), token_cost, now)
-
-    def mark_callers(self, allowance: float) -> None:
-        """Compare the callers of the only workspace that waits."""
+        if now >= self.next_late_at:
+            self.dirty.update(self.waiting)
+            self.next_late_at = float('inf')
+        for name in self.dirty & self.waiting.keys():
+            backlog = self.waiting[name]
+            backlog.sort(self.find_callers(name), token_cost, now)
+            self.next_late_at = min(self.next_late_at, backlog.next_late_at)
+        self.dirty.clear()
+
+    def mark_callers(self, allowance: float) -> int:
+        """Compare the callers of the only workspace that waits.
+
+        Returns how many requests are beyond the share of their caller.
+        """
         backlog = next(iter(self.waiting.values()))
-        if len(backlog.callers) == 1:
-            backlog.mark(len(backlog.ordered))
-            return
         limit = backlog.starts[0] + allowance
-        backlog.mark(bisect.bisect_right(backlog.starts, limit))
+        within = bisect.bisect_right(backlog.starts, limit)
+        if len(backlog.callers) == 1:
+            within = self.count
+        if within != backlog.within:
+            backlog.mark(within)
+        return self.count - within
+
+    def mark_workspaces(
+        self, limit: float, tokens_by_cost: float, bounds: Workspaces
+    ) -> int:
+        """Mark the requests that start beyond a virtual time; count them.
+
+        ``tokens_by_cost`` is the number of tokens that cost 1.
+        """
+        passes = self.workspaces.passes
+        within_count = 0
+        for name, backlog in self.waiting.items():
+            lead = (limit - passes[name]) * tokens_by_cost
+            if lead < 0:
+                within = 0
+            elif len(backlog.ordered) == 1:
+                within = 1
+            else:
+                share = bounds.get(name, DEFAULT_BOUNDS).share
+                within = bisect.bisect_right(
+                    backlog.tokens_before, lead * share
+                )
+            if within != backlog.within:
+                backlog.mark(within)
+            within_count += within
+        return self.count - within_count
 
     def forget_waiting(self) -> None:
         """Forget who waits; all have to be added again."""
@@ -190,8 +229,7 @@
         """Multiply all virtual times by a factor."""
         for times in (self.workspaces, *self.callers.values()):
             times.scale(factor)
-        for backlog in self.waiting.values():
-            backlog.is_dirty = True
+        self.dirty.update(self.waiting)
 
     def prune(self, margin: float) -> None:
         """Remove what has no effect on later decisions."""
@@ -202,29 +240,23 @@
             callers.prune(margin, backlog.callers if backlog else ())
             if workspace not in kept or not callers.passes:
                 self.callers.pop(workspace)
-        self._bound_callers()
-
-    def remove(self, workspace: str) -> None:
-        """Remove the virtual times of a workspace and its callers."""
-        self.workspaces.remove(workspace)
-        self.callers.pop(workspace, None)
-
-    def _bound_callers(self) -> None:
-        """Remove the callers of workspaces with most of them.
-
-        They begin again side by side.
-        """
         counts = {
             name: len(times.passes) for name, times in self.callers.items()
         }
         while sum(counts.values()) > _MAX_CALLERS:
+            # The callers of the workspace with most of them begin again side
+            # by side.
             largest = max(counts, key=counts.__getitem__)
             counts.pop(largest)
             self.callers.pop(largest)
-            backlog = self.waiting.get(largest)
-            if backlog is not None:
-                backlog.callers = frozenset()
-                backlog.is_dirty = True
+            self.dirty.add(largest)
+            backlog = self.waiting.get(largest, Backlog())
+            backlog.callers = frozenset()
+
+    def remove(self, workspace: str) -> None:
+        """Remove the virtual times of a workspace and its callers."""
+        self.workspaces.remove(workspace)
+        self.callers.pop(workspace, None)
 
 
 def count_unshared(pending: 'QueuedRequest') -> int:
--- a/packages/verbenahall/src/verbenahall/fair_shares/_state.py
+++ b/packages/verbenahall/src/verbenahall/fair_shares/_state.py
@@ -33,7 +33,7 @@
 _MAX_OPEN_S: Final = 10.0
 #: Initial engine time of a token that no other request shares, in seconds.
 _TOKEN_S: Final = 0.000012
-_TOKEN_SMOOTHING: Final = 0.1
+_TOKEN_SMOOTHING: Final = 0.2
 #: Shortest engine time of a token, in seconds; the costs of waiting requests
 #: are divided by it.
 _MIN_TOKEN_S: Final = 0.0000001
@@ -172,7 +172,11 @@
         level.workspaces.charge(workspace, cost, share)
 
     def observe_cost(self, tokens: int, engine_s: float) -> None:
-        """Update the engine time of a token by a request that was placed."""
+        """Update the engine time of a token by a request that has run.
+
+        Expected times would not do: where engines are faster than expected,
+        three waiting requests would count as many more.
+        """
         if tokens > 0:
             error_s = engine_s / tokens - self.token_s
             smoothed_s = self.token_s + _TOKEN_SMOOTHING * error_s
