Marking sorts again only workspaces with a request that became late; bench

Callers: nothing changes for them. At overload requests become late all the time, and each time all waiting workspaces were put in order again.

Change: only those with such a request are. The bench prints the measures of shares (`--only shares`).

--- a/packages/standins/src/verbenahall_standins/bench.py
+++ b/packages/standins/src/verbenahall_standins/bench.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import Final
 
-from verbenahall_standins import comparison, plots
+from verbenahall_standins import comparison, plots, shared_queue
 from verbenahall_standins.lines import print_line
 from verbenahall_standins.overhead import measure_overhead
 
@@ -33,13 +33,16 @@
     """Parse the command line and print the measures."""
     parser = argparse.ArgumentParser(description='Measures of one run')
     parser.add_argument('--seed', type=int, default=1)
-    parser.add_argument('--only', choices=('overhead', 'policies'))
+    parser.add_argument('--only', choices=('overhead', 'policies', 'shares'))
     options = parser.parse_args()
-    if options.only != 'policies':
+    if options.only in {None, 'overhead'}:
         for line in measure_overhead():
             print_line(line)
-    if options.only != 'overhead':
+    if options.only in {None, 'policies'}:
         compare_policies(options.seed)
+    if options.only in {None, 'shares'}:
+        for measure in shared_queue.build_lines(options.seed):
+            print_line(measure)
 
 
 if __name__ == '__main__':
--- a/packages/standins/src/verbenahall_standins/shared_queue.py
+++ b/packages/standins/src/verbenahall_standins/shared_queue.py
@@ -3,8 +3,8 @@
 Requests wait in one queue for equal engines that serve one at a time. The
 queue is ordered by the product's ``QueuedRequest.rank``, with the marks of
 ``fair_shares``, without them, or with a limit on the rate of each workspace as
-the naive baseline. ``python -m verbenahall_standins.shared_queue`` prints all
-three side by side for two load patterns.
+the naive baseline. ``python -m verbenahall_standins.shared_queue`` prints the
+measures of two load patterns, as the bench does.
 """
 
 import collections
@@ -13,8 +13,6 @@
 import heapq
 import itertools
 import random
-import statistics
-import sys
 import time
 from collections.abc import Iterator, Mapping, Sequence
 from typing import Final
@@ -32,6 +30,7 @@
     RequestSource,
     Work,
 )
+from verbenahall_standins.lines import Line, print_line
 
 #: Objective of a request, and when its caller leaves, in seconds.
 _OBJECTIVE_S: Final = 0.5
@@ -43,7 +42,7 @@
 _DISPATCH_S: Final = 0.005
 _ENGINES: Final = 16
 _MICROS: Final = 1_000_000
-_PERCENTILES: Final = 100
+_QUANTILES: Final = (('median', 0.5), ('p99', 0.99))
 #: Requests a second that the engines serve.
 CAPACITY: Final = _ENGINES / _ENGINE_S
 #: Longest pause between two events of a request, in seconds.
@@ -344,47 +343,54 @@
     return number < _CALLERS * _IMPATIENT_SHARE
 
 
-def _format_micros(seconds: float) -> str:
-    return f'{round(seconds * _MICROS)} us'
+def build_lines(seed: int) -> Iterator[Line]:
+    """Yield the measures of both patterns.
 
-
-def _describe(policy: Policy, outcome: Outcome) -> str:
-    in_time = [outcome.in_time[name] for name in outcome.sent]
-    fairness = round(compute_jain_index(in_time), 3)
-    large = outcome.in_time[LARGE]
-    sent = outcome.sent.total()
-    idle_s = round(outcome.idle_s, 2)
-    parts = [
-        f'{policy.value}: Jain {fairness}',
-        f'in time {sum(in_time)}',
-        f'sent {sent}',
-        f'large {large}',
-        f'idle {idle_s} s',
-    ]
-    if outcome.decision_s:
-        p99_s = statistics.quantiles(outcome.decision_s, n=_PERCENTILES)[-1]
-        median_s = statistics.median(outcome.decision_s)
-        parts.append(f'marking {_format_micros(median_s)}')
-        parts.append(f'p99 {_format_micros(p99_s)}')
-    return ', '.join(parts)
-
-
-def main(seed: int = 1) -> None:
-    """Print the outcomes of all policies for both patterns."""
+    The baselines are the order by due time, and for ``limited`` the naive rate
+    limit. ``fair`` is the share of the max-min fair bound, which knows the
+    whole load in advance.
+    """
     arrivals = make_uneven_load(random.Random(seed))
-    for policy in Policy:
-        outcome = run_uneven_load(policy, arrivals)
-        sys.stdout.write(f'{_describe(policy, outcome)}\n')
-    for retry_policy in (Policy.FAIR, Policy.BEFORE):
-        callers = RetryingCallers(retry_policy, seed)
+    outcomes = {one: run_uneven_load(one, arrivals) for one in Policy}
+    fair = outcomes[Policy.FAIR]
+    before, limit = outcomes[Policy.BEFORE], outcomes[Policy.LIMIT]
+    bound = CAPACITY * (_LARGE_UNTIL_S - _LARGE_FROM_S)
+    in_time = fair.in_time.total()
+    yield Line('shares jain', _rate(fair), 'index', _rate(before))
+    yield Line('shares in time', in_time, 'requests', before.in_time.total())
+    yield Line('shares limited', in_time, 'requests', limit.in_time.total())
+    yield Line('shares fair', in_time, 'requests', bound)
+    yield from _build_time_lines(sorted(fair.decision_s))
+    yield from _build_retry_lines(seed)
+
+
+def _build_time_lines(times: Sequence[float]) -> Iterator[Line]:
+    for name, pick in _QUANTILES:
+        micros = times[int(len(times) * pick)] * _MICROS
+        yield Line(f'shares marking {name}', micros, 'us', 0)
+
+
+def _build_retry_lines(seed: int) -> Iterator[Line]:
+    """Compare callers that repeat at once with those that wait as told."""
+    for policy in (Policy.FAIR, Policy.BEFORE):
+        callers = RetryingCallers(policy, seed)
         callers.run()
-        shares = [
+        impatient, patient = (
             callers.answered[one] / callers.asked[one] for one in (True, False)
-        ]
-        sys.stdout.write(
-            f'{retry_policy.value}: answered of callers that repeat at once'
-            f' {shares[0]:.2f}, of others {shares[1]:.2f}\n'
         )
+        yield Line(f'repeats {policy.name}', impatient, 'answered', patient)
+
+
+def _rate(outcome: Outcome) -> float:
+    """Return the fairness of the requests served in time."""
+    in_time = [outcome.in_time[name] for name in outcome.sent]
+    return compute_jain_index(in_time)
+
+
+def main() -> None:
+    """Print the measures of one seed."""
+    for line in build_lines(1):
+        print_line(line)
 
 
 if __name__ == '__main__':
--- a/packages/verbenahall/src/verbenahall/fair_shares/_levels.py
+++ b/packages/verbenahall/src/verbenahall/fair_shares/_levels.py
@@ -3,7 +3,7 @@
 import bisect
 import functools
 import operator
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import TYPE_CHECKING, Final, final
 
 from verbenahall.fair_shares._queue import DEFAULT_BOUNDS, Workspaces
@@ -14,6 +14,7 @@
 
 #: Callers at most that are kept for each priority.
 _MAX_CALLERS: Final = 4096
+_NEVER: Final = float('inf')
 
 
 @final
@@ -39,7 +40,7 @@
     def __init__(self) -> None:
         """Start empty."""
         self.callers: frozenset[str] = frozenset()
-        self.next_late_at = float('inf')
+        self.next_late_at = _NEVER
         self.ordered: list[QueuedRequest] = []
         self.starts: list[float] = []
         self.tokens_before: list[int] = []
@@ -93,7 +94,7 @@
         self.ordered = [one for _, one in turns]
         self.starts = [start for start, _ in turns]
         self.tokens_before = []
-        self.next_late_at = float('inf')
+        self.next_late_at = _NEVER
         total = 0
         for one in self.ordered:
             one.beyond_share = False
@@ -129,7 +130,7 @@
         self.callers: dict[str, VirtualTimes] = {}
         self.count = 0
         self.dirty: set[str] = set()
-        self.next_late_at = float('inf')
+        self.next_late_at = _NEVER
         self.tokens = 0
         self.waiting: dict[str, Backlog] = {}
         self.workspaces = VirtualTimes()
@@ -172,8 +173,11 @@
     def sort(self, token_cost: float, now: float) -> None:
         """Compute the order of the workspaces whose requests have changed."""
         if now >= self.next_late_at:
-            self.dirty.update(self.waiting)
-            self.next_late_at = float('inf')
+            self.dirty.update(_list_late(self.waiting, now))
+            times = [one.next_late_at for one in self.waiting.values()]
+            self.next_late_at = min(
+                (time for time in times if time > now), default=_NEVER
+            )
         for name in self.dirty & self.waiting.keys():
             backlog = self.waiting[name]
             backlog.sort(self.find_callers(name), token_cost, now)
@@ -259,6 +263,13 @@
         self.callers.pop(workspace, None)
 
 
+def _list_late(waiting: Mapping[str, Backlog], now: float) -> list[str]:
+    """Return the workspaces of which another request has become late."""
+    return [
+        name for name, backlog in waiting.items() if now >= backlog.next_late_at
+    ]
+
+
 def count_unshared(pending: 'QueuedRequest') -> int:
     """Return the tokens of a prompt that no other request shares.
 
