--- a/packages/standins/src/verbenahall_standins/bench.py
+++ b/packages/standins/src/verbenahall_standins/bench.py
@@ -12,7 +12,12 @@
 from types import MappingProxyType
 from typing import Final
 
-from verbenahall_standins import comparison, overflow_replay, plots
+from verbenahall_standins import (
+    comparison,
+    overflow_replay,
+    plots,
+    shared_queue,
+)
 from verbenahall_standins.lines import print_line
 from verbenahall_standins.overhead import measure_overhead
 from verbenahall_standins.sizing import compare_sizes
@@ -45,6 +50,12 @@
         print_line(line)
 
 
+def compare_shares(seed: int) -> None:
+    """Print how workspaces and callers share engines."""
+    for line in shared_queue.build_lines(seed):
+        print_line(line)
+
+
 def compare_sizing(seed: int) -> None:
     """Print what the engines cost, and how prompts are served by them."""
     for line in compare_sizes(seed):
@@ -57,6 +68,7 @@
         'overhead': compare_overhead,
         'overflow': compare_overflow,
         'policies': compare_policies,
+        'shares': compare_shares,
         'sizing': compare_sizing,
     },
 )
--- a/packages/standins/src/verbenahall_standins/shared_queue.py
+++ b/packages/standins/src/verbenahall_standins/shared_queue.py
@@ -3,8 +3,8 @@
 Requests wait in one queue for equal engines that serve one at a time. The
 queue is ordered by the product's ``QueuedRequest.rank``, with the marks of
 ``fair_shares``, without them, or with a limit on the rate of each workspace as
-the naive baseline. ``python -m verbenahall_standins.shared_queue`` prints all
-three side by side for two load patterns.
+the naive baseline. ``python -m verbenahall_standins.shared_queue`` prints the
+measures of two load patterns, as the bench does.
 """
 
 import collections
@@ -20,6 +20,7 @@
 from verbenahall.fair_shares import (
     ShareState,
     charge,
+    correct,
     mark_beyond_share,
 )
 from verbenahall.overload import make_rank
@@ -30,6 +31,7 @@
     RequestSource,
     Work,
 )
+from verbenahall_standins.lines import Line, print_line
 
 #: Objective of a request, and when its caller leaves, in seconds.
 _OBJECTIVE_S: Final = 0.5
@@ -40,6 +42,8 @@
 #: Interval between two runs over the queue, in seconds.
 _DISPATCH_S: Final = 0.005
 _ENGINES: Final = 16
+_MICROS: Final = 1_000_000
+_QUANTILES: Final = (('median', 0.5), ('p99', 0.99))
 #: Requests a second that the engines serve.
 CAPACITY: Final = _ENGINES / _ENGINE_S
 #: Longest pause between two events of a request, in seconds.
@@ -89,7 +93,7 @@
     """Requests sent, served, and served in time, by workspace or caller.
 
     ``idle_s`` is engine time that was not used while requests waited,
-    ``decision_s`` the time of each marking.
+    ``decision_s`` the processor time of each marking.
     """
 
     sent: collections.Counter[str] = dataclasses.field(
@@ -196,9 +200,9 @@
             heapq.heappop(self._ends)
         self.waiting = [one for one in self.waiting if one.leaves_at > now]
         if self.policy is Policy.FAIR:
-            started = time.perf_counter()
+            started = time.thread_time()
             mark_beyond_share(self.shares, self.waiting, now)
-            self.outcome.decision_s.append(time.perf_counter() - started)
+            self.outcome.decision_s.append(time.thread_time() - started)
         idle = self.engines - len(self._ends)
         ranked = sorted(self.waiting, key=lambda one: make_rank(one, now))
         for pending in ranked[:idle]:
@@ -213,6 +217,7 @@
     def _serve(self, pending: QueuedRequest, now: float) -> None:
         heapq.heappush(self._ends, now + _ENGINE_S)
         charge(self.shares, pending, _ENGINE_S, now)
+        correct(self.shares, pending, _ENGINE_S)
         workspace = pending.source.workspace
         self.outcome.served[workspace] += 1
         if now + _ENGINE_S <= pending.due_at:
@@ -337,3 +342,57 @@
     """Whether the caller of a request repeats it at once."""
     number = int(arrival.caller.removeprefix('key-c'))
     return number < _CALLERS * _IMPATIENT_SHARE
+
+
+def build_lines(seed: int) -> Iterator[Line]:
+    """Yield the measures of both patterns.
+
+    The baselines are the order by due time, and for ``limited`` the naive rate
+    limit. ``fair`` is the share of the max-min fair bound, which knows the
+    whole load in advance.
+    """
+    arrivals = make_uneven_load(random.Random(seed))
+    outcomes = {one: run_uneven_load(one, arrivals) for one in Policy}
+    fair = outcomes[Policy.FAIR]
+    before, limit = outcomes[Policy.BEFORE], outcomes[Policy.LIMIT]
+    bound = CAPACITY * (_LARGE_UNTIL_S - _LARGE_FROM_S)
+    in_time = fair.in_time.total()
+    yield Line('shares jain', _rate(fair), 'index', _rate(before))
+    yield Line('shares in time', in_time, 'requests', before.in_time.total())
+    yield Line('shares limited', in_time, 'requests', limit.in_time.total())
+    yield Line('shares fair', in_time, 'requests', bound)
+    yield from _build_time_lines(sorted(fair.decision_s))
+    yield from _build_retry_lines(seed)
+
+
+def _build_time_lines(times: Sequence[float]) -> Iterator[Line]:
+    for name, pick in _QUANTILES:
+        micros = times[int(len(times) * pick)] * _MICROS
+        yield Line(f'shares marking {name}', micros, 'us', 0)
+
+
+def _build_retry_lines(seed: int) -> Iterator[Line]:
+    """Compare callers that repeat at once with those that wait as told."""
+    for policy in (Policy.FAIR, Policy.BEFORE):
+        callers = RetryingCallers(policy, seed)
+        callers.run()
+        impatient, patient = (
+            callers.answered[one] / callers.asked[one] for one in (True, False)
+        )
+        yield Line(f'repeats {policy.name}', impatient, 'answered', patient)
+
+
+def _rate(outcome: Outcome) -> float:
+    """Return the fairness of the requests served in time."""
+    in_time = [outcome.in_time[name] for name in outcome.sent]
+    return compute_jain_index(in_time)
+
+
+def main() -> None:
+    """Print the measures of one seed."""
+    for line in build_lines(1):
+        print_line(line)
+
+
+if __name__ == '__main__':
+    main()
