--- a/packages/verbenahall/src/verbenahall/gateway/_serve.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_serve.py
@@ -95,6 +95,7 @@
         PeerForwarder(self.core, self.open_forwards)
         self._topics = Topics(self.core, self.finder.exchange)
         self._usage = make_usage_exchange(self.core, self.finder.exchange)
+        self._usage.relay_append = self._topics.writer.append
         self._supervisor = Supervisor()
         self._runners: list[web.AppRunner] = []
         self._listener: GuardedListener | None = None
--- a/packages/verbenahall/src/verbenahall/gateway/_topics.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_topics.py
@@ -15,6 +15,7 @@
     RelayClient,
     RelayDependencies,
     RelayServer,
+    RelayWriter,
 )
 from verbenahall.supervisor import Loop, Loops
 
@@ -23,7 +24,7 @@
 class Topics:
     """The followers by topic, and what relays topics between peers."""
 
-    __slots__ = ('_core', '_relays', 'followers')
+    __slots__ = ('_core', '_relays', 'followers', 'writer')
 
     def __init__(self, core: Core, exchange: PeerExchange) -> None:
         """Share what is read with the peers of an exchange."""
@@ -33,6 +34,8 @@
         relay = RelayDependencies(
             core.peer_table, core.session, core.random, core.now
         )
+        #: Appends records through peers.
+        self.writer = RelayWriter(relay)
         self._relays = {
             topic: RelayClient(one.local, relay)
             for topic, one in self.followers.items()
@@ -61,6 +64,11 @@
         """Serve topics to peers; ``forward`` gets requests with a hop."""
         topics = {name: one.local for name, one in self.followers.items()}
         server = RelayServer(
-            topics, self._core.peer_table, self._core.now, forward
+            topics,
+            self._core.peer_table,
+            self._core.store,
+            self._core.now,
+            forward,
         )
         app.router.add_get(RELAY_PATH, server.handle)
+        app.router.add_post(RELAY_PATH, server.handle_append)
--- a/packages/verbenahall/src/verbenahall/store_relay/__init__.py
+++ b/packages/verbenahall/src/verbenahall/store_relay/__init__.py
@@ -24,6 +24,7 @@
 from verbenahall.store_relay._standby import Standby
 from verbenahall.store_relay._state import RelayState
 from verbenahall.store_relay._topic import LocalTopic
+from verbenahall.store_relay._writer import RelayWriter
 
 __all__ = (
     'RELAY_PATH',
@@ -36,6 +37,7 @@
     'RelayDependencies',
     'RelayServer',
     'RelayState',
+    'RelayWriter',
     'Standby',
     'StoreReachability',
     'StoreSpacing',
--- a/packages/verbenahall/src/verbenahall/store_relay/_server.py
+++ b/packages/verbenahall/src/verbenahall/store_relay/_server.py
@@ -11,6 +11,12 @@
 from verbenahall.clock import Clock
 from verbenahall.forwarding import HOP_HEADER
 from verbenahall.peers import PeerTable
+from verbenahall.platform import (
+    USAGE_TOPIC,
+    Appended,
+    StoreClient,
+    decode_keyed,
+)
 from verbenahall.store_relay._messages import (
     STATE_HEADER,
     TopicState,
@@ -19,6 +25,11 @@
 )
 from verbenahall.store_relay._topic import LocalTopic
 
+#: Topics to which records of peers are appended. Their records state what an
+#: instance has counted, so that writing one twice does no harm.
+_WRITABLE: Final = frozenset((USAGE_TOPIC,))
+#: Bytes that a record of a peer may have: 1,000 workspaces in several windows.
+_MAX_RECORD_BYTES: Final = 262_144
 #: Encoded bodies that are kept. Instances that are refused together mostly
 #: request the same records, which are then compressed once.
 _MAX_BODIES: Final = 4
@@ -37,6 +48,7 @@
         '_now',
         '_open_count',
         '_peer_table',
+        '_store',
         '_topics',
     )
 
@@ -44,15 +56,20 @@
         self,
         topics: Mapping[str, LocalTopic],
         peer_table: PeerTable,
+        store: StoreClient,
         now: Clock,
         forward: Callable[[web.Request], Awaitable[web.StreamResponse]],
     ) -> None:
-        """Serve ``topics``; ``forward`` handles forwarded callers' requests."""
+        """Serve ``topics``, and append records of peers to ``store``.
+
+        ``forward`` handles callers' requests that a peer forwards.
+        """
         self._bodies: dict[tuple[str, int, int, bool], bytes] = {}
         self._forward = forward
         self._now = now
         self._open_count = 0
         self._peer_table = peer_table
+        self._store = store
         self._topics = topics
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
@@ -76,6 +93,36 @@
         metrics.RELAY_ANSWERS.add('200')
         return await self._send(request, topic, state)
 
+    async def handle_append(self, request: web.Request) -> web.StreamResponse:
+        """Append one record of a peer that the store refuses.
+
+        It is never passed on to another peer.
+        """
+        if HOP_HEADER in request.headers:
+            return await self._forward(request)
+        if not self._is_peer(request.remote):
+            return self._refuse(HTTPStatus.FORBIDDEN)
+        topic = request.query.get('topic', '')
+        record = await request.read()
+        if topic not in _WRITABLE or not self._is_own(record, request.remote):
+            return self._refuse(HTTPStatus.BAD_REQUEST)
+        outcome = await self._store.append(topic, [record])
+        if not isinstance(outcome, Appended):
+            return self._refuse(HTTPStatus.SERVICE_UNAVAILABLE)
+        metrics.RELAY_ANSWERS.add('200')
+        return web.Response()
+
+    def _is_own(self, record: bytes, host: str | None) -> bool:
+        """Whether the key of a record is the name of the peer that sent it."""
+        if len(record) > _MAX_RECORD_BYTES:
+            return False
+        try:
+            name = decode_keyed(record).key
+        except ValueError:
+            return False
+        peer = self._peer_table.peers.get(name)
+        return peer is not None and peer.address.rpartition(':')[0] == host
+
     def _is_peer(self, host: str | None) -> bool:
         """Whether a request comes from the address of a known peer."""
         addresses = (one.address for one in self._peer_table.peers.values())
--- a/packages/verbenahall/src/verbenahall/usage/_exchange.py
+++ b/packages/verbenahall/src/verbenahall/usage/_exchange.py
@@ -2,6 +2,7 @@
 
 import itertools
 import uuid
+from collections.abc import Awaitable, Callable
 from typing import Final, final
 
 from returns.maybe import Some
@@ -49,6 +50,7 @@
         'gathered',
         'meter',
         'polled_at',
+        'relay_append',
         '_clock',
         '_exchange',
         '_next_handler',
@@ -71,6 +73,10 @@
         self.polled_at: float = 0
         self.gathered = GatheredCounts()
         self.meter = meter
+        #: Appends a record to a topic through a peer, if the store refuses
+        #: this instance. Returns whether a peer has done so.
+        self.relay_append: Callable[[str, bytes], Awaitable[bool]]
+        self.relay_append = _relay_nothing
         self._peer_table = peer_table
         self._clock = clock
         self._exchange = exchange
@@ -122,12 +128,17 @@
         self.gathered.discard_before(window)
 
     async def write_counts(self) -> bool:
-        """Write the local counts; return whether the store accepted them."""
+        """Write the local counts, through a peer if the store refuses them.
+
+        Return whether the store accepted them.
+        """
         content = encode_written(self._run, self.meter.counts)
         record = encode_keyed(KeyedRecord(self._peer_table.name, content))
         outcome = await self._store.append(USAGE_TOPIC, [record])
         journal.write_decision('usage_written', outcome=repr(outcome))
-        return isinstance(outcome, Appended)
+        if isinstance(outcome, Appended):
+            return True
+        return await self.relay_append(USAGE_TOPIC, record)
 
     async def read_counts(self) -> bool:
         """Merge the counts from the store; False if it is unavailable."""
@@ -177,3 +188,8 @@
                 counts,
             )
             self._exchange.send(encode_answer(answer), address)
+
+
+async def _relay_nothing(topic: str, record: bytes) -> bool:
+    """Append nothing, as long as no relay is set."""
+    return False
--- a/packages/verbenahall/src/verbenahall/usage/_shell.py
+++ b/packages/verbenahall/src/verbenahall/usage/_shell.py
@@ -184,6 +184,11 @@
         )
         if window is None or window <= self._written_window:
             return
+        now = self._dependencies.now()
+        if now - self._failed_at < _RETRY_INTERVAL_S:
+            return
         has_counts = exchange.meter.has_counts(window)
         if not has_counts or await exchange.write_counts():
             self._written_window = window
+        else:
+            self._failed_at = self._dependencies.now()
--- a/packages/verbenahall/tests/gateway/conftest.py
+++ b/packages/verbenahall/tests/gateway/conftest.py
@@ -97,6 +97,7 @@
     duties=None,
     links=None,
     store=None,
+    data_centre='lampeter',
 ):
     """Run a gateway in front of stand-ins.
 
@@ -116,6 +117,8 @@
         duty_api = duties.address
     address = (store or site.store).address
     path = write_settings(folder, address, name, duty_api)
+    zone = f'zone = "{data_centre}"'
+    path.write_text(path.read_text().replace('zone = "lampeter"', zone))
     gateway = Gateway(read_settings(path).unwrap())
     if links is not None:
         endpoints = (*site.engines, *site.plain)
--- a/packages/verbenahall/tests/store_relay/test_spacing.py
+++ b/packages/verbenahall/tests/store_relay/test_spacing.py
@@ -27,8 +27,8 @@
     ('covered', 'longest_s', 'most'), [(True, 2, 14), (False, 0.7, 30)]
 )
 def test_calls_to_a_refusing_store_are_spaced(covered, longest_s, most):
-    # Two followers and two refreshers called a store that refused them about
-    # six times a second together.
+    # Two followers and two refreshers, which called a store that refused them
+    # 3.5 times a second together.
     calls = list_calls(9, covered=covered)
     spaced = [after - before for before, after in zip(calls, calls[1:])][4:]
     assert len(calls) <= most
