Refused data centres keep to a follower that has answered

Seen in a trial of two refused instances of their own data centre: of 84 requests for the manifest 40 counted as failed, since the peer's confirmation was not newer than the last one, and each led to another peer at once. Counting all of them as current let the copy get older than 1.5 s (the test of a data centre refused as a whole failed once).

Change: an answer without anything new counts as current if the copy stays young enough until the next one; a peer that confirms by its own answer of the store is kept until it fails.

--- a/packages/verbenahall/src/verbenahall/store_relay/_client.py
+++ b/packages/verbenahall/src/verbenahall/store_relay/_client.py
@@ -18,6 +18,7 @@
     find_reason,
     list_candidates,
 )
+from verbenahall.store_relay._freshness import Confirmation
 from verbenahall.store_relay._messages import (
     MAX_BODY_BYTES,
     NO_OFFSET,
@@ -26,7 +27,7 @@
     TopicState,
     decode_state,
 )
-from verbenahall.store_relay._state import RelayState
+from verbenahall.store_relay._state import INTERVAL_S, RelayState
 from verbenahall.store_relay._topic import LocalTopic
 
 #: Interval of the checks whether a peer is needed, in seconds: while the store
@@ -101,17 +102,33 @@
         name = self._dependencies.peer_table.name
         position = self._topic.position
         confirmation = find_confirmation(state, name, sent_at)
-        if not self._topic.apply_state(state, confirmation):
-            self._state.record_behind(peer, self._dependencies.now())
+        is_useful = self._topic.apply_state(state, confirmation)
+        now = self._dependencies.now()
+        if not is_useful and not self._is_current(reason, confirmation):
+            self._state.record_behind(peer, now)
             self._log_failure(peer, reason, 'behind')
             return False
-        self._state.record_use(self._dependencies.now())
+        # A follower's confirmations are younger than those that it passes on.
+        self._state.record_use(now, '' if state.hops else peer)
         kind = _describe_use(state, position, self._topic.position)
         metrics.RELAY_REQUESTS.add(self._topic.name, kind)
         if kind != 'confirmed':
             self._log_state(peer, reason, state)
         return True
 
+    def _is_current(
+        self, reason: Reason, confirmation: Confirmation | None
+    ) -> bool:
+        """Whether a peer that sent nothing new still confirms the topic.
+
+        A follower's own polls last longer than the interval of the requests.
+        The copy must not get too old until the next request is answered.
+        """
+        if reason is not Reason.OUTDATED or confirmation is None:
+            return False
+        age_s = self._dependencies.now() - confirmation.at
+        return age_s < self._topic.freshness.refresh_s - INTERVAL_S
+
     def _choose_peer(self, now: float) -> str | None:
         candidates = list_candidates(
             self._dependencies.peer_table,
@@ -120,7 +137,7 @@
             now,
             self._dependencies.rng,
         )
-        return next(iter(candidates), None)
+        return self._state.choose(candidates, now)
 
     def _is_due(self, reason: Reason) -> bool:
         return self._state.is_due(
--- a/packages/verbenahall/src/verbenahall/store_relay/_state.py
+++ b/packages/verbenahall/src/verbenahall/store_relay/_state.py
@@ -1,14 +1,15 @@
 """The requests of one topic that an instance has sent to peers."""
 
 import random
+from collections.abc import Sequence
 from typing import Final, final
 
 #: Interval of requests that were answered, in seconds. An instance whose whole
 #: data centre is refused gets changes and confirmations by these only, and a
 #: change must be in force within two seconds.
-_INTERVAL_S: Final = 0.5
+INTERVAL_S: Final = 0.5
 #: The same if records are known to be missing, in seconds.
-_URGENT_INTERVAL_S: Final = 0.1
+_URGENT_S: Final = 0.1
 #: Pause after failures, in seconds, doubled with each one after the first
 #: ``_QUICK_FAILURES``, after which the next peer is tried at once.
 _MIN_PAUSE_S: Final = 0.1
@@ -28,13 +29,15 @@
 
     ``avoided_until`` holds the end of this by peer, ``failures`` counts the
     requests in a row that brought nothing. The next request is due at
-    ``due_at``, or at ``urgent_at`` if records are missing.
+    ``due_at``, or at ``urgent_at`` if records are missing. ``follower`` is a
+    peer that has answered with a confirmation of its own, empty for none.
     """
 
     __slots__ = (
         'avoided_until',
         'due_at',
         'failures',
+        'follower',
         'urgent_at',
         '_random',
     )
@@ -44,6 +47,7 @@
         self.avoided_until: dict[str, float] = {}
         self.due_at = -float('inf')
         self.failures = 0
+        self.follower = ''
         self.urgent_at = self.due_at
         self._random = rng
 
@@ -52,11 +56,23 @@
         due_at = self.urgent_at if urgent else self.due_at
         return now >= due_at
 
-    def record_use(self, now: float) -> None:
+    def choose(self, candidates: Sequence[str], now: float) -> str | None:
+        """Return the peer for the next request, None without candidates.
+
+        Heartbeats of other data centres are not received in a large fleet, so
+        that a follower there is known by its answers only.
+        """
+        is_avoided = self.avoided_until.get(self.follower, 0) > now
+        if self.follower in candidates and not is_avoided:
+            return self.follower
+        return next(iter(candidates), None)
+
+    def record_use(self, now: float, follower: str = '') -> None:
         """Record an answer that brought records or a confirmation."""
         self.failures = 0
-        self.due_at = now + _INTERVAL_S * self._random.uniform(*_JITTER)
-        self.urgent_at = now + _URGENT_INTERVAL_S
+        self.follower = follower
+        self.due_at = now + INTERVAL_S * self._random.uniform(*_JITTER)
+        self.urgent_at = now + _URGENT_S
 
     def record_behind(self, peer: str, now: float) -> None:
         """Record that the answer of a peer brought nothing."""
--- a/packages/verbenahall/tests/store_relay/test_decisions.py
+++ b/packages/verbenahall/tests/store_relay/test_decisions.py
@@ -176,3 +176,16 @@
     assert not state.is_due(11.3, urgent=False)
     assert state.is_due(11.3, urgent=True)
     assert state.avoided_until['front-3'] == 10.5
+
+
+def test_follower_that_was_found_is_kept_until_it_fails():
+    # Other instances pass on older confirmations: with a random peer for each
+    # request, the copy was older than it may be used.
+    state = RelayState(random.Random(1))
+    candidates = ['front-1', 'front-2', 'front-3']
+    state.record_use(10, 'front-3')
+    assert state.choose(candidates, 10) == 'front-3'
+    state.record_failure('front-3', 11)
+    assert state.choose(candidates, 11) == 'front-1'
+    state.record_use(11)
+    assert state.choose(candidates, 14) == 'front-1'
