--- a/packages/verbenahall/src/verbenahall/metrics.py
+++ b/packages/verbenahall/src/verbenahall/metrics.py
@@ -288,6 +288,8 @@
 ENGINES_PRESENT: Final = Gauge(
     'verbenahall_engines_present',
     'Engines of a service that serve, at the duty holder.',
+    registry=REGISTRY,
+)
 MEASURED_ENGINES: Final = Gauge(
     'verbenahall_measured_engines',
     'Engines of a service of unequal engines whose speed is known.',
