--- a/packages/verbenahall/src/verbenahall/engine_speeds/_role_timer.py
+++ b/packages/verbenahall/src/verbenahall/engine_speeds/_role_timer.py
@@ -16,9 +16,11 @@
 _EXCHANGE_RATIO: Final = 1.3
 #: Roles of the two engines before the exchange.
 _EXCHANGED_ROLES: Final = (Role.PREFILL, Role.DECODE)
-#: Role changes for which a reason must last: two engines are out of service
-#: for one, and what they gain has to outweigh that.
-_LASTING_CHANGES: Final = 3.0
+#: Role changes for which a reason must last. An exchange takes two engines out
+#: of service for one role change each, and an empty prefix cache costs about as
+#: much engine time again. Engines that are half in use and differ by 1.3 to 2.4
+#: gain that back within 16 to 40 role changes.
+_LASTING_CHANGES: Final = 30.0
 #: Share of an engine's time or slots that is used at its intended load.
 _INTENDED_USE: Final = 0.7
 #: Number and share of the engines by which the number of decode engines must be
