--- a/packages/verbenahall/tests/engine_speeds/test_roles.py
+++ b/packages/verbenahall/tests/engine_speeds/test_roles.py
@@ -97,8 +97,8 @@
 
 
 def test_short_swings_of_the_mix_change_no_roles():
-    # The mix alternates every 2.8 s. An engine would change its role back before
-    # the change has paid off.
+    # The mix alternates every 2.8 s. An engine would change its role back
+    # before the change has paid off.
     def alternate(now):
         if int(now / 2.8) % 2:
             return EngineUse(prefilling=5.5, decoding=1)
