capacity: until traffic is known, the cheapest mix keeps the size of the start

Change: before traffic the planner keeps as many engines as the start left, by the cheapest safe mix, and does not go below that until traffic is known for 10 s.

--- a/packages/verbenahall/src/verbenahall/capacity/_planner.py
+++ b/packages/verbenahall/src/verbenahall/capacity/_planner.py
@@ -7,7 +7,7 @@
 
 from verbenahall.capacity._messages import CapacityKind, Demand, Pool, Sizes
 from verbenahall.capacity._meter import SMOOTHING_S
-from verbenahall.capacity._mix import Availability, plan_sizes
+from verbenahall.capacity._mix import Availability, count_safe, plan_sizes
 from verbenahall.capacity._size import (
     ServiceTraits,
     count_engines,
@@ -15,6 +15,8 @@
 )
 from verbenahall.catalog import ScalingRules
 
+#: Time in seconds without a new engine before the engines are counted.
+_JOIN_SETTLE_S: Final = 1.5
 #: Time for which the highest demand counts, in seconds: load that falls and
 #: rises threefold within this time must not find too few engines.
 _PEAK_S: Final = 20.0
@@ -69,7 +71,8 @@
     """
 
     __slots__ = (
-        '_initial',
+        '_initial_size',
+        '_listed',
         '_needs',
         '_planned_from',
         '_settled_at',
@@ -78,7 +81,10 @@
 
     def __init__(self) -> None:
         """Start without known traffic."""
-        self._initial: dict[Pool, int] = {}
+        #: Engines that the start left for the traffic to come, 0 while unknown,
+        #: and how many were listed, with the time since which.
+        self._initial_size = 0
+        self._listed = (0, -math.inf)
         self._needs: collections.deque[_Need] = collections.deque()
         #: When traffic is known for long enough to order the planned mix, to
         #: give engines back, and to measure trends; infinite before the first
@@ -145,24 +151,25 @@
     ) -> dict[Pool, int]:
         """Return the target sizes; empty if no pool is to change.
 
-        Before traffic is known only lost spot engines are replaced: they cost
-        little, and the size that is present was chosen for the traffic to
-        come. In the first seconds of traffic engines are only added if there
-        are too few, then the planned spot engines as well, which replace
-        others later.
+        The size at the start was chosen for the traffic to come, so until
+        traffic is known for some seconds the cheapest mix that keeps it is
+        planned. A holder that does not know that size only adds engines then.
         """
         if not self._is_known():
-            return self._replace_lost_spot(present)
+            return self._plan_initial(rules, present, availability, now)
         needed = self.find_needed(now)
+        if now < self._settled_at:
+            needed = max(needed, self._initial_size)
         if availability.reclaimed:
             # The reserve is in use. Load that rises now finds too few engines
             # before the reclaimed ones can be replaced.
             needed = math.ceil(needed * _find_max_growth(rules))
         available = sum(present.values()) + sum(availability.booting.values())
-        if available >= needed and now < self._planned_from:
+        is_early = now < self._planned_from and not self._initial_size
+        if is_early and available >= needed:
             return {}
         sizes = plan_sizes(rules, needed, present, availability)
-        if now >= self._settled_at:
+        if now >= self._settled_at or self._initial_size:
             return sizes
         return {
             pool: max(size, present.get(pool, 0))
@@ -172,12 +179,26 @@
     def _is_known(self) -> bool:
         return self._settled_at < math.inf
 
-    def _replace_lost_spot(self, present: Sizes) -> dict[Pool, int]:
-        for pool, count in present.items():
-            if pool.kind is CapacityKind.SPOT:
-                known = self._initial.get(pool, 0)
-                self._initial[pool] = max(known, count)
-        return dict(self._initial)
+    def _plan_initial(
+        self,
+        rules: ScalingRules,
+        present: Sizes,
+        availability: Availability,
+        now: float,
+    ) -> dict[Pool, int]:
+        """Return the cheapest safe mix for the size at the start.
+
+        Engines that start together are listed one after the other, so that
+        size is known once none has been listed for a while.
+        """
+        count = sum(present.values())
+        if count != self._listed[0]:
+            self._listed = (count, now)
+        if not self._initial_size and now - self._listed[1] >= _JOIN_SETTLE_S:
+            self._initial_size = _count_safe(present)
+        if not self._initial_size:
+            return {}
+        return plan_sizes(rules, self._initial_size, present, availability)
 
     def _predict(
         self, demand: Demand, rules: ScalingRules, now: float
@@ -211,6 +232,16 @@
         )
 
 
+def _count_safe(present: Sizes) -> int:
+    """Return how many engines remain after the largest losses."""
+    spot = [
+        count
+        for pool, count in present.items()
+        if pool.kind is CapacityKind.SPOT
+    ]
+    return sum(present.values()) - sum(spot) + count_safe(spot)
+
+
 def _find_max_growth(rules: ScalingRules) -> float:
     """Return the factor by which demand may grow in a boot time."""
     return 1 + _MAX_RISE_PER_S * rules.boot_s
