--- a/packages/verbenahall/src/verbenahall/store_relay/_copy.py
+++ b/packages/verbenahall/src/verbenahall/store_relay/_copy.py
@@ -64,18 +64,18 @@
         self.replace({}, 0)
         self.end = None
 
-    def append(self, record: bytes, keyed: KeyedRecord | None) -> None:
-        """Add the next record; ``keyed`` is None if it is unreadable."""
+    def append(self, record: bytes, decoded: KeyedRecord | None) -> None:
+        """Add the next record; ``decoded`` is None if it is unreadable."""
         if self.end is None:
             return
         self.end += 1
         self.highest_end = max(self.highest_end, self.end)
         self._recent.append(record)
         self._recent_bytes += len(record)
-        if keyed is not None:
-            self._items.pop(keyed.key, None)
-            if keyed.content:
-                self._items[keyed.key] = keyed.content
+        if decoded is not None:
+            self._items.pop(decoded.key, None)
+            if decoded.content:
+                self._items[decoded.key] = decoded.content
         while (
             len(self._recent) > _MAX_RECORDS or self._recent_bytes > _MAX_BYTES
         ):
--- a/packages/verbenahall/src/verbenahall/store_relay/_messages.py
+++ b/packages/verbenahall/src/verbenahall/store_relay/_messages.py
@@ -13,7 +13,7 @@
 from verbenahall.platform import Batch, decode_batch, encode_batch
 
 #: Path of the requests on the port between instances.
-RELAY_PATH: Final = '/-/topic'
+RELAY_PATH: Final = '/peer/topic'
 #: Header of an answer, with a JSON object: all but the records.
 STATE_HEADER: Final = 'Verbenahall-Topic-State'
 #: Offset in a request of an instance that has no state of the topic.
