--- a/packages/verbenahall/src/verbenahall/capacity/_planner.py
+++ b/packages/verbenahall/src/verbenahall/capacity/_planner.py
@@ -54,12 +54,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Need:
-    """Demand at a time, and the engines for it and for its forecast."""
+    """Demand at a time, and the engines for it and for its forecast.
+
+    ``is_saturated`` is whether the engines that served had little time left.
+    """
 
     at: float
     demand: Demand
     current: int
     forecast: int
+    is_saturated: bool
 
 
 @final
@@ -109,7 +113,9 @@
             self._trend_from = now + _TREND_WARM_UP_S
             self._planned_from = now + _WARM_UP_S
         forecast = self._predict(demand, rules, now)
-        if demand.prefill_s > _SATURATED_SHARE * count_prefill_engines(engines):
+        limit_s = _SATURATED_SHARE * count_prefill_engines(engines)
+        is_saturated = demand.prefill_s > limit_s
+        if is_saturated:
             forecast = demand.times(_SATURATED_GROWTH)
         self._needs.append(
             _Need(
@@ -117,6 +123,7 @@
                 demand,
                 count_engines(demand, traits),
                 count_engines(forecast, traits),
+                is_saturated,
             ),
         )
         while self._needs[0].at < now - _PEAK_S:
@@ -134,13 +141,22 @@
             self._trend_from = now + _RESUMED_WARM_UP_S
 
     def find_needed(self, now: float) -> int:
-        """Return the number of engines that must serve at any time."""
+        """Return the number of engines that must serve at any time.
+
+        The size at the start was chosen for the load to come, so there are
+        more only after engines were nearly saturated.
+        """
         peak = max((need.current for need in self._needs), default=0)
         expected = max(
             (need.forecast for need in self._needs if need.at > now - _HOLD_S),
             default=0,
         )
-        return max(peak, expected)
+        needed = max(peak, expected)
+        if self._initial_size and not any(
+            need.is_saturated for need in self._needs
+        ):
+            return min(needed, self._initial_size)
+        return needed
 
     def plan(
         self,
--- a/packages/verbenahall/tests/capacity/test_demand.py
+++ b/packages/verbenahall/tests/capacity/test_demand.py
@@ -122,6 +122,20 @@
     assert sum(later[pool] for pool in start) < on_demand
 
 
+def test_size_of_the_start_is_exceeded_only_by_saturated_engines():
+    # Nine engines bear a load that keeps four of their six prefill engines
+    # busy. More of them would serve nobody better.
+    start = {Pool(one, CapacityKind.ON_DEMAND): 3 for one in RULES.prices}
+    holder = Holder(start)
+    holder.engines = 9
+    holder.run(1, lambda now: 0)
+    holder.run(3, lambda now: 0)
+    holder.run(30, lambda now: 4)
+    assert holder.planner.find_needed(holder.now) == 9
+    holder.run(5, lambda now: 5)
+    assert holder.planner.find_needed(holder.now) > 9
+
+
 def test_holder_that_starts_within_traffic_only_adds_engines_at_first():
     # It knows neither the size of the start nor the load of long enough.
     start = {Pool(one, CapacityKind.ON_DEMAND): 15 for one in RULES.prices}
