--- a/packages/verbenahall/src/verbenahall/capacity/_planner.py
+++ b/packages/verbenahall/src/verbenahall/capacity/_planner.py
@@ -151,12 +151,7 @@
             (need.forecast for need in self._needs if need.at > now - _HOLD_S),
             default=0,
         )
-        needed = max(peak, expected)
-        if self._initial_size and not any(
-            need.is_saturated for need in self._needs
-        ):
-            return min(needed, self._initial_size)
-        return needed
+        return self._limit(max(peak, expected))
 
     def plan(
         self,
@@ -179,7 +174,7 @@
         if availability.reclaimed:
             # The reserve is in use. Load that rises now finds too few engines
             # before the reclaimed ones can be replaced.
-            needed = math.ceil(needed * _find_max_growth(rules))
+            needed = self._limit(math.ceil(needed * _find_max_growth(rules)))
         available = sum(present.values()) + sum(availability.booting.values())
         is_early = now < self._planned_from and not self._initial_size
         if is_early and available >= needed:
@@ -192,6 +187,13 @@
             for pool, size in sizes.items()
         }
 
+    def _limit(self, needed: int) -> int:
+        """Limit a size to that at the start, unless engines were saturated."""
+        is_saturated = any(need.is_saturated for need in self._needs)
+        if is_saturated or not self._initial_size:
+            return needed
+        return min(needed, self._initial_size)
+
     def _is_known(self) -> bool:
         return self._settled_at < math.inf
 
