Two comments in the field's words

Read as a newcomer: callers see nothing of it. A comment told how a value was tried out, and one called instances by another name; both now give the reason only. No code changed; lint and the tests of fair shares pass.

--- a/packages/verbenahall/src/verbenahall/fair_shares/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/fair_shares/_decisions.py
@@ -14,10 +14,9 @@
     from verbenahall.placement import PlacementState, Plan, QueuedRequest
 
 #: Lead over the lowest workspace from which on requests are beyond their
-#: share, in mean waiting requests. Within it the order by due time holds. In
-#: replays of one workspace at ten times its share among 83 others, 1,870 of
-#: 1,957 served requests were on time with 1, and all with 3; with 8, the
-#: large workspace got 1.8 times its fair share.
+#: share, in mean waiting requests. Within it the order by due time holds. With
+#: a smaller lead requests would be late for differences of chance; with a much
+#: larger one a workspace would get far more than its share.
 _LEAD_REQUESTS: Final = 3
 
 
--- a/packages/verbenahall/src/verbenahall/store_relay/_server.py
+++ b/packages/verbenahall/src/verbenahall/store_relay/_server.py
@@ -33,7 +33,7 @@
 #: Encoded bodies that are kept. Instances that are refused together mostly
 #: request the same records, which are then compressed once.
 _MAX_BODIES: Final = 4
-#: Answers that are being sent at once at most; more requesters use the next
+#: Answers that are being sent at once at most; more instances use the next
 #: peer.
 _MAX_OPEN: Final = 32
 
