--- a/packages/standins/src/verbenahall_standins/platform/_engine.py
+++ b/packages/standins/src/verbenahall_standins/platform/_engine.py
@@ -32,6 +32,8 @@
     prefill and ``slow_head_s`` the delay of a stream's head, in seconds.
     ``fails_resumed`` answers 500 to a stream that is to go on after an event.
     ``event_pause_s`` is the time between two events in seconds.
+    ``silent_after`` sends nothing for ``silent_s`` seconds after that many
+    events of a stream, and then goes on.
     ``no_orders`` leaves orders unanswered, ``unsigned`` omits the stamp of
     streams. A request with the body ``crash_on`` crashes the engine when it
     starts; the engine restarts ``restart_s`` seconds later under a new name. So
@@ -50,6 +52,8 @@
     unsigned: bool = False
     slow_head_s: float = 0
     event_pause_s: float = 0
+    silent_after: int | None = None
+    silent_s: float = 1.5
     crash_on: str | None = None
     crash_on_part: str | None = None
     restart_s: float = 0.2
@@ -208,8 +212,7 @@
             for sent, number in enumerate(range(first, self.events + 1)):
                 if sent == self.faults.break_after:
                     return self._break_stream(request, response)
-                if sent == self.faults.stall_after:
-                    await asyncio.sleep(3600)
+                await self._be_silent(sent)
                 await response.write(_event(number, self.version))
                 await asyncio.sleep(self.faults.event_pause_s)
         except asyncio.CancelledError:
@@ -219,6 +222,13 @@
             self.cancelled.append(request_id)
         return response
 
+    async def _be_silent(self, sent: int) -> None:
+        """Send nothing for a while, or no more, after so many events."""
+        if sent == self.faults.stall_after:
+            await asyncio.sleep(3600)
+        if sent == self.faults.silent_after:
+            await asyncio.sleep(self.faults.silent_s)
+
     async def _crash_on_part(self, headers: CIMultiDict[str]) -> None:
         part = self.faults.crash_on_part
         if part in _list_shared_parts(headers):
