Log and count how the answer to each accepted request ended

What operators saw: a stream that the instance had cut off was logged as answered with 200 and counted as a 200, so that it could not be told from a whole one, nor from one that its engine broke off or its caller left.

Change: the line answered and the counter verbenahall_answer_ends_total say whether an answer was whole, a refusal, broken off by the endpoint, cut off by the instance (with the reason), at its deadline, or left by its caller, and whether part of it had been sent. An exception of a handler counts as the caller's leaving only if the connection is closed; it did always. Broken says whether the endpoint was silent.

No decision changes.

--- a/packages/verbenahall/src/verbenahall/gateway/_attempts.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_attempts.py
@@ -7,6 +7,7 @@
 
 from verbenahall import journal, metrics
 from verbenahall.errors import ErrorKind, Problem, Ran, limit_retry_after
+from verbenahall.gateway._answer_ends import AnswerEnd, classify_given_up
 from verbenahall.gateway._answers import build_problem_response
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._messages import Call
@@ -26,27 +27,34 @@
 class Attempts:
     """Counts the attempts at a call and decides on retries.
 
-    ``started`` counts all attempts, ``runs`` those that may have run, also at
-    the instance that forwarded the call. ``is_metered`` is whether the call is
-    counted in its workspace's usage. ``tried`` holds the names of the endpoints
-    that failed an attempt. The pause of a ``Retry`` is ignored: the next
-    attempt goes to another endpoint, and callers disconnect after two seconds
-    without an answer.
+    ``end`` is how the answer ends, as far as the attempts decide that, and
+    ``reason`` why it failed. ``started`` counts all attempts, ``runs`` those
+    that may have run, also at the instance that forwarded the call.
+    ``is_metered`` is whether the call is counted in its workspace's usage.
+    ``tried`` holds the names of the endpoints that failed an attempt. The pause
+    of a ``Retry`` is ignored: the next attempt goes to another endpoint, and
+    callers disconnect after two seconds without an answer.
     """
 
     __slots__ = (
         'call',
+        'end',
         'is_metered',
+        'reason',
         'runs',
         'started',
         'tried',
         '_budget',
         '_core',
+        '_run_failure',
     )
 
     def __init__(self, core: Core, call: Call) -> None:
         """Start without attempts of this instance."""
         self.call = call
+        self.end = AnswerEnd.WHOLE
+        self.reason: str | None = None
+        self._run_failure: Outcome | None = None
         self.is_metered = call.hop is not None and call.hop.is_metered
         self.started = 0
         self.runs = call.hop.runs if call.hop else 0
@@ -94,6 +102,8 @@
         further fields of the log line, such as the endpoints that failed.
         """
         retry_context = self._make_retry_context(delivered, send_count)
+        if may_have_run(outcome):
+            self._run_failure = outcome
         step = decide_retry(
             outcome,
             retry_context,
@@ -132,6 +142,8 @@
             # may have run the request. A caller that is informed that it has
             # not run would repeat it.
             problem = Problem(ErrorKind.OUTCOME_UNKNOWN, problem.message)
+        self.end = classify_given_up(problem, self._run_failure)
+        self.reason = problem.message
         journal.write_decision(
             'given_up',
             request=call.head.identity,
--- a/packages/verbenahall/src/verbenahall/gateway/_ingress.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_ingress.py
@@ -1,6 +1,5 @@
 """Entry point of requests: route, limits, deadline, then a request flow."""
 
-import asyncio
 import dataclasses
 from typing import Final, final
 
@@ -11,7 +10,13 @@
 from verbenahall.catalog import RouteKind
 from verbenahall.errors import ErrorKind, Problem
 from verbenahall.forwarding import Hop
+from verbenahall.gateway._answer_ends import (
+    AnswerEnd,
+    classify_exception,
+    record_end,
+)
 from verbenahall.gateway._answers import build_problem_response
+from verbenahall.gateway._attempts import Attempts
 from verbenahall.gateway._call_reader import CallReader
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._dispatch import Dispatch
@@ -67,12 +72,20 @@
         call: Call,
     ) -> web.StreamResponse:
         self._log_accepted(call)
+        attempts = Attempts(self._core, self._count(call))
         try:
-            response = await self._start_flow(request, self._count(call))
-        except (ConnectionError, asyncio.CancelledError):
-            self._log_answered(call, 'caller_gone')
+            response = await self._start_flow(request, attempts)
+        except BaseException as error:
+            self._record_exception(call, request, error)
             raise
-        self._log_answered(call, str(response.status))
+        record_end(
+            call,
+            request,
+            str(response.status),
+            attempts.end,
+            self._core.now() - call.received,
+            reason=attempts.reason,
+        )
         return response
 
     def _count(self, call: Call) -> Call:
@@ -86,12 +99,13 @@
     async def _start_flow(
         self,
         request: web.Request,
-        call: Call,
+        attempts: Attempts,
     ) -> web.StreamResponse:
+        call = attempts.call
         if call.route.kind is RouteKind.STREAM and call.service.engine:
-            flow = StreamFlow(self._core, self._sender, call, request)
+            flow = StreamFlow(self._core, self._sender, attempts, request)
             return await flow.run(self._dispatch)
-        return await PlainFlow(self._core, self._sender, call).run()
+        return await PlainFlow(self._core, self._sender, attempts).run()
 
     def _log_accepted(self, call: Call) -> None:
         belief_s = self._core.find_age(call.received)
@@ -117,14 +131,23 @@
             output=call.head.work.output_tokens,
         )
 
-    def _log_answered(self, call: Call, outcome: str) -> None:
-        journal.write_decision(
-            'answered',
-            request=call.head.identity,
-            outcome=outcome,
-            took_s=journal.round_to_ms(self._core.now() - call.received),
+    def _record_exception(
+        self, call: Call, request: web.Request, error: BaseException
+    ) -> None:
+        """Log and count a request that gets no whole answer."""
+        now = self._core.now()
+        end = classify_exception(
+            call, request, error, now, is_cut=self._stop.state.cutting
+        )
+        outcome = 'caller_gone' if end is AnswerEnd.CALLER_LEFT else 'failed'
+        record_end(
+            call,
+            request,
+            outcome,
+            end,
+            now - call.received,
+            reason=repr(error),
         )
-        metrics.REQUESTS.add(str(call.priority), outcome)
 
     async def _accept(
         self,
--- a/packages/verbenahall/src/verbenahall/gateway/_plain_flow.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_plain_flow.py
@@ -12,7 +12,7 @@
 from verbenahall.gateway._answers import build_answer_response
 from verbenahall.gateway._attempts import Attempts
 from verbenahall.gateway._core import Core
-from verbenahall.gateway._messages import Answered, Call
+from verbenahall.gateway._messages import Answered
 from verbenahall.gateway._sender import Sender
 from verbenahall.gateway._shortages import await_slow_start, find_cause
 from verbenahall.platform import SendOptions
@@ -45,12 +45,12 @@
         '_fallback',
     )
 
-    def __init__(self, core: Core, sender: Sender, call: Call) -> None:
+    def __init__(self, core: Core, sender: Sender, attempts: Attempts) -> None:
         """Store the arguments; nothing is sent before ``run``."""
         self._core = core
         self._sender = sender
-        self._call = call
-        self._attempts = Attempts(core, call)
+        self._call = attempts.call
+        self._attempts = attempts
         self._fallback: Answered | None = None
 
     async def run(self) -> web.StreamResponse:
--- a/packages/verbenahall/src/verbenahall/gateway/_sender.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_sender.py
@@ -213,12 +213,13 @@
         self.record_outcome(endpoint, good=False)
         if isinstance(error, TimeoutError) and now >= call.deadline:
             return TimedOut()
-        if not isinstance(error, TimeoutError):
+        is_silent = isinstance(error, TimeoutError)
+        if not is_silent:
             self._log_lost_connection(call, endpoint)
             self._core.observer.record_lost_connection(
                 call.fingerprint, endpoint, call.part_keys if writes else ()
             )
-        return Broken(repr(error))
+        return Broken(repr(error), silent=is_silent)
 
     def _begin_send(
         self, call: Call, endpoint: Entry, options: SendOptions
--- a/packages/verbenahall/src/verbenahall/gateway/_stream_flow.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_stream_flow.py
@@ -14,7 +14,7 @@
 from verbenahall.gateway._events import discard_partial
 from verbenahall.gateway._generation import Generated, Generation
 from verbenahall.gateway._grants import Grant, UnqueuedGrant
-from verbenahall.gateway._messages import Answered, Call, StreamEnded
+from verbenahall.gateway._messages import Answered, StreamEnded
 from verbenahall.gateway._prefill_calls import (
     CacheHandle,
     PrefillCalls,
@@ -67,15 +67,15 @@
         self,
         core: Core,
         sender: Sender,
-        call: Call,
+        attempts: Attempts,
         request: web.Request,
     ) -> None:
         """Store the arguments; nothing is sent before ``run``."""
         self._core = core
-        self._call = call
-        self._relay = EventRelay(request, call, core.now)
+        self._call = attempts.call
+        self._relay = EventRelay(request, attempts.call, core.now)
         self._prefills = PrefillCalls(core, sender)
-        self._attempts = Attempts(core, call)
+        self._attempts = attempts
         self._generation = Generation(core, sender, self._attempts, self._relay)
         self._kv_handle: CacheHandle | None = None
         self._grant: Grant | None = None
--- a/packages/verbenahall/src/verbenahall/metrics.py
+++ b/packages/verbenahall/src/verbenahall/metrics.py
@@ -215,6 +215,13 @@
     'kind',
     'ran',
 )
+ANSWER_ENDS: Final = BufferedCounter(
+    'verbenahall_answer_ends_total',
+    'Accepted requests, by how their answer ended and whether part of it was'
+    ' sent before.',
+    'end',
+    'answer',
+)
 CALLERS_LEFT: Final = BufferedCounter(
     'verbenahall_callers_left_total',
     'Callers that disconnected while an engine had their request, by whether'
--- a/packages/verbenahall/src/verbenahall/requests/_outcomes.py
+++ b/packages/verbenahall/src/verbenahall/requests/_outcomes.py
@@ -44,11 +44,12 @@
     """Bytes were written, and no complete answer was received.
 
     ``answered`` means that the endpoint itself reported the failure, so it is
-    still alive.
+    still alive. ``silent`` means that it was not waited for any longer.
     """
 
     detail: str
     answered: bool = False
+    silent: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/verbenahall/src/verbenahall/shutdown/_state.py
+++ b/packages/verbenahall/src/verbenahall/shutdown/_state.py
@@ -7,6 +7,7 @@
 _FINISHING: Final = frozenset(
     (Phase.REFUSING, Phase.FINISHING, Phase.HANDING_OVER, Phase.GONE),
 )
+_CUTTING: Final = frozenset((Phase.HANDING_OVER, Phase.GONE))
 
 
 @final
@@ -27,6 +28,11 @@
         """Whether a stop was requested."""
         return self.phase is not Phase.SERVING
 
+    @property
+    def cutting(self) -> bool:
+        """Whether the grace period is over."""
+        return self.phase in _CUTTING
+
     @property
     def finishing(self) -> bool:
         """Whether new requests must be rejected.
--- a/packages/verbenahall/tests/drains/fleet.py
+++ b/packages/verbenahall/tests/drains/fleet.py
@@ -18,6 +18,7 @@
 from verbenahall.catalog import Route, RouteKind, Service, Share
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._messages import Call
+from verbenahall.gateway._attempts import Attempts
 from verbenahall.gateway._plain_flow import PlainFlow
 from verbenahall.gateway._record_handlers import make_followers
 from verbenahall.gateway._refresh import Refresher
@@ -105,7 +106,9 @@
             fingerprint=fingerprint,
             part_keys=part_keys,
         )
-        answer = await PlainFlow(self.core, self._sender, call).run()
+        answer = await PlainFlow(
+            self.core, self._sender, Attempts(self.core, call)
+        ).run()
         return answer.status
 
 
--- a/packages/verbenahall/tests/drains/keyed_fleet.py
+++ b/packages/verbenahall/tests/drains/keyed_fleet.py
@@ -8,6 +8,7 @@
 from verbenahall.catalog import Service
 from verbenahall.gateway._admission import RequestAdmitter
 from verbenahall.gateway._messages import Call
+from verbenahall.gateway._attempts import Attempts
 from verbenahall.gateway._plain_flow import PlainFlow
 from verbenahall.gateway._sender import Sender
 from verbenahall.placement import Work
@@ -151,7 +152,7 @@
             deadline=now + 3,
             workspace=admission.workspace,
         )
-        await PlainFlow(core, Sender(core), call).run()
+        await PlainFlow(core, Sender(core), Attempts(core, call)).run()
 
     async def send_requests_until(self, end):
         """Send requests with current, former and never held keys."""
--- /dev/null
+++ b/packages/verbenahall/tests/gateway/test_answer_ends.py
@@ -0,0 +1,84 @@
+"""Logs that tell how the answer to each accepted request ended."""
+
+import pytest
+
+from .conftest import make_engines, make_plain, run, run_gateway
+from .test_silent_streams import be_silent, read_stream, spend_budget
+
+
+async def find_end(harness):
+    """Return how the only request ended, and if its answer had begun."""
+    await harness.wait_until(lambda: harness.log_lines('answered'))
+    line = harness.log_lines('answered')[0]
+    return line['end'], line['begun']
+
+
+async def wait_and_leave(harness):
+    """Send a request and leave before its answer is whole."""
+    with pytest.raises(TimeoutError):
+        await read_stream(harness, patience_s=0.4)
+
+
+def test_whole_answer(tmp_path):
+    # A whole stream looked like one that was cut off: both were a 200.
+    async def check():
+        async with run_gateway(tmp_path, make_engines()) as harness:
+            await read_stream(harness)
+            assert await find_end(harness) == ('whole', True)
+
+    run(check())
+
+
+@pytest.mark.parametrize('after', [0, 2])
+def test_answer_that_the_endpoint_broke_off(tmp_path, after):
+    # An engine that breaks a stream off looked like one that we cut off.
+    async def check():
+        engines = make_engines()
+        engines[-1].faults.break_after = after
+        async with run_gateway(tmp_path, engines) as harness:
+            spend_budget(harness)
+            await read_stream(harness, '/blurb/1')
+            end = await find_end(harness)
+            assert end == ('broken_off', bool(after))
+
+    run(check())
+
+
+@pytest.mark.parametrize('after', [0, 2])
+def test_answer_whose_caller_left(tmp_path, after):
+    # A caller that left looked like one whose connection we had closed.
+    async def check():
+        engines = make_engines()
+        be_silent(engines, after)
+        async with run_gateway(tmp_path, engines) as harness:
+            await wait_and_leave(harness)
+            assert await find_end(harness) == ('caller_left', bool(after))
+
+    run(check())
+
+
+def test_answer_at_the_end_of_its_time(tmp_path):
+    # A request that ran out of time looked like any other failure.
+    async def check():
+        plain = make_plain()
+        for endpoint in plain:
+            endpoint.unresponsive = True
+        async with run_gateway(tmp_path, plain=plain) as harness:
+            headers = {'X-Verbenahall-Deadline-Ms': '300'}
+            await harness.send('/proof/1', headers=headers)
+            assert await find_end(harness) == ('deadline', False)
+
+    run(check())
+
+
+def test_refused_request(tmp_path):
+    # A refusal that states that nothing has run is a complete answer.
+    async def check():
+        engines = make_engines()
+        async with run_gateway(tmp_path, engines) as harness:
+            for engine in engines:
+                engine.faults.full = True
+            await read_stream(harness)
+            assert await find_end(harness) == ('refused', False)
+
+    run(check())
--- a/packages/verbenahall/tests/gateway/test_silent_streams.py
+++ b/packages/verbenahall/tests/gateway/test_silent_streams.py
@@ -146,7 +146,8 @@
             )
             await harness.wait_until(lambda: count_runs(plain) == 1)
             other = find_unused(plain)
-            other.delay_s, other.status = 0, 500
+            other.delay_s = 0
+            other.status = 500
             answer = await sending
             assert answer[0] == 200
 
