--- a/packages/verbenahall/src/verbenahall/gateway/_attempts.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_attempts.py
@@ -1,5 +1,6 @@
 """Counts the attempts at one call and decides on retries."""
 
+import dataclasses
 from typing import Any, final
 
 from aiohttp import web
@@ -11,12 +12,13 @@
 from verbenahall.gateway._answers import build_problem_response
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._messages import Call
+from verbenahall.hedging import Branch
 from verbenahall.requests import (
     DeferredBudget,
+    GiveUp,
     RetryContext,
     Outcome,
-    Retry,
-    build_problem,
+    Silent,
     decide_retry,
     may_have_run,
     get_outcome_label,
@@ -31,7 +33,9 @@
     ``reason`` why it failed. ``started`` counts all attempts, ``runs`` those
     that may have run, also at the instance that forwarded the call.
     ``is_metered`` is whether the call is counted in its workspace's usage.
-    ``tried`` holds the names of the endpoints that failed an attempt. The pause
+    ``tried`` holds the names of the endpoints that failed an attempt or are
+    silent, and ``tried_peers`` those of peers. ``is_charged`` is whether the
+    retries so far were charged to the budget of this instance. The pause
     of a ``Retry`` is ignored: the next attempt goes to another endpoint, and
     callers disconnect after two seconds without an answer.
     """
@@ -39,13 +43,17 @@
     __slots__ = (
         'call',
         'end',
+        'is_charged',
         'is_metered',
         'reason',
         'runs',
         'started',
         'tried',
+        'tried_peers',
         '_budget',
         '_core',
+        '_counted',
+        '_not_hedged',
         '_run_failure',
     )
 
@@ -54,26 +62,35 @@
         self.call = call
         self.end = AnswerEnd.WHOLE
         self.reason: str | None = None
+        self.is_charged = True
+        #: Names of the silent endpoints whose open attempt counts as a run.
+        self._counted: set[str] = set()
+        #: Names of the silent endpoints for which that was logged.
+        self._not_hedged: set[str] = set()
         self._run_failure: Outcome | None = None
         self.is_metered = call.hop is not None and call.hop.is_metered
         self.started = 0
         self.runs = call.hop.runs if call.hop else 0
         self.tried: set[str] = set()
+        self.tried_peers: set[str] = set()
         self._core = core
         self._budget = core.get_retry_budget(call.service.name)
 
-    @property
-    def may_run_again(self) -> bool:
-        """Whether the route allows another run after the next one."""
-        return self.runs + 1 < self.call.route.max_attempts
-
     def record(self, endpoint: str, result: Result[Any, Outcome]) -> None:
         """Record the result of a send that may have run the request."""
+        ran = True
         if isinstance(result, Failure):
             self.tried.add(endpoint)
-            self.runs += may_have_run(result.failure())
+            ran = may_have_run(result.failure())
+        if endpoint in self._counted:
+            self._counted.discard(endpoint)
         else:
-            self.runs += 1
+            self.runs += ran
+
+    def record_superseded(self, endpoint: str) -> None:
+        """Record the end of an attempt that another one has overtaken."""
+        self.runs += endpoint not in self._counted
+        self._counted.discard(endpoint)
 
     def count_usage(self, ago_s: float = 0) -> None:
         """Count the call in its workspace's usage, once for all attempts.
@@ -88,34 +105,68 @@
     def handle_failure(
         self,
         outcome: Outcome,
+        branch: Branch,
         *,
         delivered: bool = False,
         send_count: int = 1,
         budget: DeferredBudget | None = None,
         **log_fields: Any,
     ) -> Problem | None:
-        """Return the problem that ends the call; None for another attempt.
+        """Return the problem that ends a branch; None for another attempt.
 
         ``delivered`` means that the caller has part of an answer already.
         ``send_count`` is how many sends another attempt takes; they are charged
         to ``budget``, by default that of the service. ``log_fields`` are
         further fields of the log line, such as the endpoints that failed.
         """
-        retry_context = self._make_retry_context(delivered, send_count)
-        if may_have_run(outcome):
+        ran = may_have_run(outcome)
+        if ran:
             self._run_failure = outcome
-        step = decide_retry(
-            outcome,
-            retry_context,
-            budget or self._budget,
-            self._core.random,
-            self._core.now(),
+        retry_context = dataclasses.replace(
+            self._make_retry_context(delivered, send_count),
+            is_left_to_other=not branch.may_retry(ran=ran),
         )
-        retrying = isinstance(step, Retry)
+        step = self._decide(outcome, retry_context, budget)
+        problem = step.problem if isinstance(step, GiveUp) else None
         self._log_failure(
-            get_outcome_label(outcome), str(outcome), retrying, log_fields
+            get_outcome_label(outcome), str(outcome), not problem, log_fields
         )
-        return None if retrying else build_problem(outcome, retry_context)
+        return problem
+
+    def may_hedge(
+        self,
+        silent: Silent,
+        endpoint: str,
+        *,
+        delivered: bool = False,
+        send_count: int = 1,
+        budget: DeferredBudget | None = None,
+    ) -> bool:
+        """Whether another attempt may begin beside a silent one.
+
+        It is charged to the budget as a retry. The arguments are those of
+        ``handle_failure``.
+        """
+        retry_context = self._make_retry_context(delivered, send_count)
+        if silent.executes and endpoint not in self._counted:
+            runs = retry_context.runs + 1
+            retry_context = dataclasses.replace(retry_context, runs=runs)
+        step = self._decide(silent, retry_context, budget)
+        allowed = not isinstance(step, GiveUp)
+        if allowed:
+            self._count_silent(endpoint, silent)
+        if allowed or endpoint not in self._not_hedged:
+            self._not_hedged.add(endpoint)
+            metrics.HEDGES.add('begun' if allowed else 'not_allowed')
+            journal.write_decision(
+                'silent',
+                request=self.call.head.identity,
+                endpoint=endpoint,
+                attempts=self.started,
+                runs=self.runs,
+                hedged=allowed,
+            )
+        return allowed
 
     def retry_failed_answer(self, endpoint: str, status: int) -> bool:
         """Spend retry budget on an error answer; False if none is left."""
@@ -158,6 +209,23 @@
         )
         return build_problem_response(problem, call.head.identity)
 
+    def _decide(
+        self,
+        outcome: Outcome,
+        retry_context: RetryContext,
+        budget: DeferredBudget | None,
+    ) -> object:
+        step = decide_retry(
+            outcome,
+            retry_context,
+            budget or self._budget,
+            self._core.random,
+            self._core.now(),
+        )
+        if budget is not None and not isinstance(step, GiveUp):
+            self.is_charged = False
+        return step
+
     def _make_retry_context(
         self, delivered: bool, send_count: int
     ) -> RetryContext:
@@ -174,6 +242,14 @@
             send_count=send_count,
         )
 
+    def _count_silent(self, endpoint: str, silent: Silent) -> None:
+        """Count an open attempt as a run if it may become one."""
+        metrics.RETRIES.add(get_outcome_label(silent))
+        self.tried.add(endpoint)
+        if silent.executes:
+            self.runs += endpoint not in self._counted
+            self._counted.add(endpoint)
+
     def _log_failure(
         self,
         outcome: str,
--- a/packages/verbenahall/src/verbenahall/gateway/_events.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_events.py
@@ -24,17 +24,15 @@
     """Position in a stream.
 
     ``last`` is the number of the last event that was relayed, None before the
-    first; ``partial`` holds the bytes of an event that is not complete yet.
-    ``version`` is the software version of the engines whose events the stream
-    holds, None while it holds none.
+    first. ``version`` is the software version of the engines whose events the
+    stream holds, None while it holds none.
     """
 
-    __slots__ = ('last', 'partial', 'version')
+    __slots__ = ('last', 'version')
 
     def __init__(self, last: int | None) -> None:
         """Start after event ``last``, which the caller has received."""
         self.last = last
-        self.partial = b''
         self.version: str | None = None
 
     def begin(self, version: str | None) -> bool:
@@ -48,27 +46,34 @@
         return is_first
 
 
-def feed(state: EventState, piece: bytes) -> NewEvents:
-    """Return the events that are completed by ``piece`` and not repeated.
+@final
+class EventReader:
+    """Reads the events of one engine's stream.
 
-    Incomplete events are held back: if an engine fails inside one, the bytes
-    sent so far would be joined with the stream of the engine that resumes.
+    Incomplete events are held back in ``partial``: if an engine fails inside
+    one, the bytes sent so far would be joined with the stream of the engine
+    that resumes.
     """
-    buffer = state.partial + piece
-    data: list[bytes] = []
-    start = 0
-    for end in _EVENT_END.finditer(buffer):
-        event = buffer[start : end.end()]
-        start = end.end()
-        if _is_new(state, event):
-            data.append(event)
-    state.partial = buffer[start:]
-    return NewEvents(b''.join(data), len(data))
-
-
-def discard_partial(state: EventState) -> None:
-    """Drop the incomplete event of a broken stream before it is resumed."""
-    state.partial = b''
+
+    __slots__ = ('partial', '_state')
+
+    def __init__(self, state: EventState) -> None:
+        """Go on from the position of the stream."""
+        self.partial = b''
+        self._state = state
+
+    def feed(self, piece: bytes) -> NewEvents:
+        """Return the events that ``piece`` completes and that are new."""
+        buffer = self.partial + piece
+        data: list[bytes] = []
+        start = 0
+        for end in _EVENT_END.finditer(buffer):
+            event = buffer[start : end.end()]
+            start = end.end()
+            if _is_new(self._state, event):
+                data.append(event)
+        self.partial = buffer[start:]
+        return NewEvents(b''.join(data), len(data))
 
 
 def _is_new(state: EventState, event: bytes) -> bool:
--- a/packages/verbenahall/src/verbenahall/gateway/_forwarder.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_forwarder.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import contextlib
-import dataclasses
-from collections.abc import AsyncIterator, Collection, Coroutine
+import functools
+from collections.abc import AsyncIterator, Coroutine
 from typing import Final, final
 
 from aiohttp import web
 from returns.maybe import Maybe, Some
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
 from verbenahall import reach
 from verbenahall.errors import ErrorKind, Problem, Ran
@@ -22,15 +22,15 @@
 )
 from verbenahall.gateway._attempts import Attempts
 from verbenahall.gateway._core import Core
-from verbenahall.gateway._events import discard_partial
 from verbenahall.gateway._hop_client import Forwarded, HopClient
 from verbenahall.gateway._messages import Call
 from verbenahall.gateway._relay import EventRelay
+from verbenahall.hedging import Branch, Stage
 from verbenahall.requests import (
-    Broken,
     DeferredBudget,
     NeverWritten,
     Refused,
+    Silent,
 )
 
 #: Peers that are tried for one call at most.
@@ -79,35 +79,34 @@
             await asyncio.sleep(_POLL_S)
 
     async def run(
-        self, attempts: Attempts, relay: EventRelay | None = None
-    ) -> web.StreamResponse:
+        self,
+        attempts: Attempts,
+        branch: Branch,
+        relay: EventRelay | None = None,
+    ) -> Result[web.StreamResponse, Problem]:
         """Return the answer of a peer, or why there is none.
 
         With ``relay`` a stream is relayed as it arrives.
         """
-        tried: set[str] = set()
-        runs_before = attempts.runs
-        while len(tried) < _MAX_PEERS:
-            chosen = self._choose_peer(attempts.call, tried)
+        while len(attempts.tried_peers) < _MAX_PEERS:
+            chosen = self._choose_peer(attempts)
             if not isinstance(chosen, Some):
                 break
             peer = chosen.unwrap()
-            tried.add(peer.name)
-            hop = _Hop(peer, frozenset(tried), attempts.runs == runs_before)
-            result = await self._send_once(attempts, hop, relay)
-            answer = _handle_result(attempts, peer, relay, result)
-            if answer is not None:
-                return answer
-        problem = self._make_unreachable_problem(attempts.call)
-        return _abandon(attempts, problem, relay)
+            attempts.tried_peers.add(peer.name)
+            result = await self._send_once(attempts, peer, branch, relay)
+            ended = _handle_result(attempts, peer, branch, relay, result)
+            if ended is not None:
+                return ended
+        return Failure(self._make_unreachable_problem(attempts.call))
 
     async def _send_once(
         self,
         attempts: Attempts,
-        hop: '_Hop',
+        peer: ChosenPeer,
+        branch: Branch,
         relay: EventRelay | None,
     ) -> Forwarded:
-        peer = hop.peer
         attempts.started += 1
         started = self._core.now()
         call = attempts.call
@@ -117,11 +116,18 @@
             call.service.name,
             call.left_s(started),
         )
-        if relay is not None:
-            discard_partial(relay.state)
         self._open.begin(peer.name)
+        branch.enter(Stage.RUNNING)
+        branch.may_hedge = functools.partial(
+            self._may_hedge, attempts, peer, relay
+        )
         try:
-            result = await self._send_watched(attempts, hop, relay)
+            async with _run_beside(self._watch(peer, branch)):
+                result = await self._client.send(attempts, peer, branch, relay)
+        except asyncio.CancelledError:
+            if branch.is_superseded:
+                attempts.record_superseded(peer.name)
+            raise
         finally:
             self._open.end(peer.name)
         attempts.record(peer.name, result)
@@ -129,50 +135,38 @@
         record_forward_ended(call.head.identity, peer.name, result, took_s)
         return result
 
-    async def _send_watched(
-        self, attempts: Attempts, hop: '_Hop', relay: EventRelay | None
-    ) -> Forwarded:
-        """Send a call; give it up if the peer freezes and another may help."""
-        try:
-            async with (
-                asyncio.timeout(None) as limit,
-                _run_beside(self._watch(attempts, hop, relay, limit)),
-            ):
-                return await self._client.send(
-                    attempts, hop.peer, relay, is_charged=hop.is_charged
-                )
-        except TimeoutError:
-            return Failure(Broken('the peer is frozen'))
-
-    async def _watch(
-        self,
-        attempts: Attempts,
-        hop: '_Hop',
-        relay: EventRelay | None,
-        limit: asyncio.Timeout,
-    ) -> None:
+    async def _watch(self, peer: ChosenPeer, branch: Branch) -> None:
+        """Let the branch count as silent while its peer is frozen."""
         core = self._core
         while True:
             await asyncio.sleep(_WATCH_S)
-            if (
-                is_frozen(core.peer_table, hop.peer.name, core.now())
-                and _may_try_another(attempts, relay)
-                and isinstance(
-                    self._choose_peer(attempts.call, hop.tried), Some
-                )
-            ):
-                limit.reschedule(asyncio.get_running_loop().time())
-                return
+            is_silent = is_frozen(core.peer_table, peer.name, core.now())
+            branch.expect_progress(0 if is_silent else None)
 
-    def _choose_peer(
-        self, call: Call, tried: Collection[str]
-    ) -> Maybe[ChosenPeer]:
+    def _may_hedge(
+        self, attempts: Attempts, peer: ChosenPeer, relay: EventRelay | None
+    ) -> bool:
+        """Whether the call may be sent to another peer as well.
+
+        That peer charges its own budget for the retry.
+        """
+        is_last = len(attempts.tried_peers) >= _MAX_PEERS
+        if is_last or not isinstance(self._choose_peer(attempts), Some):
+            return False
+        return attempts.may_hedge(
+            Silent(),
+            peer.name,
+            delivered=_has_begun(relay),
+            budget=DeferredBudget(),
+        )
+
+    def _choose_peer(self, attempts: Attempts) -> Maybe[ChosenPeer]:
         core = self._core
         return choose_peer(
             core.peer_table,
             self._open,
-            call.service.name,
-            tried,
+            attempts.call.service.name,
+            attempts.tried_peers,
             core.now(),
             core.random,
         )
@@ -198,60 +192,31 @@
         watching.cancel()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Hop:
-    """A hop to a peer, with the peers tried up to it.
-
-    ``is_charged`` is whether a retry was charged to this instance's budget.
-    """
-
-    peer: ChosenPeer
-    tried: frozenset[str]
-    is_charged: bool
-
-
-def _may_try_another(attempts: Attempts, relay: EventRelay | None) -> bool:
-    """Whether a call may be sent once more though the peer may have run it."""
-    route = attempts.call.route
-    has_runs_left = (
-        not route.max_attempts or attempts.runs + 1 < route.max_attempts
-    )
-    may_go_on = route.resumable or not _has_begun(relay)
-    return route.repeatable and may_go_on and has_runs_left
-
-
 def _handle_result(
     attempts: Attempts,
     peer: ChosenPeer,
+    branch: Branch,
     relay: EventRelay | None,
     result: Forwarded,
-) -> web.StreamResponse | None:
-    """Return the final answer; None if another peer may be tried."""
+) -> Result[web.StreamResponse, Problem] | None:
+    """Return the result; None if another peer may be tried."""
     match result:
-        case Success(answer):
-            return answer
+        case Success(_):
+            return result
         case Failure(NeverWritten() | Refused()):
             return None
         case Failure(outcome):
             # The next peer charges its own budget for the retry.
             problem = attempts.handle_failure(
                 outcome,
+                branch,
                 delivered=_has_begun(relay),
                 budget=DeferredBudget(),
                 peer=peer.name,
             )
-            return problem and _abandon(attempts, problem, relay)
+            return None if problem is None else Failure(problem)
     raise AssertionError('a result is a success or a failure')
 
 
-def _abandon(
-    attempts: Attempts, problem: Problem, relay: EventRelay | None
-) -> web.StreamResponse:
-    """Return an error response, or abort the stream if it has begun."""
-    answer = attempts.abandon(problem, delivered=_has_begun(relay))
-    aborted = relay.abort_stream() if relay else None
-    return aborted or answer
-
-
 def _has_begun(relay: EventRelay | None) -> bool:
     return relay is not None and relay.begun
--- a/packages/verbenahall/src/verbenahall/gateway/_generation.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_generation.py
@@ -7,7 +7,6 @@
 from returns.result import Failure, Result, Success
 
 from verbenahall import journal, metrics
-from verbenahall.fleet import Role
 from verbenahall.gateway._attempts import Attempts
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._grants import Grant
@@ -15,11 +14,11 @@
 from verbenahall.gateway._prefill_calls import CacheHandle
 from verbenahall.gateway._relay import EventRelay
 from verbenahall.gateway._sender import SUCCESS_STATUSES, Opened, Sender
+from verbenahall.hedging import Branch, Stage, find_stream_idle_s
 from verbenahall.placement import InFlight, PlacementRequest, Plan, Totals
 from verbenahall.platform import CALL_FAILURES, SendOptions, read_answer_head
 from verbenahall.reach import record_response
 from verbenahall.requests import Broken, Outcome
-from verbenahall.roster import select_version
 
 Generated = Result[StreamEnded | Answered, Outcome]
 
@@ -44,6 +43,8 @@
         '_handed_over',
         '_grant',
         '_attempts',
+        '_branch',
+        '_progress_at',
         '_engine',
     )
 
@@ -53,8 +54,10 @@
         sender: Sender,
         attempts: Attempts,
         relay: EventRelay,
+        branch: Branch,
     ) -> None:
-        """Relay streams to the caller through ``relay``."""
+        """Relay streams to the caller through ``relay``, as ``branch``."""
+        self._branch = branch
         self._attempts = attempts
         self._core = core
         self._sender = sender
@@ -62,6 +65,7 @@
         self._relay = relay
         self._flight = InFlight(-1, '', Totals())
         self._sent_at: float = 0
+        self._progress_at: float = 0
         self._handed_over = False
 
     async def run(
@@ -69,14 +73,11 @@
         plan: Plan,
         handle: CacheHandle | None,
         grant: Grant,
-        *,
-        resumable: bool,
     ) -> Generated:
         """Send the request once to the decode engine, and relay its stream.
 
         With ``handle``, the engine fetches the KV cache of the prompt. A stream
-        that has begun is resumed after the last relayed event. ``resumable``
-        means that another engine may take over if this one fails.
+        that has begun is resumed after the last relayed event.
         """
         self._grant: Grant = grant
         self._engine = plan.decode_engine
@@ -97,19 +98,19 @@
             ).make_stream(self._core.now(), has_handle=handle is not None),
         )
         self._sent_at = self._core.now()
-        until = self._relay.find_idle_deadline(resumable=resumable)
+        self._branch.enter(Stage.RUNNING)
+        self._expect_event()
         sending = self._sender.open(
-            self._call, plan.decode_engine, options, until
+            self._call, plan.decode_engine, options, self._call.deadline
         )
         try:
             async with sending as opened:
-                result = await self._handle_opened(
-                    plan, options, opened, resumable
-                )
+                result = await self._handle_opened(plan, options, opened)
         except (asyncio.CancelledError, _CALLER_DISCONNECTED):
-            self._record_caller_left(plan)
+            self._record_unfinished(plan)
             raise
         finally:
+            self._branch.expect_progress(None)
             load_table.close(self._flight)
         ended = result.value_or(None)
         if isinstance(ended, StreamEnded):
@@ -133,13 +134,10 @@
         plan: Plan,
         options: SendOptions,
         opened: Opened,
-        resumable: bool,
     ) -> Generated:
         match opened:
             case Success(response):
-                return await self._handle_response(
-                    plan, options, response, resumable
-                )
+                return await self._handle_response(plan, options, response)
             case _:
                 return opened
 
@@ -148,7 +146,6 @@
         plan: Plan,
         options: SendOptions,
         response: aiohttp.ClientResponse,
-        resumable: bool,
     ) -> Generated:
         """Relay a stream, or return an error answer whole."""
         call = self._call
@@ -166,13 +163,13 @@
             # at the address.
             self._sender.record_outcome(engine, good=False)
             return Failure(Broken('the stream has no signature'))
+        self._expect_event()
         try:
             timing = await self._relay.pump(
                 response,
+                self._branch,
                 self._handle_first_event,
                 self._record_response,
-                self._has_successor,
-                resumable=resumable,
             )
         except _CALLER_DISCONNECTED:
             raise
@@ -181,21 +178,13 @@
         event_tokens = call.service.engine.event_tokens
         return Success(StreamEnded(timing, timing.find_step_s(event_tokens)))
 
-    def _has_successor(self) -> bool:
-        """Whether another engine may go on with the stream.
-
-        A stream that has no events yet may begin at any other engine.
-        """
-        available = self._core.endpoints.list_available(
-            self._engine.service, self._core.now()
-        )
-        fitting = select_version(available, self._relay.state.version)
-        return any(
-            one.name != self._engine.name and one.role is not Role.PREFILL
-            for one in fitting
-        )
+    def _expect_event(self) -> None:
+        self._progress_at = self._core.now()
+        idle_s = find_stream_idle_s(self._call.route.gap_s)
+        self._branch.expect_progress(idle_s)
 
     def _record_response(self) -> None:
+        self._expect_event()
         service_reach = self._core.reach.get(self._call.service.name)
         record_response(service_reach, self._core.now())
 
@@ -225,22 +214,27 @@
         elif self._call.takes_up and not self._relay.begun:
             metrics.STREAMS_TAKEN_UP.add('gone_on')
 
-    def _record_caller_left(self, plan: Plan) -> None:
-        """Record what the engine had sent when the caller disconnected.
+    def _record_unfinished(self, plan: Plan) -> None:
+        """Record what the engine had sent when the attempt was ended.
 
-        A caller that has waited in vain for an event leaves before its
-        deadline, so that the attempt ends without a failure of the engine.
+        Its caller has disconnected, or another engine has overtaken it. A
+        caller that has waited in vain for an event leaves before its deadline,
+        so that the attempt ends without a failure of the engine.
         """
         relay = self._relay
         now = self._core.now()
-        silent_s = now - max(self._sent_at, relay.last_event_at or 0)
-        if silent_s >= _SILENT_S:
+        silent_s = now - self._progress_at
+        is_lost = self._core.reach.is_lost(self._call.service.name)
+        if silent_s >= _SILENT_S and not is_lost:
             engine = plan.decode_engine.name
             self._core.placement.failures.record(engine, now, failed=True)
             self._grant.end(failed=engine)
-        metrics.CALLERS_LEFT.add('begun' if relay.begun else 'unanswered')
+        if self._branch.is_superseded:
+            self._attempts.record_superseded(plan.decode_engine.name)
+        else:
+            metrics.CALLERS_LEFT.add('begun' if relay.begun else 'unanswered')
         journal.write_decision(
-            'caller_left',
+            'superseded' if self._branch.is_superseded else 'caller_left',
             request=self._call.head.identity,
             engine=plan.decode_engine.name,
             events=relay.event_count,
--- a/packages/verbenahall/src/verbenahall/gateway/_hooks.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_hooks.py
@@ -8,7 +8,10 @@
 from typing import TYPE_CHECKING, Protocol, final
 
 from aiohttp import web
+from returns.result import Result
 
+from verbenahall.errors import Problem
+from verbenahall.hedging import Branch
 from verbenahall.platform import AnswerHead
 from verbenahall.requests import Limited
 from verbenahall.roster import Entry
@@ -105,8 +108,11 @@
         """Wait for the end of a check of the path that is under way."""
 
     async def run(
-        self, attempts: 'Attempts', relay: 'EventRelay | None' = None
-    ) -> web.StreamResponse:
+        self,
+        attempts: 'Attempts',
+        branch: Branch,
+        relay: 'EventRelay | None' = None,
+    ) -> Result[web.StreamResponse, Problem]:
         """Return the answer of a peer, or why there is none."""
 
 
@@ -124,7 +130,10 @@
         """Return at once."""
 
     async def run(
-        self, attempts: 'Attempts', relay: 'EventRelay | None' = None
-    ) -> web.StreamResponse:
+        self,
+        attempts: 'Attempts',
+        branch: Branch,
+        relay: 'EventRelay | None' = None,
+    ) -> Result[web.StreamResponse, Problem]:
         """Fail, as nothing is to be forwarded."""
         raise AssertionError('there is no forwarder')
--- a/packages/verbenahall/src/verbenahall/gateway/_hop_client.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_hop_client.py
@@ -25,6 +25,7 @@
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._messages import Answered, Call
 from verbenahall.gateway._relay import EventRelay
+from verbenahall.hedging import Branch
 from verbenahall.platform import (
     CALL_FAILURES,
     CONNECT_FAILURES,
@@ -66,22 +67,22 @@
         self,
         attempts: Attempts,
         peer: ChosenPeer,
+        branch: Branch,
         relay: EventRelay | None,
-        *,
-        is_charged: bool,
     ) -> Forwarded:
         """Send a call to a peer; return its answer.
 
-        With ``relay`` a stream is relayed as it arrives. ``is_charged`` is
-        whether a retry was charged to the budget of this instance.
+        With ``relay`` a stream is relayed as it arrives.
         """
         call = attempts.call
-        hop = self._make_hop(attempts, relay, is_charged=is_charged)
+        hop = self._make_hop(attempts, relay)
         last_event = relay.state.last if relay else call.head.last_event
         async with self._open(call, peer, hop, last_event) as opened:
             match opened:
                 case Success(response):
-                    return await self._pass_on(attempts, response, relay)
+                    return await self._pass_on(
+                        attempts, response, branch, relay
+                    )
                 case _:
                     return opened
 
@@ -124,6 +125,7 @@
         self,
         attempts: Attempts,
         response: aiohttp.ClientResponse,
+        branch: Branch,
         relay: EventRelay | None,
     ) -> Forwarded:
         """Relay a stream, or return another answer whole."""
@@ -133,9 +135,10 @@
             # may have done.
             return Failure(Refused(response.status))
         if relay is not None and response.status == HTTPStatus.OK:
-            reading = _relay_stream(response, relay)
-        elif relay is not None and relay.begun:
-            # A second answer on the caller's connection would be no HTTP.
+            reading = _relay_stream(response, branch, relay)
+        elif _is_overtaken(branch, relay):
+            # A second answer on the caller's connection would be no HTTP, and
+            # another peer may still have the stream.
             detail = f'status {response.status}'
             return Failure(Broken(detail, answered=True))
         else:
@@ -150,20 +153,14 @@
         except CALL_FAILURES as error:
             return Failure(self._classify(call, error))
 
-    def _make_hop(
-        self,
-        attempts: Attempts,
-        relay: EventRelay | None,
-        *,
-        is_charged: bool,
-    ) -> Hop:
+    def _make_hop(self, attempts: Attempts, relay: EventRelay | None) -> Hop:
         call = attempts.call
         return Hop(
             self._core.settings.name,
             call.version,
             call.service.name,
             attempts.runs,
-            is_charged,
+            attempts.is_charged,
             call.is_counted,
             attempts.is_metered,
             call.waited_s,
@@ -193,18 +190,19 @@
     return response.status in _NOT_RUN and not answer_head.signed
 
 
+def _is_overtaken(branch: Branch, relay: EventRelay | None) -> bool:
+    return relay is not None and (relay.begun or not branch.is_alone)
+
+
 async def _relay_stream(
-    response: aiohttp.ClientResponse, relay: EventRelay
+    response: aiohttp.ClientResponse, branch: Branch, relay: EventRelay
 ) -> Forwarded:
     # An instance of an earlier version of this system states none. Then the
     # next peer has to find it.
     stated = response.headers.get(VERSION_HEADER)
     # The peer itself resumes a stream that stalls.
     await relay.pump(
-        response,
-        functools.partial(relay.state.begin, stated),
-        bool,
-        resumable=False,
+        response, branch, functools.partial(relay.state.begin, stated), bool
     )
     finished = await relay.finish()
     if finished is None:
--- a/packages/verbenahall/src/verbenahall/gateway/_plain_flow.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_plain_flow.py
@@ -1,5 +1,7 @@
 """Calls to plain services: unstreamed answers, with retries if allowed."""
 
+import asyncio
+import functools
 from collections.abc import Sequence
 from http import HTTPStatus
 from typing import Final, final
@@ -15,8 +17,9 @@
 from verbenahall.gateway._messages import Answered
 from verbenahall.gateway._sender import Sender
 from verbenahall.gateway._shortages import await_slow_start, find_cause
+from verbenahall.hedging import Branch, Race, Stage, find_plain_wait_s
 from verbenahall.platform import SendOptions
-from verbenahall.requests import Outcome
+from verbenahall.requests import Outcome, Silent
 from verbenahall.roster import Entry
 
 #: Least share of the objective that must be left to retry an error answer:
@@ -28,9 +31,8 @@
 #: Load added to an endpoint that fails every request, in open calls; less in
 #: proportion for a lower share of failures.
 _FAILING_LOAD: Final = 8.0
-#: Share of the remaining time for an attempt of a repeatable call that can be
-#: retried, so that an endpoint that doesn't respond leaves time for another.
-_FIRST_ATTEMPT_SHARE: Final = 0.5
+#: The response for the caller, or why there is none.
+_PlainResult = Result[web.StreamResponse, Problem]
 
 
 @final
@@ -56,15 +58,20 @@
     async def run(self) -> web.StreamResponse:
         """Make attempts until an answer is final; return it."""
         try:
-            return await self._run()
+            match await Race(self._run_branch).run():
+                case Success(response):
+                    return response
+                case Failure(problem):
+                    return self._abandon(problem)
         finally:
             metrics.ATTEMPTS.add(str(self._attempts.started))
+        raise AssertionError('a result is a success or a failure')
 
-    async def _run(self) -> web.StreamResponse:
-        final_answer: web.StreamResponse | None = None
-        while final_answer is None:
+    async def _run_branch(self, branch: Branch) -> _PlainResult:
+        ended: _PlainResult | None = None
+        while ended is None:
             if await self._core.forwarder.should_forward(self._attempts):
-                return await self._core.forwarder.run(self._attempts)
+                return await self._core.forwarder.run(self._attempts, branch)
             now = self._core.now()
             untried = self._list_untried(now)
             endpoint = choose_endpoint(self._core, untried, now)
@@ -73,11 +80,10 @@
                     self._core, self._call, self._attempts.tried
                 ):
                     continue
-                return self._abandon(self._make_no_endpoint_problem())
-            others = len(untried) > 1
-            result = await self._send(endpoint, others=others)
-            final_answer = self._handle_result(endpoint, result)
-        return final_answer
+                return Failure(self._make_no_endpoint_problem())
+            result = await self._send(endpoint, branch)
+            ended = self._handle_result(endpoint, branch, result)
+        return ended
 
     def _list_untried(self, now: float) -> Sequence[Entry]:
         """Return the available endpoints that have not failed this call."""
@@ -88,44 +94,72 @@
         return [one for one in available if one.name not in tried]
 
     async def _send(
-        self,
-        endpoint: Entry,
-        *,
-        others: bool,
+        self, endpoint: Entry, branch: Branch
     ) -> Result[Answered, Outcome]:
-        """Send once; with ``others``, leave time for another endpoint."""
+        """Send once; a repeatable call is hedged if there is no answer."""
         call = self._call
         self._attempts.started += 1
         now = self._core.now()
-        until = call.deadline
-        may_repeat = call.route.repeatable and self._attempts.may_run_again
-        if others and may_repeat:
-            until = now + call.left_s(now) * _FIRST_ATTEMPT_SHARE
+        branch.enter(Stage.RUNNING)
+        branch.may_hedge = functools.partial(self._may_hedge, endpoint)
+        if call.route.repeatable:
+            branch.expect_progress(find_plain_wait_s(call.left_s(now)))
         options = SendOptions(endpoint.name, call.left_s(now))
-        result = await self._sender.exchange(call, endpoint, options, until)
+        try:
+            result = await self._sender.exchange(
+                call, endpoint, options, call.deadline
+            )
+        except asyncio.CancelledError:
+            if branch.is_superseded:
+                self._attempts.record_superseded(endpoint.name)
+            raise
+        branch.expect_progress(None)
         self._attempts.record(endpoint.name, result)
-        if self._attempts.runs == 1:
+        if self._attempts.runs:
             self._attempts.count_usage(self._core.now() - now)
         return result
 
+    def _may_hedge(self, endpoint: Entry) -> bool:
+        """Whether the call may be sent to another endpoint as well."""
+        now = self._core.now()
+        others = [
+            one for one in self._list_untried(now) if one.name != endpoint.name
+        ]
+        if not others or not self._attempts.may_hedge(Silent(), endpoint.name):
+            return False
+        self._sender.record_outcome(endpoint, good=False)
+        return True
+
     def _handle_result(
         self,
         endpoint: Entry,
+        branch: Branch,
         result: Result[Answered, Outcome],
-    ) -> web.StreamResponse | None:
-        """Return the final answer; None for another attempt."""
+    ) -> _PlainResult | None:
+        """Return the result of the branch; None for another attempt."""
         match result:
             case Success(answered):
-                if not self._may_retry_answer(endpoint, answered):
-                    return build_answer_response(answered)
-                self._fallback = answered
+                return self._handle_answer(endpoint, branch, answered)
             case Failure(outcome):
                 problem = self._attempts.handle_failure(
-                    outcome, endpoint=endpoint.name
+                    outcome, branch, endpoint=endpoint.name
                 )
-                if problem is not None:
-                    return self._abandon(problem)
-        return None
+                return None if problem is None else Failure(problem)
+        raise AssertionError('a result is a success or a failure')
+
+    def _handle_answer(
+        self, endpoint: Entry, branch: Branch, answered: Answered
+    ) -> _PlainResult | None:
+        failed = answered.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        if failed and not branch.is_alone:
+            # An endpoint that is silent may still have a better answer.
+            self._fallback = answered
+            message = f'the endpoint failed with status {answered.status}'
+            return Failure(Problem(ErrorKind.ENDPOINT_FAILED, message))
+        if self._may_retry_answer(endpoint, answered):
+            self._fallback = answered
+            return None
+        return Success(build_answer_response(answered))
 
     def _may_retry_answer(self, endpoint: Entry, answered: Answered) -> bool:
         """Decide whether to retry an error answer at another endpoint."""
--- a/packages/verbenahall/src/verbenahall/gateway/_prefill_calls.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_prefill_calls.py
@@ -11,6 +11,7 @@
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._messages import Answered, Call
 from verbenahall.gateway._sender import Sender
+from verbenahall.hedging import Branch
 from verbenahall.placement import OpenPrefill, Plan, PrefillSample
 from verbenahall.platform import (
     PrefillResult,
@@ -30,11 +31,11 @@
 )
 from verbenahall.roster import Entry
 
-#: A prefill times out after the expected wait times this factor, plus this
-#: margin in seconds, and is retried at another engine. It doesn't execute the
-#: request, so it may be repeated even for a request that may run only once.
-_TIMEOUT_FACTOR: Final = 4.0
-_TIMEOUT_MARGIN_S: Final = 1.0
+#: A prefill is hedged after the expected wait times this factor, plus this
+#: margin in seconds. It doesn't execute the request, so it may be repeated even
+#: for a request that may run only once.
+_SILENT_FACTOR: Final = 4.0
+_SILENT_MARGIN_S: Final = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,10 +55,11 @@
 class PrefillCalls:
     """Sends prefills to engines and frees unused handles."""
 
-    __slots__ = ('_core', '_sender')
+    __slots__ = ('_branch', '_core', '_sender')
 
-    def __init__(self, core: Core, sender: Sender) -> None:
-        """Send through ``sender``."""
+    def __init__(self, core: Core, sender: Sender, branch: Branch) -> None:
+        """Send through ``sender``, as part of ``branch``."""
+        self._branch = branch
         self._core = core
         self._sender = sender
 
@@ -75,7 +77,9 @@
             priority=call.priority,
             prefill_only=True,
         )
-        timeout_at = now + _TIMEOUT_MARGIN_S + plan.wait_s * _TIMEOUT_FACTOR
+        self._branch.expect_progress(
+            _SILENT_MARGIN_S + plan.wait_s * _SILENT_FACTOR
+        )
         placement = self._core.placement
         opened = placement.open_prefill(prefill_engine, plan, now)
         try:
@@ -83,9 +87,10 @@
                 call,
                 prefill_engine,
                 options,
-                min(call.deadline, timeout_at),
+                call.deadline,
             )
         finally:
+            self._branch.expect_progress(None)
             share = placement.close_prefill(opened, self._core.now())
         prefilled = _decode_handle(result)
         if isinstance(prefilled, Success):
--- a/packages/verbenahall/src/verbenahall/gateway/_relay.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_relay.py
@@ -1,25 +1,19 @@
 """Relays the events of a stream to the caller, over several engines."""
 
 import asyncio
-import contextlib
 from collections.abc import Callable
-from typing import Final, final
+from typing import final
 
 from aiohttp import ClientPayloadError, ClientResponse, web
 
 from verbenahall import metrics
 from verbenahall.clock import Clock
 from verbenahall.forwarding import VERSION_HEADER
-from verbenahall.gateway._events import EventState, feed
+from verbenahall.gateway._events import EventReader, EventState
 from verbenahall.gateway._messages import Call, StreamTiming
+from verbenahall.hedging import Branch, Stage
 from verbenahall.platform import strip_answer_headers
 
-#: Idle time after which a resumable stream is resumed on another engine, as a
-#: multiple of the route's longest gap between events, and its minimum in
-#: seconds: callers disconnect after two seconds without an event.
-_IDLE_GAPS: Final = 5.0
-_MIN_IDLE_S: Final = 1.2
-
 
 @final
 class EventRelay:
@@ -59,34 +53,33 @@
     async def pump(
         self,
         response: ClientResponse,
+        branch: Branch,
         record_first_event: Callable[[], object],
         record_response: Callable[[], object],
-        has_successor: Callable[[], bool] = bool,
-        *,
-        resumable: bool,
     ) -> StreamTiming:
         """Relay an engine's stream to its end; return its timing.
 
-        ``record_first_event`` is called at the engine's first new event, and
-        ``record_response`` whenever bytes arrive. A stalled engine is given up
-        before the deadline if the stream is ``resumable`` and, at that moment,
-        ``has_successor`` returns that another engine may go on. Raises
-        ``TimeoutError`` when the stream stalls, ``ClientPayloadError`` when it
-        ends inside an event, and other errors when the connection breaks.
+        ``branch`` is ended by the first event of another one. At the engine's
+        first new event ``record_first_event`` is called, and
+        ``record_response`` whenever bytes arrive. Raises ``TimeoutError`` at
+        the deadline, ``ClientPayloadError`` when the stream ends inside an
+        event, and other errors when the connection breaks.
         """
         timing = StreamTiming()
+        reader = EventReader(self.state)
         while True:
-            piece = await self._read(response, has_successor, resumable)
+            piece = await self._read(response)
             if not piece:
                 break
             record_response()
-            step = feed(self.state, piece)
+            step = reader.feed(piece)
             if step.events:
+                branch.enter(Stage.ANSWERING)
                 if not timing.events:
                     record_first_event()
                 self._record_timing(timing, step.events)
                 await self._write(response, step.data)
-        if self.state.partial:
+        if reader.partial:
             raise ClientPayloadError('the stream ended inside an event')
         return timing
 
@@ -103,31 +96,10 @@
             transport.abort()
         return self._response
 
-    def find_idle_deadline(self, *, resumable: bool) -> float:
-        """Return the monotonic time until which to wait for an event."""
-        call = self._call
-        if not resumable:
-            return call.deadline
-        idle_s = max(_MIN_IDLE_S, call.route.gap_s * _IDLE_GAPS)
-        return min(call.deadline, self._clock() + idle_s)
-
-    async def _read(
-        self,
-        response: ClientResponse,
-        has_successor: Callable[[], bool],
-        resumable: bool,
-    ) -> bytes:
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(self._find_idle_timeout(resumable)):
-                return await response.content.readany()
-        if resumable and has_successor():
-            raise TimeoutError('the stream stalls')
-        async with asyncio.timeout(self._find_idle_timeout(resumable=False)):
+    async def _read(self, response: ClientResponse) -> bytes:
+        async with asyncio.timeout(self._call.left_s(self._clock())):
             return await response.content.readany()
 
-    def _find_idle_timeout(self, resumable: bool) -> float:
-        return self.find_idle_deadline(resumable=resumable) - self._clock()
-
     def _record_timing(self, timing: StreamTiming, events: int) -> None:
         now = self._clock()
         self.event_count += events
--- a/packages/verbenahall/src/verbenahall/gateway/_stream_flow.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_stream_flow.py
@@ -1,67 +1,28 @@
-"""Model requests: prefill on one engine, decode on another."""
+"""Model requests: branches of attempts, of which one relays its stream."""
 
-from typing import Final, final
+import functools
+from typing import final
 
 from aiohttp import web
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Success
 
-from verbenahall import journal, metrics
-from verbenahall.errors import ErrorKind, Problem
-from verbenahall.gateway._answers import build_answer_response
+from verbenahall import metrics
+from verbenahall.errors import Problem
 from verbenahall.gateway._attempts import Attempts
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._dispatch import Dispatch
-from verbenahall.gateway._events import discard_partial
-from verbenahall.gateway._generation import Generated, Generation
-from verbenahall.gateway._grants import Grant, UnqueuedGrant
-from verbenahall.gateway._messages import Answered, StreamEnded
-from verbenahall.gateway._prefill_calls import (
-    CacheHandle,
-    PrefillCalls,
-    classify_prefill_failure,
-)
 from verbenahall.gateway._relay import EventRelay
 from verbenahall.gateway._sender import Sender
-from verbenahall.gateway._stream_placement import (
-    find_version,
-    is_lacking,
-    make_gone_problem,
-    place_unqueued,
-)
-from verbenahall.gateway._shortages import await_slow_start, find_cause
-from verbenahall.placement import PlacementRequest, Plan
-from verbenahall.requests import (
-    BackingOff,
-    Broken,
-    Limited,
-    NeverWritten,
-    Outcome,
-    Refused,
-    TimedOut,
-    Unprepared,
-)
-from verbenahall.roster import Entry
-
-#: Refusals by decode engines after which the KV cache handle is dropped: the
-#: fault may lie with the engine that holds it rather than with theirs.
-_MAX_HANDLE_REFUSALS: Final = 2
+from verbenahall.gateway._stream_branch import StreamBranch, StreamResult
+from verbenahall.gateway._stream_placement import find_version
+from verbenahall.hedging import Branch, Race
 
 
 @final
 class StreamFlow:
-    """Handles one model request from placement to the end of its stream."""
+    """Handles one model request to the end of its stream."""
 
-    __slots__ = (
-        '_core',
-        '_call',
-        '_relay',
-        '_prefills',
-        '_generation',
-        '_attempts',
-        '_kv_handle',
-        '_grant',
-        '_refusals',
-    )
+    __slots__ = ('_attempts', '_core', '_relay', '_sender')
 
     def __init__(
         self,
@@ -71,286 +32,42 @@
         request: web.Request,
     ) -> None:
         """Store the arguments; nothing is sent before ``run``."""
+        self._attempts = attempts
         self._core = core
-        self._call = attempts.call
         self._relay = EventRelay(request, attempts.call, core.now)
-        self._prefills = PrefillCalls(core, sender)
-        self._attempts = attempts
-        self._generation = Generation(core, sender, self._attempts, self._relay)
-        self._kv_handle: CacheHandle | None = None
-        self._grant: Grant | None = None
-        self._refusals = 0
+        self._sender = sender
 
     async def run(self, dispatch: Dispatch) -> web.StreamResponse:
         """Make attempts until the stream ends or the request is given up."""
         try:
-            return await self._run(dispatch)
+            match await self._run(dispatch):
+                case Success(response):
+                    return response
+                case Failure(problem):
+                    return self._abandon(problem)
         finally:
-            self._release()
             metrics.ATTEMPTS.add(str(self._attempts.started))
+        raise AssertionError('a result is a success or a failure')
 
-    async def _run(self, dispatch: Dispatch) -> web.StreamResponse:
-        final_answer = await self._find_version()
-        forwarder = self._core.forwarder
-        while final_answer is None:
-            if await forwarder.should_forward(self._attempts):
-                return await forwarder.run(self._attempts, self._relay)
-            match await self._await_admission(dispatch):
-                case Success(grant):
-                    self._grant = grant
-                    self._log_placement(grant.plan)
-                    result = await self._execute_plan(grant)
-                    final_answer = await self._handle_result(grant.plan, result)
-                case Failure(problem):
-                    final_answer = await self._handle_no_admission(problem)
-        return final_answer
-
-    async def _find_version(self) -> web.StreamResponse | None:
-        """Find the version of a stream that is taken up; refuse an unknown one.
+    async def _run(self, dispatch: Dispatch) -> StreamResult:
+        """Find the version of a stream that is taken up, and run branches.
 
         The instance that has forwarded the request states the version itself.
         """
-        match await find_version(self._core, self._call):
+        match await find_version(self._core, self._attempts.call):
             case Success(version):
                 self._relay.state.version = version
-                return None
             case Failure(problem):
-                return self._abandon(problem)
-        raise AssertionError('a result is a success or a failure')
-
-    async def _handle_no_admission(
-        self, problem: Problem
-    ) -> web.StreamResponse | None:
-        """Return the final answer; None if an engine is available again."""
-        version = self._relay.state.version
-        if problem.kind is ErrorKind.NO_ENDPOINT and version is not None:
-            # No engine of the version is left, or none that accepts requests.
-            return self._abandon(
-                make_gone_problem(self._core, self._call, version)
-            )
-        if problem.kind is ErrorKind.NO_ENDPOINT:
-            if await await_slow_start(
-                self._core, self._call, self._attempts.tried
-            ):
-                return None
-            problem = find_cause(self._core, self._call, problem)
-        return self._abandon(problem)
-
-    async def _await_admission(
-        self, dispatch: Dispatch
-    ) -> Result[Grant, Problem]:
-        """Wait in the prefill queue, unless the prompt was prefilled before.
-
-        A request that may have run, or part of whose answer was delivered,
-        isn't queued: a refusal by the queue would state that the request has
-        not run, and its caller already waits for the next event.
-        """
-        if self._kv_handle or self._attempts.runs or self._relay.begun:
-            return self._place().map(UnqueuedGrant)
-        placement_request = PlacementRequest(
-            self._call.head.work,
-            self._call.route.gap_s,
-            priority=self._call.priority,
-            version=self._relay.state.version,
-        )
-        tried = frozenset(self._attempts.tried)
-        admitted = await dispatch.admit(self._call, placement_request, tried)
-        if is_lacking(admitted) and placement_request.version is not None:
-            # The engines of the version that are avoided are its only ones.
-            return self._place().map(UnqueuedGrant)
-        return admitted
-
-    async def _handle_result(
-        self,
-        plan: Plan,
-        result: Generated,
-    ) -> web.StreamResponse | None:
-        """Return the final answer; None for another attempt."""
-        match result:
-            case Failure(outcome):
-                return self._handle_failure(plan, outcome)
-            case Success(done):
-                self._kv_handle = None
-                return await self._finish(done)
-        raise AssertionError('a result is a success or a failure')
-
-    def _place(self) -> Result[Plan, Problem]:
-        return place_unqueued(
-            self._core,
-            self._call,
-            PlacementRequest(
-                self._call.head.work,
-                self._call.route.gap_s,
-                self._kv_handle.engine if self._kv_handle else None,
-                self._call.priority,
-                self._relay.state.version,
-            ),
-            self._attempts.tried,
-        )
-
-    async def _execute_plan(self, grant: Grant) -> Generated:
-        """Prefill and decode by the plan; keep the handle if it is unused."""
-        self._attempts.started += 1
-        grant.start()
-        plan = grant.plan
-        call = self._call
-        started = self._core.now()
-        if self._kv_handle is None:
-            self._core.demand.record_plan(
-                call.service, plan, call.head.work, started
-            )
-        if plan.prefill_engine is not None and self._kv_handle is None:
-            prefilled = await self._prefills.prefill(
-                call, plan, plan.prefill_engine
-            )
-            match prefilled:
-                case Failure(outcome):
-                    self._attempts.tried.add(plan.prefill_engine.name)
-                    await self._end_grant(grant, plan.prefill_engine, outcome)
-                    return Failure(classify_prefill_failure(outcome))
-                case Success(handle):
-                    self._kv_handle = handle
-            grant.record_prefill(self._core.now() - started)
-            plan = self._update_plan(grant)
-        return await self._generate(plan, grant)
-
-    async def _generate(self, plan: Plan, grant: Grant) -> Generated:
-        route = self._call.route
-        result = await self._generation.run(
-            plan,
-            self._kv_handle,
-            grant,
-            resumable=route.resumable and self._attempts.may_run_again,
+                return Failure(problem)
+        return await Race(functools.partial(self._run_branch, dispatch)).run()
+
+    async def _run_branch(
+        self, dispatch: Dispatch, branch: Branch
+    ) -> StreamResult:
+        attempts = StreamBranch(
+            self._core, self._sender, self._attempts, self._relay, branch
         )
-        self._attempts.record(plan.decode_engine.name, result)
-        match result:
-            case Failure(outcome):
-                await self._end_grant(grant, plan.decode_engine, outcome)
-                if not self._can_keep_handle(outcome):
-                    self._drop_handle()
-            case Success(StreamEnded(step_s=step_s)):
-                grant.end(step_s=step_s)
-            case _:
-                grant.end()
-        return result
-
-    def _can_keep_handle(self, outcome: Outcome) -> bool:
-        """Whether the handle can be used for the next decode engine.
-
-        Without it the whole prompt is prefilled again. An engine that refuses
-        is usually full, so one refusal doesn't invalidate the handle. After a
-        second one the handle is considered unusable.
-        """
-        match outcome:
-            case NeverWritten() | Limited() | BackingOff():
-                return True
-            case Refused():
-                self._refusals += 1
-                suspect = self._refusals >= _MAX_HANDLE_REFUSALS
-                if suspect and self._kv_handle is not None:
-                    # Two engines could not fetch the KV cache: the engine that
-                    # holds it transfers it too slowly or not at all.
-                    prefill_engine = self._kv_handle.engine.name
-                    self._core.endpoint_health.record_refusal(
-                        prefill_engine, self._core.now()
-                    )
-                return not suspect
-            case _:
-                return False
-
-    def _update_plan(self, grant: Grant) -> Plan:
-        """Choose the decode engine again after the prefill.
-
-        A prefill may take seconds. Meanwhile the chosen engine may have
-        started to drain, so that it must get no more work, and another one
-        may have become the least busy. An engine at which a scheduler has
-        reserved a place is kept as long as it is usable.
-        """
-        plan = grant.plan
-        if grant.holds_decode:
-            service = self._call.service.name
-            now = self._core.now()
-            usable = self._core.endpoints.list_assigned(service, now)
-            if plan.decode_engine.name in {one.name for one in usable}:
-                return plan
-        return self._place().value_or(plan)
-
-    async def _end_grant(
-        self, grant: Grant, engine: Entry, outcome: Outcome
-    ) -> None:
-        """End a grant after a failure at one of its engines.
-
-        The failure is reported with it, unless this instance has lost the path
-        to all engines. An engine that changes its role or does not respond has
-        little open work, and the next requests would be assigned to it.
-        """
-        service = self._call.service.name
-        if isinstance(outcome, NeverWritten | Broken):
-            await self._core.forwarder.wait_checked(service)
-        if self._core.reach.is_lost(service):
-            grant.end()
-            return
-        refused = isinstance(outcome, Refused | NeverWritten | Limited)
-        failed = isinstance(outcome, Refused | Broken | TimedOut)
-        if failed:
-            self._core.placement.failures.record(
-                engine.name, self._core.now(), failed=True
-            )
-        grant.end(
-            refused=engine.name if refused else '',
-            failed=engine.name if failed else '',
-        )
-
-    def _release(self) -> None:
-        """Free the handle and end the grant."""
-        self._drop_handle()
-        if self._grant is not None:
-            self._grant.end()
-
-    def _drop_handle(self) -> None:
-        """Free the handle if there is an unused one."""
-        if self._kv_handle is not None:
-            self._prefills.free_handle(self._kv_handle)
-            self._kv_handle = None
-
-    def _handle_failure(
-        self,
-        plan: Plan,
-        outcome: Outcome,
-    ) -> web.StreamResponse | None:
-        """Return the final answer after a failure; None for another attempt."""
-        # The next attempt takes one send if only prefill or only decode is
-        # repeated, and two if both are.
-        prefill_failed = isinstance(outcome, Unprepared)
-        problem = self._attempts.handle_failure(
-            outcome,
-            delivered=self._relay.begun,
-            send_count=1 if self._kv_handle or prefill_failed else 2,
-            reader=plan.prefill_engine.name if plan.prefill_engine else None,
-            generator=plan.decode_engine.name,
-            last_event=self._relay.state.last,
-        )
-        if problem is not None:
-            return self._abandon(problem)
-        discard_partial(self._relay.state)
-        return None
-
-    async def _finish(self, done: object) -> web.StreamResponse:
-        if isinstance(done, Answered):
-            if self._relay.begun:
-                # A second answer on the connection would be no HTTP.
-                message = f'resumed with status {done.status}'
-                return self._abandon(
-                    Problem(ErrorKind.ANSWER_TRUNCATED, message)
-                )
-            return build_answer_response(done)
-        response = await self._relay.finish()
-        if response is None:
-            # The stream ended properly without an event, so nothing can be
-            # resumed.
-            message = 'the stream had no events'
-            return self._abandon(Problem(ErrorKind.ANSWER_TRUNCATED, message))
-        return response
+        return await attempts.run(dispatch)
 
     def _abandon(self, problem: Problem) -> web.StreamResponse:
         """Return an error response, or abort the stream if it has begun.
@@ -359,15 +76,3 @@
         """
         answer = self._attempts.abandon(problem, delivered=self._relay.begun)
         return self._relay.abort_stream() or answer
-
-    def _log_placement(self, plan: Plan) -> None:
-        journal.write_decision(
-            'placed',
-            request=self._call.head.identity,
-            reader=plan.prefill_engine.name if plan.prefill_engine else None,
-            generator=plan.decode_engine.name,
-            missing=plan.missing,
-            wait_s=journal.round_to_ms(plan.wait_s),
-            reason=plan.reason,
-            attempt=self._attempts.started + 1,
-        )
--- a/packages/verbenahall/src/verbenahall/metrics.py
+++ b/packages/verbenahall/src/verbenahall/metrics.py
@@ -222,6 +222,12 @@
     'end',
     'answer',
 )
+HEDGES: Final = BufferedCounter(
+    'verbenahall_hedges_total',
+    'Attempts whose endpoint was silent, by whether another attempt has begun'
+    ' beside it.',
+    'outcome',
+)
 CALLERS_LEFT: Final = BufferedCounter(
     'verbenahall_callers_left_total',
     'Callers that disconnected while an engine had their request, by whether'
--- a/packages/verbenahall/src/verbenahall/requests/__init__.py
+++ b/packages/verbenahall/src/verbenahall/requests/__init__.py
@@ -30,6 +30,7 @@
     NotSent,
     Outcome,
     Refused,
+    Silent,
     TimedOut,
     Unprepared,
 )
@@ -54,6 +55,7 @@
     'Retry',
     'RetryBudget',
     'RetryContext',
+    'Silent',
     'StreamState',
     'StreamStep',
     'TimedOut',
--- a/packages/verbenahall/src/verbenahall/requests/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/requests/_decisions.py
@@ -26,6 +26,7 @@
     NeverWritten,
     Outcome,
     Refused,
+    Silent,
     TimedOut,
     Unprepared,
 )
@@ -89,12 +90,12 @@
         case Refused(status):
             message = f'the endpoint refused the request with status {status}'
             return Problem(ErrorKind.OVERLOADED, message, ran)
-        case Broken(detail) if retry_context.repeatable:
-            message = f'the endpoint failed: {detail}'
-            return Problem(ErrorKind.ENDPOINT_FAILED, message, Ran.UNKNOWN)
+        case Silent():
+            return _build_failure(
+                'it has sent nothing for a while', retry_context
+            )
         case Broken(detail):
-            message = f'it is unknown whether the request ran: {detail}'
-            return Problem(ErrorKind.OUTCOME_UNKNOWN, message)
+            return _build_failure(detail, retry_context)
 
 
 def build_quarantine_problem(left_s: float, ran: Ran = Ran.NO) -> Problem:
@@ -105,7 +106,7 @@
 
 def may_have_run(outcome: Outcome) -> bool:
     """Whether an attempt with this outcome may have run."""
-    return not isinstance(
+    return outcome != Silent(executes=False) and not isinstance(
         outcome,
         NeverWritten
         | Unprepared
@@ -136,13 +137,25 @@
             return 'unauthorized'
         case Broken():
             return 'broken'
+        case Silent():
+            return 'silent'
         case TimedOut():
             return 'timed_out'
 
 
+def _build_failure(detail: str, retry_context: RetryContext) -> Problem:
+    if retry_context.repeatable:
+        message = f'the endpoint failed: {detail}'
+        return Problem(ErrorKind.ENDPOINT_FAILED, message, Ran.UNKNOWN)
+    message = f'it is unknown whether the request ran: {detail}'
+    return Problem(ErrorKind.OUTCOME_UNKNOWN, message)
+
+
 def _is_retryable(outcome: Outcome, retry_context: RetryContext) -> bool:
     if retry_context.delivered and not retry_context.resumable:
         return False
+    if retry_context.is_left_to_other:
+        return False
     match outcome:
         case (
             NeverWritten() | Unprepared() | Refused() | Limited() | BackingOff()
@@ -150,6 +163,8 @@
             return True
         case Broken():
             return retry_context.repeatable
+        case Silent(executes):
+            return retry_context.repeatable or not executes
         case TimedOut() | Quarantined() | Unauthorized():
             return False
 
--- a/packages/verbenahall/src/verbenahall/requests/_messages.py
+++ b/packages/verbenahall/src/verbenahall/requests/_messages.py
@@ -40,7 +40,8 @@
     earlier attempt may have run, ``urgent`` that the request has the highest
     priority. ``runs`` counts the attempts that may have run, and ``max_runs``
     limits them (0 for no limit). ``send_count`` is the number of sends that a
-    retry takes.
+    retry takes. ``is_left_to_other`` means that another open attempt at the
+    request decides on retries.
     """
 
     repeatable: bool
@@ -53,6 +54,7 @@
     runs: int = 0
     max_runs: int = 0
     send_count: int = 1
+    is_left_to_other: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/verbenahall/src/verbenahall/requests/_outcomes.py
+++ b/packages/verbenahall/src/verbenahall/requests/_outcomes.py
@@ -52,6 +52,16 @@
     silent: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Silent:
+    """Nothing was received for a while; the attempt is still open.
+
+    ``executes`` is false for a step that doesn't execute the request.
+    """
+
+    executes: bool = True
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TimedOut:
     """The caller's deadline passed after bytes were written."""
@@ -66,6 +76,7 @@
     BackingOff,
     Unauthorized,
     Broken,
+    Silent,
     TimedOut,
 ]
 
--- a/packages/verbenahall/tests/gateway/test_silent_streams.py
+++ b/packages/verbenahall/tests/gateway/test_silent_streams.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 import pytest
+from verbenahall_standins.platform import make_route
 
 from .conftest import HOST, PREFIX, make_engines, make_plain, run, run_gateway
 
@@ -188,3 +189,91 @@
             assert time.monotonic() - started < 2.0
 
     run(check())
+
+
+def test_engine_that_goes_on_first_ends_its_successor(tmp_path, numbers):
+    # Both engines wrote to the caller, or the second one went on unread.
+    async def check():
+        engines = make_engines(decode_count=2)
+        be_silent(engines, 2)
+        async with run_gateway(tmp_path, engines) as harness:
+            sending = asyncio.create_task(read_stream(harness))
+            await harness.wait_until(lambda: count_runs(engines[2:]) == 1)
+            other = find_unused(engines[2:])
+            other.faults.slow_head_s = 3.0
+            status, body, whole = await sending
+            assert (status, whole) == (200, True)
+            assert numbers(body) == [1, 2, 3, 4, 5]
+            assert len(other.runs) == 1
+            assert [one['hedged'] for one in harness.log_lines('silent')] == [
+                True
+            ]
+            assert len(harness.log_lines('superseded')) == 1
+
+    run(check())
+
+
+def test_silent_engines_do_not_exceed_the_attempts_of_a_route(
+    tmp_path, numbers
+):
+    # All engines are silent: each one would have got the request in turn.
+    async def check():
+        engines = make_engines(decode_count=4)
+        be_silent(engines, 2, silent_s=3.0)
+        route = make_route(
+            '/summary/', 'stream', 'drafter', resumable=True, timeoutMs=8000
+        )
+        manifest = {'routes': [route]}
+        async with run_gateway(tmp_path, engines, manifest=manifest) as harness:
+            status, body, whole = await read_stream(harness)
+            assert (status, whole) == (200, True)
+            assert numbers(body) == [1, 2, 3, 4, 5]
+            assert count_runs(engines) == 2
+
+    run(check())
+
+
+def test_stream_that_may_run_once_waits_for_its_engine(tmp_path, numbers):
+    # A stream that may not be resumed ran twice, or was cut off.
+    async def check():
+        engines = make_engines(decode_count=2)
+        be_silent(engines, 0)
+        async with run_gateway(tmp_path, engines) as harness:
+            status, body, whole = await read_stream(harness, '/blurb/1')
+            assert (status, whole) == (200, True)
+            assert numbers(body) == [1, 2, 3, 4, 5]
+            assert count_runs(engines) == 1
+
+    run(check())
+
+
+def test_caller_that_leaves_ends_both_attempts(tmp_path):
+    # The engine that was hedged worked on for a caller that had left.
+    async def check():
+        engines = make_engines(decode_count=2)
+        for engine in engines:
+            engine.faults.stall_after = 2
+        async with run_gateway(tmp_path, engines) as harness:
+            with pytest.raises(TimeoutError):
+                await read_stream(harness, patience_s=1.6)
+            await harness.wait_until(
+                lambda: sum(len(one.cancelled) for one in engines) == 2,
+                within_s=0.5,
+            )
+
+    run(check())
+
+
+def test_late_prefill_of_a_request_that_may_run_once(tmp_path, numbers):
+    # Two branches had prefilled the prompt, and both sent the request.
+    async def check():
+        engines = make_engines(prefill_count=2, decode_count=2)
+        for engine in engines[:2]:
+            engine.faults.prefill_delay_s = SILENT_S
+        async with run_gateway(tmp_path, engines) as harness:
+            status, body, whole = await read_stream(harness, '/blurb/1')
+            assert (status, whole) == (200, True)
+            assert numbers(body) == [1, 2, 3, 4, 5]
+            assert count_runs(engines) == 1
+
+    run(check())
