Close no caller connection with unread bytes or a head under way

Callers saw a whole request on a kept connection answered with a closed connection. After a pause of the process the event loop runs the due timers before it reads its sockets, and the idle and head timeouts closed connections whose request was already in the socket. Besides, the idle timeout closed connections on which a head had begun within the idle time and was still within the time of a head.

Evidence: the process is stopped by SIGSTOP for about a second over the end of the timeout, the request or the rest of its head is sent meanwhile, and SIGCONT follows. All five new tests fail without the change; in four of them the connection ends without an answer.

Each timer now looks at the socket first and checks again 50 ms later if anything waits there; the idle timeout leaves a head under way to the timeout of the head. That one did not start for bytes that arrive before the task of a new connection runs (the fifth test: the incomplete head stayed open for the idle time), and does now.

--- a/packages/verbenahall/src/verbenahall/front/_connections.py
+++ b/packages/verbenahall/src/verbenahall/front/_connections.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import functools
+import select
 from collections.abc import Callable, Mapping
 from types import MappingProxyType
 from typing import Any, Final, final
@@ -24,6 +25,9 @@
 #: Delay after a response at which aiohttp checks for an idle connection, in
 #: seconds. The idle timeout itself is read at that check.
 _IDLE_CHECK_S: Final = 1.0
+#: Delay after which a timer that found unread bytes checks again, in seconds:
+#: by then the event loop has read them.
+_UNREAD_CHECK_S: Final = 0.05
 #: How long the rest of a rejected body is read, in seconds, so that the caller
 #: can read the response before the connection is reset.
 _LINGER_S: Final = 1.0
@@ -54,7 +58,8 @@
     Without them, a caller that sends an incomplete head on each of many
     connections would use up the connection limit without a single request.
     The timeouts are read each time they are needed, since operators change
-    them while connections are open.
+    them while connections are open. After a pause of the process, timers run
+    before reads, so no timer closes a connection with unread bytes.
     """
 
     __slots__ = ('_head_timer', '_read_timeouts')
@@ -80,12 +85,14 @@
     def data_received(self, data: bytes) -> None:
         """Start the head timeout when a head arrives only in part."""
         super().data_received(data)
-        awaits_request = self._waiter is not None and not self._waiter.done()
-        if not awaits_request:
+        # The first bytes may arrive before the task that awaits a request runs.
+        is_handling = self._request_count and (
+            self._waiter is None or self._waiter.done()
+        )
+        if is_handling:
             self._stop_head_timer()
         elif self._head_timer is None:
-            head_s = self._read_timeouts().head_s
-            self._head_timer = self._loop.call_later(head_s, self.force_close)
+            self._start_head_timer(self._read_timeouts().head_s)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Stop the head timeout."""
@@ -109,7 +116,21 @@
         return response
 
     def _check_first_request(self) -> None:
-        if not self._request_count:
+        if self._request_count or self._head_timer is not None:
+            return
+        if _has_unread_bytes(self.transport):
+            self._loop.call_later(_UNREAD_CHECK_S, self._check_first_request)
+        else:
+            self.force_close()
+
+    def _start_head_timer(self, delay_s: float) -> None:
+        self._head_timer = self._loop.call_later(delay_s, self._end_head)
+
+    def _end_head(self) -> None:
+        """Close the connection unless more of the head has arrived."""
+        if _has_unread_bytes(self.transport):
+            self._start_head_timer(_UNREAD_CHECK_S)
+        else:
             self.force_close()
 
     def _stop_head_timer(self) -> None:
@@ -122,18 +143,26 @@
 
         The timeout of aiohttp is fixed when the connection opens. If it was
         raised since, a caller relying on the new value would have its next
-        request reset.
+        request reset. A connection that receives a request is not idle.
         """
         idle_since = self._next_keepalive_close_time - self._keepalive_timeout
         until = idle_since + self._read_timeouts().idle_s
-        if self._loop.time() < until:
-            self._keepalive_handle = self._loop.call_at(
-                until,
-                self._process_keepalive,
-            )
+        now = self._loop.time()
+        is_receiving = self._head_timer is not None
+        if now < until:
+            self._start_idle_timer(until)
+        elif is_receiving:
+            self._keepalive_handle = None
+        elif _has_unread_bytes(self.transport):
+            self._start_idle_timer(now + _UNREAD_CHECK_S)
         else:
             super()._process_keepalive()
 
+    def _start_idle_timer(self, until: float) -> None:
+        self._keepalive_handle = self._loop.call_at(
+            until, self._process_keepalive
+        )
+
 
 @final
 class ConnectionRejector(asyncio.Protocol):
@@ -222,6 +251,15 @@
     return await handler(request)
 
 
+def _has_unread_bytes(transport: asyncio.Transport | None) -> bool:
+    """Return whether the connection's socket holds bytes to be read."""
+    if transport is None or transport.is_closing():
+        return False
+    poller = select.poll()
+    poller.register(transport.get_extra_info('socket'), select.POLLIN)
+    return bool(poller.poll(0))
+
+
 def _build_problem(status: int, error: BaseException | None) -> Problem:
     if isinstance(error, LineTooLong):
         message = 'a line of the request head is too long'
--- /dev/null
+++ b/packages/verbenahall/tests/gateway/test_open_connections.py
@@ -0,0 +1,156 @@
+"""Requests on open connections whose timers or process end meanwhile."""
+
+import asyncio
+import contextlib
+import signal
+import time
+
+import pytest
+
+from .conftest import HOST, run
+from .test_process import start_instance
+
+HEAD = (
+    f'GET /archive/1 HTTP/1.1\r\nHost: {HOST}\r\n'
+    'X-Verbenahall-Request-Id: r-1\r\n\r\n'
+).encode()
+#: Time between a signal and its effect on the process, in seconds.
+SIGNAL_S = 0.1
+LIMITS = {
+    'maxHeaderBytes': 16_384,
+    'maxBodyBytes': 4_194_304,
+    'headerTimeoutMs': 3000,
+    'idleTimeoutMs': 15_000,
+}
+
+
+@contextlib.asynccontextmanager
+async def start_with_limits(folder, **changes):
+    """Run a gateway process whose manifest has changed limits."""
+    async with start_instance(folder) as (instance, site):
+        await publish_limits(instance, site, **changes)
+        yield instance, site
+
+
+async def publish_limits(instance, site, **changes):
+    """Publish changed limits; wait until they are in force."""
+    site.publish(limits={**LIMITS, **changes})
+    await wait_for_version(instance, site)
+
+
+async def wait_for_version(instance, site):
+    """Wait until the process has logged the newest manifest."""
+    async with asyncio.timeout(3):
+        while instance.read_events().count('manifest') < site.version:
+            await asyncio.sleep(0.02)
+
+
+@contextlib.asynccontextmanager
+async def connect(instance):
+    """Open a caller's raw connection."""
+    host, _, port = instance.settings.callers.rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        yield reader, writer
+    finally:
+        writer.close()
+
+
+async def read_status(reader, within_s=5.0):
+    """Read one response; return its status, or 0 if the connection ends."""
+    with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        async with asyncio.timeout(within_s):
+            head = await reader.readuntil(b'\r\n\r\n')
+            length = head.lower().split(b'content-length: ')[1]
+            await reader.readexactly(int(length.split(b'\r\n')[0]))
+            return int(head.split()[1])
+    return 0
+
+
+async def wait_for_end(reader, within_s):
+    """Wait until the connection ends; a reset counts as well."""
+    async with asyncio.timeout(within_s):
+        with contextlib.suppress(ConnectionError):
+            assert not await reader.read(1)
+
+
+@contextlib.asynccontextmanager
+async def pause_process(instance, pause_s):
+    """Stop the process for the body and then for the rest of the time."""
+    started = time.monotonic()
+    instance.started.send_signal(signal.SIGSTOP)
+    await asyncio.sleep(SIGNAL_S)
+    yield
+    await asyncio.sleep(started + pause_s - time.monotonic())
+    instance.started.send_signal(signal.SIGCONT)
+
+
+def test_request_that_waits_at_the_end_of_the_idle_time(tmp_path):
+    # The process stood still as the idle time ended. The timer ran before the
+    # socket was read, and the connection was closed with the request in it.
+    async def check():
+        async with (
+            start_with_limits(tmp_path, idleTimeoutMs=1500) as (instance, _),
+            connect(instance) as (reader, writer),
+        ):
+            writer.write(HEAD)
+            assert await read_status(reader) == 200
+            await asyncio.sleep(1)
+            async with pause_process(instance, 1.2):
+                writer.write(HEAD)
+            assert await read_status(reader) == 200
+
+    run(check())
+
+
+def test_rest_of_a_head_that_waits_at_the_end_of_its_time(tmp_path):
+    # The process stood still as the time of the head ended, and the rest of
+    # the head was in the socket.
+    async def check():
+        async with (
+            start_with_limits(tmp_path, headerTimeoutMs=900) as (instance, _),
+            connect(instance) as (reader, writer),
+        ):
+            await asyncio.sleep(0.1)
+            writer.write(HEAD[:20])
+            await asyncio.sleep(0.3)
+            async with pause_process(instance, 1):
+                writer.write(HEAD[20:])
+            assert await read_status(reader) == 200
+
+    run(check())
+
+
+@pytest.mark.parametrize('is_new', [True, False])
+def test_head_that_goes_on_at_the_end_of_the_idle_time(tmp_path, is_new):
+    # A head that began within the idle time was closed away at its end, though
+    # it was within the time of a head.
+    async def check():
+        async with (
+            start_with_limits(tmp_path, idleTimeoutMs=2500) as (instance, _),
+            connect(instance) as (reader, writer),
+        ):
+            if not is_new:
+                writer.write(HEAD)
+                assert await read_status(reader) == 200
+            await asyncio.sleep(1.8)
+            writer.write(HEAD[:20])
+            await asyncio.sleep(1.2)
+            writer.write(HEAD[20:])
+            assert await read_status(reader) == 200
+
+    run(check())
+
+
+def test_incomplete_first_head_closes_the_connection(tmp_path):
+    # The first bytes of a connection arrived before its handler had begun: the
+    # timeout of the head did not start.
+    async def check():
+        async with (
+            start_with_limits(tmp_path, headerTimeoutMs=300) as (instance, _),
+            connect(instance) as (reader, writer),
+        ):
+            writer.write(HEAD[:20])
+            await wait_for_end(reader, 2)
+
+    run(check())
