--- a/packages/verbenahall/tests/gateway/test_open_connections.py
+++ b/packages/verbenahall/tests/gateway/test_open_connections.py
@@ -3,19 +3,42 @@
 import asyncio
 import contextlib
 import signal
+import socket
 import time
 
 import pytest
+from verbenahall_standins.platform import make_route
 
-from .conftest import HOST, run
-from .test_process import start_instance
+from .conftest import HOST, make_engines, run
+from .test_process import GRACE_S, start_instance
 
 HEAD = (
     f'GET /archive/1 HTTP/1.1\r\nHost: {HOST}\r\n'
     'X-Verbenahall-Request-Id: r-1\r\n\r\n'
 ).encode()
+STREAM_HEAD = (
+    f'POST /long/1 HTTP/1.1\r\nHost: {HOST}\r\n'
+    'X-Verbenahall-Request-Id: r-1\r\nX-Verbenahall-Model: m\r\n'
+    'X-Verbenahall-Token-Count: 1000,50\r\n'
+    'X-Verbenahall-Prompt-Prefix: aa:800,bb:200\r\n'
+    'Content-Length: 0\r\n\r\n'
+).encode()
+#: A route whose requests may last as long as a process takes to stop.
+LONG_ROUTE = make_route(
+    '/long/', 'stream', 'drafter', resumable=True, timeoutMs=12_000
+)
+LAST_CHUNK = b'\r\n0\r\n\r\n'
 #: Time between a signal and its effect on the process, in seconds.
 SIGNAL_S = 0.1
+#: Receive buffer of a slow caller, and its largest read, in bytes.
+RECEIVE_BYTES = 8192
+PIECE_BYTES = 16_384
+FAST_BYTES_S = 10_000_000
+#: How long a slow caller reads nothing: longer than a process without requests
+#: takes to stop, and shorter than the grace period, in seconds.
+UNREAD_S = 5.5
+#: Segments of a network other than loopback: the kernel buffers less of them.
+SEGMENT_BYTES = 1400
 LIMITS = {
     'maxHeaderBytes': 16_384,
     'maxBodyBytes': 4_194_304,
@@ -56,6 +79,30 @@
         writer.close()
 
 
+async def connect_slowly(instance):
+    """Return a caller's socket that receives little ahead of its reads."""
+    host, _, port = instance.settings.callers.rpartition(':')
+    opened = socket.socket()
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+    opened.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(opened, (host, int(port)))
+    return opened
+
+
+async def read_at_rate(opened, bytes_s):
+    """Read to the end of the connection; return what was received."""
+    loop = asyncio.get_running_loop()
+    received = bytearray()
+    started = time.monotonic()
+    with contextlib.suppress(ConnectionError):
+        while piece := await loop.sock_recv(opened, PIECE_BYTES):
+            received += piece
+            due_s = len(received) / bytes_s
+            await asyncio.sleep(started + due_s - time.monotonic())
+    return bytes(received)
+
+
 async def read_status(reader, within_s=5.0):
     """Read one response; return its status, or 0 if the connection ends."""
     with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
@@ -154,3 +201,48 @@
             await wait_for_end(reader, 2)
 
     run(check())
+
+
+@pytest.mark.parametrize('events', [3000, 5000, 6000, 8000])
+def test_slow_reader_gets_its_stream_during_a_stop(tmp_path, events):
+    # The request counted as finished once its answer was in a buffer of the
+    # process, and the process ended with the rest of the answer in it.
+    async def check():
+        engines = make_engines()
+        engines[-1].events = events
+        async with start_instance(tmp_path, engines) as (instance, site):
+            site.publish(added=[LONG_ROUTE])
+            await wait_for_version(instance, site)
+            opened = await connect_slowly(instance)
+            with contextlib.closing(opened):
+                loop = asyncio.get_running_loop()
+                await loop.sock_sendall(opened, STREAM_HEAD)
+                await asyncio.sleep(0.5)
+                instance.started.send_signal(signal.SIGTERM)
+                await asyncio.sleep(UNREAD_S)
+                received = await read_at_rate(opened, FAST_BYTES_S)
+            assert received.endswith(LAST_CHUNK)
+            assert await instance.started.wait() == 0
+
+    run(check())
+
+
+def test_caller_that_never_reads_does_not_delay_the_end(tmp_path):
+    # An answer that a caller does not read must not keep the process beyond the
+    # grace period, after which the platform kills it.
+    async def check():
+        engines = make_engines()
+        engines[-1].events = 6000
+        async with start_instance(tmp_path, engines) as (instance, site):
+            site.publish(added=[LONG_ROUTE])
+            await wait_for_version(instance, site)
+            opened = await connect_slowly(instance)
+            with contextlib.closing(opened):
+                loop = asyncio.get_running_loop()
+                await loop.sock_sendall(opened, STREAM_HEAD)
+                await asyncio.sleep(0.5)
+                instance.started.send_signal(signal.SIGTERM)
+                async with asyncio.timeout(GRACE_S):
+                    assert await instance.started.wait() == 0
+
+    run(check())
