Send a stream's beginning later if no peer is live when it begins

What callers saw: the instance that had begun their stream ended, and another one refused to go on with it, as nobody knew the stream's software version.

Cause: an instance that was paused for more than 1.3 s takes its peers for dead until the next heartbeats. A stream that began then had no owners, and was marked as replicated all the same, so it was never sent to anybody.

Change: a record counts as replicated once it was sent to an owner. The records are gone through only while a peer is live, so that a single instance doesn't go through all of them ten times a second.

--- a/packages/verbenahall/src/verbenahall/gateway/_stream_versions.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_stream_versions.py
@@ -30,6 +30,7 @@
     decide_version,
     decode,
     encode,
+    has_owners,
     make_stream_key,
 )
 
@@ -98,8 +99,9 @@
         forgotten = now - self._find_life_s()
         self.history.forget(forgotten)
         self.records.forget(forgotten)
-        for key, record in tuple(self.records.list_unreplicated()):
-            self._replicate(key, record, now)
+        if has_owners(self._core.peer_table, now):
+            for key, record in tuple(self.records.list_unreplicated()):
+                self._replicate(key, record, now)
 
     def record_begun(self, call: Call, engine: Entry) -> None:
         """Record that an engine brings the first event of a call's stream."""
@@ -193,14 +195,17 @@
         self._reported = _log_changes(entries, self._reported)
 
     def _replicate(self, key: str, record: StreamRecord, now: float) -> None:
-        """Send a stream to its owners, unless its service has one version."""
+        """Send a stream to its owners, unless its service has one version.
+
+        While no peer is live it has none, and ``update`` sends it later.
+        """
         since = now - self._find_life_s()
         if isinstance(self.history.find_sole(record.service, since), Some):
             return
         peer_table = self._core.peer_table
         owners = choose_owners(peer_table, key, now)
         age_s = max(0, now - record.began_at)
-        record.is_replicated = True
+        record.is_replicated = bool(owners)
         self._send(
             Beginning(key, record.service, record.version, age_s),
             [peer_table.peers[name].address for name in owners],
--- a/packages/verbenahall/src/verbenahall/stream_versions/__init__.py
+++ b/packages/verbenahall/src/verbenahall/stream_versions/__init__.py
@@ -10,6 +10,7 @@
     choose_owners,
     choose_queried,
     decide_version,
+    has_owners,
 )
 from verbenahall.stream_versions._history import VersionHistory
 from verbenahall.stream_versions._messages import (
@@ -36,5 +37,6 @@
     'decide_version',
     'decode',
     'encode',
+    'has_owners',
     'make_stream_key',
 )
--- a/packages/verbenahall/src/verbenahall/stream_versions/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/stream_versions/_decisions.py
@@ -21,6 +21,11 @@
 _LIVE_S: Final = 1.3
 
 
+def has_owners(peer_table: PeerTable, now: float) -> bool:
+    """Whether any peer can keep the beginning of a stream."""
+    return bool(_list_live(peer_table, now))
+
+
 def choose_owners(peer_table: PeerTable, key: str, now: float) -> list[str]:
     """Return the peers that keep a stream's beginning.
 
--- a/packages/verbenahall/tests/gateway/test_stream_versions.py
+++ b/packages/verbenahall/tests/gateway/test_stream_versions.py
@@ -101,6 +101,37 @@
     run(check())
 
 
+class DeafVersions:
+    """Stream versions of an instance that has heard no peer for a while."""
+
+    def __init__(self, core):
+        self._core = core
+        self._versions = core.stream_versions
+        core.stream_versions = self
+
+    def record_begun(self, call, engine):
+        """Record a beginning, the heartbeats of all peers being too old."""
+        for peer in self._core.peer_table.peers.values():
+            peer.last_heartbeat_at = self._core.now() - 2
+        self._versions.record_begun(call, engine)
+
+
+def test_stream_that_began_while_no_peer_was_heard_is_taken_up(tmp_path):
+    # The instance was paused for more than a second before the stream began,
+    # and took all its peers for dead: it told none of them, then or later.
+    async def check():
+        engines = make_versioned_engines(v1=2, v2=2)
+        async with run_instances(tmp_path, engines, 2) as (first, second):
+            DeafVersions(second.gateway.core)
+            begun = await begin_streams(second, 4)
+            await asyncio.sleep(0.5)
+            await second.gateway.close()
+            statuses = [await take_up(first, one) for one in begun]
+            assert statuses == [200, 200, 200, 200]
+
+    run(check())
+
+
 @pytest.mark.parametrize(
     'headers',
     (
