Decline and release requests of a service that a scheduler lost

Every request that ran, waited, was forwarded or was being uploaded while one of twelve changes of the manifest came into force was answered whole, so a look-up by name did not lose one.

Fault: a scheduler whose manifest no longer had an engine service dropped the reports on its open requests, and stopped to run the queue. Waiting requests were declined only when their instances repeated them; their releases were ignored, so that they stayed in the queue, and assigned ones kept their places at the engines until their deadlines. If the service came back (a manifest was taken back), the queue still held requests that had long been served.

Evidence: test_request_in_the_queue_of_a_scheduler_is_answered failed for 4 of its 12 changes (the service gone, renamed, without engines; nothing left): the scheduler was not idle 3 s after all answers. All 12 pass now.

--- a/packages/standins/src/verbenahall_standins/platform/__init__.py
+++ b/packages/standins/src/verbenahall_standins/platform/__init__.py
@@ -13,6 +13,7 @@
 from verbenahall_standins.platform._site import (
     HOST,
     Site,
+    make_manifest,
     make_route,
     write_settings,
 )
@@ -38,6 +39,7 @@
     'StoreEntrance',
     'StoreFaults',
     'StoreStandIn',
+    'make_manifest',
     'make_route',
     'write_settings',
 )
--- a/packages/verbenahall/src/verbenahall/gateway/_scheduler.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_scheduler.py
@@ -28,6 +28,7 @@
     ShareReporter,
     add_status,
     assign_waiting,
+    decline_waiting,
     decode,
     encode,
     expire_assignments,
@@ -153,9 +154,9 @@
         state: SchedulerState,
         progress: Prefilled | FirstEvent | Released,
     ) -> None:
-        service = self._list_services().get(scope[0])
-        if service is None:
-            return
+        # A service that has left the manifest still has open requests.
+        name, _ = scope
+        service = self._list_services().get(name, Service(name))
         now = self._core.now()
         record_trial_progress(state, progress, self._core.endpoint_health, now)
         record_progress(state, progress, service, now)
@@ -187,11 +188,12 @@
     def _process_queue(self, scope: _Scope) -> None:
         self._next_runs.pop(scope)
         state = self._states[scope]
+        now = self._core.now()
+        self._processed_at[scope] = now
         service = self._list_services().get(scope[0])
         if service is None:
+            self._send_replies(decline_waiting(state, now), state)
             return
-        now = self._core.now()
-        self._processed_at[scope] = now
         fleet = self._describe_fleet(state, service, scope[1])
         self._send_replies(
             assign_waiting(state, fleet, now, self._core.random), state
--- a/packages/verbenahall/src/verbenahall/scheduling/__init__.py
+++ b/packages/verbenahall/src/verbenahall/scheduling/__init__.py
@@ -13,6 +13,7 @@
 from verbenahall.scheduling._decision_log import log_reply
 from verbenahall.scheduling._decisions import (
     assign_waiting,
+    decline_waiting,
     expire_assignments,
     receive_request,
     record_progress,
@@ -61,6 +62,7 @@
     'add_status',
     'assign_waiting',
     'begin_trials',
+    'decline_waiting',
     'decode',
     'encode',
     'expire_assignments',
--- a/packages/verbenahall/src/verbenahall/scheduling/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/scheduling/_decisions.py
@@ -27,6 +27,7 @@
 from verbenahall.roster import Entry
 from verbenahall.scheduling._messages import (
     Assignment,
+    Declined,
     FirstEvent,
     Prefilled,
     Queued,
@@ -101,6 +102,18 @@
     return (*_apply(state, effects, now), *_notify_waiting(state))
 
 
+def decline_waiting(state: SchedulerState, now: float) -> Replies:
+    """Decline all waiting requests, as their service is not scheduled here."""
+    replies = tuple(
+        Reply(waiting.sender, Declined(key))
+        for key, waiting in state.waiting.items()
+    )
+    state.waiting.clear()
+    state.queue.waiting.clear()
+    state.queue.update_rates(now, ())
+    return replies
+
+
 def record_progress(
     state: SchedulerState,
     progress: Progress,
--- a/packages/verbenahall/src/verbenahall/scheduling/_messages.py
+++ b/packages/verbenahall/src/verbenahall/scheduling/_messages.py
@@ -111,7 +111,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Declined:
-    """The instance does not schedule now, because it starts or stops."""
+    """The instance does not schedule the service.
+
+    It starts or stops, or knows no such service.
+    """
 
     key: str
 
