Deliver answers whose heads hold control characters

What callers saw: an endpoint answered, and the caller's connection was closed without any answer, or refusal; a stream got 500. The log said `answered`, end `whole`, outcome 200.

Cause: aiohttp reads control characters in the headers and in the reason of an answer, and refuses to write them. The response of the handler then fails as its head is written, after the handler has returned: no error handling is left there, and the library closes the connection. If the head of a stream fails, the error response was sent in chunks that its own head did not announce.

Change: spaces replace the control characters as an answer's head is read, as RFC 9110 (5.5) allows. A response that can't be written for another reason is replaced by the error response, unless a part of it was sent.

--- a/packages/verbenahall/src/verbenahall/front/_connections.py
+++ b/packages/verbenahall/src/verbenahall/front/_connections.py
@@ -7,6 +7,7 @@
 from types import MappingProxyType
 from typing import Any, Final, final
 
+from absl import logging
 from aiohttp import web
 from aiohttp.http_exceptions import LineTooLong
 
@@ -108,6 +109,27 @@
         response.force_close()
         return response
 
+    async def finish_response(
+        self,
+        request: web.BaseRequest,
+        resp: web.StreamResponse,
+        start_time: float | None,
+    ) -> tuple[web.StreamResponse, bool]:
+        """Send a response, or an error if its head cannot be written.
+
+        aiohttp would close the connection without any response. A head that
+        was not written may have chosen chunks, which the next one doesn't.
+        """
+        if not resp.prepared:
+            request.writer.chunked = False
+        try:
+            return await super().finish_response(request, resp, start_time)
+        except Exception as error:
+            logging.exception('a response could not be sent')
+            failed = self.handle_error(request, _SERVER_ERROR, error)
+            request.writer.chunked = False
+            return await super().finish_response(request, failed, start_time)
+
     def _check_first_request(self) -> None:
         if not self._request_count:
             self.force_close()
--- a/packages/verbenahall/src/verbenahall/platform/_connections.py
+++ b/packages/verbenahall/src/verbenahall/platform/_connections.py
@@ -15,6 +15,7 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.client_reqrep import ClientRequest
+from aiohttp.http_parser import RawResponseMessage
 
 from verbenahall import metrics
 from verbenahall.platform import _names as names
@@ -45,6 +46,9 @@
     aiohttp.ConnectionTimeoutError,
 )
 _HEAD_END: Final = b'\r\n\r\n'
+#: Control characters that aiohttp reads in a head, but doesn't write.
+_CONTROLS: Final = re.compile(r'[\x00-\x08\x0a-\x1f\x7f]')
+_RAW_CONTROLS: Final = re.compile(_CONTROLS.pattern.encode())
 _KEEP_ALIVE: Final = re.compile(r'timeout\s*=\s*(\d+)', re.ASCII)
 
 
@@ -84,7 +88,7 @@
             await payload.read()
         self._update_idle_limit(message.headers.get('Keep-Alive', ''))
         payload.on_eof(self._mark_idle)
-        return message, payload
+        return _replace_controls(message), payload
 
     def data_received(self, data: bytes) -> None:
         """Keep a complete answer that is followed by stray bytes.
@@ -122,6 +126,33 @@
         self._idle_since = self._loop.time()
 
 
+def _replace_controls(message: RawResponseMessage) -> RawResponseMessage:
+    """Return an answer's head with spaces in place of control characters.
+
+    RFC 9110 (5.5) allows that. Passed on as they are, they would keep the whole
+    answer from being written to the caller.
+    """
+    is_odd = _CONTROLS.search(message.reason) or any(
+        _RAW_CONTROLS.search(found) for _, found in message.raw_headers
+    )
+    if not is_odd:
+        return message
+    return RawResponseMessage(
+        message.version,
+        message.code,
+        _CONTROLS.sub(' ', message.reason),
+        message.headers,
+        tuple(
+            (name, _RAW_CONTROLS.sub(b' ', found))
+            for name, found in message.raw_headers
+        ),
+        message.should_close,
+        message.compression,
+        message.upgrade,
+        message.chunked,
+    )
+
+
 @final
 class EndpointRequest(ClientRequest):
     """A request that sets the request id which its connection expects."""
