End each wait in a queue, also if the runs over it fail

What callers saw: a request that waited for its prefill got neither an answer nor a refusal for as long as its caller waited, and the request before it got 500 after its prompt was prefilled.

Cause: only the runs over a queue end the waits in it. A run that raised an exception armed no timer for the next one, and ended the flow of whichever request had caused it. At a scheduler, instances repeated their requests without end, since it answered each time that they were queued. Such an exception comes with a manifest whose engine service has no slots, no memory or no bandwidth, among others: placement divides by them.

Evidence: 4 of 4 new tests failed before (timeouts of 2 to 4 s; the request before it answered 500 or waited as well), and pass now.

Change: the next run is scheduled before a run, whose failure is logged and ends no request. A scheduler whose run fails declines what waits, so that instances place it themselves. Both waits end when the caller leaves.

--- a/packages/verbenahall/src/verbenahall/gateway/_prefill_queues.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_prefill_queues.py
@@ -3,11 +3,12 @@
 import asyncio
 from typing import Final, final
 
+from absl import logging
 from returns.result import Failure, Result, Success
 
 from verbenahall import fair_shares, journal, metrics
 from verbenahall.catalog import Service
-from verbenahall.errors import Problem
+from verbenahall.errors import ErrorKind, Problem, Ran
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._messages import Call
 from verbenahall.overload import report_overload
@@ -104,6 +105,18 @@
         queue = self._queues.get(service.name)
         if queue is None or not queue.waiting:
             return
+        # Polled also after a run that fails: each one may be the last event.
+        if service.name not in self._polling:
+            self._polling.add(service.name)
+            loop = asyncio.get_running_loop()
+            loop.call_later(_POLL_S, self._poll, service)
+        try:
+            self._process(service, queue)
+        except Exception:
+            # The request that caused this run is not among those that wait.
+            logging.exception('a run over a prefill queue failed')
+
+    def _process(self, service: Service, queue: PrefillQueue) -> None:
         now = self._core.now()
         shares = self._core.fair_shares.find(service.name)
         fair_shares.mark_beyond_share(shares, queue.waiting, now)
@@ -116,10 +129,6 @@
             ),
         )
         report_overload(queue.overload, service.name, queue.waiting, now)
-        if queue.waiting and service.name not in self._polling:
-            self._polling.add(service.name)
-            loop = asyncio.get_running_loop()
-            loop.call_later(_POLL_S, self._poll, service)
 
     def _poll(self, service: Service) -> None:
         self._polling.discard(service.name)
@@ -133,9 +142,23 @@
         future: asyncio.Future[AdmitResult],
     ) -> AdmitResult:
         if not future.done():
-            self._log_queued(call, queue, pending)
+            _log_queued(call, queue, pending, self._core.now())
+        left_s = call.leaves_at - self._core.now()
         try:
-            outcome = await future
+            async with asyncio.timeout(left_s):
+                outcome = await self._await_future(future)
+        except TimeoutError:
+            # The queue refuses a request earlier, unless its runs fail.
+            message = 'the request was not admitted in time'
+            return Failure(Problem(ErrorKind.OVERLOADED, message, Ran.NO))
+        metrics.QUEUE_SECONDS.observe(self._core.now() - call.received)
+        return outcome
+
+    async def _await_future(
+        self, future: asyncio.Future[AdmitResult]
+    ) -> AdmitResult:
+        try:
+            return await future
         except asyncio.CancelledError:
             # The caller disconnected. If its request was admitted in the same
             # iteration of the event loop, the reservation must be closed, or
@@ -143,8 +166,6 @@
             if future.done() and not future.cancelled():
                 self._release(future.result())
             raise
-        metrics.QUEUE_SECONDS.observe(self._core.now() - call.received)
-        return outcome
 
     def _release(self, outcome: AdmitResult) -> None:
         if isinstance(outcome, Success):
@@ -176,16 +197,16 @@
             # The caller has disconnected since the queue was processed.
             self._release(outcome)
 
-    def _log_queued(
-        self, call: Call, queue: PrefillQueue, pending: QueuedRequest
-    ) -> None:
-        now = self._core.now()
-        journal.write_decision(
-            'queued',
-            request=call.head.identity,
-            waiting=len(queue.waiting),
-            late=pending.is_late(now),
-            returning=pending.returning,
-            lead_s=journal.round_to_ms(pending.expected_first_s),
-            due_s=journal.round_to_ms(pending.due_at - now),
-        )
+
+def _log_queued(
+    call: Call, queue: PrefillQueue, pending: QueuedRequest, now: float
+) -> None:
+    journal.write_decision(
+        'queued',
+        request=call.head.identity,
+        waiting=len(queue.waiting),
+        late=pending.is_late(now),
+        returning=pending.returning,
+        lead_s=journal.round_to_ms(pending.expected_first_s),
+        due_s=journal.round_to_ms(pending.due_at - now),
+    )
--- a/packages/verbenahall/src/verbenahall/gateway/_scheduler.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_scheduler.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Final, final
 
+from absl import logging
 from returns.maybe import Some
 
 from verbenahall.catalog import Service
@@ -195,9 +196,13 @@
             self._send_replies(decline_waiting(state, now), state)
             return
         fleet = self._describe_fleet(state, service, scope[1])
-        self._send_replies(
-            assign_waiting(state, fleet, now, self._core.random), state
-        )
+        try:
+            replies = assign_waiting(state, fleet, now, self._core.random)
+        except Exception:
+            # Instances would repeat their requests until their callers leave.
+            logging.exception('a run over the queue of a scheduler failed')
+            replies = decline_waiting(state, now)
+        self._send_replies(replies, state)
         queue = state.queue
         report_overload(queue.overload, scope[0], queue.waiting, now)
         self._schedule_run(scope, _QUEUE_INTERVAL_S)
--- a/packages/verbenahall/src/verbenahall/gateway/_scheduler_client.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_scheduler_client.py
@@ -226,8 +226,11 @@
         address: str,
         inbox: asyncio.Queue[Queued | Answer],
     ) -> Answer | None:
-        """Send the request, again while it is queued; None on a timeout."""
-        while True:
+        """Send the request, again while it is queued; None on a timeout.
+
+        A scheduler that works rejects a request before its caller leaves.
+        """
+        while self._core.now() < group_request.call.leaves_at:
             self._send(address, group_request.build(key, self._core.now()))
             message = await _receive_within(inbox, _ANSWER_S)
             self._statuses.record(
@@ -241,6 +244,7 @@
                 if message is None or isinstance(message, Queued):
                     continue
             return message
+        return None
 
     def _make_key(self, call: Call) -> str:
         """Return a key that is unique in the fleet."""
--- a/packages/verbenahall/tests/gateway/test_scheduling.py
+++ b/packages/verbenahall/tests/gateway/test_scheduling.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from verbenahall.gateway import _scheduler as scheduler
 from verbenahall.gateway import _scheduler_client as scheduler_client
 from verbenahall.peers import list_live_peers
 from verbenahall.platform import read_answer_head
@@ -258,6 +259,40 @@
     run(check())
 
 
+@pytest.mark.parametrize(
+    ('failing', 'status'),
+    [
+        (('assign_waiting',), 200),
+        (('assign_waiting', 'decline_waiting'), 429),
+    ],
+)
+def test_failing_scheduler_keeps_no_request(
+    tmp_path, monkeypatch, failing, status
+):
+    """The runs over its queue fail, and it answers that the request waits.
+
+    Its instance repeated the request until the caller left.
+    """
+
+    def fail(*arguments):
+        raise ZeroDivisionError('a run fails')
+
+    async def check():
+        engines = make_engines(prefill_count=1)
+        engines[0].faults.prefill_delay_s = 0.5
+        async with run_gateways(tmp_path, engines) as harnesses:
+            first = harnesses[0]
+            state = find_state(harnesses[-1])
+            sending = await queue_behind(first, state)
+            for name in failing:
+                monkeypatch.setattr(scheduler, name, fail)
+            async with asyncio.timeout(4):
+                answers = await asyncio.gather(*sending)
+            assert [one[0] for one in answers] == [200, status]
+
+    run(check())
+
+
 def test_stopping_scheduler_declines(tmp_path):
     """The platform stops the scheduler, and the next one is tried."""
 
--- a/packages/verbenahall/tests/gateway/test_waiting.py
+++ b/packages/verbenahall/tests/gateway/test_waiting.py
@@ -2,6 +2,9 @@
 
 import asyncio
 
+from verbenahall.gateway import _prefill_queues as prefill_queues
+from verbenahall.placement import dispatch
+
 from .conftest import PREFIX, make_engines, run, run_gateway
 
 #: A prompt whose prefill takes long enough for the next request to be queued.
@@ -141,3 +144,51 @@
             assert waited == [0, 0, 0]
 
     run(check())
+
+
+class FailingRuns:
+    """Runs over the queue that fail while ``is_failing`` is set."""
+
+    def __init__(self, monkeypatch):
+        self.is_failing = False
+        monkeypatch.setattr(prefill_queues, 'dispatch', self._dispatch)
+
+    def _dispatch(self, *arguments):
+        if self.is_failing:
+            raise ZeroDivisionError('a run fails')
+        return dispatch(*arguments)
+
+
+def test_failed_run_over_the_queue_is_repeated(tmp_path, monkeypatch):
+    # A run failed while a request waited. No run followed it, and the request
+    # waited for as long as its caller did; the one before it got 500.
+    runs = FailingRuns(monkeypatch)
+
+    async def check():
+        async with run_gateway(tmp_path, make_slow_engines()) as harness:
+            first, second = await start_queued(harness)
+            runs.is_failing = True
+            answered = [await first]
+            runs.is_failing = False
+            async with asyncio.timeout(2):
+                answered.append(await second)
+            assert [status for status, _, _ in answered] == [200, 200]
+
+    run(check())
+
+
+def test_waiting_request_is_refused_if_all_runs_fail(tmp_path, monkeypatch):
+    # Nothing but a run over the queue ended the wait.
+    runs = FailingRuns(monkeypatch)
+
+    async def check():
+        async with run_gateway(tmp_path, make_slow_engines()) as harness:
+            first, second = await start_queued(harness)
+            runs.is_failing = True
+            async with asyncio.timeout(3):
+                answers = await asyncio.gather(first, second)
+            assert [status for status, _, _ in answers] == [200, 429]
+            given_up = harness.log_lines('given_up')[0]
+            assert given_up['ran'] == 'no'
+
+    run(check())
