--- a/packages/standins/src/verbenahall_standins/platform/_raw.py
+++ b/packages/standins/src/verbenahall_standins/platform/_raw.py
@@ -15,10 +15,11 @@
     """Answers each request with the next of the given answers.
 
     An answer is a sequence of pieces that are sent one by one. ``None`` in
-    place of a piece resets the connection, an empty piece closes it.
+    place of a piece resets the connection, an empty piece closes it, and a
+    number is a pause in seconds.
     """
 
-    def __init__(self, *answers: Sequence[bytes | None]) -> None:
+    def __init__(self, *answers: Sequence[bytes | float | None]) -> None:
         """Prepare the answers; the last one is repeated."""
         self._answers = list(answers)
         self.requests: list[bytes] = []
@@ -65,15 +66,19 @@
         if len(self._answers) > 1:
             self._answers.pop(0)
         for piece in answer:
-            if piece is None:
-                _reset(writer)
-                return False
-            if not piece:
-                writer.close()
-                return False
-            writer.write(piece)
-            await writer.drain()
-            await asyncio.sleep(0.02)
+            match piece:
+                case None:
+                    _reset(writer)
+                    return False
+                case b'':
+                    writer.close()
+                    return False
+                case float() | int():
+                    await asyncio.sleep(piece)
+                case _:
+                    writer.write(piece)
+                    await writer.drain()
+                    await asyncio.sleep(0.02)
         return True
 
 
--- a/packages/verbenahall/tests/gateway/test_process.py
+++ b/packages/verbenahall/tests/gateway/test_process.py
@@ -59,9 +59,9 @@
 
 
 @contextlib.asynccontextmanager
-async def start_instance(folder):
-    """Run a gateway process in front of one plain endpoint."""
-    site = Site(plain=make_plain(1))
+async def start_instance(folder, plain_count=1):
+    """Run a gateway process in front of plain endpoints."""
+    site = Site(plain=make_plain(plain_count))
     await site.start()
     path = write_settings(folder, site.store.address)
     output = folder / 'output'
