--- a/packages/verbenahall/tests/front/conftest.py
+++ b/packages/verbenahall/tests/front/conftest.py
@@ -51,7 +51,10 @@
     """A fake engine or service with injected faults.
 
     ``fault(number)`` returns the fault for the request of that number, or
-    empty text; ``started`` lists the attempts that the endpoint started.
+    empty text; ``started`` lists the attempts that the endpoint started. With
+    the fault ``pause`` it counts as silent for ``pause_s`` seconds, in a stream
+    after three tokens, and then goes on; ``event_s`` is the time between two
+    tokens in seconds.
     """
 
     def __init__(self, name, fault=None):
@@ -63,6 +66,8 @@
         self.seen = 0
         self.tokens = 5
         self.work_s = 0
+        self.pause_s = 1.6
+        self.event_s = 0
         self.running = 0
         self.status = EndpointStatus.LIVE
         self.address = ''
@@ -100,11 +105,13 @@
             return web.Response(status=500)
         headers = {'X-Load': f'{self.running},0,0.9'}
         if not request.path.startswith('/v1'):
+            await self.pause(fault)
             answered = {'path': request.raw_path, 'by': self.name}
             return web.json_response(answered, headers=headers)
         table = json.loads(body)
         if table.get('stream'):
             return await self.stream(request, table, attempt, fault)
+        await self.pause(fault)
         if fault == 'stray':
             attempt = 'another'
         answered = {
@@ -130,12 +137,22 @@
             for _ in range(copies):
                 line = json.dumps(event, separators=(',', ':'))
                 await response.write(f'data: {line}\n\n'.encode())
+            await asyncio.sleep(self.event_s)
             if fault == 'stall' and index == 2:
                 await asyncio.sleep(3600)
+            if index == 2:
+                await self.pause(fault)
         if fault != 'truncate':
             await response.write(b'data: [DONE]\n\n')
         return response
 
+    async def pause(self, fault):
+        """Fall silent for a while, and go on."""
+        if fault == 'pause':
+            self.status = EndpointStatus.SILENT
+            await asyncio.sleep(self.pause_s)
+            self.status = EndpointStatus.LIVE
+
     async def cancel(self, request):
         self.cancelled.append((await request.json())['attempt'])
         return web.Response()
@@ -160,6 +177,12 @@
     fakes: list
     client: ClientSession
     recorder: Recorder
+    server: front.Front
+
+    def spend_budget(self):
+        """Use up the retry budget."""
+        charge = self.server._attempts.charge_retry
+        assert not all(charge() for _ in range(1000))
 
     async def send_raw(self, sent):
         """Send raw bytes on a new connection; return all bytes received."""
@@ -331,7 +354,12 @@
         )
         try:
             yield FrontHarness(
-                f'http://{address}', dependencies, fakes, client, recorder
+                f'http://{address}',
+                dependencies,
+                fakes,
+                client,
+                recorder,
+                server,
             )
         finally:
             background.cancel()
