front: an attempt at a silent endpoint stays open until another one answers

What callers saw: a sound engine that was paused for 1.6 s counted as silent, and its open attempts were ended at once. Streams ended with an error event after three of five tokens, plain requests with 502, and requests that may run only once with 504 and an unknown outcome, though the engine went on.

Cause: `abandon_unresponsive` ended each attempt at an endpoint with the status `silent` before the retry was decided. The budget, the number of attempts, the kind of the request, the engines left or the successor itself could all say no. It also ended streams whose events still came.

Change: the attempts of a request run in a race. If all endpoints of its open attempts are silent and have sent nothing for 0.5 s, another attempt is made beside them, if the retry rules, the budget and the endpoints allow it. The first that has a part of the answer cancels the others before it is sent; a plain request ends with the first answer. If no other may be made or it fails, the first one is awaited until the deadline. A request that only a peer can serve is left as before.

--- a/packages/verbenahall/src/verbenahall/front/_attempts.py
+++ b/packages/verbenahall/src/verbenahall/front/_attempts.py
@@ -8,19 +8,10 @@
 from verbenahall import metrics
 from verbenahall.admission import FLAG_PRIORITY
 from verbenahall.errors import Problem, Ran
-from verbenahall.fleet import Endpoint, EndpointStatus
 from verbenahall.front._dependencies import FrontDependencies
-from verbenahall.front._feedback import may_still_run, record_outcome
-from verbenahall.front._messages import Call
+from verbenahall.front._hedging import Hedging
 from verbenahall.front._placement import Placer
-from verbenahall.front._progress import (
-    PlacedAttempt,
-    Progress,
-    Sender,
-    Sent,
-    estimate_work,
-)
-from verbenahall.load import record_finished, record_sent
+from verbenahall.front._progress import Progress, Sender, Sent
 from verbenahall.requests import (
     Broken,
     GiveUp,
@@ -28,25 +19,28 @@
     Retry,
     RetryBudget,
     RetryContext,
-    TimedOut,
     decide_retry,
 )
 
 
 @final
 class AttemptRunner:
-    """Runs a request's attempts one after another until one succeeds."""
+    """Runs a request's attempts until one succeeds.
+
+    An attempt follows one that has failed. It is made beside one whose endpoint
+    is silent, which may still go on.
+    """
 
     def __init__(
         self,
         dependencies: FrontDependencies,
         placer: Placer,
     ) -> None:
-        """Start with a full retry budget and no open attempts."""
+        """Start with a full retry budget and no open requests."""
         self._dependencies = dependencies
         self._placer = placer
         self._budget = RetryBudget()
-        self._open: dict[str, tuple[Endpoint, asyncio.Timeout]] = {}
+        self._hedging = Hedging(dependencies, placer, self._decide_retry)
 
     async def run(
         self,
@@ -64,21 +58,9 @@
         """Charge the budget for a retry of a peer; False if it is used up."""
         return self._budget.try_spend()
 
-    def abandon_unresponsive(self) -> None:
-        """End the attempts whose endpoints have become unresponsive.
-
-        A paused or partitioned endpoint keeps its connection open without
-        sending anything, so the caller would wait until the deadline. Ending
-        the attempt early leaves time for a retry.
-        """
-        now = self._dependencies.clock()
-        loop = asyncio.get_running_loop()
-        for endpoint, limit in tuple(self._open.values()):
-            if (
-                self._dependencies.find_status(endpoint.name, now)
-                is EndpointStatus.SILENT
-            ):
-                limit.reschedule(loop.time())
+    def wake_silent(self) -> None:
+        """Let the requests whose endpoints are silent try another one."""
+        self._hedging.wake_silent()
 
     async def _run(
         self,
@@ -89,11 +71,10 @@
             placed = await self._placer.place(progress)
             if isinstance(placed, Failure):
                 return placed
-            result = await self._run_attempt(placed.unwrap(), progress, sender)
+            result = await self._hedging.run(placed.unwrap(), progress, sender)
             if isinstance(result, Success):
                 return result
             step = self._decide_retry(progress, result.failure())
-            progress.excluded |= {placed.unwrap().endpoint.name}
             if isinstance(step, GiveUp):
                 return Failure(step.problem)
             metrics.RETRIES.add(step.reason)
@@ -112,69 +93,6 @@
             head.ticket.workspace, head.key, progress.claim_offset
         )
 
-    async def _run_attempt(
-        self,
-        placed: PlacedAttempt,
-        progress: Progress,
-        sender: Sender[Sent],
-    ) -> Result[Sent, Outcome]:
-        """Run one attempt within the deadline; cancel it if it is abandoned."""
-        result: Result[Sent, Outcome] = Failure(TimedOut())
-        try:
-            result = await self._send(placed, progress, sender)
-        finally:
-            # This also runs when the caller disconnects and this task is
-            # cancelled; without a cancel call the engine would keep working.
-            if may_still_run(result):
-                sender.cancel(placed)
-        record_outcome(self._dependencies, placed.endpoint, result)
-        return result
-
-    async def _send(
-        self,
-        placed: PlacedAttempt,
-        progress: Progress,
-        sender: Sender[Sent],
-    ) -> Result[Sent, Outcome]:
-        timeout = asyncio.timeout(placed.remaining_s)
-        self._record_open(placed, progress.call, timeout)
-        try:
-            async with timeout:
-                return await sender.send(placed)
-        except TimeoutError:
-            return Failure(self._classify_timeout(progress))
-        finally:
-            self._record_closed(placed)
-
-    def _record_open(
-        self,
-        placed: PlacedAttempt,
-        call: Call,
-        timeout: asyncio.Timeout,
-    ) -> None:
-        self._open[placed.attempt] = (placed.endpoint, timeout)
-        record_sent(
-            self._dependencies.load,
-            placed.endpoint.name,
-            placed.attempt,
-            estimate_work(call),
-            self._dependencies.clock(),
-        )
-
-    def _record_closed(self, placed: PlacedAttempt) -> None:
-        self._open.pop(placed.attempt)
-        record_finished(
-            self._dependencies.load,
-            placed.endpoint.name,
-            placed.attempt,
-            self._dependencies.clock(),
-        )
-
-    def _classify_timeout(self, progress: Progress) -> Outcome:
-        if self._dependencies.clock() >= progress.call.head.deadline:
-            return TimedOut()
-        return Broken('the endpoint is unresponsive')
-
     def _decide_retry(
         self, progress: Progress, outcome: Outcome
     ) -> Retry | GiveUp:
--- a/packages/verbenahall/src/verbenahall/front/_pipeline.py
+++ b/packages/verbenahall/src/verbenahall/front/_pipeline.py
@@ -64,6 +64,7 @@
         progress = Progress(call)
         progress.is_counted = hop is not None and hop.is_counted
         forwarder = None if hop else self._forwarder
+        progress.may_forward = forwarder is not None
         relay = self._make_relay(call, request)
         if relay is not None:
             self._relays.add(relay)
--- a/packages/verbenahall/src/verbenahall/front/_placement.py
+++ b/packages/verbenahall/src/verbenahall/front/_placement.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Collection
 from typing import Final, final
 
 from returns.result import Failure, Result, Success
 
 from verbenahall.errors import ErrorKind, Problem, Ran
 from verbenahall.front._dependencies import FrontDependencies
-from verbenahall.front._fleet import FleetView
+from verbenahall.front._fleet import FleetView, is_lost
 from verbenahall.front._progress import (
     PlacedAttempt,
     Progress,
@@ -70,6 +71,20 @@
             if self._may_resume(progress, candidate.endpoint.name)
         ]
 
+    def has_successor(self, progress: Progress, names: Collection[str]) -> bool:
+        """Whether an endpoint other than ``names`` may take a request over.
+
+        One that has failed the request before may have recovered.
+        """
+        return any(
+            candidate.endpoint.name not in names
+            for candidate in self.list_candidates(progress)
+        )
+
+    def is_lost(self, progress: Progress) -> bool:
+        """Whether no endpoint can be reached for a request."""
+        return is_lost(self._fleet, progress.requirement)
+
     def _choose(self, progress: Progress) -> Result[Choice, Problem]:
         candidates = self.list_candidates(progress)
         now = self._dependencies.clock()
--- a/packages/verbenahall/src/verbenahall/front/_progress.py
+++ b/packages/verbenahall/src/verbenahall/front/_progress.py
@@ -1,6 +1,7 @@
 """The progress of a request over its attempts."""
 
 import dataclasses
+from collections.abc import Callable
 from typing import Final, Protocol, TypeVar, final
 
 from returns.result import Result
@@ -49,7 +50,8 @@
     is the model version that produced them. ``claim_offset`` is the offset of
     the record that claimed the request's key, or None. ``may_have_run`` means
     that an earlier attempt ended with an unknown outcome. ``is_counted`` means
-    that the request was counted as demand.
+    that the request was counted as demand, and ``may_forward`` that a peer may
+    serve it. ``claim(attempt)`` makes an open attempt the only one.
     """
 
     __slots__ = (
@@ -63,6 +65,8 @@
         'delivered_tokens',
         'version',
         'is_counted',
+        'may_forward',
+        'claim',
     )
 
     def __init__(self, call: Call) -> None:
@@ -77,6 +81,21 @@
         self.delivered_tokens = 0
         self.version = ''
         self.is_counted = False
+        self.may_forward = False
+        self.claim: Callable[[str], None] = _claim_nothing
+
+    @property
+    def may_leave(self) -> bool:
+        """Whether a peer may serve the request though it may have run here."""
+        return (
+            self.may_forward
+            and self.call.repeatable
+            and not self.delivered_tokens
+        )
+
+
+def _claim_nothing(attempt: str) -> None:
+    """Do nothing: no attempt is open."""
 
 
 def build_routing_request(progress: Progress) -> RoutingRequest:
--- a/packages/verbenahall/src/verbenahall/front/_relay.py
+++ b/packages/verbenahall/src/verbenahall/front/_relay.py
@@ -1,6 +1,6 @@
 """Forwards an engine's stream to the caller, across resumed attempts."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from types import MappingProxyType
 from typing import Final, final
 
@@ -56,8 +56,12 @@
         self,
         stream: OpenStream,
         state: StreamState,
+        claim: Callable[[], None],
     ) -> Result[web.StreamResponse, Outcome]:
-        """Forward events to the end marker, or return how the stream failed."""
+        """Forward events to the end marker, or return how the stream failed.
+
+        ``claim`` is called before events or the end marker are sent.
+        """
         last_event_at = self._clock()
         while not state.done:
             try:
@@ -68,12 +72,14 @@
                 return Failure(Broken('the stream ended without [DONE]'))
             step = process_chunk(state, chunk)
             if step.forwarded:
+                claim()
                 last_event_at = self._record_timing(last_event_at)
                 await self._write(step.forwarded)
             if state.gap:
                 return Failure(
                     Broken('a token index is missing from the stream')
                 )
+        claim()
         return Success(await self._finish())
 
     async def pass_on(
--- a/packages/verbenahall/src/verbenahall/front/_senders.py
+++ b/packages/verbenahall/src/verbenahall/front/_senders.py
@@ -1,5 +1,7 @@
 """Senders for plain and streamed model requests and for plain services."""
 
+import functools
+from collections.abc import Callable
 from typing import final
 
 from aiohttp import web
@@ -92,20 +94,22 @@
         version = self._fleet.get_version(
             placed.endpoint.name, self._call.model
         )
+        first = self._progress.delivered_tokens
         opened = await self._engines.open_stream(
             placed.endpoint,
             placed.attempt,
             self._call,
             placed.remaining_s,
-            self._progress.delivered_tokens,
+            first,
         )
         if isinstance(opened, Failure):
             return opened
         stream = opened.unwrap()
         if isinstance(stream, Answered):
             return Failure(Broken(f'status {stream.status}'))
-        self._progress.version = version
-        return await self._forward(placed, stream)
+        state = StreamState(placed.attempt, first)
+        claim = functools.partial(self._claim, state, version)
+        return await self._forward(stream, state, claim)
 
     def cancel(self, placed: PlacedAttempt) -> None:
         """Cancel the attempt at the engine."""
@@ -113,17 +117,19 @@
 
     async def _forward(
         self,
-        placed: PlacedAttempt,
         stream: OpenStream,
+        state: StreamState,
+        claim: Callable[[], None],
     ) -> Result[web.StreamResponse, Outcome]:
-        state = StreamState(placed.attempt, self._progress.delivered_tokens)
         try:
-            return await self._relay.forward(stream, state)
+            return await self._relay.forward(stream, state, claim)
         finally:
             stream.close()
-            self._record_progress(state)
+            for _ in range(state.dropped):
+                metrics.DROPPED_ANSWERS.add('event')
 
-    def _record_progress(self, state: StreamState) -> None:
+    def _claim(self, state: StreamState, version: str) -> None:
+        """Record the tokens that are about to be sent to the caller."""
+        self._progress.claim(state.attempt)
+        self._progress.version = version
         self._progress.delivered_tokens = state.index
-        for _ in range(state.dropped):
-            metrics.DROPPED_ANSWERS.add('event')
--- a/packages/verbenahall/src/verbenahall/front/_shell.py
+++ b/packages/verbenahall/src/verbenahall/front/_shell.py
@@ -36,9 +36,9 @@
 
     ``config`` is the instance's settings file, ``dependencies`` the states and
     clients of other slices (see ``FrontDependencies``). ``run`` must run
-    alongside the server: it refreshes limits and ends attempts at unresponsive
-    endpoints. Create the application with ``make_application`` and run it with
-    ``Runner``, which enforce the limits below the level of routes::
+    alongside the server: it refreshes limits and has attempts made beside those
+    at silent endpoints. Create the application with ``make_application`` and
+    run it with ``Runner``, which enforce the limits below the level of routes::
 
         app = make_application(config.limits)
         front = Front(config, dependencies)
@@ -97,7 +97,7 @@
         app.router.add_get('/readyz', self._show_ready)
 
     async def run(self) -> None:
-        """Refresh limits and end attempts at unresponsive endpoints."""
+        """Refresh limits, and look after attempts at silent endpoints."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self._admission.run())
             group.create_task(self._refresh())
@@ -112,7 +112,7 @@
                 position = self._dependencies.read_position()
                 self._admission.apply_workspaces(self._read_workspaces())
             self._admission.refresh_limits()
-            self._attempts.abandon_unresponsive()
+            self._attempts.wake_silent()
             self._pipeline.abort_stalled(self._limits.body_timeout_s)
             await asyncio.sleep(_REFRESH_S)
 
--- a/packages/verbenahall/tests/front/conftest.py
+++ b/packages/verbenahall/tests/front/conftest.py
@@ -150,8 +150,10 @@
         """Fall silent for a while, and go on."""
         if fault == 'pause':
             self.status = EndpointStatus.SILENT
-            await asyncio.sleep(self.pause_s)
-            self.status = EndpointStatus.LIVE
+            try:
+                await asyncio.sleep(self.pause_s)
+            finally:
+                self.status = EndpointStatus.LIVE
 
     async def cancel(self, request):
         self.cancelled.append((await request.json())['attempt'])
