--- a/packages/verbenahall/tests/front/test_silent_engines.py
+++ b/packages/verbenahall/tests/front/test_silent_engines.py
@@ -165,6 +165,25 @@
     asyncio.run(check())
 
 
+def test_silent_attempt_is_cancelled_once_another_goes_on(
+    run_front, fake, until
+):
+    # It would occupy a slot of its engine until the end of the stream.
+    async def check():
+        fakes = [fake('a'), fake('b')]
+        set_faults(fakes, 'stall')
+        async with run_front(fakes) as harness:
+            sending = asyncio.create_task(post_stream(harness))
+            gone, other = await find_first(fakes)
+            other.event_s = 0.5
+            gone.status = EndpointStatus.SILENT
+            await until(lambda: gone.cancelled)
+            assert not sending.done()
+            assert await sending == (WHOLE, True)
+
+    asyncio.run(check())
+
+
 @pytest.mark.parametrize('fault', ['refuse', 'error'])
 def test_successor_that_fails_once_is_tried_again(run_front, fake, fault):
     # The first engine is gone and the other one fails once. The caller must not
