--- a/packages/verbenahall/tests/gateway/test_process.py
+++ b/packages/verbenahall/tests/gateway/test_process.py
@@ -59,9 +59,9 @@
 
 
 @contextlib.asynccontextmanager
-async def start_instance(folder, engines=()):
-    """Run a gateway process in front of one plain endpoint and engines."""
-    site = Site(engines, make_plain(1))
+async def start_instance(folder, engines=(), plain_count=1):
+    """Run a gateway process in front of plain endpoints and engines."""
+    site = Site(engines, make_plain(plain_count))
     await site.start()
     path = write_settings(folder, site.store.address)
     output = folder / 'output'
