Show how answers ended in losses and explain

What operators saw: losses counted a stream that an instance had cut off, one that its endpoint broke off and one that a caller left after it was given up all as cut, by the kind of the problem; an answer that ended by an exception was counted as failed with the cause "answered failed". explain closed with the status, a 200 also for a stream that was cut off.

Cause: both commands knew only the status and the line given_up.

Change: the result of a request follows the field end of the line answered, with a column broken beside cut, and the cause names the end and the reason. explain ends with a sentence on the end and on whether a part had been sent. Logs without the field are counted and explained as before. Where a peer served the request, the peer's end counts, as the instance that forwarded it passes a refusal on whole and sees a stream that was cut off as broken off. The time to the first event of a plain call is now that of the answer that counts, not of the first peer that refused it.

A test holds the tables against the ends that the gateway logs.

--- a/packages/verbenactl/src/verbenactl/_explanations.py
+++ b/packages/verbenactl/src/verbenactl/_explanations.py
@@ -6,6 +6,7 @@
 from types import MappingProxyType
 from typing import Any, Final
 
+from verbenactl._answer_ends import choose_answer, describe_end
 from verbenahall import wire
 
 #: Fields that are not repeated among the fields of a printed line.
@@ -54,10 +55,10 @@
 
 
 def explain(lines: Iterable[LogLine], request: str) -> list[str]:
-    """Return a line for each decision on a request, and the cause.
+    """Return a line for each decision on a request, the cause, and the end.
 
     The other attempts at a stream that was taken up are included, each with a
-    cause of its own.
+    cause and an end of its own. Older logs don't tell the end.
     """
     decisions = sorted(lines, key=lambda line: line.at)
     matching = [
@@ -76,6 +77,7 @@
             rows.append(f'attempt {attempt} at the same stream:')
         rows.extend(_describe(line, line.at - started_at) for line in found)
         rows.append(f'cause: {find_cause(found)}')
+        rows.extend(_list_ends(found))
     return rows
 
 
@@ -93,21 +95,37 @@
 
 def find_cause(lines: Iterable[LogLine]) -> str:
     """Return a sentence on how and why a request ended."""
+    lines = list(lines)
     events = {line.decision['event']: line.decision for line in lines}
     last = events.get('given_up') or events.get('refused')
     failed = events.get('attempt_failed')
     if last is not None:
         cause = _CAUSE_BY_KIND.get(last.get('kind', ''), 'given up')
         return f'{cause} ({last.get("reason", "")})'
-    answered = events.get('answered')
+    answered = _find_answered(lines)
     if answered is None:
         return 'no final line: the instance ended, or its lines were lost'
     if answered['outcome'] == 'caller_gone':
         return 'the caller left before its answer was complete'
+    if answered.get('reason'):
+        return f'failed: {answered["reason"]}'
     after = f', after {failed["outcome"]}' if failed else ''
     return f'answered {answered["outcome"]}{after}'
 
 
+def _list_ends(lines: Iterable[LogLine]) -> Iterator[str]:
+    answered = _find_answered(lines)
+    sentence = answered and describe_end(answered)
+    if sentence:
+        yield sentence
+
+
+def _find_answered(lines: Iterable[LogLine]) -> Mapping[str, Any] | None:
+    return choose_answer(
+        line.decision for line in lines if line.decision['event'] == 'answered'
+    )
+
+
 def _describe(line: LogLine, after_s: float) -> str:
     fields = ' '.join(
         f'{name}={found}'
--- a/packages/verbenactl/src/verbenactl/_losses.py
+++ b/packages/verbenactl/src/verbenactl/_losses.py
@@ -1,8 +1,10 @@
 """How requests ended, by route, time window and cause, from logs.
 
 A request counts in the window of its first line and has one result: answered
-on time or late, refused, truncated, past its deadline, abandoned by its
-caller, failed, or unknown. To distinguish windows with busy engines from those
+on time or late, refused, cut off by an instance, broken off by its endpoint,
+past its deadline, abandoned by its caller, failed, or unknown. The result
+follows the field ``end`` of the line ``answered``; logs without it don't tell
+``broken`` from ``cut``. To distinguish windows with busy engines from those
 with idle ones, the prefills of each window are counted as well: ``reads`` is
 their number and ``read_k`` their prompt tokens in thousands.
 """
@@ -13,6 +15,12 @@
 from types import MappingProxyType
 from typing import Any, Final, final
 
+from verbenactl._answer_ends import (
+    RESULT_BY_END,
+    WHOLE,
+    choose_answer,
+    is_success,
+)
 from verbenactl._delays import DelayBreakdown, count_store_calls
 from verbenactl._groups import Ended, count_groups, list_unserved
 from verbenactl._explanations import LogLine
@@ -24,12 +32,14 @@
     'late',
     'refused',
     'cut',
+    'broken',
     'deadline',
     'left',
     'failed',
     'unknown',
 )
-#: Result of a failed request by the kind of its problem; others are ``failed``.
+#: Result of a request by the kind of its problem, in logs without the end of
+#: its answer; others are ``failed``.
 _RESULT_BY_KIND: Final[Mapping[str, str]] = MappingProxyType(
     {
         'overloaded': 'refused',
@@ -41,8 +51,6 @@
 )
 #: Fields of the line ``accepted`` by which requests are grouped.
 _GROUP_FIELDS: Final = ('subject', 'workspace', 'priority')
-#: First digit of a successful HTTP status.
-_SUCCESS: Final = '2'
 _THOUSAND: Final = 1000
 
 
@@ -61,21 +69,21 @@
 
     __slots__ = (
         'accepted',
+        'answers',
         'delays',
         'first_s',
         'given_up',
-        'outcome',
         'scheduling_group',
     )
 
     def __init__(self, accepted: LogLine) -> None:
         self.accepted = accepted
+        self.answers: list[Mapping[str, Any]] = []
         self.delays = DelayBreakdown(
             float(accepted.decision.get('waited_s', 0))
         )
         self.first_s: float | None = None
         self.given_up: Mapping[str, Any] | None = None
-        self.outcome = ''
         self.scheduling_group = ''
 
     @property
@@ -86,13 +94,9 @@
     @property
     def result(self) -> str:
         """The result, one of ``RESULTS``."""
-        if self.given_up is not None:
-            return _RESULT_BY_KIND.get(self.given_up.get('kind', ''), 'failed')
-        if self.outcome == 'caller_gone':
-            return 'left'
-        if self.outcome.startswith(_SUCCESS):
-            return 'on_time' if self._is_on_time() else 'late'
-        return 'failed' if self.outcome else 'unknown'
+        answer = choose_answer(self.answers) or {}
+        known = RESULT_BY_END.get(answer.get('end', ''))
+        return known or self._classify_answer(answer)
 
     @property
     def cause(self) -> str:
@@ -101,11 +105,15 @@
         Words with digits are left out, so that equal causes are counted
         together.
         """
-        if self.given_up is None:
-            return f'answered {self.outcome}'
-        reason = str(self.given_up.get('reason', ''))
+        answer = choose_answer(self.answers) or {}
+        given_up = self.given_up or {}
+        end = answer.get('end')
+        if end == WHOLE or not (end or given_up):
+            return f'answered {answer.get("outcome", "")}'
+        label = ', '.join(filter(None, (end, given_up.get('kind'))))
+        reason = answer.get('reason') or given_up.get('reason') or ''
         words = (word for word in reason.split() if not _contains_digit(word))
-        return f'{self.given_up.get("kind", "")}: {" ".join(words)}'
+        return f'{label}: {" ".join(words)}'
 
     def describe_end(self) -> Ended:
         """Return how the request ended, with the groups that it belongs to."""
@@ -126,11 +134,27 @@
             result=self.result,
         )
 
-    def _is_on_time(self) -> bool:
+    def _classify_answer(self, answer: Mapping[str, Any]) -> str:
+        """Return the result by the status, or by why the call was given up."""
+        if self.given_up is not None and answer.get('end') is None:
+            return _RESULT_BY_KIND.get(self.given_up.get('kind', ''), 'failed')
+        match answer.get('outcome'):
+            case None:
+                return 'unknown'
+            case 'caller_gone':
+                return 'left'
+        if not is_success(answer):
+            return 'failed'
+        # Answers that are not streams have no first event; their end counts.
+        took_s = float(answer['took_s'])
+        first_s = took_s if self.first_s is None else self.first_s
+        return 'on_time' if self._is_on_time(first_s) else 'late'
+
+    def _is_on_time(self, first_s: float) -> bool:
         accepted = self.accepted.decision
         before_s = float(accepted.get('waited_s', 0))
         objective_s = float(accepted.get('objective_s', 0))
-        return before_s + (self.first_s or 0) <= objective_s
+        return before_s + first_s <= objective_s
 
 
 def find_losses(lines: Iterable[LogLine], window_s: float) -> Sequence[Table]:
@@ -223,12 +247,8 @@
             summary.scheduling_group = summary.scheduling_group or str(group)
         case {'event': 'given_up'}:
             summary.given_up = decision
-        case {'event': 'answered', 'outcome': outcome, 'took_s': took_s}:
-            summary.outcome = str(outcome)
-            if summary.first_s is None:
-                # Answers that are not streams have no first event; their end
-                # counts.
-                summary.first_s = float(took_s)
+        case {'event': 'answered', 'outcome': _, 'took_s': _}:
+            summary.answers.append(decision)
         case _:
             pass
 
--- a/packages/verbenactl/tests/test_explaining.py
+++ b/packages/verbenactl/tests/test_explaining.py
@@ -7,6 +7,7 @@
 import pytest
 
 from verbenactl._explanations import explain, parse_lines
+from verbenahall.gateway._answer_ends import AnswerEnd
 
 LINES = (
     {'event': 'accepted', 'at': 10.0, 'request': 'r-1', 'route': 'blurb'},
@@ -97,3 +98,57 @@
     assert 'software=v2' in output
     assert 'same stream' in output
     assert 'r-3' not in output
+
+
+def explain_end(end, begun, outcome='200', reason=None):
+    """Return the last two lines on a request that ended so."""
+    answered = {
+        'event': 'answered',
+        'at': 11.0,
+        'request': 'r-1',
+        'outcome': outcome,
+        'end': end,
+        'begun': begun,
+        'reason': reason,
+    }
+    return explain(parse_lines('x', encode((LINES[0], answered))), 'r-1')[-2:]
+
+
+@pytest.mark.parametrize(
+    ('end', 'begun', 'words'),
+    [
+        ('whole', True, 'passed on to its last byte.'),
+        ('refused', False, 'refused the request, which has not run.'),
+        ('broken_off', True, 'endpoint broke its answer off; part of it had'),
+        ('cut_off', True, 'instance cut the answer off while the endpoint'),
+        ('cut_off', False, 'might have gone on; none of it had been sent.'),
+        ('deadline', False, 'time of the request was over before its answer'),
+        ('caller_left', True, 'caller left before its answer was whole; part'),
+    ],
+)
+def test_last_line_says_how_the_answer_ended(end, begun, words):
+    # A stream that the instance had cut off was explained as answered 200.
+    assert words in explain_end(end, begun)[-1]
+
+
+@pytest.mark.parametrize('end', AnswerEnd)
+def test_every_end_has_a_sentence(end):
+    # An end without a sentence of its own would be printed as its code.
+    assert 'ended as' not in explain_end(end.value, begun=True)[-1]
+
+
+def test_exception_that_ended_an_answer_is_its_cause():
+    # The cause was "answered failed".
+    rows = explain_end('cut_off', True, 'failed', "RuntimeError('no loop')")
+    assert rows[0] == "cause: failed: RuntimeError('no loop')"
+
+
+def test_end_at_the_peer_that_served_a_request_is_told():
+    # The instance that forwards a request passes a peer's refusal on whole.
+    rows = [
+        LINES[0],
+        {**LINES[-2], 'end': 'refused', 'outcome': '503'},
+        {**LINES[-2], 'end': 'whole', 'outcome': '503', 'at': 10.6},
+    ]
+    output = explain(parse_lines('x', encode(rows)), 'r-1')
+    assert 'refused the request' in output[-1]
--- a/packages/verbenactl/tests/test_losses.py
+++ b/packages/verbenactl/tests/test_losses.py
@@ -4,9 +4,12 @@
 import subprocess
 import sys
 
-from verbenactl._explanations import parse_lines
-from verbenactl._losses import find_losses, format_table
+import pytest
 
+from verbenactl._answer_ends import RESULT_BY_END, WHOLE
+from verbenactl._explanations import parse_lines
+from verbenactl._losses import RESULTS, find_losses, format_table
+from verbenahall.gateway._answer_ends import AnswerEnd
 
 COMMAND = 'from verbenactl.console import main; main()'
 
@@ -280,3 +283,94 @@
     tables = find_losses(parse_lines('front-1', lines), 2.0)
     hops = next(table for table in tables if table.name == 'hops')
     assert hops.rows == [('front-1', 'front-2', '5', '2', '2', '1')]
+
+
+def ended(end, outcome='200', **fields):
+    return {**answered(outcome), 'end': end, 'begun': True, **fields}
+
+
+def find_results(*lines):
+    """Return the row of a single request, and the causes."""
+    tables = find_losses(parse_lines('a', lines), 2)
+    columns, rows = tables[0].columns, tables[0].rows
+    row = dict(zip(columns, rows[0], strict=True))
+    causes = [
+        cause
+        for table in tables
+        if table.name == 'cause'
+        for cause, _, _ in table.rows
+    ]
+    return [name for name in RESULTS if row[name] == '1'], causes
+
+
+@pytest.mark.parametrize(
+    ('end', 'result'),
+    [
+        ('refused', 'refused'),
+        ('broken_off', 'broken'),
+        ('cut_off', 'cut'),
+        ('deadline', 'deadline'),
+        ('caller_left', 'left'),
+    ],
+)
+def test_result_follows_the_end_of_the_answer(end, result):
+    # A stream that an instance had cut off was counted as one that its endpoint
+    # had broken off.
+    truncated = given_up('answer_truncated', 'the answer was truncated')
+    line = ended(end, reason='the answer was truncated: silent')
+    assert find_results(*make_lines('r', 1.0, truncated, line)) == (
+        [result],
+        [f'{end}, answer_truncated: the answer was truncated: silent'],
+    )
+
+
+def test_every_end_has_a_result():
+    # An end that the tables don't know would be counted by its status.
+    assert set(RESULT_BY_END) | {WHOLE} == {end.value for end in AnswerEnd}
+
+
+@pytest.mark.parametrize(
+    ('outcome', 'result', 'causes'),
+    [('200', 'on_time', []), ('500', 'failed', ['answered 500'])],
+)
+def test_whole_answer_counts_by_its_status(outcome, result, causes):
+    # An error answer of an endpoint is whole, and no success.
+    line = ended('whole', outcome, took_s=0.1, reason=None)
+    assert find_results(*make_lines('r', 1.0, line)) == ([result], causes)
+
+
+def test_answer_that_an_exception_cut_off_has_its_cause():
+    # Without a line given_up the cause was the status alone.
+    line = ended('cut_off', 'failed', reason="RuntimeError('no loop')")
+    assert find_results(*make_lines('r', 1.0, line)) == (
+        ['cut'],
+        ["cut_off: RuntimeError('no loop')"],
+    )
+
+
+@pytest.mark.parametrize(
+    ('at_peer', 'outcome', 'here', 'result'),
+    [
+        ('refused', '503', 'whole', 'refused'),
+        ('cut_off', '200', 'broken_off', 'cut'),
+        ('broken_off', '200', 'broken_off', 'broken'),
+        ('caller_left', '200', 'caller_left', 'left'),
+    ],
+)
+def test_end_at_the_peer_that_served_a_request_counts(
+    at_peer, outcome, here, result
+):
+    # The instance that forwards a request passes on the peer's refusal whole,
+    # and sees a stream that the peer cuts off as broken off.
+    lines = make_lines(
+        'r', 1.0, ended(at_peer, outcome), ended(here, outcome, at=1.1)
+    )
+    assert find_results(*lines)[0] == [result]
+
+
+def test_request_that_a_second_peer_served_is_served():
+    # The refusal of the first peer was not the end of the request.
+    lines = make_lines(
+        'r', 1.0, ended('refused', '503'), ended('whole', took_s=0.1, at=1.1)
+    )
+    assert find_results(*lines) == (['on_time'], [])
