A request at the end of its time is logged and answered as such

What callers and operators saw: some requests that had used all their time were answered 502, or cut off, and logged as cut off by the instance.

Cause: uvloop rounds timers to milliseconds, and the classification of a time-out compares with the exact deadline.

Change: a time-out from 2 ms before the deadline is one of the request's time.

--- a/packages/verbenahall/src/verbenahall/gateway/_answer_ends.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_answer_ends.py
@@ -71,7 +71,7 @@
     transport = request.transport
     if transport is None or transport.is_closing():
         return AnswerEnd.CALLER_LEFT
-    return AnswerEnd.DEADLINE if now >= call.deadline else AnswerEnd.CUT_OFF
+    return AnswerEnd.DEADLINE if call.is_over(now) else AnswerEnd.CUT_OFF
 
 
 def record_end(
--- a/packages/verbenahall/src/verbenahall/gateway/_messages.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_messages.py
@@ -12,6 +12,9 @@
 
 #: Bytes of the digest of an API key by which its requests are counted.
 _CALLER_BYTES: Final = 8
+#: Most by which the event loop's timers fire early, in seconds: uvloop rounds
+#: to milliseconds.
+_MAX_EARLY_S: Final = 0.002
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -97,6 +100,10 @@
         """Return the time until the deadline, in seconds."""
         return self.deadline - now
 
+    def is_over(self, now: float) -> bool:
+        """Whether a timer that is set to the deadline may have fired."""
+        return now >= self.deadline - _MAX_EARLY_S
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answered:
--- a/packages/verbenahall/src/verbenahall/gateway/_sender.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_sender.py
@@ -211,7 +211,7 @@
             self._core.endpoints.record_unreachable(endpoint, error)
             return Broken(repr(error))
         self.record_outcome(endpoint, good=False)
-        if isinstance(error, TimeoutError) and now >= call.deadline:
+        if isinstance(error, TimeoutError) and call.is_over(now):
             return TimedOut()
         is_silent = isinstance(error, TimeoutError)
         if not is_silent:
--- a/packages/verbenahall/tests/gateway/test_answer_ends.py
+++ b/packages/verbenahall/tests/gateway/test_answer_ends.py
@@ -1,6 +1,9 @@
 """Logs that tell how the answer to each accepted request ended."""
 
+import asyncio
+
 import pytest
+import uvloop
 
 from .conftest import make_engines, make_plain, run, run_gateway
 from .test_silent_streams import be_silent, read_stream, spend_budget
@@ -71,6 +74,26 @@
     run(check())
 
 
+def test_stream_at_the_end_of_its_time(tmp_path):
+    # The loop's timers fire up to a millisecond early: some streams that had
+    # used all their time were answered 502 and logged as cut off by us.
+    async def check():
+        engines = make_engines()
+        for engine in engines:
+            engine.faults.slow_head_s = 2.0
+        async with run_gateway(tmp_path, engines) as harness:
+            answers = [
+                await read_stream(harness, time_ms=time_ms)
+                for time_ms in range(100, 140)
+            ]
+            statuses = {status for status, _, _ in answers}
+            ends = {line['end'] for line in harness.log_lines('answered')}
+            assert (statuses, ends) == ({504}, {'deadline'})
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(check())
+
+
 def test_refused_request(tmp_path):
     # A refusal that states that nothing has run is a complete answer.
     async def check():
--- a/packages/verbenahall/tests/gateway/test_silent_streams.py
+++ b/packages/verbenahall/tests/gateway/test_silent_streams.py
@@ -16,12 +16,12 @@
 MANY_RETRIES = 10_000
 
 
-async def read_stream(harness, path='/summary/1', patience_s=8.0):
+async def read_stream(harness, path='/summary/1', patience_s=8.0, time_ms=8000):
     """Send a request; return its status, its body and whether it is whole."""
     headers = {
         'Host': HOST,
         f'{PREFIX}Request-Id': 'r-1',
-        f'{PREFIX}Deadline-Ms': '8000',
+        f'{PREFIX}Deadline-Ms': str(time_ms),
         f'{PREFIX}Model': 'm',
         f'{PREFIX}Token-Count': '1000,50',
         f'{PREFIX}Prompt-Prefix': 'aa:800,bb:200',
