Stand-ins that pause as a whole, and record how each request ended

Callers saw streams cut off while their endpoint was only silent. The stand-ins could be silent only in a stream of their own choice, and could not tell which requests they had broken off themselves.

A pause now holds every head, event and answer of an engine or plain endpoint for its length, and then all of it goes on without loss. Each request with an id is recorded with its end: answered, refused, broken off by the endpoint, or left by the other side; and with the time of its first event or whole answer. A stream keeps the software version with which it began, since an engine may be replaced during a pause; a run on a part that crashes engines counts from when it was sent.

--- a/packages/standins/src/verbenahall_standins/platform/__init__.py
+++ b/packages/standins/src/verbenahall_standins/platform/__init__.py
@@ -6,6 +6,12 @@
     EngineStandIn,
     PartRun,
 )
+from verbenahall_standins.platform._exchanges import (
+    Exchange,
+    ExchangeEnd,
+    Exchanges,
+    Pause,
+)
 from verbenahall_standins.platform._notices import Arrival, Notice, Notices
 from verbenahall_standins.platform._plain import PlainStandIn
 from verbenahall_standins.platform._pools import EnginePool
@@ -13,6 +19,7 @@
 from verbenahall_standins.platform._site import (
     HOST,
     Site,
+    make_manifest,
     make_route,
     write_settings,
 )
@@ -28,16 +35,21 @@
     'EngineFaults',
     'EnginePool',
     'EngineStandIn',
+    'Exchange',
+    'ExchangeEnd',
+    'Exchanges',
     'HOST',
     'Notice',
     'Notices',
     'PartRun',
+    'Pause',
     'PlainStandIn',
     'RawEndpoint',
     'Site',
     'StoreEntrance',
     'StoreFaults',
     'StoreStandIn',
+    'make_manifest',
     'make_route',
     'write_settings',
 )
--- a/packages/standins/src/verbenahall_standins/platform/_engine.py
+++ b/packages/standins/src/verbenahall_standins/platform/_engine.py
@@ -10,6 +10,12 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
+from verbenahall_standins.platform._exchanges import (
+    EXCHANGE,
+    Exchange,
+    ExchangeEnd,
+    Exchanges,
+)
 from verbenahall_standins.platform._notices import Notices
 from verbenahall_standins.platform._serving import listen
 
@@ -58,6 +64,12 @@
     crash_on_part: str | None = None
     restart_s: float = 0.2
 
+    @property
+    def are_set(self) -> bool:
+        """Whether a request that arrives now is refused or not answered."""
+        breaks = self.break_after is not None or self.stall_after is not None
+        return self.full or self.unresponsive or breaks
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PartRun:
@@ -75,7 +87,8 @@
     ``version`` is that of its software. ``runs`` and ``prefills`` hold the
     headers of its decode and prefill requests, ``freed`` the released KV
     handles, ``cancelled`` the ids of the requests whose stream was cancelled,
-    ``notices`` the headers about itself.
+    ``notices`` the headers about itself, ``exchanges`` how its requests ended,
+    and pauses.
     """
 
     def __init__(
@@ -89,6 +102,9 @@
         self.state = 'ready'
         self.events = events
         self.faults = EngineFaults()
+        self.exchanges = Exchanges(
+            lambda: not (self.faults.are_set or self.is_down)
+        )
         self.address = ''
         self.runs: list[CIMultiDict[str]] = []
         self.prefills: list[CIMultiDict[str]] = []
@@ -115,6 +131,7 @@
         """Listen on a port, 0 for a free one."""
         app = web.Application()
         self.notices.install(app)
+        self.exchanges.install(app)
         app.router.add_get('/-/report', self._report)
         app.router.add_post('/-/order', self._order)
         app.router.add_delete('/-/kv-handle/{handle}', self._release_handle)
@@ -134,6 +151,7 @@
         """Reset every connection and restart later under a new name."""
         self.crashes += 1
         self.is_down = True
+        self.exchanges.break_open()
         await self.crashed(self)
         await _abort(self._runner)
         restart_task = asyncio.create_task(self._restart())
@@ -156,6 +174,7 @@
         body = await request.read()
         headers['body'] = body.decode()
         if self.faults.unresponsive:
+            request[EXCHANGE].finish(ExchangeEnd.BROKEN)
             await asyncio.sleep(3600)
         expected = headers.get(f'{_PREFIX}Expect-Instance', self.name)
         if expected != self.name:
@@ -205,40 +224,53 @@
         first = int(headers.get('Last-Event-Id', '0')) + 1
         if first > 1 and self.faults.fails_resumed:
             return web.Response(status=500, headers=response.headers)
+        exchange = request[EXCHANGE]
+        version = self.version
         await asyncio.sleep(self.faults.slow_head_s)
+        await self.exchanges.wait()
         await response.prepare(request)
-        await self._crash_on_part(headers)
+        await self._crash_on_part(headers, exchange)
         try:
             for sent, number in enumerate(range(first, self.events + 1)):
                 if sent == self.faults.break_after:
+                    exchange.finish(ExchangeEnd.BROKEN)
                     return self._break_stream(request, response)
-                await self._be_silent(sent)
-                await response.write(_event(number, self.version))
+                await self._be_silent(sent, exchange)
+                await self.exchanges.wait()
+                exchange.record_event()
+                await response.write(_event(number, version))
                 await asyncio.sleep(self.faults.event_pause_s)
         except asyncio.CancelledError:
             self.cancelled.append(request_id)
             raise
         except ConnectionResetError:
+            exchange.finish(ExchangeEnd.LEFT)
             self.cancelled.append(request_id)
         return response
 
-    async def _be_silent(self, sent: int) -> None:
+    async def _be_silent(self, sent: int, exchange: Exchange) -> None:
         """Send nothing for a while, or no more, after so many events."""
         if sent == self.faults.stall_after:
+            exchange.finish(ExchangeEnd.BROKEN)
             await asyncio.sleep(3600)
         if sent == self.faults.silent_after:
             await asyncio.sleep(self.faults.silent_s)
 
-    async def _crash_on_part(self, headers: CIMultiDict[str]) -> None:
+    async def _crash_on_part(
+        self, headers: CIMultiDict[str], exchange: Exchange
+    ) -> None:
         part = self.faults.crash_on_part
         if part in _list_shared_parts(headers):
-            request_id = headers[f'{_PREFIX}Request-Id']
-            self.part_runs.append(PartRun(part, time.monotonic(), request_id))
+            # The run of a request that was held in a pause counts from when
+            # it was sent.
+            run = PartRun(part, exchange.started_at, exchange.request_id)
+            self.part_runs.append(run)
             crashes, name = self.crashes, self.name
             await asyncio.sleep(_CRASH_DELAY_S)
             if (self.crashes, self.name) == (crashes, name):
                 self.part_crashes.append((part, time.monotonic()))
                 await self.crash()
+            exchange.finish(ExchangeEnd.BROKEN)
             await asyncio.sleep(3600)
 
     def _break_stream(
--- a/packages/standins/src/verbenahall_standins/platform/_plain.py
+++ b/packages/standins/src/verbenahall_standins/platform/_plain.py
@@ -6,6 +6,11 @@
 
 from aiohttp import web
 
+from verbenahall_standins.platform._exchanges import (
+    EXCHANGE,
+    ExchangeEnd,
+    Exchanges,
+)
 from verbenahall_standins.platform._notices import Notices
 from verbenahall_standins.platform._serving import listen
 
@@ -22,13 +27,17 @@
     requests and never answers, ``stamps_answers`` adds the stamp to answers.
     ``rate`` is the rate limit that answers advertise, in requests a second.
     ``arrivals`` are the times of all requests in monotonic seconds, and
-    ``notices`` the headers about the endpoint itself.
+    ``notices`` the headers about the endpoint itself, ``exchanges`` how its
+    requests ended, and pauses.
     """
 
     def __init__(self, name: str) -> None:
         """Prepare an endpoint without faults."""
         self.name = name
         self.notices = Notices()
+        self.exchanges = Exchanges(
+            lambda: not (self.refuses or self.unresponsive)
+        )
         self.role = ''
         self.status = 200
         self.refuses = False
@@ -45,6 +54,7 @@
         """Listen on a free port."""
         app = web.Application()
         self.notices.install(app)
+        self.exchanges.install(app)
         app.router.add_route('*', '/{path:.*}', self._serve)
         running = await listen(app)
         self._runner = running.runner
@@ -70,6 +80,7 @@
             {**headers, 'body': body.decode(), 'target': request.raw_path},
         )
         if self.unresponsive:
+            request[EXCHANGE].finish(ExchangeEnd.BROKEN)
             await asyncio.sleep(3600)
         await asyncio.sleep(self.delay_s)
         answer = {
