Soak: three checks that took the soak's own doing for a fault

- Engines that break off or refuse every request counted as serving when a stream was taken up.
One engine at a time had that fault before; now all have it while budgets are spent, and the logs hold "no engine of the software version is left".
Such an engine is no longer counted; all others are.
- An answer that a crash broke off within its transit counted as delivered.

--- a/packages/standins/src/verbenahall_standins/platform/_exchanges.py
+++ b/packages/standins/src/verbenahall_standins/platform/_exchanges.py
@@ -12,6 +12,8 @@
 from aiohttp import web
 
 _PREFIX: Final = 'X-Verbenahall-'
+#: Time in which an answer may still be on its way, in seconds.
+_TRANSIT_S: Final = 0.3
 _REFUSALS: Final = frozenset((421, 503))
 
 
@@ -29,6 +31,10 @@
     LEFT = 'left'
 
 
+#: Ends of exchanges whose answer a crash may still break off.
+_UNDELIVERED: Final = frozenset((ExchangeEnd.OPEN, ExchangeEnd.ANSWERED))
+
+
 @dataclasses.dataclass(slots=True)
 class Exchange:
     """A request at an endpoint; times are in monotonic seconds.
@@ -116,9 +122,16 @@
         await self._resumed.wait()
 
     def break_open(self) -> None:
-        """Record that the endpoint broke off all open requests."""
+        """Record that the endpoint broke off all open requests.
+
+        Answers count that were not delivered yet.
+        """
+        sent_after = time.monotonic() - _TRANSIT_S
         for exchange in self.records:
-            exchange.finish(ExchangeEnd.BROKEN)
+            is_delivered = exchange.ended_at <= sent_after
+            if not is_delivered and exchange.end in _UNDELIVERED:
+                exchange.end = ExchangeEnd.BROKEN
+                exchange.ended_at = time.monotonic()
 
     @contextlib.contextmanager
     def _watch(self, exchange: Exchange) -> Iterator[None]:
--- a/packages/standins/src/verbenahall_standins/soak/_broken_answers.py
+++ b/packages/standins/src/verbenahall_standins/soak/_broken_answers.py
@@ -29,7 +29,8 @@
 #: Time before the end of a request's time in which it may be ended, and in
 #: which an endpoint may not be able to answer any more, in seconds.
 _MARGIN_S: Final = 0.25
-#: Time after the end of a link fault in which its effects arrive, in seconds.
+#: Time in which an answer may still be on its way, or the effects of a link
+#: fault that has ended, in seconds.
 _TRANSIT_S: Final = 0.3
 _PREFILL: Final = 'prefill'
 _FAILED: Final = 400
@@ -162,7 +163,7 @@
 def _was_reset(one: _Seen) -> bool:
     return any(
         link is Link.RESET
-        and fault.started_at <= one.exchange.ended_at
+        and fault.started_at <= one.exchange.ended_at + _TRANSIT_S
         and one.exchange.started_at <= fault.ended_at + _TRANSIT_S
         for link, fault in one.history.link_faults
     )
--- a/packages/standins/src/verbenahall_standins/soak/_run.py
+++ b/packages/standins/src/verbenahall_standins/soak/_run.py
@@ -52,6 +52,17 @@
             for one in deployment.callers
             if deployment.revoked_key
         ]
+    # The stand-ins of other seeds run on the same loop.
+    return await asyncio.to_thread(
+        _list_violations, deployment, final_records, revoked
+    )
+
+
+def _list_violations(
+    deployment: Deployment,
+    final_records: Sequence[Sequence[Record]],
+    revoked: Sequence[Record],
+) -> list[str]:
     return [
         *_check_requests(deployment),
         *_check_recovery(final_records),
--- a/packages/standins/src/verbenahall_standins/soak/_streams.py
+++ b/packages/standins/src/verbenahall_standins/soak/_streams.py
@@ -58,16 +58,23 @@
 
 
 def count_serving(engines: Iterable[EngineStandIn], version: str) -> int:
-    """Return how many decode engines of a version are up and do not leave."""
+    """Return how many decode engines of a version serve.
+
+    They are up, do not leave, and neither refuse nor break off all requests.
+    """
     return sum(
         engine.version == version
         and engine.role == 'decode'
-        and not engine.notices.leaving
-        and not engine.is_down
+        and _serves(engine)
         for engine in engines
     )
 
 
+def _serves(engine: EngineStandIn) -> bool:
+    is_gone = engine.notices.leaving or engine.is_down
+    return not (is_gone or engine.faults.are_set)
+
+
 def find_mixed(attempts: Iterable[StreamAttempt]) -> Iterator[str]:
     """Yield a line for each stream that holds events of several versions."""
     versions: dict[str, set[str]] = collections.defaultdict(set)
