--- a/packages/standins/src/verbenahall_standins/platform/__init__.py
+++ b/packages/standins/src/verbenahall_standins/platform/__init__.py
@@ -6,6 +6,12 @@
     EngineStandIn,
     PartRun,
 )
+from verbenahall_standins.platform._exchanges import (
+    Exchange,
+    ExchangeEnd,
+    Exchanges,
+    Pause,
+)
 from verbenahall_standins.platform._notices import Arrival, Notice, Notices
 from verbenahall_standins.platform._plain import PlainStandIn
 from verbenahall_standins.platform._pools import EnginePool
@@ -29,10 +35,14 @@
     'EngineFaults',
     'EnginePool',
     'EngineStandIn',
+    'Exchange',
+    'ExchangeEnd',
+    'Exchanges',
     'HOST',
     'Notice',
     'Notices',
     'PartRun',
+    'Pause',
     'PlainStandIn',
     'RawEndpoint',
     'Site',
