Plain calls: no retry is charged if no endpoint is left to try

What callers saw: beside an endpoint that fails every call, the retry budget was used up by retries that were never sent, and later calls could not be retried.

Cause: the retry of an error answer was charged before it was known that another endpoint may take the call. Four 500s of the only endpoint left one of five sends. gateway/test_budget_changes.py::test_retry_that_finds_no_endpoint_is_not_charged failed before and passes now.

--- a/packages/verbenahall/src/verbenahall/gateway/_plain_flow.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_plain_flow.py
@@ -173,6 +173,8 @@
         if left_s < call.route.objective_s * _MIN_LEFT_SHARE:
             return False
         self._attempts.tried.add(endpoint.name)
+        if not self._list_untried(self._core.now()):
+            return False
         return self._attempts.retry_failed_answer(
             endpoint.name, answered.status
         )
