Keep the port of a link that is closed

Seen: test_broken_unframed_stream_behind_a_hop_goes_on_at_a_peer failed now and then beside other test processes: 503 or 404 instead of the peer's stream.

Cause: a closed link gave up its port, which the kernel gave to a server of another test process. The instance reached that one through the cut link: it logged service_reachable 0.9 s after the cut, sent the request there, and its 404 was passed on.

Change: a closed link binds its port without listening, so that connects are refused and nobody else gets the port.

--- a/packages/standins/src/verbenahall_standins/soak/_proxy.py
+++ b/packages/standins/src/verbenahall_standins/soak/_proxy.py
@@ -54,7 +54,7 @@
         self.target = target
         self.link = Link.GOOD
         self.address = ''
-        self._dark_sockets: list[socket.socket] = []
+        self._held_sockets: list[socket.socket] = []
         #: Faults overlap; two that open the listener at once need one port.
         self._changing = asyncio.Lock()
         self._server: asyncio.Server | None = None
@@ -82,6 +82,8 @@
                 await self.start()
             elif listener is Listener.DARK:
                 self._open_dark()
+            else:
+                self._hold_port()
 
     def set(self, link: Link) -> None:
         """Set the state; ``RESET`` also resets open connections."""
@@ -95,24 +97,31 @@
         The kernel then drops the first packet of each new connection.
         """
         port = int(self.address.rpartition(':')[2])
-        listening = socket.socket()
-        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listening.bind((_HOST, port))
-        listening.listen(0)
-        self._dark_sockets.append(listening)
+        self._hold_port().listen(0)
         for _ in range(_QUEUE_FILLERS):
             filler = socket.socket()
             filler.setblocking(False)
             filler.connect_ex((_HOST, port))
-            self._dark_sockets.append(filler)
+            self._held_sockets.append(filler)
+
+    def _hold_port(self) -> socket.socket:
+        """Bind the port without listening, so that connects are refused.
+
+        On a free port another process could listen, and would be reached.
+        """
+        held = socket.socket()
+        held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        held.bind((_HOST, int(self.address.rpartition(':')[2])))
+        self._held_sockets.append(held)
+        return held
 
     def _close_listener(self) -> None:
         if self._server is not None:
             self._server.close()
             self._server = None
-        for opened in self._dark_sockets:
+        for opened in self._held_sockets:
             opened.close()
-        self._dark_sockets.clear()
+        self._held_sockets.clear()
 
     def _abort(self) -> None:
         for writer in tuple(self._writers):
--- a/packages/standins/tests/soak/test_soak.py
+++ b/packages/standins/tests/soak/test_soak.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import itertools
+import socket
 
 import pytest
 
@@ -407,6 +408,26 @@
     assert bool(list(found)) is is_found
 
 
+def test_port_of_a_closed_link_is_kept():
+    """Another process took it, and was reached through the cut link."""
+
+    async def check():
+        proxy = Proxy('127.0.0.1:9')
+        await proxy.start()
+        host, _, port = proxy.address.rpartition(':')
+        await proxy.set_listener(Listener.CLOSED)
+        with pytest.raises(ConnectionRefusedError):
+            await asyncio.open_connection(host, int(port))
+        with socket.socket() as other, pytest.raises(OSError):
+            other.bind((host, int(port)))
+        await proxy.set_listener(Listener.OPEN)
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.close()
+        await proxy.stop()
+
+    asyncio.run(check())
+
+
 def test_overlapping_faults_open_a_listener_once():
     # A cut ends while a crashed engine is back, and both open its link.
     async def check():
