Serve requests under a manifest with zeros in it

What callers saw: 500, `the instance failed`, for every request of a service whose engines have no slots, no memory or no bandwidth by the manifest, of a route without an objective in a large fleet, and of a route none of whose services has a weight. A request that was already waiting at a scheduler then was not placed, and refused 1.5 s later.

Cause: the decoder accepts zero, and placement divides by these numbers; a service is drawn from an empty list.

Evidence: test_zero_in_a_manifest_fails_no_request failed in 9 of 12 cases before (500), and passes in all.

Change: the numbers that costs are divided by are at least tiny, so that such a service is used or refused by its estimates, and the other routes of the manifest come into force. A route without a service is refused with 503.

--- a/packages/verbenahall/src/verbenahall/catalog/_lookup.py
+++ b/packages/verbenahall/src/verbenahall/catalog/_lookup.py
@@ -26,7 +26,12 @@
 
 
 def pick_service(route: Route, rng: random.Random) -> str:
-    """Return a random service of the route, chosen by weight."""
+    """Return a random service of the route, chosen by weight.
+
+    The name is empty if no service has a weight.
+    """
+    if not route.shares:
+        return ''
     if len(route.shares) == 1:
         return route.shares[0].service
     weights = [share.weight for share in route.shares]
--- a/packages/verbenahall/src/verbenahall/gateway/_call_reader.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_call_reader.py
@@ -79,7 +79,7 @@
         body = read.unwrap()
         service = catalog.services.get(pick_service(route, self._core.random))
         if service is None:
-            message = 'the service of the route is not in the manifest'
+            message = 'the route has no service that is in the manifest'
             return Failure(Problem(ErrorKind.NO_ENDPOINT, message, Ran.NO))
         wait_s = route.timeout_s
         waited_s: float = 0
--- a/packages/verbenahall/src/verbenahall/platform/_manifest.py
+++ b/packages/verbenahall/src/verbenahall/platform/_manifest.py
@@ -27,6 +27,11 @@
 
 _BITS_IN_BYTE: Final = 8
 _BITS_IN_MEGABIT: Final = 1_000_000
+#: Least bandwidth in megabits a second and least objective in seconds: costs
+#: are divided by them, as by the slots and the memory of an engine, which are
+#: at least 1.
+_MIN_MEGABITS: Final = 0.001
+_MIN_OBJECTIVE_S: Final = 0.001
 #: Callers abandon a stream after waiting this long for an event: the maximum
 #: of a time in seconds, a number of objectives and a number of gaps. The
 #: platform states these values.
@@ -77,7 +82,7 @@
 
 def _build_route(row: dict[str, Any]) -> Route:
     # The platform calls the latency objective of a route its SLO.
-    objective_s = fields.seconds(row, 'sloMs')
+    objective_s = max(_MIN_OBJECTIVE_S, fields.seconds(row, 'sloMs'))
     gap_s = fields.seconds(row, 'gapAimMs', 0)
     return Route(
         name=fields.text(row, 'name'),
@@ -146,10 +151,10 @@
 
 
 def _build_traits(engine: dict[str, Any]) -> EngineTraits:
-    megabits = fields.number(engine, 'linkMbps')
+    megabits = max(_MIN_MEGABITS, fields.number(engine, 'linkMbps'))
     return EngineTraits(
-        slots=fields.integer(engine, 'slots'),
-        kv_tokens=fields.integer(engine, 'kvCapacity'),
+        slots=max(1, fields.integer(engine, 'slots')),
+        kv_tokens=max(1, fields.integer(engine, 'kvCapacity')),
         kv_token_bytes=fields.integer(engine, 'kvTokenBytes'),
         link_bytes_s=megabits * _BITS_IN_MEGABIT / _BITS_IN_BYTE,
         # The platform calls the tokens of one event the stride.
--- a/packages/verbenahall/tests/gateway/test_manifest_changes.py
+++ b/packages/verbenahall/tests/gateway/test_manifest_changes.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import functools
 from collections.abc import Callable
 from typing import Any
 
@@ -357,3 +358,68 @@
                 assert numbers(body) == [1, 2, 3, 4, 5]
 
     run(check())
+
+
+def change_engine(**changes):
+    """Return the services with other traits of the engines."""
+    traits = {**SERVICES[0]['engine'], **changes}
+    return [{**SERVICES[0], 'engine': traits}, SERVICES[1]]
+
+
+#: Changes to zero, and the statuses that requests of the route may get.
+ZEROS = {
+    'slots': ({'services': change_engine(slots=0)}, {200, 429}),
+    'memory': ({'services': change_engine(kvCapacity=0)}, {200, 429}),
+    'bandwidth': ({'services': change_engine(linkMbps=0)}, {200, 429}),
+    'objective': ({'routes': change_routes(sloMs=0)}, {200}),
+    'gap': ({'routes': change_routes(gapAimMs=0)}, {200}),
+    'weights': (
+        {'routes': change_routes(split=[{'service': 'pages', 'weight': 0}])},
+        {503},
+    ),
+}
+
+
+@pytest.mark.parametrize('zero', ZEROS)
+@pytest.mark.parametrize('max_direct', (16, 0))
+def test_zero_in_a_manifest_fails_no_request(
+    tmp_path, monkeypatch, max_direct, zero
+):
+    # Placement divided by it: requests got 500, and those that waited at a
+    # scheduler were not placed any more.
+    monkeypatch.setattr(groups, '_MAX_DIRECT_PEERS', max_direct)
+    change, allowed = ZEROS[zero]
+
+    async def check():
+        engines = make_engines()
+        async with run_fleet_of_three(tmp_path, engines) as harnesses:
+            first = harnesses[0]
+            first.site.publish(**change)
+            for harness in harnesses:
+                await harness.wait_for_manifest()
+            async with asyncio.timeout(PATIENCE_S):
+                answers = [
+                    await first.send('/summary/1', f'zero-{number}')
+                    for number in range(4)
+                ]
+            assert {status for status, _, _ in answers} <= allowed
+
+    run(check())
+
+
+@contextlib.asynccontextmanager
+async def run_fleet_of_three(folder, engines):
+    """Run instances that hear each other, on one site."""
+    async with contextlib.AsyncExitStack() as stack:
+        first = await stack.enter_async_context(run_gateway(folder, engines))
+        others = [
+            await stack.enter_async_context(
+                run_gateway(folder, name=name, site=first.site)
+            )
+            for name in scheduling.NAMES[1:]
+        ]
+        for harness in (first, *others):
+            await harness.wait_until(
+                functools.partial(scheduling.has_both_peers, harness)
+            )
+        yield (first, *others)
