Deliver answers to request ids that are no UTF-8

What callers saw: 504 at the deadline, although the endpoint had answered.

Cause: aiohttp leaves bytes that are no UTF-8 out of the headers that it sends. The endpoint repeats the id without them, and the connection dropped its answer as that of another request.

Evidence: test_answer_to_a_request_id_that_is_no_utf8_is_delivered failed before (504 after 2 s) and passes.

test_stream_of_an_http_1_0_caller_is_whole fails: such a caller gets 500 for a stream, after an engine has begun it. The relay asks for chunks whatever the caller's version; that is not mended here.

--- a/packages/verbenahall/src/verbenahall/platform/_connections.py
+++ b/packages/verbenahall/src/verbenahall/platform/_connections.py
@@ -159,7 +159,10 @@
 
     async def send(self, conn: Any) -> aiohttp.ClientResponse:
         """Send the request and make its connection expect its answer."""
-        conn.protocol.expect(self.headers.get(names.REQUEST_ID, ''))
+        request_id = self.headers.get(names.REQUEST_ID, '')
+        # Bytes that are no UTF-8 are not sent.
+        sent_id = request_id.encode(errors='ignore').decode()
+        conn.protocol.expect(sent_id)
         return await super().send(conn)
 
 
