Refuse an unknown key if its look-up fails

What callers saw, by a run with a failure put in: the look-up in the store is shared by all callers with unknown keys, and its failure left all their handlers. If it was cancelled, the library closed their connections without an answer; for other failures, a ConnectionResetError among them, it sent 500.

Evidence: test_unknown_key_is_refused_if_its_look_up_fails failed in 3 of 3 cases before, and passes.

Change: a failed look-up is logged, and the keys that are known decide.

--- a/packages/verbenahall/src/verbenahall/authentication/_refresh.py
+++ b/packages/verbenahall/src/verbenahall/authentication/_refresh.py
@@ -4,6 +4,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Final, final
 
+from absl import logging
+
 from verbenahall.clock import Clock
 
 #: Least time between two refreshes, in seconds. Otherwise each guessed key
@@ -34,7 +36,8 @@
     async def refresh(self) -> bool:
         """Refresh the keys, sharing a call in progress.
 
-        Return False without a call if the last one was too recent.
+        Return False without a call if the last one was too recent, and if the
+        call fails: the key is then refused by the keys that are known.
         """
         if self._pending is None:
             now = self._clock()
@@ -43,7 +46,15 @@
             self._started_at = now
             self._pending = asyncio.ensure_future(self._refresh())
             self._pending.add_done_callback(self._clear_pending)
-        return await asyncio.shield(self._pending)
+        pending = self._pending
+        await asyncio.wait((pending,))
+        return _has_succeeded(pending) and pending.result()
 
     def _clear_pending(self, finished: asyncio.Future[bool]) -> None:
         self._pending = None
+        if not _has_succeeded(finished):
+            logging.error('the refresh of the keys failed: %r', finished)
+
+
+def _has_succeeded(finished: asyncio.Future[bool]) -> bool:
+    return not finished.cancelled() and finished.exception() is None
--- a/packages/verbenahall/tests/gateway/test_keys.py
+++ b/packages/verbenahall/tests/gateway/test_keys.py
@@ -6,6 +6,7 @@
 from verbenahall_standins.platform import make_route
 
 from verbenahall import journal
+from verbenahall.gateway._topics import Topics
 
 from .conftest import PREFIX, make_engines, make_plain, run, run_gateway
 
@@ -182,6 +183,37 @@
     run(check())
 
 
+@pytest.mark.parametrize(
+    'failure',
+    [ConnectionResetError, asyncio.CancelledError, KeyError],
+)
+def test_unknown_key_is_refused_if_its_look_up_fails(
+    tmp_path, monkeypatch, failure
+):
+    """The failure left the handlers of all callers that shared the look-up.
+
+    The library closed their connections without an answer, or sent 500.
+    """
+
+    async def fail(topics):
+        await asyncio.sleep(0.1)
+        raise failure
+
+    monkeypatch.setattr(Topics, 'refresh_manifest', fail)
+
+    async def check():
+        async with run_keyed_gateway(tmp_path, plain=make_plain(1)) as harness:
+            answers = await asyncio.gather(
+                *(
+                    harness.send('/proof/1', f'r-{number}', headers={KEY: 'x'})
+                    for number in range(3)
+                )
+            )
+            assert {status for status, _, _ in answers} == {401}
+
+    run(check())
+
+
 def test_guessed_keys_do_not_each_cost_a_store_call(tmp_path):
     """Random keys must not load the store, which all instances share."""
 
