Answer if a handler's own work is cancelled; add nothing to a broken stream

An exception after a part of a stream added the head and the body of a 500 to it, and left the connection open: a caller of HTTP/1.0 took them for the rest of a whole answer, and one of HTTP/1.1 met them in place of a chunk.

Evidence: 3 of the 5 cases of test_response_that_fails_is_replaced and test_nothing_follows_a_stream_that_fails failed before, and all pass.

Change: a cancellation ends the connection only if the handler's task itself is cancelled, as it is when the caller leaves. A response that follows a part of another one is not sent, and the connection is closed.

--- a/packages/verbenahall/src/verbenahall/front/_answers.py
+++ b/packages/verbenahall/src/verbenahall/front/_answers.py
@@ -1,5 +1,6 @@
 """Converts problems into HTTP error responses."""
 
+import asyncio
 import math
 from collections.abc import Awaitable, Callable, Mapping
 from types import MappingProxyType
@@ -70,6 +71,7 @@
     """Call a handler and convert every exception into an error response.
 
     A ``ConnectionError`` is raised again: there is no connection to respond on.
+    So is a cancellation, unless only work that the handler awaits is cancelled.
     """
     try:
         return await handler(request)
@@ -77,8 +79,8 @@
         return build_error_response(error.problem)
     except web.HTTPException as error:
         return _build_library_error(error)
-    except Exception as error:
-        if isinstance(error, ConnectionError):
+    except (asyncio.CancelledError, Exception) as error:
+        if _is_lost(error):
             raise
         logging.exception('unhandled exception in a request handler')
         return build_error_response(
@@ -86,6 +88,13 @@
         )
 
 
+def _is_lost(error: BaseException) -> bool:
+    """Whether the request whose handler raised an error can't be answered."""
+    if isinstance(error, asyncio.CancelledError):
+        return bool(asyncio.current_task().cancelling())
+    return isinstance(error, ConnectionError)
+
+
 def _build_library_error(error: web.HTTPException) -> web.Response:
     kind = _KIND_BY_STATUS.get(error.status, ErrorKind.BAD_REQUEST)
     response = build_error_response(Problem(kind, error.reason))
--- a/packages/verbenahall/src/verbenahall/front/_connections.py
+++ b/packages/verbenahall/src/verbenahall/front/_connections.py
@@ -119,8 +119,12 @@
 
         aiohttp would close the connection without any response. A head that
         was not written may have chosen chunks, which the next one doesn't.
+        After a part of another response the connection is closed: bytes of
+        this one would be read as those of the other.
         """
         if not resp.prepared:
+            if request.writer.output_size:
+                return resp, True
             request.writer.chunked = False
         try:
             return await super().finish_response(request, resp, start_time)
--- a/packages/verbenahall/tests/gateway/test_odd_answers.py
+++ b/packages/verbenahall/tests/gateway/test_odd_answers.py
@@ -1,5 +1,8 @@
 """Answers whose heads hold bytes that may not be passed on."""
 
+import asyncio
+import contextlib
+
 import pytest
 from aiohttp import ClientSession, web
 from verbenahall_standins.platform import RawEndpoint
@@ -114,23 +117,63 @@
     raise AssertionError('the head was written')
 
 
-@pytest.mark.parametrize('handler', (return_odd, stream_odd))
-def test_response_that_cannot_be_written_is_replaced(handler):
+async def await_cancelled(request):
+    """Await a future that somebody else has cancelled."""
+    future = asyncio.get_running_loop().create_future()
+    future.cancel()
+    await future
+
+
+async def fail_in_stream(request):
+    """Fail after a part of a stream was sent."""
+    response = web.StreamResponse()
+    await response.prepare(request)
+    await response.write(b'first piece')
+    raise KeyError('no such engine')
+
+
+@contextlib.asynccontextmanager
+async def run_handler(handler):
+    """Run a server with one handler; yield its host and port."""
+    app = web.Application()
+    app.router.add_get('/', handler)
+    runner = Runner(app, LIMITS)
+    await runner.setup()
+    await web.TCPSite(runner, '127.0.0.1', 0).start()
+    try:
+        yield runner.addresses[0]
+    finally:
+        await runner.cleanup()
+
+
+@pytest.mark.parametrize('handler', (return_odd, stream_odd, await_cancelled))
+def test_response_that_fails_is_replaced(handler):
     # The connection was closed without a response, or the response about the
     # failure was sent in chunks that its head did not announce.
     async def check():
-        app = web.Application()
-        app.router.add_get('/', handler)
-        runner = Runner(app, LIMITS)
-        await runner.setup()
-        await web.TCPSite(runner, '127.0.0.1', 0).start()
-        host, port = runner.addresses[0]
         async with (
+            run_handler(handler) as (host, port),
             ClientSession() as session,
             session.get(f'http://{host}:{port}/') as response,
         ):
             assert response.status == 500
             assert (await response.json())['error']['kind'] == 'internal'
-        await runner.cleanup()
+
+    run(check())
+
+
+@pytest.mark.parametrize('version', (b'1.0', b'1.1'))
+def test_nothing_follows_a_stream_that_fails(version):
+    # The response about the failure was added to the stream: to a caller
+    # without chunks it looked like the rest of a whole answer.
+    async def check():
+        async with run_handler(fail_in_stream) as (host, port):
+            reader, writer = await asyncio.open_connection(host, port)
+            writer.write(b'GET / HTTP/' + version + b'\r\nHost: a\r\n\r\n')
+            async with asyncio.timeout(2):
+                answer = await reader.read()
+            writer.close()
+            assert answer.count(b'HTTP/') == 1
+            assert answer.rstrip(b'\r\n').endswith(b'first piece')
 
     run(check())
