Hang processes up without reaping them in a test

Seen: test_hangup_signal_does_not_spoil_a_graceful_stop reported exit code 255 in 2 of 8 runs beside other tests, and once in a longer run of tests.

Cause: Popen.send_signal polls the process, and may reap it before the event loop does. asyncio then reports 255 for a child that it doesn't know; the process itself had ended gracefully.

Change: the test sends the signal by os.kill; the check of the exit code is the same.

--- a/packages/verbenahall/tests/gateway/test_process.py
+++ b/packages/verbenahall/tests/gateway/test_process.py
@@ -125,6 +125,16 @@
     run(check())
 
 
+def hang_up(process):
+    """Send SIGHUP to a process that may have ended.
+
+    ``send_signal`` may reap it, and the event loop would then report 255 as its
+    exit code.
+    """
+    with contextlib.suppress(ProcessLookupError):
+        os.kill(process.pid, signal.SIGHUP)
+
+
 def test_hangup_signal_does_not_spoil_a_graceful_stop(tmp_path):
     # The settings file changes while the platform stops an instance. The
     # process must end by itself, with the exit code of a graceful stop.
@@ -133,7 +143,7 @@
             instance.started.send_signal(signal.SIGTERM)
             async with asyncio.timeout(GRACE_S):
                 while instance.started.returncode is None:
-                    instance.started.send_signal(signal.SIGHUP)
+                    hang_up(instance.started)
                     await asyncio.sleep(0.005)
             assert instance.started.returncode == 0
 
