front: answer requests that wait behind a response with Connection: close

A caller that sends two requests at once to an instance that is stopping, or not ready, saw the first one answered with Connection: close and the connection end. The process had read the second one as well, a second before, and dropped it unanswered.

Evidence: two requests in one write, 0.1 s after SIGTERM, to an endpoint that takes 1 s: the second ended with a closed connection. It gets its answer now.

Both hooks that set Connection: close go by one function in front, which leaves a connection open while a further request was read on it. The last response then closes it.

--- a/packages/verbenahall/src/verbenahall/front/__init__.py
+++ b/packages/verbenahall/src/verbenahall/front/__init__.py
@@ -1,7 +1,11 @@
 """HTTP interface for callers."""
 
 from verbenahall.front._answers import build_error_response
-from verbenahall.front._connections import ReadTimeouts, Runner
+from verbenahall.front._connections import (
+    ReadTimeouts,
+    Runner,
+    close_after_response,
+)
 from verbenahall.front._dependencies import (
     Adapters,
     FrontDependencies,
@@ -24,6 +28,7 @@
     'ServiceAdapter',
     'Sessions',
     'build_error_response',
+    'close_after_response',
     'make_application',
     'make_session',
 )
--- a/packages/verbenahall/src/verbenahall/front/_connections.py
+++ b/packages/verbenahall/src/verbenahall/front/_connections.py
@@ -8,7 +8,7 @@
 from types import MappingProxyType
 from typing import Any, Final, final
 
-from aiohttp import web
+from aiohttp import hdrs, web
 from aiohttp.http_exceptions import LineTooLong
 
 from verbenahall import wire
@@ -76,6 +76,11 @@
         self._read_timeouts = read_timeouts
         self._head_timer: asyncio.TimerHandle | None = None
 
+    @property
+    def has_waiting_request(self) -> bool:
+        """Whether a request was read that is not handled yet."""
+        return bool(self._messages)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the timeout for the first request."""
         super().connection_made(transport)
@@ -235,6 +240,25 @@
         return Connection(manager, self._read_timeouts, self._options)
 
 
+def close_after_response(
+    request: web.BaseRequest,
+    response: web.StreamResponse,
+) -> None:
+    """Close the connection after a response, and state that in its head.
+
+    Without the header a caller might reuse its connection as it is closed. A
+    connection with a further request stays open: that request was read, and
+    would be dropped unanswered.
+    """
+    connection = request.protocol
+    if isinstance(connection, Connection) and connection.has_waiting_request:
+        return
+    # aiohttp sets its headers before the hooks that call this function, so
+    # force_close alone would close the connection without the header.
+    response.headers[hdrs.CONNECTION] = 'close'
+    response.force_close()
+
+
 async def _check_expectation(
     handler: Handler,
     request: web.Request,
--- a/packages/verbenahall/src/verbenahall/gateway/_readiness.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_readiness.py
@@ -3,10 +3,11 @@
 import asyncio
 from typing import Final, final
 
-from aiohttp import hdrs, web
+from aiohttp import web
 
 from verbenahall import journal
 from verbenahall.fleet import Role
+from verbenahall.front import close_after_response
 from verbenahall.gateway._core import Core
 from verbenahall.peers import list_live_peers, list_recipients
 
@@ -56,8 +57,7 @@
     ) -> None:
         """Close callers' open connections, so that they reconnect elsewhere."""
         if not self.ready:
-            response.headers[hdrs.CONNECTION] = 'close'
-            response.force_close()
+            close_after_response(request, response)
 
     def check(self) -> bool:
         """Update the state; return whether new callers should be received."""
--- a/packages/verbenahall/src/verbenahall/shutdown/_shell.py
+++ b/packages/verbenahall/src/verbenahall/shutdown/_shell.py
@@ -6,9 +6,10 @@
 from typing import Final, final
 
 from absl import logging
-from aiohttp import hdrs, web
+from aiohttp import web
 
 from verbenahall import clock, journal
+from verbenahall.front import close_after_response
 from verbenahall.shutdown._decisions import decide
 from verbenahall.shutdown._messages import (
     DEFAULT_TIMING,
@@ -150,13 +151,6 @@
         request: web.Request,
         response: web.StreamResponse,
     ) -> None:
-        """Set ``Connection: close`` on responses once the stop has begun.
-
-        Otherwise a caller may reuse its connection while the process closes
-        it, and get a connection reset.
-        """
+        """Close callers' connections once the stop has begun."""
         if self.stopping:
-            # aiohttp sets its headers before this hook, so force_close alone
-            # would close the connection without the header.
-            response.headers[hdrs.CONNECTION] = 'close'
-            response.force_close()
+            close_after_response(request, response)
