Ignore SIGHUP from the first import to the exit of the process

A SIGHUP ended an instance that was still importing its modules, for the first second of its life and longer on a busy machine, and one that arrived at the moment at which the event loop's handler was removed at the end of a stop, when the loop restores the default action.

The platform starts `python3 -m verbenahall`, which ignores the signal before the gateway is imported. The handler that logs it is set with the signal module, so it is replaced in one step and nothing restores the default action. `python -m verbenahall.gateway` still works.

--- a/packages/verbenahall/src/verbenahall/gateway/_serve.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_serve.py
@@ -280,19 +280,20 @@
 
 
 def _handle_hangup() -> None:
-    """Log SIGHUP instead of ending the process, which is its default."""
+    """Log SIGHUP instead of ending the process, which is its default.
+
+    The handler is not one of the event loop, which would restore the default
+    action when it is removed, and a signal at that moment would end the
+    process.
+    """
     loop = asyncio.get_running_loop()
-    loop.add_signal_handler(
-        signal.SIGHUP,
-        journal.write_decision,
-        'reload',
-    )
+    signal.signal(signal.SIGHUP, functools.partial(_log_hangup, loop))
 
 
-def _ignore_hangup() -> None:
-    """Ignore SIGHUP while the process ends.
+def _log_hangup(loop: asyncio.AbstractEventLoop, *_: object) -> None:
+    loop.call_soon_threadsafe(journal.write_decision, 'reload')
 
-    The event loop would restore the default action as it closes.
-    """
-    asyncio.get_running_loop().remove_signal_handler(signal.SIGHUP)
+
+def _ignore_hangup() -> None:
+    """Ignore SIGHUP while the process ends."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
--- a/packages/verbenahall/tests/gateway/test_open_connections.py
+++ b/packages/verbenahall/tests/gateway/test_open_connections.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import os
+import pathlib
 import signal
 import socket
 import time
@@ -45,6 +47,8 @@
 #: Longest time from a request to the end of its connection without an answer.
 LOST_SLACK_S = 0.2
 CALLERS = 100
+#: Signals that are sent before it is checked whether the process has ended.
+SERIES = 100
 LIMITS = {
     'maxHeaderBytes': 16_384,
     'maxBodyBytes': 4_194_304,
@@ -109,6 +113,28 @@
     return bytes(received)
 
 
+def ignores_hangup(pid):
+    """Return whether a process ignores SIGHUP."""
+    status = pathlib.Path(f'/proc/{pid}/status').read_text()
+    mask = int(status.split('SigIgn:')[1].split()[0], 16)
+    return bool(mask & 1)
+
+
+def send_hangups(pid):
+    """Send SIGHUP without a pause until the process has ended."""
+    ends = time.monotonic() + GRACE_S
+    with contextlib.suppress(ProcessLookupError, FileNotFoundError):
+        while time.monotonic() < ends and not is_zombie(pid):
+            for _ in range(SERIES):
+                os.kill(pid, signal.SIGHUP)
+
+
+def is_zombie(pid):
+    """Return whether a process has ended and was not waited for."""
+    status = pathlib.Path(f'/proc/{pid}/stat').read_text()
+    return status.rpartition(') ')[2].startswith('Z')
+
+
 async def read_to_last_chunk(opened, bytes_s):
     """Read an answer in chunks slowly; return what was received."""
     loop = asyncio.get_running_loop()
@@ -370,3 +396,39 @@
             await wait_for_end(reader, 1)
 
     run(check())
+
+
+def test_hangup_signals_in_a_dense_series_during_a_stop(tmp_path):
+    # The default action of SIGHUP was restored for a moment as the process
+    # ended, and a signal at that moment killed it.
+    async def check():
+        async with start_instance(tmp_path) as (instance, _):
+            instance.started.send_signal(signal.SIGTERM)
+            await asyncio.sleep(STOP_S - 0.5)
+            await asyncio.to_thread(send_hangups, instance.started.pid)
+            assert await instance.started.wait() == 0
+
+    run(check())
+
+
+def test_hangup_signals_during_the_start(tmp_path):
+    # A settings file that changed while the process still imported its modules
+    # ended it.
+    async def check():
+        started_at = time.monotonic()
+        ignored_at = []
+
+        async def hang_up(started):
+            while not ignores_hangup(started.pid):
+                await asyncio.sleep(0.005)
+            ignored_at.append(time.monotonic())
+            for _ in range(20):
+                started.send_signal(signal.SIGHUP)
+                await asyncio.sleep(0.05)
+
+        async with start_instance(tmp_path, starting=hang_up) as (instance, _):
+            ready_s = time.monotonic() - started_at
+            assert ignored_at[0] - started_at < ready_s / 3
+            assert await instance.send() == (200, b'page from page-0')
+
+    run(check())
--- a/packages/verbenahall/tests/gateway/test_process.py
+++ b/packages/verbenahall/tests/gateway/test_process.py
@@ -59,8 +59,11 @@
 
 
 @contextlib.asynccontextmanager
-async def start_instance(folder, engines=()):
-    """Run a gateway process in front of one plain endpoint and engines."""
+async def start_instance(folder, engines=(), starting=None):
+    """Run a gateway process in front of one plain endpoint and engines.
+
+    ``starting`` is awaited with the process before the instance is ready.
+    """
     site = Site(engines, make_plain(1))
     await site.start()
     path = write_settings(folder, site.store.address)
@@ -69,7 +72,7 @@
         started = await asyncio.create_subprocess_exec(
             sys.executable,
             '-m',
-            'verbenahall.gateway',
+            'verbenahall',
             env={**os.environ, 'VERBENAHALL_CONFIG': str(path)},
             stdout=stdout,
         )
@@ -81,6 +84,8 @@
                 session,
                 output,
             )
+            if starting is not None:
+                await starting(started)
             await instance.wait_ready()
             yield instance, site
     finally:
@@ -193,7 +198,7 @@
         started = await asyncio.create_subprocess_exec(
             sys.executable,
             '-m',
-            'verbenahall.gateway',
+            'verbenahall',
             env={**os.environ, 'VERBENAHALL_CONFIG': str(path)},
             stderr=asyncio.subprocess.PIPE,
         )
