authentication: drop the oldest withdrawn keys in one step

As a manifest replaced the keys of many workspaces, the instance stood still: no caller got an answer, and heartbeats and timers were late. The oldest withdrawn keys were popped one by one from the front of a dictionary, and to find the first entry takes as long as all the entries removed before it.

Evidence, on a busy machine: applying manifests of 16,000 workspaces, all of whose 32,000 keys change, took 1.03 s (median of 12; longest 2.55 s) and takes 0.26 s (0.27 s). The new test, five manifests with a new key for each of 16,000 workspaces, failed with 2.0 s of processor time and takes 0.09 s.

--- a/packages/verbenahall/src/verbenahall/authentication/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/authentication/_decisions.py
@@ -1,5 +1,6 @@
 """Decides whether a request may run, and for which workspace."""
 
+import itertools
 from typing import Final, final
 
 from returns.result import Failure, Result, Success
@@ -57,8 +58,11 @@
         history.retired[digest] = None
     for digest in new & history.retired.keys():
         history.retired.pop(digest)
-    while len(history.retired) > _MAX_RETIRED:
-        history.retired.pop(next(iter(history.retired)))
+    # A new dictionary: to find the first entry of one takes as long as all
+    # the entries that were removed before it.
+    excess = max(0, len(history.retired) - _MAX_RETIRED)
+    newest = itertools.islice(history.retired, excess, None)
+    history.retired = dict.fromkeys(newest)
 
 
 def is_retired(history: KeyHistory, digest: bytes) -> bool:
--- a/packages/verbenahall/tests/authentication/test_keys.py
+++ b/packages/verbenahall/tests/authentication/test_keys.py
@@ -1,6 +1,8 @@
 """Holders of API keys, withdrawn keys, and the rate of refreshes."""
 
 import asyncio
+import itertools
+import time
 
 import pytest
 from returns.result import Failure, Success
@@ -19,6 +21,9 @@
 
 PRESS = Workspace('press')
 CLUB = Workspace('club', priority=0)
+#: Longest processor time for the withdrawn keys of a manifest, in seconds.
+MAX_RECORD_S = 0.2
+WORKSPACES = 16_000
 TABLE = build_key_table([(PRESS, ['one', 'two']), (CLUB, ['three'])])
 
 
@@ -72,6 +77,27 @@
     assert is_retired(history, digest_key('three'))
 
 
+def test_many_withdrawn_keys_are_recorded_at_once():
+    # Every manifest replaces a key of each of 16,000 workspaces. The event loop
+    # stood still for seconds as the oldest withdrawn keys were dropped.
+    history = KeyHistory()
+    tables = [
+        build_key_table(
+            (Workspace(f'w-{number}'), [f'{number}-{version}', f'{number}+'])
+            for number in range(WORKSPACES)
+        )
+        for version in range(6)
+    ]
+    started = time.process_time()
+    for before, after in itertools.pairwise(tables):
+        record_retired(history, before, after)
+    assert time.process_time() - started < MAX_RECORD_S * (len(tables) - 1)
+    newest = tables[-2].holders.keys() - tables[-1].holders.keys()
+    assert len(newest) == WORKSPACES
+    assert all(is_retired(history, digest) for digest in newest)
+    assert len(history.retired) < 2 * WORKSPACES
+
+
 class Clock:
     """A clock that a test advances."""
 
