--- a/packages/verbenahall/tests/gateway/test_process.py
+++ b/packages/verbenahall/tests/gateway/test_process.py
@@ -59,8 +59,11 @@
 
 
 @contextlib.asynccontextmanager
-async def start_instance(folder, engines=(), plain_count=1):
-    """Run a gateway process in front of plain endpoints and engines."""
+async def start_instance(folder, engines=(), plain_count=1, starting=None):
+    """Run a gateway process in front of plain endpoints and engines.
+
+    ``starting`` is awaited with the process before the instance is ready.
+    """
     site = Site(engines, make_plain(plain_count))
     await site.start()
     path = write_settings(folder, site.store.address)
@@ -69,7 +72,7 @@
         started = await asyncio.create_subprocess_exec(
             sys.executable,
             '-m',
-            'verbenahall.gateway',
+            'verbenahall',
             env={**os.environ, 'VERBENAHALL_CONFIG': str(path)},
             stdout=stdout,
         )
@@ -81,6 +84,8 @@
                 session,
                 output,
             )
+            if starting is not None:
+                await starting(started)
             await instance.wait_ready()
             yield instance, site
     finally:
@@ -203,7 +208,7 @@
         started = await asyncio.create_subprocess_exec(
             sys.executable,
             '-m',
-            'verbenahall.gateway',
+            'verbenahall',
             env={**os.environ, 'VERBENAHALL_CONFIG': str(path)},
             stderr=asyncio.subprocess.PIPE,
         )
