front: a peer is asked beside a silent endpoint, which is awaited if it fails

What callers saw: where all endpoints of an instance were silent, a repeatable request was taken from its endpoint and given to a peer. A peer that refused it, for instance for want of retry budget, or failed, ended the request with 500 to 504 though the endpoint went on 1.6 s later.

Cause: the attempt was ended before a peer had accepted the request.

Change: the peer's answer takes part in the race of the attempts. Its first event, or its whole answer unless that is a failure of the peer, cancels the attempt at the endpoint. A stream that a peer has begun is not begun again here.

Without the mark of a stream begun at a peer a caller read `p0 p1 p0 p1 ... p4`, and without the reset of the claim a second try at the peer failed; each is shown by a test.

--- a/packages/verbenahall/src/verbenahall/front/_attempts.py
+++ b/packages/verbenahall/src/verbenahall/front/_attempts.py
@@ -100,8 +100,11 @@
             repeatable=progress.call.repeatable,
             deadline=progress.call.head.deadline,
             attempts=progress.attempts,
-            delivered=progress.delivered_tokens > 0,
-            resumable=bool(self._placer.list_candidates(progress)),
+            delivered=progress.is_begun,
+            resumable=(
+                not progress.begun_at_peer
+                and bool(self._placer.list_candidates(progress))
+            ),
             may_have_run_before=progress.may_have_run,
             urgent=progress.call.head.ticket.priority == FLAG_PRIORITY,
         )
--- a/packages/verbenahall/src/verbenahall/front/_hedging.py
+++ b/packages/verbenahall/src/verbenahall/front/_hedging.py
@@ -12,7 +12,7 @@
 from verbenahall.front._feedback import record_outcome
 from verbenahall.front._placement import Placer
 from verbenahall.front._progress import PlacedAttempt, Progress, Sender, Sent
-from verbenahall.front._race import Race
+from verbenahall.front._race import AT_PEER, Race
 from verbenahall.requests import Broken, GiveUp, Outcome, Retry
 
 #: The outcome of an attempt whose endpoint is silent.
@@ -62,7 +62,7 @@
         race = Race(self._dependencies.clock)
         progress.claim = race.claim
         self._races.add(race)
-        race.begin(placed, self._exchange.run(placed, progress, sender))
+        self._begin(race, placed, progress, sender)
         try:
             return await self._finish(race, progress, sender)
         finally:
@@ -86,22 +86,27 @@
         while race.open:
             await race.wait()
             for ended in race.take_ended():
-                result = ended.task.result()
-                if isinstance(result, Success):
-                    return result
-                progress.excluded |= {ended.placed.endpoint.name}
-            if not race.is_silent(self._is_unresponsive):
-                continue
-            if self._should_leave(progress):
-                self._record_silence(race)
-                return Failure(_UNRESPONSIVE)
-            await self._hedge(race, progress, sender)
+                latest = ended.task.result()
+                if isinstance(latest, Success):
+                    return latest
+                if ended.endpoint is not None:
+                    result = latest
+                    progress.excluded |= {ended.endpoint.name}
+            if race.is_silent(self._is_unresponsive):
+                await self._hedge(race, progress, sender)
         return result
 
     async def _hedge(
         self, race: Race, progress: Progress, sender: Sender[Any]
     ) -> None:
         """Make an attempt beside those that are open, if one is allowed."""
+        if self._may_forward(progress):
+            self._record_silence(race)
+            progress.may_have_run = True
+            race.begin(AT_PEER, None, progress.forward())
+            # A peer that fails the request would fail it again.
+            progress.forward = None
+            return
         names = race.list_endpoints()
         if not self._placer.has_successor(progress, names):
             return
@@ -113,11 +118,20 @@
         result = await self._placer.place(progress)
         if isinstance(result, Success):
             metrics.RETRIES.add(step.reason)
-            placed = result.unwrap()
-            race.begin(placed, self._exchange.run(placed, progress, sender))
+            self._begin(race, result.unwrap(), progress, sender)
+
+    def _begin(
+        self,
+        race: Race,
+        placed: PlacedAttempt,
+        progress: Progress,
+        sender: Sender[Any],
+    ) -> None:
+        sending = self._exchange.run(placed, progress, sender)
+        race.begin(placed.attempt, placed.endpoint, sending)
 
-    def _should_leave(self, progress: Progress) -> bool:
-        """Whether a peer has to serve the request, as no endpoint here can."""
+    def _may_forward(self, progress: Progress) -> bool:
+        """Whether a peer may serve the request, as no endpoint here can."""
         peers = self._dependencies.peers
         return (
             progress.may_leave
@@ -128,10 +142,8 @@
 
     def _record_silence(self, race: Race) -> None:
         """Count the silence of endpoints as failures, once per attempt."""
-        for placed in race.take_unrecorded():
-            record_outcome(
-                self._dependencies, placed.endpoint, Failure(_UNRESPONSIVE)
-            )
+        for endpoint in race.take_unrecorded():
+            record_outcome(self._dependencies, endpoint, Failure(_UNRESPONSIVE))
 
     def _is_unresponsive(self, name: str) -> bool:
         now = self._dependencies.clock()
--- a/packages/verbenahall/src/verbenahall/front/_pipeline.py
+++ b/packages/verbenahall/src/verbenahall/front/_pipeline.py
@@ -17,17 +17,19 @@
 from verbenahall.front._forwarder import PeerForwarder
 from verbenahall.front._messages import Answered, Call, ModelCall, RequestHead
 from verbenahall.front._progress import Progress
-from verbenahall.front._relay import StreamRelay
+from verbenahall.front._race import AT_PEER
+from verbenahall.front._relay import StreamRelay, claim_nothing
 from verbenahall.front._senders import (
     PlainSender,
     ServiceSender,
     StreamSender,
 )
 from verbenahall.journal import write_decision
+from verbenahall.requests import Broken, Outcome
 
 #: Statuses of an instance's own failures. From endpoints they are no answers,
 #: so here they come from peers.
-_FAILED_AT_PEER: Final = frozenset((502, 503, 504))
+_FAILED_AT_PEER: Final = frozenset((500, 502, 503, 504))
 
 
 @final
@@ -64,10 +66,13 @@
         progress = Progress(call)
         progress.is_counted = hop is not None and hop.is_counted
         forwarder = None if hop else self._forwarder
-        progress.may_forward = forwarder is not None
         relay = self._make_relay(call, request)
         if relay is not None:
             self._relays.add(relay)
+        if forwarder is not None:
+            progress.forward = functools.partial(
+                _forward_beside, forwarder, progress, relay
+            )
         try:
             result = await self._run(lane, progress, relay, forwarder)
         finally:
@@ -222,7 +227,35 @@
         return build_error_response(problem, head.request)
 
 
-def _build_response(head: RequestHead, answered: Answered) -> web.Response:
+async def _forward_beside(
+    forwarder: PeerForwarder, progress: Progress, relay: StreamRelay | None
+) -> Result[web.StreamResponse, Outcome]:
+    """Let a peer serve a request whose endpoint here may still answer it."""
+    if relay is not None:
+        relay.claim = functools.partial(_claim_for_peer, progress)
+    try:
+        result = await forwarder.run(progress, relay)
+    finally:
+        if relay is not None:
+            relay.claim = claim_nothing
+    match result:
+        case Success(response) if response.status in _FAILED_AT_PEER:
+            return Failure(Broken(f'status {response.status}', answered=True))
+        case Failure(problem):
+            return Failure(Broken(problem.message))
+    return result
+
+
+def _claim_for_peer(progress: Progress) -> None:
+    progress.claim(AT_PEER)
+    progress.begun_at_peer = True
+
+
+def _build_response(
+    head: RequestHead, answered: Answered | web.StreamResponse
+) -> web.StreamResponse:
+    if isinstance(answered, web.StreamResponse):
+        return answered
     return web.Response(
         status=answered.status,
         body=answered.body,
--- a/packages/verbenahall/src/verbenahall/front/_progress.py
+++ b/packages/verbenahall/src/verbenahall/front/_progress.py
@@ -1,8 +1,8 @@
 """The progress of a request over its attempts."""
 
 import dataclasses
-from collections.abc import Callable
-from typing import Final, Protocol, TypeVar, final
+from collections.abc import Callable, Coroutine
+from typing import Any, Final, Protocol, TypeVar, final
 
 from returns.result import Result
 
@@ -21,6 +21,8 @@
 _PREFILL_TOKENS_PER_OUTPUT_TOKEN: Final = 16
 
 Sent = TypeVar('Sent', covariant=True)
+Forwarded = Result[Any, Outcome]
+ForwardCall = Callable[[], Coroutine[Any, Any, Forwarded]]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,8 +52,9 @@
     is the model version that produced them. ``claim_offset`` is the offset of
     the record that claimed the request's key, or None. ``may_have_run`` means
     that an earlier attempt ended with an unknown outcome. ``is_counted`` means
-    that the request was counted as demand, and ``may_forward`` that a peer may
-    serve it. ``claim(attempt)`` makes an open attempt the only one.
+    that the request was counted as demand, and ``begun_at_peer`` that a part of
+    its answer came from a peer. ``claim(attempt)`` makes an open attempt the
+    only one, and ``forward()`` lets a peer serve the request; None if none may.
     """
 
     __slots__ = (
@@ -65,7 +68,8 @@
         'delivered_tokens',
         'version',
         'is_counted',
-        'may_forward',
+        'begun_at_peer',
+        'forward',
         'claim',
     )
 
@@ -81,18 +85,24 @@
         self.delivered_tokens = 0
         self.version = ''
         self.is_counted = False
-        self.may_forward = False
+        self.begun_at_peer = False
+        self.forward: ForwardCall | None = None
         self.claim: Callable[[str], None] = _claim_nothing
 
     @property
     def may_leave(self) -> bool:
         """Whether a peer may serve the request though it may have run here."""
         return (
-            self.may_forward
+            self.forward is not None
             and self.call.repeatable
-            and not self.delivered_tokens
+            and not self.is_begun
         )
 
+    @property
+    def is_begun(self) -> bool:
+        """Whether the caller has a part of the answer."""
+        return self.delivered_tokens > 0 or self.begun_at_peer
+
 
 def _claim_nothing(attempt: str) -> None:
     """Do nothing: no attempt is open."""
@@ -130,7 +140,7 @@
     The answer is truncated if tokens were delivered, and ``ran`` is unknown if
     an earlier attempt may have run.
     """
-    if progress.delivered_tokens:
+    if progress.is_begun:
         message = 'no engine is available to continue the answer'
         return Problem(ErrorKind.ANSWER_TRUNCATED, message)
     if progress.may_have_run:
--- a/packages/verbenahall/src/verbenahall/front/_race.py
+++ b/packages/verbenahall/src/verbenahall/front/_race.py
@@ -8,7 +8,7 @@
 from returns.result import Result
 
 from verbenahall.clock import Clock
-from verbenahall.front._progress import PlacedAttempt
+from verbenahall.fleet import Endpoint
 from verbenahall.requests import Outcome
 
 #: Time without an event after which an endpoint that counts as silent may get
@@ -16,6 +16,9 @@
 #: its streams go on.
 _MIN_SILENT_S: Final = 0.5
 
+#: Stands for the attempt ID of a request that a peer serves.
+AT_PEER: Final = 'peer'
+
 AnyResult = Result[Any, Outcome]
 
 
@@ -23,16 +26,24 @@
 class OpenAttempt:
     """An attempt whose answer is awaited.
 
-    ``last_event_at`` is the time of its last event, or of the send.
-    ``is_recorded`` is whether its silence was counted as a failure of the
-    endpoint.
+    ``endpoint`` is None if a peer chooses it. ``last_event_at`` is the time of
+    the last event, or of the send. ``is_recorded`` is whether its silence was
+    counted as a failure of the endpoint.
     """
 
-    placed: PlacedAttempt
+    endpoint: Endpoint | None
     task: asyncio.Task[AnyResult]
     last_event_at: float
     is_recorded: bool = False
 
+    def is_silent(
+        self, now: float, is_unresponsive: Callable[[str], bool]
+    ) -> bool:
+        """Whether its endpoint is silent; a peer handles that itself."""
+        if self.endpoint is None or now - self.last_event_at < _MIN_SILENT_S:
+            return False
+        return is_unresponsive(self.endpoint.name)
+
 
 @final
 class Race:
@@ -43,7 +54,7 @@
     the answer is sent to the caller, and cancels all others::
 
         race = Race(clock)
-        race.begin(placed, send(placed))
+        race.begin(attempt, endpoint, send(attempt, endpoint))
         await race.wait()
         ended = race.take_ended()
         await race.close()
@@ -60,14 +71,15 @@
 
     def begin(
         self,
-        placed: PlacedAttempt,
+        attempt: str,
+        endpoint: Endpoint | None,
         sending: Coroutine[Any, Any, AnyResult],
     ) -> None:
         """Run an attempt beside those that are open."""
         task = asyncio.create_task(sending)
         task.add_done_callback(self._handle_done)
         self._tasks.append(task)
-        self.open[placed.attempt] = OpenAttempt(placed, task, self._clock())
+        self.open[attempt] = OpenAttempt(endpoint, task, self._clock())
 
     def claim(self, attempt: str) -> None:
         """Record an event of an attempt, and cancel all others."""
@@ -81,23 +93,22 @@
     def is_silent(self, is_unresponsive: Callable[[str], bool]) -> bool:
         """Whether the endpoints of all open attempts are silent."""
         now = self._clock()
-        return bool(self.open) and all(
-            now - one.last_event_at >= _MIN_SILENT_S
-            and is_unresponsive(one.placed.endpoint.name)
-            for one in self.open.values()
-        )
+        attempts = self.open.values()
+        silent = [one.is_silent(now, is_unresponsive) for one in attempts]
+        return bool(silent) and all(silent)
 
     def list_endpoints(self) -> frozenset[str]:
         """Return the names of the endpoints of the open attempts."""
-        return frozenset(one.placed.endpoint.name for one in self.open.values())
+        endpoints = [one.endpoint for one in self.open.values()]
+        return frozenset(one.name for one in endpoints if one is not None)
 
-    def take_unrecorded(self) -> list[PlacedAttempt]:
-        """Return the attempts whose silence isn't counted; mark it counted."""
+    def take_unrecorded(self) -> list[Endpoint]:
+        """Return the endpoints whose silence isn't counted; mark it counted."""
         unrecorded = []
         for attempt in self.open.values():
-            if not attempt.is_recorded:
+            if attempt.endpoint is not None and not attempt.is_recorded:
                 attempt.is_recorded = True
-                unrecorded.append(attempt.placed)
+                unrecorded.append(attempt.endpoint)
         return unrecorded
 
     def wake(self) -> None:
@@ -111,9 +122,10 @@
 
     def take_ended(self) -> list[OpenAttempt]:
         """Remove and return the attempts that have ended."""
-        ended = [one for one in self.open.values() if one.task.done()]
-        for one in ended:
-            self.open.pop(one.placed.attempt)
+        ended = []
+        for key, attempt in tuple(self.open.items()):
+            if attempt.task.done():
+                ended.append(self.open.pop(key))
         return ended
 
     async def close(self) -> None:
--- a/packages/verbenahall/src/verbenahall/front/_relay.py
+++ b/packages/verbenahall/src/verbenahall/front/_relay.py
@@ -24,9 +24,16 @@
 _DONE: Final = b'data: [DONE]\n\n'
 
 
+def claim_nothing() -> None:
+    """Do nothing: no other attempt is open."""
+
+
 @final
 class StreamRelay:
-    """The response stream to a caller; it starts with the first token."""
+    """The response stream to a caller; it starts with the first token.
+
+    ``claim`` is called before events of a peer are sent.
+    """
 
     __slots__ = (
         '_web_request',
@@ -34,6 +41,7 @@
         '_received_at',
         '_clock',
         '_writing_since',
+        'claim',
         'response',
     )
 
@@ -50,6 +58,7 @@
         self._received_at = received_at
         self._clock = clock
         self._writing_since: float | None = None
+        self.claim = claim_nothing
         self.response: web.StreamResponse | None = None
 
     async def forward(
@@ -87,6 +96,7 @@
     ) -> Result[web.StreamResponse, Outcome]:
         """Forward the stream of a peer, which has checked its events.
 
+        ``claim`` is called before events are sent.
         Only whole events are forwarded, so that an error event can follow
         where the stream breaks.
         """
@@ -97,6 +107,7 @@
                     _EVENT_END
                 )
                 if separator:
+                    self.claim()
                     await self._write(whole + separator)
         except StreamBrokenError as error:
             return Failure(Broken(str(error)))
--- a/packages/verbenahall/tests/front/conftest.py
+++ b/packages/verbenahall/tests/front/conftest.py
@@ -53,8 +53,8 @@
     ``fault(number)`` returns the fault for the request of that number, or
     empty text; ``started`` lists the attempts that the endpoint started. With
     the fault ``pause`` it counts as silent for ``pause_s`` seconds, in a stream
-    after three tokens, and then goes on; ``event_s`` is the time between two
-    tokens in seconds.
+    after ``pauses_at`` tokens, and then goes on; ``event_s`` is the time from
+    one token to the next in seconds.
     """
 
     def __init__(self, name, fault=None):
@@ -67,6 +67,7 @@
         self.tokens = 5
         self.work_s = 0
         self.pause_s = 1.6
+        self.pauses_at = 3
         self.event_s = 0
         self.running = 0
         self.status = EndpointStatus.LIVE
@@ -125,6 +126,8 @@
         response = web.StreamResponse()
         await response.prepare(request)
         for index in range(table.get('resume_from', 0), self.tokens):
+            if index == self.pauses_at:
+                await self.pause(fault)
             if fault == 'die' and index == 3:
                 await response.write(b'data: {"attempt":"%b' % attempt.encode())
                 request.transport.abort()
@@ -140,8 +143,6 @@
             await asyncio.sleep(self.event_s)
             if fault == 'stall' and index == 2:
                 await asyncio.sleep(3600)
-            if index == 2:
-                await self.pause(fault)
         if fault != 'truncate':
             await response.write(b'data: [DONE]\n\n')
         return response
--- a/packages/verbenahall/tests/front/test_silent_engines.py
+++ b/packages/verbenahall/tests/front/test_silent_engines.py
@@ -1,14 +1,17 @@
 """Sound endpoints that count as silent for a while, and then go on."""
 
 import asyncio
+import contextlib
 import json
 import random
 import time
 from types import MappingProxyType
 
 import pytest
+from aiohttp import web
 
-from verbenahall.fleet import EndpointKind, EndpointStatus
+from verbenahall.fleet import Endpoint, EndpointKind, EndpointStatus
+from verbenahall.forwarding import REFUSED_HEADER
 
 WHOLE = 'p0 p1 p2 p3 p4 '
 #: Callers leave after this long without an event, in seconds.
@@ -146,7 +149,9 @@
     asyncio.run(check())
 
 
-def test_stream_of_an_engine_that_is_gone_is_resumed_in_time(run_front, fake):
+def test_stream_of_an_engine_that_is_gone_is_resumed_in_time(
+    run_front, fake, until
+):
     # An engine stops in the middle of a stream. Its caller leaves after two
     # seconds without an event.
     async def check():
@@ -159,8 +164,7 @@
             gone.status = EndpointStatus.SILENT
             assert await sending == (WHOLE, True)
             assert time.monotonic() - started < PATIENCE_S
-            await asyncio.sleep(0.1)
-            assert gone.cancelled == gone.started
+            await until(lambda: gone.cancelled == gone.started)
 
     asyncio.run(check())
 
@@ -203,7 +207,7 @@
     asyncio.run(check())
 
 
-def test_no_event_is_sent_twice_if_two_engines_go_on(run_front, fake):
+def test_no_event_is_sent_twice_if_two_engines_go_on(run_front, fake, until):
     # The first engine goes on while the second one has taken up the stream.
     async def check():
         fakes = [fake('a'), fake('b')]
@@ -212,13 +216,12 @@
             each.event_s = 0.2
         async with run_front(fakes) as harness:
             assert await post_stream(harness) == (WHOLE, True)
-            await asyncio.sleep(0.2)
-            assert sum(len(one.cancelled) for one in fakes) == 1
+            await until(lambda: sum(len(one.cancelled) for one in fakes) == 1)
 
     asyncio.run(check())
 
 
-def test_engine_that_goes_on_first_is_listened_to(run_front, fake):
+def test_engine_that_goes_on_first_is_listened_to(run_front, fake, until):
     # The second engine takes longer to begin than the first one pauses.
     async def check():
         fakes = [fake('a'), fake('b')]
@@ -228,8 +231,7 @@
             _, other = await find_first(fakes)
             other.work_s = 10
             assert await sending == (WHOLE, True)
-            await asyncio.sleep(0.1)
-            assert other.cancelled == other.started
+            await until(lambda: other.cancelled == other.started)
             assert len(other.started) == 1
             assert not harness.recorder.failures.count(other.name)
 
@@ -299,3 +301,130 @@
             assert not any(open_attempts)
 
     asyncio.run(check())
+
+
+PEER_EVENTS = tuple(
+    b'data: {"index":%d,"choices":[{"text":"p%d "}]}\n\n' % (index, index)
+    for index in range(5)
+)
+
+
+class FakePeer:
+    """Answers forwarded requests with a status, or a stream cut short.
+
+    The engines of ``reviving`` are live again before it is cut.
+    """
+
+    def __init__(self, status, events=(), reviving=()):
+        self.status = status
+        self.events = events
+        self.reviving = reviving
+        self.seen = 0
+
+    async def handle(self, request):
+        self.seen += 1
+        headers = {REFUSED_HEADER: 'no_budget'} if self.status == 503 else {}
+        if not self.events:
+            return web.Response(status=self.status, headers=headers)
+        response = web.StreamResponse()
+        await response.prepare(request)
+        for event in self.events:
+            await response.write(event)
+        if len(self.events) < len(PEER_EVENTS):
+            await asyncio.sleep(0.1)
+            for engine in self.reviving:
+                engine.status = EndpointStatus.LIVE
+            await asyncio.sleep(0.1)
+            request.transport.abort()
+        else:
+            await response.write(b'data: [DONE]\n\n')
+        return response
+
+
+@pytest.fixture
+def start_with_peer(run_front, run_server):
+    """Return a front with one peer."""
+
+    @contextlib.asynccontextmanager
+    async def start(fakes, peer):
+        app = web.Application()
+        app.router.add_route('*', '/{tail:.*}', peer.handle)
+        async with contextlib.AsyncExitStack() as stack:
+            runner = web.AppRunner(app, shutdown_timeout=0.1)
+            address = await run_server(runner, stack)
+            kind = EndpointKind.INSTANCE
+            peers = [Endpoint('i2', kind, address, 'here', '1')]
+            yield await stack.enter_async_context(run_front(fakes, peers=peers))
+
+    return start
+
+
+@pytest.mark.parametrize('status', [500, 502, 503, 504])
+@pytest.mark.parametrize('stream', [True, False])
+def test_silent_engine_is_awaited_if_no_peer_serves(
+    start_with_peer, fake, status, stream
+):
+    # The only engine pauses before its first token. The request was given to a
+    # peer that had no retry budget or failed, and the engine not awaited.
+    async def check():
+        engine = fake('a', pause_first)
+        engine.pauses_at = 0
+        peer = FakePeer(status)
+        async with start_with_peer([engine], peer) as harness:
+            answered, _, body = await harness.post(stream=stream)
+            assert (answered, peer.seen) == (200, 1)
+            assert (b'p4 ' in body) == stream
+
+    asyncio.run(check())
+
+
+def test_peer_serves_the_stream_of_a_silent_engine(
+    start_with_peer, fake, until
+):
+    # No event may come from both of them.
+    async def check():
+        engine = fake('a', pause_first)
+        engine.pauses_at = 0
+        peer = FakePeer(200, PEER_EVENTS)
+        async with start_with_peer([engine], peer) as harness:
+            assert await post_stream(harness) == (WHOLE, True)
+            assert peer.seen == 1
+            await until(lambda: engine.cancelled == engine.started)
+
+    asyncio.run(check())
+
+
+def test_peer_that_refused_beside_is_asked_again(start_with_peer, fake, until):
+    # The peer has no retry budget, the engine is lost then, and the peer may
+    # serve the request after all.
+    async def check():
+        engine = fake('a')
+
+        async def fail_late(fault):
+            engine.status = EndpointStatus.SILENT
+            await until(lambda: peer.seen)
+            peer.status = 200
+            peer.events = PEER_EVENTS
+            raise ConnectionResetError
+
+        engine.pause = fail_late
+        engine.pauses_at = 0
+        peer = FakePeer(503)
+        async with start_with_peer([engine], peer) as harness:
+            assert await post_stream(harness) == (WHOLE, True)
+            assert peer.seen == 2
+
+    asyncio.run(check())
+
+
+def test_stream_that_a_peer_has_begun_is_not_begun_again(start_with_peer, fake):
+    # The peer breaks off after two tokens, as the engine goes on.
+    async def check():
+        engine = fake('a', pause_first)
+        engine.pauses_at = 0
+        peer = FakePeer(200, PEER_EVENTS[:2], reviving=[engine])
+        async with start_with_peer([engine], peer) as harness:
+            assert await post_stream(harness) == ('p0 p1 ', False)
+            assert len(engine.started) == 1
+
+    asyncio.run(check())
