--- a/packages/verbenahall/src/verbenahall/front/_race.py
+++ b/packages/verbenahall/src/verbenahall/front/_race.py
@@ -130,9 +130,9 @@
 
     async def close(self) -> None:
         """Cancel all attempts, and wait until they have ended."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        unfinished = [task for task in self._tasks if task.cancel()]
+        if unfinished:
+            await asyncio.gather(*unfinished, return_exceptions=True)
 
     def _handle_done(self, task: asyncio.Task[AnyResult]) -> None:
         self._changed.set()
