Test of SIGHUP at a process that starts: it fails

The signal has to be ignored before the imports of verbenahall.gateway, or inherited as ignored; not done here.

--- a/packages/verbenahall/tests/gateway/test_process.py
+++ b/packages/verbenahall/tests/gateway/test_process.py
@@ -50,6 +50,7 @@
         """Wait until the instance is ready for callers."""
         async with asyncio.timeout(20):
             while await self.read_readiness() != 200:
+                assert self.started.returncode is None
                 await asyncio.sleep(0.05)
 
     def read_events(self):
@@ -59,8 +60,11 @@
 
 
 @contextlib.asynccontextmanager
-async def start_instance(folder):
-    """Run a gateway process in front of one plain endpoint."""
+async def start_instance(folder, hangup_after_s=None):
+    """Run a gateway process in front of one plain endpoint.
+
+    With ``hangup_after_s`` it gets SIGHUP so many seconds after its start.
+    """
     site = Site(plain=make_plain(1))
     await site.start()
     path = write_settings(folder, site.store.address)
@@ -73,6 +77,9 @@
             env={**os.environ, 'VERBENAHALL_CONFIG': str(path)},
             stdout=stdout,
         )
+    if hangup_after_s is not None:
+        await asyncio.sleep(hangup_after_s)
+        started.send_signal(signal.SIGHUP)
     try:
         async with aiohttp.ClientSession() as session:
             instance = Instance(
@@ -106,6 +113,16 @@
     run(check())
 
 
+def test_hangup_signal_does_not_end_a_process_that_starts(tmp_path):
+    # The settings file changes just after a restart. The process was ended
+    # while it still imported its modules, with the exit code -1.
+    async def check():
+        async with start_instance(tmp_path, hangup_after_s=0.2) as (one, _):
+            assert await one.send() == (200, b'page from page-0')
+
+    run(check())
+
+
 def test_open_request_is_finished_before_the_process_ends(tmp_path):
     # The platform stops an instance while a request is open. The request is
     # completed, readiness fails at once, and the exit code is 0.
