--- a/packages/standins/src/verbenahall_standins/soak/_broken_answers.py
+++ b/packages/standins/src/verbenahall_standins/soak/_broken_answers.py
@@ -6,8 +6,9 @@
 
 - An exchange with an endpoint was left too early if the instance closed it
   before the request's time was over, the endpoint would have gone on in time,
-  and no other endpoint had begun to answer until then. A request with such an
-  exchange whose answer is a failure, breaks off, or never comes is a violation.
+  and no other endpoint had sent an event or answer since it was asked. A
+  request with such an exchange whose answer is a failure, breaks off, or never
+  comes is a violation.
 - Any other answer that breaks off, or never comes though the request was sent
   to an endpoint, is one unless an endpoint broke it off or its time was over.
 
@@ -153,11 +154,16 @@
 
 
 def _replaces(other: Exchange, exchange: Exchange) -> bool:
-    """Whether another endpoint had begun to answer when one was left."""
-    is_later = other.started_at >= exchange.started_at
+    """Whether another endpoint went on while one was asked, until it was left.
+
+    The other may be the endpoint of a later attempt, or that of an earlier one
+    that was silent for a while.
+    """
     is_alike = other.stage == exchange.stage or exchange.stage == _PREFILL
-    has_begun = other.answered_at <= exchange.ended_at
-    return other is not exchange and is_later and is_alike and has_begun
+    has_gone_on = any(
+        exchange.started_at <= at <= exchange.ended_at for at in other.output_at
+    )
+    return other is not exchange and is_alike and has_gone_on
 
 
 def _was_reset(one: _Seen) -> bool:
--- a/packages/standins/src/verbenahall_standins/soak/_deployment.py
+++ b/packages/standins/src/verbenahall_standins/soak/_deployment.py
@@ -130,7 +130,13 @@
 
     async def stop(self) -> None:
         """Wait for the callers and stop all components."""
-        await asyncio.gather(*(one.stop() for one in self.callers))
+        try:
+            await asyncio.gather(*(one.stop() for one in self.callers))
+        finally:
+            # Requests are cancelled when the soak is interrupted.
+            await self._stop_components()
+
+    async def _stop_components(self) -> None:
         links = (self.cuts, *self.links.values(), *self.store_links)
         stand_ins = (self.duties, self.other, self.site)
         for component in (*self.instances, *links, *stand_ins):
