--- a/packages/standins/tests/soak/test_broken_answers.py
+++ b/packages/standins/tests/soak/test_broken_answers.py
@@ -154,6 +154,22 @@
     assert find(record, silent, second)
 
 
+def test_event_may_be_on_its_way_when_the_second_endpoint_is_asked():
+    # A slow link brought the first endpoint's event after that.
+    links = [(Link.SLOW, Pause(1, 1.3))]
+    second = make_endpoint(LEFT, 1.2, 1.25)
+    record = change(ended_at=1.8)
+    for sent_at, link_faults, found in (
+        (1.15, (), False),
+        (0.8, (), True),
+        (1.05, links, False),
+    ):
+        first = make_endpoint(
+            BROKEN, 0, 1.8, output_at=[sent_at], link_faults=link_faults
+        )
+        assert bool(find(record, first, second)) is found
+
+
 def test_prefill_does_not_replace_a_stream():
     # The prefill of the second attempt was taken for its first event.
     first = make_endpoint(LEFT, 0, 1.25, SHORT)
