--- a/packages/verbenahall/src/verbenahall/gateway/_scheduler.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_scheduler.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Final, final
 
+from absl import logging
 from returns.maybe import Some
 
 from verbenahall.catalog import Service
@@ -28,6 +29,7 @@
     ShareReporter,
     add_status,
     assign_waiting,
+    decline_waiting,
     decode,
     encode,
     expire_assignments,
@@ -153,9 +155,9 @@
         state: SchedulerState,
         progress: Prefilled | FirstEvent | Released,
     ) -> None:
-        service = self._list_services().get(scope[0])
-        if service is None:
-            return
+        # A service that has left the manifest still has open requests.
+        name, _ = scope
+        service = self._list_services().get(name, Service(name))
         now = self._core.now()
         record_trial_progress(state, progress, self._core.endpoint_health, now)
         record_progress(state, progress, service, now)
@@ -187,15 +189,20 @@
     def _process_queue(self, scope: _Scope) -> None:
         self._next_runs.pop(scope)
         state = self._states[scope]
+        now = self._core.now()
+        self._processed_at[scope] = now
         service = self._list_services().get(scope[0])
         if service is None:
+            self._send_replies(decline_waiting(state, now), state)
             return
-        now = self._core.now()
-        self._processed_at[scope] = now
         fleet = self._describe_fleet(state, service, scope[1])
-        self._send_replies(
-            assign_waiting(state, fleet, now, self._core.random), state
-        )
+        try:
+            replies = assign_waiting(state, fleet, now, self._core.random)
+        except Exception:
+            # Instances would repeat their requests until their callers leave.
+            logging.exception('a run over the queue of a scheduler failed')
+            replies = decline_waiting(state, now)
+        self._send_replies(replies, state)
         queue = state.queue
         report_overload(queue.overload, scope[0], queue.waiting, now)
         self._schedule_run(scope, _QUEUE_INTERVAL_S)
--- a/packages/verbenahall/tests/gateway/test_process.py
+++ b/packages/verbenahall/tests/gateway/test_process.py
@@ -60,12 +60,14 @@
 
 
 @contextlib.asynccontextmanager
-async def start_instance(folder, hangup_after_s=None):
-    """Run a gateway process in front of one plain endpoint.
+async def start_instance(
+    folder, engines=(), plain_count=1, hangup_after_s=None
+):
+    """Run a gateway process in front of plain endpoints and engines.
 
     With ``hangup_after_s`` it gets SIGHUP so many seconds after its start.
     """
-    site = Site(plain=make_plain(1))
+    site = Site(engines, make_plain(plain_count))
     await site.start()
     path = write_settings(folder, site.store.address)
     output = folder / 'output'
