Soak: engines fail in place of one that pauses

Beside one in three pauses all engines now break off each stream before its first event, from half a second on; a paused stream that has begun is not touched. What an engine would break off is judged by the events that it has sent.

--- a/packages/standins/src/verbenahall_standins/platform/_engine.py
+++ b/packages/standins/src/verbenahall_standins/platform/_engine.py
@@ -67,8 +67,13 @@
     @property
     def are_set(self) -> bool:
         """Whether a request that arrives now is refused or not answered."""
-        breaks = self.break_after is not None or self.stall_after is not None
-        return self.full or self.unresponsive or breaks
+        return self.will_fail(0)
+
+    def will_fail(self, sent: int) -> bool:
+        """Whether a stream fails that has so many events."""
+        ends = (self.break_after, self.stall_after)
+        breaks = any(end is not None and sent <= end for end in ends)
+        return breaks or (not sent and (self.full or self.unresponsive))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -102,9 +107,7 @@
         self.state = 'ready'
         self.events = events
         self.faults = EngineFaults()
-        self.exchanges = Exchanges(
-            lambda: not (self.faults.are_set or self.is_down)
-        )
+        self.exchanges = Exchanges(self._is_sound)
         self.address = ''
         self.runs: list[CIMultiDict[str]] = []
         self.prefills: list[CIMultiDict[str]] = []
@@ -158,6 +161,13 @@
         self._restart_tasks.add(restart_task)
         restart_task.add_done_callback(self._restart_tasks.discard)
 
+    def _is_sound(self, exchange: Exchange) -> bool:
+        # A prefill is one answer, which no fault of streams breaks off.
+        faults = self.faults
+        if exchange.stage == 'prefill':
+            return not (self.is_down or faults.full or faults.unresponsive)
+        return not (self.is_down or faults.will_fail(len(exchange.output_at)))
+
     async def _restart(self) -> None:
         await asyncio.sleep(self.faults.restart_s)
         await self._runner.cleanup()
--- a/packages/standins/src/verbenahall_standins/platform/_exchanges.py
+++ b/packages/standins/src/verbenahall_standins/platform/_exchanges.py
@@ -76,7 +76,7 @@
     ended_at: float = math.inf
 
 
-def _is_sound() -> bool:
+def _is_sound(exchange: Exchange) -> bool:
     return True
 
 
@@ -86,13 +86,15 @@
 
     A pause holds everything that the endpoint would send, and nothing is lost:
     answers and streams go on after it. ``is_sound`` is whether the endpoint
-    would answer a request that it gets now. ``records`` holds the requests with
-    an id, ``pauses`` all pauses. An example::
+    would go on with a request at this moment. ``records`` holds the requests
+    with an id, ``pauses`` all pauses. An example::
 
         await engine.exchanges.pause(1.5)
     """
 
-    def __init__(self, is_sound: Callable[[], bool] = _is_sound) -> None:
+    def __init__(
+        self, is_sound: Callable[[Exchange], bool] = _is_sound
+    ) -> None:
         """Start without requests and pauses."""
         self.records: list[Exchange] = []
         self.pauses: list[Pause] = []
@@ -138,7 +140,7 @@
         try:
             yield
         except (asyncio.CancelledError, ConnectionResetError):
-            sound = self._is_sound()
+            sound = self._is_sound(exchange)
             exchange.finish(ExchangeEnd.LEFT if sound else ExchangeEnd.BROKEN)
             raise
 
--- a/packages/standins/src/verbenahall_standins/platform/_plain.py
+++ b/packages/standins/src/verbenahall_standins/platform/_plain.py
@@ -36,7 +36,7 @@
         self.name = name
         self.notices = Notices()
         self.exchanges = Exchanges(
-            lambda: not (self.refuses or self.unresponsive)
+            lambda _: not (self.refuses or self.unresponsive)
         )
         self.role = ''
         self.status = 200
--- a/packages/standins/src/verbenahall_standins/soak/_actions.py
+++ b/packages/standins/src/verbenahall_standins/soak/_actions.py
@@ -212,12 +212,22 @@
     deployment.change_routes(event.shape)
 
 
+async def _fail_engines(deployment: Deployment, event: Event) -> None:
+    """Let engines break off each stream before its first event."""
+    engines = deployment.site.engines
+    for failing in engines:
+        failing.faults.break_after = 0
+    await asyncio.sleep(event.for_s)
+    for sound in engines:
+        sound.faults.break_after = None
+
+
 async def _spend_budgets(deployment: Deployment, event: Event) -> None:
     """Let engines break so many streams that few more retries are allowed."""
     engines = deployment.site.engines
     pause_s = event.for_s / _SPENDING_STREAMS
     for breaking in engines:
-        breaking.faults.break_after = 1
+        breaking.faults.break_after = event.shape % 2
     async with asyncio.TaskGroup() as group:
         for _ in range(_SPENDING_STREAMS):
             for callers in deployment.callers:
@@ -296,5 +306,6 @@
         Kind.ENDPOINTS_PAUSE: _pause_endpoints,
         Kind.MANIFEST_CHANGES: _change_manifest,
         Kind.BUDGETS_SPENT: _spend_budgets,
+        Kind.ENGINES_FAIL: _fail_engines,
     },
 )
--- a/packages/standins/src/verbenahall_standins/soak/_plan.py
+++ b/packages/standins/src/verbenahall_standins/soak/_plan.py
@@ -51,6 +51,7 @@
     ENDPOINTS_PAUSE = 'endpoints_pause'
     MANIFEST_CHANGES = 'manifest_changes'
     BUDGETS_SPENT = 'budgets_spent'
+    ENGINES_FAIL = 'engines_fail'
 
 
 #: Relative frequency of each kind.
@@ -120,6 +121,9 @@
 #: budgets are spent, of so many seconds.
 _SPENT_EVERY: Final = 3
 _SPENDING_S: Final = 1.0
+#: Time from a pause until engines fail that would go on in its place, in
+#: seconds: requests that were sent before it have begun, or wait.
+_SOON_S: Final = 0.5
 #: Upper bound of drawn numbers; far above the number of targets.
 _DRAW_LIMIT: Final = 65_536
 
@@ -241,6 +245,8 @@
         at += rng.uniform(_MIN_CHANGE_S, _MAX_CHANGE_S)
         for_s = rng.uniform(_MIN_PAUSE_S, _MAX_PAUSE_S)
         yield _make_event(rng, Kind.ENDPOINTS_PAUSE, at, for_s)
+        if number % _SPENT_EVERY == 1:
+            yield _make_event(rng, Kind.ENGINES_FAIL, at + _SOON_S, for_s)
         number += 1
         at += rng.uniform(0, 2 * _PAUSE_INTERVAL_S)
 
--- a/packages/standins/tests/soak/test_broken_answers.py
+++ b/packages/standins/tests/soak/test_broken_answers.py
@@ -308,6 +308,7 @@
         Kind.ENDPOINTS_PAUSE,
         Kind.MANIFEST_CHANGES,
         Kind.BUDGETS_SPENT,
+        Kind.ENGINES_FAIL,
     )
 )
 
