A connection that our kernel closes isn't broken off by the endpoint

What operators saw: a call whose endpoint had acknowledged nothing for the time of TCP_USER_TIMEOUT was logged and counted as broken off by the endpoint, though the instance's own setting had ended it.

An endpoint that is paused before it reads a long body gave the end broken_off in 3 of 3 runs.

Change: the outcome says that the endpoint was not waited for any longer, so the end is cut_off.

--- a/packages/verbenahall/src/verbenahall/gateway/_sender.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_sender.py
@@ -209,7 +209,7 @@
             return NeverWritten(repr(error))
         if isinstance(error, OSError) and error.errno in _NO_ACK_ERRNOS:
             self._core.endpoints.record_unreachable(endpoint, error)
-            return Broken(repr(error))
+            return Broken(repr(error), silent=True)
         self.record_outcome(endpoint, good=False)
         if isinstance(error, TimeoutError) and call.is_over(now):
             return TimedOut()
