Test of a paused endpoint with full buffers: it fails

A sound endpoint that reads nothing for 1.9 s, while more of a request's body is on its way than its buffers hold, has its connection closed by TCP_USER_TIMEOUT (1.5 s) of the instance, and a call that may run once is answered 504. What a longer time does to the detection of machines that are gone is to be measured first.

--- a/packages/verbenahall/tests/gateway/test_paused_readers.py
+++ b/packages/verbenahall/tests/gateway/test_paused_readers.py
@@ -35,6 +35,22 @@
         return await super()._serve(request)
 
 
+def test_call_to_an_endpoint_that_reads_late_is_answered(tmp_path):
+    # A sound endpoint was paused and its buffers were full: the kernel closed
+    # the connection after TCP_USER_TIMEOUT, and the call was answered 504.
+    async def check():
+        plain = [LateReader('page-0')]
+        async with run_gateway(tmp_path, plain=plain) as harness:
+            status, _, _ = await harness.send('/proof/1', data=BODY)
+            await harness.wait_until(lambda: harness.log_lines('answered'))
+            assert (status, harness.log_lines('answered')[0]['end']) == (
+                200,
+                'whole',
+            )
+
+    run(check())
+
+
 def test_endpoint_that_is_not_waited_for_has_not_broken_its_answer_off(
     tmp_path,
 ):
