store_relay: decode only the newest of several manifests read at once

As an operator wrote many large manifests in a row, callers waited for seconds: each one was decoded and put in force, one after the other, without a pause of the event loop, though each replaces the one before.

Of the records that arrive at once the newest readable one is applied: one that can't be read still leaves the one before it in force.

--- a/packages/verbenahall/src/verbenahall/gateway/_record_handlers.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_record_handlers.py
@@ -55,6 +55,7 @@
                 self._apply_manifest,
                 self._apply_manifests,
                 _MANIFEST_PAUSE_S,
+                newest_only=True,
             ),
             TopicHandler(
                 ENDPOINTS_TOPIC,
@@ -67,9 +68,10 @@
             Follower(self._core, handler, broadcast) for handler in handlers
         ]
 
-    def _apply_manifest(self, record: KeyedRecord, received: Received) -> None:
+    def _apply_manifest(self, record: KeyedRecord, received: Received) -> bool:
+        """Apply a manifest; return whether the record was a readable one."""
         if record.key != MANIFEST_KEY or not record.content:
-            return
+            return False
         match decode_manifest(record.content):
             case Success(catalog):
                 adopted = apply_catalog(self._core.catalog, catalog)
@@ -83,11 +85,13 @@
                     source=received.source,
                     age_s=journal.round_to_ms(received.age_s),
                 )
+                return True
             case Failure(problem):
                 journal.write_decision(
                     'manifest_unreadable',
                     reason=problem.message,
                 )
+        return False
 
     def _apply_manifests(
         self,
--- a/packages/verbenahall/src/verbenahall/store_relay/_handlers.py
+++ b/packages/verbenahall/src/verbenahall/store_relay/_handlers.py
@@ -14,10 +14,13 @@
     ``apply_record`` is called for each changed record, and ``apply_all`` with
     the records of a whole read. After a change the topic is not polled for
     ``pause_s``, because changes mostly come in groups, which then cost one
-    call.
+    call. With ``newest_only`` each record replaces those before it: of several
+    that arrive at once, only the newest for which ``apply_record`` returns True
+    is applied.
     """
 
     topic: str
-    apply_record: Callable[[KeyedRecord, Received], None]
+    apply_record: Callable[[KeyedRecord, Received], object]
     apply_all: Callable[[Mapping[str, bytes], Received], None]
     pause_s: float
+    newest_only: bool = False
--- a/packages/verbenahall/src/verbenahall/store_relay/_topic.py
+++ b/packages/verbenahall/src/verbenahall/store_relay/_topic.py
@@ -4,6 +4,7 @@
 from typing import final
 
 from verbenahall.clock import Clock
+from verbenahall.platform import KeyedRecord
 from verbenahall.store_relay._copy import (
     TopicCopy,
     decode_items,
@@ -13,7 +14,10 @@
 from verbenahall.store_relay._freshness import Confirmation, Freshness
 from verbenahall.store_relay._handlers import TopicHandler
 from verbenahall.store_relay._messages import TopicState
-from verbenahall.store_relay._reachability import StoreReachability
+from verbenahall.store_relay._reachability import (
+    Received,
+    StoreReachability,
+)
 from verbenahall.store_relay._standby import Standby
 
 
@@ -86,12 +90,13 @@
         fresh = records[self.position - offset :]
         if fresh:
             self.standby.record_progress()
-        received = self.reachability.describe_source(source)
+        changed = []
         for record in fresh:
             keyed = decode_record(self.name, record)
             self.copy.append(record, keyed)
             if keyed is not None:
-                self.handler.apply_record(keyed, received)
+                changed.append(keyed)
+        self._apply_changed(changed, self.reachability.describe_source(source))
         return fresh
 
     def apply_all(
@@ -124,6 +129,16 @@
             found = self.standby.find_confirmation(self.position)
             self.freshness.record_confirmation(found)
 
+    def _apply_changed(
+        self, changed: Sequence[KeyedRecord], received: Received
+    ) -> None:
+        apply_record = self.handler.apply_record
+        if self.handler.newest_only:
+            any(apply_record(keyed, received) for keyed in reversed(changed))
+        else:
+            for keyed in changed:
+                apply_record(keyed, received)
+
     def _apply_whole(self, state: TopicState) -> None:
         """Apply a whole topic, unless this instance has had a newer one.
 
--- a/packages/verbenahall/tests/gateway/test_news.py
+++ b/packages/verbenahall/tests/gateway/test_news.py
@@ -188,3 +188,16 @@
             assert site.store.calls['/-/log-read'] - before <= 8
 
     run(check())
+
+
+def test_manifests_in_a_row_are_decoded_once(tmp_path):
+    # Twenty large manifests were decoded one after the other, and callers were
+    # not answered for seconds.
+    async def check():
+        async with run_gateway(tmp_path, plain=make_plain()) as harness:
+            for _ in range(20):
+                harness.site.publish()
+            await harness.wait_for_manifest()
+            assert len(harness.log_lines('manifest')) <= 4
+
+    run(check())
