gateway: read what waits in the socket before a body times out

A caller's request was refused with 408 though its whole body had arrived: the process had stood still over the end of the time for the next bytes, and the timer ran before the socket was read.

Evidence: the process is stopped by SIGSTOP over the end of that time and the rest of the body is sent meanwhile: 408 in 3 of 3 runs (sent by POST), and 200 in 3 of 3 runs of the new test with the change.

After the timeout, bytes that arrive within 50 ms still count. test_limits passes unchanged: a stalled body is refused.

--- a/packages/verbenahall/src/verbenahall/gateway/_limits.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_limits.py
@@ -1,6 +1,7 @@
 """Enforces the manifest's limits on the size and pace of requests."""
 
 import asyncio
+import contextlib
 from typing import Final
 
 from aiohttp import web
@@ -11,6 +12,8 @@
 
 #: Bytes of a header line beside the header's name and value.
 _SEPARATOR_BYTES: Final = len(': \r\n')
+#: Time to read bytes that wait in the socket, in seconds.
+_UNREAD_S: Final = 0.05
 
 
 async def read_limited_body(
@@ -43,17 +46,25 @@
     """Read a whole body within the limits on its size and idle time."""
     body = bytearray()
     try:
-        async with asyncio.timeout(limits.idle_timeout_s) as timer:
-            async for chunk in request.content.iter_any():
-                body += chunk
-                if len(body) > limits.body_bytes:
-                    message = (
-                        f'the body has more than {limits.body_bytes} bytes'
-                    )
-                    return Failure(Problem(ErrorKind.TOO_LARGE, message))
-                now = asyncio.get_running_loop().time()
-                timer.reschedule(now + limits.idle_timeout_s)
+        while piece := await _read_piece(request, limits.idle_timeout_s):
+            body += piece
+            if len(body) > limits.body_bytes:
+                message = f'the body has more than {limits.body_bytes} bytes'
+                return Failure(Problem(ErrorKind.TOO_LARGE, message))
     except TimeoutError:
         message = f'no body bytes received for {limits.idle_timeout_s} s'
         return Failure(Problem(ErrorKind.REQUEST_TIMEOUT, message))
     return Success(bytes(body))
+
+
+async def _read_piece(request: web.Request, idle_timeout_s: float) -> bytes:
+    """Return the next bytes of a body, none at its end.
+
+    Raises ``TimeoutError`` after the timeout. After a pause of the process
+    timers run before reads, so bytes may wait in the socket at that time.
+    """
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(idle_timeout_s):
+            return await request.content.readany()
+    async with asyncio.timeout(_UNREAD_S):
+        return await request.content.readany()
--- a/packages/verbenahall/tests/gateway/test_open_connections.py
+++ b/packages/verbenahall/tests/gateway/test_open_connections.py
@@ -440,3 +440,21 @@
             assert await instance.send() == (200, b'page from page-0')
 
     run(check())
+
+
+def test_rest_of_a_body_that_waits_at_the_end_of_its_time(tmp_path):
+    # The process stood still as the time for the next bytes of a body ended,
+    # and the rest of the body was in the socket: the request was refused.
+    async def check():
+        async with (
+            start_with_limits(tmp_path, idleTimeoutMs=1500) as (instance, _),
+            connect(instance) as (reader, writer),
+        ):
+            head = HEAD.replace(b'\r\n\r\n', b'\r\nContent-Length: 6\r\n\r\n')
+            writer.write(head + b'abc')
+            await asyncio.sleep(1)
+            async with pause_process(instance, 1.2):
+                writer.write(b'def')
+            assert await read_status(reader) == 200
+
+    run(check())
