--- a/packages/verbenahall/src/verbenahall/front/_connections.py
+++ b/packages/verbenahall/src/verbenahall/front/_connections.py
@@ -180,20 +180,15 @@
         until = idle_since + self._read_timeouts().idle_s
         now = self._loop.time()
         is_receiving = self._head_timer is not None
-        if now < until:
-            self._start_idle_timer(until)
-        elif is_receiving:
+        if now >= until and is_receiving:
             self._keepalive_handle = None
-        elif _has_unread_bytes(self.transport):
-            self._start_idle_timer(now + _UNREAD_CHECK_S)
+        elif now < until or _has_unread_bytes(self.transport):
+            self._keepalive_handle = self._loop.call_at(
+                max(until, now + _UNREAD_CHECK_S), self._process_keepalive
+            )
         else:
             super()._process_keepalive()
 
-    def _start_idle_timer(self, until: float) -> None:
-        self._keepalive_handle = self._loop.call_at(
-            until, self._process_keepalive
-        )
-
 
 @final
 class ConnectionRejector(asyncio.Protocol):
--- a/packages/verbenahall/src/verbenahall/gateway/_attempts.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_attempts.py
@@ -43,6 +43,7 @@
     __slots__ = (
         'call',
         'end',
+        'engaged_engines',
         'is_charged',
         'is_metered',
         'reason',
@@ -52,7 +53,7 @@
         'tried_peers',
         '_budget',
         '_core',
-        '_counted',
+        '_counted_silent',
         '_not_hedged',
         '_run_failure',
     )
@@ -63,8 +64,10 @@
         self.end = AnswerEnd.WHOLE
         self.reason: str | None = None
         self.is_charged = True
+        #: Names of the engines at which an attempt is open.
+        self.engaged_engines: set[str] = set()
         #: Names of the silent endpoints whose open attempt counts as a run.
-        self._counted: set[str] = set()
+        self._counted_silent: set[str] = set()
         #: Names of the silent endpoints for which that was logged.
         self._not_hedged: set[str] = set()
         self._run_failure: Outcome | None = None
@@ -82,15 +85,14 @@
         if isinstance(result, Failure):
             self.tried.add(endpoint)
             ran = may_have_run(result.failure())
-        if endpoint in self._counted:
-            self._counted.discard(endpoint)
-        else:
-            self.runs += ran
+        # A silent attempt was counted as a run before its outcome was known.
+        self.runs += ran - (endpoint in self._counted_silent)
+        self._counted_silent.discard(endpoint)
 
     def record_superseded(self, endpoint: str) -> None:
         """Record the end of an attempt that another one has overtaken."""
-        self.runs += endpoint not in self._counted
-        self._counted.discard(endpoint)
+        self.runs += endpoint not in self._counted_silent
+        self._counted_silent.discard(endpoint)
 
     def count_usage(self, ago_s: float = 0) -> None:
         """Count the call in its workspace's usage, once for all attempts.
@@ -148,7 +150,7 @@
         ``handle_failure``.
         """
         retry_context = self._make_retry_context(delivered, send_count)
-        if silent.executes and endpoint not in self._counted:
+        if silent.executes and endpoint not in self._counted_silent:
             runs = retry_context.runs + 1
             retry_context = dataclasses.replace(retry_context, runs=runs)
         step = self._decide(silent, retry_context, budget)
@@ -247,8 +249,8 @@
         metrics.RETRIES.add(get_outcome_label(silent))
         self.tried.add(endpoint)
         if silent.executes:
-            self.runs += endpoint not in self._counted
-            self._counted.add(endpoint)
+            self.runs += endpoint not in self._counted_silent
+            self._counted_silent.add(endpoint)
 
     def _log_failure(
         self,
--- a/packages/verbenahall/src/verbenahall/gateway/_engine_hedges.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_engine_hedges.py
@@ -14,7 +14,7 @@
 class EngineHedges:
     """Decides on the hedges of a branch, and records its silent engines."""
 
-    __slots__ = ('silent', '_attempts', '_core', '_relay')
+    __slots__ = ('silent_engine', '_attempts', '_core', '_relay')
 
     def __init__(
         self, core: Core, attempts: Attempts, relay: EventRelay
@@ -23,7 +23,7 @@
         self._attempts = attempts
         self._core = core
         #: Name of the engine that was found silent last, if any.
-        self.silent = ''
+        self.silent_engine = ''
         self._relay = relay
 
     def may_hedge(self, engine: Entry, *, executes: bool) -> bool:
@@ -32,8 +32,8 @@
         ``executes`` is false if the engine only prefills the prompt. Another
         branch prefills it again, and then runs the request.
         """
-        if engine.name != self.silent:
-            self.silent = engine.name
+        if engine.name != self.silent_engine:
+            self.silent_engine = engine.name
             self._core.spawn(self._record_silent(engine))
         if not self._has_other(engine):
             return False
@@ -57,10 +57,13 @@
             core.placement.failures.record(engine.name, now, failed=True)
 
     def _has_other(self, engine: Entry) -> bool:
-        """Whether another engine may answer the request.
+        """Whether another engine may answer the request, here or at a peer.
 
         A stream without events may begin at any version.
         """
+        is_lost = self._core.reach.is_lost(engine.service)
+        if is_lost and self._attempts.call.hop is None:
+            return True
         available = self._core.endpoints.list_available(
             engine.service, self._core.now()
         )
--- a/packages/verbenahall/src/verbenahall/gateway/_forwarder.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_forwarder.py
@@ -203,7 +203,7 @@
     match result:
         case Success(_):
             return result
-        case Failure(NeverWritten() | Refused()):
+        case Failure(NeverWritten() | Refused()) if branch.may_retry(ran=False):
             return None
         case Failure(outcome):
             # The next peer charges its own budget for the retry.
--- a/packages/verbenahall/src/verbenahall/gateway/_generation.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_generation.py
@@ -99,9 +99,13 @@
         )
         self._sent_at = self._core.now()
         self._branch.enter(Stage.RUNNING)
-        self._expect_event()
+        self._progress_at = self._core.now()
         sending = self._sender.open(
-            self._call, plan.decode_engine, options, self._call.deadline
+            self._call,
+            plan.decode_engine,
+            options,
+            self._call.deadline,
+            self._expect_event,
         )
         try:
             async with sending as opened:
--- a/packages/verbenahall/src/verbenahall/gateway/_hop_client.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_hop_client.py
@@ -135,8 +135,8 @@
             # may have done.
             return Failure(Refused(response.status))
         if relay is not None and response.status == HTTPStatus.OK:
-            reading = _relay_stream(response, branch, relay)
-        elif _is_overtaken(branch, relay):
+            reading = _relay_stream(attempts, response, branch, relay)
+        elif _is_overtaken(branch, relay, response.status):
             # A second answer on the caller's connection would be no HTTP, and
             # another peer may still have the stream.
             detail = f'status {response.status}'
@@ -190,19 +190,29 @@
     return response.status in _NOT_RUN and not answer_head.signed
 
 
-def _is_overtaken(branch: Branch, relay: EventRelay | None) -> bool:
-    return relay is not None and (relay.begun or not branch.is_alone)
+def _is_overtaken(
+    branch: Branch, relay: EventRelay | None, status: int
+) -> bool:
+    failed = status >= HTTPStatus.INTERNAL_SERVER_ERROR
+    has_begun = relay is not None and relay.begun
+    return has_begun or (failed and not branch.is_alone)
 
 
 async def _relay_stream(
-    response: aiohttp.ClientResponse, branch: Branch, relay: EventRelay
+    attempts: Attempts,
+    response: aiohttp.ClientResponse,
+    branch: Branch,
+    relay: EventRelay,
 ) -> Forwarded:
     # An instance of an earlier version of this system states none. Then the
     # next peer has to find it.
     stated = response.headers.get(VERSION_HEADER)
     # The peer itself resumes a stream that stalls.
     await relay.pump(
-        response, branch, functools.partial(relay.state.begin, stated), bool
+        response,
+        branch,
+        functools.partial(_record_first_event, attempts, relay, stated),
+        _ignore_bytes,
     )
     finished = await relay.finish()
     if finished is None:
@@ -210,6 +220,18 @@
     return Success(finished)
 
 
+def _record_first_event(
+    attempts: Attempts, relay: EventRelay, version: str | None
+) -> None:
+    """Record the version of a stream whose usage the peer has counted."""
+    attempts.is_metered = True
+    relay.state.begin(version)
+
+
+def _ignore_bytes() -> None:
+    """Do nothing: the peer itself watches its endpoint."""
+
+
 async def _read_whole(response: aiohttp.ClientResponse) -> Forwarded:
     return Success(
         build_answer_response(
--- a/packages/verbenahall/src/verbenahall/gateway/_plain_flow.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_plain_flow.py
@@ -17,7 +17,7 @@
 from verbenahall.gateway._messages import Answered
 from verbenahall.gateway._sender import Sender
 from verbenahall.gateway._shortages import await_slow_start, find_cause
-from verbenahall.hedging import Branch, Race, Stage, find_plain_wait_s
+from verbenahall.hedging import Branch, Race, Stage, find_plain_idle_s
 from verbenahall.platform import SendOptions
 from verbenahall.requests import Outcome, Silent
 from verbenahall.roster import Entry
@@ -102,12 +102,17 @@
         now = self._core.now()
         branch.enter(Stage.RUNNING)
         branch.may_hedge = functools.partial(self._may_hedge, endpoint)
+        idle_s: float | None = None
         if call.route.repeatable:
-            branch.expect_progress(find_plain_wait_s(call.left_s(now)))
+            idle_s = find_plain_idle_s(call.left_s(now))
         options = SendOptions(endpoint.name, call.left_s(now))
         try:
             result = await self._sender.exchange(
-                call, endpoint, options, call.deadline
+                call,
+                endpoint,
+                options,
+                call.deadline,
+                functools.partial(branch.expect_progress, idle_s),
             )
         except asyncio.CancelledError:
             if branch.is_superseded:
@@ -125,7 +130,11 @@
         others = [
             one for one in self._list_untried(now) if one.name != endpoint.name
         ]
-        if not others or not self._attempts.may_hedge(Silent(), endpoint.name):
+        is_lost = self._core.reach.is_lost(endpoint.service)
+        may_forward = is_lost and self._call.hop is None
+        if not (others or may_forward) or not self._attempts.may_hedge(
+            Silent(), endpoint.name
+        ):
             return False
         self._sender.record_outcome(endpoint, good=False)
         return True
--- a/packages/verbenahall/src/verbenahall/gateway/_prefill_calls.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_prefill_calls.py
@@ -1,6 +1,7 @@
 """Prefills on one engine whose KV cache another engine fetches."""
 
 import dataclasses
+import functools
 from http import HTTPStatus
 from typing import Final, final
 
@@ -77,9 +78,7 @@
             priority=call.priority,
             prefill_only=True,
         )
-        self._branch.expect_progress(
-            _SILENT_MARGIN_S + plan.wait_s * _SILENT_FACTOR
-        )
+        idle_s = _SILENT_MARGIN_S + plan.wait_s * _SILENT_FACTOR
         placement = self._core.placement
         opened = placement.open_prefill(prefill_engine, plan, now)
         try:
@@ -88,6 +87,7 @@
                 prefill_engine,
                 options,
                 call.deadline,
+                functools.partial(self._branch.expect_progress, idle_s),
             )
         finally:
             self._branch.expect_progress(None)
--- a/packages/verbenahall/src/verbenahall/gateway/_relay.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_relay.py
@@ -71,6 +71,7 @@
             piece = await self._read(response)
             if not piece:
                 break
+            branch.check()
             record_response()
             step = reader.feed(piece)
             if step.events:
@@ -78,7 +79,10 @@
                 if not timing.events:
                     record_first_event()
                 self._record_timing(timing, step.events)
+                # A caller that reads slowly is no silence of the engine.
+                branch.expect_progress(None)
                 await self._write(response, step.data)
+                record_response()
         if reader.partial:
             raise ClientPayloadError('the stream ended inside an event')
         return timing
@@ -127,7 +131,6 @@
                 reason=response.reason,
                 headers=headers,
             )
-            self._response.enable_chunked_encoding()
             await self._response.prepare(self._request)
         await self._write_before_deadline(self._response, data)
 
--- a/packages/verbenahall/src/verbenahall/gateway/_sender.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_sender.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import errno
-from collections.abc import AsyncIterator, Awaitable, Iterator
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from http import HTTPStatus
 from typing import Final, TypeVar, final
 
@@ -70,6 +70,7 @@
         endpoint: Entry,
         options: SendOptions,
         until: float,
+        handle_sent: Callable[[], object] = bool,
     ) -> AsyncIterator[Opened]:
         """Send a call and yield the response once its head has arrived.
 
@@ -96,6 +97,7 @@
         )
         trial = self._core.endpoints.backoffs.begin_trial(endpoint.incarnation)
         self._begin_send(call, endpoint, options)
+        handle_sent()
         response = None
         sent_at = self._core.now()
         try:
@@ -127,10 +129,12 @@
         endpoint: Entry,
         options: SendOptions,
         until: float,
+        handle_sent: Callable[[], object] = bool,
     ) -> Result[Answered, Outcome]:
         """Send a call and read the whole answer."""
         with _record_unanswered(self._core, call, endpoint):
-            async with self.open(call, endpoint, options, until) as opened:
+            opening = self.open(call, endpoint, options, until, handle_sent)
+            async with opening as opened:
                 if isinstance(opened, Failure):
                     return opened
                 response = opened.unwrap()
--- a/packages/verbenahall/src/verbenahall/gateway/_stream_branch.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_stream_branch.py
@@ -1,6 +1,7 @@
 """Attempts at a model request: prefill on one engine, decode on another."""
 
 import functools
+from http import HTTPStatus
 from typing import Final, final
 
 from aiohttp import web
@@ -221,7 +222,15 @@
         self._branch.may_hedge = functools.partial(
             self._hedges.may_hedge, plan.decode_engine, executes=True
         )
-        result = await self._generation.run(plan, self._kv_handle, grant)
+        engine = plan.decode_engine.name
+        if engine in self._attempts.engaged_engines:
+            # Another branch listens to it, and may still get its events.
+            return Failure(NeverWritten('the engine has the request already'))
+        self._attempts.engaged_engines.add(engine)
+        try:
+            result = await self._generation.run(plan, self._kv_handle, grant)
+        finally:
+            self._attempts.engaged_engines.discard(engine)
         self._attempts.record(plan.decode_engine.name, result)
         match result:
             case Failure(outcome):
@@ -306,7 +315,9 @@
         self._drop_handle()
         if self._grant is not None:
             is_failed = self._branch.is_superseded
-            self._grant.end(failed=self._hedges.silent if is_failed else '')
+            self._grant.end(
+                failed=self._hedges.silent_engine if is_failed else ''
+            )
 
     def _drop_handle(self) -> None:
         """Free the handle if there is an unused one."""
@@ -336,12 +347,14 @@
 
     async def _finish(self, done: object) -> StreamResult:
         if isinstance(done, Answered):
-            if self._relay.begun or not self._branch.is_alone:
+            failed = done.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+            if self._relay.begun or (failed and not self._branch.is_alone):
                 # After the beginning of a stream another answer would be no
                 # HTTP, and another engine may still have a better one.
                 message = f'resumed with status {done.status}'
                 return Failure(Problem(ErrorKind.ANSWER_TRUNCATED, message))
             return Success(build_answer_response(done))
+        self._branch.enter(Stage.ANSWERING)
         response = await self._relay.finish()
         if response is None:
             # The stream ended properly without an event, so nothing can be
--- a/packages/verbenahall/src/verbenahall/hedging/__init__.py
+++ b/packages/verbenahall/src/verbenahall/hedging/__init__.py
@@ -1,6 +1,6 @@
 """Hedged requests: a second attempt begins beside one that is silent."""
 
-from verbenahall.hedging._delays import find_plain_wait_s, find_stream_idle_s
+from verbenahall.hedging._delays import find_plain_idle_s, find_stream_idle_s
 from verbenahall.hedging._race import Branch, Race
 from verbenahall.hedging._stage import Stage
 
@@ -8,6 +8,6 @@
     'Branch',
     'Race',
     'Stage',
-    'find_plain_wait_s',
+    'find_plain_idle_s',
     'find_stream_idle_s',
 )
--- a/packages/verbenahall/src/verbenahall/hedging/_delays.py
+++ b/packages/verbenahall/src/verbenahall/hedging/_delays.py
@@ -17,6 +17,6 @@
     return max(_MIN_IDLE_S, gap_s * _IDLE_GAPS)
 
 
-def find_plain_wait_s(left_s: float) -> float:
+def find_plain_idle_s(left_s: float) -> float:
     """Return the delay for a plain call with ``left_s`` seconds left."""
     return left_s * _PLAIN_SHARE
--- a/packages/verbenahall/src/verbenahall/hedging/_race.py
+++ b/packages/verbenahall/src/verbenahall/hedging/_race.py
@@ -2,7 +2,7 @@
 
 An endpoint that sends nothing may be gone, or may go on a moment later. Its
 connection is therefore kept open while another attempt is made, and closed
-only when that attempt has an answer.
+only when that attempt has an event or an answer.
 """
 
 import asyncio
@@ -22,6 +22,11 @@
 _RECHECK_S: Final = 0.2
 
 
+def _never() -> bool:
+    """Return False: nothing can be hedged yet."""
+    return False
+
+
 @final
 class Branch:
     """A sequence of attempts at a request, each after the last one failed.
@@ -43,7 +48,7 @@
         """Start without an attempt."""
         self.is_superseded = False
         #: Whether another branch may begin if this one is silent.
-        self.may_hedge: Callable[[], bool] = bool
+        self.may_hedge: Callable[[], bool] = _never
         #: When it counts as silent, in seconds of the event loop; None if it
         #: waits for something other than an endpoint.
         self.silent_at: float | None = None
@@ -62,14 +67,24 @@
         While several branches are open, only the newest makes further
         attempts, and none after one that may have run (``ran``).
         """
-        is_newest = self._list_unfinished()[-1] is self
+        is_newest = self._list_unfinished()[-1:] == [self]
         return self.is_alone or (is_newest and not ran)
 
     def enter(self, stage: Stage) -> None:
-        """Enter a stage, which ends the branches that it supersedes."""
+        """Enter a stage, which ends the branches that it supersedes.
+
+        A branch that was superseded itself is cancelled once more: a wait that
+        was just over may have swallowed the cancellation.
+        """
+        self.check()
         self.stage = stage
         self._race.supersede(self)
 
+    def check(self) -> None:
+        """Raise ``CancelledError`` if the branch was superseded."""
+        if self.is_superseded:
+            raise asyncio.CancelledError
+
     def expect_progress(self, within_s: float | None) -> None:
         """Count as silent after ``within_s`` seconds, None for never."""
         self.silent_at = None
@@ -190,6 +205,8 @@
         """Cancel all branches and wait until they have ended."""
         self._timer.stop()
         tasks = [one.task for one in (*self.branches, *self._superseded)]
+        # Nothing is watched or hedged any longer.
+        self.branches.clear()
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
--- a/packages/verbenahall/src/verbenahall/hedging/_timer.py
+++ b/packages/verbenahall/src/verbenahall/hedging/_timer.py
@@ -57,11 +57,12 @@
     def _check(self) -> None:
         self.stop()
         silent_at = self._find_silent_at()
-        if silent_at is None:
-            return
-        is_silent = silent_at <= asyncio.get_running_loop().time()
+        now = asyncio.get_running_loop().time()
+        is_silent = silent_at is not None and silent_at <= now
         is_confirmed = is_silent and self._is_confirming
         self._is_confirming = is_silent and not is_confirmed
-        if is_confirmed:
-            self._handle_silent()
-        self.update()
+        try:
+            if is_confirmed:
+                self._handle_silent()
+        finally:
+            self.update()
