--- a/packages/verbenahall/src/verbenahall/gateway/_hop_client.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_hop_client.py
@@ -171,7 +171,7 @@
         if isinstance(error, CONNECT_FAILURES):
             return NeverWritten(repr(error))
         is_timeout = isinstance(error, TimeoutError)
-        if is_timeout and self._core.now() >= call.deadline:
+        if is_timeout and call.is_over(self._core.now()):
             return TimedOut()
         return Broken(repr(error))
 
