Hedged prefills: a silent one goes on until its successor is not refused

Cause: a request ended the other branch's prefill when it was sent to its decode engine, and that engine refused it.

Change: a request that may overlap counts as sent until its engine has not refused it, and ends other preparations only then. One that may run once still ends them before it is sent.

--- a/packages/verbenahall/src/verbenahall/hedging/_stage.py
+++ b/packages/verbenahall/src/verbenahall/hedging/_stage.py
@@ -10,21 +10,24 @@
 class Stage(enum.Enum):
     """How far an attempt has come.
 
-    ``PREPARING`` is before the request itself is sent, ``RUNNING`` before its
-    answer, and ``ANSWERING`` once part of its answer is passed on.
+    ``PREPARING`` is before the request itself is sent, ``SENT`` while it may
+    still be refused, ``RUNNING`` before its answer, and ``ANSWERING`` once part
+    of its answer is passed on.
     """
 
     PREPARING = 'preparing'
+    SENT = 'sent'
     RUNNING = 'running'
     ANSWERING = 'answering'
 
 
 _StageTable = Mapping[Stage, frozenset[Stage]]
 #: Stages of other attempts that an attempt ends by entering a stage: one that
-#: is prepared makes further preparations useless, and only one may answer.
+#: runs makes further preparations useless, and only one may answer.
 _SUPERSEDED: Final[_StageTable] = MappingProxyType(
     {
         Stage.PREPARING: frozenset(),
+        Stage.SENT: frozenset(),
         Stage.RUNNING: frozenset((Stage.PREPARING,)),
         Stage.ANSWERING: frozenset(Stage),
     },
--- a/packages/verbenahall/tests/gateway/test_silent_streams.py
+++ b/packages/verbenahall/tests/gateway/test_silent_streams.py
@@ -170,6 +170,30 @@
     run(check())
 
 
+def test_late_prefill_goes_on_if_its_successor_is_refused(tmp_path, numbers):
+    # A late prefill was ended as its successor was sent to a decode engine,
+    # which refused it.
+    async def check():
+        engines = make_engines(prefill_count=2, decode_count=2)
+        for engine in engines[:2]:
+            engine.faults.prefill_delay_s = SILENT_S
+        async with run_gateway(tmp_path, engines) as harness:
+            sending = asyncio.create_task(read_stream(harness))
+            await harness.wait_until(lambda: harness.log_lines('silent'))
+            for engine in engines[:2]:
+                engine.faults.prefill_delay_s = 0
+            for engine in engines[2:]:
+                engine.faults.full = True
+            await asyncio.sleep(0.2)
+            for engine in engines[2:]:
+                engine.faults.full = False
+            status, body, whole = await sending
+            assert (status, whole) == (200, True)
+            assert numbers(body) == [1, 2, 3, 4, 5]
+
+    run(check())
+
+
 def test_silent_engine_that_is_gone_is_left_in_time(tmp_path, numbers):
     # An engine stops in the middle of a stream: callers leave after two seconds
     # without an event, so another engine has to go on before.
