A cancelled wait of a handler is not logged as the caller's leaving

What operators saw: a request whose handler ended by a cancellation of something that it awaited was logged as left by its caller. Cause: each cancellation counted as the caller's. The end is cut_off now unless the handler itself was cancelled. Read in the review of the ends; gateway/test_answer_ends.py, test_odd_answers.py and test_odd_callers.py pass (25).

--- a/packages/verbenahall/src/verbenahall/gateway/_answer_ends.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_answer_ends.py
@@ -63,11 +63,15 @@
 ) -> AnswerEnd:
     """Return the end of an answer whose handler has raised ``error``.
 
-    ``is_cut`` is whether this instance cancels its remaining requests. A caller
-    that does not read makes a write fail at the deadline.
+    ``is_cut`` is whether this instance cancels its remaining requests. A
+    cancellation that isn't the handler's own comes from something it awaits. A
+    caller that does not read makes a write fail at the deadline.
     """
     if isinstance(error, asyncio.CancelledError):
-        return AnswerEnd.CUT_OFF if is_cut else AnswerEnd.CALLER_LEFT
+        is_foreign = not asyncio.current_task().cancelling()
+        return (
+            AnswerEnd.CUT_OFF if is_cut or is_foreign else AnswerEnd.CALLER_LEFT
+        )
     transport = request.transport
     if transport is None or transport.is_closing():
         return AnswerEnd.CALLER_LEFT
