Log which stage ends an attempt, and how long the event loop was late

The logs could not tell the hypotheses of the incident apart: a silent prefill that was closed left no line, a pause of our own process looked like one of the endpoints, and nobody could say how many connections had been reset unread.

superseded is written for prefills as well and names the stage of the attempt that ended them; event_loop_late has each delay of more than 0.15 s; accepting_connections has the number refused since refusing_connections. No decision is changed.

--- a/packages/verbenahall/src/verbenahall/gateway/_connection_shedding.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_connection_shedding.py
@@ -13,18 +13,21 @@
 #: Peers without a heartbeat for this long could not serve the callers either,
 #: in seconds.
 _PEER_TIMEOUT_S: Final = 1.0
+#: Delay of the event loop that is logged, in seconds.
+_LATE_S: Final = 0.15
 
 
 @final
 class ConnectionShedder:
     """Decides for each new connection of callers whether it is accepted."""
 
-    __slots__ = ('state', '_core', '_tick_at')
+    __slots__ = ('state', '_core', '_refused', '_tick_at')
 
     def __init__(self, core: Core) -> None:
         """Accept connections until ``run`` finds an overload."""
         self.state = SheddingState(core.now())
         self._core = core
+        self._refused = 0
         self._tick_at = core.now()
 
     async def run(self) -> None:
@@ -32,7 +35,12 @@
         while True:
             self._tick_at = self._core.now()
             await asyncio.sleep(_TICK_S)
-            self._update(self._find_late_s())
+            late_s = self._find_late_s()
+            if late_s > _LATE_S:
+                journal.write_decision(
+                    'event_loop_late', late_s=journal.round_to_ms(late_s)
+                )
+            self._update(late_s)
 
     def accepts(self) -> bool:
         """Count a new connection; return whether it is accepted."""
@@ -42,6 +50,7 @@
             # The process stood still, and so did the callers that now wait.
             self._update(late_s)
         if self.state.is_refusing:
+            self._refused += 1
             metrics.CONNECTIONS_REFUSED.add()
         return not self.state.is_refusing
 
@@ -63,7 +72,9 @@
                 late_s=journal.round_to_ms(late_s),
                 rate=round(self.state.rate, 1),
                 peer_rates=[round(rate, 1) for rate in peer_rates],
+                refused=self._refused,
             )
+            self._refused = 0
 
     def _list_peer_rates(self, now: float) -> list[float]:
         peer_table = self._core.peer_table
--- a/packages/verbenahall/src/verbenahall/gateway/_generation.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_generation.py
@@ -235,14 +235,16 @@
             engine = plan.decode_engine.name
             self._core.placement.failures.record(engine, now, failed=True)
             self._grant.end(failed=engine)
-        if self._branch.is_superseded:
-            self._attempts.record_superseded(plan.decode_engine.name)
-        else:
+        by = self._branch.superseded_by
+        if by is None:
             metrics.CALLERS_LEFT.add('begun' if relay.begun else 'unanswered')
+        else:
+            self._attempts.record_superseded(plan.decode_engine.name)
         journal.write_decision(
-            'superseded' if self._branch.is_superseded else 'caller_left',
+            'caller_left' if by is None else 'superseded',
             request=self._call.head.identity,
             engine=plan.decode_engine.name,
+            by=None if by is None else by.value,
             events=relay.event_count,
             silent_s=journal.round_to_ms(silent_s),
             streams=self._count_streams(plan),
--- a/packages/verbenahall/src/verbenahall/gateway/_prefill_calls.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_prefill_calls.py
@@ -1,5 +1,6 @@
 """Prefills on one engine whose KV cache another engine fetches."""
 
+import asyncio
 import dataclasses
 import functools
 from http import HTTPStatus
@@ -89,6 +90,9 @@
                 call.deadline,
                 functools.partial(self._branch.expect_progress, idle_s),
             )
+        except asyncio.CancelledError:
+            self._log_superseded(call, prefill_engine, now)
+            raise
         finally:
             self._branch.expect_progress(None)
             share = placement.close_prefill(opened, self._core.now())
@@ -117,6 +121,21 @@
         calls = self._core.engines
         self._core.spawn(calls.free_handle(handle.engine, handle.name))
 
+    def _log_superseded(
+        self, call: Call, prefill_engine: Entry, sent_at: float
+    ) -> None:
+        by = self._branch.superseded_by
+        if by is not None:
+            silent_s = self._core.now() - sent_at
+            journal.write_decision(
+                'superseded',
+                request=call.head.identity,
+                engine=prefill_engine.name,
+                prefill=True,
+                by=by.value,
+                silent_s=journal.round_to_ms(silent_s),
+            )
+
     def _record_prefill(
         self,
         call: Call,
--- a/packages/verbenahall/src/verbenahall/hedging/_race.py
+++ b/packages/verbenahall/src/verbenahall/hedging/_race.py
@@ -31,31 +31,36 @@
 class Branch:
     """A sequence of attempts at a request, each after the last one failed.
 
-    ``stage`` is that of the present attempt. ``is_superseded`` is true once
-    another branch has made this one useless; its task is then cancelled.
+    ``stage`` is that of the present attempt. ``superseded_by`` is the stage by
+    which another branch has made this one useless; its task is then cancelled.
     """
 
     __slots__ = (
-        'is_superseded',
         'may_hedge',
         'silent_at',
         'stage',
+        'superseded_by',
         'task',
         '_race',
     )
 
     def __init__(self, race: 'Race[Any, Any]') -> None:
         """Start without an attempt."""
-        self.is_superseded = False
         #: Whether another branch may begin if this one is silent.
         self.may_hedge: Callable[[], bool] = _never
         #: When it counts as silent, in seconds of the event loop; None if it
         #: waits for something other than an endpoint.
         self.silent_at: float | None = None
         self.stage = Stage.PREPARING
+        self.superseded_by: Stage | None = None
         self.task: asyncio.Task[Any] | None = None
         self._race = race
 
+    @property
+    def is_superseded(self) -> bool:
+        """Whether another branch has made this one useless."""
+        return self.superseded_by is not None
+
     @property
     def is_alone(self) -> bool:
         """Whether no other branch is open."""
@@ -152,7 +157,7 @@
             and is_superseded(branch.stage, leader.stage)
         ]
         if useless:
-            self._supersede(useless)
+            self._supersede(useless, leader.stage)
             self.watch()
 
     def watch(self) -> None:
@@ -170,9 +175,9 @@
         else:
             branch.expect_progress(_RECHECK_S)
 
-    def _supersede(self, branches: Sequence[Branch]) -> None:
+    def _supersede(self, branches: Sequence[Branch], by: Stage) -> None:
         for branch in tuple(branches):
-            branch.is_superseded = True
+            branch.superseded_by = by
             branch.task.cancel()
             self.branches.remove(branch)
             self._superseded.append(branch)
@@ -197,7 +202,7 @@
             self.branches.remove(branch)
             self._last = branch.task.result()
             if not isinstance(self._last, Failure):
-                self._supersede(self.branches)
+                self._supersede(self.branches, Stage.ANSWERING)
                 return
         self.watch()
 
--- a/packages/verbenahall/tests/gateway/test_answer_ends.py
+++ b/packages/verbenahall/tests/gateway/test_answer_ends.py
@@ -1,6 +1,7 @@
 """Logs that tell how the answer to each accepted request ended."""
 
 import asyncio
+import time
 
 import pytest
 import uvloop
@@ -105,3 +106,37 @@
             assert await find_end(harness) == ('refused', False)
 
     run(check())
+
+
+def test_ended_prefill_is_logged_with_what_ended_it(tmp_path):
+    # Nothing told why a silent prefill had been closed.
+    async def check():
+        engines = make_engines(prefill_count=2, decode_count=1)
+        for engine in engines[:2]:
+            engine.faults.prefill_delay_s = 8
+        async with run_gateway(tmp_path, engines) as harness:
+            sending = asyncio.create_task(read_stream(harness))
+            await harness.wait_until(lambda: harness.log_lines('sent'))
+            await asyncio.sleep(0.1)
+            for engine in engines[:2]:
+                engine.faults.prefill_delay_s = 0
+            await sending
+            lines = harness.log_lines('superseded')
+            ended = [(one['prefill'], one['by']) for one in lines]
+            assert ended == [(True, 'running')]
+
+    run(check())
+
+
+def test_process_that_stood_still_is_logged(tmp_path):
+    # A pause of our own process looked like one of the endpoints.
+    async def check():
+        async with run_gateway(tmp_path, make_engines()) as harness:
+            await asyncio.sleep(0.15)
+            time.sleep(0.4)
+            await harness.wait_until(
+                lambda: harness.log_lines('event_loop_late')
+            )
+            assert harness.log_lines('event_loop_late')[0]['late_s'] > 0.15
+
+    run(check())
