Soak: sound engines that are silent for a second after each change

The fakes of run_soak in test_kept_logs.py take the further argument; nothing else of that test has changed.

--- a/packages/standins/src/verbenahall_standins/soak/__init__.py
+++ b/packages/standins/src/verbenahall_standins/soak/__init__.py
@@ -14,7 +14,12 @@
     find_unheeded_notices,
 )
 from verbenahall_standins.soak._parts import find_resent_parts
-from verbenahall_standins.soak._plan import Event, Kind, draw_plan
+from verbenahall_standins.soak._plan import (
+    Event,
+    Kind,
+    Scenario,
+    draw_plan,
+)
 from verbenahall_standins.soak._proxy import Link, Listener, Proxy
 from verbenahall_standins.soak._records import Record
 from verbenahall_standins.soak._run import run_soak
@@ -38,6 +43,7 @@
     'Listener',
     'Proxy',
     'Record',
+    'Scenario',
     'StreamAttempt',
     'TRUNCATED',
     'draw_plan',
--- a/packages/standins/src/verbenahall_standins/soak/__main__.py
+++ b/packages/standins/src/verbenahall_standins/soak/__main__.py
@@ -1,7 +1,8 @@
 """Soak test: ``python -m verbenahall_standins.soak SEED [COUNT] [SECONDS]``.
 
 ``--instances N`` runs more instances than usual; from eleven on, schedulers
-assign the engines.
+assign the engines. ``--scenario silent-engines`` lets sound engines be silent
+after each change, in place of all kinds of faults.
 
 Prints a line for each seed with the violations found, and then keeps the logs
 of its instances in ``reports/soak-SEED``. A seed always draws the same faults;
@@ -18,7 +19,7 @@
 from pathlib import Path
 from typing import Final
 
-from verbenahall_standins.soak import run_soak
+from verbenahall_standins.soak import Scenario, run_soak
 
 _SECONDS: Final = 20.0
 #: Interval at which it is measured whether this process stands still, in
@@ -45,6 +46,7 @@
     seed: int,
     seconds: float,
     instances: int,
+    scenario: Scenario,
     slots: asyncio.Semaphore,
     stalls: list[float],
 ) -> bool:
@@ -54,7 +56,7 @@
         with tempfile.TemporaryDirectory() as folder:
             try:
                 violations = await run_soak(
-                    seed, seconds, Path(folder), instances
+                    seed, seconds, Path(folder), instances, scenario
                 )
             except (ExceptionGroup, RuntimeError, TimeoutError) as error:
                 # The logs of a run that did not come to its end are kept, too.
@@ -72,7 +74,11 @@
 
 
 async def run_seeds(
-    first: int, count: int, seconds: float, instances: int
+    first: int,
+    count: int,
+    seconds: float,
+    instances: int,
+    scenario: Scenario = Scenario.ANY_FAULTS,
 ) -> int:
     """Run seeds, a few in parallel; return how many had violations."""
     parallel = max(1, _MAX_PARALLEL * _INSTANCES // instances)
@@ -80,7 +86,10 @@
     seeds = range(first, first + count)
     stalls: list[float] = []
     watching = asyncio.create_task(watch_stalls(stalls))
-    runs = (run_seed(seed, seconds, instances, slots, stalls) for seed in seeds)
+    runs = (
+        run_seed(seed, seconds, instances, scenario, slots, stalls)
+        for seed in seeds
+    )
     results = await asyncio.gather(*runs)
     watching.cancel()
     return results.count(False)
@@ -93,12 +102,16 @@
     parser.add_argument('count', type=int, nargs='?', default=1)
     parser.add_argument('seconds', type=float, nargs='?', default=_SECONDS)
     parser.add_argument('--instances', type=int, default=_INSTANCES)
+    parser.add_argument(
+        '--scenario', type=Scenario, default=Scenario.ANY_FAULTS
+    )
     arguments = parser.parse_args()
     runs = run_seeds(
         arguments.first,
         arguments.count,
         arguments.seconds,
         arguments.instances,
+        arguments.scenario,
     )
     # SIGTERM ends the instances, too; they would go on calling addresses that
     # the next soak may use.
--- a/packages/standins/src/verbenahall_standins/soak/_actions.py
+++ b/packages/standins/src/verbenahall_standins/soak/_actions.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import itertools
+import math
 import signal
 import time
 from collections.abc import Awaitable, Callable, Mapping, Sequence
@@ -27,6 +28,8 @@
 _VERSIONS: Final = 3
 #: Streams that are sent to each instance to use up its retry budget.
 _SPENDING_STREAMS: Final = 40
+#: Shares of the engines that pause at a time.
+_PAUSED_SHARES: Final = (1.0, 0.6)
 _CUTS: Final = (Cut.HANGING, Cut.RESET, Cut.NO_NEW)
 #: One in this many store link faults affects all instances.
 _SHARED_EVERY: Final = 3
@@ -208,6 +211,17 @@
     await asyncio.gather(*(one.exchanges.pause(event.for_s) for one in chosen))
 
 
+async def _pause_engines(deployment: Deployment, event: Event) -> None:
+    """Let all engines, or three fifths of them, send nothing for a while."""
+    engines = deployment.site.engines
+    share = _PAUSED_SHARES[event.shape % len(_PAUSED_SHARES)]
+    first = event.target_draw % len(engines)
+    chosen = [*engines[first:], *engines[:first]]
+    count = math.ceil(share * len(engines))
+    pauses = (one.exchanges.pause(event.for_s) for one in chosen[:count])
+    await asyncio.gather(*pauses)
+
+
 async def _change_manifest(deployment: Deployment, event: Event) -> None:
     deployment.change_routes(event.shape)
 
@@ -304,6 +318,7 @@
         Kind.ROLLOUT: _roll_out,
         Kind.CRASHING_PART: _send_crashing_part,
         Kind.ENDPOINTS_PAUSE: _pause_endpoints,
+        Kind.ENGINES_PAUSE: _pause_engines,
         Kind.MANIFEST_CHANGES: _change_manifest,
         Kind.BUDGETS_SPENT: _spend_budgets,
         Kind.ENGINES_FAIL: _fail_engines,
--- a/packages/standins/src/verbenahall_standins/soak/_deployment.py
+++ b/packages/standins/src/verbenahall_standins/soak/_deployment.py
@@ -28,6 +28,7 @@
     select_form,
 )
 from verbenahall_standins.soak._notices import LinkFault
+from verbenahall_standins.soak._plan import EVENT_PAUSES_S, Scenario
 from verbenahall_standins.soak._proxy import Proxy
 from verbenahall_standins.soak._records import Record
 
@@ -36,9 +37,6 @@
 _ENGINES: Final[Mapping[str, int]] = MappingProxyType(
     {'prefill': 3, 'decode': 4},
 )
-#: Time between two events of a stream, in seconds, so that streams are open
-#: while instances end.
-_EVENT_PAUSE_S: Final = 0.04
 #: Time until an engine that crashed is back, in seconds.
 _RESTART_S: Final = 1.0
 _POLL_S: Final = 0.1
@@ -58,7 +56,12 @@
     ``key`` is the callers' API key, ``revoked_key`` their previous one.
     """
 
-    def __init__(self, folder: Path, instance_count: int) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        instance_count: int,
+        scenario: Scenario = Scenario.ANY_FAULTS,
+    ) -> None:
         """Prepare; nothing is started before ``start``."""
         self._instance_count = instance_count
         engines = [
@@ -70,7 +73,7 @@
             engine.faults.restart_s = _RESTART_S
             engine.crashed = self._refuse_connections
             engine.version = f'v{place % 2}'
-            engine.faults.event_pause_s = _EVENT_PAUSE_S
+            engine.faults.event_pause_s = EVENT_PAUSES_S[scenario]
         plain = [PlainStandIn(f'page-{number}') for number in range(_PLAIN)]
         self.key = 'key-1'
         self.revoked_key = ''
--- a/packages/standins/src/verbenahall_standins/soak/_manifests.py
+++ b/packages/standins/src/verbenahall_standins/soak/_manifests.py
@@ -1,7 +1,7 @@
 """Changes of the manifest beside pauses of endpoints."""
 
 import dataclasses
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Any, Final, final
 
 from verbenahall_standins.platform import make_manifest, make_route
@@ -63,6 +63,20 @@
         return changed
 
 
+def list_changes() -> Sequence[Sequence[int]]:
+    """Return the drawn numbers that vary one thing each.
+
+    In this order: the idle time, the timeout, and the routes.
+    """
+    timeouts = len(_TIMEOUTS_MS)
+    forms = timeouts * len(_IDLE_TIMEOUTS_MS)
+    return (
+        range(0, forms, timeouts),
+        range(timeouts),
+        range(0, forms * len(_WEIGHTS) * 2, forms),
+    )
+
+
 def select_form(shape: int) -> Form:
     """Return the form of a drawn number; an example is ``select_form(17)``."""
     rest, timeout = divmod(shape, len(_TIMEOUTS_MS))
--- a/packages/standins/src/verbenahall_standins/soak/_plan.py
+++ b/packages/standins/src/verbenahall_standins/soak/_plan.py
@@ -2,11 +2,14 @@
 
 import dataclasses
 import enum
+import itertools
 import random
 from collections.abc import Iterator, Mapping
 from types import MappingProxyType
 from typing import Final, final
 
+from verbenahall_standins.soak._manifests import list_changes
+
 #: Time without faults at the start, for warming up, and at the end, to check
 #: the recovery from the last fault; in seconds.
 _QUIET_S: Final = 1.5
@@ -17,6 +20,24 @@
 _FAULTS_PER_S: Final = 0.7
 
 
+@final
+class Scenario(enum.Enum):
+    """What a soak brings about."""
+
+    #: All kinds of faults, at random.
+    ANY_FAULTS = 'any-faults'
+    #: Sound engines that are silent for a second after each change of the
+    #: manifest, beside restarts of instances.
+    SILENT_ENGINES = 'silent-engines'
+
+
+#: Time between two events of a stream, in seconds, so that streams are open
+#: while instances end or engines pause.
+EVENT_PAUSES_S: Final[Mapping[Scenario, float]] = MappingProxyType(
+    {Scenario.ANY_FAULTS: 0.04, Scenario.SILENT_ENGINES: 0.25},
+)
+
+
 @final
 class Kind(enum.Enum):
     """Kinds of events; most last for the length of the event."""
@@ -49,6 +70,7 @@
     CRASHING_PART = 'crashing_part'
     #: Not drawn by weight; see ``_draw_pauses``.
     ENDPOINTS_PAUSE = 'endpoints_pause'
+    ENGINES_PAUSE = 'engines_pause'
     MANIFEST_CHANGES = 'manifest_changes'
     BUDGETS_SPENT = 'budgets_spent'
     ENGINES_FAIL = 'engines_fail'
@@ -124,6 +146,14 @@
 #: Time from a pause until engines fail that would go on in its place, in
 #: seconds: requests that were sent before it have begun, or wait.
 _SOON_S: Final = 0.5
+#: Interval between two changes that engines are silent after, the time from a
+#: change to the pause, and bounds of the pause's length, in seconds.
+_SILENT_CHANGE_INTERVAL_S: Final = 4.0
+_CHANGE_TO_PAUSE_S: Final = 0.6
+_MIN_SILENT_PAUSE_S: Final = 1.0
+_MAX_SILENT_PAUSE_S: Final = 1.3
+#: Restarts beside these changes, None for no restart.
+_RESTARTS: Final = (None, Kind.HANGUP, Kind.TERMINATE)
 #: Upper bound of drawn numbers; far above the number of targets.
 _DRAW_LIMIT: Final = 65_536
 
@@ -143,13 +173,24 @@
     shape: int
 
 
-def draw_plan(seed: int, seconds: float) -> list[Event]:
+def draw_plan(
+    seed: int, seconds: float, scenario: Scenario = Scenario.ANY_FAULTS
+) -> list[Event]:
     """Draw the events of a soak; the same seed gives the same events.
 
     An example::
 
         draw_plan(seed=1, seconds=20)[0].kind
     """
+    match scenario:
+        case Scenario.ANY_FAULTS:
+            events = _draw_any_faults(seed, seconds)
+        case Scenario.SILENT_ENGINES:
+            events = list(_draw_engine_pauses(seed, seconds))
+    return sorted(events, key=lambda event: event.at)
+
+
+def _draw_any_faults(seed: int, seconds: float) -> list[Event]:
     rng = random.Random(seed)
     latest_start = max(_QUIET_S, seconds - _QUIET_S - _MAX_FAULT_S)
     count = max(1, round((latest_start - _QUIET_S) * _FAULTS_PER_S))
@@ -160,7 +201,7 @@
     events.extend(_draw_rollouts(seed, latest_start))
     events.extend(_draw_crashing_parts(seed, seconds))
     events.extend(_draw_pauses(seed, latest_start))
-    return sorted(events, key=lambda event: event.at)
+    return events
 
 
 def _draw_silent_engines(seed: int, seconds: float) -> Iterator[Event]:
@@ -251,6 +292,27 @@
         at += rng.uniform(0, 2 * _PAUSE_INTERVAL_S)
 
 
+def _draw_engine_pauses(seed: int, seconds: float) -> Iterator[Event]:
+    """Draw changes, a pause of engines after each, and restarts beside them.
+
+    The idle time, the timeout and the routes change in turn.
+    """
+    rng = random.Random(f'engine pauses {seed}')
+    changes = itertools.cycle(list_changes())
+    at = _QUIET_S
+    while at < seconds - _QUIET_S - _MAX_FAULT_S:
+        shape = rng.choice(next(changes))
+        yield Event(at, Kind.MANIFEST_CHANGES, 0, 0, shape)
+        for_s = rng.uniform(_MIN_SILENT_PAUSE_S, _MAX_SILENT_PAUSE_S)
+        pause_at = at + _CHANGE_TO_PAUSE_S
+        yield _make_event(rng, Kind.ENGINES_PAUSE, pause_at, for_s)
+        restart = rng.choice(_RESTARTS)
+        if restart is not None:
+            restart_at = at + rng.uniform(0, _CHANGE_TO_PAUSE_S + for_s)
+            yield _make_event(rng, restart, restart_at, 0)
+        at += _SILENT_CHANGE_INTERVAL_S
+
+
 def _draw_changes(rng: random.Random, at: float) -> Iterator[Event]:
     for _ in range(rng.randrange(_MAX_CHANGES + 1)):
         yield _make_event(rng, rng.choice(_CHANGES), at, _MIN_FAULT_S)
--- a/packages/standins/src/verbenahall_standins/soak/_run.py
+++ b/packages/standins/src/verbenahall_standins/soak/_run.py
@@ -21,7 +21,11 @@
 from verbenahall_standins.soak._deployment import WORKSPACE, Deployment
 from verbenahall_standins.soak._notices import find_unheeded_notices
 from verbenahall_standins.soak._parts import find_resent_parts
-from verbenahall_standins.soak._plan import Event, draw_plan
+from verbenahall_standins.soak._plan import (
+    Event,
+    Scenario,
+    draw_plan,
+)
 from verbenahall_standins.soak._records import Record
 from verbenahall_standins.soak._streams import find_mixed, find_not_resumed
 
@@ -40,11 +44,13 @@
     seconds: float,
     folder: Path,
     instances: int = _INSTANCES,
+    scenario: Scenario = Scenario.ANY_FAULTS,
 ) -> list[str]:
     """Run one seed; return the violations, one line each."""
-    deployment = Deployment(folder, instances)
+    deployment = Deployment(folder, instances, scenario)
+    events = draw_plan(seed, seconds, scenario)
     async with _run_callers(deployment):
-        await _run_events(deployment, draw_plan(seed, seconds), seconds)
+        await _run_events(deployment, events, seconds)
         await asyncio.sleep(_RECOVERY_S)
         final_records = [await one.send_all() for one in deployment.callers]
         revoked = [
--- a/packages/standins/tests/soak/test_kept_logs.py
+++ b/packages/standins/tests/soak/test_kept_logs.py
@@ -11,7 +11,7 @@
 def test_logs_of_a_failed_seed_are_kept(tmp_path, monkeypatch, violations):
     """A failure that was seen once could not be traced."""
 
-    async def run_soak(seed, seconds, folder, instances):
+    async def run_soak(seed, seconds, folder, instances, scenario):
         (folder / 'front-0.log').write_text('{"event":"started"}')
         return violations
 
@@ -25,7 +25,7 @@
 def test_stalled_stand_ins_are_named(monkeypatch, capsys, tmp_path):
     """Answers that were late by the soak itself looked like a fault."""
 
-    async def run_soak(seed, seconds, folder, instances):
+    async def run_soak(seed, seconds, folder, instances, scenario):
         await asyncio.sleep(0.1)
         time.sleep(0.6)
         await asyncio.sleep(0.1)
--- a/packages/standins/tests/soak/test_soak.py
+++ b/packages/standins/tests/soak/test_soak.py
@@ -17,11 +17,13 @@
 )
 from verbenahall_standins.soak import (
     CutWindow,
+    Kind,
     Link,
     LinkFault,
     Listener,
     Proxy,
     Record,
+    Scenario,
     StreamAttempt,
     draw_plan,
     find_mixed,
@@ -56,6 +58,17 @@
     assert draw_plan(3, 20) != draw_plan(4, 20)
 
 
+def test_engines_are_silent_after_each_kind_of_change():
+    # A day whose changes all came to the same thing would show nothing.
+    events = draw_plan(3, 20, Scenario.SILENT_ENGINES)
+    changes = [one for one in events if one.kind is Kind.MANIFEST_CHANGES]
+    pauses = [one for one in events if one.kind is Kind.ENGINES_PAUSE]
+    assert len(changes) >= 3
+    for change_event, pause in zip(changes, pauses, strict=True):
+        assert pause.at == pytest.approx(change_event.at + 0.6)
+        assert pause.for_s == pytest.approx(1.15, abs=0.15)
+
+
 @pytest.mark.parametrize(
     ('record', 'runs'),
     [
@@ -267,6 +280,14 @@
     assert asyncio.run(run_soak(seed, 10, tmp_path)) == []
 
 
+@pytest.mark.process
+def test_engines_that_are_silent_beside_changes_lose_no_request(tmp_path):
+    # Streams of sound engines were given up after 1.2 s of silence.
+    silent_engines = Scenario.SILENT_ENGINES
+    soak = run_soak(1, 14, tmp_path, scenario=silent_engines)
+    assert asyncio.run(soak) == []
+
+
 #: Both instances are in touch.
 BOTH = frozenset(('front-1', 'front-2'))
 
