A silent prefill of a request that may run once is not given up for a send

Cause: the hedge of a silent prefill was placed like any request, by cost. After the silence was recorded as a failure of prefill engines a decode engine that prefills by itself looked cheaper ('mixed 2'), and the only run was spent there; the send ended the silent prefill, before the decode engine had an event or had even not refused.

Now a silent prefill is hedged by another prefill engine; without one, a request that may run once waits. One branch sends at a time, another one's prefill is kept until the engine runs the request, and an unknown outcome ends all. A hop is sent in the same way.

--- a/packages/verbenahall/src/verbenahall/catalog/_messages.py
+++ b/packages/verbenahall/src/verbenahall/catalog/_messages.py
@@ -57,6 +57,11 @@
             return self.resumable
         return self.kind is RouteKind.IDEMPOTENT
 
+    @property
+    def is_exclusive(self) -> bool:
+        """Whether only one attempt at a time may send a request."""
+        return not self.repeatable or self.max_attempts <= 1
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EngineTraits:
--- a/packages/verbenahall/src/verbenahall/gateway/_attempts.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_attempts.py
@@ -130,6 +130,9 @@
         )
         step = self._decide(outcome, retry_context, budget)
         problem = step.problem if isinstance(step, GiveUp) else None
+        if problem is not None and ran and self.call.route.is_exclusive:
+            # Nothing that another branch prepares may be sent any more.
+            branch.end_others()
         self._log_failure(
             get_outcome_label(outcome), str(outcome), not problem, log_fields
         )
--- a/packages/verbenahall/src/verbenahall/gateway/_engine_hedges.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_engine_hedges.py
@@ -30,12 +30,14 @@
         """Whether another branch may begin while an engine is silent.
 
         ``executes`` is false if the engine only prefills the prompt. Another
-        branch prefills it again, and then runs the request.
+        branch prefills it again, and then runs the request. One that may run
+        once needs another prefill engine for that: its only run isn't risked
+        while the prompt may still be prefilled.
         """
         if engine.name != self.silent_engine:
             self.silent_engine = engine.name
             self._core.spawn(self._record_silent(engine))
-        if not self._has_other(engine):
+        if not self._has_other(engine, executes=executes):
             return False
         return self._attempts.may_hedge(
             Silent(executes),
@@ -56,21 +58,22 @@
             core.endpoint_health.record_outcome(engine.name, now, good=False)
             core.placement.failures.record(engine.name, now, failed=True)
 
-    def _has_other(self, engine: Entry) -> bool:
-        """Whether another engine may answer the request, here or at a peer.
+    def _has_other(self, engine: Entry, *, executes: bool) -> bool:
+        """Whether another engine may help, here or at a peer.
 
         A stream without events may begin at any version.
         """
         is_lost = self._core.reach.is_lost(engine.service)
         if is_lost and self._attempts.call.hop is None:
             return True
-        available = self._core.endpoints.list_available(
-            engine.service, self._core.now()
-        )
-        fitting = select_version(available, self._relay.state.version)
-        return any(
-            one.role is not Role.PREFILL
-            and one.name != engine.name
-            and one.name not in self._attempts.tried
-            for one in fitting
-        )
+        others = [
+            one
+            for one in self._core.endpoints.list_available(
+                engine.service, self._core.now()
+            )
+            if one.name != engine.name and one.name not in self._attempts.tried
+        ]
+        if not executes and self._attempts.call.route.is_exclusive:
+            return any(one.role is Role.PREFILL for one in others)
+        fitting = select_version(others, self._relay.state.version)
+        return any(one.role is not Role.PREFILL for one in fitting)
--- a/packages/verbenahall/src/verbenahall/gateway/_forwarder.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_forwarder.py
@@ -107,9 +107,11 @@
         branch: Branch,
         relay: EventRelay | None,
     ) -> Forwarded:
+        call = attempts.call
+        if call.route.is_exclusive:
+            await branch.wait_for_turn()
         attempts.started += 1
         started = self._core.now()
-        call = attempts.call
         record_forwarded(
             call.head.identity,
             peer.name,
@@ -117,7 +119,8 @@
             call.left_s(started),
         )
         self._open.begin(peer.name)
-        branch.enter(Stage.RUNNING)
+        is_exclusive = call.route.is_exclusive
+        branch.enter(Stage.SENT if is_exclusive else Stage.RUNNING)
         branch.may_hedge = functools.partial(
             self._may_hedge, attempts, peer, relay
         )
--- a/packages/verbenahall/src/verbenahall/gateway/_generation.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_generation.py
@@ -7,7 +7,6 @@
 from returns.result import Failure, Result, Success
 
 from verbenahall import journal, metrics
-from verbenahall.catalog import Route
 from verbenahall.gateway._attempts import Attempts
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._grants import Grant
@@ -99,7 +98,7 @@
             ).make_stream(self._core.now(), has_handle=handle is not None),
         )
         self._sent_at = self._core.now()
-        self._branch.enter(_choose_stage(self._call.route))
+        self._branch.enter(Stage.SENT)
         self._progress_at = self._core.now()
         sending = self._sender.open(
             self._call,
@@ -282,13 +281,3 @@
             ),
             took_s=journal.round_to_ms(now - self._sent_at),
         )
-
-
-def _choose_stage(route: Route) -> Stage:
-    """Return the stage of a request that is sent.
-
-    A request that may run once has to end other branches before. Otherwise they
-    go on until its engine has not refused it.
-    """
-    may_overlap = route.repeatable and route.max_attempts > 1
-    return Stage.SENT if may_overlap else Stage.RUNNING
--- a/packages/verbenahall/src/verbenahall/gateway/_hop_client.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_hop_client.py
@@ -25,7 +25,7 @@
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._messages import Answered, Call
 from verbenahall.gateway._relay import EventRelay
-from verbenahall.hedging import Branch
+from verbenahall.hedging import Branch, Stage
 from verbenahall.platform import (
     CALL_FAILURES,
     CONNECT_FAILURES,
@@ -80,6 +80,7 @@
         async with self._open(call, peer, hop, last_event) as opened:
             match opened:
                 case Success(response):
+                    branch.enter(Stage.RUNNING)
                     return await self._pass_on(
                         attempts, response, branch, relay
                     )
--- a/packages/verbenahall/src/verbenahall/gateway/_stream_branch.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_stream_branch.py
@@ -144,9 +144,11 @@
 
         A request that may have run, or part of whose answer was delivered,
         isn't queued: a refusal by the queue would state that the request has
-        not run, and its caller already waits for the next event.
+        not run, and its caller already waits for the next event. Nor is one
+        that was admitted before, and whose other branch is silent.
         """
-        if self._kv_handle or self._attempts.runs or self._relay.begun:
+        has_run = self._attempts.runs or self._relay.begun
+        if self._kv_handle or has_run or not self._branch.is_alone:
             return self._place().map(UnqueuedGrant)
         placement_request = PlacementRequest(
             self._call.head.work,
@@ -185,6 +187,7 @@
                 self._kv_handle.engine if self._kv_handle else None,
                 self._call.priority,
                 self._relay.state.version,
+                must_split=not (self._branch.is_alone or self._attempts.runs),
             ),
             self._attempts.tried,
         )
@@ -215,9 +218,18 @@
                 case Success(handle):
                     self._kv_handle = handle
             grant.record_prefill(self._core.now() - started)
+            await self._wait_for_turn()
             plan = self._update_plan(grant)
+        else:
+            await self._wait_for_turn()
         return await self._generate(plan, grant)
 
+    async def _wait_for_turn(self) -> None:
+        if self._call.route.is_exclusive:
+            await self._branch.wait_for_turn(
+                is_unprepared=self._kv_handle is None
+            )
+
     async def _generate(self, plan: Plan, grant: Grant) -> Generated:
         self._branch.may_hedge = functools.partial(
             self._hedges.may_hedge, plan.decode_engine, executes=True
--- a/packages/verbenahall/src/verbenahall/hedging/_race.py
+++ b/packages/verbenahall/src/verbenahall/hedging/_race.py
@@ -11,6 +11,7 @@
 
 from returns.result import Failure, Result
 
+from verbenahall.hedging._change import Change
 from verbenahall.hedging._stage import Stage, is_superseded
 from verbenahall.hedging._timer import SilenceTimer
 
@@ -84,6 +85,26 @@
         self.check()
         self.stage = stage
         self._race.supersede(self)
+        self._race.change.notify()
+
+    async def wait_for_turn(self, *, is_unprepared: bool = False) -> None:
+        """Wait while the request is at the endpoint of another branch.
+
+        For requests that only one branch at a time may send. A branch whose
+        prompt is not prefilled (``is_unprepared``) waits for those whose prompt
+        may still be, too.
+        """
+        while any(
+            is_unprepared or other.stage is not Stage.PREPARING
+            for other in self._list_unfinished()
+            if other is not self
+        ):
+            await self._race.change.wait()
+        self.check()
+
+    def end_others(self) -> None:
+        """End all other branches, whose attempts can't help any more."""
+        self._race.end_others(self)
 
     def check(self) -> None:
         """Raise ``CancelledError`` if the branch was superseded."""
@@ -117,7 +138,8 @@
 
     __slots__ = (
         'branches',
-        '_changed',
+        'change',
+        '_ended',
         '_last',
         '_run_branch',
         '_superseded',
@@ -127,8 +149,10 @@
     def __init__(self, run_branch: Callable[[Branch], Awaitable[Any]]) -> None:
         """Open no branch before ``run``."""
         self._run_branch = run_branch
-        self._changed = asyncio.Event()
+        self._ended = asyncio.Event()
         self._last: Result[Answer, Problem] | None = None
+        #: A branch has ended or entered a stage.
+        self.change = Change()
         self.branches: list[Branch] = []
         self._superseded: list[Branch] = []
         self._timer = SilenceTimer(self._find_silent_at, self._hedge)
@@ -141,8 +165,8 @@
         self._open_branch()
         try:
             while self.branches:
-                await self._changed.wait()
-                self._changed.clear()
+                await self._ended.wait()
+                self._ended.clear()
                 self._collect()
         finally:
             await self._close()
@@ -160,6 +184,12 @@
             self._supersede(useless, leader.stage)
             self.watch()
 
+    def end_others(self, leader: Branch) -> None:
+        """End all branches but the leader."""
+        others = [branch for branch in self.branches if branch is not leader]
+        self._supersede(others, leader.stage)
+        self.watch()
+
     def watch(self) -> None:
         """Watch the newest branch, whose times may have changed."""
         self._timer.update()
@@ -189,7 +219,8 @@
         self.branches.append(branch)
 
     def _wake(self, ended: asyncio.Task[Any]) -> None:
-        self._changed.set()
+        self._ended.set()
+        self.change.notify()
 
     def _collect(self) -> None:
         """Take the results of branches that have ended.
--- a/packages/verbenahall/src/verbenahall/placement/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/placement/_decisions.py
@@ -75,7 +75,8 @@
     counts as on time. ``prefilled_by`` is the engine that has prefilled the
     prompt already, if any. ``priority`` is that of the request, 0 the highest.
     ``version`` is the software version that has to write the events, None if
-    any may.
+    any may. With ``must_split`` a prefill engine has to prefill the prompt, if
+    there is one.
     """
 
     work: Work
@@ -83,6 +84,7 @@
     prefilled_by: Entry | None = None
     priority: int = 0
     version: str | None = None
+    must_split: bool = False
 
     def make_stream(self, now: float, *, has_handle: bool) -> OpenStream:
         """Return the request's stream, as it is counted at its engine."""
@@ -153,6 +155,8 @@
             cost_model.evaluate_split(prefill_engines, decode_engines),
             cost_model.evaluate_mixed(decode_engines),
         )
+    if request.must_split and prefill_engines:
+        options = (one for one in options if one.plan.prefill_engine)
     best = min(options, key=lambda option: option.cost)
     return Success(best.plan)
 
--- a/packages/verbenahall/tests/hedging/test_race.py
+++ b/packages/verbenahall/tests/hedging/test_race.py
@@ -199,3 +199,69 @@
         assert sorted(branches.events) == [('a', False), ('b', False)]
 
     asyncio.run(check())
+
+
+def prepare(delay_s, *, is_unprepared=False):
+    """Return a script that waits for its turn after a preparation."""
+
+    async def script(branch):
+        branch.expect_progress(IDLE_S)
+        await asyncio.sleep(delay_s)
+        branch.expect_progress(None)
+        await branch.wait_for_turn(is_unprepared=is_unprepared)
+        branch.enter(Stage.SENT)
+        return Success('prepared')
+
+    return script
+
+
+def send(problem, delay_s, *, ends_others=False):
+    """Return a script that sends at once and fails."""
+
+    async def script(branch):
+        branch.enter(Stage.SENT)
+        await asyncio.sleep(delay_s)
+        if ends_others:
+            branch.end_others()
+        return Failure(problem)
+
+    return script
+
+
+def test_prepared_branch_waits_while_another_one_has_sent():
+    # A request that may run once was sent by two branches.
+    async def check():
+        branches = Branches(('a', prepare(0.1)), ('b', send('b', 0.4)))
+        running = asyncio.create_task(branches.run())
+        await asyncio.sleep(0.3)
+        assert not running.done()
+        assert await running == Success('prepared')
+
+    asyncio.run(check())
+
+
+def test_branch_that_may_have_run_ends_a_prepared_one():
+    # A request that may run once ran again after an attempt that had failed.
+    branches = Branches(
+        ('a', prepare(0.1)), ('b', send('b', 0.3, ends_others=True))
+    )
+    assert asyncio.run(branches.run()) == Failure('b')
+    assert branches.events == [('a', True)]
+
+
+@pytest.mark.parametrize(
+    ('first', 'answer'),
+    [(prepare(0.3), 'prepared'), (fail_after(0.3, 'a'), 'prepared')],
+)
+def test_unprepared_branch_waits_for_preparations(first, answer):
+    # The only run of a request was spent while its prompt could still be
+    # prefilled.
+    async def check():
+        second = prepare(0, is_unprepared=True)
+        branches = Branches(('a', first), ('b', second))
+        running = asyncio.create_task(branches.run())
+        await asyncio.sleep(0.2)
+        assert not running.done()
+        assert await running == Success(answer)
+
+    asyncio.run(check())
