A few new connections after a stall are not taken for a crowd

Cause, shown on the decision: the rate of new connections counts three that come together as 6 a second, which is more than the least rate of 5 and three times what calm peers have, so that a loop that is late by 0.2 s resets them. The least rate is 20 a second now, ten connections at once.

Measured: 8 connections after a stall are refused before, not after; 40 are in both.

Refuted: a pause of the process by SIGSTOP resets connections.

--- a/packages/verbenahall/src/verbenahall/admission/_connection_shedding.py
+++ b/packages/verbenahall/src/verbenahall/admission/_connection_shedding.py
@@ -18,8 +18,9 @@
 #: average, from which on peers could serve them instead. Where all instances
 #: are overloaded alike, a refused caller would meet the same elsewhere.
 _IMBALANCE_FACTOR: Final = 3.0
-#: New connections per second up to which an instance refuses none.
-_MIN_RATE: Final = 5.0
+#: New connections per second up to which an instance refuses none: ten at once
+#: in an otherwise calm instance, as a few callers open them after a stall.
+_MIN_RATE: Final = 20.0
 #: Time constant of the measured rate of new connections, in seconds.
 _SMOOTHING_S: Final = 0.5
 
--- a/packages/verbenahall/tests/admission/test_connection_shedding.py
+++ b/packages/verbenahall/tests/admission/test_connection_shedding.py
@@ -75,3 +75,16 @@
     state.update(LATE_S, (2, 3), 3.1)
     assert not state.is_overdue(LATE_S)
     assert state.is_refusing
+
+
+@pytest.mark.parametrize(('count', 'is_refusing'), [(8, False), (40, True)])
+def test_few_connections_after_a_stall_are_no_crowd(count, is_refusing):
+    # Three connections that a few callers opened while the process stood still
+    # looked like a crowd, as its peers had next to none: they were reset unread
+    # and their callers got no answer.
+    state = make_state(0)
+    for number in range(count):
+        state.count_connection()
+        if state.is_overdue(LATE_S):
+            state.update(LATE_S, (1, 1), 3.2 + number / 10_000)
+    assert state.is_refusing is is_refusing
--- a/packages/verbenahall/tests/failures/test_crowded_instance.py
+++ b/packages/verbenahall/tests/failures/test_crowded_instance.py
@@ -28,6 +28,10 @@
 #: Time in which the instances may notice, and of each measurement, in seconds.
 STABLE_S = 3
 MEASURED_S = 4
+#: How long an instance stands still, and for how long callers open as many
+#: connections to each instance meanwhile, in seconds.
+PAUSED_S = 1.3
+PAUSES_S = 6
 #: Share of the callers that have to be served before, and the users' rule for
 #: the share that is served beside, as a part of it.
 LEAST_BEFORE = 0.9
@@ -96,6 +100,21 @@
         assert len(counted) > rate
         return counted.count(200) / len(counted)
 
+    async def run_evenly(self, rate, seconds):
+        """Call the instances in turn at a rate; each call is one try."""
+
+        async def call(address):
+            started = time.monotonic()
+            status = await send(address, f'even-{next(self.numbers)}')
+            self.outcomes.append((started, status))
+
+        ended_at = time.monotonic() + seconds
+        addresses = itertools.cycle(self.addresses)
+        async with asyncio.TaskGroup() as group:
+            while time.monotonic() < ended_at:
+                group.create_task(call(next(addresses)))
+                await asyncio.sleep(1 / rate)
+
 
 @contextlib.asynccontextmanager
 async def slow_down(instance):
@@ -141,3 +160,23 @@
         assert beside >= before * LEAST_SHARE, f'{beside:.2f} of {before:.2f}'
 
     asyncio.run(check())
+
+
+@pytest.mark.parametrize('rate', [6, CROWD_RATE])
+def test_instance_that_stood_still_resets_no_connection(tmp_path, rate):
+    # The connections that had waited during a pause of the process looked like
+    # a crowd, and were reset unread: their callers got no answer.
+    async def check():
+        async with run_deployment(tmp_path) as deployment:
+            callers = Callers(deployment)
+            calling = asyncio.create_task(callers.run_evenly(rate, PAUSES_S))
+            await asyncio.sleep(1)
+            await deployment.instances[0].freeze(PAUSED_S)
+            await asyncio.sleep(1)
+            await deployment.instances[0].freeze(PAUSED_S)
+            await calling
+        statuses = [status for _, status in callers.outcomes]
+        assert len(statuses) > rate
+        assert statuses.count(0) == 0
+
+    asyncio.run(check())
