Connections bear 2.5 s without an acknowledgement

Callers of a request that may run once got 504 if their endpoint was paused and its buffers were full for 1.9 s: the kernel ended the connection to a sound endpoint by TCP_USER_TIMEOUT after 1.5 s (gateway/test_paused_readers.py failed always and was listed). A machine that is paused whole acknowledges nothing either, and answers only the next retransmission, which comes up to twice as late as the pause is long.

The timeout is 2.5 s: longer than callers of a stream wait for an event. Engines that are silent are hedged after 1.2 s without it.

--- a/packages/verbenahall/src/verbenahall/platform/_connections.py
+++ b/packages/verbenahall/src/verbenahall/platform/_connections.py
@@ -26,8 +26,10 @@
 _KEEPALIVE_INTERVAL_S: Final = 1
 _KEEPALIVE_PROBES: Final = 2
 #: TCP_USER_TIMEOUT in milliseconds: the longest time for sent bytes to be
-#: acknowledged. A machine that lost power neither acknowledges nor resets.
-_USER_TIMEOUT_MS: Final = 1500
+#: acknowledged. A machine that lost power neither acknowledges nor resets; one
+#: that is paused acknowledges a retransmission after the pause, which may come
+#: up to twice as late as the pause is long.
+_USER_TIMEOUT_MS: Final = 2500
 #: Timeout for opening a connection, in seconds. Within a region this takes
 #: some milliseconds. A lost first packet would be sent again after a second;
 #: trying another endpoint is faster.
