Test: an instance without a manifest refuses its callers and is not ready

The users' record has two refusals of this kind beside the lost streams. By the test they are answers, 503 with Retry-After, and readiness says no meanwhile, so they are refuted as the cause. It passes on the code before as well.

--- a/packages/verbenahall/tests/gateway/test_store.py
+++ b/packages/verbenahall/tests/gateway/test_store.py
@@ -4,15 +4,19 @@
 import socket
 import time
 
+import aiohttp
 import pytest
-from verbenahall_standins.platform import EngineStandIn
+from verbenahall_standins.platform import EngineStandIn, Site, write_settings
 
+from verbenahall.gateway import Gateway
 from verbenahall.gateway import _followers as followers
 from verbenahall.peers import add_peer, record_heartbeat
+from verbenahall.platform import read_settings
 
 from .conftest import (
     HOST,
     PREFIX,
+    GatewayHarness,
     dump,
     make_engines,
     make_plain,
@@ -321,3 +325,28 @@
                 await harness.wait_until(lambda: harness.log_lines('refused'))
 
     run(check())
+
+
+def test_instance_without_a_manifest_refuses_and_is_not_ready(tmp_path):
+    # A balancer's caller was sent to an instance that had just started: without
+    # an answer the request would be lost, and without a refusal it might run.
+    async def check():
+        site = Site(plain=make_plain())
+        await site.start()
+        site.store.faults.down = 503
+        settings = read_settings(write_settings(tmp_path, site.store.address))
+        gateway = Gateway(settings.unwrap())
+        await gateway.open()
+        async with aiohttp.ClientSession() as session:
+            harness = GatewayHarness(site, gateway, session)
+            status, headers, _ = await harness.send('/archive/1', method='GET')
+            assert (status, await harness.is_ready()) == (503, False)
+            assert float(headers['Retry-After']) > 0
+            site.store.faults.down = 0
+            await harness.wait_until(lambda: gateway.core.ready)
+            status, _, _ = await harness.send('/archive/1', method='GET')
+            assert status == 200
+        await gateway.close()
+        await site.stop()
+
+    run(check())
