--- a/packages/verbenahall/tests/gateway/test_silent_prefills.py
+++ b/packages/verbenahall/tests/gateway/test_silent_prefills.py
@@ -99,6 +99,27 @@
     run(check())
 
 
+def test_request_that_may_run_once_is_sent_by_one_branch(tmp_path, numbers):
+    # The late prefill was ready while the successor waited for the head of its
+    # answer, and the request was sent to a second decode engine.
+    async def check():
+        engines = make_engines(prefill_count=2, decode_count=2)
+        for engine in engines[:2]:
+            engine.faults.prefill_delay_s = SILENT_S
+        for engine in engines[2:]:
+            engine.faults.slow_head_s = 0.9
+        async with run_gateway(tmp_path, engines) as harness:
+            sending = asyncio.create_task(read_stream(harness, '/blurb/1'))
+            await pause(engines[:2], harness)
+            status, body, whole = await sending
+            assert (status, whole) == (200, True)
+            assert numbers(body) == [1, 2, 3, 4, 5]
+            assert count_runs(engines) == 1
+            assert len(harness.log_lines('read')) == 2
+
+    run(check())
+
+
 def test_request_that_may_have_run_ends_its_silent_prefill(tmp_path):
     # The successor's engine crashed, and the request that may run once was sent
     # again after the late prefill, or its caller was told nothing until then.
