Soak: a request at a peer that is killed is excused

The check excused the kill of a request's own instance only.

Now it excuses a request whose exchange at an endpoint ends within 0.1 s of the kill of an instance. A kill before or after that excuses nothing (3 new cases).

--- a/packages/standins/src/verbenahall_standins/soak/_broken_answers.py
+++ b/packages/standins/src/verbenahall_standins/soak/_broken_answers.py
@@ -12,9 +12,10 @@
 - Any other answer that breaks off, or never comes though the request was sent
   to an endpoint, is one unless an endpoint broke it off or its time was over.
 
-Requests are excused that the kill, freeze or cut of their instance affected, or
-a reset of the link to one of their endpoints. Links that are slow or hold back
-traffic lose nothing, and count as pauses of the endpoint.
+Requests are excused that the kill, freeze or cut of their instance affected, a
+reset of the link to one of their endpoints, or the kill of a peer that had sent
+them there. Links that are slow or hold back traffic lose nothing, and count as
+pauses of the endpoint.
 """
 
 import collections
@@ -33,6 +34,8 @@
 #: Time in which an answer may still be on its way, or the effects of a link
 #: fault that has ended, in seconds.
 _TRANSIT_S: Final = 0.3
+#: Time from the kill of an instance to the end of its requests, in seconds.
+_KILL_S: Final = 0.1
 _PREFILL: Final = 'prefill'
 _FAILED: Final = 400
 
@@ -65,11 +68,13 @@
     endpoints: Iterable[EndpointHistory],
     find_limit: FindLimit,
     was_cut: Callable[[str, float, float], bool],
+    kills: Sequence[float] = (),
 ) -> Iterator[str]:
     """Yield a line for each request that was ended without a reason.
 
     ``find_limit`` returns when a request's deadline or timeout is reached,
-    ``was_cut`` whether an instance was cut off between two times.
+    ``was_cut`` whether an instance was cut off between two times. ``kills``
+    are the times at which instances were killed.
     """
     by_id = _group(endpoints)
     for record in records:
@@ -78,7 +83,10 @@
         if not fault or record.killed:
             continue
         is_cut = was_cut(record.instance, record.sent_at, record.ended_at)
-        if not is_cut and not any(_was_reset(one) for one in seen):
+        is_excused = is_cut or any(
+            _was_reset(one) or _was_killed(one, kills) for one in seen
+        )
+        if not is_excused:
             yield f'{record.request_id} of {record.instance}: {fault}'
 
 
@@ -179,3 +187,11 @@
         and one.exchange.started_at <= fault.ended_at + _TRANSIT_S
         for link, fault in one.history.link_faults
     )
+
+
+def _was_killed(one: _Seen, kills: Iterable[float]) -> bool:
+    """Whether the instance that had sent a request was killed."""
+    ended_at = one.exchange.ended_at
+    return one.exchange.end is ExchangeEnd.LEFT and any(
+        at <= ended_at <= at + _KILL_S for at in kills
+    )
--- a/packages/standins/src/verbenahall_standins/soak/_instances.py
+++ b/packages/standins/src/verbenahall_standins/soak/_instances.py
@@ -46,6 +46,8 @@
         self.name = name
         self.settings: ProcessSettings = read_settings(path).unwrap()
         self.exit_codes: list[int] = []
+        #: When the process was killed, in monotonic seconds.
+        self.kills: list[float] = []
         self._links_path = links_path
         self._path = path
         self._output = path.with_suffix('.log')
@@ -121,6 +123,8 @@
         self._restarting = True
         graceful = signal_number is signal.SIGTERM
         disturbance = self._add_disturbance(graceful=graceful)
+        if not graceful:
+            self.kills.append(time.monotonic())
         self.send(signal_number)
         exit_code = await self._process.wait()
         if graceful:
--- a/packages/standins/src/verbenahall_standins/soak/_run.py
+++ b/packages/standins/src/verbenahall_standins/soak/_run.py
@@ -145,6 +145,7 @@
             deployment.list_histories(),
             deployment.find_limit,
             deployment.cuts.was_cut,
+            [at for one in deployment.instances for at in one.kills],
         ),
         *find_unserved(
             records,
--- a/packages/standins/tests/soak/test_broken_answers.py
+++ b/packages/standins/tests/soak/test_broken_answers.py
@@ -61,7 +61,7 @@
     return EndpointHistory('engine', [exchange], pauses, link_faults)
 
 
-def find(record, *endpoints, cut=False):
+def find(record, *endpoints, cut=False, kills=()):
     """Return the violations of one request."""
     return list(
         find_broken_answers(
@@ -69,6 +69,7 @@
             endpoints,
             lambda one: one.sent_at + one.wait_s,
             lambda *_: cut,
+            kills,
         )
     )
 
@@ -94,6 +95,16 @@
     assert not find(dataclasses.replace(record, killed=True), endpoint)
 
 
+@pytest.mark.parametrize(
+    ('killed_at', 'is_found'),
+    [(1.2, False), (1.1, True), (1.3, True)],
+)
+def test_request_at_a_peer_that_was_killed_is_excused(killed_at, is_found):
+    # A cut instance had forwarded its requests to a peer, which was killed.
+    endpoint = make_endpoint(LEFT, 0, 1.25, SHORT)
+    assert bool(find(BROKEN_OFF, endpoint, kills=[killed_at])) is is_found
+
+
 @pytest.mark.parametrize(
     'record',
     [
