Review: bytes that belong to no request are passed on as a refusal

A worker sends additional bytes after 3 in 100 of its answers, a bare 503 without request id and stamp. The next request on that channel runs, and its caller reads this 503.

--- a/review/workers.py
+++ b/review/workers.py
@@ -6,6 +6,8 @@
 import random
 
 _PREFIX = 'X-Verbenahall-'
+#: Additional bytes after a complete response: they bear no request's id.
+_STRAY = b'HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n'
 #: Events that a stream of a few tokens has, and seconds to its first event.
 _EVENTS = 1
 
@@ -18,7 +20,9 @@
     expected. ``runs`` and ``refusals`` hold the ids of requests in order.
     """
 
-    def __init__(self, name, service, slots, run_s, doubled_share, seed, record):
+    def __init__(
+        self, name, service, slots, run_s, one_way_s, doubled_share, seed, record
+    ):
         self.name = name
         self.service = service
         self.role = 'decode'
@@ -29,6 +33,7 @@
         self.doubled = 0
         self._slots = slots
         self._run_s = run_s
+        self._one_way_s = one_way_s
         self._doubled_share = doubled_share
         self._random = random.Random(seed)
         self._record = record
@@ -52,6 +57,7 @@
         try:
             while True:
                 request = await _read_request(reader)
+                await asyncio.sleep(self._one_way_s)
                 # An extra response arrives where the next one is expected.
                 writer.write(extra)
                 extra = await self._answer(request, reader, writer)
@@ -72,11 +78,11 @@
         identity = headers.get('x-verbenahall-request-id', '')
         expected = headers.get('x-verbenahall-expect-instance', self.name)
         if expected != self.name or 'x-verbenahall-stage' in headers:
-            return self._refuse(writer, identity, 421)
+            return await self._refuse(writer, identity, 421)
         if self._running >= self._slots:
             self.refusals.append(identity)
             self._record.write('refused', worker=self.name, request=identity)
-            return self._refuse(writer, identity, 503)
+            return await self._refuse(writer, identity, 503)
         self._running += 1
         self.runs.append(identity)
         self._record.write('run', worker=self.name, request=identity)
@@ -97,7 +103,7 @@
         # The work ends when the channel closes.
         closed = asyncio.create_task(reader.read(1))
         try:
-            await asyncio.wait([closed], timeout=self._run_s)
+            await asyncio.wait([closed], timeout=self._run_s + self._one_way_s)
             if closed.done():
                 raise ConnectionResetError
         finally:
@@ -109,12 +115,13 @@
             writer.write(f'{len(event):x}\r\n'.encode() + event + b'\r\n')
         writer.write(b'0\r\n\r\n')
 
-    def _refuse(self, writer, identity, status):
+    async def _refuse(self, writer, identity, status):
         answer = (
             f'HTTP/1.1 {status} Not Run\r\n'
             f'{_PREFIX}Request-Id: {identity}\r\n'
             f'{_PREFIX}Not-Run: 1\r\nContent-Length: 0\r\n\r\n'
         ).encode()
+        await asyncio.sleep(self._one_way_s)
         writer.write(answer)
         if self._random.random() >= self._doubled_share:
             return b''
@@ -144,16 +151,25 @@
 
 
 class PlainWorker:
-    """A plain worker that keeps the requests as it received them."""
+    """A plain worker that keeps the requests as it received them.
 
-    def __init__(self, name, service, record):
+    A request takes ``run_s`` seconds. After ``spoiled_share`` of its answers it
+    sends additional bytes, at the point of the channel where the next response
+    is expected. ``runs`` holds the requests by their ids.
+    """
+
+    def __init__(self, name, service, record, run_s=0, spoiled_share=0, seed=0):
         self.name = name
         self.service = service
         self.role = ''
         self.version = 'v1'
         self.address = ''
         self.runs = {}
+        self.spoiled = 0
         self._record = record
+        self._run_s = run_s
+        self._spoiled_share = spoiled_share
+        self._random = random.Random(seed)
         self._server = None
 
     async def start(self):
@@ -168,20 +184,32 @@
             self._server.close()
 
     async def _serve(self, reader, writer):
+        extra = b''
         try:
             while True:
-                self._answer(await _read_request(reader), writer)
+                request = await _read_request(reader)
+                writer.write(extra)
+                extra = await self._answer(request, writer)
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
             writer.close()
 
-    def _answer(self, request, writer):
+    async def _answer(self, request, writer):
+        """Answer a request; return the bytes that follow later."""
         method, path, headers, body = request
         if path == '/health':
-            _write_json(writer, 200, {})
-            return
+            return _write_json(writer, 200, {})
         identity = headers.get('x-verbenahall-request-id', '')
+        expected = headers.get('x-verbenahall-expect-instance', self.name)
+        if expected != self.name:
+            head = (
+                f'HTTP/1.1 421 Misdirected\r\n'
+                f'{_PREFIX}Request-Id: {identity}\r\n'
+                f'{_PREFIX}Not-Run: 1\r\nContent-Length: 0\r\n\r\n'
+            )
+            writer.write(head.encode())
+            return b''
         self.runs.setdefault(identity, []).append(request)
         self._record.write(
             'run',
@@ -193,6 +221,7 @@
             body=body[:60].hex(),
             length=len(body),
         )
+        await asyncio.sleep(self._run_s)
         page = f'page for {identity}'.encode()
         head = (
             f'HTTP/1.1 200 OK\r\n{_PREFIX}Request-Id: {identity}\r\n'
@@ -200,6 +229,11 @@
             f'Content-Length: {len(page)}\r\n\r\n'
         )
         writer.write(head.encode() + page)
+        if self._random.random() >= self._spoiled_share:
+            return b''
+        self.spoiled += 1
+        self._record.write('spoiled', worker=self.name, request=identity)
+        return _STRAY
 
 
 async def _read_request(reader):
