--- a/review/3/case.py
+++ b/review/3/case.py
@@ -80,8 +80,9 @@
     summary = {
         'statuses': {str(key): count for key, count in statuses.items()},
         'spoiled': sum(worker.spoiled for worker in workers),
-        'broken': len(found),
-        'first': found[:3],
+        'twice': sum(line.startswith('TWICE') for line in found),
+        'refused': sum(line.startswith('REFUSED') for line in found),
+        'first': found[:2],
     }
     record.write('summary', **summary)
     print(summary)
--- a/review/workers.py
+++ b/review/workers.py
@@ -7,7 +7,14 @@
 
 _PREFIX = 'X-Verbenahall-'
 #: Additional bytes after a complete response: they bear no request's id.
-_STRAY = b'HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n'
+_STRAY = tuple(
+    f'HTTP/1.1 {line}\r\nContent-Length: 0\r\n\r\n'.encode()
+    for line in (
+        '408 Request Timeout',
+        '421 Misdirected Request',
+        '503 Service Unavailable',
+    )
+)
 #: Events that a stream of a few tokens has, and seconds to its first event.
 _EVENTS = 1
 
@@ -233,7 +240,7 @@
             return b''
         self.spoiled += 1
         self._record.write('spoiled', worker=self.name, request=identity)
-        return _STRAY
+        return self._random.choice(_STRAY)
 
 
 async def _read_request(reader):
