--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,8 +1,9 @@
-"""Callers send compressed bodies; do workers get the bodies as they were sent?"""
+"""Workers repeat a few of their answers late; do requests run once at most?"""
 
 import asyncio
-import gzip
+import collections
 import os
+import random
 import sys
 import tempfile
 import traceback
@@ -17,53 +18,96 @@
     build_request,
     exchange,
 )
-from workers import PlainWorker
+from verbenahall_standins.platform import make_manifest, make_route
+from workers import ModelWorker
 
-REQUESTS = 60
-INSTANCES = 3
-WORKERS = 3
+#: Share of the answers that are doubled.
+DOUBLED = float(os.environ.get('DOUBLED', '0.03'))
+SERVICES = int(os.environ.get('SERVICES', '4'))
+INSTANCES = int(os.environ.get('INSTANCES', '8'))
+SLOTS = int(os.environ.get('SLOTS', '3'))
+RUN_S = float(os.environ.get('RUN_S', '0.03'))
+#: Time from an instance to a worker in another zone, in seconds.
+ONE_WAY_S = float(os.environ.get('ONE_WAY_S', '0.0014'))
+#: Requests a second to each service, and for how many seconds.
+RATE = float(os.environ.get('RATE', '70'))
+FOR_S = float(os.environ.get('FOR_S', '85'))
+#: Statuses that promise that a request has not run and never will.
+PROMISES = (408, 421, 429, 503)
+HEADERS = (
+    'X-Verbenahall-Model: m',
+    'X-Verbenahall-Token-Count: 2890,5',
+    'X-Verbenahall-Prompt-Prefix: aa:2520,bb:370',
+)
 
 
-async def send(instance, number, is_compressed, record, sent):
-    """Send one request and record its answer."""
-    text = f'proof {number}, '.encode() * 40
-    identity = f'r-{number}'
-    body = gzip.compress(text, mtime=0) if is_compressed else text
-    extra = ('Content-Encoding: gzip',) if is_compressed else ()
-    sent[identity] = body
-    record.write(
-        'sent', request=identity, body=body[:60].hex(), length=len(body)
+def build_manifest():
+    """Return the fields of a manifest with one route for each service."""
+    base = make_manifest(1)
+    engine = {**base['services'][0]['engine'], 'slots': SLOTS}
+    names = [f'drafter-{number}' for number in range(SERVICES)]
+    return {
+        'routes': [
+            make_route(f'/{name}/', 'stream', name, maxAttempts=1)
+            for name in names
+        ],
+        'services': [
+            {**base['services'][0], 'name': name, 'engine': engine}
+            for name in names
+        ],
+    }
+
+
+async def send_all(instances, service, record, answers):
+    """Send requests at random times; callers wait for each answer."""
+    loop = asyncio.get_running_loop()
+    end = loop.time() + FOR_S
+    tasks = []
+    while loop.time() < end:
+        identity = f'{service}-{len(tasks)}'
+        instance = random.choice(instances)
+        tasks.append(
+            asyncio.create_task(
+                send(instance, service, identity, record, answers)
+            )
+        )
+        await asyncio.sleep(random.expovariate(RATE))
+    await asyncio.gather(*tasks)
+
+
+async def send(instance, service, identity, record, answers):
+    record.write('sent', request=identity, instance=instance.name)
+    request = build_request(
+        f'/{service}/x', identity, body=b'prompt', extra=HEADERS
     )
-    request = build_request('/proof/x', identity, body=body, extra=extra)
     answer = await exchange(instance.front, request, 4)
+    answers[identity] = answer
     record.write(
         'answered', request=identity, status=answer.status, error=answer.error
     )
-    return answer.status
 
 
-def judge(workers, sent, statuses, record):
+def judge(workers, answers, record):
     """Return the broken rules, one line each."""
-    runs = [
-        (identity, request)
-        for worker in workers
-        for identity, requests in worker.runs.items()
-        for request in requests
+    runs = collections.Counter(
+        identity for worker in workers for identity in worker.runs
+    )
+    found = [
+        f'TWICE: {identity} ran {count} times'
+        for identity, count in runs.items()
+        if count > 1
     ]
-    found = []
-    for identity, (method, path, _, body) in runs:
-        if (method, path) != ('POST', '/proof/x'):
-            found.append(f'UNASKED: {identity} was run as {method} {path}')
-        if body != sent[identity]:
-            found.append(
-                f'UNASKED: {identity} was sent with {len(sent[identity])} '
-                f'bytes and run with {len(body)} others'
-            )
+    found += [
+        f'REFUSED: {identity} was answered {answer.status} and has run'
+        for identity, answer in answers.items()
+        if answer.status in PROMISES and runs[identity]
+    ]
+    statuses = collections.Counter(one.status for one in answers.values())
     summary = {
-        'statuses': {str(one): statuses.count(one) for one in set(statuses)},
-        'runs': len(runs),
-        'broken': len(found),
-        'first': found[:3],
+        'statuses': {str(key): count for key, count in statuses.items()},
+        'refusals': sum(len(worker.refusals) for worker in workers),
+        'doubled': sum(worker.doubled for worker in workers),
+        'broken': found,
     }
     record.write('summary', **summary)
     print(summary)
@@ -71,34 +115,44 @@
 
 
 async def run(record, folder):
-    has_trouble = os.environ.get('TROUBLE', '1') != '0'
+    share = DOUBLED if os.environ.get('TROUBLE', '1') != '0' else 0
     workers = [
-        PlainWorker(f'w-{number}', 'pages', record)
-        for number in range(WORKERS)
+        ModelWorker(
+            f'w-{number}',
+            f'drafter-{number}',
+            SLOTS,
+            RUN_S,
+            ONE_WAY_S,
+            share,
+            number,
+            record,
+        )
+        for number in range(SERVICES)
     ]
-    site = Site()
+    site = Site(manifest=build_manifest())
     instances = []
     try:
         await site.start()
         for worker in workers:
             await worker.start()
-            site.list_endpoint(worker)
+            site.list_endpoint(worker, service=worker.service, slots=SLOTS)
         for number in range(INSTANCES):
             one = Instance(folder, site.store.address, f'front-{number}')
             instances.append(one)
             await one.start()
         await asyncio.gather(*(one.wait_until_ready() for one in instances))
         await asyncio.sleep(2)
-        sent, statuses = {}, []
-        for number in range(REQUESTS):
-            # Every third body is compressed.
-            is_compressed = has_trouble and number % 3 == 0
-            instance = instances[number % INSTANCES]
-            status = await send(instance, number, is_compressed, record, sent)
-            statuses.append(status)
-        if 200 not in statuses:
+        answers = {}
+        await asyncio.gather(
+            *(
+                send_all(instances, worker.service, record, answers)
+                for worker in workers
+            )
+        )
+        await asyncio.sleep(1)
+        if not any(one.status == 200 for one in answers.values()):
             raise RuntimeError('no request was served')
-        return judge(workers, sent, statuses, record)
+        return judge(workers, answers, record)
     finally:
         for one in instances:
             await one.stop()
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,9 +1,8 @@
-"""Workers send a few bytes that belong to no request; do callers get these?"""
+"""Callers send compressed bodies; do workers get the bodies as they were sent?"""
 
 import asyncio
-import collections
+import gzip
 import os
-import random
 import sys
 import tempfile
 import traceback
@@ -20,69 +19,51 @@
 )
 from workers import PlainWorker
 
-#: Share of the answers after which a worker sends additional bytes.
-SPOILED = 0.03
+REQUESTS = 60
 INSTANCES = 3
 WORKERS = 3
-#: How long a worker works on a request, in seconds.
-RUN_S = 0.06
-#: Requests a second, and for how many seconds.
-RATE = 28
-FOR_S = 50
-#: Statuses that promise that a request has not run and never will.
-PROMISES = (408, 421, 429, 503)
 
 
-async def send_all(instances, record, answers):
-    """Send requests at random times; callers wait for each answer."""
-    loop = asyncio.get_running_loop()
-    end = loop.time() + FOR_S
-    tasks = []
-    while loop.time() < end:
-        instance = random.choice(instances)
-        sending = send(instance, f'r-{len(tasks)}', record, answers)
-        tasks.append(asyncio.create_task(sending))
-        await asyncio.sleep(random.expovariate(RATE))
-    await asyncio.gather(*tasks)
-
-
-async def send(instance, identity, record, answers):
-    record.write('sent', request=identity, instance=instance.name)
-    request = build_request(f'/proof/{identity}', identity, body=b'proof')
+async def send(instance, number, is_compressed, record, sent):
+    """Send one request and record its answer."""
+    text = f'proof {number}, '.encode() * 40
+    identity = f'r-{number}'
+    body = gzip.compress(text, mtime=0) if is_compressed else text
+    extra = ('Content-Encoding: gzip',) if is_compressed else ()
+    sent[identity] = body
+    record.write(
+        'sent', request=identity, body=body[:60].hex(), length=len(body)
+    )
+    request = build_request('/proof/x', identity, body=body, extra=extra)
     answer = await exchange(instance.front, request, 4)
-    answers[identity] = answer
     record.write(
-        'answered',
-        request=identity,
-        status=answer.status,
-        signed=answer.is_signed,
-        error=answer.error,
+        'answered', request=identity, status=answer.status, error=answer.error
     )
+    return answer.status
 
 
-def judge(workers, answers, record):
+def judge(workers, sent, statuses, record):
     """Return the broken rules, one line each."""
-    runs = collections.Counter()
-    for worker in workers:
-        for identity, requests in worker.runs.items():
-            runs[identity] += len(requests)
-    found = [
-        f'TWICE: {identity} ran {count} times'
-        for identity, count in runs.items()
-        if count > 1
-    ]
-    found += [
-        f'REFUSED: {identity} was answered {answer.status} and has run'
-        for identity, answer in answers.items()
-        if answer.status in PROMISES and runs[identity]
+    runs = [
+        (identity, request)
+        for worker in workers
+        for identity, requests in worker.runs.items()
+        for request in requests
     ]
-    statuses = collections.Counter(one.status for one in answers.values())
+    found = []
+    for identity, (method, path, _, body) in runs:
+        if (method, path) != ('POST', '/proof/x'):
+            found.append(f'UNASKED: {identity} was run as {method} {path}')
+        if body != sent[identity]:
+            found.append(
+                f'UNASKED: {identity} was sent with {len(sent[identity])} '
+                f'bytes and run with {len(body)} others'
+            )
     summary = {
-        'statuses': {str(key): count for key, count in statuses.items()},
-        'spoiled': sum(worker.spoiled for worker in workers),
-        'twice': sum(line.startswith('TWICE') for line in found),
-        'refused': sum(line.startswith('REFUSED') for line in found),
-        'first': found[:2],
+        'statuses': {str(one): statuses.count(one) for one in set(statuses)},
+        'runs': len(runs),
+        'broken': len(found),
+        'first': found[:3],
     }
     record.write('summary', **summary)
     print(summary)
@@ -90,9 +71,9 @@
 
 
 async def run(record, folder):
-    share = SPOILED if os.environ.get('TROUBLE', '1') != '0' else 0
+    has_trouble = os.environ.get('TROUBLE', '1') != '0'
     workers = [
-        PlainWorker(f'w-{number}', 'pages', record, RUN_S, share, number)
+        PlainWorker(f'w-{number}', 'pages', record)
         for number in range(WORKERS)
     ]
     site = Site()
@@ -108,12 +89,16 @@
             await one.start()
         await asyncio.gather(*(one.wait_until_ready() for one in instances))
         await asyncio.sleep(2)
-        answers = {}
-        await send_all(instances, record, answers)
-        await asyncio.sleep(1)
-        if not any(one.status == 200 for one in answers.values()):
+        sent, statuses = {}, []
+        for number in range(REQUESTS):
+            # Every third body is compressed.
+            is_compressed = has_trouble and number % 3 == 0
+            instance = instances[number % INSTANCES]
+            status = await send(instance, number, is_compressed, record, sent)
+            statuses.append(status)
+        if 200 not in statuses:
             raise RuntimeError('no request was served')
-        return judge(workers, answers, record)
+        return judge(workers, sent, statuses, record)
     finally:
         for one in instances:
             await one.stop()
