--- a/review/build.sh
+++ b/review/build.sh
@@ -7,5 +7,5 @@
 rm -rf target/review
 mkdir -p target/review
 cp -R packages/standins/src/verbenahall_standins target/review/
-cp review/harness.py review/workers.py target/review/
+cp review/harness.py review/store.py review/workers.py target/review/
 PYTHONPATH=target/deps:target/review python3 -m compileall -q target/review
