--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,163 +1,154 @@
-"""Workers repeat a few of their answers late; do requests run once at most?"""
+"""The store comes back from an older copy; do two holders share a number?"""
 
 import asyncio
-import collections
 import os
-import random
 import sys
 import tempfile
 import traceback
 
-from harness import (
-    BROKEN,
-    HELD,
-    NOT_RUN,
-    Instance,
-    Record,
-    Site,
-    build_request,
-    exchange,
-)
-from verbenahall_standins.platform import make_manifest, make_route
-from workers import ModelWorker
-
-#: Share of the answers that are doubled.
-DOUBLED = float(os.environ.get('DOUBLED', '0.03'))
-SERVICES = int(os.environ.get('SERVICES', '4'))
-INSTANCES = int(os.environ.get('INSTANCES', '8'))
-SLOTS = int(os.environ.get('SLOTS', '3'))
-RUN_S = float(os.environ.get('RUN_S', '0.03'))
-#: Time from an instance to a worker in another zone, in seconds.
-ONE_WAY_S = float(os.environ.get('ONE_WAY_S', '0.0014'))
-#: Requests a second to each service, and for how many seconds.
-RATE = float(os.environ.get('RATE', '70'))
-FOR_S = float(os.environ.get('FOR_S', '85'))
-#: Statuses that promise that a request has not run and never will.
-PROMISES = (408, 421, 429, 503)
-HEADERS = (
-    'X-Verbenahall-Model: m',
-    'X-Verbenahall-Token-Count: 2890,5',
-    'X-Verbenahall-Prompt-Prefix: aa:2520,bb:370',
-)
-
-
-def build_manifest():
-    """Return the fields of a manifest with one route for each service."""
-    base = make_manifest(1)
-    engine = {**base['services'][0]['engine'], 'slots': SLOTS}
-    names = [f'drafter-{number}' for number in range(SERVICES)]
-    return {
-        'routes': [
-            make_route(f'/{name}/', 'stream', name, maxAttempts=1)
-            for name in names
-        ],
-        'services': [
-            {**base['services'][0], 'name': name, 'engine': engine}
-            for name in names
-        ],
-    }
-
-
-async def send_all(instances, service, record, answers):
-    """Send requests at random times; callers wait for each answer."""
+from harness import BROKEN, HELD, NOT_RUN, Instance, Record, Site
+from store import DrillStore
+from verbenahall_standins.platform import EngineStandIn
+
+INSTANCES = 4
+ENGINES = 3
+#: How long the store is away, in seconds.
+AWAY_S = 1.0
+#: Interval at which each worker writes its entry (heartbeatMs), in seconds.
+BEAT_S = 1.2
+#: Interval of the store's copies, and the time from the first order to the
+#: drill, in seconds.
+COPY_S = 0.5
+DRILL_AFTER_S = 1.5
+#: Time from the drill to the removal of a machine, from that to the leaving of
+#: a worker, and for which orders are watched then, in seconds.
+CALM_S = 6
+REMOVED_S = 2
+WATCH_S = 20
+#: How long a worker still serves after it has said that it leaves, in seconds.
+LEAVING_S = 2.5
+_START_S = 30
+
+
+async def write_entries(site, engines, gone):
+    """Let the workers write their entries."""
+    while True:
+        for engine in engines:
+            if engine.name not in gone:
+                site.list_endpoint(engine, state=engine.state)
+            await asyncio.sleep(BEAT_S / len(engines))
+
+
+async def copy_until_ordered(site, engines):
+    """Copy the store at intervals; return the last copy before an order."""
     loop = asyncio.get_running_loop()
-    end = loop.time() + FOR_S
-    tasks = []
-    while loop.time() < end:
-        identity = f'{service}-{len(tasks)}'
-        instance = random.choice(instances)
-        tasks.append(
-            asyncio.create_task(
-                send(instance, service, identity, record, answers)
+    copies = []
+    end = loop.time() + _START_S
+    while not any(engine.orders for engine in engines):
+        if loop.time() > end:
+            raise RuntimeError('no worker was ordered')
+        copies.append((loop.time(), site.store.make_copy()))
+        await asyncio.sleep(COPY_S)
+    # The last copy but one is older than the lease of the order.
+    return copies[-2]
+
+
+async def drill(site, engines, copy, record):
+    """Let the store come back from a copy; all writes but ours come again."""
+    copied_at, content = copy
+    age_s = asyncio.get_running_loop().time() - copied_at
+    record.write('drill', away_s=AWAY_S, copy_age_s=round(age_s, 1))
+    await site.store.drill(AWAY_S, content)
+    site.version -= 1
+    site.publish()
+    for engine in engines:
+        site.list_endpoint(engine, state=engine.state)
+
+
+async def remove(instance, record):
+    """Remove a machine for good, with SIGTERM."""
+    record.write('sigterm', instance=instance.name)
+    instance.process.terminate()
+    async with asyncio.timeout(_START_S):
+        await instance.process.wait()
+    record.write('ended', instance=instance.name)
+
+
+async def leave(site, engine, gone, record):
+    """Let a worker leave."""
+    record.write('leaves', engine=engine.name)
+    engine.state = 'draining'
+    site.list_endpoint(engine, state=engine.state)
+    await asyncio.sleep(LEAVING_S)
+    gone.add(engine.name)
+    site.unlist(engine.name)
+
+
+def judge(engines, record):
+    """Return the broken rules: two machines with one number at a worker."""
+    found = []
+    for engine in engines:
+        holders = {}
+        for order in engine.orders:
+            machine = order['holder'].rpartition('-')[0]
+            record.write(
+                'ordered',
+                engine=engine.name,
+                machine=machine,
+                holder=order['holder'],
+                fence=order['fence'],
+                stage=order['stage'],
+                loop_at=round(order['at'], 3),
             )
-        )
-        await asyncio.sleep(random.expovariate(RATE))
-    await asyncio.gather(*tasks)
-
-
-async def send(instance, service, identity, record, answers):
-    record.write('sent', request=identity, instance=instance.name)
-    request = build_request(
-        f'/{service}/x', identity, body=b'prompt', extra=HEADERS
-    )
-    answer = await exchange(instance.front, request, 4)
-    answers[identity] = answer
-    record.write(
-        'answered', request=identity, status=answer.status, error=answer.error
-    )
-
-
-def judge(workers, answers, record):
-    """Return the broken rules, one line each."""
-    runs = collections.Counter(
-        identity for worker in workers for identity in worker.runs
-    )
-    found = [
-        f'TWICE: {identity} ran {count} times'
-        for identity, count in runs.items()
-        if count > 1
-    ]
-    found += [
-        f'REFUSED: {identity} was answered {answer.status} and has run'
-        for identity, answer in answers.items()
-        if answer.status in PROMISES and runs[identity]
-    ]
-    statuses = collections.Counter(one.status for one in answers.values())
-    summary = {
-        'statuses': {str(key): count for key, count in statuses.items()},
-        'refusals': sum(len(worker.refusals) for worker in workers),
-        'doubled': sum(worker.doubled for worker in workers),
-        'broken': found,
-    }
-    record.write('summary', **summary)
-    print(summary)
+            other = holders.setdefault(order['fence'], machine)
+            if other != machine:
+                found.append(
+                    f'ONE: {engine.name} got the fence number '
+                    f'{order["fence"]} from {other} and from {machine}'
+                )
+    record.write('summary', broken=found)
+    print(found)
     return found
 
 
 async def run(record, folder):
-    share = DOUBLED if os.environ.get('TROUBLE', '1') != '0' else 0
-    workers = [
-        ModelWorker(
-            f'w-{number}',
-            f'drafter-{number}',
-            SLOTS,
-            RUN_S,
-            ONE_WAY_S,
-            share,
-            number,
-            record,
-        )
-        for number in range(SERVICES)
+    has_trouble = os.environ.get('TROUBLE', '1') != '0'
+    engines = [
+        EngineStandIn(f'e-{number}', 'decode') for number in range(ENGINES)
     ]
-    site = Site(manifest=build_manifest())
-    instances = []
+    site = Site(engines)
+    site.store = DrillStore()
+    instances = {}
+    gone = set()
+    writing = None
     try:
         await site.start()
-        for worker in workers:
-            await worker.start()
-            site.list_endpoint(worker, service=worker.service, slots=SLOTS)
+        writing = asyncio.create_task(write_entries(site, engines, gone))
         for number in range(INSTANCES):
             one = Instance(folder, site.store.address, f'front-{number}')
-            instances.append(one)
+            instances[one.name] = one
             await one.start()
-        await asyncio.gather(*(one.wait_until_ready() for one in instances))
-        await asyncio.sleep(2)
-        answers = {}
-        await asyncio.gather(
-            *(
-                send_all(instances, worker.service, record, answers)
-                for worker in workers
-            )
-        )
-        await asyncio.sleep(1)
-        if not any(one.status == 200 for one in answers.values()):
-            raise RuntimeError('no request was served')
-        return judge(workers, answers, record)
+        copy = await copy_until_ordered(site, engines)
+        await asyncio.sleep(DRILL_AFTER_S)
+        ordered = next(engine for engine in engines if engine.orders)
+        machine = ordered.orders[0]['holder'].rpartition('-')[0]
+        if has_trouble:
+            await drill(site, engines, copy, record)
+        await asyncio.sleep(CALM_S)
+        await remove(instances[machine], record)
+        await asyncio.sleep(REMOVED_S)
+        # Without it, one that was ordered to prefill has to decode again.
+        decoding = next(one for one in engines if one.role == 'decode')
+        await leave(site, decoding, gone, record)
+        await asyncio.sleep(WATCH_S)
+        if not any(len(engine.orders) > 1 for engine in engines):
+            raise RuntimeError('no worker was ordered twice')
+        return judge(engines, record)
     finally:
-        for one in instances:
+        if writing is not None:
+            writing.cancel()
+        for one in instances.values():
             await one.stop()
-        for worker in workers:
-            await worker.stop()
         await site.stop()
 
 
--- a/review/store.py
+++ b/review/store.py
@@ -16,17 +16,16 @@
     def __init__(self):
         super().__init__()
         self.era = 1
-        self._copy = None
 
-    def take_copy(self):
-        """Keep what the store holds now, as its backup does."""
-        self._copy = {
+    def make_copy(self):
+        """Return a copy of what the store holds now."""
+        return {
             name: (topic.first, list(topic.records), dict(topic.newest))
             for name, topic in self._topics.items()
         }
 
-    async def drill(self, away_s):
-        """Reset all channels, be away, and come back from the copy."""
+    async def drill(self, away_s, copy):
+        """Reset all channels, be away, and come back from a copy."""
         self.faults.reset = True
         for runner in self._runners:
             for connection in tuple(runner.server.connections):
@@ -34,7 +33,7 @@
                     connection.transport.abort()
         await asyncio.sleep(away_s)
         for name, topic in self._topics.items():
-            first, records, newest = self._copy.get(name, (0, [], {}))
+            first, records, newest = copy.get(name, (0, [], {}))
             topic.first = first
             topic.records = list(records)
             topic.newest = dict(newest)
