--- a/review/harness.py
+++ b/review/harness.py
@@ -9,6 +9,11 @@
 
 from verbenahall_standins.platform import HOST, Site, write_settings
 
+__all__ = (
+    'HOST',
+    'Site',
+)
+
 ROOT = Path(__file__).resolve().parents[2]
 PREFIX = 'X-Verbenahall-'
 #: Exit codes of a script.
