Fencing tokens and leases hold over a return of the store from a copy

Cause: the token of a lease was the offset of its claim plus one. The store gives offsets again after a return, so two claims got one token, and a claim could succeed at once while the holder, whose record was lost, still used its lease. Nothing read the era that the store states in its answers.

Ruled out: two claims accepted by one store (the appends are conditional, and test_two_claims_at_once_have_one_winner held), and a token that a holder kept beyond its lease (it has none then).

Change: the store's client counts positions, the era above the offset in one integer, and mixes nothing of two eras. So a token is above those of all earlier eras. A holder writes a held lease again under its token, over whatever the store returned with. Any other instance that has seen the return waits for one lease and the margin, and claims under a new token; an append that named the end of another era counts as unknown. An era that is missing, unreadable or falls is logged and lowers nothing.

--- a/packages/standins/src/verbenahall_standins/platform/_store.py
+++ b/packages/standins/src/verbenahall_standins/platform/_store.py
@@ -6,6 +6,7 @@
 import dataclasses
 import functools
 import struct
+from collections.abc import Mapping
 from typing import Final, final
 
 from aiohttp import web
@@ -29,7 +30,8 @@
     ``silent`` leaves calls unanswered, ``lose_appends`` applies appends
     without answering them, ``miss_wakeups`` lets a long poll miss the records
     that are appended while it waits, ``reset`` resets each connection that a
-    call arrives on.
+    call arrives on. ``stated_era`` replaces the era in the answers, which lack
+    it if it is empty.
     """
 
     down: int = 0
@@ -37,6 +39,20 @@
     silent: bool = False
     lose_appends: bool = False
     miss_wakeups: bool = False
+    stated_era: str | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TopicContent:
+    """What a topic held at a time; ``newest`` is by key, with offsets."""
+
+    first: int
+    records: list[bytes]
+    newest: dict[str, tuple[int, bytes]]
+
+
+#: The topics of a store at a time, by name.
+StoreCopy = Mapping[str, TopicContent]
 
 
 @final
@@ -93,10 +109,15 @@
 
 @final
 class StoreStandIn:
-    """The store on loopback; ``calls`` counts the requests by path."""
+    """The store on loopback; ``calls`` counts the requests by path.
+
+    All answers state its ``era``, which rises when the store returns from an
+    older copy.
+    """
 
     def __init__(self) -> None:
         """Prepare a store without topics."""
+        self.era = 1
         self.faults = StoreFaults()
         self.address = ''
         self.calls: dict[str, int] = {}
@@ -131,6 +152,31 @@
         kept = self._get_topic(topic).newest
         return {key: content for key, (_, content) in kept.items()}
 
+    def take_copy(self) -> StoreCopy:
+        """Return a copy of what the store holds now."""
+        return {
+            name: TopicContent(
+                topic.first, list(topic.records), dict(topic.newest)
+            )
+            for name, topic in self._topics.items()
+        }
+
+    def return_from(self, copy: StoreCopy) -> None:
+        """Return from a copy: reset all connections, and begin a new era.
+
+        What was appended since is lost, and its offsets are given again.
+        """
+        for name, topic in self._topics.items():
+            content = copy.get(name, TopicContent(0, [], {}))
+            topic.first = content.first
+            topic.records = list(content.records)
+            topic.newest = dict(content.newest)
+        self.era += 1
+        for runner in self._runners:
+            for connection in tuple(getattr(runner.server, 'connections', ())):
+                if connection.transport is not None:
+                    connection.transport.abort()
+
     async def open_entrance(self, faults: StoreFaults) -> StoreEntrance:
         """Listen on another port, with faults that apply there only."""
         entrance = StoreEntrance(faults)
@@ -160,6 +206,9 @@
         if faults.down:
             return web.Response(status=faults.down)
         response = await handler(request)
+        stated = faults.stated_era
+        if stated != '':
+            response.headers['Store-Era'] = stated or str(self.era)
         if faults.lose_appends and request.path == '/-/log-append':
             await asyncio.sleep(3600)
         return response
@@ -185,7 +234,7 @@
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(appended.wait(), wait_s)
         # Checked after the wait, since records may be deleted meanwhile.
-        if start < topic.first:
+        if not topic.first <= start <= topic.end:
             return web.json_response({'first': topic.first}, status=410)
         records = topic.records[start - topic.first :]
         framed = b''.join(_LENGTH.pack(len(one)) + one for one in records)
--- a/packages/verbenahall/src/verbenahall/duties/_lease.py
+++ b/packages/verbenahall/src/verbenahall/duties/_lease.py
@@ -3,8 +3,13 @@
 The store never deletes the newest record of a key, so a successor always finds
 it. Every append is conditional on the offset at which the topic ended when the
 record was read, so the store accepts only one of two concurrent claims. The
-offset of the claim plus one is the fencing token, which no other holder can
+position of the claim plus one is the fencing token, which no other holder can
 have. All duties share the topic, so tokens of different duties differ, too.
+
+If the store returns from an older copy, the record of a lease may be lost while
+its holder still uses it. A holder writes its lease again under its token; any
+other instance claims one only after a lease that may have been lost has ended,
+and always under a new token, which is above all those of earlier eras.
 """
 
 import dataclasses
@@ -13,7 +18,7 @@
 
 from returns.result import Success
 
-from verbenahall import journal, wire
+from verbenahall import journal, metrics, wire
 from verbenahall.authority import (
     AuthorityState,
     LeaseCandidate,
@@ -32,19 +37,23 @@
     LEASES_TOPIC,
     Appended,
     KeyedRecord,
+    NewestRecords,
     StoreClient,
     encode_keyed,
+    get_era,
 )
 
 #: Length of the random part that distinguishes holders' names of an instance.
 _SUFFIX_DIGITS: Final = 8
+#: Least time between two attempts to write a lease again, in seconds.
+_RESTORE_INTERVAL_S: Final = 0.3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Record:
     """The newest record of a lease.
 
-    In a claim ``token`` is 0, since the token follows from the offset of the
+    In a claim ``token`` is 0, since the token follows from the position of the
     record.
     """
 
@@ -71,6 +80,9 @@
         '_timing',
         '_now',
         '_end',
+        '_checked_era',
+        '_kept_in',
+        '_restore_at',
     )
 
     def __init__(
@@ -93,6 +105,11 @@
         self._timing = timing
         self._now = now
         self._end = 0
+        #: The last era that a peer stated and the store did not.
+        self._checked_era = 0
+        #: The last era in which a held lease was written again.
+        self._kept_in = 0
+        self._restore_at = -float('inf')
 
     @property
     def holder(self) -> str:
@@ -116,7 +133,7 @@
     def find_wait_s(self) -> float:
         """Return the time until the lease may be claimed, in seconds."""
         due = find_claim_time(self._state, self._candidate, self._timing)
-        return max(0, due - self._now())
+        return max(0, due - self._now(), self._find_unknown_s())
 
     def discard_token(self) -> None:
         """Discard a token that was refused, so that it isn't used again.
@@ -155,7 +172,12 @@
         """Claim or renew the lease if possible; return its token or None."""
         if self.token() is not None:
             return self.token()
+        if self._find_unknown_s():
+            return None
         await self._refresh()
+        # This read may be the first that shows the store's return.
+        if self._find_unknown_s():
+            return None
         step = choose_step(
             self._state,
             self._candidate,
@@ -172,6 +194,29 @@
                 pass
         return self.token()
 
+    async def restore(self) -> None:
+        """Write the lease again if it is held and the store has returned.
+
+        While this instance holds the lease, no other one can have claimed it,
+        so whatever record the store has returned with is overridden.
+        """
+        now = self._now()
+        if not self._may_be_lost() or now < self._restore_at:
+            return
+        if self.token() is None:
+            return
+        self._restore_at = now + _RESTORE_INTERVAL_S
+        reported = self._store.era.latest
+        match await self._store.read_newest(LEASES_TOPIC):
+            case Success(newest) if get_era(newest.end) > get_era(
+                self.grant.last
+            ):
+                await self._append_again(newest)
+            case Success(_):
+                self._checked_era = reported
+            case _:
+                pass
+
     async def release(self) -> None:
         """Release the lease, so that a successor can claim it at once.
 
@@ -181,28 +226,78 @@
         if self.token() is not None:
             await self._append(Release(self._end), token=0, holder='')
 
+    def _may_be_lost(self) -> bool:
+        """Whether the store may have returned since the last record."""
+        era = self._store.era
+        known = get_era(self.grant.last)
+        is_reported = known < era.latest and era.latest != self._checked_era
+        return known < era.current or is_reported
+
+    def _find_unknown_s(self) -> float:
+        """Return how long a lease that was lost may still last, in seconds.
+
+        The store may have returned without the record of a lease. Its holder
+        counts it from before the return, and this instance has seen the return
+        later.
+        """
+        era = self._store.era
+        if not era.has_risen or self._kept_in == era.current:
+            return 0
+        timing = self._timing
+        wait_s = timing.lease_s * (1 + timing.clock_rate) + timing.margin_s
+        return max(0, era.seen_at + wait_s - self._now())
+
+    async def _append_again(self, newest: NewestRecords) -> None:
+        token = self.token()
+        if token is None:
+            return
+        self._end = newest.end
+        lost = newest.items.get(self.duty, b'')
+        await self._append(Renew(newest.end), token)
+        era = get_era(newest.end)
+        if get_era(self.grant.last) == era:
+            self._kept_in = era
+            metrics.RESTORED_RECORDS.add(LEASES_TOPIC)
+            journal.write_decision(
+                'lease_restored',
+                duty=self.duty,
+                token=token,
+                era=era,
+                found=lost.decode(errors='replace'),
+            )
+
     async def _refresh(self) -> bool:
         """Read the newest record; return whether the store answered."""
         match await self._store.read_newest(LEASES_TOPIC):
             case Success(newest):
+                self._discard_earlier(newest)
                 self._end = newest.end
                 content = newest.items.get(self.duty)
                 if content is not None:
-                    self._apply_record(content, newest.offsets[self.duty])
+                    self._apply_record(content, newest.positions[self.duty])
                 return True
             case _:
                 return False
 
-    def _apply_record(self, content: bytes, offset: int) -> None:
+    def _discard_earlier(self, newest: NewestRecords) -> None:
+        """Give up a token that is not held, if the store has returned.
+
+        Records of other holders, under higher tokens, may have been lost.
+        """
+        has_returned = 0 < get_era(self._end) < get_era(newest.end)
+        if has_returned and self.token() is None:
+            self.discard_token()
+
+    def _apply_record(self, content: bytes, position: int) -> None:
         record = _decode(content)
         if record is None:
             journal.write_decision(
                 'lease_unreadable',
                 duty=self.duty,
-                offset=offset,
+                offset=position,
             )
             return
-        last = offset + 1
+        last = position + 1
         current = self._state.find_grant(self.duty)
         if current.last == last:
             return
@@ -245,9 +340,9 @@
         # is before the store accepted it.
         record_sent(self._candidate, self._end + 1, sent_at)
         match outcome:
-            case Appended(offset):
-                self._end = offset + 1
-                self._record_grant(record, offset + 1)
+            case Appended(position):
+                self._end = position + 1
+                self._record_grant(record, position + 1)
             case _:
                 journal.write_decision(
                     'lease_not_taken',
--- a/packages/verbenahall/src/verbenahall/gateway/_followers.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_followers.py
@@ -20,6 +20,7 @@
     ANSWER_S,
     Batch,
     Deleted,
+    Returned,
 )
 from verbenahall.roster import record_store_outage
 from verbenahall.store_relay import (
@@ -206,7 +207,7 @@
                 waited_s = 0 if batch.records else wait_s
                 self._apply_batch(batch, offset, sent_at + waited_s)
                 return True
-            case Failure(Deleted()):
+            case Failure(Deleted() | Returned()):
                 self._reachability.record_answer()
                 # Records that were not read are deleted: read the whole topic.
                 journal.write_decision('history_lost', topic=topic)
--- a/packages/verbenahall/src/verbenahall/gateway/_orders.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_orders.py
@@ -90,6 +90,7 @@
         """Plan roles and order changes until cancelled."""
         while True:
             await asyncio.sleep(_CHECK_INTERVAL_S)
+            await self._lease.restore()
             catalog = self._core.catalog.catalog
             if catalog is None:
                 continue
--- a/packages/verbenahall/src/verbenahall/metrics.py
+++ b/packages/verbenahall/src/verbenahall/metrics.py
@@ -266,6 +266,20 @@
     'call',
     'outcome',
 )
+STORE_RETURNS: Final = BufferedCounter(
+    'verbenahall_store_returns_total',
+    'Returns of the platform store from an older copy that were seen.',
+)
+ODD_ERAS: Final = BufferedCounter(
+    'verbenahall_store_odd_eras_total',
+    'Answers of the store whose era is missing or unreadable, fell or jumped.',
+    'reason',
+)
+RESTORED_RECORDS: Final = BufferedCounter(
+    'verbenahall_restored_records_total',
+    'Records written again after the store has returned, by topic.',
+    'topic',
+)
 RELAY_REQUESTS: Final = BufferedCounter(
     'verbenahall_relay_requests_total',
     'Requests for a topic to a peer while the store refuses this instance, by'
--- a/packages/verbenahall/src/verbenahall/platform/__init__.py
+++ b/packages/verbenahall/src/verbenahall/platform/__init__.py
@@ -26,6 +26,7 @@
     ScaleOrder,
 )
 from verbenahall.platform._entries import decode_entry
+from verbenahall.platform._eras import StoreEra
 from verbenahall.platform._headers import (
     AnswerHead,
     RequestHead,
@@ -58,6 +59,11 @@
     USAGE_TOPIC,
     VERSIONS_TOPIC,
 )
+from verbenahall.platform._positions import (
+    get_era,
+    get_offset,
+    make_position,
+)
 from verbenahall.platform._records import (
     Batch,
     KeyedRecord,
@@ -79,6 +85,7 @@
     Deleted,
     NewestRecords,
     Refused,
+    Returned,
     StoreClient,
     StoreUnavailable,
     Unknown,
@@ -122,10 +129,12 @@
     'ProcessSettings',
     'Refused',
     'RequestHead',
+    'Returned',
     'RoleOrder',
     'ScaleOrder',
     'SendOptions',
     'StoreClient',
+    'StoreEra',
     'StoreUnavailable',
     'Unknown',
     'build_forward_headers',
@@ -142,6 +151,9 @@
     'find_settings_path',
     'format_handle_path',
     'format_kv_source',
+    'get_era',
+    'get_offset',
+    'make_position',
     'make_session',
     'read_answer_head',
     'read_event_number',
--- a/packages/verbenahall/src/verbenahall/platform/_names.py
+++ b/packages/verbenahall/src/verbenahall/platform/_names.py
@@ -84,6 +84,8 @@
 SCALE_DUTY: Final = 'scale'
 
 # The store.
+#: In all its answers: rises by one when the store returns from an older copy.
+STORE_ERA: Final = 'Store-Era'
 APPEND: Final = '/-/log-append'
 READ: Final = '/-/log-read'
 NEWEST: Final = '/-/log-newest'
--- a/packages/verbenahall/src/verbenahall/platform/_store.py
+++ b/packages/verbenahall/src/verbenahall/platform/_store.py
@@ -3,6 +3,10 @@
 Each call returns one of a closed set of outcomes. An append whose answer was
 lost may have been carried out, or may be carried out later; only a read
 shows which.
+
+The store may return from an older copy, without its last records. It then
+gives offsets again, and states a higher era. So all methods take and return
+positions, which hold the era, and none mixes what it read in two eras.
 """
 
 import asyncio
@@ -19,6 +23,8 @@
 from verbenahall.platform import _fields as fields
 from verbenahall.platform import _names as names
 from verbenahall.platform._connections import CALL_FAILURES
+from verbenahall.platform._eras import StoreEra
+from verbenahall.platform._positions import get_era, get_offset, make_position
 from verbenahall.platform._records import Batch, decode_batch, encode_records
 
 #: Statuses after which nothing was appended.
@@ -31,12 +37,16 @@
         HTTPStatus.INSUFFICIENT_STORAGE,
     ),
 )
+#: Statuses of a read that the store has carried out.
+_READ_STATUSES: Final = frozenset((HTTPStatus.OK, HTTPStatus.GONE))
 #: Timeout of a call beyond its requested wait, in seconds. The platform calls
 #: a store slow that takes 60 times its usual 4 ms.
 ANSWER_S: Final = 0.9
 _MS_IN_SECOND: Final = 1000
 #: Maximum kilobytes of one read; a large manifest fits.
 _MAX_READ_KB: Final = 1024
+#: How often a whole read begins anew because the store has returned meanwhile.
+_MAX_WHOLE_READS: Final = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,18 +61,36 @@
     """The requested records are no longer kept."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Returned:
+    """The store has returned from a copy since the position was read.
+
+    What it holds from there on may have changed, so the whole topic has to be
+    read.
+    """
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class NewestRecords:
-    """The newest record of each key, and the offset to read from next.
+    """The newest record of each key, and the position to read from next.
 
-    ``offsets`` holds the offset of each of these records.
+    ``positions`` holds the position of each of these records.
     """
 
     items: dict[str, bytes]
-    offsets: dict[str, int]
+    positions: dict[str, int]
     end: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answer:
+    """An answer of the store, and the era in which it was given."""
+
+    status: int
+    body: bytes
+    era: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Page:
     """A page of the newest records.
@@ -77,9 +105,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Appended:
-    """The records were appended, the first one at ``offset``."""
+    """The records were appended, the first one at ``position``."""
 
-    offset: int
+    position: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -107,29 +135,41 @@
     more data arrives on a connection.
     """
 
-    def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        address: str,
+        era: StoreEra | None = None,
+    ) -> None:
         """Use ``session`` for the store at ``address`` (``IP:port``)."""
+        self.era = era or StoreEra()
         self._session = session
         self._base = f'http://{address}'
 
+    def is_current(self, position: int) -> bool:
+        """Whether a position is of the store's present era."""
+        return get_era(position) == self.era.current
+
     async def read_newest(
         self, topic: str
     ) -> Result[NewestRecords, StoreUnavailable]:
         """Read the newest record of each key, page by page.
 
-        The pages are no snapshot. The offset to read from next is that of
-        the first page, so that changes between two pages are read again.
+        The pages are no snapshot. The position to read from next is that of
+        the first page, so that changes between two pages are read again. If the
+        store returns meanwhile, all pages are read anew.
         """
-        pages: list[_Page] = []
-        after = ''
-        while not pages or after:
-            match await self._get_page(topic, after):
-                case Success(page):
-                    pages.append(page)
-                    after = page.after
-                case Failure(unavailable):
-                    return Failure(unavailable)
-        return Success(_join_pages(pages))
+        reads = 0
+        while reads < _MAX_WHOLE_READS:
+            reads += 1
+            found = await self._read_pages(topic)
+            if not isinstance(found, Success):
+                return found
+            pages = found.unwrap()
+            eras = {get_era(page.newest.end) for page in pages}
+            if eras == {self.era.current}:
+                return Success(_join_pages(pages))
+        return Failure(StoreUnavailable('the store keeps returning'))
 
     async def read(
         self,
@@ -137,27 +177,36 @@
         start: int,
         wait_s: float = 0,
         answer_s: float = ANSWER_S,
-    ) -> Result[Batch, StoreUnavailable | Deleted]:
-        """Read from an offset; wait up to ``wait_s`` for a first record.
+    ) -> Result[Batch, StoreUnavailable | Deleted | Returned]:
+        """Read from a position; wait up to ``wait_s`` for a first record.
 
         ``answer_s`` is the timeout of the answer after this wait.
         """
+        era = get_era(start)
+        if era != self.era.current:
+            return Failure(Returned())
         params = {
             'topic': topic,
             'part': '0',
-            'from': str(start),
+            'from': str(get_offset(start)),
             'maxKb': str(_MAX_READ_KB),
             'waitMs': str(int(wait_s * _MS_IN_SECOND)),
         }
         timeout_s = wait_s + answer_s
         answer = await self._call('GET', names.READ, params, b'', timeout_s)
         match answer:
-            case Success((HTTPStatus.OK, body)):
-                return _decode_read(body)
-            case Success((HTTPStatus.GONE, _)):
-                return Failure(Deleted())
-            case Success((status, _)):
+            case Success(_Answer(status=status)) if (
+                status not in _READ_STATUSES
+            ):
                 return Failure(StoreUnavailable(f'status {status}'))
+            case Success(_Answer(era=answered_in)) if (
+                answered_in != era or era != self.era.current
+            ):
+                return Failure(Returned())
+            case Success(_Answer(HTTPStatus.OK, body)):
+                return _decode_read(body, era)
+            case Success(_):
+                return Failure(Deleted())
             case _:
                 return answer
 
@@ -167,18 +216,45 @@
         records: Sequence[bytes],
         at: int | None = None,
     ) -> AppendOutcome:
-        """Append all records or none; with ``at`` only at that offset."""
+        """Append all records or none; with ``at`` only at that position.
+
+        A position of an earlier era is refused without a call: the topic may
+        end at its offset again, after other records.
+        """
         params = {'topic': topic, 'part': '0'}
         if at is not None:
-            params['at'] = str(at)
+            if get_era(at) != self.era.current:
+                return Refused()
+            params['at'] = str(get_offset(at))
         body = encode_records(records)
         answer = await self._call('POST', names.APPEND, params, body, ANSWER_S)
         match answer:
-            case Success((status, response_body)):
-                return _read_append(status, response_body)
+            case Success(_Answer() as answered):
+                outcome = _read_append(answered)
             case Failure(unavailable):
                 return Unknown(unavailable.reason)
-        return Unknown('no answer')
+            case _:
+                return Unknown('no answer')
+        is_current = answered.era == self.era.current
+        if at is not None:
+            is_current = is_current and answered.era == get_era(at)
+        if isinstance(outcome, Appended) and not is_current:
+            return Unknown('the store has returned')
+        return outcome
+
+    async def _read_pages(
+        self, topic: str
+    ) -> Result[list[_Page], StoreUnavailable]:
+        pages: list[_Page] = []
+        after = ''
+        while not pages or after:
+            match await self._get_page(topic, after):
+                case Success(page):
+                    pages.append(page)
+                    after = page.after
+                case Failure(unavailable):
+                    return Failure(unavailable)
+        return Success(pages)
 
     async def _get_page(
         self,
@@ -190,9 +266,9 @@
             params['after'] = after
         answer = await self._call('GET', names.NEWEST, params, b'', ANSWER_S)
         match answer:
-            case Success((HTTPStatus.OK, body)):
-                return _decode_page(body)
-            case Success((status, _)):
+            case Success(_Answer(HTTPStatus.OK, body, era)):
+                return _decode_page(body, era)
+            case Success(_Answer(status=status)):
                 return Failure(StoreUnavailable(f'status {status}'))
             case _:
                 return answer
@@ -204,7 +280,8 @@
         params: dict[str, str],
         body: bytes,
         timeout_s: float,
-    ) -> Result[tuple[int, bytes], StoreUnavailable]:
+    ) -> Result[_Answer, StoreUnavailable]:
+        sent_in = self.era.current
         try:
             async with asyncio.timeout(timeout_s):
                 async with self._session.request(
@@ -213,13 +290,15 @@
                     params=params,
                     data=body or None,
                 ) as response:
-                    answered = response.status, await response.read()
+                    status = response.status
+                    stated = response.headers.get(names.STORE_ERA)
+                    answered = await response.read()
         except CALL_FAILURES as error:
             _log_call(path, params['topic'], 'no_answer', 0)
             return Failure(StoreUnavailable(repr(error)))
-        status, answer = answered
-        _log_call(path, params['topic'], str(status), len(answer))
-        return Success(answered)
+        _log_call(path, params['topic'], str(status), len(answered))
+        era = self.era.read(stated, sent_in)
+        return Success(_Answer(status, answered, era))
 
 
 def _log_call(path: str, topic: str, outcome: str, received: int) -> None:
@@ -238,27 +317,29 @@
     newest = NewestRecords({}, {}, pages[0].newest.end)
     for page in pages:
         newest.items.update(page.newest.items)
-        newest.offsets.update(page.newest.offsets)
+        newest.positions.update(page.newest.positions)
     return newest
 
 
-def _decode_page(body: bytes) -> Result[_Page, StoreUnavailable]:
+def _decode_page(body: bytes, era: int) -> Result[_Page, StoreUnavailable]:
     match wire.decode_table(body):
         case Success(table):
-            return _build_page(table)
+            return _build_page(table, era)
         case Failure(problem):
             return Failure(StoreUnavailable(problem.message))
     return Failure(StoreUnavailable('no answer'))
 
 
-def _build_page(table: dict[str, Any]) -> Result[_Page, StoreUnavailable]:
+def _build_page(
+    table: dict[str, Any], era: int
+) -> Result[_Page, StoreUnavailable]:
     try:
-        return Success(_read_page(table))
+        return Success(_read_page(table, era))
     except (LookupError, TypeError, ValueError) as error:
         return Failure(StoreUnavailable(f'invalid page: {error!r}'))
 
 
-def _read_page(table: dict[str, Any]) -> _Page:
+def _read_page(table: dict[str, Any], era: int) -> _Page:
     rows = [
         (
             fields.text(row, 'key'),
@@ -269,29 +350,38 @@
     ]
     newest = NewestRecords(
         items={key: content for key, content, _ in rows},
-        offsets={key: offset for key, _, offset in rows},
-        end=fields.integer(table, 'end'),
+        positions={key: make_position(era, offset) for key, _, offset in rows},
+        end=make_position(era, fields.integer(table, 'end')),
     )
     # Raises IndexError if more pages follow an empty one.
     after = rows[-1][0] if table.get('hasMore') else ''
     return _Page(newest, after)
 
 
-def _decode_read(body: bytes) -> Result[Batch, StoreUnavailable | Deleted]:
+def _decode_read(
+    body: bytes, era: int
+) -> Result[Batch, StoreUnavailable | Deleted | Returned]:
     try:
-        return Success(decode_batch(body))
+        batch = decode_batch(body)
     except ValueError as error:
         return Failure(StoreUnavailable(str(error)))
+    return Success(
+        Batch(
+            make_position(era, batch.end),
+            make_position(era, batch.first),
+            batch.records,
+        ),
+    )
 
 
-def _read_append(status: int, body: bytes) -> AppendOutcome:
-    match status, wire.decode_table(body):
+def _read_append(answer: _Answer) -> AppendOutcome:
+    match answer.status, wire.decode_table(answer.body):
         case HTTPStatus.OK, Success({'offset': int(offset)}):
-            return Appended(offset)
+            return Appended(make_position(answer.era, offset))
         case HTTPStatus.OK, _:
             # An offset of 0 must not be assumed: it becomes a fencing token.
             return Unknown('the answer has no offset')
-        case _ if status in _REFUSED_STATUSES:
+        case status, _ if status in _REFUSED_STATUSES:
             return Refused()
-        case _:
+        case status, _:
             return Unknown(f'status {status}')
--- a/packages/verbenahall/src/verbenahall/scaling/_records.py
+++ b/packages/verbenahall/src/verbenahall/scaling/_records.py
@@ -88,8 +88,8 @@
             SCALING_TOPIC, [encode_keyed(content)], self._end
         )
         match outcome:
-            case Appended(offset):
-                self._end = offset + 1
+            case Appended(position):
+                self._end = position + 1
                 return True
             case _:
                 self.discard()
--- a/packages/verbenahall/src/verbenahall/scaling/_shell.py
+++ b/packages/verbenahall/src/verbenahall/scaling/_shell.py
@@ -82,6 +82,7 @@
         if now - self._failed_at < _RETRY_INTERVAL_S:
             return
         lease = self._dependencies.lease
+        await lease.restore()
         token = await lease.acquire()
         if token is None:
             self._failed_at = now
--- a/packages/verbenahall/src/verbenahall/usage/_reports.py
+++ b/packages/verbenahall/src/verbenahall/usage/_reports.py
@@ -121,7 +121,7 @@
         if not isinstance(outcome, Appended):
             self.ledger = None
             return False
-        self._end = outcome.offset + 1
+        self._end = outcome.position + 1
         self.ledger = updated
         return True
 
--- a/packages/verbenahall/src/verbenahall/usage/_shell.py
+++ b/packages/verbenahall/src/verbenahall/usage/_shell.py
@@ -102,6 +102,7 @@
     async def _report_due(self, at: float) -> bool:
         """Decide and send what is due; return whether all calls succeeded."""
         reports = self._dependencies.reports
+        await self._dependencies.lease.restore()
         if reports.ledger is None and not await reports.load(at):
             return False
         due = self._list_due(at)
--- a/packages/verbenahall/tests/duties/test_lease.py
+++ b/packages/verbenahall/tests/duties/test_lease.py
@@ -7,9 +7,11 @@
 
 from verbenahall.authority import LeaseTiming
 from verbenahall.duties import DutyLease
-from verbenahall.platform import StoreClient, make_session
+from verbenahall.platform import StoreClient, make_position, make_session
 
 _TIMING = LeaseTiming(lease_s=6, margin_s=3.5)
+#: The token of the first claim in the first era.
+FIRST_TOKEN = make_position(1, 0) + 1
 
 
 class Clock:
@@ -42,7 +44,7 @@
 def test_first_claim_wins_and_the_second_is_refused():
     async def check(store, make, clock):
         first, second = make('a'), make('b')
-        assert await first.acquire() == 1
+        assert await first.acquire() == FIRST_TOKEN
         assert await second.acquire() is None
 
     asyncio.run(run_with_store(check))
@@ -100,7 +102,7 @@
         assert await first.acquire() is None
         store.faults.lose_appends = False
         clock.seconds += 2
-        assert await first.acquire() == 1
+        assert await first.acquire() == FIRST_TOKEN
         assert len(store.newest('keyed.leases')) == 1
 
     asyncio.run(run_with_store(check))
--- a/packages/verbenahall/tests/platform/test_store_client.py
+++ b/packages/verbenahall/tests/platform/test_store_client.py
@@ -53,7 +53,7 @@
     match call(200, dump_page(), read_newest):
         case Success(newest):
             assert newest.items == {'i-1': b'abc'}
-            assert (newest.offsets, newest.end) == ({'i-1': 4}, 5)
+            assert (newest.positions, newest.end) == ({'i-1': 4}, 5)
         case failed:
             pytest.fail(repr(failed))
 
