Instances get the topics anew after the store has returned from a copy

A draining endpoint would have been missed in the same way.

Cause: two instances follow a topic for the others, which compare offsets with theirs. After a return the store's offsets are lower, so the others skipped the updates as known, and took a follower's confirmation of a lower offset for one of their own. Nothing showed them that the same offset was another record.

Ruled out: a manifest that was read and not applied (the instances have no line of it), and followers that were behind (both answered 200).

Change: positions hold the era, so that updates, copies and confirmations of an earlier era are older than all of a later one; a confirmation counts within its era only. The two followers read a topic again and announce it; the others get it from them, each pair after 0.5 s more reads it itself if none can. What is known stays in use. An endpoint that had been removed and is in the copy is not used for 5 s unless it writes a newer entry; one that is missing there is kept like after an outage.

--- a/packages/verbenahall/src/verbenahall/gateway/_followers.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_followers.py
@@ -21,6 +21,8 @@
     Batch,
     Deleted,
     Returned,
+    get_era,
+    get_offset,
 )
 from verbenahall.roster import record_store_outage
 from verbenahall.store_relay import (
@@ -114,13 +116,14 @@
 
     @property
     def position(self) -> int | None:
-        """Offset of the next record, None without a whole read."""
+        """Position of the next record, None without a whole read."""
         return self.local.position
 
     async def run(self) -> None:
         """Read the topic whole, then follow it, until cancelled."""
         while True:
-            if self._may_stand_by():
+            era = self._core.store.era
+            if self._may_stand_by() or self.local.may_await_copy(era):
                 await _wait_for(self._wake)
             elif self._reachability.begin_call():
                 await self._step()
@@ -132,11 +135,14 @@
         now = self._core.now()
         if self.position is None or self._standby.is_covered_by_peers(now):
             return False
+        if self.local.is_superseded(self._core.store.era.current):
+            return False
         return self._reachability.is_reachable(now)
 
     def receive_update(self, update: TopicUpdate) -> None:
         """Apply a peer's update, and wake up if records are missing."""
         self._standby.record_end(update.end)
+        self._core.store.era.record_reported(get_era(update.end))
         if update.after_outage:
             record_store_outage(self._core.roster, self._core.now())
         if self.position is not None and update.start <= self.position:
@@ -146,7 +152,10 @@
 
     async def refresh(self) -> bool:
         """Read the store without waiting; False if it does not answer."""
-        if self.position is None or not self._reachability.begin_call():
+        era = self._core.store.era.current
+        if self.position is None or self.local.is_superseded(era):
+            return False
+        if not self._reachability.begin_call():
             return False
         return await self._poll(self.position, 0, _REFRESH_TIMEOUT_S)
 
@@ -161,7 +170,8 @@
         return now - self._reachability.answered_at < _MAX_UNCHECKED_S
 
     async def _step(self) -> bool:
-        if self.position is None:
+        is_superseded = self.local.is_superseded(self._core.store.era.current)
+        if self.position is None or is_superseded:
             return await self._read_all()
         wait_s = _SHORT_POLL_S if self._polls_short else _POLL_S
         wait_s = self._freshness.limit_wait(wait_s, self._core.now())
@@ -178,18 +188,26 @@
 
     async def _read_all(self) -> bool:
         sent_at = self._core.now()
-        match await self._core.store.read_newest(self.handler.topic):
-            case Success(newest):
-                self._reachability.record_answer()
-                self._polls_short = True
-                # A peer may have sent a newer state since the call was sent.
-                if newest.end >= (self.position or 0):
-                    self.local.apply_all(newest.items, newest.end, 'store')
-                    self._freshness.record_confirmed(sent_at)
-                return True
-            case Failure(error):
-                self._reachability.record_failure(error.reason)
-        return False
+        topic = self.handler.topic
+        found = await self._core.store.read_newest(topic)
+        if not isinstance(found, Success):
+            self._reachability.record_failure(found.failure().reason)
+            return False
+        newest = found.unwrap()
+        end = newest.end
+        self._reachability.record_answer()
+        self._polls_short = True
+        # A peer may have sent a newer state since the call was sent.
+        if end >= (self.position or 0):
+            has_returned = self.local.is_superseded(get_era(end))
+            self.local.apply_all(newest.items, end, 'store')
+            self._freshness.record_confirmed(sent_at)
+            if has_returned:
+                # The peers get the topic of the new era from this instance.
+                self._broadcast(
+                    TopicUpdate(topic, end, (), end, after_outage=True)
+                )
+        return True
 
     async def _poll(
         self,
@@ -203,17 +221,25 @@
         match await store.read(topic, offset, wait_s, answer_s):
             case Success(batch):
                 self._reachability.record_answer()
-                self._polls_short = bool(batch.records) or not offset
+                self._polls_short = bool(batch.records) or not get_offset(
+                    offset
+                )
                 waited_s = 0 if batch.records else wait_s
                 self._apply_batch(batch, offset, sent_at + waited_s)
                 return True
-            case Failure(Deleted() | Returned()):
+            case Failure(Deleted()):
                 self._reachability.record_answer()
                 # Records that were not read are deleted: read the whole topic.
                 journal.write_decision('history_lost', topic=topic)
                 if self.position == offset:
                     self.local.copy.discard()
                 return True
+            case Failure(Returned()) if get_era(offset) <= store.era.current:
+                # What is known stays in use until the new era's topic is read.
+                self._reachability.record_answer()
+                return True
+            case Failure(Returned()):
+                self._reachability.record_failure('the store is behind')
             case Failure(error):
                 took_s = self._core.now() - sent_at
                 if took_s < wait_s + answer_s + _STALL_S:
--- a/packages/verbenahall/src/verbenahall/gateway/_record_handlers.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_record_handlers.py
@@ -161,6 +161,7 @@
             unreadable,
             now,
             received.before,
+            has_returned=received.has_returned,
         )
         self._core.remove_unlisted()
         journal.write_decision(
--- a/packages/verbenahall/src/verbenahall/peers/__init__.py
+++ b/packages/verbenahall/src/verbenahall/peers/__init__.py
@@ -27,6 +27,7 @@
 )
 from verbenahall.peers._topic_followers import (
     find_confirmation,
+    find_follower_rank,
     find_latest_offset,
     is_covered_by_peers,
 )
@@ -47,6 +48,7 @@
     'encode_shares',
     'encode_update',
     'find_confirmation',
+    'find_follower_rank',
     'find_latest_offset',
     'find_rank',
     'has_unresponsive_peer',
--- a/packages/verbenahall/src/verbenahall/peers/_messages.py
+++ b/packages/verbenahall/src/verbenahall/peers/_messages.py
@@ -49,7 +49,7 @@
     restarted, so that a delayed datagram doesn't overwrite a newer one.
     ``loads`` is the author's open work by engine, ``changing`` the engines that
     it has ordered to change their role and that accept no work, and ``speed``
-    its measurements of prefill speed. ``followed_offsets`` is the next offset
+    its measurements of prefill speed. ``followed_offsets`` is the next position
     of each topic that the author follows at the store, ``ages`` the seconds
     since the store last confirmed that it holds nothing newer, and ``cores``
     how many processor cores the author may use. ``unreachable`` holds the
@@ -95,8 +95,8 @@
 class TopicUpdate:
     """Records of a topic that a peer has just read from the store.
 
-    ``records`` begin at the offset ``start``, and ``end`` is the offset after
-    the last one. Records that are too long for a datagram are left out, but
+    ``records`` begin at the position ``start``, and ``end`` is the one after
+    the last of them. Records that are too long for a datagram are left out, but
     counted in ``end``. ``after_outage`` is set if calls of the sender to the
     store have failed lately, so that missing entries may be due to the
     outage.
--- a/packages/verbenahall/src/verbenahall/peers/_shell.py
+++ b/packages/verbenahall/src/verbenahall/peers/_shell.py
@@ -137,10 +137,11 @@
         """Send records read from the store to the peers, split as needed.
 
         Records that need too many datagrams are left out: the update then
-        only reports up to which offset the topic goes.
+        only reports up to which position the topic goes, like one without
+        records.
         """
         parts = split_update(update)
-        if len(parts) > _MAX_DATAGRAMS:
+        if not parts or len(parts) > _MAX_DATAGRAMS:
             parts = (dataclasses.replace(update, records=()),)
         recipients = list_recipients(self._peer_table)
         for part in parts:
--- a/packages/verbenahall/src/verbenahall/peers/_state.py
+++ b/packages/verbenahall/src/verbenahall/peers/_state.py
@@ -40,8 +40,8 @@
 class ConfirmedOffset:
     """How far a peer has read a topic, and when the store confirmed it.
 
-    ``offset`` is that of the next record, and ``at`` a time of the local
-    monotonic clock at which the store held no newer record.
+    ``offset`` is the position of the next record, and ``at`` a time of the
+    local monotonic clock at which the store held no newer record.
     """
 
     offset: int
--- a/packages/verbenahall/src/verbenahall/peers/_topic_followers.py
+++ b/packages/verbenahall/src/verbenahall/peers/_topic_followers.py
@@ -12,7 +12,8 @@
 from collections.abc import Iterator
 from typing import Final
 
-from verbenahall.peers._state import PeerTable
+from verbenahall.peers._state import PeerTable, list_live_peers
+from verbenahall.platform import get_era
 from verbenahall.routing import rank_by_rendezvous
 
 #: Followers of a topic among the instances that receive each other's
@@ -34,8 +35,15 @@
     return ranked.index(peer_table.name) >= _FOLLOWERS
 
 
+def find_follower_rank(peer_table: PeerTable, topic: str, now: float) -> int:
+    """Return how many live peers come before this one as followers."""
+    live = list_live_peers(peer_table, now, _LIVE_S)
+    ranked = rank_by_rendezvous(topic, [*live, peer_table.name])
+    return ranked.index(peer_table.name)
+
+
 def find_latest_offset(peer_table: PeerTable, topic: str, now: float) -> int:
-    """Return the highest offset that a live peer has read, 0 if none has."""
+    """Return the highest position that a live peer has read, 0 if none has."""
     offsets = (offset for _, offset in _list_followers(peer_table, topic, now))
     return max(offsets, default=0)
 
@@ -46,16 +54,20 @@
     """Return when the store confirmed a position as the newest, and to whom.
 
     Minus infinity and an empty name if no peer reports it. A confirmation of an
-    earlier offset also holds for a later position: an instance at the later
-    position has read all that the store held at the time of the confirmation.
+    earlier position also holds for a later one: an instance there has read all
+    that the store held at the time of the confirmation. It does not hold for a
+    position of another era, before or after a return of the store.
     """
+    era = get_era(position)
     confirmed = (
         (peer.confirmed[topic], name)
         for name, peer in peer_table.peers.items()
         if topic in peer.confirmed
     )
     found = (
-        (one.at, name) for one, name in confirmed if one.offset <= position
+        (one.at, name)
+        for one, name in confirmed
+        if one.offset <= position and get_era(one.offset) == era
     )
     return max(found, default=(-float('inf'), ''))
 
--- a/packages/verbenahall/src/verbenahall/platform/_store.py
+++ b/packages/verbenahall/src/verbenahall/platform/_store.py
@@ -180,10 +180,11 @@
     ) -> Result[Batch, StoreUnavailable | Deleted | Returned]:
         """Read from a position; wait up to ``wait_s`` for a first record.
 
-        ``answer_s`` is the timeout of the answer after this wait.
+        ``answer_s`` is the timeout of the answer after this wait. A position of
+        a later era than the store has stated so far may come from a peer.
         """
         era = get_era(start)
-        if era != self.era.current:
+        if era < self.era.current:
             return Failure(Returned())
         params = {
             'topic': topic,
--- a/packages/verbenahall/src/verbenahall/roster/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/roster/_decisions.py
@@ -15,6 +15,10 @@
 #: Maximum time in seconds between the last failed call to the store and the
 #: first records after its recovery.
 STORE_RECOVERY_S: Final = 3.0
+#: How long an endpoint that was removed before the store returned from an older
+#: copy, which lists it, is not used, in seconds. The platform removes entries
+#: after three intervals of silence, and living endpoints write theirs again.
+_RELIST_S: Final = 5.0
 
 
 def apply_entry(roster: Roster, entry: Entry) -> bool:
@@ -35,6 +39,8 @@
         roster.listings[entry.name] = Listing(entry)
         roster.removed.pop(entry.name, None)
     else:
+        if entry.change > listing.entry.change:
+            listing.usable_from = 0
         listing.entry = entry
         listing.usable_until = float('inf')
     return True
@@ -98,16 +104,23 @@
     unreadable: Iterable[str],
     now: float,
     listed_at: float | None = None,
+    *,
+    has_returned: bool = False,
 ) -> None:
     """Apply a full list, as after a start or if changes were missed.
 
     ``unreadable`` names the listed endpoints whose entry could not be parsed;
-    they keep their last entry.
+    they keep their last entry. ``has_returned`` is whether the store has
+    returned from an older copy, in which endpoints may be listed again that
+    have left since. These are not used for a while.
     """
     listed = set(unreadable)
     for entry in entries:
+        is_removed = roster.removed.get(entry.name) == entry
         apply_entry(roster, entry)
         listed.add(entry.name)
+        if has_returned and is_removed:
+            roster.listings[entry.name].usable_from = now + _RELIST_S
     for name in roster.listings.keys() - listed:
         apply_removal(roster, name, now, listed_at)
     roster.is_loaded = True
--- a/packages/verbenahall/src/verbenahall/roster/_messages.py
+++ b/packages/verbenahall/src/verbenahall/roster/_messages.py
@@ -55,16 +55,18 @@
 
 @final
 class Listing:
-    """An endpoint's last entry, and until when the endpoint may be used.
+    """An endpoint's last entry, and in which time the endpoint may be used.
 
     ``usable_until`` is infinite while the store lists the endpoint. After the
     entry lapsed, it is the end of the grace period, at which the endpoint is
-    removed unless it is listed again.
+    removed unless it is listed again. ``usable_from`` is in the future if an
+    older copy of the store lists an endpoint that was removed.
     """
 
-    __slots__ = ('entry', 'usable_until')
+    __slots__ = ('entry', 'usable_from', 'usable_until')
 
-    def __init__(self, entry: Entry) -> None:
+    def __init__(self, entry: Entry, usable_from: float = 0) -> None:
         """Create the listing of an endpoint that the store lists."""
         self.entry = entry
+        self.usable_from = usable_from
         self.usable_until = float('inf')
--- a/packages/verbenahall/src/verbenahall/roster/_state.py
+++ b/packages/verbenahall/src/verbenahall/roster/_state.py
@@ -106,4 +106,5 @@
 
 
 def _is_live(listing: Listing, now: float) -> bool:
-    return not listing.entry.leaving and now < listing.usable_until
+    is_usable = listing.usable_from <= now < listing.usable_until
+    return is_usable and not listing.entry.leaving
--- a/packages/verbenahall/src/verbenahall/store_relay/_copy.py
+++ b/packages/verbenahall/src/verbenahall/store_relay/_copy.py
@@ -1,4 +1,4 @@
-"""A topic's newest records by key, and its last records by offset."""
+"""A topic's newest records by key, and its last records by position."""
 
 import collections
 from collections.abc import Mapping, Sequence
@@ -19,8 +19,8 @@
 class TopicCopy:
     """What an instance can send of a topic to a peer.
 
-    ``end`` is the offset after the last record, None before the first whole
-    read, and ``first`` the offset of the first record that is still kept.
+    ``end`` is the position after the last record, None before the first whole
+    read, and ``first`` that of the first record that is still kept.
     ``highest_end`` is the highest ``end`` so far: a state of a peer that goes
     less far would make the topic older.
     """
@@ -48,7 +48,7 @@
 
     @property
     def first(self) -> int:
-        """Offset of the first kept record."""
+        """Position of the first kept record."""
         return (self.end or 0) - len(self._recent)
 
     def replace(self, items: Mapping[str, bytes], end: int) -> None:
@@ -82,7 +82,7 @@
             self._recent_bytes -= len(self._recent.popleft())
 
     def list_from(self, offset: int) -> Sequence[bytes]:
-        """Return the records from an offset on, at least from ``first``."""
+        """Return the records from a position on, at least from ``first``."""
         return tuple(self._recent)[offset - self.first :]
 
     def list_all(self) -> Sequence[bytes]:
--- a/packages/verbenahall/src/verbenahall/store_relay/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/store_relay/_decisions.py
@@ -34,6 +34,7 @@
     """Why an instance requests a topic from a peer."""
 
     NO_STATE = 'no_state'
+    RETURNED = 'returned'
     MISSING = 'missing'
     OUTDATED = 'outdated'
 
@@ -46,6 +47,7 @@
     records are known to be missing, 0 if none are. ``age_s`` is its age and
     ``relay_s`` the age from which a peer's confirmation is needed.
     ``is_refused`` is whether the last call to the store failed.
+    ``is_superseded`` is whether a peer has read the topic in a later era.
     """
 
     has_state: bool
@@ -53,13 +55,17 @@
     age_s: float
     relay_s: float
     is_refused: bool
+    is_superseded: bool = False
 
 
 def find_reason(view: TopicView) -> Reason | None:
     """Return why a peer is needed, None if it is not.
 
-    An instance whose calls the store answers requests nothing.
+    An instance whose calls the store answers requests nothing but a topic that
+    the store has returned with.
     """
+    if view.is_superseded:
+        return Reason.RETURNED
     if not view.is_refused:
         return Reason.MISSING if view.missing_s > _UNANSWERED_S else None
     reasons = (
--- a/packages/verbenahall/src/verbenahall/store_relay/_messages.py
+++ b/packages/verbenahall/src/verbenahall/store_relay/_messages.py
@@ -33,7 +33,7 @@
 class TopicState:
     """What a peer sends of a topic.
 
-    ``records`` begin at the offset ``start`` and are complete up to ``end``.
+    ``records`` begin at the position ``start`` and are complete up to ``end``.
     With ``is_whole`` they are instead the newest record of each key. ``age_s``
     is the age of the store's own answer that it holds nothing newer, infinite
     if there is none. ``origin`` is the instance that got this answer, and
--- a/packages/verbenahall/src/verbenahall/store_relay/_reachability.py
+++ b/packages/verbenahall/src/verbenahall/store_relay/_reachability.py
@@ -24,12 +24,14 @@
 
     ``source`` is ``store`` or ``peer``. ``before`` is a time at which the
     store did not hold the record yet, None if the store has been unreachable
-    since.
+    since. ``has_returned`` is whether the store has returned from an older copy
+    of late.
     """
 
     source: str
     age_s: float
     before: float | None
+    has_returned: bool = False
 
 
 @final
@@ -42,6 +44,7 @@
         'spacing',
         '_freshness',
         '_now',
+        '_returned_at',
         '_roster',
         '_topic',
     )
@@ -59,6 +62,7 @@
         #: Whether the last call failed.
         self.is_refused = False
         self.spacing = spacing
+        self._returned_at = -float('inf')
         self._freshness = freshness
         self._now = now
         self._roster = roster
@@ -91,13 +95,20 @@
         """Return the source and the age of records that arrive now."""
         freshness = self._freshness
         age_s = freshness.find_age(self._now())
+        has_returned = self._now() - self._returned_at < STORE_RECOVERY_S
         is_outdated = freshness.has_failed or age_s >= freshness.usable_s
         return Received(
             source,
             age_s,
-            None if is_outdated else freshness.confirmed_at,
+            None if is_outdated or has_returned else freshness.confirmed_at,
+            has_returned,
         )
 
+    def record_return(self) -> None:
+        """Record that the store has returned from an older copy."""
+        self._returned_at = self._now()
+        record_store_outage(self._roster, self._returned_at)
+
     def record_answer(self) -> None:
         """Record that the store answered."""
         self.answered_at = self._now()
--- a/packages/verbenahall/src/verbenahall/store_relay/_standby.py
+++ b/packages/verbenahall/src/verbenahall/store_relay/_standby.py
@@ -5,9 +5,11 @@
 from verbenahall.peers import (
     PeerTable,
     find_confirmation,
+    find_follower_rank,
     find_latest_offset,
     is_covered_by_peers,
 )
+from verbenahall.platform import get_era
 from verbenahall.store_relay._freshness import Confirmation
 
 #: How long the update with new records may arrive after a heartbeat that
@@ -15,19 +17,37 @@
 #: a large fleet would read the records from the store, although the update is
 #: already on its way.
 _MAX_UPDATE_DELAY_S: Final = 0.4
+#: How long an instance waits for a peer's copy after the store has returned, in
+#: seconds: a step for each pair of instances before it that may read the topic
+#: from the store, at most the limit, and a share that spreads the others.
+_COPY_STEP_S: Final = 0.5
+_MAX_COPY_WAIT_S: Final = 2.0
+_COPY_SPREAD_S: Final = 0.02
+_PAIR: Final = 2
 
 
 @final
 class Standby:
     """State of one topic, from the heartbeats and updates of the peers."""
 
-    __slots__ = ('_peer_table', '_latest_offset', '_missing_since', '_topic')
+    __slots__ = (
+        '_peer_table',
+        '_latest_offset',
+        '_missing_since',
+        '_superseded_in',
+        '_superseded_since',
+        '_topic',
+    )
 
     def __init__(self, peer_table: PeerTable, topic: str) -> None:
         """Start without any report."""
         self._peer_table = peer_table
         self._latest_offset = 0
         self._missing_since: float | None = None
+        #: The era that came after this instance's copy, and since when it is
+        #: known.
+        self._superseded_in = 0
+        self._superseded_since = -float('inf')
         self._topic = topic
 
     def record_end(self, end: int) -> None:
@@ -47,6 +67,26 @@
         at, origin = find_confirmation(self._peer_table, self._topic, position)
         return Confirmation(at, origin, hops=1)
 
+    def find_era(self, now: float) -> int:
+        """Return the latest era in which a live peer has read the topic."""
+        latest = find_latest_offset(self._peer_table, self._topic, now)
+        return get_era(max(latest, self._latest_offset))
+
+    def may_await_copy(self, era: int, now: float) -> bool:
+        """Whether a peer may still send its copy of the topic in a new era.
+
+        After a return of the store all instances have to get the topic anew. If
+        all read it from the store, they would exceed its limits, so the first
+        two do, and the others get it from these.
+        """
+        if era != self._superseded_in:
+            self._superseded_in = era
+            self._superseded_since = now
+        rank = find_follower_rank(self._peer_table, self._topic, now)
+        limit_s = _MAX_COPY_WAIT_S + _COPY_SPREAD_S * rank
+        wait_s = min(_COPY_STEP_S * (rank // _PAIR), limit_s)
+        return now - self._superseded_since < wait_s
+
     def may_wait(self, position: int, now: float) -> bool:
         """Whether no record is missing, or missing ones may still arrive."""
         return self.find_missing_s(position, now) < _MAX_UPDATE_DELAY_S
--- a/packages/verbenahall/src/verbenahall/store_relay/_topic.py
+++ b/packages/verbenahall/src/verbenahall/store_relay/_topic.py
@@ -3,8 +3,9 @@
 from collections.abc import Mapping, Sequence
 from typing import final
 
+from verbenahall import journal
 from verbenahall.clock import Clock
-from verbenahall.platform import KeyedRecord
+from verbenahall.platform import KeyedRecord, StoreEra, get_era
 from verbenahall.store_relay._copy import (
     TopicCopy,
     decode_items,
@@ -23,10 +24,12 @@
 
 @final
 class LocalTopic:
-    """The records of a topic in the order of their offsets, each applied once.
+    """The records of a topic in the order of their positions, each once.
 
-    ``position`` is the offset of the next record, None before the first whole
-    read and after the store has deleted records that were not read.
+    ``position`` is that of the next record, None before the first whole read
+    and after the store has deleted records that were not read. After the store
+    has returned from an older copy, the topic is replaced by a whole one of the
+    new era, and nothing of an earlier era is applied any more.
     """
 
     __slots__ = (
@@ -56,7 +59,7 @@
 
     @property
     def position(self) -> int | None:
-        """Offset of the next record, None without a state."""
+        """Position of the next record, None without a state."""
         return self.copy.end
 
     @property
@@ -79,8 +82,21 @@
             # Without a follower among the peers, changes come by answers only.
             self.freshness.refresh_s if self.standby.has_follower(now) else 0,
             is_refused,
+            has_state and self.standby.find_era(now) > get_era(position or 0),
         )
 
+    def is_superseded(self, era: int) -> bool:
+        """Whether the copy is of an era of the store before ``era``."""
+        return self.position is not None and get_era(self.position) < era
+
+    def may_await_copy(self, store_era: StoreEra) -> bool:
+        """Whether a peer's copy is awaited after the store has returned."""
+        now = self._now()
+        reported = self.standby.find_era(now)
+        store_era.record_reported(reported)
+        era = max(reported, store_era.current)
+        return self.is_superseded(era) and self.standby.may_await_copy(era, now)
+
     def apply_records(
         self, records: Sequence[bytes], offset: int, source: str
     ) -> Sequence[bytes]:
@@ -103,6 +119,11 @@
         self, items: Mapping[str, bytes], end: int, source: str
     ) -> None:
         """Replace the copy by a whole topic that is complete at ``end``."""
+        before = self.copy.highest_end
+        if 0 < get_era(before) < get_era(end):
+            _log_return(self, items, end, source)
+            # Entries that are missing are written again within seconds.
+            self.reachability.record_return()
         self.copy.replace(items, end)
         self.standby.record_progress()
         received = self.reachability.describe_source(source)
@@ -150,3 +171,22 @@
         if is_new and state.end >= self.copy.highest_end:
             items = decode_items(self.name, state.records)
             self.apply_all(items, state.end, 'relay')
+
+
+def _log_return(
+    topic: LocalTopic, items: Mapping[str, bytes], end: int, source: str
+) -> None:
+    """Log what the store has lost; its writers write it again."""
+    known = topic.copy.items
+    kept = known.keys() & items.keys()
+    journal.write_decision(
+        'topic_returned',
+        topic=topic.name,
+        era=get_era(end),
+        before=topic.copy.end,
+        end=end,
+        lost=len(known.keys() - items.keys()),
+        added=len(items.keys() - known.keys()),
+        changed=sum(known[key] != items[key] for key in kept),
+        source=source,
+    )
