What instances write once is written again after the store has returned

The ledger of usage, the orders of scaling, crashes, versions and the address of an instance are written once; who wrote them did not notice that the store had lost them.

Change: the holder of usage goes on with its own ledger. The ledger states its era, so a new holder sees that decisions may be lost, and decides no window that may have been reported: a missed window is better than one that is billed twice. The holder of scaling writes its targets again.

--- a/packages/verbenahall/src/verbenahall/gateway/_stored_crashes.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_stored_crashes.py
@@ -27,17 +27,23 @@
     The store holds one record for each instance, with its recent suspects.
     """
 
-    __slots__ = ('_core', '_written')
+    __slots__ = ('_core', '_written', '_written_in')
 
     def __init__(self, core: Core) -> None:
         """Start with nothing written."""
         self._core = core
         self._written: frozenset[tuple[str, str]] = frozenset()
+        #: The era of the store for which they were written.
+        self._written_in = 0
 
     async def write(self, report: CrashReport) -> None:
-        """Write a report unless its crashes were the last ones written."""
+        """Write a report unless its crashes were the last ones written.
+
+        If the store has returned from an older copy since, they may be lost.
+        """
         crashes = _list_crashes(report)
-        if crashes == self._written:
+        era = self._core.store.era.latest
+        if crashes == self._written and era == self._written_in:
             return
         record = KeyedRecord(self._core.settings.name, encode(report))
         outcome = await self._core.store.append(
@@ -46,6 +52,7 @@
         )
         if isinstance(outcome, Appended):
             self._written = crashes
+            self._written_in = max(era, self._core.store.era.current)
 
     async def read(self) -> list[tuple[CrashReport, str]]:
         """Return each instance's report with the instance's name.
--- a/packages/verbenahall/src/verbenahall/gateway/_stored_versions.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_stored_versions.py
@@ -35,7 +35,7 @@
 class StoredVersions:
     """Writes this instance's record to the store, and reads all once."""
 
-    __slots__ = ('_core', '_next_call_at', '_written')
+    __slots__ = ('_core', '_next_call_at', '_written', '_written_in')
 
     def __init__(self, core: Core) -> None:
         """Start without knowing any record."""
@@ -43,6 +43,8 @@
         self._next_call_at = -math.inf
         #: What this instance's record holds, None while that is not known.
         self._written: Several | None = None
+        #: The era of the store for which it was written.
+        self._written_in = 0
 
     async def exchange(
         self, history: VersionHistory, since: float, now: float
@@ -58,7 +60,10 @@
             await self._read(history)
             return
         several = history.list_several(since)
-        if several == self._written:
+        era = self._core.store.era.latest
+        if several == self._written and (
+            era == self._written_in or not several
+        ):
             return
         rank = find_rank(self._core.peer_table, _DUTY, now)
         if rank < _WRITERS or self._written:
@@ -66,12 +71,14 @@
             await self._write(several)
 
     async def _write(self, several: Several) -> None:
+        era = self._core.store.era.latest
         record = KeyedRecord(self._core.settings.name, wire.encode(several))
         outcome = await self._core.store.append(
             VERSIONS_TOPIC, [encode_keyed(record)]
         )
         if isinstance(outcome, Appended):
             self._written = several
+            self._written_in = max(era, self._core.store.era.current)
 
     async def _read(self, history: VersionHistory) -> None:
         newest = await self._core.store.read_newest(VERSIONS_TOPIC)
@@ -85,6 +92,7 @@
         history.assume_past()
         own = self._core.settings.name
         self._written = _decode(own, records.get(own, b'{}'))
+        self._written_in = self._core.store.era.current
 
 
 def _decode(name: str, content: bytes) -> Several:
--- a/packages/verbenahall/src/verbenahall/gateway/_usage.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_usage.py
@@ -59,5 +59,6 @@
             windows=windows,
             clock=core.synced_clock,
             now=core.now,
+            store_era=core.store.era,
         ),
     )
--- a/packages/verbenahall/src/verbenahall/scaling/_records.py
+++ b/packages/verbenahall/src/verbenahall/scaling/_records.py
@@ -61,7 +61,7 @@
     @property
     def is_read(self) -> bool:
         """Whether the records are known up to the end of the topic."""
-        return self._end is not None
+        return self._end is not None and self._store.is_current(self._end)
 
     def discard(self) -> None:
         """Discard what is known, so that it is read again."""
--- a/packages/verbenahall/src/verbenahall/scaling/_shell.py
+++ b/packages/verbenahall/src/verbenahall/scaling/_shell.py
@@ -5,9 +5,14 @@
 from collections.abc import Mapping
 from typing import Final, final
 
-from verbenahall import journal
+from verbenahall import journal, metrics
 from verbenahall.capacity import CapacityKind, Pool
-from verbenahall.platform import DutyOutcome, LeaseToken, ScaleOrder
+from verbenahall.platform import (
+    SCALING_TOPIC,
+    DutyOutcome,
+    LeaseToken,
+    ScaleOrder,
+)
 from verbenahall.scaling._dependencies import Dependencies
 from verbenahall.scaling._exchange import DemandExchange
 from verbenahall.scaling._records import OrderRecord, OrderRecords
@@ -125,6 +130,20 @@
                 return False
             if service not in self._states:
                 self._adopt(service, record, now)
+        return await self._restore_records(token)
+
+    async def _restore_records(self, token: int) -> bool:
+        """Write again what the store has lost by its return from a copy."""
+        for service, state in self._states.items():
+            targets = state.orders.targets
+            stored = self._records.known.get(service)
+            if not targets or (stored and stored.targets == targets):
+                continue
+            record = OrderRecord(dict(targets), token, state.demand)
+            if not await self._records.write(service, record):
+                return False
+            metrics.RESTORED_RECORDS.add(SCALING_TOPIC)
+            journal.write_decision('scaling_restored', service=service)
         return True
 
     def _adopt(self, service: str, record: OrderRecord, now: float) -> None:
--- a/packages/verbenahall/src/verbenahall/usage/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/usage/_decisions.py
@@ -67,6 +67,11 @@
     return now >= windows.find_end(window) + windows.late_s * share
 
 
+def find_last_due(windows: Windows, now: float) -> int:
+    """Return the last window that any holder may have decided by a time."""
+    return windows.find(now - windows.late_s * _SETTLED_SHARE) - 1
+
+
 def find_settled(windows: Windows, window: int) -> float:
     """Return the time from which an answer is complete for a window.
 
--- a/packages/verbenahall/src/verbenahall/usage/_reports.py
+++ b/packages/verbenahall/src/verbenahall/usage/_reports.py
@@ -23,17 +23,20 @@
     StoreClient,
     encode_keyed,
 )
-from verbenahall.usage._decisions import Windows
+from verbenahall.usage._decisions import Windows, find_last_due
 from verbenahall.usage._ledger import (
     ReportLedger,
     decide,
     decode_ledger,
     encode_ledger,
+    recover_ledger,
 )
 from verbenahall.usage._meter import Counts
 
 #: Key of the ledger in its topic.
 _KEY: Final = 'ledger'
+#: The era of a store that has never returned from a copy.
+_FIRST_ERA: Final = 1
 
 
 @final
@@ -41,12 +44,14 @@
     """The ledger in the store, and the windows whose reports were sent.
 
     ``ledger`` is None until it has been read, and again after an append that
-    did not succeed or whose outcome is unknown.
+    did not succeed or whose outcome is unknown. What this instance has decided
+    in its present term is kept beyond that: the store may lose it.
     """
 
     __slots__ = (
         'ledger',
         '_calls',
+        '_decided',
         '_end',
         '_overdue',
         '_sent',
@@ -63,12 +68,18 @@
         """Start without a ledger."""
         self.ledger: ReportLedger | None = None
         self._calls = calls
+        self._decided: ReportLedger | None = None
         self._end = 0
         self._overdue = 0
         self._sent: set[int] = set()
         self._store = store
         self._windows = windows
 
+    @property
+    def is_loaded(self) -> bool:
+        """Whether the ledger was read or written in the store's present era."""
+        return self.ledger is not None and self._store.is_current(self._end)
+
     async def load(self, now: float) -> bool:
         """Read the ledger; return whether the store was available.
 
@@ -82,19 +93,23 @@
                 return False
         match decode_ledger(content):
             case Some(ledger):
-                self.ledger = ledger
+                self.ledger = self._recover(ledger, now)
             case _ if content:
                 # It is unknown which windows were reported, so no past window
                 # is reported again.
                 journal.write_decision('reports_unreadable')
                 self.ledger = ReportLedger(self._windows.find(now) - 1)
             case _:
-                self.ledger = ReportLedger(self._windows.find_overdue(now))
+                overdue = self._windows.find_overdue(now)
+                first = ReportLedger(overdue, era=_FIRST_ERA)
+                self.ledger = self._recover(first, now)
+        self._decided = self.ledger
         return True
 
     def discard(self) -> None:
         """Discard the state that another holder of the duty may change."""
         self.ledger = None
+        self._decided = None
         self._sent.clear()
 
     async def decide(self, window: int, counts: Counts, now: float) -> bool:
@@ -123,6 +138,7 @@
             return False
         self._end = outcome.position + 1
         self.ledger = updated
+        self._decided = updated
         return True
 
     def list_unsent(self, now: float) -> Iterable[int]:
@@ -160,3 +176,18 @@
         if outcome in {DutyOutcome.DONE, DutyOutcome.REJECTED}:
             self._sent.add(window)
         return outcome
+
+    def _recover(self, stored: ReportLedger, now: float) -> ReportLedger:
+        """Return the ledger to go on with, and log what may be lost."""
+        era = self._store.era.current
+        last_due = find_last_due(self._windows, now)
+        found = recover_ledger(stored, self._decided, era, last_due)
+        if found.last > stored.last:
+            journal.write_decision(
+                'reports_returned',
+                era=era,
+                stored=stored.last,
+                last=found.last,
+                is_known=self._decided is not None,
+            )
+        return found
--- a/packages/verbenahall/src/verbenahall/usage/_shell.py
+++ b/packages/verbenahall/src/verbenahall/usage/_shell.py
@@ -7,7 +7,7 @@
 from verbenahall import journal
 from verbenahall.clock import Clock
 from verbenahall.duties import DutyLease, Succession
-from verbenahall.platform import DutyOutcome, LeaseToken
+from verbenahall.platform import DutyOutcome, LeaseToken, StoreEra
 from verbenahall.usage._clock import SyncedClock
 from verbenahall.usage._decisions import (
     Windows,
@@ -44,6 +44,7 @@
     windows: Windows
     clock: SyncedClock
     now: Clock
+    store_era: StoreEra
 
 
 @final
@@ -55,6 +56,7 @@
         '_failed_at',
         '_holds_duty',
         '_polled_at',
+        '_written_in',
         '_written_window',
     )
 
@@ -65,6 +67,7 @@
         self._polled_at = -float('inf')
         #: When the last call failed.
         self._failed_at = -float('inf')
+        self._written_in = 0
         self._written_window = 0
 
     async def run(self) -> None:
@@ -103,7 +106,7 @@
         """Decide and send what is due; return whether all calls succeeded."""
         reports = self._dependencies.reports
         await self._dependencies.lease.restore()
-        if reports.ledger is None and not await reports.load(at):
+        if not reports.is_loaded and not await reports.load(at):
             return False
         due = self._list_due(at)
         if not due and not reports.list_unsent(at):
@@ -183,6 +186,11 @@
         window = find_unpolled(
             self._dependencies.windows, exchange.polled_at, at
         )
+        era = self._dependencies.store_era.latest
+        if era != self._written_in:
+            # The store may have returned without what was written.
+            self._written_in = era
+            self._written_window = 0
         if window is None or window <= self._written_window:
             return
         now = self._dependencies.now()
--- /dev/null
+++ b/packages/verbenahall/tests/store_returns/test_records.py
@@ -0,0 +1,227 @@
+"""What instances write once and act on, when the store loses it."""
+
+import asyncio
+import types
+
+import pytest
+
+from verbenahall.capacity import CapacityKind, Demand, Pool
+from verbenahall.gateway._peers import PeerFinder
+from verbenahall.gateway._stored_crashes import StoredCrashes
+from verbenahall.gateway._stored_versions import StoredVersions
+from verbenahall.peers import PeerTable
+from verbenahall.placement import PlacementState
+from verbenahall.platform import StoreClient, StoreEra
+from verbenahall.quarantine import Crash, CrashReport
+from verbenahall.scaling._records import OrderRecord, OrderRecords
+from verbenahall.usage import UsageReports, Windows
+from verbenahall.usage._ledger import ReportLedger, recover_ledger
+
+from .simulated_store import Clock, SimulatedStore
+
+WINDOWS = Windows(length_s=5, late_s=10)
+#: Window 100 has ended, and is due.
+NOW = 101 * 5 + 2.5
+COUNTS = {'club': 4}
+
+
+class Store:
+    """A simulated store, with clients of several instances."""
+
+    def __init__(self):
+        self.store = SimulatedStore()
+        self.clock = Clock()
+
+    def connect(self):
+        """Return the client of an instance."""
+        return StoreClient(
+            self.store.make_session(), 'store:1', StoreEra(self.clock)
+        )
+
+    def make_reports(self, client=None):
+        return UsageReports(client or self.connect(), None, WINDOWS)
+
+    def make_core(self, client):
+        return types.SimpleNamespace(
+            store=client,
+            now=self.clock,
+            settings=types.SimpleNamespace(
+                name='front-1',
+                peer_address='10.0.0.1:7380',
+                data_centre='lampeter',
+                cores=1,
+            ),
+            peer_table=PeerTable('front-1'),
+            placement=PlacementState(),
+            roster=types.SimpleNamespace(is_loaded=True),
+        )
+
+
+def run(check):
+    asyncio.run(check(Store()))
+
+
+async def show_return(client):
+    """Let an instance see the return by its next call."""
+    await client.read_newest('keyed.leases')
+
+
+def test_holder_does_not_decide_a_lost_window_again():
+    # A window was reported, its decision was lost, and it would have been
+    # reported again with the counts of that time.
+    async def check(store):
+        client = store.connect()
+        reports = store.make_reports(client)
+        await reports.load(NOW)
+        empty = store.store.take_copy()
+        assert await reports.decide(100, COUNTS, NOW)
+        store.store.return_from(empty)
+        await show_return(client)
+        assert not reports.is_loaded
+        assert await reports.load(NOW)
+        assert reports.ledger.last == 100
+        assert list(reports.list_unsent(NOW)) == [100]
+        # The next decision writes what is known again.
+        assert await reports.decide(101, COUNTS, NOW + 5)
+        later = store.make_reports()
+        await later.load(NOW + 5)
+        assert later.ledger.last == 101
+
+    run(check)
+
+
+def test_successor_does_not_decide_windows_that_may_have_been_reported():
+    # The holder ended with the return; only the platform knows its report.
+    async def check(store):
+        reports = store.make_reports()
+        await reports.load(NOW)
+        assert await reports.decide(99, COUNTS, NOW)
+        copy = store.store.take_copy()
+        assert await reports.decide(100, COUNTS, NOW)
+        store.store.return_from(copy)
+        successor = store.make_reports()
+        assert await successor.load(NOW)
+        assert successor.ledger.last == 100
+        with pytest.raises(ValueError, match='decided before'):
+            await successor.decide(100, {'club': 5}, NOW)
+        assert await successor.decide(101, COUNTS, NOW + 5)
+
+    run(check)
+
+
+def test_ledger_of_the_same_era_is_used_as_it_is():
+    stored = ReportLedger(7, {7: COUNTS}, 2)
+    assert recover_ledger(stored, ReportLedger(9), 2, 99) == stored
+    # Instances of earlier versions state no era.
+    assert recover_ledger(ReportLedger(7), None, 2, 99) == ReportLedger(
+        7, {}, 2
+    )
+
+
+def test_decision_at_the_end_of_another_era_is_not_sent():
+    # The store accepted a decision after its return, at an offset that had
+    # been read before it.
+    async def check(store):
+        reports = store.make_reports()
+        await reports.load(NOW)
+        copy = store.store.take_copy()
+        await reports.decide(99, COUNTS, NOW)
+        stale = store.make_reports()
+        await stale.load(NOW)
+        store.store.return_from(copy)
+        stale._end -= 1
+        assert not await stale.decide(100, COUNTS, NOW)
+        assert not list(stale.list_unsent(NOW))
+
+    run(check)
+
+
+def test_orders_are_read_again_and_not_written_at_an_old_end():
+    async def check(store):
+        client = store.connect()
+        records = OrderRecords(client)
+        await records.read()
+        empty = store.store.take_copy()
+        record = OrderRecord(
+            {Pool('lampeter', CapacityKind.SPOT): 3}, 7, Demand()
+        )
+        assert await records.write('drafter', record)
+        store.store.return_from(empty)
+        await show_return(client)
+        assert not records.is_read
+        assert not await records.write('drafter', record)
+        assert not store.store.newest('keyed.scaling')
+
+    run(check)
+
+
+def test_crashes_are_written_again_after_a_return():
+    # A request that had crashed endpoints in one part of the fleet was no more
+    # known in the others.
+    async def check(store):
+        client = store.connect()
+        stored = StoredCrashes(store.make_core(client))
+        crash = Crash('e-1/1000', 0, ('f-1',))
+        await stored.write(CrashReport((crash,)))
+        calls = store.store.calls
+        await stored.write(CrashReport((crash,)))
+        assert store.store.calls == calls
+        store.store.return_from({})
+        client.era.record_reported(2)
+        await stored.write(CrashReport((crash,)))
+        assert len(await stored.read()) == 1
+
+    run(check)
+
+
+class History:
+    """The versions of one service."""
+
+    def list_several(self, _since):
+        return {'drafter': ['v1', 'v2']}
+
+    def record(self, *_):
+        """Ignore it."""
+
+    def assume_past(self):
+        """Ignore it."""
+
+
+def test_versions_are_written_again_after_a_return():
+    # Instances that started later did not know that a stream may have begun at
+    # another version.
+    async def check(store):
+        client = store.connect()
+        stored = StoredVersions(store.make_core(client))
+        for _ in range(3):
+            store.clock.seconds += 2
+            await stored.exchange(History(), 0, store.clock())
+        topics = store.store.topics
+        name = next(one for one in topics if 'version' in one)
+        assert len(topics[name]) == 1
+        store.store.return_from({})
+        client.era.record_reported(2)
+        for _ in range(3):
+            store.clock.seconds += 2
+            await stored.exchange(History(), 0, store.clock())
+        assert len(store.store.topics[name]) == 1
+
+    run(check)
+
+
+@pytest.mark.parametrize('age_s, is_lost', [(5, True), (300, False)])
+def test_address_is_written_again_after_a_return(age_s, is_lost):
+    # An instance that started later would neither find this one nor be found.
+    async def check(store):
+        client = store.connect()
+        finder = PeerFinder(store.make_core(client))
+        assert await finder._register()
+        assert not finder._may_be_lost()
+        store.clock.seconds += age_s
+        store.store.return_from({})
+        client.era.record_reported(2)
+        assert finder._may_be_lost() is is_lost
+        assert await finder._register()
+        assert not finder._may_be_lost()
+
+    run(check)
