Bound the bytes that an instance holds of all answers and bodies

A caller whose endpoint sent no HTTP got 0.1 MB of its bytes, and the address and internal headers of the request, in the error.

Cause: whole answers were read without a bound until the caller's deadline, and so were answers to other requests, streams' events without an end, answers of the store, of peers and of control calls. Heads of interim answers are not subject to flow control. An error's text was that of the library.

Ruled out: requests' heads and trailers, which the library bounds.

Change: bodies are counted while they are held. An answer beyond it is given up as broken, which says that it may have run, and counts against its endpoint, but not as a crash. A request whose body does not fit is refused before it is read, with Retry-After. 32 heads answer one request at most, an event has 64 KiB; other answers have limits of their own. A response drops its body once it was written. Callers get a fixed text, the log a bounded one.

--- a/packages/verbenahall/src/verbenahall/gateway/_answers.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_answers.py
@@ -2,11 +2,12 @@
 
 import dataclasses
 from http import HTTPStatus
-from typing import Final
+from typing import Final, final
 
 from aiohttp import web
 
 from verbenahall import metrics
+from verbenahall.buffers import HeldBytes
 from verbenahall.errors import ErrorKind, Problem, Ran
 from verbenahall.front import build_error_response
 from verbenahall.gateway._messages import Answered
@@ -16,6 +17,25 @@
 _RETRY_AFTER_DECIMALS: Final = 2
 
 
+@final
+class _AnswerResponse(web.Response):
+    """A response that drops its body once it was written.
+
+    The server keeps the last response of a connection until the next request.
+    """
+
+    held: HeldBytes | None = None
+
+    async def write_eof(self, data: bytes = b'') -> None:
+        """Write the body, and release its bytes."""
+        try:
+            await super().write_eof(data)
+        finally:
+            self.body = None
+            if self.held is not None:
+                self.held.release()
+
+
 def build_problem_response(problem: Problem, request: str) -> web.Response:
     """Build the response for a problem.
 
@@ -41,12 +61,14 @@
 
 def build_answer_response(answered: Answered) -> web.Response:
     """Build the response for an endpoint's answer, unchanged."""
-    return web.Response(
+    response = _AnswerResponse(
         status=answered.status,
         reason=answered.reason or None,
         headers=answered.headers,
         body=answered.body,
     )
+    response.held = answered.held
+    return response
 
 
 def _choose_public_kind(problem: Problem) -> Problem:
--- a/packages/verbenahall/src/verbenahall/gateway/_call_reader.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_call_reader.py
@@ -73,7 +73,9 @@
         admission: Admission,
     ) -> Result[Call, Problem]:
         catalog, route = admission.catalog, admission.route
-        read = await read_limited_body(request, catalog.limits)
+        read = await read_limited_body(
+            request, catalog.limits, self._core.byte_budget
+        )
         if isinstance(read, Failure):
             return read
         body = read.unwrap()
--- a/packages/verbenahall/src/verbenahall/gateway/_core.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_core.py
@@ -6,6 +6,7 @@
 from typing import Any, Final, final
 
 from verbenahall import clock
+from verbenahall.buffers import ByteBudget, make_byte_limit
 from verbenahall.capacity import DemandMeter
 from verbenahall.catalog import CatalogState
 from verbenahall.endpoint_health import Endpoints
@@ -103,6 +104,7 @@
         )
         self.session = make_session()
         self.now = clock.monotonic
+        self.byte_budget = ByteBudget(make_byte_limit(settings.memory_bytes))
         self.endpoints = Endpoints(self.roster, self.random, self.now)
         self.endpoint_health = self.endpoints.health
         self.engines = EngineCalls(self.session, self.endpoints.notices)
--- a/packages/verbenahall/src/verbenahall/gateway/_engine_calls.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_engine_calls.py
@@ -21,14 +21,18 @@
     RoleOrder,
     decode_report,
     encode_order,
+    format_error,
     format_handle_path,
     read_answer_head,
+    read_body,
 )
 from verbenahall.roster import Entry
 
 #: Timeout of one call, in seconds. Engines answer these calls within
 #: milliseconds, and one that does not is polled again later.
 _CALL_S: Final = 1.0
+#: Longest answer of a call, in bytes: a report lists the runs of an engine.
+_MAX_BYTES: Final = 262_144
 _NO_HEADERS: Final[Mapping[str, str]] = MappingProxyType({})
 #: Longest backoff of an engine after which a handle is still freed, in seconds.
 #: A handle that nobody fetches expires by itself about then.
@@ -65,7 +69,7 @@
         answer = self._call('GET', engine, REPORT)
         try:
             async with answer as response:
-                report = decode_report(await response.read())
+                report = decode_report(await read_body(response, _MAX_BYTES))
         except _FAILURES as error:
             _log_failure('report_failed', engine, error)
             return Nothing
@@ -86,7 +90,7 @@
         answer = self._call('POST', engine, ORDER, body, headers)
         try:
             async with answer as response:
-                await response.read()
+                await read_body(response, _MAX_BYTES)
                 return response.status
         except _FAILURES as error:
             _log_failure('order_unanswered', engine, error)
@@ -100,7 +104,7 @@
         answer = self._call('DELETE', engine, format_handle_path(handle))
         try:
             async with answer as response:
-                await response.read()
+                await read_body(response, _MAX_BYTES)
         except _FAILURES as error:
             _log_failure('handle_not_freed', engine, error)
 
@@ -132,4 +136,6 @@
 
 
 def _log_failure(event: str, engine: Entry, error: BaseException) -> None:
-    journal.write_decision(event, endpoint=engine.name, reason=repr(error))
+    journal.write_decision(
+        event, endpoint=engine.name, reason=format_error(error)
+    )
--- a/packages/verbenahall/src/verbenahall/gateway/_events.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_events.py
@@ -4,10 +4,12 @@
 import re
 from typing import Final, final
 
-from verbenahall.platform import read_event_number
+from verbenahall.platform import BodyTooLargeError, read_event_number
 
 #: A blank line ends an event; lines end with LF or CRLF.
 _EVENT_END: Final = re.compile(rb'\r?\n\r?\n')
+#: Longest event, in bytes; a piece of the stream may have more.
+_MAX_EVENT_BYTES: Final = 65_536
 _EVENT_ID: Final = re.compile(rb'^id:[ ]?([^\r\n]*)', re.MULTILINE)
 
 
@@ -63,7 +65,10 @@
         self._state = state
 
     def feed(self, piece: bytes) -> NewEvents:
-        """Return the events that ``piece`` completes and that are new."""
+        """Return the events that ``piece`` completes and that are new.
+
+        Raises ``BodyTooLargeError`` if an event does not end.
+        """
         buffer = self.partial + piece
         data: list[bytes] = []
         start = 0
@@ -73,6 +78,8 @@
             if _is_new(self._state, event):
                 data.append(event)
         self.partial = buffer[start:]
+        if len(self.partial) > _MAX_EVENT_BYTES:
+            raise BodyTooLargeError(f'an event of {len(self.partial)} bytes')
         return NewEvents(b''.join(data), len(data))
 
 
--- a/packages/verbenahall/src/verbenahall/gateway/_hop_client.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_hop_client.py
@@ -12,6 +12,7 @@
 from aiohttp.web import StreamResponse
 from returns.result import Failure, Result, Success
 
+from verbenahall import journal
 from verbenahall.forwarding import (
     HOP_HEADER,
     REFUSED_HEADER,
@@ -30,7 +31,10 @@
     CALL_FAILURES,
     CONNECT_FAILURES,
     build_forward_headers,
+    describe_error,
+    format_error,
     read_answer_head,
+    read_held_body,
     strip_hop_headers,
 )
 from verbenahall.requests import (
@@ -143,7 +147,7 @@
             detail = f'status {response.status}'
             return Failure(Broken(detail, answered=True))
         else:
-            reading = _read_whole(response)
+            reading = self._read_whole(response)
         left_s = call.left_s(self._core.now())
         try:
             async with asyncio.timeout(left_s):
@@ -154,6 +158,20 @@
         except CALL_FAILURES as error:
             return Failure(self._classify(call, error))
 
+    async def _read_whole(self, response: aiohttp.ClientResponse) -> Forwarded:
+        body, held = await read_held_body(response, self._core.byte_budget)
+        return Success(
+            build_answer_response(
+                Answered(
+                    response.status,
+                    response.reason or '',
+                    strip_hop_headers(response.raw_headers),
+                    body,
+                    held,
+                ),
+            ),
+        )
+
     def _make_hop(self, attempts: Attempts, relay: EventRelay | None) -> Hop:
         call = attempts.call
         return Hop(
@@ -169,12 +187,17 @@
         )
 
     def _classify(self, call: Call, error: BaseException) -> Outcome:
+        journal.write_decision(
+            'hop_error',
+            request=call.head.identity,
+            error=format_error(error),
+        )
         if isinstance(error, CONNECT_FAILURES):
-            return NeverWritten(repr(error))
+            return NeverWritten(describe_error(error))
         is_timeout = isinstance(error, TimeoutError)
         if is_timeout and call.is_over(self._core.now()):
             return TimedOut()
-        return Broken(repr(error))
+        return Broken(describe_error(error))
 
 
 def _check_refusal(
@@ -231,16 +254,3 @@
 
 def _ignore_bytes() -> None:
     """Do nothing: the peer itself watches its endpoint."""
-
-
-async def _read_whole(response: aiohttp.ClientResponse) -> Forwarded:
-    return Success(
-        build_answer_response(
-            Answered(
-                response.status,
-                response.reason or '',
-                strip_hop_headers(response.raw_headers),
-                await response.read(),
-            ),
-        ),
-    )
--- a/packages/verbenahall/src/verbenahall/gateway/_ingress.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_ingress.py
@@ -20,6 +20,7 @@
 from verbenahall.gateway._call_reader import CallReader
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._dispatch import Dispatch
+from verbenahall.gateway._limits import release_body
 from verbenahall.gateway._messages import Call
 from verbenahall.gateway._plain_flow import PlainFlow
 from verbenahall.gateway._sender import Sender
@@ -56,6 +57,14 @@
         self, request: web.Request, hop: Hop | None = None
     ) -> web.StreamResponse:
         """Handle one request; ``hop`` describes it if a peer forwarded it."""
+        try:
+            return await self._handle(request, hop)
+        finally:
+            release_body(request)
+
+    async def _handle(
+        self, request: web.Request, hop: Hop | None
+    ) -> web.StreamResponse:
         received = self._core.now()
         head = read_request_head(request.headers)
         match await self._accept(request, head, received, hop):
--- a/packages/verbenahall/src/verbenahall/gateway/_messages.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_messages.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 from typing import Any, Final, final
 
+from verbenahall.buffers import HeldBytes
 from verbenahall.authentication import Workspace
 from verbenahall.catalog import Route, Service
 from verbenahall.forwarding import Hop
@@ -107,12 +108,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answered:
-    """A complete answer of an endpoint, to be returned unchanged."""
+    """A complete answer of an endpoint, to be returned unchanged.
+
+    ``held`` counts the bytes of its body while they are referenced.
+    """
 
     status: int
     reason: str
     headers: Mapping[str, Any]
     body: bytes
+    held: HeldBytes | None = None
 
 
 @final
--- a/packages/verbenahall/src/verbenahall/gateway/_sender.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_sender.py
@@ -22,9 +22,14 @@
     CALL_FAILURES,
     CONNECT_FAILURES,
     ENDPOINTS_TOPIC,
+    BodyTooLargeError,
     SendOptions,
     build_send_headers,
+    describe_error,
+    format_error,
     read_answer_head,
+    read_body,
+    read_held_body,
     strip_answer_headers,
 )
 from verbenahall.reach import (
@@ -47,6 +52,8 @@
 SUCCESS_STATUSES: Final = range(HTTPStatus.OK, HTTPStatus.MULTIPLE_CHOICES)
 #: Longest time to read the body of a refusal, in seconds.
 _REFUSAL_BODY_S: Final = 0.2
+#: Longest body of a refusal that is read, in bytes.
+_REFUSAL_BYTES: Final = 16_384
 #: Errors of the kernel for a host that doesn't acknowledge packets.
 _NO_ACK_ERRNOS: Final = frozenset((errno.ETIMEDOUT, errno.EHOSTUNREACH))
 #: A response whose body is not read yet, or the outcome of a failed send.
@@ -156,8 +163,14 @@
         until: float,
     ) -> Result[Answered, Outcome]:
         """Read the rest of an answer whose head has arrived."""
+        if response.status < HTTPStatus.OK:
+            # No request asks to switch the protocol; what follows is no answer.
+            self.record_outcome(endpoint, good=False)
+            return Failure(Broken('the answer is not final'))
         try:
-            body = await self._wait_until(until, response.read())
+            body, held = await self._wait_until(
+                until, read_held_body(response, self._core.byte_budget)
+            )
         except CALL_FAILURES as error:
             return Failure(
                 self.classify_failure(
@@ -188,6 +201,7 @@
                 response.reason or '',
                 strip_answer_headers(response.status, response.raw_headers),
                 body,
+                held,
             ),
         )
 
@@ -205,25 +219,28 @@
         prefill the prompt.
         """
         now = self._core.now()
+        detail = describe_error(error)
+        _log_error(call, endpoint, error)
         is_connect_failure = isinstance(error, CONNECT_FAILURES)
         if is_connect_failure or not isinstance(error, TimeoutError):
             record_trouble(self._core.reach.get(endpoint.service))
         if is_connect_failure:
             self._core.endpoints.record_unreachable(endpoint, error)
-            return NeverWritten(repr(error))
+            return NeverWritten(detail)
         if isinstance(error, OSError) and error.errno in _NO_ACK_ERRNOS:
             self._core.endpoints.record_unreachable(endpoint, error)
-            return Broken(repr(error), silent=True)
+            return Broken(detail, silent=True)
         self.record_outcome(endpoint, good=False)
         if isinstance(error, TimeoutError) and call.is_over(now):
             return TimedOut()
         is_silent = isinstance(error, TimeoutError)
-        if not is_silent:
+        # An endpoint that sends too much has not crashed.
+        if not (is_silent or isinstance(error, BodyTooLargeError)):
             self._log_lost_connection(call, endpoint)
             self._core.observer.record_lost_connection(
                 call.fingerprint, endpoint, call.part_keys if writes else ()
             )
-        return Broken(repr(error), silent=is_silent)
+        return Broken(detail, silent=is_silent)
 
     def _begin_send(
         self, call: Call, endpoint: Entry, options: SendOptions
@@ -320,10 +337,21 @@
         # Once the refusal is read to its end, the connection can be reused,
         # which saves the next send a handshake.
         with contextlib.suppress(*CALL_FAILURES):
-            await asyncio.wait_for(response.read(), _REFUSAL_BODY_S)
+            await asyncio.wait_for(
+                read_body(response, _REFUSAL_BYTES), _REFUSAL_BODY_S
+            )
         return Failure(Refused(response.status))
 
 
+def _log_error(call: Call, endpoint: Entry, error: BaseException) -> None:
+    journal.write_decision(
+        'send_error',
+        request=call.head.identity,
+        endpoint=endpoint.name,
+        error=format_error(error),
+    )
+
+
 @contextlib.contextmanager
 def _record_unanswered(
     core: Core, call: Call, endpoint: Entry
--- a/packages/verbenahall/src/verbenahall/platform/__init__.py
+++ b/packages/verbenahall/src/verbenahall/platform/__init__.py
@@ -3,6 +3,13 @@
 No other package depends on the platform's headers, paths or JSON keys.
 """
 
+from verbenahall.platform._bodies import (
+    BodyTooLargeError,
+    describe_error,
+    format_error,
+    read_body,
+    read_held_body,
+)
 from verbenahall.platform._calls import (
     EngineReport,
     PrefillResult,
@@ -117,6 +124,7 @@
     'Appended',
     'AppendOutcome',
     'Batch',
+    'BodyTooLargeError',
     'Bounds',
     'Deleted',
     'DutyClient',
@@ -146,9 +154,11 @@
     'decode_manifest',
     'decode_prefill_result',
     'decode_report',
+    'describe_error',
     'encode_keyed',
     'encode_order',
     'find_settings_path',
+    'format_error',
     'format_handle_path',
     'format_kv_source',
     'get_era',
@@ -156,7 +166,9 @@
     'make_position',
     'make_session',
     'read_answer_head',
+    'read_body',
     'read_event_number',
+    'read_held_body',
     'read_request_head',
     'read_settings',
     'strip_answer_headers',
--- a/packages/verbenahall/src/verbenahall/platform/_connections.py
+++ b/packages/verbenahall/src/verbenahall/platform/_connections.py
@@ -19,6 +19,7 @@
 
 from verbenahall import metrics
 from verbenahall.platform import _names as names
+from verbenahall.platform._bodies import BodyTooLargeError
 
 #: TCP keepalive in seconds: the probes detect a dead connection after two to
 #: three seconds, within the time for which callers wait for an event.
@@ -48,6 +49,10 @@
     aiohttp.ConnectionTimeoutError,
 )
 _HEAD_END: Final = b'\r\n\r\n'
+#: Answers to one request that are accepted, interim ones and those of other
+#: requests included, and bytes of one that belongs to another request.
+_MAX_MESSAGES: Final = 32
+_MAX_DISCARDED_BYTES: Final = 4_194_304
 #: Control characters that aiohttp reads in a head, but doesn't write.
 _CONTROLS: Final = re.compile(r'[\x00-\x08\x0a-\x1f\x7f]')
 _RAW_CONTROLS: Final = re.compile(_CONTROLS.pattern.encode())
@@ -62,6 +67,7 @@
         """Create a connection that has sent no request yet."""
         super().__init__(loop=loop)
         self.expected_id = ''
+        self._message_count = 0
         self._idle_since = float('inf')
         self._idle_limit_s = _DEFAULT_IDLE_LIMIT_S
 
@@ -74,6 +80,7 @@
         """Accept only answers to this request id from now on."""
         self.expected_id = request_id
         self._idle_since = float('inf')
+        self._message_count = 0
 
     async def read(self) -> Any:
         """Return the next answer that belongs to the expected request.
@@ -87,7 +94,7 @@
             if answered_id in {None, self.expected_id}:
                 break
             metrics.DROPPED_ANSWERS.add('other_request')
-            await payload.read()
+            await _discard(payload)
         self._update_idle_limit(message.headers.get('Keep-Alive', ''))
         payload.on_eof(self._mark_idle)
         return _replace_controls(message), payload
@@ -100,12 +107,27 @@
         would get an error although the request has run. The headers are
         therefore passed on separately.
         """
-        head, end, rest = data.partition(_HEAD_END)
-        if rest and (self._payload is None or self._payload.is_eof()):
+        rest = data
+        while rest and not self._has_open_body():
+            if self.transport is None or self.transport.is_closing():
+                return
+            head, end, rest = rest.partition(_HEAD_END)
             super().data_received(head + end)
+        if rest:
             super().data_received(rest)
-        else:
-            super().data_received(data)
+
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        """Queue the head of an answer; close on a sender that does not stop.
+
+        Heads are not subject to flow control, unlike bodies.
+        """
+        self._message_count += 1
+        if self._message_count <= _MAX_MESSAGES:
+            super().feed_data(data, size)
+            return
+        self.set_exception(BodyTooLargeError('too many answers'))
+        if self.transport is not None:
+            self.transport.abort()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail an answer whose connection was reset before its end.
@@ -118,6 +140,10 @@
             payload.set_exception(aiohttp.ClientPayloadError('reset'))
         super().connection_lost(exc)
 
+    def _has_open_body(self) -> bool:
+        """Whether the next bytes belong to the body of an answer."""
+        return self._payload is not None and not self._payload.is_eof()
+
     def _update_idle_limit(self, text: str) -> None:
         found = _KEEP_ALIVE.search(text)
         if found:
@@ -128,6 +154,15 @@
         self._idle_since = self._loop.time()
 
 
+async def _discard(payload: aiohttp.StreamReader) -> None:
+    """Read the body of another request's answer without keeping it."""
+    size = 0
+    while piece := await payload.readany():
+        size += len(piece)
+        if size > _MAX_DISCARDED_BYTES:
+            raise BodyTooLargeError('the answer to another request')
+
+
 def _replace_controls(message: RawResponseMessage) -> RawResponseMessage:
     """Return an answer's head with spaces in place of control characters.
 
--- a/packages/verbenahall/src/verbenahall/platform/_duties.py
+++ b/packages/verbenahall/src/verbenahall/platform/_duties.py
@@ -12,10 +12,13 @@
 
 from verbenahall import journal, metrics, wire
 from verbenahall.platform import _names as names
+from verbenahall.platform._bodies import format_error, read_body
 from verbenahall.platform._connections import CALL_FAILURES
 
 #: Timeout of a call, in seconds.
 _ANSWER_TIMEOUT_S: Final = 1.0
+#: Longest answer, in bytes.
+_MAX_BYTES: Final = 16_384
 #: Characters of an answer that are logged.
 _MAX_LOGGED_CHARS: Final = 120
 
@@ -119,13 +122,14 @@
                     data=wire.encode(body),
                     headers=headers,
                 ) as response:
-                    answer = (await response.read()).decode(errors='replace')
+                    read = await read_body(response, _MAX_BYTES)
+                    answer = read.decode(errors='replace')
                     outcome = _OUTCOMES.get(
                         response.status,
                         DutyOutcome.REJECTED,
                     )
         except CALL_FAILURES as error:
-            answer = repr(error)
+            answer = format_error(error)
             outcome = DutyOutcome.UNKNOWN
         metrics.DUTY_CALLS.add(path, outcome.value)
         journal.write_decision(
--- a/packages/verbenahall/src/verbenahall/platform/_settings.py
+++ b/packages/verbenahall/src/verbenahall/platform/_settings.py
@@ -18,6 +18,9 @@
 #: The port for metrics if the settings state none; the deploy file uses the
 #: same default.
 _METRICS_PORT: Final = 9464
+#: The memory of a process if the settings state none, in MB.
+_MEMORY_MB: Final = 256
+_BYTES_IN_MB: Final = 1_000_000
 _DEFAULT_PATH: Final = '/etc/verbenahall/settings.toml'
 _LAST_PORT: Final = 65_535
 _TEXT: Final = Field(str, pattern='.+')
@@ -44,6 +47,9 @@
             {
                 'cpuShare': dataclasses.replace(_NON_NEGATIVE, default=1),
                 'cores': dataclasses.replace(_NON_NEGATIVE, default=1),
+                'memoryMb': dataclasses.replace(
+                    _NON_NEGATIVE, default=_MEMORY_MB
+                ),
             },
             open=True,
         ),
@@ -101,7 +107,8 @@
     """The settings of a process; addresses are ``IP:port``.
 
     ``callers`` and ``readiness`` are the addresses to listen on. ``cores`` is
-    the share of a usual core that the process may use. ``duties`` names the
+    the share of a usual core that the process may use, and ``memory_bytes`` the
+    memory beyond which it is killed. ``duties`` names the
     calls to the address ``duty_api`` that one instance at a time makes.
     """
 
@@ -117,6 +124,7 @@
     bounds: Bounds
     duty_api: str = ''
     duties: frozenset[str] = frozenset()
+    memory_bytes: int = _MEMORY_MB * _BYTES_IN_MB
 
     @property
     def peer_address(self) -> str:
@@ -150,6 +158,7 @@
         bounds=_build_bounds(table['bounds']),
         duty_api=table['cloudApi']['address'],
         duties=frozenset(table['cloudApi']['duties']),
+        memory_bytes=int(limits['memoryMb'] * _BYTES_IN_MB),
     )
 
 
--- a/packages/verbenahall/src/verbenahall/platform/_store.py
+++ b/packages/verbenahall/src/verbenahall/platform/_store.py
@@ -22,6 +22,7 @@
 from verbenahall import journal, metrics, wire
 from verbenahall.platform import _fields as fields
 from verbenahall.platform import _names as names
+from verbenahall.platform._bodies import format_error, read_body
 from verbenahall.platform._connections import CALL_FAILURES
 from verbenahall.platform._eras import StoreEra
 from verbenahall.platform._positions import get_era, get_offset, make_position
@@ -45,6 +46,8 @@
 _MS_IN_SECOND: Final = 1000
 #: Maximum kilobytes of one read; a large manifest fits.
 _MAX_READ_KB: Final = 1024
+#: Longest answer, in bytes: a page has at most 1 MB, encoded in base64.
+_MAX_BYTES: Final = 4_194_304
 #: How often a whole read begins anew because the store has returned meanwhile.
 _MAX_WHOLE_READS: Final = 3
 
@@ -293,10 +296,10 @@
                 ) as response:
                     status = response.status
                     stated = response.headers.get(names.STORE_ERA)
-                    answered = await response.read()
+                    answered = await read_body(response, _MAX_BYTES)
         except CALL_FAILURES as error:
             _log_call(path, params['topic'], 'no_answer', 0)
-            return Failure(StoreUnavailable(repr(error)))
+            return Failure(StoreUnavailable(format_error(error)))
         _log_call(path, params['topic'], str(status), len(answered))
         era = self.era.read(stated, sent_in)
         return Success(_Answer(status, answered, era))
--- a/packages/verbenahall/src/verbenahall/store_relay/_server.py
+++ b/packages/verbenahall/src/verbenahall/store_relay/_server.py
@@ -103,6 +103,9 @@
         if not self._is_peer(request.remote):
             return self._refuse(HTTPStatus.FORBIDDEN)
         topic = request.query.get('topic', '')
+        length = request.content_length
+        if length is None or length > _MAX_RECORD_BYTES:
+            return self._refuse(HTTPStatus.BAD_REQUEST)
         record = await request.read()
         if topic not in _WRITABLE or not self._is_own(record, request.remote):
             return self._refuse(HTTPStatus.BAD_REQUEST)
