--- a/packages/standins/src/verbenahall_standins/platform/_store.py
+++ b/packages/standins/src/verbenahall_standins/platform/_store.py
@@ -6,7 +6,7 @@
 import dataclasses
 import functools
 import struct
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Final, final
 
 from aiohttp import web
@@ -79,12 +79,14 @@
     after old records have been deleted.
     """
 
-    __slots__ = ('appended', 'first', 'newest', 'records')
+    __slots__ = ('appended', 'first', 'newest', 'records', 'returned_at')
 
     def __init__(self) -> None:
         self.records: list[bytes] = []
         self.first = 0
         self.newest: dict[str, tuple[int, bytes]] = {}
+        #: Where the topic ended when the store returned from a copy.
+        self.returned_at = 0
         self.appended = asyncio.Event()
 
     @property
@@ -100,6 +102,11 @@
         self.appended = asyncio.Event()
         return offset
 
+    def is_older(self, key: str, lost: tuple[int, bytes] | None) -> bool:
+        """Whether a key has an older content than was lost in a return."""
+        offset, content = self.newest.get(key, (0, b''))
+        return offset < self.returned_at and content != (lost or (0, b''))[1]
+
     def _update_newest(self, offset: int, record: bytes) -> None:
         key, content = _split(record)
         self.newest.pop(key, None)
@@ -171,12 +178,26 @@
             topic.first = content.first
             topic.records = list(content.records)
             topic.newest = dict(content.newest)
+            topic.returned_at = topic.end
         self.era += 1
         for runner in self._runners:
             for connection in tuple(getattr(runner.server, 'connections', ())):
                 if connection.transport is not None:
                     connection.transport.abort()
 
+    def write_again(self, lost: StoreCopy, names: Sequence[str]) -> None:
+        """Write again what others than the instances had written.
+
+        ``lost`` is what the store held before its return. What has been written
+        since the return is newer, and stays.
+        """
+        for name in names:
+            topic = self._get_topic(name)
+            known = lost[name].newest
+            for key in known.keys() | topic.newest.keys():
+                if topic.is_older(key, known.get(key)):
+                    self.put(name, key, known.get(key, (0, b''))[1])
+
     async def open_entrance(self, faults: StoreFaults) -> StoreEntrance:
         """Listen on another port, with faults that apply there only."""
         entrance = StoreEntrance(faults)
--- a/packages/standins/src/verbenahall_standins/soak/__main__.py
+++ b/packages/standins/src/verbenahall_standins/soak/__main__.py
@@ -2,7 +2,8 @@
 
 ``--instances N`` runs more instances than usual; from eleven on, schedulers
 assign the engines. ``--scenario silent-engines`` lets sound engines be silent
-after each change, in place of all kinds of faults.
+after each change, in place of all kinds of faults; ``store-returns`` adds a
+store that returns from older copies.
 
 Prints a line for each seed with the violations found, and then keeps the logs
 of its instances in ``reports/soak-SEED``. A seed always draws the same faults;
--- a/packages/standins/src/verbenahall_standins/soak/_actions.py
+++ b/packages/standins/src/verbenahall_standins/soak/_actions.py
@@ -31,6 +31,11 @@
 #: Shares of the engines that pause at a time.
 _PAUSED_SHARES: Final = (1.0, 0.6)
 _CUTS: Final = (Cut.HANGING, Cut.RESET, Cut.NO_NEW)
+#: How long the store is away before it returns from a copy, how long after it
+#: the operator and the endpoints write again, in seconds, and where.
+_AWAY_S: Final = (0.05, 0.5, 1.0)
+_REWRITE_S: Final = 0.1
+_OTHERS_TOPICS: Final = ('keyed.op', 'keyed.servers')
 #: One in this many store link faults affects all instances.
 _SHARED_EVERY: Final = 3
 
@@ -293,6 +298,20 @@
     return targets[event.target_draw % len(targets)]
 
 
+async def _return_store(deployment: Deployment, event: Event) -> None:
+    """Let the store return from a copy that is as old as the event is long."""
+    store = deployment.site.store
+    copy = store.take_copy()
+    await asyncio.sleep(event.for_s)
+    store.faults.reset = True
+    await asyncio.sleep(_AWAY_S[event.shape % len(_AWAY_S)])
+    lost = store.take_copy()
+    store.return_from(copy)
+    store.faults.reset = False
+    await asyncio.sleep(_REWRITE_S)
+    store.write_again(lost, _OTHERS_TOPICS)
+
+
 _Action = Callable[[Deployment, Event], Awaitable[None]]
 _ACTIONS: Final[Mapping[Kind, _Action]] = MappingProxyType(
     {
@@ -322,5 +341,6 @@
         Kind.MANIFEST_CHANGES: _change_manifest,
         Kind.BUDGETS_SPENT: _spend_budgets,
         Kind.ENGINES_FAIL: _fail_engines,
+        Kind.STORE_RETURNS: _return_store,
     },
 )
--- a/packages/standins/src/verbenahall_standins/soak/_plan.py
+++ b/packages/standins/src/verbenahall_standins/soak/_plan.py
@@ -29,12 +29,18 @@
     #: Sound engines that are silent for a second after each change of the
     #: manifest, beside restarts of instances.
     SILENT_ENGINES = 'silent-engines'
+    #: A store that returns from older copies, beside all kinds of faults.
+    STORE_RETURNS = 'store-returns'
 
 
 #: Time between two events of a stream, in seconds, so that streams are open
 #: while instances end or engines pause.
 EVENT_PAUSES_S: Final[Mapping[Scenario, float]] = MappingProxyType(
-    {Scenario.ANY_FAULTS: 0.04, Scenario.SILENT_ENGINES: 0.25},
+    {
+        Scenario.ANY_FAULTS: 0.04,
+        Scenario.SILENT_ENGINES: 0.25,
+        Scenario.STORE_RETURNS: 0.04,
+    },
 )
 
 
@@ -74,6 +80,8 @@
     MANIFEST_CHANGES = 'manifest_changes'
     BUDGETS_SPENT = 'budgets_spent'
     ENGINES_FAIL = 'engines_fail'
+    #: Not drawn by weight; see ``_draw_returns``.
+    STORE_RETURNS = 'store_returns'
 
 
 #: Relative frequency of each kind.
@@ -154,6 +162,8 @@
 _MAX_SILENT_PAUSE_S: Final = 1.3
 #: Restarts beside these changes, None for no restart.
 _RESTARTS: Final = (None, Kind.HANGUP, Kind.TERMINATE)
+#: Mean time from a return of the store to the next copy, in seconds.
+_RETURN_INTERVAL_S: Final = 2.0
 #: Upper bound of drawn numbers; far above the number of targets.
 _DRAW_LIMIT: Final = 65_536
 
@@ -187,6 +197,9 @@
             events = _draw_any_faults(seed, seconds)
         case Scenario.SILENT_ENGINES:
             events = list(_draw_engine_pauses(seed, seconds))
+        case Scenario.STORE_RETURNS:
+            events = _draw_any_faults(seed, seconds)
+            events.extend(_draw_returns(seed, seconds))
     return sorted(events, key=lambda event: event.at)
 
 
@@ -313,6 +326,21 @@
         at += _SILENT_CHANGE_INTERVAL_S
 
 
+def _draw_returns(seed: int, seconds: float) -> Iterator[Event]:
+    """Draw returns of the store, and a change or a restart in each copy's time.
+
+    An event lasts from the copy to the return, for all that is lost then.
+    """
+    rng = random.Random(f'store returns {seed}')
+    at = _QUIET_S
+    while at < seconds - _QUIET_S - _MAX_FAULT_S:
+        for_s = rng.uniform(_MIN_FAULT_S, _MAX_FAULT_S)
+        yield _make_event(rng, Kind.STORE_RETURNS, at, for_s)
+        change_at = at + rng.uniform(0, for_s)
+        yield _make_event(rng, rng.choice(_CHANGES), change_at, 0)
+        at += for_s + rng.uniform(0, 2 * _RETURN_INTERVAL_S)
+
+
 def _draw_changes(rng: random.Random, at: float) -> Iterator[Event]:
     for _ in range(rng.randrange(_MAX_CHANGES + 1)):
         yield _make_event(rng, rng.choice(_CHANGES), at, _MIN_FAULT_S)
--- a/packages/standins/tests/soak/test_soak.py
+++ b/packages/standins/tests/soak/test_soak.py
@@ -288,6 +288,14 @@
     assert asyncio.run(soak) == []
 
 
+@pytest.mark.process
+def test_store_that_returns_from_copies_loses_no_request(tmp_path):
+    # The store returns from older copies in series, beside restarts, changes
+    # and faults of all kinds.
+    soak = run_soak(2, 14, tmp_path, scenario=Scenario.STORE_RETURNS)
+    assert asyncio.run(soak) == []
+
+
 #: Both instances are in touch.
 BOTH = frozenset(('front-1', 'front-2'))
 
