--- a/packages/standins/src/verbenahall_standins/returns.py
+++ b/packages/standins/src/verbenahall_standins/returns.py
@@ -20,9 +20,10 @@
 from verbenahall_standins.platform import PlainStandIn, Site, write_settings
 
 _DATA_CENTRES: Final = ('aberystwyth', 'lampeter', 'cardigan')
-#: Time until all instances run, for each of them, and at least, in seconds.
-_START_S: Final = 0.3
-_MIN_START_S: Final = 8.0
+#: All instances run once no topic was read whole for this long; they are waited
+#: for so long at most, in seconds.
+_CALM_S: Final = 5
+_MAX_START_S: Final = 180
 #: How long the store is away, and for how long calls are counted, in seconds.
 _AWAY_S: Final = 0.05
 _COUNTED_S: Final = 6
@@ -108,11 +109,23 @@
         async with run_instances(
             Path(folder), site.store.address, instances
         ) as logs:
-            await asyncio.sleep(max(_MIN_START_S, instances * _START_S))
+            await _wait_calm(site)
             await _return_once(site, logs)
     await site.stop()
 
 
+async def _wait_calm(site: Site) -> None:
+    """Wait until the instances have read all topics."""
+    calm_s = 0
+    whole = 0
+    async with asyncio.timeout(_MAX_START_S):
+        while calm_s < _CALM_S or not whole:
+            await asyncio.sleep(1)
+            before = whole
+            whole = site.store.calls.get(_NEWEST, 0)
+            calm_s = calm_s + 1 if whole == before else 0
+
+
 async def _return_once(site: Site, logs: Sequence[Path]) -> None:
     sys.stdout.write('before\n')
     await count_calls(site, 2)
