--- a/packages/verbenahall/tests/drains/simulated_network.py
+++ b/packages/verbenahall/tests/drains/simulated_network.py
@@ -68,6 +68,17 @@
         """Do nothing: no resource is open."""
 
 
+class SimulatedBody:
+    """A reader of a body that has arrived in pieces."""
+
+    def __init__(self, pieces):
+        self._pieces = [piece for piece in pieces if piece]
+
+    async def readany(self):
+        """Return the next piece, none at the end."""
+        return self._pieces.pop(0) if self._pieces else b''
+
+
 @dataclasses.dataclass
 class SimulatedResponse:
     """An HTTP response whose body has arrived completely."""
@@ -78,9 +89,9 @@
     raw_headers: tuple = ()
     reason: str = ''
 
-    async def read(self):
-        """Return the body."""
-        return self.body
+    def __post_init__(self):
+        """Make the reader of the body."""
+        self.content = SimulatedBody([self.body])
 
     def close(self):
         """Do nothing: no resource is open."""
--- a/packages/verbenahall/tests/store_returns/simulated_store.py
+++ b/packages/verbenahall/tests/store_returns/simulated_store.py
@@ -22,14 +22,21 @@
         return self.seconds
 
 
+class _Body:
+    def __init__(self, body):
+        self._body = body
+
+    async def readany(self):
+        body = self._body
+        self._body = b''
+        return body
+
+
 class _Answer:
     def __init__(self, status, table, era):
         self.status = status
         self.headers = {} if era is None else {'Store-Era': era}
-        self._body = json.dumps(table).encode()
-
-    async def read(self):
-        return self._body
+        self.content = _Body(json.dumps(table).encode())
 
 
 class SimulatedStore:
