--- a/packages/verbenahall/tests/gateway/test_store_returns.py
+++ b/packages/verbenahall/tests/gateway/test_store_returns.py
@@ -8,7 +8,7 @@
 
 from verbenahall import journal
 
-from .conftest import make_plain, run, run_gateway
+from .conftest import PREFIX, make_plain, run, run_gateway
 from .test_news import wait_slots, wait_version
 
 INSTANCES = 8
@@ -85,6 +85,34 @@
     run(check())
 
 
+def test_key_revoked_after_a_return_is_refused_by_all(tmp_path):
+    # Instances that skipped the manifest as known still accepted the key.
+    async def check():
+        async with run_fleet(tmp_path) as (harnesses, _):
+            site = harnesses[0].site
+            key = {'tenants': [{'name': 'club', 'apiKeys': ['club-key']}]}
+            other = {'tenants': [{'name': 'club', 'apiKeys': ['new-key']}]}
+            copy = site.store.take_copy()
+            for _ in range(4):
+                site.publish(**key)
+                await asyncio.sleep(0.1)
+            await wait_version(harnesses, site.version, 2)
+            await return_from(site, copy)
+            site.version -= 1
+            site.publish(**key)
+            await asyncio.sleep(1.5)
+            site.publish(**other)
+            await asyncio.sleep(2)
+            headers = {f'{PREFIX}Key': 'club-key'}
+            for harness in harnesses:
+                status, _, _ = await harness.send(
+                    '/archive/1', method='GET', headers=headers
+                )
+                assert status == 401
+
+    run(check())
+
+
 def test_older_manifest_is_never_in_force(tmp_path):
     # The store has returned with an older version, and the operator has not
     # written the newer one again yet.
