Test: memory stays below its limit with all endpoints of a service faulty

The test had one endpoint and six requests. It now also has nine endpoints that send without end, as fast as the instance reads and at 3 MB a second, with 90 requests at once.

--- a/packages/verbenahall/tests/gateway/test_endless_answers.py
+++ b/packages/verbenahall/tests/gateway/test_endless_answers.py
@@ -244,23 +244,33 @@
 
 @pytest.mark.process
 @pytest.mark.skipif(not os.path.exists('/proc/self/status'), reason='no /proc')
-def test_memory_stays_below_its_limit_beside_endless_answers(tmp_path):
+@pytest.mark.parametrize(
+    'endpoints, requests, pause_s', [(1, 6, 0), (9, 90, 0), (9, 90, 0.02)]
+)
+def test_memory_stays_below_its_limit_beside_endless_answers(
+    tmp_path, endpoints, requests, pause_s
+):
     # Six requests took a process from 54 MB to 2,958 MB in three seconds; it
-    # is killed at 300.
+    # is killed at 300. All endpoints of the service are faulty, and send as
+    # fast as the instance reads or more slowly.
     async def check():
-        endless = EndlessEndpoint(CHUNKED, CHUNK)
-        await endless.start()
+        endless = [
+            EndlessEndpoint(CHUNKED, CHUNK, pause_s) for _ in range(endpoints)
+        ]
         async with start_instance(tmp_path, plain_count=0) as started:
             instance, site = started
-            endless.name = 'endless'
-            site.list_endpoint(endless)
+            for number, one in enumerate(endless):
+                await one.start()
+                one.name = f'endless-{number}'
+                site.list_endpoint(one)
             await asyncio.sleep(1)
             answers = await asyncio.gather(
-                *(instance.send() for _ in range(6)), return_exceptions=True
+                *(instance.send() for _ in range(requests))
             )
-            assert endless.requests
-            assert all(status >= 500 for status, _ in answers)
+            assert all(one.requests for one in endless)
+            assert all(status in {502, 504} for status, _ in answers)
             assert read_peak(instance.started.pid) < 300_000_000
-        await endless.stop()
+        for stopped in endless:
+            await stopped.stop()
 
     run(check())
