Soak and logs of endpoints that leave, without a return of the store

The soak had no endpoint whose leaving only the store knows: those that left said so in their answers. The scenario leaving-endpoints lets engines and plain endpoints leave by draining or removed entries, with and without a word in their answers, first and later starts under a name, beside frozen and killed instances in series, SIGTERM, SIGHUP, manifests, lost history, polls that miss records, and a store that refuses some instances. The check takes the bound of 2 s at the endpoint, for instances in touch.

Logs: 'endpoint' states the counter that an entry was compared with, 'sent' the counter of the entry that it relies on; verbenahall_entries_skipped_total counts what was not applied.

--- a/packages/standins/src/verbenahall_standins/soak/__init__.py
+++ b/packages/standins/src/verbenahall_standins/soak/__init__.py
@@ -7,6 +7,11 @@
 from verbenahall_standins.soak._callers import ABANDONED, TRUNCATED
 from verbenahall_standins.soak._checks import find_violations
 from verbenahall_standins.soak._cuts import CutWindow, find_unserved
+from verbenahall_standins.soak._departures import (
+    Departure,
+    StoreDisturbance,
+    find_late_arrivals,
+)
 from verbenahall_standins.soak._deployment import Deployment
 from verbenahall_standins.soak._links import Cut, EndpointLinks
 from verbenahall_standins.soak._notices import (
@@ -32,6 +37,7 @@
 __all__ = (
     'ABANDONED',
     'Cut',
+    'Departure',
     'Deployment',
     'CutWindow',
     'EndpointHistory',
@@ -44,10 +50,12 @@
     'Proxy',
     'Record',
     'Scenario',
+    'StoreDisturbance',
     'StreamAttempt',
     'TRUNCATED',
     'draw_plan',
     'find_broken_answers',
+    'find_late_arrivals',
     'find_mixed',
     'find_not_resumed',
     'find_resent_parts',
--- a/packages/standins/src/verbenahall_standins/soak/__main__.py
+++ b/packages/standins/src/verbenahall_standins/soak/__main__.py
@@ -3,7 +3,8 @@
 ``--instances N`` runs more instances than usual; from eleven on, schedulers
 assign the engines. ``--scenario silent-engines`` lets sound engines be silent
 after each change, in place of all kinds of faults; ``store-returns`` adds a
-store that returns from older copies.
+store that returns from older copies, and with ``leaving-endpoints`` endpoints
+leave in all ways beside restarts, changes and a store that refuses some.
 
 Prints a line for each seed with the violations found, and then keeps the logs
 of its instances in ``reports/soak-SEED``. A seed always draws the same faults;
--- a/packages/standins/src/verbenahall_standins/soak/_actions.py
+++ b/packages/standins/src/verbenahall_standins/soak/_actions.py
@@ -12,7 +12,8 @@
 from typing import Any, Final
 
 from verbenahall_standins.platform import EngineStandIn, PlainStandIn
-from verbenahall_standins.soak._deployment import Deployment
+from verbenahall_standins.soak._departures import StoreDisturbance
+from verbenahall_standins.soak._deployment import Deployment, Way
 from verbenahall_standins.soak._instances import Instance
 from verbenahall_standins.soak._links import Cut
 from verbenahall_standins.soak._notices import LinkFault
@@ -35,6 +36,18 @@
 #: its return the operator and the endpoints write again, in seconds.
 _AWAY_S: Final = (0.05, 0.5, 1.0)
 _REWRITE_S: Final = 0.1
+#: Time from a start under the same name to the leaving, in seconds: less than
+#: an entry of the start before takes to expire.
+_AGAIN_S: Final = 1.0
+_FOLLOWED_TOPICS: Final = ('keyed.op', 'keyed.servers')
+#: What the store answers to instances that it refuses; 0 for a reset.
+_STORE_STATUSES: Final = (
+    HTTPStatus.TOO_MANY_REQUESTS.value,
+    HTTPStatus.SERVICE_UNAVAILABLE.value,
+    0,
+)
+#: Instances that are frozen or killed one after the other.
+_SERIES: Final = 4
 #: One in this many store link faults affects all instances.
 _SHARED_EVERY: Final = 3
 
@@ -61,7 +74,13 @@
 async def _disturb_store_link(deployment: Deployment, event: Event) -> None:
     links = deployment.store_links
     is_shared = event.target_draw % _SHARED_EVERY == 0
-    await _disturb_links(links if is_shared else [_select(links, event)], event)
+    chosen = links if is_shared else [_select(links, event)]
+    names = [deployment.instances[links.index(one)].name for one in chosen]
+    started_at = time.monotonic()
+    await _disturb_links(chosen, event)
+    deployment.store_disturbances.append(
+        StoreDisturbance(started_at, time.monotonic(), frozenset(names))
+    )
 
 
 async def _disturb_links(links: Sequence[Proxy], event: Event) -> None:
@@ -311,6 +330,67 @@
     store.write_again(lost)
 
 
+async def _depart(deployment: Deployment, event: Event) -> None:
+    """Let an endpoint leave, and replace it by another one later.
+
+    Its entry says so or is removed; its answers may say so as well. It serves
+    on for longer than requests may arrive.
+    """
+    endpoint = _select(deployment.endpoints, event)
+    way = Way.select(event.shape)
+    if not deployment.may_depart(endpoint):
+        return
+    if way.starts_again:
+        deployment.start_again(endpoint)
+        await asyncio.sleep(_AGAIN_S)
+    start = endpoint.notices.start
+    deployment.depart(endpoint, way)
+    await asyncio.sleep(LEAVING_S + event.for_s)
+    if endpoint.notices.start == start:
+        deployment.replace_endpoint(endpoint)
+
+
+async def _lose_history(deployment: Deployment, event: Event) -> None:
+    for topic in _FOLLOWED_TOPICS:
+        deployment.site.store.delete_old_records(topic)
+
+
+async def _miss_wakeups(deployment: Deployment, event: Event) -> None:
+    await _set_temporarily(
+        deployment.site.store.faults, 'miss_wakeups', True, False, event
+    )
+
+
+async def _refuse_some(deployment: Deployment, event: Event) -> None:
+    """Let the store refuse some instances, but not all."""
+    instances = deployment.instances
+    count_draw, status_number = divmod(event.shape, len(_STORE_STATUSES))
+    count = 1 + count_draw % (len(instances) - 1)
+    first = event.target_draw % len(instances)
+    chosen = [*instances[first:], *instances[:first]][:count]
+    status = _STORE_STATUSES[status_number]
+    await deployment.refuse_at_store(chosen, status, event.for_s)
+
+
+async def _freeze_in_series(deployment: Deployment, event: Event) -> None:
+    """Freeze some instances one after the other, more than once."""
+    for number in range(_SERIES):
+        instance = deployment.instances[
+            (event.target_draw + number) % len(deployment.instances)
+        ]
+        await instance.freeze(event.for_s / _SERIES)
+
+
+async def _kill_in_series(deployment: Deployment, event: Event) -> None:
+    """Kill half of the instances, the next one while the last starts."""
+    instances = deployment.instances
+    async with asyncio.TaskGroup() as group:
+        for number in range(max(1, len(instances) // 2)):
+            place = (event.target_draw + number) % len(instances)
+            group.create_task(instances[place].restart(signal.SIGKILL))
+            await asyncio.sleep(event.for_s / _SERIES)
+
+
 _Action = Callable[[Deployment, Event], Awaitable[None]]
 _ACTIONS: Final[Mapping[Kind, _Action]] = MappingProxyType(
     {
@@ -341,5 +421,11 @@
         Kind.BUDGETS_SPENT: _spend_budgets,
         Kind.ENGINES_FAIL: _fail_engines,
         Kind.STORE_RETURNS: _return_store,
+        Kind.ENDPOINT_DEPARTS: _depart,
+        Kind.HISTORY_LOST: _lose_history,
+        Kind.WAKEUPS_MISSED: _miss_wakeups,
+        Kind.STORE_REFUSES_SOME: _refuse_some,
+        Kind.FREEZES_IN_SERIES: _freeze_in_series,
+        Kind.KILLS_IN_SERIES: _kill_in_series,
     },
 )
--- a/packages/standins/src/verbenahall_standins/soak/_deployment.py
+++ b/packages/standins/src/verbenahall_standins/soak/_deployment.py
@@ -1,9 +1,10 @@
 """The deployment under test: stand-ins, proxies to them, and instances."""
 
 import asyncio
+import dataclasses
 import itertools
 import time
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from pathlib import Path
 from types import MappingProxyType
 from typing import Any, Final, final
@@ -14,12 +15,18 @@
     Pause,
     PlainStandIn,
     Site,
+    StoreFaults,
     make_route,
     write_settings,
 )
 from verbenahall_standins.soak._broken_answers import EndpointHistory
 from verbenahall_standins.soak._callers import Callers
 from verbenahall_standins.soak._cuts import InstanceCuts
+from verbenahall_standins.soak._departures import (
+    Departure,
+    StoreDisturbance,
+    find_late_arrivals,
+)
 from verbenahall_standins.soak._instances import Instance
 from verbenahall_standins.soak._links import Cut
 from verbenahall_standins.soak._manifests import (
@@ -43,12 +50,56 @@
 #: Time in which a manifest may still be in force after the next one, in
 #: seconds, with faults of the store.
 _IN_FORCE_S: Final = 6.0
+#: Plain endpoints where endpoints leave.
+_PLAIN_LEAVING: Final = 4
+#: Endpoints of a kind of which none leaves, so that requests are served.
+_STAYING: Final = 2
+#: Changes of an entry that an endpoint counts in a second.
+_CHANGES_PER_S: Final = 2.0
+#: Ways to leave, but for the removal of the entry, and in which of them answers
+#: say so or the endpoint was started again before.
+_WAY_CHOICES: Final = 4
+_STATED: Final = frozenset((1,))
+_STARTED_AGAIN: Final = frozenset((3,))
 #: Workspace of the callers.
 WORKSPACE: Final = 'desk'
 #: Workspace whose key is never replaced.
 _OTHER_WORKSPACE: Final = 'council'
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Way:
+    """How an endpoint leaves.
+
+    With ``removed`` its entry is removed, else it says so. With ``is_stated``
+    its answers say so, too. With ``starts_again`` it is started again shortly
+    before, under its name, so that the counter in its entry begins anew.
+    """
+
+    removed: bool
+    is_stated: bool
+    starts_again: bool
+
+    def __str__(self) -> str:
+        """Describe the way for a violation."""
+        words = (
+            'removed' if self.removed else 'draining',
+            'stated' if self.is_stated else 'not stated',
+            'started again' if self.starts_again else 'first start',
+        )
+        return ', '.join(words)
+
+    @classmethod
+    def select(cls, shape: int) -> 'Way':
+        """Return the way of a drawn number."""
+        removed, rest = divmod(shape, _WAY_CHOICES)
+        return cls(
+            removed=removed % 2 == 0,
+            is_stated=rest in _STATED,
+            starts_again=rest in _STARTED_AGAIN,
+        )
+
+
 @final
 class Deployment:
     """One site on loopback; ``version`` is that of its newest manifest.
@@ -64,6 +115,7 @@
     ) -> None:
         """Prepare; nothing is started before ``start``."""
         self._instance_count = instance_count
+        self._scenario = scenario
         engines = [
             EngineStandIn(f'{role}-{number}', role)
             for role, count in _ENGINES.items()
@@ -74,7 +126,9 @@
             engine.crashed = self._refuse_connections
             engine.version = f'v{place % 2}'
             engine.faults.event_pause_s = EVENT_PAUSES_S[scenario]
-        plain = [PlainStandIn(f'page-{number}') for number in range(_PLAIN)]
+        leaves = scenario is Scenario.LEAVING_ENDPOINTS
+        count = _PLAIN_LEAVING if leaves else _PLAIN
+        plain = [PlainStandIn(f'page-{number}') for number in range(count)]
         self.key = 'key-1'
         self.revoked_key = ''
         self.site = Site(engines, plain, self._make_tenants())
@@ -91,6 +145,12 @@
         self.links: dict[str, Proxy] = {}
         self.link_faults: list[LinkFault] = []
         self.store_links: list[Proxy] = []
+        self.store_disturbances: list[StoreDisturbance] = []
+        self.departures: list[Departure] = []
+        #: When endpoints last started, in monotonic seconds.
+        self._started_at: dict[str, float] = {}
+        #: The faults of the store at each instance.
+        self._store_faults: dict[str, StoreFaults] = {}
         self.cuts = InstanceCuts()
         self.instances: list[Instance] = []
         self.callers: list[Callers] = []
@@ -149,7 +209,8 @@
         """Rewrite an engine's entry whenever its role has changed."""
         while True:
             for engine in self.site.engines:
-                if self._listed_roles[engine.name] != engine.role:
+                has_changed = self._listed_roles[engine.name] != engine.role
+                if has_changed and not self._has_departed(engine):
                     self._list_endpoint(engine)
             await asyncio.sleep(_POLL_S)
 
@@ -170,6 +231,77 @@
         self._listed_roles.pop(old_name)
         self._list_endpoint(endpoint)
 
+    def may_depart(self, endpoint: EngineStandIn | PlainStandIn) -> bool:
+        """Whether others of its kind are left, and it does not leave yet."""
+        staying = [
+            one
+            for one in self.endpoints
+            if one.role == endpoint.role and not self._has_departed(one)
+        ]
+        return endpoint in staying and len(staying) > _STAYING
+
+    def depart(self, endpoint: EngineStandIn | PlainStandIn, way: Way) -> None:
+        """Let the store have that an endpoint leaves."""
+        endpoint.notices.leaving = way.is_stated
+        if way.removed:
+            self.site.unlist(endpoint.name)
+        else:
+            self._list_endpoint(endpoint, state='draining')
+        self.departures.append(
+            Departure(
+                endpoint.name,
+                endpoint.notices,
+                endpoint.notices.start,
+                time.monotonic(),
+                str(way),
+            )
+        )
+
+    def start_again(self, endpoint: EngineStandIn | PlainStandIn) -> None:
+        """Start an endpoint, whose entry has changed, again under its name."""
+        self._list_endpoint(endpoint)
+        endpoint.notices.restart()
+        endpoint.exchanges.break_open()
+        self._started_at.pop(endpoint.name, None)
+        self._list_endpoint(endpoint)
+
+    async def refuse_at_store(
+        self, instances: Sequence[Instance], status: int, for_s: float
+    ) -> None:
+        """Let the store refuse instances; the status 0 is a reset."""
+        names = frozenset(one.name for one in instances)
+        refused = [self._store_faults[name] for name in names]
+        started_at = time.monotonic()
+        for faults in refused:
+            faults.down = status
+            faults.reset = not status
+        await asyncio.sleep(for_s)
+        for served in refused:
+            served.down = 0
+            served.reset = False
+        self.store_disturbances.append(
+            StoreDisturbance(started_at, time.monotonic(), names)
+        )
+
+    def list_late_arrivals(self, records: Sequence[Record]) -> Iterable[str]:
+        """Describe the requests that arrived too late after a departure."""
+        return find_late_arrivals(
+            self.departures, records, self._was_out_of_touch
+        )
+
+    def _was_out_of_touch(self, name: str, start: float, end: float) -> bool:
+        """Whether an instance or the store was disturbed between two times."""
+        return self.was_disturbed(name, start, end) or any(
+            one.affects(name, start, end) for one in self.store_disturbances
+        )
+
+    def _has_departed(self, endpoint: EngineStandIn | PlainStandIn) -> bool:
+        return any(
+            one.notices is endpoint.notices
+            and one.start == endpoint.notices.start
+            for one in self.departures
+        )
+
     async def _refuse_connections(self, engine: EngineStandIn) -> None:
         """Let the links to a crashed engine refuse connections as it does."""
         address = self.links[engine.name].address
@@ -265,7 +397,13 @@
         }
 
     async def _start_instance(self, name: str) -> None:
-        link = Proxy(self.site.store.address)
+        address = self.site.store.address
+        if self._scenario is Scenario.LEAVING_ENDPOINTS:
+            faults = StoreFaults()
+            entrance = await self.site.store.open_entrance(faults)
+            address = entrance.address
+            self._store_faults[name] = faults
+        link = Proxy(address)
         await link.start()
         self.store_links.append(link)
         path = write_settings(
@@ -291,11 +429,26 @@
         await callers.start()
         self.callers.append(callers)
 
-    def _list_endpoint(self, endpoint: EngineStandIn | PlainStandIn) -> None:
+    def _list_endpoint(
+        self, endpoint: EngineStandIn | PlainStandIn, **fields: Any
+    ) -> None:
         self._listed_roles[endpoint.name] = endpoint.role
         address = self.links[endpoint.name].address
         changes = {} if endpoint.role else self._list_service(endpoint)
-        self.site.list_endpoint(endpoint, address=address, **changes)
+        if self._scenario is Scenario.LEAVING_ENDPOINTS:
+            changes = {**changes, **self._count_changes(endpoint)}
+        self.site.list_endpoint(endpoint, address=address, **changes, **fields)
+
+    def _count_changes(
+        self, endpoint: EngineStandIn | PlainStandIn
+    ) -> Mapping[str, int]:
+        """Return the counter of an entry, which begins anew at a start.
+
+        Nothing else in the entry distinguishes two starts under a name.
+        """
+        now = time.monotonic()
+        lived_s = now - self._started_at.setdefault(endpoint.name, now)
+        return {'seq': 1 + int(lived_s * _CHANGES_PER_S), 'born': 0}
 
     def _list_service(self, endpoint: PlainStandIn) -> Mapping[str, str]:
         is_other = endpoint is self.other
--- a/packages/standins/src/verbenahall_standins/soak/_plan.py
+++ b/packages/standins/src/verbenahall_standins/soak/_plan.py
@@ -31,6 +31,9 @@
     SILENT_ENGINES = 'silent-engines'
     #: A store that returns from older copies, beside all kinds of faults.
     STORE_RETURNS = 'store-returns'
+    #: Endpoints that leave in all the ways that the platform has, beside
+    #: restarts, changes and links to the store that fail for some instances.
+    LEAVING_ENDPOINTS = 'leaving-endpoints'
 
 
 #: Time between two events of a stream, in seconds, so that streams are open
@@ -40,6 +43,7 @@
         Scenario.ANY_FAULTS: 0.04,
         Scenario.SILENT_ENGINES: 0.25,
         Scenario.STORE_RETURNS: 0.04,
+        Scenario.LEAVING_ENDPOINTS: 0.04,
     },
 )
 
@@ -82,6 +86,13 @@
     ENGINES_FAIL = 'engines_fail'
     #: Not drawn by weight; see ``_draw_returns``.
     STORE_RETURNS = 'store_returns'
+    #: Not drawn by weight; see ``_draw_departures``.
+    ENDPOINT_DEPARTS = 'endpoint_departs'
+    HISTORY_LOST = 'history_lost'
+    WAKEUPS_MISSED = 'wakeups_missed'
+    STORE_REFUSES_SOME = 'store_refuses_some'
+    FREEZES_IN_SERIES = 'freezes_in_series'
+    KILLS_IN_SERIES = 'kills_in_series'
 
 
 #: Relative frequency of each kind.
@@ -164,6 +175,28 @@
 _RESTARTS: Final = (None, Kind.HANGUP, Kind.TERMINATE)
 #: Mean time from a return of the store to the next copy, in seconds.
 _RETURN_INTERVAL_S: Final = 2.0
+#: Mean time between two endpoints that leave, and bounds of the time from the
+#: event beside a leaving to the leaving, in seconds; it may come later, too.
+_DEPARTURE_INTERVAL_S: Final = 1.5
+_EARLIEST_BESIDE_S: Final = -1.0
+_LATEST_BESIDE_S: Final = 1.5
+#: What happens beside an endpoint that leaves; None for nothing.
+_BESIDE: Final = (
+    None,
+    Kind.HISTORY_LOST,
+    Kind.WAKEUPS_MISSED,
+    Kind.STORE_REFUSES_SOME,
+    Kind.STORE_REFUSES_SOME,
+    Kind.STORE_LINK,
+    Kind.FREEZE,
+    Kind.FREEZES_IN_SERIES,
+    Kind.KILL,
+    Kind.KILLS_IN_SERIES,
+    Kind.TERMINATE,
+    Kind.HANGUP,
+    Kind.MANIFEST,
+    Kind.MANIFEST_CHANGES,
+)
 #: Upper bound of drawn numbers; far above the number of targets.
 _DRAW_LIMIT: Final = 65_536
 
@@ -200,6 +233,8 @@
         case Scenario.STORE_RETURNS:
             events = _draw_any_faults(seed, seconds)
             events.extend(_draw_returns(seed, seconds))
+        case Scenario.LEAVING_ENDPOINTS:
+            events = list(_draw_departures(seed, seconds))
     return sorted(events, key=lambda event: event.at)
 
 
@@ -341,6 +376,21 @@
         at += for_s + rng.uniform(0, 2 * _RETURN_INTERVAL_S)
 
 
+def _draw_departures(seed: int, seconds: float) -> Iterator[Event]:
+    """Draw endpoints that leave, with up to two events beside each."""
+    rng = random.Random(f'departures {seed}')
+    at = _QUIET_S
+    while at < seconds - _QUIET_S - _MAX_FAULT_S:
+        for_s = rng.uniform(_MIN_FAULT_S, _MAX_FAULT_S)
+        yield _make_event(rng, Kind.ENDPOINT_DEPARTS, at, for_s)
+        for kind in rng.choices(_BESIDE, k=2):
+            beside_s = rng.uniform(_EARLIEST_BESIDE_S, _LATEST_BESIDE_S)
+            for_s = rng.uniform(_MIN_FAULT_S, _MAX_FAULT_S)
+            if kind is not None:
+                yield _make_event(rng, kind, at + beside_s, for_s)
+        at += rng.uniform(0, 2 * _DEPARTURE_INTERVAL_S)
+
+
 def _draw_changes(rng: random.Random, at: float) -> Iterator[Event]:
     for _ in range(rng.randrange(_MAX_CHANGES + 1)):
         yield _make_event(rng, rng.choice(_CHANGES), at, _MIN_FAULT_S)
--- a/packages/standins/src/verbenahall_standins/soak/_run.py
+++ b/packages/standins/src/verbenahall_standins/soak/_run.py
@@ -139,6 +139,7 @@
             deployment.link_faults,
             deployment.was_disturbed,
         ),
+        *deployment.list_late_arrivals(records),
         *_check_streams(deployment),
         *find_broken_answers(
             records,
--- a/packages/standins/tests/soak/test_soak.py
+++ b/packages/standins/tests/soak/test_soak.py
@@ -17,6 +17,7 @@
 )
 from verbenahall_standins.soak import (
     CutWindow,
+    Departure,
     Kind,
     Link,
     LinkFault,
@@ -24,8 +25,10 @@
     Proxy,
     Record,
     Scenario,
+    StoreDisturbance,
     StreamAttempt,
     draw_plan,
+    find_late_arrivals,
     find_mixed,
     find_not_resumed,
     find_resent_parts,
@@ -296,6 +299,48 @@
     assert asyncio.run(soak) == []
 
 
+@pytest.mark.process
+def test_endpoints_that_leave_get_no_request_after_the_bound(tmp_path):
+    # The entry of an endpoint that was started again under its name counted as
+    # an older one, so that its leaving was not heeded.
+    soak = run_soak(4, 14, tmp_path, scenario=Scenario.LEAVING_ENDPOINTS)
+    assert asyncio.run(soak) == []
+
+
+def make_departure():
+    """Return the leaving of an endpoint at 10 s, with a late request."""
+    notices = Notices()
+    notices.arrivals.append(Arrival(12.5, 'r-1', '/archive/1', 0))
+    return Departure('page-0', notices, 0, 10, 'removed')
+
+
+def test_late_arrival_after_a_departure_is_found():
+    lines = list(
+        find_late_arrivals([make_departure()], [GOOD], lambda *_: False)
+    )
+    assert lines == [
+        'page-0 (removed): 1 requests of front-1 later than the bound, r-1'
+        ' 2.5 s after the store had its leaving'
+    ]
+
+
+def test_late_arrival_of_a_disturbed_instance_is_excused():
+    disturbance = StoreDisturbance(8, 9.6, frozenset(('front-1',)))
+    late = find_late_arrivals([make_departure()], [GOOD], disturbance.affects)
+    assert not list(late)
+
+
+def test_disturbance_of_another_instance_excuses_nothing():
+    disturbance = StoreDisturbance(8, 12, frozenset(('front-2',)))
+    late = find_late_arrivals([make_departure()], [GOOD], disturbance.affects)
+    assert list(late)
+
+
+def test_arrival_at_the_next_start_is_not_late():
+    departure = dataclasses.replace(make_departure(), start=1)
+    assert not list(find_late_arrivals([departure], [GOOD], lambda *_: False))
+
+
 #: Both instances are in touch.
 BOTH = frozenset(('front-1', 'front-2'))
 
--- a/packages/verbenahall/src/verbenahall/gateway/_record_handlers.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_record_handlers.py
@@ -7,7 +7,7 @@
 from returns.maybe import Some
 from returns.result import Failure, Success
 
-from verbenahall import journal
+from verbenahall import journal, metrics
 from verbenahall.catalog import apply_catalog
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._followers import Follower
@@ -107,7 +107,10 @@
             return
         match decode_entry(record.key, record.content):
             case Some(entry):
+                known = self._core.roster.find_entry(entry.name)
                 applied = apply_entry(self._core.roster, entry)
+                if not applied:
+                    metrics.ENTRIES_SKIPPED.add('outdated')
                 journal.write_decision(
                     'endpoint',
                     endpoint=entry.name,
@@ -118,6 +121,7 @@
                     leaving=entry.leaving,
                     born=entry.born,
                     change=entry.change,
+                    known_change=known.change if known else None,
                     taken=applied,
                     source=received.source,
                     age_s=journal.round_to_ms(received.age_s),
@@ -208,4 +212,5 @@
 
 
 def _log_unreadable(endpoint: str) -> None:
+    metrics.ENTRIES_SKIPPED.add('unreadable')
     journal.write_decision('endpoint_unreadable', endpoint=endpoint)
--- a/packages/verbenahall/src/verbenahall/gateway/_sender.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_sender.py
@@ -297,6 +297,7 @@
             endpoint=endpoint.name,
             prefill=options.prefill_only,
             software=endpoint.version,
+            change=endpoint.change,
             after_event=options.last_event,
             age_s=journal.round_to_ms(age_s),
             listed=listing is not None and listing.usable_until == float('inf'),
--- a/packages/verbenahall/src/verbenahall/metrics.py
+++ b/packages/verbenahall/src/verbenahall/metrics.py
@@ -134,6 +134,11 @@
     'source',
     'header',
 )
+ENTRIES_SKIPPED: Final = BufferedCounter(
+    'verbenahall_entries_skipped_total',
+    'Entries of endpoints that were not applied: outdated or unreadable.',
+    'reason',
+)
 ENDPOINT_ALERTS: Final = BufferedCounter(
     'verbenahall_endpoint_alerts_total',
     'Alerts about endpoints that are not reached, or are again: sent, or what'
