The leaving in an entry that can't be read otherwise is heeded

An entry with state draining and any invalid field was skipped as a whole, and the endpoint got requests for as long as it served.

--- a/packages/verbenahall/src/verbenahall/gateway/_record_handlers.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_record_handlers.py
@@ -19,8 +19,15 @@
     KeyedRecord,
     decode_entry,
     decode_manifest,
+    is_leaving,
+)
+from verbenahall.roster import (
+    Entry,
+    apply_entry,
+    apply_leaving,
+    apply_list,
+    apply_removal,
 )
-from verbenahall.roster import apply_entry, apply_list, apply_removal
 from verbenahall.store_relay import Received, TopicHandler
 
 #: Pause between a manifest and the poll for the next one, in seconds. A
@@ -127,7 +134,19 @@
                     age_s=journal.round_to_ms(received.age_s),
                 )
             case _:
-                _log_unreadable(record.key)
+                self._apply_unreadable(record)
+
+    def _apply_unreadable(self, record: KeyedRecord) -> None:
+        """Keep an endpoint's last entry, unless the new one says it leaves."""
+        leaves = is_leaving(record.content)
+        applied = leaves and apply_leaving(self._core.roster, record.key)
+        metrics.ENTRIES_SKIPPED.add('unreadable')
+        journal.write_decision(
+            'endpoint_unreadable',
+            endpoint=record.key,
+            leaving=leaves,
+            taken=applied,
+        )
 
     def _apply_removal(self, name: str, received: Received) -> None:
         roster = self._core.roster
@@ -150,23 +169,25 @@
         records: Mapping[str, bytes],
         received: Received,
     ) -> None:
-        entries, unreadable = [], []
+        entries: list[Entry] = []
+        unreadable: list[KeyedRecord] = []
         for key, content in records.items():
             match decode_entry(key, content):
                 case Some(entry):
                     entries.append(entry)
                 case _:
-                    unreadable.append(key)
-                    _log_unreadable(key)
+                    unreadable.append(KeyedRecord(key, content))
         now = self._core.now()
         apply_list(
             self._core.roster,
             entries,
-            unreadable,
+            [one.key for one in unreadable],
             now,
             received.before,
             has_returned=received.has_returned,
         )
+        for skipped in unreadable:
+            self._apply_unreadable(skipped)
         self._core.remove_unlisted()
         journal.write_decision(
             'endpoints',
@@ -209,8 +230,3 @@
     for follower in followers:
         if follower.handler.topic == update.topic:
             follower.receive_update(update)
-
-
-def _log_unreadable(endpoint: str) -> None:
-    metrics.ENTRIES_SKIPPED.add('unreadable')
-    journal.write_decision('endpoint_unreadable', endpoint=endpoint)
--- a/packages/verbenahall/src/verbenahall/platform/__init__.py
+++ b/packages/verbenahall/src/verbenahall/platform/__init__.py
@@ -32,7 +32,7 @@
     LeaseToken,
     ScaleOrder,
 )
-from verbenahall.platform._entries import decode_entry
+from verbenahall.platform._entries import decode_entry, is_leaving
 from verbenahall.platform._eras import StoreEra
 from verbenahall.platform._headers import (
     AnswerHead,
@@ -163,6 +163,7 @@
     'format_kv_source',
     'get_era',
     'get_offset',
+    'is_leaving',
     'make_position',
     'make_session',
     'read_answer_head',
--- a/packages/verbenahall/src/verbenahall/platform/_entries.py
+++ b/packages/verbenahall/src/verbenahall/platform/_entries.py
@@ -36,6 +36,15 @@
             return Nothing
 
 
+def is_leaving(record: bytes) -> bool:
+    """Whether an entry says that its endpoint leaves, if it is invalid, too."""
+    match wire.decode_table(record):
+        case Success({'state': str(state)}):
+            return _LEAVING.get(state, False)
+        case _:
+            return False
+
+
 def _decode_table(name: str, table: dict[str, Any]) -> Maybe[Entry]:
     try:
         return Some(_build(name, table))
--- a/packages/verbenahall/tests/gateway/test_store.py
+++ b/packages/verbenahall/tests/gateway/test_store.py
@@ -94,6 +94,36 @@
     run(check())
 
 
+@pytest.mark.parametrize('history_is_lost', (False, True))
+def test_leaving_in_an_unreadable_entry_is_heeded(tmp_path, history_is_lost):
+    # The entry with the leaving has another field that cannot be read; it was
+    # skipped, and the endpoint got requests for as long as it served.
+    async def check():
+        async with run_gateway(tmp_path, plain=make_plain(2)) as harness:
+            store = harness.site.store
+            if history_is_lost:
+                store.faults.down = 503
+                await harness.wait_until(
+                    lambda: harness.log_lines('store_lost')
+                )
+            for _ in range(2):
+                harness.site.list_endpoint(
+                    harness.site.plain[0], state='draining', slots='none'
+                )
+            if history_is_lost:
+                store.delete_old_records('keyed.servers')
+            store.faults.down = 0
+            roster = harness.gateway.core.roster
+            await harness.wait_until(
+                lambda: (
+                    not roster.is_live('page-0', harness.gateway.core.now())
+                ),
+                2,
+            )
+
+    run(check())
+
+
 def test_listed_endpoint_outlives_an_entry_that_cannot_be_read(tmp_path):
     # An endpoint's entry is overwritten with one that cannot be decoded, and
     # the store deletes history, so the list is read whole. The endpoint is
