The relay of a store-refused instance survives a heartbeat before its first tick

Before the first tick of its clock this age is infinite, the conversion to a number of steps raised OverflowError, and the loop that gets the topics from peers was restarted with a pause that grows. The bound now goes before the conversion; the test fails before and passes now.

--- a/packages/verbenahall/src/verbenahall/store_relay/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/store_relay/_decisions.py
@@ -143,4 +143,6 @@
     confirmed = peer.confirmed.get(topic)
     if confirmed is None:
         return _LAST_STEP
-    return min(_LAST_STEP, int((now - confirmed.at) / _AGE_STEP_S))
+    # The age is infinite if the heartbeat came before this instance's first
+    # tick, so the bound goes before the conversion.
+    return int(min(_LAST_STEP, (now - confirmed.at) / _AGE_STEP_S))
--- a/packages/verbenahall/tests/store_relay/test_decisions.py
+++ b/packages/verbenahall/tests/store_relay/test_decisions.py
@@ -189,3 +189,12 @@
     assert state.choose(candidates, 11) == 'front-1'
     state.record_use(11)
     assert state.choose(candidates, 14) == 'front-1'
+
+
+def test_peer_with_a_confirmation_before_the_first_tick_is_a_candidate():
+    # The relay of an instance that was refused right after its start failed on
+    # a heartbeat of infinite age, and paused before each new attempt.
+    table = make_peers(3)
+    report(table, 'front-1', age_s=float('inf'))
+    report(table, 'front-2', age_s=0.1)
+    assert choose(table) == ['front-2', 'front-1']
