A started instance knows the versions of a service by a checkpoint, or not at all

What callers saw: two versions in service, all instances ended, and streams taken up at the other version, answered 200.

Cause: an instance that had read the topic of versions took the absence of a record for a proof that its list shows the only version (assume_past). Only services with several versions were on record, up to a second late and only if one of three writers reached the store; and without a manifest the life of streams counted as 2 s, so that what had been read was forgotten.

Now the followers of the list keep a checkpoint in the store: all versions that served lately, with the position in the list's topic up to which these are all. A start reads it, and the topic since then; if either can't be read the past is unknown, and what nobody has recorded is refused at once. Without a manifest nothing is forgotten and nothing is claimed.

--- a/packages/standins/src/verbenahall_standins/platform/_store.py
+++ b/packages/standins/src/verbenahall_standins/platform/_store.py
@@ -32,8 +32,9 @@
     ``silent`` leaves calls unanswered, ``lose_appends`` applies appends
     without answering them, ``miss_wakeups`` lets a long poll miss the records
     that are appended while it waits, ``reset`` resets each connection that a
-    call arrives on. ``stated_era`` replaces the era in the answers, which lack
-    it if it is empty.
+    call arrives on. ``append_status`` is the status with which appends are
+    refused, 0 for no fault. ``stated_era`` replaces the era in the answers,
+    which lack it if it is empty.
     """
 
     down: int = 0
@@ -42,6 +43,7 @@
     lose_appends: bool = False
     miss_wakeups: bool = False
     stated_era: str | None = None
+    append_status: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -226,13 +228,15 @@
             await asyncio.sleep(3600)
         if faults.reset and request.transport is not None:
             request.transport.abort()
-        if faults.down:
-            return web.Response(status=faults.down)
+        is_append = request.path == '/-/log-append'
+        status = faults.down or (is_append and faults.append_status)
+        if status:
+            return web.Response(status=status)
         response = await handler(request)
         stated = faults.stated_era
         if stated != '':
             response.headers['Store-Era'] = stated or str(self.era)
-        if faults.lose_appends and request.path == '/-/log-append':
+        if faults.lose_appends and is_append:
             await asyncio.sleep(3600)
         return response
 
--- a/packages/verbenahall/src/verbenahall/gateway/_record_handlers.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_record_handlers.py
@@ -114,6 +114,7 @@
             return
         match decode_entry(record.key, record.content):
             case Some(entry):
+                self._core.stream_versions.record_listed(entry)
                 known = self._core.roster.find_entry(entry.name)
                 applied = apply_entry(self._core.roster, entry)
                 if not applied:
--- a/packages/verbenahall/src/verbenahall/gateway/_stream_versions.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_stream_versions.py
@@ -2,17 +2,18 @@
 
 import asyncio
 import collections
-import itertools
+import functools
+import math
 from collections.abc import Iterable, Sequence
 from typing import Final, final
 
 from returns.maybe import Maybe, Some
 
 from verbenahall import journal, metrics
-from verbenahall.catalog import Catalog, RouteKind
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._messages import Call
 from verbenahall.gateway._stored_versions import StoredVersions
+from verbenahall.gateway._stream_life import ManifestLife
 from verbenahall.gateway._version_queries import VersionQueries
 from verbenahall.peers import PeerExchange
 from verbenahall.platform import ENDPOINTS_TOPIC
@@ -38,10 +39,9 @@
 #: is longer by for each endpoint: in a large fleet the pass takes milliseconds.
 _TICK_S: Final = 0.1
 _TICK_FOR_EACH_S: Final = 0.00005
-#: A caller may take a stream up as long as its own time limit lasts, which is
-#: rarely longer than twice the timeout of the route.
-_LIFE_FACTOR: Final = 2.0
-_LIFE_MARGIN_S: Final = 2.0
+#: How long versions are kept beyond the life of streams, in seconds: the
+#: timeouts of the next manifest may be longer.
+_KEPT_S: Final = 60.0
 #: Number of endpoints by service and software version.
 _Counts = dict[str, collections.Counter[str]]
 
@@ -75,9 +75,10 @@
         self._next_handler = exchange.datagram_handler
         self._queries = VersionQueries(core, self._send)
         self._reported: _Counts = {}
-        #: The version of the manifest, and how long streams live by it.
-        self._life: tuple[int, float] = (0, _LIFE_MARGIN_S)
-        self._stored = StoredVersions(core)
+        self._life = ManifestLife(core.catalog)
+        self._stored = StoredVersions(
+            core, functools.partial(_find_position, exchange)
+        )
         core.stream_versions = self
         exchange.datagram_handler = self.handle_datagram
 
@@ -86,8 +87,8 @@
         while True:
             now = self._core.now()
             self.update(now)
-            since = now - self._find_life_s()
-            await self._stored.exchange(self.history, since, now)
+            life_s = self._life.find_s(now)
+            await self._stored.exchange(self.history, life_s, now)
             endpoints = len(self._core.roster.listings)
             await asyncio.sleep(_TICK_S + endpoints * _TICK_FOR_EACH_S)
 
@@ -96,13 +97,18 @@
         if not self._core.roster.is_loaded:
             return
         self._record_listed(now)
-        forgotten = now - self._find_life_s()
-        self.history.forget(forgotten)
-        self.records.forget(forgotten)
+        life_s = self._life.find_s(now)
+        if life_s is not None:
+            self.history.forget(now - life_s - _KEPT_S)
+            self.records.forget(now - life_s)
         if has_owners(self._core.peer_table, now):
             for key, record in tuple(self.records.list_unreplicated()):
                 self._replicate(key, record, now)
 
+    def record_listed(self, entry: Entry) -> None:
+        """Record the version in an entry, however short it is listed."""
+        self.history.record(entry.service, entry.version, self._core.now())
+
     def record_begun(self, call: Call, engine: Entry) -> None:
         """Record that an engine brings the first event of a call's stream."""
         if not call.head.identity:
@@ -165,7 +171,10 @@
         record = self.records.find(query.key)
         if record is not None:
             return Reply(number, Evidence.RECORDED, record.version)
-        since = now - self._find_life_s()
+        life_s = self._life.find_s(now)
+        if life_s is None:
+            return Reply(number, Evidence.UNKNOWN)
+        since = now - life_s
         sole = self.history.find_sole(query.service, since)
         if isinstance(sole, Some):
             return Reply(number, Evidence.SOLE, sole.unwrap())
@@ -178,7 +187,9 @@
         return Reply(number, Evidence.UNKNOWN)
 
     def _decide(self, service: str, replies: Sequence[Reply]) -> Maybe[str]:
-        since = self._core.now() - self._find_life_s()
+        now = self._core.now()
+        life_s = self._life.find_s(now)
+        since = -math.inf if life_s is None else now - life_s
         listed = self.history.list_versions(service, since)
         queried = len(choose_queried(self._core.peer_table, service)) + 1
         return decide_version(replies, listed, queried)
@@ -199,8 +210,10 @@
 
         While no peer is live it has none, and ``update`` sends it later.
         """
-        since = now - self._find_life_s()
-        if isinstance(self.history.find_sole(record.service, since), Some):
+        life_s = self._life.find_s(now)
+        if life_s is not None and isinstance(
+            self.history.find_sole(record.service, now - life_s), Some
+        ):
             return
         peer_table = self._core.peer_table
         owners = choose_owners(peer_table, key, now)
@@ -220,31 +233,15 @@
         for address in addresses:
             self._exchange.send(datagram, address)
 
-    def _find_life_s(self) -> float:
-        """Return how long after its beginning a stream may be taken up."""
-        catalog = self._core.catalog.catalog
-        version = catalog.version if catalog else 0
-        known_version, life_s = self._life
-        if version != known_version:
-            life_s = _compute_life_s(catalog)
-            self._life = (version, life_s)
-        return life_s
-
 
 def _make_key(call: Call, request: str) -> str:
     workspace = call.workspace.name if call.workspace else ''
     return make_stream_key(call.service.name, workspace, request)
 
 
-def _compute_life_s(catalog: Catalog) -> float:
-    routes = itertools.chain.from_iterable(
-        by_prefix.values() for by_prefix in catalog.routes.values()
-    )
-    longest_s = max(
-        (route.timeout_s for route in routes if route.kind is RouteKind.STREAM),
-        default=0,
-    )
-    return longest_s * _LIFE_FACTOR + _LIFE_MARGIN_S
+def _find_position(exchange: PeerExchange) -> int | None:
+    """Return how far this instance has read the list at the store."""
+    return exchange.followed_positions().get(ENDPOINTS_TOPIC)
 
 
 def _log_changes(entries: Iterable[Entry], reported: _Counts) -> _Counts:
--- a/packages/verbenahall/src/verbenahall/gateway/_version_hook.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_version_hook.py
@@ -11,6 +11,9 @@
 class VersionFinder(Protocol):
     """Knows the software versions at which streams began."""
 
+    def record_listed(self, entry: Entry) -> None:
+        """Record an entry that was read from the store or a peer."""
+
     def record_begun(self, call: Call, engine: Entry) -> None:
         """Record that an engine brings the first event of a call's stream."""
 
@@ -24,6 +27,9 @@
 
     __slots__ = ()
 
+    def record_listed(self, entry: Entry) -> None:
+        """Ignore the entry."""
+
     def record_begun(self, call: Call, engine: Entry) -> None:
         """Ignore the beginning."""
 
--- a/packages/verbenahall/src/verbenahall/stream_versions/__init__.py
+++ b/packages/verbenahall/src/verbenahall/stream_versions/__init__.py
@@ -6,6 +6,11 @@
 its key, and looked up there when a caller takes the stream up again.
 """
 
+from verbenahall.stream_versions._checkpoint import (
+    Checkpoint,
+    decode_checkpoint,
+    encode_checkpoint,
+)
 from verbenahall.stream_versions._decisions import (
     choose_owners,
     choose_queried,
@@ -13,6 +18,7 @@
     has_owners,
 )
 from verbenahall.stream_versions._history import VersionHistory
+from verbenahall.stream_versions._life import StreamLife
 from verbenahall.stream_versions._messages import (
     Beginning,
     Evidence,
@@ -26,8 +32,10 @@
 
 __all__ = (
     'Beginning',
+    'Checkpoint',
     'Evidence',
     'Reply',
+    'StreamLife',
     'StreamRecord',
     'StreamRecords',
     'VersionHistory',
@@ -36,7 +44,9 @@
     'choose_queried',
     'decide_version',
     'decode',
+    'decode_checkpoint',
     'encode',
+    'encode_checkpoint',
     'has_owners',
     'make_stream_key',
 )
--- a/packages/verbenahall/src/verbenahall/stream_versions/_history.py
+++ b/packages/verbenahall/src/verbenahall/stream_versions/_history.py
@@ -49,13 +49,21 @@
         self.listed_since = -math.inf
         self.since = -math.inf
 
-    def list_several(self, since: float) -> dict[str, list[str]]:
-        """Return the services that had several versions since a time."""
-        versions = {
-            service: sorted(self.list_versions(service, since))
+    def list_ages(
+        self, since: float, now: float
+    ) -> dict[str, dict[str, float]]:
+        """Return for how long each version has not served, in seconds.
+
+        Versions that have not served since a time are left out.
+        """
+        ages = {
+            service: {
+                version: max(0, now - at)
+                for version, at in self.list_versions(service, since).items()
+            }
             for service in self._seen_at
         }
-        return {name: found for name, found in versions.items() if found[1:]}
+        return {service: found for service, found in ages.items() if found}
 
     def forget(self, before: float) -> None:
         """Forget the versions that have not served since a time."""
--- a/packages/verbenahall/tests/gateway/test_stream_versions.py
+++ b/packages/verbenahall/tests/gateway/test_stream_versions.py
@@ -211,6 +211,111 @@
     run(check())
 
 
+def list_at(site, begun, version):
+    """Return the streams that began at a version."""
+    return [one for one in begun if list_versions(site, one) == {version}]
+
+
+def unlist_version(site, version):
+    """Remove the entries of all engines of a version."""
+    for engine in site.engines:
+        if engine.version == version:
+            site.unlist(engine.name)
+
+
+async def check_refused(harness, streams):
+    """Check that streams are refused and run at no engine."""
+    assert streams
+    statuses = [await take_up(harness, one) for one in streams]
+    again = [f'again-{one}' for one in streams]
+    assert not list_versions(harness.site, *again)
+    assert set(statuses) == {503}
+
+
+@pytest.mark.parametrize('late_s', (0.0, 2.2, 2.7))
+def test_versions_on_record_outlast_a_late_manifest(tmp_path, late_s):
+    # Without a manifest the started instance forgot the versions on record
+    # after two seconds, and took the one on its list for the only one.
+    async def check():
+        async with run_gateway(
+            tmp_path, make_versioned_engines(v1=1, v2=1)
+        ) as harness:
+            site = harness.site
+            begun = await begin_streams(harness)
+            read = site.store.newest
+            await harness.wait_until(lambda: any(read('keyed.versions')), 4)
+            await harness.gateway.close()
+            unlist_version(site, 'v2')
+            site.store.put('keyed.op', 'config', b'')
+            asyncio.get_running_loop().call_later(late_s, site.publish)
+            async with run_gateway(
+                tmp_path, name='front-2', site=site
+            ) as started:
+                await asyncio.sleep(0.3)
+                await check_refused(started, list_at(site, begun, 'v2'))
+
+    run(check())
+
+
+@pytest.mark.parametrize('status', (429, 503, 507))
+@pytest.mark.parametrize('starts', (1, 2))
+def test_missing_record_of_versions_is_no_proof(tmp_path, status, starts):
+    # No writer reached the store, and its history is gone; a started instance
+    # took the absence of a record for a proof that there was one version.
+    async def check():
+        async with run_gateway(
+            tmp_path, make_versioned_engines(v1=1, v2=1)
+        ) as harness:
+            site = harness.site
+            site.store.faults.append_status = status
+            begun = await begin_streams(harness)
+            await asyncio.sleep(1.2)
+            await harness.gateway.close()
+            unlist_version(site, 'v2')
+            site.store.delete_old_records('keyed.servers')
+            for number in range(starts):
+                async with run_gateway(
+                    tmp_path, name=f'front-{number + 2}', site=site
+                ) as started:
+                    await asyncio.sleep(0.5)
+                    await check_refused(started, list_at(site, begun, 'v2'))
+
+    run(check())
+
+
+@pytest.mark.parametrize('history_is_lost', (False, True))
+def test_version_listed_just_before_all_instances_end_counts(
+    tmp_path, history_is_lost
+):
+    # All instances ended before any had recorded the second version.
+    async def check():
+        engines = make_versioned_engines(v1=1, v2=1)
+        async with run_gateway(tmp_path, engines[:1] + engines[2:3]) as harness:
+            site = harness.site
+            await asyncio.sleep(2)
+            begun = await begin_streams(harness)
+            # Nothing is written between the list and the end.
+            site.store.faults.append_status = 503
+            for engine in (engines[1], engines[3]):
+                await engine.start()
+                site.engines.append(engine)
+                site.list_endpoint(engine)
+            roster = harness.gateway.core.roster
+            await harness.wait_until(lambda: engines[3].name in roster.listings)
+            await harness.gateway.close()
+            site.store.faults.append_status = 0
+            unlist_version(site, 'v1')
+            if history_is_lost:
+                site.store.delete_old_records('keyed.servers')
+            async with run_gateway(
+                tmp_path, name='front-2', site=site
+            ) as started:
+                await asyncio.sleep(0.5)
+                await check_refused(started, list_at(site, begun, 'v1'))
+
+    run(check())
+
+
 def test_stream_goes_on_after_all_instances_were_started_again(tmp_path):
     # The service has one version, and the store knows of no other.
     async def check():
--- a/packages/verbenahall/tests/store_returns/simulated_store.py
+++ b/packages/verbenahall/tests/store_returns/simulated_store.py
@@ -11,6 +11,8 @@
 
 import aiohttp
 
+from verbenahall.platform._records import Batch, encode_batch
+
 
 class Clock:
     """A clock that a test advances."""
@@ -36,7 +38,8 @@
     def __init__(self, status, table, era):
         self.status = status
         self.headers = {} if era is None else {'Store-Era': era}
-        self.content = _Body(json.dumps(table).encode())
+        is_binary = isinstance(table, bytes)
+        self.content = _Body(table if is_binary else json.dumps(table).encode())
 
 
 class SimulatedStore:
@@ -105,6 +108,8 @@
             ]
             end = len(self.topics.get(topic, []))
             return 200, {'items': rows, 'hasMore': False, 'end': end}
+        if path.endswith('log-read'):
+            return self._read(topic, int(params['from']))
         at = params.get('at')
         offset = self.append(topic, body, None if at is None else int(at))
         if offset is None:
@@ -118,6 +123,12 @@
             (params['topic'], body, None if at is None else int(at))
         )
 
+    def _read(self, topic, start):
+        records = tuple(self.topics.get(topic, []))
+        if start > len(records):
+            return 410, {'first': 0}
+        return 200, encode_batch(Batch(len(records), 0, records[start:]))
+
 
 class _Session:
     def __init__(self, store, fate):
--- a/packages/verbenahall/tests/store_returns/test_records.py
+++ b/packages/verbenahall/tests/store_returns/test_records.py
@@ -11,8 +11,9 @@
 from verbenahall.gateway._stored_versions import StoredVersions
 from verbenahall.peers import PeerTable
 from verbenahall.placement import PlacementState
-from verbenahall.platform import StoreClient, StoreEra
+from verbenahall.platform import StoreClient, StoreEra, make_position
 from verbenahall.quarantine import Crash, CrashReport
+from verbenahall.stream_versions import VersionHistory
 from verbenahall.scaling._records import OrderRecord, OrderRecords
 from verbenahall.usage import UsageReports, Windows
 from verbenahall.usage._ledger import ReportLedger, recover_ledger
@@ -174,17 +175,22 @@
     run(check)
 
 
-class History:
-    """The versions of one service."""
+def make_history(now):
+    """Return the history of a service with two versions."""
+    history = VersionHistory()
+    history.record('drafter', 'v1', now)
+    history.record('drafter', 'v2', now)
+    return history
 
-    def list_several(self, _since):
-        return {'drafter': ['v1', 'v2']}
 
-    def record(self, *_):
-        """Ignore it."""
-
-    def assume_past(self):
-        """Ignore it."""
+async def check_known(store, versions):
+    """Check what an instance knows that is started now."""
+    core = store.make_core(store.connect())
+    history = VersionHistory()
+    started = StoredVersions(core, lambda: None)
+    await started.exchange(history, 60, store.clock())
+    assert history.since < 0
+    assert set(history.list_versions('drafter', 0)) == versions
 
 
 def test_versions_are_written_again_after_a_return():
@@ -192,19 +198,25 @@
     # another version.
     async def check(store):
         client = store.connect()
-        stored = StoredVersions(store.make_core(client))
+        core = store.make_core(client)
+        stored = StoredVersions(
+            core, lambda: make_position(client.era.current, 0)
+        )
+        history = make_history(store.clock())
         for _ in range(3):
             store.clock.seconds += 2
-            await stored.exchange(History(), 0, store.clock())
+            await stored.exchange(history, 60, store.clock())
         topics = store.store.topics
         name = next(one for one in topics if 'version' in one)
         assert len(topics[name]) == 1
         store.store.return_from({})
-        client.era.record_reported(2)
+        # A call of any kind shows the new era.
+        await client.read_newest(name)
         for _ in range(3):
             store.clock.seconds += 2
-            await stored.exchange(History(), 0, store.clock())
+            await stored.exchange(history, 60, store.clock())
         assert len(store.store.topics[name]) == 1
+        await check_known(store, {'v1', 'v2'})
 
     run(check)
 
