A sole version needs a list that is complete since the stream was taken up

An instance whose list lags (by up to 1.5 s it counts as recent) claimed a sole version; a stream that had begun at the next version, at an instance that ended with the owners that it had told, was taken up at the old one and answered 200.

Cause: one claim of a sole version decided, and rested on a list that may be older than the stream. Now an instance that has no record of the stream reads the list from the store before it decides, one call for all streams that are taken up meanwhile; without the store's answer most of the instances that are asked have to know the same version. A manifest with shorter timeouts no longer shortens the life of the streams before it.

--- a/packages/verbenahall/src/verbenahall/gateway/_serve.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_serve.py
@@ -41,7 +41,7 @@
     make_usage_reporter,
     reports_usage,
 )
-from verbenahall.platform import READY, ProcessSettings
+from verbenahall.platform import ENDPOINTS_TOPIC, READY, ProcessSettings
 from verbenahall.process import listen, run_service
 from verbenahall.shutdown import GracefulStop, StopTiming
 from verbenahall.supervisor import Supervisor
@@ -95,6 +95,8 @@
         self.open_forwards = OpenForwards()
         PeerForwarder(self.core, self.open_forwards)
         self._topics = Topics(self.core, self.finder.exchange)
+        followed = self._topics.followers[ENDPOINTS_TOPIC]
+        self.stream_versions.list_confirmation.refresh = followed.refresh
         self._usage = make_usage_exchange(self.core, self.finder.exchange)
         self._usage.relay_append = self._topics.writer.append
         self._supervisor = Supervisor()
--- a/packages/verbenahall/src/verbenahall/gateway/_stream_versions.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_stream_versions.py
@@ -11,6 +11,7 @@
 
 from verbenahall import journal, metrics
 from verbenahall.gateway._core import Core
+from verbenahall.gateway._list_confirmation import ListConfirmation
 from verbenahall.gateway._messages import Call
 from verbenahall.gateway._stored_versions import StoredVersions
 from verbenahall.gateway._stream_life import ManifestLife
@@ -42,6 +43,8 @@
 #: How long versions are kept beyond the life of streams, in seconds: the
 #: timeouts of the next manifest may be longer.
 _KEPT_S: Final = 60.0
+#: Evidence by which an instance decides without its peers.
+_SUFFICIENT: Final = frozenset((Evidence.RECORDED, Evidence.SOLE))
 #: Number of endpoints by service and software version.
 _Counts = dict[str, collections.Counter[str]]
 
@@ -51,12 +54,14 @@
     """Knows the versions of streams, with the help of the peers.
 
     ``history`` holds the versions of each service and ``records`` the streams
-    that began here or were received from a peer.
+    that began here or were received from a peer. ``list_confirmation`` tells
+    whether the list of endpoints is complete.
     """
 
     __slots__ = (
         'history',
         'records',
+        'list_confirmation',
         '_core',
         '_exchange',
         '_life',
@@ -70,6 +75,9 @@
         """Install the handlers in the core and in the peers' exchange."""
         self.history = VersionHistory()
         self.records = StreamRecords()
+        self.list_confirmation = ListConfirmation(
+            core.freshness[ENDPOINTS_TOPIC], core.now
+        )
         self._core = core
         self._exchange = exchange
         self._next_handler = exchange.datagram_handler
@@ -124,17 +132,22 @@
     async def find(self, call: Call) -> Maybe[str]:
         """Return the version of the stream that a call takes up.
 
-        Nothing means that it is unknown. Takes 0.12 s at most.
+        Nothing means that it is unknown. Takes 0.12 s at most, and as long as
+        two reads of the store: only a list that is complete by now shows that
+        the stream can't have begun at a version that this instance has missed.
         """
         started = self._core.now()
-        self._record_listed(started)
         resumes = call.head.resumes
         key = _make_key(call, resumes) if resumes else ''
         service = call.service.name
+        is_confirmed = self.records.find(
+            key
+        ) is not None or await self.list_confirmation.confirm(started)
+        self._record_listed(self._core.now())
         replies = [self._answer(VersionQuery(0, key, service), started)]
-        if replies[0].evidence not in {Evidence.RECORDED, Evidence.SOLE}:
+        if not (is_confirmed and replies[0].evidence in _SUFFICIENT):
             replies.extend(await self._queries.send(key, service))
-        found = self._decide(service, replies)
+        found = self._decide(service, replies, is_confirmed=is_confirmed)
         now = self._core.now()
         if key and isinstance(found, Some):
             record = StreamRecord(
@@ -186,13 +199,17 @@
             return Reply(number, Evidence.SEVERAL)
         return Reply(number, Evidence.UNKNOWN)
 
-    def _decide(self, service: str, replies: Sequence[Reply]) -> Maybe[str]:
+    def _decide(
+        self, service: str, replies: Sequence[Reply], *, is_confirmed: bool
+    ) -> Maybe[str]:
         now = self._core.now()
         life_s = self._life.find_s(now)
         since = -math.inf if life_s is None else now - life_s
         listed = self.history.list_versions(service, since)
         queried = len(choose_queried(self._core.peer_table, service)) + 1
-        return decide_version(replies, listed, queried)
+        return decide_version(
+            replies, listed, queried, is_confirmed=is_confirmed
+        )
 
     def _record_listed(self, now: float) -> None:
         core = self._core
--- a/packages/verbenahall/src/verbenahall/stream_versions/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/stream_versions/_decisions.py
@@ -49,15 +49,20 @@
 
 
 def decide_version(
-    replies: Sequence[Reply], listed: Collection[str], queried: int = 1
+    replies: Sequence[Reply],
+    listed: Collection[str],
+    queried: int = 1,
+    *,
+    is_confirmed: bool = True,
 ) -> Maybe[str]:
     """Return the version at which a stream goes on, Nothing if it is unknown.
 
     ``listed`` holds the versions that this instance knows of the service, and
     ``queried`` is the number of instances that could reply, this one included.
-    A sole version counts only if nobody knows of another one. While the store
-    confirms no list, most have to know the same one: those that are cut off
-    from the others may have missed a second one.
+    ``is_confirmed`` is whether the store has confirmed this instance's list
+    since the stream was taken up. A sole version counts only if nobody knows of
+    another one. Without a confirmed list, most have to know the same one: those
+    that are cut off from the others may have missed a second one.
     """
     recorded = {one.version for one in replies if _is(one, Evidence.RECORDED)}
     if recorded:
@@ -65,7 +70,9 @@
     if any(_is(one, Evidence.SEVERAL) for one in replies):
         return Nothing
     claims = [one for one in replies if one.evidence in _CLAIMS]
-    has_confirmed = any(_is(one, Evidence.SOLE) for one in claims)
+    has_confirmed = is_confirmed and any(
+        _is(one, Evidence.SOLE) for one in claims
+    )
     if not has_confirmed and len(claims) * 2 <= queried:
         return Nothing
     return _find_only({one.version for one in claims} | set(listed))
--- a/packages/verbenahall/src/verbenahall/stream_versions/_life.py
+++ b/packages/verbenahall/src/verbenahall/stream_versions/_life.py
@@ -28,11 +28,10 @@
 
     def change(self, version: int, seconds: float, now: float) -> None:
         """Apply the life of a stream by a new manifest."""
-        before = self.find_s(now)
+        if self._seconds is not None and self._seconds > seconds:
+            self._earlier.append((self._seconds, now + self._seconds))
         self.version = version
         self._seconds = seconds
-        if before is not None and before > seconds:
-            self._earlier.append((before, now + before))
 
     def find_s(self, now: float) -> float | None:
         """Return how long a stream may live, None without a manifest."""
--- a/packages/verbenahall/tests/gateway/test_stream_versions.py
+++ b/packages/verbenahall/tests/gateway/test_stream_versions.py
@@ -211,6 +211,43 @@
     run(check())
 
 
+async def stop_following(harness):
+    """Let an instance get no news of the endpoints, by store or by peer."""
+    gateway = harness.gateway
+    for loop in ('', 'refresh ', 'relay '):
+        await gateway._supervisor.stop(f'{loop}keyed.servers')
+    gateway.finder.exchange.on_update = lambda update: None
+
+
+@pytest.mark.parametrize('status', (0, 503))
+def test_list_that_lags_is_no_proof_of_a_sole_version(tmp_path, status):
+    # An instance whose list is a second old knew of one version; a stream had
+    # begun at the next one at an instance that ended with its owners. The store
+    # answers the first instance or refuses it.
+    async def check():
+        engines = make_versioned_engines(v1=1, v2=1)
+        async with run_instances(
+            tmp_path, engines[:1] + engines[2:3]
+        ) as harnesses:
+            first, second = harnesses
+            site = first.site
+            await stop_following(first)
+            # The datagrams to the owners of the streams are lost.
+            second.gateway.finder.exchange.send = lambda *_: None
+            for engine in (engines[1], engines[3]):
+                await engine.start()
+                site.engines.append(engine)
+                site.list_endpoint(engine)
+            roster = second.gateway.core.roster
+            await second.wait_until(lambda: engines[3].name in roster.listings)
+            begun = await begin_streams(second)
+            await second.gateway.close()
+            site.store.faults.down = status
+            await check_refused(first, list_at(site, begun, 'v2'))
+
+    run(check())
+
+
 def list_at(site, begun, version):
     """Return the streams that began at a version."""
     return [one for one in begun if list_versions(site, one) == {version}]
--- a/packages/verbenahall/tests/stream_versions/test_evidence.py
+++ b/packages/verbenahall/tests/stream_versions/test_evidence.py
@@ -9,9 +9,11 @@
 from verbenahall.roster import Entry, select_version
 from verbenahall.stream_versions import (
     Beginning,
+    Checkpoint,
     Evidence,
     VersionQuery,
     Reply,
+    StreamLife,
     StreamRecord,
     StreamRecords,
     VersionHistory,
@@ -19,7 +21,9 @@
     choose_owners,
     decide_version,
     decode,
+    decode_checkpoint,
     encode,
+    encode_checkpoint,
     make_stream_key,
 )
 
@@ -131,6 +135,49 @@
     assert decide_version(replies, {'v1'}, asked) == expected
 
 
+def test_sole_version_of_an_unconfirmed_list_needs_most_instances():
+    # The list may miss a version at which the stream began a moment ago.
+    sole = Reply(0, Evidence.SOLE, 'v1')
+    assert decide_version([sole], {'v1'}, 9, is_confirmed=False) is Nothing
+    most = [sole for _ in range(5)]
+    found = decide_version(most, {'v1'}, 9, is_confirmed=False)
+    assert found == Some('v1')
+
+
+def test_streams_live_by_the_longer_timeouts_of_the_manifest_before():
+    # A version was forgotten at once when a manifest had shorter timeouts.
+    life = StreamLife()
+    assert life.find_s(0) is None
+    life.change(1, 12, 0)
+    life.change(2, 8, 100)
+    life.change(3, 10, 105)
+    assert life.find_s(111) == 12
+    assert life.find_s(113) == 10
+
+
+@pytest.mark.parametrize(
+    'content',
+    (
+        b'',
+        b'[]',
+        b'{"position":1}',
+        b'{"position":-1,"ages":{}}',
+        b'{"position":1,"ages":{"drafter":["v1"]}}',
+        b'{"position":1,"ages":{"drafter":{"v1":"0"}}}',
+        b'{"drafter":["v1","v2"]}',
+    ),
+)
+def test_invalid_checkpoint_is_none(content):
+    # An instance that took it for an empty one would know of no version.
+    assert decode_checkpoint(content) is Nothing
+
+
+def test_checkpoint_survives_its_encoding():
+    checkpoint = Checkpoint(7, {'drafter': {'v1': 0, 'v2': 3.9}})
+    decoded = decode_checkpoint(encode_checkpoint(checkpoint)).unwrap()
+    assert decoded == Checkpoint(7, {'drafter': {'v1': 0, 'v2': 3}})
+
+
 def test_list_that_was_old_still_tells_the_versions():
     history = VersionHistory()
     entries = [make_entry('e', 'v1')]
