Soak: all instances are killed at once beside endpoints that leave

The scenario leaving-endpoints kills all instances, some twice in a row, and replaces engines by other software versions.

--- a/packages/standins/src/verbenahall_standins/soak/_actions.py
+++ b/packages/standins/src/verbenahall_standins/soak/_actions.py
@@ -346,8 +346,11 @@
     start = endpoint.notices.start
     deployment.depart(endpoint, way)
     await asyncio.sleep(LEAVING_S + event.for_s)
-    if endpoint.notices.start == start:
-        deployment.replace_endpoint(endpoint)
+    if endpoint.notices.start != start:
+        return
+    if isinstance(endpoint, EngineStandIn):
+        endpoint.version = f'v{event.shape % _VERSIONS}'
+    deployment.replace_endpoint(endpoint)
 
 
 async def _lose_history(deployment: Deployment, event: Event) -> None:
@@ -391,6 +394,14 @@
             await asyncio.sleep(event.for_s / _SERIES)
 
 
+async def _kill_all(deployment: Deployment, event: Event) -> None:
+    """Kill all instances at once, some of them twice in a row."""
+    instances = deployment.instances
+    await asyncio.gather(*(one.restart(signal.SIGKILL) for one in instances))
+    again = instances[: event.shape % (len(instances) + 1)]
+    await asyncio.gather(*(one.restart(signal.SIGKILL) for one in again))
+
+
 _Action = Callable[[Deployment, Event], Awaitable[None]]
 _ACTIONS: Final[Mapping[Kind, _Action]] = MappingProxyType(
     {
@@ -427,5 +438,6 @@
         Kind.STORE_REFUSES_SOME: _refuse_some,
         Kind.FREEZES_IN_SERIES: _freeze_in_series,
         Kind.KILLS_IN_SERIES: _kill_in_series,
+        Kind.ALL_KILLED: _kill_all,
     },
 )
--- a/packages/standins/src/verbenahall_standins/soak/_plan.py
+++ b/packages/standins/src/verbenahall_standins/soak/_plan.py
@@ -93,6 +93,7 @@
     STORE_REFUSES_SOME = 'store_refuses_some'
     FREEZES_IN_SERIES = 'freezes_in_series'
     KILLS_IN_SERIES = 'kills_in_series'
+    ALL_KILLED = 'all_killed'
 
 
 #: Relative frequency of each kind.
@@ -192,6 +193,7 @@
     Kind.FREEZES_IN_SERIES,
     Kind.KILL,
     Kind.KILLS_IN_SERIES,
+    Kind.ALL_KILLED,
     Kind.TERMINATE,
     Kind.HANGUP,
     Kind.MANIFEST,
