Soak: instances lose their peers' datagrams beside endpoints that leave

Instances lose all, 80 or 50 in 100 of the datagrams from and to their peers; the store answers them, so nothing is excused.

--- a/packages/standins/src/verbenahall_standins/soak/_actions.py
+++ b/packages/standins/src/verbenahall_standins/soak/_actions.py
@@ -12,6 +12,10 @@
 from typing import Any, Final
 
 from verbenahall_standins.platform import EngineStandIn, PlainStandIn
+from verbenahall_standins.soak._datagrams import (
+    get_loss_path,
+    lose_datagrams,
+)
 from verbenahall_standins.soak._departures import StoreDisturbance
 from verbenahall_standins.soak._deployment import Deployment, Way
 from verbenahall_standins.soak._instances import Instance
@@ -46,6 +50,8 @@
     HTTPStatus.SERVICE_UNAVAILABLE.value,
     0,
 )
+#: Shares of their peers' datagrams that instances lose.
+_LOST_SHARES: Final = (1.0, 0.5, 0.8)
 #: Instances that are frozen or killed one after the other.
 _SERIES: Final = 4
 #: One in this many store link faults affects all instances.
@@ -394,6 +400,17 @@
             await asyncio.sleep(event.for_s / _SERIES)
 
 
+async def _lose_peers(deployment: Deployment, event: Event) -> None:
+    """Let some instances, or all, lose datagrams of their peers."""
+    instances = deployment.instances
+    share = _LOST_SHARES[event.shape % len(_LOST_SHARES)]
+    count = 1 + event.target_draw % len(instances)
+    paths = (get_loss_path(one.links_path) for one in instances[:count])
+    await asyncio.gather(
+        *(lose_datagrams(path, share, event.for_s) for path in paths)
+    )
+
+
 async def _kill_all(deployment: Deployment, event: Event) -> None:
     """Kill all instances at once, some of them twice in a row."""
     instances = deployment.instances
@@ -439,5 +456,6 @@
         Kind.FREEZES_IN_SERIES: _freeze_in_series,
         Kind.KILLS_IN_SERIES: _kill_in_series,
         Kind.ALL_KILLED: _kill_all,
+        Kind.PEERS_LOST: _lose_peers,
     },
 )
--- a/packages/standins/src/verbenahall_standins/soak/_instances.py
+++ b/packages/standins/src/verbenahall_standins/soak/_instances.py
@@ -48,7 +48,7 @@
         self.exit_codes: list[int] = []
         #: When the process was killed, in monotonic seconds.
         self.kills: list[float] = []
-        self._links_path = links_path
+        self.links_path = links_path
         self._path = path
         self._output = path.with_suffix('.log')
         self._process: asyncio.subprocess.Process | None = None
@@ -67,7 +67,7 @@
                 sys.executable,
                 '-m',
                 'verbenahall_standins.soak._linked_instance',
-                str(self._links_path),
+                str(self.links_path),
                 env={**os.environ, 'VERBENAHALL_CONFIG': str(self._path)},
                 stdout=stdout,
             )
--- a/packages/standins/src/verbenahall_standins/soak/_plan.py
+++ b/packages/standins/src/verbenahall_standins/soak/_plan.py
@@ -94,6 +94,7 @@
     FREEZES_IN_SERIES = 'freezes_in_series'
     KILLS_IN_SERIES = 'kills_in_series'
     ALL_KILLED = 'all_killed'
+    PEERS_LOST = 'peers_lost'
 
 
 #: Relative frequency of each kind.
@@ -194,6 +195,8 @@
     Kind.KILL,
     Kind.KILLS_IN_SERIES,
     Kind.ALL_KILLED,
+    Kind.PEERS_LOST,
+    Kind.PEERS_LOST,
     Kind.TERMINATE,
     Kind.HANGUP,
     Kind.MANIFEST,
