--- a/packages/verbenahall/src/verbenahall/gateway/_list_history.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_list_history.py
@@ -58,12 +58,12 @@
 
 def _record_entry(record: bytes, history: VersionHistory, now: float) -> None:
     try:
-        keyed = decode_keyed(record)
+        decoded = decode_keyed(record)
     except ValueError:
         # No instance has sent to an endpoint without a readable entry; the
         # follower of the topic logs the record.
         return
-    found = decode_entry(keyed.key, keyed.content)
+    found = decode_entry(decoded.key, decoded.content)
     if isinstance(found, Some):
         entry = found.unwrap()
         history.record(entry.service, entry.version, now)
--- a/packages/verbenahall/src/verbenahall/gateway/_stream_versions.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_stream_versions.py
@@ -140,9 +140,10 @@
         resumes = call.head.resumes
         key = _make_key(call, resumes) if resumes else ''
         service = call.service.name
-        is_confirmed = self.records.find(
-            key
-        ) is not None or await self.list_confirmation.confirm(started)
+        is_recorded = self.records.find(key) is not None
+        is_confirmed = is_recorded or await self.list_confirmation.confirm(
+            started
+        )
         self._record_listed(self._core.now())
         replies = [self._answer(VersionQuery(0, key, service), started)]
         if not (is_confirmed and replies[0].evidence in _SUFFICIENT):
