--- a/packages/verbenahall/src/verbenahall/gateway/_stream_versions.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_stream_versions.py
@@ -137,8 +137,7 @@
         the stream can't have begun at a version that this instance has missed.
         """
         started = self._core.now()
-        resumes = call.head.resumes
-        key = _make_key(call, resumes) if resumes else ''
+        key = _make_resumed_key(call)
         service = call.service.name
         is_recorded = self.records.find(key) is not None
         is_confirmed = is_recorded or await self.list_confirmation.confirm(
@@ -262,6 +261,12 @@
     return exchange.followed_positions().get(ENDPOINTS_TOPIC)
 
 
+def _make_resumed_key(call: Call) -> str:
+    """Return the key of the stream that a call names, empty for none."""
+    resumes = call.head.resumes
+    return _make_key(call, resumes) if resumes else ''
+
+
 def _log_changes(entries: Iterable[Entry], reported: _Counts) -> _Counts:
     """Log the services whose versions have changed; return all versions."""
     counts: _Counts = collections.defaultdict(collections.Counter)
