--- a/packages/standins/src/verbenahall_standins/platform/_site.py
+++ b/packages/standins/src/verbenahall_standins/platform/_site.py
@@ -3,6 +3,7 @@
 import contextlib
 import itertools
 import json
+import os
 import random
 import socket
 from collections.abc import Sequence
@@ -220,12 +221,24 @@
     return path
 
 
-#: Ports in a random order per process, so that processes rarely collide.
+#: Parts of the range, one for each test worker or process. An instance that is
+#: started again binds its ports once more, and another worker's probe would
+#: find them free in between.
+_PARTS: Final = 12
+
+
+def _choose_ports() -> range:
+    """Return the part of the range that this process draws ports from."""
+    worker = os.environ.get('PYTEST_XDIST_WORKER', '').removeprefix('gw')
+    number = int(worker) if worker.isdecimal() else os.getpid()
+    size = (_LAST_PORT - _FIRST_PORT) // _PARTS
+    first = _FIRST_PORT + number % _PARTS * size
+    return range(first, first + size)
+
+
+#: Ports in a random order, so that processes of one part rarely collide.
 _ports: Final = itertools.cycle(
-    random.SystemRandom().sample(
-        range(_FIRST_PORT, _LAST_PORT),
-        _LAST_PORT - _FIRST_PORT,
-    ),
+    random.SystemRandom().sample(_choose_ports(), len(_choose_ports())),
 )
 
 
