Soak: the check of late arrivals excuses three seconds, as the rule does

The check excused an instance that was disturbed at any time since a leaving; the rule excuses the three seconds before a request only. Way is named LeavingWay.

--- a/packages/standins/src/verbenahall_standins/soak/_actions.py
+++ b/packages/standins/src/verbenahall_standins/soak/_actions.py
@@ -17,7 +17,7 @@
     lose_datagrams,
 )
 from verbenahall_standins.soak._departures import StoreDisturbance
-from verbenahall_standins.soak._deployment import Deployment, Way
+from verbenahall_standins.soak._deployment import Deployment, LeavingWay
 from verbenahall_standins.soak._instances import Instance
 from verbenahall_standins.soak._links import Cut
 from verbenahall_standins.soak._notices import LinkFault
@@ -343,7 +343,7 @@
     on for longer than requests may arrive.
     """
     endpoint = _select(deployment.endpoints, event)
-    way = Way.select(event.shape)
+    way = LeavingWay.select(event.shape)
     if not deployment.may_depart(endpoint):
         return
     if way.starts_again:
--- a/packages/standins/src/verbenahall_standins/soak/_departures.py
+++ b/packages/standins/src/verbenahall_standins/soak/_departures.py
@@ -68,22 +68,21 @@
             for arrival in departure.notices.arrivals
             if arrival.start == departure.start
             and arrival.at > departure.at + BOUND_S
-            and _counts(arrival, departure, by_id, was_disturbed)
+            and _was_sent_in_touch(arrival, by_id, was_disturbed)
         ]
         if late:
             yield _describe(departure, late, by_id)
 
 
-def _counts(
+def _was_sent_in_touch(
     arrival: Arrival,
-    departure: Departure,
     by_id: Mapping[str, Record],
     was_disturbed: WasDisturbed,
 ) -> bool:
     record = by_id.get(arrival.request_id)
     if record is None:
         return False
-    start = min(departure.at, arrival.at - STABLE_S)
+    start = arrival.at - STABLE_S
     return not was_disturbed(record.instance, start, arrival.at)
 
 
--- a/packages/standins/src/verbenahall_standins/soak/_deployment.py
+++ b/packages/standins/src/verbenahall_standins/soak/_deployment.py
@@ -68,7 +68,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Way:
+class LeavingWay:
     """How an endpoint leaves.
 
     With ``removed`` its entry is removed, else it says so. With ``is_stated``
@@ -90,7 +90,7 @@
         return ', '.join(words)
 
     @classmethod
-    def select(cls, shape: int) -> 'Way':
+    def select(cls, shape: int) -> 'LeavingWay':
         """Return the way of a drawn number."""
         removed, rest = divmod(shape, _WAY_CHOICES)
         return cls(
@@ -240,7 +240,9 @@
         ]
         return endpoint in staying and len(staying) > _STAYING
 
-    def depart(self, endpoint: EngineStandIn | PlainStandIn, way: Way) -> None:
+    def depart(
+        self, endpoint: EngineStandIn | PlainStandIn, way: LeavingWay
+    ) -> None:
         """Let the store have that an endpoint leaves."""
         endpoint.notices.leaving = way.is_stated
         if way.removed:
--- a/packages/standins/tests/soak/test_soak.py
+++ b/packages/standins/tests/soak/test_soak.py
@@ -330,6 +330,13 @@
     assert not list(late)
 
 
+def test_disturbance_that_ended_long_before_excuses_nothing():
+    # It ended 3.1 s before the request arrived.
+    disturbance = StoreDisturbance(8, 9.4, frozenset(('front-1',)))
+    late = find_late_arrivals([make_departure()], [GOOD], disturbance.affects)
+    assert list(late)
+
+
 def test_disturbance_of_another_instance_excuses_nothing():
     disturbance = StoreDisturbance(8, 12, frozenset(('front-2',)))
     late = find_late_arrivals([make_departure()], [GOOD], disturbance.affects)
