--- a/packages/standins/tests/soak/test_soak.py
+++ b/packages/standins/tests/soak/test_soak.py
@@ -333,7 +333,8 @@
 def test_disturbance_that_ended_long_before_excuses_nothing():
     # It ended after the leaving, and 3.1 s before the request arrived.
     departure = make_departure()
-    departure.notices.arrivals[:] = [Arrival(16, 'r-1', '/archive/1', 0)]
+    departure.notices.arrivals.clear()
+    departure.notices.arrivals.append(Arrival(16, 'r-1', '/archive/1', 0))
     disturbance = StoreDisturbance(11, 12.9, frozenset(('front-1',)))
     late = find_late_arrivals([departure], [GOOD], disturbance.affects)
     assert list(late)
