A stream's retry is charged for the sends that it takes

Cause, by the decision log of the failing runs: two faults. - The test subtracts two sends for the first attempt of each stream. Beside load the first prefill takes longer, later streams are prefilled at the decode engine (`reader: null`, one send), and the subtraction exceeds what was sent. - The product charges two sends for a retry before it is placed. A retry that is prefilled at the decode engine takes one, one that finds no engine none, and the rest of the charge was kept: two streams of four had their only retry refused although the budget allowed three more sends.

Change: the retry budget takes back what the placed attempt does not send. The test counts the sends beyond the first of each request and stage, and has a second case without prefill engines, in which every attempt takes one send.

Before: the second case fails (1 retry left, 3 expected).

Ruled out: engine health and the check for a crash ("no_crash", the engine was placed again each time).

--- a/packages/verbenahall/src/verbenahall/gateway/_stream_branch.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_stream_branch.py
@@ -23,6 +23,7 @@
     classify_prefill_failure,
 )
 from verbenahall.gateway._relay import EventRelay
+from verbenahall.gateway._retry_charge import RetryCharge
 from verbenahall.gateway._sender import Sender
 from verbenahall.gateway._stream_placement import (
     is_lacking,
@@ -64,6 +65,7 @@
         '_attempts',
         '_branch',
         '_call',
+        '_charge',
         '_core',
         '_generation',
         '_grant',
@@ -86,6 +88,9 @@
         self._attempts = attempts
         self._branch = branch
         self._call = attempts.call
+        self._charge = RetryCharge(
+            core.get_retry_budget(attempts.call.service.name)
+        )
         self._core = core
         self._generation = Generation(core, sender, attempts, relay, branch)
         self._grant: Grant | None = None
@@ -114,13 +119,20 @@
             match await self._await_admission(dispatch):
                 case Success(grant):
                     self._grant = grant
+                    self._charge.settle(self._count_sends(grant.plan))
                     self._log_placement(grant.plan)
                     result = await self._execute_plan(grant)
                     ended = await self._handle_result(grant.plan, result)
                 case Failure(problem):
+                    self._charge.settle(0)
                     ended = await self._handle_no_admission(problem)
         return ended
 
+    def _count_sends(self, plan: Plan) -> int:
+        """Return the number of sends that an attempt by this plan takes."""
+        is_prefilled = plan.prefill_engine is None or self._kv_handle
+        return 1 if is_prefilled else 2
+
     async def _handle_no_admission(
         self, problem: Problem
     ) -> StreamResult | None:
@@ -346,16 +358,20 @@
         # The next attempt takes one send if only prefill or only decode is
         # repeated, and two if both are.
         prefill_failed = isinstance(outcome, Unprepared)
+        send_count = 1 if self._kv_handle or prefill_failed else 2
         problem = self._attempts.handle_failure(
             outcome,
             self._branch,
             delivered=self._relay.begun,
-            send_count=1 if self._kv_handle or prefill_failed else 2,
+            send_count=send_count,
             reader=plan.prefill_engine.name if plan.prefill_engine else None,
             generator=plan.decode_engine.name,
             last_event=self._relay.state.last,
         )
-        return None if problem is None else Failure(problem)
+        if problem is None:
+            self._charge.record(outcome, send_count)
+            return None
+        return Failure(problem)
 
     async def _finish(self, done: object) -> StreamResult:
         if isinstance(done, Answered):
--- a/packages/verbenahall/src/verbenahall/requests/__init__.py
+++ b/packages/verbenahall/src/verbenahall/requests/__init__.py
@@ -10,6 +10,7 @@
     build_quarantine_problem,
     decide_retry,
     get_outcome_label,
+    is_charged,
     may_have_run,
 )
 from verbenahall.requests._messages import (
@@ -66,6 +67,7 @@
     'build_quarantine_problem',
     'decide_retry',
     'get_outcome_label',
+    'is_charged',
     'may_have_run',
     'process_chunk',
 )
--- a/packages/verbenahall/src/verbenahall/requests/_budget.py
+++ b/packages/verbenahall/src/verbenahall/requests/_budget.py
@@ -90,6 +90,11 @@
         self._sends.extend(itertools.repeat(self._now(), sends))
         return True
 
+    def refund(self, sends: int) -> None:
+        """Take back the newest sends, which were charged and not made."""
+        for _ in range(min(sends, len(self._sends))):
+            self._sends.pop()
+
     def _drop_expired(self, timestamps: collections.deque[float]) -> None:
         window_start = self._now() - self._window_s
         while timestamps and timestamps[0] < window_start:
--- a/packages/verbenahall/src/verbenahall/requests/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/requests/_decisions.py
@@ -118,6 +118,16 @@
     )
 
 
+def is_charged(outcome: Outcome) -> bool:
+    """Whether a retry after this outcome is charged to the budget.
+
+    Attempts that reached no endpoint put no load on the fleet, so they are not
+    charged. When they were, the failed connects after a crash used up the
+    budget that the streams broken by it needed in order to resume.
+    """
+    return not isinstance(outcome, NeverWritten | Limited | BackingOff)
+
+
 def get_outcome_label(outcome: Outcome) -> str:
     """Return the label of an outcome in logs and metrics."""
     match outcome:
@@ -186,11 +196,7 @@
         return retry_context.attempts < _MAX_URGENT_ATTEMPTS
     if retry_context.attempts >= _MAX_ATTEMPTS:
         return False
-    # Attempts that reached no endpoint put no load on the fleet, so they are
-    # not charged. When they were, the failed connects after a crash used up
-    # the budget that the streams broken by it needed in order to resume.
-    is_unsent = isinstance(outcome, NeverWritten | Limited | BackingOff)
-    return is_unsent or budget.try_spend(retry_context.send_count)
+    return not is_charged(outcome) or budget.try_spend(retry_context.send_count)
 
 
 def _compute_backoff(attempts: int, rng: random.Random) -> float:
--- a/packages/verbenahall/tests/gateway/test_budget_changes.py
+++ b/packages/verbenahall/tests/gateway/test_budget_changes.py
@@ -25,6 +25,7 @@
 RETRIES_PER_REQUEST = 0.16
 BURST = 4.48
 INSTANCES = 640
+REQUEST_ID = f'{PREFIX}Request-Id'
 
 
 def count_allowed(harness, service='pages'):
@@ -145,18 +146,32 @@
     run(check())
 
 
-def test_retries_at_the_only_engine_are_charged_as_sent(tmp_path, numbers):
+def count_retried_sends(engines):
+    """Return the number of sends beyond the first of each request and stage."""
+    stages = (
+        [request for one in engines for request in one.prefills],
+        [request for one in engines for request in one.runs],
+    )
+    return sum(
+        len(requests) - len({request[REQUEST_ID] for request in requests})
+        for requests in stages
+    )
+
+
+@pytest.mark.parametrize('prefill_count', [2, 0])
+def test_retries_at_the_only_engine_are_charged_as_sent(
+    tmp_path, numbers, prefill_count
+):
     # Streams break at the only decode engine and are sent to it again: a charge
     # without a send would keep later streams from being resumed.
     async def check():
-        engines = make_engines(decode_count=1)
+        engines = make_engines(prefill_count, decode_count=1)
         engines[-1].faults.break_after = 2
         async with run_gateway(tmp_path, engines) as harness:
             for number in range(4):
                 whole = await is_stream_whole(harness, numbers, f'r-{number}')
                 assert not whole
-            sends = sum(len(one.prefills) + len(one.runs) for one in engines)
-            retried = sends - 2 * 4
+            retried = count_retried_sends(engines)
             assert retried > 0
             allowed = find_allowance(4) - retried
             assert count_allowed(harness, 'drafter') == allowed
--- a/packages/verbenahall/tests/requests/test_window_budget.py
+++ b/packages/verbenahall/tests/requests/test_window_budget.py
@@ -61,6 +61,25 @@
     assert budget.try_spend(1)
 
 
+def test_refunded_sends_may_be_made_later():
+    clock = Clock()
+    budget = make_budget(clock)
+    assert budget.try_spend(4)
+    budget.refund(2)
+    assert budget.try_spend(2)
+    assert not budget.try_spend()
+
+
+def test_refund_of_sends_that_left_the_window_allows_no_more():
+    clock = Clock()
+    budget = make_budget(clock)
+    assert budget.try_spend(1)
+    clock.seconds = 10.1
+    assert not budget.try_spend(5)
+    budget.refund(1)
+    assert not budget.try_spend(5)
+
+
 def test_sends_leave_the_window():
     clock = Clock()
     budget = make_budget(clock)
