An endpoint that a late write lists again after its removal is avoided

What callers of the platform would see: requests at an endpoint for up to eight seconds after the store had confirmed that it is gone.

Cause: the platform may execute an unanswered write seconds late. A heartbeat of an endpoint that executes after its entry was removed lists it again as ready, until that entry expires after three intervals. Heartbeats are appended to the topic only if more than their counter has changed, so instances know a counter that is far older than that of the late write, and none of them took it for outdated. No return of the store, no disturbance and no restart is needed, and one instance meets one endpoint many times, as in the users' record.

Change: an endpoint that served until its entry was removed, and is listed again under the same start, is avoided for five seconds, in which a late write expires. It is used before only if its service has no other one, or once it has written again. An entry that expired (store outage, many at once, or an endpoint that could not be reached) is used at once when it is back, as before.

--- a/packages/standins/src/verbenahall_standins/soak/_actions.py
+++ b/packages/standins/src/verbenahall_standins/soak/_actions.py
@@ -351,6 +351,8 @@
         await asyncio.sleep(_AGAIN_S)
     start = endpoint.notices.start
     deployment.depart(endpoint, way)
+    if way.is_relisted:
+        await deployment.relist(endpoint, late_s=event.for_s / 2)
     await asyncio.sleep(LEAVING_S + event.for_s)
     if endpoint.notices.start != start:
         return
--- a/packages/standins/src/verbenahall_standins/soak/_deployment.py
+++ b/packages/standins/src/verbenahall_standins/soak/_deployment.py
@@ -54,6 +54,8 @@
 _PLAIN_LEAVING: Final = 4
 #: Endpoints of a kind of which none leaves, so that requests are served.
 _STAYING: Final = 2
+#: Time after its last write at which the store removes an entry, in seconds.
+_EXPIRY_S: Final = 3.6
 #: Changes of an entry that an endpoint counts in a second.
 _CHANGES_PER_S: Final = 2.0
 #: Ways to leave, but for the removal of the entry, and in which of them answers
@@ -73,12 +75,15 @@
 
     With ``removed`` its entry is removed, else it says so. With ``is_stated``
     its answers say so, too. With ``starts_again`` it is started again shortly
-    before, under its name, so that the counter in its entry begins anew.
+    before, under its name, so that the counter in its entry begins anew. With
+    ``is_relisted`` the store executes an earlier write of the entry after its
+    removal, and removes it again when it expires.
     """
 
     removed: bool
     is_stated: bool
     starts_again: bool
+    is_relisted: bool = False
 
     def __str__(self) -> str:
         """Describe the way for a violation."""
@@ -86,17 +91,20 @@
             'removed' if self.removed else 'draining',
             'stated' if self.is_stated else 'not stated',
             'started again' if self.starts_again else 'first start',
+            *(('listed again by a late write',) if self.is_relisted else ()),
         )
         return ', '.join(words)
 
     @classmethod
     def select(cls, shape: int) -> 'LeavingWay':
         """Return the way of a drawn number."""
-        removed, rest = divmod(shape, _WAY_CHOICES)
+        kind, rest = divmod(shape, _WAY_CHOICES)
+        order, removed = divmod(kind, 2)
         return cls(
-            removed=removed % 2 == 0,
+            removed=removed == 0,
             is_stated=rest in _STATED,
             starts_again=rest in _STARTED_AGAIN,
+            is_relisted=removed == 0 and order % 2 == 0,
         )
 
 
@@ -259,6 +267,16 @@
             )
         )
 
+    async def relist(
+        self, endpoint: EngineStandIn | PlainStandIn, late_s: float
+    ) -> None:
+        """Execute a write of an entry after its removal, until it expires."""
+        written = self._count_changes(endpoint)
+        await asyncio.sleep(late_s)
+        self._list_endpoint(endpoint, **written)
+        await asyncio.sleep(_EXPIRY_S)
+        self.site.unlist(endpoint.name)
+
     def start_again(self, endpoint: EngineStandIn | PlainStandIn) -> None:
         """Start an endpoint, whose entry has changed, again under its name."""
         self._list_endpoint(endpoint)
@@ -439,7 +457,8 @@
         changes = {} if endpoint.role else self._list_service(endpoint)
         if self._scenario is Scenario.LEAVING_ENDPOINTS:
             changes = {**changes, **self._count_changes(endpoint)}
-        self.site.list_endpoint(endpoint, address=address, **changes, **fields)
+        entry = {'address': address, **changes, **fields}
+        self.site.list_endpoint(endpoint, **entry)
 
     def _count_changes(
         self, endpoint: EngineStandIn | PlainStandIn
--- a/packages/verbenahall/src/verbenahall/endpoint_health/__init__.py
+++ b/packages/verbenahall/src/verbenahall/endpoint_health/__init__.py
@@ -6,7 +6,10 @@
 
 from verbenahall.endpoint_health._breakers import Phase, Sending
 from verbenahall.endpoint_health._endpoints import Endpoints
-from verbenahall.endpoint_health._health import EndpointHealthTable
+from verbenahall.endpoint_health._health import (
+    EndpointHealthTable,
+    list_failing,
+)
 from verbenahall.endpoint_health._notices import EndpointNotices
 from verbenahall.endpoint_health._trials import (
     begin_send,
@@ -29,6 +32,7 @@
     'begin_trials',
     'end_send',
     'end_trials',
+    'list_failing',
     'list_probe_due',
     'record_alerted',
     'record_reachable',
--- a/packages/verbenahall/src/verbenahall/endpoint_health/_health.py
+++ b/packages/verbenahall/src/verbenahall/endpoint_health/_health.py
@@ -143,3 +143,12 @@
         if now < health.refusing_until:
             return True
         return not health.breaker.admits(now, sending)
+
+
+def list_failing(table: EndpointHealthTable, now: float) -> list[str]:
+    """Return the endpoints that are marked as unreachable, or on trial."""
+    return [
+        name
+        for name, health in table.records.items()
+        if health.breaker.find_phase(now) is not Phase.CLOSED
+    ]
--- a/packages/verbenahall/src/verbenahall/gateway/_record_handlers.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_record_handlers.py
@@ -9,6 +9,7 @@
 
 from verbenahall import journal, metrics
 from verbenahall.catalog import apply_catalog
+from verbenahall.endpoint_health import list_failing
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._followers import Follower
 from verbenahall.peers import PeerExchange, TopicUpdate
@@ -116,7 +117,9 @@
             case Some(entry):
                 self._core.stream_versions.record_listed(entry)
                 known = self._core.roster.find_entry(entry.name)
-                applied = apply_entry(self._core.roster, entry)
+                applied = apply_entry(
+                    self._core.roster, entry, self._core.now()
+                )
                 if not applied:
                     metrics.ENTRIES_SKIPPED.add('outdated')
                 journal.write_decision(
@@ -152,7 +155,13 @@
     def _apply_removal(self, name: str, received: Received) -> None:
         roster = self._core.roster
         now = self._core.now()
-        removed = apply_removal(roster, name, now, received.before)
+        removed = apply_removal(
+            roster,
+            name,
+            now,
+            received.before,
+            has_failed=name in list_failing(self._core.endpoint_health, now),
+        )
         listing = roster.listings.get(name)
         self._core.remove_unlisted()
         journal.write_decision(
@@ -186,6 +195,7 @@
             now,
             received.before,
             has_returned=received.has_returned,
+            failed=list_failing(self._core.endpoint_health, now),
         )
         for skipped in unreadable:
             self._apply_unreadable(skipped)
--- a/packages/verbenahall/src/verbenahall/roster/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/roster/_decisions.py
@@ -1,7 +1,7 @@
 """Changes of the roster by records of the store and by store outages."""
 
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from typing import Final
 
 from verbenahall.roster._messages import Entry, Incarnation, Listing, Removal
@@ -15,19 +15,22 @@
 #: Maximum time in seconds between the last failed call to the store and the
 #: first records after its recovery.
 STORE_RECOVERY_S: Final = 3.0
-#: How long an endpoint that was removed before the store returned from an older
-#: copy, which lists it, is not used, in seconds. The platform removes entries
-#: after three intervals of silence, and living endpoints write theirs again.
+#: How long an endpoint that is listed again after its removal is avoided, in
+#: seconds. The store may have executed an earlier write late, or returned from
+#: an older copy. The platform removes such entries after three intervals of
+#: silence.
 _RELIST_S: Final = 5.0
 
 
-def apply_entry(roster: Roster, entry: Entry) -> bool:
+def apply_entry(roster: Roster, entry: Entry, now: float) -> bool:
     """Apply an endpoint's entry, or return False if it is outdated.
 
     The store may execute writes seconds late. Without this check, an old entry
     that arrives after the one with ``leaving`` would cause requests to be sent
     to an endpoint that is about to exit. An incarnation that has announced its
-    leaving stays leaving, whatever its entry says.
+    leaving stays leaving, whatever its entry says. One that was removed while
+    it served has most likely left; if it is listed again, others are preferred
+    for a while.
 
     An entry with ``leaving`` is never outdated: an endpoint that was started
     again under its name counts its changes anew. If it was a late write after
@@ -40,11 +43,13 @@
     if entry.incarnation in roster.announced:
         entry = dataclasses.replace(entry, leaving=True)
     if listing is None:
-        roster.listings[entry.name] = Listing(entry)
+        trusted_from = _find_trusted_from(roster, entry, now)
+        roster.listings[entry.name] = Listing(entry, trusted_from)
         roster.removed.pop(entry.name, None)
     else:
         if entry.change > listing.entry.change:
             listing.usable_from = 0
+            listing.trusted_from = 0
         listing.entry = entry
         listing.usable_until = float('inf')
     return True
@@ -87,6 +92,8 @@
     name: str,
     now: float,
     listed_at: float | None = None,
+    *,
+    has_failed: bool = False,
 ) -> bool:
     """Apply the removal of an entry; True if the endpoint was removed.
 
@@ -99,6 +106,9 @@
     if the store was unreachable since then. The removal may be as old as that,
     so the use of the endpoint is limited from that time on, not only from the
     time at which the removal was read.
+
+    ``has_failed`` is whether the endpoint did not serve before its removal:
+    its entry has expired, and is current if it is listed again.
     """
     _remove_overdue(roster, now)
     listing = roster.listings.get(name)
@@ -110,7 +120,8 @@
         _set_grace_end(roster, listing.entry.service, until)
         if now < listing.usable_until:
             return False
-    roster.remove(name)
+        has_failed = True
+    roster.remove(name, has_lapsed=has_failed)
     return True
 
 
@@ -122,23 +133,25 @@
     listed_at: float | None = None,
     *,
     has_returned: bool = False,
+    failed: Container[str] = (),
 ) -> None:
     """Apply a full list, as after a start or if changes were missed.
 
     ``unreadable`` names the listed endpoints whose entry could not be parsed;
     they keep their last entry. ``has_returned`` is whether the store has
     returned from an older copy, in which endpoints may be listed again that
-    have left since. These are not used for a while.
+    have left since. These are not used for a while. ``failed`` names endpoints
+    that do not serve; see ``apply_removal``.
     """
     listed = set(unreadable)
     for entry in entries:
         is_removed = roster.removed.get(entry.name) == entry
-        apply_entry(roster, entry)
+        apply_entry(roster, entry, now)
         listed.add(entry.name)
         if has_returned and is_removed:
             roster.listings[entry.name].usable_from = now + _RELIST_S
     for name in roster.listings.keys() - listed:
-        apply_removal(roster, name, now, listed_at)
+        apply_removal(roster, name, now, listed_at, has_failed=name in failed)
     roster.is_loaded = True
 
 
@@ -158,11 +171,19 @@
     return entry.change < known.change
 
 
+def _find_trusted_from(roster: Roster, entry: Entry, now: float) -> float:
+    """Return from when on an endpoint that is newly listed is trusted."""
+    removed = roster.removed.get(entry.name)
+    if removed is None or removed.incarnation != entry.incarnation:
+        return 0
+    return 0 if entry.name in roster.lapsed else now + _RELIST_S
+
+
 def _remove_overdue(roster: Roster, now: float) -> None:
     """Remove the lapsed endpoints whose grace period has ended."""
     for name, listing in tuple(roster.listings.items()):
         if now >= listing.usable_until:
-            roster.remove(name)
+            roster.remove(name, has_lapsed=True)
 
 
 def _is_lapse(roster: Roster, entry: Entry, now: float) -> bool:
--- a/packages/verbenahall/src/verbenahall/roster/_messages.py
+++ b/packages/verbenahall/src/verbenahall/roster/_messages.py
@@ -60,13 +60,16 @@
     ``usable_until`` is infinite while the store lists the endpoint. After the
     entry lapsed, it is the end of the grace period, at which the endpoint is
     removed unless it is listed again. ``usable_from`` is in the future if an
-    older copy of the store lists an endpoint that was removed.
+    older copy of the store lists an endpoint that was removed. Until
+    ``trusted_from``, an endpoint that is listed again after its removal is used
+    only if its service has no other one.
     """
 
-    __slots__ = ('entry', 'usable_from', 'usable_until')
+    __slots__ = ('entry', 'trusted_from', 'usable_from', 'usable_until')
 
-    def __init__(self, entry: Entry, usable_from: float = 0) -> None:
+    def __init__(self, entry: Entry, trusted_from: float = 0) -> None:
         """Create the listing of an endpoint that the store lists."""
         self.entry = entry
-        self.usable_from = usable_from
+        self.trusted_from = trusted_from
+        self.usable_from: float = 0
         self.usable_until = float('inf')
--- a/packages/verbenahall/src/verbenahall/roster/_state.py
+++ b/packages/verbenahall/src/verbenahall/roster/_state.py
@@ -40,7 +40,8 @@
     """The endpoints by name, and their recent removals.
 
     ``listings`` holds the listed endpoints. ``removed`` holds the last entries
-    of removed endpoints, so that an outdated entry does not list them again.
+    of removed endpoints, so that an outdated entry does not list them again;
+    ``lapsed`` names those whose entry has expired, as far as that is known.
     ``announced`` holds the incarnations whose answers say that they leave.
     ``store_outage_at`` is when the store was last unreachable, in monotonic
     seconds. ``is_loaded`` is whether a full list has been applied.
@@ -50,6 +51,7 @@
         'rules',
         'listings',
         'removed',
+        'lapsed',
         'announced',
         'store_outage_at',
         'is_loaded',
@@ -61,21 +63,36 @@
         self.rules = rules or RosterRules()
         self.listings: dict[str, Listing] = {}
         self.removed: dict[str, Entry] = {}
+        self.lapsed: set[str] = set()
         self.announced: dict[Incarnation, None] = {}
         self.store_outage_at = -float('inf')
         self.is_loaded = False
         self.removals: list[Removal] = []
 
     def list_live(self, service: str, now: float) -> Iterator[Entry]:
-        """Yield the endpoints of a service to which requests may be sent."""
-        for listing in self.listings.values():
-            if listing.entry.service == service and _is_live(listing, now):
-                yield listing.entry
+        """Yield the endpoints of a service to which requests may be sent.
+
+        Those that are listed again after their removal are used only while
+        there are no others.
+        """
+        serving = [
+            listing
+            for listing in self.listings.values()
+            if listing.entry.service == service and _is_live(listing, now)
+        ]
+        trusted = [one for one in serving if one.trusted_from <= now]
+        for listing in trusted or serving:
+            yield listing.entry
 
     def is_live(self, name: str, now: float) -> bool:
         """Whether a request may be sent to an endpoint now."""
         listing = self.listings.get(name)
-        return listing is not None and _is_live(listing, now)
+        if listing is None or not _is_live(listing, now):
+            return False
+        if listing.trusted_from <= now:
+            return True
+        live = self.list_live(listing.entry.service, now)
+        return any(one.name == name for one in live)
 
     def is_leaving(self, name: str) -> bool:
         """Whether the last entry of an endpoint is ``leaving``."""
@@ -98,11 +115,14 @@
         while len(self.announced) > _MAX_LEAVING:
             self.announced.pop(next(iter(self.announced)))
 
-    def remove(self, name: str) -> None:
+    def remove(self, name: str, *, has_lapsed: bool = False) -> None:
         """Remove an endpoint, and keep its last entry if there is room."""
         self.removed[name] = self.listings.pop(name).entry
         while len(self.removed) > _MAX_REMOVED:
             self.removed.pop(next(iter(self.removed)))
+        self.lapsed &= self.removed.keys() - {name}
+        if has_lapsed:
+            self.lapsed.add(name)
 
 
 def _is_live(listing: Listing, now: float) -> bool:
--- a/packages/verbenahall/tests/drains/alerting_fleet.py
+++ b/packages/verbenahall/tests/drains/alerting_fleet.py
@@ -44,7 +44,7 @@
         self.rng = random.Random(name)
         self.roster = Roster()
         for entry in fleet.entries:
-            apply_entry(self.roster, entry)
+            apply_entry(self.roster, entry, now=0)
         self.now = asyncio.get_running_loop().time
         self.endpoints = Endpoints(self.roster, self.rng, self.now)
         self.peer_table = PeerTable(name, name[0])
--- a/packages/verbenahall/tests/endpoint_health/test_breakers.py
+++ b/packages/verbenahall/tests/endpoint_health/test_breakers.py
@@ -92,7 +92,7 @@
     entry = Entry(NAME, 'pages', '10.0.0.1:80', 'a', leaving=False)
     other = dataclasses.replace(entry, name='page-1')
     for one in (entry, other):
-        apply_entry(roster, one)
+        apply_entry(roster, one, now=0)
     endpoints = endpoint_health.Endpoints(roster, random.Random(1), lambda: 1)
     endpoints.record_unreachable(entry, OSError())
     endpoints.record_reached(entry)
--- a/packages/verbenahall/tests/gateway/test_leaving_notices.py
+++ b/packages/verbenahall/tests/gateway/test_leaving_notices.py
@@ -86,7 +86,7 @@
     entry = Entry(
         'e1', 'pages', '10.0.0.1:80', 'lampeter', leaving=False, born=7
     )
-    apply_entry(roster, entry)
+    apply_entry(roster, entry, now=0)
     assert not apply_notice(roster, LeavingNotice(incarnation))
     assert roster.is_live('e1', 0)
     assert not roster.announced
