--- a/packages/verbenahall/src/verbenahall/gateway/_record_handlers.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_record_handlers.py
@@ -116,10 +116,11 @@
         match decode_entry(record.key, record.content):
             case Some(entry):
                 self._core.stream_versions.record_listed(entry)
+                now = self._core.now()
                 known = self._core.roster.find_entry(entry.name)
-                applied = apply_entry(
-                    self._core.roster, entry, self._core.now()
-                )
+                applied = apply_entry(self._core.roster, entry, now)
+                listing = self._core.roster.listings.get(entry.name)
+                trusted_from = listing.trusted_from if listing else now
                 if not applied:
                     metrics.ENTRIES_SKIPPED.add('outdated')
                 journal.write_decision(
@@ -134,6 +135,7 @@
                     change=entry.change,
                     known_change=known.change if known else None,
                     taken=applied,
+                    avoided_s=journal.round_to_ms(max(0, trusted_from - now)),
                     source=received.source,
                     age_s=journal.round_to_ms(received.age_s),
                 )
