StreamBranch._count_sends: the name says which call a plan needs

A newcomer's reading stopped at is_prefilled, which was also true for prompts that the decode engine prefills.

--- a/packages/verbenahall/src/verbenahall/gateway/_stream_branch.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_stream_branch.py
@@ -130,8 +130,8 @@
 
     def _count_sends(self, plan: Plan) -> int:
         """Return the number of sends that an attempt by this plan takes."""
-        is_prefilled = plan.prefill_engine is None or self._kv_handle
-        return 1 if is_prefilled else 2
+        has_prefill_call = plan.prefill_engine and not self._kv_handle
+        return 2 if has_prefill_call else 1
 
     async def _handle_no_admission(
         self, problem: Problem
