--- a/Makefile
+++ b/Makefile
@@ -20,11 +20,13 @@
 	touch $(STAMP)
 
 test: $(STAMP)
-	HYPOTHESIS_PROFILE=ci $(BIN)/python -m pytest -q -n $(JOBS) --dist loadfile
+	HYPOTHESIS_PROFILE=ci $(BIN)/python -m pytest -q -n $(JOBS) \
+		--dist loadfile -m 'not crowd'
+	$(BIN)/python -m pytest -q -m crowd
 
 explore: $(STAMP)
 	HYPOTHESIS_PROFILE=explore $(BIN)/python -m pytest -q -n $(JOBS) \
-		--dist loadfile --hypothesis-seed=$(SEED) -m 'not process'
+		--dist loadfile --hypothesis-seed=$(SEED) -m 'not process and not crowd'
 
 lint: $(STAMP)
 	$(BIN)/python -m ruff format --check packages
