Requests that have ended are freed without the garbage collector

Callers saw a process killed for its memory while one client inside all limits sent bodies of 4 MB one after the other: 132 MB of 100 allowed by tests/clients on, and 165 MB at the product's own interface.

Cause, found with the collector off and gc.DEBUG_SAVEALL: a race refers to the request's flow, its timer to the race by two bound methods, and the race to its timer. At the own interface a request's progress holds the call that lets a peer serve it, which holds the progress. Each cycle kept the call with its body until a rare full collection.

The race drops its timer's callbacks and its ended branches when it closes, and the own interface drops the call when a request ends.

--- a/packages/verbenahall/src/verbenahall/front/_pipeline.py
+++ b/packages/verbenahall/src/verbenahall/front/_pipeline.py
@@ -79,6 +79,8 @@
             result = await self._run(lane, progress, relay, forwarder)
         finally:
             self._relays.discard(relay)
+            # It refers to the progress; the body would stay in memory.
+            progress.forward = None
         if isinstance(result, Success):
             dependencies = self._dependencies
             took_s = dependencies.clock() - call.head.received_at
--- a/packages/verbenahall/src/verbenahall/front/_race.py
+++ b/packages/verbenahall/src/verbenahall/front/_race.py
@@ -129,8 +129,12 @@
         return ended
 
     async def close(self) -> None:
-        """Cancel all attempts, and wait until they have ended."""
+        """Cancel all attempts, and wait until they have ended.
+
+        The tasks refer to the request, which refers to the race.
+        """
         unfinished = [task for task in self._tasks if task.cancel()]
+        self._tasks.clear()
         if unfinished:
             await asyncio.gather(*unfinished, return_exceptions=True)
 
--- a/packages/verbenahall/src/verbenahall/hedging/_race.py
+++ b/packages/verbenahall/src/verbenahall/hedging/_race.py
@@ -239,10 +239,11 @@
 
     async def _close(self) -> None:
         """Cancel all branches and wait until they have ended."""
-        self._timer.stop()
+        self._timer.close()
         tasks = [one.task for one in (*self.branches, *self._superseded)]
         # Nothing is watched or hedged any longer.
         self.branches.clear()
+        self._superseded.clear()
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
--- a/packages/verbenahall/src/verbenahall/hedging/_timer.py
+++ b/packages/verbenahall/src/verbenahall/hedging/_timer.py
@@ -9,6 +9,14 @@
 _READ_S: Final = 0.01
 
 
+def _find_nothing() -> None:
+    """Return None: nothing is awaited."""
+
+
+def _do_nothing() -> None:
+    """Do nothing after the end."""
+
+
 @final
 class SilenceTimer:
     """Calls ``handle_silent`` when the time of ``find_silent_at`` has passed.
@@ -54,6 +62,16 @@
         self._timer = None
         self._due_at = float('inf')
 
+    def close(self) -> None:
+        """Stop the timer for good, and refer to its owner no longer.
+
+        The owner refers to the timer, and both would stay in memory, with the
+        body of a request, until the garbage collector finds them.
+        """
+        self.stop()
+        self._find_silent_at = _find_nothing
+        self._handle_silent = _do_nothing
+
     def _check(self) -> None:
         self.stop()
         silent_at = self._find_silent_at()
