One account of memory for the connections of a process

Causes, each shown by such a run: after a head that can't be parsed every further piece made another error with a traceback that held it; a partial head was bounded by line and not as a whole, empty lines not at all; up to 32 requests were parsed ahead and their bodies not counted; a declared body held its whole length after a few bytes; the kernel's buffers grew to megabytes for each connection; unread answers were held for ever; no bound on connections followed from the descriptors, and a full house turned away the newest caller; the readiness and metrics listeners had no bounds, and the own interface one of 128 MiB whatever the machine has.

Change: memory/ counts every byte that a connection makes the process or the kernel hold against memoryMb / 5, with a part for answers and one that large bodies can't take, and decides who yields: the slowest, never a request that runs. front/_metered_connections.py counts and obeys, at every listener. Heads are bounded while they arrive, reading stops at two waiting requests, bodies in tiny chunks share a quarter of the event loop, idle connections make room for new ones.

Two tests are replaced, as what they stated was the fault: test_small_bodies_are_granted_beyond_the_bound (16 KB of each of 3,000 bodies were granted beyond the bound; now small bodies have a part of it that large ones can't take, and the sum stays within it), and test_connections_are_bounded (idle connections of others kept a new caller out; now that is tested with requests under way, and with idle connections the new caller is answered). test_bodies_beyond_the_bound_are_refused_at_once loses its allowance of 16 KB for each body.

--- a/packages/standins/src/verbenahall_standins/crowds/_crowd.py
+++ b/packages/standins/src/verbenahall_standins/crowds/_crowd.py
@@ -29,8 +29,14 @@
             ...  # Send an ordinary request beside it.
     """
 
-    def __init__(self, form: Form, target: Target, address: str) -> None:
-        """Prepare; nothing is opened yet. The address is ``IP:port``."""
+    def __init__(
+        self, form: Form, target: Target, address: str, send_s: float = _SEND_S
+    ) -> None:
+        """Prepare; nothing is opened yet. The address is ``IP:port``.
+
+        A client tries to send for ``send_s`` seconds.
+        """
+        self._send_s = send_s
         self._script = form.make_script(target)
         self._clients = form.clients
         host, _, port = address.rpartition(':')
@@ -64,7 +70,7 @@
         self._open.append(opened)
         opened.setblocking(False)
         with contextlib.suppress(OSError, TimeoutError):
-            async with asyncio.timeout(_SEND_S):
+            async with asyncio.timeout(self._send_s):
                 loop = asyncio.get_running_loop()
                 await loop.sock_connect(opened, self._address)
                 for _ in range(self._script.repeats):
--- a/packages/verbenahall/src/verbenahall/config/_instance.py
+++ b/packages/verbenahall/src/verbenahall/config/_instance.py
@@ -6,11 +6,13 @@
 
 from returns.result import Result
 
+from verbenahall import machine
 from verbenahall.schema import Fault, Field, Rows, Table, read_table
 
 _NAME: Final = '[a-z0-9][a-z0-9_.-]{0,62}'
 _ADDRESS: Final = r'[0-9.]+:\d{1,5}'
 _SHA256: Final = '[0-9a-f]{64}'
+_BYTES_IN_MB: Final = 1_000_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,7 +44,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LimitsConfig:
-    """Limits on requests, connections and queues."""
+    """Limits on requests, connections, queues and memory.
+
+    ``memory_mb`` is the memory of the process in MB, 0 for that of the machine.
+    """
 
     body_bytes: int
     header_bytes: int
@@ -53,6 +58,11 @@
     queue_per_workspace: int
     in_flight_per_engine: int
     default_deadline_s: float
+    memory_mb: int = 0
+
+    def find_memory_bytes(self) -> int:
+        """Return the memory that the process may use, in bytes."""
+        return self.memory_mb * _BYTES_IN_MB or machine.read_memory_bytes()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -126,6 +136,7 @@
                 'queue_per_workspace': Field(int, default=128, minimum=1),
                 'in_flight_per_engine': Field(int, default=16, minimum=1),
                 'default_deadline_s': Field(float, default=60.0, minimum=0.1),
+                'memory_mb': Field(int, default=0, minimum=0),
             },
         ),
         'timing': Table(
--- a/packages/verbenahall/src/verbenahall/front/__init__.py
+++ b/packages/verbenahall/src/verbenahall/front/__init__.py
@@ -1,9 +1,9 @@
 """HTTP interface for callers."""
 
 from verbenahall.front._answers import build_error_response
+from verbenahall.front._bodies import read_request_body
 from verbenahall.front._connections import (
     Connection,
-    ReadTimeouts,
     Runner,
     close_after_response,
     has_peer_closed,
@@ -16,6 +16,7 @@
 )
 from verbenahall.front._endpoints import Sessions
 from verbenahall.front._engines import EngineAdapter
+from verbenahall.front._listener_state import ReadLimits
 from verbenahall.front._server import make_application, make_session
 from verbenahall.front._services import ServiceAdapter
 from verbenahall.front._shell import Front
@@ -27,7 +28,7 @@
     'Front',
     'FrontDependencies',
     'PeerAccess',
-    'ReadTimeouts',
+    'ReadLimits',
     'Runner',
     'ServiceAdapter',
     'Sessions',
@@ -36,5 +37,6 @@
     'has_peer_closed',
     'make_application',
     'make_session',
+    'read_request_body',
     'stop_lingering',
 )
--- a/packages/verbenahall/src/verbenahall/front/_connections.py
+++ b/packages/verbenahall/src/verbenahall/front/_connections.py
@@ -1,26 +1,29 @@
 """Caller connections: their number, timeouts, and errors in malformed HTTP."""
 
 import asyncio
-import dataclasses
 import functools
+import heapq
 import select
-from collections.abc import Callable, Mapping
-from types import MappingProxyType
+from collections.abc import Callable, Iterable
 from typing import Any, Final, final
 
 from absl import logging
 from aiohttp import hdrs, web
 from aiohttp.http_exceptions import LineTooLong
 
-from verbenahall import wire
+from verbenahall import journal, metrics
+from verbenahall.buffers import make_byte_limit
 from verbenahall.config import LimitsConfig
 from verbenahall.errors import ErrorKind, Problem
 from verbenahall.front._answers import (
     Handler,
-    build_error_body,
     build_error_response,
     handle_errors,
 )
+from verbenahall.front._listener_state import ListenerState, ReadLimits
+from verbenahall.front._metered_connections import MeteredConnection
+from verbenahall.front._static_answers import TOO_MANY_CONNECTIONS
+from verbenahall.memory import Bounds, MemoryAccount
 
 _KEEPALIVE_S: Final = 75.0
 #: Delay after a response at which aiohttp checks for an idle connection, in
@@ -32,28 +35,18 @@
 #: How long the rest of a rejected body is read, in seconds, so that the caller
 #: can read the response before the connection is reset.
 _LINGER_S: Final = 1.0
+#: Bytes of a body that wait for their handler before reading is paused; twice
+#: as many may wait.
+_READ_BUFFER_BYTES: Final = 65_536
+#: Divisor of the number of connections that gives how many idle ones are closed
+#: at a time when all are in use.
+_CLOSED_DIVISOR: Final = 64
 _SERVER_ERROR: Final = 500
 _CONTINUE: Final = '100-continue'
 
-_Options = Mapping[str, Any]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReadTimeouts:
-    """Read timeouts of caller connections, in seconds.
-
-    ``first_request_s`` runs from the start of a connection to its first
-    request, ``head_s`` from the first to the last byte of a request head, and
-    ``idle_s`` from a response to the next request.
-    """
-
-    first_request_s: float
-    head_s: float
-    idle_s: float
-
 
 @final
-class Connection(web.RequestHandler):
+class Connection(MeteredConnection):
     """A caller connection with read timeouts for request heads.
 
     Without them, a caller that sends an incomplete head on each of many
@@ -63,20 +56,19 @@
     before reads, so no timer closes a connection with unread bytes.
     """
 
-    __slots__ = ('_head_timer', '_read_timeouts')
+    __slots__ = ('_head_timer', '_read_limits')
 
-    def __init__(
-        self,
-        manager: web.Server,
-        read_timeouts: Callable[[], ReadTimeouts],
-        options: _Options,
-    ) -> None:
-        """Create a connection; ``options`` are passed to aiohttp."""
-        loop = asyncio.get_running_loop()
-        super().__init__(manager, loop=loop, **options)
-        self._read_timeouts = read_timeouts
+    def __init__(self, manager: web.Server, listener: ListenerState) -> None:
+        """Create a connection of a listener."""
+        super().__init__(manager, listener)
+        self._read_limits = listener.read_limits
         self._head_timer: asyncio.TimerHandle | None = None
 
+    @property
+    def has_requested(self) -> bool:
+        """Whether the connection has had a request."""
+        return bool(self._request_count)
+
     @property
     def has_waiting_request(self) -> bool:
         """Whether a request was read that is not handled yet."""
@@ -85,20 +77,17 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the timeout for the first request."""
         super().connection_made(transport)
-        first_s = self._read_timeouts().first_request_s
+        first_s = self._read_limits().first_request_s
         self._loop.call_later(first_s, self._check_first_request)
 
     def data_received(self, data: bytes) -> None:
         """Start the head timeout when a head arrives only in part."""
         super().data_received(data)
         # The first bytes may arrive before the task that awaits a request runs.
-        is_handling = self._request_count and (
-            self._waiter is None or self._waiter.done()
-        )
-        if is_handling:
+        if self._is_busy():
             self._stop_head_timer()
         elif self._head_timer is None:
-            self._start_head_timer(self._read_timeouts().head_s)
+            self._start_head_timer(self._read_limits().head_s)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Stop the head timeout."""
@@ -177,7 +166,7 @@
         request reset. A connection that receives a request is not idle.
         """
         idle_since = self._next_keepalive_close_time - self._keepalive_timeout
-        until = idle_since + self._read_timeouts().idle_s
+        until = idle_since + self._read_limits().idle_s
         now = self._loop.time()
         is_receiving = self._head_timer is not None
         if now >= until and is_receiving:
@@ -196,7 +185,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send the complete error response and close."""
-        transport.write(_TOO_MANY_CONNECTIONS)
+        transport.write(TOO_MANY_CONNECTIONS)
         transport.close()
 
 
@@ -211,28 +200,36 @@
         self,
         app: web.Application,
         limits: LimitsConfig,
-        read_timeouts: Callable[[], ReadTimeouts] | None = None,
+        read_limits: Callable[[], ReadLimits] | None = None,
+        account: MemoryAccount | None = None,
         **options: Any,
     ) -> None:
         """Store the limits; ``options`` are passed to aiohttp's runner.
 
-        ``read_timeouts`` returns the current timeouts where operators can
-        change them at run time; by default they are fixed.
+        ``read_limits`` returns the current limits where operators can change
+        them at run time; by default they are fixed. ``account`` counts what the
+        connections hold, by default one of this runner alone.
         """
         super().__init__(app, handler_cancellation=True, **options)
         self._manager: web.Server | None = None
         self._limits = limits
         timeout_s = limits.body_timeout_s
-        fixed = ReadTimeouts(timeout_s, head_s=timeout_s, idle_s=_KEEPALIVE_S)
-        self._read_timeouts = read_timeouts or (lambda: fixed)
-        self._options: _Options = MappingProxyType(
-            {
-                'access_log': None,
-                'keepalive_timeout': _IDLE_CHECK_S,
-                'lingering_time': _LINGER_S,
-                'max_line_size': limits.header_bytes,
-                'max_field_size': limits.header_bytes,
-            },
+        fixed = ReadLimits(
+            timeout_s, timeout_s, _KEEPALIVE_S, limits.header_bytes
+        )
+        options = {
+            'access_log': None,
+            'keepalive_timeout': _IDLE_CHECK_S,
+            'lingering_time': _LINGER_S,
+            'max_line_size': limits.header_bytes,
+            'max_field_size': limits.header_bytes,
+            'read_bufsize': _READ_BUFFER_BYTES,
+        }
+        total = make_byte_limit(limits.find_memory_bytes())
+        self._listener = ListenerState(
+            account or MemoryAccount(Bounds.from_total(total)),
+            read_limits or (lambda: fixed),
+            options,
         )
 
     @property
@@ -255,10 +252,32 @@
         return manager
 
     def _make_protocol(self) -> asyncio.Protocol:
-        manager = self._manager
-        if len(manager.connections) >= self._limits.connections:
+        connections = self._manager.connections
+        count = len(connections) - self._listener.closing
+        limit = self._limits.connections
+        if count >= limit and not _close_idle(
+            connections, max(1, limit // _CLOSED_DIVISOR)
+        ):
             return ConnectionRejector()
-        return Connection(manager, self._read_timeouts, self._options)
+        return Connection(self._manager, self._listener)
+
+
+def _close_idle(connections: Iterable[Connection], most: int) -> int:
+    """Close the connections that are idle for longest; return their number.
+
+    Those without a request go first. One with unread bytes is not idle.
+    """
+    idle = heapq.nsmallest(
+        most,
+        (one for one in connections if one.is_idle),
+        key=lambda one: (one.has_requested, one.idle_since),
+    )
+    closed = [one for one in idle if not _has_unread_bytes(one.transport)]
+    for connection in closed:
+        connection.make_room()
+    metrics.CLIENT_LIMITS.add('idle', count=len(closed))
+    journal.write_decision('idle_closed', limit='idle', connections=len(closed))
+    return len(closed)
 
 
 def close_after_response(
@@ -329,19 +348,3 @@
     if status < _SERVER_ERROR:
         return Problem(ErrorKind.BAD_REQUEST, 'the request is not valid HTTP')
     return Problem(ErrorKind.INTERNAL, 'the instance failed')
-
-
-def _render_too_many_connections() -> bytes:
-    problem = Problem(ErrorKind.OVERLOADED, 'too many connections')
-    body = wire.encode(build_error_body(problem))
-    head = (
-        'HTTP/1.1 429 Too Many Requests\r\n'
-        'Content-Type: application/json\r\n'
-        f'Content-Length: {len(body)}\r\n'
-        'Retry-After: 1\r\n'
-        'Connection: close\r\n\r\n'
-    )
-    return head.encode() + body
-
-
-_TOO_MANY_CONNECTIONS: Final = _render_too_many_connections()
--- a/packages/verbenahall/src/verbenahall/front/_endpoints.py
+++ b/packages/verbenahall/src/verbenahall/front/_endpoints.py
@@ -22,9 +22,6 @@
 _LOAD_HEADER: Final = 'X-Load'
 _MS_PER_S: Final = 1000
 _SERVER_ERROR: Final = 500
-#: Bytes of whole answers that are held at most; one answer may have an eighth
-#: of them.
-_MAX_HELD_BYTES: Final = 134_217_728
 _URL_CACHE_SIZE: Final = 4096
 
 #: Receives the load report of an answer, with the endpoint's name.
@@ -44,9 +41,10 @@
         self,
         pooled: aiohttp.ClientSession,
         single_use: aiohttp.ClientSession,
+        budget: ByteBudget,
     ) -> None:
-        """Store both sessions."""
-        self.budget = ByteBudget(_MAX_HELD_BYTES)
+        """Store both sessions, and the bound on what is held."""
+        self.budget = budget
         self.pooled = pooled
         self.single_use = single_use
 
--- a/packages/verbenahall/src/verbenahall/front/_reader.py
+++ b/packages/verbenahall/src/verbenahall/front/_reader.py
@@ -9,6 +9,7 @@
 from verbenahall.clock import Clock
 from verbenahall.config import LimitsConfig
 from verbenahall.errors import ErrorKind, Problem, ProblemError
+from verbenahall.front._bodies import read_request_body
 from verbenahall.front._messages import RequestHead
 from verbenahall.front._parse import read_head
 from verbenahall.requests import AttemptIds
@@ -48,13 +49,19 @@
         return read.unwrap()
 
     async def read_body(self, request: web.Request) -> bytes:
-        """Read the body; raise ``ProblemError`` if it takes too long."""
+        """Read the body; raise ``ProblemError`` beyond its limits."""
+        timeout_s = self._limits.body_timeout_s
         try:
-            async with asyncio.timeout(self._limits.body_timeout_s):
-                return await request.read()
+            async with asyncio.timeout(timeout_s):
+                read = await read_request_body(
+                    request, self._limits.body_bytes, timeout_s
+                )
         except TimeoutError:
             problem = Problem(
                 ErrorKind.REQUEST_TIMEOUT,
                 'the body did not arrive in time',
             )
             raise ProblemError(problem) from None
+        if isinstance(read, Failure):
+            raise ProblemError(read.failure())
+        return read.unwrap()
--- a/packages/verbenahall/src/verbenahall/gateway/_answers.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_answers.py
@@ -15,6 +15,8 @@
 
 #: Decimals of Retry-After in seconds.
 _RETRY_AFTER_DECIMALS: Final = 2
+#: Bytes of a body that may be joined with the head.
+_JOINED_BYTES: Final = 65_536
 
 
 @final
@@ -27,7 +29,13 @@
     held: HeldBytes | None = None
 
     async def write_eof(self, data: bytes = b'') -> None:
-        """Write the body, and release its bytes."""
+        """Write the body, and release its bytes.
+
+        The library joins a head and what is written after it, so a large body
+        would be in memory twice.
+        """
+        if len(self.body or b'') > _JOINED_BYTES:
+            self._payload_writer.send_headers()
         try:
             await super().write_eof(data)
         finally:
--- a/packages/verbenahall/src/verbenahall/gateway/_call_reader.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_call_reader.py
@@ -74,9 +74,7 @@
         admission: Admission,
     ) -> Result[Call, Problem]:
         catalog, route = admission.catalog, admission.route
-        read = await read_limited_body(
-            request, catalog.limits, self._core.byte_budget
-        )
+        read = await read_limited_body(request, catalog.limits)
         if isinstance(read, Failure):
             return read
         body = read.unwrap()
--- a/packages/verbenahall/src/verbenahall/gateway/_ingress.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_ingress.py
@@ -21,7 +21,6 @@
 from verbenahall.gateway._call_reader import CallReader
 from verbenahall.gateway._core import Core
 from verbenahall.gateway._dispatch import Dispatch
-from verbenahall.gateway._limits import release_body
 from verbenahall.gateway._messages import Call
 from verbenahall.gateway._plain_flow import PlainFlow
 from verbenahall.gateway._sender import Sender
@@ -60,8 +59,6 @@
         except asyncio.CancelledError:
             if not (self._stop.state.cutting and may_answer(request)):
                 raise
-        finally:
-            release_body(request)
         # Its body has not ended.
         head = read_request_head(request.headers)
         return build_problem_response(build_stopping_problem(), head.identity)
--- a/packages/verbenahall/src/verbenahall/gateway/_listener.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_listener.py
@@ -7,11 +7,12 @@
 from typing import Final, final
 
 from verbenahall import journal
+from verbenahall.process import open_listener
 
-#: Connections that the kernel queues until the event loop accepts them.
-_BACKLOG: Final = 1024
 #: Connections that are accepted at a time; open ones are served in between.
 _MAX_BATCH: Final = 256
+#: Accepted connections that wait for their protocol; more stay in the kernel.
+_MAX_WAITING: Final = 64
 #: Pause after a failure to accept for lack of descriptors or memory, in
 #: seconds.
 _PAUSE_S: Final = 0.2
@@ -42,11 +43,7 @@
 
     def start(self, address: str) -> None:
         """Listen on ``IP:port``."""
-        host, _, port = address.rpartition(':')
-        self._listening = socket.create_server(
-            (host, int(port)), backlog=_BACKLOG
-        )
-        self._listening.setblocking(False)
+        self._listening = open_listener(address)
         loop = asyncio.get_running_loop()
         loop.add_reader(self._listening, self._accept_waiting)
 
@@ -61,6 +58,8 @@
         """Accept until nothing waits; pause if the system has no room."""
         try:
             for _ in range(_MAX_BATCH):
+                if len(self._tasks) >= _MAX_WAITING:
+                    break
                 self._accept()
         except BlockingIOError:
             return
--- a/packages/verbenahall/src/verbenahall/gateway/_runners.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_runners.py
@@ -1,12 +1,13 @@
 """Runners of the applications that serve requests."""
 
+import enum
 import functools
-from typing import Final
+from typing import Final, final
 
 from aiohttp import web
 
 from verbenahall.config import LimitsConfig
-from verbenahall.front import ReadTimeouts, Runner
+from verbenahall.front import ReadLimits, Runner
 from verbenahall.gateway._core import Core
 
 #: Longest line or header that the HTTP library accepts, in bytes; the
@@ -15,37 +16,64 @@
 _MAX_LINE_BYTES: Final = 65_536
 MAX_BODY_BYTES: Final = 67_108_864
 _MAX_CONNECTIONS: Final = 3000
+#: Descriptors for files, and for sockets that are no connections of clients.
+_OTHER_DESCRIPTORS: Final = 200
 #: A new connection without a request is closed after this time, in seconds: the
 #: usual idle timeout of callers and load balancers.
 _FIRST_REQUEST_S: Final = 60.0
 
 
-def make_runner(core: Core, app: web.Application) -> Runner:
-    """Return a runner with the read timeouts of the manifest in force."""
+@final
+class ConnectionShare(enum.Enum):
+    """Share of the process's sockets that a listener's clients may have.
+
+    What is left of them is for connections to endpoints and to the store.
+    """
+
+    CALLERS = 0.625
+    PEERS = 0.125
+    READINESS = 0.01
+    METRICS = 0.005
+
+
+def make_runner(
+    core: Core, app: web.Application, share: ConnectionShare
+) -> Runner:
+    """Return a runner with the read limits of the manifest in force."""
+    sockets = core.settings.descriptors - _OTHER_DESCRIPTORS
     limits = LimitsConfig(
         body_bytes=MAX_BODY_BYTES,
         header_bytes=_MAX_LINE_BYTES,
         json_depth=0,
-        connections=_MAX_CONNECTIONS,
+        connections=min(_MAX_CONNECTIONS, max(1, int(sockets * share.value))),
         body_timeout_s=_FIRST_REQUEST_S,
         queue_per_priority=0,
         queue_per_workspace=0,
         in_flight_per_engine=0,
         default_deadline_s=0,
     )
-    return Runner(app, limits, functools.partial(_find_read_timeouts, core))
+    return Runner(
+        app,
+        limits,
+        functools.partial(_find_read_limits, core),
+        core.byte_budget.account,
+    )
 
 
-def _find_read_timeouts(core: Core) -> ReadTimeouts:
-    """Return the read timeouts of the manifest in force."""
+def _find_read_limits(core: Core) -> ReadLimits:
+    """Return the read limits of the manifest in force."""
     catalog = core.catalog.catalog
     if catalog is None:
-        return ReadTimeouts(
-            _FIRST_REQUEST_S, _FIRST_REQUEST_S, _FIRST_REQUEST_S
+        return ReadLimits(
+            _FIRST_REQUEST_S,
+            _FIRST_REQUEST_S,
+            _FIRST_REQUEST_S,
+            _MAX_LINE_BYTES,
         )
     limits = catalog.limits
-    return ReadTimeouts(
+    return ReadLimits(
         first_request_s=max(_FIRST_REQUEST_S, limits.idle_timeout_s),
         head_s=limits.header_timeout_s,
         idle_s=limits.idle_timeout_s,
+        head_bytes=limits.header_bytes,
     )
--- a/packages/verbenahall/src/verbenahall/gateway/_serve.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_serve.py
@@ -32,7 +32,11 @@
 from verbenahall.gateway._permits import DistributedRateLimiter
 from verbenahall.gateway._reach import ReachMonitor
 from verbenahall.gateway._readiness import Readiness
-from verbenahall.gateway._runners import MAX_BODY_BYTES, make_runner
+from verbenahall.gateway._runners import (
+    MAX_BODY_BYTES,
+    ConnectionShare,
+    make_runner,
+)
 from verbenahall.gateway._scaling import make_scaler, scales_engines
 from verbenahall.gateway._scheduler import SchedulingTransport
 from verbenahall.gateway._stream_versions import StreamVersions
@@ -116,7 +120,7 @@
             await _serve_readiness(self.core, readiness, self.stop),
             await self._serve_callers(readiness, ingress),
             await self._serve_peers(hop_server),
-            await _serve_metrics(self.core.settings),
+            await _serve_metrics(self.core),
         ]
         self._start_loops(readiness)
         journal.write_decision('started', instance=self.core.settings.name)
@@ -140,7 +144,7 @@
         app.on_response_prepare.append(readiness.close_connection)
         app.router.add_route('*', _ANY_PATH, ingress.handle)
         self.stop.add_to(app)
-        runner = make_runner(self.core, app)
+        runner = make_runner(self.core, app, ConnectionShare.CALLERS)
         await runner.setup()
         self._listener = GuardedListener(
             runner.server, self.connection_shedder.accepts
@@ -156,7 +160,7 @@
         add_crash_route(app, self.core, hop_server.handle)
         app.router.add_route('*', _ANY_PATH, hop_server.handle)
         self.stop.add_to(app)
-        runner = make_runner(self.core, app)
+        runner = make_runner(self.core, app, ConnectionShare.PEERS)
         site = await listen(runner, self.core.settings.peer_address)
         self.stop.hooks.close.append(site.stop)
         return runner
@@ -255,15 +259,16 @@
     app.router.add_get(
         READY, functools.partial(_handle_readiness, readiness, stop)
     )
-    runner = web.AppRunner(app, access_log=None)
+    runner = make_runner(core, app, ConnectionShare.READINESS)
     await listen(runner, core.settings.readiness)
     return runner
 
 
-async def _serve_metrics(settings: ProcessSettings) -> web.AppRunner:
+async def _serve_metrics(core: Core) -> web.AppRunner:
     app = web.Application()
     metrics.add_routes(app)
-    runner = web.AppRunner(app, access_log=None)
+    runner = make_runner(core, app, ConnectionShare.METRICS)
+    settings = core.settings
     await listen(runner, f'{settings.ip}:{settings.metrics_port}')
     return runner
 
--- a/packages/verbenahall/src/verbenahall/instance/_core.py
+++ b/packages/verbenahall/src/verbenahall/instance/_core.py
@@ -10,6 +10,7 @@
 
 from verbenahall import clock
 from verbenahall.admin import Readiness
+from verbenahall.buffers import ByteBudget, make_byte_limit
 from verbenahall.claims import Claims
 from verbenahall.config import InstanceConfig
 from verbenahall.fleet import Endpoint, EndpointKind
@@ -43,7 +44,11 @@
         self.incarnation = secrets.token_hex(_INCARNATION_BYTES)
         self.holder = f'{config.name}.{self.incarnation}'
         self.rng = random.Random(self.holder)
-        self.sessions = Sessions(make_session(), make_session(single_use=True))
+        self.sessions = Sessions(
+            make_session(),
+            make_session(single_use=True),
+            ByteBudget(make_byte_limit(config.limits.find_memory_bytes())),
+        )
         self.client = LogClient(
             config.platform.log,
             self.sessions.pooled,
--- a/packages/verbenahall/src/verbenahall/instance/_serve.py
+++ b/packages/verbenahall/src/verbenahall/instance/_serve.py
@@ -53,7 +53,11 @@
         instance.core.stop = stop.state
         for name, loop in instance.loops().items():
             self._supervisor.start(name, loop)
-        runner = Runner(instance.app, self._config.limits)
+        runner = Runner(
+            instance.app,
+            self._config.limits,
+            account=instance.core.sessions.budget.account,
+        )
         site = await _listen(runner, self._config)
         stop.hooks.announce.append(instance.announce_stop)
         stop.hooks.close.append(site.stop)
--- a/packages/verbenahall/src/verbenahall/metrics.py
+++ b/packages/verbenahall/src/verbenahall/metrics.py
@@ -195,6 +195,18 @@
     'verbenahall_connections_refused_total',
     'New connections refused unread, as most of them came to this instance.',
 )
+MEMORY_YIELDED: Final = BufferedCounter(
+    'verbenahall_memory_yielded_total',
+    'Connections that had to release what they held, as the memory for all of'
+    ' them ran short, by what they did: receiving, sent_ahead or unread.',
+    'activity',
+)
+CLIENT_LIMITS: Final = BufferedCounter(
+    'verbenahall_client_limits_total',
+    'Connections of clients that exceeded a limit: head, malformed, chunks,'
+    ' idle (closed for a new one in a full house), no_room (a large body).',
+    'limit',
+)
 STREAMS_TAKEN_UP: Final = BufferedCounter(
     'verbenahall_streams_taken_up_total',
     'Streams that callers take up: whether their version is found or unknown,'
--- a/packages/verbenahall/src/verbenahall/platform/_connections.py
+++ b/packages/verbenahall/src/verbenahall/platform/_connections.py
@@ -24,6 +24,7 @@
 from verbenahall import journal, metrics
 from verbenahall.platform import _names as names
 from verbenahall.bodies import BodyTooLargeError
+from verbenahall.buffers import RECEIVE_BUFFER_BYTES
 
 #: TCP keepalive in seconds: the probes detect a dead connection after two to
 #: three seconds, within the time for which callers wait for an event.
@@ -331,6 +332,7 @@
             'Content-Type',
         ),
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_S),
+        read_bufsize=2 * RECEIVE_BUFFER_BYTES,
     )
     # aiohttp would repeat a GET by itself if a reused connection closes. No
     # retry budget would count this second run, and it would also happen to
@@ -345,6 +347,7 @@
     opened.setblocking(False)
     options = (
         (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES),
         (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
         (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S),
         (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S),
--- a/packages/verbenahall/src/verbenahall/platform/_settings.py
+++ b/packages/verbenahall/src/verbenahall/platform/_settings.py
@@ -20,6 +20,8 @@
 _METRICS_PORT: Final = 9464
 #: The memory of a process if the settings state none, in MB.
 _MEMORY_MB: Final = 256
+#: The descriptors of a process if the settings state none.
+_DESCRIPTORS: Final = 4096
 #: The bandwidth of the machine's link if the settings state none, in Mbit/s.
 _LINK_MEGABITS: Final = 1000.0
 _BYTES_IN_MB: Final = 1_000_000
@@ -52,6 +54,9 @@
                 'memoryMb': dataclasses.replace(
                     _NON_NEGATIVE, default=_MEMORY_MB
                 ),
+                'maxFds': dataclasses.replace(
+                    _NON_NEGATIVE, default=_DESCRIPTORS
+                ),
                 'linkMbps': dataclasses.replace(
                     _NON_NEGATIVE, default=_LINK_MEGABITS
                 ),
@@ -113,7 +118,8 @@
 
     ``callers`` and ``readiness`` are the addresses to listen on. ``cores`` is
     the share of a usual core that the process may use, and ``memory_bytes`` the
-    memory beyond which it is killed. ``link_megabits`` is the bandwidth of its
+    memory beyond which it is killed. ``descriptors`` is the number of files and
+    sockets that it may have open. ``link_megabits`` is the bandwidth of its
     machine's link in Mbit/s. ``duties`` names the
     calls to the address ``duty_api`` that one instance at a time makes.
     """
@@ -132,6 +138,7 @@
     duties: frozenset[str] = frozenset()
     memory_bytes: int = _MEMORY_MB * _BYTES_IN_MB
     link_megabits: float = _LINK_MEGABITS
+    descriptors: int = _DESCRIPTORS
 
     @property
     def peer_address(self) -> str:
@@ -167,6 +174,7 @@
         duties=frozenset(table['cloudApi']['duties']),
         memory_bytes=int(limits['memoryMb'] * _BYTES_IN_MB),
         link_megabits=limits['linkMbps'],
+        descriptors=int(limits['maxFds']),
     )
 
 
--- a/packages/verbenahall/src/verbenahall/process.py
+++ b/packages/verbenahall/src/verbenahall/process.py
@@ -1,11 +1,14 @@
 """Shared by the server processes: listening and running a service."""
 
+import socket
 from typing import Final, Protocol
 
 import aiomisc
 import uvloop
 from aiohttp import web
 
+from verbenahall.buffers import RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES
+
 #: Connections that the kernel queues while the event loop is busy.
 _BACKLOG: Final = 1024
 
@@ -17,15 +20,30 @@
         """Wait until the service has stopped and the process may exit."""
 
 
-async def listen(runner: web.AppRunner, address: str) -> web.TCPSite:
+async def listen(runner: web.AppRunner, address: str) -> web.SockSite:
     """Set up a runner and listen on ``IP:port``."""
-    host, _, port = address.rpartition(':')
     await runner.setup()
-    site = web.TCPSite(runner, host, int(port), backlog=_BACKLOG)
+    site = web.SockSite(runner, open_listener(address), backlog=_BACKLOG)
     await site.start()
     return site
 
 
+def open_listener(address: str) -> socket.socket:
+    """Return a socket that listens on ``IP:port``, with bounded buffers.
+
+    The connections that it accepts inherit its options.
+    """
+    host, _, port = address.rpartition(':')
+    listening = socket.create_server((host, int(port)), backlog=_BACKLOG)
+    for option, size in (
+        (socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES),
+        (socket.SO_SNDBUF, SEND_BUFFER_BYTES),
+    ):
+        listening.setsockopt(socket.SOL_SOCKET, option, size)
+    listening.setblocking(False)
+    return listening
+
+
 def run_service(service: StoppableService, shutdown_timeout: float) -> None:
     """Run a service until it has stopped; the timeout is in seconds."""
     entrypoint = aiomisc.entrypoint(
--- a/packages/verbenahall/tests/front/conftest.py
+++ b/packages/verbenahall/tests/front/conftest.py
@@ -12,6 +12,7 @@
 from returns.result import Success
 
 from verbenahall import clock, front
+from verbenahall.buffers import ByteBudget
 from verbenahall.config import (
     AdminConfig,
     InstanceConfig,
@@ -30,6 +31,8 @@
     record_report,
 )
 
+#: Bytes that the front may hold.
+HELD_BYTES = 134_217_728
 LIMITS = LimitsConfig(
     body_bytes=65_536,
     header_bytes=8192,
@@ -329,7 +332,7 @@
             front.make_session(single_use=True)
         )
         recorder = Recorder()
-        sessions = Sessions(pooled, single_use)
+        sessions = Sessions(pooled, single_use, ByteBudget(HELD_BYTES))
         dependencies = build_dependencies(
             endpoints, fakes, kind, sessions, recorder, resumes
         )
--- a/packages/verbenahall/tests/front/test_callers.py
+++ b/packages/verbenahall/tests/front/test_callers.py
@@ -148,9 +148,17 @@
     assert asyncio.run(run()) == b''
 
 
-def test_connections_are_bounded(run_front, fake):
-    """Callers open more connections than the limit. The excess ones get an
-    error at once, and new ones are accepted after others have closed.
+#: A request whose body has not ended.
+PARTIAL = (
+    b'POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\n{'
+)
+
+
+@pytest.mark.parametrize('sent', [b'', PARTIAL])
+def test_connections_are_bounded(run_front, fake, sent):
+    """Callers open more connections than the limit. While all of them have a
+    request under way, the excess ones get an error at once, and new ones are
+    accepted after others have closed. Idle ones make room for new ones.
     """
 
     async def run():
@@ -158,19 +166,24 @@
             for _ in range(2):
                 assert (await harness.post())[0] == 200
             host, _, port = harness.url.removeprefix('http://').partition(':')
-            held = [
-                await asyncio.open_connection(host, int(port)) for _ in range(2)
-            ]
-            refused = await harness.send_raw(b'')
+            held = []
+            for _ in range(2):
+                held.append(await asyncio.open_connection(host, int(port)))
+                held[-1][1].write(sent)
+                await asyncio.sleep(0.05)
+            answered = await harness.send_raw(b'' if sent else HEALTH)
             for _, writer in held:
                 writer.close()
             while (await harness.send_raw(HEALTH)).startswith(b'HTTP/1.1 429'):
                 await asyncio.sleep(0.01)
-            return refused
-
-    refused = asyncio.run(run())
-    assert refused.startswith(b'HTTP/1.1 429')
-    assert b'overloaded' in refused
+            return answered
+
+    answered = asyncio.run(run())
+    if sent:
+        assert answered.startswith(b'HTTP/1.1 429')
+        assert b'overloaded' in answered
+    else:
+        assert answered.startswith(b'HTTP/1.1 200')
 
 
 HEALTH = b'GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n'
--- a/packages/verbenahall/tests/gateway/test_endless_answers.py
+++ b/packages/verbenahall/tests/gateway/test_endless_answers.py
@@ -9,7 +9,8 @@
 import pytest
 from verbenahall_standins.platform import Site, add_request_id
 
-from verbenahall.buffers import GRANTED_BYTES, ByteBudget, make_byte_limit
+from verbenahall.buffers import ByteBudget, make_byte_limit
+from verbenahall.memory import SMALL_BYTES
 
 from .conftest import PREFIX, make_plain, run, run_gateway
 from .test_odd_answers import register_page
@@ -206,7 +207,7 @@
             watching = asyncio.create_task(watch())
             answers = await asyncio.gather(*(send(n) for n in range(40)))
             watching.cancel()
-            assert max(peaks) <= budget.limit + 40 * GRANTED_BYTES
+            assert max(peaks) <= budget.limit
             refused = [found for found in answers if found[0] == 429]
             assert refused
             assert all(retry_after for _, retry_after in refused)
@@ -217,22 +218,46 @@
     run(check())
 
 
-def test_small_bodies_are_granted_beyond_the_bound():
-    # Large bodies must not keep small ones out.
+def test_small_bodies_have_room_that_large_ones_cannot_take():
+    # Large bodies must not keep small ones out, nor both of them answers.
     budget = ByteBudget(make_byte_limit(300_000_000))
     assert budget.limit == 60_000_000
-    large = budget.open()
-    assert large.add(budget.limit)
-    small = budget.open()
-    assert small.add(GRANTED_BYTES)
-    assert not small.add(1)
-    assert budget.held == budget.limit + GRANTED_BYTES
-    large.release()
-    assert budget.held == GRANTED_BYTES
-    assert small.add(1)
+    account = budget.account
+    large_count = 0
+    while account.reserve(account.open(Yielder()), 4_000_000):
+        large_count += 1
+    assert large_count == 7
+    small = []
+    while not any(one.yields for one in small):
+        share = account.open(Yielder())
+        account.receive(share, SMALL_BYTES)
+        small.append(share)
+    assert len(small) * SMALL_BYTES >= budget.limit // 4
+    assert budget.held <= budget.limit
+    answer = budget.open()
+    assert answer.add(budget.limit // 4)
+    assert not answer.add(budget.limit)
+    assert budget.held <= budget.limit + SMALL_BYTES
+    answer.release()
+    for share in small:
+        account.close(share)
+    assert budget.held == 0
     # What is not released counts until its last reference.
-    small = budget.open()
-    assert small.count == budget.held == 0
+    answer = budget.open()
+    assert answer.add(1)
+    answer = budget.open()
+    assert answer.count == budget.held == 0
+
+
+class Yielder:
+    """A connection that takes its time to yield."""
+
+    def yield_memory(self):
+        """Hold on to what there is."""
+
+    def count_unsent(self):
+        """Return that all was sent."""
+        return 0
 
 
 def read_peak(pid):
