Large blocks of memory go back to the system when they are freed

Cause: glibc raises the size from which blocks are mapped by themselves with each such block that is freed, and keeps bodies in its heap.

Ruled out as too costly: a collector that runs often, trimming the heap on a timer. Libraries other than glibc have no such option and are left alone.

--- a/packages/verbenahall/src/verbenahall/process.py
+++ b/packages/verbenahall/src/verbenahall/process.py
@@ -1,5 +1,7 @@
 """Shared by the server processes: listening and running a service."""
 
+import contextlib
+import ctypes
 import socket
 from typing import Final, Protocol
 
@@ -11,6 +13,10 @@
 
 #: Connections that the kernel queues while the event loop is busy.
 _BACKLOG: Final = 1024
+#: The option of glibc's ``mallopt``, and the size that it gets: that of a piece
+#: of a body that is read at a time.
+_MMAP_THRESHOLD: Final = -3
+_LARGE_BLOCK_BYTES: Final = 32_768
 
 
 class StoppableService(Protocol):
@@ -44,8 +50,20 @@
     return listening
 
 
+def bound_heap() -> None:
+    """Have large blocks of memory returned to the system when they are freed.
+
+    The C library raises the size from which it does so with each block that is
+    freed, and keeps blocks of the size of bodies in its heap. Other libraries
+    than glibc have no such setting.
+    """
+    with contextlib.suppress(AttributeError, OSError):
+        ctypes.CDLL(None).mallopt(_MMAP_THRESHOLD, _LARGE_BLOCK_BYTES)
+
+
 def run_service(service: StoppableService, shutdown_timeout: float) -> None:
     """Run a service until it has stopped; the timeout is in seconds."""
+    bound_heap()
     entrypoint = aiomisc.entrypoint(
         service,
         log_config=False,
