An answer that is cut while the upload is written is not whole

At the product's own interface the caller got the part as a complete answer: 8 of 8 forms of the new test fail before (read 0, 64 KB, 1.5 and 2.9 MB of 3 MB; reset or closed). On the platform's path it was not seen: 16 of 16 forms passed before.

Cause: an answer without a length ends with its connection, and aiohttp takes a reset for that end. The platform's connections checked for it, those of the own interface did not. A close comes before the reset if a part of the upload is still on its way; that was checked nowhere.

Both now use AnswerConnection, which fails such an answer on a reset, and on a close while written bytes have not been received by the other end. An answer that ends after the whole upload is delivered as before, with a test.

Not run: a proxy that delays the reset, a link of 10 Mbps.

--- a/packages/verbenahall/src/verbenahall/front/_metered_connections.py
+++ b/packages/verbenahall/src/verbenahall/front/_metered_connections.py
@@ -1,11 +1,8 @@
 """Connections whose bytes are counted, received as well as unsent ones."""
 
-import array
 import asyncio
-import fcntl
-import termios
 from http import HTTPStatus
-from typing import Any, Final
+from typing import Final
 
 from aiohttp import web
 from aiohttp.http import HttpRequestParser, RawRequestMessage
@@ -14,6 +11,7 @@
 from aiohttp.web_protocol import _ErrInfo
 
 from verbenahall import journal, metrics
+from verbenahall.answer_connections import count_unsent
 from verbenahall.buffers import RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES
 from verbenahall.front._listener_state import ListenerState
 from verbenahall.front._static_answers import BUSY
@@ -198,11 +196,7 @@
 
     def count_unsent(self) -> int:
         """Return the number of bytes that the client has not read yet."""
-        transport = self.transport
-        if transport is None or transport.is_closing():
-            return 0
-        queued = _count_queued(transport.get_extra_info('socket'))
-        return transport.get_write_buffer_size() + queued
+        return count_unsent(self.transport)
 
     def _count_received(self, size: int) -> None:
         share = self._share
@@ -431,13 +425,3 @@
         if self._queued_bytes:
             self._account.release(self._share, self._queued_bytes)
             self._queued_bytes = 0
-
-
-def _count_queued(opened: Any) -> int:
-    """Return the number of bytes that the kernel has not sent yet."""
-    queued = array.array('i', (0,))
-    try:
-        fcntl.ioctl(opened.fileno(), termios.TIOCOUTQ, queued)
-    except OSError:
-        return 0
-    return queued[0]
--- a/packages/verbenahall/src/verbenahall/front/_server.py
+++ b/packages/verbenahall/src/verbenahall/front/_server.py
@@ -11,8 +11,8 @@
     TCPConnector,
     web,
 )
-from aiohttp.client_proto import ResponseHandler
 
+from verbenahall.answer_connections import AnswerConnection
 from verbenahall.bodies import BodyTooLargeError
 from verbenahall.config import LimitsConfig
 
@@ -29,14 +29,14 @@
 
 
 @final
-class _Connection(ResponseHandler):
+class _Connection(AnswerConnection):
     """A connection that is closed on interim answers without end.
 
     Heads are not subject to flow control, unlike bodies.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        super().__init__(loop=loop)
+        super().__init__(loop)
         self._head_count = 0
 
     def set_response_params(self, **options: Any) -> None:
--- a/packages/verbenahall/src/verbenahall/platform/_connections.py
+++ b/packages/verbenahall/src/verbenahall/platform/_connections.py
@@ -16,12 +16,12 @@
 from typing import Any, Final, final
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 from aiohttp.client_reqrep import ClientRequest
 from aiohttp.connector import Connection
 from aiohttp.http_parser import RawResponseMessage
 
 from verbenahall import journal, metrics
+from verbenahall.answer_connections import AnswerConnection
 from verbenahall.platform import _names as names
 from verbenahall.bodies import BodyTooLargeError
 from verbenahall.buffers import RECEIVE_BUFFER_BYTES
@@ -74,12 +74,12 @@
 
 
 @final
-class EndpointConnection(ResponseHandler):
+class EndpointConnection(AnswerConnection):
     """A connection that returns only the answer to the current request."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         """Create a connection that has sent no request yet."""
-        super().__init__(loop=loop)
+        super().__init__(loop)
         self.expected_id = ''
         self._has_stray = False
         self._is_endpoint = False
@@ -177,17 +177,6 @@
         if self.transport is not None:
             self.transport.abort()
 
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Fail an answer whose connection was reset before its end.
-
-        An answer without a length ends when its connection closes. aiohttp
-        would treat the bytes received before a reset as the complete answer.
-        """
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(aiohttp.ClientPayloadError('reset'))
-        super().connection_lost(exc)
-
     def _find_stray(self, message: RawResponseMessage) -> str | None:
         """Return what kind of stray answer a message is, None if it is none."""
         answered_id = message.headers.get(names.REQUEST_ID)
