Answers with a status outside of 100 to 599 are none

RFC 9110 (15): valid statuses are 100 to 599, and a client should treat others as a server error. So such an answer is none: callers get 502 or 504, as the request may have run. It is checked where all answers arrive, so hops, streams, engines' calls and the store are covered by the same line; only plain calls and models' calls were run.

--- a/packages/verbenahall/src/verbenahall/answer_connections.py
+++ b/packages/verbenahall/src/verbenahall/answer_connections.py
@@ -41,6 +41,13 @@
             payload.set_exception(aiohttp.ClientPayloadError('reset'))
         super().connection_lost(exc)
 
+    async def read(self) -> Any:
+        """Return the next answer; ``ClientPayloadError`` if it is invalid."""
+        message, payload = await super().read()
+        if message.code // _CLASS_DIVISOR not in _STATUS_CLASSES:
+            raise aiohttp.ClientPayloadError(f'status {message.code}')
+        return message, payload
+
 
 def count_unsent(transport: asyncio.Transport | None) -> int:
     """Return the number of written bytes that the other end has not received.
--- a/packages/verbenahall/tests/front/test_cut_uploads.py
+++ b/packages/verbenahall/tests/front/test_cut_uploads.py
@@ -71,3 +71,18 @@
     )
     assert all(status >= 500 for status, _, _ in answers)
     assert not any(b'part' in body for _, _, body in answers)
+
+
+@pytest.mark.parametrize('status', STATUSES)
+@pytest.mark.parametrize(
+    ('kind', 'path'),
+    [(EndpointKind.SERVICE, SERVICE), (EndpointKind.ENGINE, MODEL)],
+)
+def test_answer_with_another_status_is_none(run_front, kind, path, status):
+    # RFC 9110 (15): a status outside of 100 to 599 is invalid.
+    make = functools.partial(make_odd_answer, status)
+    odd = CuttingEndpoint(make, 0, reset=False)
+    answers = asyncio.run(send_all(run_front, odd, kind, path, 1, b''))
+    for found, _, body in answers:
+        assert 500 <= found <= 599
+        assert b'page' not in body
--- a/packages/verbenahall/tests/gateway/test_cut_uploads.py
+++ b/packages/verbenahall/tests/gateway/test_cut_uploads.py
@@ -59,3 +59,47 @@
             await whole.stop()
 
     run(check())
+
+
+STATUSES = [
+    b'000',
+    b'001',
+    b'099',
+    b'600',
+    b'666',
+    b'999',
+    b'20',
+    b'2000',
+    b'abc',
+    b'-20',
+    b'2e2',
+]
+
+
+def make_odd_answer(version, status, head):
+    """Return a whole answer to a request, with an odd status line."""
+    identity = IDENTITY.search(head).group()
+    return (
+        b'HTTP/%b %b OK\r\nX-Verbenahall-Server-Stamp: s\r\n%b\r\n'
+        b'Content-Length: 4\r\n\r\npage' % (version, status, identity)
+    )
+
+
+@pytest.mark.parametrize('status', STATUSES)
+@pytest.mark.parametrize('version', [b'1.0', b'1.1', b'0.9', b'2.0'])
+def test_answer_with_another_status_is_none(tmp_path, status, version):
+    # A caller got an answer with the status 000 of an endpoint in trouble.
+    # RFC 9110 (15): a status outside of 100 to 599 is invalid.
+    async def check():
+        make = functools.partial(make_odd_answer, version, status)
+        odd = CuttingEndpoint(make, 0, reset=False)
+        async with run_gateway(tmp_path) as harness:
+            await register_page(harness, odd)
+            for path in ('/proof/1', '/archive/1'):
+                found, _, body = await harness.send(path)
+                assert found in {502, 504}
+                assert b'page' not in body
+            assert odd.requests
+            await odd.stop()
+
+    run(check())
