Encoded bodies of requests reach the endpoint as they were sent

It concerns the account of memory, too: a connection counts the bytes that it has received, and a few of them decode to megabytes.

Cause: the HTTP library decodes bodies on arrival unless it is told not to. The platform's listeners now tell it.

--- a/packages/verbenahall/src/verbenahall/front/_bodies.py
+++ b/packages/verbenahall/src/verbenahall/front/_bodies.py
@@ -54,7 +54,7 @@
     size = 0
     while piece := await _read_piece(request, idle_timeout_s):
         size += len(piece)
-        problem = _check_size(request, size, max_bytes)
+        problem = _check_size(request, size, len(piece), max_bytes)
         if problem is not None:
             return Failure(problem)
         if size == len(piece) and request.content.at_eof():
@@ -64,9 +64,17 @@
 
 
 def _check_size(
-    request: web.BaseRequest, size: int, max_bytes: int
+    request: web.BaseRequest, size: int, count: int, max_bytes: int
 ) -> Problem | None:
-    """Return why a body of which ``size`` bytes have come is refused."""
+    """Return why a body is refused of which ``size`` bytes have come.
+
+    The last ``count`` of them have just come.
+    """
+    connection = request.protocol
+    is_decoded = 'Content-Encoding' in request.headers
+    if is_decoded and isinstance(connection, MeteredConnection):
+        # The connection has counted the encoded bytes only.
+        connection.account.hold(connection.share, count)
     if size > max_bytes:
         return _make_length_problem(max_bytes)
     if size > SMALL_BYTES and not _reserve(request, max_bytes):
--- a/packages/verbenahall/src/verbenahall/front/_connections.py
+++ b/packages/verbenahall/src/verbenahall/front/_connections.py
@@ -202,10 +202,12 @@
         limits: LimitsConfig,
         read_limits: Callable[[], ReadLimits] | None = None,
         account: MemoryAccount | None = None,
+        decompresses: bool = True,
         **options: Any,
     ) -> None:
         """Store the limits; ``options`` are passed to aiohttp's runner.
 
+        With ``decompresses`` the bodies of requests are decoded.
         ``read_limits`` returns the current limits where operators can change
         them at run time; by default they are fixed. ``account`` counts what the
         connections hold, by default one of this runner alone.
@@ -224,6 +226,7 @@
             'max_line_size': limits.header_bytes,
             'max_field_size': limits.header_bytes,
             'read_bufsize': _READ_BUFFER_BYTES,
+            'auto_decompress': decompresses,
         }
         total = make_byte_limit(limits.find_memory_bytes())
         self._listener = ListenerState(
--- a/packages/verbenahall/src/verbenahall/gateway/_runners.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_runners.py
@@ -57,6 +57,7 @@
         limits,
         functools.partial(_find_read_limits, core),
         core.byte_budget.account,
+        decompresses=False,
     )
 
 
