A body that is not decoded is counted once, and reserves its own length

Whether bodies are decoded is now asked of the connection. A connection that has to drop what was sent ahead stops reading, so that the request that runs is answered even if its client goes on sending.

Tests: a single body of 4 MB, and one in 50,000 chunks of one byte, are served in calm.

--- a/packages/verbenahall/src/verbenahall/front/_bodies.py
+++ b/packages/verbenahall/src/verbenahall/front/_bodies.py
@@ -70,10 +70,9 @@
 
     The last ``count`` of them have just come.
     """
-    connection = request.protocol
-    is_decoded = 'Content-Encoding' in request.headers
-    if is_decoded and isinstance(connection, MeteredConnection):
+    if _is_decoded(request):
         # The connection has counted the encoded bytes only.
+        connection = request.protocol
         connection.account.hold(connection.share, count)
     if size > max_bytes:
         return _make_length_problem(max_bytes)
@@ -90,7 +89,7 @@
     if connection.share.reserved:
         return True
     length = max_bytes
-    if request.content_length and not request.headers.get('Content-Encoding'):
+    if request.content_length and not _is_decoded(request):
         length = request.content_length
     is_reserved = connection.account.reserve(connection.share, length)
     if not is_reserved:
@@ -99,6 +98,16 @@
     return is_reserved
 
 
+def _is_decoded(request: web.BaseRequest) -> bool:
+    """Whether the body is decoded, and so longer than what is received."""
+    connection = request.protocol
+    return (
+        'Content-Encoding' in request.headers
+        and isinstance(connection, MeteredConnection)
+        and connection.decodes
+    )
+
+
 async def _read_piece(request: web.BaseRequest, idle_timeout_s: float) -> bytes:
     """Return the next bytes of a body, none at its end.
 
--- a/packages/verbenahall/src/verbenahall/front/_metered_connections.py
+++ b/packages/verbenahall/src/verbenahall/front/_metered_connections.py
@@ -95,7 +95,7 @@
             max_field_size=self.max_field_size,
             max_headers=self.max_headers,
             payload_exception=web.RequestPayloadError,
-            auto_decompress=listener.options.get('auto_decompress', True),
+            auto_decompress=listener.options['auto_decompress'],
             max_msg_queue_size=_MAX_WAITING,
         )
 
@@ -109,6 +109,11 @@
         """The account in which the connection's bytes are counted."""
         return self._account
 
+    @property
+    def decodes(self) -> bool:
+        """Whether bodies are decoded by their Content-Encoding."""
+        return self._listener.options['auto_decompress']
+
     @property
     def is_idle(self) -> bool:
         """Whether no request is under way; part of a head may have come."""
@@ -190,6 +195,7 @@
                 # The request that runs is answered.
                 self._messages.clear()
                 self._stop_parsing()
+                self._pause_transport_reading()
                 self.close()
             case _:
                 self._refuse_received()
--- a/packages/verbenahall/tests/clients/test_accounts.py
+++ b/packages/verbenahall/tests/clients/test_accounts.py
@@ -54,3 +54,36 @@
     async with asyncio.timeout(20):
         while state.held or state.going or state.reserved or state.holding:
             await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize('large', [False, True])
+def test_single_request_within_the_limits_is_served(tmp_path, large):
+    # The limits on crowds must not keep out one request of legal size: a body
+    # of 4 MB, whole or in chunks of one byte, beside nothing.
+    async def check():
+        site = Site(plain=[DiscardingEndpoint('page-0')])
+        await site.start()
+        path = write_settings(tmp_path, site.store.address)
+        gateway = Gateway(read_settings(path).unwrap())
+        await gateway.open()
+        async with asyncio.timeout(20):
+            while not gateway.core.ready:
+                await asyncio.sleep(0.01)
+        host, _, port = gateway.core.settings.callers.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        if large:
+            head = TARGET.make_head(
+                'POST', TARGET.upload, 'Content-Length: 4194304'
+            )
+            writer.write(head + bytes(4_194_304))
+        else:
+            head = TARGET.make_head(
+                'POST', TARGET.upload, 'Transfer-Encoding: chunked'
+            )
+            writer.write(head + b'1\r\na\r\n' * 50_000 + b'0\r\n\r\n')
+        assert (await reader.readline()).startswith(b'HTTP/1.1 200')
+        writer.close()
+        await gateway.close()
+        await site.stop()
+
+    asyncio.run(check())
