Trailers are bounded, and answers that were read are not taken for unread

Answers over 16 KB stayed counted as unread on idle connections until their next request, so those connections would have been the first to be closed when memory ran short. What the kernel still holds of them is now looked at before any connection yields.

--- a/packages/standins/src/verbenahall_standins/crowds/_forms.py
+++ b/packages/standins/src/verbenahall_standins/crowds/_forms.py
@@ -116,6 +116,12 @@
     )
 
 
+def _send_endless_trailer(target: Target) -> Script:
+    head = _make_chunked_head(target) + b'1\r\na\r\n0\r\n'
+    line = b'X-A: ' + b'a' * _LONG_LINE_BYTES + b'\r\n'
+    return Script(head, line, 2 * _BODY_BYTES)
+
+
 def _send_all_but_the_end(target: Target) -> Script:
     head = _make_upload_head(target, target.upload, _BODY_BYTES)
     return _leave_out_last_byte(head)
@@ -189,6 +195,7 @@
         'whole-bodies-of-one-client': Form(1, _send_whole_bodies),
         'whole-bodies': Form(8, _send_whole_bodies),
         'one-byte-chunks': Form(60, _send_tiny_chunks),
+        'endless-trailers': Form(40, _send_endless_trailer),
         'bodies-all-but-the-end': Form(40, _send_all_but_the_end),
         'chunked-bodies-all-but-the-end': Form(
             40, _send_chunks_all_but_the_end
--- a/packages/verbenahall/src/verbenahall/front/_metered_connections.py
+++ b/packages/verbenahall/src/verbenahall/front/_metered_connections.py
@@ -172,7 +172,7 @@
     def resume_writing(self) -> None:
         """Stop counting such an answer."""
         super().resume_writing()
-        self._end_unread()
+        self.end_unread()
 
     async def finish_response(
         self,
@@ -204,11 +204,20 @@
         """Return the number of bytes that the client has not read yet."""
         return count_unsent(self.transport)
 
+    def end_unread(self) -> None:
+        """Release what was counted of an answer that the client has read."""
+        if self._unsent_bytes:
+            self._account.release(self._share, self._unsent_bytes)
+            self._unsent_bytes = 0
+            self._share.unsent = 0
+            self._share.activity = Activity.RUNNING
+            self._update_activity()
+
     def _count_received(self, size: int) -> None:
         share = self._share
         if self._unsent_bytes and not self._paused:
             # The client goes on, so it has read the last answer.
-            self._end_unread()
+            self.end_unread()
         if not self._is_receiving_body():
             if self._is_busy():
                 share.behind += size
@@ -231,7 +240,7 @@
         elif body is None:
             self._count_head(len(data))
         elif self._is_chunked:
-            self._count_framing(body, len(data) + before - body.total_bytes)
+            self._track_chunks(body, len(data), body.total_bytes - before)
         self._update_activity()
 
     def _track_messages(self, count: int, size: int) -> None:
@@ -297,6 +306,18 @@
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
+    def _count_trailer(self, size: int) -> None:
+        """Bound what comes without a byte of the body, as a head is bounded.
+
+        The trailer of a body in chunks, or a chunk's extension, may be endless.
+        """
+        self._head_bytes += size
+        limit = self._listener.read_limits().head_bytes
+        if self._head_bytes > limit + _HEAD_SLACK_BYTES:
+            metrics.CLIENT_LIMITS.add('trailer')
+            journal.write_decision('client_refused', limit='trailer')
+            self._refuse_received()
+
     def _fail(self, limit: str) -> None:
         """Parse nothing more after the error that waits to be answered.
 
@@ -342,11 +363,22 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def _track_chunks(self, body: StreamReader, size: int, count: int) -> None:
+        """Bound what comes beside the bytes of a body.
+
+        Of ``size`` bytes received, ``count`` belong to the body itself.
+        """
+        if count:
+            self._head_bytes = 0
+            self._count_framing(body, max(0, size - count))
+        else:
+            self._count_trailer(size)
+
     def _count_framing(self, body: StreamReader, size: int) -> None:
         """Parse a body in very small chunks little by little from now on."""
         self._framing += size
         if self._is_paced:
-            self._account.release(self._share, max(0, size))
+            self._account.release(self._share, size)
         elif self._framing > _FRAMING_BYTES + body.total_bytes:
             self._is_paced = True
             self._pacer.add(self)
@@ -396,14 +428,6 @@
         else:
             self._update_activity()
 
-    def _end_unread(self) -> None:
-        if self._unsent_bytes:
-            self._account.release(self._share, self._unsent_bytes)
-            self._unsent_bytes = 0
-            self._share.unsent = 0
-            self._share.activity = Activity.RUNNING
-            self._update_activity()
-
     def _pause_reading_for_buffer(self) -> None:
         """Stop reading: more requests were sent ahead than may wait."""
         if not self._queued_bytes:
--- a/packages/verbenahall/src/verbenahall/memory/_shell.py
+++ b/packages/verbenahall/src/verbenahall/memory/_shell.py
@@ -20,6 +20,9 @@
     def count_unsent(self) -> int:
         """Return the number of bytes that the client has not read yet."""
 
+    def end_unread(self) -> None:
+        """Release what was counted of an answer that the client has read."""
+
 
 @final
 class MemoryAccount:
@@ -113,12 +116,23 @@
         self.state.answers -= size
 
     def _reclaim(self, missing: int, now: float) -> None:
+        """Have connections yield that hold ``missing`` bytes."""
+        held = self.state.held
         for share in tuple(self.state.holding):
             if share.activity is Activity.UNREAD:
-                unsent = self._connections[share].count_unsent()
-                share.moved += max(0, share.unsent - unsent)
-                share.unsent = unsent
-        self._notify(decisions.find_victims(self.state, missing, now))
+                self._update_unread(share)
+        missing -= held - self.state.held
+        if missing > 0:
+            self._notify(decisions.find_victims(self.state, missing, now))
+
+    def _update_unread(self, share: Share) -> None:
+        """Note what a client has read of an answer since it was looked at."""
+        connection = self._connections[share]
+        unsent = connection.count_unsent()
+        share.moved += max(0, share.unsent - unsent)
+        share.unsent = unsent
+        if not unsent:
+            connection.end_unread()
 
     def _notify(self, victims: Sequence[Share]) -> None:
         for share in victims:
--- a/packages/verbenahall/src/verbenahall/metrics.py
+++ b/packages/verbenahall/src/verbenahall/metrics.py
@@ -203,7 +203,8 @@
 )
 CLIENT_LIMITS: Final = BufferedCounter(
     'verbenahall_client_limits_total',
-    'Connections of clients that exceeded a limit: head, malformed, chunks,'
+    'Connections of clients that exceeded a limit: head, trailer, malformed,'
+    ' chunks,'
     ' idle (closed for a new one in a full house), no_room (a large body).',
     'limit',
 )
--- a/packages/verbenahall/tests/gateway/test_endless_answers.py
+++ b/packages/verbenahall/tests/gateway/test_endless_answers.py
@@ -259,6 +259,9 @@
         """Return that all was sent."""
         return 0
 
+    def end_unread(self):
+        """Hold on to what there is."""
+
 
 def read_peak(pid):
     """Return the highest resident memory of a process, in bytes."""
