A connection that has ended is not told to make room

A listener lists a connection until the task of its requests has ended, which is after the connection itself. A full house asked the account for the slowest of all listed ones, and one that had ended was the slowest, as its rate counts from zero. Telling it to yield raised a KeyError in the protocol factory, so the new connection had no protocol and no answer; the others that were chosen with it were marked as yielding without being told, and could never be chosen again.

Only connections that hold something make room. One that has ended holds nothing, and neither does an idle one, whose next request may lie in the kernel. Both tests failed before (KeyError; 1 in place of 0); the ten crowds of the readiness listener pass in 14 s.

--- a/packages/verbenahall/src/verbenahall/memory/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/memory/_decisions.py
@@ -176,12 +176,13 @@
     """Return up to ``most`` shares whose connections are to make room.
 
     They have received or sent for a second at least. Where a request runs, the
-    connection stays.
+    connection stays. One that holds nothing is idle, or has ended.
     """
     candidates = (
         one
         for one in shares
-        if _may_yield(one)
+        if one in account.holding
+        and _may_yield(one)
         and one.activity is not Activity.SENT_AHEAD
         and now - one.since > _MARK_S
     )
--- a/packages/verbenahall/tests/memory/test_account.py
+++ b/packages/verbenahall/tests/memory/test_account.py
@@ -181,3 +181,45 @@
     found = memory.find_slowest(house.state, house.shares[:4], 9, house.now)
     assert found == [fast]
     house.check()
+
+
+def test_connection_that_has_ended_makes_no_room():
+    # A listener lists a connection until its task has ended, and telling it to
+    # yield failed: the new connection got no answer, the others never yielded.
+    account = memory.MemoryAccount(memory.Bounds.from_total(TOTAL))
+    connections = [SlowConnection() for _ in range(2)]
+    shares = [account.open(one) for one in connections]
+    for share in shares:
+        account.receive(share, 1000)
+        share.since -= 60
+    account.close(shares[0])
+    assert account.make_room(shares, 2) == 1
+    assert [one.has_yielded for one in connections] == [False, True]
+
+
+def test_idle_connection_is_not_slow():
+    # Its next request may lie unread in the kernel.
+    account = memory.MemoryAccount(memory.Bounds.from_total(TOTAL))
+    connection = SlowConnection()
+    share = account.open(connection)
+    account.receive(share, 1000)
+    account.finish(share)
+    share.since -= 60
+    assert account.make_room([share], 1) == 0
+    assert not connection.has_yielded
+
+
+class SlowConnection:
+    """A connection that notes whether it was told to yield."""
+
+    def __init__(self):
+        self.has_yielded = False
+
+    def yield_memory(self):
+        self.has_yielded = True
+
+    def count_unsent(self):
+        return 0
+
+    def end_unread(self):
+        """Hold nothing."""
