A body that yields reaches a reader that was just woken

Found in a crowd of 2,900 clients with 4 MB bodies at memoryMb = 160: the account had 32 MB as about to be released, and they stayed for seconds, so that 56 MB of requests were held where 24 may be.

When a body had to yield, its stream was emptied and given the error. A reader that had been woken by bytes in the same pass of the event loop, which is the usual case, then found neither: it looks at the error only before it waits, and waited again, with no one to wake it, until the idle timeout.

The stream keeps its bytes: the reader takes them and finds the error at its next read. The test failed before (no answer within 5 s, idle timeout 30 s).

--- a/packages/verbenahall/src/verbenahall/front/_metered_connections.py
+++ b/packages/verbenahall/src/verbenahall/front/_metered_connections.py
@@ -349,7 +349,6 @@
         if body is not None and self._is_busy() and not self._is_answered:
             self._lingering_time = 0
             self._stop_parsing()
-            body._buffer.clear()  # noqa: SLF001, WPS437
             body.set_exception(YieldedError('the memory is needed by others'))
             return
         self._stop_parsing()
