Requests sent ahead after a late body are answered

Found by a test of chunks that were sent behind another request. A client whose first request had its body arrive after its head was handled, and that then sent two requests at once on the same connection, got the answer to the first of them and none to the second, until it sent more or left.

The HTTP library's parser counts requests from the end of their body until their handler begins, and stops at the bound. A body that ends after its handler has begun is counted and not taken off, so with the bound of two, one waiting request stopped the parser; nothing had it go on, as the queue was not full. At most one is counted too many. The parser's bound is now one more than the queue's, which pauses and resumes by what really waits.

--- a/packages/verbenahall/src/verbenahall/front/_metered_connections.py
+++ b/packages/verbenahall/src/verbenahall/front/_metered_connections.py
@@ -96,7 +96,9 @@
             max_headers=self.max_headers,
             payload_exception=web.RequestPayloadError,
             auto_decompress=listener.options['auto_decompress'],
-            max_msg_queue_size=_MAX_WAITING,
+            # The parser counts a request whose body came after its handler had
+            # begun as one that waits, and would stop with none waiting.
+            max_msg_queue_size=_MAX_WAITING + 1,
         )
 
     @property
--- /dev/null
+++ b/packages/verbenahall/tests/front/test_reads.py
@@ -0,0 +1,84 @@
+"""Connections whose bytes are counted, by what one read makes them hold."""
+
+import asyncio
+import contextlib
+
+from aiohttp import web
+
+from verbenahall.config import LimitsConfig
+from verbenahall.errors import ErrorKind
+from verbenahall.front import Runner, read_request_body
+
+HEAD = b'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 100000\r\n\r\n'
+SMALL = b'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nx'
+LIMITS = LimitsConfig(
+    body_bytes=1_000_000,
+    header_bytes=16_384,
+    json_depth=0,
+    connections=8,
+    body_timeout_s=30,
+    queue_per_priority=0,
+    queue_per_workspace=0,
+    in_flight_per_engine=0,
+    default_deadline_s=0,
+)
+
+
+def test_body_yields_whose_reader_was_just_woken():
+    # The reader found neither bytes nor the error, and waited for the idle
+    # timeout while the body's bytes were taken for freed.
+    async def run():
+        async with open_connection(HEAD + bytes(1000)) as (connection, results):
+            await asyncio.sleep(0.05)
+            connection.data_received(bytes(1000))
+            connection.yield_memory()
+            read = await results.get()
+            while connection.share.count:
+                await asyncio.sleep(0.01)
+        return read
+
+    assert asyncio.run(run()).failure().kind is ErrorKind.REQUEST_TIMEOUT
+
+
+def test_requests_sent_ahead_after_a_late_body_are_answered():
+    # The parser stopped after the first of them, and nothing had it go on.
+    async def run():
+        async with open_connection(HEAD) as (connection, results):
+            connection.data_received(bytes(100_000))
+            await results.get()
+            connection.data_received(2 * SMALL)
+            return [(await results.get()).unwrap() for _ in range(2)]
+
+    assert asyncio.run(run()) == [b'x', b'x']
+
+
+@contextlib.asynccontextmanager
+async def open_connection(sent):
+    """Send bytes to a listener; yield its connection, and the bodies read."""
+    results = asyncio.Queue()
+
+    async def receive(request):
+        read = await read_request_body(request, 1_000_000, 30)
+        results.put_nowait(read)
+        return web.Response()
+
+    app = web.Application()
+    app.router.add_route('*', '/', receive)
+    runner = Runner(app, LIMITS)
+    await runner.setup()
+    site = web.TCPSite(runner, '127.0.0.1', 0)
+    await site.start()
+    port = site._server.sockets[0].getsockname()[1]
+    _, writer = await asyncio.open_connection('127.0.0.1', port)
+    writer.write(sent)
+    try:
+        async with asyncio.timeout(5):
+            while not runner._manager.connections:
+                await asyncio.sleep(0.01)
+            (connection,) = runner._manager.connections
+            while not connection.share.count:
+                await asyncio.sleep(0.01)
+            yield connection, results
+    finally:
+        writer.close()
+        await runner.cleanup()
