Tiny chunks of one read are parsed little by little, too

One read of 12 to 60 KB in chunks of a byte was parsed at once, and only then looked at: a few thousand objects of about a hundred bytes each, more than ten times what was counted.

A body in chunks, or what may hold the head of one behind another request, is parsed by 1,024 bytes, and the rest waits for the event loop as soon as framing is 512 bytes more than the body. A request without chunks is parsed at once as before. The tests failed before (4,099 and more chunks parsed in place of less than 500; the third no answer).

--- a/packages/verbenahall/src/verbenahall/front/_metered_connections.py
+++ b/packages/verbenahall/src/verbenahall/front/_metered_connections.py
@@ -29,9 +29,12 @@
 _UNCOUNTED_BYTES: Final = 16_384
 #: Bytes of chunk framing beyond those of the body from which on the chunks of a
 #: body are parsed little by little.
-_FRAMING_BYTES: Final = 16_384
-#: Bytes of such a body that are parsed at a time.
-_SLICE_BYTES: Final = 2048
+_FRAMING_BYTES: Final = 512
+#: Bytes that are parsed at a time where there may be such chunks. Each chunk of
+#: a byte takes about a hundred until the request has read it.
+_SLICE_BYTES: Final = 1024
+_HEAD_END: Final = b'\r\n\r\n'
+_CHUNKED: Final = b'chunked'
 
 
 class YieldedError(ConnectionError):
@@ -157,7 +160,7 @@
         if size and self._is_paced:
             self._wait_for_slice(data)
         else:
-            self._parse(data)
+            self._parse_pieces(data)
 
     def resume_reading(self, resume_parser: bool = True) -> None:
         """Resume reading if it was paused; called for each piece of a body."""
@@ -228,6 +231,37 @@
             return
         self._account.receive(share, size)
 
+    def _parse_pieces(self, data: bytes) -> None:
+        """Parse what has arrived, chunks piece by piece."""
+        size = self._find_piece(data)
+        while size < len(data) and self.transport is not None:
+            self._parse(data[:size])
+            data = data[size:]
+            if self._has_failed:
+                return
+            if self._is_paced:
+                self._wait_for_slice(data)
+                return
+            size = self._find_piece(data)
+        self._parse(data)
+
+    def _find_piece(self, data: bytes) -> int:
+        """Return how many bytes are parsed at once.
+
+        A second head may be that of a body in chunks, too.
+        """
+        size = len(data)
+        if size <= _SLICE_BYTES:
+            return size
+        head = -1
+        has_chunks = self._is_chunked
+        if not self._is_receiving_body():
+            head = data.find(_HEAD_END)
+            has_chunks = head >= 0 and _CHUNKED in data[:head].lower()
+        if has_chunks or data.find(_HEAD_END, head + 1) >= 0:
+            return _SLICE_BYTES
+        return size
+
     def _parse(self, data: bytes) -> None:
         """Parse bytes; keep track of the head or body that they end in."""
         body = self._body if self._is_receiving_body() else None
@@ -401,8 +435,7 @@
             return
         started = self._loop.time()
         if not self._reading_paused:
-            size = _SLICE_BYTES if self._is_receiving_body() else None
-            piece = self._unparsed[:size]
+            piece = self._unparsed[: self._find_piece(self._unparsed)]
             self._unparsed = self._unparsed[len(piece) :]
             self._parse(piece)
         if not self._unparsed:
--- a/packages/verbenahall/tests/front/test_reads.py
+++ b/packages/verbenahall/tests/front/test_reads.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 
+import pytest
 from aiohttp import web
 
 from verbenahall.config import LimitsConfig
@@ -11,6 +12,9 @@
 
 HEAD = b'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 100000\r\n\r\n'
 SMALL = b'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nx'
+CHUNKED = b'POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: Chunked\r\n\r\n'
+TINY = b'1\r\nx\r\n'
+END = b'0\r\n\r\n'
 LIMITS = LimitsConfig(
     body_bytes=1_000_000,
     header_bytes=16_384,
@@ -52,6 +56,30 @@
     assert asyncio.run(run()) == [b'x', b'x']
 
 
+@pytest.mark.parametrize(
+    'ahead',
+    [b'', b'GET / HTTP/1.1\r\nHost: x\r\n\r\n', SMALL],
+    ids=['first', 'after a request', 'after a body'],
+)
+def test_tiny_chunks_of_one_read_are_parsed_little_by_little(ahead):
+    # Each chunk of a byte is an object of a hundred bytes until it is read.
+    async def run():
+        async with open_connection(HEAD) as (connection, results):
+            connection.data_received(bytes(100_000))
+            await results.get()
+            while connection.share.count:
+                await asyncio.sleep(0.01)
+            connection.data_received(ahead + CHUNKED + TINY * 5000 + END)
+            parsed = sum(body.total_bytes for _, body in connection._messages)
+            for _ in range(bool(ahead)):
+                await results.get()
+            return parsed, (await results.get()).unwrap()
+
+    parsed, body = asyncio.run(run())
+    assert parsed < 500
+    assert body == b'x' * 5000
+
+
 @contextlib.asynccontextmanager
 async def open_connection(sent):
     """Send bytes to a listener; yield its connection, and the bodies read."""
