Connections of a crowd get small receive buffers, and are as many as the memory bears

By hand, 2,900 clients at memoryMb = 160: 4 MB bodies all but their end had the process and the kernel's receive queues at 194 and 246 MB, of it up to 140 MB in the queues; head lines without end at 157 MB. What all send at once arrives before the process can read any of it, up to twice the size that a buffer is set to, and this was counted once.

Listeners accept with 8 KiB; a connection gets 32 KiB while all connections with it would take a tenth of the process's memory at most. What is counted of a queue is its real bound. Connections are at most one for each 128 KiB of the memory, as each with a request takes 25 KB or more beside what it has sent.

--- a/packages/verbenahall/src/verbenahall/buffers.py
+++ b/packages/verbenahall/src/verbenahall/buffers.py
@@ -21,10 +21,17 @@
 #: body is held twice while it is being written to a slow reader, and the
 #: process itself takes a fifth to a third of its memory.
 _MEMORY_DIVISOR: Final = 5
-#: Bytes of a connection that the kernel holds unread or unsent. Its own bound
-#: is megabytes, of which the process would know nothing.
+#: Sizes of the kernel's buffers of a connection in bytes. Its own bound is
+#: megabytes, of which the process would know nothing.
 RECEIVE_BUFFER_BYTES: Final = 32_768
 SEND_BUFFER_BYTES: Final = 131_072
+#: Size of the receive buffer while there are many connections, in bytes.
+CROWD_BUFFER_BYTES: Final = 8_192
+#: The kernel doubles the size that a receive buffer is set to.
+BUFFER_FACTOR: Final = 2
+#: Divisor of the bound of all bytes that gives what large receive buffers may
+#: hold.
+_BUFFER_DIVISOR: Final = 2
 #: Divisor of that bound that gives the largest answer.
 _ANSWER_DIVISOR: Final = 8
 
@@ -34,6 +41,17 @@
     return memory_bytes // _MEMORY_DIVISOR
 
 
+def find_receive_buffer(bounds: Bounds, connections: int) -> int:
+    """Return the size of a new connection's receive buffer, in bytes.
+
+    ``connections`` are open in the process, the new one included.
+    """
+    held = connections * BUFFER_FACTOR * RECEIVE_BUFFER_BYTES
+    if held <= bounds.total // _BUFFER_DIVISOR:
+        return RECEIVE_BUFFER_BYTES
+    return CROWD_BUFFER_BYTES
+
+
 @final
 class ByteBudget:
     """The bytes that are held for all requests, at most ``limit``.
--- a/packages/verbenahall/src/verbenahall/front/_metered_connections.py
+++ b/packages/verbenahall/src/verbenahall/front/_metered_connections.py
@@ -1,6 +1,8 @@
 """Connections whose bytes are counted, received as well as unsent ones."""
 
 import asyncio
+import contextlib
+import socket
 from http import HTTPStatus
 from typing import Final
 
@@ -12,7 +14,12 @@
 
 from verbenahall import journal, metrics
 from verbenahall.answer_connections import count_unsent
-from verbenahall.buffers import RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES
+from verbenahall.buffers import (
+    BUFFER_FACTOR,
+    CROWD_BUFFER_BYTES,
+    SEND_BUFFER_BYTES,
+    find_receive_buffer,
+)
 from verbenahall.front._listener_state import ListenerState
 from verbenahall.front._static_answers import BUSY
 from verbenahall.memory import Activity, MemoryAccount, Share
@@ -52,6 +59,7 @@
     __slots__ = (
         '_account',
         '_body',
+        '_buffer_bytes',
         '_discarded',
         '_framing',
         '_has_failed',
@@ -76,6 +84,7 @@
         self._listener = listener
         self._pacer = listener.pacer
         self._body: StreamReader | None = None
+        self._buffer_bytes = BUFFER_FACTOR * CROWD_BUFFER_BYTES
         self._discarded = 0
         self._framing = 0
         self._has_failed = False
@@ -131,6 +140,18 @@
         """When the last answer ended, or the connection opened."""
         return self._next_keepalive_close_time - self._keepalive_timeout
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Enlarge the receive buffer while there are few connections."""
+        super().connection_made(transport)
+        account = self._account
+        size = find_receive_buffer(account.state.bounds, account.connections)
+        opened = transport.get_extra_info('socket')
+        if opened is None or size == CROWD_BUFFER_BYTES:
+            return
+        with contextlib.suppress(OSError):  # Short of descriptors.
+            opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+            self._buffer_bytes = BUFFER_FACTOR * size
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Release all that the connection holds."""
         self._unparsed = b''
@@ -465,7 +486,7 @@
     def _pause_reading_for_buffer(self) -> None:
         """Stop reading: more requests were sent ahead than may wait."""
         if not self._queued_bytes:
-            self._share.behind += RECEIVE_BUFFER_BYTES
+            self._share.behind += self._buffer_bytes
         super()._pause_reading_for_buffer()
 
     def _pause_transport_reading(self) -> None:
@@ -482,8 +503,8 @@
     def _hold_queued(self) -> None:
         """Count what the kernel holds while more is sent than was read."""
         if not self._queued_bytes:
-            self._queued_bytes = RECEIVE_BUFFER_BYTES
-            self._account.hold(self._share, RECEIVE_BUFFER_BYTES)
+            self._queued_bytes = self._buffer_bytes
+            self._account.hold(self._share, self._queued_bytes)
 
     def _release_queued(self) -> None:
         if self._queued_bytes:
--- a/packages/verbenahall/src/verbenahall/gateway/_runners.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_runners.py
@@ -16,6 +16,9 @@
 _MAX_LINE_BYTES: Final = 65_536
 MAX_BODY_BYTES: Final = 67_108_864
 _MAX_CONNECTIONS: Final = 3000
+#: Memory of the process for each connection that a listener may have, in bytes.
+#: A connection with a request takes a quarter of it beside what it has sent.
+_CONNECTION_MEMORY_BYTES: Final = 131_072
 #: Descriptors for files, and for sockets that are no connections of clients.
 _OTHER_DESCRIPTORS: Final = 200
 #: A new connection without a request is closed after this time, in seconds: the
@@ -40,12 +43,17 @@
     core: Core, app: web.Application, share: ConnectionShare
 ) -> Runner:
     """Return a runner with the read limits of the manifest in force."""
-    sockets = core.settings.descriptors - _OTHER_DESCRIPTORS
+    settings = core.settings
+    sockets = settings.descriptors - _OTHER_DESCRIPTORS
     limits = LimitsConfig(
         body_bytes=MAX_BODY_BYTES,
         header_bytes=_MAX_LINE_BYTES,
         json_depth=0,
-        connections=min(_MAX_CONNECTIONS, max(1, int(sockets * share.value))),
+        connections=min(
+            _MAX_CONNECTIONS,
+            settings.memory_bytes // _CONNECTION_MEMORY_BYTES,
+            max(1, int(sockets * share.value)),
+        ),
         body_timeout_s=_FIRST_REQUEST_S,
         queue_per_priority=0,
         queue_per_workspace=0,
--- a/packages/verbenahall/src/verbenahall/memory/_shell.py
+++ b/packages/verbenahall/src/verbenahall/memory/_shell.py
@@ -49,6 +49,11 @@
         self._now = clock.monotonic
         self._yielded = 0
 
+    @property
+    def connections(self) -> int:
+        """The number of open connections."""
+        return len(self._connections)
+
     def open(self, connection: HoldingConnection) -> Share:
         """Return the share of a new connection."""
         share = Share()
--- a/packages/verbenahall/src/verbenahall/process.py
+++ b/packages/verbenahall/src/verbenahall/process.py
@@ -9,7 +9,7 @@
 import uvloop
 from aiohttp import web
 
-from verbenahall.buffers import RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES
+from verbenahall.buffers import CROWD_BUFFER_BYTES, SEND_BUFFER_BYTES
 
 #: Connections that the kernel queues while the event loop is busy.
 _BACKLOG: Final = 1024
@@ -42,7 +42,7 @@
     host, _, port = address.rpartition(':')
     listening = socket.create_server((host, int(port)), backlog=_BACKLOG)
     for option, size in (
-        (socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES),
+        (socket.SO_RCVBUF, CROWD_BUFFER_BYTES),
         (socket.SO_SNDBUF, SEND_BUFFER_BYTES),
     ):
         listening.setsockopt(socket.SOL_SOCKET, option, size)
--- a/packages/verbenahall/tests/front/test_reads.py
+++ b/packages/verbenahall/tests/front/test_reads.py
@@ -6,9 +6,11 @@
 import pytest
 from aiohttp import web
 
+from verbenahall import buffers
 from verbenahall.config import LimitsConfig
 from verbenahall.errors import ErrorKind
 from verbenahall.front import Runner, read_request_body
+from verbenahall.memory import Bounds
 
 HEAD = b'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 100000\r\n\r\n'
 SMALL = b'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nx'
@@ -80,6 +82,17 @@
     assert body == b'x' * 5000
 
 
+def test_large_receive_buffers_are_bounded():
+    # Data of a crowd waits in them before the process can count it.
+    bounds = Bounds.from_total(10_000_000)
+    sizes = [buffers.find_receive_buffer(bounds, one) for one in range(1, 2000)]
+    large = sizes.count(buffers.RECEIVE_BUFFER_BYTES)
+    held = large * buffers.BUFFER_FACTOR * buffers.RECEIVE_BUFFER_BYTES
+    assert large > 50
+    assert held <= bounds.total / 2
+    assert sizes.count(buffers.CROWD_BUFFER_BYTES) == len(sizes) - large
+
+
 @contextlib.asynccontextmanager
 async def open_connection(sent):
     """Send bytes to a listener; yield its connection, and the bodies read."""
@@ -103,7 +116,7 @@
         async with asyncio.timeout(5):
             while not runner._manager.connections:
                 await asyncio.sleep(0.01)
-            (connection,) = runner._manager.connections
+            connection = runner._manager.connections[0]
             while not connection.share.count:
                 await asyncio.sleep(0.01)
             yield connection, results
