A body sent ahead stays counted when the request before it ends

A client that sends a large body behind a request which runs had all but the first read of it taken off the count with the end of that request: up to 128 KB of each connection in the stream's buffer, counted nowhere. Later reads of a body that waits count as sent ahead, like the first. The test counted 0 of 50,000 bytes before.

--- a/packages/verbenahall/src/verbenahall/front/_listener_state.py
+++ b/packages/verbenahall/src/verbenahall/front/_listener_state.py
@@ -6,7 +6,7 @@
 
 from verbenahall.memory import MemoryAccount
 
-#: Part of the event loop's time that all such bodies may take.
+#: Part of the event loop's time that all bodies in very small chunks may take.
 _SLICE_SHARE: Final = 0.25
 _MIN_SLICE_S: Final = 0.0002
 
--- a/packages/verbenahall/src/verbenahall/front/_metered_connections.py
+++ b/packages/verbenahall/src/verbenahall/front/_metered_connections.py
@@ -247,6 +247,8 @@
         if not self._is_receiving_body():
             if self._is_busy():
                 share.behind += size
+        elif self._messages and self._current_request is not None:
+            share.behind += size
         elif self._is_answered:
             # The rest of a body that was refused is dropped as it comes.
             return
--- a/packages/verbenahall/tests/front/test_reads.py
+++ b/packages/verbenahall/tests/front/test_reads.py
@@ -58,6 +58,27 @@
     assert asyncio.run(run()) == [b'x', b'x']
 
 
+def test_body_that_waits_is_counted_until_its_request_has_ended():
+    # What came of it in later reads was taken off with the request before it.
+    async def run():
+        async with open_connection(HEAD) as (connection, results):
+            results.pause.clear()
+            connection.data_received(bytes(100_000) + HEAD)
+            connection.data_received(bytes(50_000))
+            await asyncio.sleep(0.05)
+            results.pause.set()
+            await results.get()
+            await asyncio.sleep(0.05)
+            counted = connection.share.count
+            connection.data_received(bytes(50_000))
+            await results.get()
+            while connection.share.count:
+                await asyncio.sleep(0.01)
+        return counted
+
+    assert asyncio.run(run()) >= 50_000
+
+
 @pytest.mark.parametrize(
     'ahead',
     [b'', b'GET / HTTP/1.1\r\nHost: x\r\n\r\n', SMALL],
@@ -93,13 +114,23 @@
     assert sizes.count(buffers.CROWD_BUFFER_BYTES) == len(sizes) - large
 
 
+class Results(asyncio.Queue):
+    """The bodies that were read; none is answered during a pause."""
+
+    def __init__(self):
+        super().__init__()
+        self.pause = asyncio.Event()
+        self.pause.set()
+
+
 @contextlib.asynccontextmanager
 async def open_connection(sent):
     """Send bytes to a listener; yield its connection, and the bodies read."""
-    results = asyncio.Queue()
+    results = Results()
 
     async def receive(request):
         read = await read_request_body(request, 1_000_000, 30)
+        await results.pause.wait()
         results.put_nowait(read)
         return web.Response()
 
