An answer that is read slowly ends once its last bytes have been parsed

A caller that reads slowly got all but the last 5 to 10 KB of its stream, and was cut off at the deadline; both ends of its connection and the kernel's queues were empty meanwhile.

The HTTP library's parser keeps what it has not parsed while reading is paused, and goes on when it is called without bytes. The connections to endpoints left out that call, so the rest was parsed only with further bytes; where the answer had arrived whole, there were none. The fault is older than this issue, and was seen seldom: the kernel took megabytes for a slow caller until its buffers were bounded, so that reading was seldom paused.

--- a/packages/verbenahall/src/verbenahall/platform/_connections.py
+++ b/packages/verbenahall/src/verbenahall/platform/_connections.py
@@ -155,6 +155,9 @@
             # What arrives between two requests belongs to none.
             self._has_stray = True
             self.force_close()
+        if not data:
+            # The parser goes on with what it kept while reading was paused.
+            super().data_received(data)
         rest = data
         while rest and not self._has_open_body():
             if self.transport is None or self.transport.is_closing():
