--- a/packages/standins/src/verbenahall_standins/crowds/_crowd.py
+++ b/packages/standins/src/verbenahall_standins/crowds/_crowd.py
@@ -8,8 +8,6 @@
 
 from verbenahall_standins.crowds._forms import Form, Script, Target
 
-#: How long a client tries to send, in seconds; the connection stays open.
-_SEND_S: Final = 5.0
 #: Bytes that are received at a time.
 _READ_BYTES: Final = 65_536
 #: Pause between two bytes of a client that goes on slowly, in seconds.
@@ -30,18 +28,23 @@
     """
 
     def __init__(
-        self, form: Form, target: Target, address: str, send_s: float = _SEND_S
+        self,
+        form: Form,
+        target: Target,
+        address: str,
+        send_s: float | None = None,
     ) -> None:
         """Prepare; nothing is opened yet. The address is ``IP:port``.
 
-        A client tries to send for ``send_s`` seconds.
+        A client tries to send for ``send_s`` seconds, by default as long as
+        the form says.
         """
-        self._send_s = send_s
+        self._send_s = form.send_s if send_s is None else send_s
         self._script = form.make_script(target)
         self._clients = form.clients
         host, _, port = address.rpartition(':')
         self._address = (host, int(port))
-        self._open: list[socket.socket] = []
+        self._open: set[socket.socket] = set()
         self._dripping: asyncio.Task[None] | None = None
 
     async def __aenter__(self) -> Self:
@@ -65,16 +68,35 @@
             opened.close()
 
     async def _run_client(self) -> None:
-        """Send until all is sent, the time is over or the connection ends."""
+        """Send until all is sent, the time is over or the connection ends.
+
+        The last connection stays open.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._send_s):
+                await self._send_on_connections()
+
+    async def _send_on_connections(self) -> None:
+        for _ in range(self._script.reconnects):
+            opened = self._open_socket()
+            await self._send_all(opened)
+            self._open.remove(opened)
+            opened.close()
+        await self._send_all(self._open_socket())
+
+    def _open_socket(self) -> socket.socket:
         opened = socket.socket()
-        self._open.append(opened)
         opened.setblocking(False)
-        with contextlib.suppress(OSError, TimeoutError):
-            async with asyncio.timeout(self._send_s):
-                loop = asyncio.get_running_loop()
-                await loop.sock_connect(opened, self._address)
-                for _ in range(self._script.repeats):
-                    await _send(opened, self._script)
+        self._open.add(opened)
+        return opened
+
+    async def _send_all(self, opened: socket.socket) -> None:
+        """Connect, and send all; an end of the connection is ignored."""
+        with contextlib.suppress(OSError):
+            loop = asyncio.get_running_loop()
+            await loop.sock_connect(opened, self._address)
+            for _ in range(self._script.repeats):
+                await _send(opened, self._script)
 
     async def _drip(self) -> None:
         """Send a byte on each connection that is still open, once a second."""
--- a/packages/standins/src/verbenahall_standins/crowds/_forms.py
+++ b/packages/standins/src/verbenahall_standins/crowds/_forms.py
@@ -13,6 +13,10 @@
 _LONG_TEXT_BYTES: Final = 15_000
 _LONG_LINE_BYTES: Final = 60_000
 _HEADERS: Final = 60_000
+_RECONNECTS: Final = 2000
+#: How long clients open connections, in seconds: less than the time after which
+#: one without a request is closed.
+_RECONNECT_S: Final = 45.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,7 +53,8 @@
     ``piece`` is sent until ``piece_bytes`` have been sent, then ``end``. All of
     it is sent ``repeats`` times. A client that ``reads`` waits for each answer;
     the others read nothing. One that ``drips`` then goes on with one byte a
-    second.
+    second, and one that ``reconnects`` closes its connection and opens another
+    one so many times.
     """
 
     head: bytes = b''
@@ -59,14 +64,19 @@
     repeats: int = 1
     reads: bool = False
     drips: bool = False
+    reconnects: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Form:
-    """A kind of crowd: how many clients, and what each of them sends."""
+    """A kind of crowd: how many clients, and what each of them sends.
+
+    A client tries to send for ``send_s`` seconds.
+    """
 
     clients: int
     make_script: Callable[[Target], Script]
+    send_s: float = 5.0
 
 
 def _make_upload_head(target: Target, path: str, length: int) -> bytes:
@@ -172,6 +182,15 @@
     return Script()
 
 
+def _open_short_connections(target: Target) -> Script:
+    return Script(reconnects=_RECONNECTS)
+
+
+def _send_on_short_connections(target: Target) -> Script:
+    head = target.make_head('GET', target.small)
+    return Script(head, reads=True, reconnects=_RECONNECTS)
+
+
 def _send_long_paths(target: Target) -> Script:
     path = target.unknown + 'a' * _LONG_TEXT_BYTES
     head = target.make_head('GET', path)
@@ -208,6 +227,10 @@
         'unread-answers': Form(100, _leave_answers_unread),
         'small-unread-answers': Form(100, _leave_small_answers_unread),
         'connections-without-request': Form(700, _send_nothing),
+        'short-connections': Form(10, _open_short_connections, _RECONNECT_S),
+        'requests-on-short-connections': Form(
+            10, _send_on_short_connections, _RECONNECT_S
+        ),
         'long-paths': Form(20, _send_long_paths),
         'long-request-ids': Form(20, _send_long_identities),
     }
@@ -228,6 +251,7 @@
             'sent-ahead',
             'small-unread-answers',
             'connections-without-request',
+            'short-connections',
         )
     }
 )
