A connection that has ended is not kept by its timeout

Cause: the timeout of the first request, 60 s, was a timer that refers to the connection, and was not cancelled when the connection ended.

Ruled out: the garbage collector, which was given no cycle; the heap, as the memory did not grow any more without the timer.

--- a/packages/verbenahall/src/verbenahall/front/_connections.py
+++ b/packages/verbenahall/src/verbenahall/front/_connections.py
@@ -56,12 +56,13 @@
     before reads, so no timer closes a connection with unread bytes.
     """
 
-    __slots__ = ('_head_timer', '_read_limits')
+    __slots__ = ('_first_timer', '_head_timer', '_read_limits')
 
     def __init__(self, manager: web.Server, listener: ListenerState) -> None:
         """Create a connection of a listener."""
         super().__init__(manager, listener)
         self._read_limits = listener.read_limits
+        self._first_timer: asyncio.TimerHandle | None = None
         self._head_timer: asyncio.TimerHandle | None = None
 
     @property
@@ -77,8 +78,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the timeout for the first request."""
         super().connection_made(transport)
-        first_s = self._read_limits().first_request_s
-        self._loop.call_later(first_s, self._check_first_request)
+        self._start_first_timer(self._read_limits().first_request_s)
 
     def data_received(self, data: bytes) -> None:
         """Start the head timeout when a head arrives only in part."""
@@ -90,8 +90,11 @@
             self._start_head_timer(self._read_limits().head_s)
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Stop the head timeout."""
+        """Stop the timeouts, which would keep the connection in memory."""
         self._stop_head_timer()
+        if self._first_timer is not None:
+            self._first_timer.cancel()
+            self._first_timer = None
         super().connection_lost(exc)
 
     def handle_error(
@@ -135,11 +138,17 @@
             request.writer.chunked = False
             return await super().finish_response(request, failed, start_time)
 
+    def _start_first_timer(self, delay_s: float) -> None:
+        self._first_timer = self._loop.call_later(
+            delay_s, self._check_first_request
+        )
+
     def _check_first_request(self) -> None:
+        self._first_timer = None
         if self._request_count or self._head_timer is not None:
             return
         if _has_unread_bytes(self.transport):
-            self._loop.call_later(_UNREAD_CHECK_S, self._check_first_request)
+            self._start_first_timer(_UNREAD_CHECK_S)
         else:
             self.force_close()
 
