A body that yields is released at once, not when its reader runs

Now the connection drops what it and its handler hold of the body, and counts nothing more. One byte is left for a reader that was woken before, which waited for good where the buffer was empty. The test failed before: 66,588 and 116,588 bytes were still held.

--- a/packages/verbenahall/src/verbenahall/front/_bodies.py
+++ b/packages/verbenahall/src/verbenahall/front/_bodies.py
@@ -51,8 +51,26 @@
     request: web.BaseRequest, max_bytes: int, idle_timeout_s: float
 ) -> Result[bytes, Problem]:
     body = io.BytesIO()
+    connection = request.protocol
+    if not isinstance(connection, MeteredConnection):
+        return await _read_into(body, request, max_bytes, idle_timeout_s)
+    connection.partial_body = body
+    try:
+        return await _read_into(body, request, max_bytes, idle_timeout_s)
+    finally:
+        connection.partial_body = None
+
+
+async def _read_into(
+    body: io.BytesIO,
+    request: web.BaseRequest,
+    max_bytes: int,
+    idle_timeout_s: float,
+) -> Result[bytes, Problem]:
     size = 0
     while piece := await _read_piece(request, idle_timeout_s):
+        if body.closed:
+            raise YieldedError('the body was dropped')
         size += len(piece)
         problem = _check_size(request, size, len(piece), max_bytes)
         if problem is not None:
--- a/packages/verbenahall/src/verbenahall/front/_metered_connections.py
+++ b/packages/verbenahall/src/verbenahall/front/_metered_connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import io
 import socket
 from http import HTTPStatus
 from typing import Final
@@ -42,6 +43,8 @@
 _SLICE_BYTES: Final = 1024
 _HEAD_END: Final = b'\r\n\r\n'
 _CHUNKED: Final = b'chunked'
+#: What is left of a body that was dropped.
+_DROPPED: Final = b'\0'
 
 
 class YieldedError(ConnectionError):
@@ -74,6 +77,7 @@
         '_share',
         '_unparsed',
         '_unsent_bytes',
+        'partial_body',
     )
 
     def __init__(self, manager: web.Server, listener: ListenerState) -> None:
@@ -96,6 +100,8 @@
         self._queued_bytes = 0
         self._unparsed = b''
         self._unsent_bytes = 0
+        #: What a handler has read of a body; it is closed when it must yield.
+        self.partial_body: io.BytesIO | None = None
         self._share: Share = self._account.open(self)
         self._max_msg_queue_size = _MAX_WAITING
         self._msg_queue_resume_size = _MAX_WAITING // 2
@@ -408,7 +414,7 @@
         if body is not None and self._is_busy() and not self._is_answered:
             self._lingering_time = 0
             self._stop_parsing()
-            body.set_exception(YieldedError('the memory is needed by others'))
+            self._drop_body(body)
             return
         self._stop_parsing()
         if self.transport is not None:
@@ -416,6 +422,21 @@
                 self.transport.write(BUSY)
             self.force_close()
 
+    def _drop_body(self, body: StreamReader) -> None:
+        """Release a body now: its reader may run only after other reads.
+
+        A reader that was woken before takes what is left, a single byte, and
+        finds the error at its next read. Without that byte it would wait.
+        """
+        body._buffer.clear()  # noqa: SLF001, WPS437
+        body._buffer.append(_DROPPED)  # noqa: SLF001, WPS437
+        body._buffer_offset = 0  # noqa: SLF001, WPS437
+        body._size = len(_DROPPED)  # noqa: SLF001, WPS437
+        body.set_exception(YieldedError('the memory is needed by others'))
+        if self.partial_body is not None:
+            self.partial_body.close()
+        self._account.finish(self._share)
+
     def _abort(self) -> None:
         self._has_failed = True
         if self.transport is not None:
--- a/packages/verbenahall/tests/front/test_reads.py
+++ b/packages/verbenahall/tests/front/test_reads.py
@@ -46,6 +46,26 @@
     assert asyncio.run(run()).failure().kind is ErrorKind.REQUEST_TIMEOUT
 
 
+@pytest.mark.parametrize('is_woken', [False, True])
+def test_body_that_yields_is_released_at_once(is_woken):
+    # What many bodies had received in one pass of the event loop was kept until
+    # their readers ran after it: three times the bound.
+    async def run():
+        async with open_connection(HEAD + bytes(1000)) as (connection, results):
+            await asyncio.sleep(0.05)
+            body = connection._body
+            if is_woken:
+                connection.data_received(bytes(50_000))
+            connection.yield_memory()
+            assert connection.account.state.held == 0
+            assert sum(len(piece) for piece in body._buffer) <= 1
+            assert connection.partial_body.closed
+            return await results.get()
+
+    read = asyncio.run(run())
+    assert read.failure().kind is ErrorKind.REQUEST_TIMEOUT
+
+
 def test_requests_sent_ahead_after_a_late_body_are_answered():
     # The parser stopped after the first of them, and nothing had it go on.
     async def run():
