Copies of long heads are counted, and dropped requests are not

Heads over 1,024 bytes are counted with two copies now; - requests sent ahead that had to yield were dropped, and stayed counted until the one before them had ended, 29 MB, which the bound leaves out; - a request that came while the connection ended the one before counted as sent ahead, and its bytes stayed counted after its answer.

Two tests failed before: 108,086 bytes counted before and after yielding, and a head of 8 KB counted once.

--- a/packages/verbenahall/src/verbenahall/front/_metered_connections.py
+++ b/packages/verbenahall/src/verbenahall/front/_metered_connections.py
@@ -41,6 +41,9 @@
 #: Bytes that are parsed at a time where there may be such chunks. Each chunk of
 #: a byte takes about a hundred until the request has read it.
 _SLICE_BYTES: Final = 1024
+#: How often the fields of a head are in memory beside the bytes received: as
+#: texts, and in the request that is passed on.
+_HEAD_COPIES: Final = 2
 _HEAD_END: Final = b'\r\n\r\n'
 _CHUNKED: Final = b'chunked'
 #: What is left of a body that was dropped.
@@ -181,7 +184,7 @@
             return
         size = len(data)
         if size:
-            self._count_received(size)
+            self._count_received(data)
             if self._has_failed:
                 return
         if size and self._is_paced:
@@ -227,6 +230,8 @@
                 # The request that runs is answered.
                 self._messages.clear()
                 self._stop_parsing()
+                ahead = self._share.behind - self._queued_bytes
+                self._account.release(self._share, max(0, ahead))
                 self._pause_transport_reading()
                 self.close()
             case _:
@@ -245,20 +250,25 @@
             self._share.activity = Activity.RUNNING
             self._update_activity()
 
-    def _count_received(self, size: int) -> None:
-        share = self._share
+    def _count_received(self, data: bytes) -> None:
         if self._unsent_bytes and not self._paused:
             # The client goes on, so it has read the last answer.
             self.end_unread()
-        if not self._is_receiving_body():
-            if self._is_busy():
-                share.behind += size
-        elif self._messages and self._current_request is not None:
-            share.behind += size
+        if self._is_receiving_body():
+            self._count_body(len(data))
+            return
+        copies = _count_copies(data)
+        if self._is_busy() and not self._is_answered:
+            self._share.behind += len(data) + copies
+        self._account.receive(self._share, len(data), copies)
+
+    def _count_body(self, size: int) -> None:
+        if self._messages and self._current_request is not None:
+            self._share.behind += size
         elif self._is_answered:
             # The rest of a body that was refused is dropped as it comes.
             return
-        self._account.receive(share, size)
+        self._account.receive(self._share, size)
 
     def _parse_pieces(self, data: bytes) -> None:
         """Parse what has arrived, chunks piece by piece."""
@@ -533,3 +543,11 @@
         if self._queued_bytes:
             self._account.release(self._share, self._queued_bytes)
             self._queued_bytes = 0
+
+
+def _count_copies(data: bytes) -> int:
+    """Return how many bytes the copies of a long head take beside it."""
+    if len(data) <= _SLICE_BYTES:
+        return 0
+    head, _, _ = data.partition(_HEAD_END)
+    return _HEAD_COPIES * len(head)
--- a/packages/verbenahall/src/verbenahall/memory/_decisions.py
+++ b/packages/verbenahall/src/verbenahall/memory/_decisions.py
@@ -27,10 +27,17 @@
 _SPARE_DIVISOR: Final = 16
 
 
-def receive(account: AccountState, share: Share, size: int, now: float) -> int:
+def receive(
+    account: AccountState,
+    share: Share,
+    size: int,
+    now: float,
+    copies: int = 0,
+) -> int:
     """Count bytes that a connection has received.
 
-    Return by how many bytes all of them exceed the bounds; 0 within these.
+    ``copies`` are the bytes that their copies take. Return by how many bytes
+    all of them exceed the bounds; 0 within these.
     """
     if not share.count:
         start_transfer(share, now)
@@ -39,7 +46,7 @@
         share.marked_at = now
         share.marked = share.moved
     share.moved += size
-    return hold(account, share, size)
+    return hold(account, share, size + copies)
 
 
 def hold(account: AccountState, share: Share, size: int) -> int:
--- a/packages/verbenahall/src/verbenahall/memory/_shell.py
+++ b/packages/verbenahall/src/verbenahall/memory/_shell.py
@@ -66,13 +66,13 @@
         decisions.finish(self.state, share)
         self._connections.pop(share, None)
 
-    def receive(self, share: Share, size: int) -> None:
-        """Count bytes that a connection has received or can't send.
+    def receive(self, share: Share, size: int, copies: int = 0) -> None:
+        """Count bytes that a connection has received, and copies of them.
 
         If no other connection can yield, it is this one that must.
         """
         now = self._now()
-        missing = decisions.receive(self.state, share, size, now)
+        missing = decisions.receive(self.state, share, size, now, copies)
         if missing:
             self._reclaim(missing, now)
 
--- a/packages/verbenahall/tests/front/test_reads.py
+++ b/packages/verbenahall/tests/front/test_reads.py
@@ -14,6 +14,7 @@
 
 HEAD = b'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 100000\r\n\r\n'
 SMALL = b'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nx'
+LONG = b'GET / HTTP/1.1\r\nHost: x\r\nX-A: %s\r\n\r\n' % (b'a' * 8000)
 CHUNKED = b'POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: Chunked\r\n\r\n'
 TINY = b'1\r\nx\r\n'
 END = b'0\r\n\r\n'
@@ -66,6 +67,49 @@
     assert read.failure().kind is ErrorKind.REQUEST_TIMEOUT
 
 
+def test_requests_sent_ahead_are_released_at_once_when_they_yield():
+    # They were dropped, and stayed counted until the one before them had ended.
+    async def run():
+        async with open_connection(HEAD) as (connection, results):
+            results.pause.clear()
+            connection.data_received(bytes(100_000))
+            await asyncio.sleep(0.05)
+            connection.data_received(LONG)
+            before = connection.share.count
+            connection.yield_memory()
+            # What the kernel holds is counted, as nothing more is read.
+            after = connection.share.count - connection._queued_bytes
+            results.pause.set()
+            await results.get()
+            return before, after
+
+    before, after = asyncio.run(run())
+    assert before - after >= len(LONG)
+    assert after >= 100_000
+
+
+def test_copies_of_a_long_head_are_counted():
+    # Its fields are in memory as bytes, as texts, and as those passed on: 1,200
+    # requests of 8 KB took 30 MB more than was counted.
+    async def run():
+        async with open_connection(HEAD) as (connection, results):
+            connection.data_received(bytes(100_000))
+            await results.get()
+            results.pause.clear()
+            connection.data_received(LONG)
+            await asyncio.sleep(0.05)
+            counted = connection.share.count
+            results.pause.set()
+            await results.get()
+            # It came when the request before it had its answer, so that it is
+            # not one sent ahead, whose bytes stay counted.
+            while connection.share.count:
+                await asyncio.sleep(0.01)
+        return counted
+
+    assert asyncio.run(run()) >= 3 * 8000
+
+
 def test_requests_sent_ahead_after_a_late_body_are_answered():
     # The parser stopped after the first of them, and nothing had it go on.
     async def run():
