Receive buffers of calls to endpoints follow from the memory

What endpoints send lies in the kernel before the process can count it: 64 KiB for each call, 58 MB with 900 calls at once, and megabytes at the product's own interface, which set no size (read, not run).

Now they are small, 16 KiB, from the call on at which all would hold a tenth of the memory, as those of callers are; both interfaces open their sockets alike. The product's own interface also reads as far ahead as the other, 64 KiB.

The test failed before: the sessions took no bounds.

--- a/packages/verbenahall/src/verbenahall/answer_connections.py
+++ b/packages/verbenahall/src/verbenahall/answer_connections.py
@@ -2,13 +2,19 @@
 
 import array
 import asyncio
+import contextlib
 import fcntl
+import socket
 import termios
+from collections.abc import Callable
 from typing import Any, Final
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from verbenahall.buffers import CROWD_BUFFER_BYTES, find_receive_buffer
+from verbenahall.memory import Bounds
+
 #: The statuses of the protocol begin with a digit from 1 to 5, RFC 9110 (15).
 _STATUS_CLASSES: Final = range(1, 6)
 _CLASS_DIVISOR: Final = 100
@@ -49,6 +55,33 @@
         return message, payload
 
 
+class AnswerConnector(aiohttp.TCPConnector):
+    """Opens connections with receive buffers that the memory bears.
+
+    Those of many calls at once are small, within ``bounds``: what endpoints
+    send arrives before the process can count it.
+    """
+
+    def __init__(
+        self,
+        bounds: Bounds,
+        open_socket: Callable[[Any], socket.socket],
+        **options: Any,
+    ) -> None:
+        """Open sockets by ``open_socket``; ``options`` are the library's."""
+        self.open_socket = open_socket
+        self._bounds = bounds
+        super().__init__(socket_factory=self._open, **options)
+
+    def _open(self, address: Any) -> socket.socket:
+        opened = self.open_socket(address)
+        size = find_receive_buffer(self._bounds, len(self._acquired))
+        if size == CROWD_BUFFER_BYTES:
+            with contextlib.suppress(OSError):  # Short of memory.
+                opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+        return opened
+
+
 def count_unsent(transport: asyncio.Transport | None) -> int:
     """Return the number of written bytes that the other end has not received.
 
--- a/packages/verbenahall/src/verbenahall/buffers.py
+++ b/packages/verbenahall/src/verbenahall/buffers.py
@@ -34,6 +34,9 @@
 _BUFFER_DIVISOR: Final = 2
 #: Divisor of that bound that gives the largest answer.
 _ANSWER_DIVISOR: Final = 8
+#: Bound of all bytes in a process that states no memory.
+_DEFAULT_LIMIT_BYTES: Final = 67_108_864
+DEFAULT_BOUNDS: Final = Bounds.from_total(_DEFAULT_LIMIT_BYTES)
 
 
 def make_byte_limit(memory_bytes: int) -> int:
@@ -68,6 +71,11 @@
         self.answer_limit = limit // _ANSWER_DIVISOR
         self.limit = limit
 
+    @property
+    def bounds(self) -> Bounds:
+        """The bounds of the account."""
+        return self.account.state.bounds
+
     @property
     def held(self) -> int:
         """The number of bytes held."""
--- a/packages/verbenahall/src/verbenahall/front/_server.py
+++ b/packages/verbenahall/src/verbenahall/front/_server.py
@@ -2,19 +2,16 @@
 
 import asyncio
 import functools
+import socket
 from typing import Any, Final, final
 
-from aiohttp import (
-    ClientSession,
-    ClientTimeout,
-    DummyCookieJar,
-    TCPConnector,
-    web,
-)
+from aiohttp import ClientSession, ClientTimeout, DummyCookieJar, web
 
-from verbenahall.answer_connections import AnswerConnection
+from verbenahall.answer_connections import AnswerConnection, AnswerConnector
 from verbenahall.bodies import BodyTooLargeError
+from verbenahall.buffers import DEFAULT_BOUNDS, RECEIVE_BUFFER_BYTES
 from verbenahall.config import LimitsConfig
+from verbenahall.memory import Bounds
 
 #: Heads that are accepted as the answer to a request, interim ones included.
 _MAX_HEADS: Final = 32
@@ -56,17 +53,21 @@
 
 
 @final
-class _Connector(TCPConnector):
+class _Connector(AnswerConnector):
     """Opens such connections."""
 
-    def __init__(self, **options: Any) -> None:
-        super().__init__(**options)
+    def __init__(self, bounds: Bounds, **options: Any) -> None:
+        super().__init__(bounds, _open_socket, **options)
         self._factory = functools.partial(_Connection, self._loop)
 
 
-def make_session(*, single_use: bool = False) -> ClientSession:
+def make_session(
+    bounds: Bounds = DEFAULT_BOUNDS, *, single_use: bool = False
+) -> ClientSession:
     """Create a client session for calls to endpoints.
 
+    ``bounds`` are those of the bytes that the process may hold.
+
     With ``single_use`` each call opens a new connection. An endpoint may close
     a pooled connection while a request is being written to it. It is then
     unknown whether the request ran, and a call that must not be repeated would
@@ -75,6 +76,7 @@
     keepalive = None if single_use else _IDLE_CONNECTION_S
     return ClientSession(
         connector=_Connector(
+            bounds,
             limit=0,
             force_close=single_use,
             keepalive_timeout=keepalive,
@@ -84,4 +86,14 @@
         auto_decompress=False,
         skip_auto_headers=('Accept-Encoding', 'User-Agent'),
         timeout=ClientTimeout(total=None, sock_connect=1),
+        read_bufsize=2 * RECEIVE_BUFFER_BYTES,
     )
+
+
+def _open_socket(address: Any) -> socket.socket:
+    family, kind, protocol, *_ = address
+    opened = socket.socket(family, kind, protocol)
+    opened.setblocking(False)
+    # The kernel's own bound is megabytes.
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    return opened
--- a/packages/verbenahall/src/verbenahall/gateway/_core.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_core.py
@@ -112,9 +112,9 @@
             settings.cores,
             settings.link_megabits,
         )
-        self.session = session or make_session()
-        self.now = clock.monotonic
         self.byte_budget = ByteBudget(make_byte_limit(settings.memory_bytes))
+        self.session = session or make_session(self.byte_budget.bounds)
+        self.now = clock.monotonic
         self.endpoints = Endpoints(self.roster, self.random, self.now)
         self.endpoint_health = self.endpoints.health
         self.engines = EngineCalls(self.session, self.endpoints.notices)
--- a/packages/verbenahall/src/verbenahall/instance/_core.py
+++ b/packages/verbenahall/src/verbenahall/instance/_core.py
@@ -44,10 +44,11 @@
         self.incarnation = secrets.token_hex(_INCARNATION_BYTES)
         self.holder = f'{config.name}.{self.incarnation}'
         self.rng = random.Random(self.holder)
+        budget = ByteBudget(make_byte_limit(config.limits.find_memory_bytes()))
         self.sessions = Sessions(
-            make_session(),
-            make_session(single_use=True),
-            ByteBudget(make_byte_limit(config.limits.find_memory_bytes())),
+            make_session(budget.bounds),
+            make_session(budget.bounds, single_use=True),
+            budget,
         )
         self.client = LogClient(
             config.platform.log,
--- a/packages/verbenahall/src/verbenahall/platform/_connections.py
+++ b/packages/verbenahall/src/verbenahall/platform/_connections.py
@@ -11,7 +11,6 @@
 import re
 import socket
 from collections import deque
-from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any, Final, final
 
@@ -21,10 +20,11 @@
 from aiohttp.http_parser import RawResponseMessage
 
 from verbenahall import journal, metrics
-from verbenahall.answer_connections import AnswerConnection
+from verbenahall.answer_connections import AnswerConnection, AnswerConnector
 from verbenahall.platform import _names as names
 from verbenahall.bodies import BodyTooLargeError
-from verbenahall.buffers import RECEIVE_BUFFER_BYTES
+from verbenahall.buffers import DEFAULT_BOUNDS, RECEIVE_BUFFER_BYTES
+from verbenahall.memory import Bounds
 
 #: TCP keepalive in seconds: the probes detect a dead connection after two to
 #: three seconds, within the time for which callers wait for an event.
@@ -254,21 +254,21 @@
 
 
 @final
-class Connector(aiohttp.TCPConnector):
+class Connector(AnswerConnector):
     """Opens checked connections with TCP keepalive.
 
     ``open_socket`` opens the sockets of all connections, also of those that
     only test whether an address accepts any.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, bounds: Bounds) -> None:
         """Start without connections."""
-        self.open_socket: Callable[[Any], socket.socket] = _open_socket
         super().__init__(
+            bounds,
+            _open_socket,
             limit=0,
             use_dns_cache=False,
             keepalive_timeout=60,
-            socket_factory=self._open,
         )
         self._factory = self._make_connection
 
@@ -303,17 +303,17 @@
         finally:
             opened.close()
 
-    def _open(self, address: Any) -> socket.socket:
-        return self.open_socket(address)
-
     def _make_connection(self) -> EndpointConnection:
         return EndpointConnection(self._loop)
 
 
-def make_session() -> aiohttp.ClientSession:
-    """Create the session for calls to endpoints and to the store."""
+def make_session(bounds: Bounds = DEFAULT_BOUNDS) -> aiohttp.ClientSession:
+    """Create the session for calls to endpoints and to the store.
+
+    ``bounds`` are those of the bytes that the process may hold.
+    """
     session = aiohttp.ClientSession(
-        connector=Connector(),
+        connector=Connector(bounds),
         request_class=EndpointRequest,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
