--- a/packages/verbenahall/src/verbenahall/front/_metered_connections.py
+++ b/packages/verbenahall/src/verbenahall/front/_metered_connections.py
@@ -257,10 +257,11 @@
         if self._is_receiving_body():
             self._count_body(len(data))
             return
+        size = len(data)
         copies = _count_copies(data)
         if self._is_busy() and not self._is_answered:
-            self._share.behind += len(data) + copies
-        self._account.receive(self._share, len(data), copies)
+            self._share.behind += size + copies
+        self._account.receive(self._share, size, copies)
 
     def _count_body(self, size: int) -> None:
         if self._messages and self._current_request is not None:
