--- a/packages/verbenahall/tests/gateway/test_manifest_changes.py
+++ b/packages/verbenahall/tests/gateway/test_manifest_changes.py
@@ -250,6 +250,13 @@
         return await asyncio.gather(*sending)
 
 
+def reads_body(harness):
+    """Whether a request has found its route, and waits for its body."""
+    account = harness.gateway.core.byte_budget.account
+    connections = account._connections.values()
+    return any(one.partial_body is not None for one in connections)
+
+
 async def wait_for_body(folder, change):
     """Send half of a request's body before a change, and half after it."""
     is_in_force = asyncio.Event()
@@ -265,7 +272,7 @@
         sending = asyncio.create_task(
             harness.send('/proof/1', 'uploaded', data=write_body())
         )
-        await asyncio.sleep(0.1)
+        await harness.wait_until(lambda: reads_body(harness))
         harness.site.publish(**CHANGES[change])
         await harness.wait_for_manifest()
         is_in_force.set()
