--- a/packages/verbenahall/tests/gateway/cut_fleet.py
+++ b/packages/verbenahall/tests/gateway/cut_fleet.py
@@ -74,11 +74,18 @@
 
     @contextlib.asynccontextmanager
     async def run_peer(self, *answers, name='raw', is_frozen=False):
-        """Run a peer that gives raw answers; it is chosen before others.
+        """Run a peer that gives raw answers, as ``open_peer`` does."""
+        async with self.open_peer(
+            RawEndpoint(*answers), name, is_frozen=is_frozen
+        ) as peer:
+            yield peer
+
+    @contextlib.asynccontextmanager
+    async def open_peer(self, peer, name='raw', is_frozen=False):
+        """Run a peer that is chosen before others.
 
         A frozen one sends no heartbeat from now on.
         """
-        peer = RawEndpoint(*answers)
         await peer.start()
         gateway = self.harnesses[0].gateway
         table = gateway.core.peer_table
