An answer's pieces wait in blocks, not in one growing block

A block that grows is copied where the C library keeps large blocks in its heap, and so is there twice.

--- a/packages/verbenahall/src/verbenahall/bodies.py
+++ b/packages/verbenahall/src/verbenahall/bodies.py
@@ -1,7 +1,6 @@
 """Reads the bodies of answers, of which a faulty sender may send any number."""
 
 import asyncio
-import io
 from collections.abc import Callable
 from typing import Any, Final, Self, final
 
@@ -12,6 +11,9 @@
 #: Least rate at which the body of an answer must arrive, in bytes a second. It
 #: bounds the time for which a sender of single bytes is listened to.
 MIN_BYTES_S: Final = 32_768
+#: Size of the blocks in which the pieces of an answer wait for its end, in
+#: bytes: smaller ones lie in the heap, and would fragment it.
+_BLOCK_BYTES: Final = 32_768
 #: Characters of an error that are logged.
 _MAX_LOGGED_CHARS: Final = 200
 
@@ -91,16 +93,19 @@
     the budget has left.
     """
     held = budget.open()
-    # Many small pieces that wait for their end would fragment the heap.
-    body = io.BytesIO()
+    blocks: list[bytes] = []
+    pieces: list[bytes] = []
+    joined = 0
     while piece := await response.content.readany():
         is_within = held.count + len(piece) <= budget.answer_limit
         if not (is_within and held.add(len(piece))):
             raise BodyTooLargeError(f'more than {held.count} bytes')
-        if held.count == len(piece) and response.content.at_eof():
-            return piece, held
-        body.write(piece)
-    return body.getvalue(), held
+        pieces.append(piece)
+        if held.count - joined >= _BLOCK_BYTES:
+            blocks.append(b''.join(pieces))
+            pieces.clear()
+            joined = held.count
+    return b''.join((*blocks, *pieces)), held
 
 
 def format_error(error: BaseException) -> str:
