--- a/packages/verbenahall/src/verbenahall/gateway/_runners.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_runners.py
@@ -17,9 +17,9 @@
 MAX_BODY_BYTES: Final = 67_108_864
 _MAX_CONNECTIONS: Final = 3000
 #: Memory of the process for each connection that a listener may have, in bytes.
-#: A request that runs takes a quarter of it beside what was received and sent,
-#: and so does its connection to an endpoint.
-_CONNECTION_MEMORY_BYTES: Final = 196_608
+#: One with a request that runs, and its call to an endpoint, take a quarter of
+#: it beside what was received and sent.
+_CONNECTION_MEMORY_BYTES: Final = 262_144
 #: Descriptors for files, and for sockets that are no connections of clients.
 _OTHER_DESCRIPTORS: Final = 200
 #: A new connection without a request is closed after this time, in seconds: the
