Limits on clients that had no counter and no log line have one

Reading that stops as requests were sent ahead, small receive buffers of many connections and calls, and texts of log lines that are cut: client_limits_total has sent_ahead, small_buffers and log_text; client_paced has limit=sent_ahead, once for each connection, and small_buffers tells when they begin to be small.

--- a/packages/verbenahall/src/verbenahall/answer_connections.py
+++ b/packages/verbenahall/src/verbenahall/answer_connections.py
@@ -12,7 +12,7 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
-from verbenahall.buffers import CROWD_BUFFER_BYTES, find_receive_buffer
+from verbenahall.buffers import CROWD_BUFFER_BYTES, ReceiveBuffers
 from verbenahall.memory import Bounds
 
 #: The statuses of the protocol begin with a digit from 1 to 5, RFC 9110 (15).
@@ -70,12 +70,12 @@
     ) -> None:
         """Open sockets by ``open_socket``; ``options`` are the library's."""
         self.open_socket = open_socket
-        self._bounds = bounds
+        self._buffers = ReceiveBuffers(bounds, 'endpoints')
         super().__init__(socket_factory=self._open, **options)
 
     def _open(self, address: Any) -> socket.socket:
         opened = self.open_socket(address)
-        size = find_receive_buffer(self._bounds, len(self._acquired))
+        size = self._buffers.find_size(len(self._acquired))
         if size == CROWD_BUFFER_BYTES:
             with contextlib.suppress(OSError):  # Short of memory.
                 opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
--- a/packages/verbenahall/src/verbenahall/buffers.py
+++ b/packages/verbenahall/src/verbenahall/buffers.py
@@ -15,6 +15,7 @@
 import weakref
 from typing import Final, final
 
+from verbenahall import journal, metrics
 from verbenahall.memory import Bounds, MemoryAccount
 
 #: Divisor of the process's memory limit that gives the bound of all bytes. A
@@ -55,6 +56,35 @@
     return CROWD_BUFFER_BYTES
 
 
+@final
+class ReceiveBuffers:
+    """Sizes the receive buffers of connections of one kind.
+
+    It logs when they become small. ``kind`` names the connections in the log.
+    """
+
+    __slots__ = ('_are_small', '_bounds', '_kind')
+
+    def __init__(self, bounds: Bounds, kind: str) -> None:
+        """Start without a connection."""
+        self._are_small = False
+        self._bounds = bounds
+        self._kind = kind
+
+    def find_size(self, connections: int) -> int:
+        """Return the size for a new one, which is counted, in bytes."""
+        size = find_receive_buffer(self._bounds, connections)
+        is_small = size == CROWD_BUFFER_BYTES
+        if is_small:
+            metrics.CLIENT_LIMITS.add('small_buffers')
+            if not self._are_small:
+                journal.write_decision(
+                    'small_buffers', kind=self._kind, connections=connections
+                )
+        self._are_small = is_small
+        return size
+
+
 @final
 class ByteBudget:
     """The bytes that are held for all requests, at most ``limit``.
--- a/packages/verbenahall/src/verbenahall/front/_listener_state.py
+++ b/packages/verbenahall/src/verbenahall/front/_listener_state.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any, Final, final
 
+from verbenahall.buffers import ReceiveBuffers
 from verbenahall.memory import MemoryAccount
 
 #: Part of the event loop's time that all bodies in very small chunks may take.
@@ -56,10 +57,17 @@
 
     ``options`` are passed to aiohttp, ``read_limits`` returns the limits in
     force. ``closing`` connections were closed to make room for others, and have
-    not ended yet.
+    not ended yet. ``buffers`` sizes the receive buffers.
     """
 
-    __slots__ = ('account', 'closing', 'options', 'pacer', 'read_limits')
+    __slots__ = (
+        'account',
+        'buffers',
+        'closing',
+        'options',
+        'pacer',
+        'read_limits',
+    )
 
     def __init__(
         self,
@@ -69,6 +77,7 @@
     ) -> None:
         """Start without a connection."""
         self.account = account
+        self.buffers = ReceiveBuffers(account.state.bounds, 'callers')
         self.closing = 0
         self.options = options
         self.pacer = ChunkPacer()
--- a/packages/verbenahall/src/verbenahall/front/_metered_connections.py
+++ b/packages/verbenahall/src/verbenahall/front/_metered_connections.py
@@ -19,7 +19,6 @@
     BUFFER_FACTOR,
     CROWD_BUFFER_BYTES,
     SEND_BUFFER_BYTES,
-    find_receive_buffer,
 )
 from verbenahall.front._listener_state import ListenerState
 from verbenahall.front._static_answers import BUSY
@@ -69,6 +68,7 @@
         '_discarded',
         '_framing',
         '_has_failed',
+        '_has_sent_ahead',
         '_head_bytes',
         '_is_answered',
         '_is_chunked',
@@ -95,6 +95,7 @@
         self._discarded = 0
         self._framing = 0
         self._has_failed = False
+        self._has_sent_ahead = False
         self._head_bytes = 0
         self._is_answered = False
         self._is_chunked = False
@@ -152,8 +153,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Enlarge the receive buffer while there are few connections."""
         super().connection_made(transport)
-        account = self._account
-        size = find_receive_buffer(account.state.bounds, account.connections)
+        size = self._listener.buffers.find_size(self._account.connections)
         opened = transport.get_extra_info('socket')
         if opened is None or size == CROWD_BUFFER_BYTES:
             return
@@ -521,6 +521,10 @@
         """Stop reading: more requests were sent ahead than may wait."""
         if not self._queued_bytes:
             self._share.behind += self._buffer_bytes
+        if not self._has_sent_ahead:
+            self._has_sent_ahead = True
+            metrics.CLIENT_LIMITS.add('sent_ahead')
+            journal.write_decision('client_paced', limit='sent_ahead')
         super()._pause_reading_for_buffer()
 
     def _pause_transport_reading(self) -> None:
--- a/packages/verbenahall/src/verbenahall/journal.py
+++ b/packages/verbenahall/src/verbenahall/journal.py
@@ -14,7 +14,7 @@
 
 from absl import flags, logging
 
-from verbenahall import clock, lines, wire
+from verbenahall import clock, lines, metrics, wire
 
 _MAX_RECENT: Final = 4096
 _TIME_DIGITS: Final = 3
@@ -36,6 +36,7 @@
     line = {'event': event, 'at': round(clock.wall(), _TIME_DIGITS), **fields}
     encoded = wire.encode_line(line)
     if len(encoded) > _MAX_LINE_BYTES:
+        metrics.CLIENT_LIMITS.add('log_text')
         line = {name: _shorten(found) for name, found in line.items()}
         encoded = wire.encode_line(line)
     recent.append(line)
--- a/packages/verbenahall/src/verbenahall/metrics.py
+++ b/packages/verbenahall/src/verbenahall/metrics.py
@@ -204,8 +204,10 @@
 CLIENT_LIMITS: Final = BufferedCounter(
     'verbenahall_client_limits_total',
     'Connections of clients that exceeded a limit: head, trailer, malformed,'
-    ' chunks,'
-    ' idle (closed for a new one in a full house), no_room (a large body).',
+    ' chunks, sent_ahead (reading stopped),'
+    ' idle (closed for a new one in a full house), no_room (a large body);'
+    ' small_buffers of connections, and of calls to endpoints, among many;'
+    ' log_text (texts of a long line were cut).',
     'limit',
 )
 STREAMS_TAKEN_UP: Final = BufferedCounter(
