An answer that its client has received is not counted any longer

Cause: what an answer leaves unsent at its end is counted, and was released when writing resumed, which had happened before, or with the next request, or when memory ran short. So each idle connection whose last answer had more than 16 KiB counted as 128 KiB. Now the connection looks twice a second whether the client has received all. The test failed 3 of 3 before and passes.

test_receive_buffers took a connection that is being opened for an open one; two of the three failures above.

--- a/packages/verbenahall/src/verbenahall/front/_metered_connections.py
+++ b/packages/verbenahall/src/verbenahall/front/_metered_connections.py
@@ -34,6 +34,8 @@
 _MAX_DISCARDED_BYTES: Final = 262_144
 #: Bytes of an answer that may lie in the kernel without being counted.
 _UNCOUNTED_BYTES: Final = 16_384
+#: Interval of the checks whether a client has received an answer, in seconds.
+_UNSENT_CHECK_S: Final = 0.5
 #: Bytes of chunk framing beyond those of the body from which on the chunks of a
 #: body are parsed little by little.
 _FRAMING_BYTES: Final = 512
@@ -80,6 +82,7 @@
         '_share',
         '_unparsed',
         '_unsent_bytes',
+        '_unsent_timer',
         'partial_body',
     )
 
@@ -104,6 +107,7 @@
         self._queued_bytes = 0
         self._unparsed = b''
         self._unsent_bytes = 0
+        self._unsent_timer: asyncio.TimerHandle | None = None
         #: What a handler has read of a body; it is closed when it must yield.
         self.partial_body: io.BytesIO | None = None
         self._share: Share = self._account.open(self)
@@ -166,6 +170,7 @@
         self._unparsed = b''
         self._pacer.remove(self)
         self._account.close(self._share)
+        self._stop_unsent_timer()
         if self._is_closing:
             self._is_closing = False
             self._listener.closing -= 1
@@ -514,9 +519,27 @@
         if sent > _UNCOUNTED_BYTES and not self._has_failed:
             self._unsent_bytes = min(sent, SEND_BUFFER_BYTES)
             self._account.wait_unread(share, self._unsent_bytes)
+            self._check_unsent()
         else:
             self._update_activity()
 
+    def _check_unsent(self) -> None:
+        """Release a whole answer once the client has received it."""
+        self._stop_unsent_timer()
+        if not self._unsent_bytes or self.transport is None:
+            return
+        if self.count_unsent():
+            self._unsent_timer = self._loop.call_later(
+                _UNSENT_CHECK_S, self._check_unsent
+            )
+        else:
+            self.end_unread()
+
+    def _stop_unsent_timer(self) -> None:
+        if self._unsent_timer is not None:
+            self._unsent_timer.cancel()
+            self._unsent_timer = None
+
     def _pause_reading_for_buffer(self) -> None:
         """Stop reading: more requests were sent ahead than may wait."""
         if not self._queued_bytes:
--- a/packages/verbenahall/tests/front/test_reads.py
+++ b/packages/verbenahall/tests/front/test_reads.py
@@ -167,6 +167,22 @@
     assert body == b'x' * 5000
 
 
+def test_answer_that_was_received_is_not_counted():
+    # It stayed counted, as one that is not read, until the next request.
+    async def run():
+        async with open_connection(SMALL, bytes(1_000_000)) as (
+            connection,
+            results,
+        ):
+            await results.get()
+            await asyncio.sleep(0.05)
+            while connection.account.state.held:
+                await asyncio.sleep(0.01)
+            assert connection.is_idle
+
+    asyncio.run(run())
+
+
 def test_large_receive_buffers_are_bounded():
     # Data of a crowd waits in them before the process can count it.
     bounds = Bounds.from_total(10_000_000)
@@ -188,15 +204,18 @@
 
 
 @contextlib.asynccontextmanager
-async def open_connection(sent):
-    """Send bytes to a listener; yield its connection, and the bodies read."""
+async def open_connection(sent, answer=b''):
+    """Send bytes to a listener; yield its connection, and the bodies read.
+
+    Each request gets the same answer.
+    """
     results = Results()
 
     async def receive(request):
         read = await read_request_body(request, 1_000_000, 30)
         await results.pause.wait()
         results.put_nowait(read)
-        return web.Response()
+        return web.Response(body=answer)
 
     app = web.Application()
     app.router.add_route('*', '/', receive)
@@ -205,7 +224,9 @@
     site = web.TCPSite(runner, '127.0.0.1', 0)
     await site.start()
     port = site._server.sockets[0].getsockname()[1]
-    _, writer = await asyncio.open_connection('127.0.0.1', port)
+    _, writer = await asyncio.open_connection(
+        '127.0.0.1', port, limit=2 * len(answer) + 1
+    )
     writer.write(sent)
     try:
         async with asyncio.timeout(5):
--- a/packages/verbenahall/tests/platform/test_receive_buffers.py
+++ b/packages/verbenahall/tests/platform/test_receive_buffers.py
@@ -37,7 +37,7 @@
                     for _ in range(CALLS)
                 ]
                 opened = session.connector._acquired
-                while sum(hasattr(one, 'transport') for one in opened) < CALLS:
+                while sum(bool(one.transport) for one in opened) < CALLS:
                     await asyncio.sleep(0.01)
                 for one in opened:
                     found = one.transport.get_extra_info('socket')
