The product's own interface has as many connections as its memory bears, too

Its limits.connections, 4,096 by default, did not follow from the memory: at memory_mb 160 and 2,900 clients with whole bodies 2,460 descriptors were open and the peak was 155.9 MB, with bodies all but their end 143.9; with a request on each of them it would be more (up to 70 KB each, by the platform's figures).

The bound of one connection for each 262,144 bytes moves to where both listen. After: 126.1 and 127.9 MB, sent ahead 113.4 (110.7). The platform's path has the same number as before. The tests of front/, platform/ and open connections: 674 passed.

--- a/packages/verbenahall/src/verbenahall/front/_connections.py
+++ b/packages/verbenahall/src/verbenahall/front/_connections.py
@@ -41,6 +41,10 @@
 #: Divisor of the number of connections that gives how many idle ones are closed
 #: at a time when all are in use.
 _CLOSED_DIVISOR: Final = 64
+#: Memory of the process for each connection that a listener may have, in bytes.
+#: One with a request that runs, and its call to an endpoint, take a quarter of
+#: it beside what was received and sent.
+_CONNECTION_MEMORY_BYTES: Final = 262_144
 _SERVER_ERROR: Final = 500
 _CONTINUE: Final = '100-continue'
 
@@ -223,7 +227,10 @@
         """
         super().__init__(app, handler_cancellation=True, **options)
         self._manager: web.Server | None = None
-        self._limits = limits
+        memory_bytes = limits.find_memory_bytes()
+        self._max_connections = min(
+            limits.connections, memory_bytes // _CONNECTION_MEMORY_BYTES
+        )
         timeout_s = limits.body_timeout_s
         fixed = ReadLimits(
             timeout_s, timeout_s, _KEEPALIVE_S, limits.header_bytes
@@ -237,7 +244,7 @@
             'read_bufsize': _READ_BUFFER_BYTES,
             'auto_decompress': decompresses,
         }
-        total = make_byte_limit(limits.find_memory_bytes())
+        total = make_byte_limit(memory_bytes)
         self._listener = ListenerState(
             account or MemoryAccount(Bounds.from_total(total)),
             read_limits or (lambda: fixed),
@@ -266,13 +273,13 @@
     def _make_protocol(self) -> asyncio.Protocol:
         connections = self._manager.connections
         count = len(connections) - self._listener.closing
-        if count < self._limits.connections or self._make_room(connections):
+        if count < self._max_connections or self._make_room(connections):
             return Connection(self._manager, self._listener)
         return ConnectionRejector()
 
     def _make_room(self, connections: Collection[Connection]) -> int:
         """Close idle connections, or slow ones if there are no others."""
-        most = max(1, self._limits.connections // _CLOSED_DIVISOR)
+        most = max(1, self._max_connections // _CLOSED_DIVISOR)
         shares = (one.share for one in connections)
         return _close_idle(
             connections, most
--- a/packages/verbenahall/src/verbenahall/gateway/_runners.py
+++ b/packages/verbenahall/src/verbenahall/gateway/_runners.py
@@ -16,10 +16,7 @@
 _MAX_LINE_BYTES: Final = 65_536
 MAX_BODY_BYTES: Final = 67_108_864
 _MAX_CONNECTIONS: Final = 3000
-#: Memory of the process for each connection that a listener may have, in bytes.
-#: One with a request that runs, and its call to an endpoint, take a quarter of
-#: it beside what was received and sent.
-_CONNECTION_MEMORY_BYTES: Final = 262_144
+_BYTES_IN_MB: Final = 1_000_000
 #: Descriptors for files, and for sockets that are no connections of clients.
 _OTHER_DESCRIPTORS: Final = 200
 #: A new connection without a request is closed after this time, in seconds: the
@@ -52,7 +49,6 @@
         json_depth=0,
         connections=min(
             _MAX_CONNECTIONS,
-            settings.memory_bytes // _CONNECTION_MEMORY_BYTES,
             max(1, int(sockets * share.value)),
         ),
         body_timeout_s=_FIRST_REQUEST_S,
@@ -60,6 +56,7 @@
         queue_per_workspace=0,
         in_flight_per_engine=0,
         default_deadline_s=0,
+        memory_mb=settings.memory_bytes // _BYTES_IN_MB,
     )
     return Runner(
         app,
