A long head is measured without a copy, and small buffers are logged seldom

From the last read of the change: the end of a head was found by splitting what had come, which copied up to 64 KiB for each large request; and a number of connections about the bound would have written a line for each second one.

--- a/packages/verbenahall/src/verbenahall/buffers.py
+++ b/packages/verbenahall/src/verbenahall/buffers.py
@@ -15,7 +15,7 @@
 import weakref
 from typing import Final, final
 
-from verbenahall import journal, metrics
+from verbenahall import clock, journal, metrics
 from verbenahall.memory import Bounds, MemoryAccount
 
 #: Divisor of the process's memory limit that gives the bound of all bytes. A
@@ -35,6 +35,8 @@
 _BUFFER_DIVISOR: Final = 2
 #: Divisor of that bound that gives the largest answer.
 _ANSWER_DIVISOR: Final = 8
+#: Interval at which small receive buffers are logged at most, in seconds.
+_LOG_S: Final = 10.0
 #: Bound of all bytes in a process that states no memory.
 _DEFAULT_LIMIT_BYTES: Final = 67_108_864
 DEFAULT_BOUNDS: Final = Bounds.from_total(_DEFAULT_LIMIT_BYTES)
@@ -60,30 +62,33 @@
 class ReceiveBuffers:
     """Sizes the receive buffers of connections of one kind.
 
-    It logs when they become small. ``kind`` names the connections in the log.
+    It logs when they are small. ``kind`` names the connections in the log.
     """
 
-    __slots__ = ('_are_small', '_bounds', '_kind')
+    __slots__ = ('_bounds', '_kind', '_logged_at')
 
     def __init__(self, bounds: Bounds, kind: str) -> None:
         """Start without a connection."""
-        self._are_small = False
         self._bounds = bounds
         self._kind = kind
+        self._logged_at = float('-inf')
 
     def find_size(self, connections: int) -> int:
         """Return the size for a new one, which is counted, in bytes."""
         size = find_receive_buffer(self._bounds, connections)
-        is_small = size == CROWD_BUFFER_BYTES
-        if is_small:
+        if size == CROWD_BUFFER_BYTES:
             metrics.CLIENT_LIMITS.add('small_buffers')
-            if not self._are_small:
-                journal.write_decision(
-                    'small_buffers', kind=self._kind, connections=connections
-                )
-        self._are_small = is_small
+            self._log(connections)
         return size
 
+    def _log(self, connections: int) -> None:
+        now = clock.monotonic()
+        if now - self._logged_at >= _LOG_S:
+            self._logged_at = now
+            journal.write_decision(
+                'small_buffers', kind=self._kind, connections=connections
+            )
+
 
 @final
 class ByteBudget:
--- a/packages/verbenahall/src/verbenahall/front/_metered_connections.py
+++ b/packages/verbenahall/src/verbenahall/front/_metered_connections.py
@@ -575,7 +575,10 @@
 
 def _count_copies(data: bytes) -> int:
     """Return how many bytes the copies of a long head take beside it."""
-    if len(data) <= _SLICE_BYTES:
+    size = len(data)
+    if size <= _SLICE_BYTES:
         return 0
-    head, _, _ = data.partition(_HEAD_END)
-    return _HEAD_COPIES * len(head)
+    end = data.find(_HEAD_END)
+    if end >= 0:
+        size = end
+    return _HEAD_COPIES * size
